Lay out the workspace, the shared types and the contracts between crates

Cause: the crates are to be written side by side, so their shared vocabulary and their borders have to stand first. Conclusion: other crates can now be written against compiled types.

--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,26 @@
+//! Shared vocabulary of threadledge: identifiers, key hashing, slices, epochs,
+//! configuration objects, replicated records and the messages that cross
+//! process borders.
+//!
+//! This crate holds data and arithmetic only. It opens no sockets and reads no
+//! clock, so that every core crate can depend on it.
+
+pub mod epoch;
+pub mod ids;
+pub mod key;
+pub mod objects;
+pub mod outcome;
+pub mod records;
+pub mod session;
+pub mod time;
+pub mod timing;
+
+pub use epoch::{Epoch, Generation, Revision};
+pub use ids::{
+    BackEndId, GroupId, Incarnation, MachineName, RegionName, RouterId, RouterIdentity, ServiceId,
+    SessionId, ZoneName,
+};
+pub use key::{Point, Slice, hash_key};
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use time::Timestamp;
+pub use timing::Timing;
