--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The `threadledge-lab` binary.
+
+fn main() {}
