--- /dev/null
+++ b/crates/routing/src/settings.rs
@@ -0,0 +1,151 @@
+//! Limits of one router's data path.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Limits and waits; the defaults suit the sizes of today.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Settings {
+    /// Exchanges held at once, running and waiting, over all namespaces.
+    pub max_exchanges: u32,
+    /// Share of `max_exchanges` that a namespace may hold when others want
+    /// it, in percent. With more namespaces active each gets an equal part,
+    /// if that is less.
+    pub namespace_share_percent: u32,
+    /// Share of `max_exchanges` kept free for namespaces below their share,
+    /// in percent.
+    pub namespace_reserve_percent: u32,
+    /// Requests that wait for one back end at once.
+    pub queue_per_back_end: u32,
+    /// Of this many requests taken from a queue, one is the longest waiting
+    /// of the lowest priority, so that none starves.
+    pub low_priority_turn: u32,
+    /// Longest wait for a slot of a request that may not queue, in
+    /// milliseconds.
+    pub short_wait_ms: u64,
+    /// Longest wait for a slice to get an owner, in milliseconds.
+    pub owner_wait_ms: u64,
+    /// Attempts of one exchange.
+    pub max_attempts: u32,
+    /// Retries allowed for each hundred first attempts to a back end.
+    pub retry_percent: u32,
+    /// Retries saved up at most, and at the start.
+    pub retry_reserve: u32,
+    /// Hedges allowed for each hundred first attempts to a back end.
+    pub hedge_percent: u32,
+    /// Hedges saved up at most, and at the start.
+    pub hedge_reserve: u32,
+    /// A hedge is sent once an attempt has taken longer than this percentage
+    /// of the back end's recent answers.
+    pub hedge_quantile_percent: u32,
+    /// Shortest time until a hedge, in milliseconds.
+    pub hedge_min_ms: u64,
+    /// First wait between attempts, in milliseconds; it doubles.
+    pub backoff_min_ms: u64,
+    /// Longest wait between attempts, in milliseconds.
+    pub backoff_max_ms: u64,
+    /// Failures in a row after which a back end is ejected.
+    pub ejection_failures: u32,
+    /// First length of an ejection, in milliseconds; it doubles.
+    pub ejection_min_ms: u64,
+    /// Longest ejection, in milliseconds.
+    pub ejection_max_ms: u64,
+    /// Successes one at a time after which an ejected back end is back.
+    pub return_successes: u32,
+    /// An attempt that had no answer by its deadline counts as a failure of
+    /// the back end if it ran at least this long, in milliseconds.
+    pub timeout_evidence_ms: u64,
+    /// Time over which a new back end process is ramped up, in milliseconds.
+    pub ramp_ms: u64,
+    /// How long a draining back end still gets requests for slices it owns,
+    /// in milliseconds from when this router learned of the drain.
+    pub drain_grace_ms: u64,
+    /// Largest number of requests at a back end at once, in percent of its
+    /// slots. Above 100 the next request is already there when a slot frees.
+    pub slot_overcommit_percent: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            max_exchanges: 10_000,
+            namespace_share_percent: 50,
+            namespace_reserve_percent: 10,
+            queue_per_back_end: 256,
+            low_priority_turn: 16,
+            short_wait_ms: 100,
+            owner_wait_ms: 3_000,
+            max_attempts: 16,
+            retry_percent: 10,
+            retry_reserve: 10,
+            hedge_percent: 5,
+            hedge_reserve: 5,
+            hedge_quantile_percent: 95,
+            hedge_min_ms: 10,
+            backoff_min_ms: 5,
+            backoff_max_ms: 200,
+            ejection_failures: 5,
+            ejection_min_ms: 100,
+            ejection_max_ms: 2_000,
+            return_successes: 3,
+            timeout_evidence_ms: 100,
+            ramp_ms: 5_000,
+            drain_grace_ms: 1_000,
+            slot_overcommit_percent: 200,
+        }
+    }
+}
+
+impl Settings {
+    /// Longest wait for a slot of a request that may not queue.
+    pub fn short_wait(&self) -> Duration {
+        Duration::from_millis(self.short_wait_ms)
+    }
+
+    /// Longest wait for a slice to get an owner.
+    pub fn owner_wait(&self) -> Duration {
+        Duration::from_millis(self.owner_wait_ms)
+    }
+
+    /// Shortest time until a hedge.
+    pub fn hedge_min(&self) -> Duration {
+        Duration::from_millis(self.hedge_min_ms)
+    }
+
+    /// First wait between attempts.
+    pub fn backoff_min(&self) -> Duration {
+        Duration::from_millis(self.backoff_min_ms)
+    }
+
+    /// Longest wait between attempts.
+    pub fn backoff_max(&self) -> Duration {
+        Duration::from_millis(self.backoff_max_ms)
+    }
+
+    /// First length of an ejection.
+    pub fn ejection_min(&self) -> Duration {
+        Duration::from_millis(self.ejection_min_ms)
+    }
+
+    /// Longest ejection.
+    pub fn ejection_max(&self) -> Duration {
+        Duration::from_millis(self.ejection_max_ms)
+    }
+
+    /// Shortest unanswered attempt that counts against its back end.
+    pub fn timeout_evidence(&self) -> Duration {
+        Duration::from_millis(self.timeout_evidence_ms)
+    }
+
+    /// Time over which a new back end process is ramped up.
+    pub fn ramp(&self) -> Duration {
+        Duration::from_millis(self.ramp_ms)
+    }
+
+    /// How long a draining back end still gets requests.
+    pub fn drain_grace(&self) -> Duration {
+        Duration::from_millis(self.drain_grace_ms)
+    }
+}
