Publish the ownership core: state machine, grantor and holder

Change: the replicated state machine, the leader's grantor and the back end's holder, complete in outline. Commands that rest on one leader's observation (CloseSession, CompleteMove, Release) name its term and the revision they saw, because a plain epoch check lets a delayed CompleteMove take effect after the grant was given back. No tests yet.

--- /dev/null
+++ b/crates/ownership/src/grantor/handover.rs
@@ -0,0 +1,321 @@
+//! Which slices are in whose holdings, and how they leave them.
+
+use std::time::Duration;
+
+use threadledge_types::records::{SliceKey, SliceRecord};
+use threadledge_types::session::Grant;
+use threadledge_types::{BackEndId, Revision, Timestamp};
+
+use super::{Grantor, Observation};
+use crate::command::{Command, SliceEvidence};
+use crate::machine::StateMachine;
+
+/// A slice taken out of its owner's holdings.
+#[derive(Clone, Debug)]
+pub(super) struct Withheld {
+    pub owner: BackEndId,
+    /// Revision of the slice at that time; once it differs, this is void.
+    pub revision: Revision,
+    /// Number of the owner's first state without the slice.
+    pub number: u64,
+    pub confirmed: bool,
+    pub proposed_at: Option<Timestamp>,
+}
+
+fn grant_of(record: &SliceRecord) -> Grant {
+    Grant {
+        service: record.service.clone(),
+        slice: record.slice,
+        epoch: record.epoch,
+    }
+}
+
+impl Grantor {
+    /// Looks at one slice again: who shall hold it, and whether its owner
+    /// shall let it go.
+    pub(super) fn review(&mut self, now: Timestamp, key: &SliceKey, machine: &StateMachine) {
+        self.drop_void(key, machine);
+        let record = machine.slice(key);
+        let waits = record
+            .as_ref()
+            .is_some_and(|record| record.next.is_some() || machine.misplaced().contains(key));
+        if !waits {
+            self.waiting.remove(key);
+        }
+        let owned = record.filter(|record| record.owner.is_some());
+        let Some(record) = owned else {
+            self.place(key, None);
+            return;
+        };
+        self.place(key, self.receiver(key, &record));
+        self.ask_to_prepare(&record);
+        if waits {
+            self.review_waiting(now, key, &record, machine);
+        }
+    }
+
+    /// A withheld slice that changed in the log is judged afresh: what was
+    /// proposed about it before cannot take effect any more.
+    fn drop_void(&mut self, key: &SliceKey, machine: &StateMachine) {
+        let present = machine.slice_revision(key);
+        let void = |withheld: &Withheld| Some(withheld.revision) != present;
+        if !self.withheld.get(key).is_some_and(void) {
+            return;
+        }
+        if let Some(withheld) = self.withheld.remove(key)
+            && let Some(contact) = self.contacts.get_mut(&withheld.owner)
+        {
+            contact.withheld.remove(key);
+        }
+    }
+
+    /// The back end whose holdings shall contain the slice.
+    fn receiver(&self, key: &SliceKey, record: &SliceRecord) -> Option<(BackEndId, Grant)> {
+        if self.withheld.contains_key(key) {
+            return None;
+        }
+        let owner = record.owner.as_ref()?;
+        let session = self.contacts.get(&owner.back_end)?.session.as_ref()?;
+        let same = session.id == *owner;
+        same.then(|| (owner.back_end.clone(), grant_of(record)))
+    }
+
+    /// Puts the slice into the wanted holdings and out of any other.
+    fn place(&mut self, key: &SliceKey, wanted: Option<(BackEndId, Grant)>) {
+        let holder = self.placed.get(key).cloned();
+        let held = holder.and_then(|id| {
+            let session = self.contacts.get(&id)?.session.as_ref()?;
+            let grant = session.holdings.get(key)?.clone();
+            Some((id, grant))
+        });
+        if held == wanted {
+            return;
+        }
+        if let Some((id, _)) = held {
+            self.take_out(key, &id);
+        }
+        if let Some((id, grant)) = wanted {
+            self.put_in(key, &id, grant);
+        }
+    }
+
+    fn take_out(&mut self, key: &SliceKey, id: &BackEndId) -> u64 {
+        let number = self.next_number();
+        self.placed.remove(key);
+        if let Some(contact) = self.contacts.get_mut(id) {
+            contact.mark_changed();
+            if let Some(session) = &mut contact.session {
+                session.holdings.remove(key, number);
+            }
+        }
+        self.reschedule(id);
+        number
+    }
+
+    fn put_in(&mut self, key: &SliceKey, id: &BackEndId, grant: Grant) {
+        let number = self.next_number();
+        let Some(contact) = self.contacts.get_mut(id) else {
+            return;
+        };
+        contact.mark_changed();
+        let Some(session) = &mut contact.session else {
+            return;
+        };
+        let owner = session.id.clone();
+        session.holdings.add(key.clone(), grant.clone(), number);
+        self.placed.insert(key.clone(), id.clone());
+        self.reschedule(id);
+        self.observe(Observation::GrantIssued {
+            session: owner,
+            grant,
+        });
+    }
+
+    /// Tells the next owner at once.
+    fn ask_to_prepare(&mut self, record: &SliceRecord) {
+        let Some(next) = &record.next else {
+            return;
+        };
+        let Some(contact) = self.contacts.get_mut(next) else {
+            return;
+        };
+        let known = self.waiting.contains_key(&record.key());
+        if !known && !contact.ready.contains(&grant_of(record)) {
+            contact.mark_changed();
+        }
+        self.reschedule(next);
+    }
+
+    fn review_waiting(
+        &mut self,
+        now: Timestamp,
+        key: &SliceKey,
+        record: &SliceRecord,
+        machine: &StateMachine,
+    ) {
+        if self.withheld.contains_key(key) {
+            self.propose_end(now, key, record, machine);
+            return;
+        }
+        let Some(revision) = machine.slice_revision(key) else {
+            return;
+        };
+        let started = match self.waiting.get(key) {
+            Some((at_revision, started)) if *at_revision == revision => *started,
+            _ => now,
+        };
+        let start = (revision, started);
+        self.waiting.insert(key.clone(), start);
+        if !self.placed.contains_key(key) {
+            // The owner has not answered in this term yet.
+            return;
+        }
+        let patience = self.patience(record, machine);
+        let due = patience.map(|patience| started + patience);
+        if self.next_is_ready(record) || due.is_some_and(|due| now >= due) {
+            self.withhold(key, record, revision);
+        } else if let Some(due) = due {
+            self.timers.insert((due, key.clone()));
+        }
+    }
+
+    /// How long to wait for the next owner; `None` waits until it is ready.
+    fn patience(&self, record: &SliceRecord, machine: &StateMachine) -> Option<Duration> {
+        if !machine.misplaced().contains(&record.key()) {
+            return None;
+        }
+        let deleted = machine.service(&record.service).is_none();
+        Some(if deleted {
+            Duration::ZERO
+        } else {
+            self.settings.patience
+        })
+    }
+
+    fn next_is_ready(&self, record: &SliceRecord) -> bool {
+        let next = record.next.as_ref().and_then(|id| self.contacts.get(id));
+        next.is_some_and(|contact| contact.ready.contains(&grant_of(record)))
+    }
+
+    fn withhold(&mut self, key: &SliceKey, record: &SliceRecord, revision: Revision) {
+        let Some(session) = &record.owner else {
+            return;
+        };
+        let owner = session.back_end.clone();
+        let number = self.take_out(key, &owner);
+        if let Some(contact) = self.contacts.get_mut(&owner) {
+            contact.withheld.insert(key.clone());
+        }
+        self.observe(Observation::GrantWithheld {
+            session: session.clone(),
+            grant: grant_of(record),
+        });
+        let withheld = Withheld {
+            owner,
+            revision,
+            number,
+            confirmed: false,
+            proposed_at: None,
+        };
+        self.withheld.insert(key.clone(), withheld);
+    }
+
+    /// Notes which withheld slices the owner serves no more.
+    ///
+    /// One owner: the owner has taken a state without the slice, so it
+    /// admits nothing new, and refuses every earlier request that would give
+    /// it back; and no admitted work of an overlapping slice is running.
+    pub(super) fn note_releases(
+        &mut self,
+        now: Timestamp,
+        from: &BackEndId,
+        number: u64,
+        releasing: &[Grant],
+        machine: &StateMachine,
+    ) {
+        let Some(contact) = self.contacts.get(from) else {
+            return;
+        };
+        let keys: Vec<SliceKey> = contact.withheld.iter().cloned().collect();
+        for key in &keys {
+            let Some(record) = machine.slice(key) else {
+                continue;
+            };
+            let running = releasing.iter().any(|grant| {
+                grant.service == record.service && grant.slice.overlaps(&record.slice)
+            });
+            let Some(withheld) = self.withheld.get_mut(key) else {
+                continue;
+            };
+            if withheld.number <= number && !running && !withheld.confirmed {
+                withheld.confirmed = true;
+                self.confirm(from, key);
+            }
+            self.review(now, key, machine);
+        }
+    }
+
+    fn confirm(&mut self, from: &BackEndId, key: &SliceKey) {
+        let Some(contact) = self.contacts.get_mut(from) else {
+            return;
+        };
+        contact.withheld.remove(key);
+        if let Some(session) = &contact.session {
+            let session = session.id.clone();
+            let slice = key.clone();
+            self.observe(Observation::ReleaseConfirmed { session, slice });
+        }
+    }
+
+    /// Proposes the new owner of a slice whose release is confirmed.
+    fn propose_end(
+        &mut self,
+        now: Timestamp,
+        key: &SliceKey,
+        record: &SliceRecord,
+        machine: &StateMachine,
+    ) {
+        let retry = self.settings.proposal_retry;
+        let Some(withheld) = self.withheld.get_mut(key) else {
+            return;
+        };
+        let awaited = withheld.proposed_at.is_some_and(|at| now < at + retry);
+        if !withheld.confirmed || awaited {
+            return;
+        }
+        withheld.proposed_at = Some(now);
+        let evidence = SliceEvidence {
+            term: self.term,
+            epoch: record.epoch,
+            revision: withheld.revision,
+        };
+        self.timers.insert((now + retry, key.clone()));
+        let (service, slice) = (record.service.clone(), record.slice);
+        let next = record.next.as_ref().and_then(|id| machine.session(id));
+        self.propose(match next {
+            Some(session) => Command::CompleteMove {
+                service,
+                slice,
+                to: session.id.clone(),
+                evidence,
+            },
+            None => Command::Release {
+                service,
+                slice,
+                evidence,
+            },
+        });
+    }
+
+    /// Looks again at slices whose time has come.
+    pub(super) fn run_timers(&mut self, now: Timestamp, machine: &StateMachine) {
+        while let Some((at, _)) = self.timers.first() {
+            if *at > now {
+                return;
+            }
+            if let Some((_, key)) = self.timers.pop_first() {
+                self.review(now, &key, machine);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/grantor/recovery.rs
@@ -0,0 +1,88 @@
+//! After a new founding: slices go back to the back ends that still hold
+//! them, so that a loss of the log moves no keys.
+
+use std::collections::BTreeMap;
+
+use threadledge_types::records::SliceKey;
+use threadledge_types::session::Grant;
+use threadledge_types::{BackEndId, Epoch, SessionId, Slice};
+
+use super::Grantor;
+use crate::command::Command;
+use crate::machine::StateMachine;
+
+/// Who reported to hold which slice, under the highest epoch.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Claims {
+    highest: BTreeMap<SliceKey, Claim>,
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    epoch: Epoch,
+    slice: Slice,
+    session: SessionId,
+}
+
+impl Claims {
+    /// Notes what a process reports to hold while a new founding waits for
+    /// earlier leases to run out.
+    pub fn note(&mut self, session: &SessionId, held: &[Grant], machine: &StateMachine) {
+        if !machine.recovering() {
+            return;
+        }
+        for grant in held {
+            let key = SliceKey {
+                service: grant.service.clone(),
+                first: grant.slice.first,
+            };
+            let known = self.highest.get(&key);
+            if known.is_some_and(|claim| claim.epoch >= grant.epoch) {
+                continue;
+            }
+            let claim = Claim {
+                epoch: grant.epoch,
+                slice: grant.slice,
+                session: session.clone(),
+            };
+            self.highest.insert(key, claim);
+        }
+    }
+
+    /// Takes out the claims of one session.
+    fn take(&mut self, session: &SessionId) -> Vec<(SliceKey, Slice)> {
+        let own = |claim: &Claim| claim.session == *session;
+        let claims = self.highest.iter().filter(|(_, claim)| own(claim));
+        let taken: Vec<_> = claims
+            .map(|(key, claim)| (key.clone(), claim.slice))
+            .collect();
+        self.highest.retain(|_, claim| !own(claim));
+        taken
+    }
+}
+
+impl Grantor {
+    /// Proposes to give a session the slices it reported. They are assigned
+    /// anew, under new epochs: no lease of the earlier founding is left.
+    pub(super) fn propose_claims(&mut self, id: &BackEndId, machine: &StateMachine) {
+        let Some(session) = machine.session(id).map(|record| record.id.clone()) else {
+            return;
+        };
+        let mut commands = Vec::new();
+        for (key, slice) in self.claims.take(&session) {
+            let record = machine.slice(&key);
+            let free = record.filter(|record| record.owner.is_none() && record.slice == slice);
+            if let Some(record) = free {
+                commands.push(Command::Assign {
+                    service: key.service,
+                    slice,
+                    to: session.clone(),
+                    expected_epoch: record.epoch,
+                });
+            }
+        }
+        if !commands.is_empty() {
+            self.propose(Command::Batch(commands));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/machine/tombstones.rs
@@ -0,0 +1,48 @@
+//! Versions of deleted objects, so that none comes back by an old message.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+/// Deleted objects of one kind that are remembered by name.
+pub const MAXIMUM_TOMBSTONES: usize = 4_096;
+
+/// Versions of deleted objects of one kind.
+///
+/// Beyond [`MAXIMUM_TOMBSTONES`] the oldest are forgotten by name, and every
+/// unknown object must then be above their highest version: versions of one
+/// store grow across objects.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Tombstones {
+    versions: BTreeMap<String, u64>,
+    oldest: BTreeSet<(u64, String)>,
+    floor: u64,
+}
+
+impl Tombstones {
+    /// Version at or below which an object of this name is ignored.
+    pub fn floor_of(&self, name: &str) -> u64 {
+        self.versions.get(name).copied().unwrap_or(self.floor)
+    }
+
+    /// Remembers a deletion.
+    pub fn insert(&mut self, name: String, version: u64) {
+        self.remove(&name);
+        self.oldest.insert((version, name.clone()));
+        self.versions.insert(name, version);
+        while self.versions.len() > MAXIMUM_TOMBSTONES {
+            let Some((version, name)) = self.oldest.pop_first() else {
+                return;
+            };
+            self.versions.remove(&name);
+            self.floor = self.floor.max(version);
+        }
+    }
+
+    /// Forgets a deletion: the object exists again.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(version) = self.versions.remove(name) {
+            self.oldest.remove(&(version, name.to_owned()));
+        }
+    }
+}
