--- /dev/null
+++ b/crates/consensus/src/members.rs
@@ -0,0 +1,84 @@
+//! The members of a group and the changes that can be made to them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use threadledge_types::{RouterId, RouterIdentity};
+
+/// The members of a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Members {
+    /// Members that vote and count for a quorum.
+    pub voters: BTreeMap<RouterId, RouterIdentity>,
+    /// Members that only receive the log.
+    pub learners: BTreeMap<RouterId, RouterIdentity>,
+}
+
+/// One change of the members. Single changes only: the quorums of two
+/// configurations that differ by one voter always overlap.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberChange {
+    /// Adds a router that receives the log without voting.
+    AddLearner(RouterIdentity),
+    /// Makes a learner that has caught up a voter.
+    Promote(RouterId),
+    /// Takes out a voter or a learner.
+    Remove(RouterId),
+}
+
+impl Members {
+    /// A group with one voter.
+    pub fn single(identity: RouterIdentity) -> Self {
+        let mut members = Members::default();
+        members.voters.insert(identity.id, identity);
+        members
+    }
+
+    /// Number of voters that make a quorum: more than half.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether `id` votes.
+    pub fn is_voter(&self, id: RouterId) -> bool {
+        self.voters.contains_key(&id)
+    }
+
+    /// Whether `id` is a voter or a learner.
+    pub fn contains(&self, id: RouterId) -> bool {
+        self.is_voter(id) || self.learners.contains_key(&id)
+    }
+
+    /// Identity of the member `id`.
+    pub fn identity(&self, id: RouterId) -> Option<&RouterIdentity> {
+        self.voters.get(&id).or_else(|| self.learners.get(&id))
+    }
+
+    /// Every member, voters first.
+    pub fn iter(&self) -> impl Iterator<Item = &RouterIdentity> {
+        self.voters.values().chain(self.learners.values())
+    }
+
+    /// Whether there is no member.
+    pub fn is_empty(&self) -> bool {
+        self.voters.is_empty() && self.learners.is_empty()
+    }
+
+    /// The largest value that a quorum of the voters reaches or exceeds.
+    /// `value` gives each voter's; `None` counts as below every value.
+    pub fn quorum_value<T: Ord + Copy>(&self, value: impl Fn(RouterId) -> Option<T>) -> Option<T> {
+        if self.voters.is_empty() {
+            return None;
+        }
+        let mut values: Vec<Option<T>> = self.voters.keys().map(|id| value(*id)).collect();
+        values.sort_unstable();
+        values[self.voters.len() - self.quorum()]
+    }
+
+    /// Whether the voters for which `agrees` holds are a quorum.
+    pub fn has_quorum(&self, agrees: impl Fn(RouterId) -> bool) -> bool {
+        let count = self.voters.keys().filter(|id| agrees(**id)).count();
+        !self.voters.is_empty() && count >= self.quorum()
+    }
+}
