Add the router's command line, settings, events and operators' service

The other crates need the settings to compile against, and nothing of the binary existed. Settings are a TOML file with one flag a key, both driven by one table; unknown and contradictory values are refused with place and remedy.

Not measured; cargo build and clippy of the package pass, no tests yet.

--- /dev/null
+++ b/crates/router/src/cli/parse.rs
@@ -0,0 +1,220 @@
+//! Arguments of the subcommands.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long, positional, short};
+
+use crate::operations::ExplainRequest;
+use crate::settings::Override;
+use crate::settings::keys::{KEYS, SettingKey};
+
+/// Description of the subcommand `router`.
+const ROUTER_DESCRIPTION: &str = "Run one routing machine; SIGTERM starts a planned stop";
+
+/// One run of the program.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Run one routing machine.
+    Router(RouterArguments),
+    /// Check settings and object files.
+    Check {
+        /// The files.
+        files: Vec<PathBuf>,
+    },
+    /// Ask a router what would become of a request.
+    Explain {
+        /// Operators' address of the router.
+        operator: SocketAddr,
+        /// The request.
+        request: ExplainRequest,
+        /// Form of the answer.
+        output: OutputFormat,
+    },
+    /// Ask a router for its state.
+    Status {
+        /// Operators' address of the router.
+        operator: SocketAddr,
+        /// Form of the answer.
+        output: OutputFormat,
+    },
+    /// Start the planned stop of a router.
+    Drain {
+        /// Operators' address of the router.
+        operator: SocketAddr,
+    },
+}
+
+/// Arguments of the subcommand `router`.
+#[derive(Clone, Debug, Default)]
+pub struct RouterArguments {
+    /// The settings file.
+    pub settings_file: Option<PathBuf>,
+    /// Settings given as flags.
+    pub overrides: Vec<Override>,
+}
+
+/// Form of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// Text for people.
+    #[default]
+    Text,
+    /// JSON.
+    Json,
+}
+
+/// The whole command line.
+pub fn options() -> OptionParser<Command> {
+    let router = router_arguments()
+        .map(Command::Router)
+        .to_options()
+        .descr(ROUTER_DESCRIPTION)
+        .command("router")
+        .help("Run one routing machine");
+    let check = check_options()
+        .command("check")
+        .help("Check settings files (TOML) and object files (JSON, YAML) offline");
+    let explain = explain_options()
+        .command("explain")
+        .help("Ask a running router what would become of a request");
+    let status = status_options()
+        .command("status")
+        .help("Ask a running router for members, groups, sessions, slices and revision");
+    let drain = drain_options()
+        .command("drain")
+        .help("Start the planned stop of a running router");
+    construct!([router, check, explain, status, drain])
+        .to_options()
+        .descr("Router for servers that own keys exclusively")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Options of the subcommand `router`.
+pub(super) fn router_options() -> OptionParser<RouterArguments> {
+    router_arguments().to_options().descr(ROUTER_DESCRIPTION)
+}
+
+fn router_arguments() -> impl Parser<RouterArguments> {
+    let settings_file = short('s')
+        .long("settings")
+        .help("Settings file; flags override it")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let overrides = override_flags();
+    construct!(RouterArguments {
+        settings_file,
+        overrides,
+    })
+}
+
+/// One optional flag for each key of the settings file.
+fn override_flags() -> Box<dyn Parser<Vec<Override>>> {
+    let none: Box<dyn Parser<Vec<Override>>> = Box::new(bpaf::pure(Vec::new()));
+    KEYS.iter().fold(none, |earlier, key| {
+        let next = override_flag(key);
+        Box::new(construct!(earlier, next).map(|(mut all, next)| {
+            all.extend(next);
+            all
+        }))
+    })
+}
+
+fn override_flag(key: &'static SettingKey) -> impl Parser<Option<Override>> {
+    long(key.flag)
+        .help(key.help)
+        .argument::<String>(key.kind.placeholder())
+        .map(|value| Override {
+            flag: key.flag,
+            value,
+        })
+        .optional()
+}
+
+fn check_options() -> OptionParser<Command> {
+    let files = positional::<PathBuf>("FILE")
+        .help("Settings or object file")
+        .some("name at least one file");
+    construct!(Command::Check { files })
+        .to_options()
+        .descr("Check settings and object files; every problem is listed with place and remedy")
+}
+
+fn explain_options() -> OptionParser<Command> {
+    let operator = operator();
+    let request = explain_request();
+    let output = output();
+    construct!(Command::Explain {
+        operator,
+        request,
+        output,
+    })
+    .to_options()
+    .descr("Ask which service, route, selector, slice, owner, epoch and revision a request gets")
+}
+
+fn explain_request() -> impl Parser<ExplainRequest> {
+    let host = long("host")
+        .help("Host name, without port")
+        .argument::<String>("NAME");
+    let method = long("method")
+        .help("Method")
+        .argument::<String>("METHOD")
+        .fallback("GET".to_owned());
+    let path = long("path")
+        .help("Path with query")
+        .argument::<String>("PATH");
+    let headers = long("header")
+        .help("Header of the request; may be given several times")
+        .argument::<String>("NAME=VALUE")
+        .parse(parse_header)
+        .many();
+    construct!(ExplainRequest {
+        host,
+        method,
+        path,
+        headers,
+    })
+}
+
+fn parse_header(text: String) -> Result<(String, String), String> {
+    match text.split_once('=') {
+        Some((name, value)) if !name.is_empty() => {
+            Ok((name.to_ascii_lowercase(), value.to_owned()))
+        }
+        _ => Err("write NAME=VALUE".to_owned()),
+    }
+}
+
+fn status_options() -> OptionParser<Command> {
+    let operator = operator();
+    let output = output();
+    construct!(Command::Status { operator, output })
+        .to_options()
+        .descr("Ask a running router for its state")
+}
+
+fn drain_options() -> OptionParser<Command> {
+    let operator = operator();
+    construct!(Command::Drain { operator })
+        .to_options()
+        .descr("Start a planned stop: no new work, finish what runs, hand over, exit")
+}
+
+fn operator() -> impl Parser<SocketAddr> {
+    long("operator")
+        .help("The router's operator-address")
+        .argument::<SocketAddr>("IP:PORT")
+}
+
+fn output() -> impl Parser<OutputFormat> {
+    long("output")
+        .help("Form of the answer: text or json")
+        .argument::<String>("FORM")
+        .parse(|text| match text.as_str() {
+            "text" => Ok(OutputFormat::Text),
+            "json" => Ok(OutputFormat::Json),
+            _ => Err("write text or json"),
+        })
+        .fallback(OutputFormat::Text)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! The routing machine: command line, settings, logging and composition of
+//! the cores with their shells.
+
+pub mod check;
+pub mod cli;
+pub mod events;
+pub mod logging;
+pub mod metrics;
+pub mod operations;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/crates/router/src/operations.rs
@@ -0,0 +1,22 @@
+//! The operators' HTTP service and the client of it.
+//!
+//! The service is defined over [`RouterView`], which the running router
+//! implements; nothing here knows how a router is put together.
+
+pub mod client;
+pub mod report;
+pub mod service;
+pub mod signals;
+mod text;
+pub mod view;
+
+pub use client::{ClientError, OperatorClient};
+pub use report::{
+    ExplainRequest, Explanation, ExplanationOwner, GroupStatus, MemberState, MemberStatus,
+    NotReadyReason, Readiness, RouteOfService, SelectedBackEnd, ServiceStatus, SessionStatus,
+    StatusReport,
+};
+pub use service::{Operations, serve};
+pub use signals::stop_on_signal;
+pub use text::{explanation_text, status_text};
+pub use view::{ExplainError, RouterView};
--- /dev/null
+++ b/crates/router/src/operations/service.rs
@@ -0,0 +1,213 @@
+//! The operators' HTTP service.
+
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use http_types::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use threadledge_net::{ServeReport, ServerLimits, StopSignal};
+
+use super::report::ExplainRequest;
+use super::view::RouterView;
+use crate::events::{EventId, emit};
+use crate::metrics::Metrics;
+
+/// Paths of the operators' service.
+pub mod path {
+    /// Whether the process is alive.
+    pub const HEALTH: &str = "/healthz";
+    /// Whether the router takes new work.
+    pub const READY: &str = "/readyz";
+    /// Metrics in the Prometheus text format.
+    pub const METRICS: &str = "/metrics";
+    /// State of the router.
+    pub const STATUS: &str = "/v1/status";
+    /// What would become of a request.
+    pub const EXPLAIN: &str = "/v1/explain";
+    /// Starts a planned stop.
+    pub const DRAIN: &str = "/v1/drain";
+}
+
+/// Largest number of operators' connections at once.
+const MAX_CONNECTIONS: usize = 64;
+/// Largest body an operator may send; none is needed.
+const MAX_BODY_BYTES: u64 = 4_096;
+/// Prefix of the query parameters of `explain` that carry request headers.
+pub(super) const HEADER_PARAMETER: &str = "header";
+
+/// Answers operators' requests about one router.
+#[derive(Clone)]
+pub struct Operations {
+    view: Arc<dyn RouterView>,
+    metrics: Metrics,
+}
+
+impl Operations {
+    /// Answers from `view` and `metrics`.
+    pub fn new(view: Arc<dyn RouterView>, metrics: Metrics) -> Self {
+        Operations { view, metrics }
+    }
+
+    /// Answers one request.
+    pub fn answer(&self, request: &Request) -> Response {
+        match (request.method(), request.url().path()) {
+            (Method::Get, path::HEALTH) => text(StatusCode::Ok, "ok\n".to_owned()),
+            (Method::Get, path::READY) => self.ready(),
+            (Method::Get, path::METRICS) => self.metrics_text(),
+            (Method::Get, path::STATUS) => json(StatusCode::Ok, &self.view.status()),
+            (Method::Get, path::EXPLAIN) => self.explain(request),
+            (Method::Post, path::DRAIN) => self.drain(),
+            (method, path) => refuse_unknown(method, path),
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let readiness = self.view.readiness();
+        if readiness.is_ready() {
+            return text(StatusCode::Ok, "ready\n".to_owned());
+        }
+        let mut body = String::new();
+        for reason in &readiness.reasons {
+            body.push_str(&format!("{reason}: {}\n", reason.remedy()));
+        }
+        text(StatusCode::ServiceUnavailable, body)
+    }
+
+    fn metrics_text(&self) -> Response {
+        match self.metrics.encode() {
+            Ok(body) => {
+                let mut response = text(StatusCode::Ok, body);
+                response.insert_header("content-type", Metrics::CONTENT_TYPE);
+                response
+            }
+            Err(error) => text(StatusCode::InternalServerError, format!("{error}\n")),
+        }
+    }
+
+    fn explain(&self, request: &Request) -> Response {
+        let asked = match read_explain(request) {
+            Ok(asked) => asked,
+            Err(remedy) => return problem(StatusCode::BadRequest, remedy.to_owned()),
+        };
+        match self.view.explain(&asked) {
+            Ok(explanation) => json(StatusCode::Ok, &explanation),
+            Err(error) => {
+                let status = StatusCode::try_from(error.reason().status())
+                    .unwrap_or(StatusCode::InternalServerError);
+                problem(status, error.to_string())
+            }
+        }
+    }
+
+    fn drain(&self) -> Response {
+        emit!(EventId::StopRequested, cause = "drain");
+        self.view.start_drain();
+        text(StatusCode::Accepted, "draining\n".to_owned())
+    }
+}
+
+/// Serves operators until `stop` is given.
+///
+/// Give `stop` only when the router has nothing left to do, so that operators
+/// can watch a planned stop to its end.
+pub async fn serve(listener: TcpListener, operations: Operations, stop: StopSignal) -> ServeReport {
+    let limits = ServerLimits {
+        max_connections: MAX_CONNECTIONS,
+        max_body_bytes: MAX_BODY_BYTES,
+        ..ServerLimits::default()
+    };
+    threadledge_net::serve(listener, limits, stop, move |request, _| {
+        let answer = operations.answer(&request);
+        async move { answer }
+    })
+    .await
+}
+
+/// Body of a refusal.
+#[derive(Debug, Serialize, serde::Deserialize)]
+pub struct ProblemBody {
+    /// What is wrong and what to do about it.
+    pub message: String,
+}
+
+fn read_explain(request: &Request) -> Result<ExplainRequest, &'static str> {
+    let mut asked = ExplainRequest {
+        method: "GET".to_owned(),
+        ..ExplainRequest::default()
+    };
+    for (name, value) in request.url().query_pairs() {
+        match name.as_ref() {
+            "host" => asked.host = value.into_owned(),
+            "method" => asked.method = value.into_owned(),
+            "path" => asked.path = value.into_owned(),
+            HEADER_PARAMETER => asked.headers.push(read_header(&value)?),
+            _ => return Err("unknown parameter; use host, method, path and header=name:value"),
+        }
+    }
+    if asked.host.is_empty() || asked.path.is_empty() {
+        return Err("host or path is missing; add both parameters");
+    }
+    if !asked.path.starts_with('/') {
+        return Err("path does not start with '/'; add it");
+    }
+    Ok(asked)
+}
+
+fn read_header(text: &str) -> Result<(String, String), &'static str> {
+    match text.split_once(':') {
+        Some((name, value)) if !name.is_empty() => {
+            Ok((name.to_ascii_lowercase(), value.trim().to_owned()))
+        }
+        _ => Err("header is not name:value; write for example header=x-key:42"),
+    }
+}
+
+fn refuse_unknown(method: Method, asked: &str) -> Response {
+    let known = match asked {
+        path::HEALTH | path::READY | path::METRICS | path::STATUS | path::EXPLAIN => Some("GET"),
+        path::DRAIN => Some("POST"),
+        _ => None,
+    };
+    match known {
+        Some(allowed) => {
+            let message = format!("{method} is not allowed here; use {allowed}");
+            let mut response = problem(StatusCode::MethodNotAllowed, message);
+            response.insert_header("allow", allowed);
+            response
+        }
+        None => problem(
+            StatusCode::NotFound,
+            format!(
+                "no such path; use {}, {}, {}, {}, {} or {}",
+                path::HEALTH,
+                path::READY,
+                path::METRICS,
+                path::STATUS,
+                path::EXPLAIN,
+                path::DRAIN
+            ),
+        ),
+    }
+}
+
+fn problem(status: StatusCode, message: String) -> Response {
+    json(status, &ProblemBody { message })
+}
+
+fn text(status: StatusCode, body: String) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => {
+            let mut response = Response::new(status);
+            response.set_body(bytes);
+            response.insert_header("content-type", "application/json");
+            response
+        }
+        Err(error) => text(StatusCode::InternalServerError, format!("{error}\n")),
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings/load.rs
@@ -0,0 +1,299 @@
+//! Reading a settings file and laying flags over it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use toml::de::{DeTable, DeValue};
+use toml::{Table, Value};
+
+use super::keys::{self, KEYS, SettingKey, ValueKind};
+use super::{Place, Problem, Settings, SettingsError, SettingsProblem, validate};
+
+/// A value given on the command line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Override {
+    /// Flag, without the dashes.
+    pub flag: &'static str,
+    /// Its value as typed.
+    pub value: String,
+}
+
+/// Reads `file`, lays `overrides` over it and checks the result.
+///
+/// # Errors
+///
+/// Every problem found, with its place and remedy.
+pub fn load(file: Option<&Path>, overrides: &[Override]) -> Result<Settings, SettingsError> {
+    let mut draft = Draft::default();
+    if let Some(path) = file {
+        draft.read_file(path);
+    }
+    for given in overrides {
+        draft.override_with(given);
+    }
+    draft.finish()
+}
+
+/// Every problem of a settings file by itself. The keys that flags must give
+/// count as missing.
+pub fn examine(path: &Path) -> Vec<Problem> {
+    match load(Some(path), &[]) {
+        Ok(_) => Vec::new(),
+        Err(error) => error.problems,
+    }
+}
+
+/// Settings while they are put together.
+#[derive(Default)]
+struct Draft {
+    file: Option<PathBuf>,
+    values: BTreeMap<String, Value>,
+    places: BTreeMap<String, Place>,
+    problems: Vec<Problem>,
+}
+
+impl Draft {
+    fn read_file(&mut self, path: &Path) {
+        self.file = Some(path.to_owned());
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(error) => {
+                let kind = SettingsProblem::Unreadable(error.to_string());
+                return self.report(self.place_in_file(None), kind);
+            }
+        };
+        match DeTable::parse(&text) {
+            Ok(table) => self.read_table(&text, "", table.get_ref()),
+            Err(error) => {
+                let position = error.span().map(|span| position_of(&text, span.start));
+                let kind = SettingsProblem::Syntax(error.message().to_owned());
+                self.report(self.place_in_file(position), kind);
+            }
+        }
+    }
+
+    fn read_table(&mut self, text: &str, table: &str, content: &DeTable<'_>) {
+        for (name, value) in content {
+            let position = position_of(text, name.span().start);
+            let place = self.place_in_file(Some(position));
+            let name = name.get_ref().as_ref();
+            match (value.get_ref(), keys::find(table, name)) {
+                (DeValue::Table(inner), None) if table.is_empty() && is_table(name) => {
+                    self.read_table(text, name, inner);
+                }
+                (_, None) => self.report(place, unknown_key(table, name)),
+                (value, Some(key)) => {
+                    let value = plain_value(value);
+                    self.take(key, value, place);
+                }
+            }
+        }
+    }
+
+    fn override_with(&mut self, given: &Override) {
+        let Some(key) = KEYS.iter().find(|key| key.flag == given.flag) else {
+            return;
+        };
+        let value = value_of_flag(key, &given.value);
+        self.take(key, value, Place::Flag(key.flag));
+    }
+
+    /// Takes one value, or reports why not.
+    fn take(&mut self, key: &SettingKey, value: Option<Value>, place: Place) {
+        let path = key.path();
+        match value
+            .ok_or_else(|| wrong_type(key))
+            .and_then(|value| fitting(key, value))
+        {
+            Ok(value) => {
+                self.values.insert(path.clone(), value);
+                self.places.insert(path, place);
+            }
+            Err(kind) => self.report(place, kind),
+        }
+    }
+
+    fn finish(mut self) -> Result<Settings, SettingsError> {
+        self.report_missing();
+        SettingsError::from_problems(std::mem::take(&mut self.problems))?;
+        let settings: Settings = match self.table().try_into() {
+            Ok(settings) => settings,
+            Err(error) => {
+                let kind = SettingsProblem::Syntax(error.to_string());
+                self.report(Place::Whole, kind);
+                return Err(SettingsError {
+                    problems: self.problems,
+                });
+            }
+        };
+        for kind in validate::contradictions(&settings) {
+            let place = self.place_of(&kind);
+            self.report(place, kind);
+        }
+        SettingsError::from_problems(self.problems)?;
+        Ok(settings)
+    }
+
+    fn report_missing(&mut self) {
+        let reported: Vec<String> = self
+            .problems
+            .iter()
+            .filter_map(|problem| problem.kind.key().map(str::to_owned))
+            .collect();
+        let unreadable = self.problems.iter().any(|problem| {
+            matches!(
+                problem.kind,
+                SettingsProblem::Unreadable(_) | SettingsProblem::Syntax(_)
+            )
+        });
+        if unreadable {
+            return;
+        }
+        for key in KEYS.iter().filter(|key| is_required(key)) {
+            let path = key.path();
+            if !self.values.contains_key(&path) && !reported.contains(&path) {
+                let kind = SettingsProblem::Missing {
+                    key: path,
+                    flag: key.flag,
+                };
+                self.report(self.place_in_file(None), kind);
+            }
+        }
+    }
+
+    fn table(&self) -> Table {
+        let mut table = Table::new();
+        for (path, value) in &self.values {
+            match path.split_once('.') {
+                None => {
+                    table.insert(path.clone(), value.clone());
+                }
+                Some((outer, name)) => {
+                    let inner = table
+                        .entry(outer)
+                        .or_insert_with(|| Value::Table(Table::new()));
+                    if let Value::Table(inner) = inner {
+                        inner.insert(name.to_owned(), value.clone());
+                    }
+                }
+            }
+        }
+        table
+    }
+
+    fn place_of(&self, kind: &SettingsProblem) -> Place {
+        kind.key()
+            .and_then(|key| self.places.get(key).cloned())
+            .unwrap_or_else(|| self.place_in_file(None))
+    }
+
+    fn place_in_file(&self, position: Option<(usize, usize)>) -> Place {
+        match &self.file {
+            Some(path) => Place::File {
+                path: path.clone(),
+                position,
+            },
+            None => Place::Whole,
+        }
+    }
+
+    fn report(&mut self, place: Place, kind: SettingsProblem) {
+        self.problems.push(Problem { place, kind });
+    }
+}
+
+fn is_table(name: &str) -> bool {
+    KEYS.iter().any(|key| key.table == name)
+}
+
+/// Keys of the top level have no default, except the group size.
+fn is_required(key: &SettingKey) -> bool {
+    key.table.is_empty() && key.name != "group-size"
+}
+
+fn unknown_key(table: &str, name: &str) -> SettingsProblem {
+    let path = if table.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{table}.{name}")
+    };
+    let elsewhere = KEYS
+        .iter()
+        .find(|key| key.name == name || key.name == name.replace('_', "-"));
+    let remedy = match elsewhere {
+        Some(key) => format!("write '{}'", key.path()),
+        None => "remove it, or see the settings reference for the keys there are".to_owned(),
+    };
+    SettingsProblem::UnknownKey { key: path, remedy }
+}
+
+/// The value without places; `None` for kinds that no key has.
+fn plain_value(value: &DeValue<'_>) -> Option<Value> {
+    match value {
+        DeValue::String(text) => Some(Value::String(text.to_string())),
+        DeValue::Integer(integer) => i64::from_str_radix(integer.as_str(), integer.radix())
+            .ok()
+            .map(Value::Integer),
+        DeValue::Float(float) => float.as_str().parse().ok().map(Value::Float),
+        _ => None,
+    }
+}
+
+fn value_of_flag(key: &SettingKey, text: &str) -> Option<Value> {
+    match key.kind {
+        ValueKind::Integer => text.parse().ok().map(Value::Integer),
+        ValueKind::Number => text.parse().ok().map(Value::Float),
+        ValueKind::Text | ValueKind::Address | ValueKind::Choice(_) => {
+            Some(Value::String(text.to_owned()))
+        }
+    }
+}
+
+/// The value when it fits the key's kind.
+fn fitting(key: &SettingKey, value: Value) -> Result<Value, SettingsProblem> {
+    match (key.kind, &value) {
+        (ValueKind::Text, Value::String(_)) => Ok(value),
+        (ValueKind::Address, Value::String(text)) => match text.parse::<SocketAddr>() {
+            Ok(_) => Ok(value),
+            Err(_) => Err(SettingsProblem::NotAnAddress {
+                key: key.path(),
+                value: text.clone(),
+            }),
+        },
+        (ValueKind::Integer, Value::Integer(number)) if *number >= 0 => Ok(value),
+        (ValueKind::Number, Value::Float(_)) => Ok(value),
+        (ValueKind::Number, Value::Integer(number)) => Ok(Value::Float(*number as f64)),
+        (ValueKind::Choice(words), Value::String(text)) if words.contains(&text.as_str()) => {
+            Ok(value)
+        }
+        _ => Err(wrong_type(key)),
+    }
+}
+
+fn wrong_type(key: &SettingKey) -> SettingsProblem {
+    let (wanted, example) = match key.kind {
+        ValueKind::Text => ("a text", "\"some-name\"".to_owned()),
+        ValueKind::Address => ("an address", "\"10.0.0.7:8080\"".to_owned()),
+        ValueKind::Integer => ("a whole number of at least 0", "500".to_owned()),
+        ValueKind::Number => ("a number", "0.5".to_owned()),
+        ValueKind::Choice(words) => ("one of the words allowed", words.join(", or ")),
+    };
+    SettingsProblem::WrongType {
+        key: key.path(),
+        wanted,
+        example,
+    }
+}
+
+/// Line and column, both from 1, of a byte offset.
+fn position_of(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text[..offset.min(text.len())];
+    let line = before.matches('\n').count() + 1;
+    let column = before
+        .rsplit('\n')
+        .next()
+        .map_or(0, |last| last.chars().count())
+        + 1;
+    (line, column)
+}
