Validate objects in types; begin the client of the object API

The control core, the router's check and the tests need one judgement of an object, without input or output: threadledge_types::validation reports every problem with object, field and remedy, and threadledge_types::acceptance builds the standard condition from them. threadledge-platform lists, watches and writes objects, resolves writes whose answer was lost, and withholds what a restored store shows older than before.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,233 @@
+//! Lists, reads and writes objects.
+
+use std::net::SocketAddr;
+
+use kube_core::Request;
+use kube_core::params::{DeleteParams, GetParams, ListParams, PostParams, WatchParams};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::error::{PlatformError, PlatformErrorKind};
+use crate::resource::{ApiObject, ObjectKey, Scope, StoredObject, parse_version};
+use crate::transport::{Operation, Transport, TransportSettings};
+use crate::watch::EventStream;
+
+/// Objects in one page of a list.
+const PAGE_SIZE: u32 = 500;
+/// Pages after which a list is given up: a store that never ends a list must
+/// not hold a reader for ever.
+const MAX_PAGES: usize = 1_000;
+/// Seconds after which the store ends a watch, so that a dead connection is
+/// noticed in bounded time.
+const WATCH_SECONDS: u32 = 290;
+const STATUS: &str = "status";
+
+/// Every object of a scope at one version of the store.
+#[derive(Clone, Debug)]
+pub struct Listed<K> {
+    /// The objects, in the store's order.
+    pub items: Vec<StoredObject<K>>,
+    /// Version of the store that the list shows.
+    pub resource_version: u64,
+}
+
+/// Client of the object API.
+#[derive(Clone, Debug)]
+pub struct ObjectClient {
+    transport: Transport,
+}
+
+/// The part of a list that is read here; items are read one by one.
+#[derive(Deserialize)]
+struct Page {
+    metadata: PageMetadata,
+    #[serde(default)]
+    items: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct PageMetadata {
+    resource_version: String,
+    #[serde(default, rename = "continue")]
+    continue_token: Option<String>,
+}
+
+impl ObjectClient {
+    /// A client of the object API at `address`.
+    pub fn new(address: SocketAddr, settings: TransportSettings) -> Self {
+        ObjectClient {
+            transport: Transport::new(address, settings),
+        }
+    }
+
+    /// Lists every object of a scope, page by page.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::Gone`] if the store compacted the version between
+    /// two pages: list again.
+    pub async fn list<K: ApiObject>(&self, scope: &Scope) -> Result<Listed<K>, PlatformError> {
+        let request = Request::new(scope.path::<K>());
+        let mut items = Vec::new();
+        let mut token: Option<String> = None;
+        for _ in 0..MAX_PAGES {
+            let mut params = ListParams::default().limit(PAGE_SIZE);
+            params.continue_token = token.take();
+            let request = build(request.list(&params))?;
+            let operation = Operation::of(&request);
+            let body = self.transport.exchange(request).await?;
+            let page: Page = read_json(&operation, &body)?;
+            for value in &page.items {
+                let item =
+                    StoredObject::read(value).map_err(|text| bad_answer(&operation, text))?;
+                items.push(item);
+            }
+            token = page
+                .metadata
+                .continue_token
+                .filter(|token| !token.is_empty());
+            if token.is_none() {
+                let resource_version = parse_version(&page.metadata.resource_version)
+                    .map_err(|text| bad_answer(&operation, text))?;
+                return Ok(Listed {
+                    items,
+                    resource_version,
+                });
+            }
+        }
+        let kind = PlatformErrorKind::BadAnswer(format!("a list of over {MAX_PAGES} pages"));
+        Err(PlatformError::without_effect("list", kind))
+    }
+
+    /// Watches a scope for changes after a version.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::Gone`] if the store no longer has the version;
+    /// that may also come as an event of the stream.
+    pub async fn watch<K: ApiObject>(
+        &self,
+        scope: &Scope,
+        from_version: u64,
+    ) -> Result<EventStream<K>, PlatformError> {
+        let params = WatchParams::default().timeout(WATCH_SECONDS);
+        let request = Request::new(scope.path::<K>());
+        let request = build(request.watch(&params, &from_version.to_string()))?;
+        let response = self.transport.open(request).await?;
+        let most = self.transport.settings().max_answer_bytes;
+        Ok(EventStream::new(response, most))
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::NotFound`] if there is none.
+    pub async fn get<K: ApiObject>(
+        &self,
+        key: &ObjectKey,
+    ) -> Result<StoredObject<K>, PlatformError> {
+        let request = collection::<K>(key).get(&key.name, &GetParams::default());
+        self.object_exchange(build(request)?).await
+    }
+
+    /// Creates an object.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::AlreadyExists`] if the name is taken.
+    pub async fn create<K: ApiObject>(&self, object: &K) -> Result<StoredObject<K>, PlatformError> {
+        let key = ObjectKey::of(object.metadata());
+        let body = write_json(object)?;
+        let request = collection::<K>(&key).create(&PostParams::default(), body);
+        self.object_exchange(build(request)?).await
+    }
+
+    /// Replaces an object on condition that it still has the version that
+    /// `object` carries; without a version the write is unconditional, which
+    /// routers never use.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::Conflict`] if it has another version.
+    pub async fn replace<K: ApiObject>(
+        &self,
+        object: &K,
+    ) -> Result<StoredObject<K>, PlatformError> {
+        let key = ObjectKey::of(object.metadata());
+        let body = write_json(object)?;
+        let request = collection::<K>(&key).replace(&key.name, &PostParams::default(), body);
+        self.object_exchange(build(request)?).await
+    }
+
+    /// Replaces the status of an object, on the same condition.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::Conflict`] if it has another version.
+    pub async fn replace_status<K: ApiObject>(
+        &self,
+        object: &K,
+    ) -> Result<StoredObject<K>, PlatformError> {
+        let key = ObjectKey::of(object.metadata());
+        let body = write_json(object)?;
+        let params = PostParams::default();
+        let request = collection::<K>(&key).replace_subresource(STATUS, &key.name, &params, body);
+        self.object_exchange(build(request)?).await
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformErrorKind::NotFound`] if there is none.
+    pub async fn delete<K: ApiObject>(&self, key: &ObjectKey) -> Result<(), PlatformError> {
+        let request = collection::<K>(key).delete(&key.name, &DeleteParams::default());
+        self.transport.exchange(build(request)?).await?;
+        Ok(())
+    }
+
+    async fn object_exchange<K: ApiObject>(
+        &self,
+        request: http::Request<Vec<u8>>,
+    ) -> Result<StoredObject<K>, PlatformError> {
+        let operation = Operation::of(&request);
+        let body = self.transport.exchange(request).await?;
+        let value: Value = read_json(&operation, &body)?;
+        StoredObject::read(&value).map_err(|text| bad_answer(&operation, text))
+    }
+}
+
+fn collection<K: ApiObject>(key: &ObjectKey) -> Request {
+    let scope = Scope::Namespace(key.namespace.clone());
+    Request::new(scope.path::<K>())
+}
+
+fn build(
+    request: Result<http::Request<Vec<u8>>, kube_core::request::Error>,
+) -> Result<http::Request<Vec<u8>>, PlatformError> {
+    request.map_err(|error| {
+        let kind = PlatformErrorKind::BadRequest(error.to_string());
+        PlatformError::without_effect("build request", kind)
+    })
+}
+
+fn write_json<K: ApiObject>(object: &K) -> Result<Vec<u8>, PlatformError> {
+    serde_json::to_vec(object).map_err(|error| {
+        let kind = PlatformErrorKind::BadRequest(error.to_string());
+        PlatformError::without_effect("write object", kind)
+    })
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(
+    operation: &Operation,
+    body: &[u8],
+) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| bad_answer(operation, error.to_string()))
+}
+
+/// An answer that cannot be understood tells nothing of a write's effect.
+fn bad_answer(operation: &Operation, text: String) -> PlatformError {
+    operation.lost(PlatformErrorKind::BadAnswer(text))
+}
--- /dev/null
+++ b/crates/platform/src/watcher.rs
@@ -0,0 +1,253 @@
+//! Follows a scope of the store: list, watch, and list again.
+
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_std::future::timeout;
+use async_std::task::sleep;
+
+use crate::backoff::{Backoff, BackoffSettings};
+use crate::client::ObjectClient;
+use crate::error::{PlatformError, PlatformErrorKind};
+use crate::resource::{ApiObject, ObjectKey, Scope, StoredObject};
+use crate::tracker::{Change, EventVerdict, ListVerdict, ObjectTracker, Withheld};
+use crate::watch::EventStream;
+
+/// What a watcher tells.
+#[derive(Clone, Debug)]
+pub enum WatchUpdate<K> {
+    /// The whole scope. What is neither in `objects` nor in `withheld` was
+    /// deleted, whoever delivered it before.
+    Snapshot {
+        /// Objects as they are.
+        objects: Vec<StoredObject<K>>,
+        /// Objects this watcher delivered before that are gone.
+        removed: Vec<ObjectKey>,
+        /// Objects that keep the form delivered before.
+        withheld: Vec<Withheld>,
+        /// Version of the store.
+        resource_version: u64,
+    },
+    /// One difference.
+    Change(Change<K>),
+    /// Everything up to this version was delivered.
+    Confirmed(u64),
+    /// The store shows an older state than it did before. Nothing of it is
+    /// delivered; what was delivered stays in force.
+    OlderStore {
+        /// Highest version seen.
+        seen: u64,
+        /// Version shown now.
+        shown: u64,
+    },
+    /// The store could not be read; the watcher tries again after the wait.
+    Interrupted {
+        /// Why.
+        error: PlatformError,
+        /// Wait before the next attempt.
+        retry_in: Duration,
+    },
+}
+
+/// Bounds of a watcher.
+#[derive(Clone, Debug)]
+pub struct WatcherSettings {
+    /// Namespaces to follow.
+    pub scope: Scope,
+    /// Waits after failures.
+    pub backoff: BackoffSettings,
+    /// Shortest time between two requests of this watcher, so that a store
+    /// that ends every watch at once is not flooded.
+    pub min_request_interval: Duration,
+    /// Longest time without event or bookmark before the connection is given
+    /// up as dead.
+    pub max_silence: Duration,
+    /// Seed of the spread of the waits; differs between routers.
+    pub seed: u64,
+}
+
+impl Default for WatcherSettings {
+    fn default() -> Self {
+        WatcherSettings {
+            scope: Scope::All,
+            backoff: BackoffSettings::default(),
+            min_request_interval: Duration::from_millis(200),
+            max_silence: Duration::from_secs(90),
+            seed: 0,
+        }
+    }
+}
+
+/// Follows a scope until nobody listens.
+pub struct Watcher<K> {
+    client: ObjectClient,
+    settings: WatcherSettings,
+    tracker: ObjectTracker,
+    backoff: Backoff,
+    updates: Sender<WatchUpdate<K>>,
+    last_request: Option<Instant>,
+}
+
+/// Nobody listens any more.
+struct Closed;
+
+/// Why one watch connection ended.
+enum WatchEnd {
+    /// The store or the connection ended it; continue at the version reached.
+    Ended,
+    /// List again.
+    Relist,
+}
+
+impl<K: ApiObject> Watcher<K> {
+    /// A watcher that delivers to `updates`. A full channel slows the watcher
+    /// down rather than taking memory without bound. `tracker` holds what was
+    /// delivered before, if anything.
+    pub fn new(
+        client: ObjectClient,
+        settings: WatcherSettings,
+        tracker: ObjectTracker,
+        updates: Sender<WatchUpdate<K>>,
+    ) -> Self {
+        let backoff = Backoff::new(settings.backoff.clone(), settings.seed);
+        Watcher {
+            client,
+            settings,
+            tracker,
+            backoff,
+            updates,
+            last_request: None,
+        }
+    }
+
+    /// Runs until the receiving end of the channel is dropped.
+    pub async fn run(mut self) {
+        while self.list_and_watch().await.is_ok() {}
+    }
+
+    /// One list, then watches from its version until it takes another list.
+    async fn list_and_watch(&mut self) -> Result<(), Closed> {
+        if !self.list().await? {
+            return Ok(());
+        }
+        loop {
+            match self.watch().await? {
+                WatchEnd::Ended => {}
+                WatchEnd::Relist => return Ok(()),
+            }
+        }
+    }
+
+    /// Lists; tells whether a watch may follow.
+    async fn list(&mut self) -> Result<bool, Closed> {
+        self.pace().await;
+        let listed = match self.client.list(&self.settings.scope).await {
+            Ok(listed) => listed,
+            Err(error) => {
+                self.interrupted(error).await?;
+                return Ok(false);
+            }
+        };
+        let resource_version = listed.resource_version;
+        match self.tracker.on_list(listed) {
+            ListVerdict::Older { seen, listed } => {
+                self.older_store(seen, listed).await?;
+                Ok(false)
+            }
+            ListVerdict::Current {
+                objects,
+                removed,
+                withheld,
+            } => {
+                self.backoff.reset();
+                self.send(WatchUpdate::Snapshot {
+                    objects,
+                    removed,
+                    withheld,
+                    resource_version,
+                })
+                .await?;
+                Ok(true)
+            }
+        }
+    }
+
+    async fn watch(&mut self) -> Result<WatchEnd, Closed> {
+        self.pace().await;
+        let from = self.tracker.seen();
+        match self.client.watch(&self.settings.scope, from).await {
+            Ok(stream) => self.follow(stream).await,
+            Err(error) => self.watch_failed(error).await,
+        }
+    }
+
+    async fn follow(&mut self, mut stream: EventStream<K>) -> Result<WatchEnd, Closed> {
+        loop {
+            let event = match timeout(self.settings.max_silence, stream.next()).await {
+                Ok(None) => return Ok(WatchEnd::Ended),
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(error))) => return self.watch_failed(error).await,
+                Err(_) => {
+                    let kind = PlatformErrorKind::TimedOut(self.settings.max_silence);
+                    let error = PlatformError::without_effect("watch", kind);
+                    return self.watch_failed(error).await;
+                }
+            };
+            self.backoff.reset();
+            match self.tracker.on_event(event) {
+                EventVerdict::Change(change) => self.send(WatchUpdate::Change(change)).await?,
+                EventVerdict::Confirmed(version) => {
+                    self.send(WatchUpdate::Confirmed(version)).await?;
+                }
+                EventVerdict::Repeated => {}
+                EventVerdict::Older { seen, shown } => {
+                    self.older_store(seen, shown).await?;
+                    return Ok(WatchEnd::Relist);
+                }
+                EventVerdict::Relist => return Ok(WatchEnd::Relist),
+            }
+        }
+    }
+
+    async fn watch_failed(&mut self, error: PlatformError) -> Result<WatchEnd, Closed> {
+        let resumable = error.kind.is_transient();
+        if error.kind != PlatformErrorKind::Gone {
+            self.interrupted(error).await?;
+        }
+        // Anything but a passing failure takes a list to find out where the
+        // store stands.
+        Ok(if resumable {
+            WatchEnd::Ended
+        } else {
+            WatchEnd::Relist
+        })
+    }
+
+    async fn interrupted(&mut self, error: PlatformError) -> Result<(), Closed> {
+        let asked = error.retry_after().unwrap_or(Duration::ZERO);
+        let retry_in = self.backoff.next_wait().max(asked);
+        self.send(WatchUpdate::Interrupted { error, retry_in })
+            .await?;
+        sleep(retry_in).await;
+        Ok(())
+    }
+
+    async fn older_store(&mut self, seen: u64, shown: u64) -> Result<(), Closed> {
+        self.send(WatchUpdate::OlderStore { seen, shown }).await?;
+        sleep(self.backoff.next_wait()).await;
+        Ok(())
+    }
+
+    /// Keeps the shortest time between two requests.
+    async fn pace(&mut self) {
+        let interval = self.settings.min_request_interval;
+        if let Some(last) = self.last_request {
+            sleep(interval.saturating_sub(last.elapsed())).await;
+        }
+        self.last_request = Some(Instant::now());
+    }
+
+    async fn send(&self, update: WatchUpdate<K>) -> Result<(), Closed> {
+        self.updates.send(update).await.map_err(|_| Closed)
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 //! This crate holds data and arithmetic only. It opens no sockets and reads no
 //! clock, so that every core crate can depend on it.
 
+pub mod acceptance;
 pub mod epoch;
 pub mod ids;
 pub mod key;
@@ -14,6 +15,7 @@
 pub mod session;
 pub mod time;
 pub mod timing;
+pub mod validation;
 
 pub use epoch::{Epoch, Generation, Revision};
 pub use ids::{
--- a/crates/types/src/objects.rs
+++ b/crates/types/src/objects.rs
@@ -7,6 +7,9 @@
 use std::net::SocketAddr;
 
 use k8s_openapi::apimachinery::pkg::apis::meta::v1::{Condition, LabelSelector};
+pub use kube_core::ObjectMeta;
+/// The library's object types, re-exported for crates that handle objects.
+pub use kube_core::object;
 use kube_core::object::Object;
 use serde::{Deserialize, Serialize};
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -151,9 +151,13 @@
             NotRunReason::NoOwner => "send the request again after Retry-After",
             NotRunReason::Unreachable => "send the request again after Retry-After",
             NotRunReason::WrongOwner => "send the request again after Retry-After",
-            NotRunReason::Overloaded => "send the request again after Retry-After, and fewer at once",
+            NotRunReason::Overloaded => {
+                "send the request again after Retry-After, and fewer at once"
+            }
             NotRunReason::ShareExhausted => "send fewer requests at once in this namespace",
-            NotRunReason::DeadlinePassed => "send the request again, with a longer deadline if need be",
+            NotRunReason::DeadlinePassed => {
+                "send the request again, with a longer deadline if need be"
+            }
             NotRunReason::NotReady => "send the request to another router",
         }
     }
--- /dev/null
+++ b/crates/types/src/validation/mod.rs
@@ -0,0 +1,30 @@
+//! Turns configuration objects into records, reporting every problem.
+//!
+//! Nothing here does input or output, so that the control core, the router's
+//! `check` subcommand and the tests all judge an object the same way. Each
+//! function reports all the problems of an object rather than the first only,
+//! so that an operator mends them in one edit.
+//!
+//! What can be told from one object alone is checked by [`validate_back_end`]
+//! and [`validate_service`]; what depends on the other objects (a host that
+//! another service has) by [`HostClaims`].
+
+mod back_end;
+mod hosts;
+mod names;
+mod parse;
+mod problem;
+mod route;
+mod selector;
+mod service;
+
+pub use back_end::{MAX_CONNECTIONS, MAX_SLOTS, validate_back_end};
+pub use hosts::HostClaims;
+pub use parse::parse_object;
+pub use problem::{ObjectReference, Problem, ProblemKind};
+pub use route::{MAX_DEADLINE_MS, MAX_PATH_SEGMENT, MIN_DEADLINE_MS};
+pub use selector::{selector_of, validate_selector};
+pub use service::{
+    MAX_HOSTS, MAX_ROUTES, MAX_SLICES_PER_BACK_END, MAX_TOLERATED_IMBALANCE, is_for_region,
+    validate_service,
+};
