--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use async_std::io::prelude::BufReadExt;
+use futures::io::AsyncReadExt;
 use http_types::{Body, Method, Request, Response, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::body::BodyFault;
 use crate::convert::{self, ConvertError};
-use crate::pool::{ExchangeError, Pool, PoolSettings};
+use crate::json_lines::JsonLines;
+use crate::pool::{ExchangeError, ExchangeFault, Pool, PoolSettings, Stage};
+use crate::timer;
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
@@ -51,6 +54,16 @@
         "the answer is not the JSON expected ({0}); see whether both sides run the same version"
     )]
     Body(#[source] serde_json::Error),
+    /// The answer is larger than the settings allow.
+    #[error(
+        "the answer of {address} is larger than {limit} bytes; ask for less or raise the limit"
+    )]
+    AnswerTooLarge {
+        /// The peer.
+        address: SocketAddr,
+        /// The limit.
+        limit: u64,
+    },
     /// The request cannot be expressed.
     #[error(transparent)]
     Request(#[from] RequestError),
@@ -76,7 +89,62 @@
         match self {
             ClientError::Connect { .. } | ClientError::Request(_) => false,
             ClientError::Timeout { sent, .. } => *sent,
-            ClientError::Broken(_) | ClientError::Status { .. } | ClientError::Body(_) => true,
+            ClientError::Broken(_)
+            | ClientError::Status { .. }
+            | ClientError::Body(_)
+            | ClientError::AnswerTooLarge { .. } => true,
+        }
+    }
+
+    /// Status and body, if the peer answered with a status other than 2xx.
+    pub fn answered_status(&self) -> Option<(u16, &[u8])> {
+        match self {
+            ClientError::Status { code, body, .. } => Some((*code, body)),
+            _ => None,
+        }
+    }
+
+    fn from_exchange(error: ExchangeError) -> Self {
+        let sent = error.stage.may_have_been_received();
+        match error.fault {
+            ExchangeFault::DeadlinePassed => ClientError::Timeout {
+                address: error.address,
+                sent,
+            },
+            _ if sent => ClientError::Broken(error),
+            _ => ClientError::Connect {
+                address: error.address,
+                source: error,
+            },
+        }
+    }
+
+    pub(crate) fn from_body(address: SocketAddr, error: std::io::Error) -> Self {
+        let fault = match BodyFault::of(&error) {
+            Some(BodyFault::TooSlow) => return ClientError::late(address),
+            Some(BodyFault::Truncated) => ExchangeFault::Truncated,
+            Some(fault) => ExchangeFault::Malformed(fault.to_string()),
+            None => ExchangeFault::Io(error),
+        };
+        ClientError::Broken(ExchangeError {
+            address,
+            stage: Stage::ResponseBody,
+            fault,
+        })
+    }
+
+    pub(crate) fn late(address: SocketAddr) -> Self {
+        ClientError::Timeout {
+            address,
+            sent: true,
+        }
+    }
+
+    fn status(address: SocketAddr, response: &Response, body: Vec<u8>) -> Self {
+        ClientError::Status {
+            address,
+            code: u16::from(response.status()),
+            body,
         }
     }
 }
@@ -148,15 +216,18 @@
         timeout: Duration,
     ) -> Result<JsonLines, ClientError> {
         let request = request(Method::Get, to, path, None)?;
-        let mut response = self
-            .pool
-            .exchange(to, request, Instant::now() + timeout)
-            .await
-            .map_err(ClientError::Broken)?;
-        Ok(JsonLines {
-            address: to,
-            body: response.take_body(),
-        })
+        let deadline = Instant::now() + timeout;
+        let sent = self.pool.exchange_stream(to, request, deadline).await;
+        let mut response = sent.map_err(ClientError::from_exchange)?;
+        if !response.status().is_success() {
+            let body = self.read_body(to, response.take_body(), deadline).await?;
+            return Err(ClientError::status(to, &response, body));
+        }
+        Ok(JsonLines::new(
+            to,
+            response.take_body(),
+            self.max_body_bytes(),
+        ))
     }
 
     async fn call_json<R: DeserializeOwned>(
@@ -167,11 +238,7 @@
     ) -> Result<R, ClientError> {
         let (response, body) = self.call(to, request, timeout).await?;
         if !response.status().is_success() {
-            return Err(ClientError::Status {
-                address: to,
-                code: u16::from(response.status()),
-                body,
-            });
+            return Err(ClientError::status(to, &response, body));
         }
         serde_json::from_slice(&body).map_err(ClientError::Body)
     }
@@ -182,54 +249,37 @@
         request: Request,
         timeout: Duration,
     ) -> Result<(Response, Vec<u8>), ClientError> {
-        let mut response = self
-            .pool
-            .exchange(to, request, Instant::now() + timeout)
-            .await
-            .map_err(ClientError::Broken)?;
-        let body = response
-            .take_body()
-            .into_bytes()
-            .await
-            .map_err(|_| ClientError::Timeout {
-                address: to,
-                sent: true,
-            })?;
+        let deadline = Instant::now() + timeout;
+        let sent = self.pool.exchange(to, request, deadline).await;
+        let mut response = sent.map_err(ClientError::from_exchange)?;
+        let body = response.take_body();
+        let body = self.read_body(to, body, deadline).await?;
         Ok((response, body))
     }
-}
 
-/// An answer read line by line.
-#[derive(Debug)]
-pub struct JsonLines {
-    address: SocketAddr,
-    body: Body,
-}
-
-impl JsonLines {
-    /// The next line; `None` when the peer ended the answer properly. Waits
-    /// at most `timeout`; after an error the answer cannot be continued.
-    pub async fn next<R: DeserializeOwned>(
-        &mut self,
-        timeout: Duration,
-    ) -> Result<Option<R>, ClientError> {
-        let mut line = String::new();
-        let address = self.address;
-        let late = || ClientError::Timeout {
-            address,
-            sent: true,
-        };
-        let read = self.body.read_line(&mut line);
-        let count = async_std::future::timeout(timeout, read)
-            .await
-            .map_err(|_| late())?
-            .map_err(|_| late())?;
-        if count == 0 {
-            return Ok(None);
+    async fn read_body(
+        &self,
+        from: SocketAddr,
+        body: Body,
+        deadline: Instant,
+    ) -> Result<Vec<u8>, ClientError> {
+        let limit = self.max_body_bytes();
+        let mut bytes = Vec::new();
+        let mut bounded = body.take(limit + 1);
+        let read = bounded.read_to_end(&mut bytes);
+        match timer::timeout_at(deadline, read).await {
+            Err(timer::Elapsed) => Err(ClientError::late(from)),
+            Ok(Err(error)) => Err(ClientError::from_body(from, error)),
+            Ok(Ok(_)) if bytes.len() as u64 > limit => Err(ClientError::AnswerTooLarge {
+                address: from,
+                limit,
+            }),
+            Ok(Ok(_)) => Ok(bytes),
         }
-        serde_json::from_str(&line)
-            .map(Some)
-            .map_err(ClientError::Body)
+    }
+
+    fn max_body_bytes(&self) -> u64 {
+        self.pool.settings().max_body_bytes
     }
 }
 
--- /dev/null
+++ b/crates/net/src/framing.rs
@@ -0,0 +1,200 @@
+//! Where a body ends: pure decoders of the two framings of HTTP/1.1.
+//!
+//! async-h1's own decoders are not used for bodies: the one for a fixed length
+//! takes a body cut short for a whole one, and the one for chunks may wait for
+//! ever for trailers that come in two reads and takes the bytes after them for
+//! part of them.
+
+use crate::body::BodyFault;
+
+/// Longest line of a chunk's size with extensions, and of all trailers.
+const MAX_CONTROL_BYTES: usize = 8 * 1024;
+/// Digits of the largest chunk size accepted, 2^60 - 1.
+const MAX_SIZE_DIGITS: usize = 15;
+
+/// What the next unread bytes of a connection are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Piece {
+    /// The first bytes, this many and at least one, are data of the body.
+    Data(usize),
+    /// The first bytes, this many, belong to the framing.
+    Skip(usize),
+    /// More bytes are needed to tell.
+    More,
+    /// The body ended.
+    End,
+}
+
+/// Decoder of one body.
+#[derive(Debug)]
+pub(crate) enum BodyDecoder {
+    /// The head told the length.
+    Length {
+        /// Bytes still to come.
+        left: u64,
+    },
+    /// The body comes in chunks.
+    Chunked(ChunkDecoder),
+}
+
+impl BodyDecoder {
+    pub(crate) fn chunked() -> Self {
+        BodyDecoder::Chunked(ChunkDecoder::default())
+    }
+
+    /// Whether the head announced more bytes than `limit`.
+    pub(crate) fn announces_more_than(&self, limit: u64) -> bool {
+        matches!(self, BodyDecoder::Length { left } if *left > limit)
+    }
+
+    /// Says what the first of `unread` is.
+    pub(crate) fn next(&mut self, unread: &[u8]) -> Result<Piece, BodyFault> {
+        match self {
+            BodyDecoder::Length { left: 0 } => Ok(Piece::End),
+            BodyDecoder::Length { .. } if unread.is_empty() => Ok(Piece::More),
+            BodyDecoder::Length { left } => Ok(Piece::Data(at_most(*left, unread.len()))),
+            BodyDecoder::Chunked(decoder) => decoder.next(unread),
+        }
+    }
+
+    /// Notes that `count` bytes of data were used.
+    pub(crate) fn consume(&mut self, count: usize) {
+        let count = count as u64;
+        match self {
+            BodyDecoder::Length { left } => *left -= count,
+            BodyDecoder::Chunked(decoder) => decoder.consume(count),
+        }
+    }
+
+    /// Whether the end is known without reading further.
+    pub(crate) fn is_at_end(&self) -> bool {
+        match self {
+            BodyDecoder::Length { left } => *left == 0,
+            BodyDecoder::Chunked(decoder) => decoder.state == ChunkState::End,
+        }
+    }
+}
+
+fn at_most(left: u64, available: usize) -> usize {
+    usize::try_from(left).map_or(available, |left| left.min(available))
+}
+
+/// Decoder of a chunked body. Trailers are read over.
+#[derive(Debug, Default)]
+pub(crate) struct ChunkDecoder {
+    state: ChunkState,
+    control_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChunkState {
+    Size { value: u64, digits: usize },
+    Extension { size: u64 },
+    SizeLineFeed { size: u64 },
+    Data { left: u64 },
+    DataReturn,
+    DataLineFeed,
+    TrailerStart,
+    Trailer,
+    TrailerLineFeed,
+    LastLineFeed,
+    End,
+}
+
+impl Default for ChunkState {
+    fn default() -> Self {
+        ChunkState::Size {
+            value: 0,
+            digits: 0,
+        }
+    }
+}
+
+impl ChunkDecoder {
+    fn next(&mut self, unread: &[u8]) -> Result<Piece, BodyFault> {
+        let mut used = 0;
+        loop {
+            match self.state {
+                ChunkState::End if used == 0 => return Ok(Piece::End),
+                ChunkState::End => return Ok(Piece::Skip(used)),
+                ChunkState::Data { left } if used == 0 && !unread.is_empty() => {
+                    return Ok(Piece::Data(at_most(left, unread.len())));
+                }
+                ChunkState::Data { .. } if used > 0 => return Ok(Piece::Skip(used)),
+                _ => {}
+            }
+            let Some(byte) = unread.get(used) else {
+                return Ok(if used == 0 {
+                    Piece::More
+                } else {
+                    Piece::Skip(used)
+                });
+            };
+            self.state = self.after(*byte)?;
+            used += 1;
+        }
+    }
+
+    fn consume(&mut self, count: u64) {
+        if let ChunkState::Data { left } = self.state {
+            self.state = match left - count {
+                0 => ChunkState::DataReturn,
+                left => ChunkState::Data { left },
+            };
+        }
+    }
+
+    /// The state after one byte of framing.
+    fn after(&mut self, byte: u8) -> Result<ChunkState, BodyFault> {
+        self.control_bytes += 1;
+        if self.control_bytes > MAX_CONTROL_BYTES {
+            return Err(BodyFault::Malformed("chunk header or trailers too long"));
+        }
+        let next = match self.state {
+            ChunkState::Size { value, digits } => return after_size(value, digits, byte),
+            ChunkState::Extension { size } if byte == b'\r' => ChunkState::SizeLineFeed { size },
+            ChunkState::Extension { .. } if is_text(byte) => self.state,
+            ChunkState::SizeLineFeed { size } if byte == b'\n' => self.start_chunk(size),
+            ChunkState::DataReturn if byte == b'\r' => ChunkState::DataLineFeed,
+            ChunkState::DataLineFeed if byte == b'\n' => ChunkState::default(),
+            ChunkState::TrailerStart if byte == b'\r' => ChunkState::LastLineFeed,
+            ChunkState::TrailerStart if is_text(byte) => ChunkState::Trailer,
+            ChunkState::Trailer if byte == b'\r' => ChunkState::TrailerLineFeed,
+            ChunkState::Trailer if is_text(byte) => ChunkState::Trailer,
+            ChunkState::TrailerLineFeed if byte == b'\n' => ChunkState::TrailerStart,
+            ChunkState::LastLineFeed if byte == b'\n' => ChunkState::End,
+            _ => return Err(BodyFault::Malformed("unexpected byte in chunk framing")),
+        };
+        Ok(next)
+    }
+
+    fn start_chunk(&mut self, size: u64) -> ChunkState {
+        if size == 0 {
+            return ChunkState::TrailerStart;
+        }
+        self.control_bytes = 0;
+        ChunkState::Data { left: size }
+    }
+}
+
+fn after_size(value: u64, digits: usize, byte: u8) -> Result<ChunkState, BodyFault> {
+    let digit = match byte {
+        b'0'..=b'9' => byte - b'0',
+        b'a'..=b'f' => byte - b'a' + 10,
+        b'A'..=b'F' => byte - b'A' + 10,
+        b'\r' if digits > 0 => return Ok(ChunkState::SizeLineFeed { size: value }),
+        b';' if digits > 0 => return Ok(ChunkState::Extension { size: value }),
+        _ => return Err(BodyFault::Malformed("chunk size is not hexadecimal")),
+    };
+    if digits == MAX_SIZE_DIGITS {
+        return Err(BodyFault::Malformed("chunk size too large"));
+    }
+    Ok(ChunkState::Size {
+        value: value * 16 + u64::from(digit),
+        digits: digits + 1,
+    })
+}
+
+fn is_text(byte: u8) -> bool {
+    byte == b'\t' || (b' '..=b'~').contains(&byte)
+}
--- /dev/null
+++ b/crates/net/src/head.rs
@@ -0,0 +1,199 @@
+//! Reads heads whole and checks what async-h1 leaves unchecked.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures::io::{AsyncRead, AsyncWrite};
+use http_types::Headers;
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+
+use crate::framing::BodyDecoder;
+use crate::wire::Wire;
+
+/// Largest head that async-h1 takes.
+pub const LARGEST_HEAD: usize = 8 * 1024 - 1;
+
+const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+
+/// Why no head could be read.
+#[derive(Debug)]
+pub(crate) enum HeadError {
+    /// The peer closed before the first byte.
+    Closed,
+    /// The peer closed after some of the head.
+    Truncated,
+    /// The head is larger than allowed.
+    TooLarge,
+    /// The connection failed.
+    Io(io::Error),
+}
+
+/// Progress of looking for the end of a head.
+#[derive(Debug, Default)]
+pub(crate) struct HeadSearch {
+    searched: usize,
+}
+
+impl HeadSearch {
+    /// Reads until the head is there whole and returns its length with the
+    /// blank line. The head stays unread in `wire`, and nothing is lost when
+    /// the wait is dropped.
+    pub(crate) fn poll(
+        &mut self,
+        wire: &mut Wire,
+        max_bytes: usize,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<usize, HeadError>> {
+        let max_bytes = max_bytes.min(LARGEST_HEAD);
+        loop {
+            match self.find_end(wire.unread()) {
+                Some(length) if length <= max_bytes => return Poll::Ready(Ok(length)),
+                Some(_) => return Poll::Ready(Err(HeadError::TooLarge)),
+                None if wire.unread().len() >= max_bytes => {
+                    return Poll::Ready(Err(HeadError::TooLarge));
+                }
+                None => {}
+            }
+            match std::task::ready!(wire.poll_fill(context)) {
+                Ok(0) if wire.unread().is_empty() => return Poll::Ready(Err(HeadError::Closed)),
+                Ok(0) => return Poll::Ready(Err(HeadError::Truncated)),
+                Ok(_) => {}
+                Err(error) => return Poll::Ready(Err(HeadError::Io(error))),
+            }
+        }
+    }
+
+    fn find_end(&mut self, unread: &[u8]) -> Option<usize> {
+        let from = self.searched.saturating_sub(END_OF_HEAD.len() - 1);
+        let found = unread[from..]
+            .windows(END_OF_HEAD.len())
+            .position(|window| window == END_OF_HEAD);
+        self.searched = unread.len();
+        found.map(|position| from + position + END_OF_HEAD.len())
+    }
+}
+
+/// Reads until the head is there whole, as [`HeadSearch::poll`] does.
+pub(crate) async fn read_head(wire: &mut Wire, max_bytes: usize) -> Result<usize, HeadError> {
+    let mut search = HeadSearch::default();
+    poll_fn(|context| search.poll(wire, max_bytes, context)).await
+}
+
+/// Refuses bytes on which async-h1 panics or on which parsers differ: values
+/// that are not ASCII, control characters, and line ends other than CR LF.
+pub(crate) fn check_bytes(head: &[u8]) -> Result<(), &'static str> {
+    let mut previous = 0;
+    for &byte in head {
+        match byte {
+            b'\n' if previous != b'\r' => return Err("a line ends without a carriage return"),
+            b'\n' | b'\t' | b' '..=b'~' => {}
+            b'\r' => {}
+            _ => return Err("the head holds a byte that is not visible ASCII"),
+        }
+        if previous == b'\r' && byte != b'\n' {
+            return Err("a carriage return stands alone");
+        }
+        previous = byte;
+    }
+    Ok(())
+}
+
+/// Reads the framing out of headers strictly: one length of digits only, or
+/// `chunked` alone, never both. `None` when neither stands there.
+pub(crate) fn framing(headers: &Headers) -> Result<Option<BodyDecoder>, &'static str> {
+    let length = headers.get(CONTENT_LENGTH);
+    let coding = headers.get(TRANSFER_ENCODING);
+    match (length, coding) {
+        (Some(_), Some(_)) => Err("both Content-Length and Transfer-Encoding"),
+        (None, None) => Ok(None),
+        (Some(values), None) => {
+            let mut values = values.iter();
+            let left = values.next().and_then(|value| digits(value.as_str()));
+            match (left, values.next()) {
+                (Some(left), None) => Ok(Some(BodyDecoder::Length { left })),
+                (_, Some(_)) => Err("more than one Content-Length"),
+                (None, None) => Err("Content-Length is not a number"),
+            }
+        }
+        (None, Some(values)) => {
+            let mut values = values.iter();
+            let first = values.next().map(|value| value.as_str());
+            match (first, values.next()) {
+                (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => {
+                    Ok(Some(BodyDecoder::chunked()))
+                }
+                _ => Err("a Transfer-Encoding other than chunked"),
+            }
+        }
+    }
+}
+
+fn digits(text: &str) -> Option<u64> {
+    let plain = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    // A length must also be one that a body in memory could have.
+    let value = if plain { text.parse().ok() } else { None };
+    value.filter(|value| *value <= usize::MAX as u64 / 2)
+}
+
+/// Whether a `Connection` header names `option`.
+pub(crate) fn connection_has(headers: &Headers, option: &str) -> bool {
+    headers
+        .get(http_types::headers::CONNECTION)
+        .is_some_and(|values| {
+            values
+                .iter()
+                .flat_map(|value| value.as_str().split(','))
+                .any(|token| token.trim().eq_ignore_ascii_case(option))
+        })
+}
+
+/// The bytes of one head and nothing else, for async-h1 to parse. Whatever is
+/// written is dropped.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadBytes {
+    bytes: Vec<u8>,
+    used: usize,
+}
+
+impl HeadBytes {
+    pub(crate) fn new(head: &[u8]) -> Self {
+        HeadBytes {
+            bytes: head.to_vec(),
+            used: 0,
+        }
+    }
+}
+
+impl AsyncRead for HeadBytes {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let rest = &self.bytes[self.used..];
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        self.used += count;
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for HeadBytes {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(buffer.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,13 +4,24 @@
 //! bounds on sizes and times, strict framing of bodies, safe pipelining,
 //! cancellation when a caller hangs up, planned stops and connection pools.
 
+mod body;
 pub mod client;
 pub mod convert;
+mod framing;
+mod head;
+mod json_lines;
 pub mod pool;
+pub mod refusal;
 pub mod server;
 pub mod stop;
+pub mod timer;
+mod transmit;
+mod wire;
 
-pub use client::{ClientError, HttpClient, JsonLines};
-pub use pool::{ExchangeError, Pool, PoolSettings, Stage};
+pub use body::{BodyFault, LEAST_BODY_BYTES_PER_SECOND};
+pub use client::{ClientError, HttpClient};
+pub use head::LARGEST_HEAD;
+pub use json_lines::JsonLines;
+pub use pool::{ExchangeError, ExchangeFault, Pool, PoolSettings, PooledConnection, Stage};
 pub use server::{ConnectionInfo, ServeReport, ServerLimits, serve};
 pub use stop::StopSignal;
--- /dev/null
+++ b/crates/net/src/pool/address.rs
@@ -0,0 +1,175 @@
+//! Idle connections and counts, by address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::Instant;
+
+use parking_lot::Mutex;
+
+use crate::wire::Wire;
+
+/// All addresses of one pool.
+#[derive(Debug)]
+pub(super) struct Addresses {
+    default_limit: usize,
+    by_address: Mutex<HashMap<SocketAddr, Address>>,
+    sweeping: Mutex<bool>,
+}
+
+#[derive(Debug, Default)]
+struct Address {
+    limit: Option<usize>,
+    in_use: usize,
+    /// The last one used is at the end, and taken first.
+    idle: Vec<Idle>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    wire: Wire,
+    since: Instant,
+}
+
+/// What a reservation found.
+#[derive(Debug)]
+pub(super) enum Reservation {
+    /// A connection that was idle.
+    Idle(Slot, Wire),
+    /// Room for a new one.
+    New(Slot),
+    /// No room.
+    Full,
+}
+
+/// The right to one connection in use; dropping it ends the use.
+#[derive(Debug)]
+pub(super) struct Slot {
+    addresses: Weak<Addresses>,
+    address: SocketAddr,
+}
+
+impl Addresses {
+    pub(super) fn new(default_limit: usize) -> Self {
+        Addresses {
+            default_limit,
+            by_address: Mutex::default(),
+            sweeping: Mutex::new(false),
+        }
+    }
+
+    pub(super) fn set_limit(&self, address: SocketAddr, connections: usize) {
+        let mut by_address = self.by_address.lock();
+        by_address.entry(address).or_default().limit = Some(connections);
+    }
+
+    pub(super) fn forget(&self, address: SocketAddr) {
+        let closed = {
+            let mut by_address = self.by_address.lock();
+            let Some(entry) = by_address.get_mut(&address) else {
+                return;
+            };
+            entry.limit = None;
+            let closed = std::mem::take(&mut entry.idle);
+            remove_if_unused(&mut by_address, address);
+            closed
+        };
+        drop(closed);
+    }
+
+    /// Connections in use and idle.
+    pub(super) fn open(&self, address: SocketAddr) -> (usize, usize) {
+        let by_address = self.by_address.lock();
+        by_address
+            .get(&address)
+            .map_or((0, 0), |entry| (entry.in_use, entry.idle.len()))
+    }
+
+    pub(super) fn reserve(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        expired_before: Option<Instant>,
+    ) -> Reservation {
+        let mut by_address = self.by_address.lock();
+        let entry = by_address.entry(address).or_default();
+        let limit = entry.limit.unwrap_or(self.default_limit);
+        let fresh = |idle: &Idle| expired_before.is_none_or(|before| idle.since > before);
+        let idle = entry.idle.pop();
+        if idle.is_none() && entry.in_use >= limit {
+            return Reservation::Full;
+        }
+        entry.in_use += 1;
+        let slot = Slot {
+            addresses: Arc::downgrade(self),
+            address,
+        };
+        match idle {
+            Some(idle) if fresh(&idle) => Reservation::Idle(slot, idle.wire),
+            Some(_) | None => Reservation::New(slot),
+        }
+    }
+
+    /// Keeps a connection for reuse. Says whether somebody must now begin to
+    /// watch for connections that nobody uses.
+    pub(super) fn give_back(&self, slot: Slot, mut wire: Wire) -> bool {
+        wire.shrink();
+        {
+            let mut by_address = self.by_address.lock();
+            let entry = by_address.entry(slot.address).or_default();
+            let limit = entry.limit.unwrap_or(self.default_limit);
+            // The limit may have been lowered meanwhile.
+            if entry.in_use + entry.idle.len() <= limit {
+                let since = Instant::now();
+                entry.idle.push(Idle { wire, since });
+            }
+        }
+        drop(slot);
+        let mut sweeping = self.sweeping.lock();
+        !std::mem::replace(&mut *sweeping, true)
+    }
+
+    /// Closes connections idle since before a time. Says whether no idle one
+    /// is left, and with it no reason to come again.
+    pub(super) fn close_expired(&self, before: Option<Instant>) -> bool {
+        let mut sweeping = self.sweeping.lock();
+        let mut closed = Vec::new();
+        let mut left = 0;
+        {
+            let mut by_address = self.by_address.lock();
+            for entry in by_address.values_mut() {
+                let expired = |idle: &Idle| before.is_some_and(|before| idle.since <= before);
+                let count = entry.idle.iter().take_while(|idle| expired(idle)).count();
+                closed.extend(entry.idle.drain(..count));
+                left += entry.idle.len();
+            }
+            by_address.retain(|_, entry| !entry.is_unused());
+        }
+        *sweeping = left > 0;
+        left == 0
+    }
+}
+
+impl Address {
+    fn is_unused(&self) -> bool {
+        self.in_use == 0 && self.idle.is_empty() && self.limit.is_none()
+    }
+}
+
+fn remove_if_unused(by_address: &mut HashMap<SocketAddr, Address>, address: SocketAddr) {
+    if by_address.get(&address).is_some_and(Address::is_unused) {
+        by_address.remove(&address);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let Some(addresses) = self.addresses.upgrade() else {
+            return;
+        };
+        let mut by_address = addresses.by_address.lock();
+        if let Some(entry) = by_address.get_mut(&self.address) {
+            entry.in_use = entry.in_use.saturating_sub(1);
+        }
+        remove_if_unused(&mut by_address, self.address);
+    }
+}
--- /dev/null
+++ b/crates/net/src/pool/exchange.rs
@@ -0,0 +1,170 @@
+//! One request and its response on one connection.
+
+use std::future::poll_fn;
+use std::task::{Context, Poll};
+
+use async_h1::client::Encoder;
+use futures::task::noop_waker_ref;
+use http_types::headers::CONTENT_TYPE;
+use http_types::{Body, Method, Request, Response};
+
+use super::error::{ExchangeFault, Stage};
+use super::response::{self, ResponseHead};
+use crate::body::{BodyReader, Pace, Returned};
+use crate::head::{HeadError, HeadSearch};
+use crate::transmit::{Outgoing, SendFault};
+use crate::wire::Wire;
+
+/// Interim responses accepted before the final one.
+const MAX_INTERIM: usize = 8;
+
+/// Gives an idle connection back if the peer neither closed it nor sent
+/// anything: bytes that nobody asked for belong to an exchange that is over.
+pub(super) fn still_clean(mut wire: Wire) -> Option<Wire> {
+    let mut context = Context::from_waker(noop_waker_ref());
+    let silent = wire.unread().is_empty() && wire.poll_fill(&mut context).is_pending();
+    silent.then_some(wire)
+}
+
+pub(super) struct Exchange {
+    method: Method,
+    outgoing: Outgoing<Encoder>,
+    whole_request_sent: bool,
+    send_fault: Option<SendFault>,
+    wire: Wire,
+    max_head_bytes: usize,
+    stage: Stage,
+}
+
+impl Exchange {
+    pub(super) fn new(request: Request, wire: Wire, max_head_bytes: usize) -> Self {
+        Exchange {
+            method: request.method(),
+            outgoing: Outgoing::new(Encoder::new(request)),
+            whole_request_sent: false,
+            send_fault: None,
+            wire,
+            max_head_bytes,
+            stage: Stage::NothingSent,
+        }
+    }
+
+    /// How far the exchange has come.
+    pub(super) fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Sends the request and reads the head of the response. A response that
+    /// comes before the request has left whole ends the sending.
+    pub(super) async fn run(&mut self) -> Result<ResponseHead, ExchangeFault> {
+        for _ in 0..=MAX_INTERIM {
+            let mut search = HeadSearch::default();
+            let length = poll_fn(|context| self.poll_head(&mut search, context)).await?;
+            let head = response::parse(&self.wire.unread()[..length], self.method).await?;
+            self.wire.consume(length);
+            if !head.is_interim() {
+                return Ok(head);
+            }
+        }
+        let detail = "more interim responses than allowed";
+        Err(ExchangeFault::Malformed(detail.to_owned()))
+    }
+
+    fn poll_head(
+        &mut self,
+        search: &mut HeadSearch,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<usize, ExchangeFault>> {
+        if let Poll::Ready(fault) = self.poll_send(context) {
+            return Poll::Ready(Err(fault));
+        }
+        if self.stage == Stage::NothingSent {
+            return Poll::Pending;
+        }
+        let found = search.poll(&mut self.wire, self.max_head_bytes, context);
+        if !self.wire.unread().is_empty() {
+            self.stage = Stage::ResponseHead;
+        }
+        match std::task::ready!(found) {
+            Ok(length) => Poll::Ready(Ok(length)),
+            Err(error) => Poll::Ready(Err(self.read_fault(error))),
+        }
+    }
+
+    /// Sends on. Resolves only with a fault that ends the exchange: when the
+    /// connection fails after some of the request left, an answer may still
+    /// be there to read.
+    fn poll_send(&mut self, context: &mut Context<'_>) -> Poll<ExchangeFault> {
+        if self.whole_request_sent || self.send_fault.is_some() {
+            return Poll::Pending;
+        }
+        let sent = self.outgoing.poll_send(self.wire.stream(), context);
+        if self.outgoing.any_written() {
+            self.stage = self.stage.max(Stage::Sent);
+        }
+        match std::task::ready!(sent) {
+            Ok(()) => self.whole_request_sent = true,
+            Err(SendFault::Source(error)) => {
+                return Poll::Ready(ExchangeFault::RequestBody(error));
+            }
+            Err(SendFault::Stream(error)) if self.stage == Stage::NothingSent => {
+                return Poll::Ready(ExchangeFault::Io(error));
+            }
+            Err(fault) => self.send_fault = Some(fault),
+        }
+        Poll::Pending
+    }
+
+    fn read_fault(&mut self, error: HeadError) -> ExchangeFault {
+        match error {
+            HeadError::TooLarge => {
+                ExchangeFault::Malformed("the head is larger than allowed".to_owned())
+            }
+            HeadError::Io(error) => ExchangeFault::Io(error),
+            HeadError::Closed | HeadError::Truncated => match self.send_fault.take() {
+                Some(SendFault::Stream(error)) => ExchangeFault::Io(error),
+                _ => ExchangeFault::Truncated,
+            },
+        }
+    }
+
+    /// Attaches the body. `give_back` gets the connection if it may be used
+    /// again, and `None` otherwise.
+    pub(super) fn into_response(
+        self,
+        head: ResponseHead,
+        pace: Pace,
+        give_back: impl FnOnce(Option<Wire>) + Send + Sync + 'static,
+    ) -> Response {
+        let ResponseHead {
+            mut response,
+            body,
+            length,
+            closes,
+        } = head;
+        let reusable = self.whole_request_sent && !closes;
+        let finish = move |returned| match returned {
+            Returned::Clean(wire) if reusable && wire.unread().is_empty() => {
+                give_back(Some(wire));
+            }
+            Returned::Clean(_) | Returned::Unfinished(_) | Returned::Broken(_) => give_back(None),
+        };
+        let typed = response.header(CONTENT_TYPE).is_some();
+        match body {
+            Some(decoder) => {
+                let reader = BodyReader::new(self.wire, decoder, u64::MAX, pace, Box::new(finish));
+                response.set_body(Body::from_reader(reader, length));
+            }
+            None => {
+                finish(Returned::Clean(self.wire));
+                let empty = futures::io::empty();
+                response.set_body(Body::from_reader(empty, length));
+            }
+        }
+        // http-types adds a content type of its own to every body.
+        if !typed {
+            response.remove_header(CONTENT_TYPE);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/net/src/pool/mod.rs
@@ -0,0 +1,220 @@
+//! Pools of connections to back ends and other routers.
+//!
+//! A connection is used again only after an exchange that ended cleanly: the
+//! request left whole, the response came whole, and nothing came after it.
+//! An exchange that is abandoned, fails or is cut short closes its connection,
+//! so that a late answer can never reach another caller.
+
+mod address;
+mod connection;
+mod error;
+mod exchange;
+mod response;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpStream;
+use http_types::{Request, Response};
+
+use crate::body::Pace;
+use crate::head::LARGEST_HEAD;
+use crate::timer;
+use crate::wire::Wire;
+use address::{Addresses, Reservation, Slot};
+
+pub use connection::PooledConnection;
+pub use error::{ExchangeError, ExchangeFault, Stage};
+
+/// Limits of a [`Pool`].
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// Connections open at once to one address, idle ones included, unless
+    /// [`Pool::set_connection_limit`] says otherwise for it.
+    pub connections_per_address: usize,
+    /// How long an unused connection is kept.
+    pub idle_timeout: Duration,
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Largest head of a response, in bytes; at most [`LARGEST_HEAD`].
+    pub max_head_bytes: usize,
+    /// Largest body of a response that is read whole, in bytes.
+    pub max_body_bytes: u64,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            connections_per_address: 64,
+            idle_timeout: Duration::from_secs(30),
+            connect_timeout: Duration::from_secs(1),
+            max_head_bytes: LARGEST_HEAD,
+            max_body_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// Connections kept for reuse, by address. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    settings: Arc<PoolSettings>,
+    addresses: Arc<Addresses>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(settings: PoolSettings) -> Self {
+        Pool {
+            addresses: Arc::new(Addresses::new(settings.connections_per_address)),
+            settings: Arc::new(settings),
+        }
+    }
+
+    /// The pool's settings.
+    pub fn settings(&self) -> &PoolSettings {
+        &self.settings
+    }
+
+    /// Sets the limit of connections open at once to one address.
+    pub fn set_connection_limit(&self, address: SocketAddr, connections: usize) {
+        self.addresses.set_limit(address, connections);
+    }
+
+    /// Forgets the limit of an address and closes its idle connections.
+    pub fn forget(&self, address: SocketAddr) {
+        self.addresses.forget(address);
+    }
+
+    /// Connections open to an address: those in use and those idle.
+    pub fn open_connections(&self, address: SocketAddr) -> (usize, usize) {
+        self.addresses.open(address)
+    }
+
+    /// Sends one request and returns the head of its response, with a body
+    /// that streams from the connection and fails when it comes short.
+    /// Reading the body to its end gives the connection back; dropping it
+    /// earlier, or this future, closes the connection. `deadline` bounds the
+    /// body too.
+    ///
+    /// A response must tell where its body ends, by `Content-Length` or
+    /// chunks: one that ends with the connection cannot be told from one cut
+    /// short and is refused.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        deadline: Instant,
+    ) -> Result<Response, ExchangeError> {
+        self.exchange_paced(address, request, deadline, Pace::Until(deadline))
+            .await
+    }
+
+    /// As [`Pool::exchange`], with a body that may take as long as the peer
+    /// likes.
+    pub async fn exchange_stream(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        head_deadline: Instant,
+    ) -> Result<Response, ExchangeError> {
+        self.exchange_paced(address, request, head_deadline, Pace::Unbounded)
+            .await
+    }
+
+    async fn exchange_paced(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        deadline: Instant,
+        pace: Pace,
+    ) -> Result<Response, ExchangeError> {
+        let connection = self.connection(address, deadline).await?;
+        connection.exchange_paced(request, deadline, pace).await
+    }
+
+    /// Gets a connection without sending anything: an idle one that is still
+    /// good, or a new one.
+    pub async fn connection(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<PooledConnection, ExchangeError> {
+        let (slot, wire) = match self.check_out(address)? {
+            (slot, Some(wire)) => (slot, wire),
+            (slot, None) => (slot, self.connect(address, deadline).await?),
+        };
+        Ok(PooledConnection::new(self.clone(), address, slot, wire))
+    }
+
+    /// Takes an idle connection that is still good, or room for a new one.
+    fn check_out(&self, address: SocketAddr) -> Result<(Slot, Option<Wire>), ExchangeError> {
+        loop {
+            let expired_before = Instant::now().checked_sub(self.settings.idle_timeout);
+            match self.addresses.reserve(address, expired_before) {
+                Reservation::Idle(slot, wire) => {
+                    // The connection may have been closed, or something sent
+                    // on it, while nobody listened.
+                    if let Some(wire) = exchange::still_clean(wire) {
+                        return Ok((slot, Some(wire)));
+                    }
+                }
+                Reservation::New(slot) => return Ok((slot, None)),
+                Reservation::Full => {
+                    return Err(ExchangeError {
+                        address,
+                        stage: Stage::ConnectFailed,
+                        fault: ExchangeFault::NoConnectionFree,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Wire, ExchangeError> {
+        let failed = |fault| ExchangeError {
+            address,
+            stage: Stage::ConnectFailed,
+            fault,
+        };
+        let deadline = deadline.min(Instant::now() + self.settings.connect_timeout);
+        let connected = timer::timeout_at(deadline, TcpStream::connect(address)).await;
+        let stream = match connected {
+            Err(timer::Elapsed) => return Err(failed(ExchangeFault::DeadlinePassed)),
+            Ok(Err(error)) => return Err(failed(error.into())),
+            Ok(Ok(stream)) => stream,
+        };
+        // On loopback a socket can meet itself when nobody listens.
+        if stream.local_addr().ok() == Some(address) {
+            let itself = std::io::ErrorKind::ConnectionRefused;
+            return Err(failed(std::io::Error::from(itself).into()));
+        }
+        stream
+            .set_nodelay(true)
+            .map_err(|error| failed(error.into()))?;
+        Ok(Wire::new(stream))
+    }
+
+    /// Keeps a connection for reuse.
+    fn keep(&self, slot: Slot, wire: Wire) {
+        if self.addresses.give_back(slot, wire) {
+            let addresses = Arc::downgrade(&self.addresses);
+            let idle_timeout = self.settings.idle_timeout;
+            async_std::task::spawn(close_expired(addresses, idle_timeout));
+        }
+    }
+}
+
+/// Closes connections that nobody used in time, until none is idle.
+async fn close_expired(addresses: Weak<Addresses>, idle_timeout: Duration) {
+    loop {
+        timer::sleep(idle_timeout).await;
+        let Some(addresses) = addresses.upgrade() else {
+            return;
+        };
+        let before = Instant::now().checked_sub(idle_timeout);
+        if addresses.close_expired(before) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/pool/response.rs
@@ -0,0 +1,76 @@
+//! Reads and checks the head of a response.
+
+use http_types::headers::DATE;
+use http_types::{Method, Response, StatusCode};
+
+use super::error::ExchangeFault;
+use crate::framing::BodyDecoder;
+use crate::head::{self, HeadBytes};
+
+/// A head read and checked.
+#[derive(Debug)]
+pub(super) struct ResponseHead {
+    pub(super) response: Response,
+    /// How the body is framed; `None` when there is none.
+    pub(super) body: Option<BodyDecoder>,
+    /// Length that the head tells, also of a body that does not follow.
+    pub(super) length: Option<usize>,
+    /// The peer closes the connection after this response.
+    pub(super) closes: bool,
+}
+
+impl ResponseHead {
+    /// Whether another head follows for the same request.
+    pub(super) fn is_interim(&self) -> bool {
+        self.response.status().is_informational()
+    }
+}
+
+/// Parses a whole head.
+pub(super) async fn parse(head: &[u8], method: Method) -> Result<ResponseHead, ExchangeFault> {
+    head::check_bytes(head).map_err(malformed)?;
+    let mut response = async_h1::client::decode(HeadBytes::new(head))
+        .await
+        .map_err(|error| ExchangeFault::Malformed(error.to_string()))?;
+    remove_made_up_date(&mut response);
+    let status = response.status();
+    if status == StatusCode::SwitchingProtocols {
+        return Err(malformed("switches protocols, which was not asked for"));
+    }
+    let framing = head::framing(response.as_ref()).map_err(malformed)?;
+    let length = match &framing {
+        Some(BodyDecoder::Length { left }) => usize::try_from(*left).ok(),
+        _ => None,
+    };
+    let bodiless = method == Method::Head || has_no_body(status);
+    if !bodiless && framing.is_none() {
+        return Err(malformed("tells neither Content-Length nor chunks"));
+    }
+    Ok(ResponseHead {
+        closes: head::connection_has(response.as_ref(), "close"),
+        body: if bodiless { None } else { framing },
+        length,
+        response,
+    })
+}
+
+fn has_no_body(status: StatusCode) -> bool {
+    status.is_informational()
+        || status == StatusCode::NoContent
+        || status == StatusCode::NotModified
+}
+
+/// async-h1 adds a `Date` with a line break in its value to a response that
+/// has none. Passed on, it would end the head early.
+fn remove_made_up_date(response: &mut Response) {
+    let made_up = response
+        .header(DATE)
+        .is_some_and(|values| values.last().as_str().contains('\r'));
+    if made_up {
+        response.remove_header(DATE);
+    }
+}
+
+fn malformed(detail: &'static str) -> ExchangeFault {
+    ExchangeFault::Malformed(detail.to_owned())
+}
--- /dev/null
+++ b/crates/net/src/server/limits.rs
@@ -0,0 +1,47 @@
+//! Bounds on what callers may cost a server.
+
+use std::time::Duration;
+
+use crate::head::LARGEST_HEAD;
+
+/// Bounds on what callers may cost the server.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Largest head of a request, in bytes; at most [`LARGEST_HEAD`].
+    pub max_head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Connections open at once; further ones are refused.
+    pub max_connections: usize,
+    /// Longest time from the first byte of a head to its end.
+    pub head_timeout: Duration,
+    /// Longest wait for the next request on an open connection.
+    pub idle_timeout: Duration,
+    /// Longest time for a body, extended by one second for each
+    /// [`LEAST_BODY_BYTES_PER_SECOND`](crate::LEAST_BODY_BYTES_PER_SECOND)
+    /// that came.
+    pub body_timeout: Duration,
+    /// Longest wait for a caller to take more of its answer.
+    pub write_timeout: Duration,
+    /// Longest wait after the stop signal for running requests to end.
+    pub drain_timeout: Duration,
+    /// How long connections without a request stay open after the stop
+    /// signal, for requests already on their way.
+    pub stop_idle: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        ServerLimits {
+            max_head_bytes: LARGEST_HEAD,
+            max_body_bytes: 16 * 1024 * 1024,
+            max_connections: 4_096,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(60),
+            body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
+            drain_timeout: Duration::from_secs(30),
+            stop_idle: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/server/mod.rs
@@ -0,0 +1,142 @@
+//! HTTP/1.1 server: one task a connection, one request at a time on each.
+
+mod caller;
+mod closing;
+mod connection;
+mod limits;
+mod report;
+mod request;
+mod respond;
+
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use futures::FutureExt;
+use http_types::{Request, Response};
+
+use crate::stop::StopSignal;
+use crate::timer;
+use connection::Connection;
+use report::Tracker;
+
+pub use limits::ServerLimits;
+pub use report::{ConnectionInfo, ServeReport};
+
+/// Wait after the kernel refused to accept, for example for want of file
+/// descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Serves until `stop` is given and everything that runs has been answered,
+/// or the drain timeout has passed.
+///
+/// The future of `handler` is dropped when the caller hangs up. A caller that
+/// shuts down its sending side is taken to have hung up.
+///
+/// A planned stop cuts off nothing: connections that wait to be accepted are
+/// still taken, running requests are answered with `Connection: close`, and
+/// connections without a request stay open for the time of
+/// [`ServerLimits::stop_idle`], for requests already on their way.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: StopSignal,
+    handler: H,
+) -> ServeReport
+where
+    H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let server = Server {
+        limits: Arc::new(limits),
+        stop,
+        tracker: Tracker::new(),
+        handler,
+    };
+    server.accept_until_stopped(&listener).await;
+    server.accept_waiting(&listener);
+    drop(listener);
+    server.drain().await
+}
+
+struct Server<H> {
+    limits: Arc<ServerLimits>,
+    stop: StopSignal,
+    tracker: Tracker,
+    handler: H,
+}
+
+impl<H, F> Server<H>
+where
+    H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    async fn accept_until_stopped(&self, listener: &TcpListener) {
+        let mut stopped = self.stop.stopped();
+        loop {
+            let mut accept = pin!(listener.accept());
+            let accepted = poll_fn(|context| {
+                if Pin::new(&mut stopped).poll(context).is_ready() {
+                    return Poll::Ready(None);
+                }
+                accept.as_mut().poll(context).map(Some)
+            })
+            .await;
+            match accepted {
+                None => return,
+                Some(Ok((stream, peer))) => self.start(stream, peer),
+                Some(Err(error)) => {
+                    tracing::warn!(%error, "accepting a connection failed");
+                    timer::sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// Takes the connections that the kernel has completed already: closing
+    /// the listener would reset them, with requests that they carry.
+    fn accept_waiting(&self, listener: &TcpListener) {
+        while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+            self.start(stream, peer);
+        }
+    }
+
+    fn start(&self, stream: TcpStream, peer: SocketAddr) {
+        let Ok(local) = stream.local_addr() else {
+            return;
+        };
+        let Some(guard) = self.tracker.open(self.limits.max_connections) else {
+            connection::refuse_at_once(&stream);
+            return;
+        };
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let connection = Connection::new(
+            stream,
+            ConnectionInfo { peer, local },
+            self.limits.clone(),
+            self.stop.clone(),
+            guard,
+            self.handler.clone(),
+        );
+        async_std::task::spawn(connection.run());
+    }
+
+    async fn drain(mut self) -> ServeReport {
+        self.tracker.let_go();
+        let drained = self.tracker.all_closed();
+        if timer::timeout(self.limits.drain_timeout, drained)
+            .await
+            .is_err()
+        {
+            self.tracker.cut();
+            self.tracker.all_closed().await;
+        }
+        self.tracker.report()
+    }
+}
--- /dev/null
+++ b/crates/net/src/server/report.rs
@@ -0,0 +1,163 @@
+//! Counts of one server, and the end of its connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use crate::stop::{StopSignal, Stopped};
+
+/// The two ends of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionInfo {
+    /// The caller's address.
+    pub peer: SocketAddr,
+    /// The address it reached.
+    pub local: SocketAddr,
+}
+
+/// What a server did until it stopped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServeReport {
+    /// Connections accepted.
+    pub connections: u64,
+    /// Connections closed at once because too many were open.
+    pub refused_connections: u64,
+    /// Requests handed to the handler.
+    pub requests: u64,
+    /// Requests refused by the server itself.
+    pub refused_requests: u64,
+    /// Requests whose caller hung up before it had its whole answer.
+    pub hung_up: u64,
+    /// Answers cut short because their body failed after the head was sent.
+    pub truncated: u64,
+    /// Requests cut off when the drain timeout passed.
+    pub cut: u64,
+}
+
+/// Which event to count.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Count {
+    Request,
+    RefusedRequest,
+    HungUp,
+    Truncated,
+    Cut,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    connections: AtomicU64,
+    refused_connections: AtomicU64,
+    requests: AtomicU64,
+    refused_requests: AtomicU64,
+    hung_up: AtomicU64,
+    truncated: AtomicU64,
+    cut: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    counters: Counters,
+    /// Open connections, and one for the server itself until it drains.
+    open: AtomicUsize,
+    all_closed: StopSignal,
+    cut: StopSignal,
+}
+
+/// Counts connections and requests, and tells when all are gone.
+#[derive(Debug)]
+pub(super) struct Tracker {
+    shared: Arc<Shared>,
+    own: Option<ConnectionGuard>,
+}
+
+impl Tracker {
+    pub(super) fn new() -> Self {
+        let shared = Arc::new(Shared::default());
+        shared.open.store(1, Ordering::Relaxed);
+        let own = ConnectionGuard {
+            shared: shared.clone(),
+        };
+        Tracker {
+            shared,
+            own: Some(own),
+        }
+    }
+
+    /// Counts a connection in, or refuses it when `limit` are open.
+    pub(super) fn open(&self, limit: usize) -> Option<ConnectionGuard> {
+        let counters = &self.shared.counters;
+        if self.shared.open.load(Ordering::Relaxed) > limit {
+            counters.refused_connections.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        self.shared.open.fetch_add(1, Ordering::Relaxed);
+        counters.connections.fetch_add(1, Ordering::Relaxed);
+        Some(ConnectionGuard {
+            shared: self.shared.clone(),
+        })
+    }
+
+    /// Resolves when no connection is open. No further one may be opened.
+    pub(super) fn all_closed(&self) -> Stopped {
+        self.shared.all_closed.stopped()
+    }
+
+    /// Tells every connection to end now.
+    pub(super) fn cut(&self) {
+        self.shared.cut.stop();
+    }
+
+    /// Lets the server's own share go, so that the last connection to close
+    /// is noticed.
+    pub(super) fn let_go(&mut self) {
+        self.own = None;
+    }
+
+    pub(super) fn report(&self) -> ServeReport {
+        let counters = &self.shared.counters;
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        ServeReport {
+            connections: read(&counters.connections),
+            refused_connections: read(&counters.refused_connections),
+            requests: read(&counters.requests),
+            refused_requests: read(&counters.refused_requests),
+            hung_up: read(&counters.hung_up),
+            truncated: read(&counters.truncated),
+            cut: read(&counters.cut),
+        }
+    }
+}
+
+/// Held by each connection while it is open.
+#[derive(Debug)]
+pub(super) struct ConnectionGuard {
+    shared: Arc<Shared>,
+}
+
+impl ConnectionGuard {
+    pub(super) fn count(&self, count: Count) {
+        let counters = &self.shared.counters;
+        let counter = match count {
+            Count::Request => &counters.requests,
+            Count::RefusedRequest => &counters.refused_requests,
+            Count::HungUp => &counters.hung_up,
+            Count::Truncated => &counters.truncated,
+            Count::Cut => &counters.cut,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Resolves when the drain timeout has passed.
+    pub(super) fn cut(&self) -> Stopped {
+        self.shared.cut.stopped()
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        if self.shared.open.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.shared.all_closed.stop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/server/request.rs
@@ -0,0 +1,107 @@
+//! Reads and checks the head of a request.
+
+use http_types::headers::{EXPECT, HOST};
+use http_types::{Method, Request, Response, StatusCode, Version};
+use threadledge_types::NotRunReason;
+
+use crate::framing::BodyDecoder;
+use crate::head::{self, HeadBytes};
+use crate::refusal;
+
+/// Why the server refuses a request itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum RequestFault {
+    HeadTooLarge,
+    BodyTooLarge,
+    TooSlow,
+    Malformed(String),
+    Unsupported(&'static str),
+}
+
+impl RequestFault {
+    pub(super) fn response(&self) -> Response {
+        let (reason, detail) = match self {
+            RequestFault::HeadTooLarge => (NotRunReason::TooLarge, "the head is too large"),
+            RequestFault::BodyTooLarge => (NotRunReason::TooLarge, "the body is too large"),
+            RequestFault::TooSlow => (NotRunReason::TooSlow, "the head came too slowly"),
+            RequestFault::Malformed(detail) => (NotRunReason::Malformed, detail.as_str()),
+            RequestFault::Unsupported(detail) => (NotRunReason::Malformed, *detail),
+        };
+        let mut response = refusal::not_run(reason, detail);
+        match self {
+            RequestFault::HeadTooLarge => {
+                response.set_status(StatusCode::RequestHeaderFieldsTooLarge);
+            }
+            RequestFault::Unsupported(_) => response.set_status(StatusCode::NotImplemented),
+            _ => {}
+        }
+        response
+    }
+}
+
+/// A head read and checked.
+#[derive(Debug)]
+pub(super) struct RequestHead {
+    pub(super) request: Request,
+    /// How the body is framed; `None` when there is none.
+    pub(super) body: Option<BodyDecoder>,
+    /// The caller closes the connection after this request.
+    pub(super) closes: bool,
+    /// The caller waits for `100 Continue` before it sends the body.
+    pub(super) expects_continue: bool,
+}
+
+/// Parses a whole head.
+pub(super) async fn parse(head: &[u8], max_body_bytes: u64) -> Result<RequestHead, RequestFault> {
+    head::check_bytes(head).map_err(malformed)?;
+    let decoded = async_h1::server::decode(HeadBytes::new(head)).await;
+    let request = match decoded {
+        Ok(Some((request, _body))) => request,
+        Ok(None) => return Err(malformed("the head is incomplete")),
+        Err(error) => return Err(RequestFault::Malformed(error.to_string())),
+    };
+    check(&request)?;
+    let body = head::framing(request.as_ref()).map_err(malformed)?;
+    if body
+        .as_ref()
+        .is_some_and(|body| body.announces_more_than(max_body_bytes))
+    {
+        return Err(RequestFault::BodyTooLarge);
+    }
+    let expects_continue = request
+        .header(EXPECT)
+        .is_some_and(|value| value.as_str().eq_ignore_ascii_case("100-continue"));
+    Ok(RequestHead {
+        closes: head::connection_has(request.as_ref(), "close"),
+        body: body.filter(|body| !body.is_at_end()),
+        expects_continue,
+        request,
+    })
+}
+
+fn check(request: &Request) -> Result<(), RequestFault> {
+    if request.version() != Some(Version::Http1_1) {
+        return Err(RequestFault::Unsupported("only HTTP/1.1 is served"));
+    }
+    if request.method() == Method::Connect {
+        return Err(RequestFault::Unsupported("CONNECT is not served"));
+    }
+    let hosts = request
+        .header(HOST)
+        .map_or(0, |values| values.iter().count());
+    if hosts != 1 {
+        return Err(malformed("exactly one Host header is needed"));
+    }
+    let host = request
+        .header(HOST)
+        .map_or("", |values| values.last().as_str());
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._:[]".contains(&byte);
+    if host.is_empty() || !host.bytes().all(plain) {
+        return Err(malformed("the Host header is not a host"));
+    }
+    Ok(())
+}
+
+fn malformed(detail: &'static str) -> RequestFault {
+    RequestFault::Malformed(detail.to_owned())
+}
--- /dev/null
+++ b/crates/net/src/server/respond.rs
@@ -0,0 +1,110 @@
+//! Writes responses.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use async_h1::server::Encoder;
+use futures::io::AsyncRead;
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::{Method, Response, StatusCode};
+
+/// Yields the bytes of one response and fails when its body is shorter than
+/// the head announced, so that a truncated answer never looks whole.
+#[derive(Debug)]
+pub(super) struct ResponseBytes {
+    encoder: Encoder,
+    head_left: bool,
+    strip_length: bool,
+    body_left: Option<u64>,
+}
+
+impl ResponseBytes {
+    pub(super) fn new(mut response: Response, method: Method) -> Self {
+        // The body alone decides the framing; a second one beside it would
+        // let two readers see two answers.
+        response.remove_header(CONTENT_LENGTH);
+        response.remove_header(TRANSFER_ENCODING);
+        let status = response.status();
+        let bodiless = has_no_body(status) || method == Method::Head;
+        let length = response.len().map(|length| length as u64);
+        // async-h1 leaves out the body only in answers to HEAD; 204 and 304
+        // have none either.
+        let method = if bodiless { Method::Head } else { method };
+        ResponseBytes {
+            encoder: Encoder::new(response, method),
+            head_left: true,
+            strip_length: forbids_length(status),
+            body_left: if bodiless { None } else { length },
+        }
+    }
+
+    fn finish_head(&mut self, head: &mut [u8]) -> usize {
+        self.head_left = false;
+        if self.strip_length {
+            return remove_framing(head);
+        }
+        head.len()
+    }
+
+    fn count_body(&mut self, count: usize) -> io::Result<usize> {
+        let Some(left) = &mut self.body_left else {
+            return Ok(count);
+        };
+        if count == 0 && *left > 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        *left = left.saturating_sub(count as u64);
+        Ok(count)
+    }
+}
+
+/// The encoder yields the whole head in the first read when there is room,
+/// and then the body. A head for which there is no room is refused.
+impl AsyncRead for ResponseBytes {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.encoder).poll_read(context, buffer))?;
+        if !self.head_left {
+            return Poll::Ready(self.count_body(count));
+        }
+        let read = &mut buffer[..count];
+        if read.ends_with(b"\r\n\r\n") {
+            return Poll::Ready(Ok(self.finish_head(read)));
+        }
+        Poll::Ready(Err(io::ErrorKind::InvalidData.into()))
+    }
+}
+
+/// Whether responses of this status never have a body.
+pub(crate) fn has_no_body(status: StatusCode) -> bool {
+    status.is_informational()
+        || status == StatusCode::NoContent
+        || status == StatusCode::NotModified
+}
+
+fn forbids_length(status: StatusCode) -> bool {
+    status.is_informational() || status == StatusCode::NoContent
+}
+
+/// Takes the framing headers out of a head; returns its new length.
+fn remove_framing(head: &mut [u8]) -> usize {
+    let mut kept = 0;
+    let mut start = 0;
+    while start < head.len() {
+        let rest = &head[start..];
+        let line = rest.iter().position(|byte| *byte == b'\n');
+        let end = start + line.map_or(rest.len(), |position| position + 1);
+        let is_framing = head[start..end].starts_with(b"content-length:")
+            || head[start..end].starts_with(b"transfer-encoding:");
+        if !is_framing {
+            head.copy_within(start..end, kept);
+            kept += end - start;
+        }
+        start = end;
+    }
+    kept
+}
--- a/crates/net/src/stop.rs
+++ b/crates/net/src/stop.rs
@@ -1,8 +1,10 @@
 //! A signal that something should stop, given once and seen by all clones.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, Waker};
 
 use parking_lot::Mutex;
@@ -10,14 +12,19 @@
 /// Clonable signal to stop. All clones share one state; it is never unset.
 #[derive(Clone, Debug, Default)]
 pub struct StopSignal {
-    shared: Arc<Mutex<State>>,
+    shared: Arc<Shared>,
 }
 
 #[derive(Debug, Default)]
-struct State {
-    stopped: bool,
-    next_waiter: u64,
-    waiters: std::collections::BTreeMap<u64, Waker>,
+struct Shared {
+    stopped: AtomicBool,
+    waiters: Mutex<Waiters>,
+}
+
+#[derive(Debug, Default)]
+struct Waiters {
+    next_number: u64,
+    wakers: BTreeMap<u64, Waker>,
 }
 
 impl StopSignal {
@@ -28,62 +35,94 @@
 
     /// Gives the signal and wakes everyone who waits for it.
     pub fn stop(&self) {
-        let waiters = {
-            let mut state = self.shared.lock();
-            state.stopped = true;
-            std::mem::take(&mut state.waiters)
+        let wakers = {
+            let mut waiters = self.shared.waiters.lock();
+            // Set under the lock, so that a waiter either sees the flag or is
+            // in the map taken here.
+            self.shared.stopped.store(true, Ordering::Release);
+            std::mem::take(&mut waiters.wakers)
         };
-        for waker in waiters.into_values() {
+        for waker in wakers.into_values() {
             waker.wake();
         }
     }
 
     /// Whether the signal was given.
     pub fn is_stopped(&self) -> bool {
-        self.shared.lock().stopped
+        self.shared.stopped.load(Ordering::Acquire)
     }
 
     /// Resolves when the signal is given.
     pub fn stopped(&self) -> Stopped {
-        let mut state = self.shared.lock();
-        let number = state.next_waiter;
-        state.next_waiter += 1;
         Stopped {
             shared: self.shared.clone(),
-            number,
+            registration: None,
         }
     }
 }
 
 /// Future of [`StopSignal::stopped`].
+///
+/// It takes the lock only when it is polled with another waker than before,
+/// so that one kept for the life of a connection costs one atomic load a poll.
 #[derive(Debug)]
 pub struct Stopped {
-    shared: Arc<Mutex<State>>,
+    shared: Arc<Shared>,
+    registration: Option<Registration>,
+}
+
+#[derive(Debug)]
+struct Registration {
     number: u64,
+    waker: Waker,
 }
 
 impl Future for Stopped {
     type Output = ();
 
-    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        let mut state = self.shared.lock();
-        if state.stopped {
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.shared.stopped.load(Ordering::Acquire) {
             return Poll::Ready(());
         }
         let waker = context.waker();
-        match state.waiters.get_mut(&self.number) {
-            Some(known) if known.will_wake(waker) => {}
-            Some(known) => known.clone_from(waker),
+        match &self.registration {
+            Some(registration) if registration.waker.will_wake(waker) => Poll::Pending,
+            _ => self.register(waker),
+        }
+    }
+}
+
+impl Stopped {
+    fn register(&mut self, waker: &Waker) -> Poll<()> {
+        let shared = self.shared.clone();
+        let mut waiters = shared.waiters.lock();
+        if shared.stopped.load(Ordering::Acquire) {
+            return Poll::Ready(());
+        }
+        let number = match &self.registration {
+            Some(registration) => registration.number,
             None => {
-                state.waiters.insert(self.number, waker.clone());
+                waiters.next_number += 1;
+                waiters.next_number
             }
-        }
+        };
+        waiters.wakers.insert(number, waker.clone());
+        self.registration = Some(Registration {
+            number,
+            waker: waker.clone(),
+        });
         Poll::Pending
     }
 }
 
 impl Drop for Stopped {
     fn drop(&mut self) {
-        self.shared.lock().waiters.remove(&self.number);
+        if let Some(registration) = &self.registration {
+            self.shared
+                .waiters
+                .lock()
+                .wakers
+                .remove(&registration.number);
+        }
     }
 }
--- /dev/null
+++ b/crates/net/src/timer.rs
@@ -0,0 +1,211 @@
+//! Timers that are cheap to start and to drop.
+//!
+//! A timer of async-std wakes the reactor thread with a system call when it is
+//! first polled. Nearly every timeout here is dropped unused, several a
+//! request, so they share one queue whose driver is disturbed only when the
+//! earliest time moves forward.
+
+use std::collections::BTreeMap;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+/// When nothing is due the driver looks again after this long.
+const IDLE_WAIT: Duration = Duration::from_secs(3_600);
+
+/// The time allowed passed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the time allowed passed; allow more or look for what is slow")]
+pub struct Elapsed;
+
+/// Resolves at `deadline`.
+pub fn sleep_until(deadline: Instant) -> Sleep {
+    Sleep {
+        deadline,
+        registration: None,
+    }
+}
+
+/// Resolves after `duration`.
+pub fn sleep(duration: Duration) -> Sleep {
+    sleep_until(Instant::now() + duration)
+}
+
+/// Runs `future` until it ends or `deadline` comes.
+pub async fn timeout_at<F: Future>(deadline: Instant, future: F) -> Result<F::Output, Elapsed> {
+    let mut future = pin!(future);
+    let mut sleep = sleep_until(deadline);
+    poll_fn(|context| {
+        if let Poll::Ready(output) = future.as_mut().poll(context) {
+            return Poll::Ready(Ok(output));
+        }
+        Pin::new(&mut sleep).poll(context).map(|()| Err(Elapsed))
+    })
+    .await
+}
+
+/// Runs `future` until it ends or `duration` has passed.
+pub async fn timeout<F: Future>(duration: Duration, future: F) -> Result<F::Output, Elapsed> {
+    timeout_at(Instant::now() + duration, future).await
+}
+
+/// Future of [`sleep_until`].
+#[derive(Debug)]
+pub struct Sleep {
+    deadline: Instant,
+    registration: Option<(TimerKey, Waker)>,
+}
+
+impl Sleep {
+    /// When it resolves.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if Instant::now() >= self.deadline {
+            return Poll::Ready(());
+        }
+        let waker = context.waker();
+        match &self.registration {
+            Some((key, known)) if !known.will_wake(waker) => queue().put(*key, waker),
+            Some((key, _)) if queue().contains(*key) => return Poll::Pending,
+            _ => {
+                let key = queue().insert(self.deadline, waker);
+                self.registration = Some((key, waker.clone()));
+                return Poll::Pending;
+            }
+        }
+        if let Some((_, known)) = &mut self.registration {
+            known.clone_from(waker);
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some((key, _)) = &self.registration {
+            queue().remove(*key);
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TimerKey {
+    deadline: Instant,
+    number: u64,
+}
+
+#[derive(Debug, Default)]
+struct TimerQueue {
+    next_number: AtomicU64,
+    state: Mutex<TimerState>,
+}
+
+#[derive(Debug, Default)]
+struct TimerState {
+    waiting: BTreeMap<TimerKey, Waker>,
+    /// When the driver will look next; `None` while it is looking.
+    driver_wakes: Option<Instant>,
+    driver: Option<Waker>,
+}
+
+fn queue() -> &'static TimerQueue {
+    static QUEUE: OnceLock<TimerQueue> = OnceLock::new();
+    static DRIVER: OnceLock<()> = OnceLock::new();
+    let queue = QUEUE.get_or_init(TimerQueue::default);
+    DRIVER.get_or_init(|| {
+        async_std::task::spawn(drive(queue));
+    });
+    queue
+}
+
+impl TimerQueue {
+    fn insert(&self, deadline: Instant, waker: &Waker) -> TimerKey {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let key = TimerKey { deadline, number };
+        self.put(key, waker);
+        key
+    }
+
+    fn put(&self, key: TimerKey, waker: &Waker) {
+        let mut state = self.state.lock();
+        state.waiting.insert(key, waker.clone());
+        let disturb = state.driver_wakes.is_some_and(|at| key.deadline < at);
+        let driver = if disturb { state.driver.take() } else { None };
+        drop(state);
+        if let Some(driver) = driver {
+            driver.wake();
+        }
+    }
+
+    fn contains(&self, key: TimerKey) -> bool {
+        self.state.lock().waiting.contains_key(&key)
+    }
+
+    fn remove(&self, key: TimerKey) {
+        self.state.lock().waiting.remove(&key);
+    }
+
+    /// Takes the wakers that are due.
+    fn take_due(&self, now: Instant) -> Vec<Waker> {
+        let mut state = self.state.lock();
+        let mut due = Vec::new();
+        while let Some(entry) = state.waiting.first_entry() {
+            if entry.key().deadline > now {
+                break;
+            }
+            due.push(entry.remove());
+        }
+        state.driver_wakes = None;
+        due
+    }
+
+    /// Notes when the driver looks next, and by what it is disturbed.
+    fn park_driver(&self, waker: &Waker) -> Instant {
+        let mut state = self.state.lock();
+        let earliest = state.waiting.keys().next().map(|key| key.deadline);
+        let wakes = earliest.unwrap_or_else(|| Instant::now() + IDLE_WAIT);
+        state.driver_wakes = Some(wakes);
+        state.driver = Some(waker.clone());
+        wakes
+    }
+}
+
+async fn drive(queue: &'static TimerQueue) {
+    loop {
+        for waker in queue.take_due(Instant::now()) {
+            waker.wake();
+        }
+        wait_for_next(queue).await;
+    }
+}
+
+/// Waits until the earliest timer is due or an earlier one was added.
+async fn wait_for_next(queue: &'static TimerQueue) {
+    let mut pause: Option<Pin<Box<dyn Future<Output = ()> + Send>>> = None;
+    let mut parked_until = None;
+    poll_fn(|context| {
+        let wakes = queue.park_driver(context.waker());
+        if parked_until.is_some_and(|until| wakes < until) {
+            return Poll::Ready(());
+        }
+        parked_until = Some(wakes);
+        let pause = pause.get_or_insert_with(|| {
+            let left = wakes.saturating_duration_since(Instant::now());
+            Box::pin(async_std::task::sleep(left))
+        });
+        pause.as_mut().poll(context)
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/net/src/transmit.rs
@@ -0,0 +1,120 @@
+//! Sends what an async-h1 encoder yields.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use async_std::net::TcpStream;
+use futures::io::{AsyncRead, AsyncWrite};
+
+/// Room for one read from the encoder, and so the largest head sent.
+const READ_SIZE: usize = 16 * 1024;
+/// Bytes gathered before a write; head and small body leave together.
+const WRITE_SIZE: usize = 32 * 1024;
+
+/// What stopped a transmission.
+#[derive(Debug)]
+pub(crate) enum SendFault {
+    /// The message could not be read, for example because the body that is
+    /// passed on was cut short.
+    Source(io::Error),
+    /// The connection failed.
+    Stream(io::Error),
+}
+
+/// One message on its way out.
+#[derive(Debug)]
+pub(crate) struct Outgoing<E> {
+    encoder: E,
+    buffer: Vec<u8>,
+    written: usize,
+    ended: bool,
+    total: u64,
+}
+
+impl<E: AsyncRead + Unpin> Outgoing<E> {
+    pub(crate) fn new(encoder: E) -> Self {
+        Outgoing {
+            encoder,
+            buffer: Vec::new(),
+            written: 0,
+            ended: false,
+            total: 0,
+        }
+    }
+
+    /// Whether the kernel took any byte, so that it may reach the peer.
+    pub(crate) fn any_written(&self) -> bool {
+        self.total > 0
+    }
+
+    /// Bytes that the kernel took.
+    pub(crate) fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Whether bytes wait for the kernel to take them.
+    pub(crate) fn waits_for_stream(&self) -> bool {
+        self.written < self.buffer.len()
+    }
+
+    /// Sends until everything was handed to the kernel.
+    pub(crate) fn poll_send(
+        &mut self,
+        stream: &TcpStream,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), SendFault>> {
+        loop {
+            if self.written == self.buffer.len() {
+                if self.ended {
+                    return Poll::Ready(Ok(()));
+                }
+                self.buffer.clear();
+                self.written = 0;
+                ready!(self.poll_gather(context)).map_err(SendFault::Source)?;
+                continue;
+            }
+            ready!(self.poll_write(stream, context)).map_err(SendFault::Stream)?;
+        }
+    }
+
+    fn poll_write(
+        &mut self,
+        mut stream: &TcpStream,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        let bytes = &self.buffer[self.written..];
+        let count = ready!(Pin::new(&mut stream).poll_write(context, bytes))?;
+        if count == 0 {
+            return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+        }
+        self.total += count as u64;
+        self.written += count;
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads from the encoder what is there, waiting only if nothing is.
+    fn poll_gather(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.buffer.len() < WRITE_SIZE {
+            let start = self.buffer.len();
+            self.buffer.resize(start + READ_SIZE, 0);
+            let read = Pin::new(&mut self.encoder).poll_read(context, &mut self.buffer[start..]);
+            let count = match &read {
+                Poll::Ready(Ok(count)) => *count,
+                _ => 0,
+            };
+            self.buffer.truncate(start + count);
+            match read {
+                Poll::Ready(Ok(0)) => {
+                    self.ended = true;
+                    break;
+                }
+                Poll::Ready(Ok(_)) => {}
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending if start == 0 => return Poll::Pending,
+                Poll::Pending => break,
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/net/src/wire.rs
@@ -0,0 +1,96 @@
+//! A TCP stream with the bytes read from it but not yet used.
+//!
+//! async-h1 reads through a buffer that it throws away with whatever it read
+//! too much. Here the bytes stay with the connection, so that a pipelined
+//! request is neither lost nor taken for a body.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use async_std::net::TcpStream;
+use futures::io::AsyncRead;
+
+/// Size of a new buffer. Most heads fit.
+const INITIAL_BUFFER: usize = 2 * 1024;
+/// Size to which a buffer grows while reads fill it.
+const LARGEST_READ: usize = 64 * 1024;
+/// Least free space before a read.
+const LEAST_ROOM: usize = 1024;
+
+/// One TCP connection and its unread bytes.
+#[derive(Debug)]
+pub(crate) struct Wire {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    last_read_filled: bool,
+}
+
+impl Wire {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Wire {
+            stream,
+            buffer: Vec::new(),
+            start: 0,
+            end: 0,
+            last_read_filled: false,
+        }
+    }
+
+    /// The stream, for writing.
+    pub(crate) fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Bytes read and not yet used.
+    pub(crate) fn unread(&self) -> &[u8] {
+        &self.buffer[self.start..self.end]
+    }
+
+    /// Marks the first `count` unread bytes as used.
+    pub(crate) fn consume(&mut self, count: usize) {
+        debug_assert!(count <= self.end - self.start);
+        self.start += count;
+        if self.start == self.end {
+            self.start = 0;
+            self.end = 0;
+        }
+    }
+
+    /// Reads more bytes; 0 means that the peer sends no more.
+    pub(crate) fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.make_room();
+        let room = &mut self.buffer[self.end..];
+        let size = room.len();
+        let read = Pin::new(&mut self.stream).poll_read(context, room);
+        if let Poll::Ready(Ok(count)) = &read {
+            self.end += count;
+            self.last_read_filled = *count == size;
+        }
+        read
+    }
+
+    /// Gives the memory of a large buffer back before an idle time.
+    pub(crate) fn shrink(&mut self) {
+        if self.start == self.end && self.buffer.len() > INITIAL_BUFFER {
+            self.buffer = Vec::new();
+            self.last_read_filled = false;
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.start > 0 && self.buffer.len() - self.end < LEAST_ROOM {
+            self.buffer.copy_within(self.start..self.end, 0);
+            self.end -= self.start;
+            self.start = 0;
+        }
+        let cramped = self.buffer.len() - self.end < LEAST_ROOM;
+        let busy = self.last_read_filled && self.buffer.len() < LARGEST_READ;
+        if cramped || busy {
+            let size = (self.buffer.len() * 2).max(INITIAL_BUFFER);
+            self.buffer.resize(size, 0);
+        }
+    }
+}
