--- /dev/null
+++ b/crates/routing/src/back_end.rs
@@ -0,0 +1,245 @@
+//! What this router knows and holds of one back end.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use threadledge_types::objects::BackEndSpec;
+use threadledge_types::{BackEndId, Incarnation, Timestamp};
+
+use crate::attempt::{AttemptNumber, ExchangeId};
+use crate::budget::Budget;
+use crate::concurrency::{Bounds, ConcurrencyLimit};
+use crate::ejection::{Ejection, EjectionPolicy};
+use crate::latency::LatencyEstimate;
+use crate::queue::{Place, WaitQueue};
+use crate::ramp::Ramp;
+use crate::settings::Settings;
+
+/// The oldest unanswered attempt counts as the expected answer time once it is
+/// older than this many usual answer times: the back end may hang.
+const HANGING_FACTOR: u32 = 4;
+
+/// Life of a back end's process, as the table has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Life {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) draining: bool,
+}
+
+/// One back end: limits, evidence, queue and what runs there.
+#[derive(Debug)]
+pub(crate) struct BackEnd {
+    pub(crate) id: Arc<BackEndId>,
+    pub(crate) address: SocketAddr,
+    pub(crate) connection_limit: u32,
+    pub(crate) limit: ConcurrencyLimit,
+    pub(crate) ejection: Ejection,
+    pub(crate) latency: LatencyEstimate,
+    pub(crate) queue: WaitQueue,
+    pub(crate) retries: Budget,
+    pub(crate) hedges: Budget,
+    life: Option<Life>,
+    draining_since: Option<Timestamp>,
+    refuses_new_work: bool,
+    ramp: Option<Ramp>,
+    ramp_length: Duration,
+    drain_grace: Duration,
+    granted: BTreeSet<ExchangeId>,
+    running: BTreeSet<(Timestamp, ExchangeId, AttemptNumber)>,
+}
+
+impl BackEnd {
+    pub(crate) fn new(
+        id: Arc<BackEndId>,
+        spec: &BackEndSpec,
+        settings: &Settings,
+        routers: u32,
+    ) -> Self {
+        BackEnd {
+            id,
+            address: spec.address,
+            connection_limit: connection_limit(spec, routers),
+            limit: ConcurrencyLimit::new(bounds(spec, settings, routers)),
+            ejection: Ejection::new(ejection_policy(settings)),
+            latency: LatencyEstimate::default(),
+            queue: WaitQueue::new(settings.queue_per_back_end, settings.low_priority_turn),
+            retries: Budget::new(settings.retry_percent, settings.retry_reserve),
+            hedges: Budget::new(settings.hedge_percent, settings.hedge_reserve),
+            life: None,
+            draining_since: None,
+            refuses_new_work: false,
+            ramp: None,
+            ramp_length: settings.ramp(),
+            drain_grace: settings.drain_grace(),
+            granted: BTreeSet::new(),
+            running: BTreeSet::new(),
+        }
+    }
+
+    /// The record or the number of routers changed.
+    pub(crate) fn set_spec(&mut self, spec: &BackEndSpec, settings: &Settings, routers: u32) {
+        self.address = spec.address;
+        self.connection_limit = connection_limit(spec, routers);
+        self.limit.set_bounds(bounds(spec, settings, routers));
+    }
+
+    /// The session changed. What was learned of an earlier life is forgotten;
+    /// a later life is cold, unless `warm` says it was there before us.
+    pub(crate) fn set_life(
+        &mut self,
+        now: Timestamp,
+        life: Option<Life>,
+        warm: bool,
+        settings: &Settings,
+    ) {
+        let incarnation = |life: Option<Life>| life.map(|life| life.incarnation);
+        if life.is_some() && incarnation(life) != incarnation(self.life) {
+            self.ejection = Ejection::new(ejection_policy(settings));
+            self.latency = LatencyEstimate::default();
+            self.limit.restart();
+            self.refuses_new_work = false;
+            self.draining_since = None;
+            self.ramp = (!warm).then(|| Ramp::new(now, self.ramp_length));
+        }
+        if life.is_some_and(|life| life.draining) {
+            self.draining_since.get_or_insert(now);
+        } else {
+            self.draining_since = None;
+        }
+        self.life = life;
+    }
+
+    /// Whether this life of the process is the current one.
+    pub(crate) fn is_current(&self, incarnation: Incarnation) -> bool {
+        self.life
+            .is_some_and(|life| life.incarnation == incarnation)
+    }
+
+    /// It refused a request because it drains: it gets none any more, though
+    /// the table may not say so yet.
+    pub(crate) fn refused_as_draining(&mut self, incarnation: Incarnation) {
+        if self.is_current(incarnation) {
+            self.refuses_new_work = true;
+        }
+    }
+
+    /// Whether new requests may be sent. Invariant: a back end that is
+    /// leaving receives no new work once the grace has passed.
+    pub(crate) fn takes_new_work(&self, now: Timestamp) -> bool {
+        if self.refuses_new_work {
+            return false;
+        }
+        self.draining_since
+            .is_none_or(|since| now.since(since) < self.drain_grace)
+    }
+
+    /// Requests allowed at once now.
+    pub(crate) fn allowed(&self, now: Timestamp) -> u32 {
+        let sustained = self.limit.allowed();
+        let ramped = self
+            .ramp
+            .map_or(sustained, |ramp| ramp.allowed(now, sustained));
+        self.ejection.allowed(now, ramped)
+    }
+
+    /// Requests that hold a slot.
+    pub(crate) fn in_flight(&self) -> u32 {
+        u32::try_from(self.granted.len() + self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a slot is free.
+    pub(crate) fn has_slot(&self, now: Timestamp) -> bool {
+        self.in_flight() < self.allowed(now)
+    }
+
+    /// Gives free slots to those who wait; answers who got one.
+    pub(crate) fn grant_slots(&mut self, now: Timestamp) -> Vec<ExchangeId> {
+        let mut granted = Vec::new();
+        while self.has_slot(now) {
+            let Some(id) = self.queue.pop() else {
+                break;
+            };
+            self.granted.insert(id);
+            granted.push(id);
+        }
+        granted
+    }
+
+    /// Takes back the slot that was given to a waiting request.
+    pub(crate) fn take_grant(&mut self, id: ExchangeId) -> bool {
+        self.granted.remove(&id)
+    }
+
+    /// An attempt takes a slot.
+    pub(crate) fn start(&mut self, now: Timestamp, id: ExchangeId, attempt: AttemptNumber) {
+        self.running.insert((now, id, attempt));
+    }
+
+    /// An attempt frees its slot.
+    pub(crate) fn stop(&mut self, started: Timestamp, id: ExchangeId, attempt: AttemptNumber) {
+        self.running.remove(&(started, id, attempt));
+    }
+
+    /// When more slots may come free by themselves.
+    pub(crate) fn next_change(&self, now: Timestamp) -> Option<Timestamp> {
+        let ramp = self
+            .ramp
+            .and_then(|ramp| ramp.next_change(now, self.limit.allowed()));
+        let ejection = self.ejection.closed_until(now);
+        ramp.into_iter().chain(ejection).min()
+    }
+
+    /// Expected time of one answer; `None` before the first.
+    pub(crate) fn expected_answer_time(&self, now: Timestamp) -> Option<Duration> {
+        let usual = self.latency.recent()?;
+        let oldest = self.running.first().map(|(started, _, _)| *started);
+        let age = oldest.map_or(Duration::ZERO, |started| now.since(started));
+        Some(if age > usual * HANGING_FACTOR {
+            age
+        } else {
+            usual
+        })
+    }
+
+    /// Expected wait for a slot of a request in `place`. With nothing known
+    /// yet it is zero.
+    pub(crate) fn expected_wait(&self, now: Timestamp, place: Place) -> Duration {
+        if let Some(until) = self.ejection.closed_until(now) {
+            return until.since(now);
+        }
+        let Some(answer_time) = self.expected_answer_time(now) else {
+            return Duration::ZERO;
+        };
+        let rounds = self.queue.ahead_of(place).saturating_add(1);
+        answer_time.saturating_mul(rounds) / self.allowed(now).max(1)
+    }
+
+    /// Everyone who waits, has a slot or runs here.
+    pub(crate) fn everyone(&self) -> impl Iterator<Item = ExchangeId> + '_ {
+        let running = self.running.iter().map(|(_, id, _)| *id);
+        self.queue
+            .ids()
+            .chain(self.granted.iter().copied())
+            .chain(running)
+    }
+}
+
+fn connection_limit(spec: &BackEndSpec, routers: u32) -> u32 {
+    (spec.connections / routers.max(1)).max(1)
+}
+
+fn bounds(spec: &BackEndSpec, settings: &Settings, routers: u32) -> Bounds {
+    let overcommit = settings.slot_overcommit_percent;
+    Bounds::new(spec.slots, spec.connections, routers, overcommit)
+}
+
+fn ejection_policy(settings: &Settings) -> EjectionPolicy {
+    EjectionPolicy {
+        failures: settings.ejection_failures,
+        shortest: settings.ejection_min(),
+        longest: settings.ejection_max(),
+        successes: settings.return_successes,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/classify.rs
@@ -0,0 +1,98 @@
+//! Classification of attempts: what an event says about whether the request
+//! ran, and whether it may be sent again.
+//!
+//! Two guarantees are kept here: a "not run" is true, and a non-repeatable
+//! request is carried out at most once.
+
+use threadledge_types::session::Refusal;
+use threadledge_types::{NotRunReason, UnknownReason};
+
+use crate::attempt::{AttemptEvent, AttemptFailure};
+
+/// Whether the request ran in one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// It surely did not.
+    No(NotRunReason),
+    /// It may have.
+    Maybe(UnknownReason),
+    /// It did, and the answer is here or on its way.
+    Yes,
+}
+
+/// Reads an event. `sent` says whether the permission to write was given.
+pub fn classify(event: AttemptEvent, sent: bool) -> Ran {
+    match event {
+        // "Nothing was sent" is believed only of an attempt that had no
+        // permission to send.
+        AttemptEvent::ConnectFailed | AttemptEvent::SentNothing if sent => {
+            Ran::Maybe(UnknownReason::ConnectionLost)
+        }
+        AttemptEvent::ConnectFailed | AttemptEvent::SentNothing => {
+            Ran::No(NotRunReason::Unreachable)
+        }
+        AttemptEvent::Refused(refusal) => Ran::No(refusal.into()),
+        AttemptEvent::ResponseHead { .. } | AttemptEvent::Completed => Ran::Yes,
+        AttemptEvent::Failed(failure) => Ran::Maybe(failure.into()),
+    }
+}
+
+impl From<AttemptFailure> for UnknownReason {
+    fn from(failure: AttemptFailure) -> Self {
+        match failure {
+            AttemptFailure::ConnectionLost => UnknownReason::ConnectionLost,
+            AttemptFailure::BadAnswer => UnknownReason::BadAnswer,
+        }
+    }
+}
+
+/// What sending a request again depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resending {
+    /// It may be carried out more than once.
+    pub repeatable: bool,
+    /// Its body can be sent again.
+    pub body_replayable: bool,
+    /// This attempt was sent, at least in part.
+    pub sent: bool,
+    /// Another attempt of it may have run, or runs.
+    pub others_may_have_run: bool,
+}
+
+/// Whether a request may be sent once more after an attempt that ended so.
+pub fn may_send_again(ran: Ran, resending: Resending) -> bool {
+    if resending.sent && !resending.body_replayable {
+        return false;
+    }
+    match ran {
+        Ran::Yes => false,
+        Ran::Maybe(_) => resending.repeatable,
+        Ran::No(_) => resending.repeatable || !resending.others_may_have_run,
+    }
+}
+
+/// When a request that was not run may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Again {
+    /// After a backoff, or at once to another owner.
+    AfterBackoff,
+    /// Only once the key has another owner.
+    NewOwnerOnly,
+    /// Never: it would be refused again.
+    Never,
+}
+
+/// When to send again after a refusal.
+pub fn after_refusal(refusal: Refusal) -> Again {
+    match refusal {
+        Refusal::WrongOwner | Refusal::LeaseLapsed | Refusal::Overloaded => Again::AfterBackoff,
+        Refusal::Draining => Again::NewOwnerOnly,
+        Refusal::DeadlinePassed | Refusal::Malformed => Again::Never,
+    }
+}
+
+/// Whether an event counts against the back end. A refusal is an answer, and
+/// a pooled connection that was closed before use is in the nature of pools.
+pub fn is_evidence_of_failure(event: AttemptEvent) -> bool {
+    matches!(event, AttemptEvent::ConnectFailed | AttemptEvent::Failed(_))
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/admission.rs
@@ -0,0 +1,128 @@
+//! Requests at the door.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use threadledge_types::objects::Priority;
+use threadledge_types::{NotRunReason, Timestamp};
+
+use super::Dispatcher;
+use crate::attempt::{ExchangeId, Refused};
+use crate::backoff::mix;
+use crate::deadline::deadline_of;
+use crate::exchange::{Exchange, State};
+use crate::fairness::Admission;
+use crate::head::RequestHead;
+
+/// When a caller may come back if nothing better is known.
+pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    pub(super) fn admit(
+        &mut self,
+        now: Timestamp,
+        head: &RequestHead<'_>,
+    ) -> Result<ExchangeId, Refused> {
+        if !self.core.accepting {
+            return Err(Refused::later(NotRunReason::NotReady));
+        }
+        let exchange = self.exchange_of(now, head).map_err(Refused::for_good)?;
+        self.make_room(now, &exchange.namespace, exchange.priority)?;
+        let id = exchange.id;
+        self.begun = id.0;
+        self.core.shares.enter(&exchange.namespace);
+        self.core
+            .by_point
+            .insert((exchange.service, exchange.point, id));
+        self.core.counters.admitted += 1;
+        self.exchanges.insert(id, exchange);
+        Ok(id)
+    }
+
+    fn exchange_of(
+        &self,
+        now: Timestamp,
+        head: &RequestHead<'_>,
+    ) -> Result<Exchange, NotRunReason> {
+        let (index, service, route, point) = self.core.table.match_entry(head)?;
+        let deadline = deadline_of(now, route.deadline_ms, head.headers)?;
+        let id = ExchangeId(self.begun + 1);
+        Ok(Exchange {
+            id,
+            request_id: mix(mix(self.core.seed) ^ id.0),
+            namespace: Arc::clone(&service.namespace),
+            service: index,
+            service_id: Arc::clone(&service.id),
+            point,
+            priority: route.priority,
+            repeatable: route.is_repeatable(head.method),
+            body_replayable: head.body_replayable,
+            may_queue: route.may_queue,
+            deadline,
+            state: State::Ready,
+            yields: false,
+            parked_since: None,
+            attempts: Vec::new(),
+            made: 0,
+            denied: 0,
+            hedged: false,
+            cancellations: Vec::new(),
+            unresolved: None,
+            not_run: NotRunReason::DeadlinePassed,
+        })
+    }
+
+    fn make_room(
+        &mut self,
+        now: Timestamp,
+        namespace: &str,
+        priority: Priority,
+    ) -> Result<(), Refused> {
+        match self.core.shares.decide(namespace, priority) {
+            Admission::Admit => Ok(()),
+            Admission::Replace {
+                victim,
+                above_share,
+            } => {
+                self.turn_away(now, victim, above_share);
+                Ok(())
+            }
+            Admission::ShareExhausted => Err(Refused::later(NotRunReason::ShareExhausted)),
+            Admission::Full => Err(Refused::later(NotRunReason::Overloaded)),
+        }
+    }
+
+    /// Ends a waiting request, of which nothing was sent, at once.
+    fn turn_away(&mut self, now: Timestamp, victim: ExchangeId, above_share: bool) {
+        let Some(exchange) = self.exchanges.get_mut(&victim) else {
+            return;
+        };
+        let reason = if above_share {
+            self.core.counters.evicted += 1;
+            NotRunReason::ShareExhausted
+        } else {
+            self.core.counters.displaced += 1;
+            NotRunReason::Overloaded
+        };
+        self.core.end_not_run(now, exchange, reason);
+        self.core.wakeups.insert(victim);
+    }
+}
+
+impl Refused {
+    /// The caller may come back.
+    fn later(reason: NotRunReason) -> Self {
+        Refused {
+            reason,
+            retry_after: Some(DEFAULT_RETRY_AFTER),
+        }
+    }
+
+    /// Coming back with the same request would not help.
+    fn for_good(reason: NotRunReason) -> Self {
+        Refused {
+            reason,
+            retry_after: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -0,0 +1,209 @@
+//! The next step of one exchange.
+
+use threadledge_types::{NotRunReason, Outcome, Timestamp, UnknownReason};
+
+use super::core::Core;
+use crate::attempt::{Attempt, AttemptNumber, Step};
+use crate::exchange::{Exchange, RunningAttempt, State, Target};
+
+impl Core {
+    /// Moves the exchange on until there is something to tell the shell.
+    pub(super) fn advance(&mut self, now: Timestamp, exchange: &mut Exchange) -> Step {
+        loop {
+            if let Some(number) = exchange.cancellations.pop() {
+                return Step::Cancel(number);
+            }
+            if let Some(step) = self.advance_once(now, exchange) {
+                return step;
+            }
+        }
+    }
+
+    fn advance_once(&mut self, now: Timestamp, exchange: &mut Exchange) -> Option<Step> {
+        match exchange.state {
+            State::Ended(finish) => Some(Step::Finish(finish)),
+            State::Delivering {
+                attempt,
+                announced: false,
+                complete,
+            } => {
+                let state = State::Delivering {
+                    attempt,
+                    announced: true,
+                    complete,
+                };
+                self.set_state(exchange, state);
+                Some(Step::Deliver(attempt))
+            }
+            State::Delivering { complete: true, .. } => {
+                self.end(now, exchange, Outcome::Answered, None);
+                None
+            }
+            _ if now >= exchange.deadline => {
+                self.end_at_deadline(now, exchange);
+                None
+            }
+            State::Delivering { .. } => Some(Step::Wait {
+                until: exchange.deadline,
+            }),
+            State::Ready => self.route(now, exchange),
+            State::Parked(parked) => self.wait_parked(now, exchange, parked),
+            State::Queued { back_end, until } => self.wait_queued(now, exchange, back_end, until),
+            State::Running => self.watch_running(now, exchange),
+        }
+    }
+
+    /// Sends to the owner, waits for a slot there, or waits for an owner.
+    fn route(&mut self, now: Timestamp, exchange: &mut Exchange) -> Option<Step> {
+        if self.table.service(exchange.service).is_none() {
+            self.end_not_run(now, exchange, NotRunReason::NoRoute);
+            return None;
+        }
+        let Some(owner) = self.usable_owner(now, exchange) else {
+            exchange.not_run = NotRunReason::NoOwner;
+            self.park(now, exchange, None, None);
+            return None;
+        };
+        self.grant_slots(now, owner.back_end);
+        let back_end = self.back_ends.get(&owner.back_end)?;
+        if back_end.queue.is_empty() && back_end.has_slot(now) {
+            return self.send(now, exchange, owner, false);
+        }
+        self.enqueue(now, exchange, owner.back_end);
+        None
+    }
+
+    /// Starts an attempt.
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        target: Target,
+        hedge: bool,
+    ) -> Option<Step> {
+        let back_end = self.back_ends.get_mut(&target.back_end)?;
+        exchange.made += 1;
+        let number = AttemptNumber(exchange.made);
+        if exchange.made == 1 {
+            back_end.retries.deposit();
+            back_end.hedges.deposit();
+        }
+        back_end.start(now, exchange.id, number);
+        let attempt = Attempt {
+            number,
+            back_end: back_end.id.clone(),
+            incarnation: target.incarnation,
+            address: back_end.address,
+            epoch: target.epoch,
+            service: exchange.service_id.clone(),
+            point: exchange.point,
+            request_id: exchange.request_id,
+            deadline_left: exchange.deadline.since(now),
+            connection_limit: back_end.connection_limit,
+            hedge,
+        };
+        exchange.attempts.push(RunningAttempt {
+            number,
+            target,
+            started: now,
+            sent_at: None,
+            hedge,
+        });
+        self.counters.attempts += 1;
+        self.set_state(exchange, State::Running);
+        Some(Step::Send(attempt))
+    }
+
+    /// Waits for an answer; a repeatable request may get a second attempt.
+    fn watch_running(&mut self, now: Timestamp, exchange: &mut Exchange) -> Option<Step> {
+        if exchange.attempts.is_empty() {
+            self.set_state(exchange, State::Ready);
+            return None;
+        }
+        let mut until = exchange.deadline;
+        if let Some(target) = self.owner_after_loss(now, exchange) {
+            exchange.hedged = true;
+            self.counters.reroutes += 1;
+            return self.send(now, exchange, target, true);
+        }
+        if let Some(hedge_at) = self.hedge_time(exchange) {
+            if hedge_at > now {
+                until = until.min(hedge_at);
+            } else if let Some(target) = self.take_hedge(now, exchange) {
+                return self.send(now, exchange, target, true);
+            }
+        }
+        Some(Step::Wait { until })
+    }
+
+    /// The new owner of a repeatable request whose only attempt is at a life
+    /// of a back end that has ended: it would not answer before the deadline.
+    fn owner_after_loss(&self, now: Timestamp, exchange: &Exchange) -> Option<Target> {
+        let attempt = second_attempt_beside(exchange)?;
+        let lost = self
+            .back_ends
+            .get(&attempt.target.back_end)
+            .is_none_or(|back_end| !back_end.is_current(attempt.target.incarnation));
+        if !lost {
+            return None;
+        }
+        let owner = self.usable_owner(now, exchange)?;
+        let back_end = self.back_ends.get(&owner.back_end)?;
+        (owner != attempt.target && back_end.has_slot(now)).then_some(owner)
+    }
+
+    /// When a hedge is due: once the attempt takes longer than most answers
+    /// of this back end.
+    fn hedge_time(&self, exchange: &Exchange) -> Option<Timestamp> {
+        let attempt = second_attempt_beside(exchange)?;
+        let sent_at = attempt.sent_at?;
+        let back_end = self.back_ends.get(&attempt.target.back_end)?;
+        let after = crate::hedge::hedge_after(&back_end.latency, &self.settings)?;
+        Some(sent_at + after)
+    }
+
+    /// Takes leave to hedge. A key has one owner, so the hedge goes to the
+    /// same back end over another connection: it helps when a connection or
+    /// one slot hangs and harms when the back end is busy. Hence only with a
+    /// free slot, nobody waiting, and a token.
+    fn take_hedge(&mut self, now: Timestamp, exchange: &mut Exchange) -> Option<Target> {
+        let running = second_attempt_beside(exchange)?.target;
+        let owner = self.usable_owner(now, exchange)?;
+        let back_end = self.back_ends.get_mut(&owner.back_end)?;
+        let idle =
+            back_end.queue.is_empty() && back_end.has_slot(now) && !back_end.ejection.is_ejected();
+        // Asked once: whatever the answer, it is not asked again.
+        exchange.hedged = true;
+        if owner != running || !idle || !back_end.hedges.withdraw() {
+            return None;
+        }
+        self.counters.hedges += 1;
+        Some(owner)
+    }
+
+    fn end_at_deadline(&mut self, now: Timestamp, exchange: &mut Exchange) {
+        let attempts = exchange.attempts.clone();
+        for attempt in attempts {
+            let age = now.since(attempt.started);
+            if age >= self.settings.timeout_evidence() {
+                self.on_back_end_failure(now, attempt.target.back_end);
+            }
+        }
+        if matches!(exchange.state, State::Queued { .. } | State::Running) {
+            exchange.not_run = NotRunReason::DeadlinePassed;
+        }
+        let outcome = match exchange.state {
+            State::Delivering { .. } => Outcome::Unknown(UnknownReason::DeadlinePassed),
+            _ => exchange.outcome_without_answer(UnknownReason::DeadlinePassed),
+        };
+        self.end(now, exchange, outcome, None);
+    }
+}
+
+/// The only attempt of an exchange that may get a second beside it.
+fn second_attempt_beside(exchange: &Exchange) -> Option<&RunningAttempt> {
+    match exchange.attempts.as_slice() {
+        [attempt] if exchange.may_run_twice() && !exchange.hedged => Some(attempt),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/attempts.rs
@@ -0,0 +1,226 @@
+//! What happens to attempts.
+
+use threadledge_types::session::Refusal;
+use threadledge_types::{NotRunReason, Outcome, Timestamp, UnknownReason};
+
+use super::core::Core;
+use crate::attempt::{AttemptEvent, AttemptNumber, SendDecision};
+use crate::classify::{
+    Again, Ran, Resending, after_refusal, classify, is_evidence_of_failure, may_send_again,
+};
+use crate::exchange::{Exchange, RunningAttempt, State};
+
+impl Core {
+    /// Gives the permission to write if the attempt is still wanted, its
+    /// deadline lies ahead, and the owner it was meant for still owns the key
+    /// and takes new work. A router that was paused finds out here.
+    pub(super) fn start_sending(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        number: AttemptNumber,
+    ) -> SendDecision {
+        let Some(attempt) = exchange.attempt(number).copied() else {
+            return SendDecision::Abandon;
+        };
+        if attempt.sent_at.is_some() {
+            return SendDecision::Abandon;
+        }
+        let wanted = exchange.state == State::Running && now < exchange.deadline;
+        if wanted && self.usable_owner(now, exchange) == Some(attempt.target) {
+            for other in &mut exchange.attempts {
+                if other.number == number {
+                    other.sent_at = Some(now);
+                }
+            }
+            let deadline_left = exchange.deadline.since(now);
+            return SendDecision::Proceed { deadline_left };
+        }
+        self.counters.abandoned += 1;
+        exchange.take_attempt(number);
+        self.release(now, exchange.id, &attempt);
+        self.wakeups.insert(exchange.id);
+        SendDecision::Abandon
+    }
+
+    pub(super) fn on_event(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        number: AttemptNumber,
+        event: AttemptEvent,
+    ) {
+        let Some(attempt) = exchange.attempt(number).copied() else {
+            return;
+        };
+        self.learn(now, &attempt, event);
+        match classify(event, attempt.sent_at.is_some()) {
+            Ran::Yes => self.on_answer(now, exchange, &attempt, event),
+            ran => self.on_ended(now, exchange, &attempt, event, ran),
+        }
+        self.wakeups.insert(exchange.id);
+    }
+
+    /// Passive evidence about the back end.
+    fn learn(&mut self, now: Timestamp, attempt: &RunningAttempt, event: AttemptEvent) {
+        let index = attempt.target.back_end;
+        if is_evidence_of_failure(event) {
+            self.on_back_end_failure(now, index);
+        } else if event != AttemptEvent::SentNothing {
+            self.on_back_end_answer(now, index);
+        }
+        let AttemptEvent::Refused(refusal) = event else {
+            return;
+        };
+        self.counters.count_refusal(refusal);
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        match refusal {
+            Refusal::Overloaded => back_end.limit.on_overload(now, &back_end.latency),
+            Refusal::Draining => back_end.refused_as_draining(attempt.target.incarnation),
+            _ => {}
+        }
+    }
+
+    /// An answer has begun to come, or is here whole.
+    fn on_answer(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        attempt: &RunningAttempt,
+        event: AttemptEvent,
+    ) {
+        if exchange.state == State::Running {
+            self.record_latency(now, attempt);
+            self.choose(now, exchange, attempt);
+        }
+        let State::Delivering {
+            attempt: chosen,
+            announced,
+            ..
+        } = exchange.state
+        else {
+            return;
+        };
+        if event == AttemptEvent::Completed && chosen == attempt.number {
+            exchange.take_attempt(attempt.number);
+            self.release(now, exchange.id, attempt);
+            let state = State::Delivering {
+                attempt: chosen,
+                announced,
+                complete: true,
+            };
+            self.set_state(exchange, state);
+        }
+    }
+
+    fn record_latency(&mut self, now: Timestamp, attempt: &RunningAttempt) {
+        let Some(back_end) = self.back_ends.get_mut(&attempt.target.back_end) else {
+            return;
+        };
+        let since = attempt.sent_at.unwrap_or(attempt.started);
+        back_end.latency.record(now.since(since));
+        let in_flight = back_end.in_flight();
+        back_end.limit.on_answer(now, in_flight, &back_end.latency);
+    }
+
+    /// Takes this attempt's answer for the caller and gives the others up.
+    /// Invariant: a caller gets one answer, and it is one to its own request.
+    fn choose(&mut self, now: Timestamp, exchange: &mut Exchange, attempt: &RunningAttempt) {
+        self.counters.hedges_won += u64::from(attempt.hedge);
+        let (chosen, others): (Vec<_>, Vec<_>) = std::mem::take(&mut exchange.attempts)
+            .into_iter()
+            .partition(|other| other.number == attempt.number);
+        exchange.attempts = chosen;
+        for other in others {
+            exchange.cancellations.push(other.number);
+            self.release(now, exchange.id, &other);
+        }
+        let state = State::Delivering {
+            attempt: attempt.number,
+            announced: false,
+            complete: false,
+        };
+        self.set_state(exchange, state);
+    }
+
+    /// An attempt ended without an answer.
+    fn on_ended(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        attempt: &RunningAttempt,
+        event: AttemptEvent,
+        ran: Ran,
+    ) {
+        exchange.take_attempt(attempt.number);
+        self.release(now, exchange.id, attempt);
+        match ran {
+            Ran::No(reason) => exchange.not_run = reason,
+            Ran::Maybe(reason) => exchange.unresolved = Some(reason),
+            Ran::Yes => {}
+        }
+        if matches!(exchange.state, State::Delivering { .. }) {
+            // The head has gone out: what came after it was cut short.
+            let reason = exchange.unresolved.unwrap_or(UnknownReason::BadAnswer);
+            self.end(now, exchange, Outcome::Unknown(reason), None);
+            return;
+        }
+        if exchange.attempts.is_empty() {
+            self.send_again_or_end(now, exchange, attempt, event, ran);
+        }
+    }
+
+    fn send_again_or_end(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        attempt: &RunningAttempt,
+        event: AttemptEvent,
+        ran: Ran,
+    ) {
+        let again = match event {
+            AttemptEvent::Refused(refusal) => after_refusal(refusal),
+            _ => Again::AfterBackoff,
+        };
+        let resending = Resending {
+            repeatable: exchange.repeatable,
+            body_replayable: exchange.body_replayable,
+            sent: attempt.sent_at.is_some(),
+            others_may_have_run: exchange.may_have_run(),
+        };
+        let allowed = may_send_again(ran, resending) && exchange.made < self.settings.max_attempts;
+        if !allowed || again == Again::Never {
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return;
+        }
+        let retry_at = match again {
+            Again::AfterBackoff => Some(self.retry_time(now, exchange)),
+            Again::NewOwnerOnly | Again::Never => None,
+        };
+        self.park(now, exchange, Some(attempt.target), retry_at);
+    }
+
+    pub(super) fn end_without_answer(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        unanswered: UnknownReason,
+    ) {
+        match exchange.outcome_without_answer(unanswered) {
+            Outcome::NotRun(reason) => self.end_not_run(now, exchange, reason),
+            outcome => self.end(now, exchange, outcome, None),
+        }
+    }
+
+    pub(super) fn end_not_run(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        reason: NotRunReason,
+    ) {
+        let retry_after = self.retry_after(now, exchange, reason);
+        self.end(now, exchange, Outcome::NotRun(reason), retry_after);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/core.rs
@@ -0,0 +1,163 @@
+//! What exchanges share: records, back ends, shares and wake-ups.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use threadledge_types::{Point, Timestamp};
+
+use crate::attempt::ExchangeId;
+use crate::back_end::BackEnd;
+use crate::counters::Counters;
+use crate::ejection::EjectionChange;
+use crate::exchange::{Exchange, RunningAttempt, State, Target};
+use crate::fairness::{SharePolicy, Shares};
+use crate::settings::Settings;
+use crate::snapshot::Notice;
+use crate::table::{BackEndIndex, RoutingTable, ServiceIndex};
+
+/// Notices kept until they are taken.
+const MAX_NOTICES: usize = 1_024;
+
+/// Everything but the exchanges themselves.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) settings: Settings,
+    pub(super) seed: u64,
+    pub(super) accepting: bool,
+    pub(super) router_count: u32,
+    pub(super) table: RoutingTable,
+    pub(super) back_ends: BTreeMap<BackEndIndex, BackEnd>,
+    pub(super) shares: Shares,
+    /// Exchanges that have not ended, by the point of their key, so that a
+    /// changed slice wakes only those it concerns.
+    pub(super) by_point: BTreeSet<(ServiceIndex, Point, ExchangeId)>,
+    pub(super) wakeups: BTreeSet<ExchangeId>,
+    pub(super) counters: Counters,
+    pub(super) notices: Vec<Notice>,
+}
+
+impl Core {
+    pub(super) fn new(settings: Settings, seed: u64) -> Self {
+        let shares = Shares::new(SharePolicy {
+            capacity: settings.max_exchanges,
+            share_percent: settings.namespace_share_percent,
+            reserve_percent: settings.namespace_reserve_percent,
+        });
+        Core {
+            settings,
+            seed,
+            accepting: false,
+            router_count: 1,
+            table: RoutingTable::new(),
+            back_ends: BTreeMap::new(),
+            shares,
+            by_point: BTreeSet::new(),
+            wakeups: BTreeSet::new(),
+            counters: Counters::default(),
+            notices: Vec::new(),
+        }
+    }
+
+    /// The owner that may get this exchange now: recorded, its session open,
+    /// and not past the grace of a drain.
+    pub(super) fn usable_owner(&self, now: Timestamp, exchange: &Exchange) -> Option<Target> {
+        let owner = self.table.owner_entry(exchange.service, exchange.point)?;
+        let back_end = self.back_ends.get(&owner.back_end)?;
+        back_end.takes_new_work(now).then(|| owner.into())
+    }
+
+    /// Changes the state and keeps the count of those that can give way.
+    pub(super) fn set_state(&mut self, exchange: &mut Exchange, state: State) {
+        exchange.state = state;
+        let waits = matches!(state, State::Parked(_) | State::Queued { .. });
+        let yields = waits && !exchange.may_have_run();
+        if yields == exchange.yields {
+            return;
+        }
+        exchange.yields = yields;
+        if yields {
+            self.shares.wait(&exchange.namespace, exchange.yielding());
+        } else {
+            self.shares
+                .stop_waiting(&exchange.namespace, exchange.yielding());
+        }
+    }
+
+    /// Frees the slot of an attempt that is over.
+    pub(super) fn release(&mut self, now: Timestamp, id: ExchangeId, attempt: &RunningAttempt) {
+        if let Some(back_end) = self.back_ends.get_mut(&attempt.target.back_end) {
+            back_end.stop(attempt.started, id, attempt.number);
+        }
+        self.grant_slots(now, attempt.target.back_end);
+    }
+
+    /// Gives a back end's free slots to those who wait for it.
+    pub(super) fn grant_slots(&mut self, now: Timestamp, index: BackEndIndex) {
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        let granted = back_end.grant_slots(now);
+        if granted.is_empty() {
+            return;
+        }
+        self.wakeups.extend(granted);
+        self.wake_first(now, index);
+    }
+
+    /// Only the first of a queue watches the time for the others, so a new
+    /// first is woken when slots may come free by themselves.
+    pub(super) fn wake_first(&mut self, now: Timestamp, index: BackEndIndex) {
+        let Some(back_end) = self.back_ends.get(&index) else {
+            return;
+        };
+        if back_end.next_change(now).is_some() {
+            self.wakeups.extend(back_end.queue.first());
+        }
+    }
+
+    pub(super) fn on_back_end_answer(&mut self, now: Timestamp, index: BackEndIndex) {
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        let change = back_end.ejection.on_success();
+        self.note_ejection(now, index, change);
+    }
+
+    pub(super) fn on_back_end_failure(&mut self, now: Timestamp, index: BackEndIndex) {
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        let change = back_end.ejection.on_failure(now);
+        self.note_ejection(now, index, change);
+    }
+
+    fn note_ejection(
+        &mut self,
+        now: Timestamp,
+        index: BackEndIndex,
+        change: Option<EjectionChange>,
+    ) {
+        let (Some(change), Some(back_end)) = (change, self.back_ends.get_mut(&index)) else {
+            return;
+        };
+        let id = back_end.id.clone();
+        let notice = match change {
+            EjectionChange::Ejected => {
+                self.counters.ejections += 1;
+                let until = back_end.ejection.closed_until(now).unwrap_or(now);
+                Notice::Ejected {
+                    back_end: id,
+                    until,
+                }
+            }
+            EjectionChange::Returned => {
+                // Slow return: from the share up, not from where it was.
+                back_end.limit.restart();
+                Notice::Returned { back_end: id }
+            }
+        };
+        if self.notices.len() < MAX_NOTICES {
+            self.notices.push(notice);
+        }
+        self.wake_first(now, index);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/ending.rs
@@ -0,0 +1,97 @@
+//! The end of an exchange.
+
+use std::time::Duration;
+
+use threadledge_types::{NotRunReason, Outcome, Timestamp};
+
+use super::admission::DEFAULT_RETRY_AFTER;
+use super::core::Core;
+use crate::attempt::Finish;
+use crate::exchange::{Exchange, State};
+
+/// Longest time for which a caller is asked to stay away.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+impl Core {
+    /// Gives the exchange its one outcome and frees what it holds. An
+    /// exchange that has ended keeps its outcome.
+    pub(super) fn end(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        outcome: Outcome,
+        retry_after: Option<Duration>,
+    ) {
+        if matches!(exchange.state, State::Ended(_)) {
+            return;
+        }
+        self.counters.count_outcome(outcome);
+        let finish = Finish {
+            outcome,
+            retry_after,
+            attempts: exchange.made,
+        };
+        self.let_go(now, exchange);
+        exchange.state = State::Ended(finish);
+    }
+
+    /// The caller is gone: there is nobody to tell an outcome.
+    pub(super) fn abandon(&mut self, now: Timestamp, exchange: &mut Exchange) {
+        if matches!(exchange.state, State::Ended(_)) {
+            return;
+        }
+        self.counters.caller_gone += 1;
+        self.let_go(now, exchange);
+    }
+
+    /// When the caller may come back.
+    pub(super) fn retry_after(
+        &self,
+        now: Timestamp,
+        exchange: &Exchange,
+        reason: NotRunReason,
+    ) -> Option<Duration> {
+        if reason.status() < 429 {
+            return None;
+        }
+        let owner = self.table.owner_entry(exchange.service, exchange.point);
+        let back_end = owner.and_then(|owner| self.back_ends.get(&owner.back_end));
+        let wait = back_end.map(|back_end| back_end.expected_wait(now, exchange.place()));
+        let wait = wait.unwrap_or(DEFAULT_RETRY_AFTER);
+        Some(wait.clamp(DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER))
+    }
+
+    fn let_go(&mut self, now: Timestamp, exchange: &mut Exchange) {
+        self.leave_queue(now, exchange);
+        for attempt in std::mem::take(&mut exchange.attempts) {
+            self.release(now, exchange.id, &attempt);
+        }
+        // Those the shell has not heard of end with `Finish`.
+        exchange.cancellations.clear();
+        if exchange.yields {
+            exchange.yields = false;
+            self.shares
+                .stop_waiting(&exchange.namespace, exchange.yielding());
+        }
+        self.shares.leave(&exchange.namespace);
+        let key = (exchange.service, exchange.point, exchange.id);
+        self.by_point.remove(&key);
+        self.wakeups.remove(&exchange.id);
+    }
+
+    fn leave_queue(&mut self, now: Timestamp, exchange: &Exchange) {
+        let State::Queued {
+            back_end: index, ..
+        } = exchange.state
+        else {
+            return;
+        };
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        back_end.queue.remove(exchange.place());
+        back_end.take_grant(exchange.id);
+        self.grant_slots(now, index);
+        self.wake_first(now, index);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/records.rs
@@ -0,0 +1,93 @@
+//! Changes of records and of the number of routers.
+
+use std::collections::BTreeSet;
+
+use threadledge_types::records::RecordDelta;
+use threadledge_types::{Point, Revision, Slice, Timestamp};
+
+use super::core::Core;
+use crate::attempt::ExchangeId;
+use crate::back_end::{BackEnd, Life};
+use crate::table::{ApplyError, BackEndIndex, Effects, ServiceIndex};
+
+impl Core {
+    pub(super) fn apply(&mut self, now: Timestamp, delta: &RecordDelta) -> Result<(), ApplyError> {
+        // What a router finds when it starts was running before: not cold.
+        let warm = self.table.revision() == Revision::NONE;
+        let effects = self.table.apply_with_effects(delta)?;
+        self.update_back_ends(now, &effects, warm);
+        self.wake_concerned(&effects);
+        Ok(())
+    }
+
+    pub(super) fn set_router_count(&mut self, now: Timestamp, count: u32) {
+        let count = count.max(1);
+        if count == self.router_count {
+            return;
+        }
+        self.router_count = count;
+        let indices: Vec<BackEndIndex> = self.back_ends.keys().copied().collect();
+        for index in indices {
+            self.update_back_end(now, index, false);
+        }
+    }
+
+    fn update_back_ends(&mut self, now: Timestamp, effects: &Effects, warm: bool) {
+        let touched: BTreeSet<BackEndIndex> = effects.back_ends.iter().copied().collect();
+        for index in touched {
+            self.update_back_end(now, index, warm);
+            if let Some(back_end) = self.back_ends.get(&index) {
+                self.wakeups.extend(back_end.everyone());
+            }
+        }
+    }
+
+    fn update_back_end(&mut self, now: Timestamp, index: BackEndIndex, warm: bool) {
+        let sessions = self.table.sessions();
+        let entry = sessions.back_end(index);
+        let Some((id, spec)) = entry.and_then(|entry| Some((&entry.id, entry.spec.as_ref()?)))
+        else {
+            self.forget_back_end(index);
+            return;
+        };
+        let life = sessions.current_session(index).map(|session| Life {
+            incarnation: session.incarnation,
+            draining: session.draining,
+        });
+        let back_end = self
+            .back_ends
+            .entry(index)
+            .or_insert_with(|| BackEnd::new(id.clone(), spec, &self.settings, self.router_count));
+        back_end.set_spec(spec, &self.settings, self.router_count);
+        back_end.set_life(now, life, warm, &self.settings);
+        self.grant_slots(now, index);
+    }
+
+    /// The back end's record is gone: those who wait for it look again.
+    fn forget_back_end(&mut self, index: BackEndIndex) {
+        if let Some(back_end) = self.back_ends.remove(&index) {
+            self.wakeups.extend(back_end.everyone());
+        }
+    }
+
+    fn wake_concerned(&mut self, effects: &Effects) {
+        if effects.full {
+            self.wakeups
+                .extend(self.by_point.iter().map(|(_, _, id)| *id));
+            return;
+        }
+        for (service, slice) in &effects.slices {
+            self.wake_slice(*service, *slice);
+        }
+        for service in &effects.services {
+            self.wake_slice(*service, Slice::ALL);
+        }
+    }
+
+    fn wake_slice(&mut self, service: ServiceIndex, slice: Slice) {
+        let first: (ServiceIndex, Point, ExchangeId) = (service, slice.first, ExchangeId(0));
+        let last = (service, slice.last, ExchangeId(u64::MAX));
+        let concerned = self.by_point.range(first..=last).map(|(_, _, id)| *id);
+        self.wakeups.extend(concerned);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/status.rs
@@ -0,0 +1,47 @@
+//! The load as status pages show it.
+
+use std::sync::Arc;
+
+use threadledge_types::Timestamp;
+
+use super::core::Core;
+use crate::back_end::BackEnd;
+use crate::snapshot::{BackEndLoad, LoadSnapshot, NamespaceLoad};
+
+impl Core {
+    pub(super) fn load(&self, now: Timestamp) -> LoadSnapshot {
+        let back_ends = self.back_ends.values();
+        LoadSnapshot {
+            exchanges: self.shares.total(),
+            namespaces: self.namespace_loads(),
+            back_ends: back_ends.map(|back_end| load_of(now, back_end)).collect(),
+        }
+    }
+
+    fn namespace_loads(&self) -> Vec<NamespaceLoad> {
+        let namespaces = self.shares.namespaces();
+        namespaces
+            .map(|namespace| {
+                let (exchanges, waiting) = self.shares.held(namespace);
+                NamespaceLoad {
+                    namespace: Arc::clone(namespace),
+                    exchanges,
+                    waiting,
+                }
+            })
+            .collect()
+    }
+}
+
+fn load_of(now: Timestamp, back_end: &BackEnd) -> BackEndLoad {
+    BackEndLoad {
+        back_end: Arc::clone(&back_end.id),
+        in_flight: back_end.in_flight(),
+        allowed: back_end.allowed(now),
+        connection_limit: back_end.connection_limit,
+        queued: back_end.queue.len(),
+        ejected: back_end.ejection.is_ejected(),
+        takes_new_work: back_end.takes_new_work(now),
+        answer_time: back_end.latency.recent(),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatcher/waiting.rs
@@ -0,0 +1,209 @@
+//! Exchanges that wait: for an owner, for their next attempt, for a slot.
+
+use std::time::Duration;
+
+use threadledge_types::{NotRunReason, Timestamp, UnknownReason};
+
+use super::core::Core;
+use crate::attempt::Step;
+use crate::backoff::backoff;
+use crate::exchange::{Exchange, Parked, State, Target};
+use crate::queue::Pushed;
+use crate::table::BackEndIndex;
+
+impl Core {
+    /// Waits for another owner than `avoid`, or for `retry_at`.
+    pub(super) fn park(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        avoid: Option<Target>,
+        retry_at: Option<Timestamp>,
+    ) {
+        if exchange.parked_since.is_none() {
+            exchange.parked_since = Some(now);
+            self.counters.parked += 1;
+        }
+        self.set_state(exchange, State::Parked(Parked { avoid, retry_at }));
+    }
+
+    /// Time of the next attempt at the same owner.
+    pub(super) fn retry_time(&self, now: Timestamp, exchange: &Exchange) -> Timestamp {
+        let rounds = exchange.made + exchange.denied;
+        let draw = exchange.request_id ^ u64::from(rounds);
+        let (shortest, longest) = (self.settings.backoff_min(), self.settings.backoff_max());
+        now + backoff(shortest, longest, rounds, draw)
+    }
+
+    pub(super) fn wait_parked(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        parked: Parked,
+    ) -> Option<Step> {
+        let owner = self.usable_owner(now, exchange);
+        if let Some(owner) = owner
+            && parked.avoid != Some(owner)
+        {
+            // Another assignment: this costs no token, because there are no
+            // more such attempts than changes of the owner.
+            self.counters.reroutes += u64::from(parked.avoid.is_some());
+            self.set_state(exchange, State::Ready);
+            return None;
+        }
+        let give_up = self.give_up_time(now, exchange);
+        if now >= give_up {
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return None;
+        }
+        let Some(retry_at) = parked.retry_at else {
+            return Some(Step::Wait { until: give_up });
+        };
+        if now < retry_at || owner.is_none() {
+            let until = if now < retry_at {
+                retry_at.min(give_up)
+            } else {
+                give_up
+            };
+            return Some(Step::Wait { until });
+        }
+        self.retry_or_put_off(now, exchange, parked);
+        None
+    }
+
+    /// Takes a token for another attempt at the same owner. Without one, a
+    /// request that surely did not run waits on, sending nothing; one that may
+    /// have run ends.
+    fn retry_or_put_off(&mut self, now: Timestamp, exchange: &mut Exchange, parked: Parked) {
+        let budget = parked
+            .avoid
+            .and_then(|target| self.back_ends.get_mut(&target.back_end))
+            .map(|back_end| &mut back_end.retries);
+        if budget.is_none_or(|budget| budget.withdraw()) {
+            self.counters.retries += 1;
+            self.set_state(exchange, State::Ready);
+            return;
+        }
+        self.counters.retries_denied += 1;
+        if exchange.unresolved.is_some() {
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return;
+        }
+        exchange.denied += 1;
+        let retry_at = self.retry_time(now, exchange);
+        self.park(now, exchange, parked.avoid, Some(retry_at));
+    }
+
+    /// Waiting with nothing sent is always safe, so every request waits for an
+    /// owner; only overload is told at once to those that may not queue.
+    fn give_up_time(&self, now: Timestamp, exchange: &Exchange) -> Timestamp {
+        let patience = match exchange.not_run {
+            NotRunReason::Overloaded if exchange.may_queue => return exchange.deadline,
+            NotRunReason::Overloaded => self.settings.short_wait(),
+            _ => self.settings.owner_wait(),
+        };
+        let since = exchange.parked_since.unwrap_or(now);
+        exchange.deadline.min(since + patience)
+    }
+
+    /// Joins the queue of a back end, unless the request could not meet its
+    /// deadline anyway: that is told at once.
+    pub(super) fn enqueue(&mut self, now: Timestamp, exchange: &mut Exchange, index: BackEndIndex) {
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            return;
+        };
+        let place = exchange.place();
+        let ejected = back_end.ejection.is_ejected();
+        exchange.not_run = if ejected {
+            NotRunReason::Unreachable
+        } else {
+            NotRunReason::Overloaded
+        };
+        let wait = back_end.expected_wait(now, place);
+        let answer_time = back_end.latency.recent().unwrap_or(Duration::ZERO);
+        let until = queue_patience(now, exchange, ejected, &self.settings);
+        let hopeless = now + wait > until || now + wait + answer_time > exchange.deadline;
+        if hopeless {
+            self.counters.shed += 1;
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return;
+        }
+        match back_end.queue.push(place) {
+            Pushed::Waits => {}
+            Pushed::Displaced(other) => {
+                self.counters.displaced += 1;
+                self.wakeups.insert(other);
+            }
+            Pushed::Full => {
+                self.counters.shed += 1;
+                self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+                return;
+            }
+        }
+        self.counters.queued += 1;
+        let back_end = index;
+        self.set_state(exchange, State::Queued { back_end, until });
+    }
+
+    pub(super) fn wait_queued(
+        &mut self,
+        now: Timestamp,
+        exchange: &mut Exchange,
+        index: BackEndIndex,
+        until: Timestamp,
+    ) -> Option<Step> {
+        self.grant_slots(now, index);
+        let owner = self.usable_owner(now, exchange);
+        let Some(back_end) = self.back_ends.get_mut(&index) else {
+            self.set_state(exchange, State::Ready);
+            return None;
+        };
+        let granted = back_end.take_grant(exchange.id);
+        let place = exchange.place();
+        match owner {
+            Some(owner) if owner.back_end == index => {
+                if granted {
+                    return self.send(now, exchange, owner, false);
+                }
+            }
+            _ => {
+                // The slice has moved, or its owner drains.
+                back_end.queue.remove(place);
+                self.grant_slots(now, index);
+                self.wake_first(now, index);
+                self.set_state(exchange, State::Ready);
+                return None;
+            }
+        }
+        let back_end = self.back_ends.get_mut(&index)?;
+        let still_queued = back_end.queue.contains(place);
+        if !still_queued || now >= until {
+            back_end.queue.remove(place);
+            self.wake_first(now, index);
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return None;
+        }
+        let is_first = back_end.queue.first() == Some(exchange.id);
+        let change = back_end.next_change(now).filter(|_| is_first);
+        let until = change.map_or(until, |change| change.min(until));
+        Some(Step::Wait { until })
+    }
+}
+
+/// How long a request may wait for a slot. While the back end is ejected it
+/// is not overload that keeps it waiting, and waiting is safe.
+fn queue_patience(
+    now: Timestamp,
+    exchange: &Exchange,
+    ejected: bool,
+    settings: &crate::settings::Settings,
+) -> Timestamp {
+    let patience = if exchange.may_queue {
+        return exchange.deadline;
+    } else if ejected {
+        settings.owner_wait()
+    } else {
+        settings.short_wait()
+    };
+    exchange.deadline.min(now + patience)
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,16 +9,35 @@
 //! time.
 
 pub mod attempt;
+mod back_end;
+pub mod backoff;
+pub mod budget;
+pub mod classify;
+pub mod concurrency;
+pub mod counters;
+pub mod deadline;
 pub mod dispatcher;
+pub mod ejection;
+mod exchange;
+pub mod fairness;
 pub mod head;
+pub mod hedge;
+pub mod host;
+pub mod key;
+pub mod latency;
+pub mod queue;
+pub mod ramp;
 pub mod settings;
+pub mod snapshot;
 pub mod table;
 
 pub use attempt::{
     Attempt, AttemptEvent, AttemptFailure, AttemptNumber, ExchangeId, Finish, Refused,
     SendDecision, Step,
 };
+pub use counters::Counters;
 pub use dispatcher::Dispatcher;
 pub use head::{HeaderLookup, RequestHead};
 pub use settings::Settings;
+pub use snapshot::{BackEndLoad, LoadSnapshot, NamespaceLoad, Notice};
 pub use table::{ApplyError, Matched, Owner, RoutingTable};
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -1,15 +1,28 @@
 //! The copy of a group's records as the data path needs it.
 
+mod effects;
+mod route;
+mod services;
+mod sessions;
+mod slices;
+
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use threadledge_types::objects::Priority;
-use threadledge_types::records::RecordDelta;
+use threadledge_types::records::{RecordChange, RecordDelta, SliceKey, SliceRecord};
 use threadledge_types::{
-    BackEndId, Epoch, GroupId, Incarnation, NotRunReason, Point, Revision, ServiceId,
+    BackEndId, Epoch, GroupId, Incarnation, NotRunReason, Point, Revision, ServiceId, SessionId,
+    hash_key,
 };
 
 use crate::head::RequestHead;
+use crate::key::extract_key;
+pub(crate) use effects::Effects;
+pub(crate) use route::Route;
+pub(crate) use services::{ServiceEntry, ServiceIndex, Services};
+pub(crate) use sessions::{BackEndIndex, Sessions};
 
 /// Why a delta was not applied. The copy is unchanged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -76,14 +89,27 @@
     pub draining: bool,
 }
 
-/// The copy of one group's records, updated in place by deltas.
+/// Who owns a point, by numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OwnerEntry {
+    pub(crate) back_end: BackEndIndex,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) epoch: Epoch,
+    pub(crate) draining: bool,
+}
+
+/// The copy of one group's records, updated in place by deltas. Applying a
+/// delta costs what it changes; a lookup is O(log n).
 #[derive(Debug, Default)]
 pub struct RoutingTable {
+    group: Option<GroupId>,
     revision: Revision,
+    services: Services,
+    sessions: Sessions,
 }
 
 impl RoutingTable {
-    /// An empty copy.
+    /// An empty copy. It belongs to the group of the first delta.
     pub fn new() -> Self {
         RoutingTable::default()
     }
@@ -93,14 +119,35 @@
         self.revision
     }
 
+    /// Number of slices, over all services.
+    pub fn slice_count(&self) -> usize {
+        self.services.values().map(|entry| entry.slices.len()).sum()
+    }
+
     /// Applies a delta.
     ///
     /// # Errors
     ///
     /// [`ApplyError`] when the delta does not fit the copy.
     pub fn apply(&mut self, delta: &RecordDelta) -> Result<(), ApplyError> {
+        self.apply_with_effects(delta).map(|_| ())
+    }
+
+    /// Applies a delta and says what it touched.
+    pub(crate) fn apply_with_effects(
+        &mut self,
+        delta: &RecordDelta,
+    ) -> Result<Effects, ApplyError> {
+        self.check(delta)?;
+        let mut effects = Effects::new(delta.full);
+        if delta.full {
+            self.replace(&delta.changes, &mut effects);
+        } else {
+            self.apply_changes(&delta.changes, &mut effects);
+        }
+        self.group = Some(delta.group);
         self.revision = delta.to;
-        Ok(())
+        Ok(effects)
     }
 
     /// Finds the route and key of a request.
@@ -108,12 +155,202 @@
     /// # Errors
     ///
     /// `NoRoute`, `MissingKey` or `Malformed`.
-    pub fn match_request(&self, _head: &RequestHead<'_>) -> Result<Matched, NotRunReason> {
-        Err(NotRunReason::NoRoute)
+    pub fn match_request(&self, head: &RequestHead<'_>) -> Result<Matched, NotRunReason> {
+        let (_, service, route, point) = self.match_entry(head)?;
+        Ok(Matched {
+            service: Arc::clone(&service.id),
+            route: Arc::clone(&route.name),
+            priority: route.priority,
+            repeatable: route.is_repeatable(head.method),
+            deadline_ms: route.deadline_ms,
+            may_queue: route.may_queue,
+            point,
+        })
+    }
+
+    pub(crate) fn match_entry(
+        &self,
+        head: &RequestHead<'_>,
+    ) -> Result<(ServiceIndex, &ServiceEntry, &Route, Point), NotRunReason> {
+        let (index, service, route) = self
+            .services
+            .route(head.host, head.method, head.path)
+            .ok_or(NotRunReason::NoRoute)?;
+        let key = extract_key(&route.key, head)?;
+        Ok((index, service, route, hash_key(&key)))
+    }
+
+    /// Owner of a point of a service; `None` without one or when its session
+    /// has ended.
+    pub fn owner(&self, service: &ServiceId, point: Point) -> Option<Owner> {
+        let index = self.services.find(service)?;
+        let entry = self.owner_entry(index, point)?;
+        let back_end = self.sessions.back_end(entry.back_end)?;
+        Some(Owner {
+            back_end: Arc::clone(&back_end.id),
+            incarnation: entry.incarnation,
+            address: back_end.spec.as_ref()?.address,
+            epoch: entry.epoch,
+            draining: entry.draining,
+        })
+    }
+
+    pub(crate) fn owner_entry(&self, service: ServiceIndex, point: Point) -> Option<OwnerEntry> {
+        let owner = self.services.get(service)?.slices.owner(point)?;
+        let session = self.sessions.session(owner.session)?;
+        if !session.open {
+            return None;
+        }
+        Some(OwnerEntry {
+            back_end: session.back_end,
+            incarnation: session.incarnation,
+            epoch: owner.epoch,
+            draining: session.draining,
+        })
+    }
+
+    pub(crate) fn service(&self, index: ServiceIndex) -> Option<&ServiceEntry> {
+        self.services.get(index)
+    }
+
+    pub(crate) fn sessions(&self) -> &Sessions {
+        &self.sessions
+    }
+
+    fn check(&self, delta: &RecordDelta) -> Result<(), ApplyError> {
+        let have = self.revision;
+        if let Some(group) = self.group.filter(|group| *group != delta.group) {
+            return Err(ApplyError::OtherGroup {
+                have: group,
+                got: delta.group,
+            });
+        }
+        // Invariant: a router never goes back to a lower revision.
+        if delta.to < have {
+            return Err(ApplyError::Older { have, to: delta.to });
+        }
+        if !delta.full && delta.from != have {
+            return Err(ApplyError::Gap {
+                have,
+                from: delta.from,
+            });
+        }
+        Ok(())
+    }
+
+    fn apply_changes(&mut self, changes: &[RecordChange], effects: &mut Effects) {
+        for change in changes {
+            self.apply_change(change, effects);
+        }
+    }
+
+    fn apply_change(&mut self, change: &RecordChange, effects: &mut Effects) {
+        match change {
+            RecordChange::Service(record) => {
+                self.services.set(&record.id, &record.spec);
+            }
+            RecordChange::ServiceRemoved(id) => self.remove_service(id, effects),
+            RecordChange::BackEnd(record) => {
+                let index = self.sessions.set_back_end(&record.id, record.spec.clone());
+                effects.back_end(index);
+            }
+            RecordChange::BackEndRemoved(id) => self.remove_back_end(id, effects),
+            RecordChange::Session(record) => {
+                let index = self.sessions.open_session(&record.id, record.draining);
+                effects.back_end(index);
+            }
+            RecordChange::SessionRemoved(id) => self.remove_session(id, effects),
+            RecordChange::Slice(record) => self.set_slice(record, effects),
+            RecordChange::SliceRemoved(key) => self.remove_slice(key, effects),
+        }
+    }
+
+    fn set_slice(&mut self, record: &SliceRecord, effects: &mut Effects) {
+        let owner = record.owner.as_ref().map(|id| self.sessions.retain(id));
+        let (service, slices) = self.services.slices_of(&record.service);
+        let earlier = slices.insert(record.slice, owner, record.epoch);
+        if let Some(earlier) = earlier {
+            self.sessions.release(earlier);
+        }
+        effects.slice(service, record.slice);
+    }
+
+    fn remove_slice(&mut self, key: &SliceKey, effects: &mut Effects) {
+        let (service, slices) = self.services.slices_of(&key.service);
+        let Some((slice, owner)) = slices.remove(key.first) else {
+            return;
+        };
+        if let Some(owner) = owner {
+            self.sessions.release(owner);
+        }
+        effects.slice(service, slice);
+    }
+
+    fn remove_service(&mut self, id: &ServiceId, effects: &mut Effects) {
+        let Some((index, entry)) = self.services.remove(id) else {
+            return;
+        };
+        for owner in entry.slices.owners() {
+            self.sessions.release(owner);
+        }
+        effects.service(index);
+    }
+
+    fn remove_back_end(&mut self, id: &BackEndId, effects: &mut Effects) {
+        if let Some(index) = self.sessions.remove_back_end(id) {
+            effects.back_end(index);
+        }
+    }
+
+    fn remove_session(&mut self, id: &SessionId, effects: &mut Effects) {
+        if let Some(index) = self.sessions.close_session(id) {
+            effects.back_end(index);
+        }
+    }
+
+    /// Brings the copy to the state that `changes` describe whole. Services,
+    /// back ends and sessions that stay keep their numbers.
+    fn replace(&mut self, changes: &[RecordChange], effects: &mut Effects) {
+        let gone = self.unmentioned(changes);
+        let earlier = self.services.take_slices();
+        self.apply_changes(changes, effects);
+        for slices in earlier {
+            for owner in slices.owners() {
+                self.sessions.release(owner);
+            }
+        }
+        self.apply_changes(&gone, effects);
     }
 
-    /// Owner of a point of a service.
-    pub fn owner(&self, _service: &ServiceId, _point: Point) -> Option<Owner> {
-        None
+    /// Removals of everything that `changes` do not mention.
+    fn unmentioned(&self, changes: &[RecordChange]) -> Vec<RecordChange> {
+        let mut services = BTreeSet::new();
+        let mut back_ends = BTreeSet::new();
+        let mut sessions = BTreeSet::new();
+        for change in changes {
+            match change {
+                RecordChange::Service(record) => drop(services.insert(&record.id)),
+                RecordChange::BackEnd(record) => drop(back_ends.insert(&record.id)),
+                RecordChange::Session(record) => drop(sessions.insert(&record.id)),
+                _ => {}
+            }
+        }
+        let mut gone = Vec::new();
+        for id in self.services.ids() {
+            if !services.contains(&*id) {
+                gone.push(RecordChange::ServiceRemoved(ServiceId::clone(&id)));
+            }
+        }
+        for id in self.sessions.open_sessions() {
+            if !sessions.contains(&id) {
+                gone.push(RecordChange::SessionRemoved(id));
+            }
+        }
+        for (_, entry) in self.sessions.recorded_back_ends() {
+            if !back_ends.contains(&*entry.id) {
+                gone.push(RecordChange::BackEndRemoved(BackEndId::clone(&entry.id)));
+            }
+        }
+        gone
     }
 }
--- /dev/null
+++ b/crates/routing/src/table/route.rs
@@ -0,0 +1,65 @@
+//! Routes in the form in which requests are matched.
+
+use std::sync::Arc;
+
+use threadledge_types::objects::{KeySource, Priority, RouteRule};
+
+/// Methods that HTTP defines as safe; by default only these may be repeated.
+const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// One compiled route.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Route {
+    pub(crate) name: Arc<str>,
+    /// Without a final slash, so that `/` is the empty prefix.
+    prefix: Box<str>,
+    methods: Vec<String>,
+    pub(crate) key: KeySource,
+    repeatable: Option<bool>,
+    pub(crate) priority: Priority,
+    pub(crate) deadline_ms: u64,
+    pub(crate) may_queue: bool,
+}
+
+impl Route {
+    pub(crate) fn new(rule: &RouteRule) -> Self {
+        Route {
+            name: rule.name.as_str().into(),
+            prefix: rule.path_prefix.trim_end_matches('/').into(),
+            methods: rule.methods.clone(),
+            key: rule.key.clone(),
+            repeatable: rule.repeatable,
+            priority: rule.priority,
+            deadline_ms: rule.deadline_ms,
+            may_queue: rule.may_queue,
+        }
+    }
+
+    /// Whether the route covers a request. Prefixes match whole segments:
+    /// `/orders` covers `/orders/7` but not `/orders-old`.
+    pub(crate) fn covers(&self, method: &str, path: &str) -> bool {
+        self.covers_path(path) && self.covers_method(method)
+    }
+
+    fn covers_path(&self, path: &str) -> bool {
+        match path.strip_prefix(&*self.prefix) {
+            Some(rest) => rest.is_empty() || rest.starts_with('/'),
+            None => false,
+        }
+    }
+
+    fn covers_method(&self, method: &str) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|own| own == method)
+    }
+
+    /// Bytes of the prefix: among services of one host the longest wins.
+    pub(crate) fn prefix_length(&self) -> usize {
+        self.prefix.len()
+    }
+
+    /// Whether a request with this method may be carried out more than once.
+    pub(crate) fn is_repeatable(&self, method: &str) -> bool {
+        self.repeatable
+            .unwrap_or_else(|| SAFE_METHODS.contains(&method))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/table/services.rs
@@ -0,0 +1,172 @@
+//! Services, their hosts and routes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use threadledge_types::ServiceId;
+use threadledge_types::objects::KeyedServiceSpec;
+
+use super::route::Route;
+use super::slices::SliceMap;
+use crate::host::normalize_host;
+
+/// Number of a service; never used twice by one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ServiceIndex(u32);
+
+/// One service, with a record or named by slices before its record came.
+#[derive(Debug)]
+pub(crate) struct ServiceEntry {
+    pub(crate) id: Arc<ServiceId>,
+    pub(crate) namespace: Arc<str>,
+    hosts: Vec<String>,
+    routes: Vec<Arc<Route>>,
+    pub(crate) slices: SliceMap,
+}
+
+/// All services of a table.
+#[derive(Debug, Default)]
+pub(crate) struct Services {
+    by_index: BTreeMap<ServiceIndex, ServiceEntry>,
+    by_id: BTreeMap<Arc<ServiceId>, ServiceIndex>,
+    by_host: BTreeMap<String, Vec<ServiceIndex>>,
+    numbered: u32,
+}
+
+impl Services {
+    pub(crate) fn get(&self, index: ServiceIndex) -> Option<&ServiceEntry> {
+        self.by_index.get(&index)
+    }
+
+    pub(crate) fn find(&self, id: &ServiceId) -> Option<ServiceIndex> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(crate) fn ids(&self) -> Vec<Arc<ServiceId>> {
+        self.by_id.keys().cloned().collect()
+    }
+
+    pub(crate) fn values(&self) -> impl Iterator<Item = &ServiceEntry> {
+        self.by_index.values()
+    }
+
+    /// The route for a request: among the services of the host the first
+    /// route of each that covers it, and of these the longest prefix; a tie
+    /// goes to the first service by name.
+    pub(crate) fn route(
+        &self,
+        host: &str,
+        method: &str,
+        path: &str,
+    ) -> Option<(ServiceIndex, &ServiceEntry, &Arc<Route>)> {
+        let candidates = self.by_host.get(&*normalize_host(host))?;
+        let mut best: Option<(ServiceIndex, &ServiceEntry, &Arc<Route>)> = None;
+        for index in candidates {
+            let Some(entry) = self.by_index.get(index) else {
+                continue;
+            };
+            let Some(route) = entry.routes.iter().find(|route| route.covers(method, path)) else {
+                continue;
+            };
+            let beats =
+                |(_, _, other): &(_, _, &Arc<Route>)| route.prefix_length() > other.prefix_length();
+            if best.as_ref().is_none_or(beats) {
+                best = Some((*index, entry, route));
+            }
+        }
+        best
+    }
+
+    pub(crate) fn set(&mut self, id: &ServiceId, spec: &KeyedServiceSpec) -> ServiceIndex {
+        let index = self.index_of(id);
+        self.withdraw_hosts(index);
+        let entry = self.entry(index);
+        entry.hosts = distinct_hosts(&spec.hosts);
+        entry.routes = spec
+            .routes
+            .iter()
+            .map(|rule| Arc::new(Route::new(rule)))
+            .collect();
+        self.claim_hosts(index);
+        index
+    }
+
+    pub(crate) fn remove(&mut self, id: &ServiceId) -> Option<(ServiceIndex, ServiceEntry)> {
+        let index = self.by_id.get(id).copied()?;
+        self.withdraw_hosts(index);
+        self.by_id.remove(id);
+        let entry = self.by_index.remove(&index)?;
+        Some((index, entry))
+    }
+
+    /// Slices of a service, which is made up if its record has not come yet.
+    pub(crate) fn slices_of(&mut self, id: &ServiceId) -> (ServiceIndex, &mut SliceMap) {
+        let index = self.index_of(id);
+        (index, &mut self.entry(index).slices)
+    }
+
+    /// Takes the slices of every service out.
+    pub(crate) fn take_slices(&mut self) -> Vec<SliceMap> {
+        let entries = self.by_index.values_mut();
+        entries
+            .map(|entry| std::mem::take(&mut entry.slices))
+            .collect()
+    }
+
+    fn index_of(&mut self, id: &ServiceId) -> ServiceIndex {
+        if let Some(index) = self.by_id.get(id) {
+            return *index;
+        }
+        self.numbered += 1;
+        let index = ServiceIndex(self.numbered);
+        let id = Arc::new(id.clone());
+        let entry = ServiceEntry {
+            namespace: id.namespace.as_str().into(),
+            id: Arc::clone(&id),
+            hosts: Vec::new(),
+            routes: Vec::new(),
+            slices: SliceMap::default(),
+        };
+        self.by_index.insert(index, entry);
+        self.by_id.insert(id, index);
+        index
+    }
+
+    fn entry(&mut self, index: ServiceIndex) -> &mut ServiceEntry {
+        self.by_index
+            .get_mut(&index)
+            .expect("a numbered service has an entry")
+    }
+
+    fn claim_hosts(&mut self, index: ServiceIndex) {
+        let entry = &self.by_index[&index];
+        for host in &entry.hosts {
+            let claims = self.by_host.entry(host.clone()).or_default();
+            let by_name = |other: &ServiceIndex| self.by_index[other].id < entry.id;
+            let place = claims.partition_point(by_name);
+            claims.insert(place, index);
+        }
+    }
+
+    fn withdraw_hosts(&mut self, index: ServiceIndex) {
+        for host in std::mem::take(&mut self.entry(index).hosts) {
+            let Some(claims) = self.by_host.get_mut(&host) else {
+                continue;
+            };
+            claims.retain(|other| *other != index);
+            if claims.is_empty() {
+                self.by_host.remove(&host);
+            }
+        }
+    }
+}
+
+fn distinct_hosts(hosts: &[String]) -> Vec<String> {
+    let mut hosts: Vec<String> = hosts
+        .iter()
+        .map(|host| normalize_host(host).into_owned())
+        .collect();
+    hosts.sort();
+    hosts.dedup();
+    hosts
+}
--- /dev/null
+++ b/crates/routing/src/table/sessions.rs
@@ -0,0 +1,215 @@
+//! Sessions and back ends under small numbers, so that a slice holds four
+//! bytes instead of names.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::num::NonZeroU32;
+use std::sync::Arc;
+
+use threadledge_types::objects::BackEndSpec;
+use threadledge_types::{BackEndId, Incarnation, SessionId};
+
+/// Number of a session; never used twice by one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct SessionIndex(NonZeroU32);
+
+/// Number of a back end; never used twice by one table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct BackEndIndex(u32);
+
+/// One session, open or still named by slices.
+#[derive(Debug)]
+pub(crate) struct SessionEntry {
+    pub(crate) back_end: BackEndIndex,
+    pub(crate) incarnation: Incarnation,
+    /// Has a record. A session without one has ended.
+    pub(crate) open: bool,
+    pub(crate) draining: bool,
+    slices: u32,
+}
+
+/// One back end, with a record or still named by sessions.
+#[derive(Debug)]
+pub(crate) struct BackEndEntry {
+    pub(crate) id: Arc<BackEndId>,
+    pub(crate) spec: Option<BackEndSpec>,
+    sessions: BTreeSet<(Incarnation, SessionIndex)>,
+}
+
+/// All sessions and back ends of a table.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    sessions: BTreeMap<SessionIndex, SessionEntry>,
+    back_ends: BTreeMap<BackEndIndex, BackEndEntry>,
+    back_end_by_id: BTreeMap<Arc<BackEndId>, BackEndIndex>,
+    sessions_numbered: u32,
+    back_ends_numbered: u32,
+}
+
+impl Sessions {
+    pub(crate) fn session(&self, index: SessionIndex) -> Option<&SessionEntry> {
+        self.sessions.get(&index)
+    }
+
+    pub(crate) fn back_end(&self, index: BackEndIndex) -> Option<&BackEndEntry> {
+        self.back_ends.get(&index)
+    }
+
+    /// The open session with the latest incarnation of a back end.
+    pub(crate) fn current_session(&self, index: BackEndIndex) -> Option<&SessionEntry> {
+        let entry = self.back_ends.get(&index)?;
+        let latest_first = entry.sessions.iter().rev();
+        latest_first
+            .filter_map(|(_, session)| self.sessions.get(session))
+            .find(|session| session.open)
+    }
+
+    pub(crate) fn set_back_end(&mut self, id: &BackEndId, spec: BackEndSpec) -> BackEndIndex {
+        let index = self.back_end_index(id);
+        self.back_end_entry(index).spec = Some(spec);
+        index
+    }
+
+    pub(crate) fn remove_back_end(&mut self, id: &BackEndId) -> Option<BackEndIndex> {
+        let index = *self.back_end_by_id.get(id)?;
+        self.back_end_entry(index).spec = None;
+        self.forget_back_end_if_unused(index);
+        Some(index)
+    }
+
+    pub(crate) fn open_session(&mut self, id: &SessionId, draining: bool) -> BackEndIndex {
+        let index = self.session_index(id);
+        let entry = self.session_entry(index);
+        entry.open = true;
+        entry.draining = draining;
+        entry.back_end
+    }
+
+    pub(crate) fn close_session(&mut self, id: &SessionId) -> Option<BackEndIndex> {
+        let index = self.find_session(id)?;
+        let entry = self.session_entry(index);
+        entry.open = false;
+        let back_end = entry.back_end;
+        self.forget_session_if_unused(index);
+        Some(back_end)
+    }
+
+    /// Number for a session that a slice names.
+    pub(crate) fn retain(&mut self, id: &SessionId) -> SessionIndex {
+        let index = self.session_index(id);
+        self.session_entry(index).slices += 1;
+        index
+    }
+
+    /// A slice no longer names the session.
+    pub(crate) fn release(&mut self, index: SessionIndex) {
+        if let Some(entry) = self.sessions.get_mut(&index) {
+            entry.slices = entry.slices.saturating_sub(1);
+        }
+        self.forget_session_if_unused(index);
+    }
+
+    /// Back ends that have a record.
+    pub(crate) fn recorded_back_ends(&self) -> impl Iterator<Item = (BackEndIndex, &BackEndEntry)> {
+        self.back_ends
+            .iter()
+            .filter(|(_, entry)| entry.spec.is_some())
+            .map(|(index, entry)| (*index, entry))
+    }
+
+    /// Sessions that have a record.
+    pub(crate) fn open_sessions(&self) -> Vec<SessionId> {
+        let open = self.sessions.values().filter(|entry| entry.open);
+        open.filter_map(|entry| {
+            let back_end = self.back_ends.get(&entry.back_end)?;
+            Some(SessionId {
+                back_end: BackEndId::clone(&back_end.id),
+                incarnation: entry.incarnation,
+            })
+        })
+        .collect()
+    }
+
+    fn find_session(&self, id: &SessionId) -> Option<SessionIndex> {
+        let back_end = self.back_end_by_id.get(&id.back_end)?;
+        let sessions = &self.back_ends.get(back_end)?.sessions;
+        let from = (id.incarnation, SessionIndex(NonZeroU32::MIN));
+        let (incarnation, index) = sessions.range(from..).next()?;
+        (*incarnation == id.incarnation).then_some(*index)
+    }
+
+    fn session_index(&mut self, id: &SessionId) -> SessionIndex {
+        if let Some(index) = self.find_session(id) {
+            return index;
+        }
+        let back_end = self.back_end_index(&id.back_end);
+        self.sessions_numbered += 1;
+        let number = NonZeroU32::new(self.sessions_numbered).unwrap_or(NonZeroU32::MIN);
+        let index = SessionIndex(number);
+        let entry = SessionEntry {
+            back_end,
+            incarnation: id.incarnation,
+            open: false,
+            draining: false,
+            slices: 0,
+        };
+        self.sessions.insert(index, entry);
+        let sessions = &mut self.back_end_entry(back_end).sessions;
+        sessions.insert((id.incarnation, index));
+        index
+    }
+
+    fn back_end_index(&mut self, id: &BackEndId) -> BackEndIndex {
+        if let Some(index) = self.back_end_by_id.get(id) {
+            return *index;
+        }
+        self.back_ends_numbered += 1;
+        let index = BackEndIndex(self.back_ends_numbered);
+        let id = Arc::new(id.clone());
+        let entry = BackEndEntry {
+            id: Arc::clone(&id),
+            spec: None,
+            sessions: BTreeSet::new(),
+        };
+        self.back_ends.insert(index, entry);
+        self.back_end_by_id.insert(id, index);
+        index
+    }
+
+    fn session_entry(&mut self, index: SessionIndex) -> &mut SessionEntry {
+        self.sessions
+            .get_mut(&index)
+            .expect("a numbered session has an entry")
+    }
+
+    fn back_end_entry(&mut self, index: BackEndIndex) -> &mut BackEndEntry {
+        self.back_ends
+            .get_mut(&index)
+            .expect("a numbered back end has an entry")
+    }
+
+    fn forget_session_if_unused(&mut self, index: SessionIndex) {
+        let Some(entry) = self.sessions.get(&index) else {
+            return;
+        };
+        if entry.open || entry.slices > 0 {
+            return;
+        }
+        let (back_end, incarnation) = (entry.back_end, entry.incarnation);
+        self.sessions.remove(&index);
+        let sessions = &mut self.back_end_entry(back_end).sessions;
+        sessions.remove(&(incarnation, index));
+        self.forget_back_end_if_unused(back_end);
+    }
+
+    fn forget_back_end_if_unused(&mut self, index: BackEndIndex) {
+        let Some(entry) = self.back_ends.get(&index) else {
+            return;
+        };
+        if entry.spec.is_some() || !entry.sessions.is_empty() {
+            return;
+        }
+        let id = Arc::clone(&entry.id);
+        self.back_ends.remove(&index);
+        self.back_end_by_id.remove(&id);
+    }
+}
