Add stand-in back ends, callers and history checks to the lab

Cause: guarantees can only be claimed from histories of processes that really enforce what they were granted.

Change: back ends that enforce slots, connections, lease, epoch, deadline and cancellation through ownership's Holder and record every step under the lock that decides it; open-loop callers with Zipf keys whose hot keys shift; one check for each of the eight guarantees and linearizability of the assignment record by todc-utils. Each check passes a sound history and fails on a planted fault in tests/checks.rs.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,8 @@
 //! collects what each process records, checks the guarantees on these
 //! histories and measures imbalance, churn and unavailable time.
 
+pub mod checks;
 pub mod clock;
+pub mod history;
+pub mod load;
 pub mod stand_in;
--- /dev/null
+++ b/crates/lab/src/load/caller.rs
@@ -0,0 +1,146 @@
+//! The callers of one partner: they send on schedule, try another router when
+//! that is safe, and record how each request ended.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Method;
+use threadledge_types::{NotRunReason, Timestamp, hash_key};
+
+use super::arrivals::Arrivals;
+use super::connections::Connections;
+use super::exchange::{Message, Reply, exchange};
+use super::popularity::KeyPopularity;
+use super::settings::{CallerSettings, TrafficSettings};
+use crate::clock;
+use crate::history::{Attempt, AttemptOutcome, Event, Recorder, RequestId};
+
+/// Requests of one partner that may be under way at once. An open loop does
+/// not wait for answers, but the machine is finite.
+const LARGEST_OUTSTANDING: u64 = 4_000;
+
+/// What the callers of one partner share.
+pub(super) struct Callers {
+    routers: Vec<Connections>,
+    begin: Timestamp,
+    end: Timestamp,
+    next_request: AtomicU64,
+    outstanding: AtomicU64,
+    recorder: Recorder,
+}
+
+impl Callers {
+    pub fn new(settings: &CallerSettings, recorder: Recorder) -> Self {
+        let routers = settings.routers.iter().copied();
+        Callers {
+            routers: routers.map(Connections::new).collect(),
+            begin: settings.begin,
+            end: settings.end,
+            next_request: AtomicU64::new(settings.first_request),
+            outstanding: AtomicU64::new(0),
+            recorder,
+        }
+    }
+
+    /// A request number that no other request of the run has.
+    pub fn next_request(&self) -> RequestId {
+        RequestId(self.next_request.fetch_add(1, Ordering::SeqCst))
+    }
+
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Sends one kind of request on schedule, then waits for its stragglers.
+    pub async fn send_traffic(self: Arc<Self>, traffic: TrafficSettings, seed: u64) {
+        let traffic = Arc::new(traffic);
+        let mut popularity = KeyPopularity::new(traffic.popularity.clone(), seed);
+        let arrivals = Arrivals::new(self.begin, traffic.per_second, seed.wrapping_add(1));
+        let mut last = Vec::new();
+        for intended in arrivals.take_while(|intended| *intended < self.end) {
+            task::sleep(intended.since(clock::now())).await;
+            let since_start = Timestamp::ZERO + intended.since(self.begin);
+            let key = popularity.draw(since_start);
+            if self.outstanding.load(Ordering::SeqCst) >= LARGEST_OUTSTANDING {
+                continue;
+            }
+            self.outstanding.fetch_add(1, Ordering::SeqCst);
+            let callers = self.clone();
+            let traffic = traffic.clone();
+            let request = task::spawn(async move {
+                callers.call(&traffic, intended, &key).await;
+                callers.outstanding.fetch_sub(1, Ordering::SeqCst);
+            });
+            last.push(request);
+            if last.len() > 2 * LARGEST_OUTSTANDING as usize {
+                last.drain(..LARGEST_OUTSTANDING as usize);
+            }
+        }
+        futures::future::join_all(last).await;
+    }
+
+    async fn call(&self, traffic: &TrafficSettings, intended: Timestamp, key: &str) {
+        let message = message(traffic, self.next_request(), key);
+        let patience_end = intended + Duration::from_millis(traffic.patience_ms);
+        let mut attempts = Vec::new();
+        let mut answer_matches = None;
+        let first = message.request.0 as usize;
+        for number in 0..self.routers.len() {
+            let router = (first + number) % self.routers.len();
+            let begin = clock::now();
+            let patience = patience_end.since(begin);
+            let reply = exchange(&self.routers[router], &message, patience).await;
+            answer_matches = reply.answer_matches;
+            let again = may_try_another(&reply, traffic.repeatable);
+            attempts.push(Attempt {
+                router,
+                begin,
+                end: clock::now(),
+                outcome: reply.outcome,
+                reason: reply.reason,
+                status: reply.status,
+            });
+            if !again || clock::now() >= patience_end {
+                break;
+            }
+        }
+        self.recorder.record(Event::RequestEnded {
+            intended,
+            request: message.request,
+            service: traffic.service.clone(),
+            point: hash_key(key.as_bytes()),
+            repeatable: traffic.repeatable,
+            attempts,
+            answer_matches,
+        });
+    }
+}
+
+/// Another router is tried only when that cannot run a request twice that
+/// must not be repeated, and when another router could do better.
+fn may_try_another(reply: &Reply, repeatable: bool) -> bool {
+    match reply.outcome {
+        AttemptOutcome::NotSent => true,
+        AttemptOutcome::NotRun => reply.reason.as_deref() == Some(NotRunReason::NotReady.as_str()),
+        AttemptOutcome::Cut => repeatable,
+        AttemptOutcome::Answered | AttemptOutcome::Unknown | AttemptOutcome::TimedOut => false,
+    }
+}
+
+fn message(traffic: &TrafficSettings, request: RequestId, key: &str) -> Message {
+    let headers = traffic
+        .key_header
+        .iter()
+        .map(|name| (name.clone(), key.to_owned()))
+        .collect();
+    Message {
+        request,
+        method: traffic.method.parse().unwrap_or(Method::Get),
+        host: traffic.host.clone(),
+        path: traffic.path.replace("{key}", key),
+        headers,
+        repeatable: traffic.repeatable,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load/exchange.rs
@@ -0,0 +1,147 @@
+//! One request on one connection, and what its caller may conclude.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use http_types::headers::{CONNECTION, HOST};
+use http_types::{Method, Request, Response, Url};
+use threadledge_types::outcome::{OUTCOME_HEADER, REASON_HEADER};
+
+use super::connections::Connections;
+use crate::history::{AttemptOutcome, RequestId};
+use crate::stand_in::back_end::{
+    ANSWER_CHECKSUM_HEADER, LAB_REQUEST_HEADER, answer_body, answer_checksum,
+};
+
+/// Status of a back end's answer.
+pub(super) const ANSWERED_STATUS: u16 = 200;
+
+/// A request as it is sent.
+#[derive(Clone, Debug)]
+pub(super) struct Message {
+    pub request: RequestId,
+    pub method: Method,
+    pub host: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub repeatable: bool,
+}
+
+/// What came of one exchange.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Reply {
+    pub outcome: AttemptOutcome,
+    pub reason: Option<String>,
+    pub status: Option<u16>,
+    pub answer_matches: Option<bool>,
+}
+
+impl Reply {
+    fn without_answer(outcome: AttemptOutcome, reason: impl ToString) -> Self {
+        Reply {
+            outcome,
+            reason: Some(reason.to_string()),
+            status: None,
+            answer_matches: None,
+        }
+    }
+}
+
+/// Sends `message` and waits at most `patience` for the whole answer.
+pub(super) async fn exchange(
+    connections: &Connections,
+    message: &Message,
+    patience: Duration,
+) -> Reply {
+    let stream = match timeout(patience, connections.take()).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Reply::without_answer(AttemptOutcome::NotSent, error),
+        Err(_) => {
+            return Reply::without_answer(AttemptOutcome::NotSent, "no connection in time");
+        }
+    };
+    match timeout(patience, send(stream.clone(), message)).await {
+        Ok(Ok((reply, reusable))) => {
+            if reusable {
+                connections.give_back(stream);
+            }
+            reply
+        }
+        Ok(Err(error)) => Reply::without_answer(AttemptOutcome::Cut, error),
+        Err(_) => Reply::without_answer(AttemptOutcome::TimedOut, "the caller's patience ended"),
+    }
+}
+
+async fn send(stream: TcpStream, message: &Message) -> http_types::Result<(Reply, bool)> {
+    let mut response = async_h1::connect(stream, to_request(message)?).await?;
+    let expected_length = response.len();
+    let body = response.body_bytes().await?;
+    let whole = expected_length.is_none_or(|length| length == body.len());
+    if !whole {
+        let reason = format!("{} of {expected_length:?} bytes", body.len());
+        return Ok((Reply::without_answer(AttemptOutcome::Cut, reason), false));
+    }
+    let reusable = !header(&response, CONNECTION.as_str())
+        .is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    Ok((judge(message.request, &response, &body), reusable))
+}
+
+fn to_request(message: &Message) -> http_types::Result<Request> {
+    let url = Url::parse(&format!("http://{}{}", message.host, message.path))?;
+    let mut request = Request::new(message.method, url);
+    request.insert_header(HOST, message.host.as_str());
+    request.insert_header(LAB_REQUEST_HEADER, message.request.to_string());
+    for (name, value) in &message.headers {
+        request.insert_header(name.as_str(), value.as_str());
+    }
+    if !message.repeatable {
+        let key = format!("\"lab-{}\"", message.request);
+        request.insert_header("idempotency-key", key);
+        request.set_body(format!("request {}", message.request));
+    }
+    Ok(request)
+}
+
+fn judge(request: RequestId, response: &Response, body: &[u8]) -> Reply {
+    let status = Some(u16::from(response.status()));
+    let reason = header(response, REASON_HEADER).map(str::to_owned);
+    match header(response, OUTCOME_HEADER) {
+        Some("answered") => Reply {
+            outcome: AttemptOutcome::Answered,
+            reason,
+            status,
+            answer_matches: Some(is_own_answer(request, response, body)),
+        },
+        Some("not-run") => Reply {
+            outcome: AttemptOutcome::NotRun,
+            reason,
+            status,
+            answer_matches: None,
+        },
+        Some(_) => Reply {
+            outcome: AttemptOutcome::Unknown,
+            reason,
+            status,
+            answer_matches: None,
+        },
+        // Without the header a caller may conclude nothing.
+        None => Reply {
+            outcome: AttemptOutcome::Unknown,
+            reason: Some("no outcome header".to_owned()),
+            status,
+            answer_matches: (status == Some(ANSWERED_STATUS))
+                .then(|| is_own_answer(request, response, body)),
+        },
+    }
+}
+
+/// Whether the body is whole and answers exactly this request.
+fn is_own_answer(request: RequestId, response: &Response, body: &[u8]) -> bool {
+    let checksum = header(response, ANSWER_CHECKSUM_HEADER);
+    body == answer_body(request).as_bytes() && checksum == Some(&answer_checksum(body))
+}
+
+fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+    response.header(name).map(|values| values.as_str())
+}
--- /dev/null
+++ b/crates/lab/tests/checks.rs
@@ -0,0 +1,260 @@
+//! Every check passes a sound run and fails on the fault it is meant for.
+
+mod support;
+
+use support::*;
+use threadledge_lab::checks::{self, Check, Guarantee};
+use threadledge_lab::history::{AttemptOutcome, ConfigurationSeen, Event, ObjectRef, SliceSeen};
+use threadledge_types::{BackEndId, Epoch, Slice};
+
+/// Asserts that `check` finds exactly one breach, once `fault` is planted.
+fn finds(check: Check, guarantee: Guarantee, fault: Vec<Event>) {
+    let mut run = sound_run();
+    assert_eq!(check(&assemble(run.clone())), Vec::new(), "sound run");
+    run.push(fault);
+    let found = check(&assemble(run));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].guarantee, guarantee);
+}
+
+#[test]
+fn a_sound_run_breaches_nothing() {
+    assert_eq!(checks::check_all(&assemble(sound_run())), Vec::new());
+}
+
+#[test]
+fn two_believers_at_one_moment_breach_single_owner() {
+    finds(
+        checks::single_owner::check,
+        Guarantee::SingleOwner,
+        ownership("c", 3, 2_999, 3_500),
+    );
+}
+
+#[test]
+fn an_execution_after_the_lease_lapsed_breaches_single_owner() {
+    finds(
+        checks::single_owner::check,
+        Guarantee::SingleOwner,
+        execution("a", 1, 9, 995, 1_001),
+    );
+}
+
+#[test]
+fn an_execution_under_a_stale_epoch_breaches_single_owner() {
+    finds(
+        checks::single_owner::check,
+        Guarantee::SingleOwner,
+        execution("b", 1, 9, 1_100, 1_110),
+    );
+}
+
+#[test]
+fn an_epoch_that_goes_down_breaches_durable_assignment() {
+    finds(
+        checks::durable::check,
+        Guarantee::DurableAssignment,
+        ownership("c", 1, 3_100, 3_500)
+            .into_iter()
+            .map(|event| match event {
+                Event::GrantTaken { at, session, .. } => Event::GrantTaken {
+                    at,
+                    session,
+                    grant: grant(0),
+                },
+                Event::GrantReleased { at, session, .. } => Event::GrantReleased {
+                    at,
+                    session,
+                    grant: grant(0),
+                },
+                other => other,
+            })
+            .collect(),
+    );
+}
+
+#[test]
+fn one_epoch_for_two_sessions_breaches_durable_assignment() {
+    finds(
+        checks::durable::check,
+        Guarantee::DurableAssignment,
+        ownership("c", 2, 3_100, 3_500),
+    );
+}
+
+#[test]
+fn a_router_that_forgets_an_assignment_breaches_durable_assignment() {
+    let view = |at: u64, epoch: u64| {
+        Event::SliceSeen(SliceSeen {
+            begin: millis(at),
+            end: millis(at + 1),
+            router: "router-1".to_owned(),
+            service: service(),
+            slice: Slice::ALL,
+            owner: None,
+            epoch: Epoch(revision(epoch)),
+        })
+    };
+    finds(
+        checks::durable::check,
+        Guarantee::DurableAssignment,
+        vec![view(1_000, 2), view(2_000, 1), view(9_000, 1)],
+    );
+}
+
+#[test]
+fn another_requests_answer_breaches_own_answer() {
+    let mut wrong = request(1, vec![attempt(0, 95, 115, AttemptOutcome::Answered)]);
+    if let Event::RequestEnded { answer_matches, .. } = &mut wrong {
+        *answer_matches = Some(false);
+    }
+    finds(checks::answers::check, Guarantee::OwnAnswer, vec![wrong]);
+}
+
+#[test]
+fn an_answer_without_an_execution_breaches_own_answer() {
+    let invented = request(9, vec![attempt(0, 95, 115, AttemptOutcome::Answered)]);
+    finds(checks::answers::check, Guarantee::OwnAnswer, vec![invented]);
+}
+
+#[test]
+fn an_execution_of_a_request_said_not_to_have_run_breaches_not_run() {
+    let mut fault = execution("b", 2, 9, 1_100, 1_110);
+    fault.push(request(
+        9,
+        vec![attempt(0, 1_090, 1_120, AttemptOutcome::NotRun)],
+    ));
+    finds(checks::not_run::check, Guarantee::NotRun, fault);
+}
+
+#[test]
+fn an_execution_before_the_only_attempt_that_may_have_run_breaches_not_run() {
+    let mut fault = execution("b", 2, 9, 1_100, 1_110);
+    fault.push(request(
+        9,
+        vec![
+            attempt(0, 1_090, 1_120, AttemptOutcome::NotRun),
+            attempt(1, 1_125, 1_150, AttemptOutcome::Unknown),
+        ],
+    ));
+    finds(checks::not_run::check, Guarantee::NotRun, fault);
+}
+
+#[test]
+fn a_second_execution_breaches_at_most_once() {
+    finds(
+        checks::at_most_once::check,
+        Guarantee::AtMostOnce,
+        execution("b", 2, 2, 1_100, 1_110),
+    );
+}
+
+#[test]
+fn new_work_long_after_the_drain_notice_breaches_draining() {
+    let mut fault = vec![Event::DrainBegan {
+        at: millis(1_100),
+        back_end: BackEndId::new("kasamahan", "b"),
+    }];
+    fault.extend(execution("b", 2, 9, 4_200, 4_210));
+    finds(checks::draining::check, Guarantee::Draining, fault);
+}
+
+#[test]
+fn a_request_cut_after_the_stop_began_breaches_planned_stop() {
+    let fault = vec![
+        Event::PlannedStopBegan {
+            at: millis(2_000),
+            router: 1,
+        },
+        request(9, vec![attempt(1, 1_990, 2_010, AttemptOutcome::Cut)]),
+    ];
+    finds(checks::planned_stop::check, Guarantee::PlannedStop, fault);
+}
+
+fn configuration(at: u64, index: u64, ready: bool) -> Event {
+    Event::ConfigurationSeen(ConfigurationSeen {
+        at: millis(at),
+        router: "router-1".to_owned(),
+        revision: revision(index),
+        ready,
+    })
+}
+
+#[test]
+fn a_revision_that_goes_down_breaches_configuration() {
+    finds(
+        checks::configuration::check,
+        Guarantee::Configuration,
+        vec![configuration(10, 7, true), configuration(20, 6, true)],
+    );
+}
+
+#[test]
+fn serving_by_an_old_revision_breaches_configuration() {
+    finds(
+        checks::configuration::check,
+        Guarantee::Configuration,
+        vec![
+            Event::ConfigurationAccepted {
+                at: millis(100),
+                object: ObjectRef("KeyedService kasamahan/gallery".to_owned()),
+                revision: revision(9),
+            },
+            configuration(5_000, 8, true),
+            configuration(5_200, 8, false),
+            configuration(5_300, 8, true),
+        ],
+    );
+}
+
+#[test]
+fn a_take_while_another_owns_is_not_linearizable() {
+    finds(
+        checks::linearizable::check,
+        Guarantee::Linearizable,
+        ownership("c", 3, 2_999, 3_500),
+    );
+}
+
+#[test]
+fn a_request_outside_its_ownership_is_not_linearizable() {
+    finds(
+        checks::linearizable::check,
+        Guarantee::Linearizable,
+        execution("b", 2, 9, 1_002, 1_005),
+    );
+}
+
+#[test]
+fn a_killed_process_believes_nothing_from_its_end_on() {
+    let mut run = vec![ownership("a", 1, 0, 9_000)];
+    run[0].pop();
+    run.push(vec![Event::ProcessEnded {
+        at: millis(500),
+        process: "back-ends-1".to_owned(),
+        sessions: vec![session("a")],
+        planned: false,
+    }]);
+    run.push(ownership("b", 2, 600, 900));
+    let history = assemble(run);
+    assert_eq!(history.beliefs[0].end, millis(500));
+    assert_eq!(checks::single_owner::check(&history), Vec::new());
+}
+
+#[test]
+fn belief_pauses_between_a_lapse_and_the_next_renewal() {
+    let mut run = ownership("a", 1, 0, 1_000);
+    run.pop();
+    run.push(Event::LeaseExtended {
+        at: millis(1_500),
+        session: session("a"),
+        until: millis(2_000),
+    });
+    let history = assemble(vec![run]);
+    let stretches: Vec<_> = history
+        .beliefs
+        .iter()
+        .map(|belief| (belief.begin.as_millis(), belief.end.as_millis()))
+        .collect();
+    assert_eq!(stretches, vec![(0, 1_000), (1_500, 2_000)]);
+}
