--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -79,6 +79,13 @@
         self.holdings.all()
     }
 
+    /// Epoch under which the slice of a key is held, whether or not the lease
+    /// holds.
+    pub fn held_epoch(&self, service: &ServiceId, point: Point) -> Option<Epoch> {
+        let grant = self.holdings.covering(service, point)?;
+        Some(grant.epoch)
+    }
+
     /// Slices that the leader asks to make ready for.
     pub fn preparing(&self) -> impl Iterator<Item = &Grant> {
         self.preparing.iter()
--- a/crates/ownership/src/machine/read.rs
+++ b/crates/ownership/src/machine/read.rs
@@ -104,7 +104,10 @@
 
     /// Slices of a service in order; also those of a deleted service that
     /// still has owned ones.
-    pub fn slices(&self, service: &ServiceId) -> impl Iterator<Item = SliceRecord> {
+    pub fn slices<'a>(
+        &'a self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = SliceRecord> + use<'a> {
         let entry = self.services.get(service);
         entry.into_iter().flat_map(|entry| {
             let slices = entry.slices.iter();
@@ -133,7 +136,10 @@
     }
 
     /// Slices owned by the open session of a back end.
-    pub fn slices_of_session(&self, back_end: &BackEndId) -> impl Iterator<Item = &SliceKey> {
+    pub fn slices_of_session<'a>(
+        &'a self,
+        back_end: &BackEndId,
+    ) -> impl Iterator<Item = &'a SliceKey> + use<'a> {
         let entry = self.sessions.get(back_end);
         entry.into_iter().flat_map(|entry| entry.slices.iter())
     }
@@ -144,7 +150,10 @@
     }
 
     /// Slices that are being moved to a back end.
-    pub fn moves_to(&self, back_end: &BackEndId) -> impl Iterator<Item = &SliceKey> {
+    pub fn moves_to<'a>(
+        &'a self,
+        back_end: &BackEndId,
+    ) -> impl Iterator<Item = &'a SliceKey> + use<'a> {
         let keys = self.incoming.get(back_end);
         keys.into_iter().flat_map(|keys| keys.iter())
     }
@@ -157,13 +166,19 @@
 
     /// Back ends that the service's selector selects, with or without a
     /// session.
-    pub fn eligible_back_ends(&self, service: &ServiceId) -> impl Iterator<Item = &BackEndId> {
+    pub fn eligible_back_ends<'a>(
+        &'a self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = &'a BackEndId> + use<'a> {
         let entry = self.services.get(service);
         entry.into_iter().flat_map(|entry| entry.eligible.iter())
     }
 
     /// Sessions that may be given slices of the service.
-    pub fn candidates(&self, service: &ServiceId) -> impl Iterator<Item = &SessionId> {
+    pub fn candidates<'a>(
+        &'a self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = &'a SessionId> + use<'a> {
         self.eligible_back_ends(service).filter_map(|back_end| {
             let session = self.session(back_end)?;
             (!session.draining).then_some(&session.id)
