Spread records by pulls, pushes and pages, confirmed from the leader

Cause: the spreading core was a set of signatures.

Change: a replica that keeps the order of last changes (removals bounded) and answers with differences, full states and resumable pages; a node that pulls from the best candidate that is itself confirmed, pushes to a bounded number of children, and confirms as of the time its pull was sent less the parent's own staleness. A parent that is full gives up a child whose first choice is another router: without this a child with few candidates was refused for ever in the test with four places a parent.

--- /dev/null
+++ b/crates/spread/src/children.rs
@@ -0,0 +1,209 @@
+//! The parent's side: answering pulls and pushing deltas.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use threadledge_types::records::RecordDelta;
+use threadledge_types::{Revision, RouterId, RouterIdentity, Timestamp};
+
+use crate::message::{Answer, Pull, SpreadMessage};
+use crate::node::SpreadOutput;
+use crate::page::PageLimits;
+use crate::replica::Replica;
+use crate::settings::Settings;
+
+/// A router that pulls from this one.
+#[derive(Debug)]
+struct Child {
+    identity: RouterIdentity,
+    /// Revision it has, or will have once the last message arrives.
+    have: Revision,
+    /// It is being sent pages; a push would not fit between them.
+    in_transfer: bool,
+    /// This router is its first choice.
+    preferred: bool,
+    expires_at: Timestamp,
+}
+
+/// The routers that pull from this one. Their number is bounded, which bounds
+/// both memory and the cost of a push.
+#[derive(Debug, Default)]
+pub(crate) struct Children {
+    by_id: BTreeMap<RouterId, Child>,
+    last_push: Option<Timestamp>,
+    push_due: Option<Timestamp>,
+}
+
+impl Children {
+    /// Answers a pull, or refuses it when there are enough children.
+    pub(crate) fn answer(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        from: RouterIdentity,
+        pull: &Pull,
+        confirmed_as_of: Option<Timestamp>,
+        replica: &Replica,
+    ) -> SpreadOutput {
+        if !self.admit(now, settings, from.id, pull.preferred) {
+            let message = SpreadMessage::Busy {
+                group: pull.group,
+                sequence: pull.sequence,
+            };
+            return send(from, message);
+        }
+        let mut answer = Answer {
+            group: pull.group,
+            sequence: pull.sequence,
+            staleness_micros: confirmed_as_of
+                .map(|confirmed| staleness_micros(now.since(confirmed), settings.drift_percent)),
+            delta: None,
+            resume: None,
+            continued: false,
+        };
+        // A child ahead of this copy gets no delta: nothing is newer here.
+        if replica.revision() > pull.have {
+            let page = replica.page(pull.have, pull.resume, limits(settings));
+            answer.delta = Some(page.delta);
+            answer.resume = page.resume;
+            answer.continued = page.continued;
+        }
+        let fresh = confirmed_as_of
+            .is_some_and(|confirmed| now.since(confirmed) <= settings.max_parent_staleness);
+        let in_transfer = answer.resume.is_some();
+        if fresh || in_transfer {
+            let child = Child {
+                identity: from.clone(),
+                have: if in_transfer {
+                    pull.have
+                } else {
+                    replica.revision().max(pull.have)
+                },
+                in_transfer,
+                preferred: pull.preferred,
+                expires_at: now + settings.child_expiry,
+            };
+            self.by_id.insert(from.id, child);
+        } else {
+            // It will leave for a confirmed parent; it must not take the
+            // place of one that stays.
+            self.by_id.remove(&from.id);
+        }
+        send(from, SpreadMessage::Answer(answer))
+    }
+
+    /// Notes that the replica advanced, so that a push is due.
+    pub(crate) fn replica_advanced(&mut self, now: Timestamp, settings: &Settings) {
+        let earliest = match self.last_push {
+            Some(last) => now.max(last + settings.push_interval),
+            None => now,
+        };
+        self.push_due.get_or_insert(earliest);
+    }
+
+    /// Pushes to every child that lacks something, if a push is due.
+    pub(crate) fn push_if_due(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        replica: &Replica,
+        outputs: &mut Vec<SpreadOutput>,
+    ) {
+        if self.push_due.is_none_or(|due| now < due) {
+            return;
+        }
+        self.push_due = None;
+        self.last_push = Some(now);
+        self.expire(now);
+        let mut deltas = BTreeMap::new();
+        for child in self.by_id.values_mut() {
+            if child.in_transfer || child.have >= replica.revision() {
+                continue;
+            }
+            let delta = deltas
+                .entry(child.have)
+                .or_insert_with(|| push_delta(replica, child.have, settings));
+            let message = match delta {
+                Some(delta) => SpreadMessage::Push(delta.clone()),
+                None => SpreadMessage::Advanced {
+                    group: replica.group(),
+                    revision: replica.revision(),
+                },
+            };
+            // If the push is lost, the next one leaves a gap and the child
+            // pulls.
+            child.have = replica.revision();
+            outputs.push(send(child.identity.clone(), message));
+        }
+    }
+
+    /// When the next push is due.
+    pub(crate) fn next_wakeup(&self) -> Option<Timestamp> {
+        self.push_due
+    }
+
+    /// Number of children, those that will soon be forgotten included.
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        id: RouterId,
+        preferred: bool,
+    ) -> bool {
+        if self.by_id.contains_key(&id) || self.by_id.len() < settings.max_children {
+            return true;
+        }
+        self.expire(now);
+        if self.by_id.len() >= settings.max_children && preferred {
+            self.evict_one();
+        }
+        self.by_id.len() < settings.max_children
+    }
+
+    /// Gives up one child whose first choice is another router. It learns so
+    /// from its next pull. Without this, children that lost their parents
+    /// could keep the rightful ones out.
+    fn evict_one(&mut self) {
+        let mut children = self.by_id.iter();
+        let stray = children.find(|(_, child)| !child.preferred);
+        if let Some(id) = stray.map(|(id, _)| *id) {
+            self.by_id.remove(&id);
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.by_id.retain(|_, child| now < child.expires_at);
+    }
+}
+
+/// The delta to push to a child at `have`, unless it is too large.
+fn push_delta(replica: &Replica, have: Revision, settings: &Settings) -> Option<RecordDelta> {
+    let page = replica.page(have, None, limits(settings));
+    let whole = page.resume.is_none() && !page.delta.full;
+    whole.then_some(page.delta)
+}
+
+fn limits(settings: &Settings) -> PageLimits {
+    PageLimits {
+        max_changes: usize::MAX,
+        max_bytes: settings.max_page_bytes,
+    }
+}
+
+/// Age of a confirmation, lengthened by what this clock may run slow.
+fn staleness_micros(age: Duration, drift_percent: u64) -> u64 {
+    let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    let drift = (micros / 100).saturating_mul(drift_percent);
+    micros.saturating_add(drift).saturating_add(1)
+}
+
+fn send(to: RouterIdentity, message: SpreadMessage) -> SpreadOutput {
+    SpreadOutput::Send {
+        to,
+        message: Box::new(message),
+    }
+}
--- /dev/null
+++ b/crates/spread/src/intern.rs
@@ -0,0 +1,45 @@
+//! Shared copies of identifiers that many records repeat.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Unused identifiers are dropped once this many are held and at least half
+/// of them may be unused.
+const MIN_COLLECTION_SIZE: usize = 64;
+
+/// Keeps one copy of each identifier. A million slices name a few hundred
+/// services and sessions, so a copy in every record would dominate memory.
+#[derive(Clone, Debug)]
+pub(crate) struct Interner<T> {
+    known: BTreeSet<Arc<T>>,
+    collect_at: usize,
+}
+
+impl<T: Clone + Ord> Interner<T> {
+    pub(crate) fn new() -> Self {
+        Interner {
+            known: BTreeSet::new(),
+            collect_at: MIN_COLLECTION_SIZE,
+        }
+    }
+
+    /// The shared copy of `value`.
+    pub(crate) fn intern(&mut self, value: &T) -> Arc<T> {
+        if let Some(shared) = self.known.get(value) {
+            return Arc::clone(shared);
+        }
+        if self.known.len() >= self.collect_at {
+            self.collect();
+        }
+        let shared = Arc::new(value.clone());
+        self.known.insert(Arc::clone(&shared));
+        shared
+    }
+
+    /// Drops what nobody else holds. Its cost is spread over the insertions
+    /// since the last time, because the bound doubles.
+    fn collect(&mut self) {
+        self.known.retain(|shared| Arc::strong_count(shared) > 1);
+        self.collect_at = (self.known.len() * 2).max(MIN_COLLECTION_SIZE);
+    }
+}
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -4,12 +4,23 @@
 //! the pure core that pulls deltas from a parent in the fan-out tree, pushes
 //! them to its children, and says since when the copy is confirmed.
 
+mod apply;
+mod change_log;
+mod children;
+mod intern;
 mod message;
 mod node;
+mod page;
+mod parents;
+mod puller;
 mod replica;
 mod settings;
+mod slice_table;
+mod transfer;
 
+pub use apply::{Applied, ApplyError};
 pub use message::{Answer, Pull, Resume, SpreadMessage};
 pub use node::{SpreadInput, SpreadNode, SpreadOutput};
-pub use replica::{Applied, ApplyError, DeltaPage, Replica};
+pub use page::{DeltaPage, PageLimits};
+pub use replica::Replica;
 pub use settings::Settings;
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -55,6 +55,10 @@
     pub sequence: u64,
     /// Revision of the child's copy.
     pub have: Revision,
+    /// The parent is the child's first choice. A parent that serves enough
+    /// children gives up another one for it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub preferred: bool,
     /// Continues a transfer of several pages.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resume: Option<Resume>,
@@ -77,6 +81,10 @@
     /// Where the next page begins; `None` when this is the last one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resume: Option<Resume>,
+    /// The delta goes on where the pull's `resume` pointed; if not, it is the
+    /// first page of a new transfer.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub continued: bool,
 }
 
 /// Place in the parent's order of changes at which a transfer goes on. Only
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -3,7 +3,10 @@
 use threadledge_types::records::RecordDelta;
 use threadledge_types::{GroupId, RouterIdentity, Timestamp};
 
+use crate::apply::ApplyError;
+use crate::children::Children;
 use crate::message::SpreadMessage;
+use crate::puller::Puller;
 use crate::replica::Replica;
 use crate::settings::Settings;
 
@@ -38,7 +41,8 @@
         /// The message.
         message: Box<SpreadMessage>,
     },
-    /// The replica advanced by this delta.
+    /// The replica advanced by this delta. A record comes after those it
+    /// names.
     Applied(RecordDelta),
 }
 
@@ -48,7 +52,8 @@
     settings: Settings,
     own: RouterIdentity,
     group: GroupId,
-    confirmed_as_of: Option<Timestamp>,
+    puller: Puller,
+    children: Children,
     next_wakeup: Timestamp,
 }
 
@@ -59,7 +64,8 @@
             settings,
             own,
             group,
-            confirmed_as_of: None,
+            puller: Puller::new(now),
+            children: Children::default(),
             next_wakeup: now,
         }
     }
@@ -71,22 +77,91 @@
         input: SpreadInput,
         replica: &mut Replica,
     ) -> Vec<SpreadOutput> {
-        let _ = (replica, &self.own, self.group);
-        self.next_wakeup = now + self.settings.confirm_interval;
-        if let SpreadInput::RootConfirmed = input {
-            self.confirmed_as_of = Some(now);
+        let mut outputs = Vec::new();
+        match input {
+            SpreadInput::Tick => {}
+            SpreadInput::Message { from, message } => {
+                if message.group() == self.group && from.id != self.own.id {
+                    self.receive(now, from, *message, replica, &mut outputs);
+                }
+            }
+            SpreadInput::Parents(mut candidates) => {
+                candidates.retain(|candidate| candidate.id != self.own.id);
+                self.puller.set_parents(candidates, now);
+            }
+            SpreadInput::RootConfirmed => self.puller.confirm(now),
+            SpreadInput::ReplicaAdvanced => self.children.replica_advanced(now, &self.settings),
         }
-        Vec::new()
+        outputs.extend(self.puller.tick(now, &self.settings, replica));
+        self.children
+            .push_if_due(now, &self.settings, replica, &mut outputs);
+        self.next_wakeup = self.compute_next_wakeup(now);
+        outputs
     }
 
     /// A reading of this router's clock such that the replica has every
-    /// change that the leader had committed by then.
+    /// change that the leader had committed by then; `None` when there is no
+    /// such reading yet.
     pub fn confirmed_as_of(&self) -> Option<Timestamp> {
-        self.confirmed_as_of
+        self.puller.confirmed_as_of()
     }
 
     /// When [`SpreadNode::step`] wants to be called next, at the latest.
     pub fn next_wakeup(&self) -> Timestamp {
         self.next_wakeup
     }
+
+    /// Number of routers that pull from this one.
+    pub fn child_count(&self) -> usize {
+        self.children.len()
+    }
+
+    fn receive(
+        &mut self,
+        now: Timestamp,
+        from: RouterIdentity,
+        message: SpreadMessage,
+        replica: &mut Replica,
+        outputs: &mut Vec<SpreadOutput>,
+    ) {
+        let before = replica.revision();
+        match message {
+            SpreadMessage::Pull(pull) => {
+                let confirmed = self.puller.confirmed_as_of();
+                let settings = &self.settings;
+                let answer = self
+                    .children
+                    .answer(now, settings, from, &pull, confirmed, replica);
+                outputs.push(answer);
+            }
+            SpreadMessage::Answer(answer) => {
+                self.puller
+                    .answered(now, &self.settings, from.id, answer, replica);
+            }
+            SpreadMessage::Busy { sequence, .. } => {
+                self.puller.refused(now, &self.settings, from.id, sequence);
+            }
+            SpreadMessage::Push(delta) => {
+                if let Err(ApplyError::Gap { .. }) = replica.apply(&delta) {
+                    self.puller.pull_now(now);
+                }
+            }
+            SpreadMessage::Advanced { revision, .. } => {
+                if revision > replica.revision() {
+                    self.puller.pull_now(now);
+                }
+            }
+        }
+        if replica.revision() > before {
+            outputs.push(SpreadOutput::Applied(replica.difference(before)));
+            self.children.replica_advanced(now, &self.settings);
+        }
+    }
+
+    fn compute_next_wakeup(&self, now: Timestamp) -> Timestamp {
+        let idle = now + self.settings.confirm_interval;
+        let pull = self.puller.next_wakeup().unwrap_or(idle);
+        let push = self.children.next_wakeup().unwrap_or(idle);
+        idle.min(pull).min(push)
+    }
 }
--- /dev/null
+++ b/crates/spread/src/parents.rs
@@ -0,0 +1,124 @@
+//! The child's choice among its candidates for a parent.
+
+use threadledge_types::{RouterId, RouterIdentity, Timestamp};
+
+/// A pull is sent to the same candidate this many times before the next one
+/// is tried, so that one lost message does not change the tree.
+const MAX_ATTEMPTS: u32 = 2;
+
+/// Candidates for the parent, best first, and the one in use.
+#[derive(Debug, Default)]
+pub(crate) struct Parents {
+    candidates: Vec<RouterIdentity>,
+    current: usize,
+    attempts: u32,
+    /// Since when a less preferred candidate is in use.
+    away_since: Option<Timestamp>,
+    /// While the preferred candidate is tried again, the one to go back to.
+    fallback: Option<usize>,
+}
+
+/// What follows from giving a candidate up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NextStep {
+    /// Another candidate may be tried at once.
+    TryNow,
+    /// All were tried; wait before the next round.
+    Wait,
+}
+
+impl Parents {
+    /// Takes new candidates and returns whether the parent in use changed.
+    pub(crate) fn replace(&mut self, candidates: Vec<RouterIdentity>, now: Timestamp) -> bool {
+        if candidates == self.candidates {
+            return false;
+        }
+        let before = self.current().map(|parent| parent.id);
+        self.candidates = candidates;
+        self.fallback = None;
+        let kept = before.and_then(|id| self.position(id));
+        self.select(kept.unwrap_or(0), now);
+        if kept.is_none() {
+            self.attempts = 0;
+        }
+        kept.is_none()
+    }
+
+    /// The parent in use.
+    pub(crate) fn current(&self) -> Option<&RouterIdentity> {
+        self.candidates.get(self.current)
+    }
+
+    /// Whether `id` is the parent in use.
+    pub(crate) fn is_current(&self, id: RouterId) -> bool {
+        self.current().is_some_and(|parent| parent.id == id)
+    }
+
+    /// Whether the parent in use is the first choice.
+    pub(crate) fn is_preferred(&self) -> bool {
+        self.current == 0
+    }
+
+    /// Goes back to the preferred candidate for a trial, if `retry_after` has
+    /// passed since it was left.
+    pub(crate) fn retry_preferred(&mut self, now: Timestamp, retry_after: std::time::Duration) {
+        let due = self
+            .away_since
+            .is_some_and(|since| now >= since + retry_after);
+        if due && self.fallback.is_none() {
+            self.fallback = Some(self.current);
+            self.current = 0;
+            self.attempts = 0;
+        }
+    }
+
+    /// The parent in use answered well.
+    pub(crate) fn succeeded(&mut self) {
+        self.attempts = 0;
+        self.fallback = None;
+        if self.current == 0 {
+            self.away_since = None;
+        }
+    }
+
+    /// The parent in use did not answer in time.
+    pub(crate) fn timed_out(&mut self, now: Timestamp) -> NextStep {
+        self.attempts += 1;
+        if self.attempts < MAX_ATTEMPTS && self.fallback.is_none() {
+            return NextStep::TryNow;
+        }
+        self.give_up(now)
+    }
+
+    /// The parent in use refused, or is itself cut off: go on to the next.
+    pub(crate) fn give_up(&mut self, now: Timestamp) -> NextStep {
+        self.attempts = 0;
+        if let Some(fallback) = self.fallback.take() {
+            self.current = fallback;
+            self.away_since = Some(now);
+            return NextStep::TryNow;
+        }
+        let next = self.current + 1;
+        if next >= self.candidates.len() {
+            self.select(0, now);
+            return NextStep::Wait;
+        }
+        self.select(next, now);
+        NextStep::TryNow
+    }
+
+    fn select(&mut self, index: usize, now: Timestamp) {
+        self.current = index;
+        if index == 0 {
+            self.away_since = None;
+        } else {
+            self.away_since.get_or_insert(now);
+        }
+    }
+
+    fn position(&self, id: RouterId) -> Option<usize> {
+        self.candidates
+            .iter()
+            .position(|candidate| candidate.id == id)
+    }
+}
--- /dev/null
+++ b/crates/spread/src/puller.rs
@@ -0,0 +1,302 @@
+//! The child's side: pulling from a parent and confirming the revision.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use threadledge_types::records::RecordDelta;
+use threadledge_types::{Revision, RouterId, RouterIdentity, Timestamp};
+
+use crate::apply::ApplyError;
+use crate::message::{Answer, Pull, Resume, SpreadMessage};
+use crate::node::SpreadOutput;
+use crate::parents::{NextStep, Parents};
+use crate::replica::Replica;
+use crate::settings::Settings;
+use crate::transfer::{PageResult, Transfer};
+
+/// How many pulls are remembered, so that a late answer still counts.
+const MAX_REMEMBERED_PULLS: usize = 8;
+
+/// A pull that was sent.
+#[derive(Debug)]
+struct SentPull {
+    sequence: u64,
+    parent: RouterId,
+    sent_at: Timestamp,
+    have: Revision,
+    resume: Option<Resume>,
+}
+
+/// Pulls from one parent at a time.
+#[derive(Debug)]
+pub(crate) struct Puller {
+    parents: Parents,
+    sequence: u64,
+    sent: VecDeque<SentPull>,
+    /// The pull whose answer is awaited, and until when.
+    awaited: Option<(u64, Timestamp)>,
+    next_pull_at: Timestamp,
+    /// Something became known while an answer was awaited that the answer
+    /// may not yet contain.
+    pull_again: bool,
+    transfer: Option<Transfer>,
+    confirmed_as_of: Option<Timestamp>,
+}
+
+impl Puller {
+    pub(crate) fn new(now: Timestamp) -> Self {
+        Puller {
+            parents: Parents::default(),
+            sequence: 0,
+            sent: VecDeque::new(),
+            awaited: None,
+            next_pull_at: now,
+            pull_again: false,
+            transfer: None,
+            confirmed_as_of: None,
+        }
+    }
+
+    /// See [`SpreadNode::confirmed_as_of`](crate::SpreadNode::confirmed_as_of).
+    pub(crate) fn confirmed_as_of(&self) -> Option<Timestamp> {
+        self.confirmed_as_of
+    }
+
+    /// Raises the confirmation; an earlier one never replaces a later one.
+    pub(crate) fn confirm(&mut self, as_of: Timestamp) {
+        self.confirmed_as_of = self.confirmed_as_of.max(Some(as_of));
+    }
+
+    /// Takes new candidates for the parent.
+    pub(crate) fn set_parents(&mut self, candidates: Vec<RouterIdentity>, now: Timestamp) {
+        if self.parents.replace(candidates, now) {
+            self.awaited = None;
+            self.transfer = None;
+            self.next_pull_at = now;
+        }
+    }
+
+    /// Pulls as soon as no answer is awaited.
+    pub(crate) fn pull_now(&mut self, now: Timestamp) {
+        if self.awaited.is_some() {
+            self.pull_again = true;
+        } else {
+            self.next_pull_at = self.next_pull_at.min(now);
+        }
+    }
+
+    /// Gives up on a late answer and sends a pull, where due.
+    pub(crate) fn tick(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        replica: &Replica,
+    ) -> Option<SpreadOutput> {
+        if self.awaited.is_some_and(|(_, until)| now >= until) {
+            self.awaited = None;
+            let step = self.parents.timed_out(now);
+            self.after_failure(step, now, settings.pull_timeout);
+        }
+        if self.awaited.is_some() || now < self.next_pull_at {
+            return None;
+        }
+        if self.transfer.is_none() {
+            self.parents.retry_preferred(now, settings.preferred_retry);
+        }
+        self.send_pull(now, settings, replica)
+    }
+
+    /// Takes an answer. Returns whether the replica advanced.
+    pub(crate) fn answered(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        from: RouterId,
+        answer: Answer,
+        replica: &mut Replica,
+    ) -> bool {
+        let Some(pull) = self.take_sent(from, answer.sequence) else {
+            return false;
+        };
+        let awaited = self.stop_awaiting(answer.sequence);
+        if awaited {
+            let again = std::mem::take(&mut self.pull_again);
+            let next = pull.sent_at + settings.confirm_interval;
+            self.next_pull_at = if again { now } else { next };
+        }
+        let before = replica.revision();
+        let staleness = answer.staleness_micros.map(Duration::from_micros);
+        if self.take_delta(now, &pull, answer, replica) {
+            self.confirm_from(&pull, staleness);
+        }
+        if awaited || self.parents.is_current(from) {
+            self.judge_parent(now, settings, awaited, staleness);
+        }
+        replica.revision() > before
+    }
+
+    /// Takes a refusal.
+    pub(crate) fn refused(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        from: RouterId,
+        sequence: u64,
+    ) {
+        if self.take_sent(from, sequence).is_some() && self.stop_awaiting(sequence) {
+            let step = self.parents.give_up(now);
+            self.after_failure(step, now, settings.pull_timeout);
+        }
+    }
+
+    /// When the next pull or timeout is due.
+    pub(crate) fn next_wakeup(&self) -> Option<Timestamp> {
+        self.parents.current()?;
+        Some(match self.awaited {
+            Some((_, until)) => until,
+            None => self.next_pull_at,
+        })
+    }
+
+    fn send_pull(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        replica: &Replica,
+    ) -> Option<SpreadOutput> {
+        let parent = self.parents.current()?.clone();
+        self.transfer
+            .take_if(|transfer| transfer.parent() != parent.id);
+        self.pull_again = false;
+        self.sequence += 1;
+        let transfer = self.transfer.as_ref();
+        let pull = Pull {
+            group: replica.group(),
+            sequence: self.sequence,
+            // A transfer goes on from the revision at which it began.
+            have: transfer.map_or(replica.revision(), Transfer::from),
+            preferred: self.parents.is_preferred(),
+            resume: transfer.map(Transfer::resume),
+        };
+        self.remember(SentPull {
+            sequence: pull.sequence,
+            parent: parent.id,
+            sent_at: now,
+            have: pull.have,
+            resume: pull.resume,
+        });
+        self.awaited = Some((pull.sequence, now + settings.pull_timeout));
+        Some(SpreadOutput::Send {
+            to: parent,
+            message: Box::new(SpreadMessage::Pull(pull)),
+        })
+    }
+
+    fn remember(&mut self, pull: SentPull) {
+        if self.sent.len() >= MAX_REMEMBERED_PULLS {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(pull);
+    }
+
+    fn take_sent(&mut self, from: RouterId, sequence: u64) -> Option<SentPull> {
+        let matches = |pull: &SentPull| pull.sequence == sequence && pull.parent == from;
+        let index = self.sent.iter().position(matches)?;
+        self.sent.remove(index)
+    }
+
+    /// Whether the answer with this number was awaited.
+    fn stop_awaiting(&mut self, sequence: u64) -> bool {
+        self.awaited
+            .take_if(|(awaited, _)| *awaited == sequence)
+            .is_some()
+    }
+
+    /// Takes the changes of an answer. Returns whether the replica has all
+    /// that the parent had when it answered.
+    fn take_delta(
+        &mut self,
+        now: Timestamp,
+        pull: &SentPull,
+        answer: Answer,
+        replica: &mut Replica,
+    ) -> bool {
+        if answer.delta.is_none() {
+            // The parent had nothing above `pull.have`, which this copy has.
+            return true;
+        }
+        if answer.resume.is_none() && !answer.continued {
+            return match answer.delta {
+                Some(delta) => self.apply(now, &delta, replica),
+                None => true,
+            };
+        }
+        let expected = self.transfer.as_ref().map(Transfer::resume);
+        if pull.resume != expected {
+            // A repeated page, or one of a transfer that was given up.
+            return false;
+        }
+        let current = self.transfer.take();
+        match Transfer::add_page(current, pull.parent, pull.have, answer) {
+            PageResult::Complete(delta) => self.apply(now, &delta, replica),
+            PageResult::Incomplete(transfer) => {
+                self.transfer = Some(transfer);
+                self.next_pull_at = now;
+                false
+            }
+            PageResult::Unexpected => false,
+        }
+    }
+
+    fn apply(&mut self, now: Timestamp, delta: &RecordDelta, replica: &mut Replica) -> bool {
+        match replica.apply(delta) {
+            Ok(_) | Err(ApplyError::Stale { .. }) => true,
+            Err(ApplyError::Gap { .. }) => {
+                self.pull_now(now);
+                false
+            }
+            Err(ApplyError::OtherGroup { .. }) => false,
+        }
+    }
+
+    /// Confirms as of the time the pull was sent, less the age of the
+    /// parent's own confirmation when it answered.
+    ///
+    /// The parent answered no earlier than the pull was sent, so the moment
+    /// confirmed is no later than the parent's, however long pull and answer
+    /// were under way. Around a cycle of parents it therefore never advances.
+    fn confirm_from(&mut self, pull: &SentPull, staleness: Option<Duration>) {
+        let Some(staleness) = staleness else {
+            return;
+        };
+        // A moment before this clock's origin can not be expressed.
+        if pull.sent_at.since(Timestamp::ZERO) >= staleness {
+            self.confirm(pull.sent_at - staleness);
+        }
+    }
+
+    /// Stays with a parent that is itself confirmed and leaves one that is
+    /// not: it may hang below this router, or be cut off from the leader.
+    fn judge_parent(
+        &mut self,
+        now: Timestamp,
+        settings: &Settings,
+        awaited: bool,
+        staleness: Option<Duration>,
+    ) {
+        let fresh = staleness.is_some_and(|age| age <= settings.max_parent_staleness);
+        if fresh || self.transfer.is_some() {
+            self.parents.succeeded();
+        } else if awaited {
+            self.parents.give_up(now);
+            self.next_pull_at = now + settings.pull_timeout;
+        }
+    }
+
+    fn after_failure(&mut self, step: NextStep, now: Timestamp, wait: Duration) {
+        self.next_pull_at = match step {
+            NextStep::TryNow => now,
+            NextStep::Wait => now + wait,
+        };
+    }
+}
--- a/crates/spread/src/settings.rs
+++ b/crates/spread/src/settings.rs
@@ -28,8 +28,6 @@
     /// Most bytes of changes in one message, as JSON. A single change larger
     /// than this travels alone.
     pub max_page_bytes: usize,
-    /// Most removed records remembered for deltas.
-    pub max_tombstones: usize,
 }
 
 impl Settings {
@@ -46,7 +44,6 @@
             child_expiry: confirm * 3,
             drift_percent: timing.drift_percent,
             max_page_bytes: 48 * 1024,
-            max_tombstones: 4_096,
         }
     }
 }
