--- /dev/null
+++ b/crates/lab/src/stand_in/object_api/store.rs
@@ -0,0 +1,369 @@
+//! The objects, their versions and the changes between them.
+//!
+//! No input or output, no clock: times come with the writes, identities from
+//! a counter, so that a run can be repeated exactly.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use super::error::ApiError;
+use super::operation::{Write, WriteTarget, metadata_text};
+use super::path::{Collection, ObjectPath};
+
+/// Changes that are kept before the older half is compacted by itself.
+const MAX_CHANGES: usize = 50_000;
+
+/// Kind of a change, as a watch names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// The object was created.
+    Added,
+    /// The object was changed.
+    Modified,
+    /// The object was deleted.
+    Deleted,
+}
+
+impl ChangeKind {
+    /// Name in a watch event.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            ChangeKind::Added => "ADDED",
+            ChangeKind::Modified => "MODIFIED",
+            ChangeKind::Deleted => "DELETED",
+        }
+    }
+}
+
+/// One change of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreChange {
+    /// Version that the change made.
+    pub version: u64,
+    /// Which object.
+    pub path: ObjectPath,
+    /// What happened.
+    pub kind: ChangeKind,
+    /// The object after the change; before it for a deletion, with the
+    /// version of the deletion.
+    pub object: Value,
+}
+
+/// One page of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page {
+    /// Objects in the order of namespace and name.
+    pub items: Vec<Value>,
+    /// Version of the store that every page of this list shows.
+    pub version: u64,
+    /// Token of the next page, if there is one.
+    pub continue_token: Option<String>,
+}
+
+type Objects = BTreeMap<ObjectPath, Value>;
+
+/// Objects with versions, in memory.
+#[derive(Clone, Debug, Default)]
+pub struct ObjectStore {
+    version: u64,
+    objects: Objects,
+    /// Objects as they were at `compacted`.
+    base: Objects,
+    /// Version before which no change is known any more.
+    compacted: u64,
+    /// Changes above `compacted`, in the order of their versions.
+    changes: Vec<StoreChange>,
+    next_uid: u64,
+}
+
+impl ObjectStore {
+    /// An empty store at version 1, as 0 means "any" in requests.
+    pub fn new() -> Self {
+        ObjectStore {
+            version: 1,
+            compacted: 1,
+            ..ObjectStore::default()
+        }
+    }
+
+    /// Version of the last change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// There is none.
+    pub fn get(&self, path: &ObjectPath) -> Result<&Value, ApiError> {
+        self.objects
+            .get(path)
+            .ok_or_else(|| ApiError::not_found(path))
+    }
+
+    /// Lists a page of at most `limit` objects.
+    ///
+    /// # Errors
+    ///
+    /// The token cannot be read, or its version was compacted.
+    pub fn list(
+        &self,
+        collection: &Collection,
+        limit: Option<usize>,
+        continue_token: Option<&str>,
+    ) -> Result<Page, ApiError> {
+        let (version, after) = match continue_token {
+            Some(token) => parse_token(token)?,
+            None => (self.version, None),
+        };
+        let objects = self.objects_at(version)?;
+        let comes_after = |path: &ObjectPath| {
+            let position = (path.namespace.clone(), path.name.clone());
+            after.as_ref().is_none_or(|after| position > *after)
+        };
+        let mut matching = objects
+            .iter()
+            .filter(|(path, _)| collection.contains(path) && comes_after(path));
+        let limit = limit.unwrap_or(usize::MAX).max(1);
+        let page: Vec<(&ObjectPath, &Value)> = matching.by_ref().take(limit).collect();
+        let last = page.last().map(|(path, _)| *path);
+        let continue_token = match (matching.next(), last) {
+            (Some(_), Some(last)) => Some(format!("{version}:{}/{}", last.namespace, last.name)),
+            _ => None,
+        };
+        Ok(Page {
+            items: page.into_iter().map(|(_, object)| object.clone()).collect(),
+            version,
+            continue_token,
+        })
+    }
+
+    /// Changes of a collection above a version.
+    ///
+    /// # Errors
+    ///
+    /// The version was compacted, or lies ahead of the store.
+    pub fn changes_after(
+        &self,
+        collection: &Collection,
+        version: u64,
+    ) -> Result<Vec<&StoreChange>, ApiError> {
+        if version < self.compacted {
+            return Err(ApiError::gone(version, self.compacted));
+        }
+        if version > self.version {
+            return Err(ApiError::too_large_version(version, self.version));
+        }
+        let start = self
+            .changes
+            .partition_point(|change| change.version <= version);
+        let of_collection = |change: &&StoreChange| collection.contains(&change.path);
+        Ok(self.changes[start..].iter().filter(of_collection).collect())
+    }
+
+    /// Carries a write out. Gives the object afterwards.
+    ///
+    /// # Errors
+    ///
+    /// A condition of the write does not hold; the store is as before.
+    pub fn write(&mut self, write: &Write) -> Result<Value, ApiError> {
+        match &write.target {
+            WriteTarget::Create => self.create(write),
+            WriteTarget::Spec => self.replace(write, replaced_spec),
+            WriteTarget::Status => self.replace(write, replaced_status),
+            WriteTarget::Delete => self.delete(write),
+        }
+    }
+
+    fn create(&mut self, write: &Write) -> Result<Value, ApiError> {
+        if self.objects.contains_key(&write.path) {
+            return Err(ApiError::already_exists(&write.path));
+        }
+        if metadata_text(&write.object, "resourceVersion").is_some() {
+            let message = "resourceVersion must not be set on a new object";
+            return Err(ApiError::bad_request(message));
+        }
+        let mut object = write.object.clone();
+        if let Some(fields) = object.as_object_mut() {
+            // Status is written through its own path only.
+            fields.remove("status");
+        }
+        self.next_uid += 1;
+        object["metadata"]["uid"] = json!(uid(self.next_uid));
+        object["metadata"]["generation"] = json!(1);
+        object["metadata"]["creationTimestamp"] = json!(write.time);
+        Ok(self.commit(write.path.clone(), ChangeKind::Added, object))
+    }
+
+    fn replace(
+        &mut self,
+        write: &Write,
+        merge: fn(&Value, &Value) -> Value,
+    ) -> Result<Value, ApiError> {
+        let current = self.get(&write.path)?;
+        check_conditions(&write.path, current, &write.object)?;
+        let next = merge(current, &write.object);
+        // A write that changes nothing makes no version, as in the real API.
+        if next == *current {
+            return Ok(next);
+        }
+        Ok(self.commit(write.path.clone(), ChangeKind::Modified, next))
+    }
+
+    fn delete(&mut self, write: &Write) -> Result<Value, ApiError> {
+        let current = self.get(&write.path)?;
+        check_conditions(&write.path, current, &write.object)?;
+        let last = current.clone();
+        Ok(self.commit(write.path.clone(), ChangeKind::Deleted, last))
+    }
+
+    fn commit(&mut self, path: ObjectPath, kind: ChangeKind, mut object: Value) -> Value {
+        self.version += 1;
+        object["metadata"]["resourceVersion"] = json!(self.version.to_string());
+        match kind {
+            ChangeKind::Deleted => self.objects.remove(&path),
+            ChangeKind::Added | ChangeKind::Modified => {
+                self.objects.insert(path.clone(), object.clone())
+            }
+        };
+        self.changes.push(StoreChange {
+            version: self.version,
+            path,
+            kind,
+            object: object.clone(),
+        });
+        self.bound_changes();
+        object
+    }
+
+    fn bound_changes(&mut self) {
+        if self.changes.len() > MAX_CHANGES {
+            let middle = self.changes[MAX_CHANGES / 2].version;
+            self.compact(middle);
+        }
+    }
+
+    /// Forgets the changes up to a version; watches from before it end with
+    /// 410.
+    pub fn compact(&mut self, version: u64) {
+        let version = version.min(self.version);
+        if version <= self.compacted {
+            return;
+        }
+        let kept = self
+            .changes
+            .partition_point(|change| change.version <= version);
+        for change in self.changes.drain(..kept) {
+            apply(&mut self.base, &change);
+        }
+        self.compacted = version;
+    }
+
+    /// Goes back to the state of an earlier version, as a store does that is
+    /// restored from a backup. With `bump` the versions go on that much above
+    /// the highest there was, and older watches end with 410; without it they
+    /// are used a second time.
+    ///
+    /// # Errors
+    ///
+    /// The version was compacted or lies ahead.
+    pub fn restore(&mut self, version: u64, bump: Option<u64>) -> Result<(), ApiError> {
+        let objects = self.objects_at(version)?;
+        let highest = self.version;
+        self.changes.retain(|change| change.version <= version);
+        self.objects = objects;
+        self.version = version;
+        if let Some(bump) = bump {
+            self.version = highest + bump;
+            self.compact(self.version);
+        }
+        Ok(())
+    }
+
+    fn objects_at(&self, version: u64) -> Result<Objects, ApiError> {
+        if version < self.compacted {
+            return Err(ApiError::gone(version, self.compacted));
+        }
+        if version > self.version {
+            return Err(ApiError::too_large_version(version, self.version));
+        }
+        if version == self.version {
+            return Ok(self.objects.clone());
+        }
+        let mut objects = self.base.clone();
+        let up_to = |change: &&StoreChange| change.version <= version;
+        for change in self.changes.iter().take_while(up_to) {
+            apply(&mut objects, change);
+        }
+        Ok(objects)
+    }
+}
+
+fn apply(objects: &mut Objects, change: &StoreChange) {
+    match change.kind {
+        ChangeKind::Deleted => objects.remove(&change.path),
+        ChangeKind::Added | ChangeKind::Modified => {
+            objects.insert(change.path.clone(), change.object.clone())
+        }
+    };
+}
+
+/// The object with a new specification and metadata, and its status as it is.
+/// Only a change of the specification makes a new generation.
+fn replaced_spec(current: &Value, wanted: &Value) -> Value {
+    let mut next = wanted.clone();
+    let fields = ["uid", "generation", "creationTimestamp", "resourceVersion"];
+    for field in fields {
+        next["metadata"][field] = current["metadata"][field].clone();
+    }
+    if let Some(fields) = next.as_object_mut() {
+        fields.remove("status");
+    }
+    if let Some(status) = current.get("status") {
+        next["status"] = status.clone();
+    }
+    if current.get("spec") != wanted.get("spec") {
+        let generation = current["metadata"]["generation"].as_i64();
+        next["metadata"]["generation"] = json!(generation.unwrap_or_default() + 1);
+    }
+    next
+}
+
+/// The object with a new status and all else as it is.
+fn replaced_status(current: &Value, wanted: &Value) -> Value {
+    let mut next = current.clone();
+    match wanted.get("status") {
+        Some(status) => next["status"] = status.clone(),
+        None => {
+            next.as_object_mut()
+                .and_then(|fields| fields.remove("status"));
+        }
+    }
+    next
+}
+
+/// A version or an identity that the writer names has to be the current one.
+fn check_conditions(path: &ObjectPath, current: &Value, wanted: &Value) -> Result<(), ApiError> {
+    for field in ["resourceVersion", "uid"] {
+        let expected = metadata_text(wanted, field);
+        if expected.is_some() && expected != metadata_text(current, field) {
+            return Err(ApiError::conflict(path));
+        }
+    }
+    Ok(())
+}
+
+fn parse_token(token: &str) -> Result<(u64, Option<(String, String)>), ApiError> {
+    let parts = token.split_once(':').and_then(|(version, rest)| {
+        let (namespace, name) = rest.split_once('/')?;
+        let after = (namespace.to_owned(), name.to_owned());
+        Some((version.parse().ok()?, Some(after)))
+    });
+    parts.ok_or_else(|| ApiError::bad_request(format!("continue: '{token}' is not a token")))
+}
+
+fn uid(number: u64) -> String {
+    format!("00000000-0000-4000-8000-{number:012x}")
+}
