Add the placement planner: assignments, moves, splits and merges

Nothing decided which back end should own which slice. The planner follows the group's records and the load reports, and proposes actions that the state machine checks by epoch. It keeps, for each service, the unowned slices, what each back end holds ordered by rate for each key, and what is on its way, so that a plan visits what changed.

--- /dev/null
+++ b/crates/placement/src/observe.rs
@@ -0,0 +1,95 @@
+//! Following the group's records.
+
+use std::sync::Arc;
+
+use threadledge_types::records::{RecordChange, ServiceRecord, SliceRecord};
+use threadledge_types::{BackEndId, ServiceId};
+
+use crate::planner::Planner;
+use crate::service::ServiceState;
+
+impl Planner {
+    /// Follows one change of the group's records, in the order of the log.
+    pub fn observe(&mut self, change: &RecordChange) {
+        match change {
+            RecordChange::Service(record) => self.observe_service(record),
+            RecordChange::ServiceRemoved(id) => self.forget_service(id),
+            RecordChange::BackEnd(record) => {
+                self.directory.put_record(record.clone());
+                self.refresh_back_end(&record.id);
+            }
+            RecordChange::BackEndRemoved(id) => {
+                self.directory.remove_record(id);
+                self.refresh_back_end(id);
+            }
+            RecordChange::Session(session) => {
+                self.directory.put_session(session, self.now);
+                self.refresh_back_end(&session.id.back_end);
+            }
+            RecordChange::SessionRemoved(session) => {
+                self.directory.remove_session(session);
+                self.reported_at.remove(&session.back_end);
+                self.refresh_back_end(&session.back_end);
+            }
+            RecordChange::Slice(record) => self.observe_slice(record),
+            RecordChange::SliceRemoved(key) => {
+                if let Some(state) = self.services.get_mut(&key.service) {
+                    state.remove_slice(key.first, self.now);
+                }
+                self.mark_dirty(&key.service);
+            }
+        }
+    }
+
+    fn observe_service(&mut self, record: &ServiceRecord) {
+        match self.services.get_mut(&record.id) {
+            Some(state) => state.change(record),
+            None => {
+                let state = ServiceState::new(record);
+                self.services.insert(Arc::clone(&state.id), state);
+            }
+        }
+        self.refresh_service(&record.id);
+        self.mark_dirty(&record.id);
+    }
+
+    fn observe_slice(&mut self, record: &SliceRecord) {
+        let Some(state) = self.services.get_mut(&record.service) else {
+            return;
+        };
+        let directory = &self.directory;
+        state.put_slice(record, |id| directory.share(id), self.now);
+        self.mark_dirty(&record.service);
+    }
+
+    /// Evaluates one service's selector against the back ends of its
+    /// namespace, and against those that hold its slices.
+    fn refresh_service(&mut self, id: &ServiceId) {
+        let Some(state) = self.services.get_mut(id) else {
+            return;
+        };
+        for entry in self.directory.in_namespace(&id.namespace) {
+            self.work.back_ends += 1;
+            state.refresh_receiver(&entry.id, Some(entry));
+        }
+    }
+
+    /// Evaluates the selectors of one namespace against one back end.
+    fn refresh_back_end(&mut self, id: &BackEndId) {
+        let start = ServiceId::new(&id.namespace, "");
+        let mut affected = Vec::new();
+        let entry = self.directory.get(id);
+        for (service, state) in self.services.range_mut::<ServiceId, _>(start..) {
+            if service.namespace != id.namespace {
+                break;
+            }
+            self.work.back_ends += 1;
+            if state.refresh_receiver(id, entry) {
+                affected.push(Arc::clone(service));
+            }
+        }
+        for service in affected {
+            self.mark_dirty(&service);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/settings.rs
@@ -0,0 +1,49 @@
+//! Settings of the planner that are the same for every service.
+
+use std::time::Duration;
+
+/// Time constants and bounds. What partners may set for each service is in
+/// [`threadledge_types::objects::PlacementPolicy`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannerSettings {
+    /// A slice with a proposal is left alone for this long, unless its record
+    /// changes first.
+    pub proposal_timeout: Duration,
+    /// Time constant of the smoothing of reported rates.
+    pub smoothing: Duration,
+    /// A reported absence of load counts only this long after a slice changed
+    /// hands, because reports lag.
+    pub report_lag: Duration,
+    /// Imbalance must last this long before slices move for it.
+    pub sustain: Duration,
+    /// Shortest interval between two balance checks of one service.
+    pub check_interval: Duration,
+    /// A slice that changed hands is not moved for balance for this long.
+    pub settle: Duration,
+    /// A session younger than this counts as cold.
+    pub warm_up: Duration,
+    /// Moves that may run at once away from one back end that is leaving.
+    pub evacuations_per_back_end: usize,
+    /// Moves that may run at once in one service for balance.
+    pub balancing_moves: usize,
+    /// Neighbouring slices are merged only when both have been unchanged for
+    /// this long.
+    pub merge_after: Duration,
+}
+
+impl Default for PlannerSettings {
+    fn default() -> Self {
+        PlannerSettings {
+            proposal_timeout: Duration::from_secs(3),
+            smoothing: Duration::from_secs(10),
+            report_lag: Duration::from_secs(3),
+            sustain: Duration::from_secs(5),
+            check_interval: Duration::from_secs(1),
+            settle: Duration::from_secs(30),
+            warm_up: Duration::from_secs(10),
+            evacuations_per_back_end: 32,
+            balancing_moves: 8,
+            merge_after: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/slices.rs
@@ -0,0 +1,199 @@
+//! The slices of one service, as recorded, with their smoothed rates.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use threadledge_types::{BackEndId, Epoch, Incarnation, Point, Slice, Timestamp};
+
+use crate::weight::{Weight, length};
+
+/// One slice.
+#[derive(Clone, Debug)]
+pub(crate) struct SliceState {
+    pub last: Point,
+    pub epoch: Epoch,
+    pub owner: Option<Owner>,
+    /// Who owned it last, while nobody does.
+    pub previous: Option<Arc<BackEndId>>,
+    pub next: Option<Arc<BackEndId>>,
+    pub load: SliceLoad,
+    /// When its owner or bounds last changed.
+    pub changed_at: Timestamp,
+    /// When it last went from one owner to another.
+    pub moved_at: Timestamp,
+}
+
+/// Owner of a slice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Owner {
+    pub back_end: Arc<BackEndId>,
+    pub incarnation: Incarnation,
+}
+
+/// Smoothed load of a slice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SliceLoad {
+    /// Micro-requests a second.
+    pub rate: u64,
+    /// The key that stands out, and its part of `rate`.
+    pub hottest: Option<(Point, u64)>,
+}
+
+impl SliceState {
+    pub(crate) fn slice(&self, first: Point) -> Slice {
+        Slice {
+            first,
+            last: self.last,
+        }
+    }
+
+    pub(crate) fn weight(&self, first: Point) -> Weight {
+        Weight::of(self.slice(first), self.load.rate)
+    }
+}
+
+impl SliceLoad {
+    /// Divides the load of `whole` between its part below `at` and the rest:
+    /// the hot key goes with its side, everything else by length.
+    pub(crate) fn divide(self, whole: Slice, at: Point) -> (SliceLoad, SliceLoad) {
+        let hot_rate = self.hottest.map_or(0, |(_, rate)| rate.min(self.rate));
+        let spread = self.rate - hot_rate;
+        let low_length = u128::from(at.0 - whole.first.0);
+        let low_spread = (u128::from(spread) * low_length / length(whole)) as u64;
+        let mut low = SliceLoad {
+            rate: low_spread,
+            hottest: None,
+        };
+        let mut high = SliceLoad {
+            rate: spread - low_spread,
+            hottest: None,
+        };
+        if let Some((point, _)) = self.hottest {
+            let side = if point < at { &mut low } else { &mut high };
+            side.rate += hot_rate;
+            side.hottest = Some((point, hot_rate));
+        }
+        (low, high)
+    }
+
+    /// Joins the loads of two neighbours.
+    pub(crate) fn join(self, other: SliceLoad) -> SliceLoad {
+        let hottest = [self.hottest, other.hottest]
+            .into_iter()
+            .flatten()
+            .max_by_key(|(_, rate)| *rate);
+        SliceLoad {
+            rate: self.rate.saturating_add(other.rate),
+            hottest,
+        }
+    }
+}
+
+/// All slices of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SliceTable {
+    slices: BTreeMap<Point, SliceState>,
+    by_length: BTreeSet<(u128, Point)>,
+    /// Loads of parts whose own record has not been seen yet (splits) or of
+    /// slices that were removed before their neighbour grew (merges).
+    loose_loads: BTreeMap<Point, SliceLoad>,
+    /// Sum over all slices.
+    total: Weight,
+}
+
+impl SliceTable {
+    pub(crate) fn get(&self, first: Point) -> Option<&SliceState> {
+        self.slices.get(&first)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.slices.len()
+    }
+
+    pub(crate) fn total(&self) -> Weight {
+        self.total
+    }
+
+    pub(crate) fn insert(&mut self, first: Point, state: SliceState) {
+        let weight = state.weight(first);
+        self.total += weight;
+        self.by_length.insert((weight.length, first));
+        self.slices.insert(first, state);
+    }
+
+    pub(crate) fn remove(&mut self, first: Point) -> Option<SliceState> {
+        let state = self.slices.remove(&first)?;
+        let weight = state.weight(first);
+        self.total -= weight;
+        self.by_length.remove(&(weight.length, first));
+        Some(state)
+    }
+
+    /// Replaces the load of a slice.
+    pub(crate) fn set_load(&mut self, first: Point, load: SliceLoad) {
+        if let Some(state) = self.slices.get_mut(&first) {
+            self.total.rate = self.total.rate.saturating_sub(state.load.rate);
+            self.total.rate = self.total.rate.saturating_add(load.rate);
+            state.load = load;
+        }
+    }
+
+    /// The slice after the one that ends at `last`.
+    pub(crate) fn after(&self, last: Point) -> Option<(Point, &SliceState)> {
+        let first = Point(last.0.checked_add(1)?);
+        self.slices.get(&first).map(|state| (first, state))
+    }
+
+    /// The slice that ends before `first`.
+    pub(crate) fn before(&self, first: Point) -> Option<(Point, &SliceState)> {
+        self.slices
+            .range(..first)
+            .next_back()
+            .map(|(point, state)| (*point, state))
+    }
+
+    /// Slices from the shortest on.
+    pub(crate) fn shortest_first(&self) -> impl Iterator<Item = (u128, Point)> + '_ {
+        self.by_length.iter().copied()
+    }
+
+    /// Load that a slice has now that it reaches from `slice.first` to
+    /// `slice.last` and was `old` before.
+    pub(crate) fn carry_load(
+        &mut self,
+        slice: Slice,
+        old: Option<(Point, SliceLoad)>,
+    ) -> SliceLoad {
+        match old {
+            Some((old_last, load)) if slice.last < old_last => {
+                let whole = Slice {
+                    first: slice.first,
+                    last: old_last,
+                };
+                let at = Point(slice.last.0 + 1);
+                let (low, high) = load.divide(whole, at);
+                self.loosen(at, high);
+                low
+            }
+            Some((_, load)) => load.join(self.take_loose(slice)),
+            None => self.take_loose(slice),
+        }
+    }
+
+    /// Keeps the load of a part for the record that will cover it.
+    pub(crate) fn loosen(&mut self, first: Point, load: SliceLoad) {
+        self.loose_loads.insert(first, load);
+    }
+
+    fn take_loose(&mut self, slice: Slice) -> SliceLoad {
+        let covered: Vec<Point> = self
+            .loose_loads
+            .range(slice.first..=slice.last)
+            .map(|(point, _)| *point)
+            .collect();
+        covered
+            .into_iter()
+            .filter_map(|point| self.loose_loads.remove(&point))
+            .fold(SliceLoad::default(), SliceLoad::join)
+    }
+}
