--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -3,6 +3,8 @@
 //! Deterministic: members that applied the same entries hold the same state.
 //! The cost of a command follows what it changes, not what exists.
 
+mod boundaries;
+mod edit;
 mod entries;
 mod objects;
 mod read;
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -138,9 +138,14 @@
         log
     }
 
+    /// The slices of service `s`.
+    pub fn slices(&self) -> Vec<SliceRecord> {
+        self.machine.slices(&service_id("s")).collect()
+    }
+
     /// The only slice of service `s`.
     pub fn only_slice(&self) -> SliceRecord {
-        let mut slices = self.machine.slices(&service_id("s"));
+        let mut slices = self.slices().into_iter();
         slices.next().expect("a slice")
     }
 
