Test net on loopback, and mend what the tests found

Cause: async-h1's decoders kept 4 KB of header slots inside the futures, so that an exchange overflowed a test's stack in a debug build; a content type was made up for messages without one; repeated headers were merged away.

--- a/crates/net/src/convert.rs
+++ b/crates/net/src/convert.rs
@@ -38,14 +38,14 @@
     let url = Url::parse(&format!("http://{host}{target}"))
         .map_err(|_| ConvertError::Target(target.to_owned()))?;
     let mut converted = Request::new(method, url);
-    if !body.is_empty() {
-        converted.set_body(Body::from_bytes(body));
-    }
     for (name, value) in &parts.headers {
         let text = value
             .to_str()
             .map_err(|_| ConvertError::HeaderValue(name.to_string()))?;
-        converted.insert_header(name.as_str(), text);
+        converted.append_header(name.as_str(), text);
+    }
+    if !body.is_empty() {
+        converted.set_body(Body::from_bytes(body));
     }
     Ok(converted)
 }
--- a/crates/net/src/head.rs
+++ b/crates/net/src/head.rs
@@ -137,6 +137,16 @@
     value.filter(|value| *value <= usize::MAX as u64 / 2)
 }
 
+/// Whether a header of this name stands in the bytes of a head. http-types
+/// cannot tell: it adds a content type of its own to every body.
+pub(crate) fn has_header(head: &[u8], name: &str) -> bool {
+    head.split(|byte| *byte == b'\n').any(|line| {
+        let found = line.get(..name.len());
+        let named = found.is_some_and(|found| found.eq_ignore_ascii_case(name.as_bytes()));
+        named && line.get(name.len()) == Some(&b':')
+    })
+}
+
 /// Whether a `Connection` header names `option`.
 pub(crate) fn connection_has(headers: &Headers, option: &str) -> bool {
     headers
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -60,7 +60,7 @@
         for _ in 0..=MAX_INTERIM {
             let mut search = HeadSearch::default();
             let length = poll_fn(|context| self.poll_head(&mut search, context)).await?;
-            let head = response::parse(&self.wire.unread()[..length], self.method).await?;
+            let head = response::parse(&self.wire.unread()[..length], self.method)?;
             self.wire.consume(length);
             if !head.is_interim() {
                 return Ok(head);
@@ -140,6 +140,7 @@
             mut response,
             body,
             length,
+            typed,
             closes,
         } = head;
         let reusable = self.whole_request_sent && !closes;
@@ -149,7 +150,6 @@
             }
             Returned::Clean(_) | Returned::Unfinished(_) | Returned::Broken(_) => give_back(None),
         };
-        let typed = response.header(CONTENT_TYPE).is_some();
         match body {
             Some(decoder) => {
                 let reader = BodyReader::new(self.wire, decoder, u64::MAX, pace, Box::new(finish));
--- a/crates/net/src/pool/response.rs
+++ b/crates/net/src/pool/response.rs
@@ -1,5 +1,6 @@
 //! Reads and checks the head of a response.
 
+use futures::FutureExt;
 use http_types::headers::DATE;
 use http_types::{Method, Response, StatusCode};
 
@@ -15,6 +16,8 @@
     pub(super) body: Option<BodyDecoder>,
     /// Length that the head tells, also of a body that does not follow.
     pub(super) length: Option<usize>,
+    /// Whether the peer told a content type.
+    pub(super) typed: bool,
     /// The peer closes the connection after this response.
     pub(super) closes: bool,
 }
@@ -26,11 +29,14 @@
     }
 }
 
-/// Parses a whole head.
-pub(super) async fn parse(head: &[u8], method: Method) -> Result<ResponseHead, ExchangeFault> {
+/// Parses a whole head. Not async, so that the large buffers of async-h1 stay
+/// out of the futures that are kept.
+pub(super) fn parse(head: &[u8], method: Method) -> Result<ResponseHead, ExchangeFault> {
     head::check_bytes(head).map_err(malformed)?;
+    // The bytes are all here, so that this never waits.
     let mut response = async_h1::client::decode(HeadBytes::new(head))
-        .await
+        .now_or_never()
+        .ok_or_else(|| malformed("the head is incomplete"))?
         .map_err(|error| ExchangeFault::Malformed(error.to_string()))?;
     remove_made_up_date(&mut response);
     let status = response.status();
@@ -50,6 +56,7 @@
         closes: head::connection_has(response.as_ref(), "close"),
         body: if bodiless { None } else { framing },
         length,
+        typed: head::has_header(head, "content-type"),
         response,
     })
 }
--- a/crates/net/src/server/connection.rs
+++ b/crates/net/src/server/connection.rs
@@ -158,7 +158,7 @@
             }
             Ok(Ok(length)) => length,
         };
-        let head = request::parse(&wire.unread()[..length], self.limits.max_body_bytes).await?;
+        let head = request::parse(&wire.unread()[..length], self.limits.max_body_bytes)?;
         wire.consume(length);
         Ok(Some(head))
     }
@@ -199,7 +199,7 @@
 
     fn attach_body(&self, wire: Wire, head: RequestHead) -> (Request, Caller) {
         let mut request = head.request;
-        let typed = request.header(CONTENT_TYPE).is_some();
+        let typed = head.typed;
         let Some(decoder) = head.body else {
             request.set_body(Body::empty());
             untype(&mut request, typed);
--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -51,7 +51,7 @@
     H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let server = Server {
+    let mut server = Server {
         limits: Arc::new(limits),
         stop,
         tracker: Tracker::new(),
@@ -75,7 +75,7 @@
     H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    async fn accept_until_stopped(&self, listener: &TcpListener) {
+    async fn accept_until_stopped(&mut self, listener: &TcpListener) {
         let mut stopped = self.stop.stopped();
         loop {
             let mut accept = pin!(listener.accept());
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -1,5 +1,6 @@
 //! Reads and checks the head of a request.
 
+use futures::FutureExt;
 use http_types::headers::{EXPECT, HOST};
 use http_types::{Method, Request, Response, StatusCode, Version};
 use threadledge_types::NotRunReason;
@@ -45,17 +46,21 @@
     pub(super) request: Request,
     /// How the body is framed; `None` when there is none.
     pub(super) body: Option<BodyDecoder>,
+    /// Whether the caller told a content type.
+    pub(super) typed: bool,
     /// The caller closes the connection after this request.
     pub(super) closes: bool,
     /// The caller waits for `100 Continue` before it sends the body.
     pub(super) expects_continue: bool,
 }
 
-/// Parses a whole head.
-pub(super) async fn parse(head: &[u8], max_body_bytes: u64) -> Result<RequestHead, RequestFault> {
+/// Parses a whole head. Not async, so that the large buffers of async-h1 stay
+/// out of the futures that are kept.
+pub(super) fn parse(head: &[u8], max_body_bytes: u64) -> Result<RequestHead, RequestFault> {
     head::check_bytes(head).map_err(malformed)?;
-    let decoded = async_h1::server::decode(HeadBytes::new(head)).await;
-    let request = match decoded {
+    // The bytes are all here, so that this never waits.
+    let decoded = async_h1::server::decode(HeadBytes::new(head)).now_or_never();
+    let request = match decoded.unwrap_or(Ok(None)) {
         Ok(Some((request, _body))) => request,
         Ok(None) => return Err(malformed("the head is incomplete")),
         Err(error) => return Err(RequestFault::Malformed(error.to_string())),
@@ -75,6 +80,7 @@
         closes: head::connection_has(request.as_ref(), "close"),
         body: body.filter(|body| !body.is_at_end()),
         expects_continue,
+        typed: head::has_header(head, "content-type"),
         request,
     })
 }
--- /dev/null
+++ b/crates/net/tests/client.rs
@@ -0,0 +1,171 @@
+//! Calls with JSON bodies, their typed failures and answers by lines.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use http_types::{Request, Response};
+use serde::{Deserialize, Serialize};
+use support::{SAFETY, TestServer, peer_with_script, quick_limits, within};
+use threadledge_net::{ClientError, ConnectionInfo, HttpClient, PoolSettings};
+
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Number {
+    number: u64,
+}
+
+async fn add_one(mut request: Request, _connection: ConnectionInfo) -> Response {
+    let Ok(Number { number }) = request.body_json().await else {
+        return Response::new(422);
+    };
+    let mut response = Response::new(200);
+    let number = number + 1;
+    response.set_body(serde_json::to_vec(&Number { number }).unwrap());
+    response
+}
+
+async fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[async_std::test]
+async fn json_goes_out_and_comes_back() {
+    let server = TestServer::start(quick_limits(), add_one).await;
+    let client = HttpClient::default();
+    for number in 0..20 {
+        let answer: Number = client
+            .post_json(server.address, "/add", &Number { number }, SAFETY)
+            .await
+            .unwrap();
+        assert_eq!(answer.number, number + 1);
+    }
+    assert_eq!(server.finish().await.connections, 1);
+}
+
+#[async_std::test]
+async fn a_request_of_the_http_crate_keeps_its_headers_both_ways() {
+    let handler = |request: Request, _connection: ConnectionInfo| async move {
+        let mut response = Response::new(409);
+        for name in ["x-many", "accept"] {
+            for value in request.header(name).unwrap().iter() {
+                response.append_header(name, value.as_str());
+            }
+        }
+        response.set_body(request.url().query().unwrap_or("").to_owned());
+        response
+    };
+    let server = TestServer::start(quick_limits(), handler).await;
+    let request = http::Request::get("/path?a=1&b=%20")
+        .header("x-many", "one")
+        .header("x-many", "two")
+        .header("accept", "application/json")
+        .body(Vec::new())
+        .unwrap();
+    let client = HttpClient::default();
+    let response = client.send(server.address, request, SAFETY).await.unwrap();
+    assert_eq!(response.status(), 409);
+    let many: Vec<_> = response.headers().get_all("x-many").iter().collect();
+    assert_eq!(many, ["one", "two"]);
+    assert_eq!(response.body(), b"a=1&b=%20");
+    server.finish().await;
+}
+
+#[async_std::test]
+async fn failures_tell_whether_the_request_may_have_been_received() {
+    let client = HttpClient::default();
+    let call = async |address, timeout| {
+        let got: Result<Number, ClientError> = client.get_json(address, "/", timeout).await;
+        got.unwrap_err()
+    };
+
+    let error = call(dead_address().await, SAFETY).await;
+    assert!(matches!(error, ClientError::Connect { .. }), "{error}");
+    assert!(!error.may_have_been_received());
+
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let short = Duration::from_millis(50);
+    let error = call(silent.local_addr().unwrap(), short).await;
+    assert!(
+        matches!(error, ClientError::Timeout { sent: true, .. }),
+        "{error}"
+    );
+    assert!(error.may_have_been_received());
+
+    let closes = peer_with_script(vec![Vec::new()]).await;
+    let error = call(closes, SAFETY).await;
+    assert!(matches!(error, ClientError::Broken(_)), "{error}");
+    assert!(error.may_have_been_received());
+
+    let conflict = "HTTP/1.1 409 Conflict\r\ncontent-length: 4\r\n\r\nwhy?";
+    let error = call(peer_with_script(vec![conflict.into()]).await, SAFETY).await;
+    assert_eq!(error.answered_status(), Some((409, &b"why?"[..])));
+
+    let no_json = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{]";
+    let error = call(peer_with_script(vec![no_json.into()]).await, SAFETY).await;
+    assert!(matches!(error, ClientError::Body(_)), "{error}");
+}
+
+#[async_std::test]
+async fn an_answer_above_the_limit_is_refused() {
+    let client = HttpClient::new(PoolSettings {
+        max_body_bytes: 4,
+        ..PoolSettings::default()
+    });
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n12345";
+    let peer = peer_with_script(vec![answer.into()]).await;
+    let got: Result<u64, _> = client.get_json(peer, "/", SAFETY).await;
+    assert!(matches!(
+        got,
+        Err(ClientError::AnswerTooLarge { limit: 4, .. })
+    ));
+}
+
+#[async_std::test]
+async fn lines_come_one_by_one_and_an_answer_cut_short_is_an_error() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let one = "f\r\n{\"number\":1}\n{\"\r\n";
+    let two = "a\r\nnumber\":2}\r\n1\r\n\n\r\n";
+    let whole = format!("{head}{one}{two}0\r\n\r\n");
+    let cut = format!("{head}{one}{two}");
+    let peer = peer_with_script(vec![whole.into(), cut.into()]).await;
+    let client = HttpClient::default();
+    for ends_well in [true, false] {
+        let mut lines = client.get_json_lines(peer, "/", SAFETY).await.unwrap();
+        for number in [1, 2] {
+            let line: Option<Number> = lines.next(SAFETY).await.unwrap();
+            assert_eq!(line, Some(Number { number }));
+        }
+        let end: Result<Option<Number>, _> = lines.next(SAFETY).await;
+        match end {
+            Ok(None) => assert!(ends_well),
+            Err(ClientError::Broken(_)) => assert!(!ends_well),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[async_std::test]
+async fn waiting_for_a_line_may_be_taken_up_again_after_a_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = HttpClient::default();
+    let peer = async_std::task::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut caller = support::RawCaller::from(stream);
+        support::read_request_head(&mut caller).await;
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        caller.send(format!("{head}4\r\n{{\"nu\r\n")).await;
+        caller
+    });
+    let mut lines = client.get_json_lines(address, "/", SAFETY).await.unwrap();
+    let mut caller = within(peer).await;
+    let short = Duration::from_millis(20);
+    let late: Result<Option<Number>, _> = lines.next(short).await;
+    assert!(matches!(late, Err(ClientError::Timeout { .. })));
+    caller.send("9\r\nmber\":7}\n\r\n0\r\n\r\n").await;
+    let line: Option<Number> = lines.next(SAFETY).await.unwrap();
+    assert_eq!(line, Some(Number { number: 7 }));
+}
--- /dev/null
+++ b/crates/net/tests/pool.rs
@@ -0,0 +1,331 @@
+//! Which exchanges fail at which stage, and which connections are used again.
+
+mod support;
+
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+use async_std::channel::{self, Receiver};
+use async_std::net::TcpListener;
+use futures::AsyncReadExt;
+use http_types::{Body, Method, Request, Response, Url};
+use support::{RawCaller, peer_with_script, read_request_head, soon, within};
+use threadledge_net::{ExchangeError, ExchangeFault, Pool, PoolSettings, Stage};
+
+fn request(address: SocketAddr, method: Method) -> Request {
+    let url = Url::parse(&format!("http://{address}/path?query")).unwrap();
+    Request::new(method, url)
+}
+
+fn get(address: SocketAddr) -> Request {
+    request(address, Method::Get)
+}
+
+fn pool() -> Pool {
+    Pool::new(PoolSettings::default())
+}
+
+async fn read_body(mut response: Response) -> std::io::Result<String> {
+    let mut body = String::new();
+    within(response.read_to_string(&mut body)).await?;
+    Ok(body)
+}
+
+async fn exchange(pool: &Pool, address: SocketAddr) -> Result<Response, ExchangeError> {
+    within(pool.exchange(address, get(address), soon())).await
+}
+
+/// Plays `answer` on every request of every connection, closing after each if
+/// `closes`; reports the number of each connection as it is accepted.
+async fn peer(answer: &'static str, closes: bool) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = channel::unbounded();
+    async_std::task::spawn(async move {
+        let mut number = 0;
+        while let Ok((stream, _)) = listener.accept().await {
+            number += 1;
+            let _ = sender.send(number).await;
+            async_std::task::spawn(async move {
+                let mut caller = RawCaller::from(stream);
+                while read_request_head(&mut caller).await {
+                    caller.send(answer).await;
+                    if closes {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, receiver)
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+#[async_std::test]
+async fn a_clean_connection_is_used_again() {
+    let (address, accepted) = peer(OK, false).await;
+    let pool = pool();
+    for _ in 0..5 {
+        let response = exchange(&pool, address).await.unwrap();
+        assert_eq!(read_body(response).await.unwrap(), "ok");
+    }
+    assert_eq!(accepted.len(), 1);
+    assert_eq!(pool.open_connections(address), (0, 1));
+}
+
+#[async_std::test]
+async fn answers_without_a_body_leave_the_connection_clean() {
+    let script = [
+        (
+            Method::Head,
+            "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n",
+        ),
+        (Method::Get, "HTTP/1.1 204 No Content\r\n\r\n"),
+        (
+            Method::Get,
+            "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n",
+        ),
+        (
+            Method::Get,
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        ),
+        (
+            Method::Get,
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        ),
+    ];
+    for (method, answer) in script {
+        let (address, _accepted) = peer(answer, false).await;
+        let pool = pool();
+        let response = within(pool.exchange(address, request(address, method), soon())).await;
+        assert_eq!(read_body(response.unwrap()).await.unwrap(), "", "{answer}");
+        assert_eq!(pool.open_connections(address), (0, 1), "{answer}");
+    }
+}
+
+#[async_std::test]
+async fn a_connection_that_the_peer_says_it_closes_is_not_kept() {
+    let (address, _) = peer(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok",
+        false,
+    )
+    .await;
+    let pool = pool();
+    let response = exchange(&pool, address).await.unwrap();
+    assert_eq!(read_body(response).await.unwrap(), "ok");
+    assert_eq!(pool.open_connections(address), (0, 0));
+}
+
+#[async_std::test]
+async fn a_connection_closed_while_idle_is_replaced_before_anything_is_sent() {
+    let (address, accepted) = peer(OK, true).await;
+    let pool = pool();
+    for _ in 0..5 {
+        let response = exchange(&pool, address).await.unwrap();
+        assert_eq!(read_body(response).await.unwrap(), "ok");
+    }
+    assert!(accepted.len() > 1);
+}
+
+#[async_std::test]
+async fn bytes_after_an_answer_never_become_the_answer_to_another_request() {
+    let twice = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\none\
+                 HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale";
+    let (address, accepted) = peer(twice, false).await;
+    let pool = pool();
+    for _ in 0..5 {
+        let response = exchange(&pool, address).await.unwrap();
+        assert_eq!(read_body(response).await.unwrap(), "one");
+        assert_eq!(pool.open_connections(address), (0, 0));
+    }
+    assert_eq!(accepted.len(), 5);
+}
+
+#[async_std::test]
+async fn an_abandoned_answer_closes_its_connection() {
+    let (address, accepted) = peer(OK, false).await;
+    let pool = pool();
+    drop(exchange(&pool, address).await.unwrap());
+    assert_eq!(pool.open_connections(address), (0, 0));
+    let mut half_read = exchange(&pool, address).await.unwrap();
+    within(half_read.read_exact(&mut [0; 1])).await.unwrap();
+    drop(half_read);
+    assert_eq!(pool.open_connections(address), (0, 0));
+    exchange(&pool, address).await.unwrap();
+    assert_eq!(accepted.len(), 3);
+}
+
+#[async_std::test]
+async fn an_answer_cut_at_each_byte_is_never_taken_for_whole() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\nx: y\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+    ];
+    for answer in answers {
+        let script = (0..=answer.len()).map(|end| answer[..end].into()).collect();
+        let address = peer_with_script(script).await;
+        let pool = pool();
+        for end in 0..=answer.len() {
+            let whole = end == answer.len();
+            let outcome = match exchange(&pool, address).await {
+                Ok(response) => read_body(response).await.ok(),
+                Err(error) => {
+                    assert!(error.stage.may_have_been_received(), "cut at {end}");
+                    assert_eq!(error.stage == Stage::Sent, end == 0, "cut at {end}");
+                    None
+                }
+            };
+            assert_eq!(outcome.is_some(), whole, "{answer:?} cut at {end}");
+            assert_eq!(pool.open_connections(address).1, usize::from(whole));
+        }
+    }
+}
+
+#[async_std::test]
+async fn malformed_answers_are_refused_and_their_connections_closed() {
+    let answers = [
+        "nonsense\r\n\r\n",
+        "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n\r\nends with the connection",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nok",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 200 OK\ncontent-length: 2\n\nok",
+        "HTTP/1.1 200 OK\r\nx: \u{e9}\r\ncontent-length: 2\r\n\r\nok",
+    ];
+    for answer in answers {
+        let (address, _accepted) = peer(answer, true).await;
+        let pool = pool();
+        let error = exchange(&pool, address).await.expect_err(answer);
+        assert!(error.stage.may_have_been_received(), "{answer}");
+        assert_eq!(pool.open_connections(address), (0, 0), "{answer}");
+    }
+}
+
+#[async_std::test]
+async fn a_head_above_the_limit_is_refused() {
+    let address = peer_with_script(vec![
+        format!("HTTP/1.1 200 OK\r\nx: {}\r\n\r\n", "a".repeat(9_000)).into(),
+    ])
+    .await;
+    let error = exchange(&pool(), address).await.unwrap_err();
+    assert!(
+        matches!(error.fault, ExchangeFault::Malformed(_)),
+        "{error}"
+    );
+}
+
+#[async_std::test]
+async fn no_date_is_made_up_for_an_answer_without_one() {
+    let (address, _accepted) = peer(OK, false).await;
+    let response = exchange(&pool(), address).await.unwrap();
+    let names: Vec<_> = response.header_names().map(|name| name.as_str()).collect();
+    assert_eq!(names, ["content-length"]);
+}
+
+#[async_std::test]
+async fn a_refused_connection_means_that_nothing_was_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = exchange(&pool(), address).await.unwrap_err();
+    assert_eq!(error.stage, Stage::ConnectFailed);
+    assert!(!error.stage.may_have_been_received());
+}
+
+#[async_std::test]
+async fn a_deadline_in_the_past_means_that_nothing_was_sent() {
+    let (address, accepted) = peer(OK, false).await;
+    let pool = pool();
+    let connection = pool.connection(address, soon()).await.unwrap();
+    let past = Instant::now();
+    let error = connection.exchange(get(address), past).await.unwrap_err();
+    assert_eq!(error.stage, Stage::NothingSent);
+    assert_eq!(pool.open_connections(address), (0, 1));
+    assert_eq!(within(accepted.recv()).await.unwrap(), 1);
+}
+
+#[async_std::test]
+async fn a_peer_that_never_answers_may_have_received_the_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = pool();
+    let deadline = Instant::now() + Duration::from_millis(100);
+    let error = pool.exchange(address, get(address), deadline).await;
+    let error = error.unwrap_err();
+    assert_eq!(error.stage, Stage::Sent);
+    assert!(matches!(error.fault, ExchangeFault::DeadlinePassed));
+    assert_eq!(pool.open_connections(address), (0, 0));
+}
+
+#[async_std::test]
+async fn connections_stay_below_the_limit_of_their_address() {
+    let (address, _accepted) = peer(OK, false).await;
+    let pool = pool();
+    pool.set_connection_limit(address, 2);
+    let first = pool.connection(address, soon()).await.unwrap();
+    let second = pool.connection(address, soon()).await.unwrap();
+    let error = pool.connection(address, soon()).await.unwrap_err();
+    assert!(matches!(error.fault, ExchangeFault::NoConnectionFree));
+    assert!(!error.stage.may_have_been_received());
+    drop(first);
+    let third = pool.connection(address, soon()).await.unwrap();
+    pool.set_connection_limit(address, 1);
+    drop(third);
+    drop(second);
+    assert_eq!(pool.open_connections(address), (0, 1));
+}
+
+#[async_std::test]
+async fn idle_connections_are_closed_in_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = Pool::new(PoolSettings {
+        idle_timeout: Duration::from_millis(10),
+        ..PoolSettings::default()
+    });
+    drop(pool.connection(address, soon()).await.unwrap());
+    let (mut stream, _) = within(listener.accept()).await.unwrap();
+    assert_eq!(within(stream.read(&mut [0; 1])).await.unwrap(), 0);
+}
+
+#[async_std::test]
+async fn an_early_answer_is_taken_although_the_body_has_not_left_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    async_std::task::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut caller = RawCaller::from(stream);
+        read_request_head(&mut caller).await;
+        caller
+            .send("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 2\r\n\r\nno")
+            .await;
+        caller.stream.shutdown(Shutdown::Write).unwrap();
+        // Reads no further: the request's body cannot leave whole.
+        caller
+    });
+    let pool = pool();
+    let mut request = request(address, Method::Post);
+    request.set_body(Body::from_bytes(vec![b'x'; 64 * 1024 * 1024]));
+    let response = within(pool.exchange(address, request, soon()))
+        .await
+        .unwrap();
+    assert_eq!(u16::from(response.status()), 503);
+    assert_eq!(read_body(response).await.unwrap(), "no");
+    assert_eq!(pool.open_connections(address), (0, 0));
+}
+
+#[async_std::test]
+async fn forgetting_an_address_closes_its_idle_connections() {
+    let (address, _accepted) = peer(OK, false).await;
+    let pool = pool();
+    pool.set_connection_limit(address, 1);
+    let response = exchange(&pool, address).await.unwrap();
+    read_body(response).await.unwrap();
+    pool.forget(address);
+    assert_eq!(pool.open_connections(address), (0, 0));
+}
