Test the data path's decisions in virtual time

The decisions had no tests.

Two faults came out on the way: a deadline that passed while waiting gave no Retry-After, and among equals the earliest arrival gave way instead of the latest. Both are mended.

--- a/crates/routing/src/dispatcher/advance.rs
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -192,11 +192,12 @@
         if matches!(exchange.state, State::Queued { .. } | State::Running) {
             exchange.not_run = NotRunReason::DeadlinePassed;
         }
-        let outcome = match exchange.state {
-            State::Delivering { .. } => Outcome::Unknown(UnknownReason::DeadlinePassed),
-            _ => exchange.outcome_without_answer(UnknownReason::DeadlinePassed),
-        };
-        self.end(now, exchange, outcome, None);
+        let late = UnknownReason::DeadlinePassed;
+        if matches!(exchange.state, State::Delivering { .. }) {
+            self.end(now, exchange, Outcome::Unknown(late), None);
+        } else {
+            self.end_without_answer(now, exchange, late);
+        }
     }
 }
 
--- a/crates/routing/src/exchange.rs
+++ b/crates/routing/src/exchange.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::attempt::{AttemptNumber, ExchangeId, Finish};
+use crate::fairness::Yielding;
 use crate::queue::Place;
 use crate::table::{BackEndIndex, OwnerEntry, ServiceIndex};
 
@@ -113,8 +114,8 @@
     }
 
     /// Its place among those of its namespace that give way.
-    pub(crate) fn yielding(&self) -> (Priority, Reverse<Timestamp>, ExchangeId) {
-        (self.priority, Reverse(self.deadline), self.id)
+    pub(crate) fn yielding(&self) -> Yielding {
+        (self.priority, Reverse(self.deadline), Reverse(self.id))
     }
 
     /// Whether something of it may have run.
--- a/crates/routing/src/fairness.rs
+++ b/crates/routing/src/fairness.rs
@@ -16,8 +16,8 @@
 use crate::attempt::ExchangeId;
 
 /// Order in which waiting requests of one namespace give way: lowest priority
-/// first, then the latest deadline.
-type Yielding = (Priority, Reverse<Timestamp>, ExchangeId);
+/// first, then the latest deadline, then the latest arrival.
+pub type Yielding = (Priority, Reverse<Timestamp>, Reverse<ExchangeId>);
 
 /// Settings of the sharing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,13 +185,13 @@
             return None;
         }
         let (_, _, id) = self.holdings.get(namespace)?.waiting.first()?;
-        Some(*id)
+        Some(id.0)
     }
 
     /// Waiting request of the same namespace with a lower priority.
     fn lower_priority(&self, namespace: &str, priority: Priority) -> Option<ExchangeId> {
         let (lowest, _, id) = self.holdings.get(namespace)?.waiting.first()?;
-        (*lowest < priority).then_some(*id)
+        (*lowest < priority).then_some(id.0)
     }
 
     fn change_held(&mut self, namespace: &Arc<str>, change: impl Fn(u32) -> u32) {
--- /dev/null
+++ b/crates/routing/tests/attempt_outcomes.rs
@@ -0,0 +1,76 @@
+//! What attempts say about whether a request ran, exhaustively.
+
+use threadledge_routing::classify::{Ran, Resending, classify, may_send_again};
+use threadledge_routing::{AttemptEvent, AttemptFailure};
+use threadledge_types::session::Refusal;
+use threadledge_types::{NotRunReason, UnknownReason};
+
+const SENT_NOTHING: [AttemptEvent; 2] = [AttemptEvent::ConnectFailed, AttemptEvent::SentNothing];
+
+fn all_resendings() -> impl Iterator<Item = Resending> {
+    (0..16).map(|bits| Resending {
+        repeatable: bits & 1 != 0,
+        body_replayable: bits & 2 != 0,
+        sent: bits & 4 != 0,
+        others_may_have_run: bits & 8 != 0,
+    })
+}
+
+#[test]
+fn nothing_sent_is_believed_only_without_permission_to_send() {
+    for event in SENT_NOTHING {
+        let not_run = Ran::No(NotRunReason::Unreachable);
+        assert_eq!(classify(event, false), not_run);
+        let maybe = Ran::Maybe(UnknownReason::ConnectionLost);
+        assert_eq!(classify(event, true), maybe);
+    }
+}
+
+#[test]
+fn every_refusal_is_a_request_not_run() {
+    for refusal in Refusal::ALL {
+        let ran = classify(AttemptEvent::Refused(refusal), true);
+        assert_eq!(ran, Ran::No(refusal.into()));
+    }
+}
+
+#[test]
+fn a_failure_after_sending_may_have_run() {
+    for failure in [AttemptFailure::ConnectionLost, AttemptFailure::BadAnswer] {
+        for sent in [false, true] {
+            let ran = classify(AttemptEvent::Failed(failure), sent);
+            assert_eq!(ran, Ran::Maybe(failure.into()));
+        }
+    }
+}
+
+#[test]
+fn a_non_repeatable_request_that_may_have_run_is_never_sent_again() {
+    for resending in all_resendings().filter(|resending| !resending.repeatable) {
+        let maybe = Ran::Maybe(UnknownReason::ConnectionLost);
+        assert!(!may_send_again(maybe, resending));
+        let not_run = Ran::No(NotRunReason::WrongOwner);
+        let again = may_send_again(not_run, resending);
+        assert!(!again || !resending.others_may_have_run);
+    }
+}
+
+#[test]
+fn a_body_that_is_spent_is_never_sent_again() {
+    for resending in all_resendings().filter(|it| it.sent && !it.body_replayable) {
+        for ran in [
+            Ran::No(NotRunReason::Overloaded),
+            Ran::Maybe(UnknownReason::BadAnswer),
+        ] {
+            assert!(!may_send_again(ran, resending));
+        }
+    }
+}
+
+#[test]
+fn an_unsent_request_may_always_be_sent_again_if_nothing_else_ran() {
+    for resending in all_resendings().filter(|it| !it.sent && !it.others_may_have_run) {
+        let not_run = Ran::No(NotRunReason::Unreachable);
+        assert!(may_send_again(not_run, resending));
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/common/world.rs
@@ -0,0 +1,472 @@
+//! A world in virtual time around one dispatcher: callers, back ends that
+//! fail in every way, and records that change. It drives the dispatcher as a
+//! shell does, knows the truth about what ran, and checks every promise.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use threadledge_routing::backoff::mix;
+use threadledge_routing::{
+    Attempt, AttemptEvent, AttemptFailure, AttemptNumber, Dispatcher, ExchangeId, Finish,
+    RequestHead, SendDecision, Settings, Step,
+};
+use threadledge_types::objects::{Priority, RouteRule};
+use threadledge_types::records::RecordChange;
+use threadledge_types::session::Refusal;
+use threadledge_types::{Outcome, Point, Slice, Timestamp};
+
+use super::*;
+
+pub const BACK_ENDS: [&str; 3] = ["a/one", "a/two", "b/one"];
+pub const CONNECTIONS: u32 = 4;
+const SERVICES: [(&str, &str); 2] = [("a/s", "a.test"), ("b/s", "b.test")];
+const SLICES: u32 = 8;
+
+/// How often things go wrong, in percent.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub attempts: u64,
+    pub records: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Poll(ExchangeId),
+    Connected(ExchangeId, Box<Attempt>),
+    Report(ExchangeId, AttemptNumber, AttemptEvent),
+    Records(Vec<RecordChange>),
+    HangUp(ExchangeId),
+}
+
+/// What the world knows of one exchange.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    pub repeatable: bool,
+    pub priority: Priority,
+    pub started: Timestamp,
+    pub runs: u32,
+    pub sends: u32,
+    pub delivered: Option<AttemptNumber>,
+    pub answered: BTreeSet<AttemptNumber>,
+    pub finish: Option<(Timestamp, Finish)>,
+    pub hung_up: bool,
+}
+
+pub struct World {
+    pub dispatcher: Dispatcher,
+    pub now: Timestamp,
+    pub known: BTreeMap<ExchangeId, Known>,
+    pub turned_away: u32,
+    pub faults: Faults,
+    /// Time of one answer without queueing, in milliseconds.
+    pub answer_ms: u64,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    numbered: u64,
+    seed: u64,
+    draws: u64,
+    /// Truth about owners: service and slice number to back end, its life and
+    /// the epoch.
+    owners: BTreeMap<(usize, u32), (usize, u64, u64)>,
+    lives: [u64; BACK_ENDS.len()],
+    revision: u64,
+    open: BTreeMap<(ExchangeId, AttemptNumber), String>,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults, settings: Settings) -> Self {
+        let mut world = World {
+            dispatcher: Dispatcher::new(settings, seed, at(0)),
+            now: at(0),
+            known: BTreeMap::new(),
+            turned_away: 0,
+            faults,
+            answer_ms: 6,
+            events: BTreeMap::new(),
+            numbered: 0,
+            seed,
+            draws: 0,
+            owners: BTreeMap::new(),
+            lives: [1; BACK_ENDS.len()],
+            revision: 1,
+            open: BTreeMap::new(),
+        };
+        let records = full(1, world.first_records());
+        world.dispatcher.apply(at(0), &records).expect("first");
+        world.dispatcher.set_accepting(true);
+        world
+    }
+
+    /// A number below `bound`.
+    pub fn draw(&mut self, bound: u64) -> u64 {
+        self.draws += 1;
+        mix(mix(self.seed) ^ self.draws) % bound
+    }
+
+    /// A caller sends a request.
+    pub fn request(&mut self, service: usize, method: &str, path: &str) -> Option<ExchangeId> {
+        let key = self.draw(64);
+        let query = format!("key={key}");
+        let head = RequestHead {
+            method,
+            host: SERVICES[service].1,
+            path,
+            query: Some(&query),
+            headers: &NOTHING,
+            body_replayable: key != 0,
+        };
+        let matched = self.dispatcher.table().match_request(&head).expect("route");
+        let Ok(id) = self.dispatcher.begin(self.now, &head) else {
+            self.turned_away += 1;
+            self.poll_woken();
+            return None;
+        };
+        let known = Known {
+            repeatable: matched.repeatable,
+            priority: matched.priority,
+            started: self.now,
+            ..Known::default()
+        };
+        assert!(
+            self.known.insert(id, known).is_none(),
+            "a number used twice"
+        );
+        self.poll(id);
+        self.poll_woken();
+        Some(id)
+    }
+
+    /// A caller hangs up after a while.
+    pub fn hang_up_later(&mut self, id: ExchangeId, after_ms: u64) {
+        self.schedule(after_ms * 1_000, Event::HangUp(id));
+    }
+
+    /// Lets time pass.
+    pub fn run_until(&mut self, end: Timestamp) {
+        while let Some(entry) = self.events.first_entry() {
+            let time = entry.key().0;
+            if time > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = self.now.max(time);
+            self.handle(event);
+            self.poll_woken();
+        }
+        self.now = self.now.max(end);
+    }
+
+    /// A slice moves, a back end restarts, drains or is lost.
+    pub fn disturb(&mut self) {
+        if self.draw(100) >= self.faults.records {
+            return;
+        }
+        let service = self.draw(2) as usize;
+        let choices: &[usize] = if service == 0 { &[0, 1] } else { &[2] };
+        let back_end = choices[self.draw(choices.len() as u64) as usize];
+        let number = self.draw(u64::from(SLICES)) as u32;
+        match self.draw(4) {
+            0 => self.restart(back_end),
+            1 => self.assign(service, number, None),
+            _ => self.assign(service, number, Some(back_end)),
+        }
+    }
+
+    /// Every exchange has ended in the way it may.
+    pub fn check_ends(&self) {
+        for (id, known) in &self.known {
+            match (&known.finish, known.hung_up) {
+                (Some((_, finish)), _) => check_outcome(*id, known, finish),
+                (None, true) => {}
+                (None, false) => panic!("{id:?} has no outcome: {known:?}"),
+            }
+            assert!(known.repeatable || known.runs <= 1, "{id:?}: {known:?}");
+        }
+        let counters = self.dispatcher.counters();
+        assert_eq!(counters.admitted, self.known.len() as u64);
+        assert_eq!(counters.ended(), counters.admitted);
+        let load = self.dispatcher.load(self.now);
+        assert_eq!(load.exchanges, 0);
+        assert!(load.namespaces.is_empty());
+        for back_end in &load.back_ends {
+            assert_eq!((back_end.in_flight, back_end.queued), (0, 0));
+        }
+    }
+
+    pub fn outcomes(&self, wanted: impl Fn(&Known, Outcome) -> bool) -> usize {
+        let ended = self.known.values().filter_map(|known| {
+            let (_, finish) = known.finish.as_ref()?;
+            wanted(known, finish.outcome).then_some(())
+        });
+        ended.count()
+    }
+
+    fn first_records(&mut self) -> Vec<RecordChange> {
+        let mut changes = Vec::new();
+        for name in BACK_ENDS {
+            changes.push(back_end(name, 2, CONNECTIONS));
+            changes.push(session(name, 1, false));
+        }
+        for (service_number, (name, host)) in SERVICES.into_iter().enumerate() {
+            changes.push(service(name, host, routes()));
+            for (number, part) in (0..).zip(Slice::divide(SLICES)) {
+                let owner = if service_number == 1 {
+                    2
+                } else {
+                    number as usize % 2
+                };
+                self.owners.insert((service_number, number), (owner, 1, 1));
+                changes.push(slice(name, part, Some((BACK_ENDS[owner], 1)), 1));
+            }
+        }
+        changes
+    }
+
+    fn schedule(&mut self, after_micros: u64, event: Event) {
+        self.numbered += 1;
+        let time = self.now + std::time::Duration::from_micros(after_micros);
+        self.events.insert((time, self.numbered), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Poll(id) => self.poll(id),
+            Event::Connected(id, attempt) => self.connected(id, *attempt),
+            Event::Report(id, number, event) => self.report(id, number, event),
+            Event::Records(changes) => {
+                let records = delta(self.revision, changes);
+                self.revision += 1;
+                self.dispatcher.apply(self.now, &records).expect("in order");
+            }
+            Event::HangUp(id) => {
+                self.dispatcher.caller_gone(self.now, id);
+                let known = self.known.get_mut(&id).expect("known");
+                known.hung_up = known.finish.is_none();
+                self.close_all(id);
+            }
+        }
+    }
+
+    fn poll_woken(&mut self) {
+        loop {
+            let woken = self.dispatcher.take_wakeups();
+            if woken.is_empty() {
+                break;
+            }
+            for id in woken {
+                self.poll(id);
+            }
+        }
+    }
+
+    fn poll(&mut self, id: ExchangeId) {
+        for _ in 0..100 {
+            match self.dispatcher.next(self.now, id) {
+                Step::Send(attempt) => self.send(id, attempt),
+                Step::Cancel(number) => {
+                    self.open.remove(&(id, number));
+                }
+                Step::Deliver(number) => {
+                    let known = self.known.get_mut(&id).expect("known");
+                    assert!(known.delivered.is_none(), "two answers");
+                    assert!(known.answered.contains(&number), "no answer to deliver");
+                    known.delivered = Some(number);
+                }
+                Step::Wait { until } => {
+                    assert!(until > self.now, "waits for the past");
+                    let micros = until.since(self.now).as_micros() as u64;
+                    return self.schedule(micros, Event::Poll(id));
+                }
+                Step::Finish(finish) => {
+                    let known = self.known.get_mut(&id).expect("known");
+                    assert!(known.finish.is_none(), "two outcomes");
+                    known.finish = Some((self.now, finish));
+                    return self.close_all(id);
+                }
+                Step::Gone => return,
+            }
+        }
+        panic!("{id:?} spins");
+    }
+
+    fn close_all(&mut self, id: ExchangeId) {
+        self.open.retain(|(open, _), _| *open != id);
+    }
+
+    fn send(&mut self, id: ExchangeId, attempt: Attempt) {
+        let known = self.known.get_mut(&id).expect("known");
+        known.sends += 1;
+        let name = attempt.back_end.to_string();
+        self.open.insert((id, attempt.number), name.clone());
+        let open = self.open.values().filter(|open| **open == name).count();
+        assert!(
+            open <= CONNECTIONS as usize,
+            "too many connections to {name}"
+        );
+        assert!(open <= attempt.connection_limit as usize);
+        if self.draw(200) < self.faults.attempts {
+            let events = [AttemptEvent::ConnectFailed, AttemptEvent::SentNothing];
+            let event = events[self.draw(2) as usize];
+            let micros = self.draw(3_000);
+            return self.schedule(micros, Event::Report(id, attempt.number, event));
+        }
+        // Now and then connecting takes so long that the world has moved on.
+        let slow = self.draw(100) < self.faults.attempts / 4;
+        let micros = self.draw(if slow { 3_000_000 } else { 1_000 });
+        self.schedule(micros, Event::Connected(id, Box::new(attempt)));
+    }
+
+    fn connected(&mut self, id: ExchangeId, attempt: Attempt) {
+        let decision = self.dispatcher.start_sending(self.now, id, attempt.number);
+        if decision == SendDecision::Abandon {
+            self.open.remove(&(id, attempt.number));
+            return;
+        }
+        self.carry_out(id, &attempt);
+    }
+
+    /// The back end gets the request: here is decided whether it runs.
+    fn carry_out(&mut self, id: ExchangeId, attempt: &Attempt) {
+        let number = attempt.number;
+        let micros = 1 + self.answer_ms * 500 + self.draw(self.answer_ms * 1_000);
+        let lost = AttemptEvent::Failed(AttemptFailure::ConnectionLost);
+        if !self.is_owner(attempt) {
+            let refused = AttemptEvent::Refused(Refusal::WrongOwner);
+            return self.schedule(1_000, Event::Report(id, number, refused));
+        }
+        if self.draw(100) >= self.faults.attempts {
+            return self.answer(id, number, micros);
+        }
+        match self.draw(8) {
+            // Dies before carrying it out.
+            0 => self.schedule(micros, Event::Report(id, number, lost)),
+            // Dies after carrying it out.
+            1 => {
+                self.run(id);
+                self.schedule(micros, Event::Report(id, number, lost));
+            }
+            // Hangs, with and without carrying it out.
+            2 => {}
+            3 => self.run(id),
+            // Answers with a head and no end.
+            4 => {
+                self.run(id);
+                self.answered(id, number);
+                let head = AttemptEvent::ResponseHead { status: 200 };
+                self.schedule(micros, Event::Report(id, number, head));
+                let cut = AttemptEvent::Failed(AttemptFailure::BadAnswer);
+                self.schedule(micros + 500, Event::Report(id, number, cut));
+            }
+            // Answers late, and twice.
+            5 => {
+                self.answer(id, number, micros + 400_000);
+                let again = AttemptEvent::Completed;
+                self.schedule(micros + 500_000, Event::Report(id, number, again));
+            }
+            _ => {
+                let refusal = Refusal::ALL[self.draw(6) as usize];
+                let refused = AttemptEvent::Refused(refusal);
+                self.schedule(micros, Event::Report(id, number, refused));
+            }
+        }
+    }
+
+    fn answer(&mut self, id: ExchangeId, number: AttemptNumber, micros: u64) {
+        self.run(id);
+        self.answered(id, number);
+        let head = AttemptEvent::ResponseHead { status: 200 };
+        self.schedule(micros, Event::Report(id, number, head));
+        self.schedule(micros, Event::Report(id, number, AttemptEvent::Completed));
+    }
+
+    fn run(&mut self, id: ExchangeId) {
+        self.known.get_mut(&id).expect("known").runs += 1;
+    }
+
+    fn answered(&mut self, id: ExchangeId, number: AttemptNumber) {
+        let known = self.known.get_mut(&id).expect("known");
+        known.answered.insert(number);
+    }
+
+    fn report(&mut self, id: ExchangeId, number: AttemptNumber, event: AttemptEvent) {
+        let over = !matches!(event, AttemptEvent::ResponseHead { .. });
+        if over {
+            self.open.remove(&(id, number));
+        }
+        self.dispatcher.on_event(self.now, id, number, event);
+        self.poll(id);
+    }
+
+    fn is_owner(&self, attempt: &Attempt) -> bool {
+        let service = usize::from(attempt.service.namespace == "b");
+        let number = slice_number(attempt.point);
+        let (back_end, life, epoch) = self.owners[&(service, number)];
+        BACK_ENDS[back_end] == attempt.back_end.to_string()
+            && self.lives[back_end] == life
+            && attempt.incarnation.0 == life
+            && attempt.epoch.0.index == epoch
+    }
+
+    fn assign(&mut self, service: usize, number: u32, owner: Option<usize>) {
+        let part = Slice::divide(SLICES)[number as usize];
+        let epoch = self.numbered + 10;
+        let life = owner.map_or(0, |owner| self.lives[owner]);
+        let truth = (owner.unwrap_or(0), life, epoch);
+        self.owners.insert((service, number), truth);
+        let owner = owner.map(|owner| (BACK_ENDS[owner], life));
+        let change = slice(SERVICES[service].0, part, owner, epoch);
+        self.learn_records(vec![change]);
+    }
+
+    /// The process starts anew: it owns nothing until it is assigned again.
+    fn restart(&mut self, back_end: usize) {
+        let old = self.lives[back_end];
+        self.lives[back_end] += 1;
+        let name = BACK_ENDS[back_end];
+        self.learn_records(vec![
+            RecordChange::SessionRemoved(session_id(name, old)),
+            session(name, old + 1, false),
+        ]);
+        let owned: Vec<(usize, u32)> = self
+            .owners
+            .iter()
+            .filter(|(_, (owner, life, _))| *owner == back_end && *life == old)
+            .map(|(slice, _)| *slice)
+            .collect();
+        for (service, number) in owned {
+            self.assign(service, number, Some(back_end));
+        }
+    }
+
+    /// The router learns a little later than things happen.
+    fn learn_records(&mut self, changes: Vec<RecordChange>) {
+        self.schedule(20_000, Event::Records(changes));
+    }
+}
+
+fn routes() -> Vec<RouteRule> {
+    let critical = RouteRule {
+        priority: Priority::Critical,
+        may_queue: true,
+        ..route("critical", "/critical")
+    };
+    let background = RouteRule {
+        priority: Priority::Background,
+        may_queue: true,
+        deadline_ms: 10_000,
+        ..route("background", "/background")
+    };
+    vec![critical, background, route("normal", "/")]
+}
+
+fn slice_number(point: Point) -> u32 {
+    let slices = Slice::divide(SLICES);
+    let position = slices.iter().position(|part| part.contains(point));
+    position.expect("slices cover every point") as u32
+}
+
+fn check_outcome(id: ExchangeId, known: &Known, finish: &Finish) {
+    match finish.outcome {
+        Outcome::NotRun(_) => assert_eq!(known.runs, 0, "{id:?} ran: {known:?}"),
+        Outcome::Answered => assert!(known.delivered.is_some(), "{id:?}: {known:?}"),
+        Outcome::Unknown(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/exchanges.rs
@@ -0,0 +1,360 @@
+//! Single exchanges, step by step.
+
+mod common;
+
+use common::*;
+use threadledge_routing::{
+    AttemptEvent, AttemptFailure, AttemptNumber, Dispatcher, SendDecision, Settings, Step,
+};
+use threadledge_types::objects::RouteRule;
+use threadledge_types::records::RecordChange;
+use threadledge_types::session::Refusal;
+use threadledge_types::{NotRunReason, Outcome, Slice, UnknownReason};
+
+const FIRST: AttemptNumber = AttemptNumber(1);
+const SECOND: AttemptNumber = AttemptNumber(2);
+
+fn simple(slots: u32) -> Dispatcher {
+    let mut queued = route("queued", "/queued");
+    queued.may_queue = true;
+    let records = one_back_end(slots, vec![queued, route("r", "/")]);
+    let settings = Settings {
+        slot_overcommit_percent: 100,
+        ..Settings::default()
+    };
+    dispatcher(settings, &records)
+}
+
+fn move_to_two(from: u64) -> Vec<RecordChange> {
+    vec![
+        back_end("a/two", 2, 10),
+        session("a/two", 1, false),
+        slice("a/s", Slice::ALL, Some(("a/two", 1)), from + 1),
+    ]
+}
+
+#[test]
+fn an_answer_is_delivered_once_and_ends_the_exchange() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    let attempt = expect_send(&mut dispatcher, 0, id);
+    assert_eq!(attempt.epoch, epoch(1));
+    let decision = dispatcher.start_sending(at(5), id, FIRST);
+    let deadline_left = millis(1_995);
+    assert_eq!(decision, SendDecision::Proceed { deadline_left });
+    expect_wait(&mut dispatcher, 5, id);
+    let head = AttemptEvent::ResponseHead { status: 200 };
+    dispatcher.on_event(at(9), id, FIRST, head);
+    assert_eq!(dispatcher.next(at(9), id), Step::Deliver(FIRST));
+    assert_eq!(expect_wait(&mut dispatcher, 9, id), at(2_000));
+    dispatcher.on_event(at(10), id, FIRST, AttemptEvent::Completed);
+    let finish = expect_finish(&mut dispatcher, 10, id);
+    assert_eq!(finish.outcome, Outcome::Answered);
+    assert_eq!(dispatcher.next(at(10), id), Step::Gone);
+    assert_eq!(dispatcher.counters().ended(), 1);
+}
+
+#[test]
+fn a_lost_connection_after_sending_is_unknown_for_a_non_repeatable_request() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    dispatcher.start_sending(at(1), id, FIRST);
+    let lost = AttemptEvent::Failed(AttemptFailure::ConnectionLost);
+    dispatcher.on_event(at(2), id, FIRST, lost);
+    let finish = expect_finish(&mut dispatcher, 2, id);
+    let unknown = Outcome::Unknown(UnknownReason::ConnectionLost);
+    assert_eq!(finish.outcome, unknown);
+}
+
+#[test]
+fn a_lost_connection_is_tried_again_for_a_repeatable_request() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "GET", "/");
+    let first = expect_send(&mut dispatcher, 0, id);
+    dispatcher.start_sending(at(1), id, FIRST);
+    let lost = AttemptEvent::Failed(AttemptFailure::ConnectionLost);
+    dispatcher.on_event(at(2), id, FIRST, lost);
+    let until = expect_wait(&mut dispatcher, 2, id);
+    assert!(until > at(2) && until <= at(7));
+    let second = expect_send(&mut dispatcher, 8, id);
+    assert_eq!(second.request_id, first.request_id);
+    dispatcher.start_sending(at(8), id, SECOND);
+    let refused = AttemptEvent::Refused(Refusal::Malformed);
+    dispatcher.on_event(at(9), id, SECOND, refused);
+    let finish = expect_finish(&mut dispatcher, 9, id);
+    let unknown = Outcome::Unknown(UnknownReason::ConnectionLost);
+    assert_eq!(finish.outcome, unknown, "the first attempt may have run");
+}
+
+#[test]
+fn a_deadline_before_permission_to_send_is_not_run_and_forbids_sending() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    let decision = dispatcher.start_sending(at(2_000), id, FIRST);
+    assert_eq!(decision, SendDecision::Abandon);
+    let finish = expect_finish(&mut dispatcher, 2_000, id);
+    let not_run = Outcome::NotRun(NotRunReason::DeadlinePassed);
+    assert_eq!(finish.outcome, not_run);
+}
+
+#[test]
+fn a_deadline_after_permission_to_send_is_unknown() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    dispatcher.start_sending(at(1), id, FIRST);
+    let finish = expect_finish(&mut dispatcher, 2_000, id);
+    let unknown = Outcome::Unknown(UnknownReason::DeadlinePassed);
+    assert_eq!(finish.outcome, unknown);
+}
+
+#[test]
+fn an_owner_that_changed_before_sending_takes_the_permission_away() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    let moved = delta(1, move_to_two(1));
+    dispatcher.apply(at(1), &moved).expect("fits");
+    assert_eq!(dispatcher.take_wakeups(), [id]);
+    let decision = dispatcher.start_sending(at(2), id, FIRST);
+    assert_eq!(decision, SendDecision::Abandon);
+    let attempt = expect_send(&mut dispatcher, 2, id);
+    assert_eq!(attempt.back_end.name, "two");
+}
+
+#[test]
+fn a_wrong_owner_is_left_for_the_new_one_at_once() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    dispatcher.start_sending(at(1), id, FIRST);
+    let refused = AttemptEvent::Refused(Refusal::WrongOwner);
+    dispatcher.on_event(at(2), id, FIRST, refused);
+    expect_wait(&mut dispatcher, 2, id);
+    let moved = delta(1, move_to_two(1));
+    dispatcher.apply(at(3), &moved).expect("fits");
+    assert!(dispatcher.take_wakeups().contains(&id));
+    let attempt = expect_send(&mut dispatcher, 3, id);
+    assert_eq!(attempt.back_end.name, "two");
+    assert_eq!(attempt.epoch, epoch(2));
+    assert_eq!(dispatcher.counters().retries, 0);
+}
+
+#[test]
+fn an_owner_that_refuses_again_and_again_is_asked_rarely() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    let (mut now, mut attempts) = (0, 0);
+    let finish = loop {
+        match dispatcher.next(at(now), id) {
+            Step::Send(attempt) => {
+                attempts += 1;
+                dispatcher.start_sending(at(now), id, attempt.number);
+                let refused = AttemptEvent::Refused(Refusal::WrongOwner);
+                dispatcher.on_event(at(now), id, attempt.number, refused);
+            }
+            Step::Wait { until } => now = until.as_millis().max(now + 1),
+            Step::Finish(finish) => break finish,
+            step => panic!("{step:?}"),
+        }
+    };
+    let not_run = Outcome::NotRun(NotRunReason::WrongOwner);
+    assert_eq!(finish.outcome, not_run);
+    assert!(finish.retry_after.is_some());
+    assert!(attempts <= 11, "{attempts} attempts");
+}
+
+#[test]
+fn a_slice_without_owner_is_waited_for_and_then_not_run() {
+    let records = full(
+        1,
+        vec![
+            service(
+                "a/s",
+                "s.test",
+                vec![RouteRule {
+                    deadline_ms: 60_000,
+                    ..route("r", "/")
+                }],
+            ),
+            slice("a/s", Slice::ALL, None, 1),
+        ],
+    );
+    let mut dispatcher = dispatcher(Settings::default(), &records);
+    let patient = begin(&mut dispatcher, 0, "POST", "/");
+    assert_eq!(expect_wait(&mut dispatcher, 0, patient), at(3_000));
+    let late = begin(&mut dispatcher, 2_999, "POST", "/");
+    expect_wait(&mut dispatcher, 2_999, late);
+    let finish = expect_finish(&mut dispatcher, 3_000, patient);
+    let not_run = Outcome::NotRun(NotRunReason::NoOwner);
+    assert_eq!(finish.outcome, not_run);
+    assert!(finish.retry_after.is_some());
+    let moved = delta(1, move_to_two(1));
+    dispatcher.apply(at(3_001), &moved).expect("fits");
+    assert_eq!(dispatcher.take_wakeups(), [late]);
+    expect_send(&mut dispatcher, 3_001, late);
+}
+
+#[test]
+fn a_draining_back_end_gets_no_new_work_after_the_grace() {
+    let mut dispatcher = simple(1);
+    let draining = delta(1, vec![session("a/one", 1, true)]);
+    dispatcher.apply(at(0), &draining).expect("fits");
+    let within = begin(&mut dispatcher, 900, "GET", "/");
+    expect_send(&mut dispatcher, 900, within);
+    let decision = dispatcher.start_sending(at(1_000), within, FIRST);
+    assert_eq!(decision, SendDecision::Abandon);
+    expect_wait(&mut dispatcher, 1_000, within);
+    let after = begin(&mut dispatcher, 1_001, "GET", "/");
+    expect_wait(&mut dispatcher, 1_001, after);
+    let moved = delta(2, move_to_two(2));
+    dispatcher.apply(at(1_010), &moved).expect("fits");
+    assert_eq!(dispatcher.take_wakeups(), [within, after]);
+    expect_send(&mut dispatcher, 1_010, within);
+}
+
+#[test]
+fn a_back_end_that_refused_as_draining_gets_no_new_work_at_all() {
+    let mut dispatcher = simple(2);
+    let id = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, id);
+    dispatcher.start_sending(at(0), id, FIRST);
+    let refused = AttemptEvent::Refused(Refusal::Draining);
+    dispatcher.on_event(at(1), id, FIRST, refused);
+    expect_wait(&mut dispatcher, 1, id);
+    let other = begin(&mut dispatcher, 2, "GET", "/");
+    expect_wait(&mut dispatcher, 2, other);
+    let restarted = vec![
+        session("a/one", 2, false),
+        slice("a/s", Slice::ALL, Some(("a/one", 2)), 2),
+    ];
+    dispatcher.apply(at(3), &delta(1, restarted)).expect("fits");
+    expect_send(&mut dispatcher, 3, id);
+}
+
+#[test]
+fn slots_are_given_by_priority_and_freed_by_whatever_ends() {
+    let mut dispatcher = simple(1);
+    let running = begin(&mut dispatcher, 0, "GET", "/");
+    expect_send(&mut dispatcher, 0, running);
+    let early = begin(&mut dispatcher, 1, "GET", "/queued");
+    let later = begin(&mut dispatcher, 2, "GET", "/queued");
+    assert_eq!(expect_wait(&mut dispatcher, 2, later), at(2_002));
+    assert_eq!(expect_wait(&mut dispatcher, 2, early), at(2_001));
+    dispatcher.caller_gone(at(3), running);
+    assert_eq!(dispatcher.take_wakeups(), [early]);
+    expect_send(&mut dispatcher, 3, early);
+    expect_wait(&mut dispatcher, 3, later);
+    assert_eq!(dispatcher.counters().caller_gone, 1);
+}
+
+#[test]
+fn a_request_that_may_not_queue_waits_only_shortly() {
+    let mut dispatcher = simple(1);
+    let running = begin(&mut dispatcher, 0, "GET", "/queued");
+    expect_send(&mut dispatcher, 0, running);
+    let id = begin(&mut dispatcher, 1, "GET", "/");
+    assert_eq!(expect_wait(&mut dispatcher, 1, id), at(101));
+    let finish = expect_finish(&mut dispatcher, 101, id);
+    let overloaded = Outcome::NotRun(NotRunReason::Overloaded);
+    assert_eq!(finish.outcome, overloaded);
+    assert!(finish.retry_after.is_some());
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_shed_at_once() {
+    let mut dispatcher = simple(1);
+    let warm = begin(&mut dispatcher, 0, "GET", "/");
+    expect_send(&mut dispatcher, 0, warm);
+    dispatcher.start_sending(at(0), warm, FIRST);
+    dispatcher.on_event(at(1_500), warm, FIRST, AttemptEvent::Completed);
+    let running = begin(&mut dispatcher, 2_000, "GET", "/");
+    expect_send(&mut dispatcher, 2_000, running);
+    let id = begin(&mut dispatcher, 2_001, "GET", "/queued");
+    let finish = expect_finish(&mut dispatcher, 2_001, id);
+    let overloaded = Outcome::NotRun(NotRunReason::Overloaded);
+    assert_eq!(finish.outcome, overloaded);
+    assert_eq!(finish.retry_after, Some(millis(1_500)));
+    assert_eq!(dispatcher.counters().shed, 1);
+}
+
+#[test]
+fn a_hedge_goes_out_beside_a_slow_read_and_the_first_answer_wins() {
+    let mut dispatcher = simple(2);
+    for round in 0..60 {
+        let id = begin(&mut dispatcher, round * 10, "GET", "/");
+        expect_send(&mut dispatcher, round * 10, id);
+        dispatcher.start_sending(at(round * 10), id, FIRST);
+        dispatcher.on_event(at(round * 10 + 5), id, FIRST, AttemptEvent::Completed);
+        dispatcher.next(at(round * 10 + 5), id);
+        expect_finish(&mut dispatcher, round * 10 + 5, id);
+    }
+    let id = begin(&mut dispatcher, 1_000, "GET", "/");
+    expect_send(&mut dispatcher, 1_000, id);
+    dispatcher.start_sending(at(1_000), id, FIRST);
+    let hedge_at = expect_wait(&mut dispatcher, 1_000, id);
+    assert_eq!(hedge_at, at(1_010));
+    let hedge = expect_send(&mut dispatcher, 1_010, id);
+    assert!(hedge.hedge);
+    dispatcher.start_sending(at(1_010), id, SECOND);
+    dispatcher.on_event(at(1_015), id, SECOND, AttemptEvent::Completed);
+    assert_eq!(dispatcher.next(at(1_015), id), Step::Cancel(FIRST));
+    assert_eq!(dispatcher.next(at(1_015), id), Step::Deliver(SECOND));
+    dispatcher.on_event(at(1_016), id, FIRST, AttemptEvent::Completed);
+    let finish = expect_finish(&mut dispatcher, 1_016, id);
+    assert_eq!(finish.outcome, Outcome::Answered);
+    assert_eq!(dispatcher.counters().hedges_won, 1);
+}
+
+#[test]
+fn a_read_at_a_lost_back_end_is_sent_to_the_new_owner_as_well() {
+    let mut dispatcher = simple(1);
+    let read = begin(&mut dispatcher, 0, "GET", "/");
+    expect_send(&mut dispatcher, 0, read);
+    dispatcher.start_sending(at(0), read, FIRST);
+    let mut changes = move_to_two(1);
+    changes.push(RecordChange::SessionRemoved(session_id("a/one", 1)));
+    dispatcher.apply(at(500), &delta(1, changes)).expect("fits");
+    assert_eq!(dispatcher.take_wakeups(), [read]);
+    let second = expect_send(&mut dispatcher, 500, read);
+    assert_eq!(second.back_end.name, "two");
+}
+
+#[test]
+fn an_ejected_back_end_is_tried_by_one_request_at_a_time() {
+    let mut dispatcher = simple(2);
+    let mut refused = 0;
+    for round in 0..5 {
+        let id = begin(&mut dispatcher, round, "POST", "/");
+        let attempt = expect_send(&mut dispatcher, round, id);
+        dispatcher.on_event(at(round), id, attempt.number, AttemptEvent::ConnectFailed);
+        dispatcher.caller_gone(at(round), id);
+        refused += 1;
+    }
+    assert_eq!(refused, 5);
+    assert_eq!(dispatcher.counters().ejections, 1);
+    assert_eq!(dispatcher.take_notices().len(), 1);
+    let first = begin(&mut dispatcher, 10, "GET", "/");
+    let second = begin(&mut dispatcher, 10, "GET", "/");
+    assert_eq!(expect_wait(&mut dispatcher, 10, first), at(104));
+    expect_wait(&mut dispatcher, 10, second);
+    let probe = expect_send(&mut dispatcher, 104, first);
+    expect_wait(&mut dispatcher, 104, second);
+    dispatcher.start_sending(at(104), first, probe.number);
+    dispatcher.on_event(at(105), first, probe.number, AttemptEvent::Completed);
+    expect_send(&mut dispatcher, 105, second);
+}
+
+#[test]
+fn a_router_that_is_not_ready_takes_nothing_new_but_ends_what_it_has() {
+    let mut dispatcher = simple(1);
+    let id = begin(&mut dispatcher, 0, "GET", "/");
+    dispatcher.set_accepting(false);
+    let refused = dispatcher.begin(at(0), &head("GET", "/", &NOTHING));
+    let reason = refused.expect_err("refused").reason;
+    assert_eq!(reason, NotRunReason::NotReady);
+    expect_send(&mut dispatcher, 0, id);
+    assert_eq!(dispatcher.counters().refused(NotRunReason::NotReady), 1);
+}
