Compose the control cores into one node and simulate a region of them

Cause: consensus, membership, spread, ownership and placement stood apart; nothing ran them together, and no test could cause a failure across them. Change: crate control (ControlNode: founding by conditional write, group membership, leader duties, configuration intake, group view carried with spread messages) and crate simulator (virtual time, drifting clocks, lossy network, model store and back ends, invariants checked at every step).

--- /dev/null
+++ b/crates/control/src/group_member.rs
@@ -0,0 +1,159 @@
+//! This router's place in its group: the replicated log and the state that
+//! the log's commands build.
+
+use threadledge_consensus::{Committed, Message, Node, Outgoing, Payload, Settings};
+use threadledge_ownership::{Command, Snapshot, StateMachine};
+use threadledge_types::records::{RecordChange, RecordDelta};
+use threadledge_types::{Generation, GroupId, Revision, RouterId, RouterIdentity, Timestamp};
+
+/// Log node and state machine of one group on one router.
+pub struct GroupMember {
+    node: Node<Command, Snapshot>,
+    machine: StateMachine,
+    applied_index: u64,
+}
+
+/// What draining the log gave.
+#[derive(Debug, Default)]
+pub struct Drained {
+    /// Messages to other members.
+    pub messages: Vec<Outgoing<Command, Snapshot>>,
+    /// Changes of the state, in order.
+    pub advances: Vec<Advance>,
+}
+
+/// One step forward of the state.
+#[derive(Debug)]
+pub enum Advance {
+    /// One entry was applied.
+    Entry {
+        /// Revision of the entry.
+        revision: Revision,
+        /// What it changed; may be empty.
+        changes: Vec<RecordChange>,
+    },
+    /// The state was replaced by a snapshot.
+    Replaced {
+        /// Revision of the snapshot.
+        revision: Revision,
+        /// The whole state.
+        records: Vec<RecordChange>,
+    },
+}
+
+impl Advance {
+    /// The step as a delta for copies of the state at `from`.
+    pub fn delta(&self, group: GroupId, from: Revision) -> RecordDelta {
+        match self {
+            Advance::Entry { revision, changes } => RecordDelta {
+                group,
+                from,
+                to: *revision,
+                full: false,
+                changes: changes.clone(),
+            },
+            Advance::Replaced { revision, records } => RecordDelta {
+                group,
+                from: Revision::NONE,
+                to: *revision,
+                full: true,
+                changes: records.clone(),
+            },
+        }
+    }
+}
+
+impl GroupMember {
+    /// A router that waits to be added to its group.
+    pub fn join(settings: Settings, identity: RouterIdentity, now: Timestamp) -> Self {
+        let machine = StateMachine::new(settings.group);
+        GroupMember {
+            node: Node::join(settings, identity, now),
+            machine,
+            applied_index: 0,
+        }
+    }
+
+    /// Founds the group with this router as its only voter.
+    pub fn found(
+        settings: Settings,
+        identity: RouterIdentity,
+        generation: Generation,
+        recovered: Option<Snapshot>,
+        now: Timestamp,
+    ) -> Self {
+        let machine = StateMachine::new(settings.group);
+        GroupMember {
+            node: Node::found(settings, identity, generation, recovered, now),
+            machine,
+            applied_index: 0,
+        }
+    }
+
+    /// The log node.
+    pub fn node(&self) -> &Node<Command, Snapshot> {
+        &self.node
+    }
+
+    /// The log node, to propose to.
+    pub fn node_mut(&mut self) -> &mut Node<Command, Snapshot> {
+        &mut self.node
+    }
+
+    /// The applied state.
+    pub fn machine(&self) -> &StateMachine {
+        &self.machine
+    }
+
+    /// Whether everything committed is applied and this router leads.
+    pub fn is_serving_leader(&self) -> bool {
+        self.node.term_start_committed() && self.applied_index >= self.node.commit_index()
+    }
+
+    /// Takes a message of another member.
+    pub fn step(&mut self, now: Timestamp, from: RouterId, message: Message<Command, Snapshot>) {
+        self.node.step(now, from, message);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.node.tick(now);
+    }
+
+    /// Applies what was committed and collects what is to be sent.
+    pub fn drain(&mut self) -> Drained {
+        let ready = self.node.ready();
+        let mut drained = Drained {
+            messages: ready.messages,
+            advances: Vec::new(),
+        };
+        if let Some(restored) = ready.restore {
+            self.machine = StateMachine::restore(self.node.settings().group, restored.snapshot);
+            self.applied_index = restored.revision.index;
+            drained.advances.push(Advance::Replaced {
+                revision: restored.revision,
+                records: self.machine.records(),
+            });
+        }
+        for committed in ready.committed {
+            drained.advances.push(self.apply(committed));
+        }
+        if ready.snapshot_wanted {
+            let snapshot = self.machine.snapshot();
+            self.node.compact(snapshot, self.applied_index);
+        }
+        drained
+    }
+
+    fn apply(&mut self, committed: Committed<Command>) -> Advance {
+        self.applied_index = committed.revision.index;
+        let changes = match &committed.entry {
+            Payload::Command(command) => self.machine.apply(committed.revision, command).changes,
+            Payload::Empty | Payload::Members(_) => Vec::new(),
+        };
+        Advance::Entry {
+            revision: committed.revision,
+            changes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader.rs
@@ -0,0 +1,331 @@
+//! Duties of the group's leader: sessions and grants, placement,
+//! configuration intake and the group's own membership.
+
+use std::time::Duration;
+
+use threadledge_consensus::{MemberChange, Node};
+use threadledge_membership::group_members::{self, GroupStep};
+use threadledge_membership::{Member, Membership};
+use threadledge_ownership::grantor::{Grantor, GrantorInput, GrantorOutput, GrantorSettings};
+use threadledge_ownership::{Command, LeaderTerm, Snapshot};
+use threadledge_placement::{Action, Planner};
+use threadledge_types::records::RecordChange;
+use threadledge_types::{Revision, Timestamp};
+
+use crate::group_member::GroupMember;
+use crate::input::ConfigurationEvent;
+use crate::intake::{ConfigurationIntake, Intake};
+use crate::output::{Observation, Output};
+use crate::settings::ControlSettings;
+
+/// Pause between looks at the group's membership.
+const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between rounds of placement while nothing changes.
+const PLANNING_INTERVAL: Duration = Duration::from_millis(50);
+/// A group that did not reach its size by this time after an election begins
+/// to assign when it has every router that can be seen.
+const SETTLING_LIMIT: Duration = Duration::from_secs(3);
+/// Placement actions proposed in one round.
+const MAX_ACTIONS: usize = 256;
+
+/// What the leader's duties call for.
+#[derive(Debug, Default)]
+pub struct Duties {
+    /// Commands to propose, in order.
+    pub commands: Vec<Command>,
+    /// Work for the shell.
+    pub outputs: Vec<Output>,
+}
+
+/// Everything a leader does beyond replicating the log. Volatile: a new
+/// leader starts from the applied state.
+pub struct Leader {
+    term: LeaderTerm,
+    grantor: Grantor,
+    planner: Planner,
+    intake: ConfigurationIntake,
+    settled: bool,
+    started: Timestamp,
+    next_membership: Timestamp,
+    next_planning: Timestamp,
+}
+
+impl Leader {
+    /// Takes up the duties of the term in which `member` was elected.
+    pub fn start(settings: &ControlSettings, member: &GroupMember, now: Timestamp) -> Self {
+        let node = member.node();
+        let machine = member.machine();
+        let term = LeaderTerm {
+            generation: node.generation(),
+            term: node.term(),
+        };
+        let elected_at = node.elected_at().unwrap_or(now);
+        let grantor = Grantor::start(
+            GrantorSettings::from(settings.timing.clone()),
+            settings.group,
+            term,
+            elected_at,
+            now,
+            machine,
+        );
+        let mut planner = Planner::new(
+            threadledge_placement::PlannerSettings::default(),
+            settings.seed,
+        );
+        for change in machine.records() {
+            planner.observe(&change);
+        }
+        Leader {
+            term,
+            grantor,
+            planner,
+            intake: ConfigurationIntake::new(node.identity().region.clone()),
+            settled: false,
+            started: now,
+            next_membership: now,
+            next_planning: now,
+        }
+    }
+
+    /// The term served.
+    pub fn term(&self) -> LeaderTerm {
+        self.term
+    }
+
+    /// The planner, for status.
+    pub fn planner(&self) -> &Planner {
+        &self.planner
+    }
+
+    /// Regular work.
+    pub fn tick(&mut self, now: Timestamp, member: &GroupMember, duties: &mut Duties) {
+        self.step_grantor(now, GrantorInput::Tick, member, duties);
+        self.plan(now, member, duties);
+    }
+
+    /// Takes the changes of one applied entry.
+    pub fn applied(
+        &mut self,
+        now: Timestamp,
+        revision: Revision,
+        changes: &[RecordChange],
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
+        for change in changes {
+            self.planner.observe(change);
+            observe_change(change, duties);
+        }
+        if !changes.is_empty() {
+            let input = GrantorInput::Applied(changes.to_vec());
+            self.step_grantor(now, input, member, duties);
+            self.next_planning = now;
+        }
+        if self.intake.is_waiting() {
+            let intake = self.intake.applied(revision, member.machine());
+            take_intake(intake, duties);
+        }
+    }
+
+    /// Takes what a back end answered, or that it did not.
+    pub fn lease_input(
+        &mut self,
+        now: Timestamp,
+        input: GrantorInput,
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
+        self.step_grantor(now, input, member, duties);
+    }
+
+    /// Takes what the watcher saw. `in_force` is the revision that copies of
+    /// the records have when they hold everything applied.
+    pub fn configuration(
+        &mut self,
+        event: ConfigurationEvent,
+        in_force: Revision,
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
+        let intake = self.intake.observe(event, in_force, member.machine());
+        take_intake(intake, duties);
+    }
+
+    /// The next change of the group's membership, if one is due.
+    pub fn member_change(
+        &mut self,
+        now: Timestamp,
+        settings: &ControlSettings,
+        node: &Node<Command, Snapshot>,
+        membership: &Membership,
+    ) -> Vec<MemberChange> {
+        if now < self.next_membership {
+            return Vec::new();
+        }
+        self.next_membership = now + MEMBERSHIP_INTERVAL;
+        self.update_settled(now, settings, node, membership);
+        next_member_changes(settings, node, membership)
+    }
+
+    /// Kept here: *an assignment that is done survives the losses claimed*.
+    /// Nothing is assigned before the group has the members over which it
+    /// promises to replicate.
+    fn update_settled(
+        &mut self,
+        now: Timestamp,
+        settings: &ControlSettings,
+        node: &Node<Command, Snapshot>,
+        membership: &Membership,
+    ) {
+        let voters = node.members().voters.len();
+        let waited = now.since(self.started) >= SETTLING_LIMIT;
+        let visible = membership.alive().count().max(1);
+        let complete = voters >= settings.group_size;
+        self.settled |= complete || (waited && voters >= visible.min(settings.group_size));
+    }
+
+    fn step_grantor(
+        &mut self,
+        now: Timestamp,
+        input: GrantorInput,
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
+        let lease = member.node().has_leader_lease(now);
+        let outputs = self.grantor.step(now, input, member.machine(), lease);
+        for output in outputs {
+            match output {
+                GrantorOutput::Send { to, request } => {
+                    duties.outputs.push(Output::SendLease { to, request });
+                }
+                GrantorOutput::Propose(command) => duties.commands.push(command),
+                GrantorOutput::Load { back_end, report } => {
+                    self.planner.observe_load(now, &back_end, &report);
+                }
+                GrantorOutput::Observed(observation) => {
+                    let observation = Observation::Session(observation);
+                    duties.outputs.push(Output::Observe(observation));
+                }
+            }
+        }
+    }
+
+    fn plan(&mut self, now: Timestamp, member: &GroupMember, duties: &mut Duties) {
+        let may_assign = self.settled && !member.machine().recovering();
+        if !may_assign || now < self.next_planning {
+            return;
+        }
+        self.next_planning = now + PLANNING_INTERVAL;
+        let actions = self.planner.plan(now, MAX_ACTIONS);
+        if actions.is_empty() {
+            return;
+        }
+        let commands = actions.into_iter().map(command_for).collect();
+        duties.commands.push(Command::Batch(commands));
+    }
+}
+
+fn next_member_changes(
+    settings: &ControlSettings,
+    node: &Node<Command, Snapshot>,
+    membership: &Membership,
+) -> Vec<MemberChange> {
+    let members = node.members();
+    let mut changes: Vec<MemberChange> = members
+        .learners
+        .keys()
+        .map(|id| MemberChange::Promote(*id))
+        .collect();
+    let view = group_members::GroupView {
+        voters: members.voters.keys().copied().collect(),
+        learners: members.learners.keys().copied().collect(),
+        leader: Some(node.identity().id),
+    };
+    let known: Vec<&Member> = membership.members().collect();
+    match group_members::next_step(&view, known.iter().copied(), settings.group_size) {
+        GroupStep::Add(identity) => changes.push(MemberChange::AddLearner(identity)),
+        GroupStep::Remove(id) => changes.push(MemberChange::Remove(id)),
+        GroupStep::None => {}
+    }
+    changes
+}
+
+fn take_intake(mut intake: Intake, duties: &mut Duties) {
+    duties.commands.extend(intake.command());
+    let statuses = intake.statuses.into_iter().map(Output::WriteStatus);
+    duties.outputs.extend(statuses);
+    let observations = intake.observations.into_iter().map(Output::Observe);
+    duties.outputs.extend(observations);
+}
+
+fn observe_change(change: &RecordChange, duties: &mut Duties) {
+    let observation = match change {
+        RecordChange::Session(record) if record.draining => {
+            Observation::SessionDraining(record.id.clone())
+        }
+        RecordChange::Session(record) => Observation::SessionOpened(record.id.clone()),
+        RecordChange::SessionRemoved(id) => Observation::SessionClosed(id.clone()),
+        _ => return,
+    };
+    duties.outputs.push(Output::Observe(observation));
+}
+
+fn command_for(action: Action) -> Command {
+    match action {
+        Action::Assign {
+            service,
+            slice,
+            to,
+            expected_epoch,
+        } => Command::Assign {
+            service,
+            slice,
+            to,
+            expected_epoch,
+        },
+        Action::BeginMove {
+            service,
+            slice,
+            to,
+            expected_epoch,
+        } => Command::BeginMove {
+            service,
+            slice,
+            to,
+            expected_epoch,
+        },
+        Action::CancelMove {
+            service,
+            slice,
+            expected_epoch,
+        } => Command::CancelMove {
+            service,
+            slice,
+            expected_epoch,
+        },
+        Action::Split {
+            service,
+            slice,
+            at,
+            expected_epoch,
+        } => Command::Split {
+            service,
+            slice,
+            at,
+            expected_epoch,
+        },
+        Action::Merge {
+            service,
+            first,
+            second,
+            expected_first_epoch,
+            expected_second_epoch,
+        } => Command::Merge {
+            service,
+            first,
+            second,
+            expected_first_epoch,
+            expected_second_epoch,
+        },
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder.
+//! One router's control plane as a single steppable core.
+//!
+//! [`ControlNode`] composes membership, consensus, ownership, placement and
+//! spread. It opens no sockets and reads no clock: a shell feeds it
+//! [`Input`]s and carries out its [`Output`]s. The binary and the simulator
+//! run the same node.
+
+mod founding;
+mod group_member;
+mod input;
+mod intake;
+mod leader;
+mod message;
+mod node;
+mod output;
+mod settings;
+mod view;
+
+pub use founding::{GroupObjectState, GroupObjectVersion};
+pub use input::{ConfigurationEvent, FoundingResult, Input, Listing, ObservedObject};
+pub use intake::{ObjectRef, StatusWrite, Verdict};
+pub use message::{PeerBatch, PeerMessage};
+pub use node::ControlNode;
+pub use output::{Observation, Output};
+pub use settings::ControlSettings;
+pub use view::GroupView;
--- /dev/null
+++ b/crates/control/src/output.rs
@@ -0,0 +1,110 @@
+//! What the control core asks of its shell.
+
+use std::net::SocketAddr;
+
+use threadledge_types::records::RecordDelta;
+use threadledge_types::session::LeaseRequest;
+use threadledge_types::{Generation, Revision, RouterId, SessionId};
+
+use crate::founding::GroupObjectVersion;
+use crate::intake::StatusWrite;
+use crate::message::PeerMessage;
+
+/// One thing for the shell to carry out.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a message to another router.
+    SendPeer {
+        /// Peer address of the receiver.
+        to: SocketAddr,
+        /// The process meant, when known.
+        to_id: Option<RouterId>,
+        /// The message.
+        message: Box<PeerMessage>,
+    },
+    /// Send a lease request to a back end's control address and report its
+    /// answer or failure.
+    SendLease {
+        /// Control address of the back end.
+        to: SocketAddr,
+        /// The request.
+        request: Box<LeaseRequest>,
+    },
+    /// Bring the data path's copy of the records forward.
+    Records(RecordDelta),
+    /// Read the group object and report it.
+    ReadGroupObject,
+    /// Write the group object, only if it still has the expected version, and
+    /// report what became of it.
+    FoundGroup {
+        /// The generation to found.
+        generation: Generation,
+        /// Version the object must have; `None` if it must not exist.
+        expected: Option<GroupObjectVersion>,
+    },
+    /// Start (`true`) or stop watching the configuration.
+    WatchConfiguration(bool),
+    /// Write the status of a configuration object.
+    WriteStatus(StatusWrite),
+    /// Something worth a line in the log.
+    Observe(Observation),
+}
+
+/// Facts for logs and metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// Another router was seen for the first time.
+    RouterUp(RouterId),
+    /// A router does not answer; others are asked about it.
+    RouterSuspected(RouterId),
+    /// A router is considered gone.
+    RouterDown(RouterId),
+    /// A router announced that it is leaving.
+    RouterLeaving(RouterId),
+    /// This router founded its group.
+    GroupFounded(Generation),
+    /// This router was elected leader.
+    BecameLeader {
+        /// Consensus term.
+        term: u64,
+    },
+    /// This router is no longer leader.
+    LostLeadership {
+        /// Consensus term that ended.
+        term: u64,
+    },
+    /// A router is being added to the group.
+    AddingMember(RouterId),
+    /// A learner becomes a voter.
+    PromotingMember(RouterId),
+    /// A router is being removed from the group.
+    RemovingMember(RouterId),
+    /// A configuration object was accepted.
+    ObjectAccepted {
+        /// Kind, namespace and name.
+        object: String,
+        /// Revision at which it is in force.
+        revision: Revision,
+    },
+    /// A configuration object was rejected.
+    ObjectRejected {
+        /// Kind, namespace and name.
+        object: String,
+        /// Every problem with its remedy.
+        message: String,
+    },
+    /// A back end's process opened a session.
+    SessionOpened(SessionId),
+    /// A session ended: its lease ran out or a later process answered.
+    SessionClosed(SessionId),
+    /// A back end began to drain.
+    SessionDraining(SessionId),
+    /// The platform's store answered with an older state than one already
+    /// applied; it was ignored.
+    StoreReverted {
+        /// The back end or service concerned.
+        object: String,
+    },
+    /// Something the grantor saw at a back end.
+    Session(threadledge_ownership::grantor::Observation),
+}
--- /dev/null
+++ b/crates/simulator/src/measures.rs
@@ -0,0 +1,174 @@
+//! What a run measures: outages of probed keys, moved keys, messages.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use threadledge_types::records::{RecordChange, RecordDelta, SliceKey};
+use threadledge_types::{BackEndId, Point, Revision, ServiceId, Timestamp};
+
+/// A stretch of time in which a probed key could not be served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// Service of the key.
+    pub service: ServiceId,
+    /// Point of the key.
+    pub point: Point,
+    /// When the first probe failed.
+    pub from: Timestamp,
+    /// When a probe succeeded again, if one did.
+    pub until: Option<Timestamp>,
+}
+
+impl Outage {
+    /// How long it lasted, up to `now` if it goes on.
+    pub fn length(&self, now: Timestamp) -> Duration {
+        self.until.unwrap_or(now).since(self.from)
+    }
+}
+
+/// Messages and bytes of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes as JSON over HTTP/1.1.
+    pub bytes: u64,
+}
+
+/// Kinds of messages that are counted apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MessageKind {
+    /// Replication of the log.
+    Consensus,
+    /// Failure detection.
+    Membership,
+    /// Copies of records.
+    Spread,
+    /// Leases of back ends.
+    Lease,
+}
+
+/// Figures of one run.
+#[derive(Debug, Default)]
+pub struct Measures {
+    outages: Vec<Outage>,
+    failing: BTreeMap<(ServiceId, Point), usize>,
+    probes: u64,
+    failed_probes: u64,
+    owners: BTreeMap<SliceKey, Option<BackEndId>>,
+    last_owner: BTreeMap<SliceKey, BackEndId>,
+    seen: Revision,
+    moved_share: BTreeMap<ServiceId, f64>,
+    sent: BTreeMap<MessageKind, Traffic>,
+    /// Time the cores took, in nanoseconds, where a stopwatch is set.
+    pub busy_nanos: BTreeMap<String, u64>,
+}
+
+impl Measures {
+    /// All outages of probed keys.
+    pub fn outages(&self) -> &[Outage] {
+        &self.outages
+    }
+
+    /// Longest outage so far.
+    pub fn longest_outage(&self, now: Timestamp) -> Duration {
+        let lengths = self.outages.iter().map(|outage| outage.length(now));
+        lengths.max().unwrap_or_default()
+    }
+
+    /// Probes made and probes failed.
+    pub fn probes(&self) -> (u64, u64) {
+        (self.probes, self.failed_probes)
+    }
+
+    /// Share of a service's keys that changed owner; above 1 when keys moved
+    /// more than once.
+    pub fn moved_share(&self, service: &ServiceId) -> f64 {
+        self.moved_share.get(service).copied().unwrap_or(0.0)
+    }
+
+    /// Messages sent, by kind.
+    pub fn sent(&self) -> &BTreeMap<MessageKind, Traffic> {
+        &self.sent
+    }
+
+    /// Forgets outages, moves and messages so far, but not who owns what.
+    pub fn reset(&mut self) {
+        let owners = std::mem::take(&mut self.owners);
+        let last_owner = std::mem::take(&mut self.last_owner);
+        *self = Measures {
+            owners,
+            last_owner,
+            seen: self.seen,
+            ..Default::default()
+        };
+    }
+
+    /// Counts one message.
+    pub fn count(&mut self, kind: MessageKind, bytes: u64) {
+        let traffic = self.sent.entry(kind).or_default();
+        traffic.messages += 1;
+        traffic.bytes += bytes;
+    }
+
+    /// One probe's finding.
+    pub fn probe(&mut self, now: Timestamp, service: &ServiceId, point: Point, served: bool) {
+        self.probes += 1;
+        let key = (service.clone(), point);
+        if served {
+            if let Some(number) = self.failing.remove(&key) {
+                self.outages[number].until = Some(now);
+            }
+            return;
+        }
+        self.failed_probes += 1;
+        if !self.failing.contains_key(&key) {
+            self.failing.insert(key, self.outages.len());
+            self.outages.push(Outage {
+                service: service.clone(),
+                point,
+                from: now,
+                until: None,
+            });
+        }
+    }
+
+    /// Follows owners by the records that routers receive. Every revision is
+    /// looked at once, whichever router receives it first.
+    pub fn follow(&mut self, delta: &RecordDelta) {
+        if delta.to <= self.seen {
+            return;
+        }
+        self.seen = delta.to;
+        for change in &delta.changes {
+            match change {
+                RecordChange::Slice(record) => {
+                    let owner = record.owner.as_ref().map(|session| &session.back_end);
+                    self.follow_owner(record.key(), owner, record.slice.share());
+                }
+                RecordChange::SliceRemoved(key) => {
+                    self.owners.remove(key);
+                    self.last_owner.remove(key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn follow_owner(&mut self, key: SliceKey, owner: Option<&BackEndId>, share: f64) {
+        let Some(owner) = owner else { return };
+        let last = match self.last_owner.insert(key.clone(), owner.clone()) {
+            Some(last) => Some(last),
+            // A slice that was split off had the owner of the one it was in.
+            None => self.owner_before(&key),
+        };
+        if last.is_some_and(|last| last != *owner) {
+            *self.moved_share.entry(key.service).or_default() += share;
+        }
+    }
+
+    fn owner_before(&self, key: &SliceKey) -> Option<BackEndId> {
+        let (neighbour, owner) = self.last_owner.range(..key).next_back()?;
+        (neighbour.service == key.service).then(|| owner.clone())
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/world.rs
@@ -0,0 +1,304 @@
+//! A world of routers, back ends, store and network, run in virtual time.
+
+mod deliver;
+mod faults;
+mod outputs;
+mod probes;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use threadledge_control::{ControlNode, ControlSettings};
+use threadledge_membership::{Machine, MachineState};
+use threadledge_routing::RoutingTable;
+use threadledge_types::{
+    BackEndId, Incarnation, MachineName, RouterId, RouterIdentity, ServiceId, Timestamp,
+};
+
+use crate::back_end::{BackEndModel, Traffic};
+use crate::clock::ModelClock;
+use crate::event::{Event, EventQueue};
+use crate::invariants::Invariants;
+use crate::measures::Measures;
+use crate::network::{Network, Place};
+use crate::router::{RouterModel, RouterProcess};
+use crate::scenario::{self, NAMESPACE, Scenario};
+use crate::store::StoreModel;
+
+/// Largest clock offset at the start of a process, in microseconds.
+const MAX_CLOCK_OFFSET: u64 = 10_000_000_000;
+/// Time between two rounds of probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between readings of the machine list.
+const MACHINES_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Number of a routing machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouterIndex(pub usize);
+
+/// Number of a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackEndIndex(pub usize);
+
+/// A key that is looked at regularly, by the table of one router.
+struct Probe {
+    service: ServiceId,
+    point: threadledge_types::Point,
+}
+
+/// A simulated region.
+pub struct World {
+    scenario: Scenario,
+    now: Timestamp,
+    random: ChaCha8Rng,
+    queue: EventQueue,
+    network: Network,
+    routers: Vec<RouterModel>,
+    router_addresses: BTreeMap<SocketAddr, RouterIndex>,
+    back_ends: Vec<BackEndModel>,
+    back_end_addresses: BTreeMap<SocketAddr, BackEndIndex>,
+    back_end_ids: BTreeMap<BackEndId, BackEndIndex>,
+    store: StoreModel,
+    traffic: Traffic,
+    exchanges: BTreeMap<u64, threadledge_types::session::LeaseOrder>,
+    lease_back_end: BTreeMap<u64, BackEndId>,
+    next_exchange: u64,
+    tables: BTreeMap<RouterIndex, RoutingTable>,
+    probes: Vec<Probe>,
+    probe_round: usize,
+    invariants: Invariants,
+    measures: Measures,
+    stopwatch: Option<fn() -> u64>,
+}
+
+impl World {
+    /// Lays out and starts everything a scenario names.
+    pub fn new(scenario: Scenario) -> Self {
+        let mut world = World {
+            now: Timestamp::ZERO,
+            random: ChaCha8Rng::seed_from_u64(scenario.seed),
+            queue: EventQueue::default(),
+            network: Network::new(scenario.network.clone()),
+            routers: Vec::new(),
+            router_addresses: BTreeMap::new(),
+            back_ends: Vec::new(),
+            back_end_addresses: BTreeMap::new(),
+            back_end_ids: BTreeMap::new(),
+            store: StoreModel::default(),
+            traffic: Traffic::default(),
+            exchanges: BTreeMap::new(),
+            lease_back_end: BTreeMap::new(),
+            next_exchange: 0,
+            tables: BTreeMap::new(),
+            probes: Vec::new(),
+            probe_round: 0,
+            invariants: Invariants::default(),
+            measures: Measures::default(),
+            stopwatch: None,
+            scenario,
+        };
+        world.lay_out_services();
+        world.lay_out_routers();
+        world.queue.schedule(Timestamp::ZERO, Event::Probe);
+        world
+    }
+
+    /// Measures the time that cores take with `stopwatch`, which returns
+    /// nanoseconds since any origin.
+    pub fn set_stopwatch(&mut self, stopwatch: fn() -> u64) {
+        self.stopwatch = Some(stopwatch);
+    }
+
+    /// Virtual time.
+    pub fn now(&self) -> Timestamp {
+        self.now
+    }
+
+    /// Runs for a stretch of virtual time.
+    pub fn run_for(&mut self, duration: Duration) {
+        let until = self.now + duration;
+        while let Some((at, event)) = self.queue.pop_until(until) {
+            self.now = at;
+            self.deliver(event);
+        }
+        self.now = until;
+    }
+
+    /// Verdicts so far.
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
+    /// Figures so far.
+    pub fn measures(&self) -> &Measures {
+        &self.measures
+    }
+
+    /// Starts the figures anew.
+    pub fn reset_measures(&mut self) {
+        self.measures.reset();
+    }
+
+    /// The platform.
+    pub fn store(&mut self) -> &mut StoreModel {
+        &mut self.store
+    }
+
+    /// The network.
+    pub fn network(&mut self) -> &mut Network {
+        &mut self.network
+    }
+
+    /// Rates of requests that servers report.
+    pub fn traffic(&mut self) -> &mut Traffic {
+        &mut self.traffic
+    }
+
+    /// Routers of the world.
+    pub fn router_count(&self) -> usize {
+        self.routers.len()
+    }
+
+    /// The control core of a running router.
+    pub fn router(&self, index: RouterIndex) -> Option<&ControlNode> {
+        let process = self.routers[index.0].process.as_ref()?;
+        Some(&process.node)
+    }
+
+    /// A server.
+    pub fn back_end(&self, index: BackEndIndex) -> &BackEndModel {
+        &self.back_ends[index.0]
+    }
+
+    /// Servers of the world.
+    pub fn back_end_count(&self) -> usize {
+        self.back_ends.len()
+    }
+
+    /// Where a router stands.
+    pub fn router_place(&self, index: RouterIndex) -> &Place {
+        &self.routers[index.0].place
+    }
+
+    /// The router that leads with a valid leader lease, if any.
+    pub fn leader(&self) -> Option<RouterIndex> {
+        let mut indices = 0..self.routers.len();
+        indices
+            .find(|number| {
+                let process = self.routers[*number].process.as_ref();
+                process.is_some_and(|process| {
+                    !process.paused && process.node.is_leader(process.clock.read(self.now))
+                })
+            })
+            .map(RouterIndex)
+    }
+
+    /// Service identifier of a planned service.
+    pub fn service_id(&self, name: &str) -> ServiceId {
+        ServiceId::new(NAMESPACE, name)
+    }
+
+    fn lay_out_services(&mut self) {
+        for plan in self.scenario.services.clone() {
+            for number in 0..plan.back_ends {
+                let machine = self.back_ends.len();
+                let zone = machine % self.scenario.zones;
+                let object = scenario::back_end_object(&plan.name, number, machine, zone);
+                self.store.put_back_end(object);
+                self.add_back_end(&scenario::back_end_name(&plan.name, number), zone);
+            }
+            self.store.put_service(scenario::service_object(&plan));
+            let service = self.service_id(&plan.name);
+            self.traffic.base.push((service.clone(), plan.rate));
+            for _ in 0..self.scenario.probes_per_service {
+                let point = threadledge_types::Point(self.random.random());
+                let service = service.clone();
+                self.probes.push(Probe { service, point });
+            }
+        }
+    }
+
+    fn add_back_end(&mut self, name: &str, zone: usize) {
+        let index = BackEndIndex(self.back_ends.len());
+        let control = scenario::control_address(index.0);
+        let id = BackEndId::new(NAMESPACE, name);
+        self.back_end_addresses.insert(control, index);
+        self.back_end_ids.insert(id.clone(), index);
+        let place = Place { region: 0, zone };
+        self.back_ends.push(BackEndModel::new(id, place, control));
+        self.start_back_end(index);
+    }
+
+    fn lay_out_routers(&mut self) {
+        for number in 0..self.scenario.routers {
+            let address = scenario::router_address(number);
+            self.router_addresses.insert(address, RouterIndex(number));
+            self.routers.push(RouterModel {
+                machine: MachineName(format!("router-{number}")),
+                place: Place {
+                    region: 0,
+                    zone: number % self.scenario.zones,
+                },
+                address,
+                process: None,
+                lives: 0,
+            });
+        }
+        self.publish_machines();
+        for number in 0..self.scenario.routers {
+            self.start_router(RouterIndex(number));
+        }
+    }
+
+    /// Brings the platform's machine list up to date with the machines.
+    pub fn publish_machines(&mut self) {
+        let machines = self.routers.iter().map(|router| Machine {
+            name: router.machine.clone(),
+            region: scenario::region(),
+            zone: scenario::zone_name(router.place.zone),
+            peer_address: router.address,
+            state: MachineState::Live,
+        });
+        let machines = machines.collect();
+        self.store.set_machines(machines);
+    }
+
+    fn new_clock(&mut self) -> ModelClock {
+        let drift = self.scenario.drift_ppm;
+        let offset = self.random.random_range(0..MAX_CLOCK_OFFSET);
+        let drift = self.random.random_range(-drift..=drift);
+        ModelClock::new(offset, drift)
+    }
+
+    fn new_process(&mut self, index: RouterIndex) -> RouterProcess {
+        let clock = self.new_clock();
+        let id: u64 = self.random.random();
+        let router = &mut self.routers[index.0];
+        router.lives += 1;
+        let identity = RouterIdentity {
+            id: RouterId(id),
+            machine: router.machine.clone(),
+            incarnation: Incarnation(router.lives),
+            region: scenario::region(),
+            zone: scenario::zone_name(router.place.zone),
+            peer_address: router.address,
+            caller_address: router.address,
+        };
+        let settings = ControlSettings {
+            group_size: self.scenario.group_size,
+            timing: self.scenario.timing.clone(),
+            seed: id,
+            ..Default::default()
+        };
+        RouterProcess {
+            node: ControlNode::new(settings, identity, clock.read(self.now)),
+            clock,
+            paused: false,
+            held_back: Vec::new(),
+            watching: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/world/deliver.rs
@@ -0,0 +1,251 @@
+//! What happens when an event is due.
+
+use threadledge_control::{Input, PeerBatch};
+use threadledge_types::session::{Grant, LeaseRequest, LeaseResponse};
+use threadledge_types::{RouterId, Timestamp};
+
+use super::{BackEndIndex, PROBE_INTERVAL, RouterIndex, World};
+use crate::back_end::PREPARATION;
+use crate::event::Event;
+use crate::measures::MessageKind;
+
+/// Events kept for a process that does not run on; more are lost, as a
+/// socket's buffer would be full.
+const HELD_BACK: usize = 4_096;
+
+impl World {
+    pub(super) fn deliver(&mut self, event: Event) {
+        match event {
+            Event::RouterTick(index) => self.tick_router(index),
+            Event::ReadMachines(index) => self.read_machines(index),
+            Event::Probe => {
+                self.run_probes();
+                self.queue.schedule(self.now + PROBE_INTERVAL, Event::Probe);
+            }
+            Event::Prepared {
+                back_end,
+                incarnation,
+                grant,
+            } => self.prepared(back_end, incarnation, &grant),
+            Event::WatchStore { router, process } => self.watch_store(router, process),
+            event @ Event::Lease { .. } => self.deliver_lease(event),
+            event => self.deliver_to_router(event),
+        }
+    }
+
+    fn tick_router(&mut self, index: RouterIndex) {
+        let Some(process) = &self.routers[index.0].process else {
+            return;
+        };
+        if process.paused {
+            return;
+        }
+        self.input_router(index, Input::Tick);
+        self.reschedule_tick(index);
+    }
+
+    fn read_machines(&mut self, index: RouterIndex) {
+        if self.routers[index.0].process.is_none() {
+            return;
+        }
+        if let Some(list) = self.store.machines() {
+            self.input_router(index, Input::Machines(list));
+        }
+        self.schedule_machines(index);
+    }
+
+    fn watch_store(&mut self, index: RouterIndex, process: RouterId) {
+        if self.routers[index.0].id() != Some(process) {
+            return;
+        }
+        if self.store.is_down() {
+            let event = Event::WatchStore {
+                router: index,
+                process,
+            };
+            self.queue
+                .schedule(self.now + std::time::Duration::from_secs(1), event);
+            return;
+        }
+        let is_leader = self
+            .router(index)
+            .is_some_and(|node| node.planner().is_some());
+        if let Some(running) = &mut self.routers[index.0].process {
+            running.watching = is_leader;
+        }
+        if is_leader {
+            for listing in self.store.listings() {
+                self.input_router(index, Input::Configuration(listing));
+            }
+        }
+    }
+
+    fn deliver_to_router(&mut self, event: Event) {
+        let index = match &event {
+            Event::Peer { to, .. }
+            | Event::RouterInput { to, .. }
+            | Event::LeaseAnswer { to, .. }
+            | Event::LeaseTimeout { to, .. } => *to,
+            _ => return,
+        };
+        let Some(process) = &mut self.routers[index.0].process else {
+            return;
+        };
+        if process.paused {
+            if process.held_back.len() < HELD_BACK {
+                process.held_back.push(event);
+            }
+            return;
+        }
+        let own = process.node.identity().id;
+        match event {
+            Event::Peer {
+                to_id,
+                from,
+                message,
+                ..
+            } => {
+                let batch = PeerBatch {
+                    from,
+                    to: to_id,
+                    messages: vec![*message],
+                };
+                self.input_router(index, Input::Peer(batch));
+            }
+            Event::RouterInput { process, input, .. } if process == own => {
+                self.input_router(index, *input);
+            }
+            Event::LeaseAnswer {
+                process,
+                exchange,
+                response,
+                ..
+            } if process == own => self.lease_answered(index, exchange, *response),
+            Event::LeaseTimeout {
+                process, exchange, ..
+            } if process == own => self.lease_timed_out(index, exchange),
+            _ => {}
+        }
+    }
+
+    fn lease_answered(&mut self, index: RouterIndex, exchange: u64, response: LeaseResponse) {
+        let Some(back_end) = self.lease_back_end.remove(&exchange) else {
+            return;
+        };
+        self.exchanges.remove(&exchange);
+        self.input_router(index, Input::LeaseAnswered { back_end, response });
+    }
+
+    fn lease_timed_out(&mut self, index: RouterIndex, exchange: u64) {
+        let Some(order) = self.exchanges.remove(&exchange) else {
+            return;
+        };
+        if let Some(back_end) = self.lease_back_end.remove(&exchange) {
+            self.input_router(index, Input::LeaseFailed { back_end, order });
+        }
+    }
+
+    fn deliver_lease(&mut self, event: Event) {
+        let Event::Lease { to, .. } = &event else {
+            return;
+        };
+        let index = *to;
+        let Some(process) = &mut self.back_ends[index.0].process else {
+            return;
+        };
+        if process.frozen {
+            if process.held_back.len() < HELD_BACK {
+                process.held_back.push(event);
+            }
+            return;
+        }
+        let Event::Lease {
+            from,
+            process,
+            exchange,
+            request,
+            ..
+        } = event
+        else {
+            return;
+        };
+        let response = self.handle_lease(index, *request);
+        self.count(MessageKind::Lease, &response);
+        self.send_lease_answer(index, from, process, exchange, response);
+    }
+
+    fn handle_lease(&mut self, index: BackEndIndex, request: LeaseRequest) -> LeaseResponse {
+        let now = self.now;
+        let back_end = &mut self.back_ends[index.0];
+        let process = back_end.process.as_mut().expect("checked by the caller");
+        let before = process.valid_grants(now);
+        let response = process.handle(now, request, &self.traffic);
+        let incarnation = response.incarnation.0;
+        let preparing: Vec<Grant> = process.holder.preparing().cloned().collect();
+        for grant in preparing {
+            let event = Event::Prepared {
+                back_end: index,
+                incarnation,
+                grant,
+            };
+            self.queue.schedule(now + PREPARATION, event);
+        }
+        self.check_owner(index, Some(before));
+        response
+    }
+
+    fn send_lease_answer(
+        &mut self,
+        index: BackEndIndex,
+        to: RouterIndex,
+        process: RouterId,
+        exchange: u64,
+        response: LeaseResponse,
+    ) {
+        let machine = self.routers.len() + index.0;
+        let (one, other) = (&self.back_ends[index.0].place, &self.routers[to.0].place);
+        let deliveries = self
+            .network
+            .deliveries(&mut self.random, (machine, one), (to.0, other));
+        for delay in deliveries {
+            let event = Event::LeaseAnswer {
+                to,
+                process,
+                exchange,
+                response: Box::new(response.clone()),
+            };
+            self.queue.schedule(self.now + delay, event);
+        }
+    }
+
+    fn prepared(&mut self, index: BackEndIndex, incarnation: u64, grant: &Grant) {
+        let process = self.back_ends[index.0].process.as_mut();
+        if let Some(process) = process.filter(|process| !process.frozen)
+            && process.holder.incarnation().0 == incarnation
+        {
+            process.holder.mark_ready(grant);
+        }
+    }
+
+    /// Checks what a server may act on against all others. `before` is what
+    /// it could act on until now; what it could already do was checked then.
+    pub(super) fn check_owner(&mut self, index: BackEndIndex, before: Option<Vec<Grant>>) {
+        let now: Timestamp = self.now;
+        let back_end = &self.back_ends[index.0];
+        let Some(process) = &back_end.process else {
+            return;
+        };
+        let before = before.unwrap_or_default();
+        let mut taken = process.valid_grants(now);
+        taken.retain(|grant| before.binary_search(grant).is_err());
+        if taken.is_empty() {
+            return;
+        }
+        let others = self.back_ends.iter().enumerate();
+        let others = others
+            .filter(|(number, _)| *number != index.0)
+            .filter_map(|(_, other)| Some((&other.id, other.process.as_ref()?.valid_grants(now))));
+        self.invariants
+            .check_single_owner(now, &back_end.id, &taken, others);
+    }
+}
