Refuse targets that name another host than the Host header

Cause: async-h1 routes an absolute target by its own host and leaves the Host header as it was, so router and back end could read two hosts. Change: both must agree, and only paths and http URLs are taken. The pool also takes an address's connection limit with the request for a connection.

--- a/crates/net/src/pool/address.rs
+++ b/crates/net/src/pool/address.rs
@@ -88,10 +88,12 @@
     pub(super) fn reserve(
         self: &Arc<Self>,
         address: SocketAddr,
+        limit: Option<usize>,
         expired_before: Option<Instant>,
     ) -> Reservation {
         let mut by_address = self.by_address.lock();
         let entry = by_address.entry(address).or_default();
+        entry.limit = limit.or(entry.limit);
         let limit = entry.limit.unwrap_or(self.default_limit);
         let fresh = |idle: &Idle| expired_before.is_none_or(|before| idle.since > before);
         let idle = entry.idle.pop();
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -140,7 +140,27 @@
         address: SocketAddr,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
-        let (slot, wire) = match self.check_out(address)? {
+        self.connection_of(address, None, deadline).await
+    }
+
+    /// As [`Pool::connection`], setting the limit of connections to the
+    /// address at the same time.
+    pub async fn connection_within(
+        &self,
+        address: SocketAddr,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<PooledConnection, ExchangeError> {
+        self.connection_of(address, Some(limit), deadline).await
+    }
+
+    async fn connection_of(
+        &self,
+        address: SocketAddr,
+        limit: Option<usize>,
+        deadline: Instant,
+    ) -> Result<PooledConnection, ExchangeError> {
+        let (slot, wire) = match self.check_out(address, limit)? {
             (slot, Some(wire)) => (slot, wire),
             (slot, None) => (slot, self.connect(address, deadline).await?),
         };
@@ -148,10 +168,14 @@
     }
 
     /// Takes an idle connection that is still good, or room for a new one.
-    fn check_out(&self, address: SocketAddr) -> Result<(Slot, Option<Wire>), ExchangeError> {
+    fn check_out(
+        &self,
+        address: SocketAddr,
+        limit: Option<usize>,
+    ) -> Result<(Slot, Option<Wire>), ExchangeError> {
         loop {
             let expired_before = Instant::now().checked_sub(self.settings.idle_timeout);
-            match self.addresses.reserve(address, expired_before) {
+            match self.addresses.reserve(address, limit, expired_before) {
                 Reservation::Idle(slot, wire) => {
                     // The connection may have been closed, or something sent
                     // on it, while nobody listened.
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -66,6 +66,7 @@
         Err(error) => return Err(RequestFault::Malformed(error.to_string())),
     };
     check(&request)?;
+    check_target(head, &request)?;
     let body = head::framing(request.as_ref()).map_err(malformed)?;
     if body
         .as_ref()
@@ -98,9 +99,7 @@
     if hosts != 1 {
         return Err(malformed("exactly one Host header is needed"));
     }
-    let host = request
-        .header(HOST)
-        .map_or("", |values| values.last().as_str());
+    let host = host_of(request);
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._:[]".contains(&byte);
     if host.is_empty() || !host.bytes().all(plain) {
         return Err(malformed("the Host header is not a host"));
@@ -108,6 +107,33 @@
     Ok(())
 }
 
+/// A target with a host of its own must name the same as the Host header:
+/// the one decides the route, and the back end may look at the other.
+fn check_target(head: &[u8], request: &Request) -> Result<(), RequestFault> {
+    let mut words = head.split(|byte| *byte == b' ');
+    let target = words.nth(1).unwrap_or_default();
+    if target.starts_with(b"/") {
+        return Ok(());
+    }
+    let Some(rest) = target.strip_prefix(b"http://") else {
+        return Err(malformed("the target is neither a path nor an http URL"));
+    };
+    let authority = rest.split(|byte| b"/?#".contains(byte)).next();
+    let authority = authority.unwrap_or_default();
+    if host_of(request).as_bytes().eq_ignore_ascii_case(authority) {
+        return Ok(());
+    }
+    Err(malformed(
+        "the target and the Host header name different hosts",
+    ))
+}
+
+fn host_of(request: &Request) -> &str {
+    request
+        .header(HOST)
+        .map_or("", |values| values.last().as_str())
+}
+
 fn malformed(detail: &'static str) -> RequestFault {
     RequestFault::Malformed(detail.to_owned())
 }
--- a/crates/net/tests/server_refusals.rs
+++ b/crates/net/tests/server_refusals.rs
@@ -41,6 +41,16 @@
         bad("GET / HTTP/1.1\r\nhost:\r\n\r\n", 400, "malformed"),
         bad("GET / HTTP/1.1\r\nhost: a/../b\r\n\r\n", 400, "malformed"),
         bad("GET / HTTP/1.0\r\nhost: a\r\n\r\n", 400, "malformed"),
+        bad(
+            "GET http://b/ HTTP/1.1\r\nhost: a\r\n\r\n",
+            400,
+            "malformed",
+        ),
+        bad(
+            "GET https://a/ HTTP/1.1\r\nhost: a\r\n\r\n",
+            400,
+            "malformed",
+        ),
         bad("GET a HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
         bad("BREW / HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
         bad("CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n", 501, "malformed"),
