--- a/crates/lab/src/stand_in/object_api/seed.rs
+++ b/crates/lab/src/stand_in/object_api/seed.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use serde_json::Value;
+use threadledge_types::validation::objects_of_document;
 
 use super::operation::{Write, metadata_text};
 use super::path::{Collection, Resource};
@@ -52,10 +53,8 @@
             path: path.clone(),
             source,
         })?;
-        match value.get("items").and_then(Value::as_array) {
-            Some(items) => objects.extend(items.iter().map(|item| (path.clone(), item.clone()))),
-            None => objects.push((path, value)),
-        }
+        let of_file = |object| (path.clone(), object);
+        objects.extend(objects_of_document(value).into_iter().map(of_file));
     }
     Ok(objects)
 }
--- /dev/null
+++ b/crates/platform/tests/tracker.rs
@@ -0,0 +1,199 @@
+//! A store that went back in time changes nothing by itself.
+
+use threadledge_platform::tracker::{EventVerdict, ListVerdict};
+use threadledge_platform::{
+    Change, Event, Listed, ObjectKey, ObjectTracker, StoredObject, Withheld, WithheldReason,
+};
+use threadledge_types::objects::BackEndObject;
+use threadledge_types::validation::{ObjectReference, Problem, ProblemKind};
+
+type Object = StoredObject<BackEndObject>;
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey::new("kauri", name)
+}
+
+/// The tracker looks at identity and version only, so content is left out.
+fn object(name: &str, uid: &str, version: u64) -> Object {
+    StoredObject {
+        key: key(name),
+        uid: uid.to_owned(),
+        resource_version: version,
+        generation: 1,
+        content: Err(Box::new(Problem {
+            object: ObjectReference::new("BackEnd", "kauri", name),
+            field: "spec".to_owned(),
+            kind: ProblemKind::Empty,
+        })),
+    }
+}
+
+fn list(resource_version: u64, items: Vec<Object>) -> Listed<BackEndObject> {
+    Listed {
+        items,
+        resource_version,
+    }
+}
+
+/// What a current list gave: names, removed names, withheld.
+fn current(verdict: ListVerdict<BackEndObject>) -> (Vec<String>, Vec<String>, Vec<Withheld>) {
+    let ListVerdict::Current {
+        objects,
+        removed,
+        withheld,
+    } = verdict
+    else {
+        panic!("the list is older: {verdict:?}");
+    };
+    let objects = objects.into_iter().map(|object| object.key.name).collect();
+    let removed = removed.into_iter().map(|key| key.name).collect();
+    (objects, removed, withheld)
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// A tracker that saw `a` at 5 and `b` at 8 in a list of version 9.
+fn tracker() -> ObjectTracker {
+    let mut tracker = ObjectTracker::new();
+    tracker.on_list(list(9, vec![object("a", "1", 5), object("b", "2", 8)]));
+    tracker
+}
+
+#[test]
+fn list_gives_all_objects_and_what_is_gone() {
+    let mut tracker = tracker();
+    let verdict = tracker.on_list(list(12, vec![object("a", "1", 11), object("c", "3", 12)]));
+    let (objects, removed, withheld) = current(verdict);
+    assert_eq!(objects, names(&["a", "c"]));
+    assert_eq!(removed, names(&["b"]));
+    assert_eq!(withheld, []);
+}
+
+#[test]
+fn older_list_is_reported_and_not_used() {
+    let mut tracker = tracker();
+    let verdict = tracker.on_list(list(6, vec![object("a", "1", 5)]));
+    assert!(matches!(verdict, ListVerdict::Older { seen: 9, listed: 6 }));
+    assert_eq!(tracker.seen(), 9);
+}
+
+#[test]
+fn object_lost_by_a_restored_store_is_withheld_not_removed() {
+    let mut tracker = tracker();
+    tracker.on_list(list(6, vec![object("a", "1", 5)]));
+    let verdict = tracker.on_list(list(10, vec![object("a", "1", 10)]));
+    let (objects, removed, withheld) = current(verdict);
+    assert_eq!(objects, names(&["a"]));
+    assert_eq!(removed, names(&[]));
+    let lost = Withheld {
+        key: key("b"),
+        reason: WithheldReason::Lost,
+    };
+    assert_eq!(withheld, [lost]);
+    // A deletion after the restore is a deletion.
+    let verdict = tracker.on_list(list(14, vec![]));
+    let (_, removed, withheld) = current(verdict);
+    assert_eq!(removed, names(&["a"]));
+    assert_eq!(withheld.len(), 1);
+    // Created again, it is followed as any other.
+    let verdict = tracker.on_list(list(16, vec![object("b", "9", 15)]));
+    assert_eq!(current(verdict).2, []);
+    let verdict = tracker.on_list(list(18, vec![]));
+    assert_eq!(current(verdict).1, names(&["b"]));
+}
+
+#[test]
+fn older_object_under_a_bumped_version_is_withheld_until_edited() {
+    let mut tracker = tracker();
+    tracker.on_list(list(11, vec![object("a", "1", 11), object("b", "2", 8)]));
+    let restored = vec![object("a", "1", 5), object("b", "2", 8)];
+    let (objects, _, withheld) = current(tracker.on_list(list(1_000, restored)));
+    assert_eq!(objects, names(&["b"]));
+    let reason = WithheldReason::Older {
+        delivered: 11,
+        shown: 5,
+    };
+    let older = Withheld {
+        key: key("a"),
+        reason,
+    };
+    assert_eq!(withheld, [older]);
+    let edited = Event::Modified(object("a", "1", 1_001));
+    let verdict = tracker.on_event(edited);
+    assert!(matches!(verdict, EventVerdict::Change(Change::Applied(_))));
+}
+
+#[test]
+fn deleted_object_that_a_restored_store_shows_again_is_withheld() {
+    let mut tracker = tracker();
+    tracker.on_event(Event::Deleted(object("b", "2", 10)));
+    let restored = vec![object("a", "1", 5), object("b", "2", 8)];
+    let (objects, _, withheld) = current(tracker.on_list(list(1_000, restored)));
+    assert_eq!(objects, names(&["a"]));
+    let reason = WithheldReason::Resurrected(8);
+    let again = Withheld {
+        key: key("b"),
+        reason,
+    };
+    assert_eq!(withheld, [again]);
+}
+
+#[test]
+fn version_used_twice_is_withheld() {
+    let mut tracker = tracker();
+    let reused = vec![object("a", "1", 5), object("b", "7", 8)];
+    let (objects, _, withheld) = current(tracker.on_list(list(9, reused)));
+    assert_eq!(objects, names(&["a"]));
+    assert_eq!(withheld[0].reason, WithheldReason::VersionReused(8));
+}
+
+#[test]
+fn events_are_delivered_once_and_in_order() {
+    let mut tracker = tracker();
+    let change = tracker.on_event(Event::Modified(object("a", "1", 10)));
+    assert!(matches!(change, EventVerdict::Change(Change::Applied(_))));
+    let repeated = tracker.on_event(Event::Modified(object("a", "1", 10)));
+    assert!(matches!(repeated, EventVerdict::Repeated));
+    let older = tracker.on_event(Event::Modified(object("a", "1", 7)));
+    assert!(matches!(older, EventVerdict::Older { seen: 10, shown: 7 }));
+    let removed = tracker.on_event(Event::Deleted(object("a", "1", 11)));
+    assert!(matches!(removed, EventVerdict::Change(Change::Removed(_))));
+    let confirmed = tracker.on_event::<BackEndObject>(Event::Bookmark(20));
+    assert!(matches!(confirmed, EventVerdict::Confirmed(20)));
+    let older = tracker.on_event::<BackEndObject>(Event::Bookmark(19));
+    assert!(matches!(
+        older,
+        EventVerdict::Older {
+            seen: 20,
+            shown: 19
+        }
+    ));
+    let gone = tracker.on_event::<BackEndObject>(Event::Gone);
+    assert!(matches!(gone, EventVerdict::Relist));
+}
+
+#[test]
+fn new_watcher_with_known_versions_trusts_no_older_store() {
+    let mut tracker = ObjectTracker::with_known([(key("a"), 5), (key("b"), 8)]);
+    let verdict = tracker.on_list(list(7, vec![object("a", "1", 5)]));
+    assert!(matches!(verdict, ListVerdict::Older { seen: 8, listed: 7 }));
+    // Objects that were refused earlier are unknown to it, yet not deleted.
+    let items = vec![
+        object("a", "1", 5),
+        object("b", "2", 8),
+        object("c", "3", 4),
+    ];
+    let (objects, removed, withheld) = current(tracker.on_list(list(9, items)));
+    assert_eq!(objects, names(&["a", "b", "c"]));
+    assert_eq!(removed, names(&[]));
+    assert_eq!(withheld, []);
+}
+
+#[test]
+fn new_watcher_reports_what_was_deleted_while_none_ran() {
+    let mut tracker = ObjectTracker::with_known([(key("a"), 5), (key("b"), 8)]);
+    let (_, removed, _) = current(tracker.on_list(list(20, vec![object("a", "1", 5)])));
+    assert_eq!(removed, names(&["b"]));
+}
--- a/crates/types/src/validation/hosts.rs
+++ b/crates/types/src/validation/hosts.rs
@@ -1,7 +1,6 @@
 //! Which service has which host.
 
-use std::collections::BTreeMap;
-
+use super::claims::ClaimTable;
 use super::problem::{ObjectReference, Problem, ProblemKind, ProblemList};
 use crate::ids::ServiceId;
 use crate::objects::KEYED_SERVICE_KIND;
@@ -12,8 +11,7 @@
 /// route of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HostClaims {
-    holders: BTreeMap<String, ServiceId>,
-    hosts: BTreeMap<ServiceId, Vec<String>>,
+    table: ClaimTable<String, ServiceId>,
 }
 
 impl HostClaims {
@@ -32,8 +30,7 @@
         let reference = ObjectReference::new(KEYED_SERVICE_KIND, &id.namespace, &id.name);
         let mut problems = ProblemList::new(reference);
         for (index, host) in service.spec.hosts.iter().enumerate() {
-            let other = self.holders.get(host).filter(|holder| *holder != id);
-            if let Some(holder) = other {
+            if let Some(holder) = self.table.other_holder(host, id) {
                 let kind = ProblemKind::HostClaimed {
                     host: host.clone(),
                     holder: holder.clone(),
@@ -52,24 +49,17 @@
     /// One problem for each host that another service has; nothing changes.
     pub fn claim(&mut self, service: &ServiceRecord) -> Result<(), Vec<Problem>> {
         self.check(service)?;
-        self.release(&service.id);
-        for host in &service.spec.hosts {
-            self.holders.insert(host.clone(), service.id.clone());
-        }
-        let hosts = service.spec.hosts.clone();
-        self.hosts.insert(service.id.clone(), hosts);
+        self.table.set(&service.id, service.spec.hosts.clone());
         Ok(())
     }
 
     /// Gives up every host of a service that is gone.
     pub fn release(&mut self, service: &ServiceId) {
-        for host in self.hosts.remove(service).unwrap_or_default() {
-            self.holders.remove(&host);
-        }
+        self.table.release(service);
     }
 
     /// The service that has a host.
     pub fn holder(&self, host: &str) -> Option<&ServiceId> {
-        self.holders.get(host)
+        self.table.holder(&host.to_owned())
     }
 }
--- a/crates/types/src/validation/mod.rs
+++ b/crates/types/src/validation/mod.rs
@@ -7,19 +7,26 @@
 //!
 //! What can be told from one object alone is checked by [`validate_back_end`]
 //! and [`validate_service`]; what depends on the other objects (a host that
-//! another service has) by [`HostClaims`].
+//! another service has, an address that
+//! another back end has) by [`HostClaims`] and [`AddressClaims`], and of a
+//! whole deployment by [`ObjectSet`].
 
+mod addresses;
 mod back_end;
+mod claims;
 mod hosts;
 mod names;
+mod object_set;
 mod parse;
 mod problem;
 mod route;
 mod selector;
 mod service;
 
+pub use addresses::AddressClaims;
 pub use back_end::{MAX_CONNECTIONS, MAX_SLOTS, validate_back_end};
 pub use hosts::HostClaims;
+pub use object_set::{ObjectSet, objects_of_document};
 pub use parse::parse_object;
 pub use problem::{ObjectReference, Problem, ProblemKind};
 pub use route::{MAX_DEADLINE_MS, MAX_PATH_SEGMENT, MIN_DEADLINE_MS};
--- a/crates/types/src/validation/parse.rs
+++ b/crates/types/src/validation/parse.rs
@@ -29,7 +29,8 @@
     })
 }
 
-fn reference_of(kind: &str, value: &Value) -> ObjectReference {
+/// Names an object by what its metadata holds.
+pub(crate) fn reference_of(kind: &str, value: &Value) -> ObjectReference {
     let text = |name: &str| {
         let field = &value["metadata"][name];
         field.as_str().unwrap_or_default()
--- a/crates/types/src/validation/problem.rs
+++ b/crates/types/src/validation/problem.rs
@@ -1,11 +1,12 @@
 //! One thing that is wrong with an object, where it stands, and the remedy.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use k8s_openapi::apimachinery::pkg::apis::meta::v1::ObjectMeta;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ServiceId;
+use crate::ids::{BackEndId, ServiceId};
 
 /// Names the object that a [`Problem`] is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -122,6 +123,23 @@
         /// Service whose claim was accepted first.
         holder: ServiceId,
     },
+    /// The address belongs to another back end.
+    #[error("address {address} belongs to {holder}")]
+    AddressClaimed {
+        /// The address.
+        address: SocketAddr,
+        /// Back end whose claim was accepted first.
+        holder: BackEndId,
+    },
+    /// No back end of the namespace has the labels.
+    #[error("no back end of the namespace is selected")]
+    NothingSelected,
+    /// Not the version of the object API that is served.
+    #[error("{0} is not threadledge.dev/v1")]
+    UnknownVersion(String),
+    /// Not a kind of threadledge object.
+    #[error("'{0}' is not a kind of threadledge object")]
+    UnknownKind(String),
     /// The same value stands twice.
     #[error("'{0}' stands more than once")]
     Duplicate(String),
@@ -160,6 +178,10 @@
             ProblemKind::FewerConnectionsThanSlots { .. } => "FewerConnectionsThanSlots",
             ProblemKind::InvalidHost(_) => "InvalidHost",
             ProblemKind::HostClaimed { .. } => "HostClaimed",
+            ProblemKind::AddressClaimed { .. } => "AddressClaimed",
+            ProblemKind::NothingSelected => "NothingSelected",
+            ProblemKind::UnknownVersion(_) => "UnknownVersion",
+            ProblemKind::UnknownKind(_) => "UnknownKind",
             ProblemKind::Duplicate(_) => "Duplicate",
             ProblemKind::InvalidPathPrefix(_) => "InvalidPathPrefix",
             ProblemKind::InvalidMethod(_) => "InvalidMethod",
@@ -200,6 +222,14 @@
             ProblemKind::HostClaimed { .. } => {
                 "use another host, or remove it from the service that has it"
             }
+            ProblemKind::AddressClaimed { .. } => {
+                "use the address of this back end, or remove the other one first"
+            }
+            ProblemKind::NothingSelected => {
+                "correct the selector, or add the labels to the back ends meant"
+            }
+            ProblemKind::UnknownVersion(_) => "set apiVersion to threadledge.dev/v1",
+            ProblemKind::UnknownKind(_) => "use BackEnd, KeyedService or RouterGroup",
             ProblemKind::Duplicate(_) => "remove the second one",
             ProblemKind::InvalidPathPrefix(_) => {
                 "begin with '/', without query, fragment, spaces, empty or dot segments"
