--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -20,6 +20,10 @@
 const INFLATION_SHRINK: f64 = 2.0;
 /// Ratio below which it may grow.
 const INFLATION_GROW: f64 = 1.5;
+/// Answers at the limit, for each request of it, that raise it by one. Slots
+/// are few, so one request more is a large step: it is tried seldom, lest each
+/// router provoke a refusal with every other request.
+const ANSWERS_PER_STEP: f64 = 32.0;
 /// Time between two decreases while there is no answer time to go by.
 const DEFAULT_DECREASE_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -98,7 +102,7 @@
         // A limit that is not used up says nothing about what is sustained.
         let used_up = in_flight >= self.allowed();
         if used_up && inflation < INFLATION_GROW {
-            self.limit += 1.0 / self.limit;
+            self.limit += 1.0 / (ANSWERS_PER_STEP * self.limit);
             self.clamp();
         }
     }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Records and requests for tests.
 #![allow(dead_code)]
 
+pub mod station;
 pub mod world;
 
 use std::collections::BTreeMap;
