--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -5,7 +5,7 @@
 use crate::members::Members;
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Entry<C> {
     /// Position in the log; the first is 1.
     pub index: u64,
@@ -16,7 +16,7 @@
 }
 
 /// Content of an entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Payload<C> {
     /// Nothing: appended by each new leader to commit what came before.
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -10,7 +10,7 @@
 
 /// State of the application at an index, with what the log needs to go on
 /// from there.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Snapshot<S> {
     /// Last index covered.
     pub index: u64,
@@ -25,7 +25,7 @@
 /// The log of one node.
 ///
 /// Index 0 stands before the first entry and matches in every log.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Log<C, S> {
     snapshot: Snapshot<S>,
     /// Index and term of the entry before the first one held; never above the
--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -1,12 +1,13 @@
 //! The members of a group and the changes that can be made to them.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
 use threadledge_types::{RouterId, RouterIdentity};
 
 /// The members of a group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
     /// Members that vote and count for a quorum.
     pub voters: BTreeMap<RouterId, RouterIdentity>,
@@ -16,7 +17,7 @@
 
 /// One change of the members. Single changes only: the quorums of two
 /// configurations that differ by one voter always overlap.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberChange {
     /// Adds a router that receives the log without voting.
@@ -82,3 +83,13 @@
         !self.voters.is_empty() && count >= self.quorum()
     }
 }
+
+/// Hashes the identifiers only: a router's identity never changes.
+impl Hash for Members {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.voters.len().hash(hasher);
+        for id in self.voters.keys().chain(self.learners.keys()) {
+            id.hash(hasher);
+        }
+    }
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -7,7 +7,7 @@
 use crate::log::Snapshot;
 
 /// One message between two nodes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Message<C, S> {
     /// Group of the sender. A node ignores other groups' messages.
     pub group: GroupId,
@@ -26,7 +26,7 @@
 /// A leader's `sent_at` is a reading of its own clock and is echoed in the
 /// answer: it is how the leader knows when the message that was answered left,
 /// which is what its lease is counted from.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Body<C, S> {
     /// Asks for a vote, or whether one would be given.
@@ -113,7 +113,7 @@
 }
 
 /// What a follower did with appended entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AppendOutcome {
     /// Its log agrees with the leader's up to here.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: its state, how it begins, and what its owner can read from it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
 
 use threadledge_types::{Generation, RouterId, RouterIdentity, Timestamp};
 
@@ -53,7 +54,7 @@
 }
 
 /// What the node does at the moment, with the data that only then exists.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub(crate) enum State {
     /// Not contacted by any leader yet.
     Joining,
@@ -72,7 +73,7 @@
 }
 
 /// What only a leader knows.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub(crate) struct LeaderState {
     pub(crate) elected_at: Timestamp,
     /// Index of the entry appended on election.
@@ -332,3 +333,27 @@
         }
     }
 }
+
+/// Hashes all that decides what the node does next, apart from its settings
+/// and the timeouts it has yet to draw: for tools that explore states and skip
+/// those they have seen.
+impl<C: Hash, S: Hash> Hash for Node<C, S> {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.identity.id.hash(hasher);
+        self.generation.hash(hasher);
+        self.generation_floor.hash(hasher);
+        self.term.hash(hasher);
+        self.voted_for.hash(hasher);
+        self.log.hash(hasher);
+        self.commit_index.hash(hasher);
+        self.delivered_index.hash(hasher);
+        self.restore_pending.hash(hasher);
+        self.state.hash(hasher);
+        let leader = self.leader.as_ref().map(|leader| leader.id);
+        leader.hash(hasher);
+        self.heard_leader_at.hash(hasher);
+        self.cancelled_transfer.hash(hasher);
+        self.timer.deadline().hash(hasher);
+        self.clock.hash(hasher);
+    }
+}
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -5,7 +5,7 @@
 use threadledge_types::Timestamp;
 
 /// How entries are sent to a follower.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ReplicationState {
     /// One message at a time, until it is known where the logs agree.
     Probe {
@@ -27,7 +27,7 @@
 }
 
 /// What a leader knows of one follower.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Progress {
     /// Highest index known to agree with the leader's log.
     pub match_index: u64,
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -13,7 +13,7 @@
 use crate::node::{Node, State};
 
 /// A transfer of leadership, as the leader sees it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub(crate) struct Transfer {
     target: RouterId,
     number: u64,
@@ -21,7 +21,7 @@
     phase: Phase,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Hash)]
 enum Phase {
     /// The target lacks entries.
     CatchingUp,
