Carry requests from callers to owners and answers back

Cause: the dispatcher decides and needs a shell that sends. Change: one task a request holds its attempts, so that a caller's hang-up closes their connections; bodies up to a bound are held so that a refused request can be sent again and an answer cut short becomes a typed outcome, larger ones stream; headers of the connection and made-up threadledge headers are taken out both ways.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod operations;
+pub mod proxy;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/router/src/proxy/answer.rs
@@ -0,0 +1,132 @@
+//! A back end's answer, read ahead as far as it is small.
+
+use std::io;
+
+use futures::{AsyncReadExt, FutureExt};
+use http_types::{Body, Method, Response, StatusCode};
+use threadledge_net::BodyFault;
+use threadledge_routing::AttemptFailure;
+use threadledge_types::session::{REFUSAL_HEADER, REQUEST_ID_HEADER, Refusal};
+
+use super::headers;
+use super::stream::Prefixed;
+
+/// Bytes of a refusal's body that are read to keep its connection.
+const MAX_REFUSAL_BODY: u64 = 4 * 1024;
+
+/// An answer that may go to the caller.
+#[derive(Debug)]
+pub(super) struct Answer {
+    /// Its head.
+    pub(super) response: Response,
+    /// Its body.
+    pub(super) body: AnswerBody,
+}
+
+/// An answer's body.
+#[derive(Debug)]
+pub(super) enum AnswerBody {
+    /// It is here whole, or the answer has none.
+    Whole(Body),
+    /// Its end is still to come.
+    Streamed {
+        /// What came, and the rest.
+        body: Prefixed,
+        /// Length that the head told.
+        length: Option<usize>,
+    },
+}
+
+/// What a back end said.
+#[derive(Debug)]
+pub(super) enum Said {
+    /// The typed refusal: it did not run the request.
+    Refused(Refusal),
+    /// An answer.
+    Answered(Box<Answer>),
+    /// Something that is no answer to this request.
+    Failed(AttemptFailure),
+}
+
+/// Reads what a back end said to the request numbered `request_id`.
+pub(super) async fn read(
+    mut response: Response,
+    method: Method,
+    request_id: &str,
+    max_buffered: usize,
+) -> Said {
+    // Invariant: no caller gets the answer to another's request. HTTP/1.1
+    // pairs requests and answers by their order alone; a back end that echoes
+    // the number lets a wrong pair be seen.
+    let echoed = response.header(REQUEST_ID_HEADER);
+    if echoed.is_some_and(|echoed| echoed.last().as_str() != request_id) {
+        return Said::Failed(AttemptFailure::BadAnswer);
+    }
+    if let Some(refusal) = refusal_of(&response) {
+        read_over(response.take_body());
+        return Said::Refused(refusal);
+    }
+    let typed = response.header("content-type").is_some();
+    let body = response.take_body();
+    if !typed {
+        response.remove_header("content-type");
+    }
+    headers::strip(&mut response);
+    let bodiless = method == Method::Head
+        || matches!(
+            response.status(),
+            StatusCode::NoContent | StatusCode::NotModified
+        );
+    let body = if bodiless {
+        // Its length, if any, speaks of a body that does not follow.
+        AnswerBody::Whole(body)
+    } else {
+        match read_ahead(body, max_buffered).await {
+            Ok(body) => body,
+            Err(error) => return Said::Failed(failure(&error)),
+        }
+    };
+    Said::Answered(Box::new(Answer { response, body }))
+}
+
+/// The refusal that a response carries. Both status and header must say so:
+/// only then has the back end promised that nothing ran.
+fn refusal_of(response: &Response) -> Option<Refusal> {
+    let value = headers::single(response.as_ref(), REFUSAL_HEADER)?;
+    let refusal = Refusal::parse(value)?;
+    let status = u16::from(response.status());
+    matches!(status, 421 | 503).then_some(refusal)
+}
+
+/// Reads a body over if it is here already, so that its connection can be
+/// used again.
+fn read_over(body: Body) {
+    let mut sink = Vec::new();
+    let _ = body
+        .take(MAX_REFUSAL_BODY)
+        .read_to_end(&mut sink)
+        .now_or_never();
+}
+
+async fn read_ahead(mut body: Body, max_buffered: usize) -> io::Result<AnswerBody> {
+    let length = body.len();
+    if length.is_some_and(|length| length > max_buffered) {
+        let body = Prefixed::new(Vec::new(), body);
+        return Ok(AnswerBody::Streamed { body, length });
+    }
+    let mut start = Vec::with_capacity(length.unwrap_or(0));
+    let limit = max_buffered as u64 + 1;
+    (&mut body).take(limit).read_to_end(&mut start).await?;
+    if start.len() <= max_buffered {
+        return Ok(AnswerBody::Whole(Body::from_bytes(start)));
+    }
+    let body = Prefixed::new(start, body);
+    Ok(AnswerBody::Streamed { body, length })
+}
+
+fn failure(error: &io::Error) -> AttemptFailure {
+    match BodyFault::of(error) {
+        Some(BodyFault::TooSlow) | None => AttemptFailure::ConnectionLost,
+        Some(_) => AttemptFailure::BadAnswer,
+    }
+}
--- /dev/null
+++ b/crates/router/src/proxy/headers.rs
@@ -0,0 +1,60 @@
+//! Which headers are passed on.
+
+use http_types::Headers;
+use http_types::headers::{CONNECTION, HeaderName};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Start of the names that routers and back ends use among themselves.
+const RESERVED_PREFIX: &str = "threadledge-";
+
+/// Takes out what must not be passed on: headers of the connection, those
+/// that `Connection` names, and all that begin with `threadledge-`, so that no
+/// caller can pose as a router and no back end as another's outcome.
+pub(super) fn strip<M: AsMut<Headers> + AsRef<Headers>>(message: &mut M) {
+    let doomed: Vec<HeaderName> = message
+        .as_ref()
+        .names()
+        .filter(|name| is_hop_by_hop(name.as_str(), message.as_ref()))
+        .cloned()
+        .collect();
+    for name in doomed {
+        message.as_mut().remove(name);
+    }
+}
+
+fn is_hop_by_hop(name: &str, headers: &Headers) -> bool {
+    HOP_BY_HOP.contains(&name)
+        || name.starts_with(RESERVED_PREFIX)
+        || is_named_by_connection(name, headers)
+}
+
+fn is_named_by_connection(name: &str, headers: &Headers) -> bool {
+    let Some(values) = headers.get(CONNECTION) else {
+        return false;
+    };
+    values
+        .iter()
+        .flat_map(|value| value.as_str().split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case(name))
+}
+
+/// The only value of a header; `None` when it is absent or stands more than
+/// once, because then two readers may take two different values.
+pub(super) fn single<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    let mut values = headers.get(name)?.iter();
+    let value = values.next()?;
+    values.next().is_none().then(|| value.as_str())
+}
--- /dev/null
+++ b/crates/router/src/proxy/inbound.rs
@@ -0,0 +1,96 @@
+//! A caller's request, with its body read ahead as far as it is small.
+
+use std::io;
+
+use futures::AsyncReadExt;
+use http_types::headers::HOST;
+use http_types::{Body, Headers, Request};
+use threadledge_net::BodyFault;
+use threadledge_routing::{HeaderLookup, RequestHead};
+use threadledge_types::NotRunReason;
+
+use super::headers;
+use super::stream::Prefixed;
+
+/// The request's body.
+#[derive(Debug)]
+pub(super) enum RequestBody {
+    /// Held whole: it can be sent again.
+    Whole(Vec<u8>),
+    /// Comes while it is sent: it can be sent once.
+    Streamed(Body),
+}
+
+/// A request from a caller.
+#[derive(Debug)]
+pub(super) struct Inbound {
+    /// Its head.
+    pub(super) request: Request,
+    /// Its body.
+    pub(super) body: RequestBody,
+}
+
+impl Inbound {
+    /// Reads the body up to `max_buffered` bytes.
+    pub(super) async fn read(
+        mut request: Request,
+        max_buffered: usize,
+    ) -> Result<Inbound, (NotRunReason, String)> {
+        let typed = request.header("content-type").is_some();
+        let body = request.take_body();
+        if !typed {
+            request.remove_header("content-type");
+        }
+        let body = read_ahead(body, max_buffered).await.map_err(refused)?;
+        Ok(Inbound { request, body })
+    }
+
+    /// The parts that decisions depend on.
+    pub(super) fn with_head<R>(&self, look: impl FnOnce(&RequestHead<'_>) -> R) -> R {
+        let request = &self.request;
+        let url = request.url();
+        let headers = Lookup(request.as_ref());
+        look(&RequestHead {
+            method: request.method().as_ref(),
+            host: request
+                .header(HOST)
+                .map_or("", |values| values.last().as_str()),
+            path: url.path(),
+            query: url.query(),
+            headers: &headers,
+            body_replayable: matches!(self.body, RequestBody::Whole(_)),
+        })
+    }
+}
+
+struct Lookup<'a>(&'a Headers);
+
+impl HeaderLookup for Lookup<'_> {
+    fn header(&self, name: &str) -> Option<&str> {
+        headers::single(self.0, name)
+    }
+}
+
+async fn read_ahead(mut body: Body, max_buffered: usize) -> io::Result<RequestBody> {
+    if body.len().is_some_and(|length| length > max_buffered) {
+        return Ok(RequestBody::Streamed(body));
+    }
+    let length = body.len();
+    let mut start = Vec::with_capacity(length.unwrap_or(0));
+    let limit = max_buffered as u64 + 1;
+    (&mut body).take(limit).read_to_end(&mut start).await?;
+    if start.len() <= max_buffered {
+        return Ok(RequestBody::Whole(start));
+    }
+    let streamed = Prefixed::new(start, body);
+    Ok(RequestBody::Streamed(Body::from_reader(streamed, length)))
+}
+
+fn refused(error: io::Error) -> (NotRunReason, String) {
+    let reason = match BodyFault::of(&error) {
+        Some(BodyFault::TooLarge) => NotRunReason::TooLarge,
+        Some(BodyFault::TooSlow) => NotRunReason::TooSlow,
+        Some(BodyFault::Truncated | BodyFault::Malformed(_)) | None => NotRunReason::Malformed,
+    };
+    (reason, error.to_string())
+}
--- /dev/null
+++ b/crates/router/src/proxy/mod.rs
@@ -0,0 +1,162 @@
+//! The data path's shell: takes callers' requests, lets
+//! [`threadledge_routing::Dispatcher`] decide, and carries its decisions out
+//! over pooled connections to back ends.
+//!
+//! One task a request. It alone holds the request's attempts, so that dropping
+//! it, as the server does when the caller hangs up, closes their connections.
+
+mod answer;
+mod attempt;
+mod clock;
+mod dispatch;
+mod drive;
+mod headers;
+mod inbound;
+mod observe;
+mod outbound;
+mod settings;
+mod stream;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_std::net::TcpListener;
+use async_std::task::JoinHandle;
+use http_types::{Request, Response};
+use threadledge_net::{Pool, ServeReport, StopSignal, refusal, serve};
+use threadledge_routing::dispatcher::Dispatcher;
+use threadledge_routing::table::ApplyError;
+use threadledge_types::Outcome;
+use threadledge_types::records::RecordDelta;
+
+use attempt::Attempts;
+use dispatch::{Admission, Dispatch};
+use drive::Exchange;
+use inbound::Inbound;
+
+pub use clock::Clock;
+pub use observe::{Observation, Observer};
+pub use settings::ProxySettings;
+
+/// A running data path.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Commands it.
+    pub handle: ProxyHandle,
+    /// Ends after a planned stop, with what was served.
+    pub served: JoinHandle<ServeReport>,
+}
+
+/// Commands a running data path. Clones command the same one.
+#[derive(Clone, Debug)]
+pub struct ProxyHandle {
+    shared: Arc<Shared>,
+}
+
+/// What all requests share.
+#[derive(Debug)]
+struct Shared {
+    dispatch: Arc<Dispatch>,
+    attempts: Attempts,
+    observer: Observer,
+    max_buffered_request: usize,
+}
+
+impl ProxyHandle {
+    /// Serves callers on `listener` until `stop` is given. No request is
+    /// taken before [`ProxyHandle::set_ready`].
+    pub fn start(
+        settings: ProxySettings,
+        clock: Clock,
+        listener: TcpListener,
+        stop: StopSignal,
+        observer: Observer,
+    ) -> Proxy {
+        let dispatcher = Dispatcher::new(settings.routing, settings.seed, clock.now());
+        let dispatch = Arc::new(Dispatch::new(dispatcher, clock));
+        let attempts = Attempts {
+            dispatch: dispatch.clone(),
+            pool: Pool::new(settings.pool),
+            max_buffered_response: settings.max_buffered_response,
+        };
+        let shared = Arc::new(Shared {
+            dispatch,
+            attempts,
+            observer,
+            max_buffered_request: settings.max_buffered_request,
+        });
+        let handler_shared = shared.clone();
+        let handler = move |request, _connection| handle(handler_shared.clone(), request);
+        let served = async_std::task::spawn(serve(listener, settings.server, stop, handler));
+        Proxy {
+            handle: ProxyHandle { shared },
+            served,
+        }
+    }
+
+    /// Applies a delta of the group's records.
+    ///
+    /// # Errors
+    ///
+    /// [`ApplyError`] when the delta does not fit the copy.
+    pub fn apply(&self, delta: &RecordDelta) -> Result<(), ApplyError> {
+        self.shared
+            .dispatch
+            .with(|dispatcher, now| dispatcher.apply(now, delta))
+    }
+
+    /// Number of live routers among which slots and connections are divided.
+    pub fn set_router_count(&self, count: u32) {
+        self.shared
+            .dispatch
+            .with(|dispatcher, now| dispatcher.set_router_count(now, count));
+    }
+
+    /// Says whether new requests are taken. While not they are answered
+    /// `not-run`, `not-ready`; requests already taken go on.
+    pub fn set_ready(&self, ready: bool) {
+        self.shared
+            .dispatch
+            .with(|dispatcher, _now| dispatcher.set_accepting(ready));
+    }
+
+    /// Counts of what the dispatcher did.
+    pub fn counters(&self) -> threadledge_routing::Counters {
+        self.with_dispatcher(|dispatcher| dispatcher.counters().clone())
+    }
+
+    /// Looks at the dispatcher, for status pages. Holds up every request
+    /// while it runs.
+    pub fn with_dispatcher<R>(&self, look: impl FnOnce(&Dispatcher) -> R) -> R {
+        self.shared
+            .dispatch
+            .with(|dispatcher, _now| look(dispatcher))
+    }
+}
+
+/// One request from its head to the head of its answer.
+async fn handle(shared: Arc<Shared>, request: Request) -> Response {
+    let started = Instant::now();
+    let inbound = match Inbound::read(request, shared.max_buffered_request).await {
+        Ok(inbound) => inbound,
+        Err((reason, detail)) => {
+            shared
+                .observer
+                .observe(&Observation::refused(reason, started));
+            return refusal::not_run(reason, &detail);
+        }
+    };
+    match shared.dispatch.begin(&inbound) {
+        Admission::Refused(refused) => {
+            shared
+                .observer
+                .observe(&Observation::refused(refused.reason, started));
+            let outcome = Outcome::NotRun(refused.reason);
+            drive::own_answer(outcome, refused.retry_after, 0)
+        }
+        Admission::Admitted(admitted) => {
+            let exchange = Exchange::new(shared, inbound, admitted, started);
+            exchange.run().await
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/proxy/back_end.rs
@@ -0,0 +1,202 @@
+//! A back end that notes what it runs and misbehaves as it is told.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::channel::{self, Receiver, Sender};
+use async_std::net::{TcpListener, TcpStream};
+use futures::{AsyncReadExt, AsyncWriteExt};
+use parking_lot::Mutex;
+
+/// What the back end does with one request.
+#[derive(Clone, Debug)]
+pub enum Behavior {
+    /// Runs it and answers.
+    Answer,
+    /// Closes without running it.
+    CloseBefore,
+    /// Runs it and closes without an answer.
+    CloseAfter,
+    /// Runs it, sends this many bytes of the answer and closes.
+    Cut(usize),
+    /// Runs it and answers twice.
+    Twice,
+    /// Runs it and sends these bytes.
+    Bytes(Vec<u8>),
+    /// Refuses it without running it.
+    Refuse(&'static str),
+    /// Runs it and answers only when the connection's other end is gone.
+    Never,
+}
+
+/// One request that was run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub target: String,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Behavior>,
+    runs: Vec<Run>,
+    connections: usize,
+}
+
+#[derive(Clone)]
+pub struct BackEnd {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    /// Gets a message whenever a connection ends.
+    pub gone: Receiver<()>,
+    /// Gets a message whenever a request has been read.
+    pub reached: Receiver<()>,
+}
+
+impl BackEnd {
+    pub async fn start() -> BackEnd {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State::default()));
+        let (gone_sender, gone) = channel::unbounded();
+        let (reached_sender, reached) = channel::unbounded();
+        let shared = state.clone();
+        async_std::task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                shared.lock().connections += 1;
+                let connection = Connection {
+                    stream,
+                    unread: Vec::new(),
+                    state: shared.clone(),
+                    reached: reached_sender.clone(),
+                };
+                let gone = gone_sender.clone();
+                async_std::task::spawn(async move {
+                    connection.serve().await;
+                    let _ = gone.send(()).await;
+                });
+            }
+        });
+        BackEnd {
+            address,
+            state,
+            gone,
+            reached,
+        }
+    }
+
+    /// Does this with the next request, after what was told before.
+    pub fn next(&self, behavior: Behavior) {
+        self.state.lock().script.push_back(behavior);
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.lock().runs.clone()
+    }
+
+    pub fn runs_of(&self, target: &str) -> usize {
+        let state = self.state.lock();
+        state.runs.iter().filter(|run| run.target == target).count()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.state.lock().connections
+    }
+}
+
+/// The answer to a request: it names the request that it answers.
+pub fn answer_to(target: &str) -> Vec<u8> {
+    let body = format!("answer to {target}");
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\nx-back-end: one\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+struct Connection {
+    stream: TcpStream,
+    unread: Vec<u8>,
+    state: Arc<Mutex<State>>,
+    reached: Sender<()>,
+}
+
+impl Connection {
+    async fn serve(mut self) {
+        while let Some(run) = self.read_request().await {
+            let behavior = self.state.lock().script.pop_front();
+            let behavior = behavior.unwrap_or(Behavior::Answer);
+            if !matches!(behavior, Behavior::CloseBefore | Behavior::Refuse(_)) {
+                self.state.lock().runs.push(run.clone());
+            }
+            let _ = self.reached.send(()).await;
+            let answer = answer_to(&run.target);
+            let sent = match behavior {
+                Behavior::Answer => self.send(&answer).await,
+                Behavior::CloseBefore | Behavior::CloseAfter => None,
+                Behavior::Cut(length) => {
+                    self.send(&answer[..length.min(answer.len())]).await;
+                    None
+                }
+                Behavior::Twice => self.send(&[&answer[..], &answer[..]].concat()).await,
+                Behavior::Bytes(bytes) => self.send(&bytes).await,
+                Behavior::Refuse(refusal) => self.send(refusal_of(refusal).as_bytes()).await,
+                Behavior::Never => {
+                    let _ = self.stream.read(&mut [0; 1]).await;
+                    None
+                }
+            };
+            if sent.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> Option<()> {
+        self.stream.write_all(bytes).await.ok()
+    }
+
+    async fn read_request(&mut self) -> Option<Run> {
+        let end = loop {
+            let found = self.unread.windows(4).position(|part| part == b"\r\n\r\n");
+            match found {
+                Some(position) => break position + 4,
+                None => self.fill().await?,
+            }
+        };
+        let head: Vec<u8> = self.unread.drain(..end).collect();
+        let head = String::from_utf8(head).unwrap();
+        let length = header(&head, "content-length");
+        let length = length.map_or(0, |length| length.parse().unwrap());
+        while self.unread.len() < length {
+            self.fill().await?;
+        }
+        let body = self.unread.drain(..length).collect();
+        let target = head.split(' ').nth(1).unwrap().to_owned();
+        Some(Run { target, head, body })
+    }
+
+    async fn fill(&mut self) -> Option<()> {
+        let mut buffer = vec![0; 16 * 1024];
+        let count = self.stream.read(&mut buffer).await.unwrap_or(0);
+        self.unread.extend_from_slice(&buffer[..count]);
+        (count > 0).then_some(())
+    }
+}
+
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+fn refusal_of(refusal: &str) -> String {
+    let status = match refusal {
+        "wrong-owner" | "lease-lapsed" => "421 Misdirected Request",
+        _ => "503 Service Unavailable",
+    };
+    format!("HTTP/1.1 {status}\r\nthreadledge-refusal: {refusal}\r\ncontent-length: 2\r\n\r\nno")
+}
--- /dev/null
+++ b/crates/router/tests/proxy/faults.rs
@@ -0,0 +1,182 @@
+//! Back ends that fail: never a wrong "not run", never a second run of a
+//! request that may not be repeated, never another caller's answer.
+
+use futures::AsyncWriteExt;
+
+use crate::back_end::{Behavior, answer_to};
+use crate::world::{World, within};
+
+fn faults(target: &str) -> Vec<Behavior> {
+    let whole = answer_to(target).len();
+    let mut faults = vec![
+        Behavior::CloseBefore,
+        Behavior::CloseAfter,
+        Behavior::Twice,
+        Behavior::Bytes(b"nonsense\r\n\r\n".to_vec()),
+        Behavior::Bytes(b"HTTP/1.1 200 OK\r\n\r\nends with the connection".to_vec()),
+        Behavior::Bytes(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab".to_vec(),
+        ),
+        Behavior::Bytes(
+            b"HTTP/1.1 200 OK\r\nthreadledge-request-id: 0\r\ncontent-length: 2\r\n\r\nno".to_vec(),
+        ),
+        Behavior::Refuse("wrong-owner"),
+        Behavior::Refuse("lease-lapsed"),
+        Behavior::Refuse("overloaded"),
+    ];
+    faults.extend((0..=whole).map(Behavior::Cut));
+    faults
+}
+
+#[async_std::test]
+async fn a_request_that_may_not_be_repeated_runs_once_at_most_whatever_fails() {
+    let world = World::start().await;
+    for (number, fault) in faults("/post/00?key=k").into_iter().enumerate() {
+        let target = format!("/post/{number:02}?key=k");
+        world.back_end.next(fault.clone());
+        let answer = world.caller().await.post(&target, b"body").await;
+        world.check(&answer, &target, false);
+        if matches!(fault, Behavior::Refuse(_)) {
+            // Not run there, so that it was sent again.
+            assert_eq!(answer.outcome(), "answered", "{fault:?}");
+        }
+        let after = format!("/after/{number}?key=k");
+        let answer = world.caller().await.get(&after).await;
+        world.check(&answer, &after, true);
+        assert_eq!(answer.outcome(), "answered", "after {fault:?}");
+    }
+}
+
+#[async_std::test]
+async fn a_request_that_may_be_repeated_is_answered_whatever_fails_once() {
+    let world = World::start().await;
+    for (number, fault) in faults("/get/000?key=k").into_iter().enumerate() {
+        let target = format!("/get/{number:03}?key=k");
+        world.back_end.next(fault.clone());
+        let answer = world.caller().await.get(&target).await;
+        world.check(&answer, &target, true);
+        assert_eq!(answer.outcome(), "answered", "{fault:?}");
+        // Tops the retry budget up.
+        for more in 0..20 {
+            let target = format!("/more/{number}/{more}?key=k");
+            let answer = world.caller().await.get(&target).await;
+            world.check(&answer, &target, true);
+        }
+    }
+}
+
+#[async_std::test]
+async fn an_answer_after_the_deadline_reaches_nobody() {
+    let world = World::start().await;
+    world.back_end.next(Behavior::Never);
+    let late = world.caller().await.post("/short/late?key=k", b"").await;
+    assert_eq!((late.status, late.reason()), (504, "deadline-passed"));
+    world.check(&late, "/short/late?key=k", false);
+    // The connection of the abandoned exchange was closed, not reused.
+    within(world.back_end.gone.recv()).await.unwrap();
+    let next = world.caller().await.get("/next?key=k").await;
+    world.check(&next, "/next?key=k", true);
+    assert_eq!(next.outcome(), "answered");
+}
+
+#[async_std::test]
+async fn a_back_end_that_nobody_reaches_is_not_run() {
+    let world = World::start().await;
+    let listener = async_std::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .unwrap();
+    let nobody = listener.local_addr().unwrap();
+    drop(listener);
+    let mut records = crate::world::records(nobody);
+    records.to.index += 1;
+    world.handle.apply(&records).unwrap();
+    let answer = world.caller().await.post("/short/p?key=k", b"").await;
+    assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[async_std::test]
+async fn a_refused_request_is_sent_again_with_its_whole_body() {
+    let world = World::start().await;
+    world.back_end.next(Behavior::Refuse("overloaded"));
+    world.back_end.next(Behavior::Refuse("wrong-owner"));
+    let answer = world.caller().await.post("/p?key=k", b"whole body").await;
+    assert_eq!(answer.outcome(), "answered");
+    let runs = world.back_end.runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].body, b"whole body");
+}
+
+#[async_std::test]
+async fn a_large_request_that_was_refused_is_not_sent_again() {
+    let world = World::start().await;
+    world.back_end.next(Behavior::Refuse("overloaded"));
+    let body = vec![b'x'; 200_000];
+    let answer = world.caller().await.post("/p?key=k", &body).await;
+    assert_eq!(
+        (answer.outcome(), answer.reason()),
+        ("not-run", "overloaded")
+    );
+    world.check(&answer, "/p?key=k", false);
+}
+
+#[async_std::test]
+async fn a_large_answer_cut_short_is_cut_short_for_the_caller_too() {
+    let world = World::start().await;
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 500000\r\n\r\n";
+    let cut = [head.as_bytes(), &vec![b'x'; 300_000]].concat();
+    world.back_end.next(Behavior::Bytes(cut));
+    // The next request on that connection is never sent: it closes.
+    world.back_end.next(Behavior::CloseBefore);
+    let mut caller = world.caller().await;
+    caller.send("POST", "/short/p?key=k", "", b"").await;
+    let answer = caller.answer().await;
+    assert!(!answer.whole);
+    assert_eq!(world.handle.counters().answered, 0);
+}
+
+#[async_std::test]
+async fn a_caller_that_hangs_up_closes_the_connection_to_the_back_end() {
+    let world = World::start().await;
+    world.back_end.next(Behavior::Never);
+    let mut caller = world.caller().await;
+    caller.send("POST", "/p?key=k", "", b"").await;
+    within(world.back_end.reached.recv()).await.unwrap();
+    caller.stream.close().await.unwrap();
+    drop(caller);
+    within(world.back_end.gone.recv()).await.unwrap();
+    let next = world.caller().await.get("/next?key=k").await;
+    world.check(&next, "/next?key=k", true);
+    assert_eq!(world.handle.counters().caller_gone, 1);
+}
+
+#[async_std::test]
+async fn many_callers_at_once_each_get_their_own_answer_from_a_back_end_that_keeps_failing() {
+    let world = World::start().await;
+    let faults = faults("/many/000?key=k");
+    for round in 0..200 {
+        // Spread over all faults by a step that shares no factor with them.
+        world
+            .back_end
+            .next(faults[round * 7 % faults.len()].clone());
+        world.back_end.next(Behavior::Answer);
+    }
+    let callers = (0..16).map(|number| {
+        let world = &world;
+        async move {
+            for round in 0..20 {
+                let target = format!("/many/{number}/{round}?key={number}");
+                let mut caller = world.caller().await;
+                let repeatable = round % 2 == 0;
+                let answer = if repeatable {
+                    caller.get(&target).await
+                } else {
+                    caller.post(&target, b"body").await
+                };
+                world.check(&answer, &target, repeatable);
+            }
+        }
+    });
+    futures::future::join_all(callers).await;
+    assert_eq!(world.handle.counters().ended(), 320);
+}
