Add the rig, experiments, measures and reports of the lab

Cause: every claim is to be measured the same way, by anyone, with one command.

Change: threadledge-lab demo, run, compare, list and report. The rig re-executes its own binary as stand-ins, callers and routers, ends each by its own handle and bounds every wait; children end when their standard input closes. Experiments are TOML files under experiments/ (steady, back-end-loss, back-end-freeze, router-loss, leader-loss, zone-loss, store-down, planned-stop, drain and one combination, for both deployments). Reports have a versioned JSON form.

--- /dev/null
+++ b/crates/lab/src/commands.rs
@@ -0,0 +1,143 @@
+//! What each subcommand does.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use k8s_openapi::jiff::Timestamp;
+
+use crate::cli::{Command, RunArguments, StandIn};
+use crate::experiment::{self, Experiment};
+use crate::history::Recorder;
+use crate::load;
+use crate::report::{Report, compare, table};
+use crate::rig::{BackEndHost, PlatformSettings, RunOptions, end_with_parent, read_settings, run};
+use crate::stand_in::back_end;
+use crate::stand_in::machine_list::MachineListServer;
+use crate::stand_in::object_api::seed::create_objects;
+use crate::stand_in::object_api::{ObjectApi, ObjectApiSettings, ObjectStore};
+
+/// The experiment that `demo` runs.
+const DEMO: &str = "experiments/demo.toml";
+
+/// Runs one subcommand.
+///
+/// # Errors
+///
+/// Whatever kept it from its end, for people to read.
+pub fn execute(command: Command) -> eyre::Result<ExitCode> {
+    match command {
+        Command::Demo(arguments) => run_experiment(&demo_file(), &arguments),
+        Command::Run {
+            experiment,
+            arguments,
+        } => run_experiment(&experiment, &arguments),
+        Command::Compare { first, second } => {
+            print!(
+                "{}",
+                compare(&Report::read(&first)?, &Report::read(&second)?)
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::List { directory } => {
+            for (path, experiment) in experiment::list(&directory)? {
+                println!("{:<48} {}", path.display(), experiment.description);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Report { file } => {
+            let report = Report::read(&file)?;
+            print!("{}", table(&report));
+            Ok(exit_code(&report))
+        }
+        Command::StandIn(kind) => stand_in(kind),
+    }
+}
+
+fn run_experiment(file: &Path, arguments: &RunArguments) -> eyre::Result<ExitCode> {
+    let mut experiment: Experiment = experiment::read(file)?;
+    if let Some(duration) = arguments.duration {
+        experiment::shorten(&mut experiment, duration);
+    }
+    let options = RunOptions {
+        seed: arguments.seed,
+        keep_logs: arguments.keep_logs,
+    };
+    let report = run(&experiment, &options)?;
+    if let Some(path) = &arguments.report {
+        report.write(path)?;
+    }
+    print!("{}", table(&report));
+    Ok(exit_code(&report))
+}
+
+fn exit_code(report: &Report) -> ExitCode {
+    if report.passed() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// The demo is found from the repository's root, and from anywhere when the
+/// binary was built in a repository that is still there.
+fn demo_file() -> PathBuf {
+    let here = PathBuf::from(DEMO);
+    if here.exists() {
+        return here;
+    }
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .join(DEMO)
+}
+
+fn stand_in(kind: StandIn) -> eyre::Result<ExitCode> {
+    let recorder = Recorder::to_standard_output();
+    match kind {
+        StandIn::Platform => {
+            let settings: PlatformSettings = read_settings()?;
+            end_with_parent();
+            task::block_on(platform(settings, recorder))?;
+        }
+        StandIn::BackEnds => {
+            let host: BackEndHost = read_settings()?;
+            end_with_parent();
+            let serving = back_end::run_process(host.back_ends, host.incarnation, recorder);
+            task::block_on(serving)?;
+        }
+        StandIn::Callers => {
+            let settings = read_settings()?;
+            end_with_parent();
+            task::block_on(load::run_process(settings, recorder));
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn platform(settings: PlatformSettings, recorder: Recorder) -> eyre::Result<()> {
+    match settings {
+        PlatformSettings::ObjectApi { address, objects } => {
+            let listener = TcpListener::bind(address).await?;
+            let mut store = ObjectStore::new();
+            let given = objects
+                .into_iter()
+                .map(|object| (PathBuf::from("rig"), object));
+            create_objects(&mut store, given, &Timestamp::now().to_string())?;
+            let settings = ObjectApiSettings {
+                store,
+                ..ObjectApiSettings::default()
+            };
+            let api = ObjectApi::serve(listener, settings)?;
+            recorder.ready();
+            api.run().await;
+        }
+        PlatformSettings::MachineList { address, machines } => {
+            let listener = TcpListener::bind(address).await?;
+            let list = MachineListServer::serve(listener, machines)?;
+            recorder.ready();
+            list.run().await;
+        }
+    }
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,13 @@
 //! histories and measures imbalance, churn and unavailable time.
 
 pub mod checks;
+pub mod cli;
 pub mod clock;
+pub mod commands;
+pub mod experiment;
 pub mod history;
 pub mod load;
+pub mod measures;
+pub mod report;
+pub mod rig;
 pub mod stand_in;
--- /dev/null
+++ b/crates/lab/src/measures/configuration.rs
@@ -0,0 +1,37 @@
+//! How long accepted configuration takes to be in force on every router.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use threadledge_types::{Revision, Timestamp};
+
+use crate::history::{ConfigurationSeen, History};
+
+/// Longest time from acceptance to the moment at which every router that was
+/// still asked afterwards had the revision, in milliseconds. `None` when
+/// nothing was accepted during the run. Resolution: the interval at which
+/// routers are asked.
+pub fn configuration_in_force_ms(history: &History) -> Option<f64> {
+    let mut routers: BTreeMap<&str, Vec<&ConfigurationSeen>> = BTreeMap::new();
+    for seen in &history.configurations {
+        routers.entry(&seen.router).or_default().push(seen);
+    }
+    history
+        .accepted
+        .iter()
+        .flat_map(|(at, _, revision)| {
+            let times = routers.values();
+            times.filter_map(|seen| time_to_revision(seen, *at, *revision))
+        })
+        .max()
+        .map(|longest| longest.as_secs_f64() * 1_000.0)
+}
+
+fn time_to_revision(
+    seen: &[&ConfigurationSeen],
+    at: Timestamp,
+    revision: Revision,
+) -> Option<Duration> {
+    let first = seen.iter().find(|view| view.revision >= revision)?;
+    Some(first.at.since(at))
+}
--- /dev/null
+++ b/crates/lab/src/rig/mod.rs
@@ -0,0 +1,21 @@
+//! The rig: the one process that starts, watches, disturbs and ends the
+//! processes of a run.
+
+mod callers;
+mod child;
+mod deployment;
+mod faults;
+mod hosting;
+mod operator;
+mod plan;
+mod ports;
+mod processes;
+mod progress;
+mod run;
+mod summary;
+mod watch;
+
+pub use deployment::{Deployment, DeploymentError, RouterPlace};
+pub use hosting::{PlatformSettings, end_with_parent, read_settings};
+pub use processes::BackEndHost;
+pub use run::{RunError, RunOptions, run};
--- /dev/null
+++ b/crates/lab/src/rig/plan.rs
@@ -0,0 +1,270 @@
+//! Who runs where: addresses, and the settings of every child.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use threadledge::settings::{Limits, LogFormat, LogLevel, LogSettings, Settings};
+use threadledge_membership::{Machine, MachineState};
+use threadledge_types::{BackEndId, MachineName, ServiceId, Timing, ZoneName};
+
+use super::deployment::Deployment;
+use super::ports::free_addresses;
+use crate::experiment::{Experiment, ServiceLoad};
+use crate::measures::LAB_NAMESPACE;
+use crate::stand_in::back_end::BackEndSettings;
+
+const ADDRESSES_OF_A_BACK_END: usize = 2;
+const ADDRESSES_OF_A_ROUTER: usize = 3;
+const ADDRESSES_OF_THE_PLATFORM: usize = 2;
+/// Connections of a direct back end, which nothing shares.
+const DIRECT_CONNECTIONS: u32 = 256;
+/// Slots of a direct back end: its calls never wait.
+const DIRECT_SLOTS: u32 = 64;
+
+/// One process with back ends.
+#[derive(Clone, Debug)]
+pub(super) struct HostPlan {
+    /// Name in the run.
+    pub name: String,
+    /// Zone, if all its back ends stand in one.
+    pub zone: Option<ZoneName>,
+    /// Its back ends.
+    pub back_ends: Vec<BackEndSettings>,
+}
+
+/// A back end that is called without a router.
+#[derive(Clone, Debug)]
+pub(super) struct DirectPlan {
+    /// Name under which its calls are recorded.
+    pub service: ServiceId,
+    /// Service that it is like.
+    pub imitates: ServiceId,
+    /// Requests a second.
+    pub per_second: f64,
+    /// The back end.
+    pub back_end: BackEndSettings,
+}
+
+/// Everything that a run starts.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    pub object_api: SocketAddr,
+    pub machine_list: SocketAddr,
+    /// Objects with the addresses of this run.
+    pub deployment: Deployment,
+    pub routers: Vec<Settings>,
+    pub hosts: Vec<HostPlan>,
+    /// One entry for each load that has a baseline, by its number.
+    pub directs: BTreeMap<usize, DirectPlan>,
+}
+
+impl Plan {
+    /// Lays a run out on free loopback addresses.
+    pub fn new(experiment: &Experiment, deployment: Deployment, seed: u64) -> io::Result<Plan> {
+        let loads = experiment.loads.iter();
+        let direct_count = loads.filter(|load| load.direct.is_some()).count();
+        let count = ADDRESSES_OF_THE_PLATFORM
+            + deployment.routers.len() * ADDRESSES_OF_A_ROUTER
+            + (deployment.back_ends.len() + direct_count) * ADDRESSES_OF_A_BACK_END;
+        let mut addresses = free_addresses(count)?.into_iter();
+        let mut next = || addresses.next().ok_or(io::ErrorKind::AddrNotAvailable);
+        let object_api = next()?;
+        let machine_list = next()?;
+        let mut routers = Vec::new();
+        for (number, place) in deployment.routers.iter().enumerate() {
+            let own = [next()?, next()?, next()?];
+            let platform = [object_api, machine_list];
+            let machine = format!("machine-{}", number + 1);
+            routers.push(router(&deployment, &place.zone, machine, own, platform));
+        }
+        let mut plan = Plan {
+            object_api,
+            machine_list,
+            deployment,
+            routers,
+            hosts: Vec::new(),
+            directs: BTreeMap::new(),
+        };
+        for object in plan.deployment.back_ends.values_mut() {
+            object.spec.address = next()?;
+            object.spec.control_address = next()?;
+        }
+        plan.directs = directs(experiment, &mut next, seed)?;
+        plan.hosts = plan.hosts_for(experiment, seed);
+        Ok(plan)
+    }
+
+    /// First objects of the platform.
+    pub fn objects(&self) -> Result<Vec<Value>, serde_json::Error> {
+        let back_ends = self.deployment.back_ends.values();
+        let services = self.deployment.services.values();
+        back_ends
+            .map(serde_json::to_value)
+            .chain(services.map(serde_json::to_value))
+            .collect()
+    }
+
+    /// First machines of the platform.
+    pub fn machines(&self) -> Vec<Machine> {
+        let routers = self.routers.iter();
+        routers
+            .map(|settings| Machine {
+                name: settings.machine.clone(),
+                region: settings.region.clone(),
+                zone: settings.zone.clone(),
+                peer_address: settings.peer_address,
+                state: MachineState::Live,
+            })
+            .collect()
+    }
+
+    /// Back ends that a fault kills or freezes have a process of their own;
+    /// the others share one for each zone, and direct ones share another.
+    fn hosts_for(&self, experiment: &Experiment, seed: u64) -> Vec<HostPlan> {
+        let alone: BTreeSet<&BackEndId> = experiment
+            .faults
+            .iter()
+            .filter_map(|fault| fault.action.lone_back_end())
+            .collect();
+        let mut hosts: BTreeMap<String, HostPlan> = BTreeMap::new();
+        for (number, (id, object)) in self.deployment.back_ends.iter().enumerate() {
+            let zone = object.spec.zone.clone();
+            let name = match alone.contains(id) {
+                true => format!("back-end-{}-{}", id.namespace, id.name),
+                false => format!("back-ends-{zone}"),
+            };
+            let Some(load) = self.load_of(experiment, id) else {
+                continue;
+            };
+            let host = hosts.entry(name.clone()).or_insert(HostPlan {
+                name,
+                zone: Some(zone),
+                back_ends: Vec::new(),
+            });
+            let spec = &object.spec;
+            host.back_ends.push(BackEndSettings {
+                slots: spec.slots,
+                connections: spec.connections,
+                ..back_end(
+                    id.clone(),
+                    [spec.address, spec.control_address],
+                    load,
+                    seed.wrapping_add(number as u64),
+                )
+            });
+        }
+        let mut hosts: Vec<HostPlan> = hosts.into_values().collect();
+        let direct = self.directs.values();
+        hosts.push(HostPlan {
+            name: "back-ends-direct".to_owned(),
+            zone: None,
+            back_ends: direct.map(|direct| direct.back_end.clone()).collect(),
+        });
+        hosts
+    }
+
+    fn load_of<'a>(
+        &self,
+        experiment: &'a Experiment,
+        back_end: &BackEndId,
+    ) -> Option<&'a ServiceLoad> {
+        let object = self.deployment.back_ends.get(back_end)?;
+        let service = self.deployment.service_of(object)?;
+        service_load(experiment, service)
+    }
+}
+
+/// Behaviour of the back ends of a service, from any of the loads.
+pub(super) fn service_load<'a>(
+    experiment: &'a Experiment,
+    service: &ServiceId,
+) -> Option<&'a ServiceLoad> {
+    let loads = experiment.loads.iter();
+    loads
+        .flat_map(|load| &load.service)
+        .find(|load| load.service == *service)
+}
+
+fn directs(
+    experiment: &Experiment,
+    next: &mut impl FnMut() -> Result<SocketAddr, io::ErrorKind>,
+    seed: u64,
+) -> io::Result<BTreeMap<usize, DirectPlan>> {
+    let mut directs = BTreeMap::new();
+    for (number, load) in experiment.loads.iter().enumerate() {
+        let Some(direct) = &load.direct else {
+            continue;
+        };
+        let Some(behaviour) = service_load(experiment, &direct.imitates) else {
+            continue;
+        };
+        let name = format!("direct-{}", direct.imitates.name);
+        let settings = back_end(
+            BackEndId::new(LAB_NAMESPACE, name.clone()),
+            [next()?, next()?],
+            behaviour,
+            seed.wrapping_sub(number as u64 + 1),
+        );
+        directs.insert(
+            number,
+            DirectPlan {
+                service: ServiceId::new(LAB_NAMESPACE, name),
+                imitates: direct.imitates.clone(),
+                per_second: direct.per_second,
+                back_end: settings,
+            },
+        );
+    }
+    Ok(directs)
+}
+
+fn back_end(
+    id: BackEndId,
+    [address, control_address]: [SocketAddr; 2],
+    load: &ServiceLoad,
+    seed: u64,
+) -> BackEndSettings {
+    BackEndSettings {
+        id,
+        address,
+        control_address,
+        slots: DIRECT_SLOTS,
+        connections: DIRECT_CONNECTIONS,
+        queue: load.queue,
+        service_time: load.service_time,
+        cold_start: load.cold_start,
+        connect_ms: load.connect_ms,
+        probe_ms: load.probe_ms,
+        report_lag_ms: load.report_lag_ms,
+        prepare_ms: load.prepare_ms,
+        seed,
+    }
+}
+
+fn router(
+    deployment: &Deployment,
+    zone: &ZoneName,
+    machine: String,
+    [caller_address, peer_address, operator_address]: [SocketAddr; 3],
+    [platform_address, machine_list_address]: [SocketAddr; 2],
+) -> Settings {
+    Settings {
+        machine: MachineName(machine),
+        region: deployment.region.clone(),
+        zone: zone.clone(),
+        caller_address,
+        peer_address,
+        operator_address,
+        platform_address,
+        machine_list_address,
+        group_size: threadledge::settings::DEFAULT_GROUP_SIZE,
+        timing: Timing::default(),
+        limits: Limits::default(),
+        log: LogSettings {
+            format: LogFormat::Json,
+            level: LogLevel::Info,
+        },
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/summary.rs
@@ -0,0 +1,67 @@
+//! From the events of a run to its report.
+
+use std::collections::BTreeMap;
+
+use threadledge_types::{ServiceId, Timestamp};
+
+use crate::checks::check_all;
+use crate::experiment::Experiment;
+use crate::history::{Event, History};
+use crate::measures;
+use crate::report::{FaultMark, REPORT_VERSION, Report};
+
+/// Violations that are written out; all are counted.
+const WRITTEN_VIOLATIONS: usize = 50;
+
+/// What the report needs besides the events.
+pub(super) struct RunFacts {
+    pub deployments: Vec<String>,
+    pub seed: u64,
+    pub begin: Timestamp,
+    pub ready_ms: u64,
+    pub members: BTreeMap<ServiceId, usize>,
+    pub imitated: BTreeMap<ServiceId, ServiceId>,
+}
+
+/// Checks and measures a run.
+pub(super) fn summarise(experiment: &Experiment, facts: RunFacts, events: Vec<Event>) -> Report {
+    let history = History::assemble(events);
+    let end = facts.begin + experiment.duration;
+    let violations = check_all(&history);
+    let imbalance = measures::imbalance(&history, &facts.members);
+    let churn = measures::churn(&history, facts.begin);
+    let unavailable = measures::unavailable(&history, facts.begin, end);
+    let mut report = Report {
+        version: REPORT_VERSION,
+        experiment: experiment.name.clone(),
+        deployments: facts.deployments,
+        seed: facts.seed,
+        duration_ms: u64::try_from(experiment.duration.as_millis()).unwrap_or(u64::MAX),
+        violations: violations.len(),
+        violation_details: violations.into_iter().take(WRITTEN_VIOLATIONS).collect(),
+        breached_bounds: Vec::new(),
+        outcomes: measures::outcomes(&history),
+        latency_ms: measures::latencies(&history, &facts.imitated),
+        imbalance: imbalance.values().map(|one| one.load).fold(1.0, f64::max),
+        imbalance_by_service: imbalance,
+        churn: churn.key_share,
+        churn_details: churn,
+        unavailable_ms: unavailable.longest_ms(),
+        unavailable_details: unavailable,
+        configuration_in_force_ms: measures::configuration_in_force_ms(&history),
+        faults: faults(&history, facts.begin),
+        ready_ms: facts.ready_ms,
+    };
+    report.breached_bounds = experiment.bounds.breached(&report);
+    report
+}
+
+fn faults(history: &History, begin: Timestamp) -> Vec<FaultMark> {
+    let marks = history.faults.iter();
+    marks
+        .map(|(at, what)| FaultMark {
+            at_ms: u64::try_from(at.since(begin).as_millis()).unwrap_or(u64::MAX),
+            what: what.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/tests/measures.rs
@@ -0,0 +1,157 @@
+//! Measures tell what small histories hold.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use support::*;
+use threadledge_lab::experiment::Bounds;
+use threadledge_lab::history::{AttemptOutcome, Event};
+use threadledge_lab::measures;
+use threadledge_lab::report::{REPORT_VERSION, Report, ReportError};
+use threadledge_types::{Slice, Timestamp};
+
+fn report() -> Report {
+    let history = assemble(sound_run());
+    let churn = measures::churn(&history, Timestamp::ZERO);
+    let unavailable = measures::unavailable(&history, Timestamp::ZERO, millis(3_000));
+    Report {
+        version: REPORT_VERSION,
+        experiment: "small".to_owned(),
+        deployments: Vec::new(),
+        seed: 1,
+        duration_ms: 3_000,
+        violations: 0,
+        violation_details: Vec::new(),
+        breached_bounds: Vec::new(),
+        outcomes: measures::outcomes(&history),
+        latency_ms: measures::latencies(&history, &BTreeMap::new()),
+        imbalance: 1.0,
+        imbalance_by_service: measures::imbalance(&history, &BTreeMap::new()),
+        churn: churn.key_share,
+        churn_details: churn,
+        unavailable_ms: unavailable.longest_ms(),
+        unavailable_details: unavailable,
+        configuration_in_force_ms: None,
+        faults: Vec::new(),
+        ready_ms: 0,
+    }
+}
+
+#[test]
+fn a_move_of_the_whole_line_counts_as_all_keys_once() {
+    let report = report();
+    assert_eq!((report.churn, report.churn_details.moves), (1.0, 1));
+}
+
+#[test]
+fn a_move_of_half_a_slice_counts_as_half() {
+    let (low, _) = Slice::ALL
+        .split_at(threadledge_types::Point(1 << 63))
+        .expect("two halves");
+    let mut run = sound_run();
+    let half = ownership("c", 3, 3_100, 3_500)
+        .into_iter()
+        .map(|event| match event {
+            Event::GrantTaken {
+                at,
+                session,
+                mut grant,
+            } => {
+                grant.slice = low;
+                Event::GrantTaken { at, session, grant }
+            }
+            Event::GrantReleased {
+                at,
+                session,
+                mut grant,
+            } => {
+                grant.slice = low;
+                Event::GrantReleased { at, session, grant }
+            }
+            other => other,
+        });
+    run.push(half.collect());
+    let churn = measures::churn(&assemble(run), millis(2_000));
+    assert_eq!(churn.key_share, 0.5);
+}
+
+#[test]
+fn the_gap_between_two_owners_is_unavailable_time() {
+    let unavailable = report().unavailable_details;
+    assert_eq!((unavailable.keys_ms, unavailable.requests_ms), (10.0, 0.0));
+}
+
+#[test]
+fn keys_that_never_get_an_owner_again_count_until_the_end() {
+    let history = assemble(vec![ownership("a", 1, 0, 1_000)]);
+    let unavailable = measures::unavailable(&history, Timestamp::ZERO, millis(5_000));
+    assert_eq!(unavailable.keys_ms, 4_000.0);
+}
+
+#[test]
+fn a_stretch_of_failures_ends_with_the_next_answer() {
+    let failing =
+        |number, at| request(number, vec![attempt(0, at, at + 1, AttemptOutcome::NotRun)]);
+    let answered = request(6, vec![attempt(0, 500, 501, AttemptOutcome::Answered)]);
+    let events = vec![failing(4, 100), failing(5, 400), answered, failing(7, 900)];
+    let unavailable =
+        measures::unavailable(&assemble(vec![events]), Timestamp::ZERO, millis(1_000));
+    assert_eq!(unavailable.requests_ms, 300.0);
+}
+
+#[test]
+fn latency_counts_from_the_intended_time() {
+    let mut late = request(9, vec![attempt(0, 150, 160, AttemptOutcome::Answered)]);
+    if let Event::RequestEnded { intended, .. } = &mut late {
+        *intended = millis(60);
+    }
+    let latencies = measures::latencies(&assemble(vec![vec![late]]), &BTreeMap::new());
+    assert_eq!(latencies.all.count, 1);
+    assert!(
+        (latencies.all.p50 - 100.0).abs() < 0.2,
+        "{}",
+        latencies.all.p50
+    );
+}
+
+#[test]
+fn idle_members_raise_the_imbalance() {
+    let members = BTreeMap::from([(service(), 4)]);
+    let imbalance = measures::imbalance(&assemble(sound_run()), &members);
+    let of_service = imbalance[&service().to_string()];
+    assert!((of_service.load - 2.0 * 4.0 / 3.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_bound_without_a_figure_is_not_held() {
+    let bounds = Bounds {
+        configuration_in_force_ms: Some(5_000.0),
+        unavailable_ms: Some(9.0),
+        answered: Some(3.0),
+        ..Bounds::default()
+    };
+    let breached: Vec<String> = bounds
+        .breached(&report())
+        .into_iter()
+        .map(|breach| breach.bound)
+        .collect();
+    assert_eq!(
+        breached,
+        vec!["unavailable-ms", "configuration-in-force-ms"]
+    );
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written_and_another_version_is_refused() {
+    let name = format!("threadledge-lab-report-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    let mut written = report();
+    written.write(&path).expect("a file");
+    assert_eq!(Report::read(&path).expect("a report"), written);
+    written.version += 1;
+    written.write(&path).expect("a file");
+    let refusal = Report::read(&path).expect_err("another version");
+    assert!(matches!(refusal, ReportError::Version { .. }));
+    std::fs::remove_file(&path).expect("the file");
+}
