Believe that nothing was sent also after the permission to send

A pooled connection that the back end closed meanwhile often fails at the first write, after the permission was given. The classification took that for "may have run", so a non-repeatable request ended unknown though the kernel had taken no byte of it. The shell reports this event only when that is certain, so it is "not run" and may be sent again. A failed connect after the permission still proves nothing.

--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -109,7 +109,9 @@
 pub enum AttemptEvent {
     /// No connection could be had. Nothing was sent.
     ConnectFailed,
-    /// The connection failed before any byte of the request was passed to it.
+    /// The connection failed before the kernel took any byte of the request,
+    /// with or without permission to send. To be reported only when that is
+    /// certain: the outcome "not run" rests on it.
     SentNothing,
     /// The back end answered with the typed refusal.
     Refused(Refusal),
--- a/crates/routing/src/classify.rs
+++ b/crates/routing/src/classify.rs
@@ -23,11 +23,11 @@
 /// Reads an event. `sent` says whether the permission to write was given.
 pub fn classify(event: AttemptEvent, sent: bool) -> Ran {
     match event {
-        // "Nothing was sent" is believed only of an attempt that had no
-        // permission to send.
-        AttemptEvent::ConnectFailed | AttemptEvent::SentNothing if sent => {
-            Ran::Maybe(UnknownReason::ConnectionLost)
-        }
+        // Without a connection there was nothing to ask permission for: such
+        // a report contradicts itself, and nothing is concluded from it.
+        AttemptEvent::ConnectFailed if sent => Ran::Maybe(UnknownReason::ConnectionLost),
+        // The permission may have been given and not been used: a pooled
+        // connection often fails at the first write.
         AttemptEvent::ConnectFailed | AttemptEvent::SentNothing => {
             Ran::No(NotRunReason::Unreachable)
         }
--- a/crates/routing/tests/common/world.rs
+++ b/crates/routing/tests/common/world.rs
@@ -320,6 +320,10 @@
             self.open.remove(&(id, attempt.number));
             return;
         }
+        if self.draw(200) < self.faults.attempts {
+            let nothing = AttemptEvent::SentNothing;
+            return self.report(id, attempt.number, nothing);
+        }
         self.carry_out(id, &attempt);
     }
 
