--- a/crates/placement/src/balance.rs
+++ b/crates/placement/src/balance.rs
@@ -15,23 +15,21 @@
 use crate::planner::Round;
 use crate::service::ServiceState;
 use crate::split::{split_hot, split_large};
-use crate::weight::{Scale, Weight, length};
+use crate::weight::{LINE_LENGTH, Scale, Weight, length};
 
 /// Standard deviations of measurement noise that are not acted on.
 const NOISE_MARGIN: f64 = 3.0;
 /// Part of the tolerated excess at which balancing stops again.
 const STOP_PART: f64 = 0.5;
-/// A back end below this part of the mean gets slices even when none is above
-/// what is tolerated: it has just joined.
+/// A back end that falls short of the mean by this part gets slices even when
+/// none is above what is tolerated: it has just joined.
 const NEARLY_EMPTY: f64 = 0.5;
 /// Candidate slices read for each move.
 const CANDIDATES_READ: usize = 32;
 /// Donors tried when the busiest has nothing that may move.
 const DONORS_TRIED: usize = 3;
-/// Least part of the donor's excess that one move must take away.
-const LEAST_GAIN: f64 = 1.0 / 64.0;
-/// Number of points on the line.
-const LINE_LENGTH: f64 = 18_446_744_073_709_551_616.0;
+/// Least load of a slice that is worth a move, against a usual slice's.
+const LEAST_GAIN: f64 = 0.25;
 
 /// Balancing of one service.
 #[derive(Clone, Debug, Default)]
@@ -117,6 +115,12 @@
             .map_or(1.0, |busiest| busiest.load / self.mean)
     }
 
+    /// By how much the idlest stays below the mean, relative to it.
+    fn shortfall(&self) -> f64 {
+        self.idlest()
+            .map_or(0.0, |idlest| 1.0 - idlest.load / self.mean)
+    }
+
     fn idlest(&self) -> Option<&Load> {
         self.members.last()
     }
@@ -163,28 +167,24 @@
 }
 
 /// Whether to move slices now: imbalance has lasted, or balancing that began
-/// has not reached its end.
+/// has not reached its end. What noise alone can bring about never counts.
 fn judge(state: &mut ServiceState, loads: &Loads, round: &Round<'_>) -> bool {
-    let tolerated = (state.policy.tolerated_imbalance - 1.0).max(0.0);
     let noise = loads.noise * NOISE_MARGIN;
-    let ratio = loads.ratio();
-    let idlest = loads
-        .idlest()
-        .map_or(1.0, |idlest| idlest.load / loads.mean);
+    let tolerated = state.tolerated_excess().max(noise);
+    let excess = loads.ratio() - 1.0;
+    let shortfall = loads.shortfall();
     let balance = &mut state.balance;
     if balance.active {
-        let level = tolerated * STOP_PART + noise * STOP_PART;
-        balance.active = ratio > 1.0 + level || idlest < 1.0 - tolerated - noise;
-    } else {
-        let exceeded = ratio > 1.0 + tolerated + noise || idlest < NEARLY_EMPTY - noise;
-        if !exceeded {
-            balance.exceeded_since = None;
-            return false;
-        }
-        let since = *balance.exceeded_since.get_or_insert(round.now);
-        balance.active = round.now.since(since) >= round.settings.sustain;
+        balance.active = excess > tolerated * STOP_PART || shortfall > tolerated;
+        return balance.active;
     }
-    if balance.active {
+    if excess <= tolerated && shortfall <= NEARLY_EMPTY.max(noise) {
+        balance.exceeded_since = None;
+        return false;
+    }
+    let since = *balance.exceeded_since.get_or_insert(round.now);
+    if round.now.since(since) >= round.settings.sustain {
+        balance.active = true;
         balance.exceeded_since = None;
     }
     balance.active
@@ -193,17 +193,18 @@
 /// Moves slices until the service is in balance, the budget or the number of
 /// moves at once is used up, or nothing helps.
 fn improve(state: &mut ServiceState, mut loads: Loads, round: &mut Round<'_>) {
-    let tolerated = (state.policy.tolerated_imbalance - 1.0).max(0.0);
-    let stop = loads.mean * (1.0 + tolerated * STOP_PART);
+    let tolerated = state.tolerated_excess();
     while round.room > 0 && state.moves_in_progress() < round.settings.balancing_moves {
-        let idle_enough = loads
-            .idlest()
-            .is_none_or(|idlest| idlest.load >= loads.mean * (1.0 - tolerated));
-        let balanced = loads.ratio() <= 1.0 + tolerated * STOP_PART;
-        if balanced && idle_enough {
+        let filled = loads.shortfall() <= tolerated;
+        let level = 1.0 + tolerated * STOP_PART;
+        if loads.ratio() <= level && filled {
             return;
         }
-        let floor = if idle_enough { stop } else { loads.mean };
+        let floor = if filled {
+            loads.mean * level
+        } else {
+            loads.mean
+        };
         if !move_one(state, &mut loads, floor, round) {
             return;
         }
@@ -234,8 +235,7 @@
                     return false;
                 };
                 let weight = slice.weight(first);
-                state.balance.window.spend(round.now, weight.length);
-                begin_move(state, first, &from.id, &to.id, round);
+                state.spend_move(first, &from.id, &to.id, round);
                 loads.shift(&from.id, &to.id, weight);
                 return true;
             }
@@ -259,7 +259,7 @@
 enum Choice {
     /// This slice helps.
     Move(Point),
-    /// This slice is too hot to be moved whole.
+    /// This slice is too hot to be moved whole, but can be divided.
     TooHeavy(Point),
     /// This slice has more keys than the whole budget.
     TooLarge(Point),
@@ -268,6 +268,9 @@
 }
 
 /// The slice with the most load for each key among those that fit.
+///
+/// A hot slice is divided before anything else is moved, because a split
+/// moves no key; only where one key makes it hot do its neighbours move.
 fn choose(
     state: &mut ServiceState,
     loads: &Loads,
@@ -275,10 +278,10 @@
     to: &Load,
     round: &mut Round<'_>,
 ) -> Choice {
-    let budget = state.policy.churn_budget_per_minute.clamp(0.0, 1.0) * LINE_LENGTH;
-    let left = budget - state.balance.window.spent(round.now) as f64;
+    let budget = state.churn_budget();
+    let left = state.churn_left(round.now);
     let gap = from.load - to.load;
-    let excess = (from.load - loads.mean).max(0.0);
+    let usual = loads.mean / f64::from(state.policy.slices_per_back_end.max(1));
     let Some(holding) = state.holdings.get(&from.id) else {
         return Choice::Nothing;
     };
@@ -288,22 +291,23 @@
         let Some(slice) = state.table.get(first) else {
             continue;
         };
+        if state.is_being_divided(first) || !slice.load.is_measured() {
+            return Choice::Nothing;
+        }
         if state.is_busy(first) {
             continue;
         }
-        let weight = slice.weight(first);
-        let load = loads.scale.load(weight);
+        let load = loads.scale.load(slice.weight(first));
         if load / from.slots + load / to.slots > gap {
-            if matches!(otherwise, Choice::Nothing) {
-                otherwise = Choice::TooHeavy(first);
+            if !slice.load.is_one_key() {
+                return Choice::TooHeavy(first);
             }
             continue;
         }
-        let moved = slice.moved_at > Timestamp::ZERO;
-        if moved && round.now.since(slice.moved_at) < round.settings.settle {
+        if slice.moved_within(round.settings.settle, round.now) {
             continue;
         }
-        if load / from.slots < excess * LEAST_GAIN {
+        if load / from.slots < usual * LEAST_GAIN {
             continue;
         }
         let size = length(slice.slice(first)) as f64;
@@ -318,6 +322,35 @@
 }
 
 impl ServiceState {
+    /// Tolerated excess of the busiest over the mean, relative to it.
+    fn tolerated_excess(&self) -> f64 {
+        (self.policy.tolerated_imbalance - 1.0).max(0.0)
+    }
+
+    /// Points that balance may move within a minute.
+    fn churn_budget(&self) -> f64 {
+        self.policy.churn_budget_per_minute.clamp(0.0, 1.0) * LINE_LENGTH
+    }
+
+    /// Points that balance may still move now.
+    pub(crate) fn churn_left(&mut self, now: Timestamp) -> f64 {
+        self.churn_budget() - self.balance.window.spent(now) as f64
+    }
+
+    /// Begins a move for balance and takes it out of the budget.
+    pub(crate) fn spend_move(
+        &mut self,
+        first: Point,
+        from: &Arc<BackEndId>,
+        to: &Arc<BackEndId>,
+        round: &mut Round<'_>,
+    ) {
+        if let Some(slice) = self.slice(first) {
+            self.balance.window.spend(round.now, length(slice));
+            begin_move(self, first, from, to, round);
+        }
+    }
+
     /// Handovers proposed or going on.
     fn moves_in_progress(&self) -> usize {
         self.moving.len() + self.pending.len()
--- a/crates/placement/src/merge.rs
+++ b/crates/placement/src/merge.rs
@@ -1,4 +1,10 @@
 //! Joining of neighbouring slices that went cold.
+//!
+//! A split leaves pieces. Once they are cold, a piece is merged with a
+//! neighbour of the same owner; where there is none, the piece first moves to
+//! a neighbour's owner, within the churn budget.
+
+use std::sync::Arc;
 
 use threadledge_types::{Point, Timestamp};
 
@@ -7,15 +13,12 @@
 use crate::planner::Round;
 use crate::service::ServiceState;
 use crate::slices::SliceState;
-use crate::weight::length;
+use crate::weight::{LINE_LENGTH, length};
 
 /// Short slices read in one check.
 const SHORT_SLICES_READ: usize = 16;
 /// A slice shorter than this part of the usual length is a piece.
 const PIECE_PART: f64 = 0.5;
-/// Number of points on the line.
-const LINE_LENGTH: f64 = 18_446_744_073_709_551_616.0;
-
 /// Proposes merges of the shortest slices with a neighbour of the same owner,
 /// and returns when to look again while there are pieces left.
 pub(crate) fn merge_cold(
@@ -69,9 +72,53 @@
         .into_iter()
         .flatten()
         .find(|(first, second)| may_merge(state, *first, *second, usual_load, loads, round));
-    if let Some((first, second)) = pair {
-        propose_merge(state, first, second, round);
+    match pair {
+        Some((first, second)) => propose_merge(state, first, second, round),
+        None => bring_together(state, piece, usual_load, loads, round),
+    }
+}
+
+/// Moves a cold piece to the owner of its shorter neighbour, so that they can
+/// be merged later.
+fn bring_together(
+    state: &mut ServiceState,
+    piece: Point,
+    usual_load: f64,
+    loads: &Loads,
+    round: &mut Round<'_>,
+) {
+    let left = state.churn_left(round.now);
+    let Some(slice) = state.table.get(piece) else {
+        return;
+    };
+    let cold = loads.scale.load(slice.weight(piece)) <= usual_load;
+    let affordable = length(slice.slice(piece)) as f64 <= left;
+    if !cold || !affordable || !is_quiet(slice, round) || state.is_busy(piece) {
+        return;
     }
+    let Some(from) = slice
+        .owner
+        .as_ref()
+        .map(|owner| Arc::clone(&owner.back_end))
+    else {
+        return;
+    };
+    let neighbours = [state.table.before(piece), state.table.after(slice.last)];
+    let to = neighbours
+        .into_iter()
+        .flatten()
+        .filter(|(first, _)| !state.is_busy(*first))
+        .min_by_key(|(first, neighbour)| length(neighbour.slice(*first)))
+        .and_then(|(_, neighbour)| neighbour.owner.as_ref())
+        .map(|owner| Arc::clone(&owner.back_end))
+        .filter(|to| *to != from && state.receivers.contains_key(to));
+    if let Some(to) = to {
+        state.spend_move(piece, &from, &to, round);
+    }
+}
+
+fn is_quiet(slice: &SliceState, round: &Round<'_>) -> bool {
+    round.now.since(slice.changed_at) >= round.settings.merge_after
 }
 
 fn may_merge(
@@ -85,8 +132,6 @@
     let (Some(low), Some(high)) = (state.table.get(first), state.table.get(second)) else {
         return false;
     };
-    let quiet =
-        |slice: &SliceState| round.now.since(slice.changed_at) >= round.settings.merge_after;
     let together = low.weight(first).plus(high.weight(second));
     let adjacent = low.last.0.checked_add(1) == Some(second.0);
     let same_owner = low.owner.is_some() && low.owner == high.owner;
@@ -95,8 +140,8 @@
     adjacent
         && same_owner
         && small
-        && quiet(low)
-        && quiet(high)
+        && is_quiet(low, round)
+        && is_quiet(high, round)
         && !state.is_busy(first)
         && !state.is_busy(second)
         && loads.scale.load(together) <= usual_load * 2.0
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -179,7 +179,20 @@
         }
     }
 
+    /// Gives every dirty service its part of the room, then hands what was
+    /// left over to those that could use more.
     fn plan_dirty(&mut self, actions: &mut Vec<Action>, max_actions: usize) {
+        loop {
+            let before = actions.len();
+            self.plan_turn(actions, max_actions);
+            let idle = actions.len() == before;
+            if idle || actions.len() >= max_actions || self.dirty.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn plan_turn(&mut self, actions: &mut Vec<Action>, max_actions: usize) {
         let turn = self.turn();
         let mut left = turn.len();
         for service in turn {
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -291,6 +291,13 @@
         self.pending.contains_key(&first) || self.moving.contains_key(&first)
     }
 
+    /// Whether a split or merge of the slice is proposed.
+    pub(crate) fn is_being_divided(&self, first: Point) -> bool {
+        self.pending
+            .get(&first)
+            .is_some_and(|pending| pending.transfer.is_none())
+    }
+
     /// Replaces the smoothed load of a slice.
     pub(crate) fn set_load(&mut self, first: Point, load: SliceLoad) {
         let Some(state) = self.table.get(first) else {
@@ -303,6 +310,9 @@
             .map(|owner| Arc::clone(&owner.back_end));
         let before = Weight::of(slice, state.load.rate);
         self.table.set_load(first, load);
+        if before.rate == load.rate {
+            return;
+        }
         if let Some(owner) = owner {
             let holding = self.holding(&owner);
             holding.remove(first, before);
--- a/crates/placement/src/slices.rs
+++ b/crates/placement/src/slices.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use threadledge_types::{BackEndId, Epoch, Incarnation, Point, Slice, Timestamp};
 
@@ -37,9 +38,21 @@
     pub rate: u64,
     /// The key that stands out, and its part of `rate`.
     pub hottest: Option<(Point, u64)>,
+    /// Reports since the rate was last a guess.
+    pub samples: u32,
 }
 
+/// Reports that turn the guess after a split into a measurement.
+const LEAST_SAMPLES: u32 = 3;
+/// Part of a slice's rate at which one key makes the slice hot.
+const ONE_KEY_PART: f64 = 0.75;
+
 impl SliceState {
+    /// Whether the slice went from one owner to another within `period`.
+    pub(crate) fn moved_within(&self, period: Duration, now: Timestamp) -> bool {
+        self.moved_at > Timestamp::ZERO && now.since(self.moved_at) < period
+    }
+
     pub(crate) fn slice(&self, first: Point) -> Slice {
         Slice {
             first,
@@ -53,6 +66,18 @@
 }
 
 impl SliceLoad {
+    /// Whether the rate has been measured since the slice was split.
+    pub(crate) fn is_measured(self) -> bool {
+        self.rate == 0 || self.samples >= LEAST_SAMPLES
+    }
+
+    /// Whether a single key makes up most of the rate, so that dividing the
+    /// slice would divide little of its load.
+    pub(crate) fn is_one_key(self) -> bool {
+        self.hottest
+            .is_some_and(|(_, rate)| rate as f64 >= self.rate as f64 * ONE_KEY_PART)
+    }
+
     /// Divides the load of `whole` between its part below `at` and the rest:
     /// the hot key goes with its side, everything else by length.
     pub(crate) fn divide(self, whole: Slice, at: Point) -> (SliceLoad, SliceLoad) {
@@ -62,11 +87,11 @@
         let low_spread = (u128::from(spread) * low_length / length(whole)) as u64;
         let mut low = SliceLoad {
             rate: low_spread,
-            hottest: None,
+            ..SliceLoad::default()
         };
         let mut high = SliceLoad {
             rate: spread - low_spread,
-            hottest: None,
+            ..SliceLoad::default()
         };
         if let Some((point, _)) = self.hottest {
             let side = if point < at { &mut low } else { &mut high };
@@ -85,6 +110,7 @@
         SliceLoad {
             rate: self.rate.saturating_add(other.rate),
             hottest,
+            samples: self.samples.max(other.samples),
         }
     }
 }
@@ -182,7 +208,9 @@
 
     /// Keeps the load of a part for the record that will cover it.
     pub(crate) fn loosen(&mut self, first: Point, load: SliceLoad) {
-        self.loose_loads.insert(first, load);
+        if load.rate > 0 {
+            self.loose_loads.insert(first, load);
+        }
     }
 
     fn take_loose(&mut self, slice: Slice) -> SliceLoad {
--- a/crates/placement/src/split.rs
+++ b/crates/placement/src/split.rs
@@ -7,9 +7,9 @@
 use crate::service::ServiceState;
 use crate::slices::SliceLoad;
 
-/// A key that carries at least this part of its slice's rate is cut out by
-/// itself; otherwise the slice is halved.
-const HOT_KEY_PART: f64 = 0.25;
+/// A key that carries at least this part of its slice's rate is where the
+/// slice is cut; otherwise the slice is halved.
+const HOT_KEY_PART: f64 = 0.10;
 /// A service is split into at most this many times its usual slices.
 const LARGEST_GROWTH: usize = 8;
 
--- a/crates/placement/src/weight.rs
+++ b/crates/placement/src/weight.rs
@@ -8,7 +8,7 @@
 /// drift however often slices come and go.
 const MICROS_PER_REQUEST: f64 = 1_000_000.0;
 /// Number of points on the line.
-const LINE_LENGTH: f64 = 18_446_744_073_709_551_616.0;
+pub(crate) const LINE_LENGTH: f64 = 18_446_744_073_709_551_616.0;
 /// Part of a service's rate that is spread over its keys evenly, so that keys
 /// are balanced too and slices without reports count.
 const KEY_PART: f64 = 0.05;
