Resolve lost answers of writers that name no identity

A write that carries a version but no uid (the founding of a group does) was compared with an empty uid after a lost answer, so that a write that had taken effect was reported as vanished. Without uid the version and the content decide; tests for both forms.

--- a/crates/lab/tests/platform/writes.rs
+++ b/crates/lab/tests/platform/writes.rs
@@ -96,6 +96,20 @@
     .await;
 }
 
+#[async_std::test]
+async fn write_without_identity_is_resolved_by_version_and_content() {
+    guarded(async {
+        let (api, client) = empty().await;
+        let created = create(&client, "a", 1_000).await;
+        let mut wanted = with_slots(back_end("a", 1_000), 7);
+        wanted.metadata.resource_version = created.metadata.resource_version;
+        api.fault(&FaultCommand::DropAnswers(1)).expect("set");
+        let outcome = write(&client, Write::Replace(wanted)).await;
+        assert!(matches!(outcome, WriteOutcome::Applied(_)), "{outcome:?}");
+    })
+    .await;
+}
+
 #[async_std::test]
 async fn losing_a_race_is_a_conflict_and_changes_nothing() {
     guarded(async {
--- a/crates/platform/src/resolve.rs
+++ b/crates/platform/src/resolve.rs
@@ -15,10 +15,10 @@
 pub enum Condition {
     /// The name is free.
     NameIsFree,
-    /// The object has this identity and version.
+    /// The object has this version, and this identity if the writer names it.
     HasVersion {
         /// Identity of the object.
-        uid: String,
+        uid: Option<String>,
         /// Version of the store that last changed it.
         version: u64,
     },
@@ -59,15 +59,15 @@
         (Condition::NameIsFree, Some(_)) => Resolution::Overtaken,
         (Condition::HasVersion { .. }, None) => Resolution::Vanished,
         (Condition::HasVersion { uid, version }, Some(found)) => {
-            resolve_version(uid, *version, found)
+            resolve_version(uid.as_deref(), *version, found)
         }
     }
 }
 
-fn resolve_version(uid: &str, version: u64, found: &ReadBack) -> Resolution {
+fn resolve_version(uid: Option<&str>, version: u64, found: &ReadBack) -> Resolution {
     if found.version < version {
         Resolution::OlderStore
-    } else if found.uid != uid {
+    } else if uid.is_some_and(|uid| uid != found.uid) {
         Resolution::Vanished
     } else if found.version == version {
         Resolution::NotYetApplied
--- a/crates/platform/src/write.rs
+++ b/crates/platform/src/write.rs
@@ -201,7 +201,7 @@
         };
         let version = metadata.resource_version.as_deref().unwrap_or_default();
         let version = parse_version(version).map_err(unconditional)?;
-        let uid = metadata.uid.clone().unwrap_or_default();
+        let uid = metadata.uid.clone();
         Ok(Condition::HasVersion { uid, version })
     }
 
--- a/crates/platform/tests/resolve.rs
+++ b/crates/platform/tests/resolve.rs
@@ -9,7 +9,7 @@
 
 fn replace() -> Condition {
     Condition::HasVersion {
-        uid: "a".to_owned(),
+        uid: Some("a".to_owned()),
         version: 10,
     }
 }
@@ -53,6 +53,23 @@
     }
 }
 
+#[test]
+fn writer_that_names_no_identity_is_judged_by_version_and_content() {
+    let condition = Condition::HasVersion {
+        uid: None,
+        version: 10,
+    };
+    let applied = found("a", 11, true);
+    assert_eq!(resolve(&condition, Some(&applied)), Resolution::Applied);
+    let changed = found("b", 11, false);
+    assert_eq!(resolve(&condition, Some(&changed)), Resolution::Overtaken);
+    let unchanged = found("a", 10, false);
+    assert_eq!(
+        resolve(&condition, Some(&unchanged)),
+        Resolution::NotYetApplied
+    );
+}
+
 #[test]
 fn creation_is_judged_by_presence_and_content() {
     let create = Condition::NameIsFree;
