Bound how long the proxy's tests wait for a retry budget

Cause: with no other traffic to refill it, an empty retry budget lets a refused request wait until its deadline; one test then took 20 s (3 of 5 runs). Change: that test's route has a deadline of 1 s.

--- a/crates/router/tests/proxy/world.rs
+++ b/crates/router/tests/proxy/world.rs
@@ -29,6 +29,9 @@
 
 /// Deadline of the route `/short`, in milliseconds.
 const SHORT_DEADLINE_MS: u64 = 300;
+/// Deadline of the route `/many`, in milliseconds: a request whose retries
+/// are put off for want of budget waits that long.
+const MANY_DEADLINE_MS: u64 = 1_000;
 
 pub async fn within<F: Future>(future: F) -> F::Output {
     timer::timeout(SAFETY, future)
@@ -133,6 +136,7 @@
                     back_end_selector: Default::default(),
                     routes: vec![
                         route("short", "/short", SHORT_DEADLINE_MS),
+                        route("many", "/many", MANY_DEADLINE_MS),
                         route("all", "/", 20_000),
                     ],
                     placement: PlacementPolicy::default(),
