--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,6 +7,12 @@
 
 /// Default of `--seed`.
 pub const DEFAULT_SEED: u64 = 1;
+/// Default of `--regions`, the regions of the size to design for.
+const DEFAULT_REGIONS: usize = 6;
+/// Default of `--zones`, the zones of the size to design for.
+const DEFAULT_ZONES: usize = 18;
+/// Default of `hollow --duration`.
+const DEFAULT_HOLLOW_SECONDS: u64 = 10;
 /// Default of the directory that `list` reads.
 const EXPERIMENTS: &str = "experiments";
 
@@ -29,6 +35,8 @@
         /// The second report.
         second: PathBuf,
     },
+    /// Hollow nodes in virtual time.
+    Hollow(HollowArguments),
     /// The experiments there are.
     List {
         /// Directory that is searched.
@@ -67,6 +75,23 @@
     pub keep_logs: bool,
 }
 
+/// Which hollow nodes to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HollowArguments {
+    /// Routers of all regions; one run for each number.
+    pub nodes: Vec<usize>,
+    /// Regions.
+    pub regions: usize,
+    /// Zones of all regions.
+    pub zones: usize,
+    /// Virtual time that is measured.
+    pub duration: Duration,
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// Where the JSON report goes.
+    pub report: Option<PathBuf>,
+}
+
 /// The whole command line.
 pub fn options() -> OptionParser<Command> {
     let demo = run_arguments()
@@ -81,7 +106,8 @@
         .command("stand-in")
         .hide();
     let (run, compare, list, report) = (run(), compare(), list(), report());
-    construct!([demo, run, compare, list, report, stand_in])
+    let hollow = hollow();
+    construct!([demo, run, compare, list, hollow, report, stand_in])
         .to_options()
         .descr("Rehearsal kit of threadledge: stand-ins, load, experiments and history checks")
         .version(env!("CARGO_PKG_VERSION"))
@@ -121,6 +147,45 @@
         .help("List experiments")
 }
 
+fn hollow() -> impl Parser<Command> {
+    let nodes = long("nodes")
+        .help("Routers of all regions; may be given several times")
+        .argument::<usize>("NUMBER")
+        .guard(|nodes| *nodes > 0, "must be above 0")
+        .some("give --nodes NUMBER");
+    let regions = long("regions")
+        .help("Regions; one is simulated and stands for the others")
+        .argument::<usize>("NUMBER")
+        .guard(|regions| *regions > 0, "must be above 0")
+        .fallback(DEFAULT_REGIONS)
+        .display_fallback();
+    let zones = long("zones")
+        .help("Zones of all regions")
+        .argument::<usize>("NUMBER")
+        .fallback(DEFAULT_ZONES)
+        .display_fallback();
+    let duration = long("duration")
+        .help("Seconds of virtual time that are measured")
+        .argument::<u64>("SECONDS")
+        .fallback(DEFAULT_HOLLOW_SECONDS)
+        .display_fallback()
+        .map(Duration::from_secs);
+    let (seed, report) = (seed(), report_file());
+    construct!(HollowArguments {
+        nodes,
+        regions,
+        zones,
+        duration,
+        seed,
+        report,
+    })
+    .map(Command::Hollow)
+    .to_options()
+    .descr("Run hollow nodes in virtual time and measure what control costs each")
+    .command("hollow")
+    .help("Run hollow nodes in virtual time")
+}
+
 fn report() -> impl Parser<Command> {
     let file = positional::<PathBuf>("FILE.json").help("Report");
     construct!(Command::Report { file })
@@ -131,11 +196,7 @@
 }
 
 fn run_arguments() -> impl Parser<RunArguments> {
-    let seed = long("seed")
-        .help("Seed of arrivals, keys and service times")
-        .argument::<u64>("NUMBER")
-        .fallback(DEFAULT_SEED)
-        .display_fallback();
+    let (seed, report) = (seed(), report_file());
     let duration = long("duration")
         .help("Seconds under load, in place of the experiment's; faults keep their share of it")
         .argument::<u64>("SECONDS")
@@ -145,10 +206,6 @@
         )
         .map(Duration::from_secs)
         .optional();
-    let report = long("report")
-        .help("Write the JSON report to this file")
-        .argument::<PathBuf>("FILE.json")
-        .optional();
     let keep_logs = long("keep-logs")
         .help("Keep the logs of all processes even when the run passes")
         .switch();
@@ -160,6 +217,21 @@
     })
 }
 
+fn seed() -> impl Parser<u64> {
+    long("seed")
+        .help("Seed of every random choice")
+        .argument::<u64>("NUMBER")
+        .fallback(DEFAULT_SEED)
+        .display_fallback()
+}
+
+fn report_file() -> impl Parser<Option<PathBuf>> {
+    long("report")
+        .help("Write the JSON report to this file")
+        .argument::<PathBuf>("FILE.json")
+        .optional()
+}
+
 fn stand_in() -> impl Parser<StandIn> {
     positional::<String>("KIND").parse(|kind| match kind.as_str() {
         "platform" => Ok(StandIn::Platform),
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -7,9 +7,10 @@
 use async_std::task;
 use k8s_openapi::jiff::Timestamp;
 
-use crate::cli::{Command, RunArguments, StandIn};
+use crate::cli::{Command, HollowArguments, RunArguments, StandIn};
 use crate::experiment::{self, Experiment};
 use crate::history::Recorder;
+use crate::hollow::{self, HollowPlan};
 use crate::load;
 use crate::report::{Report, compare, table};
 use crate::rig::{BackEndHost, PlatformSettings, RunOptions, end_with_parent, read_settings, run};
@@ -40,6 +41,7 @@
             );
             Ok(ExitCode::SUCCESS)
         }
+        Command::Hollow(arguments) => run_hollow(&arguments),
         Command::List { directory } => {
             for (path, experiment) in experiment::list(&directory)? {
                 println!("{:<48} {}", path.display(), experiment.description);
@@ -72,6 +74,30 @@
     Ok(exit_code(&report))
 }
 
+fn run_hollow(arguments: &HollowArguments) -> eyre::Result<ExitCode> {
+    let mut reports = Vec::with_capacity(arguments.nodes.len());
+    for nodes in &arguments.nodes {
+        eprintln!("simulating one region of {nodes} nodes");
+        reports.push(hollow::measure(&HollowPlan {
+            nodes: *nodes,
+            regions: arguments.regions,
+            zones: arguments.zones,
+            duration: arguments.duration,
+            seed: arguments.seed,
+        }));
+    }
+    if let Some(path) = &arguments.report {
+        std::fs::write(path, serde_json::to_vec_pretty(&reports)?)?;
+    }
+    print!("{}", hollow::table(&reports));
+    let sound = reports.iter().all(|report| report.violations == 0);
+    Ok(if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 fn exit_code(report: &Report) -> ExitCode {
     if report.passed() {
         ExitCode::SUCCESS
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod commands;
 pub mod experiment;
 pub mod history;
+pub mod hollow;
 pub mod load;
 pub mod measures;
 pub mod report;
