Hedge from the start of an attempt, and keep limits calm

Three causes, found by trials in virtual time (2 slots of 10 ms, 20 s each):

- Hedges never went out when the shell did not ask again after the permission to send, because their time was counted from it.
It is counted from the start of the attempt now, and so are answer times.
- One stuck answer moved the mean so far that the limit shrank to one.
- A changed share of the slots left the limit where it was.
It starts anew now; it grows fast until the first refusal and seldom afterwards.

--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -20,10 +20,12 @@
 const INFLATION_SHRINK: f64 = 2.0;
 /// Ratio below which it may grow.
 const INFLATION_GROW: f64 = 1.5;
-/// Answers at the limit, for each request of it, that raise it by one. Slots
-/// are few, so one request more is a large step: it is tried seldom, lest each
-/// router provoke a refusal with every other request.
-const ANSWERS_PER_STEP: f64 = 32.0;
+/// Answers at the limit, for each request of it, that raise it by one before
+/// the first decrease.
+const ANSWERS_PER_STEP_AT_FIRST: f64 = 8.0;
+/// The same afterwards. Slots are few, so one request more is a large step: it
+/// is tried seldom, lest each router provoke refusals with every other one.
+const ANSWERS_PER_STEP: f64 = 128.0;
 /// Time between two decreases while there is no answer time to go by.
 const DEFAULT_DECREASE_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -78,12 +80,14 @@
         self.limit as u32
     }
 
-    /// Slots, connections or the number of routers changed.
+    /// Slots, connections or the number of routers changed. Another share is
+    /// another beginning: what was sustained among fewer routers is not.
     pub fn set_bounds(&mut self, bounds: Bounds) {
-        if bounds.share > self.bounds.share {
-            self.limit = self.limit.max(f64::from(bounds.share));
-        }
+        let share_changed = bounds.share != self.bounds.share;
         self.bounds = bounds;
+        if share_changed {
+            self.restart();
+        }
         self.clamp();
     }
 
@@ -102,7 +106,7 @@
         // A limit that is not used up says nothing about what is sustained.
         let used_up = in_flight >= self.allowed();
         if used_up && inflation < INFLATION_GROW {
-            self.limit += 1.0 / (ANSWERS_PER_STEP * self.limit);
+            self.limit += 1.0 / (self.answers_per_step() * self.limit);
             self.clamp();
         }
     }
@@ -127,6 +131,13 @@
         self.clamp();
     }
 
+    fn answers_per_step(&self) -> f64 {
+        match self.decreased_at {
+            None => ANSWERS_PER_STEP_AT_FIRST,
+            Some(_) => ANSWERS_PER_STEP,
+        }
+    }
+
     fn clamp(&mut self) {
         self.limit = self.limit.clamp(1.0, f64::from(self.bounds.ceiling));
     }
--- a/crates/routing/src/dispatcher/advance.rs
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -156,10 +156,9 @@
     /// of this back end.
     fn hedge_time(&self, exchange: &Exchange) -> Option<Timestamp> {
         let attempt = second_attempt_beside(exchange)?;
-        let sent_at = attempt.sent_at?;
         let back_end = self.back_ends.get(&attempt.target.back_end)?;
         let after = crate::hedge::hedge_after(&back_end.latency, &self.settings)?;
-        Some(sent_at + after)
+        Some(attempt.started + after)
     }
 
     /// Takes leave to hedge. A key has one owner, so the hedge goes to the
--- a/crates/routing/src/dispatcher/attempts.rs
+++ b/crates/routing/src/dispatcher/attempts.rs
@@ -119,8 +119,9 @@
         let Some(back_end) = self.back_ends.get_mut(&attempt.target.back_end) else {
             return;
         };
-        let since = attempt.sent_at.unwrap_or(attempt.started);
-        back_end.latency.record(now.since(since));
+        // From the start, connecting included: so are hedges timed, which must
+        // be known when the attempt is handed out.
+        back_end.latency.record(now.since(attempt.started));
         let in_flight = back_end.in_flight();
         back_end.limit.on_answer(now, in_flight, &back_end.latency);
     }
--- a/crates/routing/src/hedge.rs
+++ b/crates/routing/src/hedge.rs
@@ -15,7 +15,7 @@
 /// Answers after which the quantile is trusted.
 const MIN_SAMPLES: u32 = 50;
 
-/// How long after its sending a request is hedged; `None` while too little is
+/// How long after its start an attempt is hedged; `None` while too little is
 /// known of the back end.
 pub fn hedge_after(latency: &LatencyEstimate, settings: &Settings) -> Option<Duration> {
     if latency.samples() < MIN_SAMPLES {
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -15,6 +15,10 @@
 /// Weight of a new sample in the long mean.
 const LONG_WEIGHT: f64 = 0.01;
 
+/// A sample counts for at most this many times the long mean: one answer that
+/// got stuck says little about the others, several in a row say enough.
+const OUTLIER_FACTOR: f64 = 4.0;
+
 /// Answer times of one back end. Takes 300 bytes whatever it has seen.
 #[derive(Clone, Debug)]
 pub struct LatencyEstimate {
@@ -39,11 +43,11 @@
     /// Takes in one answer time.
     pub fn record(&mut self, latency: Duration) {
         let micros = latency.as_micros().clamp(1, u128::from(u64::MAX)) as u64;
-        let sample = micros as f64;
         if self.total == 0 {
-            self.short_micros = sample;
-            self.long_micros = sample;
+            self.short_micros = micros as f64;
+            self.long_micros = micros as f64;
         }
+        let sample = (micros as f64).min(OUTLIER_FACTOR * self.long_micros);
         self.short_micros += SHORT_WEIGHT * (sample - self.short_micros);
         self.long_micros += LONG_WEIGHT * (sample - self.long_micros);
         self.counts[bucket_of(micros)] += 1;
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::station::{Station, Stream};
-use common::{back_end, full, one_back_end, route, service, session, slice};
+use common::{back_end, full, millis, one_back_end, route, service, session, slice};
 use threadledge_routing::Settings;
 use threadledge_types::Slice;
 use threadledge_types::objects::{Priority, RouteRule};
@@ -40,6 +40,12 @@
     let mut station = Station::new(routers, Settings::default(), &records());
     station.offer(streams, SECONDS);
     station.finish();
+    print(&station);
+    station
+}
+
+fn print(station: &Station) {
+    let routers = station.routers.len();
     for (path, fared) in &station.fared {
         println!(
             "{routers} routers {path}: offered {} answered {} p50 {} ms p99 {} ms {:?} unknown {}",
@@ -65,7 +71,6 @@
         "  attempts {attempts} refusals {} most open {} retries made and denied {retries:?}",
         station.refusals, station.most_open
     );
-    station
 }
 
 #[test]
@@ -108,6 +113,59 @@
     assert!(station.fared("/pull").answered_share() >= 0.999);
 }
 
+#[test]
+fn one_router_with_all_the_callers_uses_the_slots_of_the_others() {
+    let mut station = Station::new(4, Settings::default(), &records());
+    station.known_routers = 1;
+    station.offer(&[stream("/", "GET", CAPACITY * 3)], SECONDS);
+    station.finish();
+    print(&station);
+    let answered = station.fared("/").answered;
+    assert!(answered * 100 >= CAPACITY * SECONDS * 95, "{answered}");
+}
+
+#[test]
+fn a_back_end_that_froze_and_came_back_is_in_full_use_again() {
+    let mut station = Station::new(1, Settings::default(), &records());
+    let half = stream("/", "POST", CAPACITY / 2);
+    station.offer(&[half], 2);
+    station.freeze(millis(3_000));
+    station.offer(&[half], 3);
+    let before = station.fared("/").answered;
+    station.offer(&[half], 5);
+    station.finish();
+    print(&station);
+    let fared = station.fared("/");
+    // A few were caught, and the others were told at once that they had not.
+    assert!(fared.unknown <= 8, "{}", fared.unknown);
+    let afterwards = fared.answered - before;
+    assert!(afterwards >= 480, "{afterwards} of 500");
+    assert!(station.routers[0].counters().shed > 0);
+}
+
+#[test]
+fn hedges_cut_off_the_tail_of_stuck_answers() {
+    let tail = |hedge_percent| {
+        let settings = Settings {
+            hedge_percent,
+            hedge_reserve: hedge_percent,
+            ..Settings::default()
+        };
+        let mut station = Station::new(1, settings, &records());
+        station.stuck_one_in = 50;
+        station.offer(&[stream("/", "GET", 40)], SECONDS);
+        station.finish();
+        print(&station);
+        let fared = station.fared("/");
+        (fared.answered_share(), fared.latency_ms(99))
+    };
+    let (_, without_ms) = tail(0);
+    let (answered, with_ms) = tail(5);
+    assert!(without_ms >= 300, "{without_ms} ms");
+    assert!(with_ms <= 60, "{with_ms} ms");
+    assert!(answered >= 0.999, "{answered}");
+}
+
 #[test]
 fn retries_do_not_amplify_an_overload() {
     let station = run(4, &[stream("/", "GET", CAPACITY * 3)]);
