Detect failures among routers, with proofs of death kept apart

Cause: the membership core was a set of signatures.

Change: SWIM probes with indirect probes, suspicions and refutation numbers; routers that saw a failure themselves decide first and keep telling the suspect, others wait twice as long and check before they decide; local health and pauses lengthen this router's own waits. Tables are compared one hashed bucket at a time. A later life on the same machine, or a removal from the machine list of a router listed before and now silent, are the only proofs of death.

--- /dev/null
+++ b/crates/membership/examples/detection.rs
@@ -0,0 +1,76 @@
+//! Prints, for several numbers of routers: how long a crash takes to be seen
+//! by the first and by the last router, and what each router sends while
+//! nothing happens. Arguments: numbers of routers.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use support::*;
+use threadledge_membership::{MemberState, Settings};
+
+const CRASHES: usize = 12;
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|argument| argument.parse().ok())
+        .collect();
+    let sizes = if sizes.is_empty() {
+        vec![100, 500]
+    } else {
+        sizes
+    };
+    for size in sizes {
+        measure(size);
+    }
+}
+
+fn measure(size: usize) {
+    let mut network = Network::new(size, Settings::default(), 1);
+    network.measure_bytes = true;
+    network.give_list(&list(1, 0..size));
+    let joined = network.run_until(seconds(120), |network| network.all_see(size));
+    let join_bytes = network.sent_bytes / size;
+    network.run_for(seconds(60));
+    network.sent_bytes = 0;
+    network.sent_messages = 0;
+    network.run_for(seconds(20));
+    let bytes = network.sent_bytes / size / 20;
+    let messages = network.sent_messages as f64 / size as f64 / 20.0;
+    let mut times = Vec::new();
+    for host in 0..CRASHES {
+        times.push(measure_crash(&mut network, host));
+    }
+    times.sort_unstable();
+    println!(
+        "routers {size}: joined in {joined:?}, {join_bytes} B sent each; idle {bytes} B/s and \
+         {messages:.2} messages/s each; largest message {} B; crash seen by all after \
+         median {} ms, worst {} ms; false deaths {}",
+        network.largest_message,
+        times[CRASHES / 2],
+        times[CRASHES - 1],
+        false_deaths(&network),
+    );
+}
+
+fn measure_crash(network: &mut Network, host: usize) -> u128 {
+    let id = identity(host, 1).id;
+    network.crash(host);
+    let took = network.run_until(seconds(20), |network| {
+        network.all_have(id, MemberState::Dead)
+    });
+    network.run_for(seconds(2));
+    took.map_or(u128::MAX, |took| took.as_millis())
+}
+
+fn false_deaths(network: &Network) -> usize {
+    let downs = network.hosts.iter().flat_map(|host| &host.downs);
+    downs
+        .filter(|(_, id, _)| {
+            network
+                .hosts
+                .iter()
+                .any(|host| host.running && host.core.identity().id == *id)
+        })
+        .count()
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,12 +8,23 @@
 //! [`tree`] places routers in the fan-out tree by which records spread, and
 //! [`group_members`] chooses who belongs to a consensus group.
 
+mod gossip;
+mod health;
+mod machine_view;
 mod machines;
 mod member;
 mod membership;
+mod merge;
 mod message;
+mod prober;
 mod proof;
+mod receive;
+mod roster;
 mod settings;
+mod suspicion;
+mod sync;
+mod table;
+mod timers;
 
 pub mod group_members;
 pub mod tree;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -63,8 +63,11 @@
         /// Number of the ping request.
         sequence: u64,
     },
-    /// Carries updates only.
+    /// Carries news only.
     Gossip,
+    /// Carries updates that answer a comparison of tables; they are no news
+    /// to others and are not passed on.
+    SyncUpdates,
     /// Offers to compare one bucket of the member tables.
     SyncOffer {
         /// Which bucket.
@@ -81,7 +84,8 @@
         /// The sender's members in the bucket.
         entries: Vec<Digest>,
     },
-    /// Asks for the identities of members that the sender lacks.
+    /// Asks for the identities of members that the sender lacks; its updates
+    /// tell what the receiver lacks and are not passed on.
     SyncWanted {
         /// The members.
         ids: Vec<RouterId>,
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -13,8 +13,8 @@
     pub probe_timeout: Duration,
     /// How many others are asked to probe a router that did not answer.
     pub indirect_probes: usize,
-    /// Length of a suspicion in probe intervals, for each power of ten of the
-    /// number of members.
+    /// Least length of a suspicion in probe intervals, for each power of ten
+    /// of the number of members and at least for two.
     pub suspicion_multiplier: f64,
     /// How many routers each round of gossip goes to.
     pub gossip_fanout: usize,
@@ -35,6 +35,10 @@
     pub dead_retention: Duration,
     /// Most dead members remembered.
     pub max_dead: usize,
+    /// Longest lag of the platform's machine list. A list counts as listing a
+    /// router only when read this long after the router became known, so that
+    /// an entry of an earlier machine of the same name is not taken for it.
+    pub list_lag: Duration,
     /// Seed of all random choices.
     pub seed: u64,
 }
@@ -42,18 +46,19 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            probe_interval: Duration::from_millis(500),
-            probe_timeout: Duration::from_millis(200),
+            probe_interval: Duration::from_millis(350),
+            probe_timeout: Duration::from_millis(120),
             indirect_probes: 3,
-            suspicion_multiplier: 0.5,
+            suspicion_multiplier: 0.7,
             gossip_fanout: 3,
             gossip_interval: Duration::from_millis(100),
-            max_piggyback: 8,
+            max_piggyback: 6,
             retransmit_multiplier: 3,
-            sync_interval: Duration::from_secs(1),
+            sync_interval: Duration::from_secs(2),
             pause_threshold: Duration::from_millis(300),
-            dead_retention: Duration::from_secs(300),
+            dead_retention: Duration::from_secs(3_600),
             max_dead: 4_096,
+            list_lag: Duration::from_secs(60),
             seed: 0,
         }
     }
--- /dev/null
+++ b/crates/membership/tests/detection.rs
@@ -0,0 +1,118 @@
+//! Detection of failures on a simulated network.
+
+mod support;
+
+use std::time::Duration;
+
+use support::*;
+use threadledge_membership::{DownReason, Input, MemberState, Settings};
+
+/// The longest that any router may take to see a crash.
+const DETECTION_LIMIT: Duration = Duration::from_millis(3_500);
+
+fn introduced(count: usize, seed: u64) -> Network {
+    let mut network = Network::new(count, Settings::default(), seed);
+    network.introduce_all();
+    network
+}
+
+#[test]
+fn a_crash_is_seen_by_all_within_seconds() {
+    for seed in 0..4 {
+        let mut network = introduced(120, seed);
+        network.loss_percent = 2;
+        network.crash(7);
+        let id = identity(7, 1).id;
+        let took = network.run_until(DETECTION_LIMIT, |network| {
+            network.all_have(id, MemberState::Dead)
+        });
+        assert!(took.is_some(), "seed {seed}");
+        assert!(network.all_see(119));
+    }
+}
+
+#[test]
+fn lost_messages_alone_kill_nobody() {
+    for loss_percent in [5, 15] {
+        let mut network = introduced(60, 11);
+        network.loss_percent = loss_percent;
+        network.run_for(seconds(40));
+        assert_eq!(network.down_count(), 0, "loss {loss_percent}");
+    }
+}
+
+#[test]
+fn a_short_pause_is_not_death() {
+    let mut network = introduced(60, 21);
+    for host in 0..20 {
+        network.pause(host);
+        network.run_for(millis(700));
+        network.resume(host);
+        network.run_for(millis(300));
+    }
+    network.run_for(seconds(2));
+    assert_eq!(network.down_count(), 0);
+    assert!(network.all_see(60));
+}
+
+#[test]
+fn a_long_paused_router_blames_nobody_and_returns() {
+    let mut network = introduced(60, 31);
+    let id = identity(3, 1).id;
+    network.pause(3);
+    network.run_for(seconds(6));
+    let others_see_it_dead = (0..60)
+        .filter(|host| *host != 3)
+        .all(|host| network.state_at(host, id) == Some(MemberState::Dead));
+    assert!(others_see_it_dead);
+    network.resume(3);
+    network.run_for(seconds(5));
+    assert!(
+        network.hosts[3].downs.is_empty(),
+        "{:?}",
+        network.hosts[3].downs
+    );
+    assert!(network.all_see(60));
+}
+
+#[test]
+fn halves_of_a_partition_lose_and_find_each_other() {
+    let mut network = introduced(60, 41);
+    network.sides = (0..20).map(|host| (host, 1)).collect();
+    network.run_for(seconds(20));
+    assert_eq!(network.hosts[0].core.alive().count(), 20);
+    assert_eq!(network.hosts[59].core.alive().count(), 40);
+    for host in &network.hosts {
+        let others = host.core.members().map(|member| member.identity.id);
+        let proofs = others.filter_map(|id| host.core.death_proof(id));
+        assert_eq!(proofs.count(), 0, "suspicion is no proof");
+    }
+    network.sides.clear();
+    let healed = network.run_until(seconds(30), |network| network.all_see(60));
+    assert!(healed.is_some());
+}
+
+#[test]
+fn a_leaving_router_is_known_to_leave_before_it_is_gone() {
+    let mut network = introduced(60, 51);
+    let id = identity(9, 1).id;
+    network.input(9, Input::Leave);
+    let told = network.run_until(seconds(2), |network| {
+        network.all_have(id, MemberState::Leaving)
+    });
+    assert!(told.is_some());
+    network.crash(9);
+    network.run_for(seconds(5));
+    assert!(network.all_have(id, MemberState::Dead));
+    let reasons = network.hosts.iter().flat_map(|host| &host.downs);
+    assert!(reasons.into_iter().all(|down| down.2 == DownReason::Left));
+}
+
+#[test]
+fn one_way_loss_of_one_router_does_not_make_it_kill_the_others() {
+    let mut network = introduced(60, 61);
+    network.sides = [(5, 1)].into();
+    network.run_for(seconds(4));
+    let blamed_by_the_cut_off = network.hosts[5].downs.len();
+    assert!(blamed_by_the_cut_off < 10, "{blamed_by_the_cut_off}");
+}
