--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -46,6 +46,8 @@
     Report {
         /// The report.
         file: PathBuf,
+        /// Where the page with pictures goes.
+        page: Option<PathBuf>,
     },
     /// A stand-in, started by the rig.
     StandIn(StandIn),
@@ -187,8 +189,12 @@
 }
 
 fn report() -> impl Parser<Command> {
+    let page = long("page")
+        .help("Write a self-contained page with pictures to this file")
+        .argument::<PathBuf>("FILE.html")
+        .optional();
     let file = positional::<PathBuf>("FILE.json").help("Report");
-    construct!(Command::Report { file })
+    construct!(Command::Report { page, file })
         .to_options()
         .descr("Show a report as a table")
         .command("report")
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -12,7 +12,7 @@
 use crate::history::Recorder;
 use crate::hollow::{self, HollowPlan};
 use crate::load;
-use crate::report::{Report, compare, table};
+use crate::report::{Report, compare, page, table};
 use crate::rig::{BackEndHost, PlatformSettings, RunOptions, end_with_parent, read_settings, run};
 use crate::stand_in::back_end;
 use crate::stand_in::machine_list::MachineListServer;
@@ -48,8 +48,11 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Command::Report { file } => {
+        Command::Report { file, page: target } => {
             let report = Report::read(&file)?;
+            if let Some(target) = target {
+                std::fs::write(&target, page(&report)?)?;
+            }
             print!("{}", table(&report));
             Ok(exit_code(&report))
         }
--- a/crates/lab/src/measures/mod.rs
+++ b/crates/lab/src/measures/mod.rs
@@ -6,6 +6,8 @@
 mod imbalance;
 mod latency;
 mod outcomes;
+mod ownership;
+mod timeline;
 mod unavailable;
 
 pub use churn::{Churn, churn};
@@ -13,6 +15,8 @@
 pub use imbalance::{Imbalance, imbalance};
 pub use latency::{Latencies, LatencySummary, latencies};
 pub use outcomes::{Outcomes, outcomes};
+pub use ownership::{OwnershipStretch, ownership};
+pub use timeline::{TimelinePoint, back_end_requests, timeline};
 pub use unavailable::{Unavailable, unavailable};
 
 /// Namespace of what the lab itself serves, left out of the measures of the
--- /dev/null
+++ b/crates/lab/src/measures/timeline.rs
@@ -0,0 +1,80 @@
+//! Requests over time.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use threadledge_types::Timestamp;
+
+use super::LAB_NAMESPACE;
+use crate::history::{AttemptOutcome, History};
+
+/// Width of one point of the timeline, in milliseconds.
+const WIDTH_MS: u64 = 250;
+
+/// Requests that were intended within one interval.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TimelinePoint {
+    /// Begin of the interval, in milliseconds since the load began.
+    pub at_ms: u64,
+    /// Answered.
+    pub answered: u64,
+    /// Not answered.
+    pub failed: u64,
+    /// Median latency of the answered, in milliseconds.
+    pub p50_ms: f64,
+    /// Latency of 99 in 100 of the answered, in milliseconds.
+    pub p99_ms: f64,
+}
+
+/// The timeline of `history` from `begin` on.
+pub fn timeline(history: &History, begin: Timestamp) -> Vec<TimelinePoint> {
+    let mut latencies: BTreeMap<u64, (Vec<f64>, u64)> = BTreeMap::new();
+    for record in &history.requests {
+        let Some(last) = record.attempts.last() else {
+            continue;
+        };
+        if record.service.namespace == LAB_NAMESPACE {
+            continue;
+        }
+        let since = record.intended.since(begin).as_millis();
+        let interval = u64::try_from(since).unwrap_or(u64::MAX) / WIDTH_MS;
+        let point = latencies.entry(interval).or_default();
+        if last.outcome == AttemptOutcome::Answered {
+            point
+                .0
+                .push(last.end.since(record.intended).as_secs_f64() * 1_000.0);
+        } else {
+            point.1 += 1;
+        }
+    }
+    latencies
+        .into_iter()
+        .map(|(interval, (mut answered, failed))| {
+            answered.sort_by(f64::total_cmp);
+            TimelinePoint {
+                at_ms: interval * WIDTH_MS,
+                answered: answered.len() as u64,
+                failed,
+                p50_ms: quantile(&answered, 0.5),
+                p99_ms: quantile(&answered, 0.99),
+            }
+        })
+        .collect()
+}
+
+/// Requests that each back end carried out.
+pub fn back_end_requests(history: &History) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    let executions = history.executions.iter();
+    for execution in executions.filter(|run| run.service.namespace != LAB_NAMESPACE) {
+        let name = execution.session.back_end.to_string();
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    let index = (last as f64 * quantile).round() as usize;
+    sorted.get(index).copied().unwrap_or(0.0)
+}
--- a/crates/lab/src/report/form.rs
+++ b/crates/lab/src/report/form.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::checks::Violation;
-use crate::measures::{Churn, Imbalance, Latencies, Outcomes, Unavailable};
+use crate::measures::{
+    Churn, Imbalance, Latencies, Outcomes, OwnershipStretch, TimelinePoint, Unavailable,
+};
 
 /// Version of the form. It grows when a field changes its meaning or goes;
 /// fields may be added without.
@@ -52,6 +54,16 @@
     pub configuration_in_force_ms: Option<f64>,
     /// Faults caused.
     pub faults: Vec<FaultMark>,
+    /// Answered, failed and latency over time.
+    #[serde(default)]
+    pub timeline: Vec<TimelinePoint>,
+    /// Requests that each back end carried out, by `namespace/name`.
+    #[serde(default)]
+    pub back_end_requests: BTreeMap<String, u64>,
+    /// Share of all points that each back end owned over time, for the
+    /// services together.
+    #[serde(default)]
+    pub ownership: Vec<OwnershipStretch>,
     /// Slowest time until all routers served after their start.
     pub ready_ms: u64,
 }
@@ -95,6 +107,9 @@
         /// What failed.
         cause: serde_json::Error,
     },
+    /// A picture cannot be drawn.
+    #[error("a picture cannot be drawn ({0}); leave --page out for the table alone")]
+    Picture(String),
     /// The file was written by another version.
     #[error("{path} has report version {found}, not {REPORT_VERSION}; run the experiment again")]
     Version {
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -3,8 +3,11 @@
 
 mod compare;
 mod form;
+mod page;
+mod pictures;
 mod table;
 
 pub use compare::compare;
 pub use form::{BoundBreach, FaultMark, REPORT_VERSION, Report, ReportError};
+pub use page::page;
 pub use table::table;
--- a/crates/lab/src/rig/summary.rs
+++ b/crates/lab/src/rig/summary.rs
@@ -50,6 +50,9 @@
         unavailable_details: unavailable,
         configuration_in_force_ms: measures::configuration_in_force_ms(&history),
         faults: faults(&history, facts.begin),
+        timeline: measures::timeline(&history, facts.begin),
+        back_end_requests: measures::back_end_requests(&history),
+        ownership: measures::ownership(&history, facts.begin, end),
         ready_ms: facts.ready_ms,
     };
     report.breached_bounds = experiment.bounds.breached(&report);
--- a/crates/lab/tests/measures.rs
+++ b/crates/lab/tests/measures.rs
@@ -34,6 +34,9 @@
         unavailable_details: unavailable,
         configuration_in_force_ms: None,
         faults: Vec::new(),
+        timeline: measures::timeline(&history, Timestamp::ZERO),
+        back_end_requests: measures::back_end_requests(&history),
+        ownership: measures::ownership(&history, Timestamp::ZERO, millis(3_000)),
         ready_ms: 0,
     }
 }
@@ -115,6 +118,27 @@
     );
 }
 
+#[test]
+fn ownership_over_time_follows_the_move() {
+    let stretches: Vec<_> = report()
+        .ownership
+        .into_iter()
+        .map(|one| (one.back_end, one.from_ms, one.until_ms, one.share))
+        .collect();
+    let expected = vec![
+        ("kasamahan/a".to_owned(), 0, 1_000, 1.0),
+        ("kasamahan/b".to_owned(), 1_010, 3_000, 1.0),
+    ];
+    assert_eq!(stretches, expected);
+}
+
+#[test]
+fn a_page_holds_every_picture_and_nothing_from_elsewhere() {
+    let page = threadledge_lab::report::page(&report()).expect("a page");
+    assert_eq!(page.matches("<svg").count(), 4);
+    assert!(!page.contains("<script") && !page.contains("src="));
+}
+
 #[test]
 fn idle_members_raise_the_imbalance() {
     let members = BTreeMap::from([(service(), 4)]);
