--- a/crates/router/src/check.rs
+++ b/crates/router/src/check.rs
@@ -1,36 +1,87 @@
 //! Offline check of settings and object files.
+//!
+//! Settings files end in `.toml`, object files in `.json`, `.yaml` or `.yml`.
+//! All object files of one run are judged together, because a host or an
+//! address may be claimed once only.
+
+mod objects;
 
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use crate::settings;
+use thiserror::Error;
+use threadledge_types::validation;
+
+use crate::settings::{self, SettingsProblem};
 
-/// One problem of one file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// One problem and where it stands.
+#[derive(Clone, Debug, PartialEq)]
 pub struct CheckProblem {
-    /// Where: file, and line or object where known.
+    /// The file, with line and column where they are known.
     pub place: String,
     /// What is wrong, and the remedy.
-    pub message: String,
+    pub kind: CheckProblemKind,
+}
+
+/// What is wrong.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum CheckProblemKind {
+    /// In a settings file.
+    #[error(transparent)]
+    Settings(SettingsProblem),
+    /// In an object.
+    #[error(transparent)]
+    Object(validation::Problem),
+    /// The file cannot be read.
+    #[error("cannot be read ({0}); give the path of a readable file")]
+    Unreadable(String),
+    /// The text is neither JSON nor YAML.
+    #[error("cannot be parsed: {0}; correct the syntax")]
+    Syntax(String),
+    /// The file holds no object.
+    #[error("holds no object; add one, or leave the file out")]
+    Empty,
+    /// The name does not tell what the file holds.
+    #[error("has an unknown ending; name settings .toml, and objects .json, .yaml or .yml")]
+    UnknownEnding,
 }
 
 impl fmt::Display for CheckProblem {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.place, self.message)
+        write!(formatter, "{}: {}", self.place, self.kind)
     }
 }
 
-/// Checks every file and returns every problem, in the order of the files.
+/// Checks every file and returns every problem, in the order of the files;
+/// problems that only all object files together show come last.
 pub fn check(files: &[PathBuf]) -> Vec<CheckProblem> {
-    files.iter().flat_map(|file| check_file(file)).collect()
+    let mut objects = objects::ObjectFiles::default();
+    let mut problems = Vec::new();
+    for file in files {
+        match ending(file) {
+            "toml" => problems.extend(check_settings(file)),
+            "json" | "yaml" | "yml" => problems.extend(objects.add(file)),
+            _ => problems.push(CheckProblem {
+                place: file.display().to_string(),
+                kind: CheckProblemKind::UnknownEnding,
+            }),
+        }
+    }
+    problems.extend(objects.finish());
+    problems
+}
+
+fn ending(file: &Path) -> &str {
+    file.extension()
+        .and_then(|ending| ending.to_str())
+        .unwrap_or_default()
 }
 
-fn check_file(file: &Path) -> Vec<CheckProblem> {
+fn check_settings(file: &Path) -> impl Iterator<Item = CheckProblem> {
     settings::examine(file)
         .into_iter()
         .map(|problem| CheckProblem {
             place: problem.place.to_string(),
-            message: problem.kind.to_string(),
+            kind: CheckProblemKind::Settings(problem.kind),
         })
-        .collect()
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -10,6 +10,9 @@
 
 pub use catalogue::EventId;
 
+/// Target of every event, whichever crate emits it.
+pub const TARGET: &str = "threadledge::events";
+
 /// Severity of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventLevel {
@@ -45,12 +48,15 @@
         let event: $crate::events::EventId = $event;
         match event.level() {
             $crate::events::EventLevel::Error => ::tracing::error!(
+                target: $crate::events::TARGET,
                 event = event.number(), name = event.name() $(, $($fields)*)?
             ),
             $crate::events::EventLevel::Warn => ::tracing::warn!(
+                target: $crate::events::TARGET,
                 event = event.number(), name = event.name() $(, $($fields)*)?
             ),
             $crate::events::EventLevel::Info => ::tracing::info!(
+                target: $crate::events::TARGET,
                 event = event.number(), name = event.name() $(, $($fields)*)?
             ),
         }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -64,7 +64,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Limits {
-    /// Largest request head, in bytes.
+    /// Largest request head, in bytes; at most 8,191, which is what the HTTP
+    /// library reads.
     pub max_head_bytes: usize,
     /// Largest request body, in bytes.
     pub max_body_bytes: u64,
@@ -85,7 +86,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            max_head_bytes: 16 * 1024,
+            max_head_bytes: validate::LARGEST_HEAD_BYTES,
             max_body_bytes: 8 * 1024 * 1024,
             head_timeout_ms: 5_000,
             idle_timeout_ms: 60_000,
--- a/crates/router/src/settings/error.rs
+++ b/crates/router/src/settings/error.rs
@@ -21,6 +21,22 @@
     Whole,
 }
 
+impl Place {
+    /// Order in which problems are listed: by position in the file, then what
+    /// has no position, then flags.
+    pub(super) fn order(&self) -> (u8, usize, usize) {
+        match self {
+            Place::File {
+                position: Some((line, column)),
+                ..
+            } => (0, *line, *column),
+            Place::File { .. } => (1, 0, 0),
+            Place::Whole => (2, 0, 0),
+            Place::Flag(_) => (3, 0, 0),
+        }
+    }
+}
+
 impl fmt::Display for Place {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/router/src/settings/load.rs
+++ b/crates/router/src/settings/load.rs
@@ -116,23 +116,33 @@
 
     fn finish(mut self) -> Result<Settings, SettingsError> {
         self.report_missing();
-        SettingsError::from_problems(std::mem::take(&mut self.problems))?;
-        let settings: Settings = match self.table().try_into() {
-            Ok(settings) => settings,
+        let settings = self.read_settings();
+        for kind in settings.iter().flat_map(validate::contradictions) {
+            let place = self.place_of(&kind);
+            self.report(place, kind);
+        }
+        self.problems.sort_by_key(|problem| problem.place.order());
+        match settings {
+            Some(settings) if self.problems.is_empty() => Ok(settings),
+            _ => Err(SettingsError {
+                problems: self.problems,
+            }),
+        }
+    }
+
+    /// The settings, if every value fits; they may contradict each other.
+    fn read_settings(&mut self) -> Option<Settings> {
+        if !self.problems.is_empty() {
+            return None;
+        }
+        match self.table().try_into() {
+            Ok(settings) => Some(settings),
             Err(error) => {
                 let kind = SettingsProblem::Syntax(error.to_string());
                 self.report(Place::Whole, kind);
-                return Err(SettingsError {
-                    problems: self.problems,
-                });
+                None
             }
-        };
-        for kind in validate::contradictions(&settings) {
-            let place = self.place_of(&kind);
-            self.report(place, kind);
         }
-        SettingsError::from_problems(self.problems)?;
-        Ok(settings)
     }
 
     fn report_missing(&mut self) {
--- a/crates/router/src/settings/validate.rs
+++ b/crates/router/src/settings/validate.rs
@@ -15,6 +15,8 @@
 const GROUP_SIZES: [u32; 3] = [1, 3, 5];
 /// Clocks that differ more than this are broken.
 const LARGEST_DRIFT_PERCENT: u64 = 50;
+/// Largest head that the HTTP library reads, in bytes.
+pub(super) const LARGEST_HEAD_BYTES: usize = 8 * 1024 - 1;
 /// Smallest head that an ordinary request fits in, in bytes.
 const SMALLEST_HEAD_BYTES: usize = 512;
 
@@ -136,11 +138,11 @@
 }
 
 fn limits(limits: &Limits, problems: &mut Vec<SettingsProblem>) {
-    if limits.max_head_bytes < SMALLEST_HEAD_BYTES {
+    if !(SMALLEST_HEAD_BYTES..=LARGEST_HEAD_BYTES).contains(&limits.max_head_bytes) {
         problems.push(SettingsProblem::OutOfRange {
             key: "limits.max-head-bytes",
             value: limits.max_head_bytes.to_string(),
-            range: "of at least 512",
+            range: "between 512 and 8191",
         });
     }
     positive("limits.head-timeout-ms", limits.head_timeout_ms, problems);
