Exchange with the platform through net

net now bounds and frames answers strictly and tells how far an exchange came, so the transport of the platform's client uses its pool (without reuse of connections) in place of async-h1 itself; an exchange had certainly no effect only if no byte of it can have left. The tests expect what they expected; they run their futures boxed, because the executor copies a future on the stack several times and a test thread's 2 MiB overflowed in debug builds.

--- a/crates/lab/tests/platform/authorization.rs
+++ b/crates/lab/tests/platform/authorization.rs
@@ -37,8 +37,8 @@
     ObjectClient::new(api.address(), settings)
 }
 
-#[async_std::test]
-async fn partner_reaches_only_its_own_namespace() {
+#[test]
+fn partner_reaches_only_its_own_namespace() {
     guarded(async {
         let api = guarded_api().await;
         let own = client(&api, Some("kauri"));
@@ -56,12 +56,11 @@
         let history = api.history();
         assert_eq!(history.len(), 1);
         assert_eq!(history[0].principal.as_deref(), Some("kauri-operators"));
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn unknown_token_is_refused() {
+#[test]
+fn unknown_token_is_refused() {
     guarded(async {
         let api = guarded_api().await;
         for token in [None, Some("guess")] {
@@ -71,12 +70,11 @@
                 PlatformErrorKind::Unauthorized
             );
         }
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn routers_read_all_and_write_statuses_only() {
+#[test]
+fn routers_read_all_and_write_statuses_only() {
     guarded(async {
         let api = guarded_api().await;
         let partner = client(&api, Some("kauri"));
@@ -102,6 +100,5 @@
             PlatformErrorKind::Forbidden(_)
         ));
         router.replace_status(&object).await.expect("allowed");
-    })
-    .await;
+    });
 }
--- a/crates/lab/tests/platform/client.rs
+++ b/crates/lab/tests/platform/client.rs
@@ -16,8 +16,8 @@
     with_slots,
 };
 
-#[async_std::test]
-async fn object_goes_through_its_whole_life() {
+#[test]
+fn object_goes_through_its_whole_life() {
     guarded(async {
         let (_api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -45,12 +45,11 @@
             .expect("there");
         let gone = client.get::<BackEndObject>(&key("a")).await;
         assert_eq!(gone.expect_err("deleted").kind, PlatformErrorKind::NotFound);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn conditions_that_fail_are_typed_and_without_effect() {
+#[test]
+fn conditions_that_fail_are_typed_and_without_effect() {
     guarded(async {
         let (_api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -69,8 +68,7 @@
             .expect_err("older");
         assert_eq!(older.kind, PlatformErrorKind::Conflict);
         assert_eq!(older.effect, WriteEffect::None);
-    })
-    .await;
+    });
 }
 
 const TIME: &str = "2026-01-01T00:00:00Z";
@@ -90,8 +88,8 @@
     store
 }
 
-#[async_std::test]
-async fn list_of_many_pages_is_whole() {
+#[test]
+fn list_of_many_pages_is_whole() {
     guarded(async {
         let settings = ObjectApiSettings {
             store: many_objects(1_203),
@@ -108,12 +106,11 @@
         assert!(listed.items.is_empty());
         let services = client.list::<KeyedServiceObject>(&Scope::All).await;
         assert!(services.expect("up").items.is_empty());
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn unreadable_object_hides_no_other() {
+#[test]
+fn unreadable_object_hides_no_other() {
     guarded(async {
         let mut store = many_objects(1);
         let collection = Collection {
@@ -134,12 +131,11 @@
         assert!(listed.items[0].content.is_ok());
         let problem = listed.items[1].content.as_ref().expect_err("no IP address");
         assert_eq!(problem.field, "spec.address");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn platform_that_is_gone_is_unreachable_and_writes_have_no_effect() {
+#[test]
+fn platform_that_is_gone_is_unreachable_and_writes_have_no_effect() {
     guarded(async {
         let listener = listener().await;
         let address = listener.local_addr().expect("bound");
@@ -154,12 +150,11 @@
             "{error}"
         );
         assert_eq!(error.effect, WriteEffect::None);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn platform_that_is_down_loses_the_connection_until_it_is_up() {
+#[test]
+fn platform_that_is_down_loses_the_connection_until_it_is_up() {
     guarded(async {
         let (api, client) = empty().await;
         api.fault(&FaultCommand::Down(true)).expect("set");
@@ -182,12 +177,11 @@
         );
         api.fault(&FaultCommand::Down(false)).expect("set");
         create(&client, "a", 1_000).await;
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn platform_that_is_slow_times_out_with_unknown_effect() {
+#[test]
+fn platform_that_is_slow_times_out_with_unknown_effect() {
     guarded(async {
         let (api, _) = empty().await;
         let settings = TransportSettings {
@@ -210,12 +204,11 @@
             .await
             .expect_err("slow");
         assert_eq!(error.effect, WriteEffect::None, "reads have none");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn limited_reader_is_told_when_to_come_back() {
+#[test]
+fn limited_reader_is_told_when_to_come_back() {
     guarded(async {
         let (api, client) = empty().await;
         api.fault(&FaultCommand::RefuseReads(1)).expect("set");
@@ -228,12 +221,11 @@
             .list::<BackEndObject>(&Scope::All)
             .await
             .expect("one only");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn answer_above_the_limit_is_refused() {
+#[test]
+fn answer_above_the_limit_is_refused() {
     guarded(async {
         let settings = ObjectApiSettings {
             store: many_objects(50),
@@ -250,6 +242,5 @@
             .await
             .expect_err("large");
         assert_eq!(error.kind, PlatformErrorKind::TooLarge(1_000));
-    })
-    .await;
+    });
 }
--- a/crates/lab/tests/platform/machine_list.rs
+++ b/crates/lab/tests/platform/machine_list.rs
@@ -59,8 +59,8 @@
     assert_eq!(list.machines[0].state, MachineState::Leaving);
 }
 
-#[async_std::test]
-async fn client_reads_the_list_and_notices_that_it_is_down() {
+#[test]
+fn client_reads_the_list_and_notices_that_it_is_down() {
     guarded(async {
         let served = MachineListServer::serve(listener().await, vec![machine("a")]);
         let server = served.expect("the listener has an address");
@@ -77,12 +77,11 @@
         server.change(MachineCommand::Replace(vec![machine("b")]));
         let list: MachineList = client.machines().await.expect("up");
         assert_eq!(names(Some(list)), ["b"]);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn commands_come_over_http_too() {
+#[test]
+fn commands_come_over_http_too() {
     guarded(async {
         let served = MachineListServer::serve(listener().await, vec![]);
         let server = served.expect("the listener has an address");
@@ -102,6 +101,5 @@
         );
         let list: MachineList = client.machines().await.expect("up");
         assert_eq!(names(Some(list)), ["a"]);
-    })
-    .await;
+    });
 }
--- a/crates/lab/tests/platform/support.rs
+++ b/crates/lab/tests/platform/support.rs
@@ -17,9 +17,12 @@
 /// Ends a test that hangs; no test depends on how long anything takes.
 const GUARD: Duration = Duration::from_secs(20);
 
-pub async fn guarded<T>(future: impl Future<Output = T>) -> T {
-    let ended = async_std::future::timeout(GUARD, future).await;
-    ended.expect("the test hangs")
+/// Runs a test. Its future is boxed, because the executor copies what it is
+/// given several times on the stack.
+pub fn guarded(test: impl Future<Output = ()>) {
+    let bounded = async_std::future::timeout(GUARD, Box::pin(test));
+    let ended = async_std::task::block_on(bounded);
+    ended.expect("the test hangs");
 }
 
 pub async fn listener() -> TcpListener {
--- a/crates/lab/tests/platform/watch.rs
+++ b/crates/lab/tests/platform/watch.rs
@@ -33,8 +33,8 @@
     (api, client, object)
 }
 
-#[async_std::test]
-async fn watch_gives_every_change_after_its_version_in_order() {
+#[test]
+fn watch_gives_every_change_after_its_version_in_order() {
     guarded(async {
         let (_api, client, object) = one_object().await;
         let mut early = watch(&client, 1).await;
@@ -54,23 +54,21 @@
             assert_eq!(next(stream).await, "added b 4");
             assert_eq!(next(stream).await, "deleted a 5");
         }
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn bookmarks_carry_the_version_reached() {
+#[test]
+fn bookmarks_carry_the_version_reached() {
     guarded(async {
         let (_api, client, _) = one_object().await;
         let mut stream = watch(&client, 2).await;
         let event = stream.next().await.expect("not ended").expect("not broken");
         assert!(matches!(event, Event::Bookmark(2)));
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn compacted_version_is_gone() {
+#[test]
+fn compacted_version_is_gone() {
     guarded(async {
         let (api, client, _) = one_object().await;
         api.fault(&FaultCommand::Compact).expect("done");
@@ -78,23 +76,21 @@
         let error = error.err().expect("compacted");
         assert_eq!(error.kind, PlatformErrorKind::Gone);
         watch(&client, 2).await;
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn version_ahead_of_the_store_says_so() {
+#[test]
+fn version_ahead_of_the_store_says_so() {
     guarded(async {
         let (_api, client, _) = one_object().await;
         let error = client.watch::<BackEndObject>(&Scope::All, 99).await;
         let error = error.err().expect("ahead");
         assert_eq!(error.kind, PlatformErrorKind::StoreBehind);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watch_that_is_cut_ends_or_breaks() {
+#[test]
+fn watch_that_is_cut_ends_or_breaks() {
     guarded(async {
         let (api, client, _) = one_object().await;
         let mut stream = watch(&client, 2).await;
@@ -116,12 +112,11 @@
             matches!(error.kind, PlatformErrorKind::ConnectionLost(_)),
             "{error}"
         );
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watches_above_the_limit_are_refused_until_one_ends() {
+#[test]
+fn watches_above_the_limit_are_refused_until_one_ends() {
     guarded(async {
         let (api, client, _) = one_object().await;
         api.fault(&FaultCommand::LimitWatches(Some(1)))
@@ -139,6 +134,5 @@
             async_std::task::yield_now().await;
         }
         watch(&client, 2).await;
-    })
-    .await;
+    });
 }
--- a/crates/lab/tests/platform/watcher.rs
+++ b/crates/lab/tests/platform/watcher.rs
@@ -98,8 +98,8 @@
         .expect("current");
 }
 
-#[async_std::test]
-async fn watcher_delivers_a_snapshot_and_then_changes() {
+#[test]
+fn watcher_delivers_a_snapshot_and_then_changes() {
     guarded(async {
         let (_api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -114,12 +114,11 @@
             .expect("there");
         follower.until_in_force(&[("a", 5)]).await;
         assert_eq!(follower.snapshots, 1);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_continues_after_cuts_without_missing_a_change() {
+#[test]
+fn watcher_continues_after_cuts_without_missing_a_change() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -132,12 +131,11 @@
             follower.until_in_force(&[("a", slots)]).await;
         }
         assert_eq!(follower.snapshots, 1, "cuts need no new list");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_lists_again_after_compaction() {
+#[test]
+fn watcher_lists_again_after_compaction() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -159,12 +157,11 @@
         api.fault(&FaultCommand::LimitWatches(None)).expect("set");
         follower.until_in_force(&[("a", 8)]).await;
         assert_eq!(follower.snapshots, 2);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_outlives_a_store_that_is_down() {
+#[test]
+fn watcher_outlives_a_store_that_is_down() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -176,12 +173,11 @@
         api.fault(&FaultCommand::Down(false)).expect("set");
         set_slots(&client, "a", 6).await;
         follower.until_in_force(&[("a", 6)]).await;
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_waits_when_readers_are_limited() {
+#[test]
+fn watcher_waits_when_readers_are_limited() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -189,12 +185,11 @@
         let mut follower = Follower::start(&client, ObjectTracker::new());
         follower.until_in_force(&[("a", 3)]).await;
         assert_eq!(follower.interrupted, 1);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn older_store_is_reported_and_reverts_nothing() {
+#[test]
+fn older_store_is_reported_and_reverts_nothing() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -211,12 +206,11 @@
         follower.until(|follower| follower.older >= 3).await;
         assert_eq!(follower.in_force["a"], 5);
         assert_eq!(follower.in_force["b"], 3);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn store_restored_with_higher_versions_reverts_nothing_and_takes_new_edits() {
+#[test]
+fn store_restored_with_higher_versions_reverts_nothing_and_takes_new_edits() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -238,12 +232,11 @@
         assert!(follower.withheld.contains(&WithheldReason::Lost));
         set_slots(&client, "a", 7).await;
         follower.until_in_force(&[("a", 7), ("b", 3)]).await;
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_after_a_failover_does_not_trust_an_older_store() {
+#[test]
+fn watcher_after_a_failover_does_not_trust_an_older_store() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -252,12 +245,11 @@
         follower.until(|follower| follower.older >= 2).await;
         assert!(follower.in_force.is_empty());
         assert_eq!(api.version(), 2);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn watcher_ends_when_nobody_listens() {
+#[test]
+fn watcher_ends_when_nobody_listens() {
     guarded(async {
         let (api, client) = empty().await;
         let mut follower = Follower::start(&client, ObjectTracker::new());
@@ -266,6 +258,5 @@
         while api.watch_count() > 0 {
             async_std::task::yield_now().await;
         }
-    })
-    .await;
+    });
 }
--- a/crates/lab/tests/platform/writes.rs
+++ b/crates/lab/tests/platform/writes.rs
@@ -22,8 +22,8 @@
     api.history().iter().filter(changed).count()
 }
 
-#[async_std::test]
-async fn write_that_took_effect_without_answer_is_found_applied() {
+#[test]
+fn write_that_took_effect_without_answer_is_found_applied() {
     guarded(async {
         let (api, client) = empty().await;
         api.fault(&FaultCommand::DropAnswers(1)).expect("set");
@@ -36,12 +36,11 @@
             (1, false),
             "sent once"
         );
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn write_that_was_lost_is_sent_again() {
+#[test]
+fn write_that_was_lost_is_sent_again() {
     guarded(async {
         let (api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -50,12 +49,11 @@
         assert!(matches!(outcome, WriteOutcome::Applied(_)));
         assert_eq!(read(&client, "a").await.spec.slots, 7);
         assert_eq!(effective(&api), 2, "the creation and one replacement");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn write_that_arrives_late_runs_once() {
+#[test]
+fn write_that_arrives_late_runs_once() {
     guarded(async {
         let (api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -75,12 +73,11 @@
         }
         assert_eq!(effective(&api), 2);
         assert_eq!(api.version(), 3);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn status_write_without_answer_is_resolved_by_its_content() {
+#[test]
+fn status_write_without_answer_is_resolved_by_its_content() {
     guarded(async {
         let (api, client) = empty().await;
         let mut object = create(&client, "a", 1_000).await;
@@ -92,12 +89,11 @@
         let outcome = write(&client, Write::ReplaceStatus(object)).await;
         assert!(matches!(outcome, WriteOutcome::Applied(_)));
         assert_eq!(effective(&api), 2);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn write_without_identity_is_resolved_by_version_and_content() {
+#[test]
+fn write_without_identity_is_resolved_by_version_and_content() {
     guarded(async {
         let (api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -106,12 +102,11 @@
         api.fault(&FaultCommand::DropAnswers(1)).expect("set");
         let outcome = write(&client, Write::Replace(wanted)).await;
         assert!(matches!(outcome, WriteOutcome::Applied(_)), "{outcome:?}");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn losing_a_race_is_a_conflict_and_changes_nothing() {
+#[test]
+fn losing_a_race_is_a_conflict_and_changes_nothing() {
     guarded(async {
         let (_api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -120,12 +115,11 @@
         let outcome = write(&client, Write::Replace(with_slots(created, 6))).await;
         assert!(matches!(outcome, WriteOutcome::Conflict));
         assert_eq!(read(&client, "a").await.spec.slots, 5);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn change_by_somebody_else_after_a_lost_answer_is_never_undone() {
+#[test]
+fn change_by_somebody_else_after_a_lost_answer_is_never_undone() {
     guarded(async {
         let (api, client) = empty().await;
         let created = create(&client, "a", 1_000).await;
@@ -142,12 +136,11 @@
         let outcome = write(&client, Write::Replace(with_slots(created, 5))).await;
         assert!(matches!(outcome, WriteOutcome::Overtaken(_)), "{outcome:?}");
         assert_eq!(read(&client, "a").await.spec.slots, 9);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn store_that_stays_down_leaves_the_write_ambiguous() {
+#[test]
+fn store_that_stays_down_leaves_the_write_ambiguous() {
     guarded(async {
         let (api, client) = empty().await;
         api.fault(&FaultCommand::Down(true)).expect("set");
@@ -159,12 +152,11 @@
         let write = Write::Create(back_end("a", 1_000));
         let error = write_resolved(&client, &write, &settings).await;
         assert_eq!(error.expect_err("down").effect, WriteEffect::Ambiguous);
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn every_write_runs_once_while_answers_are_dropped_at_random() {
+#[test]
+fn every_write_runs_once_while_answers_are_dropped_at_random() {
     guarded(async {
         let (api, client) = empty().await;
         let mut object = create(&client, "a", 1_000).await;
@@ -184,12 +176,11 @@
         assert_eq!(object.metadata.generation, Some(21));
         let dropped = api.history().iter().filter(|entry| !entry.answered).count();
         assert!(dropped > 0, "the seed drops some");
-    })
-    .await;
+    });
 }
 
-#[async_std::test]
-async fn unconditional_replacement_is_refused_before_it_is_sent() {
+#[test]
+fn unconditional_replacement_is_refused_before_it_is_sent() {
     guarded(async {
         let (api, client) = empty().await;
         create(&client, "a", 1_000).await;
@@ -201,6 +192,5 @@
             "{error}"
         );
         assert_eq!(api.history().len(), 1);
-    })
-    .await;
+    });
 }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -1,22 +1,19 @@
 //! One HTTP exchange with the platform.
 //!
-//! Requests are built by `kube-core` with the types of `http`; `async-h1`
-//! uses those of `http-types`. The two meet here and nowhere else.
-//!
 //! Each exchange has its own connection: the platform gets few requests, and
 //! a write on a reused connection that the peer is just closing could not be
 //! told from one that took effect.
 
-use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
-use async_std::io::ReadExt;
-use async_std::net::TcpStream;
-use http_types::headers::{ACCEPT, AUTHORIZATION, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http_types::{Method, Response, Url};
+use futures::io::AsyncReadExt;
+use http_types::Response;
+use http_types::headers::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use kube_core::response::Status;
+use threadledge_net::{
+    BodyFault, ExchangeError, ExchangeFault, Pool, PoolSettings, convert, timer,
+};
 
 use crate::error::{PlatformError, PlatformErrorKind, WriteEffect};
 
@@ -56,12 +53,23 @@
 pub struct Transport {
     address: SocketAddr,
     settings: TransportSettings,
+    pool: Pool,
 }
 
 impl Transport {
     /// Exchanges with `address` within the bounds of `settings`.
     pub fn new(address: SocketAddr, settings: TransportSettings) -> Self {
-        Transport { address, settings }
+        let pool = Pool::new(PoolSettings {
+            // A connection that was never idle is never reused.
+            idle_timeout: Duration::ZERO,
+            connect_timeout: settings.connect_timeout,
+            ..PoolSettings::default()
+        });
+        Transport {
+            address,
+            settings,
+            pool,
+        }
     }
 
     /// The bounds in force.
@@ -79,72 +87,37 @@
         request: http::Request<Vec<u8>>,
     ) -> Result<Vec<u8>, PlatformError> {
         let operation = Operation::of(&request);
-        let stream = self.connect(&operation).await?;
-        let limit = self.settings.answer_timeout;
-        let whole = Box::pin(self.send_and_read(&operation, stream, request));
-        match timeout(limit, whole).await {
-            Ok(result) => result,
-            Err(_) => Err(operation.lost(PlatformErrorKind::TimedOut(limit))),
+        let request = self.convert(&operation, request)?;
+        let deadline = Instant::now() + self.settings.answer_timeout;
+        let exchanged = self.pool.exchange(self.address, request, deadline).await;
+        let response = exchanged.map_err(|error| self.failure(&operation, error))?;
+        if response.status().is_success() {
+            self.read_body(&operation, response).await
+        } else {
+            Err(self.refusal(&operation, response).await)
         }
     }
 
-    /// Sends a request and gives the successful answer with its body unread.
+    /// Sends a request and gives the successful answer with its body unread,
+    /// which may go on without end.
     ///
     /// # Errors
     ///
     /// Any failure until the head of the answer.
     pub async fn open(&self, request: http::Request<Vec<u8>>) -> Result<Response, PlatformError> {
         let operation = Operation::of(&request);
-        let stream = self.connect(&operation).await?;
-        let limit = self.settings.answer_timeout;
-        let head = Box::pin(self.send(&operation, stream, request));
-        match timeout(limit, head).await {
-            Ok(result) => result,
-            Err(_) => Err(operation.lost(PlatformErrorKind::TimedOut(limit))),
-        }
-    }
-
-    async fn connect(&self, operation: &Operation) -> Result<TcpStream, PlatformError> {
-        let limit = self.settings.connect_timeout;
-        let unreachable = |error: io::Error| {
-            let kind = PlatformErrorKind::Unreachable(error.to_string());
-            PlatformError::without_effect(&operation.name, kind)
-        };
-        match timeout(limit, TcpStream::connect(self.address)).await {
-            Ok(connected) => connected.map_err(unreachable),
-            Err(_) => Err(unreachable(io::ErrorKind::TimedOut.into())),
-        }
-    }
-
-    async fn send_and_read(
-        &self,
-        operation: &Operation,
-        stream: TcpStream,
-        request: http::Request<Vec<u8>>,
-    ) -> Result<Vec<u8>, PlatformError> {
-        let response = self.send(operation, stream, request).await?;
-        self.read_body(operation, response).await
-    }
-
-    async fn send(
-        &self,
-        operation: &Operation,
-        stream: TcpStream,
-        request: http::Request<Vec<u8>>,
-    ) -> Result<Response, PlatformError> {
-        let request = self.convert(operation, request)?;
-        // From here on the request may reach the store, whatever comes back.
-        // Boxed, because the library's future holds whole buffers and every
-        // future around it would hold them again.
-        let answer = Box::pin(async_h1::connect(stream, request)).await;
-        let response = answer.map_err(|error| {
-            operation.lost(PlatformErrorKind::ConnectionLost(error.to_string()))
-        })?;
+        let request = self.convert(&operation, request)?;
+        let deadline = Instant::now() + self.settings.answer_timeout;
+        let exchanging = self.pool.exchange_stream(self.address, request, deadline);
+        let response = exchanging
+            .await
+            .map_err(|error| self.failure(&operation, error))?;
         if response.status().is_success() {
-            Ok(response)
-        } else {
-            Err(self.refusal(operation, response).await)
+            return Ok(response);
         }
+        let refusal = timer::timeout_at(deadline, self.refusal(&operation, response)).await;
+        let late = PlatformErrorKind::TimedOut(self.settings.answer_timeout);
+        Err(refusal.unwrap_or_else(|_| operation.lost(late)))
     }
 
     fn convert(
@@ -152,29 +125,37 @@
         operation: &Operation,
         request: http::Request<Vec<u8>>,
     ) -> Result<http_types::Request, PlatformError> {
-        let bad_request = |text: String| {
-            let kind = PlatformErrorKind::BadRequest(text);
+        let has_body = !request.body().is_empty();
+        let host = self.address.to_string();
+        let mut request = convert::request_to_http_types(request, &host).map_err(|error| {
+            let kind = PlatformErrorKind::BadRequest(error.to_string());
             PlatformError::without_effect(&operation.name, kind)
-        };
-        let (parts, body) = request.into_parts();
-        let url = format!("http://{}{}", self.address, parts.uri);
-        let url = Url::parse(&url).map_err(|error| bad_request(error.to_string()))?;
-        let method: Method = parts
-            .method
-            .as_str()
-            .parse()
-            .map_err(|_| bad_request(format!("method {}", parts.method)))?;
-        let mut converted = http_types::Request::new(method, url);
-        converted.insert_header(ACCEPT, JSON);
-        converted.insert_header(CONNECTION, "close");
+        })?;
+        request.insert_header(ACCEPT, JSON);
         if let Some(token) = &self.settings.token {
-            converted.insert_header(AUTHORIZATION, format!("Bearer {token}"));
+            request.insert_header(AUTHORIZATION, format!("Bearer {token}"));
         }
-        if !body.is_empty() {
-            converted.set_body(body);
-            converted.insert_header(CONTENT_TYPE, JSON);
+        if has_body {
+            request.insert_header(CONTENT_TYPE, JSON);
         }
-        Ok(converted)
+        Ok(request)
+    }
+
+    /// A failed exchange. It certainly had no effect only if no byte of the
+    /// request can have left.
+    fn failure(&self, operation: &Operation, error: ExchangeError) -> PlatformError {
+        if !error.stage.may_have_been_received() {
+            let kind = PlatformErrorKind::Unreachable(error.fault.to_string());
+            return PlatformError::without_effect(&operation.name, kind);
+        }
+        let kind = match error.fault {
+            ExchangeFault::DeadlinePassed => {
+                PlatformErrorKind::TimedOut(self.settings.answer_timeout)
+            }
+            ExchangeFault::Malformed(text) => PlatformErrorKind::BadAnswer(text),
+            fault => PlatformErrorKind::ConnectionLost(fault.to_string()),
+        };
+        operation.lost(kind)
     }
 
     async fn read_body(
@@ -183,22 +164,24 @@
         response: Response,
     ) -> Result<Vec<u8>, PlatformError> {
         let most = self.settings.max_answer_bytes;
-        let expected = response.len();
         let mut body = Vec::new();
         // One byte more than allowed tells a body at the limit from one over it.
         let mut limited = response.take(most as u64 + 1);
         let read = limited.read_to_end(&mut body).await;
-        read.map_err(|error| operation.lost(PlatformErrorKind::ConnectionLost(error.to_string())))?;
+        read.map_err(|error| operation.lost(self.body_failure(&error)))?;
         if body.len() > most {
             return Err(operation.lost(PlatformErrorKind::TooLarge(most)));
         }
-        if expected.is_some_and(|length| length > body.len()) {
-            let cut_short = PlatformErrorKind::ConnectionLost("body cut short".to_owned());
-            return Err(operation.lost(cut_short));
-        }
         Ok(body)
     }
 
+    fn body_failure(&self, error: &std::io::Error) -> PlatformErrorKind {
+        match BodyFault::of(error) {
+            Some(BodyFault::TooSlow) => PlatformErrorKind::TimedOut(self.settings.answer_timeout),
+            _ => PlatformErrorKind::ConnectionLost(error.to_string()),
+        }
+    }
+
     /// Turns an unsuccessful answer into an error.
     async fn refusal(&self, operation: &Operation, response: Response) -> PlatformError {
         let code = u16::from(response.status());
