Run the whole path: compose the router from its cores and shells

Cause: the cores and the proxy stood apart; no process could be started. The control core gained refounding on proof, first contacts for routers that know no group yet, and three mends found by the simulator: the grantor now hears of entries without changes (before, a new leader did not renew for 5.1 s after its election and every lease lapsed), assignment waits until known back ends had time to answer, and routers outside the group find it.

--- a/crates/control/src/group_member.rs
+++ b/crates/control/src/group_member.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// After the group was founded again without this member: waits to be
+    /// added to the new founding. Returns whether that was the case.
+    pub fn rejoin(&mut self, now: Timestamp) -> bool {
+        let Some(node) = self.node.rejoin(now) else {
+            return false;
+        };
+        self.machine = StateMachine::new(node.settings().group);
+        self.node = node;
+        self.applied_index = 0;
+        true
+    }
+
     /// The log node.
     pub fn node(&self) -> &Node<Command, Snapshot> {
         &self.node
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -24,7 +24,7 @@
         /// The back end asked.
         back_end: BackEndId,
         /// Its answer.
-        response: LeaseResponse,
+        response: Box<LeaseResponse>,
     },
     /// A lease request got no usable answer; it may have been taken.
     LeaseFailed {
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -25,6 +25,10 @@
 /// A group that did not reach its size by this time after an election begins
 /// to assign when it has every router that can be seen.
 const SETTLING_LIMIT: Duration = Duration::from_secs(3);
+/// Time after an election in which back ends without a session may still
+/// appear. Assigning earlier would give the first to answer too much, and
+/// keys would have to move again.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(1);
 /// Placement actions proposed in one round.
 const MAX_ACTIONS: usize = 256;
 
@@ -45,6 +49,9 @@
     planner: Planner,
     intake: ConfigurationIntake,
     settled: bool,
+    /// When the first configuration was there to plan for.
+    configured_at: Option<Timestamp>,
+    has_arrived: bool,
     started: Timestamp,
     next_membership: Timestamp,
     next_planning: Timestamp,
@@ -81,6 +88,8 @@
             planner,
             intake: ConfigurationIntake::new(node.identity().region.clone()),
             settled: false,
+            configured_at: None,
+            has_arrived: false,
             started: now,
             next_membership: now,
             next_planning: now,
@@ -116,9 +125,11 @@
             self.planner.observe(change);
             observe_change(change, duties);
         }
+        // Also an entry without changes may concern the grantor: the first
+        // command of its term is one.
+        let input = GrantorInput::Applied(changes.to_vec());
+        self.step_grantor(now, input, member, duties);
         if !changes.is_empty() {
-            let input = GrantorInput::Applied(changes.to_vec());
-            self.step_grantor(now, input, member, duties);
             self.next_planning = now;
         }
         if self.intake.is_waiting() {
@@ -210,8 +221,19 @@
         }
     }
 
+    /// Whether the back ends that are there have had time to answer.
+    fn arrived(&mut self, now: Timestamp, member: &GroupMember) -> bool {
+        let configured = self.configured_at.get_or_insert(now);
+        let waited = now.since(*configured) >= ARRIVAL_LIMIT;
+        self.has_arrived |= waited || every_back_end_answers(member);
+        self.has_arrived
+    }
+
     fn plan(&mut self, now: Timestamp, member: &GroupMember, duties: &mut Duties) {
-        let may_assign = self.settled && !member.machine().recovering();
+        let machine = member.machine();
+        let configured = machine.services().next().is_some();
+        let may_assign =
+            configured && self.settled && !machine.recovering() && self.arrived(now, member);
         if !may_assign || now < self.next_planning {
             return;
         }
@@ -225,6 +247,12 @@
     }
 }
 
+fn every_back_end_answers(member: &GroupMember) -> bool {
+    let machine = member.machine();
+    let mut back_ends = machine.back_ends();
+    back_ends.all(|record| machine.session(&record.id).is_some())
+}
+
 fn next_member_changes(
     settings: &ControlSettings,
     node: &Node<Command, Snapshot>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod node;
 mod output;
+mod refounding;
 mod settings;
 mod view;
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,7 +7,7 @@
 use threadledge_ownership::{Command, Snapshot, StateMachine};
 use threadledge_placement::Planner;
 use threadledge_spread::{Replica, SpreadInput, SpreadMessage, SpreadNode, SpreadOutput};
-use threadledge_types::{Generation, RouterId, RouterIdentity, Timestamp};
+use threadledge_types::{Generation, Revision, RouterId, RouterIdentity, Timestamp};
 
 use crate::founding::{Founding, FoundingStep, GroupObjectState};
 use crate::group_member::{Advance, GroupMember};
@@ -15,6 +15,7 @@
 use crate::leader::{Duties, Leader};
 use crate::message::{PeerBatch, PeerMessage};
 use crate::output::{Observation, Output};
+use crate::refounding::Refounding;
 use crate::settings::ControlSettings;
 use crate::view::{GroupView, ViewVersion};
 
@@ -22,6 +23,9 @@
 /// group commits at once, so that each round may lead to another.
 const MAX_ROUNDS: usize = 64;
 
+/// Routers asked for a first copy of the records and of the group's view.
+const FIRST_CONTACTS: usize = 16;
+
 /// One router's control plane.
 pub struct ControlNode {
     settings: ControlSettings,
@@ -34,6 +38,7 @@
     view: Option<GroupView>,
     founding: Founding,
     founded: Option<Generation>,
+    refounding: Refounding,
     leaving: bool,
     parents_changed: bool,
 }
@@ -57,6 +62,7 @@
             view: None,
             founding: Founding::new(identity.id, now, settings.settling),
             founded: None,
+            refounding: Refounding::new(now),
             leaving: false,
             parents_changed: true,
             settings,
@@ -175,7 +181,7 @@
             Input::LeaseAnswered { back_end, response } => {
                 let input = GrantorInput::Response {
                     from: back_end,
-                    response: Box::new(response),
+                    response,
                 };
                 self.step_leader(now, input, duties);
             }
@@ -209,8 +215,26 @@
             // Repeated until some voter takes over; refused while none can.
             let _ = self.member.node_mut().transfer_leadership(now, None);
         }
+        self.look_for_group(now, outputs);
+    }
+
+    /// Asks the platform about the group while none is known, or when the one
+    /// known is provably lost.
+    fn look_for_group(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
         if self.needs_group() {
             outputs.extend(self.founding.tick(now));
+            return;
+        }
+        if self.member.node().leader().is_some() {
+            self.refounding.saw_leader(now);
+        }
+        if let Some(confirmed) = self.confirmed_as_of() {
+            self.refounding.saw_leader(confirmed);
+        }
+        if let Some(view) = self.view.as_ref().filter(|_| !self.leaving) {
+            let is_member = self.member.node().members().contains(self.identity.id);
+            let asked = self.refounding.tick(now, view, is_member, &self.membership);
+            outputs.extend(asked);
         }
     }
 
@@ -379,6 +403,9 @@
             .alive()
             .map(|member| member.identity.id)
             .collect();
+        if roots.is_empty() {
+            return self.first_contacts(&alive);
+        }
         let candidates =
             parent_candidates(self.identity.id, &root_ids, &alive, self.settings.fanout);
         candidates
@@ -387,6 +414,15 @@
             .collect()
     }
 
+    /// Routers to ask while nothing is known of the group: some that follow
+    /// this one in the order of ids, so that not all ask the same.
+    fn first_contacts(&self, alive: &[RouterId]) -> Vec<RouterIdentity> {
+        let later = alive.iter().filter(|id| **id > self.identity.id);
+        let earlier = alive.iter().filter(|id| **id < self.identity.id);
+        let asked = later.chain(earlier).take(FIRST_CONTACTS);
+        asked.filter_map(|id| self.identity_of(*id, &[])).collect()
+    }
+
     fn identity_of(&self, id: RouterId, roots: &[RouterIdentity]) -> Option<RouterIdentity> {
         let root = roots.iter().find(|root| root.id == id);
         let known = || {
@@ -424,10 +460,12 @@
         state: GroupObjectState,
         outputs: &mut Vec<Output>,
     ) {
-        if !self.needs_group() {
-            return;
-        }
-        match self.founding.observed(now, state) {
+        let step = match &self.view {
+            Some(view) => self.refounding.observed(now, state, view, &self.membership),
+            None if self.needs_group() => self.founding.observed(now, state),
+            None => FoundingStep::Wait,
+        };
+        match step {
             FoundingStep::Wait => {}
             FoundingStep::Write {
                 generation,
@@ -451,27 +489,41 @@
             FoundingResult::Written => self.found(now, generation, outputs),
             FoundingResult::Conflict | FoundingResult::Unavailable => {
                 self.founding.write_failed(now);
+                self.refounding.write_failed(now);
             }
         }
     }
 
     /// Founds the group, at most once for each generation: a second founding
     /// of the same generation would start its history over.
+    ///
+    /// A later generation starts from what this router holds: its applied
+    /// state if it was a member, else its copy of the records. The state
+    /// machine then treats every session as over until all leases of earlier
+    /// generations have run out, and takes back what back ends still hold.
     fn found(&mut self, now: Timestamp, generation: Generation, outputs: &mut Vec<Output>) {
-        if self.founded >= Some(generation) || !self.needs_group() {
+        let known = self.view.as_ref().map(|view| view.generation);
+        if self.founded >= Some(generation) || known >= Some(generation) {
             return;
         }
         self.founded = Some(generation);
+        let recovered = known.and_then(|_| self.recoverable_state());
         self.member = GroupMember::found(
             consensus_settings(&self.settings),
             self.identity.clone(),
             generation,
-            None,
+            recovered,
             now,
         );
+        self.leader = None;
         outputs.push(Output::Observe(Observation::GroupFounded(generation)));
     }
 
+    fn recoverable_state(&self) -> Option<Snapshot> {
+        let machine = self.member.machine();
+        (machine.revision() > Revision::NONE).then(|| machine.snapshot())
+    }
+
     fn leave(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
         self.leaving = true;
         self.step_membership(now, threadledge_membership::Input::Leave, outputs);
@@ -499,6 +551,9 @@
                 break;
             }
         }
+        if self.member.rejoin(now) {
+            self.parents_changed = true;
+        }
         outputs.append(&mut duties.outputs);
     }
 
--- /dev/null
+++ b/crates/control/src/refounding.rs
@@ -0,0 +1,111 @@
+//! When a router asks the platform to found its group anew.
+//!
+//! Loss of a majority of voters is beyond what the log tolerates. The group
+//! is then founded again with the next generation, but only on proof: a
+//! majority of the voters known must be *provably* gone, by a later process on
+//! the same machine or by the platform having taken the machine off its list.
+//! Silence alone proves nothing, for a voter that cannot be reached may still
+//! lead.
+//!
+//! Surviving members of the group come first, because they hold the most
+//! recent state; other routers follow after a pause.
+
+use std::time::Duration;
+
+use threadledge_membership::Membership;
+use threadledge_types::{Generation, RouterIdentity, Timestamp};
+
+use crate::founding::{FoundingStep, GroupObjectState};
+use crate::output::Output;
+use crate::view::GroupView;
+
+/// Time without a leader before a surviving member looks into it.
+const MEMBER_PATIENCE: Duration = Duration::from_secs(2);
+/// Time without a leader before any other router looks into it.
+const OTHERS_PATIENCE: Duration = Duration::from_secs(5);
+/// Pause between attempts.
+const RETRY: Duration = Duration::from_secs(1);
+/// An answer of the platform that takes longer counts as none.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Watches for the loss of the group.
+#[derive(Debug)]
+pub struct Refounding {
+    /// Last time at which the group was known to have a leader.
+    leader_seen: Timestamp,
+    next_attempt: Timestamp,
+}
+
+impl Refounding {
+    /// Nothing is lost yet.
+    pub fn new(now: Timestamp) -> Self {
+        Refounding {
+            leader_seen: now,
+            next_attempt: now,
+        }
+    }
+
+    /// The group was known to have a leader at `at`.
+    pub fn saw_leader(&mut self, at: Timestamp) {
+        self.leader_seen = self.leader_seen.max(at);
+    }
+
+    /// Looks at the group; asks for its object when it is provably lost.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        is_member: bool,
+        membership: &Membership,
+    ) -> Option<Output> {
+        let patience = if is_member {
+            MEMBER_PATIENCE
+        } else {
+            OTHERS_PATIENCE
+        };
+        let waited = now.since(self.leader_seen) >= patience && now >= self.next_attempt;
+        if !waited || !majority_is_gone(view, membership) {
+            return None;
+        }
+        self.next_attempt = now + ANSWER_TIMEOUT;
+        Some(Output::ReadGroupObject)
+    }
+
+    /// Decides on a reading of the group object. Only the founding that this
+    /// router knows may be replaced by the next one.
+    pub fn observed(
+        &mut self,
+        now: Timestamp,
+        state: GroupObjectState,
+        view: &GroupView,
+        membership: &Membership,
+    ) -> FoundingStep {
+        self.next_attempt = now + RETRY;
+        match state {
+            GroupObjectState::Present {
+                generation,
+                version,
+                ..
+            } if generation == view.generation && majority_is_gone(view, membership) => {
+                FoundingStep::Write {
+                    generation: Generation(generation.0 + 1),
+                    expected: Some(version),
+                }
+            }
+            _ => FoundingStep::Wait,
+        }
+    }
+
+    /// The attempt ended without effect.
+    pub fn write_failed(&mut self, now: Timestamp) {
+        self.next_attempt = now + RETRY;
+    }
+}
+
+/// Whether so many voters are provably gone that the rest is no quorum.
+fn majority_is_gone(view: &GroupView, membership: &Membership) -> bool {
+    let gone = |voter: &&RouterIdentity| membership.death_proof(voter.id).is_some();
+    let gone = view.voters.iter().filter(gone).count();
+    let quorum = view.voters.len() / 2 + 1;
+    view.voters.len() - gone < quorum
+}
--- /dev/null
+++ b/crates/router/src/control_shell/machines.rs
@@ -0,0 +1,42 @@
+//! Regular readings of the platform's machine list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::task;
+use threadledge_control::Input;
+use threadledge_membership::MachineList;
+use threadledge_platform::{MachineListClient, TransportSettings};
+
+use super::shared::ControlShell;
+use crate::events::{EventId, emit};
+
+/// Pause between readings until one other router is known.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between readings afterwards: routers then find each other.
+const READ_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Reads the list until the process stops.
+pub async fn read_machines(shell: ControlShell, address: SocketAddr) {
+    let client = MachineListClient::new(address, TransportSettings::default());
+    let mut available = true;
+    while !shell.stop_signal().is_stopped() {
+        match client.machines::<MachineList>().await {
+            Ok(list) => {
+                available = true;
+                shell.input(Input::Machines(list));
+            }
+            Err(error) if available => {
+                available = false;
+                emit!(EventId::MachineListUnavailable, %error);
+            }
+            Err(_) => {}
+        }
+        task::sleep(if shell.knows_other_routers() {
+            READ_INTERVAL
+        } else {
+            SEARCH_INTERVAL
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/control_shell/observe.rs
@@ -0,0 +1,47 @@
+//! Log lines for what the control core observes.
+
+use threadledge_control::Observation;
+use threadledge_ownership::grantor::Observation as SessionObservation;
+
+use crate::events::{EventId, emit};
+
+/// Writes the log line of one observation.
+pub fn log(observation: &Observation) {
+    match observation {
+        Observation::RouterUp(id) => emit!(EventId::PeerFound, router = %id),
+        Observation::RouterSuspected(id) => emit!(EventId::PeerSuspected, router = %id),
+        Observation::RouterDown(id) => emit!(EventId::PeerLost, router = %id, reason = "dead"),
+        Observation::RouterLeaving(id) => {
+            emit!(EventId::PeerLost, router = %id, reason = "leaving");
+        }
+        Observation::GroupFounded(generation) => {
+            emit!(EventId::GroupFounded, generation = generation.0);
+        }
+        Observation::BecameLeader { term } => emit!(EventId::LeaderElected, term),
+        Observation::LostLeadership { term } => emit!(EventId::LeadershipLost, term),
+        Observation::AddingMember(id) => {
+            emit!(EventId::GroupMemberAdded, router = %id, kind = "learner");
+        }
+        Observation::PromotingMember(id) => {
+            emit!(EventId::GroupMemberAdded, router = %id, kind = "voter");
+        }
+        Observation::RemovingMember(id) => emit!(EventId::GroupMemberRemoved, router = %id),
+        Observation::ObjectAccepted { object, revision } => {
+            emit!(EventId::ConfigurationAccepted, %object, %revision);
+        }
+        Observation::ObjectRejected { object, message } => {
+            emit!(EventId::ConfigurationRefused, %object, %message);
+        }
+        Observation::SessionOpened(session) => emit!(EventId::SessionOpened, %session),
+        Observation::SessionClosed(session) => emit!(EventId::SessionClosed, %session),
+        Observation::SessionDraining(session) => emit!(EventId::BackEndDraining, %session),
+        Observation::StoreReverted { object } => emit!(EventId::PlatformWentBack, %object),
+        Observation::Session(observation) => log_session(observation),
+    }
+}
+
+/// The grantor's own observations explain the numbered events above; they are
+/// for whoever looks into one session and carry no number of their own.
+fn log_session(observation: &SessionObservation) {
+    tracing::debug!(?observation, "grantor");
+}
--- /dev/null
+++ b/crates/router/src/control_shell/peers.rs
@@ -0,0 +1,130 @@
+//! Messages to other routers: one queue and one request at a time for each
+//! receiver, so that messages keep their order and share requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender, TrySendError};
+use async_std::future::timeout;
+use async_std::task;
+use parking_lot::Mutex;
+use threadledge_control::{Input, PeerBatch, PeerMessage};
+use threadledge_net::{HttpClient, PoolSettings};
+use threadledge_types::RouterId;
+
+use super::PEER_PATH;
+use super::shared::ControlShell;
+
+/// Messages that may wait for one receiver. More are dropped: every protocol
+/// between routers repeats what matters.
+const QUEUE_LIMIT: usize = 1_024;
+/// Messages in one batch.
+const BATCH_LIMIT: usize = 128;
+/// A receiver that has not answered by then counts as unreachable for now.
+const POST_TIMEOUT: Duration = Duration::from_millis(500);
+/// A queue unused for this long is given up.
+const QUEUE_IDLE: Duration = Duration::from_secs(10);
+
+/// Where messages go: an address and, when known, the process meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Destination {
+    address: SocketAddr,
+    id: Option<RouterId>,
+}
+
+/// Queues to all other routers.
+pub struct Peers {
+    client: HttpClient,
+    queues: Mutex<HashMap<Destination, Sender<PeerMessage>>>,
+}
+
+impl Peers {
+    /// No queues yet.
+    pub fn new() -> Self {
+        let settings = PoolSettings {
+            connect_timeout: POST_TIMEOUT,
+            ..Default::default()
+        };
+        Peers {
+            client: HttpClient::new(settings),
+            queues: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Queues a message; drops it if the queue is full.
+    pub fn send(
+        &self,
+        shell: &ControlShell,
+        address: SocketAddr,
+        id: Option<RouterId>,
+        message: PeerMessage,
+    ) {
+        let destination = Destination { address, id };
+        let mut queues = self.queues.lock();
+        let message = match queues.get(&destination) {
+            None => message,
+            Some(queue) => match queue.try_send(message) {
+                Ok(()) | Err(TrySendError::Full(_)) => return,
+                Err(TrySendError::Closed(message)) => message,
+            },
+        };
+        let (sender, queue) = async_channel::bounded(QUEUE_LIMIT);
+        // The queue is new and has room.
+        let _ = sender.try_send(message);
+        queues.insert(destination, sender);
+        task::spawn(drain_queue(shell.clone(), destination, queue));
+    }
+
+    /// Ends the queue unless a message came in meanwhile.
+    fn retire(&self, destination: &Destination, queue: &Receiver<PeerMessage>) -> bool {
+        let mut queues = self.queues.lock();
+        if !queue.is_empty() {
+            return false;
+        }
+        queue.close();
+        queues.remove(destination);
+        true
+    }
+}
+
+async fn drain_queue(shell: ControlShell, destination: Destination, queue: Receiver<PeerMessage>) {
+    loop {
+        match timeout(QUEUE_IDLE, queue.recv()).await {
+            Ok(Ok(first)) => post_batch(&shell, destination, first, &queue).await,
+            Ok(Err(_)) => return,
+            Err(_) if shell.peers().retire(&destination, &queue) => return,
+            Err(_) => {}
+        }
+    }
+}
+
+async fn post_batch(
+    shell: &ControlShell,
+    destination: Destination,
+    first: PeerMessage,
+    queue: &Receiver<PeerMessage>,
+) {
+    let mut messages = vec![first];
+    while messages.len() < BATCH_LIMIT {
+        match queue.try_recv() {
+            Ok(message) => messages.push(message),
+            Err(_) => break,
+        }
+    }
+    let batch = PeerBatch {
+        from: shell.identity().clone(),
+        to: destination.id,
+        messages,
+    };
+    let client = &shell.peers().client;
+    let answer = client
+        .post_json::<_, PeerBatch>(destination.address, PEER_PATH, &batch, POST_TIMEOUT)
+        .await;
+    // A lost batch needs no handling: the cores repeat what matters.
+    if let Ok(answer) = answer
+        && !answer.messages.is_empty()
+    {
+        shell.input(Input::Peer(answer));
+    }
+}
--- /dev/null
+++ b/crates/router/src/control_shell/shared.rs
@@ -0,0 +1,170 @@
+//! The one lock around the control core and the carrying out of its outputs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use parking_lot::Mutex;
+use threadledge_control::{ControlNode, Input, Output, PeerBatch, PeerMessage};
+use threadledge_net::StopSignal;
+use threadledge_types::records::RecordDelta;
+use threadledge_types::{RouterId, RouterIdentity};
+
+use super::configuration::Configuration;
+use super::leases::LeaseClient;
+use super::machines::read_machines;
+use super::observe;
+use super::peers::Peers;
+use crate::proxy::Clock;
+use crate::settings::Settings;
+
+/// Pause between ticks of the core.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Receives every change of the records, in order.
+pub type RecordSink = Box<dyn Fn(&RecordDelta) + Send + Sync>;
+
+/// What a control shell is made of.
+pub struct ControlShellSettings {
+    /// The router's settings.
+    pub settings: Settings,
+    /// The core to run.
+    pub node: ControlNode,
+    /// Clock whose readings the core was made with.
+    pub clock: Clock,
+    /// Where changes of the records go.
+    pub records: RecordSink,
+    /// Ends the background tasks.
+    pub stop: StopSignal,
+}
+
+/// Runs a control core. Clones share it.
+#[derive(Clone)]
+pub struct ControlShell {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    node: Mutex<ControlNode>,
+    identity: RouterIdentity,
+    clock: Clock,
+    records: RecordSink,
+    peers: Peers,
+    leases: LeaseClient,
+    configuration: Configuration,
+    stop: StopSignal,
+}
+
+impl ControlShell {
+    /// Starts the shell and its background tasks.
+    pub fn start(parts: ControlShellSettings) -> Self {
+        let identity = parts.node.identity().clone();
+        let lease_timeout = parts.settings.timing.renewal();
+        let machine_list = parts.settings.machine_list_address;
+        let shell = ControlShell {
+            shared: Arc::new(Shared {
+                node: Mutex::new(parts.node),
+                peers: Peers::new(),
+                leases: LeaseClient::new(lease_timeout),
+                configuration: Configuration::new(&parts.settings, identity.id),
+                identity,
+                clock: parts.clock,
+                records: parts.records,
+                stop: parts.stop,
+            }),
+        };
+        task::spawn(tick(shell.clone()));
+        task::spawn(read_machines(shell.clone(), machine_list));
+        shell
+    }
+
+    /// This router.
+    pub fn identity(&self) -> &RouterIdentity {
+        &self.shared.identity
+    }
+
+    /// Ends the background tasks when given.
+    pub fn stop_signal(&self) -> &StopSignal {
+        &self.shared.stop
+    }
+
+    /// Clock of the core.
+    pub fn clock(&self) -> Clock {
+        self.shared.clock
+    }
+
+    pub(super) fn peers(&self) -> &Peers {
+        &self.shared.peers
+    }
+
+    /// Reads the core's state.
+    pub fn with_node<R>(&self, read: impl FnOnce(&ControlNode) -> R) -> R {
+        read(&self.shared.node.lock())
+    }
+
+    /// Whether another router was ever seen alive.
+    pub fn knows_other_routers(&self) -> bool {
+        self.with_node(|node| node.live_routers() > 1)
+    }
+
+    /// Feeds one input to the core and carries out what it asks for.
+    pub fn input(&self, input: Input) {
+        self.step(input, None);
+    }
+
+    /// Feeds a batch of another router; what the core has to say to that
+    /// router at once is the answer.
+    pub fn answer_batch(&self, batch: PeerBatch) -> PeerBatch {
+        let asker = batch.from.id;
+        PeerBatch {
+            from: self.shared.identity.clone(),
+            to: Some(asker),
+            messages: self.step(Input::Peer(batch), Some(asker)),
+        }
+    }
+
+    /// Steps the core. Returns the messages to `asker` instead of sending
+    /// them. The outputs are started under the lock, which keeps their order.
+    fn step(&self, input: Input, asker: Option<RouterId>) -> Vec<PeerMessage> {
+        let mut answers = Vec::new();
+        let mut node = self.shared.node.lock();
+        let now = self.shared.clock.now();
+        for output in node.step(now, input) {
+            match output {
+                Output::SendPeer { to_id, message, .. } if asker.is_some() && to_id == asker => {
+                    answers.push(*message);
+                }
+                other => self.carry_out(other),
+            }
+        }
+        answers
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::SendPeer { to, to_id, message } => {
+                self.shared.peers.send(self, to, to_id, *message);
+            }
+            Output::SendLease { to, request } => self.shared.leases.send(self, to, *request),
+            Output::Records(delta) => (self.shared.records)(&delta),
+            Output::ReadGroupObject => self.shared.configuration.read_group_object(self),
+            Output::FoundGroup {
+                generation,
+                expected,
+            } => self
+                .shared
+                .configuration
+                .found_group(self, generation, expected),
+            Output::WatchConfiguration(watch) => self.shared.configuration.watch(self, watch),
+            Output::WriteStatus(write) => self.shared.configuration.write_status(write),
+            Output::Observe(observation) => observe::log(&observation),
+        }
+    }
+}
+
+async fn tick(shell: ControlShell) {
+    while !shell.stop_signal().is_stopped() {
+        shell.input(Input::Tick);
+        task::sleep(TICK_INTERVAL).await;
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,10 +3,12 @@
 
 pub mod check;
 pub mod cli;
+pub mod control_shell;
 pub mod events;
 pub mod logging;
 pub mod metrics;
 pub mod operations;
 pub mod proxy;
 pub mod run;
+pub mod running_router;
 pub mod settings;
--- a/crates/simulator/src/world/deliver.rs
+++ b/crates/simulator/src/world/deliver.rs
@@ -120,7 +120,7 @@
                 exchange,
                 response,
                 ..
-            } if process == own => self.lease_answered(index, exchange, *response),
+            } if process == own => self.lease_answered(index, exchange, response),
             Event::LeaseTimeout {
                 process, exchange, ..
             } if process == own => self.lease_timed_out(index, exchange),
@@ -128,7 +128,7 @@
         }
     }
 
-    fn lease_answered(&mut self, index: RouterIndex, exchange: u64, response: LeaseResponse) {
+    fn lease_answered(&mut self, index: RouterIndex, exchange: u64, response: Box<LeaseResponse>) {
         let Some(back_end) = self.lease_back_end.remove(&exchange) else {
             return;
         };
