--- a/crates/ownership/src/grantor/contact.rs
+++ b/crates/ownership/src/grantor/contact.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use threadledge_types::records::SliceKey;
 use threadledge_types::session::Grant;
@@ -101,6 +102,15 @@
         self.next_send = now;
     }
 
+    /// When the next request is due: at most one is outstanding.
+    pub fn send_due(&self, now: Timestamp, retry: Duration) -> Timestamp {
+        match self.outstanding {
+            Some(outstanding) => outstanding.sent_at + retry,
+            None if self.changed => now,
+            None => self.next_send,
+        }
+    }
+
     /// Asks for a request as soon as none is outstanding.
     pub fn mark_changed(&mut self) {
         self.changed = true;
--- a/crates/ownership/src/grantor/exchange.rs
+++ b/crates/ownership/src/grantor/exchange.rs
@@ -15,11 +15,10 @@
         let Some(contact) = self.contacts.get_mut(id) else {
             return;
         };
-        let due = match contact.outstanding {
-            Some(outstanding) => outstanding.sent_at + self.settings.retry,
-            None if contact.changed => self.last_step,
-            None => contact.next_send,
-        };
+        let mut due = contact.send_due(self.last_step, self.settings.retry);
+        if contact.session.is_some() && contact.lease_bound > self.last_step {
+            due = due.min(contact.lease_bound);
+        }
         if contact.scheduled == Some(due) {
             return;
         }
@@ -46,7 +45,10 @@
         }
         for id in &due {
             self.check_expiry(now, id, machine);
-            self.send(now, id, machine);
+            let contact = self.contacts.get(id);
+            if contact.is_some_and(|contact| contact.send_due(now, self.settings.retry) <= now) {
+                self.send(now, id, machine);
+            }
             self.reschedule(id);
         }
     }
