Send answers of stand-in back ends at once

Cause: head and body leave in two writes, so Nagle's algorithm held the body back for the acknowledgement of the head.

Change: TCP_NODELAY on every accepted connection of a stand-in back end.

--- a/crates/lab/src/stand_in/back_end/process.rs
+++ b/crates/lab/src/stand_in/back_end/process.rs
@@ -77,6 +77,7 @@
         task::spawn(async move {
             let _guard = guard;
             task::sleep(back_end.settings.connect()).await;
+            send_at_once(&stream);
             serve_requests(&back_end, stream).await;
         });
     }
@@ -98,6 +99,7 @@
 async fn accept_control(back_end: Arc<BackEnd>, listener: TcpListener) -> io::Result<()> {
     loop {
         let (stream, _) = listener.accept().await?;
+        send_at_once(&stream);
         let back_end = back_end.clone();
         task::spawn(async move {
             let served = async_h1::accept(stream, |request| {
@@ -112,6 +114,14 @@
     }
 }
 
+/// Head and body are written apart; waiting for the acknowledgement of the
+/// head would hold the body back by tens of milliseconds.
+fn send_at_once(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "connection without TCP_NODELAY");
+    }
+}
+
 /// Counts one open connection for as long as it lives.
 struct OpenConnection {
     open: Arc<AtomicU32>,
