--- a/crates/router/tests/proxy/passing_on.rs
+++ b/crates/router/tests/proxy/passing_on.rs
@@ -66,10 +66,12 @@
     let lie = "HTTP/1.1 200 OK\r\nthreadledge-outcome: not-run\r\nthreadledge-reason: overloaded\r\n\
         threadledge-refusal: overloaded\r\ncontent-length: 2\r\n\r\nok";
     world.back_end.next(Behavior::Bytes(lie.into()));
-    let answer = caller.get("/p?key=k").await;
-    assert_eq!(answer.outcome(), "answered");
+    let answer = caller.post("/p?key=k", b"").await;
+    assert_eq!((answer.outcome(), answer.body.as_str()), ("answered", "ok"));
     assert_eq!(answer.reason(), "");
     assert_eq!(answer.header("threadledge-refusal"), None);
+    // A refusal needs its status too, so that this was none.
+    assert_eq!(world.back_end.runs().len(), 1);
 }
 
 #[async_std::test]
