Close the gaps that broken copies of the consensus core found in its tests

Cause: 44 single faults were put into a scratch copy of the crate, one at a time. Ten went unseen.

Change: a test for each of the eight, with clocks at the largest drift for the first; messages can be taken off the simulated network and released later; schedules have phases without proposals; arbitrary messages by arbtest with fixed seeds. A leader that was paused now refuses proposals as soon as it wakes, not only at its next tick.

--- a/crates/consensus/src/member_change.rs
+++ b/crates/consensus/src/member_change.rs
@@ -25,8 +25,7 @@
         now: Timestamp,
         change: MemberChange,
     ) -> Result<u64, ProposeError> {
-        self.observe(now);
-        self.check_may_propose()?;
+        self.check_may_propose(now)?;
         if !self.term_start_committed() {
             return Err(ProposeError::TermNotCommitted);
         }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -124,6 +124,11 @@
 
     /// A router that waits to be added. It takes no part until a leader of
     /// some generation contacts it.
+    ///
+    /// To be called once in the life of a process for each group: a second
+    /// node under the same router id would not know how the first one voted.
+    /// After a retirement, [`Node::rejoin`] takes its place; a member that was
+    /// removed can be added again as it is.
     pub fn join(settings: Settings, identity: RouterIdentity, now: Timestamp) -> Self {
         let timer = ElectionTimer::new(&settings.timing, settings.seed, now);
         Node {
@@ -151,8 +156,7 @@
     /// committed when [`Node::ready`] hands it out at the index returned and
     /// in the same term; until then it may still be lost.
     pub fn propose(&mut self, now: Timestamp, command: C) -> Result<u64, ProposeError> {
-        self.observe(now);
-        self.check_may_propose()?;
+        self.check_may_propose(now)?;
         if self.is_log_full() {
             return Err(ProposeError::Busy);
         }
@@ -178,7 +182,11 @@
             || self.log.len() >= self.settings.max_log_entries()
     }
 
-    pub(crate) fn check_may_propose(&self) -> Result<(), ProposeError> {
+    /// Whether proposals are taken at `now`. A leader that was paused finds out
+    /// here, and not only at its next tick, that no quorum answers it.
+    pub(crate) fn check_may_propose(&mut self, now: Timestamp) -> Result<(), ProposeError> {
+        self.observe(now);
+        self.check_quorum();
         let State::Leader(leader) = &self.state else {
             return Err(ProposeError::NotLeader {
                 leader: self.leader.clone().map(Box::new),
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -115,7 +115,7 @@
     /// continues after `agreed_index`. Returns whether that is news.
     pub fn rejected(&mut self, rejected_index: u64, agreed_index: u64) -> bool {
         let stale = match &self.state {
-            ReplicationState::Probe { .. } => rejected_index + 1 != self.next_index,
+            ReplicationState::Probe { .. } => rejected_index != self.next_index - 1,
             ReplicationState::Replicate { .. } => rejected_index <= self.match_index,
             ReplicationState::Snapshot { .. } => true,
         };
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -26,7 +26,7 @@
 
     /// Steps down when no quorum answers any more, so that callers learn of
     /// it and turn to the next leader.
-    fn check_quorum(&mut self) {
+    pub(crate) fn check_quorum(&mut self) {
         let since = self.clock - self.settings.timing.election_max();
         let Some(leader) = self.leader_state() else {
             return;
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -58,8 +58,7 @@
         now: Timestamp,
         to: Option<RouterId>,
     ) -> Result<RouterId, ProposeError> {
-        self.observe(now);
-        self.check_may_propose()?;
+        self.check_may_propose(now)?;
         let target = self.transfer_target(to)?;
         let deadline = self.clock + self.settings.timing.election_min();
         let Some(leader) = self.leader_state_mut() else {
--- a/crates/consensus/tests/consensus/cluster.rs
+++ b/crates/consensus/tests/consensus/cluster.rs
@@ -56,6 +56,16 @@
     }
 }
 
+/// A message that was taken off the network.
+#[derive(Clone)]
+pub struct Delayed((RouterId, TestMessage));
+
+impl Delayed {
+    pub fn sender(&self) -> RouterId {
+        self.0.1.sender.id
+    }
+}
+
 /// How the network treats messages, in parts of a thousand and microseconds.
 #[derive(Clone, Copy)]
 pub struct Faults {
@@ -151,7 +161,7 @@
         self.next_id += 1;
         let drift = self.settings.timing.drift_percent * 10;
         let rate = 1_000 + self.draw(drift + 1);
-        let offset = self.draw(100 * SECOND);
+        let offset = 100 * SECOND + self.draw(100 * SECOND);
         let settings = Settings {
             seed: self.generator.next_u64(),
             ..self.settings.clone()
@@ -222,6 +232,30 @@
         self.run(SECOND / 2);
     }
 
+    /// Lets a process's clock run at `rate` thousandths from now on.
+    pub fn set_clock_rate(&mut self, id: RouterId, rate: u64) {
+        let now = self.now;
+        let process = self.processes.get_mut(&id).expect("a running process");
+        let reading = process.clock(now).as_micros();
+        process.rate = rate;
+        process.offset = reading - now * rate / 1_000;
+    }
+
+    /// Takes the first message for which `wanted` holds off the network.
+    pub fn intercept(&mut self, wanted: impl Fn(RouterId, &TestMessage) -> bool) -> Delayed {
+        let mut on_their_way = self.in_flight.iter();
+        let found = on_their_way.find(|(_, (to, message))| wanted(*to, message));
+        let key = *found.expect("such a message on its way").0;
+        Delayed(self.in_flight.remove(&key).expect("the message"))
+    }
+
+    /// Puts a message on the network again, to arrive at once.
+    pub fn release(&mut self, delayed: Delayed) {
+        self.serial += 1;
+        self.in_flight.insert((self.now, self.serial), delayed.0);
+        self.run(MILLISECOND);
+    }
+
     /// Ends a process for good.
     pub fn kill(&mut self, id: RouterId) {
         self.processes.remove(&id);
--- a/crates/consensus/tests/consensus/leases.rs
+++ b/crates/consensus/tests/consensus/leases.rs
@@ -1,6 +1,6 @@
 //! The leader lease and the voters' promise behind it.
 
-use threadledge_consensus::{Body, Message, Role};
+use threadledge_consensus::{Body, Message, ProposeError, Role};
 use threadledge_types::{Generation, GroupId, RouterId, Timestamp};
 
 use crate::checker::TestNode;
@@ -107,6 +107,8 @@
         assert!(!grants(&mut node, now, request.clone()));
         assert_eq!(node.term(), process.node.term(), "term was disturbed");
         assert!(grants(&mut node, later, request));
+        let campaigns = node.next_wakeup(later) >= later + cluster.settings.timing.election_min();
+        assert_eq!(campaigns, !pre_vote, "a vote given puts campaigning off");
     }
     let mut node = process.node.clone();
     assert!(grants(&mut node, now, vote_request(50, false, true)));
@@ -136,3 +138,52 @@
     assert_eq!(node.term(), 40);
     assert!(!grants(&mut node, now, vote_request(50, false, false)));
 }
+
+/// The leader's clock is the slowest and the voters' the fastest allowed, and
+/// the voters campaign as soon as their promise has run out.
+#[test]
+fn lease_holds_against_the_largest_clock_drift() {
+    for seed in 0..40 {
+        let mut cluster = Cluster::new(seed);
+        cluster.settings.timing.election_max_ms = cluster.settings.timing.election_min_ms + 2;
+        cluster.faults.longest_delay = 1;
+        let leader = cluster.found(Generation(1), None);
+        for _ in 0..2 {
+            let id = cluster.add_learner();
+            cluster.promote(id);
+            cluster.set_clock_rate(id, 1_050);
+        }
+        cluster.set_clock_rate(leader, 1_000);
+        cluster.run(SECOND + seed * 5 * MILLISECOND);
+        assert_eq!(cluster.leader_id(), Some(leader));
+        cluster.isolate(&[leader]);
+        // Two leases at one time fail the run.
+        cluster.run(2 * SECOND);
+        assert_ne!(cluster.leader_id(), Some(leader));
+    }
+}
+
+/// The log of the member that does not hear the leader lacks nothing, so only
+/// the others' promise keeps it from being elected.
+#[test]
+fn member_that_alone_does_not_hear_the_leader_is_not_elected() {
+    let mut cluster = Cluster::with_voters(8, 3);
+    let leader = cluster.leader_id().expect("a leader");
+    let deaf = cluster.leader().progress().next().expect("a follower").0;
+    cluster.cut.insert((leader, deaf));
+    cluster.run(5 * SECOND);
+    assert_eq!(cluster.node(deaf).role(), Role::PreCandidate);
+    assert_eq!(cluster.checkers[&Generation(1)].leaders.len(), 1);
+}
+
+#[test]
+fn paused_leader_refuses_proposals_as_soon_as_it_wakes() {
+    let mut cluster = Cluster::with_voters(9, 3);
+    let old = cluster.leader_id().expect("a leader");
+    let end = cluster.now + 2 * SECOND;
+    cluster.pause(old, end);
+    cluster.run(2 * SECOND - 1);
+    assert_eq!(cluster.node(old).role(), Role::Leader);
+    let refused = cluster.with(old, |node, now| node.propose(now, 1));
+    assert_eq!(refused, Err(ProposeError::NotLeader { leader: None }));
+}
--- a/crates/consensus/tests/consensus/main.rs
+++ b/crates/consensus/tests/consensus/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated log in virtual time, with fixed seeds.
 
+mod arbitrary_input;
 mod checker;
 mod cluster;
 mod elections;
--- a/crates/consensus/tests/consensus/replication.rs
+++ b/crates/consensus/tests/consensus/replication.rs
@@ -1,11 +1,15 @@
 //! Replication, compaction and bounds.
 
-use threadledge_consensus::{Body, ProposeError, Role, Settings};
+use threadledge_consensus::{Body, MemberChange, ProposeError, Role, Settings};
 use threadledge_types::{GroupId, RouterId, Timestamp};
 
 use crate::checker::TestNode;
 use crate::cluster::{Cluster, SECOND, TestMessage, identity};
 
+fn is_snapshot(message: &TestMessage) -> bool {
+    matches!(message.body, Body::Snapshot { .. })
+}
+
 fn follower(cluster: &Cluster) -> RouterId {
     cluster.leader().progress().next().expect("a follower").0
 }
@@ -95,7 +99,7 @@
         cluster.propose(command);
         cluster.run(SECOND / 100);
     }
-    cluster.lose = Some(|message| matches!(message.body, Body::Snapshot { .. }));
+    cluster.lose = Some(is_snapshot);
     let id = cluster.add_learner();
     assert_eq!(cluster.node(id).commit_index(), 0);
     cluster.heal();
@@ -125,32 +129,47 @@
         cluster.propose(command);
     }
     let sent = cluster.messages_sent - before;
-    assert!(sent <= 50 + 1, "{sent} messages for one answering follower");
+    let window = cluster.settings.max_in_flight_batches as u64;
+    assert_eq!(sent, window, "only the answering follower's window");
 }
 
-/// A deposed leader holds many entries that no one else has.
+/// A deposed leader holds many entries that no one else has, and lacks as many
+/// of another term. The leader that meets it was elected after those, and so
+/// begins to compare at the very end.
 #[test]
 fn conflicting_entries_are_replaced_within_few_messages() {
     let mut cluster = Cluster::with_voters(8, 3);
     let old = cluster.leader_id().expect("a leader");
+    let propose = |cluster: &mut Cluster| {
+        for command in 0..20 {
+            cluster.propose(command);
+        }
+    };
     cluster.isolate(&[old]);
-    for command in 0..60 {
-        cluster.propose(command);
-    }
+    propose(&mut cluster);
     cluster.run(3 * SECOND);
-    for command in 100..130 {
-        cluster.propose(command);
-        cluster.run(SECOND / 100);
-    }
+    propose(&mut cluster);
+    cluster.run(SECOND);
+    let second = cluster.leader_id().expect("a leader");
+    cluster
+        .with(second, |node, now| node.transfer_leadership(now, None))
+        .expect("a target");
+    cluster.run(SECOND);
+    let leader = cluster.leader();
+    assert!(leader.log().first_index() <= cluster.node(old).commit_index());
+    assert_eq!(
+        leader.progress().filter(|it| it.1.match_index == 0).count(),
+        1
+    );
+    let last_index = leader.log().last_index();
     cluster.heal();
-    let last_index = cluster.leader().log().last_index();
     let sent = cluster.messages_sent;
-    cluster.run_until(SECOND, |it| it.node(old).log().last_term() > 1);
+    cluster.run_until(SECOND, |it| it.node(old).log().last_index() == last_index);
     let sent = cluster.messages_sent - sent;
-    assert!(sent < 60, "{sent} messages");
+    assert!(sent <= 24, "{sent} messages");
     cluster.run(SECOND);
-    assert!(cluster.node(old).commit_index() >= last_index);
-    assert_eq!(cluster.processes[&old].state.applied, 30);
+    assert_eq!(cluster.node(old).commit_index(), last_index);
+    assert_eq!(cluster.processes[&old].state.applied, 20);
 }
 
 /// Figure 8 of the Raft paper: an entry of an earlier term on a quorum may
@@ -223,3 +242,58 @@
     let decoded: threadledge_consensus::Members = serde_json::from_str(&text).expect("decodes");
     assert_eq!(decoded, *members);
 }
+
+/// An append may end before the receiver's log does; the rest of that log need
+/// not agree with the leader's.
+#[test]
+fn follower_commits_nothing_that_it_has_not_compared() {
+    let mut cluster = Cluster::with_voters(12, 3);
+    let old = cluster.leader_id().expect("a leader");
+    cluster.isolate(&[old]);
+    for command in 0..5 {
+        cluster.propose(command);
+    }
+    let process = cluster.processes.get_mut(&old).expect("the leader");
+    let agreed = process.node.commit_index();
+    let append = TestMessage {
+        group: GroupId(0),
+        generation: process.node.generation(),
+        term: 9,
+        sender: identity(2),
+        body: Body::Append {
+            sent_at: Timestamp::ZERO,
+            previous_index: agreed,
+            previous_term: process.node.log().last_term(),
+            entries: Vec::new(),
+            commit_index: agreed + 5,
+        },
+    };
+    let now = process.clock(cluster.now);
+    process.node.step(now, RouterId(2), append);
+    assert_eq!(process.node.role(), Role::Follower);
+    assert_eq!(process.node.commit_index(), agreed);
+}
+
+#[test]
+fn old_snapshot_that_arrives_again_changes_nothing() {
+    let mut cluster = Cluster::with_voters(13, 3);
+    let propose = |cluster: &mut Cluster| {
+        for command in 0..100 {
+            cluster.propose(command);
+            cluster.run(SECOND / 100);
+        }
+    };
+    propose(&mut cluster);
+    let id = cluster.join();
+    cluster.change(MemberChange::AddLearner(identity(id.0)));
+    cluster.run_until(SECOND, |cluster| {
+        cluster.in_flight.values().any(|(_, it)| is_snapshot(it))
+    });
+    let snapshot = cluster.intercept(|_, it| is_snapshot(it));
+    cluster.release(snapshot.clone());
+    propose(&mut cluster);
+    let commit_index = cluster.node(id).commit_index();
+    cluster.release(snapshot);
+    assert!(cluster.node(id).commit_index() >= commit_index);
+    assert_eq!(cluster.processes[&id].state.applied, 200);
+}
--- a/crates/consensus/tests/consensus/schedules.rs
+++ b/crates/consensus/tests/consensus/schedules.rs
@@ -21,6 +21,9 @@
     cluster: Cluster,
     voters: usize,
     next_command: u64,
+    /// Whether there are proposals. Without any, a member that is cut off
+    /// lacks no entries, so nothing but the lease keeps it from being elected.
+    busy: bool,
 }
 
 impl Schedule {
@@ -29,6 +32,7 @@
             cluster: Cluster::with_voters(seed, voters),
             voters,
             next_command: 0,
+            busy: true,
         }
     }
 
@@ -84,6 +88,12 @@
 
     /// Proposes at every node that believes it leads.
     fn propose(&mut self) {
+        if self.cluster.draw(20) == 0 {
+            self.busy = !self.busy;
+        }
+        if !self.busy {
+            return;
+        }
         let ids: Vec<RouterId> = self.cluster.processes.keys().copied().collect();
         for id in ids {
             for _ in 0..self.cluster.draw(4) {
--- a/crates/consensus/tests/consensus/transfers.rs
+++ b/crates/consensus/tests/consensus/transfers.rs
@@ -9,6 +9,10 @@
     matches!(message.body, Body::TimeoutNow { .. })
 }
 
+fn is_heartbeat_response(message: &TestMessage) -> bool {
+    matches!(message.body, Body::HeartbeatResponse { .. })
+}
+
 fn transfer(cluster: &mut Cluster) -> (RouterId, RouterId) {
     let leader = cluster.leader_id().expect("a leader");
     let target = cluster
@@ -59,17 +63,10 @@
 fn request_of_a_transfer_that_was_called_off_is_ignored_when_it_arrives() {
     let mut cluster = Cluster::with_voters(3, 3);
     let (old, target) = transfer(&mut cluster);
-    let key = cluster
-        .in_flight
-        .iter()
-        .find(|(_, (_, message))| is_timeout_now(message))
-        .map(|(key, _)| *key)
-        .expect("a request on its way");
-    let delayed = cluster.in_flight.remove(&key).expect("the request");
+    let delayed = cluster.intercept(|_, message| is_timeout_now(message));
     cluster.run(SECOND);
     assert!(has_lease(&cluster, old));
-    let arrival = (cluster.now + 1, u64::MAX);
-    cluster.in_flight.insert(arrival, delayed);
+    cluster.release(delayed);
     cluster.run(SECOND);
     assert_eq!(cluster.node(target).role(), Role::Follower);
     assert_eq!(cluster.leader_id(), Some(old));
@@ -96,3 +93,49 @@
     let refused = cluster.with(id, |node, now| node.transfer_leadership(now, None));
     assert_eq!(refused, Err(ProposeError::NoTransferTarget));
 }
+
+#[test]
+fn answer_from_before_the_cancellation_does_not_bring_the_lease_back() {
+    let mut cluster = Cluster::with_voters(6, 3);
+    let leader = cluster.leader_id();
+    cluster.run_until(SECOND, |cluster| {
+        let mut messages = cluster.in_flight.values();
+        messages.any(|(to, it)| Some(*to) == leader && is_heartbeat_response(it))
+    });
+    let answer = cluster.intercept(|to, it| Some(to) == leader && is_heartbeat_response(it));
+    let from = answer.sender();
+    let old = leader.expect("a leader");
+    cluster.lose = Some(is_timeout_now);
+    cluster
+        .with(old, |node, now| node.transfer_leadership(now, Some(from)))
+        .expect("a target");
+    cluster.cut.insert((from, old));
+    cluster.run(SECOND / 2);
+    cluster.propose(1);
+    cluster.release(answer);
+    assert!(!has_lease(&cluster, old), "the target may campaign yet");
+    cluster.heal();
+    cluster.run(SECOND / 5);
+    assert!(has_lease(&cluster, old));
+}
+
+#[test]
+fn cancellation_in_one_term_does_not_stop_a_transfer_in_the_next() {
+    let mut cluster = Cluster::with_voters(7, 3);
+    cluster.lose = Some(is_timeout_now);
+    let (old, target) = transfer(&mut cluster);
+    cluster.run(SECOND);
+    cluster.heal();
+    // Leadership goes round: to the third voter, and from there to the first
+    // target, whose cancelled transfer had the same number.
+    let third = cluster.leader().members().voters.keys().copied();
+    let third = third.into_iter().find(|id| *id != old && *id != target);
+    for to in [third, Some(target)] {
+        let leader = cluster.leader_id().expect("a leader");
+        cluster
+            .with(leader, |node, now| node.transfer_leadership(now, to))
+            .expect("a target");
+        cluster.run(SECOND / 5);
+        assert_eq!(cluster.leader_id(), to);
+    }
+}
