--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -33,8 +33,9 @@
     }
 
     /// The latest time such that a quorum answered messages sent then or
-    /// later. The quorum is one of the newest members in the log: leaders of
-    /// the configurations before and after it need a quorum that overlaps.
+    /// later. The quorum is one of the newest members in the log: a candidate
+    /// whose log is one change behind needs a quorum that overlaps with it, and
+    /// one that is further behind lacks a committed entry.
     fn quorum_acknowledged(&self, leader: &LeaderState) -> Option<Timestamp> {
         self.members().quorum_value(|id| {
             if id == self.identity.id {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -29,6 +29,7 @@
 mod replication;
 mod role;
 mod settings;
+mod status;
 mod step;
 mod timer;
 mod transfer;
