--- a/crates/ownership/src/grantor/sessions.rs
+++ b/crates/ownership/src/grantor/sessions.rs
@@ -105,13 +105,15 @@
         let Some(contact) = self.contacts.get_mut(id) else {
             return;
         };
+        let Some(session) = contact.session.take() else {
+            return;
+        };
         contact.mark_changed();
         let withheld = std::mem::take(&mut contact.withheld);
-        let session = contact.session.take();
         for key in withheld {
             self.withheld.remove(&key);
         }
-        for key in session.iter().flat_map(|session| session.holdings.keys()) {
+        for key in session.holdings.keys() {
             self.placed.remove(key);
         }
     }
--- a/crates/ownership/src/holder/permits.rs
+++ b/crates/ownership/src/holder/permits.rs
@@ -7,8 +7,9 @@
 
 use super::holdings::Holdings;
 
-/// Admission of one request. Given back with `Holder::finish`.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// Admission of one request. Given back with `Holder::finish`; giving back
+/// copies of one permit more than once changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Permit {
     number: u64,
     service: ServiceId,
--- a/crates/ownership/tests/grantor/bench.rs
+++ b/crates/ownership/tests/grantor/bench.rs
@@ -41,6 +41,8 @@
     pub muted: BTreeSet<SocketAddr>,
     /// Whether holders say they are ready as soon as asked.
     pub prepares: bool,
+    /// Whether nothing that is proposed commits.
+    pub loses_proposals: bool,
     /// Whether placement assigns unowned slices to any candidate.
     pub places: bool,
     pub observed: Vec<(u64, Observation)>,
@@ -83,6 +85,7 @@
             silent: BTreeSet::new(),
             muted: BTreeSet::new(),
             prepares: true,
+            loses_proposals: false,
             places: true,
             observed: Vec::new(),
             sent: Vec::new(),
@@ -168,7 +171,9 @@
 
     pub fn propose(&mut self, command: Command) {
         self.proposed.push((self.now, command.clone()));
-        self.later(COMMIT, Message::Commit(command));
+        if !self.loses_proposals {
+            self.later(COMMIT, Message::Commit(command));
+        }
     }
 
     /// Commits a command at once.
--- a/crates/ownership/tests/grantor/failures.rs
+++ b/crates/ownership/tests/grantor/failures.rs
@@ -154,6 +154,16 @@
     assert!(first.is_none() || first >= begun);
 }
 
+#[test]
+fn a_leader_whose_term_cannot_begin_asks_no_more_often_than_it_renews() {
+    let mut bench = Bench::settled(1, 1);
+    bench.new_leader();
+    bench.loses_proposals = true;
+    bench.sent.clear();
+    bench.run_for(5_000);
+    assert!(bench.sent.len() <= 11, "{} requests", bench.sent.len());
+}
+
 #[test]
 fn a_new_leader_counts_lost_sessions_from_its_own_election() {
     let mut bench = Bench::settled(3, 2);
