--- a/crates/membership/src/group_members.rs
+++ b/crates/membership/src/group_members.rs
@@ -132,6 +132,12 @@
             return None;
         }
         let worst = self.worst_voter()?;
+        let living = self.count(Standing::Living);
+        if self.standing(worst) == Standing::Living && living <= self.target_size {
+            // The surplus is the leader, which leaves and cannot be removed
+            // yet. A living voter given up for it would only be added again.
+            return None;
+        }
         self.remove(worst)
     }
 
--- /dev/null
+++ b/crates/membership/tests/group_members.rs
@@ -0,0 +1,181 @@
+//! The choice of a group's members.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::identity;
+use threadledge_membership::group_members::{GroupStep, GroupView, next_step};
+use threadledge_membership::{Member, MemberState, Refutation};
+use threadledge_types::{RouterId, ZoneName};
+
+/// Living routers on the machines `0..count`; machine `n` stands in zone
+/// `n % 3`.
+fn living(count: usize) -> Vec<Member> {
+    let member = |host| Member {
+        identity: identity(host, 1),
+        state: MemberState::Alive,
+        refutation: Refutation::default(),
+    };
+    (0..count).map(member).collect()
+}
+
+fn id(host: usize) -> RouterId {
+    identity(host, 1).id
+}
+
+fn group(voters: &[usize]) -> GroupView {
+    GroupView {
+        voters: voters.iter().map(|host| id(*host)).collect(),
+        learners: BTreeSet::new(),
+        leader: voters.first().map(|host| id(*host)),
+    }
+}
+
+/// Carries steps out until there is nothing to change; a learner becomes a
+/// voter at once.
+fn settle(group: &mut GroupView, members: &[Member], target: usize) -> usize {
+    for steps in 0..50 {
+        match next_step(group, members, target) {
+            GroupStep::Add(identity) => {
+                assert!(group.voters.insert(identity.id), "added twice");
+            }
+            GroupStep::Remove(id) => {
+                assert_ne!(Some(id), group.leader);
+                assert!(group.voters.remove(&id));
+            }
+            GroupStep::None => return steps,
+        }
+    }
+    panic!("the group never settles: {group:?}");
+}
+
+fn zones_of(group: &GroupView, members: &[Member]) -> BTreeSet<ZoneName> {
+    let voters = members
+        .iter()
+        .filter(|member| group.voters.contains(&member.identity.id));
+    voters.map(|member| member.identity.zone.clone()).collect()
+}
+
+#[test]
+fn a_founder_grows_to_the_target_over_all_zones() {
+    for target in [3, 5] {
+        let members = living(12);
+        let mut group = group(&[0]);
+        settle(&mut group, &members, target);
+        assert_eq!(group.voters.len(), target);
+        assert_eq!(zones_of(&group, &members).len(), 3);
+    }
+}
+
+#[test]
+fn a_dead_voter_is_replaced_by_one_of_its_zone_before_it_is_removed() {
+    let mut members = living(12);
+    members[1].state = MemberState::Dead;
+    let mut group = group(&[0, 1, 2]);
+    let GroupStep::Add(added) = next_step(&group, &members, 3) else {
+        panic!("no addition");
+    };
+    assert_eq!(added.zone, identity(1, 1).zone);
+    group.voters.insert(added.id);
+    assert_eq!(next_step(&group, &members, 3), GroupStep::Remove(id(1)));
+}
+
+#[test]
+fn a_leaving_voter_is_replaced_and_a_suspect_one_is_not() {
+    let mut members = living(12);
+    members[2].state = MemberState::Suspect;
+    let mut group = group(&[0, 1, 2]);
+    assert_eq!(next_step(&group, &members, 3), GroupStep::None);
+    members[2].state = MemberState::Leaving;
+    settle(&mut group, &members, 3);
+    assert!(!group.voters.contains(&id(2)));
+    assert_eq!(group.voters.len(), 3);
+}
+
+#[test]
+fn one_change_at_a_time_while_a_learner_catches_up() {
+    let mut members = living(12);
+    let mut group = group(&[0]);
+    group.learners.insert(id(4));
+    assert_eq!(next_step(&group, &members, 3), GroupStep::None);
+    members[4].state = MemberState::Dead;
+    assert_eq!(next_step(&group, &members, 3), GroupStep::Remove(id(4)));
+}
+
+#[test]
+fn without_a_quorum_nothing_is_changed() {
+    let mut members = living(12);
+    members[1].state = MemberState::Dead;
+    members[2].state = MemberState::Dead;
+    assert_eq!(next_step(&group(&[0, 1, 2]), &members, 3), GroupStep::None);
+}
+
+#[test]
+fn the_last_two_let_one_of_them_leave_without_losing_the_quorum() {
+    let mut members = living(2);
+    members[1].state = MemberState::Leaving;
+    let step = next_step(&group(&[0, 1]), &members, 3);
+    assert_eq!(step, GroupStep::Remove(id(1)));
+}
+
+#[test]
+fn a_dead_voter_that_nobody_replaces_stays_while_it_may_return() {
+    let mut members = living(3);
+    members[2].state = MemberState::Dead;
+    assert_eq!(next_step(&group(&[0, 1, 2]), &members, 3), GroupStep::None);
+}
+
+#[test]
+fn a_leader_that_leaves_is_not_removed_by_itself() {
+    let mut members = living(12);
+    members[0].state = MemberState::Leaving;
+    let mut group = group(&[0, 1, 2]);
+    settle(&mut group, &members, 3);
+    assert!(group.voters.contains(&id(0)));
+    group.leader = Some(id(1));
+    settle(&mut group, &members, 3);
+    assert!(!group.voters.contains(&id(0)));
+    assert_eq!(group.voters.len(), 3);
+}
+
+#[test]
+fn voters_crowded_in_one_zone_spread_over_zones_that_come_back() {
+    let members = living(9);
+    let mut group = group(&[0, 3, 6]);
+    let steps = settle(&mut group, &members, 3);
+    assert_eq!(zones_of(&group, &members).len(), 3);
+    assert!(steps <= 4, "{steps} steps");
+}
+
+#[test]
+fn random_losses_never_cost_the_quorum_and_always_settle() {
+    for seed in 0..300 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let target = [3, 5][(seed % 2) as usize];
+        let mut members = living(random.random_range(target..20));
+        let mut group = group(&[0]);
+        settle(&mut group, &members, target);
+        for _ in 0..20 {
+            let host = random.random_range(0..members.len());
+            let states = [MemberState::Dead, MemberState::Leaving, MemberState::Alive];
+            members[host].state = states[random.random_range(0..3)];
+            let is_able = |id: &RouterId| {
+                let member = members.iter().find(|member| member.identity.id == *id);
+                member.is_some_and(|member| member.state != MemberState::Dead)
+            };
+            let leader = group.voters.iter().copied().find(|id| is_able(id));
+            group.leader = leader;
+            let able = group.voters.iter().filter(|id| is_able(id)).count();
+            if 2 * able <= group.voters.len() {
+                assert_eq!(next_step(&group, &members, target), GroupStep::None);
+                break;
+            }
+            settle(&mut group, &members, target);
+            let able = group.voters.iter().filter(|id| is_able(id)).count();
+            assert!(2 * able > group.voters.len(), "seed {seed}");
+        }
+    }
+}
