Split the replica's tables from its revisions and deltas

Change: tables.rs holds the records and the order of their changes; replica.rs holds revisions, deltas and pages. No behaviour changes.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -16,6 +16,7 @@
 mod replica;
 mod settings;
 mod slice_table;
+mod tables;
 mod transfer;
 
 pub use apply::{Applied, ApplyError};
