--- a/crates/lab/src/stand_in/object_api/mod.rs
+++ b/crates/lab/src/stand_in/object_api/mod.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod faults;
 pub mod history;
+mod merge;
 pub mod operation;
 pub mod path;
 pub mod seed;
--- a/crates/lab/src/stand_in/object_api/store.rs
+++ b/crates/lab/src/stand_in/object_api/store.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::error::ApiError;
+use super::merge::{check_conditions, replaced_spec, replaced_status, uid};
 use super::operation::{Write, WriteTarget, metadata_text};
 use super::path::{Collection, ObjectPath};
 
@@ -309,51 +310,6 @@
     };
 }
 
-/// The object with a new specification and metadata, and its status as it is.
-/// Only a change of the specification makes a new generation.
-fn replaced_spec(current: &Value, wanted: &Value) -> Value {
-    let mut next = wanted.clone();
-    let fields = ["uid", "generation", "creationTimestamp", "resourceVersion"];
-    for field in fields {
-        next["metadata"][field] = current["metadata"][field].clone();
-    }
-    if let Some(fields) = next.as_object_mut() {
-        fields.remove("status");
-    }
-    if let Some(status) = current.get("status") {
-        next["status"] = status.clone();
-    }
-    if current.get("spec") != wanted.get("spec") {
-        let generation = current["metadata"]["generation"].as_i64();
-        next["metadata"]["generation"] = json!(generation.unwrap_or_default() + 1);
-    }
-    next
-}
-
-/// The object with a new status and all else as it is.
-fn replaced_status(current: &Value, wanted: &Value) -> Value {
-    let mut next = current.clone();
-    match wanted.get("status") {
-        Some(status) => next["status"] = status.clone(),
-        None => {
-            next.as_object_mut()
-                .and_then(|fields| fields.remove("status"));
-        }
-    }
-    next
-}
-
-/// A version or an identity that the writer names has to be the current one.
-fn check_conditions(path: &ObjectPath, current: &Value, wanted: &Value) -> Result<(), ApiError> {
-    for field in ["resourceVersion", "uid"] {
-        let expected = metadata_text(wanted, field);
-        if expected.is_some() && expected != metadata_text(current, field) {
-            return Err(ApiError::conflict(path));
-        }
-    }
-    Ok(())
-}
-
 /// Reads the version of a list and the last object of its page before.
 fn parse_token(
     collection: &Collection,
@@ -370,7 +326,3 @@
     });
     parts.ok_or_else(|| ApiError::bad_request(format!("continue: '{token}' is not a token")))
 }
-
-fn uid(number: u64) -> String {
-    format!("00000000-0000-4000-8000-{number:012x}")
-}
--- a/crates/lab/tests/platform/schedules.rs
+++ b/crates/lab/tests/platform/schedules.rs
@@ -37,8 +37,10 @@
     watching: Option<u64>,
     /// Name to version in force.
     in_force: BTreeMap<String, u64>,
-    /// Names that an operator deleted and nobody delivered as gone yet.
+    /// Names that an operator deleted at some time.
     deleted: BTreeSet<String>,
+    /// Name to the highest version that was ever in force.
+    highest: BTreeMap<String, u64>,
     /// A restore happened.
     restored: bool,
     /// No list was taken since the last restore, so the watcher has not had
@@ -75,6 +77,7 @@
             watching: None,
             in_force: BTreeMap::new(),
             deleted: BTreeSet::new(),
+            highest: BTreeMap::new(),
             restored: false,
             unnoticed: false,
             bumps,
@@ -211,8 +214,12 @@
 
     fn put(&mut self, object: &Object) {
         let version = object.resource_version;
-        let earlier = self.in_force.insert(object.key.name.clone(), version);
-        assert!(earlier <= Some(version), "{} went back", object.key.name);
+        let name = object.key.name.clone();
+        let highest = self.highest.entry(name.clone()).or_default();
+        let repeated = self.in_force.get(&name) == Some(&version);
+        assert!(version > *highest || repeated, "{name} went back");
+        *highest = version;
+        self.in_force.insert(name, version);
     }
 
     fn remove(&mut self, name: &str) {
