--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -281,9 +281,17 @@
         if self.random.random_range(0..100) < self.loss_percent || to >= self.hosts.len() {
             return;
         }
-        let max = self.max_delay.as_micros() as u64;
-        let delay = Duration::from_micros(self.random.random_range(max / 10..=max));
-        self.schedule(self.now + delay, Event::Deliver { to, message });
+        let copies = if self.random.random_range(0..100) == 0 {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let max = self.max_delay.as_micros() as u64;
+            let delay = Duration::from_micros(self.random.random_range(max / 10..=max));
+            let message = message.clone();
+            self.schedule(self.now + delay, Event::Deliver { to, message });
+        }
     }
 
     fn schedule(&mut self, at: Timestamp, event: Event) {
--- a/crates/spread/tests/network.rs
+++ b/crates/spread/tests/network.rs
@@ -164,6 +164,21 @@
     }
 }
 
+#[test]
+fn pages_that_arrive_after_their_timeout_still_join_up() {
+    let mut network = Network::new(6, &Settings::default(), 65);
+    network.max_delay = Duration::from_millis(300);
+    let at = revision(1, 1);
+    let slices: Vec<_> = (0..3_000).map(|number| slice(1, number * 10, at)).collect();
+    network.commit(at, &slices);
+    network.set_tree(2);
+    network.run_for(Duration::from_secs(30));
+    assert!(network.all_at(at));
+    for host in &network.hosts {
+        assert_eq!(host.replica.slice_count(), 3_000);
+    }
+}
+
 #[test]
 fn slow_links_confirm_later_but_honestly() {
     let mut network = Network::new(10, &Settings::default(), 71);
--- a/crates/spread/tests/replica.rs
+++ b/crates/spread/tests/replica.rs
@@ -96,6 +96,32 @@
     }
 }
 
+#[test]
+fn pages_interrupted_by_a_new_generation_begin_again() {
+    let limits = PageLimits {
+        max_changes: 3,
+        max_bytes: usize::MAX,
+    };
+    let mut root = Replica::new(GROUP);
+    for index in 1..20 {
+        root.commit(
+            revision(1, index),
+            &[slice(1, index * 10, revision(1, index))],
+        );
+    }
+    let mut copy = Replica::new(GROUP);
+    let mut generation = 1;
+    let delta = pull_pages(&mut root, Revision::NONE, limits, |root| {
+        if generation == 1 {
+            generation = 2;
+            root.replace(revision(2, 1), &[service(1, 1), service(2, 1)]);
+        }
+    });
+    copy.apply(&delta).expect("the assembled pages");
+    assert_eq!(copy.revision(), revision(2, 1));
+    assert_eq!(contents(&copy), contents(&root));
+}
+
 #[test]
 fn a_value_that_returns_after_a_change_is_sent_to_a_copy_that_saw_the_change() {
     let at = revision(1, 1);
