Bound what a change and a hung request cost in ownership

Admission may now carry a deadline from which the work has no effect; a release waits no longer than that. Now each change looks at the slices of the back end or service it names. - A service that was never used was divided anew for each back end that arrived; now when the number of slices is off by a factor of two. - Without leader lease, or deposed, the grantor asked to be woken at a time already past.

--- a/crates/ownership/src/grantor/contact.rs
+++ b/crates/ownership/src/grantor/contact.rs
@@ -18,6 +18,8 @@
     pub holder_time: Timestamp,
     /// When it arrived, by the grantor's clock: it was taken before.
     pub received_at: Timestamp,
+    /// The process announced that it is leaving.
+    pub draining: bool,
 }
 
 /// A request that awaits its answer.
--- a/crates/ownership/src/grantor/exchange.rs
+++ b/crates/ownership/src/grantor/exchange.rs
@@ -176,7 +176,7 @@
         }
         self.refresh_session(now, from, machine);
         self.note_grants(now, from, &response, machine);
-        self.conclude(now, from, response.draining, machine);
+        self.conclude(now, from, machine);
         self.reschedule(from);
     }
 
@@ -214,6 +214,7 @@
             incarnation: response.incarnation,
             holder_time: response.holder_time,
             received_at: now,
+            draining: response.draining,
         });
     }
 
--- a/crates/ownership/src/grantor/mod.rs
+++ b/crates/ownership/src/grantor/mod.rs
@@ -11,6 +11,7 @@
 mod holdings;
 mod message;
 mod recovery;
+mod release;
 mod sessions;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,15 +22,23 @@
 use crate::command::{Command, LeaderTerm};
 use crate::machine::StateMachine;
 use contact::Contact;
-use handover::Withheld;
 pub use message::{GrantorInput, GrantorOutput, GrantorSettings, Observation};
 use recovery::Claims;
+use release::Withheld;
 
 /// First requests of a term are spread over this part of the renewal
 /// interval, so that a new leader is quick and its back ends are not reached
 /// all at once.
 const FIRST_CONTACT_DIVISOR: u32 = 4;
 
+/// What the grantor may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Leading,
+    WithoutLease,
+    Deposed,
+}
+
 /// The leader's side of sessions, for one term.
 #[derive(Clone, Debug)]
 pub struct Grantor {
@@ -37,6 +46,7 @@
     group: GroupId,
     term: LeaderTerm,
     elected_at: Timestamp,
+    standing: Standing,
     /// The machine has applied this term's first command, and with it all
     /// that earlier leaders left in the log.
     begun: bool,
@@ -79,6 +89,7 @@
             group,
             term,
             elected_at,
+            standing: Standing::Leading,
             begun: false,
             active_since: None,
             last_step: now,
@@ -139,14 +150,18 @@
             }
             GrantorInput::Applied(changes) => self.take_changes(now, &changes, machine),
         }
-        let deposed = machine.term() > self.term;
-        if leader_lease_valid && !deposed {
+        self.standing = match leader_lease_valid {
+            _ if machine.term() > self.term => Standing::Deposed,
+            true => Standing::Leading,
+            false => Standing::WithoutLease,
+        };
+        if self.standing == Standing::Leading {
             self.advance_term(now, machine);
             self.run_timers(now, machine);
             self.run_schedule(now, machine);
         }
         let mut outputs = std::mem::take(&mut self.outputs);
-        if !leader_lease_valid || deposed {
+        if self.standing != Standing::Leading {
             // One owner: without its leader lease a leader gives nothing.
             outputs.retain(|output| {
                 !matches!(
@@ -158,8 +173,17 @@
         outputs
     }
 
-    /// When the next [`GrantorInput::Tick`] is due at the latest.
+    /// When the next [`GrantorInput::Tick`] is due at the latest; `None` once
+    /// a later term has begun.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
+        match self.standing {
+            Standing::Deposed => return None,
+            // Nothing may be done until the leader lease is back.
+            Standing::WithoutLease => {
+                return Some(self.last_step + self.settings.timing.heartbeat());
+            }
+            Standing::Leading => {}
+        }
         let contact = self.schedule.first().map(|(at, _)| *at);
         let timer = self.timers.first().map(|(at, _)| *at);
         let term = match self.term_proposed_at {
@@ -170,8 +194,8 @@
         [contact, timer, term].into_iter().flatten().min()
     }
 
-    /// Whether the lease bound of every session open now is known to be at
-    /// or after this time; for tests and status pages.
+    /// When the last lease that the back end can have is over, by the
+    /// grantor's clock; for status pages.
     pub fn lease_bound(&self, back_end: &BackEndId) -> Option<Timestamp> {
         let contact = self.contacts.get(back_end)?;
         Some(contact.lease_bound)
@@ -191,37 +215,28 @@
 
     fn take_changes(&mut self, now: Timestamp, changes: &[RecordChange], machine: &StateMachine) {
         self.note_term(now, machine);
-        let mut review_misplaced = false;
         for change in changes {
             match change {
                 RecordChange::BackEnd(record) => {
                     self.refresh_contact(now, &record.id, machine);
-                    review_misplaced = true;
+                    self.review_owned(now, &record.id, machine);
                 }
                 RecordChange::BackEndRemoved(id) => self.refresh_contact(now, id, machine),
                 RecordChange::Session(record) => {
                     self.refresh_session(now, &record.id.back_end, machine);
-                    review_misplaced = true;
+                    self.review_owned(now, &record.id.back_end, machine);
                 }
                 RecordChange::SessionRemoved(id) => {
                     self.refresh_session(now, &id.back_end, machine);
                 }
                 RecordChange::Slice(record) => self.review(now, &record.key(), machine),
                 RecordChange::SliceRemoved(key) => self.review(now, key, machine),
-                RecordChange::Service(_) | RecordChange::ServiceRemoved(_) => {
-                    review_misplaced = true;
+                RecordChange::Service(record) => {
+                    self.review_misplaced(now, &record.id, machine);
                 }
+                RecordChange::ServiceRemoved(id) => self.review_misplaced(now, id, machine),
             }
         }
-        if review_misplaced {
-            for key in machine.misplaced() {
-                self.review(now, key, machine);
-            }
-        }
-        let withheld: Vec<SliceKey> = self.withheld.keys().cloned().collect();
-        for key in &withheld {
-            self.review(now, key, machine);
-        }
     }
 
     fn propose(&mut self, command: Command) {
--- a/crates/ownership/src/grantor/sessions.rs
+++ b/crates/ownership/src/grantor/sessions.rs
@@ -47,7 +47,7 @@
         let known: Vec<BackEndId> = self.contacts.keys().cloned().collect();
         for id in &known {
             self.refresh_session(now, id, machine);
-            self.conclude(now, id, false, machine);
+            self.conclude(now, id, machine);
         }
     }
 
@@ -152,19 +152,14 @@
     }
 
     /// Proposes what follows from the process that answered last.
-    pub(super) fn conclude(
-        &mut self,
-        now: Timestamp,
-        id: &BackEndId,
-        draining: bool,
-        machine: &StateMachine,
-    ) {
+    pub(super) fn conclude(&mut self, now: Timestamp, id: &BackEndId, machine: &StateMachine) {
         let Some(contact) = self.contacts.get(id) else {
             return;
         };
-        let Some(incarnation) = contact.incarnation() else {
+        let Some(reading) = contact.reading else {
             return;
         };
+        let (incarnation, draining) = (reading.incarnation, reading.draining);
         if !self.begun || machine.recovering() || self.awaited(contact.proposed_at, now) {
             return;
         }
@@ -173,13 +168,24 @@
             incarnation,
         };
         match machine.session(id) {
-            None if !machine.is_leaving(id) => {
+            // A process that is leaving gets no new work.
+            None if !machine.is_leaving(id) && !draining => {
                 self.propose_for(now, id, Command::OpenSession(present));
             }
             None => {}
+            // A later process answered at the same address, so the earlier
+            // one is gone, whatever its lease.
             Some(open) if open.id.incarnation < incarnation => {
                 let former = open.id.clone();
-                self.replace(now, id, former, present, machine);
+                let Some(close) = self.closing_command(id, &former, machine) else {
+                    return;
+                };
+                let mut commands = vec![close];
+                if !draining {
+                    commands.push(Command::OpenSession(present.clone()));
+                }
+                self.observe(Observation::SessionReplaced { former, present });
+                self.propose_for(now, id, Command::Batch(commands));
             }
             Some(open) if open.id == present && draining && !open.draining => {
                 self.observe(Observation::DrainAnnounced(present.clone()));
@@ -196,27 +202,6 @@
         self.propose(command);
     }
 
-    /// A later process of the same back end answered at the same address, so
-    /// the earlier one is gone, whatever its lease.
-    fn replace(
-        &mut self,
-        now: Timestamp,
-        id: &BackEndId,
-        former: SessionId,
-        present: SessionId,
-        machine: &StateMachine,
-    ) {
-        let Some(close) = self.closing_command(id, &former, machine) else {
-            return;
-        };
-        self.observe(Observation::SessionReplaced {
-            former,
-            present: present.clone(),
-        });
-        let commands = vec![close, Command::OpenSession(present)];
-        self.propose_for(now, id, Command::Batch(commands));
-    }
-
     /// Proposes the end of a session whose last possible lease has run out.
     pub(super) fn check_expiry(&mut self, now: Timestamp, id: &BackEndId, machine: &StateMachine) {
         let renewal = self.settings.timing.renewal();
--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -137,7 +137,7 @@
             highest: self.highest,
             holder_time: now,
             version: self.version,
-            releasing: self.permits.releasing(),
+            releasing: self.permits.releasing(now),
             ready: self.ready.iter().cloned().collect(),
             held: inquiry.then(|| self.holdings.all()),
             draining: self.draining,
@@ -239,6 +239,24 @@
         service: &ServiceId,
         point: Point,
         epoch: Epoch,
+    ) -> Result<Permit, Refusal> {
+        self.admit_until(now, service, point, epoch, None)
+    }
+
+    /// Admits a request that may have no effect from `deadline` on. A slice
+    /// that is taken away is released no later than the last such deadline,
+    /// even if the work hangs; without one it waits for the work to finish.
+    ///
+    /// # Errors
+    ///
+    /// As [`Holder::admit`], and [`Refusal::DeadlinePassed`].
+    pub fn admit_until(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        point: Point,
+        epoch: Epoch,
+        deadline: Option<Timestamp>,
     ) -> Result<Permit, Refusal> {
         self.note_lapse(now);
         let grant = self.holdings.covering(service, point);
@@ -247,7 +265,10 @@
         if !self.lease_valid(now) {
             return Err(Refusal::LeaseLapsed);
         }
-        Ok(self.permits.issue(grant, point))
+        if deadline.is_some_and(|deadline| deadline <= now) {
+            return Err(Refusal::DeadlinePassed);
+        }
+        Ok(self.permits.issue(grant, point, deadline))
     }
 
     /// Whether the admitted work may be carried out at this moment. To be
@@ -255,16 +276,13 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::LeaseLapsed`] or [`Refusal::WrongOwner`]; the work must
-    /// then have no effect.
+    /// [`Refusal::LeaseLapsed`], [`Refusal::WrongOwner`] or
+    /// [`Refusal::DeadlinePassed`]; the work must then have no effect.
     pub fn may_commit(&self, now: Timestamp, permit: &Permit) -> Result<(), Refusal> {
         if !self.lease_valid(now) {
             return Err(Refusal::LeaseLapsed);
         }
-        if !self.permits.alive(permit) {
-            return Err(Refusal::WrongOwner);
-        }
-        Ok(())
+        self.permits.check(now, permit)
     }
 
     /// The admitted work ended, with or without effect.
--- a/crates/ownership/src/holder/permits.rs
+++ b/crates/ownership/src/holder/permits.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use threadledge_types::session::Grant;
-use threadledge_types::{Epoch, Point, ServiceId};
+use threadledge_types::session::{Grant, Refusal};
+use threadledge_types::{Epoch, Point, ServiceId, Timestamp};
 
 use super::holdings::Holdings;
 
@@ -49,6 +49,14 @@
     grant: Grant,
     point: Point,
     standing: Standing,
+    /// From then on the work may have no effect.
+    deadline: Option<Timestamp>,
+}
+
+impl Running {
+    fn in_time(&self, now: Timestamp) -> bool {
+        self.deadline.is_none_or(|deadline| now < deadline)
+    }
 }
 
 /// Work that was admitted and has not finished.
@@ -59,7 +67,7 @@
 }
 
 impl Permits {
-    pub fn issue(&mut self, grant: Grant, point: Point) -> Permit {
+    pub fn issue(&mut self, grant: Grant, point: Point, deadline: Option<Timestamp>) -> Permit {
         self.issued += 1;
         let permit = Permit {
             number: self.issued,
@@ -71,6 +79,7 @@
             grant,
             point,
             standing: Standing::Held,
+            deadline,
         };
         self.running.insert(self.issued, running);
         permit
@@ -80,18 +89,27 @@
         self.running.remove(&permit.number);
     }
 
-    pub fn alive(&self, permit: &Permit) -> bool {
+    /// Whether the work may still have an effect, the lease aside.
+    pub fn check(&self, now: Timestamp, permit: &Permit) -> Result<(), Refusal> {
         let running = self.running.get(&permit.number);
-        running.is_some_and(|running| running.standing != Standing::Void)
+        let running = running.ok_or(Refusal::WrongOwner)?;
+        if running.standing == Standing::Void {
+            return Err(Refusal::WrongOwner);
+        }
+        if !running.in_time(now) {
+            return Err(Refusal::DeadlinePassed);
+        }
+        Ok(())
     }
 
     pub fn running(&self) -> usize {
         self.running.len()
     }
 
-    /// Grants that were taken away but still have work that may end.
-    pub fn releasing(&self) -> Vec<Grant> {
-        let running = self.running.values();
+    /// Grants that were taken away but still have work that may end. Work
+    /// that hangs past its deadline does not hold them up.
+    pub fn releasing(&self, now: Timestamp) -> Vec<Grant> {
+        let running = self.running.values().filter(|running| running.in_time(now));
         let releasing = running.filter(|running| running.standing == Standing::Releasing);
         let grants: BTreeSet<&Grant> = releasing.map(|running| &running.grant).collect();
         grants.into_iter().cloned().collect()
--- a/crates/ownership/src/machine/edit.rs
+++ b/crates/ownership/src/machine/edit.rs
@@ -92,11 +92,7 @@
         if self.selects(service, back_end) {
             return;
         }
-        let keys = self.moves_to(back_end);
-        let keys: Vec<SliceKey> = keys
-            .filter(|key| key.service == *service)
-            .cloned()
-            .collect();
+        let keys = self.incoming_of(service, back_end);
         for key in &keys {
             self.clear_next(key);
             self.announce(key, applied);
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -9,6 +9,7 @@
 mod objects;
 mod read;
 mod rejection;
+mod selection;
 mod sessions;
 mod slices;
 mod snapshot;
@@ -21,8 +22,8 @@
 
 use crate::command::{Command, LeaderTerm};
 use entries::{BackEndEntry, ServiceEntry, SessionEntry};
-pub use objects::MAXIMUM_INITIAL_SLICES;
 pub use rejection::Rejection;
+pub use selection::MAXIMUM_INITIAL_SLICES;
 pub use snapshot::Snapshot;
 pub use tombstones::MAXIMUM_TOMBSTONES;
 use tombstones::Tombstones;
--- a/crates/ownership/src/machine/objects.rs
+++ b/crates/ownership/src/machine/objects.rs
@@ -5,15 +5,13 @@
 use threadledge_types::records::{
     BackEndRecord, RecordChange, ServiceRecord, SliceKey, SliceRecord,
 };
-use threadledge_types::{BackEndId, ServiceId, Slice};
+use threadledge_types::{BackEndId, ServiceId};
 
-use super::entries::{BackEndEntry, ServiceEntry, SliceEntry, Successor, parse_selector};
-use super::{Applied, Rejection, StateMachine, slice_record};
+use super::entries::{BackEndEntry, ServiceEntry, Successor, parse_selector};
+use super::selection::Division;
+use super::{Applied, Rejection, StateMachine};
 use crate::command::ObjectChange;
 
-/// Most slices that a new service starts with.
-pub const MAXIMUM_INITIAL_SLICES: u32 = 16_384;
-
 impl StateMachine {
     /// Back ends go first, so that a service that comes with its back ends
     /// is divided for all of them.
@@ -122,6 +120,7 @@
         }
         for service in self.services_in(&id.namespace) {
             self.set_eligible(&service, id, false, applied);
+            self.divide_unused(&service, Division::WhenFarOff, applied);
         }
         let removed = RecordChange::BackEndRemoved(id.clone());
         applied.changes.push(removed);
@@ -138,48 +137,7 @@
         for service in self.services_in(&id.namespace) {
             let selected = self.services[&service].selects(&record);
             self.set_eligible(&service, id, selected, applied);
-        }
-    }
-
-    fn services_in(&self, namespace: &str) -> Vec<ServiceId> {
-        let start = ServiceId::new(namespace, "");
-        let following = self.services.range(start..);
-        let same = following.take_while(|(id, _)| id.namespace == namespace);
-        same.map(|(id, _)| id.clone()).collect()
-    }
-
-    fn set_eligible(
-        &mut self,
-        service: &ServiceId,
-        back_end: &BackEndId,
-        eligible: bool,
-        applied: &mut Applied,
-    ) {
-        let Some(entry) = self.services.get_mut(service) else {
-            return;
-        };
-        let changed = if eligible {
-            entry.eligible.insert(back_end.clone())
-        } else {
-            entry.eligible.remove(back_end)
-        };
-        if !changed {
-            return;
-        }
-        self.divide_unused(service, applied);
-        self.cancel_deselected_moves(service, back_end, applied);
-        self.reclassify(service, back_end);
-    }
-
-    /// Looks again at every slice of the service that the back end owns.
-    fn reclassify(&mut self, service: &ServiceId, back_end: &BackEndId) {
-        let owned: Vec<SliceKey> = self
-            .slices_of_session(back_end)
-            .filter(|key| key.service == *service)
-            .cloned()
-            .collect();
-        for key in &owned {
-            self.classify(key);
+            self.divide_unused(&service, Division::WhenFarOff, applied);
         }
     }
 
@@ -215,7 +173,7 @@
         let changed = RecordChange::Service(Box::new(record.clone()));
         applied.changes.push(changed);
         self.select_again(id, applied);
-        self.divide_unused(id, applied);
+        self.divide_unused(id, Division::Exact, applied);
         if revived {
             self.announce_slices(id, applied);
         }
@@ -234,19 +192,6 @@
             .extend(records.into_iter().map(RecordChange::Slice));
     }
 
-    fn select_again(&mut self, id: &ServiceId, applied: &mut Applied) {
-        let start = BackEndId::new(id.namespace.clone(), "");
-        let following = self.back_ends.range(start..);
-        let same = following.take_while(|(back_end, _)| back_end.namespace == id.namespace);
-        let service = &self.services[id];
-        let selected: Vec<(BackEndId, bool)> = same
-            .map(|(back_end, entry)| (back_end.clone(), service.selects(&entry.record)))
-            .collect();
-        for (back_end, eligible) in selected {
-            self.set_eligible(id, &back_end, eligible, applied);
-        }
-    }
-
     fn delete_service(
         &mut self,
         id: &ServiceId,
@@ -289,47 +234,6 @@
         };
         check_version(name, applied, offered)
     }
-
-    /// Divides a service anew as long as none of its slices was ever owned.
-    fn divide_unused(&mut self, id: &ServiceId, applied: &mut Applied) {
-        let revision = self.revision;
-        let Some(entry) = self.services.get_mut(id) else {
-            return;
-        };
-        if entry.used || entry.deleted {
-            return;
-        }
-        let back_ends = u32::try_from(entry.eligible.len().max(1)).unwrap_or(u32::MAX);
-        let wanted = entry
-            .record
-            .spec
-            .placement
-            .slices_per_back_end
-            .saturating_mul(back_ends)
-            .clamp(1, MAXIMUM_INITIAL_SLICES);
-        if entry.slices.len() == wanted as usize {
-            return;
-        }
-        let divided = Slice::divide(wanted);
-        let slices: BTreeMap<_, _> = divided
-            .into_iter()
-            .map(|slice| (slice.first, SliceEntry::unowned(slice.last, revision)))
-            .collect();
-        let former = std::mem::replace(&mut entry.slices, slices);
-        let gone = former
-            .keys()
-            .filter(|first| !entry.slices.contains_key(first));
-        let removed = gone.map(|first| {
-            RecordChange::SliceRemoved(SliceKey {
-                service: id.clone(),
-                first: *first,
-            })
-        });
-        applied.changes.extend(removed);
-        let present = entry.slices.iter();
-        let changed = present.map(|(first, slice)| slice_record(id, *first, slice));
-        applied.changes.extend(changed.map(RecordChange::Slice));
-    }
 }
 
 fn check_version(name: String, applied: u64, offered: u64) -> Result<(), Rejection> {
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -230,6 +230,24 @@
     assert_eq!(pair.unchanged(20, 10, 2).releasing, Vec::new());
 }
 
+#[test]
+fn work_that_hangs_past_its_deadline_neither_holds_a_slice_up_nor_takes_effect() {
+    let mut pair = Pair::holding(vec![grant(0, 9, 3)], 0);
+    let service = service_id("s");
+    let mut admit = |deadline| {
+        let holder = &mut pair.holder;
+        holder.admit_until(at(1), &service, Point(1), epoch(3), Some(at(deadline)))
+    };
+    assert_eq!(admit(1), Err(Refusal::DeadlinePassed));
+    let permit = admit(50).expect("held");
+    let response = pair.full(10, 5, 2, Vec::new());
+    assert_eq!(response.releasing, vec![grant(0, 9, 3)]);
+    assert_eq!(pair.may_commit(49, &permit), Ok(()));
+    let late = pair.may_commit(50, &permit);
+    assert_eq!(late, Err(Refusal::DeadlinePassed));
+    assert_eq!(pair.unchanged(50, 40, 2).releasing, Vec::new());
+}
+
 #[test]
 fn work_of_a_grant_taken_away_is_over_for_good_once_the_lease_lapsed() {
     let mut pair = Pair::holding(vec![grant(0, 9, 3)], 0);
