Pack a replica's tables after a full state

Cause: ordered insertion leaves the nodes of a BTreeMap about half empty.

Change: after a full state the slice table and the order of changes are rebuilt, which packs them.

--- a/crates/spread/examples/costs.rs
+++ b/crates/spread/examples/costs.rs
@@ -112,7 +112,7 @@
     let before = resident_bytes();
     let began = Instant::now();
     let mut replica = Replica::new(GROUP);
-    replica.commit(at, &changes);
+    replica.replace(at, &changes);
     let built = began.elapsed();
     let bytes = resident_bytes().saturating_sub(before);
     let began = Instant::now();
--- a/crates/spread/src/change_log.rs
+++ b/crates/spread/src/change_log.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Packs the index, which ordered insertion leaves half empty.
+    pub(crate) fn compact(&mut self) {
+        self.order = std::mem::take(&mut self.order).into_iter().collect();
+    }
+
     /// Entries after `position`, in order.
     pub(crate) fn after(&self, position: Position) -> impl Iterator<Item = (Position, &LogEntry)> {
         use std::ops::Bound::{Excluded, Unbounded};
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -77,6 +77,8 @@
         }
         self.clear(Position::last_of(revision.index));
         self.advance_to(revision, changes);
+        self.tables.slices.compact();
+        self.tables.log.compact();
     }
 
     /// Applies a complete delta.
--- a/crates/spread/src/slice_table.rs
+++ b/crates/spread/src/slice_table.rs
@@ -67,6 +67,13 @@
         slices.into_values().map(|entry| entry.position).collect()
     }
 
+    /// Packs the table, which ordered insertion leaves half empty.
+    pub(crate) fn compact(&mut self) {
+        for slices in self.services.values_mut() {
+            *slices = std::mem::take(slices).into_iter().collect();
+        }
+    }
+
     pub(crate) fn get(&self, service: &ServiceId, first: Point) -> Option<SliceRecord> {
         let entry = self.services.get(service)?.get(&first)?;
         Some(entry.to_record(service, first))
