Let slices that were just assigned move for balance

A slice rested for 30 s after every change of owner, also after its first assignment, so that a new service could not be balanced for half a minute. It now rests only after it was taken from an owner.

--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -18,7 +18,8 @@
     pub sustain: Duration,
     /// Shortest interval between two balance checks of one service.
     pub check_interval: Duration,
-    /// A slice that changed hands is not moved for balance for this long.
+    /// A slice that was taken from an owner is not moved for balance for this
+    /// long.
     pub settle: Duration,
     /// A session younger than this counts as cold.
     pub warm_up: Duration,
--- a/crates/placement/src/slice_changes.rs
+++ b/crates/placement/src/slice_changes.rs
@@ -34,7 +34,7 @@
         let moved_at = match &old {
             // Part of a split, or seen for the first time: nothing moved.
             None => Timestamp::ZERO,
-            Some(old) if old.owner == owner => old.moved_at,
+            Some(old) if old.owner.is_none() || old.owner == owner => old.moved_at,
             Some(_) => now,
         };
         let previous = match (&owner, old) {
--- a/crates/placement/src/slices.rs
+++ b/crates/placement/src/slices.rs
@@ -20,7 +20,7 @@
     pub load: SliceLoad,
     /// When its owner or bounds last changed.
     pub changed_at: Timestamp,
-    /// When it last went from one owner to another.
+    /// When it was last taken from an owner.
     pub moved_at: Timestamp,
 }
 
@@ -48,7 +48,7 @@
 const ONE_KEY_PART: f64 = 0.75;
 
 impl SliceState {
-    /// Whether the slice went from one owner to another within `period`.
+    /// Whether the slice was taken from an owner within `period`.
     pub(crate) fn moved_within(&self, period: Duration, now: Timestamp) -> bool {
         self.moved_at > Timestamp::ZERO && now.since(self.moved_at) < period
     }
