--- a/crates/ownership/src/grantor/sessions.rs
+++ b/crates/ownership/src/grantor/sessions.rs
@@ -213,7 +213,10 @@
         let silent = silent_since.is_some_and(|(asked, active)| now >= asked.max(active) + renewal);
         // One owner: no lease that any leader gave can still be valid.
         let lapsed = now >= contact.lease_bound;
-        if !self.begun || !silent || !lapsed || self.awaited(contact.proposed_at, now) {
+        // What was proposed once is proposed until it is applied, also if the
+        // process answers again: it is not renewed any more.
+        let over = contact.closing.is_some() || (silent && lapsed);
+        if !self.begun || !over || self.awaited(contact.proposed_at, now) {
             return;
         }
         let session = open.id.clone();
--- a/crates/ownership/tests/grantor/failures.rs
+++ b/crates/ownership/tests/grantor/failures.rs
@@ -98,6 +98,26 @@
     );
 }
 
+#[test]
+fn a_holder_that_returns_while_its_close_was_lost_is_served_again() {
+    let mut bench = Bench::settled(1, 1);
+    bench.silent.insert(address(0));
+    bench.loses_proposals = true;
+    bench.run_for(SERVED_AGAIN_WITHIN);
+    let closing = bench.proposed(|command| matches!(command, Command::CloseSession { .. }));
+    assert!(closing.is_some());
+    bench.silent.clear();
+    bench.run_for(2_000);
+    assert_eq!(
+        bench.servers_of(KEY),
+        Vec::new(),
+        "the close may yet commit"
+    );
+    bench.loses_proposals = false;
+    bench.run_for(2_000);
+    assert_eq!(bench.servers_of(KEY).len(), 1);
+}
+
 #[test]
 fn a_leader_that_was_paused_asks_again_before_it_closes_a_session() {
     let mut bench = Bench::settled(3, 2);
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -253,6 +253,9 @@
     let mut pair = Pair::holding(vec![grant(0, 9, 3)], 0);
     let permit = pair.admit(1, 1, 3).expect("held");
     pair.full(10, 5, 2, Vec::new());
+    let inquiry = pair.request(0, GrantsUpdate::Inquire);
+    let lapsed = pair.holder.handle(at(2_500), inquiry);
+    assert_eq!(lapsed.releasing, Vec::new(), "it holds nothing up");
     pair.unchanged(3_000, 2_990, 2);
     assert!(pair.holder.lease_valid(at(3_001)), "renewed");
     assert_eq!(pair.may_commit(3_001, &permit), Err(Refusal::WrongOwner));
