Count waiting requests as unavailable time; readable pictures

Frozen owners believe until their lease ends, requests waited and were then answered, and the measure counted only one failing request after the other to the same key.

Change: a request counts from its intended time until it reached the server that carried it out, or until its caller gave up. Tests expect the stricter figures (50 ms where 0 was, 301 ms where 300 was). Latency is drawn on a logarithmic scale.

--- a/crates/lab/src/measures/unavailable.rs
+++ b/crates/lab/src/measures/unavailable.rs
@@ -7,15 +7,16 @@
 use threadledge_types::{Point, ServiceId, Timestamp};
 
 use super::LAB_NAMESPACE;
-use crate::history::{AttemptOutcome, Belief, History};
+use crate::history::{AttemptOutcome, Belief, History, RequestId};
 
 /// Longest unavailable times of one run, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Unavailable {
     /// Longest time that a key which had an owner had none.
     pub keys_ms: f64,
-    /// Longest time over which every request to one key failed: from the
-    /// first to the last intended time. A single failure counts as 0.
+    /// Longest time that a request, or one failing request after the other to
+    /// the same key, had no server that carried it out. Waiting for a slot
+    /// counts.
     pub requests_ms: f64,
 }
 
@@ -30,7 +31,7 @@
 pub fn unavailable(history: &History, from: Timestamp, until: Timestamp) -> Unavailable {
     Unavailable {
         keys_ms: millis(longest_ownerless(history, from, until)),
-        requests_ms: millis(longest_failing(history)),
+        requests_ms: millis(longest_without_server(history)),
     }
 }
 
@@ -76,31 +77,42 @@
     longest.max(never_again.unwrap_or_default())
 }
 
-fn longest_failing(history: &History) -> Duration {
-    let mut failing: BTreeMap<(&ServiceId, Point), (Timestamp, Timestamp)> = BTreeMap::new();
+/// Every request counts from its intended time until it reached the server
+/// that carried it out, or until its caller gave up. Requests to one key that
+/// fail one after the other count as one stretch.
+fn longest_without_server(history: &History) -> Duration {
+    let reached = first_effective_begin(history);
+    let mut failing: BTreeMap<(&ServiceId, Point), Timestamp> = BTreeMap::new();
     let mut longest = Duration::ZERO;
     for record in &history.requests {
+        let Some(last) = record.attempts.last() else {
+            continue;
+        };
         if record.service.namespace == LAB_NAMESPACE {
             continue;
         }
         let key = (&record.service, record.point);
-        let answered = record
-            .attempts
-            .last()
-            .is_some_and(|last| last.outcome == AttemptOutcome::Answered);
-        if answered {
+        if last.outcome == AttemptOutcome::Answered {
             failing.remove(&key);
-            continue;
+            let begin = reached.get(&record.request).copied().unwrap_or(last.end);
+            longest = longest.max(begin.since(record.intended));
+        } else {
+            let since = *failing.entry(key).or_insert(record.intended);
+            longest = longest.max(last.end.since(since));
         }
-        let stretch = failing
-            .entry(key)
-            .or_insert((record.intended, record.intended));
-        stretch.1 = record.intended;
-        longest = longest.max(stretch.1.since(stretch.0));
     }
     longest
 }
 
+/// When the work began that took effect, for each request.
+fn first_effective_begin(history: &History) -> BTreeMap<RequestId, Timestamp> {
+    let mut begins = BTreeMap::new();
+    for execution in history.executions.iter().filter(|run| run.completed) {
+        begins.entry(execution.request).or_insert(execution.begin);
+    }
+    begins
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- a/crates/lab/src/report/pictures.rs
+++ b/crates/lab/src/report/pictures.rs
@@ -11,6 +11,9 @@
 /// Height of one back end in the picture of ownership.
 const ROW_HEIGHT: u32 = 14;
 const FRAME_HEIGHT: u32 = 90;
+const X_LABELS_HEIGHT: u32 = 40;
+const Y_LABELS: usize = 6;
+const MARGIN: f64 = 8.0;
 const FAULT: RGBColor = RGBColor(200, 40, 40);
 const MEDIAN: RGBColor = RGBColor(30, 90, 160);
 const TAIL: RGBColor = RGBColor(220, 130, 20);
@@ -31,7 +34,8 @@
         .map(|point| (point.at_ms, point.p99_ms));
     over_time(
         report,
-        "Latency of answered requests, ms (blue: median, orange: 99 in 100, red: faults)",
+        "Latency of answered requests, ms, each line 10 times the one below (blue: median, orange: 99 in 100, red: faults)",
+        Scale::Logarithmic,
         highest,
         [(median.collect(), MEDIAN), (tail.collect(), TAIL)],
     )
@@ -49,16 +53,42 @@
     over_time(
         report,
         "Requests in 250 ms (blue: answered, orange: not answered, red: faults)",
+        Scale::Linear,
         highest,
         [(answered.collect(), MEDIAN), (failed.collect(), TAIL)],
     )
 }
 
+/// How heights grow with values.
+#[derive(Clone, Copy)]
+enum Scale {
+    Linear,
+    Logarithmic,
+}
+
+impl Scale {
+    /// Latencies below a millisecond are drawn on the axis.
+    fn height(self, value: f64) -> f64 {
+        match self {
+            Scale::Linear => value,
+            Scale::Logarithmic => value.max(1.0).log10(),
+        }
+    }
+
+    fn label(self, height: f64) -> String {
+        match self {
+            Scale::Linear => format!("{height:.0}"),
+            Scale::Logarithmic => format!("{:.0}", 10_f64.powf(height)),
+        }
+    }
+}
+
 type Line = (Vec<(u64, f64)>, RGBColor);
 
 fn over_time(
     report: &Report,
     caption: &str,
+    scale: Scale,
     highest: f64,
     lines: [Line; 2],
 ) -> Result<String, String> {
@@ -67,10 +97,11 @@
         let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         root.fill(&WHITE).map_err(text)?;
         let end = seconds(report.duration_ms);
+        let top = scale.height(highest * 1.05);
         let mut chart = ChartBuilder::on(&root)
             .caption(caption, ("sans-serif", 15))
-            .margin(8)
-            .x_label_area_size(28)
+            .margin(MARGIN)
+            .x_label_area_size(X_LABELS_HEIGHT)
             .y_label_area_size(56)
             .build_cartesian_2d(0.0..end, 0.0..highest * 1.05)
             .map_err(text)?;
@@ -80,13 +111,15 @@
             .map_err(text)?;
         for fault in &report.faults {
             let at = seconds(fault.at_ms);
-            let mark = vec![(at, 0.0), (at, highest * 1.05)];
+            let mark = vec![(at, 0.0), (at, top)];
             chart
                 .draw_series(LineSeries::new(mark, &FAULT))
                 .map_err(text)?;
         }
         for (points, colour) in lines {
-            let points = points.into_iter().map(|(at, value)| (seconds(at), value));
+            let points = points
+                .into_iter()
+                .map(|(at, value)| (seconds(at), scale.height(value)));
             chart
                 .draw_series(LineSeries::new(points, &colour))
                 .map_err(text)?;
@@ -112,8 +145,8 @@
         root.fill(&WHITE).map_err(text)?;
         let mut chart = ChartBuilder::on(&root)
             .caption("Requests carried out by each back end", ("sans-serif", 15))
-            .margin(8)
-            .x_label_area_size(28)
+            .margin(MARGIN)
+            .x_label_area_size(X_LABELS_HEIGHT)
             .y_label_area_size(56)
             .build_cartesian_2d(0.0..count as f64, 0.0..highest as f64 * 1.05)
             .map_err(text)?;
@@ -121,6 +154,7 @@
         let last = names.last().map_or("", |name| name.as_str());
         let mut mesh = chart.configure_mesh();
         mesh.disable_x_mesh()
+            .light_line_style(TRANSPARENT)
             .x_labels(0)
             .x_desc(format!("{first} to {last}, by name"))
             .draw()
@@ -160,8 +194,8 @@
                 "Share of points owned (darker is more, red: faults)",
                 ("sans-serif", 15),
             )
-            .margin(8)
-            .x_label_area_size(28)
+            .margin(MARGIN)
+            .x_label_area_size(X_LABELS_HEIGHT)
             .y_label_area_size(170)
             .build_cartesian_2d(0.0..seconds(report.duration_ms), 0.0..count as f64)
             .map_err(text)?;
@@ -202,7 +236,7 @@
 ) -> Result<(), impl Display> {
     let style = ("sans-serif", 11).into_font().color(&BLACK);
     let (_, height) = root.dim_in_pixel();
-    let bottom = f64::from(height) - 36.0;
+    let bottom = f64::from(height) - f64::from(X_LABELS_HEIGHT) - MARGIN;
     let top = 30.0;
     let step = (bottom - top) / count as f64;
     for ((_, back_end), row) in rows {
--- a/crates/lab/tests/measures.rs
+++ b/crates/lab/tests/measures.rs
@@ -82,7 +82,7 @@
 #[test]
 fn the_gap_between_two_owners_is_unavailable_time() {
     let unavailable = report().unavailable_details;
-    assert_eq!((unavailable.keys_ms, unavailable.requests_ms), (10.0, 0.0));
+    assert_eq!((unavailable.keys_ms, unavailable.requests_ms), (10.0, 50.0));
 }
 
 #[test]
@@ -100,7 +100,7 @@
     let events = vec![failing(4, 100), failing(5, 400), answered, failing(7, 900)];
     let unavailable =
         measures::unavailable(&assemble(vec![events]), Timestamp::ZERO, millis(1_000));
-    assert_eq!(unavailable.requests_ms, 300.0);
+    assert_eq!(unavailable.requests_ms, 301.0);
 }
 
 #[test]
