See the loss of a whole zone as fast as the loss of one router

Their silence counted against the prober, which then slowed its own probes up to nine times; and probes went again to routers that were suspect already.

Tests for the loss of a zone, for the cost of idling, for healing without a list and for the size of messages.

Conclusion: losing a zone costs seconds.

--- a/crates/membership/examples/detection.rs
+++ b/crates/membership/examples/detection.rs
@@ -51,6 +51,31 @@
         times[CRASHES - 1],
         false_deaths(&network),
     );
+    measure_zone_loss(&mut network);
+}
+
+/// Loses one zone of three at once.
+fn measure_zone_loss(network: &mut Network) {
+    let size = network.hosts.len();
+    for host in (0..size).filter(|host| host % ZONES == 0) {
+        network.crash(host);
+    }
+    let left = network.hosts.iter().filter(|host| host.running).count();
+    network.sent_bytes = 0;
+    let most = network.run_until(seconds(60), |network| {
+        let dead_seen = network.hosts.iter().filter(|host| host.running);
+        let excess: usize = dead_seen.map(|host| host.core.alive().count() - left).sum();
+        excess * 20 < left * (size - left)
+    });
+    let all = network.run_until(seconds(60), |network| network.all_see(left));
+    let rest = all.unwrap_or_default();
+    println!(
+        "routers {size}, a zone lost at once: 95 % of all views right after {most:?}, all {:?} \
+         later; {} B sent each; false deaths {}",
+        rest,
+        network.sent_bytes / left,
+        false_deaths(network),
+    );
 }
 
 fn measure_crash(network: &mut Network, host: usize) -> u128 {
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -24,11 +24,11 @@
 }
 
 impl Probe {
-    /// Number of those asked for help that did not answer at all. If others
-    /// do not answer either, the fault may be here.
-    pub(crate) fn silent_relays(&self) -> u32 {
-        let silent = self.relays_asked.saturating_sub(self.refusals.len());
-        u32::try_from(silent).unwrap_or(u32::MAX)
+    /// Whether nobody who was asked for help answered at all. Then the fault
+    /// may be here. One answer shows that this router can be reached; that
+    /// others are silent may mean that many failed at once.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.relays_asked > 0 && self.refusals.is_empty()
     }
 
     /// Relays that got no answer either: each is independent evidence.
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -10,6 +10,11 @@
 /// list, so that a partition heals even without the list.
 const DEAD_CONTACT_PERIOD: usize = 4;
 
+/// How much a probe in which nobody answered worsens this router's health.
+const ISOLATION_PENALTY: u32 = 2;
+/// Most suspects passed over in the search for a member to probe.
+const MAX_PASSED_OVER: usize = 8;
+
 impl Membership {
     pub(crate) fn run_timers(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
         self.run_probe(now, outputs);
@@ -52,8 +57,7 @@
         self.forget_dead(now);
         let multiplier = self.health.multiplier();
         let interval = self.settings.probe_interval * multiplier;
-        let target = self.table.roster_mut().next(&mut self.random);
-        let Some(target) = target else {
+        let Some(target) = self.next_target() else {
             self.prober.skip(now, interval);
             return;
         };
@@ -62,6 +66,18 @@
         self.send_to_member(target, MessageBody::Ping { sequence }, outputs);
     }
 
+    /// The next member to probe, in a random round. Suspects are passed over,
+    /// for they are asked already; this matters when many fail at once.
+    fn next_target(&mut self) -> Option<RouterId> {
+        for _ in 0..MAX_PASSED_OVER {
+            let target = self.table.roster_mut().next(&mut self.random)?;
+            if !self.suspicions.contains(target) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
     fn ask_others(&mut self, target: RouterId, sequence: u64, outputs: &mut Vec<Output>) {
         let Some(record) = self.table.get(target) else {
             return;
@@ -83,9 +99,9 @@
     }
 
     fn probe_failed(&mut self, now: Timestamp, probe: &Probe, outputs: &mut Vec<Output>) {
-        // Whoever was asked for help and did not even say that it failed
-        // suggests that the fault is here.
-        self.health.worsen(probe.silent_relays());
+        if probe.is_isolated() {
+            self.health.worsen(ISOLATION_PENALTY);
+        }
         let id = probe.target;
         let Some(record) = self.table.get(id) else {
             return;
--- a/crates/membership/tests/detection.rs
+++ b/crates/membership/tests/detection.rs
@@ -31,6 +31,30 @@
     }
 }
 
+#[test]
+fn a_zone_lost_at_once_is_seen_by_all_within_seconds() {
+    let mut network = introduced(60, 5);
+    for host in (0..60).filter(|host| host % ZONES == 0) {
+        network.crash(host);
+    }
+    let took = network.run_until(seconds(5), |network| network.all_see(40));
+    assert!(took.is_some());
+}
+
+#[test]
+fn idling_costs_the_same_at_any_number_of_routers() {
+    let bytes_per_second = [20, 80].map(|count| {
+        let mut network = introduced(count, 6);
+        network.run_for(seconds(10));
+        network.measure_bytes = true;
+        network.run_for(seconds(20));
+        network.sent_bytes / count / 20
+    });
+    let [few, many] = bytes_per_second;
+    assert!(many < 2_000, "{many}");
+    assert!(many * 10 < few * 11, "{few} {many}");
+}
+
 #[test]
 fn lost_messages_alone_kill_nobody() {
     for loss_percent in [5, 15] {
@@ -109,6 +133,18 @@
     assert!(healed.is_some());
 }
 
+#[test]
+fn a_partition_heals_without_a_machine_list() {
+    let mut network = introduced(20, 42);
+    network.give_list(&list(2, []));
+    network.sides = (0..10).map(|host| (host, 1)).collect();
+    network.run_for(seconds(10));
+    assert!(network.all_see(10));
+    network.sides.clear();
+    let healed = network.run_until(seconds(30), |network| network.all_see(20));
+    assert!(healed.is_some());
+}
+
 #[test]
 fn a_leaving_router_is_known_to_leave_before_it_is_gone() {
     let mut network = introduced(60, 51);
--- a/crates/membership/tests/discovery.rs
+++ b/crates/membership/tests/discovery.rs
@@ -18,12 +18,14 @@
 #[test]
 fn routers_that_know_one_other_find_all() {
     let mut network = Network::new(100, Settings::default(), 1);
+    network.measure_bytes = true;
     for host in 1..100 {
         let known = list(1, [host - 1]);
         network.input(host, Input::MachineList(known));
     }
     let found = network.run_until(seconds(30), |network| network.all_see(100));
     assert!(found.is_some());
+    assert!(network.largest_message < 12 * 1_024);
 }
 
 #[test]
