--- a/crates/router/src/operations/service.rs
+++ b/crates/router/src/operations/service.rs
@@ -9,7 +9,6 @@
 
 use super::report::ExplainRequest;
 use super::view::RouterView;
-use crate::events::{EventId, emit};
 use crate::metrics::Metrics;
 
 /// Paths of the operators' service.
@@ -100,7 +99,6 @@
     }
 
     fn drain(&self) -> Response {
-        emit!(EventId::StopRequested, cause = "drain");
         self.view.start_drain();
         text(StatusCode::Accepted, "draining\n".to_owned())
     }
--- a/crates/router/src/operations/view.rs
+++ b/crates/router/src/operations/view.rs
@@ -65,6 +65,7 @@
     /// Whether the router takes new work.
     fn readiness(&self) -> Readiness;
 
-    /// Starts a planned stop; a second call changes nothing.
+    /// Starts a planned stop and writes the event; a second call changes
+    /// nothing.
     fn start_drain(&self);
 }
