Look only at the services that select a back end

A load report or a session's change visited every service of its namespace. An index from back ends to the services that select them leaves one visit for each service concerned, held by a test that counts operations: with 500 other services in the namespace, 1 service and 1 back end are visited.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -22,6 +22,7 @@
 mod merge;
 mod observe;
 mod planner;
+mod selection;
 mod service;
 mod settings;
 mod slice_changes;
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -1,11 +1,10 @@
 //! Smoothing of the load that back ends report.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use threadledge_types::session::{LoadReport, SliceRate};
-use threadledge_types::{BackEndId, Point, ServiceId, Timestamp};
+use threadledge_types::{BackEndId, Point, Timestamp};
 
 use crate::planner::Planner;
 use crate::service::ServiceState;
@@ -34,24 +33,20 @@
         if factor <= 0.0 {
             return;
         }
-        let start = ServiceId::new(&back_end.namespace, "");
-        let mut affected = Vec::new();
-        for (id, state) in self.services.range_mut::<ServiceId, _>(start..) {
-            if id.namespace != back_end.namespace {
-                break;
+        for id in self.selection.services_of(back_end) {
+            self.work.services += 1;
+            let Some(state) = self.services.get_mut(&id) else {
+                continue;
+            };
+            if !state.holdings.contains_key(back_end) {
+                continue;
             }
-            if state.holdings.contains_key(back_end) {
-                affected.push(Arc::clone(id));
-                state.note_report(back_end, self.now);
-                let smoothing = Smoothing::of(state, factor);
-                let reported = take_rates(state, back_end, report, smoothing);
-                let silent_before = self.now - self.settings.report_lag;
-                fade(state, back_end, &reported, smoothing, silent_before);
-            }
-        }
-        for id in affected {
-            let at = self.now + self.settings.check_interval;
-            self.schedule_check(&id, at);
+            state.note_report(back_end, self.now);
+            let smoothing = Smoothing::of(state, factor);
+            let reported = take_rates(state, back_end, report, smoothing);
+            let silent_before = self.now - self.settings.report_lag;
+            fade(state, back_end, &reported, smoothing, silent_before);
+            self.schedule_check(&id, self.now + self.settings.check_interval);
         }
     }
 }
--- a/crates/placement/src/observe.rs
+++ b/crates/placement/src/observe.rs
@@ -16,11 +16,11 @@
             RecordChange::ServiceRemoved(id) => self.forget_service(id),
             RecordChange::BackEnd(record) => {
                 self.directory.put_record(record.clone());
-                self.refresh_back_end(&record.id);
+                self.select_again(&record.id);
             }
             RecordChange::BackEndRemoved(id) => {
                 self.directory.remove_record(id);
-                self.refresh_back_end(id);
+                self.select_again(id);
             }
             RecordChange::Session(session) => {
                 self.directory.put_session(session, self.now);
@@ -63,29 +63,50 @@
     }
 
     /// Evaluates one service's selector against the back ends of its
-    /// namespace, and against those that hold its slices.
+    /// namespace.
     fn refresh_service(&mut self, id: &ServiceId) {
         let Some(state) = self.services.get_mut(id) else {
             return;
         };
+        let shared = Arc::clone(&state.id);
         for entry in self.directory.in_namespace(&id.namespace) {
             self.work.back_ends += 1;
+            self.selection.set(&entry.id, &shared, state.selects(entry));
             state.refresh_receiver(&entry.id, Some(entry));
         }
     }
 
     /// Evaluates the selectors of one namespace against one back end.
-    fn refresh_back_end(&mut self, id: &BackEndId) {
+    fn select_again(&mut self, id: &BackEndId) {
         let start = ServiceId::new(&id.namespace, "");
-        let mut affected = Vec::new();
+        let before = self.selection.services_of(id);
         let entry = self.directory.get(id);
-        for (service, state) in self.services.range_mut::<ServiceId, _>(start..) {
+        for (service, state) in self.services.range::<ServiceId, _>(start..) {
             if service.namespace != id.namespace {
                 break;
             }
             self.work.back_ends += 1;
-            if state.refresh_receiver(id, entry) {
-                affected.push(Arc::clone(service));
+            let selected = entry.is_some_and(|entry| state.selects(entry));
+            self.selection.set(id, service, selected);
+        }
+        self.refresh_receivers(id, before);
+        self.refresh_back_end(id);
+    }
+
+    /// Evaluates one back end again in the services that select it.
+    fn refresh_back_end(&mut self, id: &BackEndId) {
+        let selecting = self.selection.services_of(id);
+        self.refresh_receivers(id, selecting);
+    }
+
+    fn refresh_receivers(&mut self, id: &BackEndId, services: Vec<Arc<ServiceId>>) {
+        let entry = self.directory.get(id);
+        let mut affected = Vec::new();
+        for service in services {
+            self.work.back_ends += 1;
+            let state = self.services.get_mut(&service);
+            if state.is_some_and(|state| state.refresh_receiver(id, entry)) {
+                affected.push(service);
             }
         }
         for service in affected {
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::balance::check_balance;
 use crate::directory::Directory;
 use crate::evacuate::{cancel_stranded, evacuate};
+use crate::selection::Selection;
 use crate::service::ServiceState;
 use crate::settings::PlannerSettings;
 use crate::work::WorkCounters;
@@ -20,6 +21,7 @@
     pub(crate) settings: PlannerSettings,
     pub(crate) services: BTreeMap<Arc<ServiceId>, ServiceState>,
     pub(crate) directory: Directory,
+    pub(crate) selection: Selection,
     /// Latest time seen.
     pub(crate) now: Timestamp,
     /// Services in which something changed since they were last planned.
@@ -69,6 +71,7 @@
             settings,
             services: BTreeMap::new(),
             directory: Directory::default(),
+            selection: Selection::default(),
             now: Timestamp::ZERO,
             dirty: BTreeSet::new(),
             checks: BTreeSet::new(),
@@ -173,6 +176,7 @@
         if let Some(at) = state.balance.next_check {
             self.checks.remove(&(at, Arc::clone(&id)));
         }
+        self.selection.remove_service(&id);
         self.dirty.remove(&id);
     }
 
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -75,7 +75,7 @@
 
     /// Whether the selector matches the back end. A service selects only
     /// within its own namespace, so that partners never mix.
-    fn selects(&self, entry: &Entry) -> bool {
+    pub(crate) fn selects(&self, entry: &Entry) -> bool {
         let Some(record) = &entry.record else {
             return false;
         };
--- a/crates/placement/tests/incremental_cost.rs
+++ b/crates/placement/tests/incremental_cost.rs
@@ -92,6 +92,23 @@
     assert!(work.services <= 6, "{work:?}");
 }
 
+#[test]
+fn what_concerns_one_back_end_costs_nothing_for_other_services() {
+    let mut model = settled(100);
+    for number in 0..500 {
+        let service = ServiceId::new("hearts", format!("service-{number}"));
+        model.service(&service, 1, PlacementPolicy::default());
+    }
+    model.plan(MANY);
+    let before = model.planner.work();
+    let report = threadledge_types::session::LoadReport::default();
+    model.planner.observe_load(model.now, &back_end(0), &report);
+    model.drain(&back_end(0));
+    let after = model.planner.work();
+    assert_eq!(after.services - before.services, 1);
+    assert_eq!(after.back_ends - before.back_ends, 1);
+}
+
 #[test]
 fn plan_without_change_does_nothing() {
     let mut model = settled(1_000);
