--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -58,7 +58,8 @@
 
     fn take_entries(&mut self, append: Append<C>) -> AppendOutcome {
         if append.previous_index < self.commit_index {
-            // An old message: what is committed agrees with every leader.
+            // An old message: what is committed agrees with every leader, and
+            // is never overwritten.
             return AppendOutcome::Accepted {
                 match_index: self.commit_index,
             };
@@ -90,10 +91,8 @@
         if self.log.term_at(entry.index) == Some(entry.term) {
             return true;
         }
-        if entry.index <= self.commit_index {
-            // Never overwrites what is committed.
-            return false;
-        }
+        // `take_entries` compares only from the commit index on.
+        debug_assert!(entry.index > self.commit_index);
         if self.log.last_index() >= entry.index {
             self.log.truncate_from(entry.index);
         }
--- a/crates/consensus/tests/consensus/arbitrary_input.rs
+++ b/crates/consensus/tests/consensus/arbitrary_input.rs
@@ -28,7 +28,7 @@
 }
 
 fn body(input: &mut Unstructured<'_>) -> Result<Body<u64, Digest>> {
-    let time = Timestamp::from_millis(number(input)?);
+    let time = Timestamp::from_micros(input.arbitrary()?);
     Ok(match input.arbitrary::<u8>()? % 11 {
         0 => Body::VoteRequest {
             campaign_term: number(input)?,
@@ -97,7 +97,11 @@
         let message = TestMessage {
             group: GroupId(0),
             generation: Generation(1),
-            term: number(input)?,
+            term: if input.arbitrary()? {
+                node.term()
+            } else {
+                number(input)?
+            },
             sender,
             body: body(input)?,
         };
@@ -109,6 +113,11 @@
         if node.term() == vote.0 && vote.1.is_some() {
             assert_eq!(node.voted_for(), vote.1, "voted twice");
         }
+        let longest = now + node.settings().timing.leader_lease();
+        assert!(
+            node.leader_lease_until() <= longest,
+            "lease from the future"
+        );
         vote = (node.term(), node.voted_for());
         commit_index = node.commit_index();
     }
--- a/crates/consensus/tests/consensus/cluster.rs
+++ b/crates/consensus/tests/consensus/cluster.rs
@@ -72,12 +72,16 @@
     pub drop: u64,
     pub duplicate: u64,
     pub longest_delay: u64,
+    /// Inputs after which the owner does not ask for what to carry out, but
+    /// only after a later one.
+    pub late_ready: u64,
 }
 
 const RELIABLE: Faults = Faults {
     drop: 0,
     duplicate: 0,
     longest_delay: 2 * MILLISECOND,
+    late_ready: 0,
 };
 const SHORTEST_DELAY: u64 = 500;
 
@@ -191,7 +195,10 @@
         let process = self.processes.get_mut(&id).expect("a running process");
         let clock = process.clock(now);
         let result = act(&mut process.node, clock);
-        self.settle(id);
+        process.plan_wakeup(now);
+        if self.draw(1_000) >= self.faults.late_ready {
+            self.settle(id);
+        }
         result
     }
 
--- a/crates/consensus/tests/consensus/elections.rs
+++ b/crates/consensus/tests/consensus/elections.rs
@@ -1,6 +1,6 @@
 //! Elections.
 
-use threadledge_consensus::Role;
+use threadledge_consensus::{Body, Message, Role};
 
 use crate::cluster::{Cluster, SECOND};
 
@@ -31,3 +31,48 @@
         assert_ne!(process.node.role(), Role::Learner);
     }
 }
+
+#[test]
+fn votes_of_another_campaign_do_not_count() {
+    let mut cluster = Cluster::with_voters(3, 3);
+    let old = cluster.leader_id().expect("a leader");
+    cluster.lose = Some(|it| {
+        matches!(
+            it.body,
+            Body::VoteResponse {
+                pre_vote: false,
+                ..
+            }
+        )
+    });
+    cluster.kill(old);
+    cluster.run_until(5 * SECOND, |cluster| {
+        let mut nodes = cluster.processes.values().map(|it| &it.node);
+        nodes.any(|node| node.role() == Role::Candidate)
+    });
+    let mut candidates = cluster.processes.values();
+    let candidate = candidates.find(|it| it.node.role() == Role::Candidate);
+    let candidate = candidate.expect("a candidate");
+    let mut node = candidate.node.clone();
+    let now = candidate.clock(cluster.now);
+    let id = node.identity().id;
+    let mut voters = node.members().voters.values();
+    let other = voters.find(|it| it.id != old && it.id != id);
+    let other = other.expect("another voter").clone();
+    for (campaign_term, pre_vote) in [(node.term() - 1, false), (node.term(), true)] {
+        let vote = Message {
+            group: node.settings().group,
+            generation: node.generation(),
+            term: node.term(),
+            sender: other.clone(),
+            body: Body::VoteResponse {
+                campaign_term,
+                pre_vote,
+                granted: true,
+            },
+        };
+        let term = node.term();
+        node.step(now, other.id, vote);
+        assert_eq!((node.role(), node.term()), (Role::Candidate, term));
+    }
+}
--- a/crates/consensus/tests/consensus/explorer.rs
+++ b/crates/consensus/tests/consensus/explorer.rs
@@ -86,6 +86,17 @@
         world
     }
 
+    /// Lets the leader step down, so that all three nodes may vote.
+    fn without_leader(mut self) -> Self {
+        let mut newer = self.timeout_now(0);
+        newer.sender = identity(2);
+        newer.term += 1;
+        newer.body = Body::StaleTerm;
+        self.node(0).step(NOW, RouterId(2), newer);
+        self.settle(0);
+        self
+    }
+
     fn change_and_settle(&mut self, change: MemberChange) {
         self.node(0)
             .propose_member_change(NOW, change)
@@ -267,6 +278,22 @@
     assert_eq!(leaders, 2);
 }
 
+/// A late answer to a pre-vote must not count as a vote.
+#[test]
+fn every_order_of_a_pre_vote_and_a_rival_election_is_safe() {
+    let budget = Budget {
+        timeouts: 1,
+        campaigns: 1,
+        duplicates: 0,
+        proposals: 0,
+        changes: Vec::new(),
+    };
+    let start = World::new(3, budget).without_leader();
+    let (states, leaders) = explore(start, 8);
+    assert!(states > 5_000, "only {states} states");
+    assert_eq!(leaders, 3);
+}
+
 #[test]
 fn every_order_of_two_elections_and_a_commit_is_safe() {
     let budget = Budget {
--- a/crates/consensus/tests/consensus/leases.rs
+++ b/crates/consensus/tests/consensus/leases.rs
@@ -110,6 +110,14 @@
         let campaigns = node.next_wakeup(later) >= later + cluster.settings.timing.election_min();
         assert_eq!(campaigns, !pre_vote, "a vote given puts campaigning off");
     }
+    for pre_vote in [true, false] {
+        let mut shorter = vote_request(50, pre_vote, true);
+        if let Body::VoteRequest { last_term, .. } = &mut shorter.body {
+            *last_term = 0;
+        }
+        let mut node = process.node.clone();
+        assert!(!grants(&mut node, later, shorter), "log does not cover");
+    }
     let mut node = process.node.clone();
     assert!(grants(&mut node, now, vote_request(50, false, true)));
     let other = Message {
--- a/crates/consensus/tests/consensus/members.rs
+++ b/crates/consensus/tests/consensus/members.rs
@@ -119,6 +119,15 @@
     assert_eq!(cluster.leader().term(), term);
 }
 
+#[test]
+fn member_that_is_removed_is_told_at_once() {
+    let mut cluster = Cluster::with_voters(11, 3);
+    let id = followers(&cluster)[0];
+    cluster.change(MemberChange::Remove(id));
+    cluster.run(20 * MILLISECOND);
+    assert_eq!(cluster.node(id).role(), Role::Removed);
+}
+
 #[test]
 fn leader_that_removes_itself_steps_down_after_commit_and_another_leads() {
     let mut cluster = Cluster::with_voters(7, 3);
--- a/crates/consensus/tests/consensus/replication.rs
+++ b/crates/consensus/tests/consensus/replication.rs
@@ -76,6 +76,17 @@
     assert!(node.propose(now, 0).is_ok());
 }
 
+#[test]
+fn log_is_not_compacted_beyond_what_was_handed_out() {
+    let mut cluster = Cluster::with_voters(14, 3);
+    let leader = cluster.leader_id().expect("a leader");
+    let index = cluster.propose(1);
+    let node = &mut cluster.processes.get_mut(&leader).expect("the leader").node;
+    let before = node.log().snapshot().index;
+    node.compact(Default::default(), index);
+    assert_eq!(node.log().snapshot().index, before);
+}
+
 #[test]
 fn follower_that_lags_behind_the_log_receives_a_snapshot() {
     let mut cluster = Cluster::with_voters(4, 3);
--- a/crates/consensus/tests/consensus/schedules.rs
+++ b/crates/consensus/tests/consensus/schedules.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use threadledge_consensus::{MemberChange, Members};
+use threadledge_consensus::{MemberChange, Members, Role};
 use threadledge_types::{Generation, RouterId};
 
 use crate::cluster::{Cluster, Faults, MILLISECOND, SECOND, identity};
@@ -75,6 +75,7 @@
                     drop: cluster.draw(300),
                     duplicate: cluster.draw(200),
                     longest_delay: 1 + cluster.draw(300 * MILLISECOND),
+                    late_ready: cluster.draw(500),
                 };
             }
             14 | 15 => cluster.heal(),
@@ -162,6 +163,9 @@
         for id in members.voters.keys() {
             if let Some(process) = self.cluster.processes.get(id) {
                 assert!(process.node.commit_index() >= index, "{id} lags");
+                let leads = Some(*id) == self.cluster.leader_id();
+                let role = if leads { Role::Leader } else { Role::Follower };
+                assert_eq!(process.node.role(), role, "{id}");
             }
         }
     }
--- a/crates/consensus/tests/consensus/transfers.rs
+++ b/crates/consensus/tests/consensus/transfers.rs
@@ -86,6 +86,19 @@
     assert!(cluster.leader().term() > term);
 }
 
+#[test]
+fn voter_that_has_most_of_the_log_is_chosen() {
+    for lagging in 0..2 {
+        let mut cluster = Cluster::with_voters(8, 3);
+        let followers: Vec<RouterId> = cluster.leader().progress().map(|it| it.0).collect();
+        cluster.isolate(&[followers[lagging]]);
+        cluster.propose(1);
+        cluster.run(20 * MILLISECOND);
+        let (_, target) = transfer(&mut cluster);
+        assert_eq!(target, followers[1 - lagging]);
+    }
+}
+
 #[test]
 fn transfer_without_another_voter_is_refused() {
     let mut cluster = Cluster::new(5);
