Give a withheld slice back when its owner may keep it after all

Change: a withheld slice that need not leave any more goes back, unless its end was proposed, which is then seen through. A changed service looks again at its withheld slices too.

--- a/crates/ownership/src/grantor/handover.rs
+++ b/crates/ownership/src/grantor/handover.rs
@@ -1,10 +1,11 @@
 //! Which slices are in whose holdings, and when they shall leave them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use threadledge_types::records::{SliceKey, SliceRecord};
 use threadledge_types::session::Grant;
-use threadledge_types::{BackEndId, ServiceId, Timestamp};
+use threadledge_types::{BackEndId, Point, ServiceId, Timestamp};
 
 use super::release::Withheld;
 use super::{Grantor, Observation};
@@ -26,14 +27,23 @@
         }
     }
 
-    /// Looks again at the slices of a service that their owners shall give up.
-    pub(super) fn review_misplaced(
+    /// Looks again at the slices of a service that leave their owners, or
+    /// shall.
+    pub(super) fn review_leaving(
         &mut self,
         now: Timestamp,
         id: &ServiceId,
         machine: &StateMachine,
     ) {
-        for key in machine.misplaced_of(id) {
+        let start = SliceKey {
+            service: id.clone(),
+            first: Point(0),
+        };
+        let withheld = self.withheld.range(start..).map(|(key, _)| key);
+        let withheld = withheld.take_while(|key| key.service == *id);
+        let mut keys: BTreeSet<SliceKey> = withheld.cloned().collect();
+        keys.extend(machine.misplaced_of(id).cloned());
+        for key in &keys {
             self.review(now, key, machine);
         }
     }
@@ -41,7 +51,6 @@
     /// Looks at one slice again: who shall hold it, and whether its owner
     /// shall let it go.
     pub(super) fn review(&mut self, now: Timestamp, key: &SliceKey, machine: &StateMachine) {
-        self.drop_void(key, machine);
         let record = machine.slice(key);
         let waits = record
             .as_ref()
@@ -49,6 +58,7 @@
         if !waits {
             self.waiting.remove(key);
         }
+        self.drop_void(key, waits, machine);
         let owned = record.filter(|record| record.owner.is_some());
         let Some(record) = owned else {
             self.place(key, None);
@@ -56,16 +66,23 @@
         };
         self.place(key, self.receiver(key, &record));
         self.ask_to_prepare(&record);
-        if waits {
+        if self.withheld.contains_key(key) {
+            self.propose_end(now, key, &record, machine);
+        } else if waits {
             self.review_waiting(now, key, &record, machine);
         }
     }
 
     /// A withheld slice that changed in the log is judged afresh: what was
-    /// proposed about it before cannot take effect any more.
-    fn drop_void(&mut self, key: &SliceKey, machine: &StateMachine) {
+    /// proposed about it before cannot take effect any more. One that need not
+    /// leave any more goes back to its owner unless its end was proposed:
+    /// that may take effect at any time.
+    fn drop_void(&mut self, key: &SliceKey, waits: bool, machine: &StateMachine) {
         let present = machine.slice_revision(key);
-        let void = |withheld: &Withheld| Some(withheld.revision) != present;
+        let void = |withheld: &Withheld| {
+            let needless = !waits && withheld.proposed_at.is_none();
+            needless || Some(withheld.revision) != present
+        };
         if !self.withheld.get(key).is_some_and(void) {
             return;
         }
@@ -160,10 +177,6 @@
         record: &SliceRecord,
         machine: &StateMachine,
     ) {
-        if self.withheld.contains_key(key) {
-            self.propose_end(now, key, record, machine);
-            return;
-        }
         let Some(revision) = machine.slice_revision(key) else {
             return;
         };
--- a/crates/ownership/src/grantor/mod.rs
+++ b/crates/ownership/src/grantor/mod.rs
@@ -232,9 +232,9 @@
                 RecordChange::Slice(record) => self.review(now, &record.key(), machine),
                 RecordChange::SliceRemoved(key) => self.review(now, key, machine),
                 RecordChange::Service(record) => {
-                    self.review_misplaced(now, &record.id, machine);
+                    self.review_leaving(now, &record.id, machine);
                 }
-                RecordChange::ServiceRemoved(id) => self.review_misplaced(now, id, machine),
+                RecordChange::ServiceRemoved(id) => self.review_leaving(now, id, machine),
             }
         }
     }
