--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -1,20 +1,19 @@
 //! The copy of a group's records as the data path needs it.
 
+mod apply;
 mod effects;
 mod route;
 mod services;
 mod sessions;
 mod slices;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use threadledge_types::objects::Priority;
-use threadledge_types::records::{RecordChange, RecordDelta, SliceKey, SliceRecord};
+use threadledge_types::records::RecordDelta;
 use threadledge_types::{
-    BackEndId, Epoch, GroupId, Incarnation, NotRunReason, Point, Revision, ServiceId, SessionId,
-    hash_key,
+    BackEndId, Epoch, GroupId, Incarnation, NotRunReason, Point, Revision, ServiceId, hash_key,
 };
 
 use crate::head::RequestHead;
@@ -216,141 +215,4 @@
     pub(crate) fn sessions(&self) -> &Sessions {
         &self.sessions
     }
-
-    fn check(&self, delta: &RecordDelta) -> Result<(), ApplyError> {
-        let have = self.revision;
-        if let Some(group) = self.group.filter(|group| *group != delta.group) {
-            return Err(ApplyError::OtherGroup {
-                have: group,
-                got: delta.group,
-            });
-        }
-        // Invariant: a router never goes back to a lower revision.
-        if delta.to < have {
-            return Err(ApplyError::Older { have, to: delta.to });
-        }
-        if !delta.full && delta.from != have {
-            return Err(ApplyError::Gap {
-                have,
-                from: delta.from,
-            });
-        }
-        Ok(())
-    }
-
-    fn apply_changes(&mut self, changes: &[RecordChange], effects: &mut Effects) {
-        for change in changes {
-            self.apply_change(change, effects);
-        }
-    }
-
-    fn apply_change(&mut self, change: &RecordChange, effects: &mut Effects) {
-        match change {
-            RecordChange::Service(record) => {
-                self.services.set(&record.id, &record.spec);
-            }
-            RecordChange::ServiceRemoved(id) => self.remove_service(id, effects),
-            RecordChange::BackEnd(record) => {
-                let index = self.sessions.set_back_end(&record.id, record.spec.clone());
-                effects.back_end(index);
-            }
-            RecordChange::BackEndRemoved(id) => self.remove_back_end(id, effects),
-            RecordChange::Session(record) => {
-                let index = self.sessions.open_session(&record.id, record.draining);
-                effects.back_end(index);
-            }
-            RecordChange::SessionRemoved(id) => self.remove_session(id, effects),
-            RecordChange::Slice(record) => self.set_slice(record, effects),
-            RecordChange::SliceRemoved(key) => self.remove_slice(key, effects),
-        }
-    }
-
-    fn set_slice(&mut self, record: &SliceRecord, effects: &mut Effects) {
-        let owner = record.owner.as_ref().map(|id| self.sessions.retain(id));
-        let (service, slices) = self.services.slices_of(&record.service);
-        let earlier = slices.insert(record.slice, owner, record.epoch);
-        if let Some(earlier) = earlier {
-            self.sessions.release(earlier);
-        }
-        effects.slice(service, record.slice);
-    }
-
-    fn remove_slice(&mut self, key: &SliceKey, effects: &mut Effects) {
-        let (service, slices) = self.services.slices_of(&key.service);
-        let Some((slice, owner)) = slices.remove(key.first) else {
-            return;
-        };
-        if let Some(owner) = owner {
-            self.sessions.release(owner);
-        }
-        effects.slice(service, slice);
-    }
-
-    fn remove_service(&mut self, id: &ServiceId, effects: &mut Effects) {
-        let Some((index, entry)) = self.services.remove(id) else {
-            return;
-        };
-        for owner in entry.slices.owners() {
-            self.sessions.release(owner);
-        }
-        effects.service(index);
-    }
-
-    fn remove_back_end(&mut self, id: &BackEndId, effects: &mut Effects) {
-        if let Some(index) = self.sessions.remove_back_end(id) {
-            effects.back_end(index);
-        }
-    }
-
-    fn remove_session(&mut self, id: &SessionId, effects: &mut Effects) {
-        if let Some(index) = self.sessions.close_session(id) {
-            effects.back_end(index);
-        }
-    }
-
-    /// Brings the copy to the state that `changes` describe whole. Services,
-    /// back ends and sessions that stay keep their numbers.
-    fn replace(&mut self, changes: &[RecordChange], effects: &mut Effects) {
-        let gone = self.unmentioned(changes);
-        let earlier = self.services.take_slices();
-        self.apply_changes(changes, effects);
-        for slices in earlier {
-            for owner in slices.owners() {
-                self.sessions.release(owner);
-            }
-        }
-        self.apply_changes(&gone, effects);
-    }
-
-    /// Removals of everything that `changes` do not mention.
-    fn unmentioned(&self, changes: &[RecordChange]) -> Vec<RecordChange> {
-        let mut services = BTreeSet::new();
-        let mut back_ends = BTreeSet::new();
-        let mut sessions = BTreeSet::new();
-        for change in changes {
-            match change {
-                RecordChange::Service(record) => drop(services.insert(&record.id)),
-                RecordChange::BackEnd(record) => drop(back_ends.insert(&record.id)),
-                RecordChange::Session(record) => drop(sessions.insert(&record.id)),
-                _ => {}
-            }
-        }
-        let mut gone = Vec::new();
-        for id in self.services.ids() {
-            if !services.contains(&*id) {
-                gone.push(RecordChange::ServiceRemoved(ServiceId::clone(&id)));
-            }
-        }
-        for id in self.sessions.open_sessions() {
-            if !sessions.contains(&id) {
-                gone.push(RecordChange::SessionRemoved(id));
-            }
-        }
-        for (_, entry) in self.sessions.recorded_back_ends() {
-            if !back_ends.contains(&*entry.id) {
-                gone.push(RecordChange::BackEndRemoved(BackEndId::clone(&entry.id)));
-            }
-        }
-        gone
-    }
 }
--- a/crates/routing/tests/common/world.rs
+++ b/crates/routing/tests/common/world.rs
@@ -2,6 +2,8 @@
 //! fail in every way, and records that change. It drives the dispatcher as a
 //! shell does, knows the truth about what ran, and checks every promise.
 
+mod records;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use threadledge_routing::backoff::mix;
@@ -9,10 +11,10 @@
     Attempt, AttemptEvent, AttemptFailure, AttemptNumber, Dispatcher, ExchangeId, Finish,
     RequestHead, SendDecision, Settings, Step,
 };
-use threadledge_types::objects::{Priority, RouteRule};
+use threadledge_types::objects::Priority;
 use threadledge_types::records::RecordChange;
 use threadledge_types::session::Refusal;
-use threadledge_types::{Outcome, Point, Slice, Timestamp};
+use threadledge_types::{Outcome, Timestamp};
 
 use super::*;
 
@@ -154,22 +156,6 @@
         self.now = self.now.max(end);
     }
 
-    /// A slice moves, a back end restarts, drains or is lost.
-    pub fn disturb(&mut self) {
-        if self.draw(100) >= self.faults.records {
-            return;
-        }
-        let service = self.draw(2) as usize;
-        let choices: &[usize] = if service == 0 { &[0, 1] } else { &[2] };
-        let back_end = choices[self.draw(choices.len() as u64) as usize];
-        let number = self.draw(u64::from(SLICES)) as u32;
-        match self.draw(4) {
-            0 => self.restart(back_end),
-            1 => self.assign(service, number, None),
-            _ => self.assign(service, number, Some(back_end)),
-        }
-    }
-
     /// Every exchange has ended in the way it may.
     pub fn check_ends(&self) {
         for (id, known) in &self.known {
@@ -199,27 +185,6 @@
         ended.count()
     }
 
-    fn first_records(&mut self) -> Vec<RecordChange> {
-        let mut changes = Vec::new();
-        for name in BACK_ENDS {
-            changes.push(back_end(name, 2, CONNECTIONS));
-            changes.push(session(name, 1, false));
-        }
-        for (service_number, (name, host)) in SERVICES.into_iter().enumerate() {
-            changes.push(service(name, host, routes()));
-            for (number, part) in (0..).zip(Slice::divide(SLICES)) {
-                let owner = if service_number == 1 {
-                    2
-                } else {
-                    number as usize % 2
-                };
-                self.owners.insert((service_number, number), (owner, 1, 1));
-                changes.push(slice(name, part, Some((BACK_ENDS[owner], 1)), 1));
-            }
-        }
-        changes
-    }
-
     fn schedule(&mut self, after_micros: u64, event: Event) {
         self.numbered += 1;
         let time = self.now + std::time::Duration::from_micros(after_micros);
@@ -398,73 +363,6 @@
         self.dispatcher.on_event(self.now, id, number, event);
         self.poll(id);
     }
-
-    fn is_owner(&self, attempt: &Attempt) -> bool {
-        let service = usize::from(attempt.service.namespace == "b");
-        let number = slice_number(attempt.point);
-        let (back_end, life, epoch) = self.owners[&(service, number)];
-        BACK_ENDS[back_end] == attempt.back_end.to_string()
-            && self.lives[back_end] == life
-            && attempt.incarnation.0 == life
-            && attempt.epoch.0.index == epoch
-    }
-
-    fn assign(&mut self, service: usize, number: u32, owner: Option<usize>) {
-        let part = Slice::divide(SLICES)[number as usize];
-        let epoch = self.numbered + 10;
-        let life = owner.map_or(0, |owner| self.lives[owner]);
-        let truth = (owner.unwrap_or(0), life, epoch);
-        self.owners.insert((service, number), truth);
-        let owner = owner.map(|owner| (BACK_ENDS[owner], life));
-        let change = slice(SERVICES[service].0, part, owner, epoch);
-        self.learn_records(vec![change]);
-    }
-
-    /// The process starts anew: it owns nothing until it is assigned again.
-    fn restart(&mut self, back_end: usize) {
-        let old = self.lives[back_end];
-        self.lives[back_end] += 1;
-        let name = BACK_ENDS[back_end];
-        self.learn_records(vec![
-            RecordChange::SessionRemoved(session_id(name, old)),
-            session(name, old + 1, false),
-        ]);
-        let owned: Vec<(usize, u32)> = self
-            .owners
-            .iter()
-            .filter(|(_, (owner, life, _))| *owner == back_end && *life == old)
-            .map(|(slice, _)| *slice)
-            .collect();
-        for (service, number) in owned {
-            self.assign(service, number, Some(back_end));
-        }
-    }
-
-    /// The router learns a little later than things happen.
-    fn learn_records(&mut self, changes: Vec<RecordChange>) {
-        self.schedule(20_000, Event::Records(changes));
-    }
-}
-
-fn routes() -> Vec<RouteRule> {
-    let critical = RouteRule {
-        priority: Priority::Critical,
-        may_queue: true,
-        ..route("critical", "/critical")
-    };
-    let background = RouteRule {
-        priority: Priority::Background,
-        may_queue: true,
-        deadline_ms: 10_000,
-        ..route("background", "/background")
-    };
-    vec![critical, background, route("normal", "/")]
-}
-
-fn slice_number(point: Point) -> u32 {
-    let slices = Slice::divide(SLICES);
-    let position = slices.iter().position(|part| part.contains(point));
-    position.expect("slices cover every point") as u32
 }
 
 fn check_outcome(id: ExchangeId, known: &Known, finish: &Finish) {
--- a/crates/routing/tests/exchanges.rs
+++ b/crates/routing/tests/exchanges.rs
@@ -234,6 +234,45 @@
     expect_send(&mut dispatcher, 3, id);
 }
 
+#[test]
+fn a_restarted_back_end_is_cold_and_ramped_up() {
+    let mut dispatcher = simple(3);
+    let restarted = vec![
+        RecordChange::SessionRemoved(session_id("a/one", 1)),
+        session("a/one", 2, false),
+        slice("a/s", Slice::ALL, Some(("a/one", 2)), 2),
+    ];
+    dispatcher.apply(at(0), &delta(1, restarted)).expect("fits");
+    let first = begin(&mut dispatcher, 0, "GET", "/queued");
+    expect_send(&mut dispatcher, 0, first);
+    let second = begin(&mut dispatcher, 1_000, "GET", "/queued");
+    assert_eq!(expect_wait(&mut dispatcher, 1_000, second), at(2_500));
+    expect_send(&mut dispatcher, 2_500, second);
+}
+
+#[test]
+fn a_back_end_that_ran_before_the_router_is_not_cold() {
+    let mut dispatcher = simple(3);
+    for _ in 0..3 {
+        let id = begin(&mut dispatcher, 0, "GET", "/queued");
+        expect_send(&mut dispatcher, 0, id);
+    }
+}
+
+#[test]
+fn more_routers_leave_each_fewer_slots_and_connections() {
+    let mut dispatcher = simple(3);
+    dispatcher.set_router_count(at(0), 40);
+    let first = begin(&mut dispatcher, 0, "GET", "/queued");
+    let attempt = expect_send(&mut dispatcher, 0, first);
+    assert_eq!(attempt.connection_limit, 2);
+    let second = begin(&mut dispatcher, 0, "GET", "/queued");
+    expect_wait(&mut dispatcher, 0, second);
+    dispatcher.set_router_count(at(1), 1);
+    assert_eq!(dispatcher.take_wakeups(), [second]);
+    expect_send(&mut dispatcher, 1, second);
+}
+
 #[test]
 fn slots_are_given_by_priority_and_freed_by_whatever_ends() {
     let mut dispatcher = simple(1);
