--- a/crates/router/tests/proxy/back_end.rs
+++ b/crates/router/tests/proxy/back_end.rs
@@ -26,6 +26,11 @@
     Bytes(Vec<u8>),
     /// Refuses it without running it.
     Refuse(&'static str),
+    /// Closes after the head, without reading the body: a reset for whoever
+    /// is still sending.
+    ResetAfterHead,
+    /// Refuses after the head, without reading the body, and closes.
+    RefuseAfterHead,
     /// Runs it and answers only when the connection's other end is gone.
     Never,
 }
@@ -135,7 +140,10 @@
             let answer = answer_to(&run.target);
             let sent = match behavior {
                 Behavior::Answer => self.send(&answer).await,
-                Behavior::CloseBefore | Behavior::CloseAfter => None,
+                Behavior::CloseBefore
+                | Behavior::CloseAfter
+                | Behavior::ResetAfterHead
+                | Behavior::RefuseAfterHead => None,
                 Behavior::Cut(length) => {
                     self.send(&answer[..length.min(answer.len())]).await;
                     None
@@ -168,6 +176,14 @@
         };
         let head: Vec<u8> = self.unread.drain(..end).collect();
         let head = String::from_utf8(head).unwrap();
+        let first = self.state.lock().script.front().cloned();
+        if let Some(Behavior::ResetAfterHead | Behavior::RefuseAfterHead) = first {
+            self.state.lock().script.pop_front();
+            if let Some(Behavior::RefuseAfterHead) = first {
+                self.send(refusal_of("overloaded").as_bytes()).await;
+            }
+            return None;
+        }
         let length = header(&head, "content-length");
         let length = length.map_or(0, |length| length.parse().unwrap());
         while self.unread.len() < length {
--- a/crates/router/tests/proxy/faults.rs
+++ b/crates/router/tests/proxy/faults.rs
@@ -120,6 +120,29 @@
     world.check(&answer, "/p?key=k", false);
 }
 
+#[async_std::test]
+async fn a_back_end_that_stops_reading_leads_to_no_wrong_outcome() {
+    let world = World::start().await;
+    let sizes = [0, 1_000, 30_000, 200_000, 2_000_000];
+    let cases = sizes.iter().flat_map(|size| {
+        [Behavior::ResetAfterHead, Behavior::RefuseAfterHead].map(|fault| (*size, fault))
+    });
+    for (number, (size, fault)) in cases.enumerate() {
+        let target = format!("/stops/{number}?key=k");
+        let resets = matches!(fault, Behavior::ResetAfterHead);
+        world.back_end.next(fault);
+        let body = vec![b'x'; size];
+        let answer = world.caller().await.post(&target, &body).await;
+        world.check(&answer, &target, false);
+        if resets {
+            assert_eq!(answer.outcome(), "unknown", "{target}: {answer:?}");
+        }
+        let after = format!("/after/{number}?key=k");
+        let answer = world.caller().await.get(&after).await;
+        world.check(&answer, &after, true);
+    }
+}
+
 #[async_std::test]
 async fn a_large_answer_cut_short_is_cut_short_for_the_caller_too() {
     let world = World::start().await;
