Test two refusals that nothing tested: wrong version, former address

Cause: trials that break one line at a time let two pass unnoticed: a holder that takes a confirmation of a version it does not hold, and a grantor that takes an answer from a back end's former address. Change: a test for each.

--- a/crates/ownership/tests/grantor/failures.rs
+++ b/crates/ownership/tests/grantor/failures.rs
@@ -1,6 +1,6 @@
 //! Back ends and leaders that crash, freeze, restart or wake up late.
 
-use threadledge_ownership::{Command, Holder, LeaderTerm, Observation};
+use threadledge_ownership::{Command, GrantorInput, Holder, LeaderTerm, Observation};
 use threadledge_types::session::{GrantsUpdate, Refusal};
 use threadledge_types::{Generation, Incarnation, Point, Revision, Timing};
 
@@ -219,6 +219,22 @@
     assert_eq!(record.owner, Some(session_id(&name(0), 1)));
 }
 
+#[test]
+fn an_answer_from_a_former_address_opens_no_session() {
+    let mut bench = Bench::settled(1, 1);
+    bench.commit(&put_back_end(back_end("late", 2, 70, "blue")));
+    let id = back_end_id("late");
+    let mut inquiries = bench.sent.iter().filter(|(_, sent)| sent.back_end == id);
+    let (_, inquiry) = inquiries.next().expect("it is asked").clone();
+    let mut former = Holder::new(id.clone(), Incarnation(1));
+    let response = Box::new(former.handle(at(bench.now), inquiry));
+    bench.commit(&put_back_end(back_end("late", 3, 71, "blue")));
+    let from = id.clone();
+    bench.step(GrantorInput::Response { from, response });
+    bench.run_for(1_000);
+    assert_eq!(bench.log.machine.session(&id), None);
+}
+
 #[test]
 fn a_holder_whose_answers_are_lost_keeps_its_slices_until_the_lease_is_over() {
     let mut bench = Bench::settled(2, 1);
@@ -278,7 +294,7 @@
             index += 1;
             let revision = Revision::new(Generation(2), index);
             let applied = bench.log.machine.apply(revision, &command);
-            let input = threadledge_ownership::GrantorInput::Applied(applied.changes);
+            let input = GrantorInput::Applied(applied.changes);
             bench.step(input);
         }
         let open = bench.log.machine.sessions().count();
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -214,6 +214,14 @@
     assert_eq!(pair.holder.lease_end(), Some(at(2_000)), "not renewed");
 }
 
+#[test]
+fn a_confirmation_of_a_version_not_held_renews_nothing() {
+    let mut pair = Pair::holding(vec![grant(0, 9, 3)], 0);
+    let response = pair.unchanged(1_000, 1_000, 2);
+    assert_eq!(response.version, Some(version(term(1), 1)));
+    assert_eq!(pair.holder.lease_end(), Some(at(2_000)));
+}
+
 #[test]
 fn a_grant_taken_away_is_releasing_until_its_work_ends() {
     let mut pair = Pair::holding(vec![grant(0, 9, 3)], 0);
