Bound the memory of held bodies, and answer "unknown" while nothing has left

Cause: held bodies had no common bound, 320 MB at 10,000 requests; and an answer whose body failed before its head had left closed the connection without a word. Change: held bodies share 16 MB, those for which nothing is left stream; a failure before the first byte becomes a typed unknown outcome.

--- a/crates/net/src/server/connection.rs
+++ b/crates/net/src/server/connection.rs
@@ -13,7 +13,7 @@
 use futures::io::AsyncWriteExt;
 use http_types::headers::{CONNECTION, CONTENT_LENGTH};
 use http_types::{Body, Method, Request, Response};
-use threadledge_types::NotRunReason;
+use threadledge_types::{NotRunReason, UnknownReason};
 
 use super::caller::Caller;
 use super::closing::{WriteProgress, linger};
@@ -49,7 +49,10 @@
 #[derive(Clone, Copy, Debug)]
 enum Interruption {
     HungUp,
+    /// The answer's body failed after some of the answer had left.
     Truncated,
+    /// The answer's body failed before any of the answer had left.
+    Unsent,
     Cut,
 }
 
@@ -57,7 +60,7 @@
     fn count(self) -> Count {
         match self {
             Interruption::HungUp => Count::HungUp,
-            Interruption::Truncated => Count::Truncated,
+            Interruption::Truncated | Interruption::Unsent => Count::Truncated,
             Interruption::Cut => Count::Cut,
         }
     }
@@ -179,8 +182,13 @@
             Err(interruption) => return self.end(interruption),
         };
         let (response, closes) = self.mark_close(response, closes, &mut caller);
-        if let Err(interruption) = self.send(response, method, &mut caller).await {
-            return self.end(interruption);
+        match self.send(response, method, &mut caller).await {
+            Ok(()) => {}
+            Err(Interruption::Unsent) => {
+                self.tell_failed(method, &mut caller).await;
+                return self.end(Interruption::Unsent);
+            }
+            Err(interruption) => return self.end(interruption),
         }
         caller.settle();
         match caller {
@@ -193,6 +201,16 @@
         }
     }
 
+    /// Tells the caller that its answer was lost, while there is still time
+    /// for a whole answer. The work behind may have been done.
+    async fn tell_failed(&mut self, method: Method, caller: &mut Caller) {
+        let detail = "the answer was cut short before any of it was passed on";
+        let mut response = refusal::unknown(UnknownReason::BadAnswer, detail);
+        response.insert_header(CONNECTION, "close");
+        // Whatever comes of it, the connection ends.
+        let _ = self.send(response, method, caller).await;
+    }
+
     fn end(&self, interruption: Interruption) -> Option<Wire> {
         self.guard.count(interruption.count());
         None
@@ -276,9 +294,12 @@
         poll_fn(|context| {
             match outgoing.poll_send(stream, context) {
                 Poll::Ready(Ok(())) => return Poll::Ready(Ok(())),
-                Poll::Ready(Err(SendFault::Source(_))) => {
+                Poll::Ready(Err(SendFault::Source(_))) if outgoing.any_written() => {
                     return Poll::Ready(Err(Interruption::Truncated));
                 }
+                Poll::Ready(Err(SendFault::Source(_))) => {
+                    return Poll::Ready(Err(Interruption::Unsent));
+                }
                 Poll::Ready(Err(SendFault::Stream(_))) => {
                     return Poll::Ready(Err(Interruption::HungUp));
                 }
--- a/crates/router/src/proxy/answer.rs
+++ b/crates/router/src/proxy/answer.rs
@@ -9,6 +9,7 @@
 use threadledge_routing::AttemptFailure;
 use threadledge_types::session::{REFUSAL_HEADER, REQUEST_ID_HEADER, Refusal};
 
+use super::budget::{Budget, Held};
 use super::headers;
 use super::stream::Prefixed;
 
@@ -55,6 +56,7 @@
     method: Method,
     request_id: &str,
     max_buffered: usize,
+    budget: &Budget,
 ) -> Said {
     // Invariant: no caller gets the answer to another's request. HTTP/1.1
     // pairs requests and answers by their order alone; a back end that echoes
@@ -78,7 +80,7 @@
         // Its length, if any, speaks of a body that does not follow.
         AnswerBody::Whole(body)
     } else {
-        match read_ahead(body, max_buffered).await {
+        match read_ahead(body, max_buffered, budget).await {
             Ok(body) => body,
             Err(error) => return Said::Failed(failure(&error)),
         }
@@ -105,9 +107,17 @@
         .now_or_never();
 }
 
-async fn read_ahead(mut body: Body, max_buffered: usize) -> io::Result<AnswerBody> {
+async fn read_ahead(
+    mut body: Body,
+    max_buffered: usize,
+    budget: &Budget,
+) -> io::Result<AnswerBody> {
     let length = body.len();
-    if length.is_some_and(|length| length > max_buffered) {
+    let wanted = length.unwrap_or(max_buffered);
+    let reservation = Some(wanted)
+        .filter(|wanted| *wanted <= max_buffered)
+        .and_then(|wanted| budget.reserve(wanted));
+    if reservation.is_none() {
         let body = Prefixed::new(Vec::new(), body);
         return Ok(AnswerBody::Streamed { body, length });
     }
@@ -115,7 +125,7 @@
     let limit = max_buffered as u64 + 1;
     (&mut body).take(limit).read_to_end(&mut start).await?;
     if start.len() <= max_buffered {
-        return Ok(AnswerBody::Whole(Body::from_bytes(start)));
+        return Ok(AnswerBody::Whole(Held::new(start, reservation).into_body()));
     }
     let body = Prefixed::new(start, body);
     Ok(AnswerBody::Streamed { body, length })
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -7,6 +7,7 @@
 use threadledge_routing::{Attempt, AttemptEvent, AttemptFailure, ExchangeId, SendDecision};
 
 use super::answer::{self, Answer, Said};
+use super::budget::Budget;
 use super::dispatch::Dispatch;
 use super::outbound::{Outbound, request_id_text};
 
@@ -30,6 +31,7 @@
 pub(super) struct Attempts {
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) pool: Pool,
+    pub(super) budget: Budget,
     pub(super) max_buffered_response: usize,
 }
 
@@ -65,8 +67,14 @@
             Err(error) => return AttemptOutcome::Ended(event_of(&error)),
         };
         let request_id = request_id_text(attempt.request_id);
-        let max_buffered = self.max_buffered_response;
-        match answer::read(response, outbound.method(), &request_id, max_buffered).await {
+        let said = answer::read(
+            response,
+            outbound.method(),
+            &request_id,
+            self.max_buffered_response,
+            &self.budget,
+        );
+        match said.await {
             Said::Refused(refusal) => AttemptOutcome::Ended(AttemptEvent::Refused(refusal)),
             Said::Failed(failure) => AttemptOutcome::Ended(AttemptEvent::Failed(failure)),
             Said::Answered(answer) => AttemptOutcome::Answered(answer),
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -10,6 +10,7 @@
 use threadledge_routing::{HeaderLookup, RequestHead};
 use threadledge_types::NotRunReason;
 
+use super::budget::{Budget, Held};
 use super::headers;
 use super::stream::Prefixed;
 
@@ -17,7 +18,7 @@
 #[derive(Debug)]
 pub(super) enum RequestBody {
     /// Held whole: it can be sent again.
-    Whole(Vec<u8>),
+    Whole(Held),
     /// Comes while it is sent: it can be sent once.
     Streamed(Body),
 }
@@ -36,13 +37,16 @@
     pub(super) async fn read(
         mut request: Request,
         max_buffered: usize,
+        budget: &Budget,
     ) -> Result<Inbound, (NotRunReason, String)> {
         if request.is_empty() == Some(true) {
-            let body = RequestBody::Whole(Vec::new());
+            let body = RequestBody::Whole(Held::new(Vec::new(), None));
             return Ok(Inbound { request, body });
         }
         let body = request.take_body_only();
-        let body = read_ahead(body, max_buffered).await.map_err(refused)?;
+        let body = read_ahead(body, max_buffered, budget)
+            .await
+            .map_err(refused)?;
         Ok(Inbound { request, body })
     }
 
@@ -72,16 +76,24 @@
     }
 }
 
-async fn read_ahead(mut body: Body, max_buffered: usize) -> io::Result<RequestBody> {
-    if body.len().is_some_and(|length| length > max_buffered) {
+async fn read_ahead(
+    mut body: Body,
+    max_buffered: usize,
+    budget: &Budget,
+) -> io::Result<RequestBody> {
+    let length = body.len();
+    let wanted = length.unwrap_or(max_buffered);
+    if wanted > max_buffered {
         return Ok(RequestBody::Streamed(body));
     }
-    let length = body.len();
+    let Some(reservation) = budget.reserve(wanted) else {
+        return Ok(RequestBody::Streamed(body));
+    };
     let mut start = Vec::with_capacity(length.unwrap_or(0));
     let limit = max_buffered as u64 + 1;
     (&mut body).take(limit).read_to_end(&mut start).await?;
     if start.len() <= max_buffered {
-        return Ok(RequestBody::Whole(start));
+        return Ok(RequestBody::Whole(Held::new(start, Some(reservation))));
     }
     let streamed = Prefixed::new(start, body);
     Ok(RequestBody::Streamed(Body::from_reader(streamed, length)))
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempt;
+mod budget;
 mod clock;
 mod dispatch;
 mod drive;
@@ -30,6 +31,7 @@
 use threadledge_types::records::RecordDelta;
 
 use attempt::Attempts;
+use budget::Budget;
 use dispatch::{Admission, Dispatch};
 use drive::Exchange;
 use inbound::Inbound;
@@ -59,6 +61,7 @@
     dispatch: Arc<Dispatch>,
     attempts: Attempts,
     observer: Observer,
+    budget: Budget,
     max_buffered_request: usize,
 }
 
@@ -74,15 +77,18 @@
     ) -> Proxy {
         let dispatcher = Dispatcher::new(settings.routing, settings.seed, clock.now());
         let dispatch = Arc::new(Dispatch::new(dispatcher, clock));
+        let budget = Budget::new(settings.max_buffered_total);
         let attempts = Attempts {
             dispatch: dispatch.clone(),
             pool: Pool::new(settings.pool),
+            budget: budget.clone(),
             max_buffered_response: settings.max_buffered_response,
         };
         let shared = Arc::new(Shared {
             dispatch,
             attempts,
             observer,
+            budget,
             max_buffered_request: settings.max_buffered_request,
         });
         let handler_shared = shared.clone();
@@ -137,7 +143,8 @@
 /// One request from its head to the head of its answer.
 async fn handle(shared: Arc<Shared>, request: Request) -> Response {
     let started = Instant::now();
-    let inbound = match Inbound::read(request, shared.max_buffered_request).await {
+    let read = Inbound::read(request, shared.max_buffered_request, &shared.budget);
+    let inbound = match read.await {
         Ok(inbound) => inbound,
         Err((reason, detail)) => {
             shared
--- a/crates/router/src/proxy/outbound.rs
+++ b/crates/router/src/proxy/outbound.rs
@@ -11,6 +11,7 @@
     DEADLINE_HEADER, EPOCH_HEADER, POINT_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER,
 };
 
+use super::budget::Held;
 use super::headers;
 use super::inbound::{Inbound, RequestBody};
 
@@ -23,7 +24,7 @@
 
 #[derive(Debug)]
 enum OutboundBody {
-    Whole(Vec<u8>),
+    Whole(Held),
     /// Taken by the attempt that sends it. Invariant: a body that streams is
     /// sent at most once.
     Once(Mutex<Option<Body>>),
@@ -35,7 +36,7 @@
         headers::strip(&mut template);
         template.remove_header(CONTENT_LENGTH);
         let body = match inbound.body {
-            RequestBody::Whole(bytes) => OutboundBody::Whole(bytes),
+            RequestBody::Whole(held) => OutboundBody::Whole(held),
             RequestBody::Streamed(body) => OutboundBody::Once(Mutex::new(Some(body))),
         };
         Outbound { template, body }
@@ -49,9 +50,9 @@
     pub(super) fn request(&self, attempt: &Attempt, deadline_left: Duration) -> Option<Request> {
         let mut request = self.template.clone();
         match &self.body {
-            OutboundBody::Whole(bytes) if bytes.is_empty() => {}
-            OutboundBody::Whole(bytes) => {
-                request.replace_body_only(Body::from_bytes(bytes.clone()));
+            OutboundBody::Whole(held) if held.bytes().is_empty() => {}
+            OutboundBody::Whole(held) => {
+                request.replace_body_only(Body::from_bytes(held.bytes().to_vec()));
             }
             OutboundBody::Once(body) => {
                 request.replace_body_only(body.lock().take()?);
--- a/crates/router/src/proxy/settings.rs
+++ b/crates/router/src/proxy/settings.rs
@@ -9,6 +9,9 @@
 /// Default of [`ProxySettings::max_buffered_response`].
 const DEFAULT_BUFFERED_RESPONSE: usize = 32 * 1024;
 
+/// Default of [`ProxySettings::max_buffered_total`].
+const DEFAULT_BUFFERED_TOTAL: usize = 16 * 1024 * 1024;
+
 /// Bounds of the data path.
 #[derive(Clone, Debug)]
 pub struct ProxySettings {
@@ -26,6 +29,9 @@
     /// on, in bytes, so that an answer cut short becomes a typed outcome.
     /// Larger ones stream; one cut short is cut short for the caller too.
     pub max_buffered_response: usize,
+    /// Bytes of bodies held at once, over all requests. Bodies for which
+    /// nothing is left stream, whatever their size.
+    pub max_buffered_total: usize,
     /// Drawn at random at process start.
     pub seed: u64,
 }
@@ -39,6 +45,7 @@
             routing: threadledge_routing::Settings::default(),
             max_buffered_request: DEFAULT_BUFFERED_REQUEST,
             max_buffered_response: DEFAULT_BUFFERED_RESPONSE,
+            max_buffered_total: DEFAULT_BUFFERED_TOTAL,
             seed,
         }
     }
--- a/crates/router/src/proxy/stream.rs
+++ b/crates/router/src/proxy/stream.rs
@@ -146,7 +146,8 @@
     }
 }
 
-fn poll_read_buffered<R: AsyncBufRead>(
+/// Reads through a reader's own buffer.
+pub(super) fn poll_read_buffered<R: AsyncBufRead>(
     mut reader: Pin<&mut R>,
     context: &mut Context<'_>,
     buffer: &mut [u8],
--- a/crates/router/tests/proxy/faults.rs
+++ b/crates/router/tests/proxy/faults.rs
@@ -3,7 +3,9 @@
 
 use futures::AsyncWriteExt;
 
-use crate::back_end::{Behavior, answer_to};
+use threadledge::proxy::ProxySettings;
+
+use crate::back_end::{BackEnd, Behavior, answer_to};
 use crate::world::{World, within};
 
 fn faults(target: &str) -> Vec<Behavior> {
@@ -120,6 +122,28 @@
     world.check(&answer, "/p?key=k", false);
 }
 
+#[async_std::test]
+async fn without_memory_left_bodies_stream_and_the_promises_hold() {
+    let mut settings = ProxySettings::with_seed(7);
+    settings.max_buffered_total = 0;
+    let world = World::start_with(BackEnd::start().await, settings).await;
+    world.back_end.next(Behavior::Refuse("overloaded"));
+    let answer = world.caller().await.post("/refused?key=k", b"body").await;
+    world.check(&answer, "/refused?key=k", false);
+    // What came once cannot be sent again.
+    assert_eq!(answer.outcome(), "not-run");
+    world
+        .back_end
+        .next(Behavior::Cut(answer_to("/cut?key=k").len() - 1));
+    let answer = world.caller().await.post("/cut?key=k", b"body").await;
+    world.check(&answer, "/cut?key=k", false);
+    assert_eq!(answer.outcome(), "unknown");
+    let answer = world.caller().await.post("/whole?key=k", b"body").await;
+    world.check(&answer, "/whole?key=k", false);
+    assert_eq!(answer.outcome(), "answered");
+    assert_eq!(world.handle.counters().answered, 1);
+}
+
 #[async_std::test]
 async fn a_back_end_that_stops_reading_leads_to_no_wrong_outcome() {
     let world = World::start().await;
