Test that a proposed release is seen through

Cause: a trial that gave a withheld slice back after its release was proposed passed every test, although the delayed release would have left two owners. Change: a test loses the proposal, makes the release needless, and expects the slice to stay withheld until the proposal commits; it fails with the rule broken.

--- a/crates/ownership/tests/grantor/handover.rs
+++ b/crates/ownership/tests/grantor/handover.rs
@@ -174,6 +174,26 @@
     }
 }
 
+#[test]
+fn a_release_that_was_proposed_is_seen_through_even_if_it_is_needless_by_then() {
+    let mut bench = Bench::settled(1, 1);
+    bench.places = false;
+    bench.loses_proposals = true;
+    let label = |version, pool| put_back_end(back_end(&name(0), version, 0, pool));
+    bench.commit(&label(2, "green"));
+    bench.run_for(1_500);
+    let release = |command: &Command| matches!(command, Command::Release { .. });
+    assert!(bench.proposed(release).is_some());
+    let proposed = bench.proposed.iter().map(|(_, command)| command);
+    let mut releases = proposed.filter(|command| release(command));
+    let delayed = releases.next().expect("proposed").clone();
+    bench.commit(&label(3, "blue"));
+    bench.run_for(1_000);
+    assert_eq!(bench.servers_of(KEY), Vec::new(), "it may yet commit");
+    bench.commit(&delayed);
+    assert_eq!(first_slice(&bench).owner, None);
+}
+
 #[test]
 fn a_draining_process_without_a_session_gets_none() {
     let mut bench = Bench::new(1, 1);
