--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 pub mod client;
+mod client_error;
 pub mod convert;
 mod framing;
 mod head;
--- a/crates/net/src/server/connection.rs
+++ b/crates/net/src/server/connection.rs
@@ -5,25 +5,22 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::Instant;
 
 use async_std::net::TcpStream;
 use futures::FutureExt;
-use futures::channel::oneshot;
 use futures::io::AsyncWriteExt;
-use http_types::headers::{CONNECTION, CONTENT_LENGTH};
-use http_types::{Body, Method, Request, Response};
+use http_types::headers::CONNECTION;
+use http_types::{Method, Request, Response};
 use threadledge_types::{NotRunReason, UnknownReason};
 
+use super::attach::attach_body;
 use super::caller::Caller;
 use super::closing::{WriteProgress, linger};
 use super::limits::ServerLimits;
 use super::report::{ConnectionGuard, ConnectionInfo, Count};
 use super::request::{self, RequestFault, RequestHead};
 use super::respond::ResponseBytes;
-use crate::body::{BodyReader, Pace};
 use crate::head::{self, HeadError};
-use crate::message::Message;
 use crate::refusal;
 use crate::stop::{StopSignal, Stopped};
 use crate::timer;
@@ -176,7 +173,7 @@
         if head.body.is_some() && head.expects_continue {
             self.stream.write_all(CONTINUE).await.ok()?;
         }
-        let (request, mut caller) = self.attach_body(wire, head);
+        let (request, mut caller) = attach_body(wire, head, &self.limits);
         let response = match self.run_handler(request, &mut caller).await {
             Ok(response) => response,
             Err(interruption) => return self.end(interruption),
@@ -216,30 +213,6 @@
         None
     }
 
-    fn attach_body(&self, wire: Wire, head: RequestHead) -> (Request, Caller) {
-        let mut request = head.request;
-        let Some(decoder) = head.body else {
-            request.take_body_only();
-            return (request, Caller::Listening(wire));
-        };
-        let length = request
-            .header(CONTENT_LENGTH)
-            .and_then(|value| value.last().as_str().parse::<usize>().ok());
-        let (sender, receiver) = oneshot::channel();
-        let pace = Pace::Rate {
-            start: Instant::now(),
-            base: self.limits.body_timeout,
-        };
-        let give_back = Box::new(move |returned| {
-            // The connection is closed already when nobody receives this.
-            let _ = sender.send(returned);
-        });
-        let max_bytes = self.limits.max_body_bytes;
-        let reader = BodyReader::new(wire, decoder, max_bytes, pace, give_back);
-        request.replace_body_only(Body::from_reader(reader, length));
-        (request, Caller::Sending(receiver))
-    }
-
     /// Runs the handler; drops it when the caller hangs up.
     async fn run_handler(
         &mut self,
--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server: one task a connection, one request at a time on each.
 
+mod attach;
 mod caller;
 mod closing;
 mod connection;
