Claim addresses as well as hosts; make lost proposals of configuration again

Cause: a partner could name the other's server as its own back end; a configuration change whose proposal found the log busy was never proposed again; a new leader trusted whatever the store showed first. Change: the intake keeps host and address claims from the applied state on, awaits each change until it is applied and proposes it again after 1 s; at most 256 changes go into one entry; a new leader's watcher starts from the versions that the group has applied, and withheld objects are logged. Conclusion: nothing of one partner reaches the other's hosts or servers by configuration.

--- a/crates/control/src/group_member.rs
+++ b/crates/control/src/group_member.rs
@@ -6,6 +6,9 @@
 use threadledge_types::records::{RecordChange, RecordDelta};
 use threadledge_types::{Generation, GroupId, Revision, RouterId, RouterIdentity, Timestamp};
 
+use crate::object_status::ObjectRef;
+use crate::output::KnownObject;
+
 /// Log node and state machine of one group on one router.
 pub struct GroupMember {
     node: Node<Command, Snapshot>,
@@ -117,6 +120,19 @@
         &self.machine
     }
 
+    /// Versions of the configuration objects that are applied.
+    pub fn known_objects(&self) -> Vec<KnownObject> {
+        let back_ends = self.machine.back_ends().map(|record| KnownObject {
+            object: ObjectRef::BackEnd(record.id.clone()),
+            resource_version: record.resource_version,
+        });
+        let services = self.machine.services().map(|record| KnownObject {
+            object: ObjectRef::Service(record.id.clone()),
+            resource_version: record.resource_version,
+        });
+        back_ends.chain(services).collect()
+    }
+
     /// Whether everything committed is applied and this router leads.
     pub fn is_serving_leader(&self) -> bool {
         self.node.term_start_committed() && self.applied_index >= self.node.commit_index()
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -7,8 +7,8 @@
 use threadledge_types::{BackEndId, Generation};
 
 use crate::founding::GroupObjectState;
-use crate::intake::ObjectRef;
 use crate::message::PeerBatch;
+use crate::object_status::ObjectRef;
 
 /// One event for the control core.
 #[derive(Clone, Debug)]
--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -5,120 +5,89 @@
 //! only when its `resourceVersion` is above the applied one, the state machine
 //! checks that again when it applies the command, and `Accepted` is written
 //! only after the command was applied.
+//!
+//! Kept here as well: *no partner reaches another's traffic or servers*. A
+//! host or an address that another object claims, accepted or about to be, is
+//! refused.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use threadledge_ownership::{Command, ObjectChange, StateMachine};
-use threadledge_types::objects::{
-    ACCEPTED_CONDITION, AcceptanceStatus, BACK_END_KIND, BackEndObject, KEYED_SERVICE_KIND,
-    KeyedServiceObject,
-};
+use threadledge_types::objects::{BackEndObject, KeyedServiceObject};
 use threadledge_types::records::{BackEndRecord, ServiceRecord};
-use threadledge_types::validation::{HostClaims, Problem, validate_back_end, validate_service};
-use threadledge_types::{BackEndId, RegionName, Revision, ServiceId};
+use threadledge_types::validation::{
+    AddressClaims, HostClaims, Problem, validate_back_end, validate_service,
+};
+use threadledge_types::{RegionName, Revision, Timestamp};
 
 use crate::input::{ConfigurationEvent, Listing, ObservedObject};
+use crate::object_status::{FALSE, ObjectRef, StatusWrite, TRUE, Verdict, has_verdict};
 use crate::output::Observation;
 
-/// Condition status of an accepted object.
-const TRUE: &str = "True";
-/// Condition status of a rejected object.
-const FALSE: &str = "False";
-
-/// Names one configuration object.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ObjectRef {
-    /// A back end.
-    BackEnd(BackEndId),
-    /// A service.
-    Service(ServiceId),
-}
-
-impl ObjectRef {
-    /// Kind, namespace and name for logs.
-    pub fn describe(&self) -> String {
-        match self {
-            ObjectRef::BackEnd(id) => format!("{BACK_END_KIND} {id}"),
-            ObjectRef::Service(id) => format!("{KEYED_SERVICE_KIND} {id}"),
-        }
-    }
-}
-
-/// What became of an object.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is in force from this revision on.
-    Accepted(Revision),
-    /// It is not in force, for these problems; an earlier accepted version
-    /// stays in force.
-    Rejected(Vec<Problem>),
-}
+/// Most changes in one command, so that no entry of the log is very large.
+const MAX_CHANGES: usize = 256;
+/// A proposal that was not applied for this long is made again.
+const PROPOSAL_RETRY: Duration = Duration::from_secs(1);
 
-/// A status to be written to an object.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StatusWrite {
-    /// Which object.
-    pub object: ObjectRef,
-    /// `metadata.generation` that was judged.
-    pub observed_generation: i64,
-    /// The judgement.
-    pub verdict: Verdict,
-}
-
-/// What the intake of one event calls for.
+/// What the intake calls for.
 #[derive(Debug, Default)]
 pub struct Intake {
-    /// Changes to propose, as one command.
-    pub changes: Vec<ObjectChange>,
+    /// Commands to propose, in order.
+    pub commands: Vec<Command>,
     /// Statuses that can be written at once.
     pub statuses: Vec<StatusWrite>,
     /// Facts for the log.
     pub observations: Vec<Observation>,
 }
 
-impl Intake {
-    /// The changes as one command, if there are any.
-    pub fn command(&mut self) -> Option<Command> {
-        if self.changes.is_empty() {
-            return None;
-        }
-        let changes = std::mem::take(&mut self.changes);
-        Some(Command::ApplyObjects { changes })
-    }
-}
-
-/// An object version that was proposed and not yet seen applied.
+/// A change that was proposed and not yet seen applied.
 #[derive(Clone, Debug)]
 struct Awaited {
-    resource_version: u64,
+    change: ObjectChange,
     object_generation: i64,
-    /// The record, if it is a service: its host claims count already.
-    service: Option<ServiceRecord>,
+    proposed_at: Timestamp,
 }
 
 /// Configuration intake of one leader.
 #[derive(Debug)]
 pub struct ConfigurationIntake {
     region: RegionName,
+    hosts: HostClaims,
+    addresses: AddressClaims,
     awaited: BTreeMap<ObjectRef, Awaited>,
+    /// Changes found by the event under way.
+    found: Vec<ObjectRef>,
     /// Revision at which everything applied is in force.
     in_force: Revision,
 }
 
 impl ConfigurationIntake {
     /// Intake for one region; services of other regions are left to theirs.
-    pub fn new(region: RegionName) -> Self {
-        ConfigurationIntake {
+    pub fn new(region: RegionName, machine: &StateMachine) -> Self {
+        let mut intake = ConfigurationIntake {
             region,
+            hosts: HostClaims::default(),
+            addresses: AddressClaims::default(),
             awaited: BTreeMap::new(),
+            found: Vec::new(),
             in_force: Revision::NONE,
+        };
+        // What was accepted had passed these checks already.
+        for record in machine.services() {
+            let _ = intake.hosts.claim(record);
+        }
+        for record in machine.back_ends() {
+            let _ = intake.addresses.claim(record);
         }
+        intake
     }
 
     /// Judges one event against the applied state, which is in force at
     /// `in_force`.
     pub fn observe(
         &mut self,
+        now: Timestamp,
         event: ConfigurationEvent,
         in_force: Revision,
         machine: &StateMachine,
@@ -127,41 +96,50 @@
         let mut intake = Intake::default();
         match event {
             ConfigurationEvent::BackEndsListed(listing) => {
-                self.back_ends_listed(listing, machine, &mut intake);
+                self.back_ends_listed(now, listing, machine, &mut intake);
             }
             ConfigurationEvent::ServicesListed(listing) => {
-                self.services_listed(listing, machine, &mut intake);
+                self.services_listed(now, listing, machine, &mut intake);
             }
             ConfigurationEvent::BackEndChanged(observed) => {
-                self.back_end_changed(observed, machine, &mut intake);
+                self.back_end_changed(now, observed, machine, &mut intake);
             }
             ConfigurationEvent::ServiceChanged(observed) => {
-                self.service_changed(observed, machine, &mut intake);
+                self.service_changed(now, observed, machine, &mut intake);
             }
             ConfigurationEvent::Deleted {
                 object,
                 resource_version,
-            } => self.deleted(object, resource_version, &mut intake),
+            } => self.deleted(now, object, resource_version),
         }
+        let found = std::mem::take(&mut self.found);
+        intake.commands = self.commands_for(&found);
         intake
     }
 
-    /// Turns proposals that were applied since into statuses to write.
-    pub fn applied(&mut self, revision: Revision, machine: &StateMachine) -> Intake {
+    /// Turns proposals that were applied since into statuses to write, and
+    /// makes overdue ones again: a proposal is lost when the log is busy.
+    pub fn tick(&mut self, now: Timestamp, in_force: Revision, machine: &StateMachine) -> Intake {
+        self.in_force = in_force;
         let mut intake = Intake::default();
-        let done: Vec<ObjectRef> = self
-            .awaited
-            .iter()
-            .filter(|(object, awaited)| {
-                applied_version(object, machine) >= Some(awaited.resource_version)
-            })
-            .map(|(object, _)| object.clone())
-            .collect();
-        for object in done {
-            if let Some(awaited) = self.awaited.remove(&object) {
-                accept(object, awaited.object_generation, revision, &mut intake);
+        let mut overdue = Vec::new();
+        let objects: Vec<ObjectRef> = self.awaited.keys().cloned().collect();
+        for object in objects {
+            let Some(awaited) = self.awaited.get_mut(&object) else {
+                continue;
+            };
+            if is_applied(&awaited.change, machine) {
+                let accepted = awaited.is_put().then_some(awaited.object_generation);
+                self.awaited.remove(&object);
+                if let Some(generation) = accepted {
+                    self.accept(object, generation, &mut intake);
+                }
+            } else if now.since(awaited.proposed_at) >= PROPOSAL_RETRY {
+                awaited.proposed_at = now;
+                overdue.push(object);
             }
         }
+        intake.commands = self.commands_for(&overdue);
         intake
     }
 
@@ -170,58 +148,78 @@
         !self.awaited.is_empty()
     }
 
+    fn commands_for(&self, objects: &[ObjectRef]) -> Vec<Command> {
+        let awaited = objects.iter().filter_map(|object| self.awaited.get(object));
+        let changes: Vec<ObjectChange> = awaited.map(|awaited| awaited.change.clone()).collect();
+        let commands = changes.chunks(MAX_CHANGES);
+        commands
+            .map(|changes| Command::ApplyObjects {
+                changes: changes.to_vec(),
+            })
+            .collect()
+    }
+
     fn back_ends_listed(
         &mut self,
+        now: Timestamp,
         listing: Listing<BackEndObject>,
         machine: &StateMachine,
         intake: &mut Intake,
     ) {
         let kept = kept_objects(&listing);
-        for observed in listing.objects {
-            self.back_end_changed(observed, machine, intake);
-        }
         for record in machine.back_ends() {
             let object = ObjectRef::BackEnd(record.id.clone());
             if !kept.contains(&object) && record.resource_version < listing.resource_version {
-                self.deleted(object, listing.resource_version, intake);
+                self.deleted(now, object, listing.resource_version);
             }
         }
+        for observed in listing.objects {
+            self.back_end_changed(now, observed, machine, intake);
+        }
     }
 
     fn services_listed(
         &mut self,
+        now: Timestamp,
         listing: Listing<KeyedServiceObject>,
         machine: &StateMachine,
         intake: &mut Intake,
     ) {
         let kept = kept_objects(&listing);
-        for observed in listing.objects {
-            self.service_changed(observed, machine, intake);
-        }
         for record in machine.services() {
             let object = ObjectRef::Service(record.id.clone());
             if !kept.contains(&object) && record.resource_version < listing.resource_version {
-                self.deleted(object, listing.resource_version, intake);
+                self.deleted(now, object, listing.resource_version);
             }
         }
+        for observed in listing.objects {
+            self.service_changed(now, observed, machine, intake);
+        }
     }
 
-    fn deleted(&mut self, object: ObjectRef, resource_version: u64, intake: &mut Intake) {
-        self.awaited.remove(&object);
-        intake.changes.push(match object {
-            ObjectRef::BackEnd(id) => ObjectChange::DeleteBackEnd {
-                id,
-                resource_version,
-            },
-            ObjectRef::Service(id) => ObjectChange::DeleteService {
-                id,
-                resource_version,
-            },
-        });
+    fn deleted(&mut self, now: Timestamp, object: ObjectRef, resource_version: u64) {
+        let change = match object.clone() {
+            ObjectRef::BackEnd(id) => {
+                self.addresses.release(&id);
+                ObjectChange::DeleteBackEnd {
+                    id,
+                    resource_version,
+                }
+            }
+            ObjectRef::Service(id) => {
+                self.hosts.release(&id);
+                ObjectChange::DeleteService {
+                    id,
+                    resource_version,
+                }
+            }
+        };
+        self.propose(now, object, change, 0);
     }
 
     fn back_end_changed(
         &mut self,
+        now: Timestamp,
         observed: ObservedObject<BackEndObject>,
         machine: &StateMachine,
         intake: &mut Intake,
@@ -231,7 +229,9 @@
             Ok(object) => object,
             Err(problem) => return reject(reference, observed.generation, vec![problem], intake),
         };
-        let record = match validate_back_end(&object) {
+        let claimed = validate_back_end(&object)
+            .and_then(|record| self.addresses.claim(&record).map(|()| record));
+        let record = match claimed {
             Ok(record) => record,
             Err(_) if has_verdict(&object.status, observed.generation, FALSE) => return,
             Err(problems) => return reject(reference, observed.generation, problems, intake),
@@ -244,19 +244,13 @@
             let told = has_verdict(&object.status, observed.generation, TRUE);
             return self.already_applied(reference, observed.generation, told, intake);
         }
-        let awaited = Awaited {
-            resource_version: record.resource_version,
-            object_generation: observed.generation,
-            service: None,
-        };
-        self.awaited.insert(reference, awaited);
-        intake
-            .changes
-            .push(ObjectChange::PutBackEnd(Box::new(record)));
+        let change = ObjectChange::PutBackEnd(Box::new(record));
+        self.propose(now, reference, change, observed.generation);
     }
 
     fn service_changed(
         &mut self,
+        now: Timestamp,
         observed: ObservedObject<KeyedServiceObject>,
         machine: &StateMachine,
         intake: &mut Intake,
@@ -269,8 +263,8 @@
         if object.spec.region != self.region {
             return;
         }
-        let claimed = validate_service(&object)
-            .and_then(|record| self.claim_hosts(&record, machine).map(|()| record));
+        let claimed =
+            validate_service(&object).and_then(|record| self.hosts.claim(&record).map(|()| record));
         let record = match claimed {
             Ok(record) => record,
             Err(_) if has_verdict(&object.status, observed.generation, FALSE) => return,
@@ -284,15 +278,8 @@
             let told = has_verdict(&object.status, observed.generation, TRUE);
             return self.already_applied(reference, observed.generation, told, intake);
         }
-        let awaited = Awaited {
-            resource_version: record.resource_version,
-            object_generation: observed.generation,
-            service: Some(record.clone()),
-        };
-        self.awaited.insert(reference, awaited);
-        intake
-            .changes
-            .push(ObjectChange::PutService(Box::new(record)));
+        let change = ObjectChange::PutService(Box::new(record));
+        self.propose(now, reference, change, observed.generation);
     }
 
     /// The state holds what the object says. Only its status may be missing,
@@ -305,26 +292,45 @@
         intake: &mut Intake,
     ) {
         if !told && !self.awaited.contains_key(&reference) {
-            accept(reference, generation, self.in_force, intake);
+            self.accept(reference, generation, intake);
         }
     }
 
-    /// Kept here: *no partner can shadow another's traffic*. A host that
-    /// another service claims, accepted or about to be, is refused.
-    fn claim_hosts(
-        &self,
-        record: &ServiceRecord,
-        machine: &StateMachine,
-    ) -> Result<(), Vec<Problem>> {
-        let mut claims = HostClaims::default();
-        let awaited = self.awaited.values().flat_map(|awaited| &awaited.service);
-        for other in machine.services().chain(awaited) {
-            if other.id != record.id {
-                // A later claim of the same host was refused when it came.
-                let _ = claims.claim(other);
-            }
-        }
-        claims.claim(record)
+    fn propose(
+        &mut self,
+        now: Timestamp,
+        object: ObjectRef,
+        change: ObjectChange,
+        object_generation: i64,
+    ) {
+        let awaited = Awaited {
+            change,
+            object_generation,
+            proposed_at: now,
+        };
+        self.awaited.insert(object.clone(), awaited);
+        self.found.push(object);
+    }
+
+    fn accept(&self, object: ObjectRef, generation: i64, intake: &mut Intake) {
+        intake.observations.push(Observation::ObjectAccepted {
+            object: object.describe(),
+            revision: self.in_force,
+        });
+        intake.statuses.push(StatusWrite {
+            object,
+            observed_generation: generation,
+            verdict: Verdict::Accepted(self.in_force),
+        });
+    }
+}
+
+impl Awaited {
+    fn is_put(&self) -> bool {
+        matches!(
+            self.change,
+            ObjectChange::PutBackEnd(_) | ObjectChange::PutService(_)
+        )
     }
 }
 
@@ -334,10 +340,29 @@
     listed.chain(&listing.withheld).cloned().collect()
 }
 
-fn applied_version(object: &ObjectRef, machine: &StateMachine) -> Option<u64> {
-    match object {
-        ObjectRef::BackEnd(id) => machine.back_end(id).map(|record| record.resource_version),
-        ObjectRef::Service(id) => machine.service(id).map(|record| record.resource_version),
+/// Whether the state holds the change or something later.
+fn is_applied(change: &ObjectChange, machine: &StateMachine) -> bool {
+    match change {
+        ObjectChange::PutBackEnd(record) => machine
+            .back_end(&record.id)
+            .is_some_and(|applied| applied.resource_version >= record.resource_version),
+        ObjectChange::PutService(record) => machine
+            .service(&record.id)
+            .is_some_and(|applied| applied.resource_version >= record.resource_version),
+        ObjectChange::DeleteBackEnd {
+            id,
+            resource_version,
+        } => {
+            let applied = machine.back_end(id);
+            machine.is_leaving(id)
+                || applied.is_none_or(|applied| applied.resource_version > *resource_version)
+        }
+        ObjectChange::DeleteService {
+            id,
+            resource_version,
+        } => machine
+            .service(id)
+            .is_none_or(|applied| applied.resource_version > *resource_version),
     }
 }
 
@@ -353,18 +378,6 @@
     applied.spec == offered.spec && applied.object_generation == offered.object_generation
 }
 
-fn accept(object: ObjectRef, generation: i64, revision: Revision, intake: &mut Intake) {
-    intake.observations.push(Observation::ObjectAccepted {
-        object: object.describe(),
-        revision,
-    });
-    intake.statuses.push(StatusWrite {
-        object,
-        observed_generation: generation,
-        verdict: Verdict::Accepted(revision),
-    });
-}
-
 fn reject(reference: ObjectRef, generation: i64, problems: Vec<Problem>, intake: &mut Intake) {
     let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
     intake.observations.push(Observation::ObjectRejected {
@@ -383,13 +396,3 @@
         object: reference.describe(),
     });
 }
-
-/// Whether the object's status says already what it would be told.
-fn has_verdict(status: &Option<AcceptanceStatus>, generation: i64, verdict: &str) -> bool {
-    let conditions = status.iter().flat_map(|status| &status.conditions);
-    conditions
-        .filter(|condition| condition.type_ == ACCEPTED_CONDITION)
-        .any(|condition| {
-            condition.observed_generation == Some(generation) && condition.status == verdict
-        })
-}
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -86,7 +86,7 @@
             term,
             grantor,
             planner,
-            intake: ConfigurationIntake::new(node.identity().region.clone()),
+            intake: ConfigurationIntake::new(node.identity().region.clone(), machine),
             settled: false,
             configured_at: None,
             has_arrived: false,
@@ -107,8 +107,15 @@
     }
 
     /// Regular work.
-    pub fn tick(&mut self, now: Timestamp, member: &GroupMember, duties: &mut Duties) {
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        in_force: Revision,
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
         self.step_grantor(now, GrantorInput::Tick, member, duties);
+        self.tick_intake(now, in_force, member, duties);
         self.plan(now, member, duties);
     }
 
@@ -134,8 +141,18 @@
         if !changes.is_empty() {
             self.next_planning = now;
         }
+        self.tick_intake(now, in_force, member, duties);
+    }
+
+    fn tick_intake(
+        &mut self,
+        now: Timestamp,
+        in_force: Revision,
+        member: &GroupMember,
+        duties: &mut Duties,
+    ) {
         if self.intake.is_waiting() {
-            let intake = self.intake.applied(in_force, member.machine());
+            let intake = self.intake.tick(now, in_force, member.machine());
             take_intake(intake, duties);
         }
     }
@@ -155,12 +172,13 @@
     /// the records have when they hold everything applied.
     pub fn configuration(
         &mut self,
+        now: Timestamp,
         event: ConfigurationEvent,
         in_force: Revision,
         member: &GroupMember,
         duties: &mut Duties,
     ) {
-        let intake = self.intake.observe(event, in_force, member.machine());
+        let intake = self.intake.observe(now, event, in_force, member.machine());
         take_intake(intake, duties);
     }
 
@@ -280,8 +298,8 @@
     changes
 }
 
-fn take_intake(mut intake: Intake, duties: &mut Duties) {
-    duties.commands.extend(intake.command());
+fn take_intake(intake: Intake, duties: &mut Duties) {
+    duties.commands.extend(intake.commands);
     let statuses = intake.statuses.into_iter().map(Output::WriteStatus);
     duties.outputs.extend(statuses);
     let observations = intake.observations.into_iter().map(Output::Observe);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -198,7 +198,7 @@
             Input::Configuration(event) => {
                 if let Some(leader) = &mut self.leader {
                     let in_force = self.replica.revision();
-                    leader.configuration(*event, in_force, &self.member, duties);
+                    leader.configuration(now, *event, in_force, &self.member, duties);
                 }
             }
             Input::Leave => self.leave(now, outputs),
@@ -211,7 +211,7 @@
         self.confirm_root(now, outputs);
         self.step_spread(now, SpreadInput::Tick, None, outputs);
         if let Some(leader) = &mut self.leader {
-            leader.tick(now, &self.member, duties);
+            leader.tick(now, self.replica.revision(), &self.member, duties);
         }
         self.change_members(now, outputs);
         if self.leaving && self.member.node().role() == Role::Leader {
@@ -599,12 +599,13 @@
         }
         if let Some((_, term)) = held {
             self.leader = None;
-            outputs.push(Output::WatchConfiguration(false));
+            outputs.push(Output::StopWatching);
             outputs.push(Output::Observe(Observation::LostLeadership { term }));
         }
         if let Some((_, term)) = term {
             self.leader = Some(Leader::start(&self.settings, &self.member, now));
-            outputs.push(Output::WatchConfiguration(true));
+            let known = self.member.known_objects();
+            outputs.push(Output::WatchConfiguration(known));
             outputs.push(Output::Observe(Observation::BecameLeader { term }));
         }
         self.parents_changed = true;
--- a/crates/control/src/output.rs
+++ b/crates/control/src/output.rs
@@ -7,8 +7,17 @@
 use threadledge_types::{Generation, Revision, RouterId, SessionId};
 
 use crate::founding::GroupObjectVersion;
-use crate::intake::StatusWrite;
 use crate::message::PeerMessage;
+use crate::object_status::{ObjectRef, StatusWrite};
+
+/// An object that the group has applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownObject {
+    /// Which object.
+    pub object: ObjectRef,
+    /// Version that was applied.
+    pub resource_version: u64,
+}
 
 /// One thing for the shell to carry out.
 #[derive(Clone, Debug)]
@@ -42,8 +51,11 @@
         /// Version the object must have; `None` if it must not exist.
         expected: Option<GroupObjectVersion>,
     },
-    /// Start (`true`) or stop watching the configuration.
-    WatchConfiguration(bool),
+    /// Start watching the configuration, in place of any earlier watch. The
+    /// store is to be distrusted while it shows less than what is known.
+    WatchConfiguration(Vec<KnownObject>),
+    /// Stop watching the configuration.
+    StopWatching,
     /// Write the status of a configuration object.
     WriteStatus(StatusWrite),
     /// Something worth a line in the log.
--- a/crates/router/src/control_shell/configuration.rs
+++ b/crates/router/src/control_shell/configuration.rs
@@ -10,13 +10,13 @@
 use k8s_openapi::jiff::Timestamp as WallTime;
 use parking_lot::Mutex;
 use threadledge_control::{
-    ConfigurationEvent, FoundingResult, GroupObjectState, GroupObjectVersion, Input, Listing,
-    ObjectRef, ObservedObject, StatusWrite, Verdict,
+    ConfigurationEvent, FoundingResult, GroupObjectState, GroupObjectVersion, Input, KnownObject,
+    Listing, ObjectRef, ObservedObject, StatusWrite, Verdict,
 };
 use threadledge_platform::{
     ApiObject, Change, ObjectClient, ObjectKey, ObjectTracker, PlatformErrorKind, ResolveSettings,
-    StoredObject, TransportSettings, WatchUpdate, Watcher, WatcherSettings, Write, WriteOutcome,
-    write_resolved,
+    StoredObject, TransportSettings, WatchUpdate, Watcher, WatcherSettings, Withheld, Write,
+    WriteOutcome, write_resolved,
 };
 use threadledge_types::acceptance::{acceptance_status, accepted_condition};
 use threadledge_types::objects::{
@@ -113,16 +113,19 @@
         });
     }
 
-    /// Starts or stops watching. Only the group's leader watches, so that the
-    /// store has few readers.
-    pub fn watch(&self, shell: &ControlShell, watch: bool) {
+    /// Starts watching. Only the group's leader watches, so that the store
+    /// has few readers.
+    pub fn watch(&self, shell: &ControlShell, known: &[KnownObject]) {
+        self.stop_watching();
         let mut watches = self.watches.lock();
-        for task in watches.drain(..) {
-            task::spawn(task.cancel());
-        }
-        if watch {
-            watches.extend(self.follow::<BackEndObject>(shell));
-            watches.extend(self.follow::<KeyedServiceObject>(shell));
+        watches.extend(self.follow::<BackEndObject>(shell, known));
+        watches.extend(self.follow::<KeyedServiceObject>(shell, known));
+    }
+
+    /// Stops watching.
+    pub fn stop_watching(&self) {
+        for watch in self.watches.lock().drain(..) {
+            task::spawn(watch.cancel());
         }
     }
 
@@ -131,18 +134,17 @@
         let _ = self.statuses.try_send(write);
     }
 
-    fn follow<K: Configured>(&self, shell: &ControlShell) -> [JoinHandle<()>; 2] {
+    fn follow<K: Configured>(
+        &self,
+        shell: &ControlShell,
+        known: &[KnownObject],
+    ) -> [JoinHandle<()>; 2] {
         let settings = WatcherSettings {
             seed: self.seed,
             ..Default::default()
         };
         let (sender, updates) = bounded(UPDATE_QUEUE);
-        let watcher = Watcher::<K>::new(
-            self.client.clone(),
-            settings,
-            ObjectTracker::default(),
-            sender,
-        );
+        let watcher = Watcher::<K>::new(self.client.clone(), settings, tracker::<K>(known), sender);
         let feed = feed_updates(shell.clone(), updates);
         [task::spawn(watcher.run()), task::spawn(feed)]
     }
@@ -250,6 +252,24 @@
     ConfigurationEvent::ServiceChanged
 );
 
+/// A tracker that knows what the group has applied, so that a new leader
+/// distrusts a store that went back meanwhile.
+fn tracker<K: Configured>(known: &[KnownObject]) -> ObjectTracker {
+    let of_kind = known.iter().filter_map(|known| {
+        let key = object_key(&known.object);
+        let same_kind = K::reference(&key) == known.object;
+        same_kind.then_some((key, known.resource_version))
+    });
+    ObjectTracker::with_known(of_kind)
+}
+
+fn object_key(object: &ObjectRef) -> ObjectKey {
+    match object {
+        ObjectRef::BackEnd(id) => ObjectKey::new(&id.namespace, &id.name),
+        ObjectRef::Service(id) => ObjectKey::new(&id.namespace, &id.name),
+    }
+}
+
 /// Feeds a watcher's updates to the core, in order.
 async fn feed_updates<K: Configured>(shell: ControlShell, updates: Receiver<WatchUpdate<K>>) {
     let mut seen = 0;
@@ -263,6 +283,7 @@
                 ..
             } => {
                 seen = seen.max(resource_version);
+                log_withheld(&withheld);
                 let withheld = withheld.iter().map(|withheld| K::reference(&withheld.key));
                 K::listed(Listing {
                     withheld: withheld.collect(),
@@ -296,7 +317,13 @@
         if std::mem::take(&mut interrupted) {
             emit!(EventId::PlatformRestored, kind = K::KIND);
         }
-        shell.input(Input::Configuration(event));
+        shell.input(Input::Configuration(Box::new(event)));
+    }
+}
+
+fn log_withheld(withheld: &[Withheld]) {
+    for object in withheld {
+        emit!(EventId::PlatformWentBack, object = %object.key, reason = %object.reason);
     }
 }
 
@@ -317,13 +344,12 @@
             latest.insert(next.object.clone(), next);
         }
         for (reference, write) in latest {
+            let key = object_key(&reference);
             match reference {
-                ObjectRef::BackEnd(id) => {
-                    let key = ObjectKey::new(id.namespace, id.name);
+                ObjectRef::BackEnd(_) => {
                     write_status::<BackEndObject>(&client, &key, &write).await;
                 }
-                ObjectRef::Service(id) => {
-                    let key = ObjectKey::new(id.namespace, id.name);
+                ObjectRef::Service(_) => {
                     write_status::<KeyedServiceObject>(&client, &key, &write).await;
                 }
             }
--- a/crates/router/src/control_shell/shared.rs
+++ b/crates/router/src/control_shell/shared.rs
@@ -155,7 +155,8 @@
                 .shared
                 .configuration
                 .found_group(self, generation, expected),
-            Output::WatchConfiguration(watch) => self.shared.configuration.watch(self, watch),
+            Output::WatchConfiguration(known) => self.shared.configuration.watch(self, &known),
+            Output::StopWatching => self.shared.configuration.stop_watching(),
             Output::WriteStatus(write) => self.shared.configuration.write_status(write),
             Output::Observe(observation) => observe::log(&observation),
         }
