Judge split slices rightly; keep histories; more experiments

The kept history shows why: a split gives the owner the parts under the same epoch at the moment it takes the whole away, and the check judged the executions of the whole against the belief in the part. The check was wrong, not the system.

Change: touching beliefs of one session and epoch are one tenure; the executions of a window are chosen by time, so that one between two tenures is judged too, which it was not before. Bound keys-unavailable-ms.

--- a/crates/lab/src/checks/linearizable.rs
+++ b/crates/lab/src/checks/linearizable.rs
@@ -79,15 +79,15 @@
     });
     let starts: Vec<(&ServiceId, Point)> = segments.keys().copied().collect();
     let mut violations = Vec::new();
-    for (number, ((service, start), mut beliefs)) in segments.into_iter().enumerate() {
-        beliefs.sort_by_key(|belief| belief.begin);
+    for (number, ((service, start), beliefs)) in segments.into_iter().enumerate() {
         let end = starts
             .get(number + 1)
             .filter(|(next, _)| *next == service)
             .map(|(_, point)| *point);
         let used = in_segment(&executions, service, start, end);
-        for pair in windows(&beliefs) {
-            if let Some(violation) = judge(service, start, pair, &used) {
+        let tenures = tenures(beliefs);
+        for first in 0..tenures.len().saturating_sub(1).max(1) {
+            if let Some(violation) = judge(service, start, &tenures, first, &used) {
                 violations.push(violation);
             }
         }
@@ -95,6 +95,39 @@
     violations
 }
 
+/// A stretch of time in which one session owned the register under one epoch.
+struct Tenure<'a> {
+    session: &'a SessionId,
+    epoch: Epoch,
+    begin: Timestamp,
+    end: Timestamp,
+}
+
+/// Beliefs in the order of their begins. Those of one session and epoch that
+/// touch are one: when a slice is split, its parts go on under its epoch while
+/// requests that began before still hold the whole.
+fn tenures<'a>(mut beliefs: Vec<&'a Belief>) -> Vec<Tenure<'a>> {
+    beliefs.sort_by_key(|belief| belief.begin);
+    let mut tenures: Vec<Tenure<'a>> = Vec::new();
+    for belief in beliefs {
+        let touching = tenures.iter_mut().rev().find(|tenure| {
+            tenure.session == &belief.session
+                && tenure.epoch == belief.grant.epoch
+                && belief.begin <= tenure.end
+        });
+        match touching {
+            Some(tenure) => tenure.end = tenure.end.max(belief.end),
+            None => tenures.push(Tenure {
+                session: &belief.session,
+                epoch: belief.grant.epoch,
+                begin: belief.begin,
+                end: belief.end,
+            }),
+        }
+    }
+    tenures
+}
+
 fn executions_by_service(
     history: &History,
 ) -> BTreeMap<&ServiceId, BTreeMap<Point, Vec<&Execution>>> {
@@ -128,32 +161,38 @@
     found
 }
 
-/// Consecutive pairs of beliefs, or the only one.
-fn windows<'a, 'b>(beliefs: &'a [&'b Belief]) -> Vec<&'a [&'b Belief]> {
-    if beliefs.len() < 2 {
-        return vec![beliefs];
-    }
-    beliefs.windows(2).collect()
-}
+/// Tenures judged together.
+const TENURES_IN_A_WINDOW: usize = 2;
 
+/// Judges a tenure and the next one, with the executions from the begin of the
+/// first until that of the tenure after both.
 fn judge(
     service: &ServiceId,
     start: Point,
-    beliefs: &[&Belief],
+    tenures: &[Tenure<'_>],
+    first: usize,
     used: &[&Execution],
 ) -> Option<Violation> {
-    let timeline = timeline(beliefs, used);
-    let at = beliefs.last()?.begin;
-    if WGLChecker::<AssignmentRegister>::is_linearizable(timeline) {
+    let after = tenures.get(first + TENURES_IN_A_WINDOW);
+    let window = &tenures[first..(first + TENURES_IN_A_WINDOW).min(tenures.len())];
+    let from = match first {
+        0 => Timestamp::ZERO,
+        _ => window.first()?.begin,
+    };
+    let in_time = used.iter().copied().filter(|execution| {
+        execution.begin >= from && after.is_none_or(|after| execution.begin < after.begin)
+    });
+    let in_time: Vec<&Execution> = in_time.collect();
+    if WGLChecker::<AssignmentRegister>::is_linearizable(timeline(window, &in_time)) {
         return None;
     }
-    let sessions: Vec<String> = beliefs
+    let sessions: Vec<String> = window
         .iter()
-        .map(|belief| format!("{} under {}", belief.session, belief.grant.epoch))
+        .map(|tenure| format!("{} under {}", tenure.session, tenure.epoch))
         .collect();
     Some(Violation::new(
         Guarantee::Linearizable,
-        at,
+        window.last()?.begin,
         format!(
             "{service} from point {start}: no order of assignments and requests explains {}",
             sessions.join(" then ")
@@ -168,22 +207,21 @@
     operation: RegisterOperation,
 }
 
-fn timeline(beliefs: &[&Belief], used: &[&Execution]) -> Operations<RegisterOperation> {
+fn timeline(tenures: &[Tenure<'_>], used: &[&Execution]) -> Operations<RegisterOperation> {
     let mut intervals = Vec::new();
-    for belief in beliefs {
-        let owner = (belief.session.clone(), belief.grant.epoch);
+    for tenure in tenures {
         intervals.push(Interval {
-            begin: belief.begin,
-            end: belief.begin,
-            operation: RegisterOperation::Take(owner.0.clone(), owner.1),
+            begin: tenure.begin,
+            end: tenure.begin,
+            operation: RegisterOperation::Take(tenure.session.clone(), tenure.epoch),
         });
         intervals.push(Interval {
-            begin: belief.end,
-            end: belief.end,
-            operation: RegisterOperation::Release(owner.0, owner.1),
+            begin: tenure.end,
+            end: tenure.end,
+            operation: RegisterOperation::Release(tenure.session.clone(), tenure.epoch),
         });
     }
-    for execution in near_changes(beliefs, used) {
+    for execution in near_changes(used) {
         intervals.push(Interval {
             begin: execution.begin,
             end: execution.end.unwrap_or(execution.begin),
@@ -193,17 +231,16 @@
     to_operations(intervals)
 }
 
-/// Executions of the judged sessions next to the borders of their beliefs.
-fn near_changes<'a>(beliefs: &[&Belief], used: &[&'a Execution]) -> Vec<&'a Execution> {
+/// The first and last executions of each owner, which lie next to the borders
+/// of its tenure.
+fn near_changes<'a>(used: &[&'a Execution]) -> Vec<&'a Execution> {
+    let mut by_owner: BTreeMap<(&SessionId, Epoch), Vec<&Execution>> = BTreeMap::new();
+    for execution in used {
+        let owner = (&execution.session, execution.epoch);
+        by_owner.entry(owner).or_default().push(execution);
+    }
     let mut chosen = Vec::new();
-    for belief in beliefs {
-        let own: Vec<&Execution> = used
-            .iter()
-            .copied()
-            .filter(|execution| {
-                execution.session == belief.session && execution.epoch == belief.grant.epoch
-            })
-            .collect();
+    for own in by_owner.values() {
         let tail = own.len().saturating_sub(EXECUTIONS_PER_SIDE);
         let head = EXECUTIONS_PER_SIDE.min(tail);
         chosen.extend(&own[..head]);
--- a/crates/lab/src/experiment/bounds.rs
+++ b/crates/lab/src/experiment/bounds.rs
@@ -12,6 +12,8 @@
     pub unanswered_share: Option<f64>,
     /// Longest unavailable time, in milliseconds.
     pub unavailable_ms: Option<f64>,
+    /// Longest time that a key had no owner, in milliseconds.
+    pub keys_unavailable_ms: Option<f64>,
     /// Largest latency of 99 in 100 answered requests, in milliseconds.
     pub latency_p99_ms: Option<f64>,
     /// Largest imbalance by load of any service.
@@ -40,6 +42,11 @@
                 self.unavailable_ms,
                 Some(report.unavailable_ms),
             ),
+            (
+                "keys-unavailable-ms",
+                self.keys_unavailable_ms,
+                Some(report.unavailable_details.keys_ms),
+            ),
             ("latency-p99-ms", self.latency_p99_ms, Some(p99)),
             ("imbalance", self.imbalance, Some(report.imbalance)),
             ("churn", self.churn, Some(report.churn)),
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -74,6 +74,12 @@
         /// For how long.
         for_ms: u64,
     },
+    /// The next writes to the object API take effect, but their answers never
+    /// arrive.
+    StoreDropsAnswers {
+        /// How many.
+        writes: u32,
+    },
     /// Changes the specification of a service, as an operator would.
     ChangeService {
         /// Which.
@@ -129,6 +135,9 @@
             FaultAction::StoreDown { for_ms } => {
                 write!(formatter, "object API down for {for_ms} ms")
             }
+            FaultAction::StoreDropsAnswers { writes } => {
+                write!(formatter, "object API drops the answers of {writes} writes")
+            }
             FaultAction::ChangeService { service } => write!(formatter, "change {service}"),
         }
     }
--- a/crates/lab/src/report/pictures.rs
+++ b/crates/lab/src/report/pictures.rs
@@ -103,10 +103,13 @@
             .margin(MARGIN)
             .x_label_area_size(X_LABELS_HEIGHT)
             .y_label_area_size(56)
-            .build_cartesian_2d(0.0..end, 0.0..highest * 1.05)
+            .build_cartesian_2d(0.0..end, 0.0..top)
             .map_err(text)?;
         let mut mesh = chart.configure_mesh();
-        mesh.x_desc("seconds since the load began")
+        mesh.light_line_style(TRANSPARENT)
+            .y_labels(Y_LABELS)
+            .y_label_formatter(&|height| scale.label(*height))
+            .x_desc("seconds since the load began")
             .draw()
             .map_err(text)?;
         for fault in &report.faults {
--- a/crates/lab/src/rig/faults.rs
+++ b/crates/lab/src/rig/faults.rs
@@ -160,6 +160,10 @@
                 task::block_on(operator::fault(self.object_api, &down))?;
                 self.add_after(for_ms, Step::StoreUp);
             }
+            FaultAction::StoreDropsAnswers { writes } => {
+                let drop_answers = FaultCommand::DropAnswers(writes);
+                task::block_on(operator::fault(self.object_api, &drop_answers))?;
+            }
             FaultAction::ChangeService { service } => self.change_service(service),
         }
         Ok(())
--- a/crates/lab/src/rig/run.rs
+++ b/crates/lab/src/rig/run.rs
@@ -1,7 +1,7 @@
 //! One run of one experiment, from its start to its report.
 
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -28,6 +28,8 @@
 /// Longest time that callers may need after the last request, on top of
 /// their patience.
 const CALLER_END_MARGIN: Duration = Duration::from_secs(5);
+/// Name of the file with all events, kept together with the logs.
+const HISTORY_FILE: &str = "history.jsonl";
 const TICK: Duration = Duration::from_millis(10);
 
 /// Choices of one run.
@@ -105,6 +107,9 @@
     let mut events = under_load(experiment, &plan, &mut processes, &watch, begin);
     events.extend(watch.finish());
     events.extend(processes.finish());
+    if options.keep_logs {
+        write_history(&directory, &events)?;
+    }
     let facts = RunFacts {
         deployments: plan.deployment.names.clone(),
         seed: options.seed,
@@ -205,6 +210,17 @@
     Ok(())
 }
 
+/// One event a line, for those who want to look a breach up.
+fn write_history(directory: &std::path::Path, events: &[Event]) -> io::Result<()> {
+    let file = fs::File::create(directory.join(HISTORY_FILE))?;
+    let mut writer = io::BufWriter::new(file);
+    for event in events {
+        serde_json::to_writer(&mut writer, event)?;
+        writer.write_all(b"\n")?;
+    }
+    writer.flush()
+}
+
 fn log_directory(experiment: &str) -> io::Result<PathBuf> {
     let name = format!("threadledge-lab-{experiment}-{}", std::process::id());
     let directory = std::env::temp_dir().join(name);
--- a/crates/lab/tests/checks.rs
+++ b/crates/lab/tests/checks.rs
@@ -5,7 +5,8 @@
 use support::*;
 use threadledge_lab::checks::{self, Check, Guarantee};
 use threadledge_lab::history::{AttemptOutcome, ConfigurationSeen, Event, ObjectRef, SliceSeen};
-use threadledge_types::{BackEndId, Epoch, Slice};
+use threadledge_types::session::Grant;
+use threadledge_types::{BackEndId, Epoch, Point, Slice};
 
 /// Asserts that `check` finds exactly one breach, once `fault` is planted.
 fn finds(check: Check, guarantee: Guarantee, fault: Vec<Event>) {
@@ -225,6 +226,80 @@
     );
 }
 
+/// Owner `a` whose slice is split at 500 ms under the same epoch, while a
+/// request that began before still holds the whole.
+fn split_run() -> Vec<Vec<Event>> {
+    let (low, high) = Slice::ALL.split_at(Point(1 << 63)).expect("two halves");
+    let part = |slice| Grant { slice, ..grant(1) };
+    let taken = |at, grant| Event::GrantTaken {
+        at: millis(at),
+        session: session("a"),
+        grant,
+    };
+    let released = |at, grant| Event::GrantReleased {
+        at: millis(at),
+        session: session("a"),
+        grant,
+    };
+    let lease = Event::LeaseExtended {
+        at: millis(0),
+        session: session("a"),
+        until: millis(1_000),
+    };
+    vec![
+        vec![
+            lease,
+            taken(0, grant(1)),
+            taken(500, part(low)),
+            taken(500, part(high)),
+        ],
+        vec![
+            released(600, grant(1)),
+            released(1_000, part(low)),
+            released(1_000, part(high)),
+        ],
+        execution("a", 1, 1, 100, 110),
+        execution("a", 1, 2, 490, 590),
+        execution("a", 1, 3, 700, 710),
+        ownership("b", 2, 1_010, 2_000),
+        execution("b", 2, 4, 1_100, 1_110),
+    ]
+}
+
+#[test]
+fn a_split_under_the_same_epoch_breaches_nothing() {
+    assert_eq!(checks::check_all(&assemble(split_run())), Vec::new());
+}
+
+#[test]
+fn a_request_by_the_old_owner_after_a_split_slice_moved_is_not_linearizable() {
+    let mut run = split_run();
+    run.push(execution("a", 1, 9, 1_200, 1_210));
+    let found = checks::linearizable::check(&assemble(run));
+    assert_eq!(found.len(), 1, "{found:?}");
+}
+
+#[test]
+fn a_request_between_a_lapse_and_the_renewal_is_not_linearizable() {
+    let mut owned = ownership("a", 1, 0, 1_000);
+    owned.pop();
+    owned.push(Event::LeaseExtended {
+        at: millis(1_500),
+        session: session("a"),
+        until: millis(2_000),
+    });
+    let mut run = vec![owned];
+    run.push(execution("a", 1, 1, 500, 510));
+    run.push(execution("a", 1, 2, 1_600, 1_610));
+    assert_eq!(
+        checks::linearizable::check(&assemble(run.clone())),
+        Vec::new()
+    );
+    run.push(execution("a", 1, 3, 1_200, 1_210));
+    let found = checks::linearizable::check(&assemble(run));
+    assert_eq!(found.len(), 1, "{found:?}");
+}
+
 #[test]
 fn a_killed_process_believes_nothing_from_its_end_on() {
     let mut run = vec![ownership("a", 1, 0, 9_000)];
@@ -258,3 +333,47 @@
         .collect();
     assert_eq!(stretches, vec![(0, 1_000), (1_500, 2_000)]);
 }
+
+/// Owners one after the other with gaps, drawn from `draw`, each serving one
+/// request in the middle of its time.
+fn drawn_run(draw: &mut arbtest::arbitrary::Unstructured<'_>) -> Vec<Vec<Event>> {
+    let mut run = Vec::new();
+    let mut at = 0_u64;
+    let owners = draw.int_in_range(2..=6).unwrap_or(2);
+    for epoch in 1..=owners {
+        let begin = at + draw.int_in_range(0..=50).unwrap_or(0);
+        let end = begin + draw.int_in_range(4..=500).unwrap_or(4);
+        let name = ["a", "b", "c"][(epoch % 3) as usize];
+        run.push(ownership(name, epoch, begin, end));
+        run.push(execution(name, epoch, epoch, begin + 1, begin + 2));
+        let answered = attempt(0, begin, begin + 3, AttemptOutcome::Answered);
+        run.push(vec![request(epoch, vec![answered])]);
+        at = end;
+    }
+    run
+}
+
+#[test]
+fn drawn_runs_with_one_owner_at_a_time_breach_nothing_and_any_overlap_is_found() {
+    for seed in 0..200_u64 {
+        arbtest::arbtest(|draw| {
+            let mut run = drawn_run(draw);
+            assert_eq!(checks::check_all(&assemble(run.clone())), Vec::new());
+            let last = assemble(run.clone())
+                .beliefs
+                .last()
+                .expect("an owner")
+                .clone();
+            let begin = last.end.as_millis() - 1;
+            run.push(ownership("d", 99, begin, begin + 10));
+            let found = checks::check_all(&assemble(run));
+            let guarantees: Vec<_> = found.iter().map(|one| one.guarantee).collect();
+            assert_eq!(
+                guarantees,
+                vec![Guarantee::SingleOwner, Guarantee::Linearizable]
+            );
+            Ok(())
+        })
+        .seed((seed << 32) | 0x40);
+    }
+}
