Give nothing to back ends that stopped answering

Cause: when several back ends are lost at once, their leases run out one after the other, and the first ones' slices were assigned in part to the others that were already dead. Those slices moved twice. Ruled out: balancing on lagging loads (no move began between the losses). Change: the grantor reports a back end that has not answered for a renewal interval, well before its lease ends; the planner gives it nothing and takes nothing from it until it answers or its session ends.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -233,6 +233,9 @@
                 GrantorOutput::Load { back_end, report } => {
                     self.planner.observe_load(now, &back_end, &report);
                 }
+                GrantorOutput::Answering { back_end, answers } => {
+                    self.planner.set_answering(&back_end, answers);
+                }
                 GrantorOutput::Observed(observation) => {
                     let observation = Observation::Session(observation);
                     duties.outputs.push(Output::Observe(observation));
--- a/crates/ownership/src/grantor/contact.rs
+++ b/crates/ownership/src/grantor/contact.rs
@@ -54,6 +54,8 @@
     pub changed: bool,
     /// When the first of the requests without answer was sent.
     pub unanswered_since: Option<Timestamp>,
+    /// It was reported as not answering.
+    pub reported_silent: bool,
     pub reading: Option<Reading>,
     /// When the last lease that any request so far may have given is over,
     /// by the grantor's clock.
@@ -83,6 +85,7 @@
             next_send,
             changed: false,
             unanswered_since: None,
+            reported_silent: false,
             reading: None,
             lease_bound,
             session: None,
--- a/crates/ownership/src/grantor/exchange.rs
+++ b/crates/ownership/src/grantor/exchange.rs
@@ -203,6 +203,10 @@
             return;
         };
         contact.unanswered_since = contact.outstanding.map(|outstanding| outstanding.sent_at);
+        self.report_answering(from, true);
+        let Some(contact) = self.contacts.get_mut(from) else {
+            return;
+        };
         let known = contact.reading.filter(|reading| {
             reading.incarnation == response.incarnation
                 && reading.holder_time >= response.holder_time
--- a/crates/ownership/src/grantor/message.rs
+++ b/crates/ownership/src/grantor/message.rs
@@ -81,6 +81,15 @@
         /// The report.
         report: LoadReport,
     },
+    /// A back end with a session stopped answering, or answers again. It
+    /// keeps what it owns until its lease runs out, and should be given
+    /// nothing meanwhile.
+    Answering {
+        /// Which back end.
+        back_end: BackEndId,
+        /// Whether it answers.
+        answers: bool,
+    },
     /// Something happened that is worth a log line.
     Observed(Observation),
 }
--- a/crates/ownership/src/grantor/sessions.rs
+++ b/crates/ownership/src/grantor/sessions.rs
@@ -5,7 +5,7 @@
 
 use super::contact::{Contact, GrantedSession};
 use super::holdings::Holdings;
-use super::{Grantor, Observation};
+use super::{Grantor, GrantorOutput, Observation};
 use crate::command::Command;
 use crate::machine::StateMachine;
 
@@ -211,12 +211,18 @@
         // A leader that was away asks again before it concludes anything.
         let silent_since = contact.unanswered_since.zip(self.active_since);
         let silent = silent_since.is_some_and(|(asked, active)| now >= asked.max(active) + renewal);
+        let lease_bound = contact.lease_bound;
+        let closing = contact.closing.is_some();
+        let proposed_at = contact.proposed_at;
+        if silent {
+            self.report_answering(id, false);
+        }
         // One owner: no lease that any leader gave can still be valid.
-        let lapsed = now >= contact.lease_bound;
+        let lapsed = now >= lease_bound;
         // What was proposed once is proposed until it is applied, also if the
         // process answers again: it is not renewed any more.
-        let over = contact.closing.is_some() || (silent && lapsed);
-        if !self.begun || !over || self.awaited(contact.proposed_at, now) {
+        let over = closing || (silent && lapsed);
+        if !self.begun || !over || self.awaited(proposed_at, now) {
             return;
         }
         let session = open.id.clone();
@@ -227,6 +233,21 @@
         self.propose_for(now, id, close);
     }
 
+    /// Reports once that a back end stopped answering or answers again.
+    pub(super) fn report_answering(&mut self, id: &BackEndId, answers: bool) {
+        let Some(contact) = self.contacts.get_mut(id) else {
+            return;
+        };
+        if contact.reported_silent != answers {
+            return;
+        }
+        contact.reported_silent = !answers;
+        self.outputs.push(GrantorOutput::Answering {
+            back_end: id.clone(),
+            answers,
+        });
+    }
+
     /// The command that ends the session. From here on it is never renewed,
     /// because the command may take effect at any time.
     fn closing_command(
--- a/crates/ownership/tests/grantor/bench.rs
+++ b/crates/ownership/tests/grantor/bench.rs
@@ -45,6 +45,8 @@
     pub loses_proposals: bool,
     /// Whether placement assigns unowned slices to any candidate.
     pub places: bool,
+    /// Reports that the back end answers or does not, with their times.
+    pub answering: Vec<(u64, bool)>,
     pub observed: Vec<(u64, Observation)>,
     pub sent: Vec<(u64, LeaseRequest)>,
     pub proposed: Vec<(u64, Command)>,
@@ -87,6 +89,7 @@
             prepares: true,
             loses_proposals: false,
             places: true,
+            answering: Vec::new(),
             observed: Vec::new(),
             sent: Vec::new(),
             proposed: Vec::new(),
@@ -164,6 +167,9 @@
                 GrantorOutput::Observed(observation) => {
                     self.observed.push((self.now, observation));
                 }
+                GrantorOutput::Answering { answers, .. } => {
+                    self.answering.push((self.now, answers));
+                }
                 GrantorOutput::Load { .. } => {}
             }
         }
--- a/crates/ownership/tests/grantor/failures.rs
+++ b/crates/ownership/tests/grantor/failures.rs
@@ -306,3 +306,28 @@
     }
     assert_eq!(bench.servers_of(KEY).len(), 1);
 }
+
+#[test]
+fn silence_is_reported_before_the_lease_runs_out_and_ends_with_an_answer() {
+    let mut bench = Bench::settled(1, 1);
+    let frozen = bench.holders.remove(&address(0)).expect("it runs");
+    let froze_at = bench.now;
+    bench.run_for(1_200);
+    assert!(
+        matches!(bench.answering[..], [(_, false)]),
+        "{:?}",
+        bench.answering
+    );
+    let noticed = bench.answering[0].0 - froze_at;
+    assert!(
+        noticed < lease_with_drift() / 2,
+        "noticed after {noticed} ms"
+    );
+    bench.holders.insert(address(0), frozen);
+    bench.run_for(600);
+    assert!(
+        matches!(bench.answering[..], [_, (_, true)]),
+        "{:?}",
+        bench.answering
+    );
+}
--- a/crates/ownership/tests/handover_model.rs
+++ b/crates/ownership/tests/handover_model.rs
@@ -148,7 +148,9 @@
                     self.messages.push(Message::Request(number, request));
                 }
                 GrantorOutput::Propose(command) => self.proposals.push(command),
-                GrantorOutput::Load { .. } | GrantorOutput::Observed(_) => {}
+                GrantorOutput::Load { .. }
+                | GrantorOutput::Answering { .. }
+                | GrantorOutput::Observed(_) => {}
             }
         }
     }
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -364,7 +364,7 @@
                 GrantorOutput::Send { to, request } => self.send(number, to, request),
                 GrantorOutput::Propose(command) => self.append_later(term, command),
                 GrantorOutput::Observed(observation) => self.count(&observation),
-                GrantorOutput::Load { .. } => {}
+                GrantorOutput::Load { .. } | GrantorOutput::Answering { .. } => {}
             }
         }
     }
--- a/crates/placement/src/assign.rs
+++ b/crates/placement/src/assign.rs
@@ -71,6 +71,11 @@
     [&slice.next, &slice.previous]
         .into_iter()
         .flatten()
-        .find(|id| state.receivers.contains_key(*id))
+        .find(|id| {
+            state
+                .receivers
+                .get(*id)
+                .is_some_and(|receiver| receiver.answers)
+        })
         .cloned()
 }
--- a/crates/placement/src/candidates.rs
+++ b/crates/placement/src/candidates.rs
@@ -47,6 +47,9 @@
         };
         for (id, receiver) in &state.receivers {
             round.work.back_ends += 1;
+            if !receiver.answers {
+                continue;
+            }
             let holding = state.holdings.get(id);
             let member = Member {
                 weight: holding
--- a/crates/placement/src/directory.rs
+++ b/crates/placement/src/directory.rs
@@ -12,6 +12,9 @@
 pub(crate) struct Entry {
     pub id: Arc<BackEndId>,
     pub record: Option<Box<BackEndRecord>>,
+    /// It answers the leader; one that does not is given nothing, and keeps
+    /// what it owns until its session ends.
+    pub answers: bool,
     sessions: BTreeMap<Incarnation, Session>,
 }
 
@@ -102,6 +105,13 @@
         known.draining = session.draining;
     }
 
+    /// Notes whether a known back end answers.
+    pub(crate) fn set_answers(&mut self, id: &BackEndId, answers: bool) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.answers = answers;
+        }
+    }
+
     pub(crate) fn remove_session(&mut self, id: &SessionId) {
         if let Some(entry) = self.entries.get_mut(&id.back_end) {
             entry.sessions.remove(&id.incarnation);
@@ -116,6 +126,7 @@
             .or_insert_with(|| Entry {
                 id: shared,
                 record: None,
+                answers: true,
                 sessions: BTreeMap::new(),
             })
     }
--- a/crates/placement/src/loads.rs
+++ b/crates/placement/src/loads.rs
@@ -26,6 +26,8 @@
     pub slots: f64,
     /// Load a slot, once everything on its way has arrived.
     pub load: f64,
+    /// It answers the leader and may be given slices.
+    pub answers: bool,
 }
 
 impl Loads {
@@ -46,6 +48,7 @@
                 id: Arc::clone(id),
                 slots: f64::from(receiver.slots),
                 load: scale.load(weight) / f64::from(receiver.slots),
+                answers: receiver.answers,
             });
         }
         if members.is_empty() || sum.length == 0 {
@@ -102,9 +105,9 @@
             .collect()
     }
 
-    /// The least busy receiver.
+    /// The least busy receiver that answers.
     pub(crate) fn idlest(&self) -> Option<&Load> {
-        self.members.last()
+        self.members.iter().rev().find(|member| member.answers)
     }
 
     /// Counts a move and sorts again.
--- a/crates/placement/src/observe.rs
+++ b/crates/placement/src/observe.rs
@@ -99,6 +99,14 @@
         self.refresh_receivers(id, selecting);
     }
 
+    /// Notes whether a back end answers the leader. One that does not is given
+    /// no slices, and loses none for it: whether it is gone shows when its
+    /// lease runs out.
+    pub fn set_answering(&mut self, id: &BackEndId, answers: bool) {
+        self.directory.set_answers(id, answers);
+        self.refresh_back_end(id);
+    }
+
     fn refresh_receivers(&mut self, id: &BackEndId, services: Vec<Arc<ServiceId>>) {
         let entry = self.directory.get(id);
         let mut affected = Vec::new();
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -23,6 +23,8 @@
     pub slots: u32,
     /// When its session was first seen.
     pub seen: Timestamp,
+    /// It answers the leader.
+    pub answers: bool,
 }
 
 /// Planning state of one service.
@@ -185,5 +187,6 @@
         session: session.id,
         slots: record.spec.slots.max(1),
         seen: session.seen,
+        answers: entry.answers,
     })
 }
--- a/crates/placement/tests/ownership_changes.rs
+++ b/crates/placement/tests/ownership_changes.rs
@@ -240,3 +240,18 @@
     assert_eq!(model.planner.unowned(&gallery()), 0);
     assert_eq!(model.planner.unowned(&large), 10_000 - 20);
 }
+
+#[test]
+fn back_end_that_does_not_answer_is_given_nothing_and_keeps_its_slices() {
+    let mut model = warm_model(6, PlacementPolicy::default(), spread(600.0));
+    let silent = back_end(2);
+    let held = model.owned_by(&silent);
+    model.planner.set_answering(&silent, false);
+    model.lose(&back_end(4));
+    model.run(20);
+    assert_eq!(model.owned_by(&silent), held);
+    model.planner.set_answering(&silent, true);
+    model.lose(&back_end(5));
+    model.run(20);
+    assert!(model.owned_by(&silent).len() > held.len());
+}
--- a/crates/simulator/examples/timeline.rs
+++ b/crates/simulator/examples/timeline.rs
@@ -1,12 +1,11 @@
-//! Prints what a simulated region does in the seconds after its leader began
-//! a planned stop.
+//! Prints what a simulated region does in the seconds after a zone is lost.
 
 use std::time::Duration;
-use threadledge_simulator::{RouterIndex, Scenario, ServicePlan, World};
+use threadledge_simulator::{BackEndIndex, RouterIndex, Scenario, ServicePlan, World};
 
 fn main() {
     let mut world = World::new(Scenario {
-        seed: 10,
+        seed: 13,
         routers: 9,
         services: vec![ServicePlan::new("gallery", 12)],
         probes_per_service: 48,
@@ -15,27 +14,33 @@
     world.run_for(Duration::from_secs(5));
     world.reset_measures();
     let leader = world.leader().expect("a leader");
-    world.leave_router(leader);
-    for step in 1..30 {
-        world.run_for(Duration::from_millis(100));
-        let (probes, failed) = world.measures().probes();
-        let roles: Vec<String> = (0..9)
-            .filter_map(|number| world.router(RouterIndex(number)))
-            .map(|node| {
-                format!(
-                    "{}/{}/{}",
-                    node.role(),
-                    node.term(),
-                    node.view().map_or(0, |v| v.voters.len())
-                )
-            })
+    let zone = world.router_place(leader).zone;
+    for number in 0..9 {
+        if world.router_place(RouterIndex(number)).zone == zone {
+            world.kill_router(RouterIndex(number));
+        }
+    }
+    for number in 0..12 {
+        if world.back_end(BackEndIndex(number)).place.zone == zone {
+            world.kill_back_end(BackEndIndex(number));
+        }
+    }
+    let service = world.service_id("gallery");
+    for step in 1..40 {
+        world.run_for(Duration::from_millis(200));
+        let now = world.now();
+        let grants: Vec<String> = (0..12)
+            .filter_map(|number| world.back_end(BackEndIndex(number)).process.as_ref())
+            .map(|process| process.valid_grants(now).len().to_string())
             .collect();
+        let imbalance = world
+            .leader()
+            .and_then(|leader| world.router(leader)?.planner()?.imbalance(&service));
         println!(
-            "{:>5} leader {:?} was {leader:?} ready {} probes {probes} failed {failed} {}",
-            step * 100,
-            world.leader(),
-            world.ready_routers().len(),
-            roles.join(" ")
+            "{:>5} imbalance {imbalance:?} moved {:.4} grants {}",
+            step * 200,
+            world.measures().moved_share(&service),
+            grants.join(" ")
         );
     }
 }
