Found a group anew from the copies that all routers hold

Cause: when every member of a group was lost, the router that founded it anew had no state and services came back only from the store, with fresh slices. Conclusion: no checkpoint in the platform's store is needed while one router of the region lives; loss of all routers of a region at once is not covered.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -524,7 +524,11 @@
 
     fn recoverable_state(&self) -> Option<Snapshot> {
         let machine = self.member.machine();
-        (machine.revision() > Revision::NONE).then(|| machine.snapshot())
+        let copied = self.replica.revision();
+        if machine.revision() > Revision::NONE && machine.revision() >= copied {
+            return Some(machine.snapshot());
+        }
+        (copied > Revision::NONE).then(|| Snapshot::from_records(copied, self.replica.records()))
     }
 
     fn leave(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
--- a/crates/ownership/src/machine/mod.rs
+++ b/crates/ownership/src/machine/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod objects;
 mod read;
+mod recovery;
 mod rejection;
 mod selection;
 mod sessions;
--- a/crates/ownership/src/machine/snapshot.rs
+++ b/crates/ownership/src/machine/snapshot.rs
@@ -14,28 +14,28 @@
 /// The whole state of a group. Indices are not part of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    revision: Revision,
-    term: LeaderTerm,
-    recovering: bool,
-    services: Vec<ServiceSnapshot>,
-    back_ends: Vec<BackEndEntry>,
-    sessions: Vec<SessionSnapshot>,
-    service_tombstones: Tombstones,
-    back_end_tombstones: Tombstones,
+    pub(super) revision: Revision,
+    pub(super) term: LeaderTerm,
+    pub(super) recovering: bool,
+    pub(super) services: Vec<ServiceSnapshot>,
+    pub(super) back_ends: Vec<BackEndEntry>,
+    pub(super) sessions: Vec<SessionSnapshot>,
+    pub(super) service_tombstones: Tombstones,
+    pub(super) back_end_tombstones: Tombstones,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct ServiceSnapshot {
-    record: ServiceRecord,
-    deleted: bool,
-    used: bool,
-    slices: Vec<(Point, SliceEntry)>,
+pub(super) struct ServiceSnapshot {
+    pub(super) record: ServiceRecord,
+    pub(super) deleted: bool,
+    pub(super) used: bool,
+    pub(super) slices: Vec<(Point, SliceEntry)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct SessionSnapshot {
-    record: SessionRecord,
-    opened: Revision,
+pub(super) struct SessionSnapshot {
+    pub(super) record: SessionRecord,
+    pub(super) opened: Revision,
 }
 
 impl Snapshot {
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -217,6 +217,18 @@
         self.tables.slices.iter()
     }
 
+    /// Every record, for a new founding from this copy.
+    pub fn records(&self) -> Vec<RecordChange> {
+        let back_ends = self.back_ends().cloned();
+        let back_ends = back_ends.map(|record| RecordChange::BackEnd(Box::new(record)));
+        let services = self.services().cloned();
+        let services = services.map(|record| RecordChange::Service(Box::new(record)));
+        let sessions = self.sessions().cloned().map(RecordChange::Session);
+        let slices = self.slices().map(RecordChange::Slice);
+        let named = back_ends.chain(services);
+        named.chain(sessions).chain(slices).collect()
+    }
+
     /// The slices of one service, in the order of their points.
     pub fn slices_of(&self, service: &ServiceId) -> impl Iterator<Item = SliceRecord> {
         self.tables.slices.of_service(service)
