--- a/crates/simulator/src/world/outputs.rs
+++ b/crates/simulator/src/world/outputs.rs
@@ -74,7 +74,8 @@
                 let delay = self.store_delay();
                 self.answer(from, process, delay, Input::Founded { generation, result });
             }
-            Output::WatchConfiguration(watch) => self.set_watch(from, process, watch),
+            Output::WatchConfiguration(_) => self.set_watch(from, process, true),
+            Output::StopWatching => self.set_watch(from, process, false),
             Output::WriteStatus(write) => {
                 let at = self.now + STORE_DELAY;
                 self.store.write_status(at, write);
--- a/crates/simulator/tests/faults.rs
+++ b/crates/simulator/tests/faults.rs
@@ -210,6 +210,20 @@
     check(world, Duration::from_millis(4_000), 0.0);
 }
 
+#[test]
+fn loss_of_every_member_is_founded_anew_from_the_copies_of_others() {
+    let mut world = settled_region(19);
+    let leader = leader(&world);
+    let mut members = voters_besides(&world, leader);
+    members.push(leader);
+    for index in members {
+        world.kill_router(index);
+        world.start_router(index);
+    }
+    world.run_for(Duration::from_secs(2));
+    check(world, Duration::from_millis(6_500), 0.0);
+}
+
 #[test]
 fn lost_answer_of_the_founding_write_founds_one_group() {
     let mut world = World::new(Scenario {
