End streaming answers at their deadline

Cause: once an answer larger than the buffer was on its way, nothing asked the dispatcher any more. An answer that stalled ended only by the pool's own bound on bodies, as a lost connection, and one that its caller did not read held its slot and its connection until the server's write timeout.

Change: a streaming body has a task that sleeps until the exchange's deadline, lets the dispatcher end it as `unknown`, `deadline-passed`, and drops the body, which closes the connection to the back end. It does not depend on the body being read. The caller sees its answer cut short, never ended. The dispatcher no longer counts such an end against the back end: the caller may be what was slow, and five slow callers ejected a healthy one.

Tests: an answer that stalls and one that nobody reads (over sockets), and ten streaming answers past their deadlines without an ejection (core).

--- a/crates/router/src/proxy/drive.rs
+++ b/crates/router/src/proxy/drive.rs
@@ -19,11 +19,11 @@
 use super::Shared;
 use super::answer::{Answer, AnswerBody};
 use super::attempt::AttemptOutcome;
+use super::delivery::Delivery;
 use super::dispatch::{Admitted, Signal};
 use super::inbound::Inbound;
 use super::observe::Observation;
 use super::outbound::Outbound;
-use super::stream::Delivery;
 
 type RunningAttempt = Pin<Box<dyn Future<Output = AttemptOutcome> + Send>>;
 
@@ -81,7 +81,7 @@
                 Step::Cancel(number) => self.cancel(number),
                 Step::Deliver(number) => chosen = Some(number),
                 Step::Wait { until } => match chosen {
-                    Some(number) => return ControlFlow::Break(self.deliver(number)),
+                    Some(number) => return ControlFlow::Break(self.deliver(number, until)),
                     None => return ControlFlow::Continue(until),
                 },
                 Step::Finish(finish) => return ControlFlow::Break(self.finish(finish, chosen)),
@@ -159,8 +159,8 @@
         Some(*self.answers.swap_remove(position).1)
     }
 
-    /// Passes on an answer whose end is still to come.
-    fn deliver(&mut self, number: AttemptNumber) -> Response {
+    /// Passes on an answer whose end is still to come, until `deadline`.
+    fn deliver(&mut self, number: AttemptNumber, deadline: Timestamp) -> Response {
         self.running.clear();
         match self.take_answer(number) {
             Some(Answer {
@@ -168,8 +168,10 @@
                 body: AnswerBody::Streamed { body, length },
             }) => {
                 let conclusion = self.conclusion.hand_over();
-                let delivery = Delivery::new(body, length, number, conclusion);
-                answered(response, Body::from_reader(delivery, length))
+                let clock = self.conclusion.shared.dispatch.clock();
+                let deadline = clock.instant(deadline);
+                let body = Delivery::start(body, length, number, conclusion, deadline);
+                answered(response, body)
             }
             _ => self.gone(),
         }
@@ -216,8 +218,18 @@
 
 impl Conclusion {
     /// Reports how an answer on its way to the caller ended.
-    pub(super) fn conclude(mut self, attempt: AttemptNumber, event: AttemptEvent) {
+    pub(super) fn conclude(self, attempt: AttemptNumber, event: AttemptEvent) {
         let steps = self.shared.dispatch.report(self.id, attempt, event);
+        self.conclude_with(steps);
+    }
+
+    /// Lets the dispatcher end an answer that is still on its way.
+    pub(super) fn conclude_at_deadline(self) {
+        let steps = self.shared.dispatch.steps(self.id);
+        self.conclude_with(steps);
+    }
+
+    fn conclude_with(mut self, steps: Vec<Step>) {
         for step in steps {
             if let Step::Finish(finish) = step {
                 self.observe(finish.outcome, finish.attempts);
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod budget;
 mod clock;
+mod delivery;
 mod dispatch;
 mod drive;
 mod headers;
--- a/crates/router/src/proxy/stream.rs
+++ b/crates/router/src/proxy/stream.rs
@@ -1,5 +1,4 @@
-//! Bodies whose start has been read already, and answers on their way to the
-//! caller.
+//! Bodies whose start has been read already.
 
 use std::io;
 use std::pin::Pin;
@@ -7,10 +6,6 @@
 
 use futures::io::{AsyncBufRead, AsyncRead};
 use http_types::Body;
-use threadledge_net::BodyFault;
-use threadledge_routing::{AttemptEvent, AttemptFailure, AttemptNumber};
-
-use super::drive::Conclusion;
 
 /// A body whose first bytes have been read already.
 #[derive(Debug)]
@@ -58,94 +53,6 @@
     }
 }
 
-/// An answer on its way to the caller. It tells the dispatcher how it ended;
-/// one that is dropped before its end tells that the caller is gone.
-///
-/// Each caller gets its whole answer or sees that it did not: a fault of the
-/// back end becomes a fault of this body, at which the server breaks the
-/// connection off instead of ending the answer.
-#[derive(Debug)]
-pub(super) struct Delivery {
-    body: Prefixed,
-    left: Option<u64>,
-    attempt: AttemptNumber,
-    /// Taken when the answer has ended.
-    conclusion: Option<Conclusion>,
-}
-
-impl Delivery {
-    pub(super) fn new(
-        body: Prefixed,
-        length: Option<usize>,
-        attempt: AttemptNumber,
-        conclusion: Conclusion,
-    ) -> Self {
-        Delivery {
-            body,
-            left: length.map(|length| length as u64),
-            attempt,
-            conclusion: Some(conclusion),
-        }
-    }
-
-    fn conclude(&mut self, event: AttemptEvent) {
-        if let Some(conclusion) = self.conclusion.take() {
-            conclusion.conclude(self.attempt, event);
-        }
-    }
-}
-
-fn failure(error: &io::Error) -> AttemptFailure {
-    match BodyFault::of(error) {
-        Some(BodyFault::Truncated | BodyFault::Malformed(_) | BodyFault::TooLarge) => {
-            AttemptFailure::BadAnswer
-        }
-        Some(BodyFault::TooSlow) | None => AttemptFailure::ConnectionLost,
-    }
-}
-
-impl AsyncBufRead for Delivery {
-    fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
-        let delivery = self.get_mut();
-        let filled = ready!(Pin::new(&mut delivery.body).poll_fill_buf(context));
-        let event = match &filled {
-            Ok([]) => Some(AttemptEvent::Completed),
-            Ok(_) => None,
-            Err(error) => Some(AttemptEvent::Failed(failure(error))),
-        };
-        if let Some(event) = event {
-            let filled = filled.map(|_| &[][..]);
-            if let Some(conclusion) = delivery.conclusion.take() {
-                conclusion.conclude(delivery.attempt, event);
-            }
-            return Poll::Ready(filled);
-        }
-        Poll::Ready(filled)
-    }
-
-    fn consume(mut self: Pin<&mut Self>, amount: usize) {
-        Pin::new(&mut self.body).consume(amount);
-        let Some(left) = &mut self.left else {
-            return;
-        };
-        *left = left.saturating_sub(amount as u64);
-        // A reader that knows the length does not ask once more.
-        if *left == 0 {
-            self.conclude(AttemptEvent::Completed);
-        }
-    }
-}
-
-impl AsyncRead for Delivery {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        poll_read_buffered(self, context, buffer)
-    }
-}
-
 /// Reads through a reader's own buffer.
 pub(super) fn poll_read_buffered<R: AsyncBufRead>(
     mut reader: Pin<&mut R>,
--- a/crates/router/tests/proxy/faults.rs
+++ b/crates/router/tests/proxy/faults.rs
@@ -4,6 +4,7 @@
 use futures::AsyncWriteExt;
 
 use threadledge::proxy::ProxySettings;
+use threadledge_types::{Outcome, Timestamp, UnknownReason};
 
 use crate::back_end::{BackEnd, Behavior, answer_to};
 use crate::world::{World, within};
@@ -227,3 +228,43 @@
     futures::future::join_all(callers).await;
     assert_eq!(world.handle.counters().ended(), 320);
 }
+
+/// Answers begin to stream and do not end: nothing of them outlives the
+/// deadline.
+async fn check_streaming_answer_that_ends_at_the_deadline(sent: usize, reads: bool) {
+    let world = World::start().await;
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 64000000\r\n\r\n";
+    let begun = [head.as_bytes(), &vec![b'x'; sent]].concat();
+    world.back_end.next(Behavior::Bytes(begun));
+    let mut caller = world.caller().await;
+    caller.send("POST", "/short/p?key=k", "", b"").await;
+    if reads {
+        let answer = caller.answer().await;
+        assert!(!answer.whole);
+    }
+    // The connection of the answer that was given up is closed.
+    within(world.back_end.gone.recv()).await.unwrap();
+    let counters = world.handle.counters();
+    assert_eq!(counters.unknown(UnknownReason::DeadlinePassed), 1);
+    assert_eq!(counters.ended(), 1);
+    let load = world
+        .handle
+        .with_dispatcher(|dispatcher| dispatcher.load(Timestamp::ZERO));
+    assert_eq!((load.exchanges, load.back_ends[0].in_flight), (0, 0));
+    let outcome = world.observations.lock()[0].outcome;
+    let late = Outcome::Unknown(UnknownReason::DeadlinePassed);
+    assert_eq!(outcome, Some(late));
+    let next = world.caller().await.get("/next?key=k").await;
+    world.check(&next, "/next?key=k", true);
+    assert_eq!(next.outcome(), "answered");
+}
+
+#[async_std::test]
+async fn a_streaming_answer_that_stalls_ends_at_the_deadline() {
+    check_streaming_answer_that_ends_at_the_deadline(100_000, true).await;
+}
+
+#[async_std::test]
+async fn a_streaming_answer_that_nobody_reads_ends_at_the_deadline() {
+    check_streaming_answer_that_ends_at_the_deadline(63_000_000, false).await;
+}
--- a/crates/routing/src/dispatcher/advance.rs
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -181,8 +181,15 @@
     }
 
     fn end_at_deadline(&mut self, now: Timestamp, exchange: &mut Exchange) {
-        let attempts = exchange.attempts.clone();
-        for attempt in attempts {
+        // An answer that has begun speaks for its back end: a caller that
+        // reads slowly may be what held it up.
+        let delivering = matches!(exchange.state, State::Delivering { .. });
+        let silent = exchange
+            .attempts
+            .clone()
+            .into_iter()
+            .filter(|_| !delivering);
+        for attempt in silent {
             let age = now.since(attempt.started);
             if age >= self.settings.timeout_evidence() {
                 self.on_back_end_failure(now, attempt.target.back_end);
--- a/crates/routing/tests/exchanges.rs
+++ b/crates/routing/tests/exchanges.rs
@@ -432,3 +432,25 @@
     expect_send(&mut dispatcher, 0, id);
     assert_eq!(dispatcher.counters().refused(NotRunReason::NotReady), 1);
 }
+
+#[test]
+fn an_answer_that_streams_past_its_deadline_ends_unknown_and_blames_no_back_end() {
+    let mut dispatcher = simple(1);
+    for round in 0..10 {
+        let now = round * 3_000;
+        let id = begin(&mut dispatcher, now, "POST", "/");
+        expect_send(&mut dispatcher, now, id);
+        dispatcher.start_sending(at(now), id, FIRST);
+        let head = AttemptEvent::ResponseHead { status: 200 };
+        dispatcher.on_event(at(now + 1), id, FIRST, head);
+        let deliver = dispatcher.next(at(now + 1), id);
+        assert_eq!(deliver, Step::Deliver(FIRST));
+        let deadline = at(now + 2_000);
+        assert_eq!(expect_wait(&mut dispatcher, now + 1, id), deadline);
+        let finish = expect_finish(&mut dispatcher, now + 2_000, id);
+        let late = Outcome::Unknown(UnknownReason::DeadlinePassed);
+        assert_eq!(finish.outcome, late);
+        assert_eq!(dispatcher.load(deadline).back_ends[0].in_flight, 0);
+    }
+    assert_eq!(dispatcher.counters().ejections, 0);
+}
