--- a/crates/lab/tests/checks.rs
+++ b/crates/lab/tests/checks.rs
@@ -271,6 +271,32 @@
     assert_eq!(checks::check_all(&assemble(split_run())), Vec::new());
 }
 
+/// Owner `a` whose slice is cut down at 500 ms, and taken up again under the
+/// same epoch at `again`.
+fn cut_down_run(again: u64) -> Vec<Vec<Event>> {
+    let (low, _) = Slice::ALL.split_at(Point(1 << 63)).expect("two halves");
+    let mut owned = ownership("a", 1, 0, 1_000);
+    if let Event::GrantReleased { at, .. } = &mut owned[2] {
+        *at = millis(500);
+    }
+    owned.push(Event::GrantTaken {
+        at: millis(again),
+        session: session("a"),
+        grant: Grant {
+            slice: low,
+            ..grant(1)
+        },
+    });
+    vec![owned, execution("a", 1, 1, 490, 520)]
+}
+
+#[test]
+fn a_request_may_run_across_a_split_but_not_across_a_gap() {
+    let check = checks::single_owner::check;
+    assert_eq!(check(&assemble(cut_down_run(500))), Vec::new());
+    assert_eq!(check(&assemble(cut_down_run(501))).len(), 1);
+}
+
 #[test]
 fn a_request_by_the_old_owner_after_a_split_slice_moved_is_not_linearizable() {
     let mut run = split_run();
--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -1,8 +1,10 @@
-//! Builders of small histories.
+//! Builders of small histories, and a sink to read records back from.
 
 #![allow(dead_code)]
 
-use threadledge_lab::history::{Attempt, AttemptOutcome, Event, History, RequestId};
+use std::sync::Arc;
+
+use threadledge_lab::history::{Attempt, AttemptOutcome, ChildLine, Event, History, RequestId};
 use threadledge_types::session::Grant;
 use threadledge_types::{
     BackEndId, Epoch, Generation, Incarnation, Point, Revision, ServiceId, SessionId, Slice,
@@ -129,3 +131,32 @@
         ],
     ]
 }
+
+/// A sink whose lines the test can read back.
+#[derive(Clone, Default)]
+pub struct Lines(Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl std::io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("the lines").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    pub fn events(&self) -> Vec<Event> {
+        let bytes = self.0.lock().expect("the lines").clone();
+        String::from_utf8(bytes)
+            .expect("text")
+            .lines()
+            .filter_map(|line| match serde_json::from_str(line).expect("a line") {
+                ChildLine::Event(event) => Some(event),
+                ChildLine::Ready => None,
+            })
+            .collect()
+    }
+}
