Simulate several regions; cost the cores, not the model

Cause: a world had one region, and hundreds of routers were slow to run for the model's own work: each probe copied a server's holdings, each round compared every acceptance with every router, sole ownership was checked against every server, and each message was copied on its way.

Change: a scenario has regions (each its own group, services and view of the store; the machine list names all, also regions that do not run), cuts between regions, edits of services and the time until they are in force on every ready router, and the cost of each router: messages, bytes sent and received as JSON with heads and the batch's envelope, and time in the core. Probes ask for one epoch; acceptances are looked at once, when due; only servers that were ever granted a slice of a service are compared. A region with fewer routing tables than routers probes through those.

--- a/crates/simulator/src/back_end.rs
+++ b/crates/simulator/src/back_end.rs
@@ -119,12 +119,8 @@
         if !self.holder.lease_valid(self.local(now)) {
             return false;
         }
-        let holdings = self.holder.holdings();
-        holdings.iter().any(|grant| {
-            grant.service == *service
-                && grant.slice.contains(point)
-                && epoch.is_none_or(|epoch| epoch == grant.epoch)
-        })
+        let held = self.holder.held_epoch(service, point);
+        held.is_some_and(|held| epoch.is_none_or(|epoch| epoch == held))
     }
 
     /// Grants that the process may act on now.
--- a/crates/simulator/src/invariants.rs
+++ b/crates/simulator/src/invariants.rs
@@ -1,6 +1,5 @@
 //! The guarantees that a run checks while it goes.
 
-use std::collections::BTreeMap;
 use std::fmt;
 
 use threadledge_types::session::Grant;
@@ -68,8 +67,7 @@
 pub struct Invariants {
     kept: Vec<Violation>,
     count: u64,
-    revisions: BTreeMap<RouterId, Revision>,
-    epochs: BTreeMap<(ServiceId, Point), Epoch>,
+    epochs: Vec<Epoch>,
 }
 
 impl Invariants {
@@ -91,9 +89,8 @@
         }
     }
 
-    /// A router's copy reached a revision.
-    pub fn saw_revision(&mut self, at: Timestamp, router: RouterId, to: Revision) {
-        let from = self.revisions.insert(router, to).unwrap_or_default();
+    /// A router's copy went from one revision to another.
+    pub fn saw_revision(&mut self, at: Timestamp, router: RouterId, from: Revision, to: Revision) {
         if to < from {
             self.report(Violation::RevisionWentBack {
                 at,
@@ -104,10 +101,17 @@
         }
     }
 
-    /// A key could be served under an epoch.
-    pub fn saw_epoch(&mut self, at: Timestamp, service: &ServiceId, point: Point, to: Epoch) {
-        let key = (service.clone(), point);
-        let from = self.epochs.get(&key).copied().unwrap_or_default();
+    /// The numbered probe's key could be served under an epoch.
+    pub fn saw_epoch(
+        &mut self,
+        at: Timestamp,
+        (probe, service, point): (usize, &ServiceId, Point),
+        to: Epoch,
+    ) {
+        if self.epochs.len() <= probe {
+            self.epochs.resize(probe + 1, Epoch::default());
+        }
+        let from = self.epochs[probe];
         if to < from {
             self.report(Violation::EpochWentBack {
                 at,
@@ -117,7 +121,7 @@
                 to,
             });
         }
-        self.epochs.insert(key, from.max(to));
+        self.epochs[probe] = from.max(to);
     }
 
     /// One server took grants: none of them may overlap what another server
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod back_end;
 mod clock;
+mod costs;
 mod event;
 mod invariants;
 mod measures;
@@ -19,8 +20,9 @@
 mod world;
 
 pub use back_end::BackEndModel;
+pub use costs::RouterCost;
 pub use invariants::{Invariants, Violation};
-pub use measures::{Measures, Outage};
+pub use measures::{Measures, MessageKind, Outage, Traffic};
 pub use network::{NetworkSettings, Place};
 pub use scenario::{Scenario, ServicePlan};
 pub use store::StoreModel;
--- a/crates/simulator/src/measures.rs
+++ b/crates/simulator/src/measures.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use threadledge_types::records::{RecordChange, RecordDelta, SliceKey};
-use threadledge_types::{BackEndId, Point, Revision, ServiceId, Timestamp};
+use threadledge_types::{BackEndId, GroupId, Point, Revision, ServiceId, Timestamp};
 
 /// A stretch of time in which a probed key could not be served.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +35,14 @@
     pub bytes: u64,
 }
 
+impl Traffic {
+    /// Adds one message.
+    pub fn add(&mut self, bytes: u64) {
+        self.messages += 1;
+        self.bytes += bytes;
+    }
+}
+
 /// Kinds of messages that are counted apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MessageKind {
@@ -46,22 +54,41 @@
     Spread,
     /// Leases of back ends.
     Lease,
+    /// Readings of the machine list.
+    Machines,
+}
+
+impl MessageKind {
+    /// All kinds.
+    pub const ALL: [MessageKind; 5] = [
+        MessageKind::Consensus,
+        MessageKind::Membership,
+        MessageKind::Spread,
+        MessageKind::Lease,
+        MessageKind::Machines,
+    ];
 }
 
 /// Figures of one run.
 #[derive(Debug, Default)]
 pub struct Measures {
     outages: Vec<Outage>,
-    failing: BTreeMap<(ServiceId, Point), usize>,
+    failing: BTreeMap<usize, usize>,
     probes: u64,
     failed_probes: u64,
-    owners: BTreeMap<SliceKey, Option<BackEndId>>,
-    last_owner: BTreeMap<SliceKey, BackEndId>,
-    seen: Revision,
+    last_owner: BTreeMap<SliceKey, LastOwner>,
+    seen: BTreeMap<GroupId, Revision>,
     moved_share: BTreeMap<ServiceId, f64>,
     sent: BTreeMap<MessageKind, Traffic>,
-    /// Time the cores took, in nanoseconds, where a stopwatch is set.
-    pub busy_nanos: BTreeMap<String, u64>,
+    in_force: Vec<Duration>,
+}
+
+/// The server that owned a slice last.
+#[derive(Debug)]
+struct LastOwner {
+    back_end: BackEndId,
+    /// Share of the service's keys.
+    share: f64,
 }
 
 impl Measures {
@@ -76,6 +103,23 @@
         lengths.max().unwrap_or_default()
     }
 
+    /// Probed keys that cannot be served at the moment.
+    pub fn failing(&self) -> usize {
+        self.failing.len()
+    }
+
+    /// Sum over all services of the share of keys that changed owner.
+    pub fn moved_shares(&self) -> f64 {
+        self.moved_share.values().sum()
+    }
+
+    /// Sum over all services of the share of keys that a back end had last.
+    pub fn share_of(&self, back_end: &BackEndId) -> f64 {
+        let owned = self.last_owner.values();
+        let owned = owned.filter(|owner| owner.back_end == *back_end);
+        owned.map(|owner| owner.share).sum()
+    }
+
     /// Probes made and probes failed.
     pub fn probes(&self) -> (u64, u64) {
         (self.probes, self.failed_probes)
@@ -87,6 +131,17 @@
         self.moved_share.get(service).copied().unwrap_or(0.0)
     }
 
+    /// For each edit that came in force, how long it took from the operator's
+    /// write until every router that takes requests had it.
+    pub fn times_in_force(&self) -> &[Duration] {
+        &self.in_force
+    }
+
+    /// An edit came in force everywhere after this time.
+    pub(crate) fn in_force(&mut self, after: Duration) {
+        self.in_force.push(after);
+    }
+
     /// Messages sent, by kind.
     pub fn sent(&self) -> &BTreeMap<MessageKind, Traffic> {
         &self.sent
@@ -94,36 +149,38 @@
 
     /// Forgets outages, moves and messages so far, but not who owns what.
     pub fn reset(&mut self) {
-        let owners = std::mem::take(&mut self.owners);
         let last_owner = std::mem::take(&mut self.last_owner);
         *self = Measures {
-            owners,
             last_owner,
-            seen: self.seen,
+            seen: std::mem::take(&mut self.seen),
             ..Default::default()
         };
     }
 
     /// Counts one message.
     pub fn count(&mut self, kind: MessageKind, bytes: u64) {
-        let traffic = self.sent.entry(kind).or_default();
-        traffic.messages += 1;
-        traffic.bytes += bytes;
+        self.sent.entry(kind).or_default().add(bytes);
     }
 
     /// One probe's finding.
-    pub fn probe(&mut self, now: Timestamp, service: &ServiceId, point: Point, served: bool) {
+    pub fn probe(
+        &mut self,
+        now: Timestamp,
+        (probe, service, point): (usize, &ServiceId, Point),
+        served: bool,
+    ) {
         self.probes += 1;
-        let key = (service.clone(), point);
         if served {
-            if let Some(number) = self.failing.remove(&key) {
+            if !self.failing.is_empty()
+                && let Some(number) = self.failing.remove(&probe)
+            {
                 self.outages[number].until = Some(now);
             }
             return;
         }
         self.failed_probes += 1;
-        if !self.failing.contains_key(&key) {
-            self.failing.insert(key, self.outages.len());
+        if !self.failing.contains_key(&probe) {
+            self.failing.insert(probe, self.outages.len());
             self.outages.push(Outage {
                 service: service.clone(),
                 point,
@@ -136,10 +193,11 @@
     /// Follows owners by the records that routers receive. Every revision is
     /// looked at once, whichever router receives it first.
     pub fn follow(&mut self, delta: &RecordDelta) {
-        if delta.to <= self.seen {
+        let seen = self.seen.entry(delta.group).or_default();
+        if delta.to <= *seen {
             return;
         }
-        self.seen = delta.to;
+        *seen = delta.to;
         for change in &delta.changes {
             match change {
                 RecordChange::Slice(record) => {
@@ -147,7 +205,6 @@
                     self.follow_owner(record.key(), owner, record.slice.share());
                 }
                 RecordChange::SliceRemoved(key) => {
-                    self.owners.remove(key);
                     self.last_owner.remove(key);
                 }
                 _ => {}
@@ -157,8 +214,12 @@
 
     fn follow_owner(&mut self, key: SliceKey, owner: Option<&BackEndId>, share: f64) {
         let Some(owner) = owner else { return };
-        let last = match self.last_owner.insert(key.clone(), owner.clone()) {
-            Some(last) => Some(last),
+        let now = LastOwner {
+            back_end: owner.clone(),
+            share,
+        };
+        let last = match self.last_owner.insert(key.clone(), now) {
+            Some(last) => Some(last.back_end),
             // A slice that was split off had the owner of the one it was in.
             None => self.owner_before(&key),
         };
@@ -169,6 +230,6 @@
 
     fn owner_before(&self, key: &SliceKey) -> Option<BackEndId> {
         let (neighbour, owner) = self.last_owner.range(..key).next_back()?;
-        (neighbour.service == key.service).then(|| owner.clone())
+        (neighbour.service == key.service).then(|| owner.back_end.clone())
     }
 }
--- a/crates/simulator/src/router.rs
+++ b/crates/simulator/src/router.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use threadledge_control::{ControlNode, Input, Output};
-use threadledge_types::{MachineName, RouterId, Timestamp};
+use threadledge_types::{MachineName, Revision, RouterId, Timestamp};
 
 use crate::clock::ModelClock;
 use crate::event::Event;
@@ -35,6 +35,12 @@
     pub held_back: Vec<Event>,
     /// It watches the store.
     pub watching: bool,
+    /// Highest revision its copy of the records was seen at.
+    pub revision: Revision,
+    /// Version of the machine list it was given last.
+    pub machines_version: Option<u64>,
+    /// Bytes of the batch around its messages.
+    pub envelope_bytes: u64,
 }
 
 impl RouterModel {
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -7,9 +7,9 @@
     API_VERSION, BACK_END_KIND, BackEndObject, BackEndSpec, KEYED_SERVICE_KIND, KeySource,
     KeyedServiceObject, KeyedServiceSpec, ObjectMeta, PlacementPolicy, Priority, RouteRule, object,
 };
-use threadledge_types::{RegionName, Timing, ZoneName};
+use threadledge_types::{MachineName, RegionName, Timing, ZoneName};
 
-use crate::network::NetworkSettings;
+use crate::network::{NetworkSettings, Place};
 
 /// Namespace of every simulated service.
 pub const NAMESPACE: &str = "partner-a";
@@ -23,6 +23,8 @@
 pub struct ServicePlan {
     /// Name of the service.
     pub name: String,
+    /// Region of the service and its back ends, by number.
+    pub region: usize,
     /// Number of back ends.
     pub back_ends: usize,
     /// Requests a second, spread evenly over the keys.
@@ -36,11 +38,18 @@
     pub fn new(name: &str, back_ends: usize) -> Self {
         ServicePlan {
             name: name.to_owned(),
+            region: 0,
             back_ends,
             rate: 100.0,
             policy: PlacementPolicy::default(),
         }
     }
+
+    /// The same service in another region.
+    pub fn in_region(mut self, region: usize) -> Self {
+        self.region = region;
+        self
+    }
 }
 
 /// Everything that a world is made from.
@@ -48,9 +57,14 @@
 pub struct Scenario {
     /// Seed of every random choice.
     pub seed: u64,
-    /// Zones of the region.
+    /// Regions whose routers run.
+    pub regions: usize,
+    /// Further regions, as large, that are only on the machine list. Regions
+    /// decide on their own, so a large world runs one at a time.
+    pub listed_regions: usize,
+    /// Zones of each region.
     pub zones: usize,
-    /// Routers, spread evenly over the zones.
+    /// Routers of each region, spread evenly over its zones.
     pub routers: usize,
     /// Services.
     pub services: Vec<ServicePlan>,
@@ -68,12 +82,39 @@
     pub count_bytes: bool,
     /// Milliseconds between the ticks of a router.
     pub tick_ms: u64,
+    /// Milliseconds between a router's readings of the machine list.
+    pub machines_ms: u64,
+    /// Routers of each region that keep a routing table, through which keys
+    /// are probed; `None` for all. Fewer save time and memory.
+    pub tables: Option<usize>,
+}
+
+impl Scenario {
+    /// Where the numbered router stands.
+    pub fn router_place(&self, number: usize) -> Place {
+        let (region, number) = (number / self.routers.max(1), number % self.routers.max(1));
+        let zone = number % self.zones;
+        Place { region, zone }
+    }
+
+    /// Whether the numbered router keeps a routing table.
+    pub fn keeps_table(&self, number: usize) -> bool {
+        let routers = self.routers.max(1);
+        let Some(tables) = self.tables.filter(|tables| *tables < routers) else {
+            return true;
+        };
+        // Evenly spread: the count of tables rises at this router.
+        let number = number % routers;
+        (number + 1) * tables / routers > number * tables / routers
+    }
 }
 
 impl Default for Scenario {
     fn default() -> Self {
         Scenario {
             seed: 1,
+            regions: 1,
+            listed_regions: 0,
             zones: 3,
             routers: 3,
             services: vec![ServicePlan::new("gallery", 6)],
@@ -84,18 +125,28 @@
             probes_per_service: 16,
             count_bytes: false,
             tick_ms: 20,
+            machines_ms: 2_000,
+            tables: None,
         }
     }
 }
 
-/// Region of the simulated routers.
-pub fn region() -> RegionName {
-    RegionName::from("region-0")
+/// Name of a region.
+pub fn region_name(number: usize) -> RegionName {
+    RegionName(format!("region-{number}"))
+}
+
+/// Name of a zone; no two regions share one.
+pub fn zone_name(place: &Place) -> ZoneName {
+    match place.region {
+        0 => ZoneName(format!("zone-{}", place.zone)),
+        region => ZoneName(format!("region-{region}-zone-{}", place.zone)),
+    }
 }
 
-/// Name of a zone.
-pub fn zone_name(number: usize) -> ZoneName {
-    ZoneName(format!("zone-{number}"))
+/// Name of a routing machine.
+pub fn machine_name(number: usize) -> MachineName {
+    MachineName(format!("router-{number}"))
 }
 
 /// Address of a simulated router.
@@ -121,7 +172,12 @@
 }
 
 /// The object of a back end.
-pub fn back_end_object(service: &str, number: usize, machine: usize, zone: usize) -> BackEndObject {
+pub fn back_end_object(
+    service: &str,
+    number: usize,
+    machine: usize,
+    place: &Place,
+) -> BackEndObject {
     let control = control_address(machine);
     let name = back_end_name(service, number);
     object::Object {
@@ -133,7 +189,7 @@
         spec: BackEndSpec {
             address: SocketAddr::new(control.ip(), control.port() + 1),
             control_address: control,
-            zone: zone_name(zone),
+            zone: zone_name(place),
             slots: 2,
             connections: 130,
         },
@@ -147,7 +203,7 @@
         types: Some(types(KEYED_SERVICE_KIND)),
         metadata: metadata(&plan.name),
         spec: KeyedServiceSpec {
-            region: region(),
+            region: region_name(plan.region),
             hosts: vec![format!("{}.example", plan.name)],
             back_end_selector: LabelSelector {
                 match_labels: Some([(SERVICE_LABEL.to_owned(), plan.name.clone())].into()),
--- a/crates/simulator/src/store.rs
+++ b/crates/simulator/src/store.rs
@@ -1,8 +1,9 @@
 //! A model of the platform's object API, as the shell presents it to the
 //! control core, and of its machine list.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
+use crate::costs::json_bytes;
 use threadledge_control::{
     ConfigurationEvent, FoundingResult, GroupObjectState, GroupObjectVersion, Listing, ObjectRef,
     ObservedObject, StatusWrite, Verdict,
@@ -28,6 +29,8 @@
     pub revision: Revision,
     /// When the status was written.
     pub at: Timestamp,
+    /// Region whose group accepted it.
+    pub region: usize,
 }
 
 /// Objects with versions, conditional writes and an outage switch.
@@ -41,7 +44,10 @@
     back_ends: BTreeMap<String, BackEndObject>,
     services: BTreeMap<String, KeyedServiceObject>,
     accepted: BTreeMap<ObjectRef, Acceptance>,
+    /// Acceptances that nobody has taken note of yet, in order of time.
+    new_acceptances: VecDeque<(ObjectRef, Acceptance)>,
     machines: MachineList,
+    machines_bytes: u64,
     machines_down: bool,
 }
 
@@ -71,10 +77,16 @@
         (!self.machines_down).then(|| self.machines.clone())
     }
 
+    /// Length of the machine list as JSON.
+    pub fn machines_bytes(&self) -> u64 {
+        self.machines_bytes
+    }
+
     /// Replaces the machine list.
     pub fn set_machines(&mut self, machines: Vec<Machine>) {
         self.machines.version += 1;
         self.machines.machines = machines;
+        self.machines_bytes = json_bytes(&self.machines);
     }
 
     /// Writes a back end as its operator would.
@@ -139,8 +151,8 @@
         ]
     }
 
-    /// Takes a status, unless the store is down.
-    pub fn write_status(&mut self, now: Timestamp, write: StatusWrite) {
+    /// Takes a status from a region's group, unless the store is down.
+    pub fn write_status(&mut self, now: Timestamp, region: usize, write: StatusWrite) {
         if self.down {
             return;
         }
@@ -149,8 +161,12 @@
                 generation: write.observed_generation,
                 revision,
                 at: now,
+                region,
             };
-            self.accepted.insert(write.object, acceptance);
+            let object = write.object;
+            self.new_acceptances
+                .push_back((object.clone(), acceptance.clone()));
+            self.accepted.insert(object, acceptance);
         }
     }
 
@@ -159,9 +175,14 @@
         self.accepted.get(object)
     }
 
-    /// Latest acceptances of all objects.
-    pub fn acceptances(&self) -> impl Iterator<Item = (&ObjectRef, &Acceptance)> {
-        self.accepted.iter()
+    /// Acceptances since the last call, in order of time.
+    pub(crate) fn take_acceptances(&mut self) -> VecDeque<(ObjectRef, Acceptance)> {
+        std::mem::take(&mut self.new_acceptances)
+    }
+
+    /// Version of the machine list, if it answers.
+    pub fn machines_version(&self) -> Option<u64> {
+        (!self.machines_down).then_some(self.machines.version)
     }
 
     /// Reads a region's group object.
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -1,25 +1,27 @@
 //! A world of routers, back ends, store and network, run in virtual time.
 
+mod configuration;
 mod deliver;
 mod faults;
 mod outputs;
 mod probes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use threadledge_control::{ControlNode, ControlSettings};
+use threadledge_control::{ControlNode, ControlSettings, PeerBatch};
 use threadledge_membership::{Machine, MachineState};
 use threadledge_routing::RoutingTable;
 use threadledge_types::{
-    BackEndId, Incarnation, MachineName, RouterId, RouterIdentity, ServiceId, Timestamp,
+    BackEndId, GroupId, Incarnation, Revision, RouterId, RouterIdentity, ServiceId, Timestamp,
 };
 
 use crate::back_end::{BackEndModel, Traffic};
 use crate::clock::ModelClock;
+use crate::costs::{RouterCost, json_bytes};
 use crate::event::{Event, EventQueue};
 use crate::invariants::Invariants;
 use crate::measures::Measures;
@@ -32,8 +34,6 @@
 const MAX_CLOCK_OFFSET: u64 = 10_000_000_000;
 /// Time between two rounds of probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(10);
-/// Time between readings of the machine list.
-const MACHINES_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Number of a routing machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -45,11 +45,12 @@
 
 /// A key that is looked at regularly, by the table of one router.
 struct Probe {
+    region: usize,
     service: ServiceId,
     point: threadledge_types::Point,
 }
 
-/// A simulated region.
+/// A simulated world of one region or several.
 pub struct World {
     scenario: Scenario,
     now: Timestamp,
@@ -62,6 +63,9 @@
     back_end_addresses: BTreeMap<SocketAddr, BackEndIndex>,
     back_end_ids: BTreeMap<BackEndId, BackEndIndex>,
     store: StoreModel,
+    configuration: configuration::ConfigurationWatch,
+    /// Back ends that were ever granted a slice of a service.
+    grantees: BTreeMap<ServiceId, BTreeSet<BackEndIndex>>,
     traffic: Traffic,
     exchanges: BTreeMap<u64, threadledge_types::session::LeaseOrder>,
     lease_back_end: BTreeMap<u64, BackEndId>,
@@ -71,6 +75,9 @@
     probe_round: usize,
     invariants: Invariants,
     measures: Measures,
+    costs: Vec<RouterCost>,
+    /// Receivers that messages of the current step already go to.
+    batched: Vec<Option<RouterIndex>>,
     stopwatch: Option<fn() -> u64>,
 }
 
@@ -88,6 +95,8 @@
             back_end_addresses: BTreeMap::new(),
             back_end_ids: BTreeMap::new(),
             store: StoreModel::default(),
+            configuration: configuration::ConfigurationWatch::default(),
+            grantees: BTreeMap::new(),
             traffic: Traffic::default(),
             exchanges: BTreeMap::new(),
             lease_back_end: BTreeMap::new(),
@@ -97,6 +106,8 @@
             probe_round: 0,
             invariants: Invariants::default(),
             measures: Measures::default(),
+            costs: Vec::new(),
+            batched: Vec::new(),
             stopwatch: None,
             scenario,
         };
@@ -140,6 +151,17 @@
     /// Starts the figures anew.
     pub fn reset_measures(&mut self) {
         self.measures.reset();
+        self.costs.fill(RouterCost::default());
+    }
+
+    /// What control cost a router since the figures were started anew.
+    pub fn cost(&self, index: RouterIndex) -> &RouterCost {
+        &self.costs[index.0]
+    }
+
+    /// How the world was laid out.
+    pub fn scenario(&self) -> &Scenario {
+        &self.scenario
     }
 
     /// The platform.
@@ -183,17 +205,26 @@
         &self.routers[index.0].place
     }
 
-    /// The router that leads with a valid leader lease, if any.
+    /// The router that leads with a valid leader lease, if any; of several
+    /// regions' leaders the first.
     pub fn leader(&self) -> Option<RouterIndex> {
-        let mut indices = 0..self.routers.len();
-        indices
-            .find(|number| {
-                let process = self.routers[*number].process.as_ref();
-                process.is_some_and(|process| {
-                    !process.paused && process.node.is_leader(process.clock.read(self.now))
-                })
+        (0..self.scenario.regions).find_map(|region| self.leader_of(region))
+    }
+
+    /// The router that leads a region with a valid leader lease, if any.
+    pub fn leader_of(&self, region: usize) -> Option<RouterIndex> {
+        self.routers_of(region).find(|index| {
+            let process = self.routers[index.0].process.as_ref();
+            process.is_some_and(|process| {
+                !process.paused && process.node.is_leader(process.clock.read(self.now))
             })
-            .map(RouterIndex)
+        })
+    }
+
+    /// Routers of a region.
+    pub fn routers_of(&self, region: usize) -> impl Iterator<Item = RouterIndex> + use<> {
+        let each = self.scenario.routers;
+        (region * each..(region + 1) * each).map(RouterIndex)
     }
 
     /// Service identifier of a planned service.
@@ -205,10 +236,13 @@
         for plan in self.scenario.services.clone() {
             for number in 0..plan.back_ends {
                 let machine = self.back_ends.len();
-                let zone = machine % self.scenario.zones;
-                let object = scenario::back_end_object(&plan.name, number, machine, zone);
+                let place = Place {
+                    region: plan.region,
+                    zone: machine % self.scenario.zones,
+                };
+                let object = scenario::back_end_object(&plan.name, number, machine, &place);
                 self.store.put_back_end(object);
-                self.add_back_end(&scenario::back_end_name(&plan.name, number), zone);
+                self.add_back_end(&scenario::back_end_name(&plan.name, number), place);
             }
             self.store.put_service(scenario::service_object(&plan));
             let service = self.service_id(&plan.name);
@@ -216,51 +250,59 @@
             for _ in 0..self.scenario.probes_per_service {
                 let point = threadledge_types::Point(self.random.random());
                 let service = service.clone();
-                self.probes.push(Probe { service, point });
+                let region = plan.region;
+                self.probes.push(Probe {
+                    region,
+                    service,
+                    point,
+                });
             }
         }
     }
 
-    fn add_back_end(&mut self, name: &str, zone: usize) {
+    fn add_back_end(&mut self, name: &str, place: Place) {
         let index = BackEndIndex(self.back_ends.len());
         let control = scenario::control_address(index.0);
         let id = BackEndId::new(NAMESPACE, name);
         self.back_end_addresses.insert(control, index);
         self.back_end_ids.insert(id.clone(), index);
-        let place = Place { region: 0, zone };
         self.back_ends.push(BackEndModel::new(id, place, control));
         self.start_back_end(index);
     }
 
     fn lay_out_routers(&mut self) {
-        for number in 0..self.scenario.routers {
+        let routers = self.scenario.regions * self.scenario.routers;
+        self.costs = vec![RouterCost::default(); routers];
+        for number in 0..routers {
             let address = scenario::router_address(number);
             self.router_addresses.insert(address, RouterIndex(number));
             self.routers.push(RouterModel {
-                machine: MachineName(format!("router-{number}")),
-                place: Place {
-                    region: 0,
-                    zone: number % self.scenario.zones,
-                },
+                machine: scenario::machine_name(number),
+                place: self.scenario.router_place(number),
                 address,
                 process: None,
                 lives: 0,
             });
         }
         self.publish_machines();
-        for number in 0..self.scenario.routers {
+        for number in 0..routers {
             self.start_router(RouterIndex(number));
         }
     }
 
     /// Brings the platform's machine list up to date with the machines.
     pub fn publish_machines(&mut self) {
-        let machines = self.routers.iter().map(|router| Machine {
-            name: router.machine.clone(),
-            region: scenario::region(),
-            zone: scenario::zone_name(router.place.zone),
-            peer_address: router.address,
-            state: MachineState::Live,
+        let regions = self.scenario.regions + self.scenario.listed_regions;
+        let numbers = 0..regions * self.scenario.routers;
+        let machines = numbers.map(|number| {
+            let place = self.scenario.router_place(number);
+            Machine {
+                name: scenario::machine_name(number),
+                region: scenario::region_name(place.region),
+                zone: scenario::zone_name(&place),
+                peer_address: scenario::router_address(number),
+                state: MachineState::Live,
+            }
         });
         let machines = machines.collect();
         self.store.set_machines(machines);
@@ -282,23 +324,32 @@
             id: RouterId(id),
             machine: router.machine.clone(),
             incarnation: Incarnation(router.lives),
-            region: scenario::region(),
-            zone: scenario::zone_name(router.place.zone),
+            region: scenario::region_name(router.place.region),
+            zone: scenario::zone_name(&router.place),
             peer_address: router.address,
             caller_address: router.address,
         };
         let settings = ControlSettings {
+            group: GroupId(router.place.region as u32),
             group_size: self.scenario.group_size,
             timing: self.scenario.timing.clone(),
             seed: id,
             ..Default::default()
         };
+        let envelope = PeerBatch {
+            from: identity.clone(),
+            to: Some(identity.id),
+            messages: Vec::new(),
+        };
         RouterProcess {
+            envelope_bytes: json_bytes(&envelope),
             node: ControlNode::new(settings, identity, clock.read(self.now)),
             clock,
             paused: false,
             held_back: Vec::new(),
             watching: false,
+            revision: Revision::NONE,
+            machines_version: None,
         }
     }
 }
--- a/crates/simulator/src/world/deliver.rs
+++ b/crates/simulator/src/world/deliver.rs
@@ -1,11 +1,15 @@
 //! What happens when an event is due.
 
+use std::collections::BTreeSet;
+
 use threadledge_control::{Input, PeerBatch};
+use threadledge_membership::MachineList;
 use threadledge_types::session::{Grant, LeaseRequest, LeaseResponse};
-use threadledge_types::{RouterId, Timestamp};
+use threadledge_types::{RouterId, ServiceId, Timestamp};
 
 use super::{BackEndIndex, PROBE_INTERVAL, RouterIndex, World};
 use crate::back_end::PREPARATION;
+use crate::costs::HEAD_BYTES;
 use crate::event::Event;
 use crate::measures::MessageKind;
 
@@ -48,12 +52,32 @@
         if self.routers[index.0].process.is_none() {
             return;
         }
-        if let Some(list) = self.store.machines() {
+        if let Some(list) = self.machine_list_for(index) {
             self.input_router(index, Input::Machines(list));
         }
         self.schedule_machines(index);
     }
 
+    /// The machine list as the router reads it. Of a version that it has
+    /// already, only the version counts to the core, so the machines are not
+    /// copied once more; the bytes are counted.
+    fn machine_list_for(&mut self, index: RouterIndex) -> Option<MachineList> {
+        let version = self.store.machines_version()?;
+        let bytes = match self.scenario.count_bytes {
+            true => HEAD_BYTES + self.store.machines_bytes(),
+            false => 0,
+        };
+        self.costs[index.0].receive(MessageKind::Machines, bytes);
+        let process = self.routers[index.0].awake()?;
+        if process.machines_version.replace(version) == Some(version) {
+            return Some(MachineList {
+                version,
+                machines: Vec::new(),
+            });
+        }
+        self.store.machines()
+    }
+
     fn watch_store(&mut self, index: RouterIndex, process: RouterId) {
         if self.routers[index.0].id() != Some(process) {
             return;
@@ -170,7 +194,9 @@
             return;
         };
         let response = self.handle_lease(index, *request);
-        self.count(MessageKind::Lease, &response);
+        let bytes = self.bytes_of(&response);
+        self.measures.count(MessageKind::Lease, bytes);
+        self.costs[from.0].receive(MessageKind::Lease, bytes);
         self.send_lease_answer(index, from, process, exchange, response);
     }
 
@@ -241,10 +267,21 @@
         if taken.is_empty() {
             return;
         }
-        let others = self.back_ends.iter().enumerate();
-        let others = others
-            .filter(|(number, _)| *number != index.0)
-            .filter_map(|(_, other)| Some((&other.id, other.process.as_ref()?.valid_grants(now))));
+        for grant in &taken {
+            let grantees = self.grantees.entry(grant.service.clone()).or_default();
+            grantees.insert(index);
+        }
+        // Whoever was never granted a slice of these services holds none.
+        let services: BTreeSet<&ServiceId> = taken.iter().map(|grant| &grant.service).collect();
+        let grantees = services
+            .iter()
+            .filter_map(|service| self.grantees.get(service));
+        let grantees: BTreeSet<&BackEndIndex> = grantees.flatten().collect();
+        let others = grantees.into_iter().filter(|other| **other != index);
+        let others = others.filter_map(|other| {
+            let other = &self.back_ends[other.0];
+            Some((&other.id, other.process.as_ref()?.valid_grants(now)))
+        });
         self.invariants
             .check_single_owner(now, &back_end.id, &taken, others);
     }
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -6,7 +6,7 @@
 use threadledge_control::{ConfigurationEvent, Input};
 use threadledge_routing::RoutingTable;
 
-use super::{BackEndIndex, MACHINES_INTERVAL, RouterIndex, World};
+use super::{BackEndIndex, RouterIndex, World};
 use crate::event::Event;
 use crate::scenario;
 
@@ -16,7 +16,9 @@
     pub fn start_router(&mut self, index: RouterIndex) {
         let process = self.new_process(index);
         self.routers[index.0].process = Some(process);
-        self.tables.insert(index, RoutingTable::new());
+        if self.scenario.keeps_table(index.0) {
+            self.tables.insert(index, RoutingTable::new());
+        }
         let stagger = self.random.random_range(0..self.scenario.tick_ms * 1_000);
         let first = self.now + Duration::from_micros(stagger);
         self.queue.schedule(first, Event::RouterTick(index));
@@ -92,9 +94,14 @@
     /// An operator labels one more server into a service.
     pub fn join_back_end(&mut self, service: &str) -> BackEndIndex {
         let index = BackEndIndex(self.back_ends.len());
-        let zone = index.0 % self.scenario.zones;
-        let object = scenario::back_end_object(service, index.0, index.0, zone);
-        self.add_back_end(&scenario::back_end_name(service, index.0), zone);
+        let plans = &self.scenario.services;
+        let plan = plans.iter().find(|plan| plan.name == service);
+        let place = crate::network::Place {
+            region: plan.map_or(0, |plan| plan.region),
+            zone: index.0 % self.scenario.zones,
+        };
+        let object = scenario::back_end_object(service, index.0, index.0, &place);
+        self.add_back_end(&scenario::back_end_name(service, index.0), place);
         let event = self.store.put_back_end(object);
         self.announce(&event);
         index
@@ -108,7 +115,29 @@
         }
     }
 
-    /// Cuts two zones off from each other, or heals the cut.
+    /// Cuts two regions off from each other, or heals the cut.
+    pub fn cut_regions(&mut self, one: usize, other: usize, cut: bool) {
+        for (from, to) in self.zone_pairs() {
+            let one = crate::network::Place {
+                region: one,
+                zone: from,
+            };
+            let other = crate::network::Place {
+                region: other,
+                zone: to,
+            };
+            self.network.set_cut(&one, &other, cut);
+        }
+    }
+
+    fn zone_pairs(&self) -> Vec<(usize, usize)> {
+        let zones = self.scenario.zones;
+        let pairs = (0..zones).flat_map(|from| (0..zones).map(move |to| (from, to)));
+        pairs.collect()
+    }
+
+    /// Cuts two zones of the first region off from each other, or heals the
+    /// cut.
     pub fn cut_zones(&mut self, one: usize, other: usize, cut: bool) {
         let place = |zone| crate::network::Place { region: 0, zone };
         self.network.set_cut(&place(one), &place(other), cut);
@@ -150,7 +179,7 @@
     }
 
     pub(super) fn schedule_machines(&mut self, index: RouterIndex) {
-        let next = self.now + MACHINES_INTERVAL;
+        let next = self.now + Duration::from_millis(self.scenario.machines_ms);
         self.queue.schedule(next, Event::ReadMachines(index));
     }
 }
--- a/crates/simulator/src/world/outputs.rs
+++ b/crates/simulator/src/world/outputs.rs
@@ -6,6 +6,7 @@
 use threadledge_types::{RouterId, Timestamp};
 
 use super::{RouterIndex, World};
+use crate::costs::{HEAD_BYTES, answers_pull, json_bytes, kind_of};
 use crate::event::Event;
 use crate::measures::MessageKind;
 
@@ -15,8 +16,6 @@
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a lease exchange is given up.
 const LEASE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Bytes of the HTTP heads of a request and its answer.
-const HTTP_OVERHEAD: u64 = 320;
 
 impl World {
     /// Steps a router that is awake and carries out what it asks for.
@@ -28,17 +27,13 @@
         };
         let id = process.node.identity().id;
         let outputs = process.step(now, input);
-        let role = process.node.role();
         let revision = process.node.replica().revision();
+        let before = std::mem::replace(&mut process.revision, revision);
         if let (Some(stopwatch), Some(started)) = (self.stopwatch, started) {
-            let busy = self
-                .measures
-                .busy_nanos
-                .entry(role.to_string())
-                .or_default();
-            *busy += stopwatch() - started;
+            self.costs[index.0].step(stopwatch() - started);
         }
-        self.invariants.saw_revision(now, id, revision);
+        self.invariants.saw_revision(now, id, before, revision);
+        self.batched.clear();
         for output in outputs {
             self.carry_out(index, id, output);
         }
@@ -59,7 +54,7 @@
                 }
             }
             Output::ReadGroupObject => {
-                let state = self.store.read_group(&crate::scenario::region());
+                let state = self.store.read_group(&self.region_of(from));
                 let delay = self.store_delay();
                 self.answer(from, process, delay, Input::GroupObject(state));
             }
@@ -67,7 +62,7 @@
                 generation,
                 expected,
             } => {
-                let region = crate::scenario::region();
+                let region = self.region_of(from);
                 let result =
                     self.store
                         .found_group(&region, process, generation, expected.as_ref());
@@ -78,12 +73,17 @@
             Output::StopWatching => self.set_watch(from, process, false),
             Output::WriteStatus(write) => {
                 let at = self.now + STORE_DELAY;
-                self.store.write_status(at, write);
+                let region = self.routers[from.0].place.region;
+                self.store.write_status(at, region, write);
             }
             Output::Observe(_) => {}
         }
     }
 
+    fn region_of(&self, router: RouterIndex) -> threadledge_types::RegionName {
+        crate::scenario::region_name(self.routers[router.0].place.region)
+    }
+
     fn store_delay(&self) -> Duration {
         if self.store.is_down() {
             STORE_TIMEOUT
@@ -119,27 +119,30 @@
         to_id: Option<RouterId>,
         message: Box<PeerMessage>,
     ) {
-        let kind = match &*message {
-            PeerMessage::Consensus { .. } => MessageKind::Consensus,
-            PeerMessage::Membership(_) => MessageKind::Membership,
-            PeerMessage::Spread { .. } => MessageKind::Spread,
-        };
-        self.count(kind, &*message);
-        let Some(receiver) = self.router_addresses.get(&to).copied() else {
+        let receiver = self.router_addresses.get(&to).copied();
+        self.count_peer(from, receiver, &message);
+        let Some(receiver) = receiver else {
             return;
         };
         let Some(identity) = self.router(from).map(|node| node.identity().clone()) else {
             return;
         };
-        for delay in self.router_deliveries(from, receiver) {
-            let event = Event::Peer {
-                to: receiver,
-                to_id,
-                from: identity.clone(),
-                message: message.clone(),
-            };
+        let mut deliveries = self.router_deliveries(from, receiver);
+        // Messages are large: only a duplicate is copied.
+        let Some(last) = deliveries.pop() else {
+            return;
+        };
+        let arrival = |message| Event::Peer {
+            to: receiver,
+            to_id,
+            from: identity.clone(),
+            message,
+        };
+        for delay in deliveries {
+            let event = arrival(message.clone());
             self.queue.schedule(self.now + delay, event);
         }
+        self.queue.schedule(self.now + last, arrival(message));
     }
 
     fn router_deliveries(&mut self, from: RouterIndex, to: RouterIndex) -> Vec<Duration> {
@@ -155,7 +158,9 @@
         to: std::net::SocketAddr,
         request: Box<threadledge_types::session::LeaseRequest>,
     ) {
-        self.count(MessageKind::Lease, &*request);
+        let bytes = HEAD_BYTES + self.bytes_of(&*request);
+        self.measures.count(MessageKind::Lease, bytes);
+        self.costs[from.0].send(MessageKind::Lease, bytes);
         let exchange = self.next_exchange;
         self.next_exchange += 1;
         self.exchanges.insert(exchange, request.order);
@@ -190,13 +195,34 @@
         }
     }
 
-    pub(super) fn count<T: serde::Serialize>(&mut self, kind: MessageKind, message: &T) {
-        let mut bytes = HTTP_OVERHEAD;
-        if self.scenario.count_bytes {
-            let text = serde_json::to_vec(message).unwrap_or_default();
-            bytes += text.len() as u64;
+    /// Counts a message between routers as the shell sends it: messages of one
+    /// step to one receiver share a request, and the heads and the sender's
+    /// identity around it.
+    fn count_peer(&mut self, from: RouterIndex, to: Option<RouterIndex>, message: &PeerMessage) {
+        let kind = kind_of(message);
+        let mut bytes = self.bytes_of(message);
+        if self.scenario.count_bytes && !self.batched.contains(&to) {
+            self.batched.push(to);
+            let process = self.routers[from.0].process.as_ref();
+            let envelope = process.map_or(0, |process| process.envelope_bytes);
+            // The answer to the request is a batch without messages.
+            bytes += HEAD_BYTES + 2 * envelope;
         }
         self.measures.count(kind, bytes);
+        let cost = &mut self.costs[from.0];
+        cost.send(kind, bytes);
+        cost.pulls_answered += u64::from(answers_pull(message));
+        if let Some(to) = to {
+            self.costs[to.0].receive(kind, bytes);
+        }
+    }
+
+    /// Length as JSON, where the scenario counts bytes.
+    pub(super) fn bytes_of<T: serde::Serialize>(&self, message: &T) -> u64 {
+        match self.scenario.count_bytes {
+            true => json_bytes(message),
+            false => 0,
+        }
     }
 
     pub(super) fn reschedule_tick(&mut self, index: RouterIndex) {
--- a/crates/simulator/src/world/probes.rs
+++ b/crates/simulator/src/world/probes.rs
@@ -1,31 +1,26 @@
 //! Looking regularly at whether keys can be served.
 
-use std::time::Duration;
-
 use threadledge_types::Epoch;
 
 use super::{RouterIndex, World};
-use crate::invariants::Violation;
-
-/// Accepted configuration must be in force within this time.
-const CONFIGURATION_BOUND: Duration = Duration::from_secs(5);
 
 impl World {
-    /// Looks at every probed key, each by the table of another router.
+    /// Looks at every probed key, each by the table of another router of its
+    /// region.
     pub(super) fn run_probes(&mut self) {
         self.probe_round += 1;
-        let ready = self.ready_routers();
+        let ready = self.ready_by_region();
         for number in 0..self.probes.len() {
-            let served = match ready.len() {
+            let probe = &self.probes[number];
+            let tables = &ready[probe.region].with_table;
+            let served = match tables.len() {
                 0 => None,
-                count => self.look_up(ready[(self.probe_round + number) % count], number),
+                count => self.look_up(tables[(self.probe_round + number) % count], number),
             };
-            let probe = &self.probes[number];
-            self.measures
-                .probe(self.now, &probe.service, probe.point, served.is_some());
+            let key = (number, &probe.service, probe.point);
+            self.measures.probe(self.now, key, served.is_some());
             if let Some(epoch) = served {
-                let (service, point) = (probe.service.clone(), probe.point);
-                self.invariants.saw_epoch(self.now, &service, point, epoch);
+                self.invariants.saw_epoch(self.now, key, epoch);
             }
         }
         self.check_configuration(&ready);
@@ -33,21 +28,34 @@
 
     /// Routers that take requests and that callers can reach.
     pub fn ready_routers(&self) -> Vec<RouterIndex> {
+        let all = (0..self.routers.len()).map(RouterIndex);
+        all.filter(|index| self.is_ready(*index)).collect()
+    }
+
+    fn is_ready(&self, index: RouterIndex) -> bool {
+        if self.network.is_isolated(index.0) {
+            return false;
+        }
+        let process = self.routers[index.0].process.as_ref();
+        let Some(process) = process.filter(|process| !process.paused) else {
+            return false;
+        };
+        let now = process.clock.read(self.now);
         let bound = self.scenario.timing.confirm_bound();
-        let all = self.routers.iter().enumerate();
-        all.filter(|(number, router)| {
-            if self.network.is_isolated(*number) {
-                return false;
+        let confirmed = process.node.confirmed_as_of();
+        confirmed.is_some_and(|confirmed| now.since(confirmed) <= bound)
+    }
+
+    fn ready_by_region(&self) -> Vec<ReadyRouters> {
+        let mut regions = vec![ReadyRouters::default(); self.scenario.regions];
+        for index in self.ready_routers() {
+            let region = &mut regions[self.routers[index.0].place.region];
+            region.all.push(index);
+            if self.tables.contains_key(&index) {
+                region.with_table.push(index);
             }
-            let Some(process) = router.process.as_ref().filter(|process| !process.paused) else {
-                return false;
-            };
-            let now = process.clock.read(self.now);
-            let confirmed = process.node.confirmed_as_of();
-            confirmed.is_some_and(|confirmed| now.since(confirmed) <= bound)
-        })
-        .map(|(number, _)| RouterIndex(number))
-        .collect()
+        }
+        regions
     }
 
     /// Epoch under which the key could be served through the router now.
@@ -69,30 +77,12 @@
         let holds = process.holds(self.now, &probe.service, probe.point, Some(owner.epoch));
         (reachable && holds).then_some(owner.epoch)
     }
+}
 
-    /// Kept everywhere: *accepted configuration is in force on every router
-    /// that takes requests within the bound, and never reverts*.
-    fn check_configuration(&mut self, ready: &[RouterIndex]) {
-        let mut missing = Vec::new();
-        for (object, acceptance) in self.store.acceptances() {
-            if self.now.since(acceptance.at) < CONFIGURATION_BOUND {
-                continue;
-            }
-            for index in ready {
-                let Some(node) = self.router(*index) else {
-                    continue;
-                };
-                if node.replica().revision() < acceptance.revision {
-                    missing.push(Violation::ConfigurationMissing {
-                        at: self.now,
-                        router: node.identity().id,
-                        object: object.describe(),
-                    });
-                }
-            }
-        }
-        for violation in missing {
-            self.invariants.report(violation);
-        }
-    }
+/// Routers of one region that take requests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReadyRouters {
+    pub all: Vec<RouterIndex>,
+    /// Those of them that keep a routing table.
+    pub with_table: Vec<RouterIndex>,
 }
