Tell changes of state, send the platform's token, part differing routers

Cause: the log repeated "platform unavailable" at every attempt and took a conflict on a status for an outage; a planned stop that went on without a finished handover said nothing; the object API's token could not be set; and nothing but a sentence in the docs kept two routers of a region from having different lease lengths, with which a new leader waits too little. The same sentence overlooked election-min-ms, on which the leader lease rests.

Change: - Availability of the object API is one state of all its uses; the log has a line when it changes (403, 404). The machine list has 209 and 210, refused statuses 408, lost answers of the founding write 407, an unconfirmed revision 406. - Requests that were refused or are unknown are counted and written every five seconds (501, 502, 505, 506). - platform-token-file: read and checked at start, sent to the object API and the machine list, never logged. - Each post between routers states lease-ms, drift-percent and election-min-ms; a router that differs is answered 409 and neither hears of the other.

Tests: the shell on loopback (malformed, oversized and misdirected batches, differing routers), status and explanations from a core, availability, request lines, token file.

--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -259,6 +259,7 @@
         operator_address,
         platform_address,
         machine_list_address,
+        platform_token_file: None,
         group_size: threadledge::settings::DEFAULT_GROUP_SIZE,
         timing: Timing::default(),
         limits: Limits::default(),
--- a/crates/router/src/control_shell.rs
+++ b/crates/router/src/control_shell.rs
@@ -6,6 +6,7 @@
 //! sees time that never goes back and that is later than the event it
 //! describes.
 
+pub mod availability;
 mod configuration;
 pub mod explain;
 mod leases;
@@ -13,6 +14,7 @@
 mod observe;
 mod peer_server;
 mod peers;
+pub mod safety;
 mod shared;
 pub mod status;
 
--- a/crates/router/src/control_shell/machines.rs
+++ b/crates/router/src/control_shell/machines.rs
@@ -17,13 +17,15 @@
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Reads the list until the process stops.
-pub async fn read_machines(shell: ControlShell, address: SocketAddr) {
-    let client = MachineListClient::new(address, TransportSettings::default());
+pub async fn read_machines(shell: ControlShell, address: SocketAddr, transport: TransportSettings) {
+    let client = MachineListClient::new(address, transport);
     let mut available = true;
     while !shell.stop_signal().is_stopped() {
         match client.machines::<MachineList>().await {
             Ok(list) => {
-                available = true;
+                if !std::mem::replace(&mut available, true) {
+                    emit!(EventId::MachineListRestored);
+                }
                 shell.input(Input::Machines(list));
             }
             Err(error) if available => {
--- a/crates/router/src/control_shell/peers.rs
+++ b/crates/router/src/control_shell/peers.rs
@@ -1,7 +1,7 @@
 //! Messages to other routers: one queue and one request at a time for each
 //! receiver, so that messages keep their order and share requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,11 +10,14 @@
 use async_std::task;
 use parking_lot::Mutex;
 use threadledge_control::{Input, PeerBatch, PeerMessage};
-use threadledge_net::{HttpClient, PoolSettings};
+use threadledge_net::{ClientError, HttpClient, PoolSettings};
 use threadledge_types::RouterId;
 
 use super::PEER_PATH;
+use super::safety::SafetySettings;
 use super::shared::ControlShell;
+use crate::events::{EventId, emit};
+use crate::operations::ProblemBody;
 
 /// Messages that may wait for one receiver. More are dropped: every protocol
 /// between routers repeats what matters.
@@ -25,6 +28,8 @@
 const POST_TIMEOUT: Duration = Duration::from_millis(500);
 /// A queue unused for this long is given up.
 const QUEUE_IDLE: Duration = Duration::from_secs(10);
+/// Status with which a router refuses one that has other safety settings.
+const SAFETY_CONFLICT: u16 = 409;
 
 /// Where messages go: an address and, when known, the process meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -37,11 +42,16 @@
 pub struct Peers {
     client: HttpClient,
     queues: Mutex<HashMap<Destination, Sender<PeerMessage>>>,
+    safety: SafetySettings,
+    /// Path of a post, with the safety settings.
+    path: String,
+    /// Routers that refused a post for their safety settings.
+    differing: Mutex<BTreeSet<SocketAddr>>,
 }
 
 impl Peers {
     /// No queues yet.
-    pub fn new() -> Self {
+    pub fn new(safety: SafetySettings) -> Self {
         let settings = PoolSettings {
             connect_timeout: POST_TIMEOUT,
             ..Default::default()
@@ -49,6 +59,40 @@
         Peers {
             client: HttpClient::new(settings),
             queues: Mutex::new(HashMap::new()),
+            path: safety.stated_in(PEER_PATH),
+            safety,
+            differing: Mutex::new(BTreeSet::new()),
+        }
+    }
+
+    /// Settings that other routers must share.
+    pub fn safety(&self) -> SafetySettings {
+        self.safety
+    }
+
+    /// Whether a router is known that has other safety settings.
+    pub fn any_differ(&self) -> bool {
+        !self.differing.lock().is_empty()
+    }
+
+    /// Notes whether a router shares the safety settings. Silence tells
+    /// nothing.
+    fn note_safety(&self, address: SocketAddr, answer: &Result<PeerBatch, ClientError>) {
+        match answer {
+            Ok(_) => {
+                self.differing.lock().remove(&address);
+            }
+            Err(error) => {
+                let refusal = error.answered_status();
+                let refusal = refusal.filter(|(status, _)| *status == SAFETY_CONFLICT);
+                if let Some((_, body)) = refusal
+                    && self.differing.lock().insert(address)
+                {
+                    let problem = serde_json::from_slice::<ProblemBody>(body);
+                    let message = problem.map(|problem| problem.message).unwrap_or_default();
+                    emit!(EventId::SafetySettingsDiffer, %address, %message);
+                }
+            }
         }
     }
 
@@ -117,10 +161,12 @@
         to: destination.id,
         messages,
     };
-    let client = &shell.peers().client;
-    let answer = client
-        .post_json::<_, PeerBatch>(destination.address, PEER_PATH, &batch, POST_TIMEOUT)
+    let peers = shell.peers();
+    let answer = peers
+        .client
+        .post_json::<_, PeerBatch>(destination.address, &peers.path, &batch, POST_TIMEOUT)
         .await;
+    peers.note_safety(destination.address, &answer);
     // A lost batch needs no handling: the cores repeat what matters.
     if let Ok(answer) = answer
         && !answer.messages.is_empty()
--- a/crates/router/src/control_shell/shared.rs
+++ b/crates/router/src/control_shell/shared.rs
@@ -5,16 +5,20 @@
 
 use async_std::task;
 use parking_lot::Mutex;
-use threadledge_control::{ControlNode, Input, Output, PeerBatch, PeerMessage};
+use threadledge_control::{
+    ControlNode, FoundingResult, GroupObjectVersion, Input, Output, PeerBatch, PeerMessage,
+};
 use threadledge_net::StopSignal;
+use threadledge_platform::TransportSettings;
 use threadledge_types::records::RecordDelta;
-use threadledge_types::{RouterId, RouterIdentity};
+use threadledge_types::{Generation, RouterId, RouterIdentity};
 
 use super::configuration::Configuration;
 use super::leases::LeaseClient;
 use super::machines::read_machines;
 use super::observe;
 use super::peers::Peers;
+use super::safety::SafetySettings;
 use crate::proxy::Clock;
 use crate::settings::Settings;
 
@@ -30,6 +34,8 @@
     pub settings: Settings,
     /// The core to run.
     pub node: ControlNode,
+    /// How to reach the platform's services.
+    pub platform: TransportSettings,
     /// Clock whose readings the core was made with.
     pub clock: Clock,
     /// Where changes of the records go.
@@ -64,9 +70,13 @@
         let shell = ControlShell {
             shared: Arc::new(Shared {
                 node: Mutex::new(parts.node),
-                peers: Peers::new(),
+                peers: Peers::new(SafetySettings::of(&parts.settings.timing)),
                 leases: LeaseClient::new(lease_timeout),
-                configuration: Configuration::new(&parts.settings, identity.id),
+                configuration: Configuration::new(
+                    &parts.settings,
+                    parts.platform.clone(),
+                    identity.id,
+                ),
                 identity,
                 clock: parts.clock,
                 records: parts.records,
@@ -74,7 +84,7 @@
             }),
         };
         task::spawn(tick(shell.clone()));
-        task::spawn(read_machines(shell.clone(), machine_list));
+        task::spawn(read_machines(shell.clone(), machine_list, parts.platform));
         shell
     }
 
@@ -97,6 +107,16 @@
         &self.shared.peers
     }
 
+    /// Settings that other routers must share.
+    pub fn safety(&self) -> SafetySettings {
+        self.shared.peers.safety()
+    }
+
+    /// Whether a router is known that has other safety settings.
+    pub fn knows_differing_routers(&self) -> bool {
+        self.shared.peers.any_differ()
+    }
+
     /// Reads the core's state.
     pub fn with_node<R>(&self, read: impl FnOnce(&ControlNode) -> R) -> R {
         read(&self.shared.node.lock())
@@ -140,6 +160,22 @@
         answers
     }
 
+    /// Writes the group object. While a router with other safety settings is
+    /// known there is a group that this one cannot see; it must not found a
+    /// second one, whatever the store shows.
+    fn found_group(&self, generation: Generation, expected: Option<GroupObjectVersion>) {
+        if !self.knows_differing_routers() {
+            let configuration = &self.shared.configuration;
+            return configuration.found_group(self, generation, expected);
+        }
+        let shell = self.clone();
+        // Not at once: the core is being stepped.
+        task::spawn(async move {
+            let result = FoundingResult::Unavailable;
+            shell.input(Input::Founded { generation, result });
+        });
+    }
+
     fn carry_out(&self, output: Output) {
         match output {
             Output::SendPeer { to, to_id, message } => {
@@ -151,10 +187,7 @@
             Output::FoundGroup {
                 generation,
                 expected,
-            } => self
-                .shared
-                .configuration
-                .found_group(self, generation, expected),
+            } => self.found_group(generation, expected),
             Output::WatchConfiguration(known) => self.shared.configuration.watch(self, &known),
             Output::StopWatching => self.shared.configuration.stop_watching(),
             Output::WriteStatus(write) => self.shared.configuration.write_status(write),
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -78,6 +78,9 @@
     NotReady = 107, "not-ready", Warn,
         "The router takes no new work, for the reason given.",
         "See the page on readiness in the operators' guide.";
+    HandoverIncomplete = 108, "handover-incomplete", Warn,
+        "A planned stop went on although the group could not yet do without this router; the group replaces it as after a loss.",
+        "Stop one router at a time, and the next when its replacement is ready.";
     PeerFound = 201, "peer-found", Info,
         "Another router answered for the first time.",
         "None.";
@@ -105,6 +108,12 @@
     MachineListUnavailable = 209, "machine-list-unavailable", Warn,
         "The platform's machine list cannot be read; the last one read is kept.",
         "Restore the machine list service.";
+    MachineListRestored = 210, "machine-list-restored", Info,
+        "The platform's machine list can be read again.",
+        "None.";
+    SafetySettingsDiffer = 211, "safety-settings-differ", Error,
+        "Another router has other safety settings; the two exchange nothing and are never in one group.",
+        "Give every router of the region the same safety settings; see the settings reference.";
     SessionOpened = 301, "session-opened", Info,
         "A back end process may be given slices.",
         "None.";
@@ -114,17 +123,17 @@
     BackEndDraining = 303, "back-end-draining", Info,
         "A back end announced that it is leaving; its slices are being moved.",
         "None.";
-    SliceAssigned = 304, "slice-assigned", Info,
-        "A slice without an owner was given one.",
+    SlicesAssigned = 304, "slices-assigned", Info,
+        "Slices of a service without an owner were given one; the line has their number.",
         "None.";
-    MoveStarted = 305, "move-started", Info,
-        "The handover of a slice began.",
+    MovesStarted = 305, "moves-started", Info,
+        "The handover of slices of a service began; the line has their number.",
         "None.";
-    MoveCompleted = 306, "move-completed", Info,
-        "The handover of a slice ended; the next owner owns it.",
+    MovesCompleted = 306, "moves-completed", Info,
+        "The handover of slices of a service ended; the next owners own them.",
         "None.";
-    MoveCancelled = 307, "move-cancelled", Info,
-        "The handover of a slice was given up; the owner stays.",
+    MovesCancelled = 307, "moves-cancelled", Info,
+        "The handover of slices of a service was given up; the owners stay, unless they are gone.",
         "None.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
@@ -133,7 +142,7 @@
         "An object was refused; what was in force before stays in force.",
         "Correct the object as the message says; its status carries the same text.";
     PlatformUnavailable = 403, "platform-unavailable", Warn,
-        "The object API cannot be reached; what was accepted stays in force.",
+        "The object API cannot be reached or used; what was accepted stays in force.",
         "Restore the object API.";
     PlatformRestored = 404, "platform-restored", Info,
         "The object API answers again.",
@@ -147,12 +156,15 @@
     WriteAmbiguous = 407, "write-ambiguous", Warn,
         "The answer to a write on the object API never came; the object is read back.",
         "None.";
-    RequestRefused = 501, "request-refused", Info,
-        "A request was not run, for the reason given.",
+    StatusNotWritten = 408, "status-not-written", Warn,
+        "The status of an object could not be written; the object is in force, or refused, all the same.",
+        "Allow the routers' credentials to write the status of this kind of object.";
+    RequestsRefused = 501, "requests-refused", Info,
+        "Requests of one service were not run in the last seconds, for the reason given; the line has their number.",
         "None for single ones; for many, see the reason in the operators' guide.";
-    RequestUnknown = 502, "request-unknown", Warn,
-        "It is unknown whether a request was run.",
-        "None for single ones; for many, check the back end named.";
+    RequestsUnknown = 502, "requests-unknown", Warn,
+        "It is unknown whether some requests of one service were run; the line has their number and the reason.",
+        "None for single ones; for many, check the back ends of the service.";
     BackEndEjected = 503, "back-end-ejected", Warn,
         "A back end gets fewer or no requests because it fails or is slow.",
         "Check the back end.";
@@ -166,13 +178,13 @@
         "One namespace uses up its share of this router; its further requests are refused.",
         "Ask that partner to slow down, or raise limits.namespace-share.";
     ImbalanceTooHigh = 601, "imbalance-too-high", Warn,
-        "A service's imbalance stays above what its policy tolerates and nothing that may be moved would help.",
+        "A service's imbalance stayed above what its policy tolerates for a minute.",
         "Add back ends, or raise the service's churn budget.";
-    SliceSplit = 602, "slice-split", Info,
-        "A slice was divided around a hot key.",
+    SlicesSplit = 602, "slices-split", Info,
+        "Slices of a service were divided around hot keys.",
         "None.";
     SlicesMerged = 603, "slices-merged", Info,
-        "Two slices that went cold were joined.",
+        "Slices of a service that went cold were joined.",
         "None.";
     NoEligibleBackEnd = 604, "no-eligible-back-end", Error,
         "A service has slices without an owner and no back end that may take them.",
--- a/crates/router/src/operations.rs
+++ b/crates/router/src/operations.rs
@@ -16,7 +16,7 @@
     NotReadyReason, Readiness, RouteOfService, SelectedBackEnd, ServiceStatus, SessionStatus,
     StatusReport,
 };
-pub use service::{Operations, serve};
+pub use service::{Operations, ProblemBody, serve};
 pub use signals::stop_on_signal;
 pub use text::{explanation_text, status_text};
 pub use view::{ExplainError, RouterView};
--- a/crates/router/src/operations/report.rs
+++ b/crates/router/src/operations/report.rs
@@ -71,15 +71,18 @@
     NoConfiguration,
     /// It could not confirm its revision within the bound.
     RevisionNotConfirmed,
+    /// The routers it could learn from have other safety settings.
+    SafetySettingsDiffer,
     /// A planned stop has begun.
     Draining,
 }
 
 impl NotReadyReason {
     /// Every reason.
-    pub const ALL: [NotReadyReason; 3] = [
+    pub const ALL: [NotReadyReason; 4] = [
         NotReadyReason::NoConfiguration,
         NotReadyReason::RevisionNotConfirmed,
+        NotReadyReason::SafetySettingsDiffer,
         NotReadyReason::Draining,
     ];
 
@@ -88,6 +91,7 @@
         match self {
             NotReadyReason::NoConfiguration => "no-configuration",
             NotReadyReason::RevisionNotConfirmed => "revision-not-confirmed",
+            NotReadyReason::SafetySettingsDiffer => "safety-settings-differ",
             NotReadyReason::Draining => "draining",
         }
     }
@@ -101,6 +105,9 @@
             NotReadyReason::RevisionNotConfirmed => {
                 "check that this machine reaches the other routers of its region on their peer addresses"
             }
+            NotReadyReason::SafetySettingsDiffer => {
+                "give this router the lease-ms, drift-percent and election-min-ms of its region and start it again"
+            }
             NotReadyReason::Draining => "nothing; the router exits once its requests are done",
         }
     }
--- /dev/null
+++ b/crates/router/src/platform_token.rs
@@ -0,0 +1,70 @@
+//! The token that the platform's services ask for.
+
+use std::path::{Path, PathBuf};
+
+use thiserror::Error;
+use threadledge_platform::TransportSettings;
+
+use crate::settings::Settings;
+
+/// Largest token, in bytes. A head of the platform must hold it.
+const MAX_TOKEN_BYTES: usize = 4_096;
+
+/// Why a token file is refused. No message holds any part of the token.
+#[derive(Debug, Error)]
+pub enum TokenError {
+    /// The file cannot be read.
+    #[error("the token file {} cannot be read ({cause}); correct 'platform-token-file'", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What failed.
+        cause: std::io::Error,
+    },
+    /// The file holds no token.
+    #[error("the token file {} is empty; write the token into it", .0.display())]
+    Empty(PathBuf),
+    /// The file holds something that no header can carry.
+    #[error(
+        "the token file {} holds more than one word of at most 4096 visible ASCII letters; write the token alone into it",
+        .0.display()
+    )]
+    NotAToken(PathBuf),
+}
+
+/// How to reach the platform's services, with the token of the settings.
+///
+/// # Errors
+///
+/// The settings name a token file that is of no use.
+pub fn platform_transport(settings: &Settings) -> Result<TransportSettings, TokenError> {
+    let token = match &settings.platform_token_file {
+        Some(path) => Some(read_token(path)?),
+        None => None,
+    };
+    Ok(TransportSettings {
+        token,
+        ..Default::default()
+    })
+}
+
+/// Reads a token; white space around it does not belong to it.
+///
+/// # Errors
+///
+/// The file cannot be read or holds no token.
+pub fn read_token(path: &Path) -> Result<String, TokenError> {
+    let text = std::fs::read_to_string(path).map_err(|cause| TokenError::Unreadable {
+        path: path.to_owned(),
+        cause,
+    })?;
+    let token = text.trim();
+    if token.is_empty() {
+        return Err(TokenError::Empty(path.to_owned()));
+    }
+    let is_visible = token.bytes().all(|byte| byte.is_ascii_graphic());
+    if !is_visible || token.len() > MAX_TOKEN_BYTES {
+        return Err(TokenError::NotAToken(path.to_owned()));
+    }
+    Ok(token.to_owned())
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -2,31 +2,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_std::net::TcpListener;
 use async_std::task;
 use thiserror::Error;
-use threadledge_control::{ControlNode, ControlSettings, Input};
-use threadledge_net::{ServeReport, StopSignal};
+use threadledge_control::{ControlNode, ControlSettings};
+use threadledge_net::StopSignal;
+use threadledge_platform::TransportSettings;
 use threadledge_types::{Incarnation, RouterId, RouterIdentity};
 
 use crate::control_shell::{ControlShell, ControlShellSettings, serve_peers};
 use crate::events::{EventId, emit};
 use crate::metrics::Metrics;
 use crate::operations::{Operations, stop_on_signal};
+use crate::planned_stop::{report_stop, stop_gracefully};
+use crate::platform_token::{TokenError, platform_transport};
 use crate::proxy::{Clock, Observation, Observer, Proxy, ProxyHandle, ProxySettings};
+use crate::request_log::RequestLog;
 use crate::running_router::{RunningRouter, watch_readiness};
 use crate::settings::Settings;
 
-/// Longest time a planned stop waits for the group to do without this router.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(8);
-/// Pause between looks at whether the group does without this router.
-const HANDOVER_POLL: Duration = Duration::from_millis(20);
-/// Time that a stopping router stays reachable after its last duty, for
-/// messages on their way.
-const LINGER: Duration = Duration::from_millis(200);
-
 /// Why a router stopped with an error.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -44,6 +40,9 @@
     /// The metrics cannot be registered.
     #[error("metrics cannot be registered ({0}); report this as a fault")]
     Metrics(prometheus::Error),
+    /// The platform's token cannot be had.
+    #[error(transparent)]
+    PlatformToken(#[from] TokenError),
 }
 
 /// Listening sockets of one router.
@@ -59,58 +58,124 @@
 ///
 /// It cannot start.
 pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let platform = platform_transport(&settings)?;
     let listeners = listen(&settings).await?;
     let metrics = Metrics::new(SystemTime::now()).map_err(RunError::Metrics)?;
     let drain = StopSignal::new();
     stop_on_signal(drain.clone()).map_err(RunError::Signals)?;
-
-    let clock = Clock::start();
-    let identity = identity(&settings);
-    let proxy = start_proxy(
-        &settings,
-        &identity,
-        clock,
-        listeners.callers,
-        &drain,
-        &metrics,
-    );
-    let finished = StopSignal::new();
-    let shell = start_control(&settings, identity, clock, proxy.handle.clone(), &finished);
-    let peers = task::spawn(serve_peers(
-        shell.clone(),
-        listeners.peers,
-        finished.clone(),
-    ));
-    let router = RunningRouter::new(
-        shell.clone(),
-        proxy.handle.clone(),
-        settings.timing.confirm_bound(),
-        drain.clone(),
-        metrics.clone(),
-    );
-    let operations = Operations::new(Arc::new(router.clone()), metrics);
-    let operators = task::spawn(crate::operations::serve(
-        listeners.operators,
-        operations,
-        finished.clone(),
-    ));
-    task::spawn(watch_readiness(router, finished.clone()));
-    emit!(
-        EventId::RouterStarted,
-        router = %shell.identity().id,
-        machine = %settings.machine,
-        callers = %settings.caller_address
-    );
-
-    drain.stopped().await;
-    let report = stop_gracefully(&shell, proxy).await;
-    finished.stop();
-    operators.await;
-    peers.await;
-    report_stop(&report);
+    let process = Process {
+        settings,
+        platform,
+        metrics,
+        clock: Clock::start(),
+        drain,
+        finished: StopSignal::new(),
+    };
+    process.run(listeners).await;
     Ok(())
 }
 
+/// What the parts of one running router share.
+struct Process {
+    settings: Settings,
+    platform: TransportSettings,
+    metrics: Metrics,
+    clock: Clock,
+    /// Begins the planned stop.
+    drain: StopSignal,
+    /// Given when the router has nothing left to do.
+    finished: StopSignal,
+}
+
+impl Process {
+    async fn run(self, listeners: Listeners) {
+        let identity = identity(&self.settings);
+        let requests = RequestLog::default();
+        let proxy = self.start_proxy(&identity, listeners.callers, requests.clone());
+        let shell = self.start_control(identity, proxy.handle.clone());
+        let finished = &self.finished;
+        let peers = serve_peers(shell.clone(), listeners.peers, finished.clone());
+        let router = self.running_router(&shell, &proxy);
+        let operations = Operations::new(Arc::new(router.clone()), self.metrics.clone());
+        let operators = crate::operations::serve(listeners.operators, operations, finished.clone());
+        let servers = [task::spawn(peers), task::spawn(operators)];
+        let requests = task::spawn(requests.run(finished.clone()));
+        task::spawn(watch_readiness(router, finished.clone()));
+        emit!(
+            EventId::RouterStarted,
+            router = %shell.identity().id,
+            machine = %self.settings.machine,
+            callers = %self.settings.caller_address
+        );
+
+        self.drain.stopped().await;
+        let report = stop_gracefully(&shell, proxy).await;
+        self.finished.stop();
+        for server in servers {
+            server.await;
+        }
+        requests.await;
+        report_stop(&report);
+    }
+
+    fn start_proxy(
+        &self,
+        identity: &RouterIdentity,
+        listener: TcpListener,
+        requests: RequestLog,
+    ) -> Proxy {
+        let settings = ProxySettings::with_seed(identity.id.0).with_limits(&self.settings.limits);
+        let metrics = self.metrics.clone();
+        let observer = Observer::new(move |observation: &Observation| {
+            requests.observe(observation);
+            count_request(&metrics, observation);
+        });
+        ProxyHandle::start(settings, self.clock, listener, self.drain.clone(), observer)
+    }
+
+    fn start_control(&self, identity: RouterIdentity, proxy: ProxyHandle) -> ControlShell {
+        let settings = ControlSettings {
+            group_size: self.settings.group_size as usize,
+            timing: self.settings.timing.clone(),
+            seed: identity.id.0,
+            ..Default::default()
+        };
+        ControlShell::start(ControlShellSettings {
+            settings: self.settings.clone(),
+            node: ControlNode::new(settings, identity, self.clock.now()),
+            platform: self.platform.clone(),
+            clock: self.clock,
+            records: Box::new(move |delta| {
+                if let Err(error) = proxy.apply(delta) {
+                    tracing::error!(%error, "records do not fit the data path's copy");
+                }
+            }),
+            stop: self.finished.clone(),
+        })
+    }
+
+    fn running_router(&self, shell: &ControlShell, proxy: &Proxy) -> RunningRouter {
+        RunningRouter::new(
+            shell.clone(),
+            proxy.handle.clone(),
+            self.settings.timing.confirm_bound(),
+            self.drain.clone(),
+            self.metrics.clone(),
+        )
+    }
+}
+
+fn count_request(metrics: &Metrics, observation: &Observation) {
+    if let Some(outcome) = observation.outcome {
+        metrics.count_request(
+            observation.service.as_deref(),
+            observation.route.as_deref().unwrap_or_default(),
+            outcome,
+            observation.elapsed,
+        );
+    }
+}
+
 async fn listen(settings: &Settings) -> Result<Listeners, RunError> {
     Ok(Listeners {
         callers: bind(settings.caller_address).await?,
@@ -141,88 +206,3 @@
         caller_address: settings.caller_address,
     }
 }
-
-fn start_proxy(
-    settings: &Settings,
-    identity: &RouterIdentity,
-    clock: Clock,
-    listener: TcpListener,
-    drain: &StopSignal,
-    metrics: &Metrics,
-) -> Proxy {
-    let proxy_settings = ProxySettings::with_seed(identity.id.0).with_limits(&settings.limits);
-    let metrics = metrics.clone();
-    let observer = Observer::new(move |observation: &Observation| {
-        if let Some(outcome) = observation.outcome {
-            metrics.count_request(
-                observation.service.as_deref(),
-                observation.route.as_deref().unwrap_or_default(),
-                outcome,
-                observation.elapsed,
-            );
-        }
-    });
-    ProxyHandle::start(proxy_settings, clock, listener, drain.clone(), observer)
-}
-
-fn start_control(
-    settings: &Settings,
-    identity: RouterIdentity,
-    clock: Clock,
-    proxy: ProxyHandle,
-    finished: &StopSignal,
-) -> ControlShell {
-    let control_settings = ControlSettings {
-        group_size: settings.group_size as usize,
-        timing: settings.timing.clone(),
-        seed: identity.id.0,
-        ..Default::default()
-    };
-    let node = ControlNode::new(control_settings, identity, clock.now());
-    ControlShell::start(ControlShellSettings {
-        settings: settings.clone(),
-        node,
-        clock,
-        records: Box::new(move |delta| {
-            if let Err(error) = proxy.apply(delta) {
-                tracing::error!(%error, "records do not fit the data path's copy");
-            }
-        }),
-        stop: finished.clone(),
-    })
-}
-
-/// Finishes what runs and hands over the group's duties, both at once.
-///
-/// Kept here: *a planned stop cuts off no request in flight*. The proxy ends
-/// when its last request is answered; meanwhile the control core goes on.
-async fn stop_gracefully(shell: &ControlShell, proxy: Proxy) -> ServeReport {
-    shell.input(Input::Leave);
-    let handover = task::spawn(hand_over(shell.clone()));
-    let report = proxy.served.await;
-    handover.await;
-    task::sleep(LINGER).await;
-    report
-}
-
-async fn hand_over(shell: ControlShell) {
-    let deadline = shell.clock().now() + HANDOVER_LIMIT;
-    while shell.clock().now() < deadline {
-        if shell.with_node(ControlNode::may_stop) {
-            return;
-        }
-        task::sleep(HANDOVER_POLL).await;
-    }
-}
-
-fn report_stop(report: &ServeReport) {
-    if report.cut == 0 {
-        emit!(EventId::StopFinished, requests = report.requests);
-    } else {
-        emit!(
-            EventId::StopCutShort,
-            cut = report.cut,
-            requests = report.requests
-        );
-    }
-}
--- a/crates/router/src/running_router.rs
+++ b/crates/router/src/running_router.rs
@@ -48,6 +48,11 @@
 
     fn readiness_of(&self, node: &ControlNode, now: Timestamp) -> Readiness {
         let mut readiness = status::readiness(node, now, self.confirm_bound);
+        // A router that has its configuration is not put out by a newcomer
+        // that differs from it.
+        if !readiness.is_ready() && self.shell.knows_differing_routers() {
+            readiness.reasons.push(NotReadyReason::SafetySettingsDiffer);
+        }
         if self.drain.is_stopped() {
             readiness.reasons.push(NotReadyReason::Draining);
         }
@@ -137,6 +142,13 @@
     if announced.as_ref() == Some(readiness) {
         return;
     }
+    let unconfirmed = NotReadyReason::RevisionNotConfirmed;
+    let was_unconfirmed = announced
+        .as_ref()
+        .is_some_and(|former| former.reasons.contains(&unconfirmed));
+    if readiness.reasons.contains(&unconfirmed) && !was_unconfirmed {
+        emit!(EventId::RevisionNotConfirmed);
+    }
     if readiness.is_ready() {
         emit!(EventId::Ready);
     } else {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -11,6 +11,7 @@
 mod validate;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,9 @@
     pub platform_address: SocketAddr,
     /// The platform's list of machines.
     pub machine_list_address: SocketAddr,
+    /// File with the token that the platform's services ask for, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub platform_token_file: Option<PathBuf>,
     /// Members of a consensus group: 1, 3 or 5.
     #[serde(default = "default_group_size")]
     pub group_size: u32,
--- a/crates/router/src/settings/keys.rs
+++ b/crates/router/src/settings/keys.rs
@@ -44,6 +44,12 @@
 }
 
 impl SettingKey {
+    /// Whether the file or a flag must give the key: those of the top level
+    /// have no default, with few exceptions.
+    pub fn is_required(&self) -> bool {
+        self.table.is_empty() && !OPTIONAL.contains(&self.name)
+    }
+
     /// `table.name`, or `name` at the top level.
     pub fn path(&self) -> String {
         if self.table.is_empty() {
@@ -54,6 +60,9 @@
     }
 }
 
+/// Keys of the top level that may be left out.
+pub const OPTIONAL: &[&str] = &["platform-token-file", "group-size"];
+
 /// Finds a key by its place in the file.
 pub fn find(table: &str, name: &str) -> Option<&'static SettingKey> {
     KEYS.iter()
@@ -104,6 +113,7 @@
     top("operator-address", ValueKind::Address, "address on which operators connect"),
     top("platform-address", ValueKind::Address, "address of the platform's object API"),
     top("machine-list-address", ValueKind::Address, "address of the platform's machine list"),
+    top("platform-token-file", ValueKind::Text, "file with the token for the platform's services"),
     top("group-size", ValueKind::Integer, "members of a consensus group: 1, 3 or 5"),
     timing("renewal-ms", "interval between session renewals"),
     timing("lease-ms", "length of a session lease; at least three renewals"),
--- a/crates/router/src/settings/load.rs
+++ b/crates/router/src/settings/load.rs
@@ -160,7 +160,7 @@
         if unreadable {
             return;
         }
-        for key in KEYS.iter().filter(|key| is_required(key)) {
+        for key in KEYS.iter().filter(|key| key.is_required()) {
             let path = key.path();
             if !self.values.contains_key(&path) && !reported.contains(&path) {
                 let kind = SettingsProblem::Missing {
@@ -217,11 +217,6 @@
     KEYS.iter().any(|key| key.table == name)
 }
 
-/// Keys of the top level have no default, except the group size.
-fn is_required(key: &SettingKey) -> bool {
-    key.table.is_empty() && key.name != "group-size"
-}
-
 fn unknown_key(table: &str, name: &str) -> SettingsProblem {
     let path = if table.is_empty() {
         name.to_owned()
--- a/crates/router/src/settings/validate.rs
+++ b/crates/router/src/settings/validate.rs
@@ -32,13 +32,18 @@
 }
 
 fn names(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    let token_file = settings.platform_token_file.as_deref();
     let names = [
-        ("machine", &settings.machine.0),
-        ("region", &settings.region.0),
-        ("zone", &settings.zone.0),
+        ("machine", Some(settings.machine.0.as_str())),
+        ("region", Some(settings.region.0.as_str())),
+        ("zone", Some(settings.zone.0.as_str())),
+        (
+            "platform-token-file",
+            token_file.map(|path| path.to_str().unwrap_or_default()),
+        ),
     ];
     for (key, value) in names {
-        if value.trim().is_empty() {
+        if value.is_some_and(|value| value.trim().is_empty()) {
             problems.push(SettingsProblem::OutOfRange {
                 key,
                 value: "empty".to_owned(),
--- /dev/null
+++ b/crates/router/tests/availability.rs
@@ -0,0 +1,60 @@
+//! When the log says that the platform is lost or restored.
+
+use threadledge::control_shell::availability::{
+    Availability, AvailabilityChange, PlatformUse, means_unavailable,
+};
+use threadledge_platform::PlatformErrorKind;
+
+#[test]
+fn repeated_failures_are_one_loss() {
+    let mut availability = Availability::default();
+    let first = availability.failed(PlatformUse::WatchBackEnds);
+    assert_eq!(first, Some(AvailabilityChange::Lost));
+    assert_eq!(availability.failed(PlatformUse::WatchBackEnds), None);
+    assert_eq!(availability.failed(PlatformUse::WatchServices), None);
+    assert_eq!(availability.failed(PlatformUse::Single), None);
+}
+
+#[test]
+fn one_watch_that_works_does_not_restore_while_the_other_fails() {
+    let mut availability = Availability::default();
+    availability.failed(PlatformUse::WatchBackEnds);
+    availability.failed(PlatformUse::WatchServices);
+    assert_eq!(availability.succeeded(PlatformUse::WatchBackEnds), None);
+    let restored = availability.succeeded(PlatformUse::WatchServices);
+    assert_eq!(restored, Some(AvailabilityChange::Restored));
+    assert_eq!(availability.succeeded(PlatformUse::WatchServices), None);
+}
+
+#[test]
+fn any_success_ends_the_failure_of_a_single_request() {
+    let mut availability = Availability::default();
+    availability.failed(PlatformUse::Single);
+    let restored = availability.succeeded(PlatformUse::WatchBackEnds);
+    assert_eq!(restored, Some(AvailabilityChange::Restored));
+}
+
+#[test]
+fn ended_watch_neither_restores_nor_holds_up_the_next_success() {
+    let mut availability = Availability::default();
+    availability.failed(PlatformUse::WatchBackEnds);
+    availability.ended(PlatformUse::WatchBackEnds);
+    assert_eq!(availability.failed(PlatformUse::Single), None);
+    let restored = availability.succeeded(PlatformUse::Single);
+    assert_eq!(restored, Some(AvailabilityChange::Restored));
+}
+
+#[test]
+fn refusal_of_one_request_is_no_loss() {
+    for kind in [
+        PlatformErrorKind::Conflict,
+        PlatformErrorKind::AlreadyExists,
+        PlatformErrorKind::NotFound,
+        PlatformErrorKind::Gone,
+    ] {
+        assert!(!means_unavailable(&kind), "{kind}");
+    }
+    assert!(means_unavailable(&PlatformErrorKind::Unauthorized));
+    let refused = PlatformErrorKind::Unreachable("refused".to_owned());
+    assert!(means_unavailable(&refused));
+}
--- /dev/null
+++ b/crates/router/tests/control_shell/safety.rs
@@ -0,0 +1,107 @@
+//! Routers with different safety settings exchange nothing.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task;
+use http_types::Url;
+use threadledge::control_shell::PEER_PATH;
+use threadledge::control_shell::safety::{SafetyError, SafetySettings};
+use threadledge_control::{Input, PeerBatch};
+use threadledge_membership::{Machine, MachineList, MachineState};
+use threadledge_types::{MachineName, Timing};
+
+use crate::world::{PATIENCE, World, identity};
+
+const PAUSE: Duration = Duration::from_millis(5);
+
+fn shorter_lease() -> Timing {
+    Timing {
+        lease_ms: 1_500,
+        ..Default::default()
+    }
+}
+
+fn url(path: &str) -> Url {
+    Url::parse(&format!("http://router{path}")).expect("a URL")
+}
+
+#[test]
+fn each_safety_setting_is_compared() {
+    let own = SafetySettings::of(&Timing::default());
+    assert_eq!(own.check(&url(&own.stated_in(PEER_PATH))), Ok(()));
+    for theirs in [
+        SafetySettings { lease_ms: 1, ..own },
+        SafetySettings {
+            drift_percent: 1,
+            ..own
+        },
+        SafetySettings {
+            election_min_ms: 1,
+            ..own
+        },
+    ] {
+        let refused = own.check(&url(&theirs.stated_in(PEER_PATH)));
+        assert_eq!(refused, Err(SafetyError::Differ { theirs, own }));
+    }
+}
+
+#[test]
+fn settings_that_are_not_stated_are_refused() {
+    let own = SafetySettings::of(&Timing::default());
+    let refused = own.check(&url(PEER_PATH));
+    assert_eq!(refused, Err(SafetyError::Missing("lease-ms")));
+    let partial = url("/peer?lease-ms=2000&drift-percent=much");
+    assert_eq!(
+        own.check(&partial),
+        Err(SafetyError::Missing("drift-percent"))
+    );
+}
+
+#[async_std::test]
+async fn batch_of_a_differing_router_is_refused_unread() {
+    let world = World::start(Timing::default()).await;
+    let theirs = SafetySettings::of(&shorter_lease());
+    let batch = PeerBatch {
+        from: identity(world.peer_address),
+        to: None,
+        messages: Vec::new(),
+    };
+    let request = |path: String| {
+        http::Request::post(path)
+            .body(serde_json::to_vec(&batch).expect("JSON"))
+            .expect("a valid request")
+    };
+    let (status, text) = world.send(request(theirs.stated_in(PEER_PATH))).await;
+    assert_eq!(status, 409);
+    assert!(text.contains("lease-ms 1500"), "{text}");
+    assert!(text.contains("give every router of the region the same"));
+    let own = world.shell.safety();
+    let (status, text) = world.send(request(own.stated_in(PEER_PATH))).await;
+    assert_eq!(status, 200, "{text}");
+}
+
+/// Both learn of the difference by the machine list, as in a deployment.
+#[async_std::test]
+async fn differing_routers_learn_it_and_nothing_else_of_each_other() {
+    let old = World::start(Timing::default()).await;
+    let new = World::start(shorter_lease()).await;
+    new.shell.input(Input::Machines(MachineList {
+        version: 1,
+        machines: vec![Machine {
+            name: MachineName("router-2".to_owned()),
+            peer_address: old.peer_address,
+            region: old.shell.identity().region.clone(),
+            zone: old.shell.identity().zone.clone(),
+            state: MachineState::Live,
+        }],
+    }));
+    let refused = async {
+        while !new.shell.knows_differing_routers() {
+            task::sleep(PAUSE).await;
+        }
+    };
+    timeout(PATIENCE, refused).await.expect("a refusal");
+    assert_eq!(new.shell.with_node(|node| node.live_routers()), 1);
+    assert_eq!(old.shell.with_node(|node| node.live_routers()), 1);
+}
--- /dev/null
+++ b/crates/router/tests/control_shell/world.rs
@@ -0,0 +1,217 @@
+//! A control shell with its peer server, and a core that leads alone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use k8s_openapi::apimachinery::pkg::apis::meta::v1::LabelSelector;
+use threadledge::control_shell::{Clock, ControlShell, ControlShellSettings, serve_peers};
+use threadledge::settings::{Limits, LogSettings, Settings};
+use threadledge_control::{
+    ConfigurationEvent, ControlNode, ControlSettings, FoundingResult, GroupObjectState, Input,
+    Listing, ObjectRef, ObservedObject, Output,
+};
+use threadledge_net::{HttpClient, StopSignal};
+use threadledge_platform::TransportSettings;
+use threadledge_types::objects::{
+    BackEndObject, BackEndSpec, KeySource, KeyedServiceObject, KeyedServiceSpec, ObjectMeta,
+    PlacementPolicy, Priority, RouteRule, object,
+};
+use threadledge_types::{
+    BackEndId, Incarnation, MachineName, RegionName, RouterId, RouterIdentity, ServiceId,
+    Timestamp, Timing, ZoneName,
+};
+
+/// Longest wait for what a busy machine may do late.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const HOST: &str = "gallery.example";
+
+/// A shell whose peer server listens.
+pub struct World {
+    pub shell: ControlShell,
+    pub peer_address: SocketAddr,
+    stop: StopSignal,
+}
+
+impl World {
+    pub async fn start(timing: Timing) -> World {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let peer_address = listener.local_addr().expect("bound");
+        let clock = Clock::start();
+        let stop = StopSignal::new();
+        let settings = settings(peer_address, timing);
+        let control = ControlSettings {
+            timing: settings.timing.clone(),
+            ..Default::default()
+        };
+        let shell = ControlShell::start(ControlShellSettings {
+            node: ControlNode::new(control, identity(peer_address), clock.now()),
+            settings,
+            platform: TransportSettings::default(),
+            clock,
+            records: Box::new(|_| {}),
+            stop: stop.clone(),
+        });
+        task::spawn(serve_peers(shell.clone(), listener, stop.clone()));
+        World {
+            shell,
+            peer_address,
+            stop,
+        }
+    }
+
+    /// Sends a request to the peer address; gives status and body.
+    pub async fn send(&self, request: http::Request<Vec<u8>>) -> (u16, String) {
+        let client = HttpClient::default();
+        let answer = client.send(self.peer_address, request, PATIENCE).await;
+        let answer = answer.expect("an answer");
+        let status = answer.status().as_u16();
+        let body = String::from_utf8(answer.into_body()).expect("text");
+        (status, body)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.stop.stop();
+    }
+}
+
+/// Settings of a router whose platform refuses every connection.
+fn settings(peer_address: SocketAddr, timing: Timing) -> Settings {
+    let nobody = "127.0.0.1:1".parse().expect("an address");
+    Settings {
+        machine: MachineName("router-1".to_owned()),
+        region: RegionName::from("luzon"),
+        zone: ZoneName::from("luzon-a"),
+        caller_address: nobody,
+        peer_address,
+        operator_address: nobody,
+        platform_address: nobody,
+        machine_list_address: nobody,
+        platform_token_file: None,
+        group_size: 3,
+        timing,
+        limits: Limits::default(),
+        log: LogSettings::default(),
+    }
+}
+
+pub fn identity(peer_address: SocketAddr) -> RouterIdentity {
+    RouterIdentity {
+        id: RouterId(u64::from(peer_address.port())),
+        machine: MachineName("router-1".to_owned()),
+        incarnation: Incarnation(1),
+        region: RegionName::from("luzon"),
+        zone: ZoneName::from("luzon-a"),
+        peer_address,
+        caller_address: peer_address,
+    }
+}
+
+/// A core, in virtual time, that leads its group alone and has accepted one
+/// service and one back end. The back end has not answered yet.
+pub fn leading_node() -> (ControlNode, Timestamp) {
+    let mut now = Timestamp::from_millis(1_000);
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let settings = ControlSettings {
+        group_size: 1,
+        ..Default::default()
+    };
+    let mut node = ControlNode::new(settings, identity(address), now);
+    let asks = |output: &Output| matches!(output, Output::ReadGroupObject);
+    while !node.step(now, Input::Tick).iter().any(asks) {
+        now = now + Duration::from_millis(20);
+    }
+    let outputs = node.step(now, Input::GroupObject(GroupObjectState::Absent));
+    let generation = outputs.iter().find_map(|output| match output {
+        Output::FoundGroup { generation, .. } => Some(*generation),
+        _ => None,
+    });
+    let founded = Input::Founded {
+        generation: generation.expect("an absent group is founded"),
+        result: FoundingResult::Written,
+    };
+    node.step(now, founded);
+    for event in [
+        ConfigurationEvent::BackEndsListed(listing(observed_back_end())),
+        ConfigurationEvent::ServicesListed(listing(observed_service())),
+    ] {
+        node.step(now, Input::Configuration(Box::new(event)));
+    }
+    node.step(now, Input::Tick);
+    (node, now)
+}
+
+fn listing<K>(object: ObservedObject<K>) -> Listing<K> {
+    Listing {
+        withheld: Vec::new(),
+        objects: vec![object],
+        resource_version: 10,
+    }
+}
+
+fn observed_back_end() -> ObservedObject<BackEndObject> {
+    let spec = BackEndSpec {
+        address: "127.0.1.1:8000".parse().expect("an address"),
+        control_address: "127.0.1.2:8000".parse().expect("an address"),
+        zone: ZoneName::from("luzon-a"),
+        slots: 2,
+        connections: 20,
+    };
+    ObservedObject {
+        object: ObjectRef::BackEnd(BackEndId::new("kasamahan", "gallery-1")),
+        generation: 1,
+        content: Ok(object::Object {
+            types: None,
+            metadata: metadata("gallery-1"),
+            spec,
+            status: None,
+        }),
+    }
+}
+
+fn observed_service() -> ObservedObject<KeyedServiceObject> {
+    let spec = KeyedServiceSpec {
+        region: RegionName::from("luzon"),
+        hosts: vec![HOST.to_owned()],
+        back_end_selector: LabelSelector {
+            match_labels: Some([("app".to_owned(), "gallery".to_owned())].into()),
+            match_expressions: None,
+        },
+        routes: vec![RouteRule {
+            name: "browse".to_owned(),
+            path_prefix: "/browse".to_owned(),
+            methods: Vec::new(),
+            key: KeySource::Header("member".to_owned()),
+            repeatable: None,
+            priority: Priority::Normal,
+            deadline_ms: 1_000,
+            may_queue: false,
+        }],
+        placement: PlacementPolicy::default(),
+    };
+    ObservedObject {
+        object: ObjectRef::Service(ServiceId::new("kasamahan", "gallery")),
+        generation: 1,
+        content: Ok(object::Object {
+            types: None,
+            metadata: metadata("gallery"),
+            spec,
+            status: None,
+        }),
+    }
+}
+
+fn metadata(name: &str) -> ObjectMeta {
+    ObjectMeta {
+        namespace: Some("kasamahan".to_owned()),
+        name: Some(name.to_owned()),
+        uid: Some(format!("uid-{name}")),
+        resource_version: Some("5".to_owned()),
+        generation: Some(1),
+        labels: Some([("app".to_owned(), "gallery".to_owned())].into()),
+        ..Default::default()
+    }
+}
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -246,9 +246,21 @@
     }
 }
 
+#[test]
+fn empty_name_of_the_token_file_is_refused() {
+    let file = File::new("token", COMPLETE);
+    let error = file
+        .load(&[("platform-token-file", " ")])
+        .expect_err("refused");
+    let problem = &error.problems[0].kind;
+    assert_eq!(problem.key(), Some("platform-token-file"));
+}
+
 #[test]
 fn keys_are_those_of_the_settings() {
-    let settings = File::new("keys", COMPLETE).load(&[]).expect("taken");
+    let file = File::new("keys", COMPLETE);
+    let optional = [("platform-token-file", "/etc/threadledge/token")];
+    let settings = file.load(&optional).expect("taken");
     let table: toml::Table = toml::from_str(&settings.to_toml().expect("TOML")).expect("TOML");
     let mut paths = Vec::new();
     for (name, value) in &table {
@@ -275,9 +287,9 @@
             "" => table.get(key.name),
             outer => table[outer].get(key.name),
         };
-        let required = key.table.is_empty() && key.name != "group-size";
         let default = match value {
-            Some(value) if !required => format!("`{value}`"),
+            Some(value) if !key.is_required() => format!("`{value}`"),
+            None if !key.is_required() => "none".to_owned(),
             _ => "required".to_owned(),
         };
         let kind = match key.kind {
