Tell the overloaded at once; let one ask for all after a wrong owner

Cause: the retry budget gained nothing by time, so that with no other traffic a refused request waited to its deadline (20 s seen). And after a move each refused request asked its owner by itself: when the router knew the next owner before that had its grant, they used the budget up in one wave, and nobody asked any more.

Change: the budget gains 2 tokens a second over all routers (`retry-refill-per-second`). A request refused for overload that finds no token, or whose next try would lie past its patience, ends at once with Retry-After. Requests refused as "wrong owner" or "lease lapsed" wait for a newer epoch or until the owner answers another under the same one; only the first asks again, after 5 ms doubling to 1 s, with a token. Each follows an answered one once, so that this cannot amplify.

--- a/crates/routing/src/back_end.rs
+++ b/crates/routing/src/back_end.rs
@@ -65,7 +65,7 @@
             ejection: Ejection::new(ejection_policy(settings)),
             latency: LatencyEstimate::default(),
             queue: WaitQueue::new(settings.queue_per_back_end, settings.low_priority_turn),
-            retries: Budget::new(settings.retry_percent, settings.retry_reserve),
+            retries: retry_budget(settings, routers),
             hedges: Budget::new(settings.hedge_percent, settings.hedge_reserve),
             life: None,
             draining_since: None,
@@ -83,6 +83,13 @@
         self.address = spec.address;
         self.connection_limit = connection_limit(spec, routers);
         self.limit.set_bounds(bounds(spec, settings, routers));
+        self.retries.set_refill(settings.retry_refill(routers));
+    }
+
+    /// Takes leave to send something again.
+    pub(crate) fn withdraw_retry(&mut self, now: Timestamp) -> bool {
+        self.retries.refill(now);
+        self.retries.withdraw()
     }
 
     /// The session changed. What was learned of an earlier life is forgotten;
@@ -235,6 +242,12 @@
     Bounds::new(spec.slots, spec.connections, routers, overcommit)
 }
 
+fn retry_budget(settings: &Settings, routers: u32) -> Budget {
+    let mut budget = Budget::new(settings.retry_percent, settings.retry_reserve);
+    budget.set_refill(settings.retry_refill(routers));
+    budget
+}
+
 fn ejection_policy(settings: &Settings) -> EjectionPolicy {
     EjectionPolicy {
         failures: settings.ejection_failures,
--- a/crates/routing/src/classify.rs
+++ b/crates/routing/src/classify.rs
@@ -76,6 +76,8 @@
 pub enum Again {
     /// After a backoff, or at once to another owner.
     AfterBackoff,
+    /// At once to another owner, or when this one serves.
+    WhenOwned,
     /// Only once the key has another owner.
     NewOwnerOnly,
     /// Never: it would be refused again.
@@ -85,7 +87,8 @@
 /// When to send again after a refusal.
 pub fn after_refusal(refusal: Refusal) -> Again {
     match refusal {
-        Refusal::WrongOwner | Refusal::LeaseLapsed | Refusal::Overloaded => Again::AfterBackoff,
+        Refusal::WrongOwner | Refusal::LeaseLapsed => Again::WhenOwned,
+        Refusal::Overloaded => Again::AfterBackoff,
         Refusal::Draining => Again::NewOwnerOnly,
         Refusal::DeadlinePassed | Refusal::Malformed => Again::Never,
     }
--- a/crates/routing/src/dispatcher/admission.rs
+++ b/crates/routing/src/dispatcher/admission.rs
@@ -64,6 +64,7 @@
             parked_since: None,
             attempts: Vec::new(),
             made: 0,
+            refusals: None,
             denied: 0,
             hedged: false,
             cancellations: Vec::new(),
--- a/crates/routing/src/dispatcher/advance.rs
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -4,7 +4,7 @@
 
 use super::core::Core;
 use crate::attempt::{Attempt, AttemptNumber, Step};
-use crate::exchange::{Exchange, RunningAttempt, State, Target};
+use crate::exchange::{Exchange, RunningAttempt, State, Target, TryAgain};
 
 impl Core {
     /// Moves the exchange on until there is something to tell the shell.
@@ -61,7 +61,7 @@
         }
         let Some(owner) = self.usable_owner(now, exchange) else {
             exchange.not_run = NotRunReason::NoOwner;
-            self.park(now, exchange, None, None);
+            self.park(now, exchange, None, TryAgain::Never);
             return None;
         };
         self.grant_slots(now, owner.back_end);
--- a/crates/routing/src/dispatcher/attempts.rs
+++ b/crates/routing/src/dispatcher/attempts.rs
@@ -8,7 +8,7 @@
 use crate::classify::{
     Again, Ran, Resending, after_refusal, classify, is_evidence_of_failure, may_send_again,
 };
-use crate::exchange::{Exchange, RunningAttempt, State};
+use crate::exchange::{Exchange, RunningAttempt, State, TryAgain};
 
 impl Core {
     /// Gives the permission to write if the attempt is still wanted, its
@@ -92,6 +92,7 @@
         event: AttemptEvent,
     ) {
         if exchange.state == State::Running {
+            self.on_served(attempt);
             self.record_latency(now, attempt);
             self.choose(now, exchange, attempt);
         }
@@ -196,11 +197,12 @@
             self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
             return;
         }
-        let retry_at = match again {
-            Again::AfterBackoff => Some(self.retry_time(now, exchange)),
-            Again::NewOwnerOnly | Again::Never => None,
+        let try_again = match again {
+            Again::WhenOwned => return self.park_refused(now, exchange, attempt.target),
+            Again::AfterBackoff => TryAgain::At(self.retry_time(now, exchange)),
+            Again::NewOwnerOnly | Again::Never => TryAgain::Never,
         };
-        self.park(now, exchange, Some(attempt.target), retry_at);
+        self.park(now, exchange, Some(attempt.target), try_again);
     }
 
     pub(super) fn end_without_answer(
--- a/crates/routing/src/dispatcher/core.rs
+++ b/crates/routing/src/dispatcher/core.rs
@@ -10,6 +10,7 @@
 use crate::ejection::EjectionChange;
 use crate::exchange::{Exchange, RunningAttempt, State, Target};
 use crate::fairness::{SharePolicy, Shares};
+use crate::refusing::RefusingOwners;
 use crate::settings::Settings;
 use crate::snapshot::Notice;
 use crate::table::{BackEndIndex, RoutingTable, ServiceIndex};
@@ -30,6 +31,7 @@
     /// Exchanges that have not ended, by the point of their key, so that a
     /// changed slice wakes only those it concerns.
     pub(super) by_point: BTreeSet<(ServiceIndex, Point, ExchangeId)>,
+    pub(super) refusing: RefusingOwners,
     pub(super) wakeups: BTreeSet<ExchangeId>,
     pub(super) counters: Counters,
     pub(super) notices: Vec<Notice>,
@@ -51,6 +53,7 @@
             back_ends: BTreeMap::new(),
             shares,
             by_point: BTreeSet::new(),
+            refusing: RefusingOwners::default(),
             wakeups: BTreeSet::new(),
             counters: Counters::default(),
             notices: Vec::new(),
@@ -67,6 +70,9 @@
 
     /// Changes the state and keeps the count of those that can give way.
     pub(super) fn set_state(&mut self, exchange: &mut Exchange, state: State) {
+        if exchange.state != state {
+            self.leave_refusing(exchange);
+        }
         exchange.state = state;
         let waits = matches!(state, State::Parked(_) | State::Queued { .. });
         let yields = waits && !exchange.may_have_run();
--- a/crates/routing/src/dispatcher/ending.rs
+++ b/crates/routing/src/dispatcher/ending.rs
@@ -63,6 +63,7 @@
 
     fn let_go(&mut self, now: Timestamp, exchange: &mut Exchange) {
         self.leave_queue(now, exchange);
+        self.leave_refusing(exchange);
         for attempt in std::mem::take(&mut exchange.attempts) {
             self.release(now, exchange.id, &attempt);
         }
--- a/crates/routing/src/dispatcher/mod.rs
+++ b/crates/routing/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod ending;
 mod records;
+mod refused;
 mod status;
 mod waiting;
 
--- a/crates/routing/src/dispatcher/waiting.rs
+++ b/crates/routing/src/dispatcher/waiting.rs
@@ -7,24 +7,24 @@
 use super::core::Core;
 use crate::attempt::Step;
 use crate::backoff::backoff;
-use crate::exchange::{Exchange, Parked, State, Target};
+use crate::exchange::{Exchange, Parked, State, Target, TryAgain};
 use crate::queue::Pushed;
 use crate::table::BackEndIndex;
 
 impl Core {
-    /// Waits for another owner than `avoid`, or for `retry_at`.
+    /// Waits for another owner than `avoid`, or until that may be tried again.
     pub(super) fn park(
         &mut self,
         now: Timestamp,
         exchange: &mut Exchange,
         avoid: Option<Target>,
-        retry_at: Option<Timestamp>,
+        again: TryAgain,
     ) {
         if exchange.parked_since.is_none() {
             exchange.parked_since = Some(now);
             self.counters.parked += 1;
         }
-        self.set_state(exchange, State::Parked(Parked { avoid, retry_at }));
+        self.set_state(exchange, State::Parked(Parked { avoid, again }));
     }
 
     /// Time of the next attempt at the same owner.
@@ -56,9 +56,20 @@
             self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
             return None;
         }
-        let Some(retry_at) = parked.retry_at else {
-            return Some(Step::Wait { until: give_up });
+        let retry_at = match (parked.again, owner) {
+            (TryAgain::Never, _) | (TryAgain::WithOthers, None) => {
+                return Some(Step::Wait { until: give_up });
+            }
+            (TryAgain::WithOthers, Some(owner)) => {
+                return self.wait_refused(now, exchange, owner, give_up);
+            }
+            (TryAgain::At(retry_at), _) => retry_at,
         };
+        if exchange.not_run == NotRunReason::Overloaded && retry_at >= give_up {
+            // It would only be held back.
+            self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
+            return None;
+        }
         if now < retry_at || owner.is_none() {
             let until = if now < retry_at {
                 retry_at.min(give_up)
@@ -72,26 +83,26 @@
     }
 
     /// Takes a token for another attempt at the same owner. Without one, a
-    /// request that surely did not run waits on, sending nothing; one that may
-    /// have run ends.
+    /// request that may have run, or that the owner had no room for, is given
+    /// up: its caller is told at once. Others wait on for another owner, with
+    /// nothing sent.
     fn retry_or_put_off(&mut self, now: Timestamp, exchange: &mut Exchange, parked: Parked) {
-        let budget = parked
+        let back_end = parked
             .avoid
-            .and_then(|target| self.back_ends.get_mut(&target.back_end))
-            .map(|back_end| &mut back_end.retries);
-        if budget.is_none_or(|budget| budget.withdraw()) {
+            .and_then(|target| self.back_ends.get_mut(&target.back_end));
+        if back_end.is_none_or(|back_end| back_end.withdraw_retry(now)) {
             self.counters.retries += 1;
             self.set_state(exchange, State::Ready);
             return;
         }
         self.counters.retries_denied += 1;
-        if exchange.unresolved.is_some() {
+        if exchange.unresolved.is_some() || exchange.not_run == NotRunReason::Overloaded {
             self.end_without_answer(now, exchange, UnknownReason::ConnectionLost);
             return;
         }
         exchange.denied += 1;
         let retry_at = self.retry_time(now, exchange);
-        self.park(now, exchange, parked.avoid, Some(retry_at));
+        self.park(now, exchange, parked.avoid, TryAgain::At(retry_at));
     }
 
     /// Waiting with nothing sent is always safe, so every request waits for an
--- a/crates/routing/src/exchange.rs
+++ b/crates/routing/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::table::{BackEndIndex, OwnerEntry, ServiceIndex};
 
 /// An assignment that a request was sent under.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Target {
     pub(crate) back_end: BackEndIndex,
     pub(crate) incarnation: Incarnation,
@@ -47,8 +47,29 @@
 pub(crate) struct Parked {
     /// The assignment that failed last. Another one may be tried at once.
     pub(crate) avoid: Option<Target>,
-    /// When the same one may be tried again; `None` for never.
-    pub(crate) retry_at: Option<Timestamp>,
+    /// When the same one may be tried again.
+    pub(crate) again: TryAgain,
+}
+
+/// When the owner that failed last may be tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TryAgain {
+    /// Never: only another one.
+    Never,
+    /// From then on.
+    At(Timestamp),
+    /// As those agree that it refused as not its own.
+    WithOthers,
+}
+
+/// Refusals by one owner as not its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refusals {
+    pub(crate) target: Target,
+    /// Times that the exchange asked for all that wait.
+    pub(crate) asked: u32,
+    /// It went on because another one was served there.
+    pub(crate) followed: bool,
 }
 
 /// Where an exchange stands.
@@ -96,6 +117,8 @@
     pub(crate) parked_since: Option<Timestamp>,
     pub(crate) attempts: Vec<RunningAttempt>,
     pub(crate) made: u32,
+    /// Refusals by the latest owner that refused it as not its own.
+    pub(crate) refusals: Option<Refusals>,
     /// Times that a retry was put off.
     pub(crate) denied: u32,
     /// A hedge or a second attempt beside a lost one was sent.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod latency;
 pub mod queue;
 pub mod ramp;
+mod refusing;
 pub mod settings;
 pub mod snapshot;
 pub mod table;
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -33,6 +33,9 @@
     pub retry_percent: u32,
     /// Retries saved up at most, and at the start.
     pub retry_reserve: u32,
+    /// Retries that a back end gets each second whatever its traffic, over
+    /// all routers.
+    pub retry_refill_per_second: u32,
     /// Hedges allowed for each hundred first attempts to a back end.
     pub hedge_percent: u32,
     /// Hedges saved up at most, and at the start.
@@ -80,6 +83,7 @@
             max_attempts: 16,
             retry_percent: 10,
             retry_reserve: 10,
+            retry_refill_per_second: 2,
             hedge_percent: 5,
             hedge_reserve: 5,
             hedge_quantile_percent: 95,
@@ -114,6 +118,16 @@
         Duration::from_millis(self.hedge_min_ms)
     }
 
+    /// Time in which one of `routers` may retry once more at a back end,
+    /// whatever its traffic; zero for never.
+    pub fn retry_refill(&self, routers: u32) -> Duration {
+        let routers = routers.max(1);
+        let second = Duration::from_secs(1) * routers;
+        second
+            .checked_div(self.retry_refill_per_second)
+            .unwrap_or(Duration::ZERO)
+    }
+
     /// First wait between attempts.
     pub fn backoff_min(&self) -> Duration {
         Duration::from_millis(self.backoff_min_ms)
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -224,3 +224,19 @@
         }
     }
 }
+
+#[test]
+fn a_budget_that_refills_by_time_gains_one_token_each_interval_and_no_more() {
+    let mut budget = Budget::new(0, 3);
+    budget.set_refill(Duration::from_millis(500));
+    budget.refill(Timestamp::from_millis(10_000));
+    let mut taken = 0;
+    for milli in 10_000..20_000 {
+        budget.refill(Timestamp::from_millis(milli));
+        taken += u64::from(budget.withdraw());
+    }
+    // The reserve, and one for each interval that has passed whole.
+    assert_eq!(taken, 3 + 19);
+    budget.refill(Timestamp::from_millis(1_000_000));
+    assert_eq!(budget.available(), 3);
+}
