Tell what becomes of slices, and of services without a back end

Cause: events 304 to 307 and 601 to 604 stood in the catalogue and nothing ever wrote them.

Change: the leader compares each change of a slice with the record its planner holds and counts by service and kind; one observation for each kind in an entry, so that a founding with millions of slices is not millions of lines. Every five seconds it looks at the services: one without any back end that may take its slices, and one whose imbalance stayed above the tolerated one for a minute, are told when that begins. The planner gives a slice's record out.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -16,7 +16,9 @@
 use crate::input::ConfigurationEvent;
 use crate::intake::{ConfigurationIntake, Intake};
 use crate::output::{Observation, Output};
+use crate::service_alerts::ServiceAlerts;
 use crate::settings::ControlSettings;
+use crate::slice_changes::SliceChanges;
 
 /// Pause between looks at the group's membership.
 const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,6 +50,7 @@
     grantor: Grantor,
     planner: Planner,
     intake: ConfigurationIntake,
+    alerts: ServiceAlerts,
     settled: bool,
     /// When the first configuration was there to plan for.
     configured_at: Option<Timestamp>,
@@ -87,6 +90,7 @@
             grantor,
             planner,
             intake: ConfigurationIntake::new(node.identity().region.clone(), machine),
+            alerts: ServiceAlerts::default(),
             settled: false,
             configured_at: None,
             has_arrived: false,
@@ -130,10 +134,14 @@
         member: &GroupMember,
         duties: &mut Duties,
     ) {
+        let mut slice_changes = SliceChanges::default();
         for change in changes {
+            slice_changes.note(change, &self.planner);
             self.planner.observe(change);
             observe_change(change, duties);
         }
+        let observations = slice_changes.into_observations().map(Output::Observe);
+        duties.outputs.extend(observations);
         // Also an entry without changes may concern the grantor: the first
         // command of its term is one.
         let input = GrantorInput::Applied(changes.to_vec());
@@ -260,6 +268,10 @@
         if !may_assign || now < self.next_planning {
             return;
         }
+        let alerts = self.alerts.look(now, &self.planner, machine.services());
+        duties
+            .outputs
+            .extend(alerts.into_iter().map(Output::Observe));
         self.next_planning = now + PLANNING_INTERVAL;
         let actions = self.planner.plan(now, MAX_ACTIONS);
         if actions.is_empty() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,9 @@
 mod object_status;
 mod output;
 mod refounding;
+mod service_alerts;
 mod settings;
+mod slice_changes;
 mod view;
 
 pub use founding::{GroupObjectState, GroupObjectVersion};
@@ -25,4 +27,5 @@
 pub use object_status::{ObjectRef, StatusWrite, Verdict};
 pub use output::{KnownObject, Observation, Output};
 pub use settings::ControlSettings;
+pub use slice_changes::SliceChange;
 pub use view::GroupView;
--- a/crates/control/src/output.rs
+++ b/crates/control/src/output.rs
@@ -4,11 +4,12 @@
 
 use threadledge_types::records::RecordDelta;
 use threadledge_types::session::LeaseRequest;
-use threadledge_types::{Generation, Revision, RouterId, SessionId};
+use threadledge_types::{Generation, Revision, RouterId, ServiceId, SessionId};
 
 use crate::founding::GroupObjectVersion;
 use crate::message::PeerMessage;
 use crate::object_status::{ObjectRef, StatusWrite};
+use crate::slice_changes::SliceChange;
 
 /// An object that the group has applied.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,6 +118,30 @@
         /// The back end or service concerned.
         object: String,
     },
+    /// Slices of one service changed in one entry of the log.
+    Slices {
+        /// The service.
+        service: ServiceId,
+        /// What became of the slices.
+        change: SliceChange,
+        /// Their number.
+        slices: u64,
+    },
+    /// A service's imbalance stayed above what its policy tolerates.
+    ImbalanceTooHigh {
+        /// The service.
+        service: ServiceId,
+        /// Load of the busiest back end over the mean.
+        ratio: f64,
+    },
+    /// A service has slices without an owner and no back end that may take
+    /// them.
+    NoEligibleBackEnd {
+        /// The service.
+        service: ServiceId,
+        /// Its slices without an owner.
+        unowned: usize,
+    },
     /// Something the grantor saw at a back end.
     Session(threadledge_ownership::grantor::Observation),
 }
--- /dev/null
+++ b/crates/control/src/service_alerts.rs
@@ -0,0 +1,98 @@
+//! States of a service that operators should know of. Each is told when it
+//! begins and not again before it has ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use threadledge_placement::Planner;
+use threadledge_types::records::ServiceRecord;
+use threadledge_types::{ServiceId, Timestamp};
+
+use crate::output::Observation;
+
+/// Pause between looks at all services.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which an imbalance may stay above the tolerated one: the churn
+/// budget lets it be mended step by step.
+const IMBALANCE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Imbalance of one service above what is tolerated.
+#[derive(Clone, Copy, Debug)]
+struct Imbalance {
+    since: Timestamp,
+    is_told: bool,
+}
+
+/// Remembers what was told.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceAlerts {
+    next_look: Timestamp,
+    imbalances: BTreeMap<ServiceId, Imbalance>,
+    without_back_end: BTreeSet<ServiceId>,
+}
+
+impl ServiceAlerts {
+    /// Looks at the services if it is time; O(services and their back ends).
+    pub fn look<'a>(
+        &mut self,
+        now: Timestamp,
+        planner: &Planner,
+        services: impl Iterator<Item = &'a ServiceRecord>,
+    ) -> Vec<Observation> {
+        if now < self.next_look {
+            return Vec::new();
+        }
+        self.next_look = now + LOOK_INTERVAL;
+        let imbalances = std::mem::take(&mut self.imbalances);
+        let without_back_end = std::mem::take(&mut self.without_back_end);
+        let mut observations = Vec::new();
+        for service in services {
+            let known = imbalances.get(&service.id).copied();
+            observations.extend(self.look_at_imbalance(now, planner, service, known));
+            let is_known = without_back_end.contains(&service.id);
+            observations.extend(self.look_for_back_end(planner, service, is_known));
+        }
+        observations
+    }
+
+    fn look_at_imbalance(
+        &mut self,
+        now: Timestamp,
+        planner: &Planner,
+        service: &ServiceRecord,
+        known: Option<Imbalance>,
+    ) -> Option<Observation> {
+        let ratio = planner.imbalance(&service.id)?;
+        if ratio <= service.spec.placement.tolerated_imbalance {
+            return None;
+        }
+        let mut imbalance = known.unwrap_or(Imbalance {
+            since: now,
+            is_told: false,
+        });
+        let is_due = !imbalance.is_told && now.since(imbalance.since) >= IMBALANCE_LIMIT;
+        imbalance.is_told |= is_due;
+        self.imbalances.insert(service.id.clone(), imbalance);
+        is_due.then(|| Observation::ImbalanceTooHigh {
+            service: service.id.clone(),
+            ratio,
+        })
+    }
+
+    fn look_for_back_end(
+        &mut self,
+        planner: &Planner,
+        service: &ServiceRecord,
+        is_known: bool,
+    ) -> Option<Observation> {
+        let unowned = planner.unowned(&service.id);
+        if unowned == 0 || !planner.receivers(&service.id).is_empty() {
+            return None;
+        }
+        self.without_back_end.insert(service.id.clone());
+        (!is_known).then(|| Observation::NoEligibleBackEnd {
+            service: service.id.clone(),
+            unowned,
+        })
+    }
+}
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use threadledge_types::{BackEndId, Point, ServiceId, Timestamp};
+use threadledge_types::records::{SliceKey, SliceRecord};
+use threadledge_types::{BackEndId, Point, ServiceId, SessionId, Timestamp};
 
 use crate::action::Action;
 use crate::assign::assign_unowned;
@@ -138,6 +139,22 @@
         })
     }
 
+    /// A slice as the records seen so far have it.
+    pub fn slice_record(&self, key: &SliceKey) -> Option<SliceRecord> {
+        let state = self.services.get(&key.service)?.table.get(key.first)?;
+        let owner = state.owner.as_ref().map(|owner| SessionId {
+            back_end: BackEndId::clone(&owner.back_end),
+            incarnation: owner.incarnation,
+        });
+        Some(SliceRecord {
+            service: key.service.clone(),
+            slice: state.slice(key.first),
+            owner,
+            epoch: state.epoch,
+            next: state.next.as_deref().cloned(),
+        })
+    }
+
     /// How much the planner looked at so far.
     pub fn work(&self) -> WorkCounters {
         self.work
--- a/crates/router/src/control_shell/observe.rs
+++ b/crates/router/src/control_shell/observe.rs
@@ -1,6 +1,6 @@
 //! Log lines for what the control core observes.
 
-use threadledge_control::Observation;
+use threadledge_control::{Observation, SliceChange};
 use threadledge_ownership::grantor::Observation as SessionObservation;
 
 use crate::events::{EventId, emit};
@@ -36,10 +36,32 @@
         Observation::SessionClosed(session) => emit!(EventId::SessionClosed, %session),
         Observation::SessionDraining(session) => emit!(EventId::BackEndDraining, %session),
         Observation::StoreReverted { object } => emit!(EventId::PlatformWentBack, %object),
+        Observation::Slices {
+            service,
+            change,
+            slices,
+        } => emit!(slice_event(*change), %service, slices),
+        Observation::ImbalanceTooHigh { service, ratio } => {
+            emit!(EventId::ImbalanceTooHigh, %service, ratio);
+        }
+        Observation::NoEligibleBackEnd { service, unowned } => {
+            emit!(EventId::NoEligibleBackEnd, %service, unowned);
+        }
         Observation::Session(observation) => log_session(observation),
     }
 }
 
+fn slice_event(change: SliceChange) -> EventId {
+    match change {
+        SliceChange::Assigned => EventId::SlicesAssigned,
+        SliceChange::MoveStarted => EventId::MovesStarted,
+        SliceChange::MoveCompleted => EventId::MovesCompleted,
+        SliceChange::MoveCancelled => EventId::MovesCancelled,
+        SliceChange::Split => EventId::SlicesSplit,
+        SliceChange::Merged => EventId::SlicesMerged,
+    }
+}
+
 /// The grantor's own observations explain the numbered events above; they are
 /// for whoever looks into one session and carry no number of their own.
 fn log_session(observation: &SessionObservation) {
