--- /dev/null
+++ b/crates/lab/src/baseline/cost.rs
@@ -0,0 +1,43 @@
+//! Processor time of processes, as the kernel counts it.
+
+use std::collections::BTreeMap;
+
+use procfs::process::Process;
+
+/// Processor time that a process has used so far, in seconds; `None` when it
+/// is gone.
+pub fn cpu_seconds_of(process: u32) -> Option<f64> {
+    let process = Process::new(i32::try_from(process).ok()?).ok()?;
+    let stat = process.stat().ok()?;
+    let ticks = stat.utime + stat.stime;
+    Some(ticks as f64 / procfs::ticks_per_second() as f64)
+}
+
+/// Processor time of several processes since each was first seen.
+#[derive(Clone, Debug, Default)]
+pub struct CpuMeter {
+    processes: BTreeMap<u32, (f64, f64)>,
+}
+
+impl CpuMeter {
+    /// Takes a reading of one process: its time so far.
+    pub fn take(&mut self, process: u32, seconds: f64) {
+        let (_, last) = self.processes.entry(process).or_insert((seconds, seconds));
+        *last = last.max(seconds);
+    }
+
+    /// Reads each of `processes` now. One that ended keeps its last reading.
+    pub fn read(&mut self, processes: impl IntoIterator<Item = u32>) {
+        for process in processes {
+            if let Some(seconds) = cpu_seconds_of(process) {
+                self.take(process, seconds);
+            }
+        }
+    }
+
+    /// Processor time of all of them together, in seconds.
+    pub fn seconds(&self) -> f64 {
+        let times = self.processes.values();
+        times.map(|(first, last)| last - first).sum()
+    }
+}
--- a/crates/lab/src/checks/mod.rs
+++ b/crates/lab/src/checks/mod.rs
@@ -16,6 +16,8 @@
 mod segments;
 pub mod single_owner;
 
+pub(crate) use segments::by_segment;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
--- a/crates/lab/src/checks/segments.rs
+++ b/crates/lab/src/checks/segments.rs
@@ -7,7 +7,7 @@
 
 /// Groups `items` by the segments of points they cover, for each service.
 /// Items keep their order within a segment.
-pub(super) fn by_segment<'a, T>(
+pub(crate) fn by_segment<'a, T>(
     items: impl IntoIterator<Item = &'a T> + Clone,
     place: impl Fn(&'a T) -> (&'a ServiceId, Slice),
 ) -> BTreeMap<(&'a ServiceId, Point), Vec<&'a T>> {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -60,6 +60,10 @@
     Platform,
     /// Back ends.
     BackEnds,
+    /// Back ends that carry out whatever comes, for baselines.
+    UngrantedBackEnds,
+    /// A router of a baseline.
+    BaselineRouter,
     /// Callers of one partner.
     Callers,
 }
@@ -75,6 +79,8 @@
     pub report: Option<PathBuf>,
     /// Keep the logs of a run that passes.
     pub keep_logs: bool,
+    /// Run the baselines beside the product.
+    pub baselines: bool,
 }
 
 /// Which hollow nodes to run.
@@ -96,7 +102,7 @@
 
 /// The whole command line.
 pub fn options() -> OptionParser<Command> {
-    let demo = run_arguments()
+    let demo = run_arguments(with_baselines())
         .map(Command::Demo)
         .to_options()
         .descr("Run three routers with stand-ins and the callers of both partners")
@@ -116,7 +122,7 @@
 }
 
 fn run() -> impl Parser<Command> {
-    let arguments = run_arguments();
+    let arguments = run_arguments(without_baselines());
     let experiment = positional::<PathBuf>("EXPERIMENT.toml").help("Experiment file");
     construct!(Command::Run {
         arguments,
@@ -201,7 +207,20 @@
         .help("Show a report as a table")
 }
 
-fn run_arguments() -> impl Parser<RunArguments> {
+fn with_baselines() -> impl Parser<bool> {
+    long("baselines")
+        .help("Run a hash ring and static owners beside the product, with the same load")
+        .switch()
+}
+
+fn without_baselines() -> impl Parser<bool> {
+    long("without-baselines")
+        .help("Run the product alone, without a hash ring and static owners beside it")
+        .switch()
+        .map(|alone| !alone)
+}
+
+fn run_arguments(baselines: impl Parser<bool>) -> impl Parser<RunArguments> {
     let (seed, report) = (seed(), report_file());
     let duration = long("duration")
         .help("Seconds under load, in place of the experiment's; faults keep their share of it")
@@ -220,6 +239,7 @@
         duration,
         report,
         keep_logs,
+        baselines,
     })
 }
 
@@ -242,6 +262,8 @@
     positional::<String>("KIND").parse(|kind| match kind.as_str() {
         "platform" => Ok(StandIn::Platform),
         "back-ends" => Ok(StandIn::BackEnds),
+        "ungranted-back-ends" => Ok(StandIn::UngrantedBackEnds),
+        "baseline-router" => Ok(StandIn::BaselineRouter),
         "callers" => Ok(StandIn::Callers),
         other => Err(format!("unknown stand-in '{other}'")),
     })
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use k8s_openapi::jiff::Timestamp;
 
+use crate::baseline::{self, BaselineKind};
 use crate::cli::{Command, HollowArguments, RunArguments, StandIn};
 use crate::experiment::{self, Experiment};
 use crate::history::Recorder;
@@ -14,7 +15,7 @@
 use crate::load;
 use crate::report::{Report, compare, page, table};
 use crate::rig::{BackEndHost, PlatformSettings, RunOptions, end_with_parent, read_settings, run};
-use crate::stand_in::back_end;
+use crate::stand_in::back_end::{self, Admission};
 use crate::stand_in::machine_list::MachineListServer;
 use crate::stand_in::object_api::seed::create_objects;
 use crate::stand_in::object_api::{ObjectApi, ObjectApiSettings, ObjectStore};
@@ -68,6 +69,10 @@
     let options = RunOptions {
         seed: arguments.seed,
         keep_logs: arguments.keep_logs,
+        baselines: match arguments.baselines {
+            true => BaselineKind::ALL.to_vec(),
+            false => Vec::new(),
+        },
     };
     let report = run(&experiment, &options)?;
     if let Some(path) = &arguments.report {
@@ -129,11 +134,12 @@
             end_with_parent();
             task::block_on(platform(settings, recorder))?;
         }
-        StandIn::BackEnds => {
-            let host: BackEndHost = read_settings()?;
+        StandIn::BackEnds => back_ends(Admission::ByGrant, recorder)?,
+        StandIn::UngrantedBackEnds => back_ends(Admission::Anything, recorder)?,
+        StandIn::BaselineRouter => {
+            let settings = read_settings()?;
             end_with_parent();
-            let serving = back_end::run_process(host.back_ends, host.incarnation, recorder);
-            task::block_on(serving)?;
+            task::block_on(baseline::run_process(settings, recorder))?;
         }
         StandIn::Callers => {
             let settings = read_settings()?;
@@ -144,6 +150,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn back_ends(admission: Admission, recorder: Recorder) -> eyre::Result<()> {
+    let host: BackEndHost = read_settings()?;
+    end_with_parent();
+    let serving = back_end::run_process(host.back_ends, host.incarnation, admission, recorder);
+    task::block_on(serving)?;
+    Ok(())
+}
+
 async fn platform(settings: PlatformSettings, recorder: Recorder) -> eyre::Result<()> {
     match settings {
         PlatformSettings::ObjectApi { address, objects } => {
--- a/crates/lab/src/experiment/bounds.rs
+++ b/crates/lab/src/experiment/bounds.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::measures::goodput_share;
 use crate::report::{BoundBreach, Report};
 
 /// Bounds; those left out are not judged.
@@ -23,6 +24,9 @@
     /// Longest time until accepted configuration is in force, in
     /// milliseconds.
     pub configuration_in_force_ms: Option<f64>,
+    /// Smallest goodput of the last stretch of load over the lesser of what
+    /// it offered and the best goodput of any stretch, between 0 and 1.
+    pub goodput_share: Option<f64>,
     /// Smallest number of requests answered; a run without load proves
     /// nothing.
     pub answered: Option<f64>,
@@ -64,6 +68,12 @@
                 (!held).then(|| breach(bound, allowed, measured))
             })
             .collect();
+        let share = goodput_share(&report.goodput);
+        if let Some(least) = self.goodput_share
+            && share.is_none_or(|share| share < least)
+        {
+            breaches.push(breach("goodput-share", least, share));
+        }
         if let Some(least) = self.answered.filter(|least| answered < *least) {
             breaches.push(breach("answered", least, Some(answered)));
         }
--- a/crates/lab/src/experiment/fault.rs
+++ b/crates/lab/src/experiment/fault.rs
@@ -64,6 +64,28 @@
         /// For how long.
         for_ms: u64,
     },
+    /// Starts a new machine in the place of a router that has ended.
+    ReplaceRouter {},
+    /// Makes a back end slow and failing, while its health endpoint says that
+    /// all is well.
+    SickenBackEnd {
+        /// Which.
+        back_end: BackEndId,
+        /// Service times are this many times longer.
+        slow_factor: f64,
+        /// Share of requests that it drops without an answer, between 0 and 1.
+        error_share: f64,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// Callers that mean harm: slow heads, heads and bodies that are too
+    /// large, malformed requests, and hang-ups.
+    HostileCallers {
+        /// How many at once.
+        connections: u32,
+        /// For how long.
+        for_ms: u64,
+    },
     /// Ends the router and all back ends of one zone.
     KillZone {
         /// Number of the zone, from 0.
@@ -111,7 +133,8 @@
     /// Every back end that the action names.
     pub fn named_back_end(&self) -> Option<&BackEndId> {
         match self {
-            FaultAction::DrainBackEnd { back_end } => Some(back_end),
+            FaultAction::DrainBackEnd { back_end }
+            | FaultAction::SickenBackEnd { back_end, .. } => Some(back_end),
             other => other.lone_back_end(),
         }
     }
@@ -131,6 +154,20 @@
             FaultAction::FreezeRouter { router, for_ms } => {
                 write!(formatter, "freeze the {router} for {for_ms} ms")
             }
+            FaultAction::ReplaceRouter {} => formatter.write_str("replace a router that ended"),
+            FaultAction::SickenBackEnd {
+                back_end,
+                slow_factor,
+                error_share,
+                for_ms,
+            } => write!(
+                formatter,
+                "{back_end} is {slow_factor} times slower and drops {error_share} of its requests for {for_ms} ms"
+            ),
+            FaultAction::HostileCallers {
+                connections,
+                for_ms,
+            } => write!(formatter, "{connections} hostile callers for {for_ms} ms"),
             FaultAction::KillZone { zone } => write!(formatter, "kill zone {zone}"),
             FaultAction::StoreDown { for_ms } => {
                 write!(formatter, "object API down for {for_ms} ms")
--- a/crates/lab/src/experiment/file.rs
+++ b/crates/lab/src/experiment/file.rs
@@ -9,6 +9,7 @@
 use super::bounds::Bounds;
 use super::fault::Fault;
 use super::load::Load;
+use crate::load::Surge;
 
 /// Longest time under load that an experiment may ask for.
 pub const LONGEST_DURATION: Duration = Duration::from_secs(3_600);
@@ -28,6 +29,8 @@
     pub duration: Duration,
     /// Faults in the order of their times.
     pub faults: Vec<Fault>,
+    /// Stretches with another load.
+    pub surges: Vec<Surge>,
     /// Bounds to hold.
     pub bounds: Bounds,
 }
@@ -43,6 +46,8 @@
     #[serde(default)]
     fault: Vec<Fault>,
     #[serde(default)]
+    surge: Vec<Surge>,
+    #[serde(default)]
     bounds: Bounds,
 }
 
@@ -114,6 +119,7 @@
             .collect::<Result<_, _>>()?,
         duration,
         faults,
+        surges: file.surge,
         bounds: file.bounds,
     })
 }
@@ -125,6 +131,10 @@
     for fault in &mut experiment.faults {
         fault.at_ms = (fault.at_ms as f64 * ratio) as u64;
     }
+    for surge in &mut experiment.surges {
+        surge.from_ms = (surge.from_ms as f64 * ratio) as u64;
+        surge.until_ms = (surge.until_ms as f64 * ratio) as u64;
+    }
     experiment.duration = duration;
 }
 
--- a/crates/lab/src/history/assemble.rs
+++ b/crates/lab/src/history/assemble.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use threadledge_types::{
-    BackEndId, Epoch, Point, Revision, ServiceId, SessionId, Timestamp, session::Grant,
-};
+use threadledge_types::{Epoch, Point, Revision, ServiceId, SessionId, Timestamp, session::Grant};
 
 use super::event::{Attempt, ConfigurationSeen, Event, ObjectRef, RequestId, SliceSeen};
 
@@ -71,7 +69,7 @@
     /// Stretches of believed ownership.
     pub beliefs: Vec<Belief>,
     /// Drain notices.
-    pub drains: Vec<(Timestamp, BackEndId)>,
+    pub drains: Vec<(Timestamp, SessionId)>,
     /// Planned stops of routers: when, and the router's number.
     pub planned_stops: Vec<(Timestamp, usize)>,
     /// Accepted configuration objects.
@@ -153,7 +151,7 @@
                 answer_matches,
             }),
             Event::PlannedStopBegan { at, router } => self.planned_stops.push((at, router)),
-            Event::DrainBegan { at, back_end } => self.drains.push((at, back_end)),
+            Event::DrainBegan { at, session } => self.drains.push((at, session)),
             Event::ConfigurationAccepted {
                 at,
                 object,
--- a/crates/lab/src/history/event.rs
+++ b/crates/lab/src/history/event.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use threadledge_types::{
-    BackEndId, Epoch, Point, Revision, ServiceId, SessionId, Slice, Timestamp, session::Grant,
+    Epoch, Point, Revision, ServiceId, SessionId, Slice, Timestamp, session::Grant,
 };
 
 /// Names one request of one caller within a run; the same on every attempt.
@@ -194,8 +194,8 @@
     DrainBegan {
         /// When.
         at: Timestamp,
-        /// Which back end.
-        back_end: BackEndId,
+        /// Which life of which back end.
+        session: SessionId,
     },
     /// The platform showed an object as accepted.
     ConfigurationAccepted {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! collects what each process records, checks the guarantees on these
 //! histories and measures imbalance, churn and unavailable time.
 
+pub mod baseline;
 pub mod checks;
 pub mod cli;
 pub mod clock;
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -13,7 +13,7 @@
 use super::connections::Connections;
 use super::exchange::{Message, Reply, exchange};
 use super::popularity::KeyPopularity;
-use super::settings::{CallerSettings, TrafficSettings};
+use super::settings::{CallerSettings, Surge, TrafficSettings};
 use crate::clock;
 use crate::history::{Attempt, AttemptOutcome, Event, Recorder, RequestId};
 
@@ -28,6 +28,7 @@
     end: Timestamp,
     next_request: AtomicU64,
     outstanding: AtomicU64,
+    surges: Vec<Surge>,
     recorder: Recorder,
 }
 
@@ -40,6 +41,7 @@
             end: settings.end,
             next_request: AtomicU64::new(settings.first_request),
             outstanding: AtomicU64::new(0),
+            surges: settings.surges.clone(),
             recorder,
         }
     }
@@ -57,7 +59,8 @@
     pub async fn send_traffic(self: Arc<Self>, traffic: TrafficSettings, seed: u64) {
         let traffic = Arc::new(traffic);
         let mut popularity = KeyPopularity::new(traffic.popularity.clone(), seed);
-        let arrivals = Arrivals::new(self.begin, traffic.per_second, seed.wrapping_add(1));
+        let arrivals = Arrivals::new(self.begin, traffic.per_second, seed.wrapping_add(1))
+            .with_surges(&self.surges);
         let mut last = Vec::new();
         for intended in arrivals.take_while(|intended| *intended < self.end) {
             task::sleep(intended.since(clock::now())).await;
@@ -87,13 +90,21 @@
         let mut attempts = Vec::new();
         let mut answer_matches = None;
         let first = message.request.0 as usize;
-        for number in 0..self.routers.len() {
+        let mut retries = traffic.retries_at_once;
+        let mut tried = 0;
+        for number in 0.. {
             let router = (first + number) % self.routers.len();
             let begin = clock::now();
             let patience = patience_end.since(begin);
             let reply = exchange(&self.routers[router], &message, patience).await;
             answer_matches = reply.answer_matches;
-            let again = may_try_another(&reply, traffic.repeatable);
+            tried += 1;
+            let mut again =
+                tried < self.routers.len() && may_try_another(&reply, traffic.repeatable);
+            if !again && retries > 0 && may_try_at_once(&reply, traffic.repeatable) {
+                retries -= 1;
+                again = true;
+            }
             attempts.push(Attempt {
                 router,
                 begin,
@@ -129,6 +140,16 @@
     }
 }
 
+/// Callers of a retry storm send whatever failed again, unless it may have run
+/// and must not be repeated.
+fn may_try_at_once(reply: &Reply, repeatable: bool) -> bool {
+    match reply.outcome {
+        AttemptOutcome::NotSent | AttemptOutcome::NotRun => true,
+        AttemptOutcome::Cut | AttemptOutcome::Unknown => repeatable,
+        AttemptOutcome::Answered | AttemptOutcome::TimedOut => false,
+    }
+}
+
 fn message(traffic: &TrafficSettings, request: RequestId, key: &str) -> Message {
     let headers = traffic
         .key_header
--- a/crates/lab/src/load/settings.rs
+++ b/crates/lab/src/load/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one partner's callers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use threadledge_types::{ServiceId, Timestamp};
@@ -25,6 +26,30 @@
     pub seed: u64,
     /// First request number; ranges of different callers do not meet.
     pub first_request: u64,
+    /// Stretches with another load.
+    #[serde(default)]
+    pub surges: Vec<Surge>,
+}
+
+/// A stretch of time in which the load is another.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Surge {
+    /// Begin, in milliseconds since the load began.
+    pub from_ms: u64,
+    /// End, exclusive, in milliseconds since the load began.
+    pub until_ms: u64,
+    /// The load is this many times as high.
+    pub factor: f64,
+}
+
+/// Factor of the load at a time since it began: that of the first surge that
+/// lasts, or 1.
+pub fn load_factor(surges: &[Surge], since_begin: Duration) -> f64 {
+    let now = since_begin.as_millis();
+    let lasts =
+        |surge: &&Surge| (u128::from(surge.from_ms)..u128::from(surge.until_ms)).contains(&now);
+    surges.iter().find(lasts).map_or(1.0, |surge| surge.factor)
 }
 
 /// One kind of request.
@@ -48,6 +73,10 @@
     pub repeatable: bool,
     /// Longest time the caller waits, in milliseconds.
     pub patience_ms: u64,
+    /// Times that the caller sends a failed request again at once, as far as
+    /// that cannot run one twice that must not be repeated.
+    #[serde(default)]
+    pub retries_at_once: usize,
     /// Which keys are asked for, and how often.
     pub popularity: PopularitySettings,
 }
--- a/crates/lab/src/measures/mod.rs
+++ b/crates/lab/src/measures/mod.rs
@@ -3,6 +3,7 @@
 
 mod churn;
 mod configuration;
+mod goodput;
 mod imbalance;
 mod latency;
 mod outcomes;
@@ -12,6 +13,7 @@
 
 pub use churn::{Churn, churn};
 pub use configuration::configuration_in_force_ms;
+pub use goodput::{Goodput, goodput, goodput_share};
 pub use imbalance::{Imbalance, imbalance};
 pub use latency::{Latencies, LatencySummary, latencies};
 pub use outcomes::{Outcomes, outcomes};
--- a/crates/lab/src/measures/timeline.rs
+++ b/crates/lab/src/measures/timeline.rs
@@ -73,7 +73,7 @@
     counts
 }
 
-fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+pub(super) fn quantile(sorted: &[f64], quantile: f64) -> f64 {
     let last = sorted.len().saturating_sub(1);
     let index = (last as f64 * quantile).round() as usize;
     sorted.get(index).copied().unwrap_or(0.0)
--- a/crates/lab/src/report/form.rs
+++ b/crates/lab/src/report/form.rs
@@ -5,9 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::baseline::BaselineReport;
 use crate::checks::Violation;
 use crate::measures::{
-    Churn, Imbalance, Latencies, Outcomes, OwnershipStretch, TimelinePoint, Unavailable,
+    Churn, Goodput, Imbalance, Latencies, Outcomes, OwnershipStretch, TimelinePoint, Unavailable,
 };
 
 /// Version of the form. It grows when a field changes its meaning or goes;
@@ -66,6 +67,12 @@
     pub ownership: Vec<OwnershipStretch>,
     /// Slowest time until all routers served after their start.
     pub ready_ms: u64,
+    /// Requests offered and answered in each stretch of constant load.
+    #[serde(default)]
+    pub goodput: Vec<Goodput>,
+    /// The same measures for the baselines that ran beside the product.
+    #[serde(default)]
+    pub baselines: Option<BaselineReport>,
 }
 
 /// One fault of a run.
--- a/crates/lab/src/report/table.rs
+++ b/crates/lab/src/report/table.rs
@@ -3,6 +3,8 @@
 use std::fmt::Write;
 
 use super::form::Report;
+use crate::baseline::baseline_table;
+use crate::measures::Goodput;
 
 /// Violations that are written out.
 const SHOWN_VIOLATIONS: usize = 8;
@@ -95,5 +97,24 @@
             ),
         );
     }
+    if report.goodput.len() > 1 {
+        text.push_str(&goodput_lines(&report.goodput));
+    }
+    if let Some(baselines) = &report.baselines {
+        text.push_str(&baseline_table(baselines));
+    }
+    text
+}
+
+fn goodput_lines(stretches: &[Goodput]) -> String {
+    let mut text = String::new();
+    for stretch in stretches {
+        let name = format!("load times {}", stretch.factor);
+        let _ = writeln!(
+            text,
+            "{name:<26} {:.0} requests a second offered, {:.0} answered, p99 {:.1} ms",
+            stretch.offered_per_second, stretch.answered_per_second, stretch.latency_p99_ms
+        );
+    }
     text
 }
--- a/crates/lab/src/rig/callers.rs
+++ b/crates/lab/src/rig/callers.rs
@@ -38,6 +38,7 @@
             begin,
             end: begin + experiment.duration,
             seed: seed.wrapping_add(number as u64 * SEED_STRIDE),
+            surges: experiment.surges.clone(),
             first_request: (number as u64 + 1) * REQUESTS_OF_A_CALLER,
         })
         .collect()
--- a/crates/lab/src/rig/child.rs
+++ b/crates/lab/src/rig/child.rs
@@ -83,6 +83,11 @@
         &self.name
     }
 
+    /// Number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Where its log went.
     pub fn log(&self) -> &Path {
         &self.log
--- a/crates/lab/src/rig/faults.rs
+++ b/crates/lab/src/rig/faults.rs
@@ -7,14 +7,21 @@
 use async_std::task;
 use parking_lot::Mutex;
 use rustix::process::Signal;
+use threadledge::settings::Settings;
+use threadledge_membership::{Machine, MachineState};
 use threadledge_types::{BackEndId, ServiceId, Timestamp, ZoneName};
 
 use super::operator;
+use super::plan::Plan;
 use super::processes::Processes;
+use super::sides::Sides;
 use super::watch::Watch;
 use crate::clock;
 use crate::experiment::{Fault, FaultAction, RouterTarget};
 use crate::history::Event;
+use crate::load::send_hostile_callers;
+use crate::stand_in::back_end::Sickness;
+use crate::stand_in::machine_list::MachineCommand;
 use crate::stand_in::object_api::FaultCommand;
 
 /// What is still to be done.
@@ -23,6 +30,7 @@
     Cause(FaultAction),
     ResumeHost(usize),
     ResumeRouter(usize),
+    Recover(BackEndId),
     StoreUp,
 }
 
@@ -31,17 +39,19 @@
     steps: BTreeMap<(Timestamp, usize), Step>,
     added: usize,
     object_api: SocketAddr,
+    machine_list: SocketAddr,
     /// Events of actions that end later than they begin.
     later: Arc<Mutex<Vec<Event>>>,
 }
 
 impl Timeline {
     /// Times count from `begin`.
-    pub fn new(faults: &[Fault], begin: Timestamp, object_api: SocketAddr) -> Timeline {
+    pub fn new(faults: &[Fault], begin: Timestamp, plan: &Plan) -> Timeline {
         let mut timeline = Timeline {
             steps: BTreeMap::new(),
             added: 0,
-            object_api,
+            object_api: plan.object_api,
+            machine_list: plan.machine_list,
             later: Arc::default(),
         };
         for fault in faults {
@@ -51,16 +61,16 @@
         timeline
     }
 
-    /// Carries out every step that is due.
-    pub fn advance(&mut self, processes: &mut Processes, watch: &Watch) {
+    /// Carries out every step that is due, on all sides.
+    pub fn advance(&mut self, sides: &mut Sides, watch: &Watch) {
         while let Some(entry) = self.steps.first_entry() {
             if entry.key().0 > clock::now() {
                 return;
             }
             let step = entry.remove();
-            if let Err(error) = self.carry_out(step, processes, watch) {
+            if let Err(error) = self.carry_out(step, sides, watch) {
                 let what = format!("not carried out: {error}");
-                processes.record(Event::Fault {
+                sides.product.record(Event::Fault {
                     at: clock::now(),
                     what,
                 });
@@ -86,89 +96,179 @@
     fn carry_out(
         &mut self,
         step: Step,
-        processes: &mut Processes,
+        sides: &mut Sides,
         watch: &Watch,
     ) -> http_types::Result<()> {
         match step {
             Step::Cause(action) => {
-                processes.record(Event::Fault {
+                sides.product.record(Event::Fault {
                     at: clock::now(),
                     what: action.to_string(),
                 });
-                self.cause(action, processes, watch)
+                let router = chosen_router(&action, &mut sides.product, watch)?;
+                self.cause(&action, router, &mut sides.product)?;
+                self.cause_later(&action, router, &sides.product);
+                for lane in &mut sides.lanes {
+                    lane.cause(&action, router)?;
+                }
+                if let FaultAction::HostileCallers {
+                    connections,
+                    for_ms,
+                } = action
+                {
+                    self.send_hostile_callers(sides, connections, for_ms);
+                }
             }
             Step::ResumeHost(number) => {
-                if let Some(child) = &mut processes.hosts[number].child {
-                    child.signal(Signal::CONT)?;
+                sides.product.hosts.signal(number, Signal::CONT)?;
+                for lane in &mut sides.lanes {
+                    lane.resume_host(number)?;
                 }
-                Ok(())
             }
             Step::ResumeRouter(number) => {
-                processes.routers[number].child.signal(Signal::CONT)?;
-                Ok(())
+                sides.product.routers[number].child.signal(Signal::CONT)?;
+                for lane in &mut sides.lanes {
+                    lane.resume_router(number)?;
+                }
             }
+            Step::Recover(back_end) => sides.set_sickness(&back_end, Sickness::default())?,
             Step::StoreUp => {
                 let up = FaultCommand::Down(false);
-                task::block_on(operator::fault(self.object_api, &up))
+                task::block_on(operator::fault(self.object_api, &up))?;
             }
         }
+        Ok(())
     }
 
+    /// Causes an action on the product's side.
     fn cause(
         &mut self,
-        action: FaultAction,
+        action: &FaultAction,
+        router: Option<usize>,
         processes: &mut Processes,
-        watch: &Watch,
     ) -> http_types::Result<()> {
         match action {
             FaultAction::KillBackEnd { back_end } => {
-                processes.kill_host(host_of(processes, &back_end)?);
+                processes.hosts.kill(host_of(processes, back_end)?);
             }
             FaultAction::StartBackEnd { back_end } => {
-                processes.restart_host(host_of(processes, &back_end)?)?;
+                processes.hosts.restart(host_of(processes, back_end)?)?;
             }
-            FaultAction::FreezeBackEnd { back_end, for_ms } => {
-                let number = host_of(processes, &back_end)?;
-                if let Some(child) = &mut processes.hosts[number].child {
-                    child.signal(Signal::STOP)?;
-                    self.add_after(for_ms, Step::ResumeHost(number));
-                }
+            FaultAction::FreezeBackEnd { back_end, .. } => {
+                let number = host_of(processes, back_end)?;
+                processes.hosts.signal(number, Signal::STOP)?;
             }
             FaultAction::DrainBackEnd { back_end } => {
-                task::block_on(operator::drain(control_address(processes, &back_end)?))?;
+                task::block_on(operator::drain(control_address(processes, back_end)?))?;
+            }
+            FaultAction::SickenBackEnd {
+                back_end,
+                slow_factor,
+                error_share,
+                ..
+            } => {
+                let sickness = Sickness {
+                    slow_factor: *slow_factor,
+                    error_share: *error_share,
+                };
+                let address = control_address(processes, back_end)?;
+                task::block_on(operator::sicken(address, sickness))?;
+            }
+            FaultAction::KillZone { zone } => kill_zone(processes, *zone)?,
+            FaultAction::StoreDown { .. } => {
+                let down = FaultCommand::Down(true);
+                task::block_on(operator::fault(self.object_api, &down))?;
+            }
+            FaultAction::StoreDropsAnswers { writes } => {
+                let drop_answers = FaultCommand::DropAnswers(*writes);
+                task::block_on(operator::fault(self.object_api, &drop_answers))?;
             }
-            FaultAction::KillRouter { router } => {
-                let number = chosen(processes, watch, router)?;
-                processes.routers[number].child.kill();
+            FaultAction::ChangeService { service } => self.change_service(service.clone()),
+            // Sent to all sides at once, by the caller of this.
+            FaultAction::HostileCallers { .. } => {}
+            FaultAction::KillRouter { .. }
+            | FaultAction::StopRouter { .. }
+            | FaultAction::FreezeRouter { .. }
+            | FaultAction::ReplaceRouter {} => {
+                let number = router.ok_or_else(|| http_types::format_err!("no router"))?;
+                self.cause_at_router(action, number, processes)?;
             }
-            FaultAction::StopRouter { router } => {
-                let number = chosen(processes, watch, router)?;
+        }
+        Ok(())
+    }
+
+    fn cause_at_router(
+        &self,
+        action: &FaultAction,
+        number: usize,
+        processes: &mut Processes,
+    ) -> http_types::Result<()> {
+        match action {
+            FaultAction::KillRouter { .. } => processes.routers[number].child.kill(),
+            FaultAction::StopRouter { .. } => {
                 processes.record(Event::PlannedStopBegan {
                     at: clock::now(),
                     router: number,
                 });
                 processes.routers[number].child.signal(Signal::TERM)?;
             }
-            FaultAction::FreezeRouter { router, for_ms } => {
-                let number = chosen(processes, watch, router)?;
+            FaultAction::FreezeRouter { .. } => {
                 processes.routers[number].child.signal(Signal::STOP)?;
-                self.add_after(for_ms, Step::ResumeRouter(number));
-            }
-            FaultAction::KillZone { zone } => kill_zone(processes, zone)?,
-            FaultAction::StoreDown { for_ms } => {
-                let down = FaultCommand::Down(true);
-                task::block_on(operator::fault(self.object_api, &down))?;
-                self.add_after(for_ms, Step::StoreUp);
             }
-            FaultAction::StoreDropsAnswers { writes } => {
-                let drop_answers = FaultCommand::DropAnswers(writes);
-                task::block_on(operator::fault(self.object_api, &drop_answers))?;
+            FaultAction::ReplaceRouter {} => {
+                let (former, settings) = processes.replace_router(number)?;
+                let commands = [
+                    MachineCommand::Remove(former),
+                    MachineCommand::Set(Box::new(live_machine(&settings))),
+                ];
+                for command in &commands {
+                    let change = operator::change_machines(self.machine_list, command);
+                    task::block_on(change)?;
+                }
             }
-            FaultAction::ChangeService { service } => self.change_service(service),
+            _ => {}
         }
         Ok(())
     }
 
+    /// Plans the end of an action that has one.
+    fn cause_later(&mut self, action: &FaultAction, router: Option<usize>, product: &Processes) {
+        match (action, router) {
+            (FaultAction::FreezeBackEnd { back_end, for_ms }, _) => {
+                if let Some(number) = product.hosts.number_of(back_end) {
+                    self.add_after(*for_ms, Step::ResumeHost(number));
+                }
+            }
+            (
+                FaultAction::SickenBackEnd {
+                    back_end, for_ms, ..
+                },
+                _,
+            ) => {
+                self.add_after(*for_ms, Step::Recover(back_end.clone()));
+            }
+            (FaultAction::FreezeRouter { for_ms, .. }, Some(number)) => {
+                self.add_after(*for_ms, Step::ResumeRouter(number));
+            }
+            (FaultAction::StoreDown { for_ms }, _) => self.add_after(*for_ms, Step::StoreUp),
+            _ => {}
+        }
+    }
+
+    fn send_hostile_callers(&self, sides: &Sides, connections: u32, for_ms: u64) {
+        let lasts = std::time::Duration::from_millis(for_ms);
+        for (side, addresses) in sides.caller_addresses() {
+            let later = self.later.clone();
+            task::spawn(async move {
+                let counts = send_hostile_callers(&addresses, connections, lasts).await;
+                later.lock().push(Event::Fault {
+                    at: clock::now(),
+                    what: format!("hostile callers of {side} ended: {counts}"),
+                });
+            });
+        }
+    }
+
     /// Acceptance takes a while and must not hold up the other faults.
     fn change_service(&self, service: ServiceId) {
         let later = self.later.clone();
@@ -187,28 +287,47 @@
 }
 
 fn host_of(processes: &Processes, back_end: &BackEndId) -> http_types::Result<usize> {
-    let hosts = processes.hosts.iter();
-    hosts
-        .enumerate()
-        .find(|(_, host)| host.plan.back_ends.iter().any(|one| one.id == *back_end))
-        .map(|(number, _)| number)
-        .ok_or_else(|| http_types::format_err!("no back end {back_end}"))
+    let number = processes.hosts.number_of(back_end);
+    number.ok_or_else(|| http_types::format_err!("no back end {back_end}"))
 }
 
 fn control_address(processes: &Processes, back_end: &BackEndId) -> http_types::Result<SocketAddr> {
-    let hosts = processes.hosts.iter();
-    hosts
-        .flat_map(|host| &host.plan.back_ends)
-        .find(|one| one.id == *back_end)
+    let settings = processes.hosts.back_end(back_end);
+    settings
         .map(|one| one.control_address)
         .ok_or_else(|| http_types::format_err!("no back end {back_end}"))
 }
 
-fn chosen(
+fn live_machine(settings: &Settings) -> Machine {
+    Machine {
+        name: settings.machine.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        peer_address: settings.peer_address,
+        state: MachineState::Live,
+    }
+}
+
+/// Number of the router that an action is about, if it is about one.
+fn chosen_router(
+    action: &FaultAction,
     processes: &mut Processes,
     watch: &Watch,
-    target: RouterTarget,
-) -> http_types::Result<usize> {
+) -> http_types::Result<Option<usize>> {
+    let target = match action {
+        FaultAction::KillRouter { router }
+        | FaultAction::StopRouter { router }
+        | FaultAction::FreezeRouter { router, .. } => *router,
+        FaultAction::ReplaceRouter {} => {
+            let mut routers = processes.routers.iter_mut();
+            let ended = routers.position(|router| router.child.has_ended());
+            return match ended {
+                Some(number) => Ok(Some(number)),
+                None => Err(http_types::format_err!("no router has ended")),
+            };
+        }
+        _ => return Ok(None),
+    };
     let leader = watch.leader();
     let mut candidates = processes
         .routers
@@ -222,9 +341,11 @@
             };
             (alive && wanted).then_some(number)
         });
-    candidates
-        .next()
-        .ok_or_else(|| http_types::format_err!("no {target} among the routers"))
+    let chosen = candidates.next();
+    match chosen {
+        Some(number) => Ok(Some(number)),
+        None => Err(http_types::format_err!("no {target} among the routers")),
+    }
 }
 
 fn kill_zone(processes: &mut Processes, zone: usize) -> http_types::Result<()> {
@@ -234,11 +355,8 @@
         .ok_or_else(|| http_types::format_err!("no zone {zone}"))?;
     let name: ZoneName = router.settings.zone.clone();
     router.child.kill();
-    let hosts: Vec<usize> = (0..processes.hosts.len())
-        .filter(|number| processes.hosts[*number].plan.zone.as_ref() == Some(&name))
-        .collect();
-    for number in hosts {
-        processes.kill_host(number);
+    for number in processes.hosts.of_zone(&name) {
+        processes.hosts.kill(number);
     }
     Ok(())
 }
--- a/crates/lab/src/rig/operator.rs
+++ b/crates/lab/src/rig/operator.rs
@@ -14,7 +14,8 @@
 
 use crate::clock;
 use crate::history::{Event, ObjectRef};
-use crate::stand_in::back_end::DRAIN_PATH;
+use crate::stand_in::back_end::{DRAIN_PATH, SICKNESS_PATH, Sickness};
+use crate::stand_in::machine_list::{MACHINE_COMMANDS_PATH, MachineCommand};
 use crate::stand_in::object_api::{FAULTS_PATH, FaultCommand};
 
 /// Longest wait for one answer.
@@ -32,6 +33,27 @@
     Ok(())
 }
 
+/// Makes a back end sick or well.
+pub(super) async fn sicken(
+    control_address: SocketAddr,
+    sickness: Sickness,
+) -> http_types::Result<()> {
+    let body = serde_json::to_value(sickness)?;
+    send(control_address, Method::Post, SICKNESS_PATH, Some(body)).await?;
+    Ok(())
+}
+
+/// Changes the list of machines.
+pub(super) async fn change_machines(
+    machine_list: SocketAddr,
+    command: &MachineCommand,
+) -> http_types::Result<()> {
+    let body = serde_json::to_value(command)?;
+    let path = MACHINE_COMMANDS_PATH;
+    send(machine_list, Method::Post, path, Some(body)).await?;
+    Ok(())
+}
+
 /// Causes a fault of the object API.
 pub(super) async fn fault(api: SocketAddr, command: &FaultCommand) -> http_types::Result<()> {
     let body = serde_json::to_value(command)?;
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -3,60 +3,46 @@
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use parking_lot::Mutex;
-use serde::Serialize;
 use threadledge::settings::Settings;
-use threadledge_types::{Incarnation, SessionId};
+use threadledge_types::MachineName;
 
 use super::child::{ChildPlan, ChildProcess};
 use super::hosting::PlatformSettings;
-use super::plan::{HostPlan, Plan};
+use super::hosts::{HostKind, Hosts, stand_in};
+use super::plan::Plan;
 use super::run::RunError;
+use crate::baseline::CpuMeter;
 use crate::clock;
 use crate::history::Event;
 use crate::load::CallerSettings;
-use crate::stand_in::back_end::BackEndSettings;
 
 /// Longest time that a child may take to serve.
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// Longest time that a child may take to end once asked.
-const END_LIMIT: Duration = Duration::from_secs(3);
+pub(super) const END_LIMIT: Duration = Duration::from_secs(3);
 const POLL: Duration = Duration::from_millis(10);
 
-/// What a process with back ends reads.
-#[derive(Clone, Debug, Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct BackEndHost {
-    /// Life of all its back ends.
-    pub incarnation: Incarnation,
-    /// Its back ends.
-    pub back_ends: Vec<BackEndSettings>,
-}
-
-/// One process with back ends, and how to start it again.
-pub(super) struct Host {
-    pub plan: HostPlan,
-    pub incarnation: Incarnation,
-    pub child: Option<ChildProcess>,
-}
-
 /// One router's process.
 pub(super) struct Router {
     pub name: String,
     pub settings: Settings,
     pub child: ChildProcess,
+    /// Machines that were here before.
+    replaced: u32,
 }
 
-/// All processes of a run.
+/// All processes of the product's side of a run.
 pub(super) struct Processes {
     directory: PathBuf,
     pub object_api: ChildProcess,
     pub machine_list: ChildProcess,
-    pub hosts: Vec<Host>,
+    pub hosts: Hosts,
     pub routers: Vec<Router>,
     pub callers: Vec<ChildProcess>,
+    pub cpu: CpuMeter,
     ended: Vec<ChildProcess>,
     events: Mutex<Vec<Event>>,
 }
@@ -77,21 +63,13 @@
             directory: directory.to_owned(),
             object_api: stand_in(directory, "object-api", "platform", &object_api)?,
             machine_list: stand_in(directory, "machine-list", "platform", &machine_list)?,
-            hosts: Vec::new(),
+            hosts: Hosts::start(HostKind::Granted, &plan.hosts, directory)?,
             routers: Vec::new(),
             callers: Vec::new(),
+            cpu: CpuMeter::default(),
             ended: Vec::new(),
             events: Mutex::new(Vec::new()),
         };
-        for host in &plan.hosts {
-            let incarnation = new_incarnation();
-            let child = processes.start_host(host, incarnation)?;
-            processes.hosts.push(Host {
-                plan: host.clone(),
-                incarnation,
-                child: Some(child),
-            });
-        }
         processes.wait_until_served()?;
         for (number, settings) in plan.routers.iter().enumerate() {
             let name = format!("router-{}", number + 1);
@@ -100,6 +78,7 @@
                 name,
                 settings: settings.clone(),
                 child,
+                replaced: 0,
             });
         }
         Ok(processes)
@@ -117,45 +96,36 @@
         self.events.lock().push(event);
     }
 
-    /// Ends a process with back ends at once.
-    pub fn kill_host(&mut self, number: usize) {
-        let host = &mut self.hosts[number];
-        let Some(mut child) = host.child.take() else {
-            return;
-        };
-        child.kill();
-        let sessions = host.plan.back_ends.iter().map(|back_end| SessionId {
-            back_end: back_end.id.clone(),
-            incarnation: host.incarnation,
-        });
-        let event = Event::ProcessEnded {
-            at: clock::now(),
-            process: host.plan.name.clone(),
-            sessions: sessions.collect(),
-            planned: false,
-        };
-        self.ended.push(child);
-        self.record(event);
+    /// Starts a router that ended again, on a new machine at the same
+    /// addresses. Returns the names of the old machine and the new.
+    pub fn replace_router(&mut self, number: usize) -> io::Result<(MachineName, Settings)> {
+        let router = &mut self.routers[number];
+        if !router.child.wait(END_LIMIT) {
+            return Err(io::Error::other(format!("{} still runs", router.name)));
+        }
+        router.replaced += 1;
+        let former = router.settings.machine.clone();
+        let name = format!("machine-{}-{}", number + 1, router.replaced + 1);
+        router.settings.machine = MachineName(name);
+        let log = format!("{}-{}", router.name, router.replaced + 1);
+        let child = start_router(&self.directory, &log, &router.settings)?;
+        self.ended.push(std::mem::replace(&mut router.child, child));
+        Ok((former, router.settings.clone()))
     }
 
-    /// Starts a killed process with back ends again, as a new life.
-    pub fn restart_host(&mut self, number: usize) -> io::Result<()> {
-        if self.hosts[number].child.is_some() {
-            return Ok(());
-        }
-        let incarnation = new_incarnation();
-        let child = self.start_host(&self.hosts[number].plan, incarnation)?;
-        self.hosts[number].incarnation = incarnation;
-        self.hosts[number].child = Some(child);
-        Ok(())
+    /// Reads the processor time of the routers.
+    pub fn read_cpu(&mut self) {
+        let routers = self.routers.iter();
+        self.cpu.read(routers.map(|router| router.child.id()));
     }
 
     /// Ends everything and gives back what it recorded.
     pub fn finish(self) -> Vec<Event> {
         let mut events = self.events.into_inner();
-        let hosts = self.hosts.into_iter().filter_map(|host| host.child);
         let routers = self.routers.into_iter().map(|router| router.child);
         let platform = [self.object_api, self.machine_list];
+        let (hosts, of_hosts) = self.hosts.into_parts();
+        events.extend(of_hosts);
         // Callers first: what is left of them waits for nobody.
         let all = self.callers.into_iter().chain(routers).chain(hosts);
         for child in all.chain(platform).chain(self.ended) {
@@ -164,27 +134,17 @@
         events
     }
 
-    fn start_host(&self, plan: &HostPlan, incarnation: Incarnation) -> io::Result<ChildProcess> {
-        let host = BackEndHost {
-            incarnation,
-            back_ends: plan.back_ends.clone(),
-        };
-        // A later life writes a log of its own.
-        let name = format!("{}-{}", plan.name, incarnation.0);
-        stand_in(&self.directory, &name, "back-ends", &host)
-    }
-
     fn wait_until_served(&mut self) -> Result<(), RunError> {
-        let hosts = self.hosts.iter_mut().filter_map(|host| host.child.as_mut());
         let platform = [&mut self.object_api, &mut self.machine_list];
-        for child in hosts.chain(platform) {
+        for child in self.hosts.children().chain(platform) {
             wait_until_ready(child)?;
         }
         Ok(())
     }
 }
 
-fn wait_until_ready(child: &mut ChildProcess) -> Result<(), RunError> {
+/// Waits until a child serves.
+pub(super) fn wait_until_ready(child: &mut ChildProcess) -> Result<(), RunError> {
     let until = clock::now() + START_LIMIT;
     while !child.is_ready() {
         if child.has_ended() || clock::now() >= until {
@@ -198,20 +158,6 @@
     Ok(())
 }
 
-fn stand_in(
-    directory: &Path,
-    name: &str,
-    kind: &str,
-    settings: &impl Serialize,
-) -> io::Result<ChildProcess> {
-    ChildProcess::start(ChildPlan {
-        name,
-        arguments: vec!["stand-in".to_owned(), kind.to_owned()],
-        settings: Some(serde_json::to_string(settings)?),
-        log_directory: directory,
-    })
-}
-
 fn start_router(directory: &Path, name: &str, settings: &Settings) -> io::Result<ChildProcess> {
     let file = directory.join(format!("{name}.toml"));
     fs::write(&file, settings.to_toml().map_err(io::Error::other)?)?;
@@ -223,10 +169,3 @@
         log_directory: directory,
     })
 }
-
-/// Milliseconds of wall time, as every process of the system draws it.
-fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.unwrap_or_default().as_millis();
-    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
-}
--- a/crates/lab/src/rig/run.rs
+++ b/crates/lab/src/rig/run.rs
@@ -13,8 +13,10 @@
 use super::plan::{Plan, service_load};
 use super::processes::Processes;
 use super::progress::Progress;
+use super::sides::Sides;
 use super::summary::{RunFacts, summarise};
 use super::watch::Watch;
+use crate::baseline::BaselineKind;
 use crate::clock;
 use crate::experiment::Experiment;
 use crate::history::Event;
@@ -30,6 +32,8 @@
 const CALLER_END_MARGIN: Duration = Duration::from_secs(5);
 /// Name of the file with all events, kept together with the logs.
 const HISTORY_FILE: &str = "history.jsonl";
+/// Interval between two readings of the routers' processor time.
+const CPU_INTERVAL: Duration = Duration::from_millis(100);
 const TICK: Duration = Duration::from_millis(10);
 
 /// Choices of one run.
@@ -39,6 +43,8 @@
     pub seed: u64,
     /// Keep the logs of all processes even when the run passes.
     pub keep_logs: bool,
+    /// Baselines that run beside the product.
+    pub baselines: Vec<BaselineKind>,
 }
 
 /// A run did not come to its report.
@@ -86,27 +92,26 @@
     check_names(experiment, &deployment)?;
     let plan = Plan::new(experiment, deployment, options.seed)?;
     let directory = log_directory(&experiment.name)?;
-    let mut processes = Processes::start(&plan, &directory)?;
+    let mut sides = Sides::start(experiment, &plan, &options.baselines, &directory)?;
     let traffic: Vec<TrafficSettings> = experiment
         .loads
         .iter()
         .flat_map(|load| load.traffic.clone())
         .collect();
     let started = clock::now();
-    let watch = Watch::start(&processes.routers, &traffic);
+    let watch = Watch::start(&sides.product.routers, &traffic);
     let services: Vec<ServiceId> = plan.deployment.services.keys().cloned().collect();
-    wait_until_ready(&mut processes, &watch, &services, started, &directory)?;
+    wait_until_ready(&mut sides.product, &watch, &services, started, &directory)?;
     let ready_ms = clock::now().since(started).as_millis() as u64;
     eprintln!("every router serves after {ready_ms} ms");
 
     let begin = clock::now() + CALLER_START;
     let settings = caller_settings(experiment, &plan, options.seed, begin);
-    for (number, settings) in settings.iter().enumerate() {
-        processes.start_callers(&format!("callers-{}", number + 1), settings)?;
-    }
-    let mut events = under_load(experiment, &plan, &mut processes, &watch, begin);
+    sides.start_callers(&settings)?;
+    let mut events = under_load(experiment, &plan, &mut sides, &watch, begin);
     events.extend(watch.finish());
-    events.extend(processes.finish());
+    let (product, lanes) = sides.finish();
+    events.extend(product.events);
     if options.keep_logs {
         write_history(&directory, &events)?;
     }
@@ -117,8 +122,9 @@
         ready_ms,
         members: plan.deployment.member_counts(),
         imitated: imitated(&plan),
+        cpu_seconds: product.cpu_seconds,
     };
-    let report = summarise(experiment, facts, events);
+    let report = summarise(experiment, facts, events, lanes);
     if report.passed() && !options.keep_logs {
         // Logs of a run that passed are of no more use.
         let _ = fs::remove_dir_all(&directory);
@@ -132,11 +138,12 @@
 fn under_load(
     experiment: &Experiment,
     plan: &Plan,
-    processes: &mut Processes,
+    sides: &mut Sides,
     watch: &Watch,
     begin: Timestamp,
 ) -> Vec<Event> {
-    let mut timeline = Timeline::new(&experiment.faults, begin, plan.object_api);
+    let mut timeline = Timeline::new(&experiment.faults, begin, plan);
+    let mut cpu_read = Timestamp::ZERO;
     let mut progress = Progress::new(begin, experiment.duration);
     let loads = experiment.loads.iter();
     let patience_ms = loads
@@ -146,13 +153,13 @@
     let patience = Duration::from_millis(patience_ms.unwrap_or(0));
     let limit = begin + experiment.duration + patience + CALLER_END_MARGIN;
     while clock::now() < limit {
-        timeline.advance(processes, watch);
-        progress.tell(&processes.callers);
-        if processes
-            .callers
-            .iter_mut()
-            .all(|caller| caller.has_ended())
-        {
+        if clock::now().since(cpu_read) >= CPU_INTERVAL {
+            cpu_read = clock::now();
+            sides.read_cpu();
+        }
+        timeline.advance(sides, watch);
+        progress.tell(&sides.product.callers);
+        if sides.are_done() {
             break;
         }
         std::thread::sleep(TICK);
--- a/crates/lab/src/rig/summary.rs
+++ b/crates/lab/src/rig/summary.rs
@@ -4,6 +4,8 @@
 
 use threadledge_types::{ServiceId, Timestamp};
 
+use super::sides::Remains;
+use crate::baseline::{BaselineKind, BaselineReport, MeasuredSide, MeasuredSpan};
 use crate::checks::check_all;
 use crate::experiment::Experiment;
 use crate::history::{Event, History};
@@ -21,13 +23,26 @@
     pub ready_ms: u64,
     pub members: BTreeMap<ServiceId, usize>,
     pub imitated: BTreeMap<ServiceId, ServiceId>,
+    /// Processor time of the routers under load, in seconds.
+    pub cpu_seconds: f64,
 }
 
 /// Checks and measures a run.
-pub(super) fn summarise(experiment: &Experiment, facts: RunFacts, events: Vec<Event>) -> Report {
+pub(super) fn summarise(
+    experiment: &Experiment,
+    facts: RunFacts,
+    events: Vec<Event>,
+    lanes: BTreeMap<BaselineKind, Remains>,
+) -> Report {
     let history = History::assemble(events);
     let end = facts.begin + experiment.duration;
     let violations = check_all(&history);
+    let span = MeasuredSpan {
+        begin: facts.begin,
+        end,
+        surges: &experiment.surges,
+    };
+    let baselines = baselines(&history, span, &facts, lanes);
     let imbalance = measures::imbalance(&history, &facts.members);
     let churn = measures::churn(&history, facts.begin);
     let unavailable = measures::unavailable(&history, facts.begin, end);
@@ -54,11 +69,39 @@
         back_end_requests: measures::back_end_requests(&history),
         ownership: measures::ownership(&history, facts.begin, end),
         ready_ms: facts.ready_ms,
+        goodput: measures::goodput(
+            &history,
+            facts.begin,
+            experiment.duration,
+            &experiment.surges,
+        ),
+        baselines,
     };
     report.breached_bounds = experiment.bounds.breached(&report);
     report
 }
 
+fn baselines(
+    product: &History,
+    span: MeasuredSpan<'_>,
+    facts: &RunFacts,
+    lanes: BTreeMap<BaselineKind, Remains>,
+) -> Option<BaselineReport> {
+    if lanes.is_empty() {
+        return None;
+    }
+    let measure = |history: &History, cpu_seconds| {
+        MeasuredSide::new(history, span, &facts.members, Some(cpu_seconds))
+    };
+    let measured = lanes.into_iter().map(|(kind, remains)| {
+        let history = History::assemble(remains.events);
+        (kind, measure(&history, remains.cpu_seconds))
+    });
+    let measured = measured.collect();
+    let product = measure(product, facts.cpu_seconds);
+    Some(BaselineReport::new(product, measured))
+}
+
 fn faults(history: &History, begin: Timestamp) -> Vec<FaultMark> {
     let marks = history.faults.iter();
     marks
--- a/crates/lab/src/rig/watch.rs
+++ b/crates/lab/src/rig/watch.rs
@@ -119,11 +119,11 @@
                 .lock()
                 .push(Event::ConfigurationSeen(ConfigurationSeen {
                     at: clock::now(),
-                    router: name.to_owned(),
+                    router: life_of(name, report),
                     revision: report.revision,
                     ready: report.readiness.is_ready(),
                 }));
-            self.ask_owners(name, &client).await;
+            self.ask_owners(&life_of(name, report), &client).await;
         }
         report
     }
@@ -147,6 +147,12 @@
     }
 }
 
+/// A machine that took the place of another knows nothing at first, so it must
+/// not be taken for the one that was there before.
+fn life_of(name: &str, report: &StatusReport) -> String {
+    format!("{name} ({})", report.router.machine)
+}
+
 fn serves(state: &Option<StatusReport>, services: &[ServiceId]) -> bool {
     let Some(report) = state else {
         return false;
--- a/crates/lab/src/stand_in/back_end/control.rs
+++ b/crates/lab/src/stand_in/back_end/control.rs
@@ -6,8 +6,8 @@
 use http_types::{Body, Method, Request, Response, StatusCode};
 use threadledge_types::session::{HEALTH_PATH, LEASE_PATH, LOAD_PATH, LeaseRequest};
 
-use super::DRAIN_PATH;
-use super::state::BackEnd;
+use super::state::{Admission, BackEnd};
+use super::{DRAIN_PATH, SICKNESS_PATH};
 
 /// Answers one control request.
 pub(super) async fn control(
@@ -34,6 +34,10 @@
             back_end.drain();
             Ok(Response::new(StatusCode::NoContent))
         }
+        (Method::Post, SICKNESS_PATH) => {
+            back_end.set_sickness(request.body_json().await?);
+            Ok(Response::new(StatusCode::NoContent))
+        }
         _ => Ok(Response::new(StatusCode::NotFound)),
     }
 }
@@ -54,8 +58,12 @@
 }
 
 /// A leaving back end reports itself healthy: the endpoint knows nothing of
-/// leases or drains, as health endpoints are wont.
+/// leases or drains, as health endpoints are wont. Baselines have no other
+/// way to learn of a drain, so for them it tells.
 fn health(back_end: &BackEnd) -> Response {
+    if back_end.admission() == Admission::Anything && back_end.draining() {
+        return Response::new(StatusCode::ServiceUnavailable);
+    }
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(format!("ok {}\n", back_end.session()));
     response
--- a/crates/lab/src/stand_in/back_end/exchange.rs
+++ b/crates/lab/src/stand_in/back_end/exchange.rs
@@ -14,7 +14,7 @@
 
 use super::hang_up::hang_up;
 use super::slots::SlotRefusal;
-use super::state::{BackEnd, Work};
+use super::state::{BackEnd, Begun, Work};
 use crate::clock;
 use crate::history::RequestId;
 
@@ -53,6 +53,7 @@
     Done,
     Refused(Refusal),
     HungUp,
+    Dropped,
 }
 
 /// Serves one request that came on `stream`.
@@ -71,10 +72,15 @@
     match carry_out(back_end, stream, &ask).await {
         End::Done => Ok(answer(ask.request)),
         End::Refused(refusal) => Ok(refusal_response(refusal)),
+        // An error closes the connection.
         End::HungUp => Err(http_types::Error::from_str(
             StatusCode::RequestTimeout,
             "the caller hung up",
         )),
+        End::Dropped => Err(http_types::Error::from_str(
+            StatusCode::InternalServerError,
+            "dropped by sickness",
+        )),
     }
 }
 
@@ -102,7 +108,11 @@
 }
 
 async fn run(back_end: &BackEnd, stream: &TcpStream, ask: &Ask, work: Work) -> End {
-    let (work, takes) = match back_end.begin(work) {
+    let Begun {
+        work,
+        takes,
+        is_dropped,
+    } = match back_end.begin(work) {
         Ok(begun) => begun,
         Err(refusal) => return End::Refused(refusal),
     };
@@ -117,6 +127,10 @@
             return End::HungUp;
         }
     }
+    if is_dropped {
+        back_end.abandon(work);
+        return End::Dropped;
+    }
     // A process that was paused comes back here with its timers long due, so
     // ownership is asked for once more at the moment of the effect.
     match back_end.take_effect(work) {
--- a/crates/lab/src/stand_in/back_end/mod.rs
+++ b/crates/lab/src/stand_in/back_end/mod.rs
@@ -22,7 +22,9 @@
 pub use service_time::ServiceTimes;
 pub use settings::{BackEndSettings, ColdStart, ServiceTimeSettings};
 pub use slots::{SlotGuard, SlotRefusal, Slots};
-pub use state::{BackEnd, Work};
+pub use state::{Admission, BackEnd, Begun, Sickness, Work};
 
+/// Control path with which the rig makes a back end sick or well.
+pub const SICKNESS_PATH: &str = "/lab/sickness";
 /// Control path with which the rig tells a back end to leave.
 pub const DRAIN_PATH: &str = "/lab/drain";
--- a/crates/lab/src/stand_in/back_end/process.rs
+++ b/crates/lab/src/stand_in/back_end/process.rs
@@ -13,7 +13,7 @@
 use super::control::control;
 use super::exchange::exchange;
 use super::settings::BackEndSettings;
-use super::state::BackEnd;
+use super::state::{Admission, BackEnd};
 use crate::history::Recorder;
 
 /// Serves all back ends of this process until the process ends.
@@ -24,11 +24,12 @@
 pub async fn run_process(
     settings: Vec<BackEndSettings>,
     incarnation: Incarnation,
+    admission: Admission,
     recorder: Recorder,
 ) -> io::Result<()> {
     let mut tasks = Vec::with_capacity(settings.len());
     for one in settings {
-        let back_end = BackEnd::new(one, incarnation, recorder.clone());
+        let back_end = BackEnd::new(one, incarnation, recorder.clone()).admitting(admission);
         tasks.push(serve(Arc::new(back_end)).await?.requests);
     }
     recorder.ready();
--- a/crates/lab/src/stand_in/back_end/state.rs
+++ b/crates/lab/src/stand_in/back_end/state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use threadledge_ownership::holder::{Holder, Permit};
 use threadledge_types::session::{Grant, LeaseRequest, LeaseResponse, LoadReport, Refusal};
 use threadledge_types::{Epoch, Incarnation, Point, ServiceId, SessionId, Timestamp};
@@ -23,6 +24,7 @@
     /// Its slots.
     pub slots: Slots,
     session: SessionId,
+    admission: Admission,
     started: Timestamp,
     recorder: Recorder,
     inner: Mutex<Inner>,
@@ -32,17 +34,91 @@
     holder: Holder,
     service_times: ServiceTimes,
     meter: LoadMeter,
+    sickness: Sickness,
+    /// Drops that are due; one happens whenever it reaches 1.
+    drops_due: f64,
     believed: BTreeSet<Grant>,
     lease_end: Option<Timestamp>,
     report: LoadReport,
     reported: Timestamp,
 }
 
+/// What a back end asks for before it carries out a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Admission {
+    /// A grant with the request's epoch and a lease that holds.
+    #[default]
+    ByGrant,
+    /// Nothing: whatever comes is carried out, as baselines need it.
+    Anything,
+}
+
+/// How a back end ails while its health endpoint says that all is well.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Sickness {
+    /// Service times are this many times longer.
+    pub slow_factor: f64,
+    /// Share of requests that it drops without an answer and without an
+    /// effect, between 0 and 1.
+    pub error_share: f64,
+}
+
+impl Default for Sickness {
+    /// Well.
+    fn default() -> Self {
+        Sickness {
+            slow_factor: 1.0,
+            error_share: 0.0,
+        }
+    }
+}
+
+/// One request whose work has begun.
+#[derive(Debug)]
+pub struct Begun {
+    /// The work.
+    pub work: Work,
+    /// How long it takes.
+    pub takes: Duration,
+    /// Whether it is dropped at its end, by sickness.
+    pub is_dropped: bool,
+}
+
 /// One admitted request.
 #[derive(Debug)]
 pub struct Work {
-    permit: Permit,
     request: RequestId,
+    service: ServiceId,
+    point: Point,
+    epoch: Epoch,
+    /// `None` when nothing was asked for.
+    permit: Option<Permit>,
+}
+
+impl Inner {
+    fn may_commit(&self, now: Timestamp, work: &Work) -> Result<(), Refusal> {
+        match &work.permit {
+            Some(permit) => self.holder.may_commit(now, permit),
+            None => Ok(()),
+        }
+    }
+
+    /// Spreads drops evenly over the requests.
+    fn next_is_dropped(&mut self) -> bool {
+        self.drops_due += self.sickness.error_share;
+        let due = self.drops_due >= 1.0;
+        if due {
+            self.drops_due -= 1.0;
+        }
+        due
+    }
+
+    fn finish(&mut self, work: Work) {
+        if let Some(permit) = work.permit {
+            self.holder.finish(permit);
+        }
+    }
 }
 
 impl BackEnd {
@@ -57,12 +133,15 @@
                 back_end: settings.id.clone(),
                 incarnation,
             },
+            admission: Admission::default(),
             started: now,
             recorder,
             inner: Mutex::new(Inner {
                 holder: Holder::new(settings.id.clone(), incarnation),
                 service_times,
                 meter: LoadMeter::default(),
+                sickness: Sickness::default(),
+                drops_due: 0.0,
                 believed: BTreeSet::new(),
                 lease_end: None,
                 report: LoadReport::default(),
@@ -72,6 +151,11 @@
         }
     }
 
+    /// The same with another rule of admission.
+    pub fn admitting(self, admission: Admission) -> Self {
+        BackEnd { admission, ..self }
+    }
+
     /// This life of the back end.
     pub fn session(&self) -> &SessionId {
         &self.session
@@ -106,10 +190,20 @@
         inner.holder.begin_drain();
         self.recorder.record(Event::DrainBegan {
             at: clock::now(),
-            back_end: self.settings.id.clone(),
+            session: self.session.clone(),
         });
     }
 
+    /// What it asks for before it carries out a request.
+    pub fn admission(&self) -> Admission {
+        self.admission
+    }
+
+    /// Falls sick, or recovers.
+    pub fn set_sickness(&self, sickness: Sickness) {
+        self.inner.lock().sickness = sickness;
+    }
+
     /// Whether it is leaving.
     pub fn draining(&self) -> bool {
         self.inner.lock().holder.draining()
@@ -138,8 +232,17 @@
         let mut inner = self.inner.lock();
         let now = clock::now();
         inner.meter.count(now, service, point);
-        let permit = inner.holder.admit(now, service, point, epoch)?;
-        Ok(Work { permit, request })
+        let permit = match self.admission {
+            Admission::ByGrant => Some(inner.holder.admit(now, service, point, epoch)?),
+            Admission::Anything => None,
+        };
+        Ok(Work {
+            request,
+            service: service.clone(),
+            point,
+            epoch,
+            permit,
+        })
     }
 
     /// Begins the work of an admitted request that has a slot, and draws how
@@ -148,23 +251,27 @@
     /// # Errors
     ///
     /// The refusal to send; nothing ran.
-    pub fn begin(&self, work: Work) -> Result<(Work, Duration), Refusal> {
+    pub fn begin(&self, work: Work) -> Result<Begun, Refusal> {
         let mut inner = self.inner.lock();
         let now = clock::now();
-        if let Err(refusal) = inner.holder.may_commit(now, &work.permit) {
-            inner.holder.finish(work.permit);
+        if let Err(refusal) = inner.may_commit(now, &work) {
+            inner.finish(work);
             return Err(refusal);
         }
         self.recorder.record(Event::ExecutionBegan {
             at: now,
             session: self.session.clone(),
             request: work.request,
-            service: work.permit.service().clone(),
-            point: work.permit.point(),
-            epoch: work.permit.epoch(),
+            service: work.service.clone(),
+            point: work.point,
+            epoch: work.epoch,
         });
         let takes = inner.service_times.next(now.since(self.started));
-        Ok((work, takes))
+        Ok(Begun {
+            work,
+            takes: takes.mul_f64(inner.sickness.slow_factor),
+            is_dropped: inner.next_is_dropped(),
+        })
     }
 
     /// Lets the work take effect, if the back end still owns the key.
@@ -175,9 +282,9 @@
     pub fn take_effect(&self, work: Work) -> Result<(), Refusal> {
         let mut inner = self.inner.lock();
         let now = clock::now();
-        let allowed = inner.holder.may_commit(now, &work.permit);
+        let allowed = inner.may_commit(now, &work);
         self.record_end(now, work.request, allowed.is_ok());
-        inner.holder.finish(work.permit);
+        inner.finish(work);
         allowed
     }
 
@@ -185,12 +292,12 @@
     pub fn abandon(&self, work: Work) {
         let mut inner = self.inner.lock();
         self.record_end(clock::now(), work.request, false);
-        inner.holder.finish(work.permit);
+        inner.finish(work);
     }
 
     /// Gives up a request that was admitted and never began.
     pub fn give_up(&self, work: Work) {
-        self.inner.lock().holder.finish(work.permit);
+        self.inner.lock().finish(work);
     }
 
     fn record_end(&self, at: Timestamp, request: RequestId, completed: bool) {
--- a/crates/lab/tests/callers.rs
+++ b/crates/lab/tests/callers.rs
@@ -78,6 +78,7 @@
         per_second: 20.0,
         repeatable,
         patience_ms: 60_000,
+        retries_at_once: 0,
         popularity: PopularitySettings {
             keys: 10,
             exponent: 1.0,
@@ -92,6 +93,7 @@
         begin: now - Duration::from_secs(1),
         end: now,
         seed: 7,
+        surges: Vec::new(),
         first_request: 0,
     };
     run_process(settings, Recorder::new(Box::new(lines.clone()))).await;
--- a/crates/lab/tests/checks.rs
+++ b/crates/lab/tests/checks.rs
@@ -6,7 +6,7 @@
 use threadledge_lab::checks::{self, Check, Guarantee};
 use threadledge_lab::history::{AttemptOutcome, ConfigurationSeen, Event, ObjectRef, SliceSeen};
 use threadledge_types::session::Grant;
-use threadledge_types::{BackEndId, Epoch, Point, Slice};
+use threadledge_types::{Epoch, Point, Slice};
 
 /// Asserts that `check` finds exactly one breach, once `fault` is planted.
 fn finds(check: Check, guarantee: Guarantee, fault: Vec<Event>) {
@@ -154,12 +154,25 @@
 fn new_work_long_after_the_drain_notice_breaches_draining() {
     let mut fault = vec![Event::DrainBegan {
         at: millis(1_100),
-        back_end: BackEndId::new("kasamahan", "b"),
+        session: session("b"),
     }];
     fault.extend(execution("b", 2, 9, 4_200, 4_210));
     finds(checks::draining::check, Guarantee::Draining, fault);
 }
 
+#[test]
+fn a_drain_notice_binds_only_the_life_that_got_it() {
+    let mut former = session("b");
+    former.incarnation.0 += 1;
+    let mut run = sound_run();
+    run.push(vec![Event::DrainBegan {
+        at: millis(1),
+        session: former,
+    }]);
+    run.push(execution("b", 2, 9, 4_200, 4_210));
+    assert!(checks::draining::check(&assemble(run)).is_empty());
+}
+
 #[test]
 fn a_request_cut_after_the_stop_began_breaches_planned_stop() {
     let fault = vec![
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -149,9 +149,20 @@
             duration: Some(Duration::from_secs(3)),
             report: Some(PathBuf::from("r.json")),
             keep_logs: false,
+            baselines: true,
         },
     };
     assert_eq!(command, expected);
+    let demo = cli::options().run_inner(&["demo"][..]);
+    let alone = cli::options().run_inner(&["run", "x.toml", "--without-baselines"][..]);
+    for command in [demo, alone] {
+        let (cli::Command::Demo(arguments) | cli::Command::Run { arguments, .. }) =
+            command.expect("a command")
+        else {
+            panic!("another command");
+        };
+        assert!(!arguments.baselines);
+    }
     let endless = ["demo", "--duration", "0"];
     assert!(cli::options().run_inner(&endless[..]).is_err());
 }
--- a/crates/lab/tests/measures.rs
+++ b/crates/lab/tests/measures.rs
@@ -38,6 +38,8 @@
         back_end_requests: measures::back_end_requests(&history),
         ownership: measures::ownership(&history, Timestamp::ZERO, millis(3_000)),
         ready_ms: 0,
+        goodput: Vec::new(),
+        baselines: None,
     }
 }
 
