Write ejections of back ends, and hold the catalogue to what is written

Cause: the dispatcher kept notices of ejected back ends that nobody took, so that events 503 and 504 never came and the list grew for the life of the process.

A test fails for an event of the catalogue that no source file names.

`cargo test -p threadledge`: all passed, clippy clean.

--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 use async_std::task::JoinHandle;
 use http_types::{Request, Response};
 use threadledge_net::{Pool, ServeReport, StopSignal, refusal, serve};
+use threadledge_routing::Notice;
 use threadledge_routing::dispatcher::Dispatcher;
 use threadledge_routing::table::ApplyError;
 use threadledge_types::Outcome;
@@ -132,6 +133,13 @@
         self.with_dispatcher(|dispatcher| dispatcher.counters().clone())
     }
 
+    /// Takes what the dispatcher has noticed about back ends since the last
+    /// time. It keeps them until then.
+    pub fn take_notices(&self) -> Vec<Notice> {
+        let dispatch = &self.shared.dispatch;
+        dispatch.with(|dispatcher, _now| dispatcher.take_notices())
+    }
+
     /// Looks at the dispatcher, for status pages. Holds up every request
     /// while it runs.
     pub fn with_dispatcher<R>(&self, look: impl FnOnce(&Dispatcher) -> R) -> R {
--- a/crates/router/src/running_router.rs
+++ b/crates/router/src/running_router.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use threadledge_control::ControlNode;
 use threadledge_net::StopSignal;
+use threadledge_routing::Notice;
 use threadledge_types::Timestamp;
 
 use crate::control_shell::{ControlShell, explain, status};
@@ -107,37 +108,46 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Keeps the data path's readiness and the control metrics up to date until
-/// `stop` is given.
+/// Keeps the data path's readiness and the control metrics up to date, and
+/// writes what the data path noticed about back ends, until `stop` is given.
 pub async fn watch_readiness(router: RunningRouter, stop: StopSignal) {
     let mut announced = None;
     while !stop.is_stopped() {
-        let (readiness, live_routers, state) = router.look(|node, now| {
-            let state = ControlState {
-                term: node.term(),
-                revision: node.replica().revision(),
-                members: node.live_routers() as u64,
-                confirmed_age: status::confirmed_age(node, now),
-            };
-            let readiness = router.readiness_of(node, now);
-            (readiness, node.live_routers(), state)
-        });
-        // A stopping router still answers what reaches it; only a router
-        // that may lack configuration refuses.
-        let confirmed = readiness
-            .reasons
-            .iter()
-            .all(|reason| *reason == NotReadyReason::Draining);
-        router.proxy.set_ready(confirmed);
-        router
-            .proxy
-            .set_router_count(u32::try_from(live_routers).unwrap_or(u32::MAX));
+        let (readiness, state) =
+            router.look(|node, now| (router.readiness_of(node, now), control_state(node, now)));
+        router.proxy.set_ready(may_take_work(&readiness));
+        let routers = u32::try_from(state.members).unwrap_or(u32::MAX);
+        router.proxy.set_router_count(routers);
         router.metrics.set_control(&state);
         announce(&mut announced, &readiness);
+        router.proxy.take_notices().iter().for_each(log_notice);
         task::sleep(READINESS_INTERVAL).await;
     }
 }
 
+fn control_state(node: &ControlNode, now: Timestamp) -> ControlState {
+    ControlState {
+        term: node.term(),
+        revision: node.replica().revision(),
+        members: node.live_routers() as u64,
+        confirmed_age: status::confirmed_age(node, now),
+    }
+}
+
+/// A stopping router still answers what reaches it; only a router that may
+/// lack configuration refuses.
+fn may_take_work(readiness: &Readiness) -> bool {
+    let mut reasons = readiness.reasons.iter();
+    reasons.all(|reason| *reason == NotReadyReason::Draining)
+}
+
+fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::Ejected { back_end, .. } => emit!(EventId::BackEndEjected, %back_end),
+        Notice::Returned { back_end } => emit!(EventId::BackEndReadmitted, %back_end),
+    }
+}
+
 fn announce(announced: &mut Option<Readiness>, readiness: &Readiness) {
     if announced.as_ref() == Some(readiness) {
         return;
--- a/crates/router/tests/events_catalogue.rs
+++ b/crates/router/tests/events_catalogue.rs
@@ -1,6 +1,7 @@
 //! The catalogue in the docs and the one in the code are the same.
 
 use std::collections::BTreeSet;
+use std::path::Path;
 
 use threadledge::events::EventId;
 
@@ -39,3 +40,36 @@
     let names: BTreeSet<&str> = EventId::ALL.iter().map(|event| event.name()).collect();
     assert_eq!(names.len(), EventId::ALL.len());
 }
+
+/// All source files below a directory, except the catalogue.
+fn sources(directory: &Path, text: &mut String) {
+    let entries = std::fs::read_dir(directory).expect("a directory of the crate");
+    for entry in entries {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            sources(&path, text);
+        } else if !path.ends_with("events/catalogue.rs") {
+            text.push_str(&std::fs::read_to_string(&path).expect("a source file"));
+        }
+    }
+}
+
+#[test]
+fn every_event_is_written_somewhere() {
+    let mut text = String::new();
+    sources(
+        &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
+        &mut text,
+    );
+    let words: BTreeSet<&str> = text
+        .split(|letter: char| !letter.is_alphanumeric() && letter != ':')
+        .collect();
+    let unwritten: Vec<&EventId> = EventId::ALL
+        .iter()
+        .filter(|event| !words.contains(format!("EventId::{event:?}").as_str()))
+        .collect();
+    assert!(
+        unwritten.is_empty(),
+        "write them or take them out: {unwritten:?}"
+    );
+}
