--- a/crates/router/tests/control_shell/safety.rs
+++ b/crates/router/tests/control_shell/safety.rs
@@ -9,7 +9,7 @@
 use threadledge::control_shell::safety::{SafetyError, SafetySettings};
 use threadledge_control::{Input, PeerBatch};
 use threadledge_membership::{Machine, MachineList, MachineState};
-use threadledge_types::{MachineName, Timing};
+use threadledge_types::Timing;
 
 use crate::world::{PATIENCE, World, identity};
 
@@ -81,27 +81,49 @@
     assert_eq!(status, 200, "{text}");
 }
 
-/// Both learn of the difference by the machine list, as in a deployment.
-#[async_std::test]
-async fn differing_routers_learn_it_and_nothing_else_of_each_other() {
-    let old = World::start(Timing::default()).await;
-    let new = World::start(shorter_lease()).await;
-    new.shell.input(Input::Machines(MachineList {
+/// Tells a router of another by the machine list, as in a deployment.
+fn introduce(world: &World, other: &World) {
+    let identity = other.shell.identity();
+    world.shell.input(Input::Machines(MachineList {
         version: 1,
         machines: vec![Machine {
-            name: MachineName("router-2".to_owned()),
-            peer_address: old.peer_address,
-            region: old.shell.identity().region.clone(),
-            zone: old.shell.identity().zone.clone(),
+            name: identity.machine.clone(),
+            peer_address: identity.peer_address,
+            region: identity.region.clone(),
+            zone: identity.zone.clone(),
             state: MachineState::Live,
         }],
     }));
-    let refused = async {
-        while !new.shell.knows_differing_routers() {
+}
+
+async fn eventually(world: &World, holds: impl Fn(&World) -> bool) {
+    let awaited = async {
+        while !holds(world) {
             task::sleep(PAUSE).await;
         }
     };
-    timeout(PATIENCE, refused).await.expect("a refusal");
-    assert_eq!(new.shell.with_node(|node| node.live_routers()), 1);
-    assert_eq!(old.shell.with_node(|node| node.live_routers()), 1);
+    timeout(PATIENCE, awaited).await.expect("it never held");
+}
+
+fn live_routers(world: &World) -> usize {
+    world.shell.with_node(|node| node.live_routers())
+}
+
+#[async_std::test]
+async fn differing_routers_learn_it_and_nothing_else_of_each_other() {
+    let old = World::start(Timing::default()).await;
+    let new = World::start(shorter_lease()).await;
+    introduce(&new, &old);
+    eventually(&new, |new| new.shell.knows_differing_routers()).await;
+    assert_eq!((live_routers(&old), live_routers(&new)), (1, 1));
+}
+
+#[async_std::test]
+async fn routers_with_the_same_settings_find_each_other() {
+    let first = World::start(Timing::default()).await;
+    let second = World::start(Timing::default()).await;
+    introduce(&second, &first);
+    eventually(&first, |first| live_routers(first) == 2).await;
+    eventually(&second, |second| live_routers(second) == 2).await;
+    assert!(!first.shell.knows_differing_routers());
 }
--- a/crates/router/tests/control_shell/world.rs
+++ b/crates/router/tests/control_shell/world.rs
@@ -101,7 +101,7 @@
 pub fn identity(peer_address: SocketAddr) -> RouterIdentity {
     RouterIdentity {
         id: RouterId(u64::from(peer_address.port())),
-        machine: MachineName("router-1".to_owned()),
+        machine: MachineName(format!("router-{}", peer_address.port())),
         incarnation: Incarnation(1),
         region: RegionName::from("luzon"),
         zone: ZoneName::from("luzon-a"),
