--- a/crates/router/src/cli/commands.rs
+++ b/crates/router/src/cli/commands.rs
@@ -13,9 +13,17 @@
 use crate::{check, logging, run};
 
 pub(super) fn run(command: Command) -> ExitCode {
+    finish(execute(command))
+}
+
+pub(super) fn run_router(arguments: &RouterArguments) -> ExitCode {
+    finish(start_router(arguments))
+}
+
+fn execute(command: Command) -> eyre::Result<ExitCode> {
     match command {
-        Command::Router(arguments) => run_router(&arguments),
-        Command::Check { files } => check_files(&files),
+        Command::Router(arguments) => start_router(&arguments),
+        Command::Check { files } => Ok(check_files(&files)),
         Command::Explain {
             operator,
             request,
@@ -26,18 +34,14 @@
     }
 }
 
-pub(super) fn run_router(arguments: &RouterArguments) -> ExitCode {
+fn start_router(arguments: &RouterArguments) -> eyre::Result<ExitCode> {
     let settings = match arguments.settings() {
         Ok(settings) => settings,
-        Err(error) => return fail(USAGE, &error),
+        Err(error) => return Ok(fail(USAGE, &error)),
     };
-    if let Err(error) = logging::install(&settings.log) {
-        return fail(FAILURE, &error);
-    }
-    match task::block_on(run::run(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(FAILURE, &error),
-    }
+    logging::install(&settings.log)?;
+    task::block_on(run::run(settings))?;
+    Ok(ExitCode::SUCCESS)
 }
 
 fn check_files(files: &[PathBuf]) -> ExitCode {
@@ -54,45 +58,47 @@
     }
 }
 
-fn explain(operator: SocketAddr, request: &ExplainRequest, output: OutputFormat) -> ExitCode {
+fn explain(
+    operator: SocketAddr,
+    request: &ExplainRequest,
+    output: OutputFormat,
+) -> eyre::Result<ExitCode> {
     let client = OperatorClient::new(operator);
-    match task::block_on(client.explain(request)) {
-        Ok(explanation) => print(&explanation, explanation_text, output),
-        Err(error) => fail(FAILURE, &error),
-    }
+    let explanation = task::block_on(client.explain(request))?;
+    print(&explanation, explanation_text, output)
 }
 
-fn status(operator: SocketAddr, output: OutputFormat) -> ExitCode {
+fn status(operator: SocketAddr, output: OutputFormat) -> eyre::Result<ExitCode> {
     let client = OperatorClient::new(operator);
-    match task::block_on(client.status()) {
-        Ok(report) => print(&report, status_text, output),
-        Err(error) => fail(FAILURE, &error),
-    }
+    let report = task::block_on(client.status())?;
+    print(&report, status_text, output)
 }
 
-fn drain(operator: SocketAddr) -> ExitCode {
+fn drain(operator: SocketAddr) -> eyre::Result<ExitCode> {
     let client = OperatorClient::new(operator);
-    match task::block_on(client.drain()) {
-        Ok(()) => {
-            println!("draining; ask for the status until the router is gone");
-            ExitCode::SUCCESS
-        }
-        Err(error) => fail(FAILURE, &error),
-    }
+    task::block_on(client.drain())?;
+    println!("draining; ask for the status until the router is gone");
+    Ok(ExitCode::SUCCESS)
 }
 
-fn print<T: Serialize>(answer: &T, as_text: fn(&T) -> String, output: OutputFormat) -> ExitCode {
+fn print<T: Serialize>(
+    answer: &T,
+    as_text: fn(&T) -> String,
+    output: OutputFormat,
+) -> eyre::Result<ExitCode> {
     match output {
         OutputFormat::Text => print!("{}", as_text(answer)),
-        OutputFormat::Json => match serde_json::to_string_pretty(answer) {
-            Ok(json) => println!("{json}"),
-            Err(error) => return fail(FAILURE, &error),
-        },
+        OutputFormat::Json => println!("{}", serde_json::to_string_pretty(answer)?),
     }
-    ExitCode::SUCCESS
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Messages name their causes themselves, so that no chain is printed.
+fn finish(result: eyre::Result<ExitCode>) -> ExitCode {
+    result.unwrap_or_else(|report| fail(FAILURE, &report))
 }
 
 fn fail(code: u8, error: &dyn Display) -> ExitCode {
-    eprintln!("{error:#}");
+    eprintln!("{error}");
     ExitCode::from(code)
 }
