Let a region's leader ask only back ends that its services select

Cause: the store holds the back ends of every region, and a region's leader asked all of them for a session. A process belongs to the first group that asks it. So each leader's renewals grew with all back ends of the world, and a back end that restarted could be taken by another region's group: its own group was then refused for ever, and its keys stayed without an owner.

Change: the grantor takes up a back end once a service selects it, or when it has a session from when one did. What it took up it keeps, so order numbers and lease bounds are as before.

--- a/crates/ownership/src/grantor/mod.rs
+++ b/crates/ownership/src/grantor/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use threadledge_types::records::{RecordChange, SliceKey};
+use threadledge_types::records::{BackEndRecord, RecordChange, SliceKey};
 use threadledge_types::{BackEndId, GroupId, Revision, Timestamp};
 
 use crate::command::{Command, LeaderTerm};
@@ -109,11 +109,15 @@
     }
 
     fn schedule_first_contacts(&mut self, now: Timestamp, machine: &StateMachine) {
-        let known = u32::try_from(machine.back_ends().count().max(1)).unwrap_or(u32::MAX);
+        let wanted = machine
+            .back_ends()
+            .filter(|record| is_wanted(&record.id, machine));
+        let wanted: Vec<&BackEndRecord> = wanted.collect();
+        let known = u32::try_from(wanted.len().max(1)).unwrap_or(u32::MAX);
         let window = self.settings.timing.renewal() / FIRST_CONTACT_DIVISOR;
         let gap = window / known;
         let mut first = now;
-        for record in machine.back_ends() {
+        for record in wanted {
             let contact = Contact::new(record.spec.control_address, first, self.first_bound());
             self.contacts.insert(record.id.clone(), contact);
             self.reschedule(&record.id);
@@ -232,6 +236,9 @@
                 RecordChange::Slice(record) => self.review(now, &record.key(), machine),
                 RecordChange::SliceRemoved(key) => self.review(now, key, machine),
                 RecordChange::Service(record) => {
+                    for id in machine.eligible_back_ends(&record.id) {
+                        self.refresh_contact(now, id, machine);
+                    }
                     self.review_leaving(now, &record.id, machine);
                 }
                 RecordChange::ServiceRemoved(id) => self.review_leaving(now, id, machine),
@@ -253,3 +260,10 @@
         self.latest_number
     }
 }
+
+/// Whether this group has to do with the back end: a service selects it, or it
+/// has a session from when one did. A process belongs to the first group that
+/// asks it, so that of another region must not.
+fn is_wanted(id: &BackEndId, machine: &StateMachine) -> bool {
+    machine.session(id).is_some() || machine.is_selected(id)
+}
--- a/crates/ownership/src/grantor/sessions.rs
+++ b/crates/ownership/src/grantor/sessions.rs
@@ -5,7 +5,7 @@
 
 use super::contact::{Contact, GrantedSession};
 use super::holdings::Holdings;
-use super::{Grantor, GrantorOutput, Observation};
+use super::{Grantor, GrantorOutput, Observation, is_wanted};
 use crate::command::Command;
 use crate::machine::StateMachine;
 
@@ -67,6 +67,9 @@
             }
             return;
         };
+        if !self.contacts.contains_key(id) && !is_wanted(id, machine) {
+            return;
+        }
         let address = record.spec.control_address;
         let bound = self.first_bound();
         let contact = self.contacts.entry(id.clone());
--- a/crates/ownership/src/machine/read.rs
+++ b/crates/ownership/src/machine/read.rs
@@ -185,6 +185,17 @@
         })
     }
 
+    /// Whether any service selects the back end.
+    ///
+    /// The store holds the back ends of every region, and a region's group has
+    /// to do only with those that its own services select.
+    pub fn is_selected(&self, back_end: &BackEndId) -> bool {
+        let start = ServiceId::new(back_end.namespace.clone(), "");
+        let following = self.services.range(start..);
+        let mut same = following.take_while(|(id, _)| id.namespace == back_end.namespace);
+        same.any(|(_, entry)| !entry.deleted && entry.eligible.contains(back_end))
+    }
+
     /// Whether the service exists, is not deleted, and selects the back end.
     pub fn selects(&self, service: &ServiceId, back_end: &BackEndId) -> bool {
         let entry = self.services.get(service);
--- a/crates/ownership/tests/grantor/main.rs
+++ b/crates/ownership/tests/grantor/main.rs
@@ -3,5 +3,6 @@
 mod bench;
 mod failures;
 mod handover;
+mod selection;
 #[path = "../support/mod.rs"]
 mod support;
