--- /dev/null
+++ b/crates/simulator/src/day.rs
@@ -0,0 +1,129 @@
+//! The failures of a day, compressed into a run.
+//!
+//! A [`Day`] starts a world and runs one [`Failure`] after the other through
+//! it. After each, everything that was lost is replaced and the world settles
+//! again, so that each report stands by itself.
+
+mod failure;
+mod report;
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use failure::{Failure, Rates};
+pub use report::{PhaseReport, RoleCost, RoleName, Spread, StartReport};
+
+use threadledge_types::Timestamp;
+
+use crate::scenario::Scenario;
+use crate::world::{BackEndIndex, RouterIndex, World};
+
+/// Step in which the day looks whether a world has settled.
+const LOOK: Duration = Duration::from_millis(100);
+/// A world that has not settled by then is reported as such.
+const SETTLING_LIMIT: Duration = Duration::from_secs(60);
+/// Time that a settled world runs on before the next failure.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// A world and what is to happen to it.
+pub struct Day {
+    world: World,
+    random: ChaCha8Rng,
+    rates: Rates,
+    lost_routers: Vec<RouterIndex>,
+    lost_back_ends: Vec<BackEndIndex>,
+    cut_regions: Vec<(usize, usize)>,
+}
+
+impl Day {
+    /// Lays out a world. `stopwatch` returns nanoseconds of processor time
+    /// since any origin.
+    pub fn new(scenario: Scenario, rates: Rates, stopwatch: Option<fn() -> u64>) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(scenario.seed ^ 0xda7);
+        let mut world = World::new(scenario);
+        if let Some(stopwatch) = stopwatch {
+            world.set_stopwatch(stopwatch);
+        }
+        Day {
+            world,
+            random,
+            rates,
+            lost_routers: Vec::new(),
+            lost_back_ends: Vec::new(),
+            cut_regions: Vec::new(),
+        }
+    }
+
+    /// The world.
+    pub fn world(&self) -> &World {
+        &self.world
+    }
+
+    /// Runs until every probed key is served and every router takes requests.
+    pub fn start(&mut self) -> StartReport {
+        let assigned = self.run_until(|world| world.all_served());
+        let settled = self.run_until(|world| world.all_ready());
+        let started = StartReport {
+            first_assignment_ms: assigned.then(|| self.first_assignment_ms()),
+            all_ready_ms: settled.then(|| millis(self.world.now().since(Timestamp::ZERO))),
+            violations: self.world.invariants().count(),
+        };
+        self.world.run_for(QUIET);
+        started
+    }
+
+    /// Causes a failure, runs on for `duration`, heals and settles.
+    pub fn run(&mut self, failure: Failure, duration: Duration) -> PhaseReport {
+        let violations = self.world.invariants().count();
+        self.world.reset_measures();
+        let least = self.cause(failure, duration);
+        let mut report = PhaseReport::of(&self.world, failure, duration);
+        report.moved_at_least = least;
+        self.heal();
+        report.settled = self.run_until(|world| world.is_settled());
+        report.finish(&self.world, violations);
+        self.world.run_for(QUIET);
+        report
+    }
+
+    fn first_assignment_ms(&self) -> u64 {
+        let outages = self.world.measures().outages();
+        let served = outages.iter().filter_map(|outage| outage.until);
+        millis(
+            served
+                .max()
+                .unwrap_or(Timestamp::ZERO)
+                .since(Timestamp::ZERO),
+        )
+    }
+
+    fn run_until(&mut self, reached: impl Fn(&World) -> bool) -> bool {
+        let limit = self.world.now() + SETTLING_LIMIT;
+        while !reached(&self.world) {
+            if self.world.now() >= limit {
+                return false;
+            }
+            self.world.run_for(LOOK);
+        }
+        true
+    }
+
+    /// Replaces whatever was lost.
+    fn heal(&mut self) {
+        for (one, other) in std::mem::take(&mut self.cut_regions) {
+            self.world.cut_regions(one, other, false);
+        }
+        for router in std::mem::take(&mut self.lost_routers) {
+            self.world.start_router(router);
+        }
+        for back_end in std::mem::take(&mut self.lost_back_ends) {
+            self.world.start_back_end(back_end);
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 mod back_end;
 mod clock;
 mod costs;
+pub mod day;
 mod event;
 mod invariants;
 mod measures;
--- a/crates/simulator/src/measures.rs
+++ b/crates/simulator/src/measures.rs
@@ -69,6 +69,18 @@
     ];
 }
 
+impl std::fmt::Display for MessageKind {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            MessageKind::Consensus => "consensus",
+            MessageKind::Membership => "membership",
+            MessageKind::Spread => "spread",
+            MessageKind::Lease => "lease",
+            MessageKind::Machines => "machines",
+        })
+    }
+}
+
 /// Figures of one run.
 #[derive(Debug, Default)]
 pub struct Measures {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -174,6 +174,11 @@
         &mut self.network
     }
 
+    /// Length of the machine list as JSON.
+    pub fn machine_list_bytes(&self) -> u64 {
+        self.store.machines_bytes()
+    }
+
     /// Rates of requests that servers report.
     pub fn traffic(&mut self) -> &mut Traffic {
         &mut self.traffic
@@ -227,6 +232,22 @@
         (region * each..(region + 1) * each).map(RouterIndex)
     }
 
+    /// Whether every probed key can be served.
+    pub fn all_served(&self) -> bool {
+        let (probes, _) = self.measures.probes();
+        probes > 0 && self.measures.failing() == 0
+    }
+
+    /// Whether every router runs and takes requests.
+    pub fn all_ready(&self) -> bool {
+        self.ready_routers().len() == self.routers.len()
+    }
+
+    /// Whether keys are served, routers ready and edits in force everywhere.
+    pub fn is_settled(&self) -> bool {
+        self.all_served() && self.all_ready() && self.open_edits() == 0
+    }
+
     /// Service identifier of a planned service.
     pub fn service_id(&self, name: &str) -> ServiceId {
         ServiceId::new(NAMESPACE, name)
