--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 mod load;
 mod validate;
+mod values;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/router/src/settings/load.rs
+++ b/crates/router/src/settings/load.rs
@@ -1,13 +1,13 @@
 //! Reading a settings file and laying flags over it.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use toml::de::{DeTable, DeValue};
 use toml::{Table, Value};
 
-use super::keys::{self, KEYS, SettingKey, ValueKind};
+use super::keys::{self, KEYS, SettingKey};
+use super::values::{fitting, plain_value, value_of_flag, wrong_type};
 use super::{Place, Problem, Settings, SettingsError, SettingsProblem, validate};
 
 /// A value given on the command line.
@@ -233,64 +233,6 @@
     SettingsProblem::UnknownKey { key: path, remedy }
 }
 
-/// The value without places; `None` for kinds that no key has.
-fn plain_value(value: &DeValue<'_>) -> Option<Value> {
-    match value {
-        DeValue::String(text) => Some(Value::String(text.to_string())),
-        DeValue::Integer(integer) => i64::from_str_radix(integer.as_str(), integer.radix())
-            .ok()
-            .map(Value::Integer),
-        DeValue::Float(float) => float.as_str().parse().ok().map(Value::Float),
-        _ => None,
-    }
-}
-
-fn value_of_flag(key: &SettingKey, text: &str) -> Option<Value> {
-    match key.kind {
-        ValueKind::Integer => text.parse().ok().map(Value::Integer),
-        ValueKind::Number => text.parse().ok().map(Value::Float),
-        ValueKind::Text | ValueKind::Address | ValueKind::Choice(_) => {
-            Some(Value::String(text.to_owned()))
-        }
-    }
-}
-
-/// The value when it fits the key's kind.
-fn fitting(key: &SettingKey, value: Value) -> Result<Value, SettingsProblem> {
-    match (key.kind, &value) {
-        (ValueKind::Text, Value::String(_)) => Ok(value),
-        (ValueKind::Address, Value::String(text)) => match text.parse::<SocketAddr>() {
-            Ok(_) => Ok(value),
-            Err(_) => Err(SettingsProblem::NotAnAddress {
-                key: key.path(),
-                value: text.clone(),
-            }),
-        },
-        (ValueKind::Integer, Value::Integer(number)) if *number >= 0 => Ok(value),
-        (ValueKind::Number, Value::Float(_)) => Ok(value),
-        (ValueKind::Number, Value::Integer(number)) => Ok(Value::Float(*number as f64)),
-        (ValueKind::Choice(words), Value::String(text)) if words.contains(&text.as_str()) => {
-            Ok(value)
-        }
-        _ => Err(wrong_type(key)),
-    }
-}
-
-fn wrong_type(key: &SettingKey) -> SettingsProblem {
-    let (wanted, example) = match key.kind {
-        ValueKind::Text => ("a text", "\"some-name\"".to_owned()),
-        ValueKind::Address => ("an address", "\"10.0.0.7:8080\"".to_owned()),
-        ValueKind::Integer => ("a whole number of at least 0", "500".to_owned()),
-        ValueKind::Number => ("a number", "0.5".to_owned()),
-        ValueKind::Choice(words) => ("one of the words allowed", words.join(", or ")),
-    };
-    SettingsProblem::WrongType {
-        key: key.path(),
-        wanted,
-        example,
-    }
-}
-
 /// Line and column, both from 1, of a byte offset.
 fn position_of(text: &str, offset: usize) -> (usize, usize) {
     let before = &text[..offset.min(text.len())];
--- a/crates/router/src/settings/validate.rs
+++ b/crates/router/src/settings/validate.rs
@@ -110,36 +110,41 @@
             range: "between 0 and 50",
         });
     }
-    at_least(
-        ("timing.lease-ms", timing.lease_ms),
-        timing.renewal_ms.saturating_mul(RENEWALS_PER_LEASE),
-        ("timing.renewal-ms", "a lease outlasts two lost renewals"),
-        problems,
-    );
-    at_least(
-        ("timing.election-min-ms", timing.election_min_ms),
-        timing.heartbeat_ms.saturating_mul(HEARTBEATS_PER_ELECTION),
-        (
-            "timing.heartbeat-ms",
-            "an election outlasts two lost heartbeats",
-        ),
-        problems,
-    );
-    at_least(
-        ("timing.election-max-ms", timing.election_max_ms),
-        timing.election_min_ms.saturating_add(1),
-        (
-            "timing.election-min-ms",
-            "candidates need different timeouts",
-        ),
-        problems,
-    );
-    at_least(
-        ("timing.confirm-bound-ms", timing.confirm_bound_ms),
-        timing.confirm_ms.saturating_mul(CONFIRMS_PER_BOUND),
-        ("timing.confirm-ms", "one lost confirmation is tolerated"),
-        problems,
-    );
+    problems.extend(timing_rules(timing).into_iter().filter_map(Rule::broken));
+}
+
+/// The durations that rest on each other.
+fn timing_rules(timing: &Timing) -> [Rule; 4] {
+    [
+        Rule {
+            key: "timing.lease-ms",
+            value: timing.lease_ms,
+            least: timing.renewal_ms.saturating_mul(RENEWALS_PER_LEASE),
+            other: "timing.renewal-ms",
+            reason: "a lease outlasts two lost renewals",
+        },
+        Rule {
+            key: "timing.election-min-ms",
+            value: timing.election_min_ms,
+            least: timing.heartbeat_ms.saturating_mul(HEARTBEATS_PER_ELECTION),
+            other: "timing.heartbeat-ms",
+            reason: "an election outlasts two lost heartbeats",
+        },
+        Rule {
+            key: "timing.election-max-ms",
+            value: timing.election_max_ms,
+            least: timing.election_min_ms.saturating_add(1),
+            other: "timing.election-min-ms",
+            reason: "candidates need different timeouts",
+        },
+        Rule {
+            key: "timing.confirm-bound-ms",
+            value: timing.confirm_bound_ms,
+            least: timing.confirm_ms.saturating_mul(CONFIRMS_PER_BOUND),
+            other: "timing.confirm-ms",
+            reason: "one lost confirmation is tolerated",
+        },
+    ]
 }
 
 fn limits(limits: &Limits, problems: &mut Vec<SettingsProblem>) {
@@ -175,19 +180,23 @@
     }
 }
 
-fn at_least(
-    (key, value): (&'static str, u64),
+/// A value that must not be smaller than another one allows.
+struct Rule {
+    key: &'static str,
+    value: u64,
     least: u64,
-    (other, reason): (&'static str, &'static str),
-    problems: &mut Vec<SettingsProblem>,
-) {
-    if value < least {
-        problems.push(SettingsProblem::TooSmall {
-            key,
-            value,
-            least,
-            reason,
-            other,
-        });
+    other: &'static str,
+    reason: &'static str,
+}
+
+impl Rule {
+    fn broken(self) -> Option<SettingsProblem> {
+        (self.value < self.least).then_some(SettingsProblem::TooSmall {
+            key: self.key,
+            value: self.value,
+            least: self.least,
+            reason: self.reason,
+            other: self.other,
+        })
     }
 }
