--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -11,6 +11,8 @@
 const DEFAULT_REGIONS: usize = 6;
 /// Default of `--zones`, the zones of the size to design for.
 const DEFAULT_ZONES: usize = 18;
+/// Default of `hollow --routers-per-back-end`.
+const DEFAULT_ROUTERS_PER_BACK_END: usize = 12;
 /// Default of `hollow --duration`.
 const DEFAULT_HOLLOW_SECONDS: u64 = 10;
 /// Default of the directory that `list` reads.
@@ -92,7 +94,9 @@
     pub regions: usize,
     /// Zones of all regions.
     pub zones: usize,
-    /// Virtual time that is measured.
+    /// Routers for each back end.
+    pub routers_per_back_end: usize,
+    /// Virtual time that each failure lasts.
     pub duration: Duration,
     /// Seed of every random choice.
     pub seed: u64,
@@ -162,7 +166,7 @@
         .guard(|nodes| *nodes > 0, "must be above 0")
         .some("give --nodes NUMBER");
     let regions = long("regions")
-        .help("Regions; one is simulated and stands for the others")
+        .help("Regions; as many as fit run, the others are only on the machine list")
         .argument::<usize>("NUMBER")
         .guard(|regions| *regions > 0, "must be above 0")
         .fallback(DEFAULT_REGIONS)
@@ -172,8 +176,14 @@
         .argument::<usize>("NUMBER")
         .fallback(DEFAULT_ZONES)
         .display_fallback();
+    let routers_per_back_end = long("routers-per-back-end")
+        .help("Routers for each back end")
+        .argument::<usize>("NUMBER")
+        .guard(|number| *number > 0, "must be above 0")
+        .fallback(DEFAULT_ROUTERS_PER_BACK_END)
+        .display_fallback();
     let duration = long("duration")
-        .help("Seconds of virtual time that are measured")
+        .help("Seconds of virtual time that each failure lasts")
         .argument::<u64>("SECONDS")
         .fallback(DEFAULT_HOLLOW_SECONDS)
         .display_fallback()
@@ -183,13 +193,14 @@
         nodes,
         regions,
         zones,
+        routers_per_back_end,
         duration,
         seed,
         report,
     })
     .map(Command::Hollow)
     .to_options()
-    .descr("Run hollow nodes in virtual time and measure what control costs each")
+    .descr("Run a day's failures over hollow nodes in virtual time and measure what control costs")
     .command("hollow")
     .help("Run hollow nodes in virtual time")
 }
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -11,7 +11,7 @@
 use crate::cli::{Command, HollowArguments, RunArguments, StandIn};
 use crate::experiment::{self, Experiment};
 use crate::history::Recorder;
-use crate::hollow::{self, HollowPlan};
+use crate::hollow::{self, HollowPlan, HollowReport};
 use crate::load;
 use crate::report::{Report, compare, page, table};
 use crate::rig::{BackEndHost, PlatformSettings, RunOptions, end_with_parent, read_settings, run};
@@ -85,20 +85,21 @@
 fn run_hollow(arguments: &HollowArguments) -> eyre::Result<ExitCode> {
     let mut reports = Vec::with_capacity(arguments.nodes.len());
     for nodes in &arguments.nodes {
-        eprintln!("simulating one region of {nodes} nodes");
-        reports.push(hollow::measure(&HollowPlan {
+        let plan = HollowPlan {
             nodes: *nodes,
             regions: arguments.regions,
             zones: arguments.zones,
+            routers_per_back_end: arguments.routers_per_back_end,
             duration: arguments.duration,
             seed: arguments.seed,
-        }));
+        };
+        reports.push(hollow::measure(&plan, |step| eprintln!("{step}")));
     }
     if let Some(path) = &arguments.report {
         std::fs::write(path, serde_json::to_vec_pretty(&reports)?)?;
     }
     print!("{}", hollow::table(&reports));
-    let sound = reports.iter().all(|report| report.violations == 0);
+    let sound = reports.iter().all(HollowReport::passed);
     Ok(if sound {
         ExitCode::SUCCESS
     } else {
--- a/crates/lab/src/hollow/measure.rs
+++ b/crates/lab/src/hollow/measure.rs
@@ -1,173 +1,143 @@
-//! Runs a region of hollow nodes and measures what control costs each.
+//! Runs a day over hollow nodes and measures what it did and cost.
 
-use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use threadledge_simulator::{Scenario, ServicePlan, World};
+use threadledge_simulator::MessageKind;
+use threadledge_simulator::day::{Day, Failure, PhaseReport, Rates, RoleName, StartReport};
 
-use super::memory::resident_bytes;
+use super::layout::HollowPlan;
+use super::memory::{processor_nanos, resident_bytes};
 
-/// Routers for each back end in the worlds that are laid out.
-const ROUTERS_PER_BACK_END: usize = 4;
-/// Back ends of one service at most.
-const BACK_ENDS_PER_SERVICE: usize = 15;
-/// Keys that are probed for each service.
-const PROBES_PER_SERVICE: usize = 16;
-/// Virtual time until a region has settled and is measured.
-const SETTLING: Duration = Duration::from_secs(15);
+/// Version of the form of a report.
+const FORM_VERSION: u32 = 2;
 
-/// What is to be simulated.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HollowPlan {
-    /// Routers of all regions.
-    pub nodes: usize,
-    /// Regions.
-    pub regions: usize,
-    /// Zones of all regions.
-    pub zones: usize,
-    /// Virtual time that is measured.
-    pub duration: Duration,
-    /// Seed of every random choice.
-    pub seed: u64,
-}
-
-/// What a region cost, averaged over its routers.
+/// What a day did to hollow nodes, and what control cost.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HollowReport {
+    /// Version of this form.
+    pub version: u32,
+    /// Seed of the run.
+    pub seed: u64,
     /// Routers of all regions.
     pub nodes: usize,
-    /// Routers of the region that was simulated.
+    /// Regions that ran.
+    pub regions_running: usize,
+    /// Regions that were only on the machine list.
+    pub regions_listed: usize,
+    /// Routers of each region.
     pub routers: usize,
-    /// Back ends of that region.
+    /// Back ends of all regions that ran.
     pub back_ends: usize,
-    /// Seed of the run.
-    pub seed: u64,
-    /// Virtual time measured, in milliseconds.
-    pub duration_ms: u64,
-    /// Real time that the whole run took, in milliseconds.
-    pub wall_ms: u64,
-    /// Breaches of the guarantees.
+    /// Slices of the first region when the day began.
+    pub slices: usize,
+    /// Breaches of the guarantees over the whole run.
     pub violations: u64,
-    /// Routers that took work at the end.
-    pub ready: usize,
-    /// Probes made, and probes that found no owner.
-    pub probes: (u64, u64),
-    /// Longest outage of a probed key, in milliseconds.
-    pub unavailable_ms: u64,
-    /// Bytes a second for each router, by kind of message, as JSON over
-    /// HTTP/1.1.
-    pub bytes_per_second: BTreeMap<String, f64>,
-    /// Messages a second for each router, by kind.
-    pub messages_per_second: BTreeMap<String, f64>,
-    /// Share of one core for each router: real time that the measured stretch
-    /// took, the model around the cores included, so an upper bound.
-    pub core_share: f64,
-    /// Resident bytes for each router, the model around it included.
-    pub memory_bytes: Option<f64>,
+    /// The first few breaches.
+    pub violation_details: Vec<String>,
+    /// How the nodes came up.
+    pub start: StartReport,
+    /// Each failure, in the order of the run.
+    pub phases: Vec<PhaseReport>,
+    /// Failures that this size cannot show, such as the loss of regions when
+    /// one region runs.
+    pub not_run: Vec<Failure>,
+    /// How many times faster than on a day configuration was changed.
+    pub configuration_speed: f64,
+    /// Resident bytes for each router that ran, the model around it included,
+    /// when the day began.
+    pub memory_bytes_per_router: Option<f64>,
+    /// Bytes of the machine list, as one reading carries it.
+    pub machine_list_bytes: u64,
+    /// Virtual time of the whole run, in milliseconds.
+    pub virtual_ms: u64,
+    /// Real time of the whole run, in milliseconds.
+    pub wall_ms: u64,
 }
 
-/// Simulates one region's share of the nodes.
-pub fn measure(plan: &HollowPlan) -> HollowReport {
+impl HollowReport {
+    /// Whether no guarantee was breached and every failure was survived.
+    pub fn passed(&self) -> bool {
+        self.violations == 0
+            && self.start.first_assignment_ms.is_some()
+            && self.phases.iter().all(|phase| phase.settled)
+    }
+
+    /// The quiet phase's cost of one role.
+    pub fn quiet_cost(&self, role: RoleName) -> Option<&threadledge_simulator::day::RoleCost> {
+        let quiet = |phase: &&PhaseReport| phase.failure == Failure::None;
+        self.phases.iter().find(quiet)?.roles.get(&role)
+    }
+}
+
+/// Runs a day. `progress` is told what comes next.
+pub fn measure(plan: &HollowPlan, progress: impl Fn(&str)) -> HollowReport {
     let started = Instant::now();
     let memory_before = resident_bytes();
-    let regions = plan.regions.max(1);
-    let routers = plan.nodes.div_ceil(regions).max(1);
-    let scenario = scenario(plan, routers);
-    let back_ends = scenario.services.iter().map(|one| one.back_ends).sum();
-    let mut world = World::new(scenario);
-    world.run_for(SETTLING);
-    world.reset_measures();
-    let measured_from = Instant::now();
-    world.run_for(plan.duration);
-    let busy = measured_from.elapsed();
-    let memory_after = resident_bytes();
-    let measures = world.measures();
-    let seconds = plan.duration.as_secs_f64();
-    let each = |total: u64| total as f64 / seconds / routers as f64;
-    let sent = || measures.sent().iter();
+    let scenario = plan.scenario();
+    let (regions, routers) = (scenario.regions, scenario.routers);
+    progress(&format!(
+        "{} nodes: starting {regions} of {} regions with {routers} routers each",
+        plan.nodes, plan.regions
+    ));
+    let regions_listed = scenario.listed_regions;
+    let rates = Rates::default();
+    let configuration_speed = rates.configuration_speed();
+    let mut day = Day::new(scenario, rates, Some(processor_nanos));
+    let start = day.start();
+    let memory = memory_before.zip(resident_bytes());
+    let slices = slices(&day);
+    let (run, not_run): (Vec<Failure>, Vec<Failure>) = Failure::ALL
+        .into_iter()
+        .partition(|failure| *failure != Failure::RegionCut || regions > 1);
+    let mut phases = Vec::with_capacity(run.len());
+    for failure in run {
+        let elapsed = started.elapsed().as_secs();
+        progress(&format!(
+            "{} nodes: {failure:?}, {elapsed} s so far",
+            plan.nodes
+        ));
+        phases.push(day.run(failure, plan.duration));
+    }
+    let world = day.world();
+    let invariants = world.invariants();
     HollowReport {
+        version: FORM_VERSION,
+        seed: plan.seed,
         nodes: plan.nodes,
+        regions_running: regions,
+        regions_listed,
         routers,
-        back_ends,
-        seed: plan.seed,
-        duration_ms: millis(plan.duration),
-        wall_ms: millis(started.elapsed()),
-        violations: world.invariants().count(),
-        ready: world.ready_routers().len(),
-        probes: measures.probes(),
-        unavailable_ms: millis(measures.longest_outage(world.now())),
-        bytes_per_second: sent()
-            .map(|(kind, traffic)| (format!("{kind:?}").to_lowercase(), each(traffic.bytes)))
-            .collect(),
-        messages_per_second: sent()
-            .map(|(kind, traffic)| (format!("{kind:?}").to_lowercase(), each(traffic.messages)))
+        back_ends: world.back_end_count(),
+        slices,
+        violations: invariants.count(),
+        violation_details: invariants
+            .violations()
+            .iter()
+            .map(ToString::to_string)
             .collect(),
-        core_share: busy.as_secs_f64() / seconds / routers as f64,
-        memory_bytes: memory_before
-            .zip(memory_after)
-            .map(|(before, after)| after.saturating_sub(before) as f64 / routers as f64),
-    }
-}
-
-/// The reports of several sizes, one row each.
-pub fn table(reports: &[HollowReport]) -> String {
-    let mut text = String::new();
-    let _ = writeln!(
-        text,
-        "{:>7} {:>8} {:>9} {:>6} {:>10} {:>13} {:>11} {:>9} {:>8} {:>10}",
-        "nodes",
-        "routers",
-        "back ends",
-        "ready",
-        "core %",
-        "bytes/s each",
-        "KB each",
-        "wall s",
-        "outage",
-        "violations"
-    );
-    for report in reports {
-        let bytes: f64 = report.bytes_per_second.values().sum();
-        let memory = report.memory_bytes.unwrap_or(f64::NAN) / 1_024.0;
-        let _ = writeln!(
-            text,
-            "{:>7} {:>8} {:>9} {:>6} {:>10.4} {:>13.0} {:>11.0} {:>9.1} {:>8} {:>10}",
-            report.nodes,
-            report.routers,
-            report.back_ends,
-            report.ready,
-            report.core_share * 100.0,
-            bytes,
-            memory,
-            report.wall_ms as f64 / 1_000.0,
-            report.unavailable_ms,
-            report.violations
-        );
+        start,
+        phases,
+        not_run,
+        configuration_speed,
+        memory_bytes_per_router: memory.map(|(before, after)| {
+            after.saturating_sub(before) as f64 / (regions * routers) as f64
+        }),
+        machine_list_bytes: world.machine_list_bytes(),
+        virtual_ms: world.now().as_millis(),
+        wall_ms: millis(started.elapsed()),
     }
-    text
 }
 
-fn scenario(plan: &HollowPlan, routers: usize) -> Scenario {
-    let back_ends = (routers / ROUTERS_PER_BACK_END).max(3);
-    let services = back_ends.div_ceil(BACK_ENDS_PER_SERVICE);
-    let plans = (0..services).map(|number| {
-        let first = number * BACK_ENDS_PER_SERVICE;
-        let count = BACK_ENDS_PER_SERVICE.min(back_ends - first);
-        ServicePlan::new(&format!("service-{number}"), count)
-    });
-    Scenario {
-        seed: plan.seed,
-        zones: (plan.zones / plan.regions.max(1)).max(1),
-        routers,
-        services: plans.collect(),
-        probes_per_service: PROBES_PER_SERVICE,
-        count_bytes: true,
-        ..Scenario::default()
-    }
+fn slices(day: &Day) -> usize {
+    let world = day.world();
+    let leader = world.leader_of(0).and_then(|leader| world.router(leader));
+    leader.map_or(0, |node| node.replica().slice_count())
 }
 
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Kinds of messages, for tables.
+pub(super) const KINDS: [MessageKind; 5] = MessageKind::ALL;
