Give a large batch between routers the time that its size needs

One that takes longer to receive and read would have been given up and sent again without end, and its receiver would never have joined.

Change: the bound is 500 ms and the time that the batch takes at 10 MiB/s.

--- a/crates/router/src/control_shell/peers.rs
+++ b/crates/router/src/control_shell/peers.rs
@@ -8,9 +8,11 @@
 use async_channel::{Receiver, Sender, TrySendError};
 use async_std::future::timeout;
 use async_std::task;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use parking_lot::Mutex;
 use threadledge_control::{Input, PeerBatch, PeerMessage};
-use threadledge_net::{ClientError, HttpClient, PoolSettings};
+use threadledge_net::{HttpClient, PoolSettings};
 use threadledge_types::RouterId;
 
 use super::PEER_PATH;
@@ -24,12 +26,16 @@
 const QUEUE_LIMIT: usize = 1_024;
 /// Messages in one batch.
 const BATCH_LIMIT: usize = 128;
-/// A receiver that has not answered by then counts as unreachable for now.
+/// A receiver that has not answered a small batch by then counts as
+/// unreachable for now.
 const POST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Slowest receipt of a batch that is not given up. A snapshot is one message
+/// of any size: with the same time for all batches, a large one would be sent
+/// again and again and never arrive.
+const LEAST_BYTES_PER_SECOND: u64 = 10 * 1024 * 1024;
 /// A queue unused for this long is given up.
 const QUEUE_IDLE: Duration = Duration::from_secs(10);
-/// Status with which a router refuses one that has other safety settings.
-const SAFETY_CONFLICT: u16 = 409;
+const JSON: &str = "application/json";
 
 /// Where messages go: an address and, when known, the process meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -75,24 +81,31 @@
         !self.differing.lock().is_empty()
     }
 
-    /// Notes whether a router shares the safety settings. Silence tells
-    /// nothing.
-    fn note_safety(&self, address: SocketAddr, answer: &Result<PeerBatch, ClientError>) {
-        match answer {
-            Ok(_) => {
-                self.differing.lock().remove(&address);
-            }
-            Err(error) => {
-                let refusal = error.answered_status();
-                let refusal = refusal.filter(|(status, _)| *status == SAFETY_CONFLICT);
-                if let Some((_, body)) = refusal
-                    && self.differing.lock().insert(address)
-                {
-                    let problem = serde_json::from_slice::<ProblemBody>(body);
-                    let message = problem.map(|problem| problem.message).unwrap_or_default();
-                    emit!(EventId::SafetySettingsDiffer, %address, %message);
-                }
-            }
+    /// Posts a batch. `None` if there is no answer, or a refusal.
+    async fn post(&self, address: SocketAddr, batch: &PeerBatch) -> Option<PeerBatch> {
+        let body = serde_json::to_vec(batch).ok()?;
+        let timeout = post_timeout(body.len());
+        let request = http::Request::post(&self.path)
+            .header(CONTENT_TYPE, JSON)
+            .body(body)
+            .ok()?;
+        let response = self.client.send(address, request, timeout).await.ok()?;
+        self.note_safety(address, response.status(), response.body());
+        if !response.status().is_success() {
+            return None;
+        }
+        serde_json::from_slice(response.body()).ok()
+    }
+
+    /// Notes whether a router shares the safety settings.
+    fn note_safety(&self, address: SocketAddr, status: StatusCode, body: &[u8]) {
+        let mut differing = self.differing.lock();
+        if status.is_success() {
+            differing.remove(&address);
+        } else if status == StatusCode::CONFLICT && differing.insert(address) {
+            let problem = serde_json::from_slice::<ProblemBody>(body);
+            let message = problem.map(|problem| problem.message).unwrap_or_default();
+            emit!(EventId::SafetySettingsDiffer, %address, %message);
         }
     }
 
@@ -161,16 +174,16 @@
         to: destination.id,
         messages,
     };
-    let peers = shell.peers();
-    let answer = peers
-        .client
-        .post_json::<_, PeerBatch>(destination.address, &peers.path, &batch, POST_TIMEOUT)
-        .await;
-    peers.note_safety(destination.address, &answer);
     // A lost batch needs no handling: the cores repeat what matters.
-    if let Ok(answer) = answer
+    if let Some(answer) = shell.peers().post(destination.address, &batch).await
         && !answer.messages.is_empty()
     {
         shell.input(Input::Peer(answer));
     }
 }
+
+/// Longest wait for the answer to a batch of this many bytes.
+fn post_timeout(bytes: usize) -> Duration {
+    let millis = (bytes as u64).saturating_mul(1_000) / LEAST_BYTES_PER_SECOND;
+    POST_TIMEOUT + Duration::from_millis(millis)
+}
