Warn of routes whose deadline a planned stop does not wait for

Cause: a planned stop waits limits.drain-timeout-ms (15 s by default) for requests in flight, and a route may have a deadline of up to ten minutes. The guarantee that nothing is cut off then rested on a sentence in the settings.

Change: each router writes event 109 for each such route when its service comes into force, long before a stop.

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -81,6 +81,9 @@
     HandoverIncomplete = 108, "handover-incomplete", Warn,
         "A planned stop went on although the group could not yet do without this router; the group replaces it as after a loss.",
         "Stop one router at a time, and the next when its replacement is ready.";
+    DeadlineBeyondDrain = 109, "deadline-beyond-drain", Warn,
+        "A route's deadline is longer than this router's drain timeout; a planned stop could cut its requests off.",
+        "Raise limits.drain-timeout-ms above the longest deadline of any route, or shorten the route's.";
     PeerFound = 201, "peer-found", Info,
         "Another router answered for the first time.",
         "None.";
--- a/crates/router/src/planned_stop.rs
+++ b/crates/router/src/planned_stop.rs
@@ -5,6 +5,9 @@
 use async_std::task;
 use threadledge_control::{ControlNode, Input};
 use threadledge_net::{ServeReport, StopSignal};
+use threadledge_types::ServiceId;
+use threadledge_types::objects::RouteRule;
+use threadledge_types::records::{RecordChange, RecordDelta};
 
 use crate::control_shell::ControlShell;
 use crate::events::{EventId, emit};
@@ -52,6 +55,43 @@
     }
 }
 
+/// A route whose requests a planned stop could cut off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LongRoute<'a> {
+    /// Service of the route.
+    pub service: &'a ServiceId,
+    /// The route.
+    pub route: &'a RouteRule,
+}
+
+/// Routes among the changed services with a deadline beyond `drain_timeout`.
+pub fn long_routes(
+    delta: &RecordDelta,
+    drain_timeout: Duration,
+) -> impl Iterator<Item = LongRoute<'_>> {
+    let services = delta.changes.iter().filter_map(|change| match change {
+        RecordChange::Service(record) => Some(record),
+        _ => None,
+    });
+    let routes = services.flat_map(|record| {
+        let routes = record.spec.routes.iter();
+        routes.map(|route| LongRoute {
+            service: &record.id,
+            route,
+        })
+    });
+    routes.filter(move |long| Duration::from_millis(long.route.deadline_ms) > drain_timeout)
+}
+
+/// Writes an event for each route whose requests a planned stop could cut
+/// off.
+pub fn report_long_routes(delta: &RecordDelta, drain_timeout: Duration) {
+    for LongRoute { service, route } in long_routes(delta, drain_timeout) {
+        let deadline_ms = route.deadline_ms;
+        emit!(EventId::DeadlineBeyondDrain, %service, route = %route.name, deadline_ms);
+    }
+}
+
 /// Writes the last event of the process.
 pub fn report_stop(report: &ServeReport) {
     if report.cut == 0 {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -16,7 +16,7 @@
 use crate::events::{EventId, emit};
 use crate::metrics::Metrics;
 use crate::operations::{Operations, stop_on_signal};
-use crate::planned_stop::{report_stop, stop_gracefully};
+use crate::planned_stop::{report_long_routes, report_stop, stop_gracefully};
 use crate::platform_token::{TokenError, platform_transport};
 use crate::proxy::{Clock, Observation, Observer, Proxy, ProxyHandle, ProxySettings};
 use crate::request_log::RequestLog;
@@ -140,12 +140,14 @@
             seed: identity.id.0,
             ..Default::default()
         };
+        let drain_timeout = self.settings.limits.drain_timeout();
         ControlShell::start(ControlShellSettings {
             settings: self.settings.clone(),
             node: ControlNode::new(settings, identity, self.clock.now()),
             platform: self.platform.clone(),
             clock: self.clock,
             records: Box::new(move |delta| {
+                report_long_routes(delta, drain_timeout);
                 if let Err(error) = proxy.apply(delta) {
                     tracing::error!(%error, "records do not fit the data path's copy");
                 }
--- a/crates/router/tests/control_shell/views.rs
+++ b/crates/router/tests/control_shell/views.rs
@@ -4,7 +4,9 @@
 
 use threadledge::control_shell::{explain, status};
 use threadledge::operations::{ExplainError, ExplainRequest, NotReadyReason};
-use threadledge_types::BackEndId;
+use threadledge::planned_stop::long_routes;
+use threadledge_types::records::{RecordChange, RecordDelta};
+use threadledge_types::{BackEndId, Revision};
 
 use crate::world::{HOST, leading_node};
 
@@ -82,3 +84,24 @@
         ExplainError::MissingKey { .. }
     ));
 }
+
+#[test]
+fn routes_with_deadlines_beyond_the_drain_timeout_are_found() {
+    let (node, _) = leading_node();
+    let services = node.replica().services().cloned();
+    let changes = services.map(|record| RecordChange::Service(Box::new(record)));
+    let delta = RecordDelta {
+        group: node.replica().group(),
+        from: Revision::NONE,
+        to: node.replica().revision(),
+        full: true,
+        changes: changes.collect(),
+    };
+    let found = |drain_ms| {
+        let long = long_routes(&delta, Duration::from_millis(drain_ms));
+        let names = long.map(|long| (long.service.name.as_str(), long.route.name.as_str()));
+        names.collect::<Vec<_>>()
+    };
+    assert_eq!(found(999), [("gallery", "browse")]);
+    assert_eq!(found(1_000), []);
+}
