--- a/crates/lab/src/baseline/settings.rs
+++ b/crates/lab/src/baseline/settings.rs
@@ -15,6 +15,8 @@
     pub kind: BaselineKind,
     /// Number among the callers' routers, from 0.
     pub number: u64,
+    /// Which life of this router, from 1.
+    pub life: u32,
     /// Where callers come.
     pub address: SocketAddr,
     /// Which requests belong to which service.
@@ -63,8 +65,8 @@
 }
 
 impl BaselineRouterSettings {
-    /// Epoch under which this router's view is recorded.
+    /// Epoch under which this life's view is recorded.
     pub fn epoch(&self) -> Epoch {
-        Epoch(Revision::new(Generation(1), self.number + 1))
+        Epoch(Revision::new(Generation(self.life), self.number + 1))
     }
 }
--- a/crates/lab/src/rig/lane.rs
+++ b/crates/lab/src/rig/lane.rs
@@ -20,7 +20,8 @@
 use super::processes::{END_LIMIT, wait_until_ready};
 use super::run::RunError;
 use crate::baseline::{
-    BaselineBackEnd, BaselineKind, BaselineRoute, BaselineRouterSettings, BaselineService, CpuMeter,
+    BaselineBackEnd, BaselineKind, BaselineRoute, BaselineRouterSettings, BaselineService,
+    CpuMeter, RouterEnd, release_views,
 };
 use crate::clock;
 use crate::experiment::{Experiment, FaultAction};
@@ -41,6 +42,7 @@
     callers: Vec<ChildProcess>,
     ended: Vec<ChildProcess>,
     cpu: CpuMeter,
+    router_ends: Vec<RouterEnd>,
     events: Mutex<Vec<Event>>,
 }
 
@@ -67,6 +69,7 @@
             callers: Vec::new(),
             ended: Vec::new(),
             cpu: CpuMeter::default(),
+            router_ends: Vec::new(),
             events: Mutex::default(),
             directory,
         };
@@ -98,9 +101,10 @@
         self.callers.iter_mut().all(ChildProcess::has_ended)
     }
 
-    /// Reads the processor time of the routers.
-    pub fn read_cpu(&mut self) {
+    /// Reads the processor time of the routers, and notes those that ended.
+    pub fn observe(&mut self) {
         self.cpu.read(self.routers.iter().map(ChildProcess::id));
+        self.note_router_ends();
     }
 
     /// Causes what the product suffers too. `router` is the number of the
@@ -190,12 +194,27 @@
         for child in all.chain(hosts).chain(self.ended) {
             events.extend(child.finish(END_LIMIT));
         }
+        release_views(&mut events, &self.router_ends);
         (self.kind, events, self.cpu.seconds())
     }
 
+    fn note_router_ends(&mut self) {
+        for (number, router) in self.routers.iter_mut().enumerate() {
+            let epoch = self.settings[number].epoch();
+            let noted = self.router_ends.iter().any(|end| end.epoch == epoch);
+            if router.has_ended() && !noted {
+                let at = clock::now();
+                self.router_ends.push(RouterEnd { epoch, at });
+            }
+        }
+    }
+
     fn cause_at_router(&mut self, action: &FaultAction, number: usize) -> io::Result<()> {
         match action {
-            FaultAction::KillRouter { .. } => self.routers[number].kill(),
+            FaultAction::KillRouter { .. } => {
+                self.routers[number].kill();
+                self.note_router_ends();
+            }
             FaultAction::FreezeRouter { .. } => self.routers[number].signal(Signal::STOP)?,
             FaultAction::StopRouter { .. } => {
                 self.events.lock().push(Event::PlannedStopBegan {
@@ -206,6 +225,8 @@
             }
             FaultAction::ReplaceRouter { .. } => {
                 self.routers[number].wait(END_LIMIT);
+                self.note_router_ends();
+                self.settings[number].life += 1;
                 let child = self.start_router(number)?;
                 let former = std::mem::replace(&mut self.routers[number], child);
                 self.ended.push(former);
@@ -216,18 +237,19 @@
     }
 
     fn kill_zone(&mut self, zone: usize) {
-        let Some(name) = self.zones.get(zone) else {
+        let Some(name) = self.zones.get(zone).cloned() else {
             return;
         };
         self.routers[zone].kill();
-        for number in self.hosts.of_zone(name) {
+        self.note_router_ends();
+        for number in self.hosts.of_zone(&name) {
             self.hosts.kill(number);
         }
     }
 
     fn start_router(&self, number: usize) -> io::Result<ChildProcess> {
-        let name = format!("router-{}-{}", number + 1, self.ended.len() + 1);
         let settings = &self.settings[number];
+        let name = format!("router-{}-{}", number + 1, settings.life);
         stand_in(&self.directory, &name, "baseline-router", settings)
     }
 }
@@ -260,6 +282,7 @@
         .map(|(number, address)| BaselineRouterSettings {
             kind,
             number: number as u64,
+            life: 1,
             address: *address,
             routes: routes.clone(),
             services: services.clone(),
--- a/crates/lab/src/rig/run.rs
+++ b/crates/lab/src/rig/run.rs
@@ -155,7 +155,7 @@
     while clock::now() < limit {
         if clock::now().since(cpu_read) >= CPU_INTERVAL {
             cpu_read = clock::now();
-            sides.read_cpu();
+            sides.observe();
         }
         timeline.advance(sides, watch);
         progress.tell(&sides.product.callers);
--- a/crates/lab/src/rig/sides.rs
+++ b/crates/lab/src/rig/sides.rs
@@ -70,10 +70,10 @@
     }
 
     /// Reads the processor time of all routers.
-    pub fn read_cpu(&mut self) {
+    pub fn observe(&mut self) {
         self.product.read_cpu();
         for lane in &mut self.lanes {
-            lane.read_cpu();
+            lane.observe();
         }
     }
 
--- a/crates/lab/tests/baselines.rs
+++ b/crates/lab/tests/baselines.rs
@@ -8,7 +8,8 @@
 use support::*;
 use threadledge_lab::baseline::{
     Assignment, BaselineKind, BaselineReport, BaselineRoute, CpuMeter, HashRing, Health,
-    MeasuredSide, RequestParts, StaticOwners, View, baseline_table, double_owner, key_of,
+    MeasuredSide, RequestParts, RouterEnd, StaticOwners, View, baseline_table, double_owner,
+    key_of, release_views,
 };
 use threadledge_lab::history::Event;
 use threadledge_lab::load::{Arrivals, Surge};
@@ -303,3 +304,19 @@
     assert_eq!(goodput_share(&recovered), Some(1.0));
     assert_eq!(goodput_share(&recovered[..1]), None);
 }
+
+#[test]
+fn the_view_of_a_router_that_ended_ends_with_it() {
+    let mut events = slow_second_router();
+    // Router 2 never said that `a` lost its points.
+    events.retain(
+        |event| !matches!(event, Event::GrantReleased { grant, .. } if *grant == support::grant(2)),
+    );
+    assert!(double_owner(&assemble(vec![events.clone()])).overlaps > 0);
+    let end = RouterEnd {
+        epoch: Epoch(revision(2)),
+        at: millis(900),
+    };
+    release_views(&mut events, &[end]);
+    assert_eq!(double_owner(&assemble(vec![events])).overlaps, 0);
+}
