--- a/crates/net/src/transmit.rs
+++ b/crates/net/src/transmit.rs
@@ -1,5 +1,6 @@
 //! Sends what an async-h1 encoder yields.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -12,6 +13,33 @@
 /// Bytes gathered before a write; head and small body leave together.
 const WRITE_SIZE: usize = 32 * 1024;
 
+thread_local! {
+    /// Where encoders write to. Most messages are small: a buffer of their
+    /// own for each would cost more than all that is copied out of this one.
+    static SCRATCH: Cell<Vec<u8>> = const { Cell::new(Vec::new()) };
+}
+
+/// The thread's scratch buffer, put back when dropped.
+struct Scratch(Vec<u8>);
+
+impl Scratch {
+    fn take() -> Self {
+        let mut bytes = SCRATCH.take();
+        bytes.resize(READ_SIZE, 0);
+        Scratch(bytes)
+    }
+
+    fn bytes(&mut self) -> &mut [u8] {
+        &mut self.0
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        SCRATCH.set(std::mem::take(&mut self.0));
+    }
+}
+
 /// What stopped a transmission.
 #[derive(Debug)]
 pub(crate) enum SendFault {
@@ -95,21 +123,15 @@
 
     /// Reads from the encoder what is there, waiting only if nothing is.
     fn poll_gather(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut scratch = Scratch::take();
         while self.buffer.len() < WRITE_SIZE {
             let start = self.buffer.len();
-            self.buffer.resize(start + READ_SIZE, 0);
-            let read = Pin::new(&mut self.encoder).poll_read(context, &mut self.buffer[start..]);
-            let count = match &read {
-                Poll::Ready(Ok(count)) => *count,
-                _ => 0,
-            };
-            self.buffer.truncate(start + count);
-            match read {
+            match Pin::new(&mut self.encoder).poll_read(context, scratch.bytes()) {
                 Poll::Ready(Ok(0)) => {
                     self.ended = true;
                     break;
                 }
-                Poll::Ready(Ok(_)) => {}
+                Poll::Ready(Ok(count)) => self.buffer.extend_from_slice(&scratch.bytes()[..count]),
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending if start == 0 => return Poll::Pending,
                 Poll::Pending => break,
--- a/crates/router/src/proxy/answer.rs
+++ b/crates/router/src/proxy/answer.rs
@@ -9,7 +9,7 @@
 use threadledge_routing::AttemptFailure;
 use threadledge_types::session::{REFUSAL_HEADER, REQUEST_ID_HEADER, Refusal};
 
-use super::budget::{Budget, Held};
+use super::budget::{Budget, Held, buffer_for};
 use super::headers;
 use super::stream::Prefixed;
 
@@ -121,7 +121,7 @@
         let body = Prefixed::new(Vec::new(), body);
         return Ok(AnswerBody::Streamed { body, length });
     }
-    let mut start = Vec::with_capacity(length.unwrap_or(0));
+    let mut start = buffer_for(length);
     let limit = max_buffered as u64 + 1;
     (&mut body).take(limit).read_to_end(&mut start).await?;
     if start.len() <= max_buffered {
--- a/crates/router/src/proxy/budget.rs
+++ b/crates/router/src/proxy/budget.rs
@@ -11,6 +11,15 @@
 
 use super::stream::poll_read_buffered;
 
+/// Room beyond a body of known length in which reading finds its end. Without
+/// it the whole buffer would be moved to a larger one.
+const END_ROOM: usize = 32;
+
+/// An empty buffer for a body.
+pub(super) fn buffer_for(length: Option<usize>) -> Vec<u8> {
+    Vec::with_capacity(length.map_or(0, |length| length + END_ROOM))
+}
+
 /// Bytes that may be held at once, over all requests. Clones share them.
 #[derive(Clone, Debug)]
 pub(super) struct Budget {
--- a/crates/router/src/proxy/dispatch.rs
+++ b/crates/router/src/proxy/dispatch.rs
@@ -95,24 +95,13 @@
 
     /// Admits a request and takes its first steps.
     pub(super) fn begin(&self, inbound: &Inbound) -> Admission {
+        let signal = Arc::new(Signal::default());
         inbound.with_head(|head| {
             self.locked(None, |state, now| {
-                let id = match state.dispatcher.begin(now, head) {
-                    Ok(id) => id,
+                let (id, matched) = match state.dispatcher.begin_matched(now, head) {
+                    Ok(begun) => begun,
                     Err(refused) => return Admission::Refused(refused),
                 };
-                let matched = match state.dispatcher.table().match_request(head) {
-                    Ok(matched) => matched,
-                    Err(reason) => {
-                        state.dispatcher.caller_gone(now, id);
-                        let retry_after = None;
-                        return Admission::Refused(Refused {
-                            reason,
-                            retry_after,
-                        });
-                    }
-                };
-                let signal = Arc::new(Signal::default());
                 state.signals.insert(id, signal.clone());
                 Admission::Admitted(Admitted {
                     id,
--- a/crates/router/src/proxy/headers.rs
+++ b/crates/router/src/proxy/headers.rs
@@ -1,7 +1,7 @@
 //! Which headers are passed on.
 
 use http_types::Headers;
-use http_types::headers::{CONNECTION, HeaderName};
+use http_types::headers::{CONNECTION, HeaderName, HeaderValues};
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 10] = [
@@ -24,10 +24,11 @@
 /// that `Connection` names, and all that begin with `threadledge-`, so that no
 /// caller can pose as a router and no back end as another's outcome.
 pub(super) fn strip<M: AsMut<Headers> + AsRef<Headers>>(message: &mut M) {
-    let doomed: Vec<HeaderName> = message
-        .as_ref()
+    let headers: &Headers = message.as_ref();
+    let connection = headers.get(CONNECTION);
+    let doomed: Vec<HeaderName> = headers
         .names()
-        .filter(|name| is_hop_by_hop(name.as_str(), message.as_ref()))
+        .filter(|name| is_hop_by_hop(name.as_str(), connection))
         .cloned()
         .collect();
     for name in doomed {
@@ -35,17 +36,15 @@
     }
 }
 
-fn is_hop_by_hop(name: &str, headers: &Headers) -> bool {
+fn is_hop_by_hop(name: &str, connection: Option<&HeaderValues>) -> bool {
     HOP_BY_HOP.contains(&name)
         || name.starts_with(RESERVED_PREFIX)
-        || is_named_by_connection(name, headers)
+        || connection.is_some_and(|connection| names(connection, name))
 }
 
-fn is_named_by_connection(name: &str, headers: &Headers) -> bool {
-    let Some(values) = headers.get(CONNECTION) else {
-        return false;
-    };
-    values
+/// Whether a `Connection` header names another one.
+fn names(connection: &HeaderValues, name: &str) -> bool {
+    connection
         .iter()
         .flat_map(|value| value.as_str().split(','))
         .any(|token| token.trim().eq_ignore_ascii_case(name))
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -10,7 +10,7 @@
 use threadledge_routing::{HeaderLookup, RequestHead};
 use threadledge_types::NotRunReason;
 
-use super::budget::{Budget, Held};
+use super::budget::{Budget, Held, buffer_for};
 use super::headers;
 use super::stream::Prefixed;
 
@@ -89,7 +89,7 @@
     let Some(reservation) = budget.reserve(wanted) else {
         return Ok(RequestBody::Streamed(body));
     };
-    let mut start = Vec::with_capacity(length.unwrap_or(0));
+    let mut start = buffer_for(length);
     let limit = max_buffered as u64 + 1;
     (&mut body).take(limit).read_to_end(&mut start).await?;
     if start.len() <= max_buffered {
--- a/crates/routing/src/dispatcher/admission.rs
+++ b/crates/routing/src/dispatcher/admission.rs
@@ -13,6 +13,7 @@
 use crate::exchange::{Exchange, State};
 use crate::fairness::Admission;
 use crate::head::RequestHead;
+use crate::table::Matched;
 
 /// When a caller may come back if nothing better is known.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -22,11 +23,11 @@
         &mut self,
         now: Timestamp,
         head: &RequestHead<'_>,
-    ) -> Result<ExchangeId, Refused> {
+    ) -> Result<(ExchangeId, Matched), Refused> {
         if !self.core.accepting {
             return Err(Refused::later(NotRunReason::NotReady));
         }
-        let exchange = self.exchange_of(now, head).map_err(Refused::for_good)?;
+        let (exchange, matched) = self.exchange_of(now, head).map_err(Refused::for_good)?;
         self.make_room(now, &exchange.namespace, exchange.priority)?;
         let id = exchange.id;
         self.begun = id.0;
@@ -35,19 +36,20 @@
             .by_point
             .insert((exchange.service, exchange.point, id));
         self.core.counters.admitted += 1;
-        self.exchanges.insert(id, exchange);
-        Ok(id)
+        self.exchanges.insert(id, Box::new(exchange));
+        Ok((id, matched))
     }
 
     fn exchange_of(
         &self,
         now: Timestamp,
         head: &RequestHead<'_>,
-    ) -> Result<Exchange, NotRunReason> {
+    ) -> Result<(Exchange, Matched), NotRunReason> {
         let (index, service, route, point) = self.core.table.match_entry(head)?;
+        let matched = Matched::new(service, route, point, head.method);
         let deadline = deadline_of(now, route.deadline_ms, head.headers)?;
         let id = ExchangeId(self.begun + 1);
-        Ok(Exchange {
+        let exchange = Exchange {
             id,
             request_id: mix(mix(self.core.seed) ^ id.0),
             namespace: Arc::clone(&service.namespace),
@@ -55,7 +57,7 @@
             service_id: Arc::clone(&service.id),
             point,
             priority: route.priority,
-            repeatable: route.is_repeatable(head.method),
+            repeatable: matched.repeatable,
             body_replayable: head.body_replayable,
             may_queue: route.may_queue,
             deadline,
@@ -70,7 +72,8 @@
             cancellations: Vec::new(),
             unresolved: None,
             not_run: NotRunReason::DeadlinePassed,
-        })
+        };
+        Ok((exchange, matched))
     }
 
     fn make_room(
--- a/crates/routing/src/dispatcher/mod.rs
+++ b/crates/routing/src/dispatcher/mod.rs
@@ -22,14 +22,16 @@
 use crate::head::RequestHead;
 use crate::settings::Settings;
 use crate::snapshot::{LoadSnapshot, Notice};
-use crate::table::{ApplyError, RoutingTable};
+use crate::table::{ApplyError, Matched, RoutingTable};
 
 /// Decides each exchange's path. Every method takes the time of the shell's
 /// monotonic clock and costs O(log n) plus what it changes.
 #[derive(Debug)]
 pub struct Dispatcher {
     core: Core,
-    exchanges: BTreeMap<ExchangeId, Exchange>,
+    /// Boxed: an exchange takes hundreds of bytes, and a tree moves its
+    /// neighbours whenever one comes or goes.
+    exchanges: BTreeMap<ExchangeId, Box<Exchange>>,
     begun: u64,
 }
 
@@ -77,6 +79,19 @@
     ///
     /// [`Refused`] when it is turned away at once.
     pub fn begin(&mut self, now: Timestamp, head: &RequestHead<'_>) -> Result<ExchangeId, Refused> {
+        self.begin_matched(now, head).map(|(id, _)| id)
+    }
+
+    /// As [`Dispatcher::begin`]; says also which route the request matched.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] when it is turned away at once.
+    pub fn begin_matched(
+        &mut self,
+        now: Timestamp,
+        head: &RequestHead<'_>,
+    ) -> Result<(ExchangeId, Matched), Refused> {
         self.admit(now, head).inspect_err(|refused| {
             self.core.counters.count_refused(refused.reason);
         })
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -73,6 +73,20 @@
     pub point: Point,
 }
 
+impl Matched {
+    pub(crate) fn new(service: &ServiceEntry, route: &Route, point: Point, method: &str) -> Self {
+        Matched {
+            service: Arc::clone(&service.id),
+            route: Arc::clone(&route.name),
+            priority: route.priority,
+            repeatable: route.is_repeatable(method),
+            deadline_ms: route.deadline_ms,
+            may_queue: route.may_queue,
+            point,
+        }
+    }
+}
+
 /// Who owns a point.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -156,15 +170,7 @@
     /// `NoRoute`, `MissingKey` or `Malformed`.
     pub fn match_request(&self, head: &RequestHead<'_>) -> Result<Matched, NotRunReason> {
         let (_, service, route, point) = self.match_entry(head)?;
-        Ok(Matched {
-            service: Arc::clone(&service.id),
-            route: Arc::clone(&route.name),
-            priority: route.priority,
-            repeatable: route.is_repeatable(head.method),
-            deadline_ms: route.deadline_ms,
-            may_queue: route.may_queue,
-            point,
-        })
+        Ok(Matched::new(service, route, point, head.method))
     }
 
     pub(crate) fn match_entry(
