Ask others before founding a group anew, and retire when it was

A router whose view of the group was out of date had proof that a majority of the voters it knew was gone, and had the group founded anew while the group, with other voters by then, was led and well. The old leader never learned of it and went on accepting configuration. Ruled out: false proof of death (the voters in the old view were gone). Change: before the platform is asked, the voters and up to 64 routers are asked what they know; a later view or a leader seen lately contradicts. A leader looks every 2 s whether the group object names a later founding and then retires, and so does any member that learns of one. Left: a router that is cut off from everyone who knows better, but not from the platform, can still have the group founded anew while the store is out of the old leader's reach. Conclusion: two foundings can live side by side only while the old leader reaches neither the platform nor any member of the new one.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -31,6 +31,22 @@
         /// The sender's group view, when it believes the receiver lacks it.
         view: Option<Box<GroupView>>,
     },
+    /// Asks what the receiver knows of the group, before the sender has it
+    /// founded anew.
+    GroupInquiry {
+        /// Which group.
+        group: GroupId,
+    },
+    /// Answers a [`PeerMessage::GroupInquiry`].
+    GroupAnswer {
+        /// Which group.
+        group: GroupId,
+        /// The sender's view of it.
+        view: Option<Box<GroupView>>,
+        /// Time since the sender last knew it to have a leader, in
+        /// microseconds; `None` if it never did.
+        leader_age_micros: Option<u64>,
+    },
 }
 
 /// Everything one router has to say to another at one moment.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -34,6 +34,7 @@
     founding: Founding,
     founded: Option<Generation>,
     refounding: Refounding,
+    next_generation_check: Timestamp,
     leaving: bool,
     parents_changed: bool,
 }
@@ -58,6 +59,7 @@
             founding: Founding::new(identity.id, now, settings.settling),
             founded: None,
             refounding: Refounding::new(now),
+            next_generation_check: now,
             leaving: false,
             parents_changed: true,
             settings,
--- a/crates/control/src/node/founding.rs
+++ b/crates/control/src/node/founding.rs
@@ -1,14 +1,25 @@
 //! Founding the group, at first and after it was lost.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use threadledge_consensus::Role;
 use threadledge_ownership::Snapshot;
-use threadledge_types::{Generation, Revision, Timestamp};
+use threadledge_types::{Generation, Revision, RouterId, RouterIdentity, Timestamp};
 
 use super::{ControlNode, consensus_settings};
 use crate::founding::{FoundingStep, GroupObjectState};
 use crate::group_member::GroupMember;
 use crate::input::FoundingResult;
+use crate::message::PeerMessage;
 use crate::output::{Observation, Output};
+use crate::refounding::RefoundingAction;
+use crate::view::GroupView;
+
+/// Routers asked before the group is founded anew.
+const MOST_ASKED: usize = 64;
+/// Time between a leader's looks at the group object.
+const GENERATION_CHECK: Duration = Duration::from_secs(2);
 
 impl ControlNode {
     /// Asks the platform about the group while none is known, or when the one
@@ -26,8 +37,94 @@
         }
         if let Some(view) = self.view.as_ref().filter(|_| !self.leaving) {
             let is_member = self.member.node().members().contains(self.identity.id);
-            let asked = self.refounding.tick(now, view, is_member, &self.membership);
-            outputs.extend(asked);
+            match self.refounding.tick(now, view, is_member, &self.membership) {
+                Some(RefoundingAction::AskOthers) => self.ask_others(outputs),
+                Some(RefoundingAction::ReadGroupObject) => outputs.push(Output::ReadGroupObject),
+                None => {}
+            }
+        }
+        self.check_generation(now, outputs);
+    }
+
+    /// Asks the voters and some other routers what they know of the group.
+    fn ask_others(&self, outputs: &mut Vec<Output>) {
+        let voters = self.view.iter().flat_map(|view| &view.voters);
+        let alive = self.membership.alive().map(|member| &member.identity);
+        let mut asked: BTreeMap<RouterId, &RouterIdentity> = BTreeMap::new();
+        for identity in voters.chain(alive).take(MOST_ASKED) {
+            asked.insert(identity.id, identity);
+        }
+        asked.remove(&self.identity.id);
+        for identity in asked.into_values() {
+            outputs.push(Output::SendPeer {
+                to: identity.peer_address,
+                to_id: Some(identity.id),
+                message: Box::new(PeerMessage::GroupInquiry {
+                    group: self.settings.group,
+                }),
+            });
+        }
+    }
+
+    /// Tells another router what is known of the group.
+    pub(super) fn answer_inquiry(
+        &self,
+        now: Timestamp,
+        asker: &RouterIdentity,
+        outputs: &mut Vec<Output>,
+    ) {
+        let age = now.since(self.refounding.leader_seen()).as_micros();
+        let known = self.view.is_some();
+        outputs.push(Output::SendPeer {
+            to: asker.peer_address,
+            to_id: Some(asker.id),
+            message: Box::new(PeerMessage::GroupAnswer {
+                group: self.settings.group,
+                view: self.view.clone().map(Box::new),
+                leader_age_micros: known.then(|| u64::try_from(age).unwrap_or(u64::MAX)),
+            }),
+        });
+    }
+
+    /// Takes what another router knows of the group. The time on the way only
+    /// makes the leader seem older than it is.
+    pub(super) fn take_answer(
+        &mut self,
+        now: Timestamp,
+        view: Option<Box<GroupView>>,
+        leader_age_micros: Option<u64>,
+    ) {
+        self.adopt_view(view);
+        if let Some(micros) = leader_age_micros {
+            self.refounding
+                .saw_leader(now - Duration::from_micros(micros));
+        }
+    }
+
+    /// A leader looks regularly whether its group was founded anew.
+    ///
+    /// Kept here: *one owner*, *accepted configuration never reverts*. The
+    /// proof on which another router had the group founded anew may have been
+    /// out of date; this group then ends, as the platform's object decides.
+    fn check_generation(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
+        if self.leader.is_some() && now >= self.next_generation_check {
+            self.next_generation_check = now + GENERATION_CHECK;
+            outputs.push(Output::ReadGroupObject);
+        }
+    }
+
+    fn retire_if_founded_anew(&mut self, state: &GroupObjectState) {
+        if let GroupObjectState::Present { generation, .. } = state {
+            self.retire(*generation);
+        }
+    }
+
+    /// Ends this router's part in foundings before `generation`. One that was
+    /// never added to a group has none to end.
+    pub(super) fn retire(&mut self, generation: Generation) {
+        let node = self.member.node_mut();
+        if node.role() != Role::Joining {
+            node.retire(generation);
         }
     }
 
@@ -41,6 +138,7 @@
         state: GroupObjectState,
         outputs: &mut Vec<Output>,
     ) {
+        self.retire_if_founded_anew(&state);
         let step = match &self.view {
             Some(view) => self.refounding.observed(now, state, view, &self.membership),
             None if self.needs_group() => self.founding.observed(now, state),
--- a/crates/control/src/node/peers.rs
+++ b/crates/control/src/node/peers.rs
@@ -34,6 +34,20 @@
                         self.member.step(now, batch.from.id, *message);
                     }
                 }
+                PeerMessage::GroupInquiry { group } => {
+                    if meant && group == self.settings.group {
+                        self.answer_inquiry(now, &batch.from, outputs);
+                    }
+                }
+                PeerMessage::GroupAnswer {
+                    group,
+                    view,
+                    leader_age_micros,
+                } => {
+                    if meant && group == self.settings.group {
+                        self.take_answer(now, view, leader_age_micros);
+                    }
+                }
                 PeerMessage::Spread {
                     message,
                     view_version,
@@ -122,6 +136,7 @@
             .as_ref()
             .is_none_or(|own| own.version() < view.version());
         if newer {
+            self.retire(view.generation);
             self.view = Some(*view);
             self.parents_changed = true;
         }
--- a/crates/control/src/refounding.rs
+++ b/crates/control/src/refounding.rs
@@ -7,6 +7,11 @@
 //! Silence alone proves nothing, for a voter that cannot be reached may still
 //! lead.
 //!
+//! The proof is about the voters that this router knows. They may be out of
+//! date, so other routers are asked before, and a leader looks regularly
+//! whether the platform's object names a later founding than its own: then it
+//! retires.
+//!
 //! Surviving members of the group come first, because they hold the most
 //! recent state; other routers follow after a pause.
 
@@ -16,8 +21,7 @@
 use threadledge_types::{Generation, RouterIdentity, Timestamp};
 
 use crate::founding::{FoundingStep, GroupObjectState};
-use crate::output::Output;
-use crate::view::GroupView;
+use crate::view::{GroupView, ViewVersion};
 
 /// Time without a leader before a surviving member looks into it. It may be
 /// short, for it is the proof that counts; it only keeps routers from asking
@@ -30,11 +34,25 @@
 /// An answer of the platform that takes longer counts as none.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time that other routers have to contradict.
+const INQUIRY_TIME: Duration = Duration::from_millis(600);
+
+/// What the loss of the group calls for next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefoundingAction {
+    /// Ask other routers whether they know better.
+    AskOthers,
+    /// Read the group object.
+    ReadGroupObject,
+}
+
 /// Watches for the loss of the group.
 #[derive(Debug)]
 pub struct Refounding {
     /// Last time at which the group was known to have a leader.
     leader_seen: Timestamp,
+    /// When other routers were asked about the view that seems lost.
+    asked: Option<(Timestamp, ViewVersion)>,
     next_attempt: Timestamp,
 }
 
@@ -43,34 +61,58 @@
     pub fn new(now: Timestamp) -> Self {
         Refounding {
             leader_seen: now,
+            asked: None,
             next_attempt: now,
         }
     }
 
-    /// The group was known to have a leader at `at`.
+    /// The group was known to have a leader at `at`, by this router or by
+    /// another.
     pub fn saw_leader(&mut self, at: Timestamp) {
         self.leader_seen = self.leader_seen.max(at);
     }
 
-    /// Looks at the group; asks for its object when it is provably lost.
+    /// Last time at which the group was known to have a leader.
+    pub fn leader_seen(&self) -> Timestamp {
+        self.leader_seen
+    }
+
+    /// Looks at the group. Proof is sought for the voters of the view that
+    /// this router holds, and the group may have other voters by now; so
+    /// others are asked first, and any that knows a later view or a leader
+    /// contradicts.
     pub fn tick(
         &mut self,
         now: Timestamp,
         view: &GroupView,
         is_member: bool,
         membership: &Membership,
-    ) -> Option<Output> {
+    ) -> Option<RefoundingAction> {
         let patience = if is_member {
             MEMBER_PATIENCE
         } else {
             OTHERS_PATIENCE
         };
-        let waited = now.since(self.leader_seen) >= patience && now >= self.next_attempt;
+        let waited = now.since(self.leader_seen) >= patience;
         if !waited || !majority_is_gone(view, membership) {
+            self.asked = None;
             return None;
         }
-        self.next_attempt = now + ANSWER_TIMEOUT;
-        Some(Output::ReadGroupObject)
+        match self.asked {
+            Some((at, version)) if version == view.version() => {
+                if now < at + INQUIRY_TIME || now < self.next_attempt {
+                    return None;
+                }
+                self.next_attempt = now + ANSWER_TIMEOUT;
+                self.asked = None;
+                Some(RefoundingAction::ReadGroupObject)
+            }
+            _ if now < self.next_attempt => None,
+            _ => {
+                self.asked = Some((now, view.version()));
+                Some(RefoundingAction::AskOthers)
+            }
+        }
     }
 
     /// Decides on a reading of the group object. Only the founding that this
--- a/crates/simulator/src/costs.rs
+++ b/crates/simulator/src/costs.rs
@@ -67,7 +67,9 @@
 pub fn kind_of(message: &PeerMessage) -> MessageKind {
     match message {
         PeerMessage::Consensus { .. } => MessageKind::Consensus,
-        PeerMessage::Membership(_) => MessageKind::Membership,
+        PeerMessage::Membership(_)
+        | PeerMessage::GroupInquiry { .. }
+        | PeerMessage::GroupAnswer { .. } => MessageKind::Membership,
         PeerMessage::Spread { .. } => MessageKind::Spread,
     }
 }
