--- a/crates/router/tests/control_shell/main.rs
+++ b/crates/router/tests/control_shell/main.rs
@@ -1,6 +1,8 @@
-//! The control core's shell on loopback, with a platform that does not answer.
+//! The control core's shell on loopback.
 
+mod object_api;
 mod peers;
+mod platform;
 mod safety;
 mod views;
 mod world;
--- a/crates/router/tests/control_shell/safety.rs
+++ b/crates/router/tests/control_shell/safety.rs
@@ -1,9 +1,5 @@
 //! Routers with different safety settings exchange nothing.
 
-use std::time::Duration;
-
-use async_std::future::timeout;
-use async_std::task;
 use http_types::Url;
 use threadledge::control_shell::PEER_PATH;
 use threadledge::control_shell::safety::{SafetyError, SafetySettings};
@@ -11,9 +7,7 @@
 use threadledge_membership::{Machine, MachineList, MachineState};
 use threadledge_types::Timing;
 
-use crate::world::{PATIENCE, World, identity};
-
-const PAUSE: Duration = Duration::from_millis(5);
+use crate::world::{World, eventually, identity};
 
 fn shorter_lease() -> Timing {
     Timing {
@@ -96,15 +90,6 @@
     }));
 }
 
-async fn eventually(world: &World, holds: impl Fn(&World) -> bool) {
-    let awaited = async {
-        while !holds(world) {
-            task::sleep(PAUSE).await;
-        }
-    };
-    timeout(PATIENCE, awaited).await.expect("it never held");
-}
-
 fn live_routers(world: &World) -> usize {
     world.shell.with_node(|node| node.live_routers())
 }
@@ -114,7 +99,7 @@
     let old = World::start(Timing::default()).await;
     let new = World::start(shorter_lease()).await;
     introduce(&new, &old);
-    eventually(&new, |new| new.shell.knows_differing_routers()).await;
+    eventually(|| new.shell.knows_differing_routers()).await;
     assert_eq!((live_routers(&old), live_routers(&new)), (1, 1));
 }
 
@@ -123,7 +108,7 @@
     let first = World::start(Timing::default()).await;
     let second = World::start(Timing::default()).await;
     introduce(&second, &first);
-    eventually(&first, |first| live_routers(first) == 2).await;
-    eventually(&second, |second| live_routers(second) == 2).await;
+    eventually(|| live_routers(&first) == 2).await;
+    eventually(|| live_routers(&second) == 2).await;
     assert!(!first.shell.knows_differing_routers());
 }
--- a/crates/router/tests/control_shell/world.rs
+++ b/crates/router/tests/control_shell/world.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
 use k8s_openapi::apimachinery::pkg::apis::meta::v1::LabelSelector;
@@ -24,7 +25,8 @@
 };
 
 /// Longest wait for what a busy machine may do late.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+const PATIENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(5);
 pub const HOST: &str = "gallery.example";
 
 /// A shell whose peer server listens.
@@ -34,13 +36,28 @@
     stop: StopSignal,
 }
 
+/// The platform of a world.
+pub struct Platform {
+    pub address: SocketAddr,
+    pub transport: TransportSettings,
+}
+
 impl World {
+    /// A router whose platform refuses every connection.
     pub async fn start(timing: Timing) -> World {
+        let platform = Platform {
+            address: "127.0.0.1:1".parse().expect("an address"),
+            transport: TransportSettings::default(),
+        };
+        World::start_with(timing, platform).await
+    }
+
+    pub async fn start_with(timing: Timing, platform: Platform) -> World {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let peer_address = listener.local_addr().expect("bound");
         let clock = Clock::start();
         let stop = StopSignal::new();
-        let settings = settings(peer_address, timing);
+        let settings = settings(peer_address, platform.address, timing);
         let control = ControlSettings {
             timing: settings.timing.clone(),
             ..Default::default()
@@ -48,7 +65,7 @@
         let shell = ControlShell::start(ControlShellSettings {
             node: ControlNode::new(control, identity(peer_address), clock.now()),
             settings,
-            platform: TransportSettings::default(),
+            platform: platform.transport,
             clock,
             records: Box::new(|_| {}),
             stop: stop.clone(),
@@ -78,8 +95,18 @@
     }
 }
 
-/// Settings of a router whose platform refuses every connection.
-fn settings(peer_address: SocketAddr, timing: Timing) -> Settings {
+/// Waits until something holds.
+pub async fn eventually(holds: impl Fn() -> bool) {
+    let awaited = async {
+        while !holds() {
+            task::sleep(PAUSE).await;
+        }
+    };
+    timeout(PATIENCE, awaited).await.expect("it never held");
+}
+
+/// Settings of a router that nobody calls.
+fn settings(peer_address: SocketAddr, platform_address: SocketAddr, timing: Timing) -> Settings {
     let nobody = "127.0.0.1:1".parse().expect("an address");
     Settings {
         machine: MachineName("router-1".to_owned()),
@@ -88,7 +115,7 @@
         caller_address: nobody,
         peer_address,
         operator_address: nobody,
-        platform_address: nobody,
+        platform_address,
         machine_list_address: nobody,
         platform_token_file: None,
         group_size: 3,
