--- a/crates/router/tests/proxy/passing_on.rs
+++ b/crates/router/tests/proxy/passing_on.rs
@@ -1,8 +1,11 @@
 //! What is passed on from callers to back ends and back.
 
+use threadledge::proxy::ProxySettings;
+use threadledge::settings::Limits;
+use threadledge_net::LARGEST_HEAD;
 use threadledge_types::Outcome;
 
-use crate::back_end::{Behavior, header};
+use crate::back_end::{BackEnd, Behavior, header};
 use crate::world::World;
 
 #[async_std::test]
@@ -136,3 +139,30 @@
     assert!(answer.header("retry-after").is_some());
     assert!(world.back_end.runs().is_empty());
 }
+
+/// A request whose head has this many bytes.
+fn request_with_head_of(bytes: usize) -> String {
+    let start = "GET /p?key=k HTTP/1.1\r\nhost: s.test\r\nx-fill: ";
+    let end = "\r\n\r\n";
+    let fill = "f".repeat(bytes - start.len() - end.len());
+    format!("{start}{fill}{end}")
+}
+
+#[async_std::test]
+async fn the_largest_head_that_settings_allow_passes_and_one_byte_more_is_not_run() {
+    let limits = Limits::default();
+    assert_eq!(limits.max_head_bytes, LARGEST_HEAD);
+    let settings = ProxySettings::with_seed(7).with_limits(&limits);
+    let world = World::start_with(BackEnd::start().await, settings).await;
+    let mut caller = world.caller().await;
+    caller
+        .stream_request(&request_with_head_of(limits.max_head_bytes))
+        .await;
+    assert_eq!(caller.answer().await.outcome(), "answered");
+    caller
+        .stream_request(&request_with_head_of(limits.max_head_bytes + 1))
+        .await;
+    let answer = caller.answer().await;
+    assert_eq!((answer.status, answer.outcome()), (431, "not-run"));
+    assert_eq!(world.back_end.runs().len(), 1);
+}
