Expose the data path's decisions and load as metrics

Cause: the dispatcher counted retries, hedges, ejections, refusals and more, and nobody could see them but tests.

Change: `ProxyMetrics` is a collector that reads counts and load under the dispatcher's lock when metrics are asked for, and costs requests nothing between. Counters of decisions and of typed refusals; gauges for each back end of what runs, waits and is allowed, and whether it is ejected. The test refuses one request for overload and reads the text.

--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 mod drive;
 mod headers;
 mod inbound;
+mod metrics;
 mod observe;
 mod outbound;
 mod settings;
@@ -26,9 +27,9 @@
 use async_std::task::JoinHandle;
 use http_types::{Request, Response};
 use threadledge_net::{Pool, ServeReport, StopSignal, refusal, serve};
-use threadledge_routing::Notice;
 use threadledge_routing::dispatcher::Dispatcher;
 use threadledge_routing::table::ApplyError;
+use threadledge_routing::{Counters, LoadSnapshot, Notice};
 use threadledge_types::Outcome;
 use threadledge_types::records::RecordDelta;
 
@@ -39,6 +40,7 @@
 use inbound::Inbound;
 
 pub use clock::Clock;
+pub use metrics::ProxyMetrics;
 pub use observe::{Observation, Observer};
 pub use settings::ProxySettings;
 
@@ -129,10 +131,18 @@
     }
 
     /// Counts of what the dispatcher did.
-    pub fn counters(&self) -> threadledge_routing::Counters {
+    pub fn counters(&self) -> Counters {
         self.with_dispatcher(|dispatcher| dispatcher.counters().clone())
     }
 
+    /// Counts and load of one moment.
+    fn counters_and_load(&self) -> (Counters, LoadSnapshot) {
+        let look = |dispatcher: &mut Dispatcher, now| {
+            (dispatcher.counters().clone(), dispatcher.load(now))
+        };
+        self.shared.dispatch.with(look)
+    }
+
     /// Takes what the dispatcher has noticed about back ends since the last
     /// time. It keeps them until then.
     pub fn take_notices(&self) -> Vec<Notice> {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -18,7 +18,7 @@
 use crate::operations::{Operations, stop_on_signal};
 use crate::planned_stop::{report_long_routes, report_stop, stop_gracefully};
 use crate::platform_token::{TokenError, platform_transport};
-use crate::proxy::{Clock, Observation, Observer, Proxy, ProxyHandle, ProxySettings};
+use crate::proxy::{Clock, Observation, Observer, Proxy, ProxyHandle, ProxyMetrics, ProxySettings};
 use crate::request_log::RequestLog;
 use crate::running_router::{RunningRouter, watch_readiness};
 use crate::settings::Settings;
@@ -130,7 +130,18 @@
             requests.observe(observation);
             count_request(&metrics, observation);
         });
-        ProxyHandle::start(settings, self.clock, listener, self.drain.clone(), observer)
+        let drain = self.drain.clone();
+        let proxy = ProxyHandle::start(settings, self.clock, listener, drain, observer);
+        self.register_proxy(&proxy.handle);
+        proxy
+    }
+
+    fn register_proxy(&self, proxy: &ProxyHandle) {
+        let metrics = ProxyMetrics::new(proxy.clone());
+        let registered = metrics.and_then(|metrics| self.metrics.register(metrics));
+        if let Err(error) = registered {
+            tracing::error!(%error, "the data path has no metrics; report this as a fault");
+        }
     }
 
     fn start_control(&self, identity: RouterIdentity, proxy: ProxyHandle) -> ControlShell {
--- a/crates/router/tests/proxy/main.rs
+++ b/crates/router/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod back_end;
 mod caller;
 mod faults;
+mod metrics;
 mod passing_on;
 mod stopping;
 mod world;
