--- /dev/null
+++ b/crates/lab/src/baseline/failure.rs
@@ -0,0 +1,49 @@
+//! How a baseline's router tells of a request that no back end answered.
+
+use http_types::Response;
+use threadledge_net::refusal::{not_run, unknown};
+use threadledge_net::{ExchangeError, ExchangeFault};
+use threadledge_types::{NotRunReason, Outcome, UnknownReason};
+
+/// A request without a back end's answer.
+pub(super) struct Failure {
+    outcome: Outcome,
+    detail: String,
+}
+
+impl Failure {
+    /// Nothing was sent.
+    pub fn not_run(reason: NotRunReason, detail: &str) -> Self {
+        Failure {
+            outcome: Outcome::NotRun(reason),
+            detail: detail.to_owned(),
+        }
+    }
+
+    /// The back end may have run what it may have received.
+    pub fn of(error: &ExchangeError) -> Self {
+        let outcome = match (error.stage.may_have_been_received(), &error.fault) {
+            (true, ExchangeFault::DeadlinePassed) => {
+                Outcome::Unknown(UnknownReason::DeadlinePassed)
+            }
+            (true, ExchangeFault::Malformed(_)) => Outcome::Unknown(UnknownReason::BadAnswer),
+            (true, _) => Outcome::Unknown(UnknownReason::ConnectionLost),
+            (false, ExchangeFault::NoConnectionFree) => Outcome::NotRun(NotRunReason::Overloaded),
+            (false, _) => Outcome::NotRun(NotRunReason::Unreachable),
+        };
+        Failure {
+            outcome,
+            detail: error.to_string(),
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn into_response(self) -> Response {
+        match self.outcome {
+            Outcome::NotRun(reason) => not_run(reason, &self.detail),
+            Outcome::Unknown(reason) => unknown(reason, &self.detail),
+            // A failure never has this outcome.
+            Outcome::Answered => unknown(UnknownReason::BadAnswer, &self.detail),
+        }
+    }
+}
--- a/crates/lab/src/baseline/mod.rs
+++ b/crates/lab/src/baseline/mod.rs
@@ -10,6 +10,7 @@
 mod assignment;
 mod cost;
 mod double_owner;
+mod failure;
 mod figures;
 mod hash_ring;
 mod health;
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -16,6 +16,7 @@
 mod run;
 mod sides;
 mod summary;
+mod targets;
 mod watch;
 
 pub use deployment::{Deployment, DeploymentError, RouterPlace};
--- a/crates/lab/src/stand_in/back_end/mod.rs
+++ b/crates/lab/src/stand_in/back_end/mod.rs
@@ -13,6 +13,7 @@
 mod process;
 mod service_time;
 mod settings;
+mod sickness;
 mod slots;
 mod state;
 
@@ -21,8 +22,9 @@
 pub use process::{Serving, run_process, serve};
 pub use service_time::ServiceTimes;
 pub use settings::{BackEndSettings, ColdStart, ServiceTimeSettings};
+pub use sickness::Sickness;
 pub use slots::{SlotGuard, SlotRefusal, Slots};
-pub use state::{Admission, BackEnd, Begun, Sickness, Work};
+pub use state::{Admission, BackEnd, Begun, Work};
 
 /// Control path with which the rig makes a back end sick or well.
 pub const SICKNESS_PATH: &str = "/lab/sickness";
