Let no learner hold up the founding of a lost group

Cause: schedules 34 and 53 of the random schedules ended with no group and nothing served. A learner never notices that its leader is gone, answered every inquiry with a leader just seen, and so contradicted every founding. Ruled out: missing proof of death (a survivor had it for 2 of 3 voters). Change: only leaders and followers, who notice silence, count as following a leader. A founding that was lost before it grew is replaced when its founder is provably gone and nobody asked knows of it. The seeds that failed once stay in the tests.

--- a/crates/control/src/node/founding.rs
+++ b/crates/control/src/node/founding.rs
@@ -29,7 +29,7 @@
             outputs.extend(self.founding.tick(now));
             return;
         }
-        if self.member.node().leader().is_some() {
+        if self.follows_a_leader() {
             self.refounding.saw_leader(now);
         }
         if let Some(confirmed) = self.confirmed_as_of() {
@@ -46,6 +46,14 @@
         self.check_generation(now, outputs);
     }
 
+    /// Whether this router hears of a leader regularly. A learner keeps the
+    /// last one it heard of, and so proves nothing.
+    fn follows_a_leader(&self) -> bool {
+        let node = self.member.node();
+        let notices_silence = matches!(node.role(), Role::Leader | Role::Follower);
+        notices_silence && node.leader().is_some()
+    }
+
     /// Asks the voters and some other routers what they know of the group.
     fn ask_others(&self, outputs: &mut Vec<Output>) {
         let voters = self.view.iter().flat_map(|view| &view.voters);
--- a/crates/control/src/refounding.rs
+++ b/crates/control/src/refounding.rs
@@ -15,10 +15,11 @@
 //! Surviving members of the group come first, because they hold the most
 //! recent state; other routers follow after a pause.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use threadledge_membership::Membership;
-use threadledge_types::{Generation, RouterIdentity, Timestamp};
+use threadledge_types::{Generation, RouterId, RouterIdentity, Timestamp};
 
 use crate::founding::{FoundingStep, GroupObjectState};
 use crate::view::{GroupView, ViewVersion};
@@ -115,8 +116,11 @@
         }
     }
 
-    /// Decides on a reading of the group object. Only the founding that this
-    /// router knows may be replaced by the next one.
+    /// Decides on a reading of the group object.
+    ///
+    /// The founding that this router knows may be replaced by the next one. A
+    /// later founding of which no router asked knew anything may be replaced
+    /// when its founder is provably gone: it was lost before it grew.
     pub fn observed(
         &mut self,
         now: Timestamp,
@@ -128,14 +132,12 @@
         match state {
             GroupObjectState::Present {
                 generation,
+                founder,
                 version,
-                ..
-            } if generation == view.generation && majority_is_gone(view, membership) => {
-                FoundingStep::Write {
-                    generation: Generation(generation.0 + 1),
-                    expected: Some(version),
-                }
-            }
+            } if founding_is_gone(generation, founder, view, membership) => FoundingStep::Write {
+                generation: Generation(generation.0 + 1),
+                expected: Some(version),
+            },
             _ => FoundingStep::Wait,
         }
     }
@@ -146,6 +148,20 @@
     }
 }
 
+/// Whether the founding that the group object names is provably lost.
+fn founding_is_gone(
+    generation: Generation,
+    founder: RouterId,
+    view: &GroupView,
+    membership: &Membership,
+) -> bool {
+    match generation.cmp(&view.generation) {
+        Ordering::Less => false,
+        Ordering::Equal => majority_is_gone(view, membership),
+        Ordering::Greater => membership.death_proof(founder).is_some(),
+    }
+}
+
 /// Whether so many voters are provably gone that the rest is no quorum.
 fn majority_is_gone(view: &GroupView, membership: &Membership) -> bool {
     let gone = |voter: &&RouterIdentity| membership.death_proof(voter.id).is_some();
--- a/crates/simulator/tests/random_schedules.rs
+++ b/crates/simulator/tests/random_schedules.rs
@@ -15,6 +15,9 @@
 
 const SERVICE: &str = "gallery";
 const SEEDS: u64 = 24;
+/// Seeds beyond the first ones that failed once: 26 had two groups at once,
+/// in 34 and 53 a learner kept a lost group from being founded anew.
+const FAILED_ONCE: [u64; 4] = [26, 34, 53, 63];
 /// Number of seeds to run instead, for a longer search by hand.
 const SEEDS_VARIABLE: &str = "THREADLEDGE_SEEDS";
 /// One seed to run alone, to look into a failure.
@@ -245,3 +248,10 @@
 fn random_schedules_keep_the_invariants_fourth_part() {
     run_part(3);
 }
+
+#[test]
+fn schedules_that_failed_once_keep_the_invariants() {
+    for seed in FAILED_ONCE {
+        run(seed);
+    }
+}
