--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -62,11 +62,13 @@
         let arrivals = Arrivals::new(self.begin, traffic.per_second, seed.wrapping_add(1))
             .with_surges(&self.surges);
         let mut last = Vec::new();
+        let mut left_out = 0_u64;
         for intended in arrivals.take_while(|intended| *intended < self.end) {
             task::sleep(intended.since(clock::now())).await;
             let since_start = Timestamp::ZERO + intended.since(self.begin);
             let key = popularity.draw(since_start);
             if self.outstanding.load(Ordering::SeqCst) >= LARGEST_OUTSTANDING {
+                left_out += 1;
                 continue;
             }
             self.outstanding.fetch_add(1, Ordering::SeqCst);
@@ -82,6 +84,20 @@
             }
         }
         futures::future::join_all(last).await;
+        self.tell_left_out(&traffic, left_out);
+    }
+
+    /// A run whose load the lab itself cut short must say so.
+    fn tell_left_out(&self, traffic: &TrafficSettings, left_out: u64) {
+        if left_out > 0 {
+            let service = &traffic.service;
+            self.recorder.record(Event::Fault {
+                at: clock::now(),
+                what: format!(
+                    "the lab left out {left_out} requests to {service}: {LARGEST_OUTSTANDING} were under way"
+                ),
+            });
+        }
     }
 
     async fn call(&self, traffic: &TrafficSettings, intended: Timestamp, key: &str) {
