Answer "unknown" at once when the owner of a running write is lost

Cause: a non-repeatable request at a frozen back end kept its caller waiting until its deadline (3 to 5 s), although the back end's session had ended and nobody would answer any more. Change: when every attempt that may have run is at a life of a back end that has ended, the exchange ends as unknown with the new reason owner-lost. Reads were already sent to the new owner. Measured: in virtual time the outcome comes with the record that ends the session (500 ms in the test), before at the deadline. Conclusion: the caller learns the outcome once the lease has run out.

--- a/crates/routing/src/counters.rs
+++ b/crates/routing/src/counters.rs
@@ -4,7 +4,7 @@
 use threadledge_types::{NotRunReason, Outcome, UnknownReason};
 
 /// Number of reasons in [`UnknownReason`].
-const UNKNOWN_REASONS: usize = 3;
+const UNKNOWN_REASONS: usize = UnknownReason::ALL.len();
 
 /// Counts since the dispatcher was made. Every admitted exchange ends as
 /// exactly one of `answered`, `not_run`, `unknown` or `caller_gone`.
--- a/crates/routing/src/dispatcher/advance.rs
+++ b/crates/routing/src/dispatcher/advance.rs
@@ -126,6 +126,13 @@
             self.counters.reroutes += 1;
             return self.send(now, exchange, target, true);
         }
+        if !exchange.may_run_twice() && self.is_lost_with_its_owner(exchange) {
+            // Nobody will answer: the outcome is final now, whatever time is
+            // left.
+            let outcome = Outcome::Unknown(UnknownReason::OwnerLost);
+            self.end(now, exchange, outcome, None);
+            return None;
+        }
         if let Some(hedge_at) = self.hedge_time(exchange) {
             if hedge_at > now {
                 until = until.min(hedge_at);
@@ -136,15 +143,25 @@
         Some(Step::Wait { until })
     }
 
+    /// Whether every attempt may have run at a life of a back end that has
+    /// ended since. Such a life may not carry anything out any more, and what
+    /// it did carry out before it will hardly tell.
+    fn is_lost_with_its_owner(&self, exchange: &Exchange) -> bool {
+        let mut attempts = exchange.attempts.iter();
+        attempts.all(|attempt| attempt.sent_at.is_some() && self.is_over(attempt.target))
+    }
+
+    /// Whether the life of the back end has ended.
+    fn is_over(&self, target: Target) -> bool {
+        let back_end = self.back_ends.get(&target.back_end);
+        back_end.is_none_or(|back_end| !back_end.is_current(target.incarnation))
+    }
+
     /// The new owner of a repeatable request whose only attempt is at a life
     /// of a back end that has ended: it would not answer before the deadline.
     fn owner_after_loss(&self, now: Timestamp, exchange: &Exchange) -> Option<Target> {
         let attempt = second_attempt_beside(exchange)?;
-        let lost = self
-            .back_ends
-            .get(&attempt.target.back_end)
-            .is_none_or(|back_end| !back_end.is_current(attempt.target.incarnation));
-        if !lost {
+        if !self.is_over(attempt.target) {
             return None;
         }
         let owner = self.usable_owner(now, exchange)?;
--- a/crates/routing/tests/exchanges.rs
+++ b/crates/routing/tests/exchanges.rs
@@ -396,6 +396,21 @@
     assert_eq!(second.back_end.name, "two");
 }
 
+#[test]
+fn a_write_at_a_lost_back_end_is_unknown_at_once() {
+    let mut dispatcher = simple(1);
+    let write = begin(&mut dispatcher, 0, "POST", "/");
+    expect_send(&mut dispatcher, 0, write);
+    dispatcher.start_sending(at(0), write, FIRST);
+    expect_wait(&mut dispatcher, 400, write);
+    let mut changes = move_to_two(1);
+    changes.push(RecordChange::SessionRemoved(session_id("a/one", 1)));
+    dispatcher.apply(at(500), &delta(1, changes)).expect("fits");
+    assert_eq!(dispatcher.take_wakeups(), [write]);
+    let outcome = expect_finish(&mut dispatcher, 500, write).outcome;
+    assert_eq!(outcome, Outcome::Unknown(UnknownReason::OwnerLost));
+}
+
 #[test]
 fn an_ejected_back_end_is_tried_by_one_request_at_a_time() {
     let mut dispatcher = simple(2);
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -66,6 +66,8 @@
     DeadlinePassed,
     /// The back end's answer was cut short or malformed.
     BadAnswer,
+    /// The back end's session ended while it had the request.
+    OwnerLost,
 }
 
 impl Outcome {
@@ -164,19 +166,30 @@
 }
 
 impl UnknownReason {
+    /// Every reason.
+    pub const ALL: [UnknownReason; 4] = [
+        UnknownReason::ConnectionLost,
+        UnknownReason::DeadlinePassed,
+        UnknownReason::BadAnswer,
+        UnknownReason::OwnerLost,
+    ];
+
     /// Header form.
     pub const fn as_str(self) -> &'static str {
         match self {
             UnknownReason::ConnectionLost => "connection-lost",
             UnknownReason::DeadlinePassed => "deadline-passed",
             UnknownReason::BadAnswer => "bad-answer",
+            UnknownReason::OwnerLost => "owner-lost",
         }
     }
 
     /// HTTP status of the router's own answer.
     pub const fn status(self) -> u16 {
         match self {
-            UnknownReason::ConnectionLost | UnknownReason::BadAnswer => 502,
+            UnknownReason::ConnectionLost | UnknownReason::BadAnswer | UnknownReason::OwnerLost => {
+                502
+            }
             UnknownReason::DeadlinePassed => 504,
         }
     }
