Notice an ejection once, not each time it is prolonged

Cause: each failed probe of an ejected back end was a notice of its own and so a line in the log, up to ten a second for each back end at first and one each 2 s for as long as it stayed away.

Change: a notice when a back end is ejected and one when it is back; the counter still counts each. Test: 100 failures in a row are 96 ejections counted and one notice.

--- a/crates/routing/src/dispatcher/core.rs
+++ b/crates/routing/src/dispatcher/core.rs
@@ -125,22 +125,26 @@
             return;
         };
         let change = back_end.ejection.on_success();
-        self.note_ejection(now, index, change);
+        self.note_ejection(now, index, change, true);
     }
 
     pub(super) fn on_back_end_failure(&mut self, now: Timestamp, index: BackEndIndex) {
         let Some(back_end) = self.back_ends.get_mut(&index) else {
             return;
         };
+        let was_ejected = back_end.ejection.is_ejected();
         let change = back_end.ejection.on_failure(now);
-        self.note_ejection(now, index, change);
+        self.note_ejection(now, index, change, !was_ejected);
     }
 
+    /// An ejection is news once: one that is prolonged, as often as ten times
+    /// a second, is counted and not noticed again.
     fn note_ejection(
         &mut self,
         now: Timestamp,
         index: BackEndIndex,
         change: Option<EjectionChange>,
+        is_news: bool,
     ) {
         let (Some(change), Some(back_end)) = (change, self.back_ends.get_mut(&index)) else {
             return;
@@ -161,7 +165,7 @@
                 Notice::Returned { back_end: id }
             }
         };
-        if self.notices.len() < MAX_NOTICES {
+        if is_news && self.notices.len() < MAX_NOTICES {
             self.notices.push(notice);
         }
         self.wake_first(now, index);
--- a/crates/routing/tests/exchanges.rs
+++ b/crates/routing/tests/exchanges.rs
@@ -4,7 +4,8 @@
 
 use common::*;
 use threadledge_routing::{
-    AttemptEvent, AttemptFailure, AttemptNumber, Dispatcher, Finish, SendDecision, Settings, Step,
+    AttemptEvent, AttemptFailure, AttemptNumber, Dispatcher, Finish, Notice, SendDecision,
+    Settings, Step,
 };
 use threadledge_types::objects::RouteRule;
 use threadledge_types::records::RecordChange;
@@ -551,3 +552,22 @@
     let overloaded = Outcome::NotRun(NotRunReason::Overloaded);
     assert_eq!(finish.outcome, overloaded);
 }
+
+#[test]
+fn an_ejection_is_noticed_once_however_often_it_is_prolonged() {
+    let mut dispatcher = simple(2);
+    for round in 0..100 {
+        let now = round * 3_000;
+        let id = begin(&mut dispatcher, now, "POST", "/");
+        let attempt = expect_send(&mut dispatcher, now, id);
+        dispatcher.on_event(at(now), id, attempt.number, AttemptEvent::ConnectFailed);
+        dispatcher.caller_gone(at(now), id);
+    }
+    // Five failures eject, and each of the 95 that follow prolongs.
+    assert_eq!(dispatcher.counters().ejections, 96);
+    let notices = dispatcher.take_notices();
+    assert!(
+        matches!(notices[..], [Notice::Ejected { .. }]),
+        "{notices:?}"
+    );
+}
