--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -195,3 +195,15 @@
         step => panic!("expected the end, got {step:?}"),
     }
 }
+
+/// One back end and two routes; requests under `/queued` may queue.
+pub fn simple(slots: u32) -> Dispatcher {
+    let mut queued = route("queued", "/queued");
+    queued.may_queue = true;
+    let records = one_back_end(slots, vec![queued, route("r", "/")]);
+    let settings = Settings {
+        slot_overcommit_percent: 100,
+        ..Settings::default()
+    };
+    dispatcher(settings, &records)
+}
