--- a/crates/lab/src/rig/lane.rs
+++ b/crates/lab/src/rig/baseline_processes.rs
@@ -32,7 +32,7 @@
 const ADDRESSES_OF_A_BACK_END: usize = 2;
 
 /// One baseline's processes.
-pub(super) struct Lane {
+pub(super) struct BaselineProcesses {
     pub kind: BaselineKind,
     directory: PathBuf,
     settings: Vec<BaselineRouterSettings>,
@@ -46,7 +46,7 @@
     events: Mutex<Vec<Event>>,
 }
 
-impl Lane {
+impl BaselineProcesses {
     /// Starts back ends and routers like those of `plan`, and waits until
     /// they serve.
     pub fn start(
@@ -54,13 +54,13 @@
         experiment: &Experiment,
         plan: &Plan,
         directory: &Path,
-    ) -> Result<Lane, RunError> {
+    ) -> Result<BaselineProcesses, RunError> {
         let directory = directory.join(kind.as_str());
         fs::create_dir_all(&directory)?;
         let hosts = hosts_like(plan)?;
         let routers = free_addresses(plan.routers.len())?;
         let settings = router_settings(kind, experiment, plan, &hosts, &routers);
-        let mut lane = Lane {
+        let mut baseline = BaselineProcesses {
             kind,
             settings,
             zones: plan.routers.iter().map(|one| one.zone.clone()).collect(),
@@ -73,15 +73,15 @@
             events: Mutex::default(),
             directory,
         };
-        for child in lane.hosts.children() {
+        for child in baseline.hosts.children() {
             wait_until_ready(child)?;
         }
-        for number in 0..lane.settings.len() {
-            let mut child = lane.start_router(number)?;
+        for number in 0..baseline.settings.len() {
+            let mut child = baseline.start_router(number)?;
             wait_until_ready(&mut child)?;
-            lane.routers.push(child);
+            baseline.routers.push(child);
         }
-        Ok(lane)
+        Ok(baseline)
     }
 
     /// Starts callers like those of the product.
--- a/crates/lab/src/rig/faults.rs
+++ b/crates/lab/src/rig/faults.rs
@@ -107,8 +107,8 @@
                 let router = chosen_router(&action, &mut sides.product, watch)?;
                 self.cause(&action, router, &mut sides.product)?;
                 self.cause_later(&action, router, &sides.product);
-                for lane in &mut sides.lanes {
-                    lane.cause(&action, router)?;
+                for baseline in &mut sides.baselines {
+                    baseline.cause(&action, router)?;
                 }
                 if let FaultAction::HostileCallers {
                     connections,
@@ -120,14 +120,14 @@
             }
             Step::ResumeHost(number) => {
                 sides.product.hosts.signal(number, Signal::CONT)?;
-                for lane in &mut sides.lanes {
-                    lane.resume_host(number)?;
+                for baseline in &mut sides.baselines {
+                    baseline.resume_host(number)?;
                 }
             }
             Step::ResumeRouter(number) => {
                 sides.product.routers[number].child.signal(Signal::CONT)?;
-                for lane in &mut sides.lanes {
-                    lane.resume_router(number)?;
+                for baseline in &mut sides.baselines {
+                    baseline.resume_router(number)?;
                 }
             }
             Step::Recover(back_end) => sides.set_sickness(&back_end, Sickness::default())?,
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,13 +1,14 @@
 //! The rig: the one process that starts, watches, disturbs and ends the
 //! processes of a run.
 
+mod baseline_processes;
 mod callers;
 mod child;
 mod deployment;
 mod faults;
 mod hosting;
 mod hosts;
-mod lane;
+
 mod operator;
 mod plan;
 mod ports;
--- a/crates/lab/src/rig/run.rs
+++ b/crates/lab/src/rig/run.rs
@@ -110,7 +110,7 @@
     sides.start_callers(&settings)?;
     let mut events = under_load(experiment, &plan, &mut sides, &watch, begin);
     events.extend(watch.finish());
-    let (product, lanes) = sides.finish();
+    let (product, baselines) = sides.finish();
     events.extend(product.events);
     if options.keep_logs {
         write_history(&directory, &events)?;
@@ -124,7 +124,7 @@
         imitated: imitated(&plan),
         cpu_seconds: product.cpu_seconds,
     };
-    let report = summarise(experiment, facts, events, lanes);
+    let report = summarise(experiment, facts, events, baselines);
     if report.passed() && !options.keep_logs {
         // Logs of a run that passed are of no more use.
         let _ = fs::remove_dir_all(&directory);
--- a/crates/lab/src/rig/sides.rs
+++ b/crates/lab/src/rig/sides.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use threadledge_types::BackEndId;
 
-use super::lane::Lane;
+use super::baseline_processes::BaselineProcesses;
 use super::operator;
 use super::plan::Plan;
 use super::processes::Processes;
@@ -23,7 +23,7 @@
     /// The product's.
     pub product: Processes,
     /// Those of each baseline.
-    pub lanes: Vec<Lane>,
+    pub baselines: Vec<BaselineProcesses>,
 }
 
 /// What one side left behind.
@@ -43,10 +43,11 @@
         directory: &Path,
     ) -> Result<Sides, RunError> {
         let product = Processes::start(plan, directory)?;
-        let lanes = baselines.iter();
-        let lanes = lanes.map(|kind| Lane::start(*kind, experiment, plan, directory));
+        let baselines = baselines.iter();
+        let baselines =
+            baselines.map(|kind| BaselineProcesses::start(*kind, experiment, plan, directory));
         Ok(Sides {
-            lanes: lanes.collect::<Result<_, _>>()?,
+            baselines: baselines.collect::<Result<_, _>>()?,
             product,
         })
     }
@@ -56,8 +57,8 @@
         for (number, settings) in settings.iter().enumerate() {
             let name = format!("callers-{}", number + 1);
             self.product.start_callers(&name, settings)?;
-            for lane in &mut self.lanes {
-                lane.start_callers(&name, settings)?;
+            for baseline in &mut self.baselines {
+                baseline.start_callers(&name, settings)?;
             }
         }
         Ok(())
@@ -66,14 +67,15 @@
     /// Whether the callers of all sides are done.
     pub fn are_done(&mut self) -> bool {
         let mut callers = self.product.callers.iter_mut();
-        callers.all(|caller| caller.has_ended()) && self.lanes.iter_mut().all(Lane::is_done)
+        callers.all(|caller| caller.has_ended())
+            && self.baselines.iter_mut().all(BaselineProcesses::is_done)
     }
 
     /// Reads the processor time of all routers.
     pub fn observe(&mut self) {
         self.product.read_cpu();
-        for lane in &mut self.lanes {
-            lane.observe();
+        for baseline in &mut self.baselines {
+            baseline.observe();
         }
     }
 
@@ -82,8 +84,8 @@
         let routers = self.product.routers.iter();
         let product = routers.map(|router| router.settings.caller_address);
         let mut all = vec![("the product", product.collect())];
-        let lanes = self.lanes.iter();
-        all.extend(lanes.map(|lane| (lane.kind.as_str(), lane.caller_addresses())));
+        let baselines = self.baselines.iter();
+        all.extend(baselines.map(|baseline| (baseline.kind.as_str(), baseline.caller_addresses())));
         all
     }
 
@@ -92,9 +94,9 @@
         if let Some(one) = self.product.hosts.back_end(back_end) {
             task::block_on(operator::sicken(one.control_address, sickness))?;
         }
-        self.lanes
+        self.baselines
             .iter()
-            .try_for_each(|lane| lane.set_sickness(back_end, sickness))
+            .try_for_each(|baseline| baseline.set_sickness(back_end, sickness))
     }
 
     /// Ends everything.
@@ -103,14 +105,14 @@
             cpu_seconds: self.product.cpu.seconds(),
             events: self.product.finish(),
         };
-        let lanes = self.lanes.into_iter().map(Lane::finish);
-        let lanes = lanes.map(|(kind, events, cpu_seconds)| {
+        let baselines = self.baselines.into_iter().map(BaselineProcesses::finish);
+        let baselines = baselines.map(|(kind, events, cpu_seconds)| {
             let remains = Remains {
                 events,
                 cpu_seconds,
             };
             (kind, remains)
         });
-        (product, lanes.collect())
+        (product, baselines.collect())
     }
 }
--- a/crates/lab/src/rig/summary.rs
+++ b/crates/lab/src/rig/summary.rs
@@ -32,7 +32,7 @@
     experiment: &Experiment,
     facts: RunFacts,
     events: Vec<Event>,
-    lanes: BTreeMap<BaselineKind, Remains>,
+    baselines: BTreeMap<BaselineKind, Remains>,
 ) -> Report {
     let history = History::assemble(events);
     let end = facts.begin + experiment.duration;
@@ -42,7 +42,7 @@
         end,
         surges: &experiment.surges,
     };
-    let baselines = baselines(&history, span, &facts, lanes);
+    let baselines = measure_baselines(&history, span, &facts, baselines);
     let imbalance = measures::imbalance(&history, &facts.members);
     let churn = measures::churn(&history, facts.begin);
     let unavailable = measures::unavailable(&history, facts.begin, end);
@@ -81,19 +81,19 @@
     report
 }
 
-fn baselines(
+fn measure_baselines(
     product: &History,
     span: MeasuredSpan<'_>,
     facts: &RunFacts,
-    lanes: BTreeMap<BaselineKind, Remains>,
+    baselines: BTreeMap<BaselineKind, Remains>,
 ) -> Option<BaselineReport> {
-    if lanes.is_empty() {
+    if baselines.is_empty() {
         return None;
     }
     let measure = |history: &History, cpu_seconds| {
         MeasuredSide::new(history, span, &facts.members, Some(cpu_seconds))
     };
-    let measured = lanes.into_iter().map(|(kind, remains)| {
+    let measured = baselines.into_iter().map(|(kind, remains)| {
         let history = History::assemble(remains.events);
         (kind, measure(&history, remains.cpu_seconds))
     });
