--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -35,6 +35,7 @@
     founded: Option<Generation>,
     refounding: Refounding,
     next_generation_check: Timestamp,
+    next_search: Timestamp,
     leaving: bool,
     parents_changed: bool,
 }
@@ -60,6 +61,7 @@
             founded: None,
             refounding: Refounding::new(now),
             next_generation_check: now,
+            next_search: now,
             leaving: false,
             parents_changed: true,
             settings,
--- a/crates/control/src/node/founding.rs
+++ b/crates/control/src/node/founding.rs
@@ -18,6 +18,10 @@
 
 /// Routers asked before the group is founded anew.
 const MOST_ASKED: usize = 64;
+/// Time without a known leader after which a router asks others.
+const SEARCH_AFTER: Duration = Duration::from_millis(1_500);
+/// Time between two such searches.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between a leader's looks at the group object.
 const GENERATION_CHECK: Duration = Duration::from_secs(2);
 
@@ -35,6 +39,7 @@
         if let Some(confirmed) = self.confirmed_as_of() {
             self.refounding.saw_leader(confirmed);
         }
+        self.search_for_leader(now, outputs);
         if let Some(view) = self.view.as_ref().filter(|_| !self.leaving) {
             let is_member = self.member.node().members().contains(self.identity.id);
             match self.refounding.tick(now, view, is_member, &self.membership) {
@@ -46,6 +51,17 @@
         self.check_generation(now, outputs);
     }
 
+    /// Asks others for a later view once no leader was known for a while. The
+    /// parents of a router follow from its view, so one that missed a founding
+    /// would otherwise look for records only where nobody knows of it.
+    fn search_for_leader(&mut self, now: Timestamp, outputs: &mut Vec<Output>) {
+        let lost = now.since(self.refounding.leader_seen()) >= SEARCH_AFTER;
+        if lost && now >= self.next_search {
+            self.next_search = now + SEARCH_INTERVAL;
+            self.ask_others(outputs);
+        }
+    }
+
     /// Whether this router hears of a leader regularly. A learner keeps the
     /// last one it heard of, and so proves nothing.
     fn follows_a_leader(&self) -> bool {
