Let every router ask others in an order of its own when it starts

Cause: routers without a view of the group asked their successors in the order of ids, so the view travelled as one wave around the ring. A leader waited for sessions of back ends that no service of its region selects, and so always waited the whole second before it assigned. Change: the order is mixed by each router's own id; only selected back ends are waited for.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -284,8 +284,12 @@
 
 fn every_back_end_answers(member: &GroupMember) -> bool {
     let machine = member.machine();
-    let mut back_ends = machine.back_ends();
-    back_ends.all(|record| machine.session(&record.id).is_some())
+    // Back ends that no service here selects are left to other regions.
+    let mut services = machine.services();
+    services.all(|service| {
+        let mut eligible = machine.eligible_back_ends(&service.id);
+        eligible.all(|back_end| machine.session(back_end).is_some())
+    })
 }
 
 fn next_member_changes(
--- a/crates/control/src/node/peers.rs
+++ b/crates/control/src/node/peers.rs
@@ -13,6 +13,9 @@
 
 /// Routers asked for a first copy of the records and of the group's view.
 const FIRST_CONTACTS: usize = 16;
+/// Odd factor near the golden ratio of 2^64; multiplying by it spreads
+/// neighbouring numbers over the whole range.
+const SPREADING_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
 impl ControlNode {
     pub(super) fn take_batch(
@@ -201,13 +204,18 @@
             .collect()
     }
 
-    /// Routers to ask while nothing is known of the group: some that follow
-    /// this one in the order of ids, so that not all ask the same.
+    /// Routers to ask while nothing is known of the group, in an order that
+    /// differs from router to router: by a common order the group's view would
+    /// travel as one slow wave.
     pub(super) fn first_contacts(&self, alive: &[RouterId]) -> Vec<RouterIdentity> {
-        let later = alive.iter().filter(|id| **id > self.identity.id);
-        let earlier = alive.iter().filter(|id| **id < self.identity.id);
-        let asked = later.chain(earlier).take(FIRST_CONTACTS);
-        asked.filter_map(|id| self.identity_of(*id, &[])).collect()
+        let own = self.identity.id.0;
+        let mut order: Vec<RouterId> = alive.to_vec();
+        order.sort_by_key(|id| (id.0 ^ own).wrapping_mul(SPREADING_FACTOR));
+        let asked = order.into_iter().filter(|id| *id != self.identity.id);
+        asked
+            .take(FIRST_CONTACTS)
+            .filter_map(|id| self.identity_of(id, &[]))
+            .collect()
     }
 
     pub(super) fn identity_of(
