Judge back ends and services by the same steps

Cause: the intake went through reading, checking, comparing and proposing twice, once for each kind of object, in almost the same 20 lines. Change: the shared steps stand once; what judges single objects moved to intake/judgement.rs. No behaviour changed. Conclusion: a rule added for one kind of object holds for the other.

--- a/crates/control/src/intake.rs
+++ b/crates/control/src/intake.rs
@@ -10,20 +10,24 @@
 //! host or an address that another object claims, accepted or about to be, is
 //! refused.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod judgement;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use threadledge_ownership::{Command, ObjectChange, StateMachine};
 use threadledge_types::objects::{BackEndObject, KeyedServiceObject};
-use threadledge_types::records::{BackEndRecord, ServiceRecord};
 use threadledge_types::validation::{
-    AddressClaims, HostClaims, Problem, validate_back_end, validate_service,
+    AddressClaims, HostClaims, validate_back_end, validate_service,
 };
 use threadledge_types::{RegionName, Revision, Timestamp};
 
 use crate::input::{ConfigurationEvent, Listing, ObservedObject};
-use crate::object_status::{FALSE, ObjectRef, StatusWrite, TRUE, Verdict, has_verdict};
+use crate::object_status::{ObjectRef, StatusWrite, TRUE, Verdict, has_verdict};
 use crate::output::Observation;
+use judgement::{
+    Standing, is_applied, judge, kept_objects, readable, same_back_end, same_service, stale,
+};
 
 /// Most changes in one command, so that no entry of the log is very large.
 const MAX_CHANGES: usize = 256;
@@ -224,28 +228,29 @@
         machine: &StateMachine,
         intake: &mut Intake,
     ) {
-        let reference = observed.object;
-        let object = match observed.content {
-            Ok(object) => object,
-            Err(problem) => return reject(reference, observed.generation, vec![problem], intake),
+        let Some(object) = readable(&observed, intake) else {
+            return;
         };
-        let claimed = validate_back_end(&object)
+        let claimed = validate_back_end(object)
             .and_then(|record| self.addresses.claim(&record).map(|()| record));
-        let record = match claimed {
-            Ok(record) => record,
-            Err(_) if has_verdict(&object.status, observed.generation, FALSE) => return,
-            Err(problems) => return reject(reference, observed.generation, problems, intake),
-        };
+        let judged = judge(&observed, &object.status, claimed, intake);
+        let Some(record) = judged else { return };
         let applied = machine.back_end(&record.id);
-        if applied.is_some_and(|applied| applied.resource_version > record.resource_version) {
-            return stale(&reference, intake);
-        }
-        if applied.is_some_and(|applied| same_back_end(applied, &record)) {
-            let told = has_verdict(&object.status, observed.generation, TRUE);
-            return self.already_applied(reference, observed.generation, told, intake);
-        }
+        let standing = Standing {
+            applied: applied.map(|applied| applied.resource_version),
+            offered: record.resource_version,
+            same: applied.is_some_and(|applied| same_back_end(applied, &record)),
+            told: has_verdict(&object.status, observed.generation, TRUE),
+        };
         let change = ObjectChange::PutBackEnd(Box::new(record));
-        self.propose(now, reference, change, observed.generation);
+        self.take(
+            now,
+            observed.object,
+            observed.generation,
+            standing,
+            change,
+            intake,
+        );
     }
 
     fn service_changed(
@@ -255,31 +260,51 @@
         machine: &StateMachine,
         intake: &mut Intake,
     ) {
-        let reference = observed.object;
-        let object = match observed.content {
-            Ok(object) => object,
-            Err(problem) => return reject(reference, observed.generation, vec![problem], intake),
+        let Some(object) = readable(&observed, intake) else {
+            return;
         };
         if object.spec.region != self.region {
             return;
         }
         let claimed =
-            validate_service(&object).and_then(|record| self.hosts.claim(&record).map(|()| record));
-        let record = match claimed {
-            Ok(record) => record,
-            Err(_) if has_verdict(&object.status, observed.generation, FALSE) => return,
-            Err(problems) => return reject(reference, observed.generation, problems, intake),
-        };
+            validate_service(object).and_then(|record| self.hosts.claim(&record).map(|()| record));
+        let judged = judge(&observed, &object.status, claimed, intake);
+        let Some(record) = judged else { return };
         let applied = machine.service(&record.id);
-        if applied.is_some_and(|applied| applied.resource_version > record.resource_version) {
-            return stale(&reference, intake);
-        }
-        if applied.is_some_and(|applied| same_service(applied, &record)) {
-            let told = has_verdict(&object.status, observed.generation, TRUE);
-            return self.already_applied(reference, observed.generation, told, intake);
-        }
+        let standing = Standing {
+            applied: applied.map(|applied| applied.resource_version),
+            offered: record.resource_version,
+            same: applied.is_some_and(|applied| same_service(applied, &record)),
+            told: has_verdict(&object.status, observed.generation, TRUE),
+        };
         let change = ObjectChange::PutService(Box::new(record));
-        self.propose(now, reference, change, observed.generation);
+        self.take(
+            now,
+            observed.object,
+            observed.generation,
+            standing,
+            change,
+            intake,
+        );
+    }
+
+    /// Proposes a valid object, unless the state holds it or a later version.
+    fn take(
+        &mut self,
+        now: Timestamp,
+        object: ObjectRef,
+        generation: i64,
+        standing: Standing,
+        change: ObjectChange,
+        intake: &mut Intake,
+    ) {
+        if standing.applied > Some(standing.offered) {
+            stale(&object, intake);
+        } else if standing.same {
+            self.already_applied(object, generation, standing.told, intake);
+        } else {
+            self.propose(now, object, change, generation);
+        }
     }
 
     /// The state holds what the object says. Only its status may be missing,
@@ -333,66 +358,3 @@
         )
     }
 }
-
-/// Objects that the store still has.
-fn kept_objects<K>(listing: &Listing<K>) -> BTreeSet<ObjectRef> {
-    let listed = listing.objects.iter().map(|observed| &observed.object);
-    listed.chain(&listing.withheld).cloned().collect()
-}
-
-/// Whether the state holds the change or something later.
-fn is_applied(change: &ObjectChange, machine: &StateMachine) -> bool {
-    match change {
-        ObjectChange::PutBackEnd(record) => machine
-            .back_end(&record.id)
-            .is_some_and(|applied| applied.resource_version >= record.resource_version),
-        ObjectChange::PutService(record) => machine
-            .service(&record.id)
-            .is_some_and(|applied| applied.resource_version >= record.resource_version),
-        ObjectChange::DeleteBackEnd {
-            id,
-            resource_version,
-        } => {
-            let applied = machine.back_end(id);
-            machine.is_leaving(id)
-                || applied.is_none_or(|applied| applied.resource_version > *resource_version)
-        }
-        ObjectChange::DeleteService {
-            id,
-            resource_version,
-        } => machine
-            .service(id)
-            .is_none_or(|applied| applied.resource_version > *resource_version),
-    }
-}
-
-/// A write to an object's status raises its version without changing what it
-/// asks for; such a version needs no command.
-fn same_back_end(applied: &BackEndRecord, offered: &BackEndRecord) -> bool {
-    applied.spec == offered.spec
-        && applied.labels == offered.labels
-        && applied.object_generation == offered.object_generation
-}
-
-fn same_service(applied: &ServiceRecord, offered: &ServiceRecord) -> bool {
-    applied.spec == offered.spec && applied.object_generation == offered.object_generation
-}
-
-fn reject(reference: ObjectRef, generation: i64, problems: Vec<Problem>, intake: &mut Intake) {
-    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
-    intake.observations.push(Observation::ObjectRejected {
-        object: reference.describe(),
-        message: lines.join("; "),
-    });
-    intake.statuses.push(StatusWrite {
-        object: reference,
-        observed_generation: generation,
-        verdict: Verdict::Rejected(problems),
-    });
-}
-
-fn stale(reference: &ObjectRef, intake: &mut Intake) {
-    intake.observations.push(Observation::StoreReverted {
-        object: reference.describe(),
-    });
-}
--- /dev/null
+++ b/crates/control/src/intake/judgement.rs
@@ -0,0 +1,136 @@
+//! Judging single objects against the applied state.
+
+use std::collections::BTreeSet;
+
+use threadledge_ownership::{ObjectChange, StateMachine};
+use threadledge_types::objects::AcceptanceStatus;
+use threadledge_types::records::{BackEndRecord, ServiceRecord};
+use threadledge_types::validation::Problem;
+
+use super::Intake;
+use crate::input::{Listing, ObservedObject};
+use crate::object_status::{FALSE, ObjectRef, StatusWrite, Verdict, has_verdict};
+use crate::output::Observation;
+
+/// How a valid object stands to the applied state.
+pub(super) struct Standing {
+    /// Version of the object that is applied, if any.
+    pub(super) applied: Option<u64>,
+    /// Version that is offered.
+    pub(super) offered: u64,
+    /// The applied version asks for the same.
+    pub(super) same: bool,
+    /// The object's status says that it is accepted.
+    pub(super) told: bool,
+}
+
+/// The object, if it can be read; otherwise it is rejected.
+pub(super) fn readable<'a, K>(
+    observed: &'a ObservedObject<K>,
+    intake: &mut Intake,
+) -> Option<&'a K> {
+    match &observed.content {
+        Ok(object) => Some(object),
+        Err(problem) => {
+            let problems = vec![problem.clone()];
+            reject(
+                observed.object.clone(),
+                observed.generation,
+                problems,
+                intake,
+            );
+            None
+        }
+    }
+}
+
+/// The record, if the object passed; otherwise it is rejected, unless its
+/// status says so already.
+pub(super) fn judge<K, R>(
+    observed: &ObservedObject<K>,
+    status: &Option<AcceptanceStatus>,
+    claimed: Result<R, Vec<Problem>>,
+    intake: &mut Intake,
+) -> Option<R> {
+    match claimed {
+        Ok(record) => Some(record),
+        Err(_) if has_verdict(status, observed.generation, FALSE) => None,
+        Err(problems) => {
+            reject(
+                observed.object.clone(),
+                observed.generation,
+                problems,
+                intake,
+            );
+            None
+        }
+    }
+}
+
+/// Objects that the store still has.
+pub(super) fn kept_objects<K>(listing: &Listing<K>) -> BTreeSet<ObjectRef> {
+    let listed = listing.objects.iter().map(|observed| &observed.object);
+    listed.chain(&listing.withheld).cloned().collect()
+}
+
+/// Whether the state holds the change or something later.
+pub(super) fn is_applied(change: &ObjectChange, machine: &StateMachine) -> bool {
+    match change {
+        ObjectChange::PutBackEnd(record) => machine
+            .back_end(&record.id)
+            .is_some_and(|applied| applied.resource_version >= record.resource_version),
+        ObjectChange::PutService(record) => machine
+            .service(&record.id)
+            .is_some_and(|applied| applied.resource_version >= record.resource_version),
+        ObjectChange::DeleteBackEnd {
+            id,
+            resource_version,
+        } => {
+            let applied = machine.back_end(id);
+            machine.is_leaving(id)
+                || applied.is_none_or(|applied| applied.resource_version > *resource_version)
+        }
+        ObjectChange::DeleteService {
+            id,
+            resource_version,
+        } => machine
+            .service(id)
+            .is_none_or(|applied| applied.resource_version > *resource_version),
+    }
+}
+
+/// A write to an object's status raises its version without changing what it
+/// asks for; such a version needs no command.
+pub(super) fn same_back_end(applied: &BackEndRecord, offered: &BackEndRecord) -> bool {
+    applied.spec == offered.spec
+        && applied.labels == offered.labels
+        && applied.object_generation == offered.object_generation
+}
+
+pub(super) fn same_service(applied: &ServiceRecord, offered: &ServiceRecord) -> bool {
+    applied.spec == offered.spec && applied.object_generation == offered.object_generation
+}
+
+pub(super) fn reject(
+    reference: ObjectRef,
+    generation: i64,
+    problems: Vec<Problem>,
+    intake: &mut Intake,
+) {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    intake.observations.push(Observation::ObjectRejected {
+        object: reference.describe(),
+        message: lines.join("; "),
+    });
+    intake.statuses.push(StatusWrite {
+        object: reference,
+        observed_generation: generation,
+        verdict: Verdict::Rejected(problems),
+    });
+}
+
+pub(super) fn stale(reference: &ObjectRef, intake: &mut Intake) {
+    intake.observations.push(Observation::StoreReverted {
+        object: reference.describe(),
+    });
+}
