Call the client of the object API by what it is

Cause: the users' platform needs an adapter in a folder platform/; the crate crates/platform is the client of this project's own object API, and two things of one name would be confused.

Change: the crate and its folder are called object-api. Nothing else.

--- a/crates/lab/tests/platform/authorization.rs
+++ b/crates/lab/tests/platform/authorization.rs
@@ -3,7 +3,7 @@
 use threadledge_lab::stand_in::object_api::{
     Authorization, ObjectApi, ObjectApiSettings, Principal, Role,
 };
-use threadledge_platform::{ObjectClient, PlatformErrorKind, Scope, TransportSettings};
+use threadledge_object_api::{ObjectClient, PlatformErrorKind, Scope, TransportSettings};
 use threadledge_types::objects::{AcceptanceStatus, BackEndObject};
 
 use super::support::{back_end, content, guarded, key, stand_in};
--- a/crates/lab/tests/platform/client.rs
+++ b/crates/lab/tests/platform/client.rs
@@ -6,7 +6,7 @@
 use threadledge_lab::stand_in::object_api::operation::Write;
 use threadledge_lab::stand_in::object_api::path::{Collection, RESOURCES};
 use threadledge_lab::stand_in::object_api::{FaultCommand, ObjectApiSettings, ObjectStore};
-use threadledge_platform::{
+use threadledge_object_api::{
     ObjectClient, PlatformErrorKind, Scope, TransportSettings, WriteEffect,
 };
 use threadledge_types::objects::{AcceptanceStatus, BackEndObject, KeyedServiceObject};
--- a/crates/lab/tests/platform/machine_list.rs
+++ b/crates/lab/tests/platform/machine_list.rs
@@ -6,7 +6,7 @@
     MachineCommand, MachineListFault, MachineListServer, MachineListState,
 };
 use threadledge_membership::{Machine, MachineList, MachineState};
-use threadledge_platform::{MachineListClient, PlatformErrorKind, TransportSettings};
+use threadledge_object_api::{MachineListClient, PlatformErrorKind, TransportSettings};
 use threadledge_types::{MachineName, RegionName, Timestamp, ZoneName};
 
 use super::support::{guarded, listener};
--- a/crates/lab/tests/platform/schedules.rs
+++ b/crates/lab/tests/platform/schedules.rs
@@ -10,8 +10,8 @@
 use threadledge_lab::stand_in::object_api::operation::{Write, WriteTarget};
 use threadledge_lab::stand_in::object_api::path::{Collection, ObjectPath, RESOURCES};
 use threadledge_lab::stand_in::object_api::store::{ChangeKind, StoreChange};
-use threadledge_platform::tracker::{EventVerdict, ListVerdict};
-use threadledge_platform::{Change, Event, Listed, ObjectTracker, StoredObject};
+use threadledge_object_api::tracker::{EventVerdict, ListVerdict};
+use threadledge_object_api::{Change, Event, Listed, ObjectTracker, StoredObject};
 use threadledge_types::objects::BackEndObject;
 
 use super::support::back_end_json;
--- a/crates/lab/tests/platform/support.rs
+++ b/crates/lab/tests/platform/support.rs
@@ -6,8 +6,8 @@
 use async_std::net::TcpListener;
 use serde_json::{Value, json};
 use threadledge_lab::stand_in::object_api::{ObjectApi, ObjectApiSettings};
-use threadledge_platform::backoff::BackoffSettings;
-use threadledge_platform::{
+use threadledge_object_api::backoff::BackoffSettings;
+use threadledge_object_api::{
     ObjectClient, ObjectKey, ResolveSettings, StoredObject, TransportSettings,
 };
 use threadledge_types::objects::BackEndObject;
--- a/crates/lab/tests/platform/watch.rs
+++ b/crates/lab/tests/platform/watch.rs
@@ -1,7 +1,7 @@
 //! One watch connection.
 
 use threadledge_lab::stand_in::object_api::{FaultCommand, ObjectApi};
-use threadledge_platform::{Event, EventStream, ObjectClient, PlatformErrorKind, Scope};
+use threadledge_object_api::{Event, EventStream, ObjectClient, PlatformErrorKind, Scope};
 use threadledge_types::objects::BackEndObject;
 
 use super::support::{create, empty, guarded, key, with_slots};
--- a/crates/lab/tests/platform/watcher.rs
+++ b/crates/lab/tests/platform/watcher.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Receiver;
 use threadledge_lab::stand_in::object_api::FaultCommand;
-use threadledge_platform::{
+use threadledge_object_api::{
     Change, ObjectClient, ObjectTracker, WatchUpdate, Watcher, WatcherSettings, WithheldReason,
 };
 use threadledge_types::objects::BackEndObject;
@@ -69,7 +69,7 @@
         }
     }
 
-    fn apply(&mut self, object: threadledge_platform::StoredObject<BackEndObject>) {
+    fn apply(&mut self, object: threadledge_object_api::StoredObject<BackEndObject>) {
         let slots = object.content.expect("readable").spec.slots;
         self.in_force.insert(object.key.name, slots);
     }
--- a/crates/lab/tests/platform/writes.rs
+++ b/crates/lab/tests/platform/writes.rs
@@ -1,7 +1,7 @@
 //! Writes whose answer is lost, late or never was.
 
 use threadledge_lab::stand_in::object_api::{FaultCommand, HistoryEntry, ObjectApi};
-use threadledge_platform::{
+use threadledge_object_api::{
     ObjectClient, PlatformErrorKind, ResolveSettings, Write, WriteEffect, WriteOutcome,
     write_resolved,
 };
--- a/crates/platform/tests/backoff.rs
+++ b/crates/object-api/tests/backoff.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use threadledge_platform::backoff::{Backoff, BackoffSettings};
+use threadledge_object_api::backoff::{Backoff, BackoffSettings};
 
 fn waits(seed: u64) -> Vec<Duration> {
     let settings = BackoffSettings {
--- a/crates/platform/tests/resolve.rs
+++ b/crates/object-api/tests/resolve.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use threadledge_platform::resolve::{
+use threadledge_object_api::resolve::{
     Condition, Finish, ReadBack, Resolution, Step, WriteResolver, resolve,
 };
-use threadledge_platform::{PlatformError, PlatformErrorKind, WriteEffect};
+use threadledge_object_api::{PlatformError, PlatformErrorKind, WriteEffect};
 
 fn replace() -> Condition {
     Condition::HasVersion {
--- a/crates/platform/tests/tracker.rs
+++ b/crates/object-api/tests/tracker.rs
@@ -1,7 +1,7 @@
 //! A store that went back in time changes nothing by itself.
 
-use threadledge_platform::tracker::{EventVerdict, ListVerdict};
-use threadledge_platform::{
+use threadledge_object_api::tracker::{EventVerdict, ListVerdict};
+use threadledge_object_api::{
     Change, Event, Listed, ObjectKey, ObjectTracker, StoredObject, Withheld, WithheldReason,
 };
 use threadledge_types::objects::BackEndObject;
--- a/crates/router/src/control_shell/availability.rs
+++ b/crates/router/src/control_shell/availability.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use parking_lot::Mutex;
-use threadledge_platform::{PlatformError, PlatformErrorKind};
+use threadledge_object_api::{PlatformError, PlatformErrorKind};
 
 use crate::events::{EventId, emit};
 
--- a/crates/router/src/control_shell/configuration.rs
+++ b/crates/router/src/control_shell/configuration.rs
@@ -14,7 +14,7 @@
 use threadledge_control::{
     FoundingResult, GroupObjectState, GroupObjectVersion, Input, KnownObject, StatusWrite,
 };
-use threadledge_platform::{
+use threadledge_object_api::{
     ObjectClient, ObjectKey, PlatformError, PlatformErrorKind, ResolveSettings, StoredObject,
     TransportSettings, Watcher, WatcherSettings, Write, WriteOutcome, write_resolved,
 };
--- a/crates/router/src/control_shell/configuration/kinds.rs
+++ b/crates/router/src/control_shell/configuration/kinds.rs
@@ -1,7 +1,7 @@
 //! The kinds of objects that the control core takes in.
 
 use threadledge_control::{ConfigurationEvent, Listing, ObjectRef, ObservedObject};
-use threadledge_platform::{ApiObject, ObjectKey};
+use threadledge_object_api::{ApiObject, ObjectKey};
 use threadledge_types::objects::{AcceptanceStatus, BackEndObject, KeyedServiceObject};
 use threadledge_types::{BackEndId, ServiceId};
 
--- a/crates/router/src/control_shell/configuration/statuses.rs
+++ b/crates/router/src/control_shell/configuration/statuses.rs
@@ -9,7 +9,7 @@
 use k8s_openapi::apimachinery::pkg::apis::meta::v1::Time;
 use k8s_openapi::jiff::Timestamp as WallTime;
 use threadledge_control::{ObjectRef, StatusWrite, Verdict};
-use threadledge_platform::{ObjectClient, ObjectKey, PlatformError, PlatformErrorKind};
+use threadledge_object_api::{ObjectClient, ObjectKey, PlatformError, PlatformErrorKind};
 use threadledge_types::acceptance::{acceptance_status, accepted_condition};
 use threadledge_types::objects::{
     ACCEPTED_CONDITION, AcceptanceStatus, BackEndObject, KeyedServiceObject,
--- a/crates/router/src/control_shell/configuration/updates.rs
+++ b/crates/router/src/control_shell/configuration/updates.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use threadledge_control::{ConfigurationEvent, Input, KnownObject, Listing, ObservedObject};
-use threadledge_platform::{Change, ObjectTracker, StoredObject, WatchUpdate, Withheld};
+use threadledge_object_api::{Change, ObjectTracker, StoredObject, WatchUpdate, Withheld};
 
 use super::kinds::{Configured, object_key};
 use crate::control_shell::availability::AvailabilityLog;
--- a/crates/router/src/control_shell/machines.rs
+++ b/crates/router/src/control_shell/machines.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use threadledge_control::Input;
 use threadledge_membership::MachineList;
-use threadledge_platform::{MachineListClient, TransportSettings};
+use threadledge_object_api::{MachineListClient, TransportSettings};
 
 use super::shared::ControlShell;
 use crate::events::{EventId, emit};
--- a/crates/router/src/control_shell/shared.rs
+++ b/crates/router/src/control_shell/shared.rs
@@ -9,7 +9,7 @@
     ControlNode, FoundingResult, GroupObjectVersion, Input, Output, PeerBatch, PeerMessage,
 };
 use threadledge_net::StopSignal;
-use threadledge_platform::TransportSettings;
+use threadledge_object_api::TransportSettings;
 use threadledge_types::records::RecordDelta;
 use threadledge_types::{Generation, RouterId, RouterIdentity};
 
--- a/crates/router/src/platform_token.rs
+++ b/crates/router/src/platform_token.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use thiserror::Error;
-use threadledge_platform::TransportSettings;
+use threadledge_object_api::TransportSettings;
 
 use crate::settings::Settings;
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use threadledge_control::{ControlNode, ControlSettings};
 use threadledge_net::StopSignal;
-use threadledge_platform::TransportSettings;
+use threadledge_object_api::TransportSettings;
 use threadledge_types::{Incarnation, RouterId, RouterIdentity};
 
 use crate::control_shell::{ControlShell, ControlShellSettings, serve_peers};
--- a/crates/router/tests/availability.rs
+++ b/crates/router/tests/availability.rs
@@ -3,7 +3,7 @@
 use threadledge::control_shell::availability::{
     Availability, AvailabilityChange, PlatformUse, means_unavailable,
 };
-use threadledge_platform::PlatformErrorKind;
+use threadledge_object_api::PlatformErrorKind;
 
 #[test]
 fn repeated_failures_are_one_loss() {
--- a/crates/router/tests/control_shell/platform.rs
+++ b/crates/router/tests/control_shell/platform.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 use threadledge_net::StopSignal;
-use threadledge_platform::TransportSettings;
+use threadledge_object_api::TransportSettings;
 use threadledge_types::{BackEndId, Timing};
 
 use crate::object_api::ObjectApi;
--- a/crates/router/tests/control_shell/world.rs
+++ b/crates/router/tests/control_shell/world.rs
@@ -14,7 +14,7 @@
     Listing, ObjectRef, ObservedObject, Output,
 };
 use threadledge_net::{HttpClient, StopSignal};
-use threadledge_platform::TransportSettings;
+use threadledge_object_api::TransportSettings;
 use threadledge_types::objects::{
     BackEndObject, BackEndSpec, KeySource, KeyedServiceObject, KeyedServiceSpec, ObjectMeta,
     PlacementPolicy, Priority, RouteRule, object,
