--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -67,13 +67,22 @@
     }
 }
 
+/// How this gateway takes part in coordination.
+#[derive(Clone, Debug)]
+pub(super) struct Participation {
+    /// This life of this machine's gateway.
+    pub(super) me: NodeIdentity,
+    /// Durations.
+    pub(super) settings: Settings,
+    /// Added to the time after which this gateway takes over.
+    pub(super) patience: Duration,
+}
+
 /// The coordinators of one gateway, one for each service divided by key.
 pub(super) struct Coordination {
     ports: Ports,
     clock: Clock,
-    me: NodeIdentity,
-    settings: Settings,
-    patience: Duration,
+    participation: Participation,
     coordinators: BTreeMap<ServiceName, Coordinator>,
     back_ends: Option<Arc<[BackEnd]>>,
     stopping: bool,
@@ -91,9 +100,7 @@
     pub(super) fn new(
         ports: Ports,
         clock: Clock,
-        me: NodeIdentity,
-        settings: Settings,
-        patience: Duration,
+        participation: Participation,
         dispatch: Arc<Dispatch>,
         store_health: Arc<StoreHealth>,
         stopped: StopSignal,
@@ -102,9 +109,7 @@
         Coordination {
             ports,
             clock,
-            me,
-            settings,
-            patience,
+            participation,
             coordinators: BTreeMap::new(),
             back_ends: None,
             stopping: false,
@@ -188,12 +193,12 @@
             if !service.keyed || self.coordinators.contains_key(name) || self.stopping {
                 continue;
             }
-            let mut coordinator = Coordinator::new(
-                self.me.clone(),
-                name.clone(),
-                self.settings.clone(),
-                self.patience,
-            );
+            let Participation {
+                me,
+                settings,
+                patience,
+            } = self.participation.clone();
+            let mut coordinator = Coordinator::new(me, name.clone(), settings, patience);
             if let Some(back_ends) = &self.back_ends {
                 coordinator.set_back_ends(now, back_ends);
             }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use threadledge_types::{Incarnation, MachineName};
 
 use super::attempt::Attempts;
-use super::coordination::{Coordination, Event};
+use super::coordination::{Coordination, Event, Participation};
 use super::directory::{BackEndDirectory, Sink};
 use super::dispatch::Dispatch;
 use super::follow::Follower;
@@ -226,18 +226,19 @@
     }
 
     fn start_coordination(&self, stopped: StopSignal) -> async_channel::Sender<Event> {
-        let me = NodeIdentity {
-            node: MachineName(self.settings.machine.clone()),
-            incarnation: Incarnation(rand::random()),
-            address: self.settings.listen.peers,
+        let participation = Participation {
+            me: NodeIdentity {
+                node: MachineName(self.settings.machine.clone()),
+                incarnation: Incarnation(rand::random()),
+                address: self.settings.listen.peers,
+            },
+            settings: self.settings.coordination(),
+            patience: Duration::from_millis(rand::random::<u64>() % PATIENCE_SPREAD_MS),
         };
-        let patience = Duration::from_millis(rand::random::<u64>() % PATIENCE_SPREAD_MS);
         let coordination = Coordination::new(
             self.ports.clone(),
             self.clock,
-            me,
-            self.settings.coordination(),
-            patience,
+            participation,
             self.dispatch.clone(),
             self.store_health.clone(),
             stopped,
