--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -1,14 +1,17 @@
 //! The ownership record in the hands of the coordinator: which grants to
 //! renew, what to take back and what to give out.
 //!
-//! The record in the store decides. Every step that matters to safety is
-//! written there first, on the condition that nobody else wrote:
+//! The record in the store decides. A new owner is written there before it is
+//! granted anything, on the condition that nobody else wrote:
 //!
-//! 1. a slice becomes `releasing` under the next fence;
-//! 2. the owner is asked to release with that fence, or its hold is waited
-//!    out;
-//! 3. the slice is given to the next owner, under the same fence;
-//! 4. the next owner is granted the keys.
+//! 1. the owner is asked to release under the next fence, or its hold is
+//!    waited out;
+//! 2. the next owner is written, under the same fence;
+//! 3. the next owner is granted the keys.
+//!
+//! A coordinator that is lost before the second step leaves the former owner
+//! in the record, and its successor grants it the keys again under a fence
+//! that is at least that of the release.
 
 mod draft;
 mod tracked;
@@ -16,18 +19,19 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, ServiceName};
+use threadledge_types::deployment::{BackEnd, KeyRange, ServiceName};
 
-use crate::action::{Action, Condition, Notice, ReadResult};
+use crate::action::{Action, Condition, Notice, ReadResult, ReleaseReason};
 use crate::action::{StoreRevision, Versioned, WriteResult};
 use crate::election::Predecessor;
 use crate::holders::Holders;
 use crate::load::{LoadMap, LoadReport};
 use crate::order::{HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply};
-use crate::record::{OwnershipRecord, SliceState, Term};
+use crate::plan;
+use crate::record::{Fence, OwnershipRecord, Term};
 use crate::settings::Settings;
 
-use draft::{Draft, mended};
+use draft::{Draft, candidates, held, mended, release_reason};
 use tracked::{Tracked, retrack};
 
 /// What follows from a read of the record.
@@ -201,6 +205,7 @@
             Phase::Active { record, revision } => {
                 let revision = *revision;
                 let current = record.clone();
+                self.take_back(now, current.next_fence);
                 let next = self.next_record(now, &current);
                 let changed = next != current;
                 changed.then_some(Action::WriteRecord(next, Condition::Revision(revision)))
@@ -364,20 +369,77 @@
         self.next_store_call = now;
     }
 
+    /// Begins to take keys back from owners that may not keep them, and from
+    /// those with too many. `fence` is above that of every grant.
+    fn take_back(&mut self, now: Timestamp, fence: Fence) {
+        for tracked in &mut self.tracked {
+            let Some(owner) = tracked.owner().cloned() else {
+                continue;
+            };
+            if tracked.releasing.is_some() {
+                continue;
+            }
+            if let Some(reason) = self.holders.ineligible(&owner.name, now) {
+                tracked.release(now, fence);
+                self.notices.push(Notice::ReleaseStarted {
+                    range: tracked.slice.range,
+                    owner: owner.name,
+                    fence,
+                    reason: release_reason(reason),
+                });
+            }
+        }
+        self.start_balancing(now, fence);
+    }
+
+    /// Takes keys from those with too many, when nothing else is under way.
+    fn start_balancing(&mut self, now: Timestamp, fence: Fence) {
+        let settled = |tracked: &Tracked| tracked.releasing.is_none() && tracked.owner().is_some();
+        if now < self.next_balancing || !self.tracked.iter().all(settled) {
+            return;
+        }
+        self.next_balancing = now + BALANCING_PAUSE;
+        let candidates = candidates(now, &self.holders, &self.load);
+        let held = held(self.tracked.iter().map(|tracked| &tracked.slice));
+        for range in plan::rebalance(&held, &candidates, &self.load.measure()) {
+            self.release_piece(now, range, fence);
+        }
+    }
+
+    fn release_piece(&mut self, now: Timestamp, range: KeyRange, fence: Fence) {
+        let within = |tracked: &Tracked| tracked.slice.range.contains(range.first);
+        let Some(index) = self.tracked.iter().position(within) else {
+            return;
+        };
+        let pieces = self.tracked[index].clone().cut(range);
+        self.tracked.splice(index..=index, pieces);
+        let Some(piece) = self
+            .tracked
+            .iter_mut()
+            .find(|tracked| tracked.slice.range == range)
+        else {
+            return;
+        };
+        piece.release(now, fence);
+        if let Some(owner) = piece.owner() {
+            self.notices.push(Notice::ReleaseStarted {
+                range,
+                owner: owner.name.clone(),
+                fence,
+                reason: ReleaseReason::Balance,
+            });
+        }
+    }
+
     /// The record as it should be.
     fn next_record(&mut self, now: Timestamp, current: &OwnershipRecord) -> OwnershipRecord {
-        let balancing = now >= self.next_balancing;
-        if balancing {
-            self.next_balancing = now + BALANCING_PAUSE;
-        }
         let draft = Draft {
             now,
             holders: &self.holders,
             load: &self.load,
             tracked: &self.tracked,
             gathered: self.gathered(now).is_none(),
-            balancing,
-            released: (0..current.slices.len())
+            released: (0..self.tracked.len())
                 .map(|index| self.released(now, index))
                 .collect(),
         };
@@ -399,9 +461,8 @@
     /// When the owner of a slice that is being released holds it no longer
     /// even if it never answers.
     fn release_over(&self, tracked: &Tracked) -> Option<Timestamp> {
-        let SliceState::Releasing { owner } = &tracked.slice.state else {
-            return None;
-        };
+        tracked.releasing?;
+        let owner = tracked.owner()?;
         if self.holders.superseded(owner) {
             return Some(Timestamp::ZERO);
         }
@@ -429,7 +490,7 @@
             let Some(kind) = tracked.order_kind(&self.settings) else {
                 continue;
             };
-            let Some(owner) = tracked.slice.holder().cloned() else {
+            let Some(owner) = tracked.owner().cloned() else {
                 continue;
             };
             self.next_order += 1;
@@ -443,7 +504,7 @@
                 id,
                 to: owner,
                 range: tracked.slice.range,
-                fence: tracked.slice.fence,
+                fence: tracked.order_fence(),
                 kind,
                 timeout,
             }));
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -83,7 +83,7 @@
 pub struct Slice {
     /// The keys.
     pub range: KeyRange,
-    /// Fence of the grant, or of the release that is running.
+    /// Fence of the grant, or of the release that made it unowned.
     pub fence: Fence,
     /// Who has them.
     pub state: SliceState,
@@ -95,7 +95,8 @@
 pub enum SliceState {
     /// Nobody holds the keys.
     Unowned,
-    /// A back end may hold them until it is released or its hold runs out.
+    /// A back end may hold them until it is released or its hold runs out,
+    /// and goes on doing so while they are being taken back.
     Owned {
         /// The back end.
         owner: Owner,
@@ -103,11 +104,6 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         handover: Option<HandoverToken>,
     },
-    /// The keys are being taken back from a back end.
-    Releasing {
-        /// The back end.
-        owner: Owner,
-    },
 }
 
 /// A back end that may hold keys.
@@ -189,12 +185,11 @@
     pub fn holder(&self) -> Option<&Owner> {
         match &self.state {
             SliceState::Unowned => None,
-            SliceState::Owned { owner, .. } | SliceState::Releasing { owner } => Some(owner),
+            SliceState::Owned { owner, .. } => Some(owner),
         }
     }
 
     fn can_join(&self, next: &Slice) -> bool {
-        let same_grant = self.fence == next.fence && self.state == next.state;
-        same_grant && !matches!(self.state, SliceState::Releasing { .. })
+        self.fence == next.fence && self.state == next.state
     }
 }
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -23,8 +23,6 @@
 pub enum KeyOwner {
     /// This back end owns it.
     Owned(BackEndName),
-    /// It is on its way from one back end to another.
-    Moving,
     /// Nobody owns it.
     Unowned,
 }
@@ -38,7 +36,6 @@
             owner: match &slice.state {
                 SliceState::Unowned => KeyOwner::Unowned,
                 SliceState::Owned { owner, .. } => KeyOwner::Owned(owner.name.clone()),
-                SliceState::Releasing { .. } => KeyOwner::Moving,
             },
         });
         OwnershipView {
@@ -70,7 +67,7 @@
     pub fn owned(&self) -> impl Iterator<Item = (KeyRange, &BackEndName)> {
         self.slices.iter().filter_map(|slice| match &slice.owner {
             KeyOwner::Owned(name) => Some((slice.range, name)),
-            KeyOwner::Moving | KeyOwner::Unowned => None,
+            KeyOwner::Unowned => None,
         })
     }
 }
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -207,7 +207,7 @@
     pub fn owner(&self, key: u16) -> Option<BackEndName> {
         match self.view()?.owner(ShardKey(key)).0 {
             KeyOwner::Owned(name) => Some(name.clone()),
-            KeyOwner::Moving | KeyOwner::Unowned => None,
+            KeyOwner::Unowned => None,
         }
     }
 
--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -7,7 +7,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
-use crate::estimate::{Estimate, Usual};
+use crate::estimate::{Estimate, ServiceMean, Usual};
 use crate::outcome::Fault;
 use crate::request::{AttemptId, ExchangeId};
 use crate::settings::Settings;
@@ -177,17 +177,12 @@
     }
 
     /// What is usual among the back ends of a service.
-    pub(crate) fn usual(&self, service: &ServiceName) -> Usual {
-        let mut work = Mean::default();
-        let mut others = Mean::default();
+    pub(crate) fn usual(&self, now: Timestamp, service: &ServiceName) -> Usual {
+        let mut mean = ServiceMean::new();
         for known in self.of_service(service) {
-            work.add(known.estimate.raw_work_s());
-            others.add(known.estimate.raw_others());
-        }
-        Usual {
-            work_s: work.value(),
-            others: others.value(),
+            mean.add(now, &known.estimate);
         }
+        mean.usual()
     }
 
     /// Every back end.
@@ -195,26 +190,3 @@
         self.known.values()
     }
 }
-
-#[derive(Default)]
-struct Mean {
-    sum: f64,
-    count: f64,
-}
-
-impl Mean {
-    fn add(&mut self, value: Option<f64>) {
-        if let Some(value) = value {
-            self.sum += value;
-            self.count += 1.0;
-        }
-    }
-
-    fn value(&self) -> f64 {
-        if self.count > 0.0 {
-            self.sum / self.count
-        } else {
-            0.0
-        }
-    }
-}
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -9,7 +9,10 @@
 use threadledge_types::Timestamp;
 
 /// Parts into which the window is divided.
-const PARTS: usize = 20;
+const WINDOW_PARTS: u32 = 20;
+/// Parts that are counted: one more than the window has, so that every window
+/// that slides is covered whole.
+const PARTS: usize = WINDOW_PARTS as usize + 1;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Part {
@@ -35,7 +38,7 @@
         RetryBudget {
             ratio,
             slack,
-            part_length: window / PARTS as u32,
+            part_length: window / WINDOW_PARTS,
             parts: [Part::default(); PARTS],
             newest: 0,
         }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -79,7 +79,7 @@
         if !known.takes_requests() || known.ejected(self.now) {
             return no_owner;
         }
-        let usual = self.back_ends.usual(&exchange.service);
+        let usual = self.back_ends.usual(self.now, &exchange.service);
         if self.fits(known, exchange, bound, &usual) {
             Choice::Take(name.clone())
         } else {
@@ -88,7 +88,7 @@
     }
 
     fn best(&mut self, exchange: &Exchange, bound: Bound) -> Choice {
-        let usual = self.back_ends.usual(&exchange.service);
+        let usual = self.back_ends.usual(self.now, &exchange.service);
         let usable = self.usable(exchange);
         let penalty = exchange.route.target_latency.as_secs_f64() * self.settings.zone_penalty;
         let mut best: Option<(&Known, f64)> = None;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -346,7 +346,7 @@
             self.counters.repeats_denied += 1;
             return None;
         }
-        let usual = self.back_ends.usual(&service);
+        let usual = self.back_ends.usual(now, &service);
         let limit = self.connection_limit(&service);
         let exchange = self.exchanges.get_mut(&id)?;
         let known = self.back_ends.get_mut(back_end)?;
@@ -458,7 +458,7 @@
         let Some(exchange) = self.exchanges.get(&id) else {
             return;
         };
-        let usual = self.back_ends.usual(&exchange.service);
+        let usual = self.back_ends.usual(now, &exchange.service);
         let Some(known) = self.back_ends.get_mut(&in_flight.back_end) else {
             return;
         };
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -86,14 +86,66 @@
             None => usual.others,
         }
     }
+}
+
+/// Mean over the back ends of a service, in which samples weigh the less the
+/// older they are.
+#[derive(Debug)]
+pub(crate) struct ServiceMean {
+    work: WeightedSum,
+    others: WeightedSum,
+}
+
+#[derive(Debug, Default)]
+struct WeightedSum {
+    sum: f64,
+    weight: f64,
+}
+
+impl ServiceMean {
+    pub(crate) fn new() -> Self {
+        // What one back end told of its load says little about the others:
+        // without more, they are taken to be idle.
+        let idle = WeightedSum {
+            sum: 0.0,
+            weight: 1.0,
+        };
+        ServiceMean {
+            work: WeightedSum::default(),
+            others: idle,
+        }
+    }
 
-    /// What was measured, for the mean over a service.
-    pub(crate) fn raw_work_s(&self) -> Option<f64> {
-        self.work_s.map(|sample| sample.value)
+    pub(crate) fn add(&mut self, now: Timestamp, estimate: &Estimate) {
+        self.work.add(now, estimate.work_s, SPEED_HALF_LIFE_S * 3.0);
+        self.others
+            .add(now, estimate.others, LOAD_HALF_LIFE_S * 3.0);
     }
 
-    /// What was told, for the mean over a service.
-    pub(crate) fn raw_others(&self) -> Option<f64> {
-        self.others.map(|sample| sample.value)
+    pub(crate) fn usual(&self) -> Usual {
+        Usual {
+            work_s: self.work.mean(),
+            others: self.others.mean(),
+        }
+    }
+}
+
+impl WeightedSum {
+    fn add(&mut self, now: Timestamp, sample: Option<Sample>, half_life_s: f64) {
+        let Some(sample) = sample else {
+            return;
+        };
+        let age = now.since(sample.at).as_secs_f64();
+        let weight = (-age / half_life_s).exp2();
+        self.sum += sample.value * weight;
+        self.weight += weight;
+    }
+
+    fn mean(&self) -> f64 {
+        if self.weight > 0.0 {
+            self.sum / self.weight
+        } else {
+            0.0
+        }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher/parts.rs
@@ -0,0 +1,103 @@
+//! Routes, dealing by weight and the retry budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use threadledge_dispatch::RouteTable;
+use threadledge_dispatch::budget::RetryBudget;
+use threadledge_dispatch::routes::Dealer;
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::Destination;
+
+use super::support::{HOST, configuration, route};
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let mut longer = route("a", "plain", true);
+    longer.name = "longer".into();
+    longer.path_prefix = "/a/b/".to_owned();
+    let mut other = route("a", "plain", true);
+    other.name = "other".into();
+    other.host = "other.example".to_owned();
+    let table = RouteTable::of(&configuration(
+        1,
+        vec![route("a", "plain", true), longer, other],
+    ));
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(name(HOST, "/a/x").as_deref(), Some("a"));
+    assert_eq!(name(HOST, "/a/b/x").as_deref(), Some("longer"));
+    assert_eq!(name("HOST.example:8080", "/a/bx").as_deref(), Some("a"));
+    assert_eq!(name("other.example", "/a/b/x").as_deref(), Some("other"));
+    assert_eq!(name(HOST, "/a"), None);
+    assert_eq!(name("nowhere.example", "/a/x"), None);
+}
+
+#[test]
+fn requests_are_dealt_by_weight_in_every_stretch() {
+    let destinations: Vec<Destination> = [90, 0, 10]
+        .map(|weight| Destination {
+            service: "plain".into(),
+            weight,
+        })
+        .into();
+    let mut dealer = Dealer::default();
+    let dealt: Vec<usize> = (0..200).map(|_| dealer.next(&destinations)).collect();
+    for stretch in dealt.windows(20) {
+        let small = stretch.iter().filter(|index| **index == 2).count();
+        assert_eq!(small, 2);
+    }
+    assert!(
+        !dealt.contains(&1),
+        "a destination without weight gets nothing"
+    );
+}
+
+/// Invariant: in every window that slides, repeats stay within the ratio of
+/// the requests of that window and the one before, and the slack.
+#[test]
+fn budget_holds_in_every_sliding_window() {
+    for seed in 0..40_u64 {
+        budget_holds((seed << 32) | 0x400);
+    }
+}
+
+fn budget_holds(seed: u64) {
+    arbtest::arbtest(|data| {
+        let window = Duration::from_secs(10);
+        let mut budget = RetryBudget::new(0.15, 3, window);
+        let mut now = Timestamp::from_millis(5);
+        let mut requests: Vec<Timestamp> = Vec::new();
+        let mut repeats: Vec<Timestamp> = Vec::new();
+        for _ in 0..400 {
+            now = now + Duration::from_millis(data.int_in_range(0..=120)?);
+            if data.ratio(3, 5)? {
+                budget.count_request(now);
+                requests.push(now);
+            } else if budget.take(now) {
+                repeats.push(now);
+            }
+        }
+        for last in &repeats {
+            let within =
+                |at: &&Timestamp, length: Duration| **at <= *last && last.since(**at) < length;
+            let repeated = repeats.iter().filter(|at| within(at, window)).count();
+            let asked = requests.iter().filter(|at| within(at, window * 2)).count();
+            assert!(repeated as f64 <= asked as f64 * 0.15 + 3.0);
+        }
+        Ok(())
+    })
+    .seed(seed);
+}
+
+#[test]
+fn right_that_was_not_used_can_be_given_back() {
+    let mut budget = RetryBudget::new(0.0, 1, Duration::from_secs(10));
+    let now = Timestamp::from_millis(100);
+    assert!(budget.take(now));
+    assert!(!budget.take(now));
+    budget.give_back(now);
+    assert!(budget.take(now));
+    assert!(!budget.take(now + Duration::from_secs(9)));
+    assert!(budget.take(now + Duration::from_secs(11)));
+    let _ = Arc::new(budget);
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -0,0 +1,238 @@
+//! A dispatcher with back ends, driven by hand.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use threadledge_coordination::Term;
+use threadledge_coordination::{Fence, Owner, OwnershipRecord, OwnershipView, Slice, SliceState};
+use threadledge_dispatch::dispatcher::Verdict;
+use threadledge_dispatch::outcome::Rejection;
+use threadledge_dispatch::{
+    Attempt, AttemptEnd, Begun, Dispatcher, Fault, Outcome, Refusal, RequestFacts, Settings, Step,
+    ToldLoad,
+};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{
+    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyRange, Route,
+    Service, ShardKey,
+};
+
+pub const HOST: &str = "host.example";
+pub const TARGET: Duration = Duration::from_millis(200);
+pub const TIMEOUT: Duration = Duration::from_millis(1_200);
+
+pub struct Station {
+    pub dispatcher: Dispatcher,
+    pub now: Timestamp,
+    pub back_ends: Vec<BackEnd>,
+}
+
+pub fn route(name: &str, service: &str, repeatable: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeatable,
+        timeout: TIMEOUT,
+        target_latency: TARGET,
+        priority: 1,
+        max_attempts: 2,
+        destinations: vec![Destination {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
+    let service = |keyed| Service {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        keyed,
+    };
+    Configuration {
+        version: ConfigurationVersion(version),
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: BTreeMap::from([
+            ("plain".into(), service(false)),
+            ("keyed".into(), service(true)),
+        ]),
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_000_000,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+pub fn back_end(name: &str, service: &str, zone: &str, number: u16) -> BackEnd {
+    BackEnd {
+        name: name.into(),
+        service: service.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], number)),
+        zone: zone.into(),
+        slots: 2,
+        draining: false,
+        cold_for: Duration::ZERO,
+        registration: u64::from(number),
+    }
+}
+
+impl Station {
+    /// Two back ends of each service, one a zone, and routes `safe`, `unsafe`
+    /// and `keyed`.
+    pub fn new() -> Self {
+        let settings = Settings {
+            zone: "near".into(),
+            retry_slack: 100,
+            ..Settings::default()
+        };
+        let mut station = Station {
+            dispatcher: Dispatcher::new(settings, 1),
+            now: Timestamp::from_millis(1_000),
+            back_ends: vec![
+                back_end("p-near", "plain", "near", 1),
+                back_end("p-far", "plain", "far", 2),
+                back_end("k-1", "keyed", "near", 3),
+                back_end("k-2", "keyed", "far", 4),
+            ],
+        };
+        let routes = vec![
+            route("safe", "plain", true),
+            route("unsafe", "plain", false),
+            route("keyed", "keyed", true),
+        ];
+        station.configure(configuration(1, routes));
+        station.publish();
+        station.own("k-1", "k-2");
+        station
+    }
+
+    pub fn configure(&mut self, configuration: Configuration) -> bool {
+        let now = self.now;
+        self.dispatcher
+            .set_configuration(now, Arc::new(configuration))
+    }
+
+    pub fn publish(&mut self) {
+        let back_ends = self.back_ends.clone();
+        self.dispatcher.set_back_ends(self.now, &back_ends);
+    }
+
+    /// Gives the lower half of the keys to one back end and the upper half to
+    /// another; an empty name leaves it without an owner.
+    pub fn own(&mut self, lower: &str, upper: &str) {
+        let state = |name: &str| match name {
+            "" => SliceState::Unowned,
+            name => SliceState::Owned {
+                owner: Owner {
+                    name: name.into(),
+                    address: SocketAddr::from(([10, 0, 0, 1], 3)),
+                },
+                handover: None,
+            },
+        };
+        let (left, right) = KeyRange::ALL.split_after(32_768).expect("two halves");
+        let slice = |range, name| Slice {
+            range,
+            fence: Fence(1),
+            state: state(name),
+        };
+        let record = OwnershipRecord {
+            term: Term(1),
+            next_fence: Fence(2),
+            slices: vec![slice(left, lower), slice(right, upper)],
+        };
+        let view = OwnershipView::of(&record);
+        self.dispatcher
+            .set_ownership(self.now, "keyed".into(), view);
+    }
+
+    pub fn after(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    pub fn begin(&mut self, route: &str) -> Result<Begun, Refusal> {
+        self.begin_with(route, None)
+    }
+
+    pub fn begin_with(&mut self, route: &str, key: Option<u16>) -> Result<Begun, Refusal> {
+        let path = format!("/{route}/x");
+        let facts = RequestFacts {
+            host: HOST,
+            path: &path,
+            time_left: Some(Duration::from_secs(5)),
+            key: key.map(ShardKey),
+            replayable: true,
+        };
+        self.dispatcher.begin(self.now, &facts)
+    }
+
+    pub fn next(&mut self, begun: &Begun) -> Step {
+        self.dispatcher.next(self.now, begun.id)
+    }
+
+    pub fn send(&mut self, begun: &Begun) -> Attempt {
+        let step = self.next(begun);
+        let Step::Send(attempt) = step else {
+            panic!("{step:?}");
+        };
+        assert!(self.dispatcher.may_send(self.now, begun.id, attempt.id));
+        attempt
+    }
+
+    pub fn end(&mut self, begun: &Begun, attempt: &Attempt, end: AttemptEnd) -> Verdict {
+        self.dispatcher
+            .on_attempt(self.now, begun.id, attempt.id, &end)
+    }
+
+    /// Begins, sends and answers one request after `millis`.
+    pub fn answer_one(&mut self, route: &str, millis: u64) -> Attempt {
+        let begun = self.begin(route).expect("admitted");
+        let attempt = self.send(&begun);
+        self.after(millis);
+        assert_eq!(self.end(&begun, &attempt, answered()), Verdict::Deliver);
+        attempt
+    }
+}
+
+pub fn answered() -> AttemptEnd {
+    AttemptEnd::Answered {
+        failed: false,
+        load: None,
+    }
+}
+
+pub fn failed_answer() -> AttemptEnd {
+    AttemptEnd::Answered {
+        failed: true,
+        load: None,
+    }
+}
+
+pub fn not_run(reason: Rejection) -> AttemptEnd {
+    let full = ToldLoad {
+        running: 2,
+        waiting: 8,
+        slots: 2,
+    };
+    AttemptEnd::NotRun {
+        reason,
+        load: (reason == Rejection::Busy).then_some(full),
+    }
+}
+
+pub fn fault(fault: Fault) -> AttemptEnd {
+    AttemptEnd::Failed(fault)
+}
+
+pub fn is_refused(step: &Step) -> bool {
+    matches!(step, Step::Finish(Outcome::Refused(_)))
+}
+
+pub fn is_unknown(step: &Step) -> bool {
+    matches!(step, Step::Finish(Outcome::Unknown(_)))
+}
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -38,6 +38,8 @@
     collection: Arc<dyn Collection<T>>,
     health: Arc<StoreHealth>,
     wait: Duration,
+    /// Pause after changes, so that those that come together cost one call.
+    gather: Duration,
     pause: Duration,
     /// The last call failed.
     lost: bool,
@@ -65,12 +67,20 @@
             collection,
             health,
             wait,
+            gather: Duration::ZERO,
             pause: FIRST_PAUSE,
             lost: false,
             doubtful: false,
         }
     }
 
+    /// Lets changes that come together gather for so long before the next
+    /// watch. The first of them is told at once.
+    pub fn gathering(mut self, gather: Duration) -> Self {
+        self.gather = gather;
+        self
+    }
+
     /// Follows for ever, telling every update to `tell`.
     pub async fn run(mut self, mut tell: impl FnMut(Update<T>) + Send) {
         loop {
@@ -98,6 +108,9 @@
                     at = changes.at;
                     if !changes.changes.is_empty() {
                         tell(Update::Changed(changes));
+                        if !self.gather.is_zero() {
+                            timer::sleep(self.gather).await;
+                        }
                     } else if asked.elapsed() < SHORTEST_WATCH {
                         timer::sleep(FIRST_PAUSE).await;
                     }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -44,6 +44,11 @@
 /// Standbys take over in turn, within this time.
 const PATIENCE_SPREAD_MS: u64 = 300;
 
+/// Registrations come together when back ends start, and leave together.
+const GATHER_BACK_ENDS: Duration = Duration::from_millis(250);
+/// Configurations may come in quick succession.
+const GATHER_CONFIGURATIONS: Duration = Duration::from_millis(200);
+
 /// Why a gateway stopped with an error.
 #[derive(Debug, Error)]
 pub enum GatewayError {
@@ -257,8 +262,10 @@
         };
         let mut directory = BackEndDirectory::new(sink.clone());
         let back_ends = self.follower("back-ends", self.ports.back_ends.clone());
+        let back_ends = back_ends.gathering(GATHER_BACK_ENDS);
         task::spawn(back_ends.run(move |update| directory.apply(update)));
         let configurations = self.follower("configuration", self.ports.configurations.clone());
+        let configurations = configurations.gathering(GATHER_CONFIGURATIONS);
         let configured = sink.clone();
         task::spawn(configurations.run(move |update| configured.configurations(update)));
         let ownership: Arc<dyn Collection<OwnershipRecord>> = self.ports.ownership.clone();
--- /dev/null
+++ b/crates/router/tests/gateway/follow.rs
@@ -0,0 +1,164 @@
+//! Following a collection of the store through its failures.
+
+use std::collections::VecDeque;
+use std::future::pending;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use parking_lot::Mutex;
+use threadledge::gateway::follow::{Follower, Update};
+use threadledge::gateway::store_health::StoreHealth;
+use threadledge_ports::{Call, Changes, Collection, Entry, Listing, StoreError};
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// What a call does.
+#[derive(Clone, Debug)]
+enum Reply {
+    List(u64),
+    Changes(u64),
+    Fail(StoreError),
+    Silence,
+}
+
+/// A collection that answers by a script and tells what it was asked.
+struct Scripted {
+    replies: Mutex<VecDeque<Reply>>,
+    asked: async_channel::Sender<String>,
+}
+
+impl Scripted {
+    fn next(&self, asked: String) -> Reply {
+        let _ = self.asked.try_send(asked);
+        self.replies.lock().pop_front().unwrap_or(Reply::Silence)
+    }
+}
+
+fn entry(revision: u64) -> Entry<u64> {
+    Entry {
+        name: "object".to_owned(),
+        revision,
+        value: Ok(revision),
+    }
+}
+
+impl Collection<u64> for Scripted {
+    fn list(&self) -> Call<'_, Result<Listing<u64>, StoreError>> {
+        let reply = self.next("list".to_owned());
+        Box::pin(async move {
+            match reply {
+                Reply::List(at) => Ok(Listing {
+                    entries: vec![entry(at)],
+                    at,
+                }),
+                Reply::Fail(error) => Err(error),
+                Reply::Changes(_) | Reply::Silence => pending().await,
+            }
+        })
+    }
+
+    fn changes(&self, after: u64, wait: Duration) -> Call<'_, Result<Changes<u64>, StoreError>> {
+        let length = if wait == WAIT { "long" } else { "short" };
+        let reply = self.next(format!("{length} watch after {after}"));
+        Box::pin(async move {
+            match reply {
+                Reply::Changes(at) => Ok(Changes {
+                    changes: vec![threadledge_ports::Change::Put(entry(at))],
+                    at,
+                }),
+                Reply::Fail(error) => Err(error),
+                Reply::List(_) | Reply::Silence => pending().await,
+            }
+        })
+    }
+}
+
+struct Following {
+    asked: async_channel::Receiver<String>,
+    told: async_channel::Receiver<Update<u64>>,
+    health: Arc<StoreHealth>,
+}
+
+fn follow(replies: impl IntoIterator<Item = Reply>) -> Following {
+    let (asked_sender, asked) = async_channel::unbounded();
+    let (told_sender, told) = async_channel::unbounded();
+    let collection = Arc::new(Scripted {
+        replies: Mutex::new(replies.into_iter().collect()),
+        asked: asked_sender,
+    });
+    let health = Arc::new(StoreHealth::default());
+    let follower = Follower::new("test", collection, health.clone(), WAIT);
+    task::spawn(follower.run(move |update| {
+        let _ = told_sender.try_send(update);
+    }));
+    Following {
+        asked,
+        told,
+        health,
+    }
+}
+
+impl Following {
+    fn asked(&self) -> String {
+        task::block_on(self.asked.recv()).expect("asked")
+    }
+
+    fn told_at(&self) -> u64 {
+        match task::block_on(self.told.recv()).expect("told") {
+            Update::Listed(listing) => listing.at,
+            Update::Changed(changes) => changes.at,
+        }
+    }
+}
+
+#[test]
+fn watch_goes_on_from_the_last_revision() {
+    let following = follow([Reply::List(3), Reply::Changes(5), Reply::Changes(8)]);
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 3");
+    assert_eq!(following.asked(), "long watch after 5");
+    assert_eq!(following.asked(), "long watch after 8");
+    assert_eq!([(); 3].map(|()| following.told_at()), [3, 5, 8]);
+}
+
+#[test]
+fn forgotten_history_is_followed_by_a_new_list() {
+    let following = follow([
+        Reply::List(3),
+        Reply::Fail(StoreError::HistoryGone),
+        Reply::List(9),
+    ]);
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 3");
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 9");
+}
+
+#[test]
+fn failed_watch_is_followed_by_a_short_one() {
+    let following = follow([
+        Reply::List(3),
+        Reply::Fail(StoreError::NoAnswer),
+        Reply::Fail(StoreError::Unreachable),
+        Reply::Changes(4),
+    ]);
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 3");
+    assert_eq!(following.asked(), "short watch after 3");
+    assert_eq!(following.asked(), "short watch after 3");
+    assert_eq!(following.asked(), "long watch after 4");
+}
+
+/// A store that fell silent forgets the watches that wait; only another call
+/// shows that it did. Without the doubt, the watch waits its 20 s out.
+#[test]
+fn watch_that_waits_is_doubted_when_another_call_fails() {
+    let following = follow([Reply::List(3), Reply::Silence, Reply::Changes(7)]);
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 3");
+    following.health.failed();
+    assert_eq!(following.asked(), "short watch after 3");
+    assert_eq!(following.asked(), "long watch after 7");
+    assert_eq!([(); 2].map(|()| following.told_at()), [3, 7]);
+}
--- /dev/null
+++ b/crates/router/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! The real program, started from the filled template, against stand-ins of
+//! the users' platform on loopback.
+
+mod follow;
+mod process;
+mod requests;
+mod settings;
+mod stop;
+mod template;
--- /dev/null
+++ b/crates/router/tests/gateway/process.rs
@@ -0,0 +1,268 @@
+//! A gateway process with its platform.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::task::block_on;
+use serde_json::{Value, json};
+use threadledge_net::HttpClient;
+use threadledge_platform_stand_in::{StandInBackEnd, StandInStore};
+
+use super::template::fill;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_threadledge");
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(10);
+pub const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A gateway, its platform and two services: `keyed` and `plain`.
+pub struct World {
+    pub store: StandInStore,
+    pub keyed: Vec<StandInBackEnd>,
+    pub plain: Vec<StandInBackEnd>,
+    pub gateway: Gateway,
+}
+
+/// One gateway process.
+pub struct Gateway {
+    process: Child,
+    settings: PathBuf,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+pub fn configuration(version: u64) -> Value {
+    json!({
+        "Version": format!("r{version}"),
+        "Routes": {
+            "keyed": {"Host": "keyed.example", "PathPrefix": "/k/", "Kind": "safe",
+                "TimeoutS": 2.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
+                "Service": "keyed"},
+            "safe": {"Host": "plain.example", "PathPrefix": "/safe/", "Kind": "safe",
+                "TimeoutS": 2.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
+                "Service": "plain"},
+            "unsafe": {"Host": "plain.example", "PathPrefix": "/unsafe/", "Kind": "unsafe",
+                "TimeoutS": 1.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
+                "Service": "plain"},
+        },
+        "Services": {
+            "keyed": {"HealthPath": "/health", "MaxConnections": 50, "Sharded": true,
+                "WarmS": 1.0, "Grants": "call"},
+            "plain": {"HealthPath": "/health", "MaxConnections": 50},
+        },
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 3,
+            "IdleTimeoutS": 15},
+    })
+}
+
+impl World {
+    /// Starts everything and waits until every key is held.
+    pub fn start() -> World {
+        let mut world = World::start_without_configuration();
+        world.store.put("config", "main", configuration(1));
+        world.gateway.await_ready();
+        world.await_held();
+        world
+    }
+
+    pub fn start_without_configuration() -> World {
+        let store = block_on(StandInStore::start()).expect("a store");
+        let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
+        let keyed = vec![start("k-1", true), start("k-2", true)];
+        let plain = vec![start("p-1", false), start("p-2", false)];
+        for back_end in &keyed {
+            store.put("servers", &back_end.id, back_end.entry("keyed", "ready"));
+        }
+        for back_end in &plain {
+            store.put("servers", &back_end.id, back_end.entry("plain", "ready"));
+        }
+        let gateway = Gateway::start(store.address());
+        World {
+            store,
+            keyed,
+            plain,
+            gateway,
+        }
+    }
+
+    /// Waits until every key that is looked at has a holder.
+    pub fn await_held(&self) {
+        eventually(|| {
+            let keys = (0..=u16::MAX).step_by(4_096);
+            let held = |key| self.keyed.iter().any(|back_end| back_end.holds(key));
+            keys.into_iter().all(held).then_some(())
+        });
+    }
+
+    /// Requests that ran anywhere, with this id.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let all = self.keyed.iter().chain(&self.plain);
+        all.flat_map(StandInBackEnd::runs)
+            .filter(|run| run.id == id)
+            .count()
+    }
+}
+
+impl Gateway {
+    pub fn start(store: SocketAddr) -> Gateway {
+        let own = own_address();
+        let address = |port| SocketAddr::from((own, port));
+        let [callers, readiness, peers, operators] = [8_081, 8_082, 8_083, 8_084].map(address);
+        let text = |value: &dyn ToString| value.to_string();
+        let values: BTreeMap<&str, String> = [
+            ("NodeName", text(&"router-1")),
+            ("Zone", text(&"zone-a")),
+            ("Listen.Front", text(&callers)),
+            ("Listen.Ready", text(&readiness)),
+            ("Ip", text(&own)),
+            ("InternalPortRange.0", text(&peers.port())),
+            ("InternalPortRange.1", text(&operators.port())),
+            ("Platform.Address", text(&store)),
+            ("Bounds.GraceS", text(&6)),
+            ("Bounds.RetryBudgetRatio", text(&0.2)),
+            ("Bounds.RetryBudgetSlack", text(&62)),
+            ("Bounds.BudgetWindowS", text(&10)),
+            ("Bounds.MaxHoldS", text(&10)),
+        ]
+        .into();
+        let name = format!("threadledge-{own}.toml");
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, fill(&values)).expect("settings written");
+        let process = Command::new(PROGRAM)
+            .args(["gateway", "--settings"])
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        Gateway {
+            process,
+            settings,
+            callers,
+            readiness,
+            operators,
+        }
+    }
+
+    /// Status of the answer on a path of the readiness address.
+    pub fn readiness(&self) -> Option<u16> {
+        let request = http::Request::get("/api/ready")
+            .body(Vec::new())
+            .expect("valid");
+        let client = HttpClient::default();
+        let answer = block_on(client.send(self.readiness, request, TIMEOUT)).ok()?;
+        Some(answer.status().as_u16())
+    }
+
+    pub fn await_ready(&mut self) {
+        eventually(|| (self.readiness() == Some(200)).then_some(()));
+    }
+
+    pub fn metrics(&self) -> String {
+        let request = http::Request::get("/metrics")
+            .body(Vec::new())
+            .expect("valid");
+        let client = HttpClient::default();
+        let answer = block_on(client.send(self.operators, request, TIMEOUT)).expect("an answer");
+        String::from_utf8(answer.into_body()).expect("text")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.process.id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for the end; the lines of the log.
+    pub fn finish(mut self) -> (ExitStatus, Vec<Value>) {
+        let status = eventually(|| self.process.try_wait().expect("waited for"));
+        let mut log = String::new();
+        if let Some(mut output) = self.process.stdout.take() {
+            std::io::Read::read_to_string(&mut output, &mut log).expect("text");
+        }
+        let lines = log
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("every line is JSON"));
+        (status, lines.collect())
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+pub fn eventually<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = attempt() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "nothing for {PATIENCE:?}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// A loopback address that no other process of this run listens on, so that
+/// its ports are free.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 | (high & 63), low, number)
+}
+
+/// One request of a caller.
+pub struct Ask<'a> {
+    pub method: &'a str,
+    pub host: &'a str,
+    pub target: &'a str,
+    pub id: &'a str,
+    pub key: Option<u16>,
+    pub body: &'a str,
+    pub deadline_ms: u64,
+}
+
+impl Default for Ask<'_> {
+    fn default() -> Self {
+        Ask {
+            method: "GET",
+            host: "plain.example",
+            target: "/safe/x",
+            id: "request-1",
+            key: None,
+            body: "",
+            deadline_ms: 5_000,
+        }
+    }
+}
+
+impl Ask<'_> {
+    pub fn send(&self, gateway: &Gateway) -> http::Response<Vec<u8>> {
+        block_on(self.sending(gateway.callers))
+    }
+
+    pub async fn sending(&self, callers: SocketAddr) -> http::Response<Vec<u8>> {
+        let mut request = http::Request::builder()
+            .method(self.method)
+            .uri(self.target)
+            .header("host", self.host)
+            .header("x-request-id", self.id)
+            .header("x-request-deadline-ms", self.deadline_ms);
+        if let Some(key) = self.key {
+            request = request.header("x-shard-key", key);
+        }
+        let request = request.body(self.body.as_bytes().to_vec()).expect("valid");
+        let client = HttpClient::default();
+        let answer = client.send(callers, request, TIMEOUT).await;
+        answer.expect("an answer")
+    }
+}
--- /dev/null
+++ b/crates/router/tests/gateway/requests.rs
@@ -0,0 +1,256 @@
+//! Requests through the real program.
+
+use threadledge_platform_stand_in::{Behaviour, Fault};
+
+use super::process::{Ask, World, configuration, eventually};
+
+fn text(answer: &http::Response<Vec<u8>>) -> String {
+    String::from_utf8_lossy(answer.body()).into_owned()
+}
+
+#[test]
+fn keyed_request_goes_to_the_one_back_end_that_holds_the_key() {
+    let world = World::start();
+    for key in [5, 40_000] {
+        let id = format!("request-{key}");
+        let ask = Ask {
+            host: "keyed.example",
+            target: "/k/x?y=1",
+            id: &id,
+            key: Some(key),
+            ..Ask::default()
+        };
+        let answer = ask.send(&world.gateway);
+        assert_eq!(answer.status(), 200, "{}", text(&answer));
+        let owner = world
+            .keyed
+            .iter()
+            .find(|each| each.holds(key))
+            .expect("held");
+        let stamp = format!("stamp-of-{}", owner.id);
+        assert_eq!(answer.headers()["x-server-stamp"], stamp.as_str());
+        assert_eq!(answer.headers()["x-request-id"], id.as_str());
+        assert_eq!(text(&answer), format!("answer to {id} from {}", owner.id));
+        assert_eq!(owner.runs()[0].target, "/k/x?y=1");
+    }
+}
+
+#[test]
+fn method_path_and_body_reach_the_back_end_unchanged_with_the_time_left() {
+    let world = World::start();
+    let ask = Ask {
+        method: "POST",
+        target: "/unsafe/a/b?c=d",
+        body: "two invitations",
+        ..Ask::default()
+    };
+    assert_eq!(ask.send(&world.gateway).status(), 200);
+    let runs: Vec<_> = world.plain.iter().flat_map(|each| each.runs()).collect();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].method, "POST");
+    assert_eq!(runs[0].target, "/unsafe/a/b?c=d");
+    assert_eq!(runs[0].body, b"two invitations");
+    let left = runs[0].time_left_ms.expect("a deadline");
+    assert!(
+        (1..=1_000).contains(&left),
+        "the route's timeout binds: {left}"
+    );
+}
+
+#[test]
+fn unknown_route_gets_404_and_missing_key_400() {
+    let world = World::start();
+    let other = Ask {
+        target: "/elsewhere/x",
+        ..Ask::default()
+    };
+    assert_eq!(other.send(&world.gateway).status(), 404);
+    let keyless = Ask {
+        host: "keyed.example",
+        target: "/k/x",
+        ..Ask::default()
+    };
+    assert_eq!(keyless.send(&world.gateway).status(), 400);
+}
+
+#[test]
+fn full_back_ends_lead_to_a_refusal_with_the_time_to_come_back() {
+    let world = World::start();
+    for back_end in &world.plain {
+        back_end.set_behaviour(Behaviour::Full);
+    }
+    let ask = Ask {
+        method: "POST",
+        target: "/unsafe/x",
+        ..Ask::default()
+    };
+    let answer = ask.send(&world.gateway);
+    assert_eq!(answer.status(), 503);
+    let wait = answer.headers()["retry-after"].to_str().expect("text");
+    assert!(wait.parse::<f64>().expect("a number") > 0.0);
+    assert_eq!(
+        world.runs_of(ask.id),
+        0,
+        "a refusal promises that nothing ran"
+    );
+}
+
+#[test]
+fn unsafe_request_without_an_answer_runs_once_and_ends_unknown() {
+    let world = World::start();
+    for back_end in &world.plain {
+        back_end.set_behaviour(Behaviour::Silent);
+    }
+    let ask = Ask {
+        method: "POST",
+        target: "/unsafe/x",
+        ..Ask::default()
+    };
+    let answer = ask.send(&world.gateway);
+    assert_eq!(answer.status(), 504);
+    assert_eq!(world.runs_of(ask.id), 1);
+}
+
+#[test]
+fn answer_of_another_request_or_without_the_mark_reaches_nobody() {
+    let world = World::start();
+    for behaviour in [Behaviour::Confused, Behaviour::Unmarked] {
+        for back_end in &world.plain {
+            back_end.set_behaviour(behaviour);
+        }
+        let ask = Ask {
+            method: "POST",
+            target: "/unsafe/x",
+            ..Ask::default()
+        };
+        let answer = ask.send(&world.gateway);
+        assert_eq!(answer.status(), 502, "{behaviour:?}");
+        assert!(answer.headers().get("x-server-stamp").is_none());
+    }
+}
+
+#[test]
+fn safe_request_that_one_back_end_fails_is_answered_by_another() {
+    let world = World::start();
+    world.plain[0].set_behaviour(Behaviour::Fails);
+    for index in 0..6 {
+        let id = format!("request-{index}");
+        let ask = Ask {
+            id: &id,
+            ..Ask::default()
+        };
+        let answer = ask.send(&world.gateway);
+        let stamp = answer.headers().get("x-server-stamp");
+        let stamp = stamp.map(|stamp| stamp.to_str().expect("text").to_owned());
+        // Its budget for repeats is small while it has seen few requests.
+        if answer.status() == 200 {
+            assert_eq!(stamp.as_deref(), Some("stamp-of-p-2"));
+        }
+    }
+    let unsafe_ask = Ask {
+        method: "POST",
+        target: "/unsafe/x",
+        id: "unsafe-1",
+        ..Ask::default()
+    };
+    unsafe_ask.send(&world.gateway);
+    assert_eq!(world.runs_of("unsafe-1"), 1);
+}
+
+#[test]
+fn draining_and_vanished_back_ends_get_nothing_new() {
+    let world = World::start();
+    let leaving = &world.plain[0];
+    world
+        .store
+        .put("servers", &leaving.id, leaving.entry("plain", "draining"));
+    eventually(|| {
+        let ask = Ask::default();
+        let answer = ask.send(&world.gateway);
+        let stamp = answer.headers()["x-server-stamp"].to_str().expect("text");
+        (stamp == "stamp-of-p-2" && leaving.runs().len() < 1_000).then_some(())
+    });
+    // The watch has told the gateway by now, or it goes on by chance: ask
+    // until the keyed service shows that a later change has arrived.
+    world.store.put("config", "main", configuration(2));
+    eventually(|| {
+        let version = "threadledge_gateway_configuration_version 2";
+        world.gateway.metrics().contains(version).then_some(())
+    });
+    let before = leaving.runs().len();
+    for index in 0..10 {
+        let id = format!("later-{index}");
+        let ask = Ask {
+            id: &id,
+            ..Ask::default()
+        };
+        assert_eq!(ask.send(&world.gateway).status(), 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
+#[test]
+fn crashed_owner_is_replaced_and_its_keys_are_served_again() {
+    let world = World::start();
+    let key = 5;
+    let owner = world.keyed.iter().position(|each| each.holds(key));
+    let owner = owner.expect("held");
+    world.keyed[owner].crash();
+    let other = &world.keyed[1 - owner];
+    eventually(|| other.holds(key).then_some(()));
+    eventually(|| {
+        let ask = Ask {
+            host: "keyed.example",
+            target: "/k/x",
+            key: Some(key),
+            ..Ask::default()
+        };
+        (ask.send(&world.gateway).status() == 200).then_some(())
+    });
+}
+
+#[test]
+fn silent_store_stops_neither_requests_nor_grants() {
+    let world = World::start();
+    world.store.set_fault(Fault::Silent);
+    let grants = || world.keyed.iter().map(|each| each.grants()).sum::<u64>();
+    let before = grants();
+    eventually(|| (grants() >= before + 6).then_some(()));
+    let ask = Ask {
+        host: "keyed.example",
+        target: "/k/x",
+        key: Some(5),
+        ..Ask::default()
+    };
+    assert_eq!(ask.send(&world.gateway).status(), 200);
+}
+
+#[test]
+fn malformed_configuration_leaves_the_last_one_in_force() {
+    let world = World::start();
+    world
+        .store
+        .put("config", "main", serde_json::json!({"Version": "later"}));
+    world.store.put("servers", "p-3", serde_json::json!({}));
+    let ask = Ask::default();
+    assert_eq!(ask.send(&world.gateway).status(), 200);
+    world.store.put("config", "main", configuration(3));
+    eventually(|| {
+        let version = "threadledge_gateway_configuration_version 3";
+        world.gateway.metrics().contains(version).then_some(())
+    });
+}
+
+#[test]
+fn older_configuration_never_follows_a_later_one() {
+    let world = World::start();
+    world.store.put("config", "main", configuration(9));
+    let shows = |version: &str| world.gateway.metrics().contains(version).then_some(());
+    eventually(|| shows("configuration_version 9"));
+    world.store.put("config", "main", configuration(4));
+    world
+        .store
+        .put("servers", "p-9", world.plain[0].entry("plain", "draining"));
+    eventually(|| shows("threadledge_gateway_back_ends 5"));
+    assert!(shows("configuration_version 9").is_some());
+}
--- /dev/null
+++ b/crates/router/tests/gateway/settings.rs
@@ -0,0 +1,75 @@
+//! Settings of a gateway: what is refused, and with which remedy.
+
+use std::process::Command;
+
+use threadledge::gateway::GatewaySettings;
+
+use super::process::PROGRAM;
+
+const SOUND: &str = r#"
+machine = "router-1"
+zone = "zone-a"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[platform]
+store = "127.0.0.1:3"
+"#;
+
+fn refused(addition: &str) -> String {
+    let text = format!("{SOUND}{addition}");
+    let settings: Result<GatewaySettings, _> = toml::from_str(&text);
+    match settings {
+        Ok(settings) => match settings.check() {
+            Ok(()) => String::new(),
+            Err(fault) => fault.to_string(),
+        },
+        Err(error) => error.to_string(),
+    }
+}
+
+#[test]
+fn defaults_are_sound() {
+    assert_eq!(refused(""), "");
+}
+
+#[test]
+fn unknown_fields_and_bad_values_are_named() {
+    assert!(refused("colour = 1").contains("colour"));
+    assert!(refused("[bounds]\ngrace-s = 0").contains("bounds.grace-s is 0"));
+    assert!(refused("[bounds]\ngrace-s = nan").contains("bounds.grace-s"));
+    assert!(refused("[retry-budget]\nratio = -1.0").contains("retry-budget.ratio"));
+    assert!(refused("[bounds]\ngrace-s = 2").contains("bounds.leave-s"));
+}
+
+#[test]
+fn durations_that_contradict_each_other_are_refused() {
+    let hold = refused("[ownership]\nmax-hold-s = 2");
+    assert!(hold.contains("ownership.hold-s is 3"), "{hold}");
+    let renewal = refused("[ownership]\ngrant-renewal-s = 3");
+    assert!(renewal.contains("grant-renewal-s must stay below ownership.hold-s"));
+    let lease = refused("[ownership]\nlease-renewal-s = 2");
+    assert!(lease.contains("takeover-after-s"), "{lease}");
+}
+
+#[test]
+fn program_ends_with_the_place_and_the_remedy() {
+    let path = std::env::temp_dir().join(format!("threadledge-bad-{}.toml", std::process::id()));
+    std::fs::write(&path, "machine = 7").expect("written");
+    let output = Command::new(PROGRAM)
+        .args(["gateway", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the program starts");
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(message.contains("machine"), "{message}");
+    let missing = Command::new(PROGRAM)
+        .args(["gateway", "--settings", "/nowhere/settings.toml"])
+        .output()
+        .expect("the program starts");
+    assert_eq!(missing.status.code(), Some(2));
+    let message = String::from_utf8_lossy(&missing.stderr).into_owned();
+    assert!(message.contains("name a file that exists"), "{message}");
+}
--- /dev/null
+++ b/crates/router/tests/gateway/stop.rs
@@ -0,0 +1,109 @@
+//! Readiness and the planned stop of the real program.
+
+use async_std::task;
+use threadledge_platform_stand_in::Behaviour;
+
+use super::process::{Ask, World, configuration, eventually};
+
+fn numbers(log: &[serde_json::Value]) -> Vec<u64> {
+    log.iter()
+        .filter_map(|line| line["event"].as_u64())
+        .collect()
+}
+
+#[test]
+fn gateway_without_configuration_refuses_and_is_not_ready() {
+    let mut world = World::start_without_configuration();
+    eventually(|| world.gateway.readiness());
+    assert_eq!(world.gateway.readiness(), Some(503));
+    let answer = Ask::default().send(&world.gateway);
+    assert_eq!(answer.status(), 503);
+    world.store.put("config", "main", configuration(1));
+    world.gateway.await_ready();
+}
+
+#[test]
+fn planned_stop_leaves_first_then_answers_what_runs_and_ends() {
+    let world = World::start();
+    for back_end in &world.plain {
+        back_end.set_behaviour(Behaviour::Silent);
+    }
+    let callers = world.gateway.callers;
+    let running = task::spawn(async move {
+        let ask = Ask {
+            method: "POST",
+            target: "/unsafe/x",
+            ..Ask::default()
+        };
+        ask.sending(callers).await
+    });
+    eventually(|| (world.runs_of("request-1") == 1).then_some(()));
+    world.gateway.signal("-TERM");
+    eventually(|| (world.gateway.readiness() == Some(503)).then_some(()));
+    let late = Ask {
+        host: "keyed.example",
+        target: "/k/x",
+        id: "late",
+        key: Some(5),
+        ..Ask::default()
+    };
+    let answer = late.send(&world.gateway);
+    assert_eq!(
+        answer.status(),
+        200,
+        "connections that still come are served"
+    );
+    assert_eq!(answer.headers()["connection"], "close");
+    let cut = task::block_on(running);
+    assert_eq!(
+        cut.status(),
+        504,
+        "the route's timeout ends it, not the stop"
+    );
+    let (status, log) = world.gateway.finish();
+    assert_eq!(status.code(), Some(0));
+    let numbers = numbers(&log);
+    for wanted in [101, 102, 103, 106, 107, 310] {
+        assert!(numbers.contains(&wanted), "{wanted} not in {numbers:?}");
+    }
+    let lease = world
+        .store
+        .get("threadledge-leases", "keyed")
+        .expect("a lease");
+    assert!(
+        lease["holder"].is_null(),
+        "the office was handed back: {lease}"
+    );
+}
+
+#[test]
+fn hangup_signal_ends_nothing() {
+    let world = World::start();
+    world.gateway.signal("-HUP");
+    assert_eq!(Ask::default().send(&world.gateway).status(), 200);
+    world.gateway.signal("-TERM");
+    let (status, log) = world.gateway.finish();
+    assert_eq!(status.code(), Some(0));
+    assert!(numbers(&log).contains(&110));
+}
+
+#[test]
+fn failed_request_is_in_the_log_with_its_attempts() {
+    let world = World::start();
+    for back_end in &world.plain {
+        back_end.set_behaviour(Behaviour::Full);
+    }
+    let ask = Ask {
+        id: "wanted",
+        ..Ask::default()
+    };
+    assert_eq!(ask.send(&world.gateway).status(), 503);
+    world.gateway.signal("-TERM");
+    let (_, log) = world.gateway.finish();
+    let line = log.iter().find(|line| line["request"] == "wanted");
+    let line = line.expect("the request's line");
+    assert_eq!(line["status"], 503);
+    assert_eq!(line["service"], "plain");
+    let attempts = line["attempts"].as_str().expect("text");
+    assert!(attempts.contains("not run (Busy)"), "{line}");
+}
--- a/crates/router/tests/process.rs
+++ b/crates/router/tests/process.rs
@@ -1,7 +1,8 @@
 //! The program as a process: exit codes, readiness and planned stops.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -22,7 +23,7 @@
 impl Router {
     /// Starts a router that reaches neither platform nor other routers.
     fn start() -> Router {
-        let [caller, peer, operator, platform] = free_addresses();
+        let [caller, peer, operator, platform] = own_addresses();
         let process = Command::new(PROGRAM)
             .arg("router")
             .args(["--machine", "router-1"])
@@ -94,9 +95,14 @@
     }
 }
 
-fn free_addresses() -> [SocketAddr; 4] {
-    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("bound"))
+/// Addresses on a loopback address that no other process of this run listens
+/// on, so that the ports are free.
+fn own_addresses() -> [SocketAddr; 4] {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let own = Ipv4Addr::new(127, 64 | (high & 63), low, number);
+    [8_081, 8_082, 8_083, 8_084].map(|port| SocketAddr::from((own, port)))
 }
 
 fn run(arguments: &[&str]) -> Output {
