--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -43,7 +43,7 @@
     fn default() -> Self {
         Settings {
             zone: ZoneName::default(),
-            zone_penalty: 0.3,
+            zone_penalty: 0.6,
             patience: 0.22,
             moving_patience: 0.7,
             back_end_queue: 5,
