Let a stopping coordinator wait for its orders without spinning

It coordinates and has an order in flight; the ownership core asks to be woken in the past while it is not polled any more, and its task never gives the only thread back, so that the order's answer is never read, until the lease runs out.

Ruled out, tried and reverted: signals interrupting the reactor's system calls.

Change: a stopping coordinator is not woken for orders; the shell never waits for less than a millisecond.

Tests: the simulation checks at each step that nobody is to be woken at once with nothing to do, a named test stops a coordinator with orders in flight, and the random schedules stop coordinators; both failed first.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -97,9 +97,7 @@
     /// When to call [`Coordinator::poll`] next, at the latest.
     pub fn next_wake(&self, now: Timestamp) -> Timestamp {
         let election = self.election.next_wake();
-        let ownership = self
-            .election
-            .may_act(now)
+        let ownership = (self.election.may_act(now) && !self.stopping)
             .then(|| self.ownership.next_wake(now))
             .flatten();
         let longest = now + LONGEST_SLEEP;
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -175,6 +175,23 @@
     assert!(world.coordinator().is_some_and(|next| next != coordinator));
 }
 
+/// The world checks at each step that a coordinator never asks to be woken at
+/// once without anything to do: its shell would spin, and the answer that it
+/// waits for would never be read.
+#[test]
+fn planned_stop_waits_for_orders_without_spinning() {
+    let mut world = settled(15);
+    world.chances = Chances {
+        order_lost: 1_000,
+        ..Chances::default()
+    };
+    world.run(Duration::from_millis(900));
+    let coordinator = world.coordinator().expect("one coordinates");
+    world.nodes[coordinator].coordinator.stop();
+    world.run(SECOND);
+    assert!(world.nodes[coordinator].coordinator.stopped());
+}
+
 #[test]
 fn orders_carried_out_late_change_no_owner() {
     let mut world = settled(13);
--- a/crates/coordination/tests/simulation/schedules.rs
+++ b/crates/coordination/tests/simulation/schedules.rs
@@ -67,7 +67,7 @@
     let index = target.unwrap_or(index);
     let time = Duration::from_millis(200 + u64::from(world.random(7_000)));
     let until = world.now + time;
-    match world.random(12) {
+    match world.random(13) {
         0 => world.nodes[index].up = false,
         1 => world.start_node(index),
         2 => world.nodes[index].frozen_until = until,
@@ -90,13 +90,15 @@
         8 => restart_all(world),
         9 => replace_back_end(world),
         10 => drain_back_end(world),
+        11 => world.nodes[index].coordinator.stop(),
         _ => cut_back_end(world, until),
     }
 }
 
 fn restart_all(world: &mut World) {
     for index in 0..world.nodes.len() {
-        if !world.nodes[index].up {
+        let stopped = world.nodes[index].coordinator.stopped();
+        if !world.nodes[index].up || stopped {
             world.start_node(index);
         }
     }
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -278,6 +278,11 @@
             return;
         }
         let actions = node.coordinator.poll(now);
+        // A shell that waits for the next wake must not spin.
+        let again = node.coordinator.poll(now);
+        assert!(again.is_empty(), "more to do at once: {again:?}");
+        let wake = node.coordinator.next_wake(now);
+        assert!(wake > now, "it wakes at {wake:?} and it is {now:?}");
         for notice in node.coordinator.take_notices() {
             self.told.push(format!("{now:?} node {index}: {notice:?}"));
             if matches!(notice, threadledge_coordination::Notice::Assigned { .. }) {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -56,7 +56,8 @@
 }
 
 impl NotNow {
-    fn new(reason: RefusalReason, retry_after: Duration) -> Choice {
+    /// Nothing now, and no owner on its way.
+    fn settled(reason: RefusalReason, retry_after: Duration) -> Choice {
         Choice::NotNow(NotNow {
             reason,
             retry_after,
@@ -84,7 +85,7 @@
     }
 
     fn owner(&self, exchange: &Exchange, key: ShardKey, bound: Bound) -> Choice {
-        let no_owner = NotNow::new(RefusalReason::NoOwner, OWNER_RETRY_AFTER);
+        let no_owner = NotNow::settled(RefusalReason::NoOwner, OWNER_RETRY_AFTER);
         let Some((KeyOwner::Owned(name), fence)) = self.ownership.map(|view| view.owner(key))
         else {
             return no_owner;
@@ -137,7 +138,7 @@
         });
         match soonest {
             Some(known) => self.overloaded(known, exchange, &usual),
-            None => NotNow::new(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER),
+            None => NotNow::settled(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER),
         }
     }
 
@@ -189,6 +190,6 @@
         let excess = known.expected_s(self.now, usual) - target;
         let wait = Duration::from_secs_f64(excess.clamp(0.0, 10.0));
         let wait = wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER);
-        NotNow::new(RefusalReason::Overloaded, wait)
+        NotNow::settled(RefusalReason::Overloaded, wait)
     }
 }
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -22,6 +22,8 @@
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
+/// Shortest wait for the next event.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Time between two reports of load.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -146,6 +148,8 @@
                 .min();
             let received = match wake {
                 Some(wake) => {
+                    // Never at once: other tasks share the thread.
+                    let wake = wake.max(now + SHORTEST_WAIT);
                     let deadline = self.clock.instant(wake);
                     timer::timeout_at(deadline, self.receiver.recv()).await.ok()
                 }
