Divide the large modules of dispatch and coordination; share what is replayed

Change: dispatcher/{steps,attempts,ending,waiting}.rs, ownership/{store,moves, orders}.rs, proxy/replay.rs. No change of behaviour.

--- /dev/null
+++ b/crates/coordination/src/ownership/moves.rs
@@ -0,0 +1,129 @@
+//! Keys that are taken back from their owners, and the record that follows.
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::KeyRange;
+
+use super::draft::{Draft, candidates, held, release_reason};
+use super::tracked::Tracked;
+use super::{BALANCING_PAUSE, Ownership};
+use crate::action::{Notice, ReleaseReason};
+use crate::order::HandoverToken;
+use crate::plan;
+use crate::record::{Fence, OwnershipRecord};
+
+impl Ownership {
+    /// Begins to take keys back from owners that may not keep them, and from
+    /// those with too many. `fence` is above that of every grant.
+    pub(super) fn take_back(&mut self, now: Timestamp, fence: Fence) {
+        for tracked in &mut self.tracked {
+            let Some(owner) = tracked.owner().cloned() else {
+                continue;
+            };
+            if tracked.releasing.is_some() {
+                continue;
+            }
+            if let Some(reason) = self.holders.ineligible(&owner.name, now) {
+                tracked.release(now, fence);
+                self.notices.push(Notice::ReleaseStarted {
+                    range: tracked.slice.range,
+                    owner: owner.name,
+                    fence,
+                    reason: release_reason(reason),
+                });
+            }
+        }
+        self.start_balancing(now, fence);
+    }
+
+    /// Takes keys from those with too many, when nothing else is under way.
+    pub(super) fn start_balancing(&mut self, now: Timestamp, fence: Fence) {
+        let settled = |tracked: &Tracked| tracked.releasing.is_none() && tracked.owner().is_some();
+        if now < self.next_balancing || !self.tracked.iter().all(settled) {
+            return;
+        }
+        self.next_balancing = now + BALANCING_PAUSE;
+        self.load.notice_sudden_changes();
+        let candidates = candidates(now, &self.holders, &self.load);
+        let held = held(self.tracked.iter().map(|tracked| &tracked.slice));
+        for range in plan::rebalance(&held, &candidates, &self.load.measure()) {
+            self.release_piece(now, range, fence);
+        }
+    }
+
+    pub(super) fn release_piece(&mut self, now: Timestamp, range: KeyRange, fence: Fence) {
+        let within = |tracked: &Tracked| tracked.slice.range.contains(range.first);
+        let Some(index) = self.tracked.iter().position(within) else {
+            return;
+        };
+        let pieces = self.tracked[index].clone().cut(range);
+        self.tracked.splice(index..=index, pieces);
+        let Some(piece) = self
+            .tracked
+            .iter_mut()
+            .find(|tracked| tracked.slice.range == range)
+        else {
+            return;
+        };
+        piece.release(now, fence);
+        if let Some(owner) = piece.owner() {
+            self.notices.push(Notice::ReleaseStarted {
+                range,
+                owner: owner.name.clone(),
+                fence,
+                reason: ReleaseReason::Balance,
+            });
+        }
+    }
+
+    /// The record as it should be.
+    pub(super) fn next_record(
+        &mut self,
+        now: Timestamp,
+        current: &OwnershipRecord,
+    ) -> OwnershipRecord {
+        let draft = Draft {
+            now,
+            holders: &self.holders,
+            load: &self.load,
+            tracked: &self.tracked,
+            gathered: self.gathered(now).is_none(),
+            released: (0..self.tracked.len())
+                .map(|index| self.released(now, index))
+                .collect(),
+        };
+        let drafted = draft.make(current);
+        self.notices.extend(drafted.notices);
+        drafted.record
+    }
+
+    /// Whether a slice's owner has given it back; with the token, if any.
+    pub(super) fn released(&self, now: Timestamp, index: usize) -> Option<Option<HandoverToken>> {
+        let tracked = self.tracked.get(index)?;
+        if let Some(handover) = &tracked.released {
+            return Some(handover.clone());
+        }
+        let over = self.release_over(tracked)?;
+        (now >= over).then_some(None)
+    }
+
+    /// When the owner of a slice that is being released holds it no longer
+    /// even if it never answers.
+    pub(super) fn release_over(&self, tracked: &Tracked) -> Option<Timestamp> {
+        tracked.releasing?;
+        let owner = tracked.owner()?;
+        if self.holders.superseded(owner) {
+            return Some(Timestamp::ZERO);
+        }
+        let own = self
+            .settings
+            .hold_over(tracked.possible_arrival, self.settings.hold);
+        let earlier = match self.predecessor {
+            Some(predecessor) if !tracked.fenced_here => {
+                let orders_end = predecessor.orders_end + self.settings.order_timeout;
+                self.settings.hold_over(orders_end, predecessor.hold)
+            }
+            _ => Timestamp::ZERO,
+        };
+        Some(own.max(earlier))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/orders.rs
@@ -0,0 +1,74 @@
+//! Orders to back ends, and their answers.
+
+use threadledge_types::Timestamp;
+
+use super::{Ownership, Phase};
+use crate::action::{Action, Notice};
+use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
+
+impl Ownership {
+    pub(super) fn orders(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        if !matches!(self.phase, Phase::Active { .. }) {
+            return;
+        }
+        for tracked in &mut self.tracked {
+            if tracked.in_flight.is_some() || now < tracked.next_order {
+                continue;
+            }
+            let Some(kind) = tracked.order_kind(&self.settings) else {
+                continue;
+            };
+            let Some(owner) = tracked.owner().cloned() else {
+                continue;
+            };
+            self.next_order += 1;
+            let id = OrderId(self.next_order);
+            let timeout = match &kind {
+                OrderKind::Grant(_) => self.settings.order_timeout,
+                OrderKind::Release => self.settings.release_timeout,
+            };
+            tracked.sent(now, id, &kind, timeout);
+            actions.push(Action::Send(Order {
+                id,
+                to: owner,
+                range: tracked.slice.range,
+                fence: tracked.order_fence(),
+                kind,
+                timeout,
+            }));
+        }
+    }
+
+    /// An order was answered, or was not.
+    pub fn on_order(
+        &mut self,
+        now: Timestamp,
+        order: &Order,
+        result: Result<OrderReply, OrderFault>,
+    ) {
+        match &result {
+            Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
+                self.holders.on_malformed(&order.to.name);
+            }
+            Ok(_) => self.holders.on_answer(&order.to.name),
+            Err(fault) => {
+                if self.holders.on_fault(now, &order.to.name, *fault) {
+                    let owner = order.to.name.clone();
+                    self.notices.push(Notice::HolderLost { owner });
+                }
+            }
+        }
+        if result == Ok(OrderReply::Fenced) {
+            self.notices.push(Notice::OrderFenced {
+                owner: order.to.name.clone(),
+                range: order.range,
+                fence: order.fence,
+            });
+        }
+        for tracked in &mut self.tracked {
+            if tracked.in_flight == Some(order.id) {
+                tracked.ended(now, &result, &self.settings);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/ownership/store.rs
@@ -0,0 +1,171 @@
+//! The record between this coordinator and the store.
+
+use threadledge_types::Timestamp;
+
+use super::draft::mended;
+use super::tracked::retrack;
+use super::{Ownership, Phase, ReadConsequence};
+use crate::action::{Action, Condition, Notice, ReadResult, Versioned, WriteResult};
+use crate::record::OwnershipRecord;
+
+impl Ownership {
+    /// The record was read, or could not be.
+    pub fn on_read(
+        &mut self,
+        now: Timestamp,
+        result: ReadResult<OwnershipRecord>,
+    ) -> ReadConsequence {
+        self.busy = false;
+        let found = match result {
+            ReadResult::Failed => {
+                self.next_store_call = now + self.settings.retry_pause;
+                return ReadConsequence::None;
+            }
+            ReadResult::Found(found) => found,
+        };
+        match self.phase {
+            Phase::Idle => ReadConsequence::None,
+            Phase::Reading | Phase::Adopting => self.adopt(now, found),
+            Phase::Active { .. } => {
+                if self.on_conflict(now, found) {
+                    return ReadConsequence::Overtaken;
+                }
+                ReadConsequence::None
+            }
+        }
+    }
+
+    /// Writes the record for the first time in this term: every owner stays,
+    /// under a higher fence, so that the earlier coordinator's orders are
+    /// refused from the owner's answer on.
+    pub(super) fn adopt(
+        &mut self,
+        now: Timestamp,
+        found: Option<Versioned<OwnershipRecord>>,
+    ) -> ReadConsequence {
+        let Some(found) = found else {
+            self.phase = Phase::Adopting;
+            self.busy = true;
+            let record = OwnershipRecord::empty(self.term);
+            let write = Action::WriteRecord(record, Condition::Absent);
+            return ReadConsequence::Call(Box::new(write));
+        };
+        if found.value.term == self.term {
+            // Written by this node already; the answer was lost.
+            self.take_own(now, found);
+            return ReadConsequence::None;
+        }
+        if found.value.term > self.term {
+            self.end_term();
+            return ReadConsequence::Overtaken;
+        }
+        let mut record = found.value;
+        if record.check().is_err() {
+            self.notices.push(Notice::RecordBroken);
+            record = mended(&record);
+        }
+        record.term = self.term;
+        for index in 0..record.slices.len() {
+            let fence = record.take_fence();
+            record.slices[index].fence = fence;
+        }
+        self.phase = Phase::Adopting;
+        self.busy = true;
+        let write = Action::WriteRecord(record, Condition::Revision(found.revision));
+        ReadConsequence::Call(Box::new(write))
+    }
+
+    /// A write of the record was answered, or was not. Says whether another
+    /// node has overtaken this one.
+    pub fn on_write(
+        &mut self,
+        now: Timestamp,
+        attempted: OwnershipRecord,
+        result: WriteResult<OwnershipRecord>,
+    ) -> bool {
+        self.busy = false;
+        if matches!(self.phase, Phase::Idle) {
+            return false;
+        }
+        match result {
+            WriteResult::Accepted(revision) => {
+                let value = attempted;
+                self.take_own(now, Versioned { value, revision });
+                false
+            }
+            WriteResult::Conflict(found) => self.on_conflict(now, found),
+            WriteResult::NotDone => {
+                self.next_store_call = now + self.settings.retry_pause;
+                false
+            }
+            WriteResult::Unknown => {
+                // Reads back before anything else: what the store holds
+                // decides, and a write that still takes effect later meets
+                // the condition of the next one.
+                self.next_store_call = now + self.settings.retry_pause;
+                self.read_back = true;
+                false
+            }
+        }
+    }
+
+    pub(super) fn on_conflict(
+        &mut self,
+        now: Timestamp,
+        found: Option<Versioned<OwnershipRecord>>,
+    ) -> bool {
+        let Some(found) = found else {
+            self.phase = Phase::Reading;
+            self.next_store_call = now;
+            return false;
+        };
+        if found.value.term > self.term {
+            self.end_term();
+            return true;
+        }
+        if found.value.term == self.term {
+            self.take_own(now, found);
+        } else {
+            // The earlier coordinator wrote in between.
+            self.phase = Phase::Reading;
+            self.next_store_call = now;
+        }
+        false
+    }
+
+    /// The record changed in the store, as a watch tells.
+    pub fn on_observed(&mut self, now: Timestamp, found: Versioned<OwnershipRecord>) -> bool {
+        match &self.phase {
+            Phase::Active { revision, .. } if found.revision > *revision => {
+                if found.value.term > self.term {
+                    self.end_term();
+                    return true;
+                }
+                if !self.busy && found.value.term == self.term {
+                    self.take_own(now, found);
+                }
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Works on from a record of this term that is in the store.
+    pub(super) fn take_own(&mut self, now: Timestamp, found: Versioned<OwnershipRecord>) {
+        let first_of_term = !matches!(self.phase, Phase::Active { .. }) && self.tracked.is_empty();
+        if first_of_term {
+            self.notices.push(Notice::RecordAdopted {
+                term: self.term,
+                slices: found.value.slices.len(),
+            });
+        }
+        let earlier = std::mem::take(&mut self.tracked);
+        self.tracked = retrack(now, earlier, &found.value.slices);
+        self.phase = Phase::Active {
+            record: found.value,
+            revision: found.revision,
+        };
+        self.read_back = false;
+        self.next_store_call = now;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -0,0 +1,167 @@
+//! What to do for an exchange next.
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEndName, ServiceName};
+
+use super::Dispatcher;
+use crate::choice::{Bound, Choice, Chooser, NotNow};
+use crate::exchange::InFlight;
+use crate::outcome::RefusalReason;
+use crate::request::{Attempt, AttemptId, ExchangeId, Step};
+
+impl Dispatcher {
+    /// What to do for an exchange now.
+    pub fn next(&mut self, now: Timestamp, id: ExchangeId) -> Step {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            return Step::Over;
+        };
+        if now >= exchange.deadline {
+            return self.finish_late(now, id);
+        }
+        if exchange.in_flight.is_empty() {
+            return self.next_without_attempt(now, id);
+        }
+        let hedge_at = exchange.hedge_at(self.settings.hedge_after);
+        let deadline = exchange.deadline;
+        match hedge_at {
+            Some(at) if at <= now => match self.hedge(now, id) {
+                Some(attempt) => Step::Send(attempt),
+                None => Step::Wait(deadline),
+            },
+            Some(at) => Step::Wait(at.min(deadline)),
+            None => Step::Wait(deadline),
+        }
+    }
+
+    pub(super) fn next_without_attempt(&mut self, now: Timestamp, id: ExchangeId) -> Step {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            return Step::Over;
+        };
+        if exchange.sent > 0 && !exchange.may_repeat() {
+            return self.finish(now, id, RefusalReason::Rejected, None);
+        }
+        let late = now >= exchange.patience_until;
+        let bound = if late { Bound::Deadline } else { Bound::Target };
+        match self.choose(now, id, bound) {
+            Some(Choice::Take(back_end)) => self.send_or_finish(now, id, back_end),
+            Some(Choice::NotNow(not_now)) => self.wait_or_finish(now, id, &not_now),
+            None => Step::Over,
+        }
+    }
+
+    pub(super) fn wait_or_finish(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        not_now: &NotNow,
+    ) -> Step {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            return Step::Over;
+        };
+        let mut patience_until = exchange.patience_until;
+        if not_now.moving_until.is_some() {
+            let target = exchange.route.target_latency;
+            let longer = exchange.started + target.mul_f64(self.settings.moving_patience);
+            patience_until = patience_until.max(longer.min(exchange.deadline));
+        }
+        if now >= patience_until {
+            return self.finish(now, id, not_now.reason, Some(not_now.retry_after));
+        }
+        let until = match not_now.moving_until {
+            Some(until) => until.min(patience_until),
+            None => patience_until,
+        };
+        self.wait(id);
+        Step::Wait(until)
+    }
+
+    pub(super) fn send_or_finish(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        back_end: BackEndName,
+    ) -> Step {
+        match self.start_attempt(now, id, &back_end) {
+            Some(attempt) => Step::Send(attempt),
+            None => self.finish(now, id, RefusalReason::Rejected, None),
+        }
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        bound: Bound,
+    ) -> Option<Choice> {
+        let exchange = self.exchanges.get(&id)?;
+        let mut chooser = Chooser {
+            settings: &self.settings,
+            back_ends: &self.back_ends,
+            ownership: self.ownership.get(&exchange.service),
+            not_held: &self.not_held,
+            random: &mut self.random,
+            now,
+        };
+        Some(chooser.choose(exchange, bound))
+    }
+
+    pub(super) fn hedge(&mut self, now: Timestamp, id: ExchangeId) -> Option<Attempt> {
+        self.exchanges.get_mut(&id)?.hedged = true;
+        let Some(Choice::Take(back_end)) = self.choose(now, id, Bound::Deadline) else {
+            return None;
+        };
+        let attempt = self.start_attempt(now, id, &back_end)?;
+        self.counters.hedges += 1;
+        Some(attempt)
+    }
+
+    /// Begins an attempt, unless the retry budget does not allow it.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        back_end: &BackEndName,
+    ) -> Option<Attempt> {
+        self.stop_waiting(id);
+        let exchange = self.exchanges.get(&id)?;
+        let service = exchange.service.clone();
+        let repeat = exchange.arrived > 0 || !exchange.in_flight.is_empty();
+        if repeat && !self.budget(&service).take(now) {
+            self.counters.repeats_denied += 1;
+            return None;
+        }
+        let usual = self.back_ends.usual(now, &service);
+        let limit = self.connection_limit(&service);
+        let exchange = self.exchanges.get_mut(&id)?;
+        let known = self.back_ends.get_mut(back_end)?;
+        exchange.next_attempt += 1;
+        let attempt = AttemptId(exchange.next_attempt);
+        let in_flight = InFlight {
+            back_end: back_end.clone(),
+            chosen_at: now,
+            crowding: known.crowding(now, &usual),
+            sent: false,
+            budgeted: repeat,
+        };
+        exchange.in_flight.insert(attempt, in_flight);
+        known.in_flight.insert((id, attempt), now);
+        self.counters.attempts += 1;
+        Some(Attempt {
+            id: attempt,
+            back_end: back_end.clone(),
+            address: known.back_end.address,
+            connection_limit: limit,
+            deadline: exchange.deadline,
+        })
+    }
+
+    pub(super) fn connection_limit(&self, service: &ServiceName) -> usize {
+        let own = self.settings.connections_per_back_end;
+        let theirs = self
+            .configuration
+            .as_ref()
+            .and_then(|configuration| configuration.services.get(service))
+            .map_or(own, |service| service.max_connections);
+        own.min(theirs).max(1) as usize
+    }
+}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::headers::CONTENT_LENGTH;
-use http_types::{Body, Method, Request, Response};
-use parking_lot::Mutex;
+use http_types::{Body, Method, Response};
 use threadledge_dispatch::{Attempt, AttemptEnd, ExchangeId, Fault};
 use threadledge_net::message::Message;
 use threadledge_net::{ExchangeError, ExchangeFault, Pool, Stage};
@@ -13,9 +11,10 @@
 
 use super::dispatch::Dispatch;
 use crate::proxy::answer::{AnswerBody, read_ahead, read_over};
-use crate::proxy::budget::{Budget, Held};
+use crate::proxy::budget::Budget;
 use crate::proxy::headers;
-use crate::proxy::inbound::{Inbound, RequestBody};
+use crate::proxy::inbound::Inbound;
+use crate::proxy::replay::Replay;
 
 /// Bodies of answers up to this size are read before any of the answer is
 /// passed on, in bytes: one cut short then becomes another attempt.
@@ -49,59 +48,23 @@
     }
 }
 
-/// What every attempt of one exchange sends.
+/// What every attempt of one exchange sends, and the id of its answer.
 #[derive(Debug)]
 pub(super) struct Outbound {
-    template: Request,
+    replay: Replay,
     request_id: Option<String>,
-    body: OutboundBody,
-}
-
-#[derive(Debug)]
-enum OutboundBody {
-    Whole(Held),
-    /// Taken by the attempt that sends it. Invariant: a body that streams is
-    /// sent at most once.
-    Once(Mutex<Option<Body>>),
 }
 
 impl Outbound {
     pub(super) fn new(inbound: Inbound, request_id: Option<String>) -> Self {
-        let mut template = inbound.request;
-        headers::strip(&mut template);
-        template.remove_header(CONTENT_LENGTH);
-        let body = match inbound.body {
-            RequestBody::Whole(held) => OutboundBody::Whole(held),
-            RequestBody::Streamed(body) => OutboundBody::Once(Mutex::new(Some(body))),
-        };
         Outbound {
-            template,
+            replay: Replay::new(inbound),
             request_id,
-            body,
         }
     }
 
     pub(super) fn replayable(&self) -> bool {
-        matches!(self.body, OutboundBody::Whole(_))
-    }
-
-    fn method(&self) -> Method {
-        self.template.method()
-    }
-
-    /// The request of one attempt; `None` when its body is gone.
-    fn request(&self) -> Option<Request> {
-        let mut request = self.template.clone();
-        match &self.body {
-            OutboundBody::Whole(held) if held.bytes().is_empty() => {}
-            OutboundBody::Whole(held) => {
-                request.replace_body_only(Body::from_bytes(held.bytes().to_vec()));
-            }
-            OutboundBody::Once(body) => {
-                request.replace_body_only(body.lock().take()?);
-            }
-        }
-        Some(request)
+        self.replay.is_held()
     }
 }
 
@@ -127,7 +90,7 @@
         let Some(now) = self.dispatch.may_send(exchange, attempt.id) else {
             return Ended::without_answer(AttemptEnd::Abandoned);
         };
-        let Some(mut request) = outbound.request() else {
+        let Some(mut request) = outbound.replay.request() else {
             return Ended::failed(Fault::NothingSent);
         };
         let time_left = attempt.deadline.since(now).max(Duration::from_millis(1));
@@ -160,7 +123,10 @@
         }
         let body = response.take_body_only();
         headers::strip(&mut response);
-        let body = match self.read_body(outbound.method(), &response, body).await {
+        let body = match self
+            .read_body(outbound.replay.method(), &response, body)
+            .await
+        {
             Ok(body) => body,
             Err(_) => return Ended::failed(Fault::BadAnswer),
         };
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod observe;
 mod outbound;
+pub(crate) mod replay;
 mod settings;
 pub(crate) mod stream;
 
