Trace a request through the logs of all gateways; check gateways' settings

Cause: from the id of a failed request, on call searched several logs by hand for the last owner of its key, the back ends asked and the store.

--- a/crates/router/src/check.rs
+++ b/crates/router/src/check.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use threadledge_types::validation;
 
+use crate::gateway::GatewaySettings;
 use crate::settings::{self, SettingsProblem};
 
 /// One problem and where it stands.
@@ -29,6 +30,9 @@
     /// In a settings file.
     #[error(transparent)]
     Settings(SettingsProblem),
+    /// In the settings of a gateway.
+    #[error("{0}")]
+    Gateway(String),
     /// In an object.
     #[error(transparent)]
     Object(validation::Problem),
@@ -59,6 +63,7 @@
     let mut problems = Vec::new();
     for file in files {
         match ending(file) {
+            "toml" if is_for_gateway(file) => problems.extend(check_gateway(file)),
             "toml" => problems.extend(check_settings(file)),
             "json" | "yaml" | "yml" => problems.extend(objects.add(file)),
             _ => problems.push(CheckProblem {
@@ -85,3 +90,18 @@
             kind: CheckProblemKind::Settings(problem.kind),
         })
 }
+
+/// Settings of a gateway say where to listen in a table of their own.
+fn is_for_gateway(file: &Path) -> bool {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let table: Option<toml::Table> = text.parse().ok();
+    table.is_some_and(|table| table.contains_key("listen"))
+}
+
+fn check_gateway(file: &Path) -> Option<CheckProblem> {
+    let fault = GatewaySettings::read(file).err()?;
+    Some(CheckProblem {
+        place: file.display().to_string(),
+        kind: CheckProblemKind::Gateway(fault.to_string()),
+    })
+}
--- a/crates/router/src/cli/commands.rs
+++ b/crates/router/src/cli/commands.rs
@@ -11,7 +11,7 @@
 use super::{Command, FAILURE, OutputFormat, RouterArguments, USAGE};
 use crate::gateway::{self, GatewaySettings};
 use crate::operations::{ExplainRequest, OperatorClient, explanation_text, status_text};
-use crate::{check, logging, run};
+use crate::{check, log_trace, logging, run};
 
 pub(super) fn run(command: Command) -> ExitCode {
     finish(execute(command))
@@ -25,6 +25,10 @@
     match command {
         Command::Router(arguments) => start_router(&arguments),
         Command::Gateway { settings } => start_gateway(&settings),
+        Command::Trace { request, files } => {
+            println!("{}", log_trace::trace(&request, &files)?);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Check { files } => Ok(check_files(&files)),
         Command::Explain {
             operator,
--- a/crates/router/src/cli/parse.rs
+++ b/crates/router/src/cli/parse.rs
@@ -22,6 +22,13 @@
         /// The settings file.
         settings: PathBuf,
     },
+    /// Tell from logs what became of a request.
+    Trace {
+        /// The request's id.
+        request: String,
+        /// Logs of gateways.
+        files: Vec<PathBuf>,
+    },
     /// Check settings and object files.
     Check {
         /// The files.
@@ -80,6 +87,9 @@
     let gateway = gateway_options()
         .command("gateway")
         .help("Run one gateway on a platform whose store keeps all state");
+    let trace = trace_options()
+        .command("trace")
+        .help("Tell from the logs of gateways what became of a request");
     let check = check_options()
         .command("check")
         .help("Check settings files (TOML) and object files (JSON, YAML) offline");
@@ -92,7 +102,7 @@
     let drain = drain_options()
         .command("drain")
         .help("Start the planned stop of a running router");
-    construct!([router, gateway, check, explain, status, drain])
+    construct!([router, gateway, trace, check, explain, status, drain])
         .to_options()
         .descr("Router for servers that own keys exclusively")
         .version(env!("CARGO_PKG_VERSION"))
@@ -149,6 +159,18 @@
         .descr("Run one gateway; SIGTERM starts a planned stop")
 }
 
+fn trace_options() -> OptionParser<Command> {
+    let request = long("request")
+        .help("Id of the request")
+        .argument::<String>("ID");
+    let files = positional::<PathBuf>("FILE")
+        .help("Log of a gateway")
+        .some("name the logs of all gateways");
+    construct!(Command::Trace { request, files })
+        .to_options()
+        .descr("Print a request's lines and the beliefs that they rest on, in order of time")
+}
+
 fn check_options() -> OptionParser<Command> {
     let files = positional::<PathBuf>("FILE")
         .help("Settings or object file")
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_shell;
 pub mod events;
 pub mod gateway;
+pub mod log_trace;
 pub mod logging;
 pub mod metrics;
 pub mod operations;
--- a/crates/router/tests/check.rs
+++ b/crates/router/tests/check.rs
@@ -131,3 +131,27 @@
     assert!(matches!(problems[2].kind, CheckProblemKind::Unreadable(_)));
     assert!(matches!(problems[3].kind, CheckProblemKind::Settings(_)));
 }
+
+#[test]
+fn settings_of_a_gateway_are_checked_as_such() {
+    let directory = Directory::new("gateway");
+    let sound = r#"
+machine = "router-1"
+zone = "zone-a"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[platform]
+store = "127.0.0.1:3"
+"#;
+    let file = directory.file("gateway.toml", sound);
+    assert!(check(&[file]).is_empty());
+    let broken = format!("{sound}[ownership]\nhold-s = 30\n");
+    let file = directory.file("broken.toml", &broken);
+    let problems = check(&[file]);
+    assert_eq!(problems.len(), 1);
+    let CheckProblemKind::Gateway(message) = &problems[0].kind else {
+        panic!("{problems:?}");
+    };
+    assert!(message.contains("ownership.hold-s is 30"), "{message}");
+}
--- /dev/null
+++ b/crates/router/tests/log_trace.rs
@@ -0,0 +1,85 @@
+//! Tracing one request through the logs of gateways.
+
+use std::path::PathBuf;
+
+use threadledge::log_trace::{TraceError, trace};
+
+struct Logs(PathBuf);
+
+impl Logs {
+    fn new(name: &str, files: &[(&str, &str)]) -> Self {
+        let folder = format!("threadledge-trace-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&path).expect("a folder");
+        for (file, text) in files {
+            std::fs::write(path.join(file), text).expect("written");
+        }
+        Logs(path)
+    }
+
+    fn paths(&self, names: &[&str]) -> Vec<PathBuf> {
+        names.iter().map(|name| self.0.join(name)).collect()
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+const COORDINATOR: &str = r#"{"timestamp":"2026-01-01T00:00:01Z","event":310,"name":"coordinator-elected","service":"s","term":1}
+{"timestamp":"2026-01-01T00:00:02Z","event":315,"name":"keys-assigned","service":"s","keys":"0-99","owner":"b-1","fence":1}
+{"timestamp":"2026-01-01T00:00:02Z","event":315,"name":"keys-assigned","service":"s","keys":"100-200","owner":"b-2","fence":1}
+{"timestamp":"2026-01-01T00:00:03Z","event":315,"name":"keys-assigned","service":"other","keys":"0-99","owner":"c-1","fence":1}
+{"timestamp":"2026-01-01T00:00:05Z","event":316,"name":"holder-lost","service":"s","owner":"b-1"}
+{"timestamp":"2026-01-01T00:00:09Z","event":315,"name":"keys-assigned","service":"s","keys":"0-99","owner":"b-2","fence":2}
+"#;
+const ROUTER: &str = r#"not an event
+{"timestamp":"2026-01-01T00:00:04Z","event":410,"name":"store-lost","collection":"ownership"}
+{"timestamp":"2026-01-01T00:00:06Z","event":510,"name":"request-ended","request":"wanted","service":"s","key":7,"outcome":"no-owner","status":503,"back_end":"","attempts":"b-1 Unreachable at 3 ms"}
+{"timestamp":"2026-01-01T00:00:06Z","event":510,"name":"request-ended","request":"other","service":"s","key":150,"outcome":"answered","status":200}
+{"timestamp":"2026-01-01T00:00:07Z","event":5
+"#;
+
+#[test]
+fn request_is_told_with_owner_back_end_and_dependencies() {
+    let files = [("router-1.log", COORDINATOR), ("router-2.log", ROUTER)];
+    let logs = Logs::new("told", &files);
+    let names = ["router-2.log", "router-1.log"];
+    let found = trace("wanted", &logs.paths(&names)).expect("found");
+    let told: Vec<String> = found
+        .lines
+        .iter()
+        .map(|(source, text)| format!("{source} {text}"))
+        .collect();
+    assert_eq!(told.len(), 5, "{told:#?}");
+    assert!(told[0].starts_with("router-1") && told[0].contains("coordinator-elected"));
+    assert!(told[1].contains(r#"keys="0-99""#) && told[1].contains("b-1"));
+    assert!(told[2].starts_with("router-2") && told[2].contains("store-lost"));
+    assert!(told[3].contains("holder-lost"));
+    assert!(told[4].contains(r#"outcome="no-owner""#));
+    assert_eq!(found.skipped, 2, "a foreign line and one that was cut");
+}
+
+#[test]
+fn gateway_is_named_by_what_stands_before_the_line() {
+    let line =
+        r#"  6.01 front-a-2 {"timestamp":"t","event":510,"name":"request-ended","request":"r"}"#;
+    let logs = Logs::new("prefixed", &[("all.log", line)]);
+    let found = trace("r", &logs.paths(&["all.log"])).expect("found");
+    assert_eq!(found.lines[0].0, "front-a-2");
+}
+
+#[test]
+fn unknown_request_and_unreadable_file_say_what_to_do() {
+    let logs = Logs::new("unknown", &[("router-1.log", COORDINATOR)]);
+    let missing = trace("nobody", &logs.paths(&["router-1.log"]));
+    assert!(matches!(missing, Err(TraceError::NotFound { .. })));
+    let unreadable = trace("nobody", &logs.paths(&["none.log"]));
+    let message = unreadable.expect_err("unreadable").to_string();
+    assert!(
+        message.contains("give the path of a readable log"),
+        "{message}"
+    );
+}
