--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Sets how much longer than others this node waits before it takes over.
+    pub fn set_patience(&mut self, patience: Duration) {
+        self.election.set_patience(patience);
+    }
+
     /// Says whether this node may become coordinator.
     pub fn set_candidate(&mut self, candidate: bool) {
         self.election.set_candidate(candidate && !self.stopping);
--- a/crates/coordination/src/election.rs
+++ b/crates/coordination/src/election.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Sets how much longer than others this node waits before it takes over.
+    pub fn set_patience(&mut self, patience: Duration) {
+        self.patience = patience;
+    }
+
     /// Says whether this node may become coordinator.
     pub fn set_candidate(&mut self, candidate: bool) {
         self.candidate = candidate;
@@ -199,7 +204,10 @@
 
     fn standby_action(&mut self, now: Timestamp) -> Action {
         let Some(seen) = &self.seen else {
-            if self.absent && self.candidate {
+            if !self.candidate {
+                return Action::ReadLease(Freshness::Stale);
+            }
+            if self.absent {
                 return Action::WriteLease(self.first_lease(), Condition::Absent);
             }
             return Action::ReadLease(Freshness::Linearizable);
@@ -207,7 +215,8 @@
         if !self.candidate {
             return Action::ReadLease(Freshness::Stale);
         }
-        if !self.is_free(seen) {
+        let free = self.free_at(seen).is_some_and(|at| now >= at);
+        if !free {
             let patience = self.settings.takeover_after + self.patience;
             if now.since(seen.since) < patience {
                 return Action::ReadLease(Freshness::Stale);
@@ -221,10 +230,16 @@
 
     /// The office is vacant: it was handed back, or its holder was an earlier
     /// life of this very process's machine.
-    fn is_free(&self, seen: &Seen) -> bool {
+    ///
+    /// One that was handed back is taken by one standby after the other, not
+    /// by all at once.
+    fn free_at(&self, seen: &Seen) -> Option<Timestamp> {
         match &seen.lease.holder {
-            None => true,
-            Some(holder) => holder.node == self.me.node && holder != &self.me,
+            None => Some(seen.since + self.patience),
+            Some(holder) => {
+                let mine = holder.node == self.me.node && holder != &self.me;
+                mine.then_some(seen.since)
+            }
         }
     }
 
@@ -307,9 +322,12 @@
         if let Some(seen) = &self.seen {
             let patience = self.settings.takeover_after + self.patience;
             let due = seen.verified && now.since(seen.since) >= patience;
-            if self.candidate && (due || self.is_free(seen)) {
+            if self.candidate && due {
                 self.next_call = now;
             }
+            if let Some(free) = self.free_at(seen).filter(|_| self.candidate) {
+                self.next_call = self.next_call.min(free.max(now));
+            }
         }
         None
     }
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -46,6 +46,38 @@
     pub speeds: Vec<SpeedSample>,
 }
 
+impl LoadReport {
+    /// Adds what another report says.
+    pub fn merge(&mut self, other: LoadReport) {
+        let mut requests: BTreeMap<ShardKey, u32> = self
+            .requests
+            .drain(..)
+            .map(|each| (each.key, each.count))
+            .collect();
+        for KeyCount { key, count } in other.requests {
+            let sum = requests.entry(key).or_default();
+            *sum = sum.saturating_add(count);
+        }
+        self.requests = requests
+            .into_iter()
+            .map(|(key, count)| KeyCount { key, count })
+            .collect();
+        for sample in other.speeds {
+            let known = self
+                .speeds
+                .iter_mut()
+                .find(|each| each.back_end == sample.back_end);
+            match known {
+                Some(known) => {
+                    known.count = known.count.saturating_add(sample.count);
+                    known.work_s += sample.work_s;
+                }
+                None => self.speeds.push(sample),
+            }
+        }
+    }
+}
+
 /// Requests for one key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 
 use threadledge_coordination::{CoordinatorLease, OwnershipRecord};
+use threadledge_relay::RelayRecord;
 use threadledge_types::deployment::{BackEnd, Configuration};
 
 pub use grants::GrantTransport;
@@ -34,6 +35,8 @@
     pub leases: Arc<dyn RecordStore<CoordinatorLease>>,
     /// Who owns the keys of each service.
     pub ownership: Arc<dyn RecordStore<OwnershipRecord>>,
+    /// Who watches the store for each zone.
+    pub relays: Arc<dyn RecordStore<RelayRecord>>,
     /// Orders to back ends.
     pub grants: Arc<dyn GrantTransport>,
     /// The wording of headers.
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -80,8 +80,9 @@
 
 /// Objects of one kind that can be listed and watched.
 pub trait Collection<T>: Send + Sync {
-    /// Every object, linearizable.
-    fn list(&self) -> Call<'_, Result<Listing<T>, StoreError>>;
+    /// Every object. A list that may be stale may mix states of several
+    /// moments; a watch from its revision on makes up for it.
+    fn list(&self, freshness: Freshness) -> Call<'_, Result<Listing<T>, StoreError>>;
 
     /// Changes after `after`, waiting for one up to `wait`.
     fn changes(
--- /dev/null
+++ b/crates/relay/tests/member.rs
@@ -0,0 +1,220 @@
+//! A member's steps, one by one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use threadledge_coordination::NodeIdentity;
+use threadledge_coordination::action::{Condition, ReadResult, Versioned, WriteResult};
+use threadledge_relay::{Action, Followed, Member, RelayRecord, Settings, Source};
+use threadledge_types::{Incarnation, MachineName, Timestamp};
+
+const PATIENCE: Duration = Duration::from_millis(200);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn identity(number: u16, life: u64) -> NodeIdentity {
+    NodeIdentity {
+        node: MachineName(format!("node-{number}")),
+        incarnation: Incarnation(life),
+        address: Some(address(number)),
+    }
+}
+
+fn member() -> Member {
+    Member::new(at(0), identity(1, 1), Settings::default(), PATIENCE, 7)
+}
+
+fn record(holder: NodeIdentity, revision: u64) -> Versioned<RelayRecord> {
+    Versioned {
+        value: RelayRecord { holder },
+        revision,
+    }
+}
+
+fn found(holder: NodeIdentity, revision: u64) -> ReadResult<RelayRecord> {
+    ReadResult::Found(Some(record(holder, revision)))
+}
+
+fn claim(condition: Condition) -> Option<Action> {
+    let holder = identity(1, 1);
+    Some(Action::Claim(RelayRecord { holder }, condition))
+}
+
+/// A member that follows node 2, which the store answered at 10 ms.
+fn follower() -> Member {
+    let mut member = member();
+    assert_eq!(member.poll(at(0)), Some(Action::Read));
+    member.on_read(at(4), found(identity(2, 1), 5));
+    assert_eq!(member.poll(at(4)), Some(Action::Follow(address(2))));
+    let (seen, news) = (at(10), false);
+    member.on_follow(at(12), Followed::Answered { seen, news });
+    member
+}
+
+/// A member that holds the record at revision 5.
+fn relay() -> Member {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(4), ReadResult::Found(None));
+    assert_eq!(member.poll(at(203)), None);
+    assert_eq!(member.poll(at(204)), claim(Condition::Absent));
+    member.on_claim(at(208), WriteResult::Accepted(5));
+    member
+}
+
+#[test]
+fn first_member_of_a_zone_claims_after_its_patience() {
+    let member = relay();
+    assert!(member.relays());
+    assert_eq!(member.source(at(208)), Source::Store);
+}
+
+#[test]
+fn member_follows_the_relay_that_the_record_names() {
+    let member = follower();
+    let until = at(1_210);
+    assert_eq!(
+        member.source(at(1_209)),
+        Source::Relay {
+            until,
+            seen: at(10)
+        }
+    );
+    assert_eq!(member.source(at(1_210)), Source::Store);
+}
+
+#[test]
+fn member_that_finds_no_relay_watches_the_store_once_it_has_settled() {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(1_000), ReadResult::Failed);
+    let until = at(1_500);
+    assert_eq!(member.source(at(1_499)), Source::Settling { until });
+    assert_eq!(member.source(at(1_500)), Source::Store);
+    assert_eq!(member.poll(at(1_799)), None);
+    assert_eq!(member.poll(at(1_800)), Some(Action::Read));
+}
+
+#[test]
+fn loser_of_a_claim_follows_the_winner() {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(4), ReadResult::Found(None));
+    member.poll(at(204));
+    member.on_claim(
+        at(208),
+        WriteResult::Conflict(Some(record(identity(3, 1), 6))),
+    );
+    assert_eq!(member.poll(at(208)), Some(Action::Follow(address(3))));
+}
+
+#[test]
+fn silent_relay_is_replaced_unless_another_did_so() {
+    let mut lost = follower();
+    lost.poll(at(12));
+    lost.on_follow(at(912), Followed::Failed);
+    assert_eq!(lost.source(at(912)), Source::Settling { until: at(1_500) });
+    assert_eq!(lost.poll(at(1_111)), None);
+    assert_eq!(lost.poll(at(1_112)), Some(Action::Read));
+    let mut second = lost;
+    second.on_read(at(1_116), found(identity(2, 1), 5));
+    assert_eq!(second.poll(at(1_116)), claim(Condition::Revision(5)));
+    // A stale read: the record names another by now.
+    second.on_claim(
+        at(1_120),
+        WriteResult::Conflict(Some(record(identity(4, 1), 9))),
+    );
+    assert_eq!(second.poll(at(1_120)), Some(Action::Follow(address(4))));
+}
+
+#[test]
+fn relay_whose_store_is_silent_is_left_though_it_answers() {
+    let mut member = follower();
+    member.poll(at(12));
+    let (seen, news) = (at(10), true);
+    member.on_follow(at(1_300), Followed::Answered { seen, news });
+    assert_ne!(member.upstream(), Some(address(2)));
+    assert_eq!(member.source(at(1_500)), Source::Store);
+}
+
+#[test]
+fn news_let_the_next_poll_wait_a_moment() {
+    let mut member = follower();
+    member.poll(at(12));
+    let (seen, news) = (at(40), true);
+    member.on_follow(at(50), Followed::Answered { seen, news });
+    assert_eq!(member.poll(at(149)), None);
+    assert_eq!(member.poll(at(150)), Some(Action::Follow(address(2))));
+}
+
+#[test]
+fn full_relay_passes_members_on_and_is_not_replaced_for_it() {
+    let mut member = follower();
+    member.poll(at(12));
+    member.on_follow(at(20), Followed::Full(vec![address(1), address(9)]));
+    assert_eq!(member.poll(at(20)), Some(Action::Follow(address(9))));
+    member.on_follow(at(30), Followed::Failed);
+    member.poll(at(230));
+    member.on_read(at(234), found(identity(2, 1), 5));
+    assert_eq!(member.poll(at(234)), Some(Action::Follow(address(2))));
+    member.on_follow(at(240), Followed::Full(vec![address(1)]));
+    assert_eq!(member.upstream(), None);
+}
+
+#[test]
+fn relay_that_was_replaced_follows_its_successor() {
+    let mut member = relay();
+    assert_eq!(member.poll(at(708)), Some(Action::Read));
+    // Older than its own claim.
+    member.on_read(at(712), found(identity(3, 1), 4));
+    assert!(member.relays());
+    assert_eq!(member.poll(at(1_212)), Some(Action::Read));
+    member.on_read(at(1_216), found(identity(3, 1), 6));
+    assert!(!member.relays());
+    assert_eq!(member.poll(at(1_216)), Some(Action::Follow(address(3))));
+}
+
+#[test]
+fn relay_stays_while_the_store_is_silent() {
+    let mut member = relay();
+    member.poll(at(708));
+    member.on_read(at(1_708), ReadResult::Failed);
+    assert!(member.relays());
+    assert_eq!(member.poll(at(2_208)), Some(Action::Read));
+}
+
+#[test]
+fn claim_without_an_answer_is_looked_up() {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(4), ReadResult::Found(None));
+    member.poll(at(204));
+    member.on_claim(at(1_204), WriteResult::Unknown);
+    assert_eq!(member.poll(at(2_004)), Some(Action::Read));
+    // It took effect.
+    member.on_read(at(2_008), found(identity(1, 1), 5));
+    assert!(member.relays());
+}
+
+#[test]
+fn record_of_an_earlier_life_is_taken_over_at_once() {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(4), found(identity(1, 0), 5));
+    assert_eq!(member.poll(at(4)), claim(Condition::Revision(5)));
+}
+
+#[test]
+fn member_that_leaves_makes_no_more_calls() {
+    let mut member = follower();
+    member.leave();
+    assert_eq!(member.next_wake(), None);
+    assert_eq!(member.poll(at(99_999)), None);
+    assert_eq!(member.source(at(99_999)), Source::Store);
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -216,6 +216,18 @@
     LearnedFromPeer = 414, "learned-from-peer", Info,
         "While the store did not answer, another gateway told what had changed.",
         "None, unless the store serves other gateways for long and not this one: then look at its limits and at the way to it.";
+    RelayTaken = 420, "relay-taken", Info,
+        "This gateway watches the store for the others of its zone.",
+        "None.";
+    RelayPassedOn = 421, "relay-passed-on", Info,
+        "Another gateway of the zone watches the store for the others now.",
+        "None.";
+    RelayFollowed = 422, "relay-followed", Info,
+        "Another gateway of the zone tells this one what is new in the store.",
+        "None.";
+    RelayLost = 423, "relay-lost", Warn,
+        "The gateway that told what is new is silent, leaving or too far behind; this one watches the store itself and looks for another.",
+        "None, unless it repeats: then look at the machine of the relay and its way to the store.";
     RequestsRefused = 501, "requests-refused", Info,
         "Requests of one service were not run in the last seconds, for the reason given; the line has their number.",
         "None for single ones; for many, see the reason in the operators' guide.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempt;
 mod catch_up;
+pub mod changes;
 mod coordination;
 mod directory;
 mod dispatch;
@@ -14,11 +15,14 @@
 pub mod knowledge;
 mod log;
 mod metrics;
+mod notifier;
 mod peers;
 mod readiness;
+mod relay;
 mod requests;
 mod run;
 pub mod settings;
+pub mod sources;
 mod stop;
 pub mod store_health;
 
--- /dev/null
+++ b/crates/router/src/gateway/changes.rs
@@ -0,0 +1,259 @@
+//! What changed from one version of a configuration or an ownership record to
+//! the next, so that a change costs what it changes and not what there is.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use threadledge_coordination::action::{StoreRevision, Versioned};
+use threadledge_coordination::{Fence, OwnershipRecord, Slice, Term};
+use threadledge_types::deployment::{
+    CallerLimits, Configuration, ConfigurationVersion, KeyRange, Route, RouteName, Service,
+    ServiceName, ShardKey,
+};
+
+/// Changes of a kind that are remembered.
+const REMEMBERED: usize = 16;
+/// Parts that a chain of changes may have before the whole is fetched instead.
+const MOST_PARTS: usize = 200;
+
+/// From one version of the configuration to a later one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ConfigurationChange {
+    /// The version that it changes.
+    pub from: ConfigurationVersion,
+    /// The version that comes of it.
+    pub to: ConfigurationVersion,
+    /// Routes that are new or differ.
+    pub routes: Vec<Route>,
+    /// Routes that are gone.
+    pub gone_routes: Vec<RouteName>,
+    /// Services that are new or differ.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Services that are gone.
+    pub gone_services: Vec<ServiceName>,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+}
+
+impl ConfigurationChange {
+    /// What leads from `old` to `new`.
+    pub fn between(old: &Configuration, new: &Configuration) -> Self {
+        let before: BTreeMap<&RouteName, &Arc<Route>> =
+            old.routes.iter().map(|each| (&each.name, each)).collect();
+        let after: BTreeSet<&RouteName> = new.routes.iter().map(|each| &each.name).collect();
+        let routes = new.routes.iter();
+        let services = new.services.iter();
+        ConfigurationChange {
+            from: old.version,
+            to: new.version,
+            routes: routes
+                .filter(|each| before.get(&each.name) != Some(each))
+                .map(|each| each.as_ref().clone())
+                .collect(),
+            gone_routes: before
+                .keys()
+                .filter(|name| !after.contains(*name))
+                .map(|name| (*name).clone())
+                .collect(),
+            services: services
+                .filter(|(name, service)| old.services.get(*name) != Some(service))
+                .map(|(name, service)| (name.clone(), service.clone()))
+                .collect(),
+            gone_services: old
+                .services
+                .keys()
+                .filter(|name| !new.services.contains_key(*name))
+                .cloned()
+                .collect(),
+            limits: new.limits,
+        }
+    }
+
+    /// The later version, if this change leads there from `old`.
+    pub fn apply(self, old: &Configuration) -> Option<Configuration> {
+        if old.version != self.from {
+            return None;
+        }
+        let mut routes: BTreeMap<RouteName, Arc<Route>> = old
+            .routes
+            .iter()
+            .map(|each| (each.name.clone(), each.clone()))
+            .collect();
+        for name in &self.gone_routes {
+            routes.remove(name);
+        }
+        for route in self.routes {
+            routes.insert(route.name.clone(), Arc::new(route));
+        }
+        let mut services = old.services.clone();
+        for name in &self.gone_services {
+            services.remove(name);
+        }
+        services.extend(self.services);
+        Some(Configuration {
+            version: self.to,
+            routes: routes.into_values().collect(),
+            services,
+            limits: self.limits,
+        })
+    }
+}
+
+/// From one revision of an ownership record to a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RecordChange {
+    /// The revision that it changes.
+    pub from: StoreRevision,
+    /// The revision that comes of it.
+    pub to: StoreRevision,
+    /// Term of who wrote it.
+    pub term: Term,
+    /// Above every fence ever used.
+    pub next_fence: Fence,
+    /// Slices that differ; they replace whatever stood for their keys.
+    pub slices: Vec<Slice>,
+}
+
+impl RecordChange {
+    /// What leads from `old` to `new`.
+    pub fn between(old: &Versioned<OwnershipRecord>, new: &Versioned<OwnershipRecord>) -> Self {
+        let before: BTreeMap<ShardKey, &Slice> = old
+            .value
+            .slices
+            .iter()
+            .map(|slice| (slice.range.first, slice))
+            .collect();
+        let slices = new.value.slices.iter();
+        RecordChange {
+            from: old.revision,
+            to: new.revision,
+            term: new.value.term,
+            next_fence: new.value.next_fence,
+            slices: slices
+                .filter(|slice| before.get(&slice.range.first) != Some(slice))
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// The later record, if this change leads there from `old`.
+    pub fn apply(self, old: &Versioned<OwnershipRecord>) -> Option<Versioned<OwnershipRecord>> {
+        if old.revision != self.from {
+            return None;
+        }
+        let mut slices: BTreeMap<ShardKey, Slice> = old
+            .value
+            .slices
+            .iter()
+            .map(|slice| (slice.range.first, slice.clone()))
+            .collect();
+        for slice in self.slices {
+            make_room(&mut slices, slice.range);
+            slices.insert(slice.range.first, slice);
+        }
+        let value = OwnershipRecord {
+            term: self.term,
+            next_fence: self.next_fence,
+            slices: slices.into_values().collect(),
+        };
+        Some(Versioned {
+            value,
+            revision: self.to,
+        })
+    }
+}
+
+/// Takes the keys of `range` out of every slice.
+fn make_room(slices: &mut BTreeMap<ShardKey, Slice>, range: KeyRange) {
+    let overlapping: Vec<ShardKey> = slices
+        .iter()
+        .filter(|(first, slice)| **first <= range.last && slice.range.last >= range.first)
+        .map(|(first, _)| *first)
+        .collect();
+    for first in overlapping {
+        let Some(slice) = slices.remove(&first) else {
+            continue;
+        };
+        if slice.range.first < range.first {
+            let mut left = slice.clone();
+            left.range.last = ShardKey(range.first.0 - 1);
+            slices.insert(left.range.first, left);
+        }
+        if slice.range.last > range.last {
+            let mut right = slice;
+            right.range.first = ShardKey(range.last.0 + 1);
+            slices.insert(right.range.first, right);
+        }
+    }
+}
+
+/// One step of a chain of changes.
+pub trait Step {
+    /// What it leads from and to: versions or revisions.
+    type Mark: Copy + Ord;
+
+    /// Where it begins.
+    fn from(&self) -> Self::Mark;
+    /// Parts of it.
+    fn parts(&self) -> usize;
+}
+
+impl Step for ConfigurationChange {
+    type Mark = ConfigurationVersion;
+
+    fn from(&self) -> ConfigurationVersion {
+        self.from
+    }
+
+    fn parts(&self) -> usize {
+        self.routes.len() + self.gone_routes.len() + self.services.len()
+    }
+}
+
+impl Step for RecordChange {
+    type Mark = StoreRevision;
+
+    fn from(&self) -> StoreRevision {
+        self.from
+    }
+
+    fn parts(&self) -> usize {
+        self.slices.len()
+    }
+}
+
+/// The last changes, each beginning where the one before it ends.
+#[derive(Clone, Debug)]
+pub struct Chain<S> {
+    steps: VecDeque<S>,
+}
+
+impl<S> Default for Chain<S> {
+    fn default() -> Self {
+        Chain {
+            steps: VecDeque::new(),
+        }
+    }
+}
+
+impl<S: Step + Clone> Chain<S> {
+    /// Adds the latest change.
+    pub fn push(&mut self, step: S) {
+        self.steps.push_back(step);
+        if self.steps.len() > REMEMBERED {
+            self.steps.pop_front();
+        }
+    }
+
+    /// The changes that lead on from `mark`, unless they are forgotten or too
+    /// many.
+    pub fn after(&self, mark: S::Mark) -> Option<Vec<S>> {
+        let begin = self.steps.iter().position(|step| step.from() == mark)?;
+        let steps: Vec<S> = self.steps.iter().skip(begin).cloned().collect();
+        let parts: usize = steps.iter().map(Step::parts).sum();
+        (parts <= MOST_PARTS).then_some(steps)
+    }
+}
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -13,11 +13,13 @@
 };
 use threadledge_net::{StopSignal, timer};
 use threadledge_ports::Ports;
+use threadledge_relay::Source;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration, ServiceName};
 
 use super::dispatch::Dispatch;
 use super::peers::PeerClient;
+use super::sources::Sources;
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
@@ -31,6 +33,9 @@
 /// Time between two reports of load.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Added to the time after which a follower of a relay takes over.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(700);
+
 /// Time after which a report is sent even if there is nothing to report, so
 /// that the coordinator and its peers know of this gateway.
 const GREETING_INTERVAL: Duration = Duration::from_secs(4);
@@ -61,6 +66,11 @@
 }
 
 impl Ended {
+    /// Whether it was a call to the store that was answered.
+    fn store_answered(&self) -> bool {
+        !matches!(self, Ended::Order(..)) && !self.store_was_silent()
+    }
+
     /// Whether a call to the store was not answered.
     fn store_was_silent(&self) -> bool {
         match self {
@@ -88,6 +98,8 @@
     pub(super) patience: Duration,
     /// Speaks to other gateways.
     pub(super) peers: PeerClient,
+    /// Where this gateway learns from.
+    pub(super) sources: Arc<Sources>,
 }
 
 /// The coordinators of one gateway, one for each service divided by key.
@@ -144,6 +156,7 @@
     /// Runs for ever.
     pub(super) async fn run(mut self) {
         loop {
+            self.set_candidates();
             self.poll_all();
             self.report_load();
             self.probe_store();
@@ -185,7 +198,6 @@
                     coordinator.set_back_ends(now, &back_ends);
                 }
                 self.back_ends = Some(back_ends);
-                self.set_candidates();
             }
             Event::RecordObserved(service, found) => {
                 if let Some(coordinator) = self.coordinators.get_mut(&service) {
@@ -195,6 +207,9 @@
             Event::Load(service, report) => {
                 if let Some(coordinator) = self.coordinators.get_mut(&service) {
                     coordinator.add_load(now, &report);
+                    if coordinator.leading().is_none() {
+                        self.participation.sources.put_load(&service, report);
+                    }
                 }
             }
             Event::Ended(service, ended) => self.ended(&service, ended),
@@ -225,14 +240,22 @@
             }
             self.coordinators.insert(name.clone(), coordinator);
         }
-        self.set_candidates();
     }
 
-    /// Who knows no back ends must not decide about them.
+    /// Who knows no back ends must not decide about them. Followers take over
+    /// only where no relay does: they see the lease at second hand, and are
+    /// many.
     fn set_candidates(&mut self) {
-        let candidate = self.back_ends.is_some();
+        let source = self.participation.sources.current();
+        let settled = !matches!(source, Source::Settling { .. });
+        let candidate = self.back_ends.is_some() && settled;
+        let behind = match source {
+            Source::Relay { .. } => FOLLOWER_PATIENCE,
+            Source::Store | Source::Settling { .. } => Duration::ZERO,
+        };
         for coordinator in self.coordinators.values_mut() {
             coordinator.set_candidate(candidate);
+            coordinator.set_patience(self.participation.patience + behind);
         }
     }
 
@@ -241,11 +264,20 @@
         let Some(coordinator) = self.coordinators.get_mut(service) else {
             return;
         };
+        let sources = &self.participation.sources;
         match ended {
             Ended::LeaseRead(freshness, result) => {
+                if let ReadResult::Found(Some(found)) = &result {
+                    sources.take_lease(service, found);
+                }
                 coordinator.on_lease_read(now, freshness, result);
             }
-            Ended::LeaseWrite(lease, result) => coordinator.on_lease_write(now, lease, result),
+            Ended::LeaseWrite(lease, result) => {
+                if let Some(found) = written(&lease, &result) {
+                    sources.take_lease(service, &found);
+                }
+                coordinator.on_lease_write(now, lease, result);
+            }
             Ended::RecordRead(result) => {
                 if let Some(action) = coordinator.on_record_read(now, result) {
                     self.start(service.clone(), action);
@@ -282,7 +314,8 @@
     /// and a watch that was forgotten shows nothing: a cheap read does.
     fn probe_store(&mut self) {
         let now = self.clock.now();
-        if !self.coordinators.is_empty() || now < self.next_probe {
+        let relays = self.participation.me.address.is_some();
+        if relays || !self.coordinators.is_empty() || now < self.next_probe {
             return;
         }
         self.next_probe = now + PROBE_INTERVAL;
@@ -303,18 +336,32 @@
             return;
         }
         self.next_report = now + REPORT_INTERVAL;
+        let sources = self.participation.sources.clone();
+        let relayed = sources.relayed();
+        let mut below = if relayed {
+            BTreeMap::new()
+        } else {
+            sources.take_load()
+        };
         let greeting = now >= self.next_greeting;
         if greeting {
             self.next_greeting = now + GREETING_INTERVAL;
         }
         for (service, coordinator) in &mut self.coordinators {
-            let report = self
+            let mut report = self
                 .dispatch
                 .with(|dispatcher, _now| dispatcher.take_load(service));
             if coordinator.leading().is_some() {
                 coordinator.add_load(now, &report);
                 continue;
             }
+            if relayed {
+                sources.put_load(service, report);
+                continue;
+            }
+            if let Some(below) = below.remove(service) {
+                report.merge(below);
+            }
             let holder = coordinator.known().and_then(|(_, holder)| holder);
             let Some(address) = holder.and_then(|holder| holder.address) else {
                 continue;
@@ -332,8 +379,28 @@
         let ports = self.ports.clone();
         let sender = self.sender.clone();
         let store_health = self.store_health.clone();
+        let sources = self.participation.sources.clone();
+        let clock = self.clock;
         task::spawn(async move {
-            let ended = call(&ports, &service, action).await;
+            let started = clock.now();
+            let told = match action {
+                // The relay tells the lease with each of its answers.
+                Action::ReadLease(Freshness::Stale) if sources.relayed() => {
+                    let result = ReadResult::Found(sources.lease(&service));
+                    Some(Ended::LeaseRead(Freshness::Stale, result))
+                }
+                _ => None,
+            };
+            let ended = match told {
+                Some(told) => told,
+                None => {
+                    let ended = call(&ports, &service, action).await;
+                    if ended.store_answered() {
+                        store_health.answered(started);
+                    }
+                    ended
+                }
+            };
             if ended.store_was_silent() {
                 store_health.failed();
             }
@@ -343,6 +410,21 @@
     }
 }
 
+/// The lease that a write left in the store, as far as its answer tells.
+fn written(
+    lease: &CoordinatorLease,
+    result: &WriteResult<CoordinatorLease>,
+) -> Option<Versioned<CoordinatorLease>> {
+    match result {
+        WriteResult::Accepted(revision) => Some(Versioned {
+            value: lease.clone(),
+            revision: *revision,
+        }),
+        WriteResult::Conflict(found) => found.clone(),
+        WriteResult::NotDone | WriteResult::Unknown => None,
+    }
+}
+
 async fn call(ports: &Ports, service: &ServiceName, action: Action) -> Ended {
     let name = service.as_str();
     match action {
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -10,7 +10,8 @@
 use super::coordination::Event;
 use super::dispatch::Dispatch;
 use super::follow::Update;
-use super::knowledge::{Knowledge, Learned, Marks, News};
+use super::knowledge::{Differences, Knowledge, Learned, Marks, News, Reach};
+use super::notifier::Notifier;
 use super::readiness::Readiness;
 use crate::events::{EventId, emit};
 
@@ -22,6 +23,8 @@
     pub(super) pool: Pool,
     pub(super) readiness: Arc<Readiness>,
     pub(super) events: async_channel::Sender<Event>,
+    /// Something was learned.
+    pub(super) changed: Arc<Notifier>,
 }
 
 impl Directory {
@@ -35,6 +38,31 @@
         self.knowledge.lock().news_since(marks)
     }
 
+    /// Revisions of the store up to which the knowledge goes.
+    pub(super) fn reach(&self) -> Reach {
+        self.knowledge.lock().reach()
+    }
+
+    /// What a follower that knows what `marks` say lacks.
+    pub(super) fn differences_since(&self, marks: &Marks) -> Differences {
+        self.knowledge.lock().differences_since(marks)
+    }
+
+    /// The relay told what changed.
+    pub(super) fn take_differences(&self, told: Differences) {
+        let back_ends_told = !told.back_ends.is_empty() || !told.gone.is_empty();
+        let back_ends_told = back_ends_told || told.left.is_some();
+        let learned = {
+            let mut knowledge = self.knowledge.lock();
+            let learned = knowledge.take_differences(told);
+            if back_ends_told {
+                self.publish_back_ends(knowledge.back_ends());
+            }
+            learned
+        };
+        self.tell(learned);
+    }
+
     /// Another gateway told what it knows beyond this one.
     pub(super) fn take_news(&self, news: News) {
         let back_ends_told = news.back_ends.is_some();
@@ -86,6 +114,9 @@
     }
 
     fn tell(&self, learned: Vec<Learned>) {
+        if !learned.is_empty() {
+            self.changed.notify();
+        }
         for each in learned {
             match each {
                 Learned::Configuration(configuration) => self.configuration(configuration),
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -1,15 +1,17 @@
 //! Follows a collection of the platform's store: lists it, watches it, and
 //! lists again when the history is gone. What is known stays known meanwhile.
 
+use std::future::pending;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use threadledge_coordination::action::StoreRevision;
+use threadledge_coordination::action::{Freshness, StoreRevision};
 use threadledge_net::timer;
 use threadledge_ports::{Changes, Collection, Listing, StoreError};
 
+use super::sources::Sources;
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 
@@ -32,6 +34,16 @@
     Changed(Changes<T>),
 }
 
+impl<T> Update<T> {
+    /// The revision up to which it goes.
+    pub fn at(&self) -> StoreRevision {
+        match self {
+            Update::Listed(listing) => listing.at,
+            Update::Changed(changes) => changes.at,
+        }
+    }
+}
+
 /// A collection to follow.
 pub struct Follower<T> {
     name: &'static str,
@@ -40,6 +52,7 @@
     wait: Duration,
     /// Pause after changes, so that those that come together cost one call.
     gather: Duration,
+    relay: Option<Relayed>,
     pause: Duration,
     /// The last call failed.
     lost: bool,
@@ -47,8 +60,17 @@
     doubtful: bool,
 }
 
+/// A collection that a relay tells of as well.
+struct Relayed {
+    sources: Arc<Sources>,
+    /// Up to which revision the collection is known.
+    reach: Box<dyn Fn() -> StoreRevision + Send + Sync>,
+}
+
 /// How a watch ended.
 enum Watched<T> {
+    /// A relay tells what is new.
+    Relayed,
     Answered(Result<Changes<T>, StoreError>),
     /// Another call to the store failed meanwhile.
     Doubted,
@@ -68,6 +90,7 @@
             health,
             wait,
             gather: Duration::ZERO,
+            relay: None,
             pause: FIRST_PAUSE,
             lost: false,
             doubtful: false,
@@ -81,12 +104,31 @@
         self
     }
 
+    /// Lets the watch rest while a relay tells what is new. `reach` says up
+    /// to which revision the collection is known.
+    pub(super) fn relayed(
+        mut self,
+        sources: Arc<Sources>,
+        reach: impl Fn() -> StoreRevision + Send + Sync + 'static,
+    ) -> Self {
+        let reach = Box::new(reach);
+        self.relay = Some(Relayed { sources, reach });
+        self
+    }
+
     /// Follows for ever, telling every update to `tell`.
     pub async fn run(mut self, mut tell: impl FnMut(Update<T>) + Send) {
+        // A first list may be seconds old and costs little then: the watch
+        // goes on from its revision.
+        let mut freshness = match self.relay {
+            Some(_) => Freshness::Stale,
+            None => Freshness::Linearizable,
+        };
         loop {
-            let listed = self.collection.list().await;
+            let listed = self.collection.list(freshness).await;
             match listed {
                 Ok(listing) => {
+                    freshness = Freshness::Linearizable;
                     self.answered();
                     let at = listing.at;
                     tell(Update::Listed(listing));
@@ -97,11 +139,29 @@
         }
     }
 
+    /// Waits until the store has to be watched; the revision from which.
+    async fn rest(&mut self, at: StoreRevision) -> StoreRevision {
+        let Some(relay) = &self.relay else {
+            return at;
+        };
+        let sources = relay.sources.clone();
+        if sources.relayed() {
+            self.answered();
+        }
+        sources.until_store().await;
+        match &self.relay {
+            Some(relay) => at.max((relay.reach)()),
+            None => at,
+        }
+    }
+
     /// Watches until the history is gone.
     async fn watch(&mut self, mut at: StoreRevision, tell: &mut (impl FnMut(Update<T>) + Send)) {
         loop {
+            at = self.rest(at).await;
             let asked = Instant::now();
             match self.next_changes(at).await {
+                Watched::Relayed => {}
                 Watched::Doubted => self.doubtful = true,
                 Watched::Answered(Ok(changes)) => {
                     self.answered();
@@ -129,9 +189,18 @@
             return Watched::Answered(watching.await);
         }
         let failure = pin!(self.health.next_failure());
-        match select(watching, failure).await {
+        let relayed = pin!(self.until_relayed());
+        match select(watching, select(failure, relayed)).await {
             Either::Left((answer, _)) => Watched::Answered(answer),
-            Either::Right(_) => Watched::Doubted,
+            Either::Right((Either::Left(_), _)) => Watched::Doubted,
+            Either::Right((Either::Right(_), _)) => Watched::Relayed,
+        }
+    }
+
+    async fn until_relayed(&self) {
+        match &self.relay {
+            Some(relay) => relay.sources.until_relayed().await,
+            None => pending().await,
         }
     }
 
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -4,7 +4,7 @@
 //! The store tells it by lists and watches, other gateways when the store does
 //! not answer. Nothing that is older than what is known is ever taken.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,7 @@
 use threadledge_ports::{Change, Entry, Malformed};
 use threadledge_types::deployment::{BackEnd, Configuration, ConfigurationVersion, ServiceName};
 
+use super::changes::{Chain, ConfigurationChange, RecordChange};
 use super::follow::Update;
 
 /// How far one gateway's knowledge goes.
@@ -49,6 +50,73 @@
     pub back_ends: Vec<BackEnd>,
 }
 
+/// What a follower lacks, as far as it can be told by what changed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Differences {
+    /// Changes of the configuration, in their order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub configuration: Vec<ConfigurationChange>,
+    /// The configuration is a later one, and what changed cannot be told.
+    #[serde(skip_serializing_if = "is_false")]
+    pub fetch_configuration: bool,
+    /// Back ends that are new or differ.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub back_ends: Vec<RevisedBackEnd>,
+    /// Back ends that are gone.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<String>,
+    /// Every back end that is left, where those that are gone were forgotten.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left: Option<Vec<String>>,
+    /// Changes of ownership records, in their order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub changed_records: Vec<(ServiceName, RecordChange)>,
+    /// Ownership records whose changes cannot be told.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<KnownRecord>,
+    /// Revisions up to which all this goes.
+    pub reach: Reach,
+}
+
+/// Revisions of the store up to which a gateway knows each collection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Reach {
+    /// Of configurations.
+    pub configurations: StoreRevision,
+    /// Of back ends.
+    pub back_ends: StoreRevision,
+    /// Of ownership records.
+    pub records: StoreRevision,
+}
+
+/// One back end with the revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RevisedBackEnd {
+    /// The revision.
+    pub revision: StoreRevision,
+    /// The back end.
+    pub back_end: BackEnd,
+}
+
+impl Differences {
+    /// Whether there is anything to tell beside how far it reaches.
+    pub fn is_empty(&self) -> bool {
+        let reach = self.reach;
+        *self
+            == Differences {
+                reach,
+                ..Differences::default()
+            }
+    }
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// One ownership record with its revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -82,9 +150,43 @@
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
     configuration: Option<Arc<Configuration>>,
-    back_ends_at: StoreRevision,
-    back_ends: BTreeMap<String, BackEnd>,
+    configuration_changes: Chain<ConfigurationChange>,
+    back_ends: BTreeMap<String, RevisedBackEnd>,
+    removals: Removals,
     records: BTreeMap<ServiceName, Versioned<OwnershipRecord>>,
+    record_changes: BTreeMap<ServiceName, Chain<RecordChange>>,
+    reach: Reach,
+}
+
+/// Back ends that left lately.
+#[derive(Clone, Debug, Default)]
+struct Removals {
+    /// Removals up to this revision are forgotten.
+    forgotten: StoreRevision,
+    latest: VecDeque<(StoreRevision, String)>,
+}
+
+/// Removals that are remembered.
+const REMEMBERED_REMOVALS: usize = 512;
+
+impl Removals {
+    fn push(&mut self, at: StoreRevision, name: String) {
+        self.latest.push_back((at, name));
+        if self.latest.len() > REMEMBERED_REMOVALS
+            && let Some((forgotten, _)) = self.latest.pop_front()
+        {
+            self.forgotten = forgotten;
+        }
+    }
+
+    /// Those after `mark`, unless some of them are forgotten.
+    fn after(&self, mark: StoreRevision) -> Option<Vec<String>> {
+        if mark < self.forgotten {
+            return None;
+        }
+        let later = self.latest.iter().filter(|(at, _)| *at > mark);
+        Some(later.map(|(_, name)| name.clone()).collect())
+    }
 }
 
 impl Knowledge {
@@ -93,7 +195,7 @@
         let records = self.records.iter();
         Marks {
             configuration: self.configuration.as_ref().map(|each| each.version),
-            back_ends: self.back_ends_at,
+            back_ends: self.reach.back_ends,
             ownership: records
                 .map(|(service, record)| (service.clone(), record.revision))
                 .collect(),
@@ -102,7 +204,133 @@
 
     /// Every back end.
     pub fn back_ends(&self) -> Arc<[BackEnd]> {
-        self.back_ends.values().cloned().collect()
+        let all = self.back_ends.values();
+        all.map(|known| known.back_end.clone()).collect()
+    }
+
+    /// Revisions up to which it goes.
+    pub fn reach(&self) -> Reach {
+        self.reach
+    }
+
+    /// What a follower that knows what `marks` say lacks.
+    pub fn differences_since(&self, marks: &Marks) -> Differences {
+        let mut differences = Differences {
+            reach: self.reach,
+            ..Differences::default()
+        };
+        self.configuration_since(marks, &mut differences);
+        if self.reach.back_ends > marks.back_ends {
+            let later = self.back_ends.values();
+            differences.back_ends = later
+                .filter(|known| known.revision > marks.back_ends)
+                .cloned()
+                .collect();
+            match self.removals.after(marks.back_ends) {
+                Some(gone) => differences.gone = gone,
+                None => differences.left = Some(self.back_ends.keys().cloned().collect()),
+            }
+        }
+        self.records_since(marks, &mut differences);
+        differences
+    }
+
+    fn configuration_since(&self, marks: &Marks, differences: &mut Differences) {
+        let known = self.configuration.as_ref().map(|each| each.version);
+        if known <= marks.configuration {
+            return;
+        }
+        let changes = marks
+            .configuration
+            .and_then(|version| self.configuration_changes.after(version));
+        match changes {
+            Some(changes) => differences.configuration = changes,
+            None => differences.fetch_configuration = true,
+        }
+    }
+
+    fn records_since(&self, marks: &Marks, differences: &mut Differences) {
+        for (service, known) in &self.records {
+            let mark = marks.ownership.get(service).copied();
+            if mark.is_some_and(|mark| mark >= known.revision) {
+                continue;
+            }
+            let chain = self.record_changes.get(service);
+            let changes = mark.and_then(|mark| chain?.after(mark));
+            let Some(changes) = changes else {
+                differences.records.push(KnownRecord {
+                    service: service.clone(),
+                    revision: known.revision,
+                    record: known.value.clone(),
+                });
+                continue;
+            };
+            let named = changes.into_iter().map(|each| (service.clone(), each));
+            differences.changed_records.extend(named);
+        }
+    }
+
+    /// Takes what a relay tells beyond what this gateway knows.
+    pub fn take_differences(&mut self, told: Differences) -> Vec<Learned> {
+        let mut learned = Vec::new();
+        for change in told.configuration {
+            let known = self.configuration.clone();
+            let later = known.and_then(|known| change.apply(&known));
+            learned.extend(later.and_then(|later| self.take_configuration(later)));
+        }
+        if told.reach.back_ends > self.reach.back_ends {
+            let at = told.reach.back_ends;
+            learned.extend(self.take_told_back_ends(at, told.back_ends, told.gone, told.left));
+        }
+        for (service, change) in told.changed_records {
+            let known = self.records.get(&service);
+            if let Some(found) = known.and_then(|known| change.apply(known)) {
+                learned.extend(self.take_record(service, found));
+            }
+        }
+        for known in told.records {
+            let found = Versioned {
+                value: known.record,
+                revision: known.revision,
+            };
+            learned.extend(self.take_record(known.service, found));
+        }
+        if !told.fetch_configuration {
+            self.reach.configurations = self.reach.configurations.max(told.reach.configurations);
+        }
+        self.reach.records = self.reach.records.max(told.reach.records);
+        learned
+    }
+
+    fn take_told_back_ends(
+        &mut self,
+        at: StoreRevision,
+        put: Vec<RevisedBackEnd>,
+        gone: Vec<String>,
+        left: Option<Vec<String>>,
+    ) -> Vec<Learned> {
+        let mut learned = Vec::new();
+        let gone = match left {
+            None => gone,
+            Some(left) => {
+                let all = self.back_ends.keys();
+                all.filter(|name| !left.contains(name)).cloned().collect()
+            }
+        };
+        for name in gone {
+            learned.extend(self.remove_back_end(at, &name));
+        }
+        for known in put {
+            let name = known.back_end.name.as_str().to_owned();
+            let (revision, value) = (known.revision, Ok(known.back_end));
+            learned.extend(self.put_back_end(Entry {
+                name,
+                revision,
+                value,
+            }));
+        }
+        self.reach.back_ends = at;
+        learned
     }
 
     /// What it holds beyond `marks`.
@@ -112,9 +340,9 @@
             .as_ref()
             .filter(|known| Some(known.version) > marks.configuration)
             .map(|known| known.as_ref().clone());
-        let back_ends = (self.back_ends_at > marks.back_ends).then(|| KnownBackEnds {
-            at: self.back_ends_at,
-            back_ends: self.back_ends.values().cloned().collect(),
+        let back_ends = (self.reach.back_ends > marks.back_ends).then(|| KnownBackEnds {
+            at: self.reach.back_ends,
+            back_ends: self.back_ends().to_vec(),
         });
         let later = |service: &ServiceName, revision: StoreRevision| {
             marks
@@ -145,7 +373,7 @@
             learned.extend(self.take_configuration(configuration));
         }
         if let Some(known) = news.back_ends
-            && known.at > self.back_ends_at
+            && known.at > self.reach.back_ends
         {
             let entries = known.back_ends.into_iter().map(|back_end| Entry {
                 name: back_end.name.as_str().to_owned(),
@@ -167,6 +395,8 @@
     /// Takes configurations from the store; the newest that can be understood
     /// counts.
     pub fn take_configurations(&mut self, update: Update<Configuration>) -> Vec<Learned> {
+        let at = update.at();
+        self.reach.configurations = self.reach.configurations.max(at);
         let entries = put_entries(update).into_iter();
         entries
             .filter_map(|entry| match entry.value {
@@ -182,12 +412,18 @@
             return None;
         }
         let configuration = Arc::new(configuration);
+        if let Some(before) = &self.configuration {
+            let change = ConfigurationChange::between(before, &configuration);
+            self.configuration_changes.push(change);
+        }
         self.configuration = Some(configuration.clone());
         Some(Learned::Configuration(configuration))
     }
 
     /// Takes ownership records from the store.
     pub fn take_records(&mut self, update: Update<OwnershipRecord>) -> Vec<Learned> {
+        let at = update.at();
+        self.reach.records = self.reach.records.max(at);
         let entries = put_entries(update).into_iter();
         entries
             .filter_map(|entry| match entry.value {
@@ -214,6 +450,11 @@
             let problem = format!("the ownership record of {service} has gaps or overlaps");
             return Some(Learned::Malformed(Malformed { problem }));
         }
+        if let Some(before) = self.records.get(&service) {
+            let change = RecordChange::between(before, &found);
+            let chain = self.record_changes.entry(service.clone()).or_default();
+            chain.push(change);
+        }
         self.records.insert(service.clone(), found.clone());
         Some(Learned::Record(service, found))
     }
@@ -221,10 +462,10 @@
     /// Takes back ends from the store.
     pub fn take_back_ends(&mut self, update: Update<BackEnd>) -> Vec<Learned> {
         match update {
-            Update::Listed(listing) if listing.at < self.back_ends_at => Vec::new(),
+            Update::Listed(listing) if listing.at < self.reach.back_ends => Vec::new(),
             Update::Listed(listing) => self.replace_back_ends(listing.at, listing.entries),
             Update::Changed(changes) => {
-                let known_at = self.back_ends_at;
+                let known_at = self.reach.back_ends;
                 let mut learned = Vec::new();
                 for change in changes.changes {
                     match change {
@@ -232,12 +473,12 @@
                             learned.extend(self.put_back_end(entry));
                         }
                         Change::Gone(name) if changes.at > known_at => {
-                            learned.extend(self.remove_back_end(&name));
+                            learned.extend(self.remove_back_end(changes.at, &name));
                         }
                         Change::Put(_) | Change::Gone(_) => {}
                     }
                 }
-                self.back_ends_at = known_at.max(changes.at);
+                self.reach.back_ends = known_at.max(changes.at);
                 learned
             }
         }
@@ -248,7 +489,10 @@
         at: StoreRevision,
         entries: Vec<Entry<BackEnd>>,
     ) -> Vec<Learned> {
-        self.back_ends_at = at;
+        if self.back_ends.is_empty() {
+            self.removals.forgotten = at;
+        }
+        self.reach.back_ends = at;
         let names: Vec<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
         let gone: Vec<String> = self
             .back_ends
@@ -258,7 +502,7 @@
             .collect();
         let mut learned: Vec<Learned> = gone
             .iter()
-            .filter_map(|name| self.remove_back_end(name))
+            .filter_map(|name| self.remove_back_end(at, name))
             .collect();
         for entry in entries {
             learned.extend(self.put_back_end(entry));
@@ -272,18 +516,24 @@
             Ok(back_end) => back_end,
             Err(malformed) => return Some(Learned::Malformed(malformed)),
         };
-        let before = self.back_ends.insert(entry.name, back_end.clone());
+        let known = RevisedBackEnd {
+            revision: entry.revision,
+            back_end: back_end.clone(),
+        };
+        let before = self.back_ends.insert(entry.name, known);
         match before {
             None => Some(Learned::Registered(back_end)),
-            Some(before) if back_end.draining && !before.draining => {
+            Some(before) if back_end.draining && !before.back_end.draining => {
                 Some(Learned::Leaving(back_end))
             }
             Some(_) => None,
         }
     }
 
-    fn remove_back_end(&mut self, name: &str) -> Option<Learned> {
-        self.back_ends.remove(name).map(Learned::Gone)
+    fn remove_back_end(&mut self, at: StoreRevision, name: &str) -> Option<Learned> {
+        let known = self.back_ends.remove(name)?;
+        self.removals.push(at, name.to_owned());
+        Some(Learned::Gone(known.back_end))
     }
 }
 
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 
 use super::dispatch::Dispatch;
 use super::log::RequestLine;
+use super::sources::Sources;
 
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -23,6 +24,7 @@
     latency: HistogramVec,
     gauges: Gauges,
     dispatch: Arc<Dispatch>,
+    sources: Arc<Sources>,
 }
 
 #[derive(Clone)]
@@ -37,6 +39,7 @@
     hedges: IntGauge,
     repeats_denied: IntGauge,
     abandoned: IntGauge,
+    relayed: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -45,7 +48,10 @@
     /// # Errors
     ///
     /// Never with the names compiled in; the library checks them at run time.
-    pub(super) fn new(dispatch: Arc<Dispatch>) -> Result<Self, prometheus::Error> {
+    pub(super) fn new(
+        dispatch: Arc<Dispatch>,
+        sources: Arc<Sources>,
+    ) -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
         let requests = IntCounterVec::new(
             Opts::new("threadledge_gateway_requests_total", "Requests by outcome"),
@@ -68,6 +74,7 @@
             latency,
             gauges,
             dispatch,
+            sources,
         })
     }
 
@@ -89,6 +96,7 @@
     /// The library cannot write them.
     pub(super) fn text(&self) -> Result<String, prometheus::Error> {
         self.gauges.update(&self.dispatch);
+        self.gauges.relayed.set(self.sources.relayed().into());
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
@@ -113,6 +121,10 @@
             hedges: gauge("hedges", "Attempts beside one without an answer")?,
             repeats_denied: gauge("repeats_denied", "Repeats beyond the budget")?,
             abandoned: gauge("abandoned", "Requests whose caller left")?,
+            relayed: gauge(
+                "follows_relay",
+                "1 while another gateway watches the store for this one",
+            )?,
         })
     }
 
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -12,19 +12,27 @@
 use http_types::{Method, Request, Response};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use threadledge_coordination::LoadReport;
+use threadledge_coordination::action::StoreRevision;
+use threadledge_coordination::{CoordinatorLease, LoadReport};
 use threadledge_net::{HttpClient, PoolSettings, ServeReport, ServerLimits, StopSignal, serve};
 use threadledge_types::deployment::ServiceName;
 
 use super::answer;
 use super::coordination::Event;
 use super::directory::Directory;
-use super::knowledge::{Marks, News};
+use super::knowledge::{Differences, Marks, News};
+use super::relay::Followers;
 
 /// Path of reports.
 const LOAD_PATH: &str = "/threadledge/v1/load";
 /// Path of questions for news.
 const NEWS_PATH: &str = "/threadledge/v1/news";
+/// Path of polls of a relay.
+const FOLLOW_PATH: &str = "/threadledge/v1/follow";
+/// Longest time that a poll of a relay is held.
+const FOLLOW_HOLD: Duration = Duration::from_millis(500);
+/// Longest wait for a poll's answer.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest wait for a peer. A report that is late is worth nothing.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest message taken, in bytes.
@@ -54,6 +62,59 @@
     peers: Vec<SocketAddr>,
 }
 
+/// A poll of a relay.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct FollowPoll {
+    /// Who asks.
+    pub(super) from: Option<SocketAddr>,
+    /// What it knows.
+    pub(super) marks: Marks,
+    /// The load that it saw since its last poll.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) load: BTreeMap<ServiceName, LoadReport>,
+}
+
+/// A relay's answer.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub(super) enum FollowAnswer {
+    /// What the follower lacks.
+    News(Box<FollowNews>),
+    /// The relay has followers enough; these are some.
+    Full {
+        /// Their addresses.
+        followers: Vec<SocketAddr>,
+    },
+    /// This gateway is leaving.
+    Leaving,
+}
+
+/// What a follower lacks, and how fresh it is.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct FollowNews {
+    /// Time since the store surely answered the relay, in milliseconds.
+    pub(super) age_ms: u64,
+    /// Time that the poll was held, in milliseconds.
+    pub(super) held_ms: u64,
+    /// What the follower lacks.
+    pub(super) differences: Differences,
+    /// Coordinators' leases with their revisions.
+    pub(super) leases: Vec<KnownLease>,
+    /// Some other gateways.
+    pub(super) peers: Vec<SocketAddr>,
+}
+
+/// A coordinator's lease with its revision.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct KnownLease {
+    pub(super) service: ServiceName,
+    pub(super) revision: StoreRevision,
+    pub(super) lease: CoordinatorLease,
+}
+
 /// Gateways that this one has heard of lately.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -61,7 +122,7 @@
 }
 
 impl Peers {
-    fn heard_of(&self, peers: impl IntoIterator<Item = SocketAddr>) {
+    pub(super) fn heard_of(&self, peers: impl IntoIterator<Item = SocketAddr>) {
         let now = Instant::now();
         let mut heard = self.heard.lock();
         heard.retain(|_, at| now.saturating_duration_since(*at) < REMEMBERED);
@@ -139,6 +200,23 @@
         }
     }
 
+    /// Polls a relay. `None`: it did not answer.
+    pub(super) async fn follow(
+        &self,
+        relay: SocketAddr,
+        poll: &FollowPoll,
+    ) -> Option<FollowAnswer> {
+        let polled = self
+            .client
+            .post_json(relay, FOLLOW_PATH, poll, FOLLOW_TIMEOUT);
+        polled.await.ok()
+    }
+
+    /// The address at which other gateways reach this one.
+    pub(super) fn own(&self) -> Option<SocketAddr> {
+        self.own
+    }
+
     /// Asks one peer for what it knows beyond `marks`.
     pub(super) async fn news(&self, from: SocketAddr, marks: &Marks) -> Option<News> {
         let asked = self
@@ -163,6 +241,7 @@
     pub(super) directory: Directory,
     pub(super) peers: Arc<Peers>,
     pub(super) events: async_channel::Sender<Event>,
+    pub(super) followers: Arc<Followers>,
 }
 
 impl PeerServer {
@@ -189,6 +268,10 @@
                 Ok(report) => json(&self.take_report(report)),
                 Err(_) => answer::own(400, "malformed-report", None),
             },
+            (Method::Post, FOLLOW_PATH) => match serde_json::from_slice::<FollowPoll>(&body) {
+                Ok(poll) => json(&self.answer_poll(poll).await),
+                Err(_) => answer::own(400, "malformed-poll", None),
+            },
             (Method::Post, NEWS_PATH) => match serde_json::from_slice::<Marks>(&body) {
                 Ok(marks) => json(&self.directory.news_since(&marks)),
                 Err(_) => answer::own(400, "malformed-marks", None),
@@ -197,9 +280,26 @@
         }
     }
 
-    fn take_report(&self, report: ServiceReport) -> KnownPeers {
+    async fn answer_poll(&self, poll: FollowPoll) -> FollowAnswer {
+        self.peers.heard_of(poll.from);
+        for (service, load) in poll.load {
+            // The channel is unbounded and closes only when the process ends.
+            let _ = self.events.try_send(Event::Load(service, load));
+        }
+        let peers = self.told_peers();
+        self.followers
+            .answer(&self.directory, poll.from, &poll.marks, peers, FOLLOW_HOLD)
+            .await
+    }
+
+    fn told_peers(&self) -> Vec<SocketAddr> {
         let mut peers = self.peers.latest();
         peers.truncate(MOST_TOLD);
+        peers
+    }
+
+    fn take_report(&self, report: ServiceReport) -> KnownPeers {
+        let peers = self.told_peers();
         self.peers.heard_of(report.from);
         // The channel is unbounded and closes only when the process ends.
         let _ = self
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -8,10 +8,12 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use thiserror::Error;
+use threadledge_coordination::action::StoreRevision;
 use threadledge_coordination::{NodeIdentity, OwnershipRecord};
 use threadledge_dispatch::Dispatcher;
 use threadledge_net::{Pool, PoolSettings, ServerLimits, StopSignal, Unframed, serve, timer};
 use threadledge_ports::{Collection, Ports};
+use threadledge_relay::Member;
 use threadledge_types::{Incarnation, MachineName};
 
 use super::attempt::Attempts;
@@ -22,10 +24,13 @@
 use super::follow::Follower;
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
+use super::notifier::Notifier;
 use super::peers::{PeerClient, PeerServer, Peers};
 use super::readiness::{Readiness, serve_readiness};
+use super::relay::{Followers, Relaying, patience};
 use super::requests::Requests;
 use super::settings::{GatewaySettings, seconds};
+use super::sources::Sources;
 use super::stop::watch_signals;
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
@@ -112,12 +117,16 @@
 
 struct Gateway {
     settings: GatewaySettings,
+    /// This life of this machine's gateway.
+    identity: NodeIdentity,
     ports: Ports,
     clock: Clock,
     dispatch: Arc<Dispatch>,
     pool: Pool,
     readiness: Arc<Readiness>,
     store_health: Arc<StoreHealth>,
+    sources: Arc<Sources>,
+    followers: Arc<Followers>,
     peers: Arc<Peers>,
     metrics: GatewayMetrics,
     requests: Arc<Requests>,
@@ -140,7 +149,9 @@
             unframed: Unframed::EndAtClose,
             ..PoolSettings::default()
         });
-        let metrics = GatewayMetrics::new(dispatch.clone())?;
+        let store_health = Arc::new(StoreHealth::default());
+        let sources = Arc::new(Sources::new(clock, store_health.clone()));
+        let metrics = GatewayMetrics::new(dispatch.clone(), sources.clone())?;
         let requests = Arc::new(Requests {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
@@ -152,14 +163,22 @@
             metrics: metrics.clone(),
             leaving: AtomicBool::new(false),
         });
+        let identity = NodeIdentity {
+            node: MachineName(settings.machine.clone()),
+            incarnation: Incarnation(rand::random()),
+            address: settings.listen.peers,
+        };
         Ok(Gateway {
             settings,
+            identity,
             ports,
             clock,
             dispatch,
             pool,
             readiness: Arc::new(Readiness::default()),
-            store_health: Arc::new(StoreHealth::default()),
+            store_health,
+            followers: Arc::new(Followers::new(clock, sources.clone())),
+            sources,
             peers: Arc::new(Peers::default()),
             metrics,
             requests,
@@ -178,11 +197,13 @@
         let offices = StopSignal::new();
         let events = self.start_coordination(offices.clone());
         let directory = self.start_followers(events.clone());
+        self.start_relaying(&directory);
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
                 peers: self.peers.clone(),
                 events: events.clone(),
+                followers: self.followers.clone(),
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
@@ -226,6 +247,7 @@
     /// offices back. Requests go on meanwhile.
     fn leave(&self, events: &async_channel::Sender<Event>) {
         self.readiness.leave();
+        self.followers.leave();
         self.requests.leaving.store(true, Ordering::Relaxed);
         // The channel is unbounded and closes only when the process ends.
         let _ = events.try_send(Event::Stop);
@@ -245,11 +267,8 @@
 
     fn start_coordination(&self, stopped: StopSignal) -> async_channel::Sender<Event> {
         let participation = Participation {
-            me: NodeIdentity {
-                node: MachineName(self.settings.machine.clone()),
-                incarnation: Incarnation(rand::random()),
-                address: self.settings.listen.peers,
-            },
+            me: self.identity.clone(),
+            sources: self.sources.clone(),
             settings: self.settings.coordination(),
             patience: Duration::from_millis(rand::random::<u64>() % PATIENCE_SPREAD_MS),
             peers: self.peer_client(),
@@ -267,6 +286,34 @@
         events
     }
 
+    /// Follows the relay of this zone, or becomes it. A gateway that others
+    /// cannot reach watches the store itself.
+    fn start_relaying(&self, directory: &Directory) {
+        if self.settings.listen.peers.is_none() {
+            return;
+        }
+        let link = self.settings.limits.link_mbps;
+        let member = Member::new(
+            self.clock.now(),
+            self.identity.clone(),
+            threadledge_relay::Settings::default(),
+            patience(link, rand::random()),
+            rand::random(),
+        );
+        let relaying = Relaying {
+            zone: self.settings.zone.clone(),
+            member,
+            ports: self.ports.clone(),
+            clock: self.clock,
+            sources: self.sources.clone(),
+            health: self.store_health.clone(),
+            directory: directory.clone(),
+            client: self.peer_client(),
+            followers: self.followers.clone(),
+        };
+        relaying.start();
+    }
+
     fn peer_client(&self) -> PeerClient {
         PeerClient::new(self.settings.listen.peers, self.peers.clone())
     }
@@ -278,22 +325,40 @@
             pool: self.pool.clone(),
             readiness: self.readiness.clone(),
             events,
+            changed: Arc::new(Notifier::default()),
         };
+        let known = directory.clone();
         let back_ends = self.follower("back-ends", self.ports.back_ends.clone());
         let back_ends = back_ends.gathering(GATHER_BACK_ENDS);
+        let back_ends = self.relayed(back_ends, move || known.reach().back_ends);
+        let known = directory.clone();
         let target = directory.clone();
         task::spawn(back_ends.run(move |update| target.back_ends(update)));
         let configurations = self.follower("configuration", self.ports.configurations.clone());
         let configurations = configurations.gathering(GATHER_CONFIGURATIONS);
+        let configurations = self.relayed(configurations, move || known.reach().configurations);
+        let known = directory.clone();
         let target = directory.clone();
         task::spawn(configurations.run(move |update| target.configurations(update)));
         let ownership: Arc<dyn Collection<OwnershipRecord>> = self.ports.ownership.clone();
         let ownership = self.follower("ownership", ownership);
+        let ownership = self.relayed(ownership, move || known.reach().records);
         let target = directory.clone();
         task::spawn(ownership.run(move |update| target.records(update)));
         directory
     }
 
+    fn relayed<T: Send + 'static>(
+        &self,
+        follower: Follower<T>,
+        reach: impl Fn() -> StoreRevision + Send + Sync + 'static,
+    ) -> Follower<T> {
+        if self.settings.listen.peers.is_none() {
+            return follower;
+        }
+        follower.relayed(self.sources.clone(), reach)
+    }
+
     fn follower<T: Send + 'static>(
         &self,
         name: &'static str,
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -113,13 +113,16 @@
 }
 
 /// What one gateway may use.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LimitSettings {
     /// Connections of callers.
     pub caller_connections: usize,
     /// Bytes of bodies held at once.
     pub held_bytes: usize,
+    /// Bandwidth of the machine's link, in Mbit/s: machines with fast links
+    /// watch the store for the others.
+    pub link_mbps: f64,
 }
 
 impl Default for BoundSettings {
@@ -161,6 +164,7 @@
         LimitSettings {
             caller_connections: 2_500,
             held_bytes: 32 * 1024 * 1024,
+            link_mbps: 1_000.0,
         }
     }
 }
@@ -274,6 +278,7 @@
         let at_least_zero = [
             ("retry-budget.ratio", self.retry_budget.ratio),
             ("retry-budget.slack", self.retry_budget.slack),
+            ("limits.link-mbps", self.limits.link_mbps),
         ];
         for (field, value) in at_least_zero {
             if !(value.is_finite() && value >= 0.0) {
--- /dev/null
+++ b/crates/router/src/gateway/sources.rs
@@ -0,0 +1,135 @@
+//! Where this gateway learns from at the moment, shared by everyone whom it
+//! concerns, and what goes up to its relay and comes down from it besides.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use threadledge_coordination::action::Versioned;
+use threadledge_coordination::{CoordinatorLease, LoadReport};
+use threadledge_net::timer;
+use threadledge_relay::Source;
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
+
+use super::notifier::Notifier;
+use super::store_health::StoreHealth;
+use crate::proxy::Clock;
+
+/// Where a gateway learns from.
+#[derive(Debug)]
+pub struct Sources {
+    clock: Clock,
+    health: Arc<StoreHealth>,
+    source: Mutex<Source>,
+    changed: Notifier,
+    leases: Mutex<BTreeMap<ServiceName, Versioned<CoordinatorLease>>>,
+    load: Mutex<BTreeMap<ServiceName, LoadReport>>,
+}
+
+impl Sources {
+    /// A gateway that watches the store itself.
+    pub(crate) fn new(clock: Clock, health: Arc<StoreHealth>) -> Self {
+        Sources {
+            clock,
+            health,
+            source: Mutex::new(Source::Store),
+            changed: Notifier::default(),
+            leases: Mutex::default(),
+            load: Mutex::default(),
+        }
+    }
+
+    /// Takes another source.
+    pub(super) fn set(&self, source: Source) {
+        let before = std::mem::replace(&mut *self.source.lock(), source);
+        if before != source {
+            self.changed.notify();
+        }
+    }
+
+    /// Where this gateway learns from now.
+    pub(super) fn current(&self) -> Source {
+        let now = self.clock.now();
+        let source = *self.source.lock();
+        match source {
+            Source::Settling { until } | Source::Relay { until, .. } if now >= until => {
+                Source::Store
+            }
+            source => source,
+        }
+    }
+
+    /// Whether a relay tells this gateway what is new.
+    pub(super) fn relayed(&self) -> bool {
+        matches!(self.current(), Source::Relay { .. })
+    }
+
+    /// The store surely answered this gateway, or its relay, at that time.
+    pub(super) fn seen(&self) -> Timestamp {
+        match self.current() {
+            Source::Relay { seen, .. } => seen,
+            Source::Store | Source::Settling { .. } => self.health.seen(),
+        }
+    }
+
+    /// Resolves when the store has to be watched.
+    pub(super) async fn until_store(&self) {
+        loop {
+            let changed = self.changed.next();
+            match self.current() {
+                Source::Store => return,
+                Source::Settling { until } | Source::Relay { until, .. } => {
+                    let deadline = self.clock.instant(until);
+                    // Whether it changed or was too old by then shows above.
+                    let _ = timer::timeout_at(deadline, changed).await;
+                }
+            }
+        }
+    }
+
+    /// Resolves when a relay tells what is new.
+    pub(super) async fn until_relayed(&self) {
+        loop {
+            let changed = self.changed.next();
+            if self.relayed() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// A lease was read, written or told.
+    pub(super) fn take_lease(&self, service: &ServiceName, found: &Versioned<CoordinatorLease>) {
+        let mut leases = self.leases.lock();
+        let known = leases.get(service);
+        if known.is_none_or(|known| known.revision < found.revision) {
+            leases.insert(service.clone(), found.clone());
+        }
+    }
+
+    /// The lease as last read, written or told.
+    pub(super) fn lease(&self, service: &ServiceName) -> Option<Versioned<CoordinatorLease>> {
+        self.leases.lock().get(service).cloned()
+    }
+
+    /// Every lease that is known.
+    pub(super) fn leases(&self) -> Vec<(ServiceName, Versioned<CoordinatorLease>)> {
+        let leases = self.leases.lock();
+        leases
+            .iter()
+            .map(|(service, lease)| (service.clone(), lease.clone()))
+            .collect()
+    }
+
+    /// Keeps a report for the next poll of the relay.
+    pub(super) fn put_load(&self, service: &ServiceName, report: LoadReport) {
+        let mut load = self.load.lock();
+        load.entry(service.clone()).or_default().merge(report);
+    }
+
+    /// Takes the reports that were kept.
+    pub(super) fn take_load(&self) -> BTreeMap<ServiceName, LoadReport> {
+        std::mem::take(&mut *self.load.lock())
+    }
+}
--- a/crates/router/src/gateway/store_health.rs
+++ b/crates/router/src/gateway/store_health.rs
@@ -4,25 +4,27 @@
 //! the connection stands, but the store no longer knows of the call. So a
 //! failure of any call makes every watch that waits suspect.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
-use parking_lot::Mutex;
-use threadledge_net::StopSignal;
 use threadledge_net::stop::Stopped;
+use threadledge_types::Timestamp;
+
+use super::notifier::Notifier;
 
 /// Shared by everything that calls the store.
 #[derive(Debug, Default)]
 pub struct StoreHealth {
-    /// Given with the next failure.
-    next_failure: Mutex<StopSignal>,
+    failure: Notifier,
     /// Collections that cannot be followed now.
     lost: AtomicUsize,
+    /// Start of the latest call that was answered, in microseconds.
+    answered: AtomicU64,
 }
 
 impl StoreHealth {
     /// Resolves with the next failure of a call.
     pub fn next_failure(&self) -> Stopped {
-        self.next_failure.lock().stopped()
+        self.failure.next()
     }
 
     /// A collection cannot be followed any more.
@@ -43,7 +45,17 @@
 
     /// A call was not answered.
     pub fn failed(&self) {
-        let given = std::mem::take(&mut *self.next_failure.lock());
-        given.stop();
+        self.failure.notify();
+    }
+
+    /// A call that began at `started` was answered.
+    pub fn answered(&self, started: Timestamp) {
+        self.answered
+            .fetch_max(started.as_micros(), Ordering::Relaxed);
+    }
+
+    /// The store surely answered at that time.
+    pub fn seen(&self) -> Timestamp {
+        Timestamp::from_micros(self.answered.load(Ordering::Relaxed))
     }
 }
--- /dev/null
+++ b/crates/router/tests/gateway/changes.rs
@@ -0,0 +1,294 @@
+//! Changes of configurations and ownership records: whatever differs, the
+//! change leads from the one to the other, and nowhere else.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use threadledge::gateway::changes::{Chain, ConfigurationChange, RecordChange};
+use threadledge::gateway::follow::Update;
+use threadledge::gateway::knowledge::{Differences, Knowledge, Marks};
+use threadledge_coordination::action::Versioned;
+use threadledge_coordination::{Fence, Owner, OwnershipRecord, Slice, SliceState, Term};
+use threadledge_ports::{Change, Changes, Entry, Listing};
+use threadledge_types::deployment::{
+    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyRange, Route,
+    Service,
+};
+
+fn route(random: &mut ChaCha8Rng, number: u32) -> Arc<Route> {
+    Arc::new(Route {
+        name: format!("route-{number}").as_str().into(),
+        host: "host.example".to_owned(),
+        path_prefix: format!("/{number}/"),
+        repeatable: true,
+        timeout: Duration::from_millis(random.random_range(1..3)),
+        target_latency: Duration::from_millis(200),
+        priority: 1,
+        max_attempts: 2,
+        destinations: vec![Destination {
+            service: "service".into(),
+            weight: 1,
+        }],
+    })
+}
+
+fn configuration(random: &mut ChaCha8Rng, version: u64) -> Configuration {
+    let numbers = (0..20).filter(|_| random.random_bool(0.8));
+    let numbers: Vec<u32> = numbers.collect();
+    let services = (0..4).filter(|_| random.random_bool(0.7));
+    let services: Vec<u32> = services.collect();
+    let mut routes: Vec<Arc<Route>> = numbers.iter().map(|each| route(random, *each)).collect();
+    routes.sort_by(|left, right| left.name.cmp(&right.name));
+    let named = services.into_iter().map(|number| {
+        let service = Service {
+            health_path: "/health".to_owned(),
+            max_connections: random.random_range(1..3),
+            keyed: false,
+        };
+        (format!("service-{number}").as_str().into(), service)
+    });
+    Configuration {
+        version: ConfigurationVersion(version),
+        routes,
+        services: named.collect(),
+        limits: CallerLimits {
+            max_header_bytes: 1,
+            max_body_bytes: version,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }
+}
+
+fn record(random: &mut ChaCha8Rng, revision: u64) -> Versioned<OwnershipRecord> {
+    let mut slices = Vec::new();
+    let mut first = 0_u32;
+    while first <= u32::from(u16::MAX) {
+        let last = (first + random.random_range(0..20_000)).min(u32::from(u16::MAX));
+        let number: u16 = random.random_range(1..3);
+        let owner = Owner {
+            name: format!("back-end-{number}").as_str().into(),
+            address: ([10, 0, 0, 1], number).into(),
+        };
+        let handover = None;
+        let owned = SliceState::Owned { owner, handover };
+        let unowned = random.random_bool(0.2);
+        slices.push(Slice {
+            range: KeyRange::new(first as u16, last as u16).expect("a range"),
+            fence: Fence(random.random_range(1..3)),
+            state: if unowned { SliceState::Unowned } else { owned },
+        });
+        first = last + 1;
+    }
+    let value = OwnershipRecord {
+        term: Term(revision),
+        next_fence: Fence(9),
+        slices,
+    };
+    value.check().expect("a whole record");
+    Versioned { value, revision }
+}
+
+#[test]
+fn change_of_a_configuration_leads_to_the_later_one() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..200 {
+        let old = configuration(&mut random, 3);
+        let new = configuration(&mut random, 5);
+        let change = ConfigurationChange::between(&old, &new);
+        let other = configuration(&mut random, 4);
+        assert_eq!(change.clone().apply(&other), None);
+        assert_eq!(change.apply(&old), Some(new));
+    }
+}
+
+#[test]
+fn change_of_a_record_leads_to_the_later_one() {
+    let mut random = ChaCha8Rng::seed_from_u64(2);
+    for _ in 0..500 {
+        let old = record(&mut random, 3);
+        let new = record(&mut random, 5);
+        let change = RecordChange::between(&old, &new);
+        let other = record(&mut random, 4);
+        assert_eq!(change.clone().apply(&other), None);
+        assert_eq!(change.apply(&old), Some(new));
+    }
+}
+
+#[test]
+fn one_slice_that_moves_is_told_alone() {
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let old = record(&mut random, 3);
+    let mut new = old.clone();
+    new.revision = 4;
+    new.value.slices[1].fence = Fence(8);
+    let change = RecordChange::between(&old, &new);
+    assert_eq!(change.slices.len(), 1);
+}
+
+#[test]
+fn chain_begins_where_the_follower_is_or_not_at_all() {
+    let mut random = ChaCha8Rng::seed_from_u64(4);
+    let mut chain = Chain::default();
+    let mut last = configuration(&mut random, 0);
+    for version in 1..=40 {
+        let mut next = last.clone();
+        next.version = ConfigurationVersion(version);
+        chain.push(ConfigurationChange::between(&last, &next));
+        last = next;
+    }
+    let after = |version| {
+        chain
+            .after(ConfigurationVersion(version))
+            .map(|steps| steps.len())
+    };
+    assert_eq!(after(38), Some(2));
+    assert_eq!(after(24), Some(16));
+    assert_eq!(after(23), None);
+    assert_eq!(after(40), None);
+}
+
+fn back_end(number: u32, draining: bool) -> BackEnd {
+    BackEnd {
+        name: format!("b-{number}").as_str().into(),
+        service: "service".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "zone".into(),
+        slots: 2,
+        draining,
+        cold_for: Duration::ZERO,
+        registration: 1,
+    }
+}
+
+fn put(revision: u64, back_end: BackEnd) -> Entry<BackEnd> {
+    Entry {
+        name: back_end.name.as_str().to_owned(),
+        revision,
+        value: Ok(back_end),
+    }
+}
+
+/// A follower that polls now and then, whatever it missed, knows what the
+/// relay knows; also one whose first list is older than the relay's.
+#[test]
+fn follower_ends_up_with_what_the_relay_knows() {
+    for seed in 0..50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut relay = Knowledge::default();
+        let mut follower = Knowledge::default();
+        let listed = |at, numbers: std::ops::Range<u32>| {
+            let entries = numbers.map(|number| put(at, back_end(number, false)));
+            let entries = entries.collect();
+            Update::Listed(Listing { entries, at })
+        };
+        follower.take_back_ends(listed(5, 0..12));
+        relay.take_back_ends(listed(9, 2..14));
+        let mut revision = 9;
+        for _ in 0..200 {
+            revision += 1;
+            step(&mut random, &mut relay, revision);
+            if random.random_bool(0.2) {
+                poll(&mut follower, &relay);
+            }
+        }
+        poll(&mut follower, &relay);
+        poll(&mut follower, &relay);
+        assert_eq!(follower.back_ends(), relay.back_ends());
+        assert_eq!(follower.marks(), relay.marks());
+        assert_eq!(follower.reach(), relay.reach());
+        assert!(relay.differences_since(&follower.marks()).is_empty());
+    }
+}
+
+fn step(random: &mut ChaCha8Rng, relay: &mut Knowledge, at: u64) {
+    match random.random_range(0..4) {
+        0 => {
+            let number = random.random_range(0..30);
+            let change = Change::Put(put(at, back_end(number, random.random_bool(0.3))));
+            let changes = vec![change];
+            relay.take_back_ends(Update::Changed(Changes { changes, at }));
+        }
+        1 => {
+            let gone = format!("b-{}", random.random_range(0..30));
+            let changes = vec![Change::Gone(gone)];
+            relay.take_back_ends(Update::Changed(Changes { changes, at }));
+        }
+        2 => {
+            let value = Ok(record(random, at).value);
+            let (name, revision) = ("service".to_owned(), at);
+            let changes = vec![Change::Put(Entry {
+                name,
+                revision,
+                value,
+            })];
+            relay.take_records(Update::Changed(Changes { changes, at }));
+        }
+        _ => {
+            let value = Ok(configuration(random, at));
+            let (name, revision) = ("main".to_owned(), at);
+            let changes = vec![Change::Put(Entry {
+                name,
+                revision,
+                value,
+            })];
+            relay.take_configurations(Update::Changed(Changes { changes, at }));
+        }
+    }
+}
+
+/// One poll; what cannot be told by changes is listed, as a gateway does.
+fn poll(follower: &mut Knowledge, relay: &Knowledge) {
+    let told = relay.differences_since(&follower.marks());
+    let text = serde_json::to_string(&told).expect("written");
+    let told: Differences = serde_json::from_str(&text).expect("read");
+    let fetch = told.fetch_configuration;
+    follower.take_differences(told);
+    if fetch {
+        let news = relay.news_since(&Marks::default());
+        let value = Ok(news.configuration.expect("one is in force"));
+        let entry = Entry {
+            name: "main".to_owned(),
+            revision: 0,
+            value,
+        };
+        let at = relay.reach().configurations;
+        let entries = vec![entry];
+        follower.take_configurations(Update::Listed(Listing { entries, at }));
+    }
+}
+
+#[test]
+fn change_that_begins_elsewhere_is_not_taken() {
+    let mut random = ChaCha8Rng::seed_from_u64(6);
+    let mut relay = Knowledge::default();
+    let mut follower = Knowledge::default();
+    let take = |knowledge: &mut Knowledge, found: &Versioned<OwnershipRecord>| {
+        let entries = vec![Entry {
+            name: "service".to_owned(),
+            revision: found.revision,
+            value: Ok(found.value.clone()),
+        }];
+        let at = found.revision;
+        knowledge.take_records(Update::Listed(Listing { entries, at }));
+    };
+    let records: BTreeMap<u64, _> = (1..=3).map(|at| (at, record(&mut random, at))).collect();
+    take(&mut relay, &records[&2]);
+    take(&mut relay, &records[&3]);
+    let told = relay.differences_since(&relay_marks(&records[&2]));
+    assert_eq!(told.changed_records.len(), 1);
+    take(&mut follower, &records[&1]);
+    assert!(follower.take_differences(told).is_empty());
+    assert_eq!(follower.marks().ownership[&"service".into()], 1);
+}
+
+fn relay_marks(found: &Versioned<OwnershipRecord>) -> Marks {
+    let ownership = [("service".into(), found.revision)].into();
+    Marks {
+        ownership,
+        ..Marks::default()
+    }
+}
--- a/crates/router/tests/gateway/follow.rs
+++ b/crates/router/tests/gateway/follow.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use threadledge::gateway::follow::{Follower, Update};
 use threadledge::gateway::store_health::StoreHealth;
+use threadledge_coordination::action::Freshness;
 use threadledge_ports::{Call, Changes, Collection, Entry, Listing, StoreError};
 
 const WAIT: Duration = Duration::from_secs(20);
@@ -44,7 +45,7 @@
 }
 
 impl Collection<u64> for Scripted {
-    fn list(&self) -> Call<'_, Result<Listing<u64>, StoreError>> {
+    fn list(&self, _freshness: Freshness) -> Call<'_, Result<Listing<u64>, StoreError>> {
         let reply = self.next("list".to_owned());
         Box::pin(async move {
             match reply {
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -1,11 +1,13 @@
 //! The real program, started from the filled template, against stand-ins of
 //! the users' platform on loopback.
 
+mod changes;
 mod follow;
 mod knowledge;
 mod names;
 mod peers;
 mod process;
+mod relay;
 mod requests;
 mod settings;
 mod stop;
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -133,6 +133,7 @@
             ("Bounds.RetryBudgetSlack", text(&62)),
             ("Bounds.BudgetWindowS", text(&10)),
             ("Bounds.MaxHoldS", text(&10)),
+            ("Limits.LinkMbps", text(&1_000.0)),
         ]
         .into();
         let file = format!("threadledge-{own}.toml");
