--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -14,6 +14,10 @@
 
 /// Failures in a row after which a back end is left alone.
 const FAILURES_UNTIL_EJECTED: u32 = 3;
+/// How long a back end that is full is not asked.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long a back end is not asked to which no connection is free.
+const CONNECTION_PAUSE: Duration = Duration::from_millis(20);
 /// How much longer a request takes at a back end that has just started.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -28,6 +32,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Timestamp,
+    /// It refused without telling its load, and is not asked before then.
+    full_until: Timestamp,
     /// Another process was found at its address.
     gone: bool,
 }
@@ -42,6 +48,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: Timestamp::ZERO,
+            full_until: Timestamp::ZERO,
             gone: false,
         }
     }
@@ -107,6 +114,22 @@
         true
     }
 
+    /// It has more than it takes, and did not say how much.
+    pub(crate) fn on_full(&mut self, now: Timestamp) {
+        self.full_until = now + FULL_PAUSE;
+    }
+
+    /// This router may have no more connections to it.
+    pub(crate) fn on_no_connection(&mut self, now: Timestamp) {
+        self.full_until = self.full_until.max(now + CONNECTION_PAUSE);
+    }
+
+    /// Until when it is not asked, as it lately refused without telling its
+    /// load.
+    pub(crate) fn full_until(&self, now: Timestamp) -> Option<Timestamp> {
+        (now < self.full_until).then_some(self.full_until)
+    }
+
     pub(crate) fn on_other_instance(&mut self) {
         self.gone = true;
     }
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Changes what is allowed besides.
+    pub fn set_slack(&mut self, slack: u32) {
+        self.slack = slack;
+    }
+
     /// Counts a request.
     pub fn count_request(&mut self, now: Timestamp) {
         self.current(now).requests += 1;
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -53,6 +53,8 @@
     /// The key is on its way to another owner: waiting is worth more time,
     /// and the owner known may be asked again then.
     pub(crate) moving_until: Option<Timestamp>,
+    /// The back end takes requests again then, as far as is known.
+    pub(crate) full_until: Option<Timestamp>,
 }
 
 impl NotNow {
@@ -62,6 +64,7 @@
             reason,
             retry_after,
             moving_until: None,
+            full_until: None,
         })
     }
 }
@@ -69,6 +72,8 @@
 /// What choices are made from.
 pub(crate) struct Chooser<'a> {
     pub(crate) settings: &'a Settings,
+    /// Connections that this router may have to one back end.
+    pub(crate) connections: usize,
     pub(crate) back_ends: &'a BackEnds,
     pub(crate) ownership: Option<&'a OwnershipView>,
     pub(crate) not_held: &'a NotHeld,
@@ -95,6 +100,7 @@
                 reason: RefusalReason::NoOwner,
                 retry_after: OWNER_RETRY_AFTER,
                 moving_until: Some(until),
+                full_until: None,
             });
         }
         let Some(known) = self.back_ends.get(name) else {
@@ -167,7 +173,10 @@
 
     fn fits(&self, known: &Known, exchange: &Exchange, bound: Bound, usual: &Usual) -> bool {
         let room = f64::from(known.back_end.slots + self.settings.back_end_queue);
-        if known.occupancy(self.now, usual) >= room {
+        if known.in_flight.len() >= self.connections {
+            return false;
+        }
+        if known.full_until(self.now).is_some() || known.occupancy(self.now, usual) >= room {
             return false;
         }
         let deadline_left = exchange.deadline.since(self.now);
@@ -190,6 +199,11 @@
         let excess = known.expected_s(self.now, usual) - target;
         let wait = Duration::from_secs_f64(excess.clamp(0.0, 10.0));
         let wait = wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER);
-        NotNow::settled(RefusalReason::Overloaded, wait)
+        Choice::NotNow(NotNow {
+            reason: RefusalReason::Overloaded,
+            retry_after: wait,
+            moving_until: None,
+            full_until: known.full_until(self.now),
+        })
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -70,6 +70,8 @@
     woken: Vec<ExchangeId>,
     next_exchange: u64,
     counters: Counters,
+    /// Routers of the deployment, if their number is known.
+    fleet: Option<u32>,
 }
 
 impl Dispatcher {
@@ -91,9 +93,28 @@
             woken: Vec::new(),
             next_exchange: 0,
             counters: Counters::default(),
+            fleet: None,
         }
     }
 
+    /// Says how many routers share the retry budget and the connections that
+    /// back ends take.
+    pub fn set_fleet(&mut self, routers: u32) {
+        let routers = routers.max(1);
+        if self.fleet.replace(routers) == Some(routers) {
+            return;
+        }
+        let slack = self.own_retry_slack();
+        for budget in self.budgets.values_mut() {
+            budget.set_slack(slack);
+        }
+    }
+
+    /// This router's part of the retry budget's slack.
+    fn own_retry_slack(&self) -> u32 {
+        self.settings.retry_slack / self.fleet.unwrap_or(self.settings.gateways).max(1)
+    }
+
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -254,10 +275,11 @@
     }
 
     pub(super) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let slack = self.own_retry_slack();
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
             let window = settings.retry_window;
-            RetryBudget::new(settings.retry_ratio, settings.retry_slack, window)
+            RetryBudget::new(settings.retry_ratio, slack, window)
         })
     }
 }
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -9,6 +9,9 @@
 use crate::outcome::{AttemptEnd, Fault, Rejection, ToldLoad, UnknownReason};
 use crate::request::{AttemptId, ExchangeId};
 
+/// Part of the usual time of work below which no work can have been done.
+const TOO_SOON: f64 = 0.25;
+
 impl Dispatcher {
     /// Whether an attempt may be sent now, asked right before its first byte.
     ///
@@ -129,14 +132,29 @@
             }
             AttemptEnd::NotRun { reason, load } => {
                 told(load);
+                if *reason == Rejection::Busy && load.is_none() {
+                    known.on_full(now);
+                }
                 if *reason == Rejection::OtherInstance {
                     known.on_other_instance();
                 }
             }
             AttemptEnd::Failed(fault) => {
+                // A connection that breaks before any work can have been done
+                // is how some back ends say that they are full.
+                let soon = now.since(in_flight.chosen_at).as_secs_f64() < usual.work_s * TOO_SOON;
+                if *fault == Fault::Broken && soon {
+                    known.on_full(now);
+                }
+                if *fault == Fault::NoConnection {
+                    known.on_no_connection(now);
+                }
                 // A deadline says more about the request than about the back
                 // end, and a connection closed before a byte left says nothing.
-                let counts = !matches!(fault, Fault::TimedOut | Fault::NothingSent);
+                let counts = !matches!(
+                    fault,
+                    Fault::TimedOut | Fault::NoConnection | Fault::NothingSent
+                );
                 if counts && known.on_fault(now, *fault, &self.settings) {
                     self.counters.ejections += 1;
                 }
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -9,6 +9,10 @@
 use crate::outcome::RefusalReason;
 use crate::request::{Attempt, AttemptId, ExchangeId, Step};
 
+/// Part of the connections that a back end takes which routers share equally;
+/// the rest is for orders, and for routers that were not counted.
+const CONNECTIONS_PERCENT: u32 = 80;
+
 impl Dispatcher {
     /// What to do for an exchange now.
     pub fn next(&mut self, now: Timestamp, id: ExchangeId) -> Step {
@@ -67,10 +71,11 @@
         if now >= patience_until {
             return self.finish(now, id, not_now.reason, Some(not_now.retry_after));
         }
-        let until = match not_now.moving_until {
-            Some(until) => until.min(patience_until),
-            None => patience_until,
-        };
+        let again = [not_now.moving_until, not_now.full_until];
+        let until = again
+            .into_iter()
+            .flatten()
+            .fold(patience_until, Timestamp::min);
         self.wait(id);
         Step::Wait(until)
     }
@@ -96,6 +101,7 @@
         let exchange = self.exchanges.get(&id)?;
         let mut chooser = Chooser {
             settings: &self.settings,
+            connections: self.connection_limit(&exchange.service),
             back_ends: &self.back_ends,
             ownership: self.ownership.get(&exchange.service),
             not_held: &self.not_held,
@@ -162,6 +168,7 @@
             .as_ref()
             .and_then(|configuration| configuration.services.get(service))
             .map_or(own, |service| service.max_connections);
-        own.min(theirs).max(1) as usize
+        let part = theirs * CONNECTIONS_PERCENT / 100 / self.fleet.unwrap_or(1).max(1);
+        own.min(theirs).min(part).max(1) as usize
     }
 }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -45,6 +45,9 @@
 pub enum Fault {
     /// No connection could be opened: nothing was sent.
     Unreachable,
+    /// Every connection that this router may have there is used: nothing was
+    /// sent.
+    NoConnection,
     /// A connection was open, and no byte of the request was handed to it.
     NothingSent,
     /// The connection broke after some of the request was sent.
@@ -58,7 +61,10 @@
 impl Fault {
     /// Whether the request may have run.
     pub const fn may_have_run(self) -> bool {
-        !matches!(self, Fault::Unreachable | Fault::NothingSent)
+        !matches!(
+            self,
+            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent
+        )
     }
 }
 
@@ -187,7 +193,9 @@
 impl From<Fault> for UnknownReason {
     fn from(fault: Fault) -> Self {
         match fault {
-            Fault::Unreachable | Fault::NothingSent | Fault::Broken => UnknownReason::Broken,
+            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent | Fault::Broken => {
+                UnknownReason::Broken
+            }
             Fault::BadAnswer => UnknownReason::BadAnswer,
             Fault::TimedOut => UnknownReason::DeadlinePassed,
         }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -22,8 +22,11 @@
     pub back_end_queue: u32,
     /// Repeats allowed for each request of a service, within the window.
     pub retry_ratio: f64,
-    /// Repeats allowed besides, by this router, within the window.
+    /// Repeats allowed besides, by all routers together, within the window.
     pub retry_slack: u32,
+    /// Routers that share the slack and the connections of back ends, while
+    /// their number is not known.
+    pub gateways: u32,
     /// Window of the retry budget.
     pub retry_window: Duration,
     /// Part of a route's target latency after which a repeatable request
@@ -49,6 +52,7 @@
             back_end_queue: 5,
             retry_ratio: 0.14,
             retry_slack: 2,
+            gateways: 1,
             retry_window: Duration::from_secs(10),
             hedge_after: 0.8,
             owner_pause: Duration::from_millis(25),
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -1,6 +1,7 @@
 //! The request path in virtual time.
 
 mod choice;
+mod fleet;
 mod outcomes;
 mod parts;
 mod schedules;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,10 +25,17 @@
 pub use member::{Action, Followed, Member, Source};
 pub use settings::Settings;
 
+fn one() -> u32 {
+    1
+}
+
 /// The object of one zone that names its relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct RelayRecord {
     /// The relay.
     pub holder: NodeIdentity,
+    /// Gateways of the zone, roughly: those that follow it, and itself.
+    #[serde(default = "one")]
+    pub members: u32,
 }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -78,6 +78,10 @@
     random: ChaCha8Rng,
     state: State,
     calling: bool,
+    /// Gateways that learn through this one, itself included.
+    members: u32,
+    /// Members that the record told of last.
+    told: u32,
 }
 
 impl Member {
@@ -98,9 +102,16 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             state: State::Searching(Searching::at(now)),
             calling: false,
+            members: 1,
+            told: 0,
         }
     }
 
+    /// Says how many gateways learn through this one, itself included.
+    pub fn set_members(&mut self, members: u32) {
+        self.members = members;
+    }
+
     /// Where this member learns from.
     ///
     /// Invariant: never from a relay of which it is unknown that the store
@@ -163,14 +174,16 @@
         let action = match &self.state {
             State::Searching(searching) => match searching.step {
                 Step::Look => Action::Read,
-                Step::Claim(condition) => Action::Claim(
-                    RelayRecord {
-                        holder: self.me.clone(),
-                    },
-                    condition,
-                ),
+                Step::Claim(condition) => {
+                    let members = self.members.max(self.told);
+                    Action::Claim(self.record(members), condition)
+                }
             },
             State::Following(following) => Action::Follow(following.address),
+            State::Relaying(relaying) if relaying.miscounts(now, self.members) => {
+                let record = self.record(self.members);
+                Action::Claim(record, Condition::Revision(relaying.revision))
+            }
             State::Relaying(_) => Action::Read,
             State::Left => return None,
         };
@@ -178,9 +191,19 @@
         Some(action)
     }
 
+    fn record(&self, members: u32) -> RelayRecord {
+        RelayRecord {
+            holder: self.me.clone(),
+            members,
+        }
+    }
+
     /// A read was answered, or was not.
     pub fn on_read(&mut self, now: Timestamp, result: ReadResult<RelayRecord>) {
         self.calling = false;
+        if let ReadResult::Found(Some(found)) = &result {
+            self.told = found.value.members;
+        }
         match self.take_state() {
             State::Searching(searching) => self.state = self.looked(now, searching, result),
             State::Relaying(relaying) => self.state = self.probed(now, relaying, result),
@@ -213,11 +236,12 @@
     }
 
     fn found(&self, now: Timestamp, searching: Searching, found: Versioned<RelayRecord>) -> State {
-        let holder = found.value.holder;
-        if holder == self.me {
+        if found.value.holder == self.me {
             let due = now + self.settings.probe;
-            return State::Relaying(searching.relay(due, found.revision));
+            let recount_at = now + self.settings.recount;
+            return State::Relaying(searching.relay(due, found, recount_at));
         }
+        let holder = found.value.holder;
         let gone = holder.node == self.me.node || searching.lost.as_ref() == Some(&holder);
         match holder.address {
             Some(address) if !gone => State::Following(searching.follow(now, holder, address)),
@@ -247,6 +271,10 @@
         self.calling = false;
         let searching = match self.take_state() {
             State::Searching(searching) => searching,
+            State::Relaying(relaying) => {
+                self.state = self.recounted(now, relaying, result);
+                return;
+            }
             other => {
                 self.state = other;
                 return;
@@ -255,7 +283,10 @@
         self.state = match result {
             WriteResult::Accepted(revision) => {
                 let due = now + self.settings.probe;
-                State::Relaying(searching.relay(due, revision))
+                let value = self.record(self.members.max(self.told));
+                let recount_at = now + self.settings.recount;
+                let claimed = Versioned { value, revision };
+                State::Relaying(searching.relay(due, claimed, recount_at))
             }
             WriteResult::Conflict(Some(found)) => self.found(now, searching, found),
             WriteResult::Conflict(None) | WriteResult::NotDone | WriteResult::Unknown => {
@@ -268,6 +299,33 @@
         };
     }
 
+    /// The record was written for the number of members only.
+    fn recounted(
+        &self,
+        now: Timestamp,
+        relaying: Relaying,
+        result: WriteResult<RelayRecord>,
+    ) -> State {
+        let due = now + self.settings.probe;
+        let recount_at = now + self.settings.recount;
+        match result {
+            WriteResult::Accepted(revision) => State::Relaying(Relaying {
+                due,
+                revision,
+                told: self.members,
+                recount_at,
+            }),
+            WriteResult::Conflict(Some(found)) => self.found(now, relaying.step_down(now), found),
+            WriteResult::Conflict(None) | WriteResult::NotDone | WriteResult::Unknown => {
+                State::Relaying(Relaying {
+                    due,
+                    recount_at,
+                    ..relaying
+                })
+            }
+        }
+    }
+
     /// A poll was answered, or was not.
     pub fn on_follow(&mut self, now: Timestamp, followed: Followed) {
         self.calling = false;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -15,6 +15,8 @@
     pub gather: Duration,
     /// Pause after a call to the store that was not answered.
     pub retry: Duration,
+    /// Shortest time between two writes of how many members there are.
+    pub recount: Duration,
     /// How long after its start a member looks for a relay before it watches
     /// the store itself.
     pub settle: Duration,
@@ -27,6 +29,7 @@
             probe: Duration::from_millis(500),
             gather: Duration::from_millis(100),
             retry: Duration::from_millis(800),
+            recount: Duration::from_secs(3),
             settle: Duration::from_millis(1_500),
         }
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 
 use threadledge_coordination::NodeIdentity;
-use threadledge_coordination::action::{Condition, StoreRevision};
+use threadledge_coordination::action::{Condition, StoreRevision, Versioned};
 use threadledge_types::Timestamp;
 
+use crate::RelayRecord;
+
 /// What a member that has no relay does next.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Step {
@@ -43,6 +45,10 @@
 pub(crate) struct Relaying {
     pub(crate) due: Timestamp,
     pub(crate) revision: StoreRevision,
+    /// Members that the record tells of.
+    pub(crate) told: u32,
+    /// The record is not written again before.
+    pub(crate) recount_at: Timestamp,
 }
 
 impl Searching {
@@ -64,8 +70,20 @@
         }
     }
 
-    pub(crate) fn relay(self, due: Timestamp, revision: StoreRevision) -> Relaying {
-        Relaying { due, revision }
+    /// Followers of the relay before have not come yet: they are counted
+    /// later.
+    pub(crate) fn relay(
+        self,
+        due: Timestamp,
+        found: Versioned<RelayRecord>,
+        recount_at: Timestamp,
+    ) -> Relaying {
+        Relaying {
+            due,
+            revision: found.revision,
+            told: found.value.members,
+            recount_at,
+        }
     }
 }
 
@@ -92,6 +110,12 @@
 }
 
 impl Relaying {
+    /// Whether the record is so far from `members` that it should be written.
+    pub(crate) fn miscounts(&self, now: Timestamp, members: u32) -> bool {
+        let off = self.told.abs_diff(members);
+        now >= self.recount_at && off > 0 && off * 5 >= members
+    }
+
     /// The record names another member.
     pub(crate) fn step_down(self, now: Timestamp) -> Searching {
         Searching::at(now)
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -32,7 +32,7 @@
 
 fn record(holder: NodeIdentity, revision: u64) -> Versioned<RelayRecord> {
     Versioned {
-        value: RelayRecord { holder },
+        value: RelayRecord { holder, members: 1 },
         revision,
     }
 }
@@ -43,7 +43,7 @@
 
 fn claim(condition: Condition) -> Option<Action> {
     let holder = identity(1, 1);
-    Some(Action::Claim(RelayRecord { holder }, condition))
+    Some(Action::Claim(RelayRecord { holder, members: 1 }, condition))
 }
 
 /// A member that follows node 2, which the store answered at 10 ms.
@@ -218,3 +218,46 @@
     assert_eq!(member.poll(at(99_999)), None);
     assert_eq!(member.source(at(99_999)), Source::Store);
 }
+
+#[test]
+fn relay_writes_its_record_again_when_members_came_or_left() {
+    let mut member = relay();
+    member.set_members(5);
+    assert_eq!(member.poll(at(708)), Some(Action::Read));
+    member.on_read(at(712), found(identity(1, 1), 5));
+    // Followers of the relay before may not have come yet.
+    assert_eq!(member.poll(at(3_000)), Some(Action::Read));
+    member.on_read(at(3_004), found(identity(1, 1), 5));
+    let counted = RelayRecord {
+        holder: identity(1, 1),
+        members: 5,
+    };
+    let write = Some(Action::Claim(counted, Condition::Revision(5)));
+    assert_eq!(member.poll(at(3_504)), write);
+    member.on_claim(at(3_508), WriteResult::Accepted(8));
+    // One of eleven is not worth a call.
+    member.set_members(11);
+    assert!(matches!(member.poll(at(8_000)), Some(Action::Claim(..))));
+    member.on_claim(at(8_004), WriteResult::Accepted(9));
+    member.set_members(12);
+    assert_eq!(member.poll(at(99_000)), Some(Action::Read));
+}
+
+#[test]
+fn successor_keeps_the_count_until_it_has_heard_of_its_followers() {
+    let mut member = member();
+    member.poll(at(0));
+    let mut before = record(identity(2, 1), 5);
+    before.value.members = 27;
+    member.on_read(at(4), ReadResult::Found(Some(before.clone())));
+    member.poll(at(4));
+    member.on_follow(at(904), Followed::Failed);
+    member.poll(at(1_104));
+    member.on_read(at(1_108), ReadResult::Found(Some(before)));
+    let claimed = RelayRecord {
+        holder: identity(1, 1),
+        members: 27,
+    };
+    let write = Some(Action::Claim(claimed, Condition::Revision(5)));
+    assert_eq!(member.poll(at(1_108)), write);
+}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -160,7 +160,7 @@
 fn fault_of(error: &ExchangeError) -> Fault {
     match (error.stage, &error.fault) {
         // This router's own limit says nothing about the back end.
-        (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NothingSent,
+        (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NoConnection,
         (Stage::ConnectFailed, _) => Fault::Unreachable,
         (Stage::NothingSent, _) => Fault::NothingSent,
         (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -12,6 +12,9 @@
 use super::exchange::PastAttempt;
 use crate::events::{EventId, emit};
 
+/// Attempts of one request that its line tells of.
+const MOST_ATTEMPTS: usize = 6;
+
 /// One in so many plain successes is written.
 const SAMPLE: u64 = 64;
 /// Lines on requests that are written in one second at the most.
@@ -71,7 +74,7 @@
     /// milliseconds after the request's head.
     fn attempts_text(&self) -> String {
         let mut text = String::new();
-        for attempt in &self.attempts {
+        for attempt in self.attempts.iter().take(MOST_ATTEMPTS) {
             let at = attempt.at.saturating_duration_since(self.started);
             let end = end_text(&attempt.end);
             let separator = if text.is_empty() { "" } else { "; " };
@@ -83,6 +86,10 @@
                 at.as_millis()
             );
         }
+        let more = self.attempts.len().saturating_sub(MOST_ATTEMPTS);
+        if more > 0 {
+            let _ = write!(text, "; {more} more");
+        }
         text
     }
 }
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -21,7 +21,7 @@
 use super::coordination::Event;
 use super::directory::Directory;
 use super::knowledge::{Differences, Marks, News};
-use super::relay::Followers;
+use super::relay::{Follower, Followers};
 
 /// Path of reports.
 const LOAD_PATH: &str = "/threadledge/v1/load";
@@ -70,11 +70,18 @@
     pub(super) from: Option<SocketAddr>,
     /// What it knows.
     pub(super) marks: Marks,
+    /// Gateways that learn through it, itself included.
+    #[serde(default = "one")]
+    pub(super) members: u32,
     /// The load that it saw since its last poll.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(super) load: BTreeMap<ServiceName, LoadReport>,
 }
 
+fn one() -> u32 {
+    1
+}
+
 /// A relay's answer.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind")]
@@ -100,6 +107,9 @@
     pub(super) held_ms: u64,
     /// What the follower lacks.
     pub(super) differences: Differences,
+    /// Gateways of the deployment, roughly, if it is known.
+    #[serde(default)]
+    pub(super) fleet: Option<u32>,
     /// Coordinators' leases with their revisions.
     pub(super) leases: Vec<KnownLease>,
     /// Some other gateways.
@@ -115,6 +125,16 @@
     pub(super) lease: CoordinatorLease,
 }
 
+impl FollowPoll {
+    fn follower(&self) -> Follower<'_> {
+        Follower {
+            address: self.from,
+            members: self.members,
+            marks: &self.marks,
+        }
+    }
+}
+
 /// Gateways that this one has heard of lately.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -280,15 +300,15 @@
         }
     }
 
-    async fn answer_poll(&self, poll: FollowPoll) -> FollowAnswer {
+    async fn answer_poll(&self, mut poll: FollowPoll) -> FollowAnswer {
         self.peers.heard_of(poll.from);
-        for (service, load) in poll.load {
+        for (service, load) in std::mem::take(&mut poll.load) {
             // The channel is unbounded and closes only when the process ends.
             let _ = self.events.try_send(Event::Load(service, load));
         }
         let peers = self.told_peers();
         self.followers
-            .answer(&self.directory, poll.from, &poll.marks, peers, FOLLOW_HOLD)
+            .answer(&self.directory, &poll.follower(), peers, FOLLOW_HOLD)
             .await
     }
 
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -11,11 +11,12 @@
 use parking_lot::Mutex;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned, WriteResult};
 use threadledge_net::timer;
-use threadledge_ports::Ports;
-use threadledge_relay::{Action, Followed, Member};
+use threadledge_ports::{Entry, Ports};
+use threadledge_relay::{Action, Followed, Member, RelayRecord};
 use threadledge_types::Timestamp;
 
 use super::directory::Directory;
+use super::dispatch::Dispatch;
 use super::follow::Update;
 use super::knowledge::Marks;
 use super::notifier::Notifier;
@@ -32,11 +33,26 @@
 /// Longest wait for a member's next step.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
+/// Who asks, and what it knows.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Follower<'a> {
+    pub(super) address: Option<SocketAddr>,
+    /// Gateways that learn through it, itself included.
+    pub(super) members: u32,
+    pub(super) marks: &'a Marks,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Timestamp,
+    members: u32,
+}
+
 /// Serves the gateways that follow this one.
 pub(super) struct Followers {
     clock: Clock,
     sources: Arc<Sources>,
-    heard: Mutex<BTreeMap<SocketAddr, Timestamp>>,
+    heard: Mutex<BTreeMap<SocketAddr, Heard>>,
     leaving: AtomicBool,
     left: Notifier,
 }
@@ -67,12 +83,11 @@
     pub(super) async fn answer(
         &self,
         directory: &Directory,
-        from: Option<SocketAddr>,
-        marks: &Marks,
+        follower: &Follower<'_>,
         peers: Vec<SocketAddr>,
         hold: Duration,
     ) -> FollowAnswer {
-        if let Err(followers) = self.admit(from) {
+        if let Err(followers) = self.admit(follower) {
             return FollowAnswer::Full { followers };
         }
         let asked = self.clock.now();
@@ -83,13 +98,14 @@
             if self.is_leaving() {
                 return FollowAnswer::Leaving;
             }
-            let differences = directory.differences_since(marks);
+            let differences = directory.differences_since(follower.marks);
             let now = self.clock.now();
             if !differences.is_empty() || now >= asked + hold {
                 return FollowAnswer::News(Box::new(FollowNews {
                     age_ms: millis(now.since(self.sources.seen())),
                     held_ms: millis(now.since(asked)),
                     differences,
+                    fleet: self.sources.fleet(),
                     leases: self.leases(),
                     peers,
                 }));
@@ -100,20 +116,31 @@
     }
 
     /// Lets a follower in, or names some of those that are.
-    fn admit(&self, from: Option<SocketAddr>) -> Result<(), Vec<SocketAddr>> {
-        let Some(from) = from else {
+    fn admit(&self, follower: &Follower<'_>) -> Result<(), Vec<SocketAddr>> {
+        let Some(from) = follower.address else {
             return Ok(());
         };
         let now = self.clock.now();
         let mut heard = self.heard.lock();
-        heard.retain(|_, at| now.since(*at) < FOLLOWER_SILENCE);
+        heard.retain(|_, heard| now.since(heard.at) < FOLLOWER_SILENCE);
         if heard.len() >= MOST_FOLLOWERS && !heard.contains_key(&from) {
             return Err(heard.keys().copied().collect());
         }
-        heard.insert(from, now);
+        let members = follower.members;
+        heard.insert(from, Heard { at: now, members });
         Ok(())
     }
 
+    /// Gateways that learn through this one, itself included.
+    fn members(&self) -> u32 {
+        let now = self.clock.now();
+        let heard = self.heard.lock();
+        let lately = heard
+            .values()
+            .filter(|heard| now.since(heard.at) < FOLLOWER_SILENCE);
+        lately.fold(1, |sum, heard| sum.saturating_add(heard.members))
+    }
+
     fn leases(&self) -> Vec<KnownLease> {
         let leases = self.sources.leases().into_iter();
         leases
@@ -135,6 +162,7 @@
     pub(super) sources: Arc<Sources>,
     pub(super) health: Arc<StoreHealth>,
     pub(super) directory: Directory,
+    pub(super) dispatch: Arc<Dispatch>,
     pub(super) client: PeerClient,
     pub(super) followers: Arc<Followers>,
 }
@@ -154,6 +182,7 @@
                 return;
             }
             self.publish();
+            self.member.set_members(self.followers.members());
             let now = self.clock.now();
             match self.member.poll(now) {
                 Some(Action::Read) => self.read().await,
@@ -172,6 +201,10 @@
     /// Tells everyone whom it concerns where this gateway learns from.
     fn publish(&self) {
         self.sources.set(self.member.source(self.clock.now()));
+        if let Some(fleet) = self.sources.fleet() {
+            self.dispatch
+                .with(|dispatcher, _now| dispatcher.set_fleet(fleet));
+        }
     }
 
     async fn wait(&self, now: Timestamp) {
@@ -185,13 +218,41 @@
     async fn read(&mut self) {
         let started = self.clock.now();
         let relayed = self.member.relays();
-        let read = self.ports.relays.read(&self.zone, Freshness::Stale);
-        let result = read.await;
+        let listed = self.ports.relays.list(Freshness::Stale).await;
+        let result = match listed {
+            Ok(listing) => ReadResult::Found(self.take_records(listing.entries)),
+            Err(_) => ReadResult::Failed,
+        };
         self.heard_from_store(started, result != ReadResult::Failed);
         self.member.on_read(self.clock.now(), result);
         self.tell_change(relayed);
     }
 
+    /// Counts the gateways of all zones; the record of this one.
+    fn take_records(&self, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
+        // A relay that is new has not heard of all its followers yet; the
+        // record counts them as they were.
+        let mut zone = self.followers.members();
+        let mut fleet: u32 = 0;
+        let mut own = None;
+        for entry in entries {
+            let Ok(value) = entry.value else {
+                continue;
+            };
+            if entry.name == self.zone {
+                zone = zone.max(value.members);
+                let revision = entry.revision;
+                own = Some(Versioned { value, revision });
+            } else {
+                fleet = fleet.saturating_add(value.members);
+            }
+        }
+        if self.member.relays() {
+            self.sources.set_fleet(fleet.saturating_add(zone));
+        }
+        own
+    }
+
     fn heard_from_store(&self, started: Timestamp, answered: bool) {
         if answered {
             self.health.answered(started);
@@ -213,6 +274,7 @@
         let poll = FollowPoll {
             from: self.client.own(),
             marks: self.directory.marks(),
+            members: self.followers.members(),
             load: self.sources.take_load(),
         };
         let followed = match self.client.follow(address, &poll).await {
@@ -249,6 +311,9 @@
             };
             self.sources.take_lease(&known.service, &lease);
         }
+        if let Some(fleet) = news.fleet {
+            self.sources.set_fleet(fleet);
+        }
         self.client.heard_of(address);
         for peer in news.peers {
             self.client.heard_of(peer);
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -308,6 +308,7 @@
             sources: self.sources.clone(),
             health: self.store_health.clone(),
             directory: directory.clone(),
+            dispatch: self.dispatch.clone(),
             client: self.peer_client(),
             followers: self.followers.clone(),
         };
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -90,7 +90,8 @@
     pub slack: f64,
     /// Window, in seconds.
     pub window_s: f64,
-    /// Gateways among which the slack is divided.
+    /// Gateways among which the slack is divided while their number is not
+    /// known.
     pub gateways: u32,
 }
 
@@ -325,11 +326,13 @@
     pub fn dispatch(&self) -> threadledge_dispatch::Settings {
         let defaults = threadledge_dispatch::Settings::default();
         let retry = &self.retry_budget;
-        let part = retry.slack / f64::from(retry.gateways.max(1));
         threadledge_dispatch::Settings {
             zone: self.zone.as_str().into(),
             retry_ratio: retry.ratio * RATIO_PART,
-            retry_slack: part.floor().clamp(0.0, f64::from(u32::MAX)) as u32,
+            retry_slack: (retry.slack * SLACK_PART)
+                .floor()
+                .clamp(0.0, f64::from(u32::MAX)) as u32,
+            gateways: retry.gateways.max(1),
             retry_window: seconds(retry.window_s),
             ..defaults
         }
@@ -338,6 +341,9 @@
 
 /// Longest time that a setting may state, in seconds.
 const LONGEST_S: f64 = 86_400.0;
+/// Part of the budget's slack that is shared: gateways that nobody has heard
+/// of yet have a share as well.
+const SLACK_PART: f64 = 0.8;
 /// Part of the budget's ratio that a gateway uses: its window and that of
 /// whoever counts do not begin together.
 const RATIO_PART: f64 = 0.75;
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use threadledge_coordination::action::Versioned;
@@ -16,6 +17,41 @@
 use super::store_health::StoreHealth;
 use crate::proxy::Clock;
 
+/// How long fewer gateways must be told of before it counts: those that a
+/// relay has just lost still share what all may use together.
+const FEWER_AFTER: Duration = Duration::from_secs(12);
+
+/// How many gateways there are.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    gateways: Option<u32>,
+    /// Since when fewer are told of, and how many at the most.
+    fewer: Option<(Timestamp, u32)>,
+}
+
+impl Fleet {
+    /// So many are told of.
+    pub fn set(&mut self, now: Timestamp, gateways: u32) {
+        if self.gateways.is_none_or(|known| gateways >= known) {
+            self.gateways = Some(gateways);
+            self.fewer = None;
+            return;
+        }
+        let (since, most) = self.fewer.unwrap_or((now, gateways));
+        let most = most.max(gateways);
+        self.fewer = Some((since, most));
+        if now.since(since) >= FEWER_AFTER {
+            self.gateways = Some(most);
+            self.fewer = None;
+        }
+    }
+
+    /// How many there are, if it is known.
+    pub fn gateways(&self) -> Option<u32> {
+        self.gateways
+    }
+}
+
 /// Where a gateway learns from.
 #[derive(Debug)]
 pub struct Sources {
@@ -23,6 +59,7 @@
     health: Arc<StoreHealth>,
     source: Mutex<Source>,
     changed: Notifier,
+    fleet: Mutex<Fleet>,
     leases: Mutex<BTreeMap<ServiceName, Versioned<CoordinatorLease>>>,
     load: Mutex<BTreeMap<ServiceName, LoadReport>>,
 }
@@ -35,6 +72,7 @@
             health,
             source: Mutex::new(Source::Store),
             changed: Notifier::default(),
+            fleet: Mutex::default(),
             leases: Mutex::default(),
             load: Mutex::default(),
         }
@@ -73,6 +111,17 @@
         }
     }
 
+    /// Gateways of the deployment, roughly, if it is known.
+    pub(super) fn fleet(&self) -> Option<u32> {
+        self.fleet.lock().gateways()
+    }
+
+    /// So many gateways are there, roughly.
+    pub(super) fn set_fleet(&self, gateways: u32) {
+        let now = self.clock.now();
+        self.fleet.lock().set(now, gateways);
+    }
+
     /// Resolves when the store has to be watched.
     pub(super) async fn until_store(&self) {
         loop {
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! the users' platform on loopback.
 
 mod changes;
+mod fleet;
 mod follow;
 mod knowledge;
 mod names;
--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,119 @@
+//! Callers: they send requests and keep what they saw.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Request, Response};
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use threadledge_net::{HttpClient, PoolSettings, StopSignal, timer};
+
+use crate::check::{Answer, Seen};
+
+/// How long a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_millis(2_000);
+/// Added for the answer to come.
+const MARGIN: Duration = Duration::from_millis(600);
+/// Pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: (u64, u64) = (5, 40);
+
+/// What all callers saw.
+pub type History = Arc<Mutex<Vec<Seen>>>;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// To the service divided by key.
+    Keyed,
+    /// May run more than once.
+    Safe,
+    /// Must not.
+    Unsafe,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Kind; 3] = [Kind::Keyed, Kind::Safe, Kind::Unsafe];
+
+    fn place(self) -> (&'static str, &'static str) {
+        match self {
+            Kind::Keyed => ("keyed.example", "/k/"),
+            Kind::Safe => ("plain.example", "/safe/"),
+            Kind::Unsafe => ("plain.example", "/unsafe/"),
+        }
+    }
+}
+
+/// A client as callers use it.
+pub fn client() -> HttpClient {
+    HttpClient::new(PoolSettings {
+        connect_timeout: Duration::from_millis(500),
+        ..PoolSettings::default()
+    })
+}
+
+/// Sends one request.
+pub async fn ask(client: &HttpClient, to: SocketAddr, kind: Kind, id: &str, key: u16) -> Seen {
+    let (host, prefix) = kind.place();
+    let method = match kind {
+        Kind::Unsafe => Method::POST,
+        Kind::Keyed | Kind::Safe => Method::GET,
+    };
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("{prefix}{id}"))
+        .header("host", host)
+        .header("x-request-id", id)
+        .header("x-request-deadline-ms", DEADLINE.as_millis() as u64);
+    if kind == Kind::Keyed {
+        request = request.header("x-shard-key", key);
+    }
+    let body = match kind {
+        Kind::Unsafe => id.as_bytes().to_vec(),
+        Kind::Keyed | Kind::Safe => Vec::new(),
+    };
+    let answer = match request.body(body) {
+        Ok(request) => client.send(to, request, DEADLINE + MARGIN).await.ok(),
+        Err(_) => None,
+    };
+    Seen {
+        id: id.to_owned(),
+        repeatable: kind != Kind::Unsafe,
+        answer: answer.map_or(Answer::None, seen),
+    }
+}
+
+fn seen(response: Response<Vec<u8>>) -> Answer {
+    let id = response.headers().get("x-request-id");
+    Answer::Whole {
+        status: response.status().as_u16(),
+        id: id.and_then(|id| id.to_str().ok()).map(str::to_owned),
+        body: String::from_utf8_lossy(response.body()).into_owned(),
+    }
+}
+
+/// Sends requests to gateways in turn until `stop` is given.
+pub async fn call(
+    number: usize,
+    seed: u64,
+    gateways: Vec<SocketAddr>,
+    history: History,
+    stop: StopSignal,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
+    let client = client();
+    let mut sent = 0_u64;
+    while !stop.is_stopped() {
+        let to = gateways[rng.random_range(0..gateways.len())];
+        let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+        let id = format!("c{number}-{sent}");
+        sent += 1;
+        let key = rng.random::<u16>();
+        let seen = ask(&client, to, kind, &id, key).await;
+        history.lock().push(seen);
+        let pause = rng.random_range(PAUSE_MS.0..PAUSE_MS.1);
+        timer::sleep(Duration::from_millis(pause)).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,173 @@
+//! The promises, checked on what callers and back ends saw.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What became of one request, as its caller saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A whole answer.
+    Whole {
+        /// Its status.
+        status: u16,
+        /// The request that it says it answers.
+        id: Option<String>,
+        /// Its body.
+        body: String,
+    },
+    /// None: the connection broke, or the time was up.
+    None,
+}
+
+/// One request and its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// What became of it.
+    pub answer: Answer,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// A request that must not be repeated ran more than once.
+    Twice {
+        /// The request.
+        id: String,
+        /// How often.
+        runs: usize,
+    },
+    /// A request that was refused ran.
+    RanThoughRefused {
+        /// The request.
+        id: String,
+        /// The refusal.
+        status: u16,
+    },
+    /// A caller got an answer that is not that of its own request.
+    WrongAnswer {
+        /// The request.
+        id: String,
+        /// What came.
+        body: String,
+    },
+    /// A success without a run.
+    NeverRan {
+        /// The request.
+        id: String,
+    },
+    /// Two back ends held a key at the same time.
+    TwoOwners {
+        /// The key.
+        key: u16,
+        /// Their ids.
+        owners: [String; 2],
+    },
+    /// A gateway showed an older configuration than before, in one life.
+    WentBack {
+        /// The gateway.
+        gateway: usize,
+        /// What it showed first, and then.
+        versions: [u64; 2],
+    },
+    /// A planned stop did not end in time, or cut requests off.
+    StopCut {
+        /// The gateway.
+        gateway: usize,
+        /// What was wrong.
+        problem: String,
+    },
+    /// In the calm after the faults something still does not work.
+    NotRecovered {
+        /// What does not.
+        problem: String,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Violation::Twice { id, runs } => write!(f, "unsafe request {id} ran {runs} times"),
+            Violation::RanThoughRefused { id, status } => {
+                write!(f, "unsafe request {id} was answered {status} and ran")
+            }
+            Violation::WrongAnswer { id, body } => {
+                write!(f, "request {id} was answered with {body:?}")
+            }
+            Violation::NeverRan { id } => write!(f, "request {id} succeeded and ran nowhere"),
+            Violation::TwoOwners { key, owners } => {
+                write!(f, "key {key} was held by {} and {}", owners[0], owners[1])
+            }
+            Violation::WentBack { gateway, versions } => write!(
+                f,
+                "gateway {gateway} went back from version {} to {}",
+                versions[0], versions[1]
+            ),
+            Violation::StopCut { gateway, problem } => {
+                write!(f, "planned stop of gateway {gateway}: {problem}")
+            }
+            Violation::NotRecovered { problem } => write!(f, "after the faults: {problem}"),
+        }
+    }
+}
+
+/// Statuses that promise that a request has not run and never will.
+const REFUSALS: [u16; 4] = [408, 421, 429, 503];
+
+/// Checks every request against the runs at back ends, by id.
+pub fn requests(seen: &[Seen], runs: &BTreeMap<String, usize>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for each in seen {
+        let ran = runs.get(&each.id).copied().unwrap_or(0);
+        if !each.repeatable && ran > 1 {
+            let id = each.id.clone();
+            found.push(Violation::Twice { id, runs: ran });
+        }
+        let Answer::Whole { status, id, body } = &each.answer else {
+            continue;
+        };
+        if !each.repeatable && ran > 0 && REFUSALS.contains(status) {
+            found.push(Violation::RanThoughRefused {
+                id: each.id.clone(),
+                status: *status,
+            });
+        }
+        if !(200..300).contains(status) {
+            continue;
+        }
+        if ran == 0 {
+            let id = each.id.clone();
+            found.push(Violation::NeverRan { id });
+        }
+        let own = format!("answer to {} from ", each.id);
+        if id.as_deref() != Some(&each.id) || !body.starts_with(&own) {
+            found.push(Violation::WrongAnswer {
+                id: each.id.clone(),
+                body: body.clone(),
+            });
+        }
+    }
+    found
+}
+
+/// Checks that nobody holds what another holds. `held` tells of each back end
+/// which of the keys looked at it holds.
+pub fn owners(held: &[(String, Vec<u16>)]) -> Vec<Violation> {
+    let mut owner: BTreeMap<u16, &str> = BTreeMap::new();
+    let mut found = Vec::new();
+    for (name, keys) in held {
+        for key in keys {
+            let Some(other) = owner.insert(*key, name) else {
+                continue;
+            };
+            found.push(Violation::TwoOwners {
+                key: *key,
+                owners: [other.to_owned(), name.clone()],
+            });
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,417 @@
+//! One soak from its start to its summary.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use rustix::process::Signal;
+use threadledge_net::{HttpClient, StopSignal, timer};
+use threadledge_platform_stand_in::Fault as StoreFault;
+
+use crate::caller::{self, History};
+use crate::check::{self, Answer, Violation};
+use crate::fault::{self, Fault, Kind};
+use crate::proxy::Mode;
+use crate::world::{Size, World, looked_at};
+
+/// Time for everything to come up, and to come to rest after the faults.
+const CALM: Duration = Duration::from_secs(15);
+/// Time between two looks at owners and versions.
+const LOOK: Duration = Duration::from_millis(20);
+/// Looks between two at the versions of configurations.
+const VERSIONS_EACH: u64 = 25;
+/// Two owners count when they are seen for so long: the looks at back ends
+/// come one after the other.
+const OVERLAP: Duration = Duration::from_millis(60);
+/// A planned stop ends within this.
+const GRACE: Duration = Duration::from_secs(6);
+/// Lateness of a slow back end.
+const LATE: Duration = Duration::from_millis(300);
+/// Callers.
+const CALLERS: usize = 12;
+/// Requests of each kind to each gateway once all is calm again.
+const LAST_REQUESTS: usize = 5;
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program.
+    pub program: PathBuf,
+    /// Folder for settings and logs.
+    pub dir: PathBuf,
+    /// Decides the faults.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+    /// Gateways.
+    pub gateways: usize,
+    /// Back ends of each service.
+    pub back_ends: usize,
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Summary {
+    /// Faults that were injected.
+    pub faults: usize,
+    /// Requests by what became of them.
+    pub requests: BTreeMap<String, usize>,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "faults: {}", self.faults)?;
+        for (end, count) in &self.requests {
+            writeln!(f, "requests that ended with {end}: {count}")?;
+        }
+        for violation in &self.violations {
+            writeln!(f, "violation: {violation}")?;
+        }
+        write!(f, "violations: {}", self.violations.len())
+    }
+}
+
+/// Something to undo or to go on with when its time has come.
+struct Later {
+    due: Instant,
+    kind: Kind,
+}
+
+struct Soak {
+    world: World,
+    later: Vec<Later>,
+    /// Planned stops under way, by gateway.
+    stopping: BTreeMap<usize, Instant>,
+    /// Versions shown by each gateway and life.
+    shown: BTreeMap<(usize, u64), u64>,
+    overlaps: BTreeMap<u16, (Instant, Violation)>,
+    looks: u64,
+    client: HttpClient,
+    violations: Vec<Violation>,
+}
+
+/// Runs one soak.
+///
+/// # Errors
+///
+/// Something cannot be started; what the gateways do wrong is no error but
+/// stands in the summary.
+pub async fn run(options: &Options) -> eyre::Result<Summary> {
+    std::fs::create_dir_all(&options.dir)?;
+    let size = Size {
+        gateways: options.gateways,
+        back_ends: options.back_ends,
+    };
+    let world = World::start(&options.program, &options.dir, size).await?;
+    let mut soak = Soak {
+        world,
+        later: Vec::new(),
+        stopping: BTreeMap::new(),
+        shown: BTreeMap::new(),
+        overlaps: BTreeMap::new(),
+        looks: 0,
+        client: caller::client(),
+        violations: Vec::new(),
+    };
+    soak.await_calm("start").await;
+    let history = History::default();
+    let stop = StopSignal::new();
+    let callers = soak.start_callers(options.seed, &history, &stop);
+    let faults = fault::plan(
+        options.seed,
+        options.length,
+        options.gateways,
+        options.back_ends * 2,
+    );
+    soak.play(&faults, options.length).await?;
+    soak.mend()?;
+    soak.await_calm("faults").await;
+    stop.stop();
+    for each in callers {
+        each.await;
+    }
+    soak.last_requests(&history).await;
+    Ok(soak.summary(faults.len(), &history))
+}
+
+impl Soak {
+    fn start_callers(
+        &self,
+        seed: u64,
+        history: &History,
+        stop: &StopSignal,
+    ) -> Vec<task::JoinHandle<()>> {
+        let gateways = self.world.gateways.iter();
+        let addresses: Vec<_> = gateways.map(|gateway| gateway.callers).collect();
+        (0..CALLERS)
+            .map(|number| {
+                let to = addresses.clone();
+                let (history, stop) = (history.clone(), stop.clone());
+                task::spawn(caller::call(number, seed, to, history, stop))
+            })
+            .collect()
+    }
+
+    async fn play(&mut self, faults: &[Fault], length: Duration) -> eyre::Result<()> {
+        let start = Instant::now();
+        let mut next = faults.iter().peekable();
+        while start.elapsed() < length {
+            while let Some(fault) = next.next_if(|fault| fault.at <= start.elapsed()) {
+                self.inject(fault).await?;
+            }
+            self.look().await?;
+            timer::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    async fn inject(&mut self, fault: &Fault) -> eyre::Result<()> {
+        let due = Instant::now() + fault.length;
+        let kind = fault.kind;
+        match kind {
+            Kind::Kill(gw) => self.kill(gw),
+            Kind::KillAll => {
+                for gw in 0..self.world.gateways.len() {
+                    self.kill(gw);
+                }
+            }
+            Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::STOP)?,
+            Kind::Stop(gw) => {
+                if !self.stopping.contains_key(&gw) {
+                    // One that stands still cannot stop in time.
+                    self.world.gateways[gw].signal(Signal::CONT)?;
+                    self.world.gateways[gw].signal(Signal::TERM)?;
+                    self.stopping.insert(gw, Instant::now());
+                }
+            }
+            Kind::Reload(gw) => self.world.gateways[gw].signal(Signal::HUP)?,
+            Kind::StoreSilent => self.world.store.set_fault(StoreFault::Silent),
+            Kind::StoreBusy => self.world.store.set_fault(StoreFault::Busy),
+            Kind::StoreLosesAnswers => self.world.store.set_fault(StoreFault::LosesAnswers),
+            Kind::StoreForgets => self.world.store.compact(),
+            Kind::StoreCut(gw) => self.world.doors[gw].set(Mode::Cut),
+            Kind::StoreDeaf(gw) => self.world.doors[gw].set(Mode::Deaf),
+            Kind::StoreReset(gw) => self.world.doors[gw].reset(),
+            Kind::BackEndReset(be) => self.world.back_ends[be].proxy.reset(),
+            Kind::BackEndCut(be) => self.world.back_ends[be].proxy.set(Mode::Cut),
+            Kind::BackEndDeaf(be) => self.world.back_ends[be].proxy.set(Mode::Deaf),
+            Kind::BackEndSlow(be) => self.world.back_ends[be].proxy.set(Mode::Slow(LATE)),
+            Kind::Replace(be) => {
+                self.world.forget_left();
+                self.world.replace(be).await?;
+            }
+            Kind::Configure => self.world.configure(),
+        }
+        self.later.push(Later { due, kind });
+        Ok(())
+    }
+
+    fn kill(&mut self, gw: usize) {
+        self.stopping.remove(&gw);
+        self.world.gateways[gw].kill();
+    }
+
+    /// Ends faults whose time is over.
+    fn end_faults(&mut self, now: Instant) -> eyre::Result<()> {
+        let (due, later): (Vec<Later>, Vec<Later>) =
+            self.later.drain(..).partition(|later| later.due <= now);
+        self.later = later;
+        for each in due {
+            self.end(each.kind)?;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, kind: Kind) -> eyre::Result<()> {
+        match kind {
+            Kind::Kill(gw) => self.world.gateways[gw].begin()?,
+            Kind::KillAll => {
+                for gateway in &mut self.world.gateways {
+                    gateway.begin()?;
+                }
+            }
+            Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::CONT)?,
+            Kind::StoreSilent | Kind::StoreBusy | Kind::StoreLosesAnswers => {
+                self.world.store.set_fault(StoreFault::None);
+            }
+            Kind::StoreCut(gw) | Kind::StoreDeaf(gw) => self.world.doors[gw].set(Mode::Sound),
+            Kind::BackEndCut(be) | Kind::BackEndDeaf(be) | Kind::BackEndSlow(be) => {
+                self.world.back_ends[be].proxy.set(Mode::Sound);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Ends every fault.
+    fn mend(&mut self) -> eyre::Result<()> {
+        for each in std::mem::take(&mut self.later) {
+            self.end(each.kind)?;
+        }
+        self.world.forget_left();
+        Ok(())
+    }
+
+    /// Looks at everything once.
+    async fn look(&mut self) -> eyre::Result<()> {
+        let now = Instant::now();
+        self.end_faults(now)?;
+        self.look_at_processes(now)?;
+        self.look_at_owners(now);
+        self.looks += 1;
+        if self.looks.is_multiple_of(VERSIONS_EACH) {
+            self.look_at_versions().await;
+        }
+        Ok(())
+    }
+
+    fn look_at_processes(&mut self, now: Instant) -> eyre::Result<()> {
+        for (number, gateway) in self.world.gateways.iter_mut().enumerate() {
+            let asked = self.stopping.get(&number).copied();
+            let Some(status) = gateway.ended() else {
+                if asked.is_some_and(|asked| now > asked + GRACE) {
+                    self.stopping.remove(&number);
+                    let problem = "it goes on after the grace time".to_owned();
+                    self.violations.push(stop_cut(number, problem));
+                    gateway.kill();
+                    gateway.begin()?;
+                }
+                continue;
+            };
+            self.stopping.remove(&number);
+            if !status.success() || asked.is_none() {
+                let problem = format!("it ended by itself with {status}");
+                self.violations.push(stop_cut(number, problem));
+            }
+            gateway.begin()?;
+        }
+        Ok(())
+    }
+
+    /// Owners that two looks in a row find beside each other count.
+    fn look_at_owners(&mut self, now: Instant) {
+        let mut seen = BTreeMap::new();
+        for violation in check::owners(&self.world.held()) {
+            let Violation::TwoOwners { key, .. } = violation else {
+                continue;
+            };
+            let since = self.overlaps.get(&key).map_or(now, |(since, _)| *since);
+            if now.duration_since(since) >= OVERLAP && !self.violations.contains(&violation) {
+                self.violations.push(violation.clone());
+            }
+            seen.insert(key, (since, violation));
+        }
+        self.overlaps = seen;
+    }
+
+    async fn look_at_versions(&mut self) {
+        for number in 0..self.world.gateways.len() {
+            let gateway = &self.world.gateways[number];
+            let (life, address) = (gateway.life, gateway.readiness);
+            let Some(version) = shown_version(&self.client, address).await else {
+                continue;
+            };
+            let before = self.shown.entry((number, life)).or_default();
+            if version < *before {
+                let versions = [*before, version];
+                let gateway = number;
+                self.violations
+                    .push(Violation::WentBack { gateway, versions });
+            }
+            *before = version.max(*before);
+        }
+    }
+
+    /// Waits until every gateway shows the newest configuration and every key
+    /// is held.
+    async fn await_calm(&mut self, after: &str) {
+        let start = Instant::now();
+        loop {
+            if let Err(error) = self.look().await {
+                let problem = error.to_string();
+                self.violations.push(Violation::NotRecovered { problem });
+                return;
+            }
+            let Some(problem) = self.unrest().await else {
+                return;
+            };
+            if start.elapsed() > CALM {
+                let problem = format!("{problem} {CALM:?} after the {after}");
+                self.violations.push(Violation::NotRecovered { problem });
+                return;
+            }
+            timer::sleep(LOOK * 5).await;
+        }
+    }
+
+    async fn unrest(&self) -> Option<String> {
+        for (number, gateway) in self.world.gateways.iter().enumerate() {
+            let shown = shown_version(&self.client, gateway.readiness).await;
+            if shown != Some(self.world.version) {
+                let wanted = self.world.version;
+                return Some(format!(
+                    "gateway {number} shows {shown:?} instead of {wanted}"
+                ));
+            }
+        }
+        let held: usize = self.world.held().iter().map(|(_, keys)| keys.len()).sum();
+        let wanted = looked_at().len();
+        (held != wanted).then(|| format!("{held} of {wanted} keys are held"))
+    }
+
+    /// Everything is served in the calm at the end.
+    async fn last_requests(&mut self, history: &History) {
+        for (number, gateway) in self.world.gateways.iter().enumerate() {
+            for kind in caller::Kind::ALL {
+                for each in 0..LAST_REQUESTS {
+                    let id = format!("last-{number}-{kind:?}-{each}");
+                    let key = u16::try_from(each * 9_001).unwrap_or_default();
+                    let seen = caller::ask(&self.client, gateway.callers, kind, &id, key).await;
+                    if !matches!(seen.answer, Answer::Whole { status: 200, .. }) {
+                        let problem = format!("{id} ended with {:?}", seen.answer);
+                        self.violations.push(Violation::NotRecovered { problem });
+                    }
+                    history.lock().push(seen);
+                }
+            }
+        }
+    }
+
+    fn summary(mut self, faults: usize, history: &History) -> Summary {
+        let seen = history.lock();
+        let found = check::requests(&seen, &self.world.runs());
+        self.violations.extend(found);
+        let mut requests = BTreeMap::new();
+        for each in seen.iter() {
+            let end = match &each.answer {
+                Answer::Whole { status, .. } => status.to_string(),
+                Answer::None => "no answer".to_owned(),
+            };
+            *requests.entry(end).or_default() += 1;
+        }
+        Summary {
+            faults,
+            requests,
+            violations: self.violations,
+        }
+    }
+}
+
+fn stop_cut(gateway: usize, problem: String) -> Violation {
+    Violation::StopCut { gateway, problem }
+}
+
+/// The version of the configuration that a gateway says is in force.
+async fn shown_version(client: &HttpClient, address: std::net::SocketAddr) -> Option<u64> {
+    const METRIC: &str = "threadledge_gateway_configuration_version ";
+    let request = http::Request::get("/metrics").body(Vec::new()).ok()?;
+    let timeout = Duration::from_millis(300);
+    let answer = client.send(address, request, timeout).await.ok()?;
+    let text = String::from_utf8_lossy(answer.body()).into_owned();
+    let line = text.lines().find_map(|line| line.strip_prefix(METRIC))?;
+    line.trim().parse().ok()
+}
