Take no keys back for balance unless the store has just answered

The coordinator's keys had been released and could not be given out while the store refused; for owners that were lost that cannot be helped, but simulation showed the same for keys that were taken from a sound owner for balance, unserved for as long as the store was away. And the log told of five assignments in a row that no write had carried.

Ruled out: stale views at the gateways (they learned of the record within 0.3 s of the store's return); the soak's own check was too strict as well: it asked once at the first calm look.

Assignments are told once their write is accepted.

Tests, failing before: busy_keys_stay_with_their_owner_while_the_store_is_silent, assignment_that_was_not_written_is_not_told.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -121,7 +121,8 @@
         actions.extend(self.election.poll(now));
         self.watch_lease(now);
         if self.election.may_act(now) && !self.stopping {
-            actions.extend(self.ownership.poll(now));
+            let store_answers = self.election.just_confirmed(now);
+            actions.extend(self.ownership.poll(now, store_answers));
         }
         actions
     }
--- a/crates/coordination/src/election.rs
+++ b/crates/coordination/src/election.rs
@@ -44,6 +44,9 @@
     },
 }
 
+/// How long after a confirmation by the store it counts as answering.
+const JUST_CONFIRMED: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug)]
 enum State {
     Standby,
@@ -84,6 +87,8 @@
     absent: bool,
     call: Option<Call>,
     next_call: Timestamp,
+    /// When the store last confirmed the office.
+    confirmed: Timestamp,
     candidate: bool,
     handing_back: bool,
 }
@@ -100,6 +105,7 @@
             absent: false,
             call: None,
             next_call: Timestamp::ZERO,
+            confirmed: Timestamp::ZERO,
             candidate: false,
             handing_back: false,
         }
@@ -131,6 +137,12 @@
         }
     }
 
+    /// Whether the store has just confirmed the office, so that it will very
+    /// likely take the next write.
+    pub fn just_confirmed(&self, now: Timestamp) -> bool {
+        self.leading().is_some() && now.since(self.confirmed) < JUST_CONFIRMED
+    }
+
     /// Term and holder as last seen.
     pub fn known(&self) -> Option<(Term, Option<&NodeIdentity>)> {
         match &self.state {
@@ -434,6 +446,7 @@
             revision,
             confirmed_at,
         };
+        self.confirmed = now;
         self.next_call = now + self.settings.lease_renewal;
         if self.handing_back {
             self.next_call = now;
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -82,6 +82,8 @@
     first_seen: Option<Timestamp>,
     next_order: u64,
     notices: Vec<Notice>,
+    /// To be told once the write that is under way is accepted.
+    drafted: Vec<Notice>,
 }
 
 impl Ownership {
@@ -103,6 +105,7 @@
             first_seen: None,
             next_order: 0,
             notices: Vec::new(),
+            drafted: Vec::new(),
         }
     }
 
@@ -154,10 +157,12 @@
             .all(|tracked| tracked.in_flight.is_none())
     }
 
-    /// What to do now. Called only while the office is surely held.
-    pub fn poll(&mut self, now: Timestamp) -> Vec<Action> {
+    /// What to do now. Called only while the office is surely held. Keys that
+    /// their owner could keep are taken back only while the store answers: a
+    /// key that nobody holds can be given out only by a write.
+    pub fn poll(&mut self, now: Timestamp, store_answers: bool) -> Vec<Action> {
         let mut actions = Vec::new();
-        if let Some(call) = self.store_call(now) {
+        if let Some(call) = self.store_call(now, store_answers) {
             self.busy = true;
             actions.push(call);
         }
@@ -194,7 +199,7 @@
         (gathered > now).then_some(gathered)
     }
 
-    fn store_call(&mut self, now: Timestamp) -> Option<Action> {
+    fn store_call(&mut self, now: Timestamp, store_answers: bool) -> Option<Action> {
         if self.busy || now < self.next_store_call {
             return None;
         }
@@ -206,6 +211,9 @@
                 let revision = *revision;
                 let current = record.clone();
                 self.take_back(now, current.next_fence);
+                if store_answers {
+                    self.start_balancing(now, current.next_fence);
+                }
                 let next = self.next_record(now, &current);
                 let changed = next != current;
                 changed.then_some(Action::WriteRecord(next, Condition::Revision(revision)))
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -12,8 +12,8 @@
 use crate::record::{Fence, OwnershipRecord};
 
 impl Ownership {
-    /// Begins to take keys back from owners that may not keep them, and from
-    /// those with too many. `fence` is above that of every grant.
+    /// Begins to take keys back from owners that may not keep them. `fence` is
+    /// above that of every grant.
     pub(super) fn take_back(&mut self, now: Timestamp, fence: Fence) {
         for tracked in &mut self.tracked {
             let Some(owner) = tracked.owner().cloned() else {
@@ -32,7 +32,6 @@
                 });
             }
         }
-        self.start_balancing(now, fence);
     }
 
     /// Takes keys from those with too many, when nothing else is under way.
@@ -92,7 +91,7 @@
                 .collect(),
         };
         let drafted = draft.make(current);
-        self.notices.extend(drafted.notices);
+        self.drafted = drafted.notices;
         drafted.record
     }
 
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use threadledge_coordination::{GrantOrder, Order, OrderId, OrderKind, Owner};
-use threadledge_types::deployment::KeyRange;
+use threadledge_coordination::{
+    GrantOrder, KeyCount, LoadReport, Order, OrderId, OrderKind, Owner,
+};
+use threadledge_types::deployment::{KeyRange, ShardKey};
 
 use super::checker::{Checker, Violation};
 use super::world::{Chances, World};
@@ -239,3 +241,54 @@
     let violation = checker.granted(&second);
     assert!(matches!(violation, Err(Violation::FenceNotAbove(..))));
 }
+
+/// A key that is given back can be given out only by a write. While the store
+/// is silent nothing is taken back that its owner could keep.
+#[test]
+fn busy_keys_stay_with_their_owner_while_the_store_is_silent() {
+    for offset in 0..20 {
+        let mut world = settled(50 + offset);
+        world.run(Duration::from_millis(40 * offset));
+        world.store_down_until = world.now + SECOND * 4;
+        let coordinator = world.coordinator().expect("one coordinates");
+        for _ in 0..300 {
+            let busy = (100..300).map(|key| KeyCount {
+                key: ShardKey(key),
+                count: 2,
+            });
+            let report = LoadReport {
+                requests: busy.collect(),
+                speeds: Vec::new(),
+            };
+            let now = world.now;
+            world.nodes[coordinator].coordinator.add_load(now, &report);
+            world.step();
+            assert!(world.all_served(), "keys unserved at {:?}", world.now);
+        }
+        let moves = world.moves;
+        world.run(SECOND * 4);
+        assert!(world.moves > moves, "nothing moves when the store is back");
+    }
+}
+
+/// Operators are told of an assignment once it stands in the store.
+#[test]
+fn assignment_that_was_not_written_is_not_told() {
+    let mut world = settled(8);
+    let owner = world.owner(100).expect("owned");
+    world.registered.remove(&owner);
+    world.tell_back_ends();
+    world.store_down_until = world.now + SECOND * 3;
+    world.told.clear();
+    world.run(SECOND * 2);
+    let told = |world: &World| {
+        world
+            .told
+            .iter()
+            .filter(|line| line.contains("Assigned"))
+            .count()
+    };
+    assert_eq!(told(&world), 0, "{:?}", world.told);
+    world.run(SECOND * 4);
+    assert!(told(&world) > 0);
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -129,12 +129,13 @@
     );
     soak.play(&faults, options.length).await?;
     soak.mend()?;
+    let mended = Instant::now();
     soak.await_calm("faults").await;
     stop.stop();
     for each in callers {
         each.await;
     }
-    soak.last_requests(&history).await;
+    soak.last_requests(mended, &history).await;
     Ok(soak.summary(faults.len(), &history))
 }
 
@@ -363,24 +364,46 @@
         (held != wanted).then(|| format!("{held} of {wanted} keys are held"))
     }
 
-    /// Everything is served in the calm at the end.
-    async fn last_requests(&mut self, history: &History) {
-        for (number, gateway) in self.world.gateways.iter().enumerate() {
+    /// Every gateway serves everything again, soon after the last fault.
+    async fn last_requests(&mut self, mended: Instant, history: &History) {
+        for number in 0..self.world.gateways.len() {
             for kind in caller::Kind::ALL {
                 for each in 0..LAST_REQUESTS {
-                    let id = format!("last-{number}-{kind:?}-{each}");
-                    let key = u16::try_from(each * 9_001).unwrap_or_default();
-                    let seen = caller::ask(&self.client, gateway.callers, kind, &id, key).await;
-                    if !matches!(seen.answer, Answer::Whole { status: 200, .. }) {
-                        let problem = format!("{id} ended with {:?}", seen.answer);
+                    let served = self.last_request(number, kind, each, mended, history);
+                    if let Err(problem) = served.await {
                         self.violations.push(Violation::NotRecovered { problem });
                     }
-                    history.lock().push(seen);
                 }
             }
         }
     }
 
+    async fn last_request(
+        &self,
+        number: usize,
+        kind: caller::Kind,
+        each: usize,
+        mended: Instant,
+        history: &History,
+    ) -> Result<(), String> {
+        let to = self.world.gateways[number].callers;
+        let key = u16::try_from(each * 9_001).unwrap_or_default();
+        for attempt in 0.. {
+            let id = format!("last-{number}-{kind:?}-{each}-{attempt}");
+            let seen = caller::ask(&self.client, to, kind, &id, key).await;
+            let answer = seen.answer.clone();
+            history.lock().push(seen);
+            if matches!(answer, Answer::Whole { status: 200, .. }) {
+                return Ok(());
+            }
+            if mended.elapsed() > CALM {
+                return Err(format!("{id} ended with {answer:?}"));
+            }
+            timer::sleep(LOOK * 5).await;
+        }
+        Ok(())
+    }
+
     fn summary(mut self, faults: usize, history: &History) -> Summary {
         let seen = history.lock();
         let found = check::requests(&seen, &self.world.runs());
