Spare calls when a fleet starts; write down moves that come together once

Change: a member that found no record looks again when its turn has come; a relay tells a configuration of up to 40 routes whole; followers stand by once they know the lease; relays gather changes of the record for 30 ms.

The soak takes the platform's words from the stand-ins' crate, as the test of names asks; the tests' processes share them. The relay test that let two gateways race for the record starts them one after the other.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -226,8 +226,15 @@
                 due: now + self.settings.retry,
                 ..searching
             }),
-            ReadResult::Found(None) => State::Searching(Searching {
+            // Members come in turn: whoever has waited looks again, and most
+            // then find the record of one that was before them.
+            ReadResult::Found(None) if !searching.waited => State::Searching(Searching {
                 due: now + self.patience,
+                waited: true,
+                ..searching
+            }),
+            ReadResult::Found(None) => State::Searching(Searching {
+                due: now,
                 step: Step::Claim(Condition::Absent),
                 ..searching
             }),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -25,6 +25,8 @@
     pub(crate) step: Step,
     /// The relay that was lost: not followed again while the record names it.
     pub(crate) lost: Option<NodeIdentity>,
+    /// It has let others go first since it found no record.
+    pub(crate) waited: bool,
 }
 
 /// A relay, or another follower of it, is polled.
@@ -58,6 +60,7 @@
             due,
             step: Step::Look,
             lost: None,
+            waited: false,
         }
     }
 
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -63,7 +63,9 @@
     member.poll(at(0));
     member.on_read(at(4), ReadResult::Found(None));
     assert_eq!(member.poll(at(203)), None);
-    assert_eq!(member.poll(at(204)), claim(Condition::Absent));
+    assert_eq!(member.poll(at(204)), Some(Action::Read));
+    member.on_read(at(206), ReadResult::Found(None));
+    assert_eq!(member.poll(at(206)), claim(Condition::Absent));
     member.on_claim(at(208), WriteResult::Accepted(5));
     member
 }
@@ -107,6 +109,8 @@
     member.poll(at(0));
     member.on_read(at(4), ReadResult::Found(None));
     member.poll(at(204));
+    member.on_read(at(206), ReadResult::Found(None));
+    member.poll(at(206));
     member.on_claim(
         at(208),
         WriteResult::Conflict(Some(record(identity(3, 1), 6))),
@@ -195,6 +199,8 @@
     member.poll(at(0));
     member.on_read(at(4), ReadResult::Found(None));
     member.poll(at(204));
+    member.on_read(at(206), ReadResult::Found(None));
+    member.poll(at(206));
     member.on_claim(at(1_204), WriteResult::Unknown);
     assert_eq!(member.poll(at(2_004)), Some(Action::Read));
     // It took effect.
@@ -261,3 +267,14 @@
     let write = Some(Action::Claim(claimed, Condition::Revision(5)));
     assert_eq!(member.poll(at(1_108)), write);
 }
+
+/// 27 members of a zone that starts would otherwise all write at once.
+#[test]
+fn member_whose_turn_comes_later_finds_the_record_and_does_not_write() {
+    let mut member = member();
+    member.poll(at(0));
+    member.on_read(at(4), ReadResult::Found(None));
+    assert_eq!(member.poll(at(204)), Some(Action::Read));
+    member.on_read(at(208), found(identity(2, 1), 5));
+    assert_eq!(member.poll(at(208)), Some(Action::Follow(address(2))));
+}
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -253,8 +253,11 @@
             Source::Relay { .. } => FOLLOWER_PATIENCE,
             Source::Store | Source::Settling { .. } => Duration::ZERO,
         };
-        for coordinator in self.coordinators.values_mut() {
-            coordinator.set_candidate(candidate);
+        let relayed = matches!(source, Source::Relay { .. });
+        for (service, coordinator) in &mut self.coordinators {
+            // The relay will tell of the lease: no need to ask the store.
+            let told = !relayed || self.participation.sources.lease(service).is_some();
+            coordinator.set_candidate(candidate && told);
             coordinator.set_patience(self.participation.patience + behind);
         }
     }
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -57,7 +57,10 @@
     /// Changes of the configuration, in their order.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub configuration: Vec<ConfigurationChange>,
-    /// The configuration is a later one, and what changed cannot be told.
+    /// The whole configuration, where what changed cannot be told.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub whole: Option<Configuration>,
+    /// The configuration is a later one, and too large to be told.
     #[serde(skip_serializing_if = "is_false")]
     pub fetch_configuration: bool,
     /// Back ends that are new or differ.
@@ -166,6 +169,9 @@
     latest: VecDeque<(StoreRevision, String)>,
 }
 
+/// Routes of a configuration that is told whole; larger ones are fetched from
+/// the store, so that no relay's link carries them for every follower.
+const MOST_ROUTES: usize = 40;
 /// Removals that are remembered.
 const REMEMBERED_REMOVALS: usize = 512;
 
@@ -245,7 +251,12 @@
             .and_then(|version| self.configuration_changes.after(version));
         match changes {
             Some(changes) => differences.configuration = changes,
-            None => differences.fetch_configuration = true,
+            None => match self.configuration.as_deref() {
+                Some(known) if known.routes.len() <= MOST_ROUTES => {
+                    differences.whole = Some(known.clone());
+                }
+                _ => differences.fetch_configuration = true,
+            },
         }
     }
 
@@ -278,6 +289,8 @@
             let later = known.and_then(|known| change.apply(&known));
             learned.extend(later.and_then(|later| self.take_configuration(later)));
         }
+        let whole = told.whole;
+        learned.extend(whole.and_then(|whole| self.take_configuration(whole)));
         if told.reach.back_ends > self.reach.back_ends {
             let at = told.reach.back_ends;
             learned.extend(self.take_told_back_ends(at, told.back_ends, told.gone, told.left));
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -52,6 +52,8 @@
 
 /// Registrations come together when back ends start, and leave together.
 const GATHER_BACK_ENDS: Duration = Duration::from_millis(250);
+/// Keys that move together are written in a few steps.
+const GATHER_RECORDS: Duration = Duration::from_millis(30);
 /// Configurations may come in quick succession.
 const GATHER_CONFIGURATIONS: Duration = Duration::from_millis(200);
 
@@ -343,6 +345,7 @@
         task::spawn(configurations.run(move |update| target.configurations(update)));
         let ownership: Arc<dyn Collection<OwnershipRecord>> = self.ports.ownership.clone();
         let ownership = self.follower("ownership", ownership);
+        let ownership = ownership.gathering(GATHER_RECORDS);
         let ownership = self.relayed(ownership, move || known.reach().records);
         let target = directory.clone();
         task::spawn(ownership.run(move |update| target.records(update)));
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -285,6 +285,32 @@
     assert_eq!(follower.marks().ownership[&"service".into()], 1);
 }
 
+/// A follower that has just started knows no configuration to change. A small
+/// one is told whole, so that followers need not ask the store for it.
+#[test]
+fn small_configuration_is_told_whole_and_a_large_one_is_fetched() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    for (routes, whole) in [(3, true), (400, false)] {
+        let mut value = configuration(&mut random, 5);
+        value.routes = (0..routes)
+            .map(|number| route(&mut random, number))
+            .collect();
+        let mut relay = Knowledge::default();
+        let entries = vec![Entry {
+            name: "main".to_owned(),
+            revision: 5,
+            value: Ok(value),
+        }];
+        relay.take_configurations(Update::Listed(Listing { entries, at: 5 }));
+        let told = relay.differences_since(&Marks::default());
+        assert_eq!(told.whole.is_some(), whole);
+        assert_eq!(told.fetch_configuration, !whole);
+        let mut follower = Knowledge::default();
+        let learned = follower.take_differences(told);
+        assert_eq!(learned.len(), usize::from(whole));
+    }
+}
+
 fn relay_marks(found: &Versioned<OwnershipRecord>) -> Marks {
     let ownership = [("service".into(), found.revision)].into();
     Marks {
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::block_on;
-use serde_json::{Value, json};
+use serde_json::Value;
 use threadledge_net::HttpClient;
-use threadledge_platform_stand_in::{StandInBackEnd, StandInStore};
+pub use threadledge_platform_stand_in::configuration;
+use threadledge_platform_stand_in::{CallerRequest, StandInBackEnd, StandInStore};
 
 use super::template::fill;
 
@@ -37,30 +38,6 @@
     pub operators: SocketAddr,
 }
 
-pub fn configuration(version: u64) -> Value {
-    json!({
-        "Version": format!("r{version}"),
-        "Routes": {
-            "keyed": {"Host": "keyed.example", "PathPrefix": "/k/", "Kind": "safe",
-                "TimeoutS": 2.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
-                "Service": "keyed"},
-            "safe": {"Host": "plain.example", "PathPrefix": "/safe/", "Kind": "safe",
-                "TimeoutS": 2.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
-                "Service": "plain"},
-            "unsafe": {"Host": "plain.example", "PathPrefix": "/unsafe/", "Kind": "unsafe",
-                "TimeoutS": 1.0, "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2,
-                "Service": "plain"},
-        },
-        "Services": {
-            "keyed": {"HealthPath": "/health", "MaxConnections": 50, "Sharded": true,
-                "WarmS": 1.0, "Grants": "call"},
-            "plain": {"HealthPath": "/health", "MaxConnections": 50},
-        },
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 3,
-            "IdleTimeoutS": 15},
-    })
-}
-
 impl World {
     /// Starts everything and waits until every key is held.
     pub fn start() -> World {
@@ -256,16 +233,16 @@
     }
 
     pub async fn sending(&self, callers: SocketAddr) -> http::Response<Vec<u8>> {
-        let mut request = http::Request::builder()
-            .method(self.method)
-            .uri(self.target)
-            .header("host", self.host)
-            .header("x-request-id", self.id)
-            .header("x-request-deadline-ms", self.deadline_ms);
-        if let Some(key) = self.key {
-            request = request.header("x-shard-key", key);
-        }
-        let request = request.body(self.body.as_bytes().to_vec()).expect("valid");
+        let request = CallerRequest {
+            method: &self.method.parse().expect("a method"),
+            host: self.host,
+            target: self.target,
+            id: self.id,
+            key: self.key,
+            body: self.body.as_bytes(),
+            deadline: Duration::from_millis(self.deadline_ms),
+        };
+        let request = request.build().expect("valid");
         let client = HttpClient::default();
         let answer = client.send(callers, request, TIMEOUT).await;
         answer.expect("an answer")
--- a/crates/router/tests/gateway/relay.rs
+++ b/crates/router/tests/gateway/relay.rs
@@ -60,9 +60,8 @@
 /// The store turns the relay away: its followers leave it for another.
 #[test]
 fn relay_that_the_store_refuses_is_replaced() {
-    let world = World::start_without_configuration();
+    let world = World::start();
     let door = block_on(world.store.open_another()).expect("another address");
-    world.store.put("config", "main", configuration(1));
     let mut second = Gateway::start_named("router-2", door.address());
     second.await_ready();
     eventually(|| follows(&second));
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Method, Request, Response};
+use http::{Method, Response};
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_net::{HttpClient, PoolSettings, StopSignal, timer};
+use threadledge_platform_stand_in::CallerRequest;
 
 use crate::check::{Answer, Seen};
 
@@ -61,20 +62,20 @@
         Kind::Unsafe => Method::POST,
         Kind::Keyed | Kind::Safe => Method::GET,
     };
-    let mut request = Request::builder()
-        .method(method)
-        .uri(format!("{prefix}{id}"))
-        .header("host", host)
-        .header("x-request-id", id)
-        .header("x-request-deadline-ms", DEADLINE.as_millis() as u64);
-    if kind == Kind::Keyed {
-        request = request.header("x-shard-key", key);
-    }
     let body = match kind {
-        Kind::Unsafe => id.as_bytes().to_vec(),
-        Kind::Keyed | Kind::Safe => Vec::new(),
+        Kind::Unsafe => id.as_bytes(),
+        Kind::Keyed | Kind::Safe => &[],
+    };
+    let request = CallerRequest {
+        method: &method,
+        host,
+        target: &format!("{prefix}{id}"),
+        id,
+        key: (kind == Kind::Keyed).then_some(key),
+        body,
+        deadline: DEADLINE,
     };
-    let answer = match request.body(body) {
+    let answer = match request.build() {
         Ok(request) => client.send(to, request, DEADLINE + MARGIN).await.ok(),
         Err(_) => None,
     };
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 
 use eyre::WrapErr;
-use serde_json::{Value, json};
-use threadledge_platform_stand_in::{StandInBackEnd, StandInStore};
+use serde_json::Value;
+use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, changing_configuration};
 
 use crate::process::{Gateway, Setup};
 use crate::proxy::Proxy;
@@ -102,7 +102,7 @@
     /// The operator writes the next configuration.
     pub fn configure(&mut self) {
         self.version += 1;
-        let wanted = configuration(self.version);
+        let wanted = changing_configuration(self.version);
         self.store.put("config", "main", wanted);
     }
 
@@ -153,9 +153,8 @@
 
 impl BackEnd {
     fn entry(&self, state: &str) -> Value {
-        let mut entry = self.inner.entry(self.service, state);
-        entry["Address"] = json!(self.proxy.address().to_string());
-        entry
+        self.inner
+            .entry_at(self.proxy.address(), self.service, state)
     }
 }
 
@@ -163,29 +162,3 @@
 pub fn looked_at() -> Vec<u16> {
     (0..=u16::MAX).step_by(512).collect()
 }
-
-fn configuration(version: u64) -> Value {
-    let route = |host: &str, prefix: &str, kind: &str, service: &str| {
-        json!({"Host": host, "PathPrefix": prefix, "Kind": kind, "TimeoutS": 2.0,
-            "TargetLatencyS": 0.4, "Priority": 1, "MaxAttempts": 2, "Service": service})
-    };
-    let mut routes = json!({
-        "keyed": route("keyed.example", "/k/", "safe", "keyed"),
-        "safe": route("plain.example", "/safe/", "safe", "plain"),
-        "unsafe": route("plain.example", "/unsafe/", "unsafe", "plain"),
-    });
-    // Each version differs from the one before.
-    let name = format!("idle-{}", version % 7);
-    routes[&name] = route("idle.example", &format!("/{version}/"), "safe", "plain");
-    json!({
-        "Version": format!("r{version}"),
-        "Routes": routes,
-        "Services": {
-            "keyed": {"HealthPath": "/health", "MaxConnections": 50, "Sharded": true,
-                "WarmS": 1.0, "Grants": "call"},
-            "plain": {"HealthPath": "/health", "MaxConnections": 50},
-        },
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 3,
-            "IdleTimeoutS": 15},
-    })
-}
