Let a member that the store turns away go back to the relay that it lost

Change: when the read of the record fails, the relay that was lost is polled again, in turn with the read.

Test, failing before: member_that_the_store_turns_away_goes_back_to_the_relay_that_it_lost.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -222,10 +222,7 @@
         result: ReadResult<RelayRecord>,
     ) -> State {
         match result {
-            ReadResult::Failed => State::Searching(Searching {
-                due: now + self.settings.retry,
-                ..searching
-            }),
+            ReadResult::Failed => self.turned_away(now, searching),
             // Members come in turn: whoever has waited looks again, and most
             // then find the record of one that was before them.
             ReadResult::Found(None) if !searching.waited => State::Searching(Searching {
@@ -242,6 +239,20 @@
         }
     }
 
+    /// The store does not answer this member. The relay that it lost may have
+    /// fallen behind for a moment only.
+    fn turned_away(&self, now: Timestamp, searching: Searching) -> State {
+        let lost = searching.lost.clone();
+        let address = lost.as_ref().and_then(|relay| relay.address);
+        match lost.zip(address) {
+            Some((relay, address)) => State::Following(searching.follow(now, relay, address)),
+            None => State::Searching(Searching {
+                due: now + self.settings.retry,
+                ..searching
+            }),
+        }
+    }
+
     fn found(&self, now: Timestamp, searching: Searching, found: Versioned<RelayRecord>) -> State {
         if found.value.holder == self.me {
             let due = now + self.settings.probe;
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -278,3 +278,25 @@
     member.on_read(at(208), found(identity(2, 1), 5));
     assert_eq!(member.poll(at(208)), Some(Action::Follow(address(2))));
 }
+
+/// The store may turn this member away and serve its relay, which had fallen
+/// behind for a moment only.
+#[test]
+fn member_that_the_store_turns_away_goes_back_to_the_relay_that_it_lost() {
+    let mut member = follower();
+    member.poll(at(12));
+    let (seen, news) = (at(10), false);
+    member.on_follow(at(1_300), Followed::Answered { seen, news });
+    assert_eq!(member.poll(at(1_500)), Some(Action::Read));
+    member.on_read(at(1_504), ReadResult::Failed);
+    assert_eq!(member.poll(at(1_504)), Some(Action::Follow(address(2))));
+    let (seen, news) = (at(1_490), false);
+    member.on_follow(at(1_510), Followed::Answered { seen, news });
+    let until = at(2_690);
+    assert_eq!(member.source(at(1_510)), Source::Relay { until, seen });
+    // It is silent now as well: the store is asked again after a pause.
+    member.poll(at(1_510));
+    member.on_follow(at(2_410), Followed::Failed);
+    assert_eq!(member.poll(at(2_609)), None);
+    assert_eq!(member.poll(at(2_610)), Some(Action::Read));
+}
