--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod calls;
 mod catch_up;
 pub mod changes;
 mod coordination;
@@ -12,13 +13,18 @@
 mod dispatch;
 mod exchange;
 pub mod follow;
+mod followers;
 pub mod knowledge;
 mod log;
+mod messages;
 mod metrics;
+pub mod news;
+mod notices;
 mod notifier;
 mod peers;
 mod readiness;
 mod relay;
+mod removals;
 mod requests;
 mod run;
 pub mod settings;
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use async_std::task;
-use threadledge_coordination::action::{Freshness, Notice, ReadResult, Versioned, WriteResult};
+use threadledge_coordination::action::{Freshness, ReadResult, Versioned};
 use threadledge_coordination::{
-    Action, Coordinator, CoordinatorLease, LoadReport, NodeIdentity, Order, OrderFault, OrderReply,
-    OwnershipRecord, Settings,
+    Action, Coordinator, LoadReport, NodeIdentity, OwnershipRecord, Settings,
 };
 use threadledge_net::{StopSignal, timer};
 use threadledge_ports::Ports;
@@ -17,11 +16,12 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration, ServiceName};
 
+use super::calls::{Ended, call, written};
 use super::dispatch::Dispatch;
+use super::notices::tell;
 use super::peers::PeerClient;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
-use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
 /// Time between two probes of the store where there is nothing to coordinate.
@@ -56,37 +56,6 @@
     Stop,
 }
 
-/// How a call ended.
-pub(super) enum Ended {
-    LeaseRead(Freshness, ReadResult<CoordinatorLease>),
-    LeaseWrite(CoordinatorLease, WriteResult<CoordinatorLease>),
-    RecordRead(ReadResult<OwnershipRecord>),
-    RecordWrite(OwnershipRecord, WriteResult<OwnershipRecord>),
-    Order(Order, Result<OrderReply, OrderFault>),
-}
-
-impl Ended {
-    /// Whether it was a call to the store that was answered.
-    fn store_answered(&self) -> bool {
-        !matches!(self, Ended::Order(..)) && !self.store_was_silent()
-    }
-
-    /// Whether a call to the store was not answered.
-    fn store_was_silent(&self) -> bool {
-        match self {
-            Ended::LeaseRead(_, result) => *result == ReadResult::Failed,
-            Ended::RecordRead(result) => *result == ReadResult::Failed,
-            Ended::LeaseWrite(_, result) => {
-                matches!(result, WriteResult::NotDone | WriteResult::Unknown)
-            }
-            Ended::RecordWrite(_, result) => {
-                matches!(result, WriteResult::NotDone | WriteResult::Unknown)
-            }
-            Ended::Order(..) => false,
-        }
-    }
-}
-
 /// How this gateway takes part in coordination.
 #[derive(Clone, Debug)]
 pub(super) struct Participation {
@@ -412,91 +381,3 @@
         });
     }
 }
-
-/// The lease that a write left in the store, as far as its answer tells.
-fn written(
-    lease: &CoordinatorLease,
-    result: &WriteResult<CoordinatorLease>,
-) -> Option<Versioned<CoordinatorLease>> {
-    match result {
-        WriteResult::Accepted(revision) => Some(Versioned {
-            value: lease.clone(),
-            revision: *revision,
-        }),
-        WriteResult::Conflict(found) => found.clone(),
-        WriteResult::NotDone | WriteResult::Unknown => None,
-    }
-}
-
-async fn call(ports: &Ports, service: &ServiceName, action: Action) -> Ended {
-    let name = service.as_str();
-    match action {
-        Action::ReadLease(freshness) => {
-            let result = ports.leases.read(name, freshness).await;
-            Ended::LeaseRead(freshness, result)
-        }
-        Action::WriteLease(lease, condition) => {
-            let result = ports.leases.write(name, &lease, condition).await;
-            Ended::LeaseWrite(lease, result)
-        }
-        Action::ReadRecord => {
-            let result = ports.ownership.read(name, Freshness::Linearizable).await;
-            Ended::RecordRead(result)
-        }
-        Action::WriteRecord(record, condition) => {
-            let result = ports.ownership.write(name, &record, condition).await;
-            Ended::RecordWrite(record, result)
-        }
-        Action::Send(order) => {
-            let result = ports.grants.send(&order).await;
-            Ended::Order(order, result)
-        }
-    }
-}
-
-fn tell(service: &ServiceName, notice: &Notice) {
-    match notice {
-        Notice::Elected { term } => {
-            emit!(EventId::CoordinatorElected, service = %service, term = term.0);
-        }
-        Notice::Deposed { term } => {
-            emit!(EventId::CoordinatorDeposed, service = %service, term = term.0);
-        }
-        Notice::LeaseLapsed { term } => {
-            emit!(EventId::CoordinatorLapsed, service = %service, term = term.0);
-        }
-        Notice::RecordAdopted { term, slices } => {
-            emit!(EventId::RecordAdopted, service = %service, term = term.0, slices);
-        }
-        Notice::ReleaseStarted {
-            range,
-            owner,
-            fence,
-            reason,
-        } => emit!(
-            EventId::ReleaseStarted,
-            service = %service, keys = %range, owner = %owner, fence = fence.0, reason = ?reason,
-        ),
-        Notice::Assigned {
-            range,
-            owner,
-            fence,
-            warm,
-        } => emit!(
-            EventId::KeysAssigned,
-            service = %service, keys = %range, owner = %owner, fence = fence.0, warm,
-        ),
-        Notice::HolderLost { owner } => {
-            emit!(EventId::HolderLost, service = %service, owner = %owner);
-        }
-        Notice::OrderFenced {
-            owner,
-            range,
-            fence,
-        } => emit!(
-            EventId::OrderFenced,
-            service = %service, owner = %owner, keys = %range, fence = fence.0,
-        ),
-        Notice::RecordBroken => emit!(EventId::RecordBroken, service = %service),
-    }
-}
--- /dev/null
+++ b/crates/router/src/gateway/followers.rs
@@ -0,0 +1,155 @@
+//! Serves the gateways that follow this one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use futures::future::select;
+use parking_lot::Mutex;
+use threadledge_coordination::action::Versioned;
+use threadledge_net::stop::Stopped;
+use threadledge_net::timer;
+use threadledge_types::Timestamp;
+
+use super::directory::Directory;
+use super::messages::{FollowAnswer, FollowNews, KnownLease};
+use super::news::Marks;
+use super::notifier::Notifier;
+use super::sources::Sources;
+use crate::proxy::Clock;
+
+/// Followers that one gateway serves; more are passed on to these.
+const MOST_FOLLOWERS: usize = 32;
+/// A follower that has not polled for so long is gone.
+const FOLLOWER_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Who asks, and what it knows.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Follower<'a> {
+    pub(super) address: Option<SocketAddr>,
+    /// Gateways that learn through it, itself included.
+    pub(super) members: u32,
+    pub(super) marks: &'a Marks,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Timestamp,
+    members: u32,
+}
+
+/// Serves the gateways that follow this one.
+pub(super) struct Followers {
+    clock: Clock,
+    sources: Arc<Sources>,
+    heard: Mutex<BTreeMap<SocketAddr, Heard>>,
+    leaving: AtomicBool,
+    left: Notifier,
+}
+
+impl Followers {
+    pub(super) fn new(clock: Clock, sources: Arc<Sources>) -> Self {
+        Followers {
+            clock,
+            sources,
+            heard: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            left: Notifier::default(),
+        }
+    }
+
+    /// Resolves when this gateway leaves.
+    pub(super) fn until_left(&self) -> Stopped {
+        self.left.next()
+    }
+
+    /// Tells every follower to look for another relay.
+    pub(super) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.left.notify();
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Answers a poll once there is something to tell, at the latest after
+    /// `hold`.
+    pub(super) async fn answer(
+        &self,
+        directory: &Directory,
+        follower: &Follower<'_>,
+        peers: Vec<SocketAddr>,
+        hold: Duration,
+    ) -> FollowAnswer {
+        if let Err(followers) = self.admit(follower) {
+            return FollowAnswer::Full { followers };
+        }
+        let asked = self.clock.now();
+        let deadline = self.clock.instant(asked + hold);
+        loop {
+            let changed = directory.changed.next();
+            let left = self.left.next();
+            if self.is_leaving() {
+                return FollowAnswer::Leaving;
+            }
+            let differences = directory.differences_since(follower.marks);
+            let now = self.clock.now();
+            if !differences.is_empty() || now >= asked + hold {
+                return FollowAnswer::News(Box::new(FollowNews {
+                    age_ms: millis(now.since(self.sources.seen())),
+                    held_ms: millis(now.since(asked)),
+                    differences,
+                    fleet: self.sources.fleet(),
+                    leases: self.leases(),
+                    peers,
+                }));
+            }
+            // The loop finds out which of them it was.
+            let _ = timer::timeout_at(deadline, select(changed, left)).await;
+        }
+    }
+
+    /// Lets a follower in, or names some of those that are.
+    fn admit(&self, follower: &Follower<'_>) -> Result<(), Vec<SocketAddr>> {
+        let Some(from) = follower.address else {
+            return Ok(());
+        };
+        let now = self.clock.now();
+        let mut heard = self.heard.lock();
+        heard.retain(|_, heard| now.since(heard.at) < FOLLOWER_SILENCE);
+        if heard.len() >= MOST_FOLLOWERS && !heard.contains_key(&from) {
+            return Err(heard.keys().copied().collect());
+        }
+        let members = follower.members;
+        heard.insert(from, Heard { at: now, members });
+        Ok(())
+    }
+
+    /// Gateways that learn through this one, itself included.
+    pub(super) fn members(&self) -> u32 {
+        let now = self.clock.now();
+        let heard = self.heard.lock();
+        let lately = heard
+            .values()
+            .filter(|heard| now.since(heard.at) < FOLLOWER_SILENCE);
+        lately.fold(1, |sum, heard| sum.saturating_add(heard.members))
+    }
+
+    fn leases(&self) -> Vec<KnownLease> {
+        let leases = self.sources.leases().into_iter();
+        leases
+            .map(|(service, Versioned { value, revision })| KnownLease {
+                service,
+                revision,
+                lease: value,
+            })
+            .collect()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -4,133 +4,18 @@
 //! The store tells it by lists and watches, other gateways when the store does
 //! not answer. Nothing that is older than what is known is ever taken.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::{StoreRevision, Versioned};
 use threadledge_ports::{Change, Entry, Malformed};
-use threadledge_types::deployment::{BackEnd, Configuration, ConfigurationVersion, ServiceName};
+use threadledge_types::deployment::{BackEnd, Configuration, ServiceName};
 
 use super::changes::{Chain, ConfigurationChange, RecordChange};
 use super::follow::Update;
-
-/// How far one gateway's knowledge goes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Marks {
-    /// Configuration in force.
-    pub configuration: Option<ConfigurationVersion>,
-    /// Revision up to which the back ends are known.
-    pub back_ends: StoreRevision,
-    /// Revision of each ownership record.
-    pub ownership: BTreeMap<ServiceName, StoreRevision>,
-}
-
-/// Parts of one gateway's knowledge that another does not have.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct News {
-    /// A later configuration.
-    pub configuration: Option<Configuration>,
-    /// Every back end, as of a later revision.
-    pub back_ends: Option<KnownBackEnds>,
-    /// Later ownership records.
-    pub ownership: Vec<KnownRecord>,
-}
-
-/// Every back end as of one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct KnownBackEnds {
-    /// The revision.
-    pub at: StoreRevision,
-    /// The back ends.
-    pub back_ends: Vec<BackEnd>,
-}
-
-/// What a follower lacks, as far as it can be told by what changed.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default, rename_all = "kebab-case")]
-pub struct Differences {
-    /// Changes of the configuration, in their order.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub configuration: Vec<ConfigurationChange>,
-    /// The whole configuration, where what changed cannot be told.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub whole: Option<Configuration>,
-    /// The configuration is a later one, and too large to be told.
-    #[serde(skip_serializing_if = "is_false")]
-    pub fetch_configuration: bool,
-    /// Back ends that are new or differ.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub back_ends: Vec<RevisedBackEnd>,
-    /// Back ends that are gone.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub gone: Vec<String>,
-    /// Every back end that is left, where those that are gone were forgotten.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub left: Option<Vec<String>>,
-    /// Changes of ownership records, in their order.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub changed_records: Vec<(ServiceName, RecordChange)>,
-    /// Ownership records whose changes cannot be told.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub records: Vec<KnownRecord>,
-    /// Revisions up to which all this goes.
-    pub reach: Reach,
-}
-
-/// Revisions of the store up to which a gateway knows each collection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Reach {
-    /// Of configurations.
-    pub configurations: StoreRevision,
-    /// Of back ends.
-    pub back_ends: StoreRevision,
-    /// Of ownership records.
-    pub records: StoreRevision,
-}
-
-/// One back end with the revision of its last change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct RevisedBackEnd {
-    /// The revision.
-    pub revision: StoreRevision,
-    /// The back end.
-    pub back_end: BackEnd,
-}
-
-impl Differences {
-    /// Whether there is anything to tell beside how far it reaches.
-    pub fn is_empty(&self) -> bool {
-        let reach = self.reach;
-        *self
-            == Differences {
-                reach,
-                ..Differences::default()
-            }
-    }
-}
-
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
-/// One ownership record with its revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct KnownRecord {
-    /// The service.
-    pub service: ServiceName,
-    /// Revision of the record's last change.
-    pub revision: StoreRevision,
-    /// The record.
-    pub record: OwnershipRecord,
-}
+use super::news::{Differences, KnownBackEnds, KnownRecord, Marks, News, Reach, RevisedBackEnd};
+use super::removals::Removals;
 
 /// What changed with an update.
 #[derive(Clone, Debug, PartialEq)]
@@ -161,39 +46,9 @@
     reach: Reach,
 }
 
-/// Back ends that left lately.
-#[derive(Clone, Debug, Default)]
-struct Removals {
-    /// Removals up to this revision are forgotten.
-    forgotten: StoreRevision,
-    latest: VecDeque<(StoreRevision, String)>,
-}
-
 /// Routes of a configuration that is told whole; larger ones are fetched from
 /// the store, so that no relay's link carries them for every follower.
 const MOST_ROUTES: usize = 40;
-/// Removals that are remembered.
-const REMEMBERED_REMOVALS: usize = 512;
-
-impl Removals {
-    fn push(&mut self, at: StoreRevision, name: String) {
-        self.latest.push_back((at, name));
-        if self.latest.len() > REMEMBERED_REMOVALS
-            && let Some((forgotten, _)) = self.latest.pop_front()
-        {
-            self.forgotten = forgotten;
-        }
-    }
-
-    /// Those after `mark`, unless some of them are forgotten.
-    fn after(&self, mark: StoreRevision) -> Option<Vec<String>> {
-        if mark < self.forgotten {
-            return None;
-        }
-        let later = self.latest.iter().filter(|(at, _)| *at > mark);
-        Some(later.map(|(_, name)| name.clone()).collect())
-    }
-}
 
 impl Knowledge {
     /// How far it goes.
@@ -503,7 +358,7 @@
         entries: Vec<Entry<BackEnd>>,
     ) -> Vec<Learned> {
         if self.back_ends.is_empty() {
-            self.removals.forgotten = at;
+            self.removals.forget_until(at);
         }
         self.reach.back_ends = at;
         let names: Vec<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
--- /dev/null
+++ b/crates/router/src/gateway/messages.rs
@@ -0,0 +1,102 @@
+//! Messages between gateways.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use threadledge_coordination::action::StoreRevision;
+use threadledge_coordination::{CoordinatorLease, LoadReport};
+use threadledge_types::deployment::ServiceName;
+
+use super::followers::Follower;
+use super::news::{Differences, Marks};
+
+/// A report with the service that it is about and who sends it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct ServiceReport {
+    pub(super) from: Option<SocketAddr>,
+    pub(super) service: ServiceName,
+    pub(super) load: LoadReport,
+}
+
+/// The answer to a report: some peers that one may ask for news.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct KnownPeers {
+    pub(super) peers: Vec<SocketAddr>,
+}
+
+/// A poll of a relay.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct FollowPoll {
+    /// Who asks.
+    pub(super) from: Option<SocketAddr>,
+    /// What it knows.
+    pub(super) marks: Marks,
+    /// Gateways that learn through it, itself included.
+    #[serde(default = "one")]
+    pub(super) members: u32,
+    /// The load that it saw since its last poll.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) load: BTreeMap<ServiceName, LoadReport>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// A relay's answer.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub(super) enum FollowAnswer {
+    /// What the follower lacks.
+    News(Box<FollowNews>),
+    /// The relay has followers enough; these are some.
+    Full {
+        /// Their addresses.
+        followers: Vec<SocketAddr>,
+    },
+    /// This gateway is leaving.
+    Leaving,
+}
+
+/// What a follower lacks, and how fresh it is.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct FollowNews {
+    /// Time since the store surely answered the relay, in milliseconds.
+    pub(super) age_ms: u64,
+    /// Time that the poll was held, in milliseconds.
+    pub(super) held_ms: u64,
+    /// What the follower lacks.
+    pub(super) differences: Differences,
+    /// Gateways of the deployment, roughly, if it is known.
+    #[serde(default)]
+    pub(super) fleet: Option<u32>,
+    /// Coordinators' leases with their revisions.
+    pub(super) leases: Vec<KnownLease>,
+    /// Some other gateways.
+    pub(super) peers: Vec<SocketAddr>,
+}
+
+/// A coordinator's lease with its revision.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct KnownLease {
+    pub(super) service: ServiceName,
+    pub(super) revision: StoreRevision,
+    pub(super) lease: CoordinatorLease,
+}
+
+impl FollowPoll {
+    /// Who asks, and what it knows.
+    pub(super) fn follower(&self) -> Follower<'_> {
+        Follower {
+            address: self.from,
+            members: self.members,
+            marks: &self.marks,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/news.rs
@@ -0,0 +1,126 @@
+//! What gateways tell each other of configuration, back ends and owners.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use threadledge_coordination::OwnershipRecord;
+use threadledge_coordination::action::StoreRevision;
+use threadledge_types::deployment::{BackEnd, Configuration, ConfigurationVersion, ServiceName};
+
+use super::changes::{ConfigurationChange, RecordChange};
+
+/// How far one gateway's knowledge goes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Marks {
+    /// Configuration in force.
+    pub configuration: Option<ConfigurationVersion>,
+    /// Revision up to which the back ends are known.
+    pub back_ends: StoreRevision,
+    /// Revision of each ownership record.
+    pub ownership: BTreeMap<ServiceName, StoreRevision>,
+}
+
+/// Parts of one gateway's knowledge that another does not have.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct News {
+    /// A later configuration.
+    pub configuration: Option<Configuration>,
+    /// Every back end, as of a later revision.
+    pub back_ends: Option<KnownBackEnds>,
+    /// Later ownership records.
+    pub ownership: Vec<KnownRecord>,
+}
+
+/// Every back end as of one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KnownBackEnds {
+    /// The revision.
+    pub at: StoreRevision,
+    /// The back ends.
+    pub back_ends: Vec<BackEnd>,
+}
+
+/// What a follower lacks, as far as it can be told by what changed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Differences {
+    /// Changes of the configuration, in their order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub configuration: Vec<ConfigurationChange>,
+    /// The whole configuration, where what changed cannot be told.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub whole: Option<Configuration>,
+    /// The configuration is a later one, and too large to be told.
+    #[serde(skip_serializing_if = "is_false")]
+    pub fetch_configuration: bool,
+    /// Back ends that are new or differ.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub back_ends: Vec<RevisedBackEnd>,
+    /// Back ends that are gone.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<String>,
+    /// Every back end that is left, where those that are gone were forgotten.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left: Option<Vec<String>>,
+    /// Changes of ownership records, in their order.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub changed_records: Vec<(ServiceName, RecordChange)>,
+    /// Ownership records whose changes cannot be told.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<KnownRecord>,
+    /// Revisions up to which all this goes.
+    pub reach: Reach,
+}
+
+/// Revisions of the store up to which a gateway knows each collection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Reach {
+    /// Of configurations.
+    pub configurations: StoreRevision,
+    /// Of back ends.
+    pub back_ends: StoreRevision,
+    /// Of ownership records.
+    pub records: StoreRevision,
+}
+
+/// One back end with the revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RevisedBackEnd {
+    /// The revision.
+    pub revision: StoreRevision,
+    /// The back end.
+    pub back_end: BackEnd,
+}
+
+impl Differences {
+    /// Whether there is anything to tell beside how far it reaches.
+    pub fn is_empty(&self) -> bool {
+        let reach = self.reach;
+        *self
+            == Differences {
+                reach,
+                ..Differences::default()
+            }
+    }
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// One ownership record with its revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KnownRecord {
+    /// The service.
+    pub service: ServiceName,
+    /// Revision of the record's last change.
+    pub revision: StoreRevision,
+    /// The record.
+    pub record: OwnershipRecord,
+}
--- /dev/null
+++ b/crates/router/src/gateway/notices.rs
@@ -0,0 +1,54 @@
+//! Writes what coordinators have to tell into the log.
+
+use threadledge_coordination::action::Notice;
+use threadledge_types::deployment::ServiceName;
+
+use crate::events::{EventId, emit};
+
+/// Writes one notice.
+pub(super) fn tell(service: &ServiceName, notice: &Notice) {
+    match notice {
+        Notice::Elected { term } => {
+            emit!(EventId::CoordinatorElected, service = %service, term = term.0);
+        }
+        Notice::Deposed { term } => {
+            emit!(EventId::CoordinatorDeposed, service = %service, term = term.0);
+        }
+        Notice::LeaseLapsed { term } => {
+            emit!(EventId::CoordinatorLapsed, service = %service, term = term.0);
+        }
+        Notice::RecordAdopted { term, slices } => {
+            emit!(EventId::RecordAdopted, service = %service, term = term.0, slices);
+        }
+        Notice::ReleaseStarted {
+            range,
+            owner,
+            fence,
+            reason,
+        } => emit!(
+            EventId::ReleaseStarted,
+            service = %service, keys = %range, owner = %owner, fence = fence.0, reason = ?reason,
+        ),
+        Notice::Assigned {
+            range,
+            owner,
+            fence,
+            warm,
+        } => emit!(
+            EventId::KeysAssigned,
+            service = %service, keys = %range, owner = %owner, fence = fence.0, warm,
+        ),
+        Notice::HolderLost { owner } => {
+            emit!(EventId::HolderLost, service = %service, owner = %owner);
+        }
+        Notice::OrderFenced {
+            owner,
+            range,
+            fence,
+        } => emit!(
+            EventId::OrderFenced,
+            service = %service, owner = %owner, keys = %range, fence = fence.0,
+        ),
+        Notice::RecordBroken => emit!(EventId::RecordBroken, service = %service),
+    }
+}
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -11,17 +11,17 @@
 use async_std::task;
 use http_types::{Method, Request, Response};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
-use threadledge_coordination::action::StoreRevision;
-use threadledge_coordination::{CoordinatorLease, LoadReport};
+use serde::Serialize;
+use threadledge_coordination::LoadReport;
 use threadledge_net::{HttpClient, PoolSettings, ServeReport, ServerLimits, StopSignal, serve};
 use threadledge_types::deployment::ServiceName;
 
 use super::answer;
 use super::coordination::Event;
 use super::directory::Directory;
-use super::knowledge::{Differences, Marks, News};
-use super::relay::{Follower, Followers};
+use super::followers::Followers;
+use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport};
+use super::news::{Marks, News};
 
 /// Path of reports.
 const LOAD_PATH: &str = "/threadledge/v1/load";
@@ -46,95 +46,6 @@
 /// Peers that are remembered at the most.
 const MOST_REMEMBERED: usize = 32;
 
-/// A report with the service that it is about and who sends it.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ServiceReport {
-    from: Option<SocketAddr>,
-    service: ServiceName,
-    load: LoadReport,
-}
-
-/// The answer to a report: some peers that one may ask for news.
-#[derive(Debug, Default, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct KnownPeers {
-    peers: Vec<SocketAddr>,
-}
-
-/// A poll of a relay.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) struct FollowPoll {
-    /// Who asks.
-    pub(super) from: Option<SocketAddr>,
-    /// What it knows.
-    pub(super) marks: Marks,
-    /// Gateways that learn through it, itself included.
-    #[serde(default = "one")]
-    pub(super) members: u32,
-    /// The load that it saw since its last poll.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub(super) load: BTreeMap<ServiceName, LoadReport>,
-}
-
-fn one() -> u32 {
-    1
-}
-
-/// A relay's answer.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
-pub(super) enum FollowAnswer {
-    /// What the follower lacks.
-    News(Box<FollowNews>),
-    /// The relay has followers enough; these are some.
-    Full {
-        /// Their addresses.
-        followers: Vec<SocketAddr>,
-    },
-    /// This gateway is leaving.
-    Leaving,
-}
-
-/// What a follower lacks, and how fresh it is.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) struct FollowNews {
-    /// Time since the store surely answered the relay, in milliseconds.
-    pub(super) age_ms: u64,
-    /// Time that the poll was held, in milliseconds.
-    pub(super) held_ms: u64,
-    /// What the follower lacks.
-    pub(super) differences: Differences,
-    /// Gateways of the deployment, roughly, if it is known.
-    #[serde(default)]
-    pub(super) fleet: Option<u32>,
-    /// Coordinators' leases with their revisions.
-    pub(super) leases: Vec<KnownLease>,
-    /// Some other gateways.
-    pub(super) peers: Vec<SocketAddr>,
-}
-
-/// A coordinator's lease with its revision.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) struct KnownLease {
-    pub(super) service: ServiceName,
-    pub(super) revision: StoreRevision,
-    pub(super) lease: CoordinatorLease,
-}
-
-impl FollowPoll {
-    fn follower(&self) -> Follower<'_> {
-        Follower {
-            address: self.from,
-            members: self.members,
-            marks: &self.marks,
-        }
-    }
-}
-
 /// Gateways that this one has heard of lately.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -1,14 +1,11 @@
 //! Watches the store for the other gateways of the zone, or follows the one
 //! that does: steps [`Member`] and makes the calls that it asks for.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_std::task;
-use parking_lot::Mutex;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned, WriteResult};
 use threadledge_net::timer;
 use threadledge_ports::{Entry, Ports};
@@ -18,141 +15,17 @@
 use super::directory::Directory;
 use super::dispatch::Dispatch;
 use super::follow::Update;
-use super::knowledge::Marks;
-use super::notifier::Notifier;
-use super::peers::{FollowAnswer, FollowNews, FollowPoll, KnownLease, PeerClient};
+use super::followers::Followers;
+use super::messages::{FollowAnswer, FollowNews, FollowPoll};
+use super::peers::PeerClient;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
-/// Followers that one gateway serves; more are passed on to these.
-const MOST_FOLLOWERS: usize = 32;
-/// A follower that has not polled for so long is gone.
-const FOLLOWER_SILENCE: Duration = Duration::from_millis(2_500);
 /// Longest wait for a member's next step.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// Who asks, and what it knows.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Follower<'a> {
-    pub(super) address: Option<SocketAddr>,
-    /// Gateways that learn through it, itself included.
-    pub(super) members: u32,
-    pub(super) marks: &'a Marks,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    at: Timestamp,
-    members: u32,
-}
-
-/// Serves the gateways that follow this one.
-pub(super) struct Followers {
-    clock: Clock,
-    sources: Arc<Sources>,
-    heard: Mutex<BTreeMap<SocketAddr, Heard>>,
-    leaving: AtomicBool,
-    left: Notifier,
-}
-
-impl Followers {
-    pub(super) fn new(clock: Clock, sources: Arc<Sources>) -> Self {
-        Followers {
-            clock,
-            sources,
-            heard: Mutex::default(),
-            leaving: AtomicBool::new(false),
-            left: Notifier::default(),
-        }
-    }
-
-    /// Tells every follower to look for another relay.
-    pub(super) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
-        self.left.notify();
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
-    }
-
-    /// Answers a poll once there is something to tell, at the latest after
-    /// `hold`.
-    pub(super) async fn answer(
-        &self,
-        directory: &Directory,
-        follower: &Follower<'_>,
-        peers: Vec<SocketAddr>,
-        hold: Duration,
-    ) -> FollowAnswer {
-        if let Err(followers) = self.admit(follower) {
-            return FollowAnswer::Full { followers };
-        }
-        let asked = self.clock.now();
-        let deadline = self.clock.instant(asked + hold);
-        loop {
-            let changed = directory.changed.next();
-            let left = self.left.next();
-            if self.is_leaving() {
-                return FollowAnswer::Leaving;
-            }
-            let differences = directory.differences_since(follower.marks);
-            let now = self.clock.now();
-            if !differences.is_empty() || now >= asked + hold {
-                return FollowAnswer::News(Box::new(FollowNews {
-                    age_ms: millis(now.since(self.sources.seen())),
-                    held_ms: millis(now.since(asked)),
-                    differences,
-                    fleet: self.sources.fleet(),
-                    leases: self.leases(),
-                    peers,
-                }));
-            }
-            // The loop finds out which of them it was.
-            let _ = timer::timeout_at(deadline, futures::future::select(changed, left)).await;
-        }
-    }
-
-    /// Lets a follower in, or names some of those that are.
-    fn admit(&self, follower: &Follower<'_>) -> Result<(), Vec<SocketAddr>> {
-        let Some(from) = follower.address else {
-            return Ok(());
-        };
-        let now = self.clock.now();
-        let mut heard = self.heard.lock();
-        heard.retain(|_, heard| now.since(heard.at) < FOLLOWER_SILENCE);
-        if heard.len() >= MOST_FOLLOWERS && !heard.contains_key(&from) {
-            return Err(heard.keys().copied().collect());
-        }
-        let members = follower.members;
-        heard.insert(from, Heard { at: now, members });
-        Ok(())
-    }
-
-    /// Gateways that learn through this one, itself included.
-    fn members(&self) -> u32 {
-        let now = self.clock.now();
-        let heard = self.heard.lock();
-        let lately = heard
-            .values()
-            .filter(|heard| now.since(heard.at) < FOLLOWER_SILENCE);
-        lately.fold(1, |sum, heard| sum.saturating_add(heard.members))
-    }
-
-    fn leases(&self) -> Vec<KnownLease> {
-        let leases = self.sources.leases().into_iter();
-        leases
-            .map(|(service, Versioned { value, revision })| KnownLease {
-                service,
-                revision,
-                lease: value,
-            })
-            .collect()
-    }
-}
-
 /// One gateway's part in the relaying of its zone.
 pub(super) struct Relaying {
     pub(super) zone: String,
@@ -210,7 +83,7 @@
     async fn wait(&self, now: Timestamp) {
         let longest = now + LONGEST_WAIT;
         let wake = self.member.next_wake().unwrap_or(longest).min(longest);
-        let left = self.followers.left.next();
+        let left = self.followers.until_left();
         // Whoever leaves is found out by the caller.
         let _ = timer::timeout_at(self.clock.instant(wake), left).await;
     }
@@ -351,10 +224,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/router/tests/gateway/knowledge.rs
+++ b/crates/router/tests/gateway/knowledge.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use threadledge::gateway::follow::Update;
-use threadledge::gateway::knowledge::{Knowledge, Learned, Marks};
+use threadledge::gateway::knowledge::{Knowledge, Learned};
+use threadledge::gateway::news::{Marks, News};
 use threadledge_coordination::{OwnershipRecord, Term};
 use threadledge_ports::{Change, Changes, Entry, Listing, Malformed};
 use threadledge_types::deployment::{
@@ -72,7 +73,7 @@
     assert_eq!(other.marks(), knowing.marks());
     assert_eq!(names(&other), ["b-1"]);
     let nothing = knowing.news_since(&other.marks());
-    assert_eq!(nothing, threadledge::gateway::knowledge::News::default());
+    assert_eq!(nothing, News::default());
 }
 
 #[test]
