--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -96,6 +96,11 @@
         Ok(())
     }
 
+    /// Whether a process runs, as far as is known.
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// Sends a signal to its process, if one runs.
     ///
     /// # Errors
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -182,7 +182,8 @@
             }
             Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::STOP)?,
             Kind::Stop(gw) => {
-                if !self.stopping.contains_key(&gw) {
+                // One that was killed cannot be asked.
+                if self.world.gateways[gw].runs() && !self.stopping.contains_key(&gw) {
                     // One that stands still cannot stop in time.
                     self.world.gateways[gw].signal(Signal::CONT)?;
                     self.world.gateways[gw].signal(Signal::TERM)?;
