Give one back end a few orders at a time; never call it lost for our own limit

Cause: a coordinator that takes a record over regrants every slice at once. Orders have four connections to a back end; the fifth failed here, without a byte sent, and two such ends in a row counted as a back end that cannot be reached.

Change: at most six orders wait for one back end; the others follow as it answers, and do not keep the coordinator awake. The local limit is a fault of its own, OrderFault::Withheld, that says nothing about the back end. Tests failed first (32 at once).

The fault shows only where slices lie scattered.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -170,6 +170,7 @@
     pub fn on_fault(&mut self, now: Timestamp, name: &BackEndName, fault: OrderFault) -> bool {
         let contact = self.contacts.entry(name.clone()).or_default();
         match fault {
+            OrderFault::Withheld => return false,
             OrderFault::NotSent => contact.failed_connects += 1,
             OrderFault::NoAnswer => contact.unanswered += 1,
         }
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -70,6 +70,9 @@
 pub enum OrderFault {
     /// No connection could be opened: the order surely never arrives.
     NotSent,
+    /// This node has too many orders under way to that back end: the order
+    /// surely never arrives, and nothing is learned of the back end.
+    Withheld,
     /// The order was sent, or part of it: it may be carried out, now or later.
     NoAnswer,
 }
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -32,6 +32,8 @@
 use crate::record::{OwnershipRecord, Term};
 use crate::settings::Settings;
 
+pub use orders::ORDERS_AT_ONCE;
+use orders::under_way;
 use tracked::Tracked;
 
 /// What follows from a read of the record.
@@ -175,10 +177,18 @@
         if matches!(self.phase, Phase::Idle) {
             return None;
         }
+        // An order that waits for earlier ones to the same back end is sent
+        // when one of those ends, which wakes this node by itself.
+        let under_way = under_way(&self.tracked);
+        let has_room = |tracked: &&Tracked| {
+            let count = tracked.owner().and_then(|owner| under_way.get(&owner.name));
+            count.is_none_or(|count| *count < ORDERS_AT_ONCE)
+        };
         let orders = self
             .tracked
             .iter()
             .filter(|tracked| tracked.in_flight.is_none() && tracked.wants_order())
+            .filter(has_room)
             .map(|tracked| tracked.next_order);
         let holds = self
             .tracked
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -1,16 +1,37 @@
 //! Orders to back ends, and their answers.
 
+use std::collections::BTreeMap;
+
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::BackEndName;
 
+use super::tracked::Tracked;
 use super::{Ownership, Phase};
 use crate::action::{Action, Notice};
 use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
 
+/// Orders that wait for the answer of one back end at the most. One that holds
+/// many slices is asked about the others as it answers.
+pub const ORDERS_AT_ONCE: usize = 6;
+
+/// Orders that wait for an answer, by back end.
+pub(super) fn under_way(tracked: &[Tracked]) -> BTreeMap<BackEndName, usize> {
+    let mut counts: BTreeMap<BackEndName, usize> = BTreeMap::new();
+    for tracked in tracked {
+        let Some(owner) = tracked.owner().filter(|_| tracked.in_flight.is_some()) else {
+            continue;
+        };
+        *counts.entry(owner.name.clone()).or_default() += 1;
+    }
+    counts
+}
+
 impl Ownership {
     pub(super) fn orders(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         if !matches!(self.phase, Phase::Active { .. }) {
             return;
         }
+        let mut under_way = under_way(&self.tracked);
         for tracked in &mut self.tracked {
             if tracked.in_flight.is_some() || now < tracked.next_order {
                 continue;
@@ -21,6 +42,11 @@
             let Some(owner) = tracked.owner().cloned() else {
                 continue;
             };
+            let count = under_way.entry(owner.name.clone()).or_default();
+            if *count >= ORDERS_AT_ONCE {
+                continue;
+            }
+            *count += 1;
             self.next_order += 1;
             let id = OrderId(self.next_order);
             let timeout = match &kind {
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -144,7 +144,7 @@
         self.in_flight = None;
         match result {
             Ok(reply) => self.answered(now, reply, settings),
-            Err(OrderFault::NotSent) => {
+            Err(OrderFault::NotSent | OrderFault::Withheld) => {
                 self.possible_arrival = self.arrival_before;
                 self.next_order = now + settings.retry_pause;
             }
--- /dev/null
+++ b/crates/coordination/tests/orders.rs
@@ -0,0 +1,131 @@
+//! Orders to one back end, and what their ends say about it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use threadledge_coordination::action::{ReadResult, Versioned, WriteResult};
+use threadledge_coordination::holders::{Holders, Ineligible};
+use threadledge_coordination::ownership::{ORDERS_AT_ONCE, Ownership, ReadConsequence};
+use threadledge_coordination::{
+    Action, Fence, Notice, Order, OrderFault, OrderReply, Owner, OwnershipRecord, Settings, Slice,
+    SliceState, Term,
+};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEnd, KeyRange, ShardKey};
+
+const SLICES: u16 = 32;
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 80))
+}
+
+fn back_end() -> BackEnd {
+    BackEnd {
+        name: "b-1".into(),
+        service: "keyed".into(),
+        address: address(),
+        zone: "near".into(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::ZERO,
+        registration: 1,
+    }
+}
+
+/// A record of an earlier term in which one back end holds many slices, each
+/// under a fence of its own.
+fn scattered() -> OwnershipRecord {
+    let width = u16::MAX / SLICES + 1;
+    let slice = |number: u16| Slice {
+        range: KeyRange {
+            first: ShardKey(number * width),
+            last: ShardKey(number * width + (width - 1)),
+        },
+        fence: Fence(u64::from(number) + 1),
+        state: SliceState::Owned {
+            owner: Owner {
+                name: "b-1".into(),
+                address: address(),
+            },
+            handover: None,
+        },
+    };
+    OwnershipRecord {
+        term: Term(1),
+        next_fence: Fence(u64::from(SLICES) + 1),
+        slices: (0..SLICES).map(slice).collect(),
+    }
+}
+
+/// A coordinator that has just taken the scattered record over.
+fn taken_over(now: Timestamp) -> Ownership {
+    let mut ownership = Ownership::new("keyed".into(), Settings::default());
+    ownership.set_back_ends(now, &[back_end()]);
+    ownership.begin_term(now, Term(2), None);
+    assert_eq!(ownership.poll(now, true), vec![Action::ReadRecord]);
+    let found = Versioned {
+        value: scattered(),
+        revision: 7,
+    };
+    let read = ownership.on_read(now, ReadResult::Found(Some(found)));
+    let ReadConsequence::Call(call) = read else {
+        panic!("the record is written for this term: {read:?}");
+    };
+    let Action::WriteRecord(record, _) = *call else {
+        panic!("{call:?}");
+    };
+    ownership.on_write(now, record, WriteResult::Accepted(8));
+    ownership
+}
+
+fn sent(actions: Vec<Action>) -> Vec<Order> {
+    let order = |action| match action {
+        Action::Send(order) => Some(order),
+        _ => None,
+    };
+    actions.into_iter().filter_map(order).collect()
+}
+
+#[test]
+fn owner_of_many_slices_is_given_a_few_orders_at_a_time() {
+    let now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    let mut waiting = sent(ownership.poll(now, true));
+    let mut granted = 0;
+    while !waiting.is_empty() {
+        assert!(waiting.len() <= ORDERS_AT_ONCE, "{} at once", waiting.len());
+        let wake = ownership.next_wake(now);
+        let spins = waiting.len() == ORDERS_AT_ONCE && wake.is_some_and(|wake| wake <= now);
+        assert!(!spins, "nothing can be sent before an answer");
+        let order = waiting.remove(0);
+        ownership.on_order(now, &order, Ok(OrderReply::Granted));
+        granted += 1;
+        waiting.extend(sent(ownership.poll(now, true)));
+    }
+    assert_eq!(granted, SLICES);
+}
+
+#[test]
+fn own_limit_says_nothing_about_a_back_end() {
+    let now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    for _ in 0..10 {
+        for order in sent(ownership.poll(now, true)) {
+            ownership.on_order(now, &order, Err(OrderFault::Withheld));
+        }
+    }
+    let lost = |notice: &Notice| matches!(notice, Notice::HolderLost { .. });
+    assert!(!ownership.take_notices().iter().any(lost));
+}
+
+#[test]
+fn back_end_that_refuses_connections_counts_as_lost() {
+    let now = Timestamp::from_millis(10_000);
+    let mut holders = Holders::default();
+    holders.set_registered(&"keyed".into(), &[back_end()]);
+    let name = "b-1".into();
+    assert!(!holders.on_fault(now, &name, OrderFault::NotSent));
+    assert!(!holders.on_fault(now, &name, OrderFault::Withheld));
+    assert!(holders.on_fault(now, &name, OrderFault::NotSent));
+    assert_eq!(holders.ineligible(&name, now), Some(Ineligible::Lost));
+}
--- a/crates/net/src/client_error.rs
+++ b/crates/net/src/client_error.rs
@@ -90,6 +90,17 @@
         }
     }
 
+    /// Whether the call was not made because every connection that this
+    /// client may have to the peer is in use.
+    pub fn is_own_limit(&self) -> bool {
+        match self {
+            ClientError::Connect { source, .. } => {
+                matches!(source.fault, ExchangeFault::NoConnectionFree)
+            }
+            _ => false,
+        }
+    }
+
     /// Status and body, if the peer answered with a status other than 2xx.
     pub fn answered_status(&self) -> Option<(u16, &[u8])> {
         match self {
