Call a store that is down ever more rarely; let an answered call end the pause

Ruled out: the coordinators' standby reads (a tenth of the price, 100 of them), the start of the gateways (about 200 calls).

Change: pauses grow from 0.1 s to 3 s (Backoff); a call of any kind that the store answers, or a relay that tells what is new, ends the pause. The reads of leases and relays, a tenth of the price each, show within 0.8 s that it answers again. A test with a pause of an hour hangs without the wake.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+pub mod backoff;
 mod calls;
 mod catch_up;
 pub mod changes;
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -11,14 +11,18 @@
 use threadledge_net::timer;
 use threadledge_ports::{Changes, Collection, Listing, StoreError};
 
+use super::backoff::Backoff;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 
-/// First pause after a failed call.
+/// Pause after the first failed call, and the shortest after later ones.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after failed calls.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// How much longer each pause may be than the one before.
+const PAUSE_GROWTH: u32 = 5;
+/// Longest pause after failed calls. Each gateway has cheaper calls that show
+/// sooner that the store answers again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Wait of the first watch after a failure: a store that was silent may still
 /// be so behind a connection that stands, and a long watch would not tell.
 const TRIAL_WATCH: Duration = Duration::from_millis(200);
@@ -53,7 +57,7 @@
     /// Pause after changes, so that those that come together cost one call.
     gather: Duration,
     relay: Option<Relayed>,
-    pause: Duration,
+    backoff: Backoff,
     /// The last call failed.
     lost: bool,
     /// The store may have forgotten a watch: the next one is short.
@@ -91,7 +95,7 @@
             wait,
             gather: Duration::ZERO,
             relay: None,
-            pause: FIRST_PAUSE,
+            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, PAUSE_GROWTH),
             lost: false,
             doubtful: false,
         }
@@ -104,6 +108,12 @@
         self
     }
 
+    /// Pauses after failed calls as `backoff` says.
+    pub fn pausing(mut self, backoff: Backoff) -> Self {
+        self.backoff = backoff;
+        self
+    }
+
     /// Lets the watch rest while a relay tells what is new. `reach` says up
     /// to which revision the collection is known.
     pub(super) fn relayed(
@@ -205,7 +215,7 @@
     }
 
     fn answered(&mut self) {
-        self.pause = FIRST_PAUSE;
+        self.backoff.reset();
         self.doubtful = false;
         if std::mem::take(&mut self.lost) {
             self.health.regained();
@@ -219,7 +229,19 @@
             self.health.lost();
             emit!(EventId::StoreLost, collection = self.name, cause = ?error);
         }
-        timer::sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        let pause = self.backoff.after_failure();
+        self.rest_after_failure(pause).await;
+    }
+
+    /// Pauses until another call to the store is answered, or a relay tells
+    /// what is new, or the pause is over.
+    async fn rest_after_failure(&self, pause: Duration) {
+        let success = self.health.next_success();
+        let first = self.backoff.first();
+        timer::sleep(first).await;
+        let more = pause.saturating_sub(first);
+        let relayed = pin!(self.until_relayed());
+        // Which of them it was shows in the next call.
+        let _ = timer::timeout(more, select(pin!(success), relayed)).await;
     }
 }
--- a/crates/router/src/gateway/store_health.rs
+++ b/crates/router/src/gateway/store_health.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct StoreHealth {
     failure: Notifier,
+    success: Notifier,
     /// Collections that cannot be followed now.
     lost: AtomicUsize,
     /// Start of the latest call that was answered, in microseconds.
@@ -27,6 +28,12 @@
         self.failure.next()
     }
 
+    /// Resolves with the next call that is answered, while some collection
+    /// cannot be followed.
+    pub fn next_success(&self) -> Stopped {
+        self.success.next()
+    }
+
     /// A collection cannot be followed any more.
     pub fn lost(&self) {
         self.lost.fetch_add(1, Ordering::Relaxed);
@@ -52,6 +59,9 @@
     pub fn answered(&self, started: Timestamp) {
         self.answered
             .fetch_max(started.as_micros(), Ordering::Relaxed);
+        if self.is_lost() {
+            self.success.notify();
+        }
     }
 
     /// The store surely answered at that time.
--- a/crates/router/tests/gateway/follow.rs
+++ b/crates/router/tests/gateway/follow.rs
@@ -7,10 +7,12 @@
 
 use async_std::task;
 use parking_lot::Mutex;
+use threadledge::gateway::backoff::Backoff;
 use threadledge::gateway::follow::{Follower, Update};
 use threadledge::gateway::store_health::StoreHealth;
 use threadledge_coordination::action::Freshness;
 use threadledge_ports::{Call, Changes, Collection, Entry, Listing, StoreError};
+use threadledge_types::Timestamp;
 
 const WAIT: Duration = Duration::from_secs(20);
 
@@ -82,6 +84,11 @@
 }
 
 fn follow(replies: impl IntoIterator<Item = Reply>) -> Following {
+    let pause = Duration::from_millis(100);
+    follow_pausing(replies, Backoff::new(pause, pause, 1))
+}
+
+fn follow_pausing(replies: impl IntoIterator<Item = Reply>, backoff: Backoff) -> Following {
     let (asked_sender, asked) = async_channel::unbounded();
     let (told_sender, told) = async_channel::unbounded();
     let collection = Arc::new(Scripted {
@@ -89,7 +96,7 @@
         asked: asked_sender,
     });
     let health = Arc::new(StoreHealth::default());
-    let follower = Follower::new("test", collection, health.clone(), WAIT);
+    let follower = Follower::new("test", collection, health.clone(), WAIT).pausing(backoff);
     task::spawn(follower.run(move |update| {
         let _ = told_sender.try_send(update);
     }));
@@ -163,3 +170,41 @@
     assert_eq!(following.asked(), "long watch after 7");
     assert_eq!([(); 2].map(|()| following.told_at()), [3, 7]);
 }
+
+/// While the store is down every gateway would otherwise call it for each of
+/// its collections again and again, and each call is paid for.
+#[test]
+fn store_that_stays_down_is_called_ever_more_rarely() {
+    let (first, longest) = (Duration::from_millis(100), Duration::from_secs(3));
+    let mut backoff = Backoff::new(first, longest, 5);
+    let pauses: Vec<u128> = (0..5)
+        .map(|_| backoff.after_failure().as_millis())
+        .collect();
+    assert_eq!(pauses, [100, 500, 2_500, 3_000, 3_000]);
+    backoff.reset();
+    assert_eq!(backoff.after_failure(), first);
+}
+
+#[test]
+fn call_that_the_store_answers_ends_the_pause_of_the_others() {
+    let down = || Reply::Fail(StoreError::Unreachable);
+    let replies = [Reply::List(3), down(), down(), Reply::Changes(4)];
+    let (first, hour) = (Duration::from_millis(1), Duration::from_secs(3_600));
+    let growth = 3_600_000;
+    let following = follow_pausing(replies, Backoff::new(first, hour, growth));
+    assert_eq!(following.asked(), "list");
+    assert_eq!(following.asked(), "long watch after 3");
+    assert_eq!(following.asked(), "short watch after 3");
+    // The pause is an hour now. An answer may come before it begins, so there
+    // are several.
+    let health = following.health.clone();
+    let answering = task::spawn(async move {
+        loop {
+            health.answered(Timestamp::from_millis(1));
+            task::sleep(first).await;
+        }
+    });
+    assert_eq!(following.asked(), "short watch after 3");
+    assert_eq!([(); 2].map(|()| following.told_at()), [3, 4]);
+    task::block_on(answering.cancel());
+}
