Move no keys for balance on what may be chance, nor before any load is known

Cause: a coordinator that takes over knows no load.

Change: the tolerated surplus is at least 2.5 standard deviations of the measure (1 beside a back end that has hardly anything); a new coordinator waits up to 4 s for a report of load.

--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -234,7 +234,8 @@
                 sums.push(sum);
             }
         }
-        Measure { sums }
+        let requests = if sums.is_empty() { None } else { Some(total) };
+        Measure { sums, requests }
     }
 }
 
@@ -243,6 +244,8 @@
 pub struct Measure {
     /// Weight of all keys before each; empty when all weigh the same.
     sums: Vec<f64>,
+    /// Requests that it was made from; `None` when it goes by keys alone.
+    requests: Option<f64>,
 }
 
 impl Measure {
@@ -254,6 +257,15 @@
         self.sums.get(key as usize).copied().unwrap_or(1.0)
     }
 
+    /// Standard deviation of what is measured of a part of all keys that weighs
+    /// `weight`, relative to that weight: requests come by chance.
+    pub fn noise(&self, weight: f64) -> f64 {
+        match self.requests {
+            Some(requests) => 1.0 / (requests * weight).max(f64::MIN_POSITIVE).sqrt(),
+            None => 0.0,
+        }
+    }
+
     /// Weight of a range.
     pub fn of(&self, range: KeyRange) -> f64 {
         self.below(u32::from(range.last.0) + 1) - self.below(u32::from(range.first.0))
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -71,6 +71,8 @@
     holders: Holders,
     load: LoadMap,
     next_balancing: Timestamp,
+    /// Until when a new coordinator waits for reports of load.
+    load_awaited: Timestamp,
     term: Term,
     predecessor: Option<Predecessor>,
     phase: Phase,
@@ -97,6 +99,7 @@
             holders: Holders::default(),
             load: LoadMap::default(),
             next_balancing: Timestamp::ZERO,
+            load_awaited: Timestamp::ZERO,
             term: Term::default(),
             predecessor: None,
             phase: Phase::Idle,
@@ -234,6 +237,10 @@
 
 /// Time between two looks for owners with too much.
 const BALANCING_PAUSE: Duration = Duration::from_millis(700);
+/// Time after a take-over in which keys are not taken from their owners before
+/// some load was reported: the earlier coordinator had divided them by load,
+/// and by their number alone they look uneven.
+const LOAD_PATIENCE: Duration = Duration::from_secs(4);
 /// Longest time between two calls of [`Ownership::poll`] that the shell
 /// should allow, so that cool-downs end in time.
 pub const LONGEST_SLEEP: Duration = Duration::from_millis(500);
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -40,7 +40,12 @@
         if now < self.next_balancing || !self.tracked.iter().all(settled) {
             return;
         }
+        // Set whatever follows: the next look is then right after the store
+        // answered again, and not at the end of the time that this counts.
         self.next_balancing = now + BALANCING_PAUSE;
+        if now < self.load_awaited && !self.load.speaks() {
+            return;
+        }
         self.load.notice_sudden_changes();
         let candidates = candidates(now, &self.holders, &self.load);
         let held = held(self.tracked.iter().map(|tracked| &tracked.slice));
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -4,7 +4,7 @@
 
 use super::draft::mended;
 use super::tracked::retrack;
-use super::{Ownership, Phase, ReadConsequence};
+use super::{LOAD_PATIENCE, Ownership, Phase, ReadConsequence};
 use crate::action::{Action, Condition, Notice, ReadResult, Versioned, WriteResult};
 use crate::record::OwnershipRecord;
 
@@ -155,6 +155,7 @@
     pub(super) fn take_own(&mut self, now: Timestamp, found: Versioned<OwnershipRecord>) {
         let first_of_term = !matches!(self.phase, Phase::Active { .. }) && self.tracked.is_empty();
         if first_of_term {
+            self.load_awaited = now + LOAD_PATIENCE;
             self.notices.push(Notice::RecordAdopted {
                 term: self.term,
                 slices: found.value.slices.len(),
--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -13,6 +13,12 @@
 const TOLERATED_SURPLUS: f64 = 0.3;
 /// The same while some candidate has hardly anything, as one that is new.
 const TOLERATED_BESIDE_EMPTY: f64 = 0.05;
+/// Standard deviations of the measure by which a surplus must differ from
+/// chance.
+const DEVIATIONS: f64 = 2.5;
+/// The same while some candidate has hardly anything: the keys of many owners
+/// go to it, so that chance evens out.
+const DEVIATIONS_BESIDE_EMPTY: f64 = 1.0;
 /// Parts of a fair share below which a candidate has hardly anything.
 const HARDLY_ANYTHING: f64 = 0.4;
 /// Parts of a fair share that a candidate must lack to be worth a move.
@@ -89,16 +95,22 @@
         neediest.map(|(candidate, _)| candidate)
     }
 
-    /// Parts of a fair share that an owner may have too much.
-    fn tolerated(&self) -> f64 {
+    /// Parts of a fair share that `owner` may have too much.
+    fn tolerated(&self, owner: &Candidate, measure: &Measure) -> f64 {
+        let (least, deviations) = if self.any_hardly_has() {
+            (TOLERATED_BESIDE_EMPTY, DEVIATIONS_BESIDE_EMPTY)
+        } else {
+            (TOLERATED_SURPLUS, DEVIATIONS)
+        };
+        least.max(deviations * measure.noise(self.fair(owner)))
+    }
+
+    /// Whether some candidate has hardly anything.
+    fn any_hardly_has(&self) -> bool {
         let hardly_any = |candidate: &Candidate| {
             self.lacks(candidate) > self.fair(candidate) * (1.0 - HARDLY_ANYTHING)
         };
-        if self.candidates.iter().any(hardly_any) {
-            TOLERATED_BESIDE_EMPTY
-        } else {
-            TOLERATED_SURPLUS
-        }
+        self.candidates.iter().any(hardly_any)
     }
 
     /// The candidate that would be least overloaded with `weight` more.
@@ -231,11 +243,11 @@
 pub fn rebalance(held: &[Held], candidates: &[Candidate], measure: &Measure) -> Vec<KeyRange> {
     let mut shares = Shares::new(candidates, held, measure);
     let mut missing = shares.worthwhile();
-    let tolerated = shares.tolerated();
+    let tolerated = |owner: &Candidate| shares.fair(owner) * shares.tolerated(owner, measure);
     let mut donors: Vec<(&Candidate, f64)> = candidates
         .iter()
         .map(|candidate| (candidate, -shares.lacks(candidate)))
-        .filter(|(candidate, surplus)| *surplus > shares.fair(candidate) * tolerated)
+        .filter(|(candidate, surplus)| *surplus > tolerated(candidate))
         .collect();
     donors.sort_by(|left, right| right.1.total_cmp(&left.1));
     let mut taken = Vec::new();
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -200,3 +200,31 @@
     assert!(assign(&[], &held, &candidates, &measure).is_empty());
     assert!(assign(&[KeyRange::ALL], &[], &[], &measure).is_empty());
 }
+
+/// Ten owners of equal ranges, and `total` requests that fell a little
+/// unevenly: half as many again as its share on the first, half of it on the
+/// last.
+fn uneven(total: u32) -> LoadMap {
+    let share = total / 10;
+    let even = (1..9).map(|owner| (owner * 6_554 + 10, share));
+    let first = [10, 20, 30].map(|key| (key, share / 2));
+    let last = [(9 * 6_554 + 10, share / 2)];
+    let counts: Vec<(u16, u32)> = even.chain(first).chain(last).collect();
+    steady(&counts, 1).0
+}
+
+#[test]
+fn keys_stay_where_a_surplus_may_be_chance() {
+    let candidates = candidates(10);
+    let width = 6_554;
+    let held: Vec<Held> = (0..10u16)
+        .map(|number| Held {
+            range: range(number * width, (number * width).saturating_add(width - 1)),
+            owner: candidates[usize::from(number)].owner.name.clone(),
+        })
+        .collect();
+    let few = uneven(100).measure();
+    assert!(rebalance(&held, &candidates, &few).is_empty());
+    let many = uneven(4_000).measure();
+    assert!(!rebalance(&held, &candidates, &many).is_empty());
+}
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -7,8 +7,8 @@
 use threadledge_coordination::holders::{Holders, Ineligible};
 use threadledge_coordination::ownership::{ORDERS_AT_ONCE, Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Fence, Notice, Order, OrderFault, OrderReply, Owner, OwnershipRecord, Settings, Slice,
-    SliceState, Term,
+    Action, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner, OwnershipRecord,
+    Settings, Slice, SliceState, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange, ShardKey};
@@ -129,3 +129,26 @@
     assert!(holders.on_fault(now, &name, OrderFault::NotSent));
     assert_eq!(holders.ineligible(&name, now), Some(Ineligible::Lost));
 }
+
+/// The earlier coordinator divided the keys by load, so that they lie unevenly
+/// by their number.
+#[test]
+fn new_coordinator_takes_no_keys_from_owners_before_it_knows_the_load() {
+    let start = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(start);
+    let mut second = back_end();
+    second.name = "b-2".into();
+    second.address = SocketAddr::from(([10, 0, 0, 1], 81));
+    ownership.set_back_ends(start, &[back_end(), second]);
+    let releases = |actions: Vec<Action>| {
+        let is_release = |order: &Order| order.kind == OrderKind::Release;
+        sent(actions).into_iter().filter(is_release).count()
+    };
+    for millis in [10, 500, 1_000, 3_900] {
+        let now = start + Duration::from_millis(millis);
+        assert_eq!(releases(ownership.poll(now, true)), 0, "after {millis} ms");
+    }
+    // Nobody asks for anything: the number of keys decides after all.
+    let now = start + Duration::from_millis(4_700);
+    assert!(releases(ownership.poll(now, true)) > 0);
+}
