--- a/crates/router/examples/proxy_cost.rs
+++ b/crates/router/examples/proxy_cost.rs
@@ -21,7 +21,6 @@
 use std::time::{Duration, Instant};
 
 use http_types::{Request, Response};
-use mimalloc::MiMalloc;
 use threadledge::proxy::{Clock, Observer, ProxyHandle, ProxySettings};
 use threadledge_net::{ConnectionInfo, ServerLimits, StopSignal, serve};
 use threadledge_types::objects::{
@@ -35,10 +34,6 @@
     Slice, ZoneName,
 };
 
-/// The same as the program's.
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
-
 const REQUEST: &[u8] = b"GET /profiles/oak?key=7 HTTP/1.1\r\nhost: s.test\r\naccept: */*\r\n\
     user-agent: load\r\nidempotency-key: \"8e03978e\"\r\n\r\n";
 const BODY: &str = "{\"profile\":\"oak\",\"millimetres\":92,\"glazing\":\"double\"}";
