--- a/crates/dispatch/tests/dispatcher/choice.rs
+++ b/crates/dispatch/tests/dispatcher/choice.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use threadledge_dispatch::AttemptEnd;
-use threadledge_dispatch::{Fault, Step, ToldLoad};
+use threadledge_dispatch::{Attempt, Fault, Step, ToldLoad};
 use threadledge_types::deployment::BackEndName;
 
 use super::support::{Station, answered, back_end, fault};
@@ -40,6 +40,24 @@
     assert!(asked.len() >= 5, "{asked:?}");
 }
 
+/// Back ends that join have to get requests within seconds, although those
+/// that were there before are known to be good.
+#[test]
+fn back_end_that_joins_is_asked_soon() {
+    let mut station = Station::new();
+    for _ in 0..30 {
+        station.answer_one("safe", 50);
+    }
+    station
+        .back_ends
+        .push(back_end("p-new", "plain", "near", 9));
+    station.publish();
+    let is_new = |attempt: &Attempt| attempt.back_end == "p-new".into();
+    let asked = (0..20).filter(|_| is_new(&station.answer_one("safe", 50)));
+    let asked = asked.count();
+    assert!(asked >= 3, "{asked} of 20");
+}
+
 #[test]
 fn far_back_end_is_taken_when_the_near_one_is_full() {
     let mut station = Station::new();
