--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use async_std::net::TcpListener;
+use futures::future::{Either, select};
 use http_types::{Request, Response};
 use serde::{Deserialize, Serialize};
 use support::{SAFETY, TestServer, peer_with_script, quick_limits, within};
@@ -169,3 +171,23 @@
     let line: Option<Number> = lines.next(SAFETY).await.unwrap();
     assert_eq!(line, Some(Number { number: 7 }));
 }
+
+/// A call that this client does not make says nothing about the peer.
+#[async_std::test]
+async fn call_beyond_the_connections_allowed_is_told_apart() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = HttpClient::new(PoolSettings {
+        connections_per_address: 1,
+        ..PoolSettings::default()
+    });
+    // Both are polled in this order; nobody ever answers the first.
+    let first = pin!(client.get_json::<u32>(address, "/silent", SAFETY));
+    let second = pin!(client.get_json::<u32>(address, "/silent", SAFETY));
+    let ended = select(first, second).await;
+    let Either::Right((Err(error), _)) = ended else {
+        panic!("the second is not made");
+    };
+    assert!(error.is_own_limit(), "{error}");
+    assert!(!error.may_have_been_received());
+}
