Count calls to the store and bytes to other gateways in the metrics

Cause: operators pay for calls to the store, and no metric told who makes them or why. Ruled out: counting in platform/, which translates and keeps nothing.

Change: the ports are wrapped once at the start; each call is counted by collection, call and outcome when it ends or is given up. Messages of other gateways are counted where they are served, so that each counts once.

Test, which failed before: router/tests/gateway/usage.rs.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -34,6 +34,7 @@
 pub mod sources;
 mod stop;
 pub mod store_health;
+pub mod usage;
 
 pub use run::{GatewayError, run};
 pub use settings::{GatewaySettings, SettingsFault};
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -10,6 +10,7 @@
 use super::dispatch::Dispatch;
 use super::log::RequestLine;
 use super::sources::Sources;
+use super::usage::Usage;
 
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -25,6 +26,7 @@
     gauges: Gauges,
     dispatch: Arc<Dispatch>,
     sources: Arc<Sources>,
+    usage: Usage,
 }
 
 #[derive(Clone)]
@@ -68,6 +70,7 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         let gauges = Gauges::register(&registry)?;
+        let usage = Usage::new(&registry)?;
         Ok(GatewayMetrics {
             registry,
             requests,
@@ -75,9 +78,15 @@
             gauges,
             dispatch,
             sources,
+            usage,
         })
     }
 
+    /// Counts calls to the store and what other gateways send.
+    pub(super) fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
     /// Counts one request that has its outcome.
     pub(super) fn request(&self, line: &RequestLine) {
         let service = line.service.as_ref().map_or("", ServiceName::as_str);
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -22,6 +22,7 @@
 use super::followers::Followers;
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport};
 use super::news::{Marks, News};
+use super::usage::Usage;
 
 /// Path of reports.
 const LOAD_PATH: &str = "/threadledge/v1/load";
@@ -173,6 +174,7 @@
     pub(super) peers: Arc<Peers>,
     pub(super) events: async_channel::Sender<Event>,
     pub(super) followers: Arc<Followers>,
+    pub(super) usage: Usage,
 }
 
 impl PeerServer {
@@ -194,16 +196,29 @@
         let Ok(body) = request.body_bytes().await else {
             return answer::own(400, "cut-short", None);
         };
+        let message = match request.url().path() {
+            LOAD_PATH => "load",
+            FOLLOW_PATH => "follow",
+            NEWS_PATH => "news",
+            _ => "unknown",
+        };
+        let response = self.answer_body(&request, &body).await;
+        let answered = response.len().unwrap_or_default();
+        self.usage.served_peer(message, body.len(), answered);
+        response
+    }
+
+    async fn answer_body(&self, request: &Request, body: &[u8]) -> Response {
         match (request.method(), request.url().path()) {
-            (Method::Post, LOAD_PATH) => match serde_json::from_slice(&body) {
+            (Method::Post, LOAD_PATH) => match serde_json::from_slice(body) {
                 Ok(report) => json(&self.take_report(report)),
                 Err(_) => answer::own(400, "malformed-report", None),
             },
-            (Method::Post, FOLLOW_PATH) => match serde_json::from_slice::<FollowPoll>(&body) {
+            (Method::Post, FOLLOW_PATH) => match serde_json::from_slice::<FollowPoll>(body) {
                 Ok(poll) => json(&self.answer_poll(poll).await),
                 Err(_) => answer::own(400, "malformed-poll", None),
             },
-            (Method::Post, NEWS_PATH) => match serde_json::from_slice::<Marks>(&body) {
+            (Method::Post, NEWS_PATH) => match serde_json::from_slice::<Marks>(body) {
                 Ok(marks) => json(&self.directory.news_since(&marks)),
                 Err(_) => answer::own(400, "malformed-marks", None),
             },
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -156,6 +156,7 @@
         let store_health = Arc::new(StoreHealth::new(heartbeat));
         let sources = Arc::new(Sources::new(clock, store_health.clone()));
         let metrics = GatewayMetrics::new(dispatch.clone(), sources.clone())?;
+        let ports = metrics.usage().counting(ports);
         let requests = Arc::new(Requests {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
@@ -208,6 +209,7 @@
                 peers: self.peers.clone(),
                 events: events.clone(),
                 followers: self.followers.clone(),
+                usage: self.metrics.usage().clone(),
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
--- /dev/null
+++ b/crates/router/src/gateway/usage.rs
@@ -0,0 +1,194 @@
+//! Counts what this gateway costs beside its requests: calls to the platform's
+//! store, and bytes to and from other gateways. Operators pay for both.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::{IntCounterVec, Opts, Registry};
+use threadledge_coordination::action::{
+    Condition, Freshness, ReadResult, StoreRevision, WriteResult,
+};
+use threadledge_ports::{Call, Changes, Collection, Listing, Ports, RecordStore, StoreError};
+
+/// The counters. Clones share them.
+#[derive(Clone)]
+pub struct Usage {
+    calls: IntCounterVec,
+    peer_bytes: IntCounterVec,
+}
+
+impl Usage {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Never with the names compiled in; the library checks them at run time.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let calls = IntCounterVec::new(
+            Opts::new(
+                "threadledge_gateway_store_calls_total",
+                "Calls to the platform's store; a list of several pages is one",
+            ),
+            &["collection", "call", "outcome"],
+        )?;
+        let peer_bytes = IntCounterVec::new(
+            Opts::new(
+                "threadledge_gateway_peer_bytes_total",
+                "Bytes of bodies that other gateways sent here and were answered",
+            ),
+            &["message", "direction"],
+        )?;
+        registry.register(Box::new(calls.clone()))?;
+        registry.register(Box::new(peer_bytes.clone()))?;
+        Ok(Usage { calls, peer_bytes })
+    }
+
+    /// The same ports, with every call to the store counted.
+    pub fn counting(&self, ports: Ports) -> Ports {
+        Ports {
+            configurations: self.counted("configurations", ports.configurations),
+            back_ends: self.counted("back-ends", ports.back_ends),
+            leases: self.counted("leases", ports.leases),
+            ownership: self.counted("ownership", ports.ownership),
+            relays: self.counted("relays", ports.relays),
+            ..ports
+        }
+    }
+
+    fn counted<S: ?Sized>(&self, collection: &'static str, inner: Arc<S>) -> Arc<Counted<S>> {
+        Arc::new(Counted {
+            inner,
+            collection,
+            calls: self.calls.clone(),
+        })
+    }
+
+    /// Another gateway sent a message of so many bytes, and was answered so
+    /// many.
+    pub(super) fn served_peer(&self, message: &str, received: usize, answered: usize) {
+        for (direction, bytes) in [("received", received), ("answered", answered)] {
+            self.peer_bytes
+                .with_label_values(&[message, direction])
+                .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+        }
+    }
+}
+
+/// A collection whose calls are counted.
+struct Counted<S: ?Sized> {
+    inner: Arc<S>,
+    collection: &'static str,
+    calls: IntCounterVec,
+}
+
+impl<S: ?Sized> Counted<S> {
+    fn begin(&self, call: &'static str) -> Begun<'_> {
+        Begun {
+            calls: &self.calls,
+            labels: [self.collection, call, "abandoned"],
+        }
+    }
+}
+
+/// A call under way. It is counted when it ends, whoever ends it.
+struct Begun<'a> {
+    calls: &'a IntCounterVec,
+    /// Collection, call and outcome.
+    labels: [&'static str; 3],
+}
+
+impl Begun<'_> {
+    fn end(mut self, outcome: &'static str) {
+        self.labels[2] = outcome;
+    }
+}
+
+impl Drop for Begun<'_> {
+    fn drop(&mut self) {
+        self.calls.with_label_values(&self.labels).inc();
+    }
+}
+
+impl<T, S> Collection<T> for Counted<S>
+where
+    T: Send + 'static,
+    S: Collection<T> + ?Sized,
+{
+    fn list(&self, freshness: Freshness) -> Call<'_, Result<Listing<T>, StoreError>> {
+        let call = match freshness {
+            Freshness::Stale => "list-stale",
+            Freshness::Linearizable => "list",
+        };
+        Box::pin(async move {
+            let begun = self.begin(call);
+            let result = self.inner.list(freshness).await;
+            begun.end(outcome_of(&result));
+            result
+        })
+    }
+
+    fn changes(
+        &self,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Call<'_, Result<Changes<T>, StoreError>> {
+        Box::pin(async move {
+            let begun = self.begin("watch");
+            let result = self.inner.changes(after, wait).await;
+            begun.end(outcome_of(&result));
+            result
+        })
+    }
+}
+
+impl<T, S> RecordStore<T> for Counted<S>
+where
+    T: Send + Sync + 'static,
+    S: RecordStore<T> + ?Sized,
+{
+    fn read<'a>(&'a self, name: &'a str, freshness: Freshness) -> Call<'a, ReadResult<T>> {
+        let call = match freshness {
+            Freshness::Stale => "read-stale",
+            Freshness::Linearizable => "read",
+        };
+        Box::pin(async move {
+            let begun = self.begin(call);
+            let result = self.inner.read(name, freshness).await;
+            begun.end(match result {
+                ReadResult::Found(_) => "answered",
+                ReadResult::Failed => "failed",
+            });
+            result
+        })
+    }
+
+    fn write<'a>(
+        &'a self,
+        name: &'a str,
+        value: &'a T,
+        condition: Condition,
+    ) -> Call<'a, WriteResult<T>> {
+        Box::pin(async move {
+            let begun = self.begin("write");
+            let result = self.inner.write(name, value, condition).await;
+            begun.end(match result {
+                WriteResult::Accepted(_) => "answered",
+                WriteResult::Conflict(_) => "conflict",
+                WriteResult::NotDone => "not-done",
+                WriteResult::Unknown => "unknown",
+            });
+            result
+        })
+    }
+}
+
+fn outcome_of<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "answered",
+        Err(StoreError::Unreachable) => "unreachable",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::NoAnswer) => "silent",
+        Err(StoreError::HistoryGone) => "history-gone",
+        Err(StoreError::Malformed(_)) => "malformed",
+    }
+}
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod settings;
 mod stop;
 mod template;
+mod usage;
