--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::{LoadReport, OwnershipView};
 use threadledge_types::Timestamp;
@@ -58,6 +58,8 @@
     configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
     dealers: HashMap<RouteName, Dealer>,
+    /// Draws where dealers begin, apart from the draws of choices.
+    starts: ChaCha8Rng,
     back_ends: BackEnds,
     ownership: BTreeMap<ServiceName, OwnershipView>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -77,12 +79,15 @@
 impl Dispatcher {
     /// A dispatcher that knows nothing yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut starts = ChaCha8Rng::seed_from_u64(seed);
+        starts.set_stream(1);
         Dispatcher {
             settings,
             random: ChaCha8Rng::seed_from_u64(seed),
             configuration: None,
             routes: RouteTable::default(),
             dealers: HashMap::new(),
+            starts,
             back_ends: BackEnds::default(),
             ownership: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -226,7 +231,11 @@
         let Some(route) = self.routes.find(facts.host, facts.path).cloned() else {
             return Err(refusal(RefusalReason::NoRoute));
         };
-        let dealer = self.dealers.entry(route.name.clone()).or_default();
+        let starts = &mut self.starts;
+        let dealer = self
+            .dealers
+            .entry(route.name.clone())
+            .or_insert_with(|| Dealer::starting_at(starts.random()));
         let chosen = dealer.next(&route.destinations);
         let Some(destination) = route.destinations.get(chosen) else {
             return Err(refusal(RefusalReason::NoBackEnd));
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -57,20 +57,55 @@
 
 /// Deals the requests of a route to its destinations by weight, as evenly as
 /// whole requests allow.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Dealer {
+    /// The weights by which it deals.
+    weights: Vec<u32>,
     /// What each destination is owed, in units of weight.
     owed: Vec<i64>,
+    /// Where in the sequence to begin.
+    start: u32,
 }
 
+/// Longest part of a sequence that is skipped: longer ones differ too little
+/// from it to matter, and the skipping costs time.
+const LONGEST_SKIP: u32 = 1_000;
+
 impl Dealer {
+    /// A dealer that begins at a place of the sequence that `start` chooses.
+    /// Routers that begin at different places keep to the weights together
+    /// also where each deals few requests.
+    pub fn starting_at(start: u32) -> Self {
+        Dealer {
+            weights: Vec::new(),
+            owed: Vec::new(),
+            start,
+        }
+    }
+
     /// The index of the destination of the next request.
     pub fn next(&mut self, destinations: &[Destination]) -> usize {
-        self.owed.resize(destinations.len(), 0);
+        let weights = destinations.iter().map(|each| each.weight);
+        if !weights.clone().eq(self.weights.iter().copied()) {
+            self.begin(weights.collect());
+        }
+        self.deal()
+    }
+
+    fn begin(&mut self, weights: Vec<u32>) {
+        let total = weights.iter().copied().fold(0, u32::saturating_add);
+        self.owed = vec![0; weights.len()];
+        self.weights = weights;
+        for _ in 0..self.start % total.clamp(1, LONGEST_SKIP) {
+            self.deal();
+        }
+    }
+
+    fn deal(&mut self) -> usize {
         let mut total = 0;
         let mut chosen = 0;
-        for (index, destination) in destinations.iter().enumerate() {
-            let weight = i64::from(destination.weight);
+        for (index, weight) in self.weights.iter().enumerate() {
+            let weight = i64::from(*weight);
             total += weight;
             self.owed[index] += weight;
             if self.owed[index] > self.owed[chosen] {
--- a/crates/dispatch/tests/dispatcher/parts.rs
+++ b/crates/dispatch/tests/dispatcher/parts.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use threadledge_dispatch::RouteTable;
 use threadledge_dispatch::budget::RetryBudget;
 use threadledge_dispatch::routes::Dealer;
@@ -40,7 +42,7 @@
             weight,
         })
         .into();
-    let mut dealer = Dealer::default();
+    let mut dealer = Dealer::starting_at(0);
     let dealt: Vec<usize> = (0..200).map(|_| dealer.next(&destinations)).collect();
     for stretch in dealt.windows(20) {
         let small = stretch.iter().filter(|index| **index == 2).count();
@@ -52,6 +54,39 @@
     );
 }
 
+/// Each of many routers sees few requests of a route: together they keep to the
+/// weights only if they do not all begin with the same destination.
+#[test]
+fn first_requests_of_many_routers_are_dealt_by_weight() {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    for weights in [vec![50, 50], vec![60, 40], vec![90, 10], vec![1, 1, 1]] {
+        let total: u32 = weights.iter().sum();
+        let shares = weights
+            .iter()
+            .map(|weight| f64::from(*weight) / f64::from(total));
+        let destinations: Vec<Destination> = weights
+            .iter()
+            .map(|weight| Destination {
+                service: "plain".into(),
+                weight: *weight,
+            })
+            .collect();
+        let mut before = destinations.clone();
+        before[1..].iter_mut().for_each(|each| each.weight = 0);
+        let mut counts = vec![0_u32; destinations.len()];
+        for _ in 0..300 {
+            let mut dealer = Dealer::starting_at(random.random());
+            // One had everything at first.
+            dealer.next(&before);
+            counts[dealer.next(&destinations)] += 1;
+        }
+        for (count, share) in counts.iter().zip(shares) {
+            let dealt = f64::from(*count) / 300.0;
+            assert!((dealt - share).abs() < 0.1, "{weights:?}: {counts:?}");
+        }
+    }
+}
+
 /// Invariant: in every window that slides, repeats stay within the ratio of
 /// the requests of that window and the one before, and the slack.
 #[test]
--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -22,6 +22,8 @@
     action: Action,
     /// The member gives it up then.
     deadline: u64,
+    /// It waits no longer for an answer.
+    gives_up: u64,
 }
 
 struct Node {
@@ -96,15 +98,21 @@
         let due = self.nodes[index]
             .pending
             .take_if(|pending| pending.ends <= self.now);
-        if let Some(pending) = due {
-            self.end(index, pending);
+        match due {
+            // Whoever stands still answers when it goes on.
+            Some(pending)
+                if self.now < pending.gives_up && !self.answers(index, &pending.action) =>
+            {
+                self.nodes[index].pending = Some(pending);
+            }
+            Some(pending) => self.end(index, pending),
+            None => {}
         }
         if self.nodes[index].pending.is_some() {
             return;
         }
         if let Some(action) = self.nodes[index].member.poll(now) {
             let takes = match &action {
-                _ if !self.answers(index, &action) => SILENCE_MS,
                 Action::Follow(_) if !self.nodes[index].member.is_joining() => HOLD_MS,
                 _ => CALL_MS,
             };
@@ -112,10 +120,12 @@
             let deadline = deadline.filter(|_| matches!(action, Action::Follow(_)));
             let deadline = deadline.map_or(u64::MAX, |deadline| deadline.as_millis());
             let ends = (self.now + takes).min(deadline.max(self.now + STEP_MS));
+            let gives_up = ends.max(self.now + SILENCE_MS).min(deadline.max(ends));
             let pending = Pending {
                 ends,
                 action,
                 deadline,
+                gives_up,
             };
             self.nodes[index].pending = Some(pending);
         }
@@ -302,6 +312,74 @@
     assert_eq!(zone.followers(), usize::from(MEMBERS) - 1);
 }
 
+/// Shortest time after trouble in the store from which calm machines are
+/// bound again, as the users state it.
+const CONTACT_MS: u64 = 3_000;
+
+/// Whatever part of the zone the store turned away, and for how long: by then
+/// everyone learns from the store or from a relay that the store answers.
+fn healed(random: &mut Unstructured<'_>) -> Result<()> {
+    let mut zone = Zone::new();
+    for _ in 0..300 {
+        zone.step();
+    }
+    for _ in 0..random.int_in_range(1..=3)? {
+        for node in &mut zone.nodes {
+            node.cut = random.arbitrary()?;
+        }
+        for _ in 0..random.int_in_range(1..=600)? {
+            zone.step();
+            zone.check();
+        }
+    }
+    for node in &mut zone.nodes {
+        node.cut = false;
+    }
+    for _ in 0..CONTACT_MS / STEP_MS {
+        zone.step();
+        zone.check();
+    }
+    let now = Timestamp::from_millis(zone.now);
+    for node in &zone.nodes {
+        let source = node.member.source(now);
+        assert!(
+            matches!(source, Source::Store | Source::Relay { .. }),
+            "{source:?}"
+        );
+    }
+    Ok(())
+}
+
+#[test]
+fn everyone_has_a_source_when_calm_machines_are_bound_again() {
+    for seed in 0..300 {
+        arbtest::arbtest(healed)
+            .seed(0x2000_0000_0000 + (seed << 32 | 4_096))
+            .run();
+    }
+}
+
+/// A process whose share of a core is spent stands still for the rest of a
+/// tenth of a second.
+#[test]
+fn spent_processor_quota_costs_nobody_its_relay() {
+    let mut zone = Zone::new();
+    for _ in 0..300 {
+        zone.step();
+    }
+    let (writes, watched) = (zone.writes, zone.watched());
+    for step in 0..2_000 {
+        for (index, node) in zone.nodes.iter_mut().enumerate() {
+            // Half of each tenth of a second, each at another time.
+            node.frozen = (step + 2 * index) % 10 >= 5;
+        }
+        zone.step();
+        zone.check();
+    }
+    assert_eq!((zone.writes, zone.watched()), (writes, watched));
+    assert_eq!(zone.followers(), usize::from(MEMBERS) - 1);
+}
+
 /// Freezes, cuts and restarts at random; then calm, in which the zone must
 /// come to one relay that all others follow.
 fn disturbed(random: &mut Unstructured<'_>) -> Result<()> {
