Walk over a service's back ends without looking each up by name

Change: back ends are kept by service, and an index of names leads to the service. The order of the walk is the same, so that every choice is: the tests and the model pass unchanged.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -1,6 +1,6 @@
 //! The back ends that a router knows, with their load, speed and failures.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -135,40 +135,49 @@
     }
 }
 
-/// Every back end that is registered, by service.
+/// Every back end that is registered.
 #[derive(Debug, Default)]
 pub(crate) struct BackEnds {
-    known: BTreeMap<BackEndName, Known>,
-    by_service: BTreeMap<ServiceName, BTreeSet<BackEndName>>,
+    /// By service, so that a choice walks over those of its service and looks
+    /// nothing up: it does so for each request.
+    by_service: BTreeMap<ServiceName, BTreeMap<BackEndName, Known>>,
+    services: HashMap<BackEndName, ServiceName>,
 }
 
 impl BackEnds {
     /// Takes the back ends that are registered now. Returns addresses at
     /// which nobody is registered any more.
     pub(crate) fn set(&mut self, now: Timestamp, back_ends: &[BackEnd]) -> Vec<SocketAddr> {
-        let names: BTreeSet<&BackEndName> = back_ends.iter().map(|each| &each.name).collect();
+        let registered: HashMap<&BackEndName, &ServiceName> = back_ends
+            .iter()
+            .map(|each| (&each.name, &each.service))
+            .collect();
         let mut left: Vec<SocketAddr> = Vec::new();
-        self.known.retain(|name, known| {
-            let stays = names.contains(name);
-            if !stays {
-                left.push(known.back_end.address);
-            }
-            stays
-        });
-        self.by_service.clear();
+        for (service, known) in &mut self.by_service {
+            known.retain(|name, known| {
+                let stays = registered.get(name) == Some(&service);
+                if !stays {
+                    left.push(known.back_end.address);
+                }
+                stays
+            });
+        }
+        self.by_service.retain(|_, known| !known.is_empty());
+        self.services = registered
+            .into_iter()
+            .map(|(name, service)| (name.clone(), service.clone()))
+            .collect();
         for back_end in back_ends {
-            self.by_service
-                .entry(back_end.service.clone())
-                .or_default()
-                .insert(back_end.name.clone());
             self.put(now, back_end);
         }
-        left.retain(|address| back_ends.iter().all(|each| each.address != *address));
+        let addresses: HashSet<SocketAddr> = back_ends.iter().map(|each| each.address).collect();
+        left.retain(|address| !addresses.contains(address));
         left
     }
 
     fn put(&mut self, now: Timestamp, back_end: &BackEnd) {
-        match self.known.get_mut(&back_end.name) {
+        let service = self.by_service.entry(back_end.service.clone()).or_default();
+        match service.get_mut(&back_end.name) {
             Some(known) => {
                 if known.back_end.address != back_end.address {
                     known.gone = false;
@@ -177,26 +186,25 @@
             }
             None => {
                 let known = Known::new(now, back_end.clone());
-                self.known.insert(back_end.name.clone(), known);
+                service.insert(back_end.name.clone(), known);
             }
         }
     }
 
     pub(crate) fn get(&self, name: &BackEndName) -> Option<&Known> {
-        self.known.get(name)
+        let service = self.services.get(name)?;
+        self.by_service.get(service)?.get(name)
     }
 
     pub(crate) fn get_mut(&mut self, name: &BackEndName) -> Option<&mut Known> {
-        self.known.get_mut(name)
+        let service = self.services.get(name)?;
+        self.by_service.get_mut(service)?.get_mut(name)
     }
 
     /// Back ends of a service, by name.
     pub(crate) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Known> {
-        self.by_service
-            .get(service)
-            .into_iter()
-            .flatten()
-            .filter_map(|name| self.known.get(name))
+        let known = self.by_service.get(service);
+        known.into_iter().flat_map(BTreeMap::values)
     }
 
     /// What is usual among the back ends of a service.
@@ -210,6 +218,6 @@
 
     /// Every back end.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Known> {
-        self.known.values()
+        self.by_service.values().flat_map(BTreeMap::values)
     }
 }
