Revert "Write releases that come together in one write of the record"

Hypothesis: writes some milliseconds apart, put together, save calls of the coordinator and of every relay. Conclusion: what the calls win, requests for keys on their way lose. Most releases wait for work to end and come tens of milliseconds apart. Reverted; its test goes with it.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -82,8 +82,6 @@
     /// A write was not answered: the record is read back before the next one.
     read_back: bool,
     next_store_call: Timestamp,
-    /// What changed is written then at the latest.
-    write_from: Option<Timestamp>,
     /// When the first back end was seen.
     first_seen: Option<Timestamp>,
     next_order: u64,
@@ -109,7 +107,6 @@
             busy: false,
             read_back: false,
             next_store_call: Timestamp::ZERO,
-            write_from: None,
             first_seen: None,
             next_order: 0,
             notices: Vec::new(),
@@ -231,41 +228,13 @@
                     self.start_balancing(now, current.next_fence);
                 }
                 let next = self.next_record(now, &current);
-                if next == current {
-                    self.write_from = None;
-                    return None;
-                }
-                if self.awaits_releases(now) {
-                    return None;
-                }
-                Some(Action::WriteRecord(next, Condition::Revision(revision)))
+                let changed = next != current;
+                changed.then_some(Action::WriteRecord(next, Condition::Revision(revision)))
             }
         }
     }
-
-    /// Whether a write should wait a moment for releases that were asked for
-    /// and may be answered any time. Each write is a call of this node and of
-    /// every relay that watches the record.
-    fn awaits_releases(&mut self, now: Timestamp) -> bool {
-        let write_from = *self.write_from.get_or_insert(now + GATHER_RELEASES);
-        let asked = |tracked: &Tracked| {
-            let unanswered = tracked.releasing.is_some() && tracked.released.is_none();
-            unanswered && tracked.in_flight.is_some()
-        };
-        if now < write_from && self.tracked.iter().any(asked) {
-            self.next_store_call = write_from;
-            return true;
-        }
-        self.write_from = None;
-        false
-    }
 }
 
-/// Longest time that a write of the record waits for further releases. Keys
-/// that were given back are served by nobody meanwhile; releases that wait for
-/// no work are answered within some milliseconds.
-const GATHER_RELEASES: Duration = Duration::from_millis(25);
-
 /// Time between two looks for owners with too much.
 const BALANCING_PAUSE: Duration = Duration::from_millis(700);
 /// Time after a take-over in which keys are not taken from their owners before
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -78,15 +78,6 @@
     ownership
 }
 
-/// Every slice is granted, and the answers came.
-fn grant_all(ownership: &mut Ownership, now: Timestamp) {
-    let mut waiting = sent(ownership.poll(now, true));
-    while let Some(order) = waiting.pop() {
-        ownership.on_order(now, &order, Ok(OrderReply::Granted));
-        waiting.extend(sent(ownership.poll(now, true)));
-    }
-}
-
 fn sent(actions: Vec<Action>) -> Vec<Order> {
     let order = |action| match action {
         Action::Send(order) => Some(order),
@@ -161,39 +152,3 @@
     let now = start + Duration::from_millis(4_700);
     assert!(releases(ownership.poll(now, true)) > 0);
 }
-
-/// A draining back end gives many slices back within milliseconds. A write for
-/// each would be a call here and one of every relay; keys that were given back
-/// are not left without an owner for longer than a moment for it.
-#[test]
-fn releases_that_come_together_are_written_together() {
-    let start = Timestamp::from_millis(10_000);
-    let mut ownership = taken_over(start);
-    let mut second = back_end();
-    second.name = "b-2".into();
-    second.address = SocketAddr::from(([10, 0, 0, 1], 81));
-    let mut leaving = back_end();
-    leaving.draining = true;
-    grant_all(&mut ownership, start);
-    // Back ends had time to register.
-    let start = start + Settings::default().gather;
-    ownership.set_back_ends(start, &[leaving, second]);
-    let is_write = |action: &Action| matches!(action, Action::WriteRecord(..));
-    let actions = ownership.poll(start, true);
-    let asked = sent(actions);
-    let [first, rest @ ..] = &asked[..] else {
-        panic!("releases are sent at once");
-    };
-    assert_eq!(first.kind, OrderKind::Release);
-    let released = Ok(OrderReply::Released(None));
-    let soon = start + Duration::from_millis(2);
-    ownership.on_order(soon, first, released.clone());
-    // The slot that is free now is used for the next slice.
-    let more = ownership.poll(soon, true);
-    assert!(!more.iter().any(is_write), "others are to come: {more:?}");
-    let wake = ownership.next_wake(soon).expect("a write is due");
-    assert!(wake <= soon + Duration::from_millis(25), "{wake:?}");
-    let late = soon + Duration::from_millis(25);
-    assert!(ownership.poll(late, true).iter().any(is_write));
-    assert!(!rest.is_empty(), "others were asked and have not answered");
-}
