Pace members that are passed on in vain, and let them watch the store

Cause, found by reading: a member whose relay had followers enough was passed on to one of them. If that one had nothing fresh to tell yet (its relay had just begun), the member read the record again at once, and so on, a call each time; and it took its store for silent, though the store had just answered it. A relay that never answered did the same.

Change: what the store answered in the search counts until a relay has told something; such a member waits 0.15 s before its next look and watches the store once 0.25 s have passed. The poll with its deadline has a function of its own.

Tests, which failed before: member.rs (passed on in vain; relay that never answered).

--- a/crates/relay/src/member/polls.rs
+++ b/crates/relay/src/member/polls.rs
@@ -6,7 +6,7 @@
 use threadledge_types::Timestamp;
 
 use super::{Followed, Member, State};
-use crate::state::{Cut, Following, Searching, Upstream};
+use crate::state::{Cut, Following, Upstream};
 
 impl Member {
     /// A poll was answered, or was not.
@@ -32,8 +32,13 @@
             }
             Followed::Full(others) => match self.choose(following.upstream.address, &others) {
                 Some(address) => State::Following(following.redirect(now, address)),
-                None => State::Searching(Searching::at(now + self.settings.retry)),
+                None => State::Searching(following.crowded_out(now + self.settings.retry)),
             },
+            // A gateway that has not joined its relay yet has nothing to tell.
+            Followed::Answered { .. } if !following.joined => {
+                let due = now + self.settings.look;
+                State::Searching(following.outdated(due, claim_from))
+            }
             Followed::Answered { .. } | Followed::Late => {
                 State::Searching(following.outdated(now, claim_from))
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -152,20 +152,37 @@
             lost: self.upstream.direct(),
             claim_from,
             seen: self.seen,
+            heard: self.heard(),
             ..Searching::at(claim_from.min(fresh_until.max(now)))
         }
     }
 
     /// Who was polled answers, but the store has not answered it for too long.
-    pub(crate) fn outdated(self, now: Timestamp, claim_from: Timestamp) -> Searching {
+    pub(crate) fn outdated(self, due: Timestamp, claim_from: Timestamp) -> Searching {
         Searching {
             lost: self.upstream.direct(),
+            heard: self.heard(),
             former: Some(self.upstream),
             claim_from,
-            ..Searching::at(now)
+            ..Searching::at(due)
+        }
+    }
+
+    /// The relay has followers enough, and none of them can be asked.
+    pub(crate) fn crowded_out(self, due: Timestamp) -> Searching {
+        Searching {
+            seen: self.seen,
+            heard: self.heard(),
+            ..Searching::at(due)
         }
     }
 
+    /// When the store answered this member in the search that led here; `None`
+    /// once a relay has told it more than that.
+    fn heard(&self) -> Option<Timestamp> {
+        (!self.joined).then_some(self.found)
+    }
+
     /// The relay has followers enough and names one of them.
     pub(crate) fn redirect(self, due: Timestamp, address: SocketAddr) -> Following {
         Following {
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -293,6 +293,41 @@
     assert_eq!(member.upstream(), None);
 }
 
+/// Followers of a relay that has just begun may have nothing fresh to tell
+/// yet. The store answered this member, so that it may watch the store.
+#[test]
+fn member_that_is_passed_on_in_vain_takes_its_time_and_may_watch_the_store() {
+    let mut member = member();
+    member.poll(at(3_000));
+    member.on_read(at(3_004), found(identity(2, 1), 5));
+    member.poll(at(3_004));
+    member.on_follow(at(3_010), Followed::Full(vec![address(1), address(9)]));
+    assert_eq!(member.poll(at(3_010)), Some(Action::Follow(address(9))));
+    let (seen, news) = (at(10), false);
+    member.on_follow(at(3_020), Followed::Answered { seen, news });
+    assert_eq!(member.poll(at(3_169)), None);
+    let until = at(3_254);
+    assert_eq!(member.source(at(3_169)), Source::Joining { until });
+    assert_eq!(member.source(at(3_254)), Source::Store);
+    assert_eq!(member.poll(at(3_170)), Some(Action::Read));
+    member.on_read(at(3_174), found(identity(2, 1), 5));
+    member.poll(at(3_174));
+    // Nobody else is there: the store is watched meanwhile.
+    member.on_follow(at(3_180), Followed::Full(vec![address(1)]));
+    assert_eq!(member.source(at(3_500)), Source::Store);
+    assert_eq!(member.poll(at(3_980)), Some(Action::Read));
+}
+
+#[test]
+fn relay_that_never_answered_leaves_the_store_to_be_watched() {
+    let mut member = member();
+    member.poll(at(3_000));
+    member.on_read(at(3_004), found(identity(2, 1), 5));
+    member.poll(at(3_004));
+    member.on_follow(at(3_100), Followed::Failed);
+    assert_eq!(member.source(at(3_254)), Source::Store);
+}
+
 #[test]
 fn relay_that_was_replaced_follows_its_successor() {
     let mut member = relay();
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -40,6 +40,15 @@
     pub(super) followers: Arc<Followers>,
 }
 
+/// What became of a poll on the way.
+enum Polled {
+    Answered(FollowAnswer),
+    /// It was not answered.
+    Silent,
+    /// The member waits no longer.
+    Late,
+}
+
 impl Relaying {
     /// Begins; ends when this gateway leaves.
     pub(super) fn start(self) {
@@ -151,27 +160,18 @@
             load: self.sources.take_load(),
             at_once: self.member.is_joining(),
         };
-        let polled = self.client.follow(address, &poll);
-        let answer = match self.member.poll_deadline() {
-            Some(deadline) => {
-                let deadline = self.clock.instant(deadline);
-                timer::timeout_at(deadline, polled).await.ok()
-            }
-            None => Some(polled.await),
-        };
-        let followed = match answer {
-            Some(Some(FollowAnswer::News(news))) => self.take(asked, address, *news).await,
-            Some(Some(FollowAnswer::Full { followers })) => Followed::Full(followers),
-            Some(Some(FollowAnswer::Leaving)) => Followed::Failed,
-            Some(None) | None => {
-                for (service, load) in poll.load {
-                    self.sources.put_load(&service, load);
-                }
-                match answer {
-                    Some(_) => Followed::Failed,
-                    None => Followed::Late,
-                }
+        let polled = self.poll(address, &poll).await;
+        if matches!(polled, Polled::Silent | Polled::Late) {
+            // The next relay is told of it.
+            for (service, load) in poll.load {
+                self.sources.put_load(&service, load);
             }
+        }
+        let followed = match polled {
+            Polled::Answered(FollowAnswer::News(news)) => self.take(asked, address, *news).await,
+            Polled::Answered(FollowAnswer::Full { followers }) => Followed::Full(followers),
+            Polled::Answered(FollowAnswer::Leaving) | Polled::Silent => Followed::Failed,
+            Polled::Late => Followed::Late,
         };
         let failed = followed == Followed::Failed;
         self.member.on_follow(self.clock.now(), followed);
@@ -183,6 +183,22 @@
         }
     }
 
+    /// Polls for as long as the member waits.
+    async fn poll(&self, address: SocketAddr, poll: &FollowPoll) -> Polled {
+        let polling = self.client.follow(address, poll);
+        let answer = match self.member.poll_deadline() {
+            None => polling.await,
+            Some(deadline) => {
+                let deadline = self.clock.instant(deadline);
+                match timer::timeout_at(deadline, polling).await {
+                    Ok(answer) => answer,
+                    Err(_) => return Polled::Late,
+                }
+            }
+        };
+        answer.map_or(Polled::Silent, Polled::Answered)
+    }
+
     async fn take(&mut self, asked: Timestamp, address: SocketAddr, news: FollowNews) -> Followed {
         let now = self.clock.now();
         // The time on the way counts as age: a poll may have been answered
