--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -229,7 +229,7 @@
         "Another gateway of the zone tells this one what is new in the store.",
         "None.";
     RelayLost = 423, "relay-lost", Warn,
-        "The gateway that told what is new is silent, leaving or too far behind; this one watches the store itself and looks for another.",
+        "The gateway that told what is new is silent, leaving or too far behind; this one looks for another, and watches the store itself if the store answers and none serves within a moment.",
         "None, unless it repeats: then look at the machine of the relay and its way to the store.";
     RequestsRefused = 501, "requests-refused", Info,
         "Requests of one service were not run in the last seconds, for the reason given; the line has their number.",
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -20,6 +20,8 @@
     Service,
 };
 
+use super::samples;
+
 /// Any time: nothing here is awaited.
 const NOW: Timestamp = Timestamp::ZERO;
 
@@ -157,16 +159,7 @@
 }
 
 fn back_end(number: u32, draining: bool) -> BackEnd {
-    BackEnd {
-        name: format!("b-{number}").as_str().into(),
-        service: "service".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        zone: "zone".into(),
-        slots: 2,
-        draining,
-        cold_for: Duration::ZERO,
-        registration: 1,
-    }
+    samples::back_end(&format!("b-{number}"), draining)
 }
 
 fn put(revision: u64, back_end: BackEnd) -> Entry<BackEnd> {
--- a/crates/router/tests/gateway/knowledge.rs
+++ b/crates/router/tests/gateway/knowledge.rs
@@ -9,34 +9,13 @@
 use threadledge_coordination::{OwnershipRecord, Term};
 use threadledge_ports::{Change, Changes, Entry, Listing, Malformed};
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{
-    BackEnd, CallerLimits, Configuration, ConfigurationVersion, KeyRange,
-};
+use threadledge_types::deployment::{CallerLimits, Configuration, ConfigurationVersion, KeyRange};
+
+use super::samples::{back_end, entry};
 
 /// Any time: nothing here is awaited.
 const NOW: Timestamp = Timestamp::ZERO;
 
-fn back_end(name: &str, draining: bool) -> BackEnd {
-    BackEnd {
-        name: name.into(),
-        service: "service".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        zone: "zone".into(),
-        slots: 2,
-        draining,
-        cold_for: Duration::ZERO,
-        registration: 1,
-    }
-}
-
-fn entry<T>(name: &str, revision: u64, value: T) -> Entry<T> {
-    Entry {
-        name: name.to_owned(),
-        revision,
-        value: Ok(value),
-    }
-}
-
 fn listed<T>(at: u64, entries: Vec<Entry<T>>) -> Update<T> {
     Update::Listed(Listing { entries, at })
 }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod process;
 mod relay;
 mod requests;
+mod samples;
 mod settings;
 mod stop;
 mod template;
--- a/crates/router/tests/gateway/outage.rs
+++ b/crates/router/tests/gateway/outage.rs
@@ -7,37 +7,18 @@
 use threadledge::gateway::news::Differences;
 use threadledge::gateway::outage::Outage;
 use threadledge_coordination::action::StoreRevision;
-use threadledge_ports::{Change, Changes, Entry, Listing};
+use threadledge_ports::{Change, Changes, Listing};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::BackEnd;
 
+use super::samples::{back_end, entry};
+
 const HEARTBEAT: Duration = Duration::from_millis(1_300);
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
 
-fn back_end(name: &str, draining: bool) -> BackEnd {
-    BackEnd {
-        name: name.into(),
-        service: "service".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        zone: "zone".into(),
-        slots: 2,
-        draining,
-        cold_for: Duration::ZERO,
-        registration: 1,
-    }
-}
-
-fn put(revision: StoreRevision, name: &str, draining: bool) -> Entry<BackEnd> {
-    Entry {
-        name: name.to_owned(),
-        revision,
-        value: Ok(back_end(name, draining)),
-    }
-}
-
 fn gone(at: StoreRevision, names: &[&str]) -> Update<BackEnd> {
     let changes = names.iter().map(|name| Change::Gone((*name).to_owned()));
     let changes = changes.collect();
@@ -45,14 +26,18 @@
 }
 
 fn returned(at: StoreRevision, name: &str) -> Update<BackEnd> {
-    let changes = vec![Change::Put(put(at, name, false))];
+    let changes = vec![Change::Put(entry(name, at, back_end(name, false)))];
     Update::Changed(Changes { changes, at })
 }
 
 /// Knows `a` and `b`, and `c`, which is draining.
 fn knowing() -> Knowledge {
     let mut knowledge = Knowledge::default();
-    let entries = vec![put(1, "a", false), put(2, "b", false), put(3, "c", true)];
+    let entries = vec![
+        entry("a", 1, back_end("a", false)),
+        entry("b", 2, back_end("b", false)),
+        entry("c", 3, back_end("c", true)),
+    ];
     knowledge.take_back_ends(Update::Listed(Listing { entries, at: 3 }));
     knowledge
 }
@@ -119,7 +104,7 @@
 fn list_after_the_return_awaits_what_it_lacks() {
     let mut knowledge = knowing();
     knowledge.await_lapsed(Some(at(12_000)));
-    let entries = vec![put(2, "b", false)];
+    let entries = vec![entry("b", 2, back_end("b", false))];
     let learned = knowledge.take_back_ends(Update::Listed(Listing { entries, at: 9 }));
     assert_eq!(names(&knowledge), ["a", "b"]);
     assert!(matches!(
--- /dev/null
+++ b/crates/router/tests/gateway/samples.rs
@@ -0,0 +1,29 @@
+//! Back ends as the store or another gateway tells of them.
+
+use std::time::Duration;
+
+use threadledge_coordination::action::StoreRevision;
+use threadledge_ports::Entry;
+use threadledge_types::deployment::BackEnd;
+
+pub fn back_end(name: &str, draining: bool) -> BackEnd {
+    BackEnd {
+        name: name.into(),
+        service: "service".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "zone".into(),
+        slots: 2,
+        draining,
+        cold_for: Duration::ZERO,
+        registration: 1,
+    }
+}
+
+/// An object that can be understood.
+pub fn entry<T>(name: &str, revision: StoreRevision, value: T) -> Entry<T> {
+    Entry {
+        name: name.to_owned(),
+        revision,
+        value: Ok(value),
+    }
+}
