--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -173,6 +173,14 @@
         }
     }
 
+    /// The gateway that tells this member what is new.
+    pub fn informant(&self) -> Option<SocketAddr> {
+        match &self.state {
+            State::Following(following) if following.joined => Some(following.upstream.address),
+            _ => None,
+        }
+    }
+
     /// Makes no more calls.
     pub fn leave(&mut self) {
         self.state = State::Left;
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -205,6 +205,7 @@
     member.on_follow(at(1_700), Followed::Failed);
     let until = at(2_790);
     assert_eq!(member.source(at(1_700)), Source::Relay { until, seen });
+    assert_eq!(member.informant(), None, "the loss is known at once");
     assert_eq!(member.poll(at(1_900)), Some(Action::Read));
     member.on_read(at(1_904), found(identity(3, 1), 6));
     assert_eq!(member.source(at(1_904)), Source::Joining { until });
@@ -267,6 +268,10 @@
     assert_eq!(member.poll(at(3_110)), Some(Action::Read));
     member.on_read(at(3_114), found(identity(4, 1), 9));
     assert_eq!(member.poll(at(3_114)), Some(Action::Follow(address(4))));
+    assert_eq!(member.informant(), None);
+    let (seen, news) = (at(3_110), false);
+    member.on_follow(at(3_118), Followed::Answered { seen, news });
+    assert_eq!(member.informant(), Some(address(4)));
 }
 
 #[test]
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -152,7 +152,7 @@
     }
 
     async fn follow(&mut self, asked: Timestamp, address: SocketAddr) {
-        let before = self.sources.relayed();
+        let before = self.member.informant();
         let poll = FollowPoll {
             from: self.client.own(),
             marks: self.directory.marks(),
@@ -176,9 +176,9 @@
         let failed = followed == Followed::Failed;
         self.member.on_follow(self.clock.now(), followed);
         self.publish();
-        match (before, self.sources.relayed()) {
-            (false, true) => emit!(EventId::RelayFollowed, relay = %address),
-            (true, false) => emit!(EventId::RelayLost, relay = %address, silent = failed),
+        match (before, self.member.informant()) {
+            (None, Some(relay)) => emit!(EventId::RelayFollowed, relay = %relay),
+            (Some(relay), None) => emit!(EventId::RelayLost, relay = %relay, silent = failed),
             _ => {}
         }
     }
