--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -60,6 +60,12 @@
         self.ownership.set_back_ends(now, back_ends);
     }
 
+    /// Says whether cold back ends bear few requests; they are then given no
+    /// keys while there are others.
+    pub fn set_frail_when_cold(&mut self, frail: bool) {
+        self.ownership.set_frail_when_cold(frail);
+    }
+
     /// Takes what a router saw of the load.
     pub fn add_load(&mut self, now: Timestamp, report: &LoadReport) {
         self.ownership.add_load(now, report);
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -25,6 +25,7 @@
     owner: Owner,
     slots: u32,
     draining: bool,
+    cold_until: Timestamp,
     registration: u64,
 }
 
@@ -67,18 +68,20 @@
     /// The latest registration at each address, over all services.
     occupants: BTreeMap<SocketAddr, u64>,
     contacts: BTreeMap<BackEndName, Contact>,
+    /// Cold back ends bear few requests.
+    frail_when_cold: bool,
 }
 
 impl Holders {
     /// Takes the back ends that are registered now.
-    pub fn set_registered(&mut self, service: &ServiceName, all: &[BackEnd]) {
+    pub fn set_registered(&mut self, now: Timestamp, service: &ServiceName, all: &[BackEnd]) {
         self.registered.clear();
         self.occupants.clear();
         for back_end in all {
             let latest = self.occupants.entry(back_end.address).or_default();
             *latest = (*latest).max(back_end.registration);
             if back_end.service == *service {
-                self.register(back_end);
+                self.register(now, back_end);
             }
         }
         let registered = &self.registered;
@@ -86,7 +89,7 @@
             .retain(|name, _| registered.contains_key(name));
     }
 
-    fn register(&mut self, back_end: &BackEnd) {
+    fn register(&mut self, now: Timestamp, back_end: &BackEnd) {
         let entry = Registered {
             owner: Owner {
                 name: back_end.name.clone(),
@@ -94,6 +97,7 @@
             },
             slots: back_end.slots.max(1),
             draining: back_end.draining,
+            cold_until: now + back_end.cold_for,
             registration: back_end.registration,
         };
         self.registered.insert(back_end.name.clone(), entry);
@@ -126,11 +130,25 @@
             .then_some(Ineligible::Lost)
     }
 
-    /// Every back end that may own keys, by name.
+    /// Says whether cold back ends bear few requests.
+    pub fn set_frail_when_cold(&mut self, frail: bool) {
+        self.frail_when_cold = frail;
+    }
+
+    /// Every back end that may be given keys, by name. Those that are cold and
+    /// bear few requests are left out while there are others.
     pub fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
-        self.registered
-            .values()
-            .filter(|registered| self.ineligible(&registered.owner.name, now).is_none())
+        let eligible = |registered: &&Registered| {
+            let name = &registered.owner.name;
+            self.ineligible(name, now).is_none()
+        };
+        let eligible: Vec<&Registered> = self.registered.values().filter(eligible).collect();
+        let warm = |registered: &&&Registered| registered.cold_until <= now;
+        let any_warm = eligible.iter().any(|registered| warm(&registered));
+        let left_out = self.frail_when_cold && any_warm;
+        eligible
+            .iter()
+            .filter(|registered| !left_out || warm(registered))
             .map(|registered| Candidate {
                 owner: registered.owner.clone(),
                 weight: f64::from(registered.slots),
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -116,12 +116,17 @@
 
     /// Takes the back ends that are registered now, of all services.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
-        self.holders.set_registered(&self.service, back_ends);
+        self.holders.set_registered(now, &self.service, back_ends);
         if self.first_seen.is_none() && !self.holders.is_empty() {
             self.first_seen = Some(now);
         }
     }
 
+    /// Says whether cold back ends bear few requests.
+    pub fn set_frail_when_cold(&mut self, frail: bool) {
+        self.holders.set_frail_when_cold(frail);
+    }
+
     /// Takes what a router saw of the load.
     pub fn add_load(&mut self, now: Timestamp, report: &LoadReport) {
         self.load.add(now, report);
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -122,7 +122,7 @@
 fn back_end_that_refuses_connections_counts_as_lost() {
     let now = Timestamp::from_millis(10_000);
     let mut holders = Holders::default();
-    holders.set_registered(&"keyed".into(), &[back_end()]);
+    holders.set_registered(Timestamp::ZERO, &"keyed".into(), &[back_end()]);
     let name = "b-1".into();
     assert!(!holders.on_fault(now, &name, OrderFault::NotSent));
     assert!(!holders.on_fault(now, &name, OrderFault::Withheld));
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -143,6 +143,38 @@
     assert!(world.all_served());
 }
 
+#[test]
+fn cold_back_end_that_bears_little_gets_keys_once_it_is_warm() {
+    let mut world = settled(16);
+    for node in &mut world.nodes {
+        node.coordinator.set_frail_when_cold(true);
+    }
+    let cold_until = world.now + SECOND * 3;
+    let name = world.add_cold_back_end(50, SECOND * 3);
+    let keys = |world: &World| -> u32 {
+        let view = world.view().expect("a record");
+        let owned = view.owned().filter(|(_, owner)| **owner == name);
+        owned.map(|(range, _)| range.len()).sum()
+    };
+    while world.now < cold_until {
+        assert_eq!(keys(&world), 0, "at {:?}", world.now);
+        world.step();
+    }
+    world.run(SECOND * 2);
+    let after = keys(&world);
+    assert!(after > 65_536 / 7 / 2, "{after} keys");
+}
+
+#[test]
+fn keys_go_to_cold_back_ends_where_there_are_no_others() {
+    let mut world = World::new(17, 3, 0);
+    for node in &mut world.nodes {
+        node.coordinator.set_frail_when_cold(true);
+    }
+    world.add_cold_back_end(1, SECOND * 20);
+    assert!(world.until_served(SECOND * 8).is_some());
+}
+
 #[test]
 fn silent_store_stops_no_renewal_within_the_lease() {
     let mut world = settled(10);
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -177,6 +177,16 @@
         name
     }
 
+    /// Starts a back end that is cold for a while.
+    pub fn add_cold_back_end(&mut self, address: u16, cold_for: Duration) -> BackEndName {
+        let name = self.add_back_end(address);
+        if let Some(entry) = self.registered.get_mut(&name) {
+            entry.cold_for = cold_for;
+        }
+        self.tell_back_ends();
+        name
+    }
+
     /// Tells every node that is up what is registered.
     pub fn tell_back_ends(&mut self) {
         let back_ends: Vec<BackEnd> = self.registered.values().cloned().collect();
--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand_chacha::ChaCha8Rng;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
+use crate::cold::ColdTurns;
 use crate::estimate::{Estimate, ServiceMean, Usual};
 use crate::outcome::Fault;
 use crate::request::{AttemptId, ExchangeId};
@@ -28,7 +30,8 @@
     pub(crate) estimate: Estimate,
     /// When each of this router's attempts there was sent.
     pub(crate) in_flight: BTreeMap<(ExchangeId, AttemptId), Timestamp>,
-    cold_until: Timestamp,
+    /// Turns in which this router may send to it while it is cold.
+    pub(crate) cold: ColdTurns,
     failures: u32,
     ejections: u32,
     ejected_until: Timestamp,
@@ -39,9 +42,9 @@
 }
 
 impl Known {
-    fn new(now: Timestamp, back_end: BackEnd) -> Self {
+    fn new(back_end: BackEnd) -> Self {
         Known {
-            cold_until: now + back_end.cold_for,
+            cold: ColdTurns::default(),
             back_end,
             estimate: Estimate::default(),
             in_flight: BTreeMap::new(),
@@ -77,7 +80,7 @@
     /// Time until an answer to a request sent now, in seconds.
     pub(crate) fn expected_s(&self, now: Timestamp, usual: &Usual) -> f64 {
         let mut work = self.estimate.work_s(now, usual);
-        if now < self.cold_until {
+        if self.cold.is_cold(now) {
             work *= COLD_FACTOR;
         }
         let expected = work * self.crowding(now, usual);
@@ -147,7 +150,12 @@
 impl BackEnds {
     /// Takes the back ends that are registered now. Returns addresses at
     /// which nobody is registered any more.
-    pub(crate) fn set(&mut self, now: Timestamp, back_ends: &[BackEnd]) -> Vec<SocketAddr> {
+    pub(crate) fn set(
+        &mut self,
+        now: Timestamp,
+        back_ends: &[BackEnd],
+        random: &mut ChaCha8Rng,
+    ) -> Vec<SocketAddr> {
         let registered: HashMap<&BackEndName, &ServiceName> = back_ends
             .iter()
             .map(|each| (&each.name, &each.service))
@@ -168,27 +176,23 @@
             .map(|(name, service)| (name.clone(), service.clone()))
             .collect();
         for back_end in back_ends {
-            self.put(now, back_end);
+            self.put(now, back_end, random);
         }
         let addresses: HashSet<SocketAddr> = back_ends.iter().map(|each| each.address).collect();
         left.retain(|address| !addresses.contains(address));
         left
     }
 
-    fn put(&mut self, now: Timestamp, back_end: &BackEnd) {
+    fn put(&mut self, now: Timestamp, back_end: &BackEnd, random: &mut ChaCha8Rng) {
         let service = self.by_service.entry(back_end.service.clone()).or_default();
-        match service.get_mut(&back_end.name) {
-            Some(known) => {
-                if known.back_end.address != back_end.address {
-                    known.gone = false;
-                }
-                known.back_end = back_end.clone();
-            }
-            None => {
-                let known = Known::new(now, back_end.clone());
-                service.insert(back_end.name.clone(), known);
-            }
+        let known = service
+            .entry(back_end.name.clone())
+            .or_insert_with(|| Known::new(back_end.clone()));
+        if known.back_end.address != back_end.address {
+            known.gone = false;
         }
+        known.cold.set(now, now + back_end.cold_for, random);
+        known.back_end = back_end.clone();
     }
 
     pub(crate) fn get(&self, name: &BackEndName) -> Option<&Known> {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -77,6 +77,8 @@
     pub(crate) settings: &'a Settings,
     /// Connections that this router may have to one back end.
     pub(crate) connections: usize,
+    /// Time between two requests of this router to one cold back end.
+    pub(crate) cold_interval: Option<Duration>,
     pub(crate) back_ends: &'a BackEnds,
     pub(crate) ownership: Option<&'a OwnershipView>,
     pub(crate) not_held: &'a NotHeld,
@@ -112,6 +114,9 @@
         if !known.takes_requests() || known.ejected(self.now) {
             return no_owner;
         }
+        if !self.admits(known) {
+            return self.cold([known].into_iter());
+        }
         let usual = self.back_ends.usual(self.now, &exchange.service);
         if self.fits(known, exchange, bound, &usual) {
             Choice::Take(name.clone())
@@ -148,14 +153,41 @@
         });
         match soonest {
             Some(known) => self.overloaded(known, exchange, &usual),
-            None => NotNow::settled(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER),
+            None => {
+                let all = self.back_ends.of_service(&exchange.service);
+                self.cold(all.filter(|known| known.takes_requests()))
+            }
         }
     }
 
+    /// Whether this router may send to a back end that may be cold.
+    fn admits(&self, known: &Known) -> bool {
+        let interval = self.cold_interval;
+        interval.is_none_or(|interval| known.cold.open(self.now, interval))
+    }
+
+    /// Nothing but cold back ends is there, each of which has what it bears.
+    fn cold(&self, cold: impl Iterator<Item = &'a Known>) -> Choice {
+        let interval = self.cold_interval.unwrap_or_default();
+        let next = cold
+            .map(|known| known.cold.next_open(self.now, interval))
+            .min();
+        let Some(next) = next else {
+            return NotNow::settled(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER);
+        };
+        let wait = next.since(self.now);
+        Choice::NotNow(NotNow {
+            reason: RefusalReason::Overloaded,
+            retry_after: wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER),
+            moving_until: None,
+            full_until: Some(next),
+        })
+    }
+
     /// Back ends that may be asked: those not asked before and not left
     /// alone, or, when there are none such, the others.
     fn usable(&self, exchange: &Exchange) -> Vec<&'a Known> {
-        let takes = |known: &&Known| known.takes_requests();
+        let takes = |known: &&Known| known.takes_requests() && self.admits(known);
         let busy = |known: &&Known| {
             let name = &known.back_end.name;
             let mut flights = exchange.in_flight.values();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -58,8 +59,11 @@
     configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
     dealers: HashMap<RouteName, Dealer>,
-    /// Draws where dealers begin, apart from the draws of choices.
+    /// Draws where dealers and turns begin, apart from the draws of choices.
     starts: ChaCha8Rng,
+    /// Requests a second that a cold back end of each service should get from
+    /// all routers together.
+    cold_rates: BTreeMap<ServiceName, f64>,
     back_ends: BackEnds,
     ownership: BTreeMap<ServiceName, OwnershipView>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -88,6 +92,7 @@
             routes: RouteTable::default(),
             dealers: HashMap::new(),
             starts,
+            cold_rates: BTreeMap::new(),
             back_ends: BackEnds::default(),
             ownership: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -115,6 +120,19 @@
         }
     }
 
+    /// Time between two requests of this router to one cold back end of a
+    /// service; `None` where cold ones bear as much as others.
+    ///
+    /// Invariant: while back ends are cold, all routers together stay below
+    /// what one of them may get in any second, save by a chance of one in
+    /// millions.
+    pub(super) fn cold_interval(&self, service: &ServiceName) -> Option<Duration> {
+        let rate = self.cold_rates.get(service)?;
+        let routers = self.fleet.unwrap_or(self.settings.gateways).max(1);
+        let interval = f64::from(routers) / rate;
+        Some(Duration::try_from_secs_f64(interval).unwrap_or(Duration::MAX / 4))
+    }
+
     /// This router's part of the retry budget's slack.
     fn own_retry_slack(&self) -> u32 {
         self.settings.retry_slack / self.fleet.unwrap_or(self.settings.gateways).max(1)
@@ -164,6 +182,7 @@
             return false;
         }
         self.routes = RouteTable::of(&configuration);
+        self.cold_rates = self.settings.cold_rates(&configuration);
         let routes = &configuration.routes;
         self.dealers
             .retain(|name, _| routes.iter().any(|route| route.name == *name));
@@ -175,7 +194,7 @@
     /// Takes the back ends that are registered now. Returns addresses at
     /// which nobody is registered any more.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) -> Vec<SocketAddr> {
-        let left = self.back_ends.set(now, back_ends);
+        let left = self.back_ends.set(now, back_ends, &mut self.starts);
         self.serve_all(now);
         left
     }
@@ -294,7 +313,7 @@
 }
 
 /// What callers are told to wait when nothing better is known.
-const DEFAULT_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(100);
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 fn refusal(reason: RefusalReason) -> Refusal {
     let retry_after = match reason {
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -102,6 +102,7 @@
         let mut chooser = Chooser {
             settings: &self.settings,
             connections: self.connection_limit(&exchange.service),
+            cold_interval: self.cold_interval(&exchange.service),
             back_ends: &self.back_ends,
             ownership: self.ownership.get(&exchange.service),
             not_held: &self.not_held,
@@ -138,6 +139,7 @@
         }
         let usual = self.back_ends.usual(now, &service);
         let limit = self.connection_limit(&service);
+        let cold_interval = self.cold_interval(&service);
         let exchange = self.exchanges.get_mut(&id)?;
         let known = self.back_ends.get_mut(back_end)?;
         exchange.next_attempt += 1;
@@ -151,6 +153,9 @@
         };
         exchange.in_flight.insert(attempt, in_flight);
         known.in_flight.insert((id, attempt), now);
+        if let Some(interval) = cold_interval {
+            known.cold.take(now, interval);
+        }
         self.counters.attempts += 1;
         Some(Attempt {
             id: attempt,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod back_ends;
 pub mod budget;
 mod choice;
+mod cold;
 pub mod counters;
 pub mod dispatcher;
 mod estimate;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -1,8 +1,12 @@
 //! Bounds and preferences of the request path.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use threadledge_types::ZoneName;
+use threadledge_types::deployment::{Configuration, ServiceName};
+
+use crate::cold::mean_rate;
 
 /// Bounds and preferences of one router's request path.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +40,11 @@
     pub owner_pause: Duration,
     /// Connections to one back end that this router opens at the most.
     pub connections_per_back_end: u32,
+    /// Requests that a cold back end may get in any second, as a multiple of
+    /// those that it bears.
+    pub cold_overage: f64,
+    /// Requests that a cold back end may get in any second besides.
+    pub cold_slack: f64,
     /// How long a back end that cannot be reached is left alone at first.
     pub ejection_first: Duration,
     /// How long it is left alone at the most.
@@ -57,8 +66,25 @@
             hedge_after: 0.8,
             owner_pause: Duration::from_millis(25),
             connections_per_back_end: 8,
+            cold_overage: 1.5,
+            cold_slack: 8.0,
             ejection_first: Duration::from_millis(300),
             ejection_longest: Duration::from_secs(3),
         }
     }
 }
+
+impl Settings {
+    /// Requests a second that a cold back end of each service should get from
+    /// all routers together, where back ends bear few while they are cold.
+    pub(crate) fn cold_rates(&self, configuration: &Configuration) -> BTreeMap<ServiceName, f64> {
+        let services = configuration.services.iter();
+        services
+            .filter_map(|(name, service)| {
+                let borne = service.cold_rate?;
+                let bound = borne * self.cold_overage + self.cold_slack;
+                Some((name.clone(), mean_rate(borne, bound)))
+            })
+            .collect()
+    }
+}
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -1,6 +1,7 @@
 //! The request path in virtual time.
 
 mod choice;
+mod cold;
 mod fleet;
 mod outcomes;
 mod parts;
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -52,6 +52,8 @@
         health_path: "/health".to_owned(),
         max_connections: 100,
         keyed,
+        cold_start: Duration::ZERO,
+        cold_rate: None,
     };
     Configuration {
         version: ConfigurationVersion(version),
--- a/crates/dispatch/tests/model/gateways.rs
+++ b/crates/dispatch/tests/model/gateways.rs
@@ -92,6 +92,8 @@
         health_path: "/health".to_owned(),
         max_connections: 500,
         keyed: false,
+        cold_start: Duration::ZERO,
+        cold_rate: None,
     };
     Configuration {
         version: ConfigurationVersion(1),
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -15,7 +15,7 @@
 
 use threadledge_coordination::{CoordinatorLease, OwnershipRecord};
 use threadledge_relay::RelayRecord;
-use threadledge_types::deployment::{BackEnd, Configuration};
+use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
 
 pub use grants::GrantTransport;
 pub use store::{Change, Changes, Collection, Entry, Listing, Malformed, RecordStore, StoreError};
@@ -31,6 +31,8 @@
     pub configurations: Arc<dyn Collection<Configuration>>,
     /// Back ends that are registered.
     pub back_ends: Arc<dyn Collection<BackEnd>>,
+    /// Zones that the operator drained.
+    pub drained_zones: Arc<dyn Collection<DrainedZone>>,
     /// Who coordinates each service.
     pub leases: Arc<dyn RecordStore<CoordinatorLease>>,
     /// Who owns the keys of each service.
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -180,6 +180,12 @@
     RegistrationLapsed = 323, "registration-lapsed", Info,
         "A registration lapsed while the store was away; its back end is used on and counts as gone (322) unless it registers again in time.",
         "None.";
+    ZoneDrained = 324, "zone-drained", Info,
+        "The operator drained a zone: its back ends get nothing new, and their keys go to others.",
+        "None.";
+    ZoneRestored = 325, "zone-restored", Info,
+        "The operator restored a zone: its back ends get requests again, few until they are warm.",
+        "None.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -35,6 +35,7 @@
 mod stop;
 pub mod store_health;
 pub mod usage;
+pub mod zones;
 
 pub use run::{GatewayError, run};
 pub use settings::{GatewaySettings, SettingsFault};
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -194,7 +194,11 @@
     fn configure(&mut self, configuration: &Configuration) {
         let now = self.clock.now();
         for (name, service) in &configuration.services {
-            if !service.keyed || self.coordinators.contains_key(name) || self.stopping {
+            if let Some(coordinator) = self.coordinators.get_mut(name) {
+                coordinator.set_frail_when_cold(service.cold_rate.is_some());
+                continue;
+            }
+            if !service.keyed || self.stopping {
                 continue;
             }
             let Participation {
@@ -204,6 +208,7 @@
                 ..
             } = self.participation.clone();
             let mut coordinator = Coordinator::new(me, name.clone(), settings, patience);
+            coordinator.set_frail_when_cold(service.cold_rate.is_some());
             if let Some(back_ends) = &self.back_ends {
                 coordinator.set_back_ends(now, back_ends);
             }
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -6,7 +6,7 @@
 use threadledge_coordination::{OwnershipRecord, OwnershipView};
 use threadledge_net::{Pool, timer};
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, Configuration};
+use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
 
 use super::coordination::Event;
 use super::dispatch::Dispatch;
@@ -57,11 +57,13 @@
     pub(super) fn take_differences(&self, told: Differences) {
         let back_ends_told = !told.back_ends.is_empty() || !told.gone.is_empty();
         let back_ends_told = back_ends_told || told.left.is_some() || !told.lapsed.is_empty();
+        let back_ends_told = back_ends_told || told.zones.is_some();
         let learned = {
             let mut knowledge = self.knowledge.lock();
-            let learned = knowledge.take_differences(told, self.now());
+            let now = self.now();
+            let learned = knowledge.take_differences(told, now);
             if back_ends_told {
-                self.publish_back_ends(knowledge.back_ends());
+                self.publish_back_ends(knowledge.back_ends(now));
             }
             learned
         };
@@ -70,12 +72,13 @@
 
     /// Another gateway told what it knows beyond this one.
     pub(super) fn take_news(&self, news: News) {
-        let back_ends_told = news.back_ends.is_some();
+        let back_ends_told = news.back_ends.is_some() || news.zones.is_some();
         let learned = {
             let mut knowledge = self.knowledge.lock();
-            let learned = knowledge.take_news(news, self.now());
+            let now = self.now();
+            let learned = knowledge.take_news(news, now);
             if back_ends_told {
-                self.publish_back_ends(knowledge.back_ends());
+                self.publish_back_ends(knowledge.back_ends(now));
             }
             learned
         };
@@ -102,10 +105,22 @@
         let learned = {
             let mut knowledge = self.knowledge.lock();
             knowledge.await_lapsed(self.health.awaited_until(now));
-            let learned = knowledge.take_back_ends(update);
+            let learned = knowledge.take_back_ends(update, now);
             // Under the lock, so that what is known and what is in use change
             // in the same order.
-            self.publish_back_ends(knowledge.back_ends());
+            self.publish_back_ends(knowledge.back_ends(now));
+            learned
+        };
+        self.tell(learned);
+    }
+
+    /// The store told of drained zones.
+    pub(super) fn zones(&self, update: Update<DrainedZone>) {
+        let learned = {
+            let mut knowledge = self.knowledge.lock();
+            let now = self.now();
+            let learned = knowledge.take_zones(update, now);
+            self.publish_back_ends(knowledge.back_ends(now));
             learned
         };
         self.tell(learned);
@@ -131,8 +146,9 @@
     fn expire(&self) {
         let learned = {
             let mut knowledge = self.knowledge.lock();
-            let learned = knowledge.expire_lapsed(self.now());
-            self.publish_back_ends(knowledge.back_ends());
+            let now = self.now();
+            let learned = knowledge.expire_lapsed(now);
+            self.publish_back_ends(knowledge.back_ends(now));
             learned
         };
         self.tell(learned);
@@ -142,7 +158,11 @@
         self.dispatch.clock().now()
     }
 
-    fn publish_back_ends(&self, back_ends: Arc<[BackEnd]>) {
+    /// Puts the back ends in use, once it is known which of them may be.
+    fn publish_back_ends(&self, back_ends: Option<Arc<[BackEnd]>>) {
+        let Some(back_ends) = back_ends else {
+            return;
+        };
         let left = self
             .dispatch
             .with(|dispatcher, now| dispatcher.set_back_ends(now, &back_ends));
@@ -190,6 +210,8 @@
                     back_end = %back_end.name,
                     service = %back_end.service,
                 ),
+                Learned::ZoneDrained(zone) => emit!(EventId::ZoneDrained, zone = %zone),
+                Learned::ZoneRestored(zone) => emit!(EventId::ZoneRestored, zone = %zone),
                 Learned::Malformed(malformed) => {
                     emit!(EventId::ObjectMalformed, problem = malformed.problem);
                 }
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -6,17 +6,19 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::{StoreRevision, Versioned};
-use threadledge_ports::{Change, Entry, Malformed};
-use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, Configuration, ServiceName};
+use threadledge_ports::{Change, Entry, Listing, Malformed};
+use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone, ServiceName};
+use threadledge_types::{Timestamp, ZoneName};
 
 use super::changes::{Chain, ConfigurationChange, RecordChange};
 use super::follow::Update;
 use super::news::{Differences, KnownRecord, Marks, News, Reach};
 use super::registry::Registry;
+use super::zones::Zones;
 
 /// What changed with an update.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +36,10 @@
     Gone(BackEnd),
     /// A later ownership record.
     Record(ServiceName, Versioned<OwnershipRecord>),
+    /// The operator drained a zone: its back ends get nothing new.
+    ZoneDrained(ZoneName),
+    /// The operator restored a zone.
+    ZoneRestored(ZoneName),
     /// An object cannot be understood; what was known stays.
     Malformed(Malformed),
 }
@@ -48,6 +54,7 @@
     record_changes: BTreeMap<ServiceName, Chain<RecordChange>>,
     configurations_reach: StoreRevision,
     records_reach: StoreRevision,
+    zones: Zones,
 }
 
 /// Routes of a configuration that is told whole; larger ones are fetched from
@@ -64,12 +71,52 @@
             ownership: records
                 .map(|(service, record)| (service.clone(), record.revision))
                 .collect(),
+            zones: self.zones.mark(),
         }
     }
 
-    /// Every back end.
-    pub fn back_ends(&self) -> Arc<[BackEnd]> {
-        self.back_ends.all()
+    /// Every back end as requests and keys may use it; `None` while it is not
+    /// known which zones are drained.
+    ///
+    /// Invariant: the back ends of a drained zone count as leaving. Those of a
+    /// zone that was restored count as cold for as long as after a start: they
+    /// may have been replaced meanwhile, and tell so later than the operator
+    /// restores the zone.
+    pub fn back_ends(&self, now: Timestamp) -> Option<Arc<[BackEnd]>> {
+        self.zones.known()?;
+        let mut all = self.back_ends.all(now);
+        for back_end in &mut all {
+            back_end.draining |= self.zones.drained(&back_end.zone);
+            let restored = self.cold_after_restore(back_end, now);
+            back_end.cold_for = back_end.cold_for.max(restored);
+        }
+        Some(all.into())
+    }
+
+    /// How much longer a back end counts as cold because its zone was
+    /// restored.
+    fn cold_after_restore(&self, back_end: &BackEnd, now: Timestamp) -> Duration {
+        let Some(restored) = self.zones.restored(&back_end.zone) else {
+            return Duration::ZERO;
+        };
+        let services = self.configuration.as_ref().map(|each| &each.services);
+        let service = services.and_then(|services| services.get(&back_end.service));
+        let cold_start = service.map_or(Duration::ZERO, |service| service.cold_start);
+        (restored + cold_start).since(now)
+    }
+
+    /// Takes drained zones from the store.
+    pub fn take_zones(&mut self, update: Update<DrainedZone>, now: Timestamp) -> Vec<Learned> {
+        self.zones.take(update, now)
+    }
+
+    /// Says that no zone is ever drained on this deployment.
+    pub fn without_zone_drains(&mut self) {
+        let listing = Listing {
+            entries: Vec::new(),
+            at: 0,
+        };
+        self.zones.take(Update::Listed(listing), Timestamp::ZERO);
     }
 
     /// Says until when registrations that the store tells to be gone are
@@ -94,6 +141,7 @@
             configurations: self.configurations_reach,
             back_ends: self.back_ends.reach(),
             records: self.records_reach,
+            zones: self.zones.reach(),
         }
     }
 
@@ -107,6 +155,7 @@
         self.back_ends
             .differences_since(marks.back_ends, now, &mut differences);
         self.records_since(marks, &mut differences);
+        differences.zones = self.zones.since(marks.zones);
         differences
     }
 
@@ -178,6 +227,10 @@
             self.configurations_reach = self.configurations_reach.max(reach);
         }
         self.records_reach = self.records_reach.max(told.reach.records);
+        if let Some(zones) = told.zones.take() {
+            learned.extend(self.zones.take_told(zones, now));
+        }
+        self.zones.unchanged_until(told.reach.zones);
         if told.reach.back_ends > self.back_ends.reach() {
             learned.extend(self.back_ends.take_told(told, now));
         }
@@ -212,6 +265,7 @@
             configuration,
             back_ends,
             ownership: ownership.collect(),
+            zones: self.zones.since(marks.zones),
         }
     }
 
@@ -224,6 +278,9 @@
         if let Some(known) = news.back_ends {
             learned.extend(self.back_ends.take_whole(known, now));
         }
+        if let Some(zones) = news.zones {
+            learned.extend(self.zones.take_told(zones, now));
+        }
         for known in news.ownership {
             let found = Versioned {
                 value: known.record,
@@ -302,8 +359,8 @@
     }
 
     /// Takes back ends from the store.
-    pub fn take_back_ends(&mut self, update: Update<BackEnd>) -> Vec<Learned> {
-        self.back_ends.take(update)
+    pub fn take_back_ends(&mut self, update: Update<BackEnd>, now: Timestamp) -> Vec<Learned> {
+        self.back_ends.take(update, now)
     }
 }
 
--- a/crates/router/src/gateway/news.rs
+++ b/crates/router/src/gateway/news.rs
@@ -9,6 +9,7 @@
 use threadledge_types::deployment::{BackEnd, Configuration, ConfigurationVersion, ServiceName};
 
 use super::changes::{ConfigurationChange, RecordChange};
+use super::zones::KnownZones;
 
 /// How far one gateway's knowledge goes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +21,9 @@
     pub back_ends: StoreRevision,
     /// Revision of each ownership record.
     pub ownership: BTreeMap<ServiceName, StoreRevision>,
+    /// Revision of the last change of the drained zones.
+    #[serde(default)]
+    pub zones: Option<StoreRevision>,
 }
 
 /// Parts of one gateway's knowledge that another does not have.
@@ -32,6 +36,9 @@
     pub back_ends: Option<KnownBackEnds>,
     /// Later ownership records.
     pub ownership: Vec<KnownRecord>,
+    /// The drained zones, as of a later revision.
+    #[serde(default)]
+    pub zones: Option<KnownZones>,
 }
 
 /// Every back end as of one revision.
@@ -104,6 +111,9 @@
     /// Ownership records whose changes cannot be told.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<KnownRecord>,
+    /// The drained zones, if they are others now.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zones: Option<KnownZones>,
     /// Revisions up to which all this goes.
     pub reach: Reach,
 }
@@ -118,6 +128,9 @@
     pub back_ends: StoreRevision,
     /// Of ownership records.
     pub records: StoreRevision,
+    /// Of drained zones.
+    #[serde(default)]
+    pub zones: StoreRevision,
 }
 
 /// One back end with the revision of its last change.
--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -2,7 +2,7 @@
 //! the store was away and that may register again.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::time::Duration;
 
 use threadledge_coordination::action::StoreRevision;
 use threadledge_ports::{Change, Entry};
@@ -28,6 +28,8 @@
     registered: BTreeMap<String, RevisedBackEnd>,
     /// Not registered any more, and still taken for there.
     lapsed: BTreeMap<String, Awaited>,
+    /// Until when back ends are cold, as far as they told.
+    cold_until: BTreeMap<String, Timestamp>,
     removals: Removals,
     /// The revision up to which this goes.
     reach: StoreRevision,
@@ -41,19 +43,24 @@
         self.reach
     }
 
-    /// Every back end, those that are awaited too.
-    pub(super) fn all(&self) -> Arc<[BackEnd]> {
-        if self.lapsed.is_empty() {
-            let registered = self.registered.values();
-            return registered.map(|known| known.back_end.clone()).collect();
-        }
+    /// Every back end, those that are awaited too, by name.
+    pub(super) fn all(&self, now: Timestamp) -> Vec<BackEnd> {
+        let mut all: BTreeMap<&str, &RevisedBackEnd> = BTreeMap::new();
         let lapsed = self.lapsed.iter();
-        let mut all: BTreeMap<&str, &RevisedBackEnd> = lapsed
-            .map(|(name, awaited)| (name.as_str(), &awaited.known))
-            .collect();
+        all.extend(lapsed.map(|(name, awaited)| (name.as_str(), &awaited.known)));
         let registered = self.registered.iter();
         all.extend(registered.map(|(name, known)| (name.as_str(), known)));
-        all.values().map(|known| known.back_end.clone()).collect()
+        let all = all.into_values();
+        all.map(|known| self.told(known, now).back_end).collect()
+    }
+
+    /// A back end as it is told now: what it said of being cold was true when
+    /// it said so.
+    fn told(&self, known: &RevisedBackEnd, now: Timestamp) -> RevisedBackEnd {
+        let mut told = known.clone();
+        let cold_until = self.cold_until.get(told.back_end.name.as_str());
+        told.back_end.cold_for = cold_until.map_or(Duration::ZERO, |until| until.since(now));
+        told
     }
 
     /// Says until when registrations that the store tells to be gone are
@@ -79,19 +86,19 @@
     }
 
     /// Takes what the store tells.
-    pub(super) fn take(&mut self, update: Update<BackEnd>) -> Vec<Learned> {
+    pub(super) fn take(&mut self, update: Update<BackEnd>, now: Timestamp) -> Vec<Learned> {
         match update {
             Update::Listed(listing) if listing.at < self.reach => Vec::new(),
             Update::Listed(listing) => {
                 let until = self.await_until;
-                self.replace(listing.at, listing.entries, |_| until)
+                self.replace(listing.at, listing.entries, |_| until, now)
             }
             Update::Changed(changes) => {
                 let mut learned = Vec::new();
                 for change in changes.changes {
                     match change {
                         Change::Put(entry) if entry.revision > self.reach => {
-                            learned.extend(self.put(entry));
+                            learned.extend(self.put(entry, now));
                         }
                         Change::Gone(name) if changes.at > self.reach => {
                             learned.extend(self.remove(changes.at, &name, self.await_until));
@@ -117,7 +124,7 @@
         }
         let registered = self.registered.values();
         let later = registered.filter(|known| known.revision > mark);
-        differences.back_ends = later.cloned().collect();
+        differences.back_ends = later.map(|known| self.told(known, now)).collect();
         differences.lapsed = self.told_lapsed(now);
         match self.removals.after(mark) {
             Some(gone) => differences.gone = gone,
@@ -136,7 +143,9 @@
         let registered = self.registered.values();
         KnownBackEnds {
             at: self.reach,
-            back_ends: registered.map(|known| known.back_end.clone()).collect(),
+            back_ends: registered
+                .map(|known| self.told(known, now).back_end)
+                .collect(),
             lapsed: self.told_lapsed(now),
         }
     }
@@ -154,7 +163,7 @@
         });
         let lapsed = known.lapsed;
         let until = |name: &str| awaited_until(&lapsed, name, now);
-        let mut learned = self.replace(at, entries.collect(), until);
+        let mut learned = self.replace(at, entries.collect(), until, now);
         learned.extend(self.add_lapsed(lapsed, now));
         learned
     }
@@ -178,11 +187,12 @@
         for known in told.back_ends {
             let name = known.back_end.name.as_str().to_owned();
             let (revision, value) = (known.revision, Ok(known.back_end));
-            learned.extend(self.put(Entry {
+            let entry = Entry {
                 name,
                 revision,
                 value,
-            }));
+            };
+            learned.extend(self.put(entry, now));
         }
         self.reach = at;
         learned
@@ -210,6 +220,7 @@
         at: StoreRevision,
         entries: Vec<Entry<BackEnd>>,
         until: impl Fn(&str) -> Option<Timestamp>,
+        now: Timestamp,
     ) -> Vec<Learned> {
         if self.registered.is_empty() {
             self.removals.forget_until(at);
@@ -224,13 +235,13 @@
             learned.extend(self.remove(at, &name, until(&name)));
         }
         for entry in entries {
-            learned.extend(self.put(entry));
+            learned.extend(self.put(entry, now));
         }
         learned
     }
 
     /// A registration that cannot be understood leaves the last one in force.
-    fn put(&mut self, entry: Entry<BackEnd>) -> Option<Learned> {
+    fn put(&mut self, entry: Entry<BackEnd>, now: Timestamp) -> Option<Learned> {
         let back_end = match entry.value {
             Ok(back_end) => back_end,
             Err(malformed) => return Some(Learned::Malformed(malformed)),
@@ -239,6 +250,12 @@
             revision: entry.revision,
             back_end: back_end.clone(),
         };
+        if back_end.cold_for.is_zero() {
+            self.cold_until.remove(&entry.name);
+        } else {
+            let until = now + back_end.cold_for;
+            self.cold_until.insert(entry.name.clone(), until);
+        }
         let awaited = self.lapsed.remove(&entry.name);
         let before = self.registered.insert(entry.name, known);
         match before.or(awaited.map(|awaited| awaited.known)) {
@@ -262,6 +279,7 @@
             return self.forget(name, until);
         };
         self.removals.push(at, name.to_owned());
+        self.cold_until.remove(name);
         match until {
             Some(until) if !known.back_end.draining => {
                 let lapsed = Learned::Lapsed(known.back_end.clone());
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -355,10 +355,25 @@
         let ownership = self.relayed(ownership, move || known.reach().records);
         let target = directory.clone();
         task::spawn(ownership.run(move |update| target.records(update)));
+        self.follow_zones(&directory);
         task::spawn(directory.clone().expire_lapsed());
         directory
     }
 
+    /// Follows the zones that the operator drains, if the deployment promises
+    /// to heed them.
+    fn follow_zones(&self, directory: &Directory) {
+        if self.settings.bounds.zone_drain_s.is_none() {
+            directory.knowledge.lock().without_zone_drains();
+            return;
+        }
+        let zones = self.follower("drained-zones", self.ports.drained_zones.clone());
+        let known = directory.clone();
+        let zones = self.relayed(zones, move || known.reach().zones);
+        let target = directory.clone();
+        task::spawn(zones.run(move |update| target.zones(update)));
+    }
+
     fn relayed<T: Send + 'static>(
         &self,
         follower: Follower<T>,
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -81,6 +81,14 @@
     pub grace_s: f64,
     /// From the request to stop until no new connection arrives.
     pub leave_s: f64,
+    /// From the draining of a zone until its back ends get nothing new; where
+    /// it is not stated, zones are not drained.
+    pub zone_drain_s: Option<f64>,
+    /// Requests that one cold back end gets in any second, as a multiple of
+    /// what it bears.
+    pub cold_overage: f64,
+    /// Requests that one cold back end gets in any second besides.
+    pub cold_slack: f64,
 }
 
 /// The retry budget of the deployment.
@@ -134,6 +142,9 @@
         BoundSettings {
             grace_s: 6.0,
             leave_s: 2.6,
+            zone_drain_s: None,
+            cold_overage: 1.5,
+            cold_slack: 8.0,
         }
     }
 }
@@ -289,6 +300,12 @@
             ("retry-budget.ratio", self.retry_budget.ratio),
             ("retry-budget.slack", self.retry_budget.slack),
             ("limits.link-mbps", self.limits.link_mbps),
+            (
+                "bounds.zone-drain-s",
+                self.bounds.zone_drain_s.unwrap_or(0.0),
+            ),
+            ("bounds.cold-overage", self.bounds.cold_overage),
+            ("bounds.cold-slack", self.bounds.cold_slack),
         ];
         for (field, value) in at_least_zero {
             if !(value.is_finite() && value >= 0.0) {
@@ -343,6 +360,8 @@
                 .clamp(0.0, f64::from(u32::MAX)) as u32,
             gateways: retry.gateways.max(1),
             retry_window: seconds(retry.window_s),
+            cold_overage: self.bounds.cold_overage,
+            cold_slack: self.bounds.cold_slack,
             ..defaults
         }
     }
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -48,6 +48,7 @@
         Ports {
             configurations: self.counted("configurations", ports.configurations),
             back_ends: self.counted("back-ends", ports.back_ends),
+            drained_zones: self.counted("drained-zones", ports.drained_zones),
             leases: self.counted("leases", ports.leases),
             ownership: self.counted("ownership", ports.ownership),
             relays: self.counted("relays", ports.relays),
--- /dev/null
+++ b/crates/router/src/gateway/zones.rs
@@ -0,0 +1,144 @@
+//! Zones that the operator drains and restores.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use threadledge_coordination::action::StoreRevision;
+use threadledge_ports::Change;
+use threadledge_types::deployment::DrainedZone;
+use threadledge_types::{Timestamp, ZoneName};
+
+use super::follow::Update;
+use super::knowledge::Learned;
+
+/// The zones that are drained as of one revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct KnownZones {
+    /// The revision.
+    pub at: StoreRevision,
+    /// The zones.
+    pub drained: BTreeSet<ZoneName>,
+}
+
+/// What this gateway knows of drained zones.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Zones {
+    /// `None`: nobody has told yet.
+    known: Option<KnownZones>,
+    /// The revision up to which this goes.
+    reach: StoreRevision,
+    /// When zones were restored, as this gateway learned it.
+    restored: BTreeMap<ZoneName, Timestamp>,
+}
+
+impl Zones {
+    /// The zones as last told.
+    pub(super) fn known(&self) -> Option<&KnownZones> {
+        self.known.as_ref()
+    }
+
+    /// Revision of the last change that is known.
+    pub(super) fn mark(&self) -> Option<StoreRevision> {
+        self.known.as_ref().map(|known| known.at)
+    }
+
+    /// The revision up to which it goes.
+    pub(super) fn reach(&self) -> StoreRevision {
+        self.reach
+    }
+
+    /// Whether the back ends of `zone` get nothing new.
+    pub(super) fn drained(&self, zone: &ZoneName) -> bool {
+        let known = self.known.as_ref();
+        known.is_some_and(|known| known.drained.contains(zone))
+    }
+
+    /// When `zone` was restored last, if it was drained before.
+    pub(super) fn restored(&self, zone: &ZoneName) -> Option<Timestamp> {
+        self.restored.get(zone).copied()
+    }
+
+    /// Takes what the store tells.
+    pub(super) fn take(&mut self, update: Update<DrainedZone>, now: Timestamp) -> Vec<Learned> {
+        let at = update.at();
+        if self.known.is_some() && at < self.reach {
+            return Vec::new();
+        }
+        let drained = match update {
+            Update::Listed(listing) => {
+                let zones = listing.entries.into_iter();
+                zones
+                    .filter_map(|entry| entry.value.ok())
+                    .map(|DrainedZone(zone)| zone)
+                    .collect()
+            }
+            Update::Changed(changes) => self.changed(changes.changes),
+        };
+        self.reach = at;
+        self.replace(at, drained, now)
+    }
+
+    /// The last change of a zone decides, also where earlier ones are known.
+    fn changed(&self, changes: Vec<Change<DrainedZone>>) -> BTreeSet<ZoneName> {
+        let known = self.known.as_ref();
+        let mut drained = known.map_or_else(BTreeSet::new, |known| known.drained.clone());
+        for change in changes {
+            match change {
+                Change::Put(entry) => {
+                    drained.extend(entry.value.ok().map(|DrainedZone(zone)| zone));
+                }
+                Change::Gone(name) => {
+                    drained.remove(&ZoneName(name));
+                }
+            }
+        }
+        drained
+    }
+
+    /// What someone who knows them up to `mark` lacks.
+    pub(super) fn since(&self, mark: Option<StoreRevision>) -> Option<KnownZones> {
+        let known = self.known.as_ref()?;
+        (Some(known.at) > mark).then(|| known.clone())
+    }
+
+    /// Takes what another gateway knows, if it knows more.
+    pub(super) fn take_told(&mut self, told: KnownZones, now: Timestamp) -> Vec<Learned> {
+        if Some(told.at) <= self.mark() {
+            return Vec::new();
+        }
+        self.reach = self.reach.max(told.at);
+        self.replace(told.at, told.drained, now)
+    }
+
+    /// Another gateway knows nothing beyond this up to `reach`.
+    pub(super) fn unchanged_until(&mut self, reach: StoreRevision) {
+        self.reach = self.reach.max(reach);
+    }
+
+    fn replace(
+        &mut self,
+        at: StoreRevision,
+        drained: BTreeSet<ZoneName>,
+        now: Timestamp,
+    ) -> Vec<Learned> {
+        let before = match self.known.take() {
+            Some(known) if known.drained == drained => {
+                self.known = Some(known);
+                return Vec::new();
+            }
+            Some(known) => known.drained,
+            None => BTreeSet::new(),
+        };
+        let mut learned = Vec::new();
+        for zone in drained.difference(&before) {
+            learned.push(Learned::ZoneDrained(zone.clone()));
+        }
+        for zone in before.difference(&drained) {
+            self.restored.insert(zone.clone(), now);
+            learned.push(Learned::ZoneRestored(zone.clone()));
+        }
+        self.known = Some(KnownZones { at, drained });
+        learned
+    }
+}
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -54,6 +54,8 @@
             health_path: "/health".to_owned(),
             max_connections: random.random_range(1..3),
             keyed: false,
+            cold_start: Duration::from_secs(3),
+            cold_rate: random.random_bool(0.5).then_some(4.2),
         };
         (format!("service-{number}").as_str().into(), service)
     });
@@ -176,15 +178,15 @@
 fn follower_ends_up_with_what_the_relay_knows() {
     for seed in 0..50 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut relay = Knowledge::default();
-        let mut follower = Knowledge::default();
+        let mut relay = samples::knowledge();
+        let mut follower = samples::knowledge();
         let listed = |at, numbers: std::ops::Range<u32>| {
             let entries = numbers.map(|number| put(at, back_end(number, false)));
             let entries = entries.collect();
             Update::Listed(Listing { entries, at })
         };
-        follower.take_back_ends(listed(5, 0..12));
-        relay.take_back_ends(listed(9, 2..14));
+        follower.take_back_ends(listed(5, 0..12), NOW);
+        relay.take_back_ends(listed(9, 2..14), NOW);
         let mut revision = 9;
         for _ in 0..200 {
             revision += 1;
@@ -195,7 +197,7 @@
         }
         poll(&mut follower, &relay);
         poll(&mut follower, &relay);
-        assert_eq!(follower.back_ends(), relay.back_ends());
+        assert_eq!(follower.back_ends(NOW), relay.back_ends(NOW));
         assert_eq!(follower.marks(), relay.marks());
         assert_eq!(follower.reach(), relay.reach());
         assert!(relay.differences_since(&follower.marks(), NOW).is_empty());
@@ -208,12 +210,12 @@
             let number = random.random_range(0..30);
             let change = Change::Put(put(at, back_end(number, random.random_bool(0.3))));
             let changes = vec![change];
-            relay.take_back_ends(Update::Changed(Changes { changes, at }));
+            relay.take_back_ends(Update::Changed(Changes { changes, at }), NOW);
         }
         1 => {
             let gone = format!("b-{}", random.random_range(0..30));
             let changes = vec![Change::Gone(gone)];
-            relay.take_back_ends(Update::Changed(Changes { changes, at }));
+            relay.take_back_ends(Update::Changed(Changes { changes, at }), NOW);
         }
         2 => {
             let value = Ok(record(random, at).value);
@@ -262,8 +264,8 @@
 #[test]
 fn change_that_begins_elsewhere_is_not_taken() {
     let mut random = ChaCha8Rng::seed_from_u64(6);
-    let mut relay = Knowledge::default();
-    let mut follower = Knowledge::default();
+    let mut relay = samples::knowledge();
+    let mut follower = samples::knowledge();
     let take = |knowledge: &mut Knowledge, found: &Versioned<OwnershipRecord>| {
         let entries = vec![Entry {
             name: "service".to_owned(),
@@ -293,7 +295,7 @@
         value.routes = (0..routes)
             .map(|number| route(&mut random, number))
             .collect();
-        let mut relay = Knowledge::default();
+        let mut relay = samples::knowledge();
         let entries = vec![Entry {
             name: "main".to_owned(),
             revision: 5,
@@ -303,7 +305,7 @@
         let told = relay.differences_since(&Marks::default(), NOW);
         assert_eq!(told.whole.is_some(), whole);
         assert_eq!(told.fetch_configuration, !whole);
-        let mut follower = Knowledge::default();
+        let mut follower = samples::knowledge();
         let learned = follower.take_differences(told, NOW);
         assert_eq!(learned.len(), usize::from(whole));
     }
--- a/crates/router/tests/gateway/knowledge.rs
+++ b/crates/router/tests/gateway/knowledge.rs
@@ -11,7 +11,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{CallerLimits, Configuration, ConfigurationVersion, KeyRange};
 
-use super::samples::{back_end, entry};
+use super::samples::{back_end, back_ends, entry, knowledge};
 
 /// Any time: nothing here is awaited.
 const NOW: Timestamp = Timestamp::ZERO;
@@ -39,18 +39,21 @@
 }
 
 fn names(knowledge: &Knowledge) -> Vec<String> {
-    let back_ends = knowledge.back_ends();
+    let back_ends = back_ends(knowledge);
     back_ends.iter().map(|each| each.name.to_string()).collect()
 }
 
 #[test]
 fn peer_gives_only_what_the_other_lacks() {
-    let mut knowing = Knowledge::default();
+    let mut knowing = knowledge();
     knowing.take_configurations(listed(5, vec![entry("main", 5, configuration(3))]));
-    knowing.take_back_ends(listed(5, vec![entry("b-1", 4, back_end("b-1", false))]));
+    knowing.take_back_ends(
+        listed(5, vec![entry("b-1", 4, back_end("b-1", false))]),
+        NOW,
+    );
     let record = OwnershipRecord::empty(Term(1));
     knowing.take_records(listed(5, vec![entry("service", 5, record)]));
-    let mut other = Knowledge::default();
+    let mut other = knowledge();
     let learned = other.take_news(knowing.news_since(&other.marks(), NOW), NOW);
     assert_eq!(learned.len(), 3);
     assert_eq!(other.marks(), knowing.marks());
@@ -61,15 +64,15 @@
 
 #[test]
 fn older_watch_does_not_undo_what_a_peer_told() {
-    let mut knowing = Knowledge::default();
+    let mut knowing = knowledge();
     let draining = entry("b-1", 98, back_end("b-1", true));
-    knowing.take_back_ends(listed(100, vec![draining]));
-    let mut behind = Knowledge::default();
+    knowing.take_back_ends(listed(100, vec![draining]), NOW);
+    let mut behind = knowledge();
     let both = vec![
         entry("b-1", 4, back_end("b-1", false)),
         entry("b-2", 4, back_end("b-2", false)),
     ];
-    behind.take_back_ends(listed(90, both));
+    behind.take_back_ends(listed(90, both), NOW);
     behind.take_news(knowing.news_since(&behind.marks(), NOW), NOW);
     assert_eq!(names(&behind), ["b-1"]);
     // Its own watch goes on from where it was.
@@ -77,27 +80,30 @@
     let again = Change::Put(entry("b-2", 96, back_end("b-2", false)));
     assert!(
         behind
-            .take_back_ends(changed(97, vec![put, again]))
+            .take_back_ends(changed(97, vec![put, again]), NOW)
             .is_empty()
     );
     assert_eq!(names(&behind), ["b-1"]);
-    assert!(behind.back_ends()[0].draining);
+    assert!(back_ends(&behind)[0].draining);
     let later = Change::Put(entry("b-3", 103, back_end("b-3", false)));
-    behind.take_back_ends(changed(103, vec![later]));
+    behind.take_back_ends(changed(103, vec![later]), NOW);
     assert_eq!(names(&behind), ["b-1", "b-3"]);
     let older_list = listed(99, Vec::new());
-    assert!(behind.take_back_ends(older_list).is_empty());
+    assert!(behind.take_back_ends(older_list, NOW).is_empty());
     assert_eq!(names(&behind), ["b-1", "b-3"]);
 }
 
 #[test]
 fn older_peer_changes_nothing() {
-    let mut knowing = Knowledge::default();
+    let mut knowing = knowledge();
     knowing.take_configurations(listed(9, vec![entry("main", 9, configuration(7))]));
-    knowing.take_back_ends(listed(9, vec![entry("b-1", 9, back_end("b-1", false))]));
-    let mut older = Knowledge::default();
+    knowing.take_back_ends(
+        listed(9, vec![entry("b-1", 9, back_end("b-1", false))]),
+        NOW,
+    );
+    let mut older = knowledge();
     older.take_configurations(listed(5, vec![entry("main", 5, configuration(6))]));
-    older.take_back_ends(listed(5, Vec::new()));
+    older.take_back_ends(listed(5, Vec::new()), NOW);
     let everything = older.news_since(&Marks::default(), NOW);
     assert!(knowing.take_news(everything, NOW).is_empty());
     assert_eq!(names(&knowing), ["b-1"]);
@@ -105,8 +111,11 @@
 
 #[test]
 fn malformed_objects_leave_what_was_known() {
-    let mut knowledge = Knowledge::default();
-    knowledge.take_back_ends(listed(1, vec![entry("b-1", 1, back_end("b-1", false))]));
+    let mut knowledge = knowledge();
+    knowledge.take_back_ends(
+        listed(1, vec![entry("b-1", 1, back_end("b-1", false))]),
+        NOW,
+    );
     let broken = Entry {
         name: "b-1".to_owned(),
         revision: 2,
@@ -114,7 +123,7 @@
             problem: "broken".to_owned(),
         }),
     };
-    let learned = knowledge.take_back_ends(changed(2, vec![Change::Put(broken)]));
+    let learned = knowledge.take_back_ends(changed(2, vec![Change::Put(broken)]), NOW);
     assert!(matches!(learned[..], [Learned::Malformed(_)]));
     assert_eq!(names(&knowledge), ["b-1"]);
     let mut gapped = OwnershipRecord::empty(Term(1));
@@ -126,17 +135,21 @@
 
 #[test]
 fn changes_are_told_once() {
-    let mut knowledge = Knowledge::default();
+    let mut knowledge = knowledge();
     let first = listed(1, vec![entry("b-1", 1, back_end("b-1", false))]);
     assert!(matches!(
-        knowledge.take_back_ends(first)[..],
+        knowledge.take_back_ends(first, NOW)[..],
         [Learned::Registered(_)]
     ));
     let put = Change::Put(entry("b-1", 2, back_end("b-1", true)));
-    let learned = knowledge.take_back_ends(changed(2, vec![put]));
+    let learned = knowledge.take_back_ends(changed(2, vec![put]), NOW);
     assert!(matches!(learned[..], [Learned::Leaving(_)]));
     let gone = Change::Gone("b-1".to_owned());
-    let learned = knowledge.take_back_ends(changed(3, vec![gone.clone()]));
+    let learned = knowledge.take_back_ends(changed(3, vec![gone.clone()]), NOW);
     assert!(matches!(learned[..], [Learned::Gone(_)]));
-    assert!(knowledge.take_back_ends(changed(4, vec![gone])).is_empty());
+    assert!(
+        knowledge
+            .take_back_ends(changed(4, vec![gone]), NOW)
+            .is_empty()
+    );
 }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -16,3 +16,4 @@
 mod stop;
 mod template;
 mod usage;
+mod zones;
--- a/crates/router/tests/gateway/outage.rs
+++ b/crates/router/tests/gateway/outage.rs
@@ -11,8 +11,10 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::BackEnd;
 
-use super::samples::{back_end, entry};
+use super::samples::{back_end, back_ends, entry, knowledge};
 
+/// Where the time of an update says nothing.
+const NOW: Timestamp = Timestamp::ZERO;
 const HEARTBEAT: Duration = Duration::from_millis(1_300);
 
 fn at(millis: u64) -> Timestamp {
@@ -32,18 +34,18 @@
 
 /// Knows `a` and `b`, and `c`, which is draining.
 fn knowing() -> Knowledge {
-    let mut knowledge = Knowledge::default();
+    let mut knowledge = knowledge();
     let entries = vec![
         entry("a", 1, back_end("a", false)),
         entry("b", 2, back_end("b", false)),
         entry("c", 3, back_end("c", true)),
     ];
-    knowledge.take_back_ends(Update::Listed(Listing { entries, at: 3 }));
+    knowledge.take_back_ends(Update::Listed(Listing { entries, at: 3 }), NOW);
     knowledge
 }
 
 fn names(knowledge: &Knowledge) -> Vec<String> {
-    let back_ends = knowledge.back_ends();
+    let back_ends = back_ends(knowledge);
     back_ends.iter().map(|each| each.name.to_string()).collect()
 }
 
@@ -79,11 +81,11 @@
 fn registration_that_lapsed_is_awaited_and_comes_back_unnoticed() {
     let mut knowledge = knowing();
     knowledge.await_lapsed(Some(at(12_000)));
-    let learned = knowledge.take_back_ends(gone(4, &["a"]));
+    let learned = knowledge.take_back_ends(gone(4, &["a"]), NOW);
     assert!(matches!(learned[..], [Learned::Lapsed(_)]));
     assert_eq!(names(&knowledge), ["a", "b", "c"]);
     assert!(knowledge.expire_lapsed(at(11_999)).is_empty());
-    assert!(knowledge.take_back_ends(returned(5, "a")).is_empty());
+    assert!(knowledge.take_back_ends(returned(5, "a"), NOW).is_empty());
     assert!(knowledge.expire_lapsed(at(12_000)).is_empty());
     assert_eq!(names(&knowledge), ["a", "b", "c"]);
 }
@@ -92,7 +94,7 @@
 fn registration_still_missing_after_the_wait_is_gone() {
     let mut knowledge = knowing();
     knowledge.await_lapsed(Some(at(12_000)));
-    knowledge.take_back_ends(gone(4, &["a"]));
+    knowledge.take_back_ends(gone(4, &["a"]), NOW);
     assert_eq!(knowledge.next_expiry(), Some(at(12_000)));
     let learned = knowledge.expire_lapsed(at(12_000));
     assert!(matches!(&learned[..], [Learned::Gone(each)] if each.name.as_str() == "a"));
@@ -105,7 +107,7 @@
     let mut knowledge = knowing();
     knowledge.await_lapsed(Some(at(12_000)));
     let entries = vec![entry("b", 2, back_end("b", false))];
-    let learned = knowledge.take_back_ends(Update::Listed(Listing { entries, at: 9 }));
+    let learned = knowledge.take_back_ends(Update::Listed(Listing { entries, at: 9 }), NOW);
     assert_eq!(names(&knowledge), ["a", "b"]);
     assert!(matches!(
         learned[..],
@@ -117,7 +119,7 @@
 fn back_end_that_said_it_leaves_is_gone_at_once() {
     let mut knowledge = knowing();
     knowledge.await_lapsed(Some(at(12_000)));
-    let learned = knowledge.take_back_ends(gone(4, &["c"]));
+    let learned = knowledge.take_back_ends(gone(4, &["c"]), NOW);
     assert!(matches!(learned[..], [Learned::Gone(_)]));
     assert_eq!(names(&knowledge), ["a", "b"]);
 }
@@ -126,7 +128,7 @@
 fn without_an_outage_a_registration_that_goes_is_gone() {
     let mut knowledge = knowing();
     knowledge.await_lapsed(None);
-    let learned = knowledge.take_back_ends(gone(4, &["a"]));
+    let learned = knowledge.take_back_ends(gone(4, &["a"]), NOW);
     assert!(matches!(learned[..], [Learned::Gone(_)]));
 }
 
@@ -137,8 +139,8 @@
     let mut relay = knowing();
     let mut follower = knowing();
     relay.await_lapsed(Some(at(12_000)));
-    relay.take_back_ends(gone(4, &["a"]));
-    let mut newcomer = Knowledge::default();
+    relay.take_back_ends(gone(4, &["a"]), NOW);
+    let mut newcomer = knowledge();
     for each in [&mut follower, &mut newcomer] {
         let differences = told(&relay, each, at(11_000));
         each.take_differences(differences, at(11_100));
@@ -151,7 +153,7 @@
     let learned = follower.expire_lapsed(at(12_100));
     assert!(matches!(learned[..], [Learned::Gone(_)]));
     assert_eq!(names(&follower), names(&relay));
-    relay.take_back_ends(returned(6, "a"));
+    relay.take_back_ends(returned(6, "a"), NOW);
     let differences = told(&relay, &newcomer, at(12_050));
     newcomer.take_differences(differences, at(12_060));
     assert!(newcomer.expire_lapsed(at(12_100)).is_empty());
@@ -163,7 +165,7 @@
 #[test]
 fn what_a_relay_knows_to_be_gone_is_not_awaited() {
     let mut relay = knowing();
-    relay.take_back_ends(gone(4, &["a"]));
+    relay.take_back_ends(gone(4, &["a"]), NOW);
     let mut follower = knowing();
     follower.await_lapsed(Some(at(12_000)));
     let differences = told(&relay, &follower, at(11_000));
@@ -177,10 +179,10 @@
     let mut relay = knowing();
     let mut follower = knowing();
     follower.await_lapsed(Some(at(12_000)));
-    follower.take_back_ends(gone(4, &["a"]));
-    relay.take_back_ends(gone(4, &["a"]));
-    relay.take_back_ends(returned(5, "a"));
-    relay.take_back_ends(gone(6, &["a"]));
+    follower.take_back_ends(gone(4, &["a"]), NOW);
+    relay.take_back_ends(gone(4, &["a"]), NOW);
+    relay.take_back_ends(returned(5, "a"), NOW);
+    relay.take_back_ends(gone(6, &["a"]), NOW);
     let differences = told(&relay, &follower, at(11_000));
     let learned = follower.take_differences(differences, at(11_100));
     assert!(matches!(learned[..], [Learned::Gone(_)]));
@@ -191,7 +193,7 @@
 fn peers_tell_what_they_await() {
     let mut peer = knowing();
     peer.await_lapsed(Some(at(12_000)));
-    peer.take_back_ends(gone(4, &["a"]));
+    peer.take_back_ends(gone(4, &["a"]), NOW);
     let mut asking = knowing();
     asking.take_news(peer.news_since(&asking.marks(), at(11_000)), at(11_100));
     assert_eq!(names(&asking), ["a", "b", "c"]);
--- a/crates/router/tests/gateway/samples.rs
+++ b/crates/router/tests/gateway/samples.rs
@@ -2,10 +2,26 @@
 
 use std::time::Duration;
 
+use threadledge::gateway::knowledge::Knowledge;
 use threadledge_coordination::action::StoreRevision;
 use threadledge_ports::Entry;
+use threadledge_types::Timestamp;
 use threadledge_types::deployment::BackEnd;
 
+/// Of a gateway that knows nothing yet, on a deployment whose zones are never
+/// drained.
+pub fn knowledge() -> Knowledge {
+    let mut knowledge = Knowledge::default();
+    knowledge.without_zone_drains();
+    knowledge
+}
+
+/// The back ends that may be used now.
+pub fn back_ends(knowledge: &Knowledge) -> Vec<BackEnd> {
+    let known = knowledge.back_ends(Timestamp::ZERO);
+    known.expect("the drained zones are known").to_vec()
+}
+
 pub fn back_end(name: &str, draining: bool) -> BackEnd {
     BackEnd {
         name: name.into(),
--- a/crates/router/tests/gateway/template.rs
+++ b/crates/router/tests/gateway/template.rs
@@ -14,6 +14,7 @@
 pub fn fill(values: &BTreeMap<&str, String>) -> String {
     let path = repository_root().join(TEMPLATE);
     let template = std::fs::read_to_string(path).expect("the template");
+    let template = without_sections(&template, values);
     let mut filled = String::new();
     let mut rest = template.as_str();
     while let Some((before, after)) = rest.split_once("{{") {
@@ -25,6 +26,23 @@
     filled + rest
 }
 
+/// Keeps the sections whose value is given, and drops the others.
+fn without_sections(template: &str, values: &BTreeMap<&str, String>) -> String {
+    let mut kept = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{#") {
+        let (name, after) = after.split_once("}}").expect("a closed gap");
+        let end = format!("{{{{/{name}}}}}");
+        let (section, after) = after.split_once(&end).expect("a closed section");
+        kept.push_str(before);
+        if values.contains_key(name) {
+            kept.push_str(section);
+        }
+        rest = after;
+    }
+    kept + rest
+}
+
 fn value_of(gap: &str, values: &BTreeMap<&str, String>) -> String {
     let (name, as_json) = match gap.strip_suffix("|json") {
         Some(name) => (name, true),
@@ -49,3 +67,11 @@
     let run = role["run"].as_str().expect("a program");
     assert!(run.starts_with("target/release/threadledge gateway --settings "));
 }
+
+#[test]
+fn bounds_that_a_deployment_does_not_state_are_left_out() {
+    let template = "a\n{{#X}}b = {{X}}\n{{/X}}c\n";
+    assert_eq!(without_sections(template, &BTreeMap::new()), "a\nc\n");
+    let values = BTreeMap::from([("X", "5".to_owned())]);
+    assert_eq!(without_sections(template, &values), "a\nb = {{X}}\nc\n");
+}
--- /dev/null
+++ b/crates/router/tests/gateway/zones.rs
@@ -0,0 +1,236 @@
+//! Zones that the operator drains and restores.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::json;
+use threadledge::gateway::follow::Update;
+use threadledge::gateway::knowledge::{Knowledge, Learned};
+use threadledge::gateway::news::{Differences, Marks, News};
+use threadledge_ports::{Change, Changes, Listing};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{
+    BackEnd, CallerLimits, Configuration, ConfigurationVersion, DrainedZone, Service,
+};
+
+use super::process::{Ask, World, eventually};
+use super::samples::{back_end, entry};
+
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+const COLD_START: Duration = Duration::from_secs(3);
+
+fn after(millis: u64) -> Timestamp {
+    NOW + Duration::from_millis(millis)
+}
+
+fn drained(zone: &str, revision: u64) -> Change<DrainedZone> {
+    Change::Put(entry(zone, revision, DrainedZone(zone.into())))
+}
+
+fn changed(at: u64, changes: Vec<Change<DrainedZone>>) -> Update<DrainedZone> {
+    Update::Changed(Changes { changes, at })
+}
+
+fn nothing_drained(at: u64) -> Update<DrainedZone> {
+    let entries = Vec::new();
+    Update::Listed(Listing { entries, at })
+}
+
+fn in_zone(name: &str, zone: &str) -> BackEnd {
+    BackEnd {
+        zone: zone.into(),
+        ..back_end(name, false)
+    }
+}
+
+/// One back end in each of the zones `a` and `b`, of a service with a cold
+/// start; nothing is known of drained zones.
+fn two_zones() -> Knowledge {
+    let mut knowledge = Knowledge::default();
+    let entries = vec![
+        entry("b-1", 1, in_zone("b-1", "a")),
+        entry("b-2", 1, in_zone("b-2", "b")),
+    ];
+    knowledge.take_back_ends(Update::Listed(Listing { entries, at: 1 }), NOW);
+    let service = Service {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        keyed: false,
+        cold_start: COLD_START,
+        cold_rate: Some(4.2),
+    };
+    let configuration = Configuration {
+        version: ConfigurationVersion(1),
+        routes: Vec::new(),
+        services: BTreeMap::from([("service".into(), service)]),
+        limits: CallerLimits {
+            max_header_bytes: 1,
+            max_body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    };
+    let entries = vec![entry("main", 1, configuration)];
+    knowledge.take_configurations(Update::Listed(Listing { entries, at: 1 }));
+    knowledge
+}
+
+fn draining(knowledge: &Knowledge, now: Timestamp) -> Vec<bool> {
+    let back_ends = knowledge.back_ends(now).expect("zones are known");
+    back_ends.iter().map(|each| each.draining).collect()
+}
+
+fn cold_for(knowledge: &Knowledge, now: Timestamp) -> Vec<Duration> {
+    let back_ends = knowledge.back_ends(now).expect("zones are known");
+    back_ends.iter().map(|each| each.cold_for).collect()
+}
+
+#[test]
+fn no_back_end_is_used_before_drained_zones_are_known() {
+    let mut knowledge = two_zones();
+    assert_eq!(knowledge.back_ends(NOW), None);
+    knowledge.take_zones(nothing_drained(2), NOW);
+    assert_eq!(draining(&knowledge, NOW), [false, false]);
+}
+
+#[test]
+fn back_ends_of_a_drained_zone_leave_and_come_back_cold() {
+    let mut knowledge = two_zones();
+    knowledge.take_zones(nothing_drained(2), NOW);
+    let learned = knowledge.take_zones(changed(3, vec![drained("b", 3)]), NOW);
+    assert_eq!(learned, [Learned::ZoneDrained("b".into())]);
+    assert_eq!(draining(&knowledge, NOW), [false, true]);
+    let gone = Change::Gone("b".to_owned());
+    let learned = knowledge.take_zones(changed(9, vec![gone]), NOW);
+    assert_eq!(learned, [Learned::ZoneRestored("b".into())]);
+    assert_eq!(draining(&knowledge, NOW), [false, false]);
+    assert_eq!(cold_for(&knowledge, NOW), [Duration::ZERO, COLD_START]);
+    let soon = after(2_000);
+    assert_eq!(cold_for(&knowledge, soon)[1], Duration::from_secs(1));
+    assert_eq!(cold_for(&knowledge, after(3_000))[1], Duration::ZERO);
+}
+
+/// What a back end said before it turned cold may arrive after the zone was
+/// restored.
+#[test]
+fn registration_of_a_warm_back_end_does_not_end_the_cold_start_of_its_zone() {
+    let mut knowledge = two_zones();
+    knowledge.take_zones(changed(3, vec![drained("b", 3)]), NOW);
+    knowledge.take_zones(changed(9, vec![Change::Gone("b".to_owned())]), NOW);
+    let put = Change::Put(entry("b-2", 8, in_zone("b-2", "b")));
+    let changes = vec![put];
+    knowledge.take_back_ends(Update::Changed(Changes { changes, at: 8 }), after(100));
+    assert_eq!(
+        cold_for(&knowledge, after(1_000))[1],
+        Duration::from_secs(2)
+    );
+}
+
+#[test]
+fn cold_time_runs_on_from_when_it_was_told() {
+    let mut knowledge = two_zones();
+    knowledge.take_zones(nothing_drained(2), NOW);
+    let mut cold = in_zone("b-2", "b");
+    cold.cold_for = Duration::from_millis(2_500);
+    let put = |cold: BackEnd, at| {
+        let changes = vec![Change::Put(entry("b-2", at, cold))];
+        Update::Changed(Changes { changes, at })
+    };
+    knowledge.take_back_ends(put(cold.clone(), 5), NOW);
+    assert_eq!(cold_for(&knowledge, after(500))[1], Duration::from_secs(2));
+    // A follower is told what is left.
+    let told = knowledge.differences_since(&Marks::default(), after(500));
+    let told = &told
+        .back_ends
+        .iter()
+        .find(|each| each.back_end.name == cold.name);
+    assert_eq!(
+        told.expect("told").back_end.cold_for,
+        Duration::from_secs(2)
+    );
+    // It turns cold anew.
+    knowledge.take_back_ends(put(in_zone("b-2", "b"), 6), after(4_000));
+    assert_eq!(cold_for(&knowledge, after(4_000))[1], Duration::ZERO);
+    knowledge.take_back_ends(put(cold, 7), after(9_000));
+    assert_eq!(
+        cold_for(&knowledge, after(10_000))[1],
+        Duration::from_millis(1_500)
+    );
+}
+
+#[test]
+fn zones_are_told_to_followers_and_peers_and_never_go_back() {
+    let mut knowing = two_zones();
+    knowing.take_zones(nothing_drained(2), NOW);
+    knowing.take_zones(changed(7, vec![drained("b", 6)]), NOW);
+    let mut follower = two_zones();
+    let told = knowing.differences_since(&follower.marks(), NOW);
+    follower.take_differences(told, NOW);
+    assert_eq!(draining(&follower, NOW), [false, true]);
+    assert_eq!(follower.marks(), knowing.marks());
+    assert!(knowing.differences_since(&follower.marks(), NOW).is_empty());
+    let mut peer = two_zones();
+    peer.take_news(knowing.news_since(&peer.marks(), NOW), NOW);
+    assert_eq!(draining(&peer, NOW), [false, true]);
+    assert_eq!(knowing.news_since(&peer.marks(), NOW), News::default());
+    // An older list, watch and peer change nothing.
+    assert!(follower.take_zones(nothing_drained(3), NOW).is_empty());
+    let mut older = two_zones();
+    older.take_zones(nothing_drained(4), NOW);
+    let told: Differences = older.differences_since(&Marks::default(), NOW);
+    follower.take_differences(told, NOW);
+    follower.take_news(older.news_since(&Marks::default(), NOW), NOW);
+    assert_eq!(draining(&follower, NOW), [false, true]);
+}
+
+/// A watch that goes on from before what a peer told repeats what led there.
+#[test]
+fn zone_drained_twice_stays_drained_when_an_older_watch_repeats_it() {
+    let mut knowledge = two_zones();
+    let mut knowing = two_zones();
+    knowing.take_zones(changed(8, vec![drained("b", 8)]), NOW);
+    knowledge.take_zones(changed(3, vec![drained("b", 3)]), NOW);
+    knowledge.take_news(knowing.news_since(&knowledge.marks(), NOW), NOW);
+    let repeated = vec![Change::Gone("b".to_owned()), drained("b", 8)];
+    assert!(knowledge.take_zones(changed(9, repeated), NOW).is_empty());
+    assert_eq!(draining(&knowledge, NOW), [false, true]);
+}
+
+/// Invariant: nothing is sent to a drained zone, and its keys are served by
+/// the others.
+#[test]
+fn drained_zone_gets_no_request_and_loses_its_keys_until_it_is_restored() {
+    let world = World::start();
+    let (near, far) = (&world.plain[0], &world.plain[1]);
+    let (keeps, leaves) = (&world.keyed[0], &world.keyed[1]);
+    for (service, each) in [("plain", far), ("keyed", leaves)] {
+        let mut entry = each.entry(service, "ready");
+        entry["Zone"] = json!("zone-b");
+        world.store.put("servers", &each.id, entry);
+    }
+    world.store.put("evacuations", "zone-b", json!({}));
+    let keys: Vec<u16> = (0..=u16::MAX).step_by(4_096).collect();
+    eventually(|| (keeps.held(&keys).len() == keys.len()).then_some(()));
+    let before = far.runs().len() + leaves.runs().len();
+    for number in 0..40 {
+        let id = format!("plain-{number}");
+        let plain = Ask {
+            id: &id,
+            ..Ask::default()
+        };
+        assert_eq!(plain.send(&world.gateway).status(), 200);
+        let id = format!("keyed-{number}");
+        let keyed = Ask {
+            host: "keyed.example",
+            target: "/k/x",
+            id: &id,
+            key: Some(number * 1_600),
+            ..Ask::default()
+        };
+        assert_eq!(keyed.send(&world.gateway).status(), 200);
+    }
+    assert_eq!(near.runs().len(), 40);
+    assert_eq!(far.runs().len() + leaves.runs().len(), before);
+    world.store.remove("evacuations", "zone-b");
+    eventually(|| (!leaves.held(&keys).is_empty()).then_some(()));
+}
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -62,7 +62,7 @@
     pub slots: u32,
     /// It is leaving and takes no new requests.
     pub draining: bool,
-    /// How much longer it stays slow after its start.
+    /// How much longer it stays cold, from when this is told.
     pub cold_for: Duration,
     /// Number of its registration; a later one is larger.
     pub registration: u64,
--- a/crates/types/src/deployment/configuration.rs
+++ b/crates/types/src/deployment/configuration.rs
@@ -116,7 +116,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Path on which back ends tell their health.
     pub health_path: String,
@@ -124,6 +124,14 @@
     pub max_connections: u32,
     /// Each key has one owner among the back ends.
     pub keyed: bool,
+    /// How long a back end is cold after its start: slow, and easily
+    /// overloaded.
+    #[serde(default)]
+    pub cold_start: Duration,
+    /// Requests that a cold back end bears, per second; `None`: as many as a
+    /// warm one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
 }
 
 /// Bounds on what callers may send and how long they may take.
--- a/crates/types/src/deployment/mod.rs
+++ b/crates/types/src/deployment/mod.rs
@@ -7,6 +7,7 @@
 mod back_end;
 mod configuration;
 mod key;
+mod zone;
 
 pub use back_end::{BackEnd, BackEndName};
 pub use configuration::{
@@ -14,3 +15,4 @@
     ServiceName,
 };
 pub use key::{KeyRange, ShardKey};
+pub use zone::DrainedZone;
--- /dev/null
+++ b/crates/types/src/deployment/zone.rs
@@ -0,0 +1,10 @@
+//! Zones that operators take out of service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::ZoneName;
+
+/// A zone whose back ends get no new requests until the operator restores it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DrainedZone(pub ZoneName);
