Name the process that an order is meant for

Cause: grants and releases went to an address.

Change: orders carry the header that names the process, as requests do. Another process answers 421 (OrderReply::OtherProcess) and does nothing; its answer also shows that the owner is gone, whose hold is then not waited out. The simulation delivers orders by address, the stand-in heeds the header on orders.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -124,6 +124,11 @@
         /// The back end.
         owner: BackEndName,
     },
+    /// Another process answered an order at the address of a back end.
+    HolderReplaced {
+        /// The back end.
+        owner: BackEndName,
+    },
     /// A back end has seen a higher fence than ours.
     OrderFenced {
         /// The back end.
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -35,6 +35,8 @@
     unanswered: u32,
     lost_since: Option<Timestamp>,
     refused: bool,
+    /// Another process was found at its address.
+    replaced: bool,
 }
 
 /// Why a back end may not own keys.
@@ -159,6 +161,10 @@
     /// Whether a later process runs at the address of `owner`: it holds
     /// nothing of `owner`'s, and `owner` is gone.
     pub fn superseded(&self, owner: &Owner) -> bool {
+        let contact = self.contacts.get(&owner.name);
+        if contact.is_some_and(|contact| contact.replaced) {
+            return true;
+        }
         let Some(latest) = self.occupants.get(&owner.address) else {
             return false;
         };
@@ -173,11 +179,19 @@
         if let Some(contact) = self.contacts.get_mut(name) {
             *contact = Contact {
                 refused: contact.refused,
+                replaced: contact.replaced,
                 ..Contact::default()
             };
         }
     }
 
+    /// Another process answered at the address of a back end: it has ended,
+    /// whatever its registration says. Says whether that is new.
+    pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
+        let contact = self.contacts.entry(name.clone()).or_default();
+        !std::mem::replace(&mut contact.replaced, true)
+    }
+
     /// A back end did not understand a grant.
     pub fn on_malformed(&mut self, name: &BackEndName) {
         self.contacts.entry(name.clone()).or_default().refused = true;
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -63,6 +63,9 @@
     Fenced,
     /// The back end did not understand the order.
     Malformed,
+    /// Another process than the one meant runs at the address, and did not
+    /// carry the order out.
+    OtherProcess,
 }
 
 /// Why there is no answer.
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -76,6 +76,12 @@
             Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
                 self.holders.on_malformed(&order.to.name);
             }
+            Ok(OrderReply::OtherProcess) => {
+                if self.holders.on_other_process(&order.to.name) {
+                    let owner = order.to.name.clone();
+                    self.notices.push(Notice::HolderReplaced { owner });
+                }
+            }
             Ok(_) => self.holders.on_answer(&order.to.name),
             Err(fault) => {
                 if self.holders.on_fault(now, &order.to.name, *fault) {
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -172,7 +172,7 @@
                 self.fenced = true;
                 self.next_order = now + settings.retry_pause;
             }
-            OrderReply::Malformed => {
+            OrderReply::Malformed | OrderReply::OtherProcess => {
                 self.possible_arrival = self.arrival_before;
                 self.next_order = now + settings.retry_pause;
             }
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -99,6 +99,22 @@
     assert!(took < SECOND, "took {took:?}");
 }
 
+/// A process that starts at the address of one that crashed may be there
+/// before any registration tells. An order for the one that crashed is not
+/// carried out there, and shows that it is gone.
+#[test]
+fn back_end_whose_restart_is_not_registered_yet_is_not_waited_for() {
+    let mut world = settled(18);
+    let owner = world.owner(100).expect("owned");
+    assert!(owner.as_str().starts_with("b0-"), "{owner}");
+    world.back_ends.get_mut(&owner).expect("known").crash();
+    let restarted = world.add_unregistered_back_end(0);
+    let took = world.until_served(SECOND * 10).expect("served again");
+    assert!(took < SECOND * 2, "took {took:?}");
+    assert_ne!(world.owner(100), Some(owner));
+    assert_ne!(world.owner(100), Some(restarted));
+}
+
 #[test]
 fn back_end_that_cannot_be_reached_keeps_its_keys_until_its_hold_is_over() {
     let mut world = settled(7);
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -155,6 +155,14 @@
         }
     }
 
+    /// Starts a back end that has not registered yet.
+    pub fn add_unregistered_back_end(&mut self, address: u16) -> BackEndName {
+        let name = self.add_back_end(address);
+        self.registered.remove(&name);
+        self.tell_back_ends();
+        name
+    }
+
     /// Starts a back end at the address with this number.
     pub fn add_back_end(&mut self, address: u16) -> BackEndName {
         self.registrations += 1;
@@ -394,11 +402,9 @@
     fn send(&mut self, index: usize, order: Order) {
         let timeout = order.timeout;
         let now = self.now;
-        let reachable = self
-            .back_ends
-            .get(&order.to.name)
-            .is_some_and(|back_end| back_end.reachable(now));
-        if !reachable {
+        let occupant = self.occupant(&order);
+        let reachable = occupant.and_then(|name| self.back_ends.get(&name));
+        if !reachable.is_some_and(|back_end| back_end.reachable(now)) {
             let failed = Answer::Order(order, Err(OrderFault::NotSent));
             self.answer(index, Duration::from_millis(400), failed);
             return;
@@ -418,8 +424,21 @@
         self.answer(index, ORDER_DELAY, Answer::Order(order, Ok(reply)));
     }
 
+    /// The process that runs at the address to which an order goes.
+    fn occupant(&self, order: &Order) -> Option<BackEndName> {
+        let mut up = self.back_ends.values().filter(|back_end| back_end.up);
+        let there = up.find(|back_end| back_end.entry.address == order.to.address)?;
+        Some(there.entry.name.clone())
+    }
+
     fn carry_out(&mut self, order: &Order, late: bool) -> OrderReply {
         let now = self.now;
+        if self
+            .occupant(order)
+            .is_some_and(|name| name != order.to.name)
+        {
+            return OrderReply::OtherProcess;
+        }
         let Some(back_end) = self.back_ends.get_mut(&order.to.name) else {
             return OrderReply::Malformed;
         };
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -168,6 +168,9 @@
     RecordBroken = 318, "record-broken", Error,
         "The ownership record in the store has gaps or overlaps; it is written anew with no owners.",
         "Find out who else writes objects of this kind.";
+    HolderReplaced = 319, "holder-replaced", Info,
+        "Another process answered an order at the address of a back end that holds keys: it has ended, and its keys go to others at once.",
+        "None.";
     BackEndRegistered = 320, "back-end-registered", Info,
         "A back end registered itself.",
         "None.";
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -41,6 +41,9 @@
         Notice::HolderLost { owner } => {
             emit!(EventId::HolderLost, service = %service, owner = %owner);
         }
+        Notice::HolderReplaced { owner } => {
+            emit!(EventId::HolderReplaced, service = %service, owner = %owner);
+        }
         Notice::OrderFenced {
             owner,
             range,
