--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops::Range;
+use std::time::Duration;
 
 /// What became of one request, as its caller saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +82,13 @@
         /// What was wrong.
         problem: String,
     },
+    /// Back ends of a drained zone went on getting requests.
+    SentToDrained {
+        /// The zone.
+        zone: String,
+        /// How many.
+        requests: usize,
+    },
     /// In the calm after the faults something still does not work.
     NotRecovered {
         /// What does not.
@@ -109,6 +118,9 @@
             Violation::StopCut { gateway, problem } => {
                 write!(f, "planned stop of gateway {gateway}: {problem}")
             }
+            Violation::SentToDrained { zone, requests } => {
+                write!(f, "{requests} requests ran in {zone} after it was drained")
+            }
             Violation::NotRecovered { problem } => write!(f, "after the faults: {problem}"),
         }
     }
@@ -171,3 +183,30 @@
     }
     found
 }
+
+/// From the draining of a zone until its back ends get nothing new, as the
+/// gateways are told in their settings.
+pub const ZONE_DRAIN: Duration = Duration::from_secs(5);
+/// Time without trouble after which gateways are held to it: they have to
+/// reach the store.
+const CALM: Duration = Duration::from_secs(3);
+
+/// Runs that began in a zone while it was drained for longer than the bound,
+/// but for those beside or shortly after trouble that may have kept gateways
+/// from learning it. All times are from the start of the soak.
+pub fn runs_after_drain(
+    runs: &[Duration],
+    drained: &Range<Duration>,
+    troubles: &[Range<Duration>],
+) -> usize {
+    let held_to_it = |at: Duration| {
+        let calm_since = at.saturating_sub(CALM);
+        let disturbs = |trouble: &Range<Duration>| trouble.start <= at && calm_since <= trouble.end;
+        !troubles.iter().any(disturbs)
+    };
+    let bound = drained.start + ZONE_DRAIN;
+    let late = runs
+        .iter()
+        .filter(|at| bound < **at && **at < drained.end && held_to_it(**at));
+    late.count()
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -6,11 +6,17 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::world::ZONES;
+
 /// Shortest and longest fault, in milliseconds.
 const LENGTH_MS: (u64, u64) = (400, 5_000);
 /// Shortest and longest pause between the starts of two faults.
 const PAUSE_MS: (u64, u64) = (300, 3_000);
 
+/// Shortest and longest time for which a zone is drained, in milliseconds:
+/// longer than the bound within which its back ends get nothing new.
+const DRAIN_MS: (u64, u64) = (7_000, 12_000);
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -50,6 +56,25 @@
     Replace(usize),
     /// The operator writes another configuration.
     Configure,
+    /// The operator drains the zone of this number, and restores it.
+    DrainZone(usize),
+}
+
+impl Kind {
+    /// Whether it may keep a gateway from reaching the store, or from running.
+    pub const fn cuts_off(self) -> bool {
+        !matches!(
+            self,
+            Kind::Reload(_)
+                | Kind::BackEndReset(_)
+                | Kind::BackEndCut(_)
+                | Kind::BackEndDeaf(_)
+                | Kind::BackEndSlow(_)
+                | Kind::Replace(_)
+                | Kind::Configure
+                | Kind::DrainZone(_)
+        )
+    }
 }
 
 /// One fault.
@@ -79,12 +104,34 @@
     loop {
         at += Duration::from_millis(rng.random_range(PAUSE_MS.0..PAUSE_MS.1));
         if at >= total {
-            return faults;
+            break;
         }
         let length = Duration::from_millis(rng.random_range(LENGTH_MS.0..LENGTH_MS.1));
         let kind = draw(&mut rng, gateways, back_ends);
         faults.push(Fault { at, length, kind });
     }
+    faults.extend(drains(seed, total));
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+/// Drained zones, one after the other. They are drawn apart from the other
+/// faults, so that the seeds of those stay what they are.
+fn drains(seed: u64, total: Duration) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(1);
+    let mut drains = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(PAUSE_MS.0..PAUSE_MS.1));
+        let length = Duration::from_millis(rng.random_range(DRAIN_MS.0..DRAIN_MS.1));
+        if at + length >= total {
+            return drains;
+        }
+        let kind = Kind::DrainZone(rng.random_range(0..ZONES));
+        drains.push(Fault { at, length, kind });
+        at += length;
+    }
 }
 
 fn draw(rng: &mut ChaCha8Rng, gateways: usize, back_ends: usize) -> Kind {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -8,6 +8,9 @@
 use eyre::{WrapErr, eyre};
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::check::ZONE_DRAIN;
+use crate::world::ZONES;
+
 /// What a gateway is started with.
 #[derive(Clone, Debug)]
 pub struct Setup<'a> {
@@ -49,11 +52,13 @@
         let readiness = SocketAddr::from((own, 8_082));
         let name = format!("gateway-{}", setup.number);
         let settings = setup.dir.join(format!("{name}.toml"));
-        let zone = setup.number % 2;
+        let zone = setup.number % ZONES;
         let text = format!(
             "machine = \"{name}\"\nzone = \"zone-{zone}\"\n[listen]\ncallers = \"{callers}\"\n\
-             readiness = \"{readiness}\"\npeers = \"{own}:8083\"\n[platform]\nstore = \"{}\"\n",
-            setup.store
+             readiness = \"{readiness}\"\npeers = \"{own}:8083\"\n[platform]\nstore = \"{}\"\n\
+             [bounds]\nzone-drain-s = {}\n",
+            setup.store,
+            ZONE_DRAIN.as_secs(),
         );
         std::fs::write(&settings, text)
             .wrap_err_with(|| format!("{} cannot be written", settings.display()))?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -79,11 +80,17 @@
 struct Later {
     due: Instant,
     kind: Kind,
+    /// Time from the start of the soak.
+    began: Duration,
 }
 
 struct Soak {
     world: World,
+    start: Instant,
     later: Vec<Later>,
+    /// When gateways may have been kept from the store, or from running, as
+    /// times from the start.
+    troubles: Vec<Range<Duration>>,
     /// Planned stops under way, by gateway.
     stopping: BTreeMap<usize, Instant>,
     /// Versions shown by each gateway and life.
@@ -109,7 +116,9 @@
     let world = World::start(&options.program, &options.dir, size).await?;
     let mut soak = Soak {
         world,
+        start: Instant::now(),
         later: Vec::new(),
+        troubles: Vec::new(),
         stopping: BTreeMap::new(),
         shown: BTreeMap::new(),
         overlaps: BTreeMap::new(),
@@ -207,8 +216,13 @@
                 self.world.replace(be).await?;
             }
             Kind::Configure => self.world.configure(),
+            Kind::DrainZone(number) => self.world.drain_zone(&zone_name(number), true),
         }
-        self.later.push(Later { due, kind });
+        let began = self.since_start();
+        if kind.cuts_off() {
+            self.troubles.push(began..began + fault.length);
+        }
+        self.later.push(Later { due, kind, began });
         Ok(())
     }
 
@@ -223,13 +237,13 @@
             self.later.drain(..).partition(|later| later.due <= now);
         self.later = later;
         for each in due {
-            self.end(each.kind)?;
+            self.end(&each)?;
         }
         Ok(())
     }
 
-    fn end(&mut self, kind: Kind) -> eyre::Result<()> {
-        match kind {
+    fn end(&mut self, later: &Later) -> eyre::Result<()> {
+        match later.kind {
             Kind::Kill(gw) => self.world.gateways[gw].begin()?,
             Kind::KillAll => {
                 for gateway in &mut self.world.gateways {
@@ -244,15 +258,36 @@
             Kind::BackEndCut(be) | Kind::BackEndDeaf(be) | Kind::BackEndSlow(be) => {
                 self.world.back_ends[be].proxy.set(Mode::Sound);
             }
+            Kind::DrainZone(number) => self.restore_zone(&zone_name(number), later.began),
             _ => {}
         }
         Ok(())
     }
 
+    /// Restores a zone and looks at what ran there while it was drained.
+    fn restore_zone(&mut self, zone: &str, drained: Duration) {
+        let restored = self.since_start();
+        self.world.drain_zone(zone, false);
+        let runs = self.world.runs_in(zone).into_iter();
+        let runs: Vec<Duration> = runs
+            .map(|at| at.saturating_duration_since(self.start))
+            .collect();
+        let requests = check::runs_after_drain(&runs, &(drained..restored), &self.troubles);
+        if requests > 0 {
+            let zone = zone.to_owned();
+            self.violations
+                .push(Violation::SentToDrained { zone, requests });
+        }
+    }
+
+    fn since_start(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     /// Ends every fault.
     fn mend(&mut self) -> eyre::Result<()> {
         for each in std::mem::take(&mut self.later) {
-            self.end(each.kind)?;
+            self.end(&each)?;
         }
         self.world.forget_left();
         Ok(())
@@ -439,3 +474,7 @@
     let line = text.lines().find_map(|line| line.strip_prefix(METRIC))?;
     line.trim().parse().ok()
 }
+
+fn zone_name(number: usize) -> String {
+    format!("zone-{number}")
+}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,14 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::time::Instant;
 
 use eyre::WrapErr;
-use serde_json::Value;
+use serde_json::{Value, json};
 use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, changing_configuration};
 
 use crate::process::{Gateway, Setup};
 use crate::proxy::Proxy;
 
+/// Zones of back ends and gateways.
+pub const ZONES: usize = 2;
+
 /// A back end behind its proxy.
 #[derive(Debug)]
 pub struct BackEnd {
@@ -17,6 +21,8 @@
     pub inner: StandInBackEnd,
     /// Gateways reach it through this.
     pub proxy: Proxy,
+    /// Its zone.
+    pub zone: String,
     service: &'static str,
 }
 
@@ -93,6 +99,7 @@
         let back_end = BackEnd {
             inner,
             proxy,
+            zone: format!("zone-{}", self.started / 2 % ZONES),
             service,
         };
         self.store.put("servers", &id, back_end.entry("ready"));
@@ -130,6 +137,25 @@
         }
     }
 
+    /// The operator drains a zone, or restores it.
+    pub fn drain_zone(&self, zone: &str, drained: bool) {
+        if drained {
+            self.store.put("evacuations", zone, json!({}));
+        } else {
+            self.store.remove("evacuations", zone);
+        }
+    }
+
+    /// When requests began to run at the back ends of a zone.
+    pub fn runs_in(&self, zone: &str) -> Vec<Instant> {
+        let all = self.back_ends.iter().chain(&self.left);
+        let there = all.filter(|back_end| back_end.zone == zone);
+        there
+            .flat_map(|back_end| back_end.inner.runs())
+            .map(|run| run.at)
+            .collect()
+    }
+
     /// How often each request ran, wherever.
     pub fn runs(&self) -> BTreeMap<String, usize> {
         let mut runs = BTreeMap::new();
@@ -154,7 +180,7 @@
 impl BackEnd {
     fn entry(&self, state: &str) -> Value {
         self.inner
-            .entry_at(self.proxy.address(), self.service, state)
+            .entry_at(self.proxy.address(), &self.zone, self.service, state)
     }
 }
 
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use threadledge_soak::check::{owners, requests};
+use threadledge_soak::check::{owners, requests, runs_after_drain};
 use threadledge_soak::fault::plan;
 use threadledge_soak::{Answer, Seen, Violation};
 
@@ -88,6 +88,21 @@
     assert!(matches!(found[..], [Violation::TwoOwners { key: 2, .. }]));
 }
 
+/// Runs at the back ends of a drained zone count once the bound is over, and
+/// unless gateways may have been kept from learning it.
+#[test]
+fn run_in_a_drained_zone_is_found() {
+    let seconds = Duration::from_secs;
+    let drained = seconds(10)..seconds(20);
+    let runs = [9, 12, 14, 17, 21].map(seconds);
+    assert_eq!(runs_after_drain(&runs, &drained, &[]), 1);
+    let before = seconds(8)..seconds(11);
+    assert_eq!(runs_after_drain(&runs, &drained, &[before]), 1);
+    for trouble in [seconds(16)..seconds(18), seconds(13)..seconds(15)] {
+        assert_eq!(runs_after_drain(&runs, &drained, &[trouble]), 0);
+    }
+}
+
 #[test]
 fn seed_decides_the_faults() {
     let total = Duration::from_secs(60);
