Divide what a gateway knows, starts and refuses of its settings into modules

What is told to others, what follows the store's collections and the faults of settings stand in modules of their own; the followers are started one function each. Nothing but the places changed.

--- /dev/null
+++ b/crates/router/src/gateway/knowledge/telling.rs
@@ -0,0 +1,100 @@
+//! What a gateway tells others of what it knows.
+
+use threadledge_coordination::action::StoreRevision;
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
+
+use super::super::news::{Differences, KnownRecord, Marks, News};
+use super::Knowledge;
+
+/// Routes of a configuration that is told whole; larger ones are fetched from
+/// the store, so that no relay's link carries them for every follower.
+const MOST_ROUTES: usize = 40;
+
+impl Knowledge {
+    /// What a follower that knows what `marks` say lacks.
+    pub fn differences_since(&self, marks: &Marks, now: Timestamp) -> Differences {
+        let mut differences = Differences {
+            reach: self.reach(),
+            ..Differences::default()
+        };
+        self.configuration_since(marks, &mut differences);
+        self.back_ends
+            .differences_since(marks.back_ends, now, &mut differences);
+        self.records_since(marks, &mut differences);
+        differences.zones = self.zones.since(marks.zones);
+        differences
+    }
+
+    fn configuration_since(&self, marks: &Marks, differences: &mut Differences) {
+        let known = self.configuration.as_ref().map(|each| each.version);
+        if known <= marks.configuration {
+            return;
+        }
+        let changes = marks
+            .configuration
+            .and_then(|version| self.configuration_changes.after(version));
+        match changes {
+            Some(changes) => differences.configuration = changes,
+            None => match self.configuration.as_deref() {
+                Some(known) if known.routes.len() <= MOST_ROUTES => {
+                    differences.whole = Some(known.clone());
+                }
+                _ => differences.fetch_configuration = true,
+            },
+        }
+    }
+
+    fn records_since(&self, marks: &Marks, differences: &mut Differences) {
+        for (service, known) in &self.records {
+            let mark = marks.ownership.get(service).copied();
+            if mark.is_some_and(|mark| mark >= known.revision) {
+                continue;
+            }
+            let chain = self.record_changes.get(service);
+            let changes = mark.and_then(|mark| chain?.after(mark));
+            let Some(changes) = changes else {
+                differences.records.push(KnownRecord {
+                    service: service.clone(),
+                    revision: known.revision,
+                    record: known.value.clone(),
+                });
+                continue;
+            };
+            let named = changes.into_iter().map(|each| (service.clone(), each));
+            differences.changed_records.extend(named);
+        }
+    }
+
+    /// What it holds beyond `marks`.
+    pub fn news_since(&self, marks: &Marks, now: Timestamp) -> News {
+        let configuration = self
+            .configuration
+            .as_ref()
+            .filter(|known| Some(known.version) > marks.configuration)
+            .map(|known| known.as_ref().clone());
+        let later = self.back_ends.reach() > marks.back_ends;
+        let back_ends = later.then(|| self.back_ends.whole(now));
+        let later = |service: &ServiceName, revision: StoreRevision| {
+            marks
+                .ownership
+                .get(service)
+                .is_none_or(|known| revision > *known)
+        };
+        let ownership = self
+            .records
+            .iter()
+            .filter(|(service, known)| later(service, known.revision))
+            .map(|(service, known)| KnownRecord {
+                service: service.clone(),
+                revision: known.revision,
+                record: known.value.clone(),
+            });
+        News {
+            configuration,
+            back_ends,
+            ownership: ownership.collect(),
+            zones: self.zones.since(marks.zones),
+        }
+    }
+}
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -1,5 +1,7 @@
 //! Composition: one gateway from its settings and its platform.
 
+mod following;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,11 +10,10 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use thiserror::Error;
-use threadledge_coordination::action::StoreRevision;
-use threadledge_coordination::{NodeIdentity, OwnershipRecord};
+use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
 use threadledge_net::{Pool, PoolSettings, ServerLimits, StopSignal, Unframed, serve, timer};
-use threadledge_ports::{Collection, Ports};
+use threadledge_ports::Ports;
 use threadledge_relay::Member;
 use threadledge_types::{Incarnation, MachineName};
 
@@ -21,11 +22,9 @@
 use super::coordination::{Coordination, Event, Participation};
 use super::directory::Directory;
 use super::dispatch::Dispatch;
-use super::follow::Follower;
 use super::followers::Followers;
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
-use super::notifier::Notifier;
 use super::peers::{PeerClient, PeerServer, Peers};
 use super::readiness::{Readiness, serve_readiness};
 use super::relay::{Relaying, patience};
@@ -51,13 +50,6 @@
 /// Standbys take over in turn, within this time.
 const PATIENCE_SPREAD_MS: u64 = 300;
 
-/// Registrations come together when back ends start, and leave together.
-const GATHER_BACK_ENDS: Duration = Duration::from_millis(250);
-/// Keys that move together are written in a few steps.
-const GATHER_RECORDS: Duration = Duration::from_millis(30);
-/// Configurations may come in quick succession.
-const GATHER_CONFIGURATIONS: Duration = Duration::from_millis(200);
-
 /// Why a gateway stopped with an error.
 #[derive(Debug, Error)]
 pub enum GatewayError {
@@ -325,72 +317,4 @@
     fn peer_client(&self) -> PeerClient {
         PeerClient::new(self.settings.listen.peers, self.peers.clone())
     }
-
-    fn start_followers(&self, events: async_channel::Sender<Event>) -> Directory {
-        let directory = Directory {
-            knowledge: Arc::default(),
-            dispatch: self.dispatch.clone(),
-            pool: self.pool.clone(),
-            readiness: self.readiness.clone(),
-            health: self.store_health.clone(),
-            events,
-            changed: Arc::new(Notifier::default()),
-        };
-        let known = directory.clone();
-        let back_ends = self.follower("back-ends", self.ports.back_ends.clone());
-        let back_ends = back_ends.gathering(GATHER_BACK_ENDS);
-        let back_ends = self.relayed(back_ends, move || known.reach().back_ends);
-        let known = directory.clone();
-        let target = directory.clone();
-        task::spawn(back_ends.run(move |update| target.back_ends(update)));
-        let configurations = self.follower("configuration", self.ports.configurations.clone());
-        let configurations = configurations.gathering(GATHER_CONFIGURATIONS);
-        let configurations = self.relayed(configurations, move || known.reach().configurations);
-        let known = directory.clone();
-        let target = directory.clone();
-        task::spawn(configurations.run(move |update| target.configurations(update)));
-        let ownership: Arc<dyn Collection<OwnershipRecord>> = self.ports.ownership.clone();
-        let ownership = self.follower("ownership", ownership);
-        let ownership = ownership.gathering(GATHER_RECORDS);
-        let ownership = self.relayed(ownership, move || known.reach().records);
-        let target = directory.clone();
-        task::spawn(ownership.run(move |update| target.records(update)));
-        self.follow_zones(&directory);
-        task::spawn(directory.clone().expire_lapsed());
-        directory
-    }
-
-    /// Follows the zones that the operator drains, if the deployment promises
-    /// to heed them.
-    fn follow_zones(&self, directory: &Directory) {
-        if self.settings.bounds.zone_drain_s.is_none() {
-            directory.knowledge.lock().without_zone_drains();
-            return;
-        }
-        let zones = self.follower("drained-zones", self.ports.drained_zones.clone());
-        let known = directory.clone();
-        let zones = self.relayed(zones, move || known.reach().zones);
-        let target = directory.clone();
-        task::spawn(zones.run(move |update| target.zones(update)));
-    }
-
-    fn relayed<T: Send + 'static>(
-        &self,
-        follower: Follower<T>,
-        reach: impl Fn() -> StoreRevision + Send + Sync + 'static,
-    ) -> Follower<T> {
-        if self.settings.listen.peers.is_none() {
-            return follower;
-        }
-        follower.relayed(self.sources.clone(), reach)
-    }
-
-    fn follower<T: Send + 'static>(
-        &self,
-        name: &'static str,
-        collection: Arc<dyn Collection<T>>,
-    ) -> Follower<T> {
-        let wait = seconds(self.settings.platform.watch_s);
-        Follower::new(name, collection, self.store_health.clone(), wait)
-    }
 }
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -1,15 +1,17 @@
 //! Settings of a gateway: one TOML file, every field of which is checked.
 
+mod fault;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use serde::Deserialize;
-use thiserror::Error;
-use threadledge_coordination::settings::Contradiction;
 
 use crate::settings::LogSettings;
 
+pub use fault::SettingsFault;
+
 /// Everything that one gateway is told.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -197,54 +199,6 @@
     1.3
 }
 
-/// Why settings are not taken.
-#[derive(Debug, Error)]
-pub enum SettingsFault {
-    /// The file cannot be read.
-    #[error("{path} cannot be read ({cause}); name a file that exists with --settings")]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// What failed.
-        cause: std::io::Error,
-    },
-    /// The file is not TOML, lacks a field or has an unknown one.
-    #[error("{path}: {cause}; see docs/operators/gateway-settings.md for the fields")]
-    Malformed {
-        /// The file.
-        path: PathBuf,
-        /// What is wrong, with its place.
-        cause: Box<toml::de::Error>,
-    },
-    /// A field has a value that cannot be used.
-    #[error("{field} is {value}; {remedy}")]
-    Value {
-        /// The field.
-        field: &'static str,
-        /// Its value.
-        value: f64,
-        /// What to write.
-        remedy: &'static str,
-    },
-    /// Two fields contradict each other.
-    #[error("ownership.{longer}-s must stay below ownership.{shorter}-s; change one of them")]
-    Contradiction {
-        /// The one that is too long.
-        longer: &'static str,
-        /// The one that it must stay below.
-        shorter: &'static str,
-    },
-}
-
-impl From<Contradiction> for SettingsFault {
-    fn from(contradiction: Contradiction) -> Self {
-        SettingsFault::Contradiction {
-            longer: contradiction.longer,
-            shorter: contradiction.shorter,
-        }
-    }
-}
-
 impl GatewaySettings {
     /// Reads and checks a settings file.
     ///
