Bound the turns at cold back ends, and name what spares them

Found by reading: a mean of nearly nothing would have made an interval too long to reckon with. Turns are at most an hour apart, which is longer than any back end is cold; only cold back ends are asked for their next turn.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -115,7 +115,7 @@
             return no_owner;
         }
         if !self.admits(known) {
-            return self.cold([known].into_iter());
+            return self.spared([known].into_iter());
         }
         let usual = self.back_ends.usual(self.now, &exchange.service);
         if self.fits(known, exchange, bound, &usual) {
@@ -155,7 +155,8 @@
             Some(known) => self.overloaded(known, exchange, &usual),
             None => {
                 let all = self.back_ends.of_service(&exchange.service);
-                self.cold(all.filter(|known| known.takes_requests()))
+                let takes = all.filter(|known| known.takes_requests());
+                self.spared(takes.filter(|known| !self.admits(known)))
             }
         }
     }
@@ -166,8 +167,8 @@
         interval.is_none_or(|interval| known.cold.open(self.now, interval))
     }
 
-    /// Nothing but cold back ends is there, each of which has what it bears.
-    fn cold(&self, cold: impl Iterator<Item = &'a Known>) -> Choice {
+    /// Nothing is there but cold back ends that have what they bear, if any.
+    fn spared(&self, cold: impl Iterator<Item = &'a Known>) -> Choice {
         let interval = self.cold_interval.unwrap_or_default();
         let next = cold
             .map(|known| known.cold.next_open(self.now, interval))
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -15,9 +15,10 @@
 /// Chance that the requests of one second exceed the bound. A zone of 100
 /// back ends that is cold for 3 s has some thousand such seconds that differ.
 const EXCESS_CHANCE: f64 = 1e-7;
-/// How long leave to send a request stands: leaves that pile up unused would
-/// all be used in the same second.
-const LEAVE_LASTS: Duration = Duration::from_millis(300);
+/// How long a turn lasts: turns that pile up unused would all be used in the
+/// same second. A router with ten requests a second of the service has three to
+/// use it for.
+const TURN_LASTS: Duration = Duration::from_millis(300);
 
 /// Requests a second that a cold back end should get on average, so that
 /// hardly any second exceeds `bound`; at most the `borne` ones.
@@ -89,7 +90,7 @@
         let Some((turn, age)) = self.turn(now, interval) else {
             return false;
         };
-        age < LEAVE_LASTS && self.taken.is_none_or(|taken| taken < turn)
+        age < TURN_LASTS && self.taken.is_none_or(|taken| taken < turn)
     }
 
     /// A request is being sent.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -129,8 +129,8 @@
     pub(super) fn cold_interval(&self, service: &ServiceName) -> Option<Duration> {
         let rate = self.cold_rates.get(service)?;
         let routers = self.fleet.unwrap_or(self.settings.gateways).max(1);
-        let interval = f64::from(routers) / rate;
-        Some(Duration::try_from_secs_f64(interval).unwrap_or(Duration::MAX / 4))
+        let interval = Duration::try_from_secs_f64(f64::from(routers) / rate);
+        Some(interval.map_or(LONGEST_TURN, |interval| interval.min(LONGEST_TURN)))
     }
 
     /// This router's part of the retry budget's slack.
@@ -312,6 +312,10 @@
     }
 }
 
+/// Longest time between two requests of one router to a cold back end: longer
+/// than any is cold, so that more makes no difference.
+const LONGEST_TURN: Duration = Duration::from_secs(3_600);
+
 /// What callers are told to wait when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -145,6 +145,7 @@
             grace_s: 6.0,
             leave_s: 2.6,
             zone_drain_s: None,
+            // What the users' deployments state that have cold back ends.
             cold_overage: 1.5,
             cold_slack: 8.0,
         }
