--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -78,10 +78,9 @@
     ///
     /// Invariant: the back ends of a drained zone count as leaving, for every
     /// request and every key (before, 3,900 to 14,700 requests a day reached
-    /// them after the bound). Those of a
-    /// zone that was restored count as cold for as long as after a start: they
-    /// may have been replaced meanwhile, and tell so later than the operator
-    /// restores the zone.
+    /// them after the bound). Those of a zone that was restored count as cold
+    /// for as long as after a start: they may have turned cold meanwhile, and
+    /// tell so later than the operator restores the zone.
     pub fn back_ends(&self, now: Timestamp) -> Option<Arc<[BackEnd]>> {
         self.zones.known()?;
         let mut all = self.back_ends.all(now);
--- a/crates/router/src/gateway/zones.rs
+++ b/crates/router/src/gateway/zones.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use threadledge_coordination::action::StoreRevision;
-use threadledge_ports::Change;
+use threadledge_ports::{Change, Entry};
 use threadledge_types::deployment::DrainedZone;
 use threadledge_types::{Timestamp, ZoneName};
 
@@ -65,29 +65,33 @@
         if self.known.is_some() && at < self.reach {
             return Vec::new();
         }
+        let mut learned = Vec::new();
         let drained = match update {
             Update::Listed(listing) => {
-                let zones = listing.entries.into_iter();
-                zones
-                    .filter_map(|entry| entry.value.ok())
-                    .map(|DrainedZone(zone)| zone)
-                    .collect()
+                let mut drained = BTreeSet::new();
+                for entry in listing.entries {
+                    put(&mut drained, entry, &mut learned);
+                }
+                drained
             }
-            Update::Changed(changes) => self.changed(changes.changes),
+            Update::Changed(changes) => self.changed(changes.changes, &mut learned),
         };
         self.reach = at;
-        self.replace(at, drained, now)
+        learned.extend(self.replace(at, drained, now));
+        learned
     }
 
     /// The last change of a zone decides, also where earlier ones are known.
-    fn changed(&self, changes: Vec<Change<DrainedZone>>) -> BTreeSet<ZoneName> {
+    fn changed(
+        &self,
+        changes: Vec<Change<DrainedZone>>,
+        learned: &mut Vec<Learned>,
+    ) -> BTreeSet<ZoneName> {
         let known = self.known.as_ref();
         let mut drained = known.map_or_else(BTreeSet::new, |known| known.drained.clone());
         for change in changes {
             match change {
-                Change::Put(entry) => {
-                    drained.extend(entry.value.ok().map(|DrainedZone(zone)| zone));
-                }
+                Change::Put(entry) => put(&mut drained, entry, learned),
                 Change::Gone(name) => {
                     drained.remove(&ZoneName(name));
                 }
@@ -142,3 +146,13 @@
         learned
     }
 }
+
+/// Adds a zone; an object that cannot be understood drains nothing and is told.
+fn put(drained: &mut BTreeSet<ZoneName>, entry: Entry<DrainedZone>, learned: &mut Vec<Learned>) {
+    match entry.value {
+        Ok(DrainedZone(zone)) => {
+            drained.insert(zone);
+        }
+        Err(malformed) => learned.push(Learned::Malformed(malformed)),
+    }
+}
