Log orders that are given up, and registrations that share an address

Cause: nothing in the log told when an order was given up, under which fence, and whose registrations stand at one address; the hypotheses on two owners of one key could not be told apart. Change: events 326 (first order in a row that was given up), 327 (the back end answers again, with the count) and 328 (several registrations at one address). Two lines for each silence, however long it lasts. No decision changes.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -1,8 +1,11 @@
 //! What a coordinator asks its shell to do, and what it tells operators.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
-use crate::order::Order;
+use crate::order::{Order, OrderFault};
 use crate::record::{CoordinatorLease, Fence, OwnershipRecord, Term};
 
 /// Revision of an object in the store.
@@ -129,6 +132,30 @@
         /// The back end.
         owner: BackEndName,
     },
+    /// The first order in a row that was given up without an answer.
+    OrderGivenUp {
+        /// The order.
+        order: Order,
+        /// Why there is no answer.
+        fault: OrderFault,
+    },
+    /// A back end answers orders again.
+    HolderAnswers {
+        /// The back end.
+        owner: BackEndName,
+        /// Orders that were given up meanwhile.
+        given_up: u32,
+        /// Since the first of them was given up.
+        silent_for: Duration,
+    },
+    /// Several back ends are registered at one address, where only one
+    /// process can run.
+    AddressShared {
+        /// The address.
+        address: SocketAddr,
+        /// The registrations there, the latest last.
+        back_ends: Vec<BackEndName>,
+    },
     /// A back end has seen a higher fence than ours.
     OrderFenced {
         /// The back end.
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -1,12 +1,12 @@
 //! What the coordinator knows of each back end that holds or may hold keys.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
+use crate::occupancy::{Occupancy, SharedAddress};
 use crate::order::OrderFault;
 use crate::record::Owner;
 
@@ -41,11 +41,30 @@
     failed_connects: u32,
     unanswered: u32,
     lost_since: Option<Timestamp>,
+    silence: Option<Silence>,
     refused: bool,
     /// Another process was found at its address.
     replaced: bool,
 }
 
+/// Orders that were given up since a back end last answered one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// How many.
+    pub given_up: u32,
+    /// When the first of them was given up.
+    pub since: Timestamp,
+}
+
+/// What the fault of an order says about its back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FaultNews {
+    /// It is the first order in a row that was given up.
+    pub silent: bool,
+    /// The back end counts as lost from now on.
+    pub lost: bool,
+}
+
 /// Why a back end may not own keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ineligible {
@@ -74,21 +93,24 @@
 #[derive(Debug, Default)]
 pub struct Holders {
     registered: BTreeMap<BackEndName, Registered>,
-    /// The latest registration at each address, over all services.
-    occupants: BTreeMap<SocketAddr, u64>,
+    occupancy: Occupancy,
     contacts: BTreeMap<BackEndName, Contact>,
     /// Cold back ends bear few requests.
     frail_when_cold: bool,
 }
 
 impl Holders {
-    /// Takes the back ends that are registered now.
-    pub fn set_registered(&mut self, now: Timestamp, service: &ServiceName, all: &[BackEnd]) {
+    /// Takes the back ends that are registered now. Returns the addresses that
+    /// a further registration came to share.
+    pub fn set_registered(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        all: &[BackEnd],
+    ) -> Vec<SharedAddress> {
+        let shared = self.occupancy.set_registered(all);
         self.registered.clear();
-        self.occupants.clear();
         for back_end in all {
-            let latest = self.occupants.entry(back_end.address).or_default();
-            *latest = (*latest).max(back_end.registration);
             if back_end.service == *service {
                 self.register(now, back_end);
             }
@@ -96,6 +118,7 @@
         let registered = &self.registered;
         self.contacts
             .retain(|name, _| registered.contains_key(name));
+        shared
     }
 
     fn register(&mut self, now: Timestamp, back_end: &BackEnd) {
@@ -172,24 +195,25 @@
         if contact.is_some_and(|contact| contact.replaced) {
             return true;
         }
-        let Some(latest) = self.occupants.get(&owner.address) else {
+        let Some(latest) = self.occupancy.latest(owner.address) else {
             return false;
         };
         match self.registered.get(&owner.name) {
-            Some(registered) => registered.registration < *latest,
+            Some(registered) => registered.registration < latest,
             None => true,
         }
     }
 
-    /// A back end answered an order.
-    pub fn on_answer(&mut self, name: &BackEndName) {
-        if let Some(contact) = self.contacts.get_mut(name) {
-            *contact = Contact {
-                refused: contact.refused,
-                replaced: contact.replaced,
-                ..Contact::default()
-            };
-        }
+    /// A back end answered an order. Returns the silence that this ended.
+    pub fn on_answer(&mut self, name: &BackEndName) -> Option<Silence> {
+        let contact = self.contacts.get_mut(name)?;
+        let silence = contact.silence;
+        *contact = Contact {
+            refused: contact.refused,
+            replaced: contact.replaced,
+            ..Contact::default()
+        };
+        silence
     }
 
     /// Another process answered at the address of a back end: it has ended,
@@ -204,21 +228,28 @@
         self.contacts.entry(name.clone()).or_default().refused = true;
     }
 
-    /// A back end left an order without an answer. Says whether it counts as
-    /// lost from now on.
-    pub fn on_fault(&mut self, now: Timestamp, name: &BackEndName, fault: OrderFault) -> bool {
+    /// A back end left an order without an answer.
+    pub fn on_fault(&mut self, now: Timestamp, name: &BackEndName, fault: OrderFault) -> FaultNews {
         let contact = self.contacts.entry(name.clone()).or_default();
         match fault {
-            OrderFault::Withheld => return false,
+            OrderFault::Withheld => return FaultNews::default(),
             OrderFault::NotSent => contact.failed_connects += 1,
             OrderFault::NoAnswer => contact.unanswered += 1,
         }
         let lost = contact.failed_connects >= FAILED_CONNECTS_UNTIL_LOST
             || contact.unanswered >= UNANSWERED_UNTIL_LOST;
-        let newly = lost && contact.lost_since.is_none();
+        let news = FaultNews {
+            silent: contact.silence.is_none(),
+            lost: lost && contact.lost_since.is_none(),
+        };
         if lost {
             contact.lost_since = Some(now);
         }
-        newly
+        let silence = contact.silence.get_or_insert(Silence {
+            given_up: 0,
+            since: now,
+        });
+        silence.given_up += 1;
+        news
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod election;
 pub mod holders;
 pub mod load;
+pub mod occupancy;
 pub mod order;
 pub mod ownership;
 pub mod plan;
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -43,6 +43,16 @@
     Release,
 }
 
+impl OrderKind {
+    /// Name in logs.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            OrderKind::Grant(_) => "grant",
+            OrderKind::Release => "release",
+        }
+    }
+}
+
 /// Terms of a grant.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantOrder {
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -82,13 +82,8 @@
                     self.notices.push(Notice::HolderReplaced { owner });
                 }
             }
-            Ok(_) => self.holders.on_answer(&order.to.name),
-            Err(fault) => {
-                if self.holders.on_fault(now, &order.to.name, *fault) {
-                    let owner = order.to.name.clone();
-                    self.notices.push(Notice::HolderLost { owner });
-                }
-            }
+            Ok(_) => self.answered(now, order),
+            Err(fault) => self.given_up(now, order, *fault),
         }
         if result == Ok(OrderReply::Fenced) {
             self.notices.push(Notice::OrderFenced {
@@ -103,4 +98,27 @@
             }
         }
     }
+
+    fn answered(&mut self, now: Timestamp, order: &Order) {
+        let Some(silence) = self.holders.on_answer(&order.to.name) else {
+            return;
+        };
+        self.notices.push(Notice::HolderAnswers {
+            owner: order.to.name.clone(),
+            given_up: silence.given_up,
+            silent_for: now.since(silence.since),
+        });
+    }
+
+    fn given_up(&mut self, now: Timestamp, order: &Order, fault: OrderFault) {
+        let news = self.holders.on_fault(now, &order.to.name, fault);
+        if news.silent {
+            let order = order.clone();
+            self.notices.push(Notice::OrderGivenUp { order, fault });
+        }
+        if news.lost {
+            let owner = order.to.name.clone();
+            self.notices.push(Notice::HolderLost { owner });
+        }
+    }
 }
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -124,9 +124,9 @@
     let mut holders = Holders::default();
     holders.set_registered(Timestamp::ZERO, &"keyed".into(), &[back_end()]);
     let name = "b-1".into();
-    assert!(!holders.on_fault(now, &name, OrderFault::NotSent));
-    assert!(!holders.on_fault(now, &name, OrderFault::Withheld));
-    assert!(holders.on_fault(now, &name, OrderFault::NotSent));
+    assert!(!holders.on_fault(now, &name, OrderFault::NotSent).lost);
+    assert!(!holders.on_fault(now, &name, OrderFault::Withheld).lost);
+    assert!(holders.on_fault(now, &name, OrderFault::NotSent).lost);
     assert_eq!(holders.ineligible(&name, now), Some(Ineligible::Lost));
 }
 
@@ -152,3 +152,52 @@
     let now = start + Duration::from_millis(4_700);
     assert!(releases(ownership.poll(now, true)) > 0);
 }
+
+/// An operator sees when a back end fell silent, with the order that was given
+/// up, and how many followed: two lines, however long it lasts.
+#[test]
+fn silence_of_a_back_end_is_told_at_its_begin_and_its_end() {
+    let start = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(start);
+    let mut given_up = 0;
+    for round in 0..3 {
+        let now = start + Duration::from_millis(600 * round);
+        for order in sent(ownership.poll(now, true)) {
+            given_up += 1;
+            ownership.on_order(now, &order, Err(OrderFault::NoAnswer));
+        }
+    }
+    let end = start + Duration::from_millis(2_000);
+    let order = sent(ownership.poll(end, true)).remove(0);
+    ownership.on_order(end, &order, Ok(OrderReply::Granted));
+    let told: Vec<Notice> = ownership.take_notices();
+    let begins = told
+        .iter()
+        .filter(|notice| matches!(notice, Notice::OrderGivenUp { .. }));
+    assert_eq!(begins.count(), 1);
+    let answers = Notice::HolderAnswers {
+        owner: "b-1".into(),
+        given_up,
+        silent_for: Duration::from_secs(2),
+    };
+    assert!(told.contains(&answers), "{told:?}");
+}
+
+#[test]
+fn registrations_that_share_an_address_are_told_once() {
+    let now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    let mut later = back_end();
+    later.name = "b-2".into();
+    later.registration = 2;
+    for _ in 0..2 {
+        ownership.set_back_ends(now, &[later.clone(), back_end()]);
+    }
+    let shared = Notice::AddressShared {
+        address: address(),
+        back_ends: vec!["b-1".into(), "b-2".into()],
+    };
+    let told = ownership.take_notices();
+    let count = told.iter().filter(|notice| **notice == shared).count();
+    assert_eq!(count, 1, "{told:?}");
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -189,6 +189,15 @@
     ZoneRestored = 325, "zone-restored", Info,
         "The operator restored a zone: its back ends get requests again, few until they are warm.",
         "None.";
+    OrderGivenUp = 326, "order-given-up", Warn,
+        "The first order in a row that a back end left without an answer, with its keys and fence; those that follow are counted by 327.",
+        "None, unless the back end is soon lost (316): then check the way to it.";
+    HolderAnswers = 327, "holder-answers", Info,
+        "A back end answers orders again; so many were given up meanwhile.",
+        "None.";
+    AddressShared = 328, "address-shared", Info,
+        "Several back ends are registered at one address, where only one process runs; the latest registration comes last. Which one runs shows in the answers to orders.",
+        "None, unless it lasts: then find out who writes registrations of a process that has ended.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -44,6 +44,24 @@
         Notice::HolderReplaced { owner } => {
             emit!(EventId::HolderReplaced, service = %service, owner = %owner);
         }
+        Notice::OrderGivenUp { order, fault } => emit!(
+            EventId::OrderGivenUp,
+            service = %service, order = order.kind.as_str(), keys = %order.range,
+            owner = %order.to.name, fence = order.fence.0, waited_ms = order.timeout.as_millis(),
+            fault = ?fault,
+        ),
+        Notice::HolderAnswers {
+            owner,
+            given_up,
+            silent_for,
+        } => emit!(
+            EventId::HolderAnswers,
+            service = %service, owner = %owner, given_up, silent_ms = silent_for.as_millis(),
+        ),
+        Notice::AddressShared { address, back_ends } => emit!(
+            EventId::AddressShared,
+            service = %service, address = %address, back_ends = ?back_ends,
+        ),
         Notice::OrderFenced {
             owner,
             range,
