--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -1,10 +1,10 @@
 //! What a coordinator asks its shell to do, and what it tells operators.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
+use crate::occupancy::SharedAddress;
 use crate::order::{Order, OrderFault};
 use crate::record::{CoordinatorLease, Fence, OwnershipRecord, Term};
 
@@ -150,12 +150,7 @@
     },
     /// Several back ends are registered at one address, where only one
     /// process can run.
-    AddressShared {
-        /// The address.
-        address: SocketAddr,
-        /// The registrations there, the latest last.
-        back_ends: Vec<BackEndName>,
-    },
+    AddressShared(SharedAddress),
     /// A back end has seen a higher fence than ours.
     OrderFenced {
         /// The back end.
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -29,7 +29,6 @@
 use crate::election::Predecessor;
 use crate::holders::Holders;
 use crate::load::{LoadMap, LoadReport};
-use crate::occupancy::SharedAddress;
 use crate::record::{OwnershipRecord, Term};
 use crate::settings::Settings;
 
@@ -118,9 +117,10 @@
     /// Takes the back ends that are registered now, of all services.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
         let shared = self.holders.set_registered(now, &self.service, back_ends);
-        for SharedAddress { address, back_ends } in shared {
+        // One gateway tells: the one that decides by it.
+        if !matches!(self.phase, Phase::Idle) {
             self.notices
-                .push(Notice::AddressShared { address, back_ends });
+                .extend(shared.into_iter().map(Notice::AddressShared));
         }
         if self.first_seen.is_none() && !self.holders.is_empty() {
             self.first_seen = Some(now);
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod checker;
 mod named;
+mod registrations;
 mod schedules;
 mod store;
 mod world;
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -195,6 +195,27 @@
         name
     }
 
+    /// The registration of a back end takes effect once more, whether it runs
+    /// or not.
+    pub fn register_again(&mut self, name: &BackEndName) {
+        self.registrations += 1;
+        let mut entry = self.back_ends[name].entry.clone();
+        entry.registration = self.registrations;
+        self.registered.insert(name.clone(), entry);
+        self.tell_back_ends();
+    }
+
+    /// A back end of another service is registered at the address of `name`.
+    pub fn register_elsewhere(&mut self, name: &BackEndName, service: &str) {
+        self.registrations += 1;
+        let mut entry = self.back_ends[name].entry.clone();
+        entry.name = BackEndName::from(format!("{service}-{}", self.registrations));
+        entry.service = ServiceName::from(service);
+        entry.registration = self.registrations;
+        self.registered.insert(entry.name.clone(), entry);
+        self.tell_back_ends();
+    }
+
     /// Tells every node that is up what is registered.
     pub fn tell_back_ends(&mut self) {
         let back_ends: Vec<BackEnd> = self.registered.values().cloned().collect();
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -1,7 +1,7 @@
 //! Writes what coordinators have to tell into the log.
 
 use threadledge_coordination::action::Notice;
-use threadledge_types::deployment::ServiceName;
+use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use crate::events::{EventId, emit};
 
@@ -58,10 +58,13 @@
             EventId::HolderAnswers,
             service = %service, owner = %owner, given_up, silent_ms = silent_for.as_millis(),
         ),
-        Notice::AddressShared { address, back_ends } => emit!(
-            EventId::AddressShared,
-            service = %service, address = %address, back_ends = ?back_ends,
-        ),
+        Notice::AddressShared(shared) => {
+            let names: Vec<&str> = shared.back_ends.iter().map(BackEndName::as_str).collect();
+            emit!(
+                EventId::AddressShared,
+                service = %service, address = %shared.address, back_ends = names.join(" "),
+            );
+        }
         Notice::OrderFenced {
             owner,
             range,
