Tell by answers, not by registrations, which process runs at an address

Cause: the latest registration at an address was taken for the process that runs there, in both branches of Holders::superseded. One that a dead process wrote late made a living back end count as ended: its keys went to others without a release and without waiting its hold out. Class: a statement of a writer that may be gone is taken for evidence of what runs now. A process has ended when another one answered an order to it, or when another one at its address answered an order that was sent after both were registered. Where several are registered at one address their grants are renewed at once, and none of them is given further keys before the answer if it is not the likeliest.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -7,7 +7,7 @@
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
 use crate::occupancy::{Occupancy, SharedAddress};
-use crate::order::OrderFault;
+use crate::order::{Order, OrderFault, OrderId};
 use crate::record::Owner;
 
 /// Connections in a row that could not be opened before a back end counts as
@@ -33,7 +33,6 @@
     slots: u32,
     draining: bool,
     cold_until: Timestamp,
-    registration: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -43,8 +42,6 @@
     lost_since: Option<Timestamp>,
     silence: Option<Silence>,
     refused: bool,
-    /// Another process was found at its address.
-    replaced: bool,
 }
 
 /// Orders that were given up since a back end last answered one.
@@ -76,7 +73,7 @@
     Lost,
     /// It did not understand a grant.
     Refused,
-    /// A later process runs at its address.
+    /// Another process runs at its address.
     Replaced,
 }
 
@@ -100,15 +97,18 @@
 }
 
 impl Holders {
-    /// Takes the back ends that are registered now. Returns the addresses that
-    /// a further registration came to share.
+    /// Takes the back ends that are registered now. `last_order` is the last
+    /// order sent so far, `is_owner` says who owns keys. Returns the addresses
+    /// that a further registration came to share.
     pub fn set_registered(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         all: &[BackEnd],
+        last_order: OrderId,
+        is_owner: impl Fn(&BackEndName) -> bool,
     ) -> Vec<SharedAddress> {
-        let shared = self.occupancy.set_registered(all);
+        let shared = self.occupancy.set_registered(all, last_order, is_owner);
         self.registered.clear();
         for back_end in all {
             if back_end.service == *service {
@@ -130,7 +130,6 @@
             slots: back_end.slots.max(1),
             draining: back_end.draining,
             cold_until: now + back_end.cold_for,
-            registration: back_end.registration,
         };
         self.registered.insert(back_end.name.clone(), entry);
     }
@@ -148,7 +147,7 @@
         if registered.draining {
             return Some(Ineligible::Draining);
         }
-        if self.superseded(&registered.owner) {
+        if self.occupancy.has_ended(name) {
             return Some(Ineligible::Replaced);
         }
         let contact = self.contacts.get(name)?;
@@ -168,10 +167,16 @@
     }
 
     /// Every back end that may be given keys, by name, with its weight.
-    pub fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
+    /// `is_owner` says who owns keys.
+    pub fn candidates(
+        &self,
+        now: Timestamp,
+        is_owner: impl Fn(&BackEndName) -> bool,
+    ) -> Vec<Candidate> {
         self.registered
             .values()
             .filter(|registered| self.ineligible(&registered.owner.name, now).is_none())
+            .filter(|registered| self.occupancy.likely_runs(&registered.owner, &is_owner))
             .map(|registered| Candidate {
                 owner: registered.owner.clone(),
                 weight: f64::from(registered.slots) * self.part_now(registered, now),
@@ -188,39 +193,33 @@
         }
     }
 
-    /// Whether a later process runs at the address of `owner`: it holds
-    /// nothing of `owner`'s, and `owner` is gone.
-    pub fn superseded(&self, owner: &Owner) -> bool {
-        let contact = self.contacts.get(&owner.name);
-        if contact.is_some_and(|contact| contact.replaced) {
-            return true;
-        }
-        let Some(latest) = self.occupancy.latest(owner.address) else {
-            return false;
-        };
-        match self.registered.get(&owner.name) {
-            Some(registered) => registered.registration < latest,
-            None => true,
-        }
+    /// Whether a back end is known to have ended, so that it holds nothing.
+    pub fn has_ended(&self, name: &BackEndName) -> bool {
+        self.occupancy.has_ended(name)
+    }
+
+    /// Whether an order to `owner` would tell which of several processes runs
+    /// at its address.
+    pub fn in_doubt(&self, owner: &Owner) -> bool {
+        self.occupancy.in_doubt(owner)
     }
 
     /// A back end answered an order. Returns the silence that this ended.
-    pub fn on_answer(&mut self, name: &BackEndName) -> Option<Silence> {
-        let contact = self.contacts.get_mut(name)?;
+    pub fn on_answer(&mut self, order: &Order) -> Option<Silence> {
+        self.occupancy.on_answer(order);
+        let contact = self.contacts.get_mut(&order.to.name)?;
         let silence = contact.silence;
         *contact = Contact {
             refused: contact.refused,
-            replaced: contact.replaced,
             ..Contact::default()
         };
         silence
     }
 
-    /// Another process answered at the address of a back end: it has ended,
-    /// whatever its registration says. Says whether that is new.
+    /// Another process answered an order to a back end: it has ended, whatever
+    /// its registration says. Says whether that is new.
     pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
-        let contact = self.contacts.entry(name.clone()).or_default();
-        !std::mem::replace(&mut contact.replaced, true)
+        self.occupancy.on_other_process(name)
     }
 
     /// A back end did not understand a grant.
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -3,17 +3,27 @@
 //! One address serves one process at a time, and a process that has ended
 //! never comes back under its name. Registrations do not tell which one runs:
 //! each is a statement of its writer that may take effect after the writer
-//! has ended, and a process that lives may lack one.
+//! has ended, and a process that lives may lack one. Only an answer given at
+//! the address tells:
+//!
+//! - a process that answers an order to it runs, so that all others that had
+//!   registered there before the order was sent have ended;
+//! - one for which another process answers has ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use threadledge_types::deployment::{BackEnd, BackEndName};
 
-/// Registrations by address, over all services.
+use crate::order::{Order, OrderId};
+use crate::record::Owner;
+
+/// Registrations by address, over all services, and who is known to have
+/// ended.
 #[derive(Debug, Default)]
 pub struct Occupancy {
     by_address: BTreeMap<SocketAddr, Vec<Registrant>>,
+    ended: BTreeSet<BackEndName>,
 }
 
 /// A back end that is registered at an address.
@@ -22,6 +32,8 @@
     name: BackEndName,
     /// When it registered, as the store counts.
     registration: u64,
+    /// The last order that was sent before this registration was known.
+    known_after: OrderId,
 }
 
 /// An address at which several back ends are registered.
@@ -34,16 +46,30 @@
 }
 
 impl Occupancy {
-    /// Takes the back ends that are registered now. Returns the addresses that
-    /// a further registration came to share.
-    pub fn set_registered(&mut self, all: &[BackEnd]) -> Vec<SharedAddress> {
+    /// Takes the back ends that are registered now. `last_order` is the last
+    /// order sent so far, `is_owner` says who owns keys. Returns the addresses
+    /// that a further registration came to share.
+    pub fn set_registered(
+        &mut self,
+        all: &[BackEnd],
+        last_order: OrderId,
+        is_owner: impl Fn(&BackEndName) -> bool,
+    ) -> Vec<SharedAddress> {
+        let registered: BTreeSet<&BackEndName> = all.iter().map(|each| &each.name).collect();
+        self.ended
+            .retain(|name| registered.contains(name) || is_owner(name));
         let earlier = std::mem::take(&mut self.by_address);
         for back_end in all {
             let there = self.by_address.entry(back_end.address).or_default();
-            there.push(Registrant {
+            let known = earlier.get(&back_end.address).and_then(|known| {
+                let mut known = known.iter();
+                known.find(|registrant| registrant.is(back_end)).cloned()
+            });
+            there.push(known.unwrap_or_else(|| Registrant {
                 name: back_end.name.clone(),
                 registration: back_end.registration,
-            });
+                known_after: last_order,
+            }));
         }
         let mut shared = Vec::new();
         for (address, there) in &mut self.by_address {
@@ -62,9 +88,60 @@
         shared
     }
 
-    /// The latest registration at an address.
-    pub fn latest(&self, address: SocketAddr) -> Option<u64> {
-        let there = self.by_address.get(&address)?;
-        there.last().map(|registrant| registrant.registration)
+    /// The process that an order names answered it. Those that had registered
+    /// at its address before it was sent have ended.
+    pub fn on_answer(&mut self, order: &Order) {
+        let Some(there) = self.by_address.get(&order.to.address) else {
+            return;
+        };
+        let before = there.iter().filter(|each| each.known_after < order.id);
+        let others = before.filter(|each| each.name != order.to.name);
+        self.ended.extend(others.map(|each| each.name.clone()));
+    }
+
+    /// Another process answered an order to `name`. Says whether that is new.
+    pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
+        self.ended.insert(name.clone())
+    }
+
+    /// Whether a back end is known to have ended.
+    pub fn has_ended(&self, name: &BackEndName) -> bool {
+        self.ended.contains(name)
+    }
+
+    /// Whether an order to `owner` would tell which of several processes runs
+    /// at its address.
+    pub fn in_doubt(&self, owner: &Owner) -> bool {
+        !self.has_ended(&owner.name) && self.rivals(owner).next().is_some()
+    }
+
+    /// Whether it is likely that `owner` runs: it is alone at its address, or
+    /// the latest to register there and none of the others is an owner. Those
+    /// are asked just now, and it is not worth moving keys before they answer.
+    pub fn likely_runs(&self, owner: &Owner, is_owner: impl Fn(&BackEndName) -> bool) -> bool {
+        if self.has_ended(&owner.name) {
+            return false;
+        }
+        let own = self.registration(owner);
+        self.rivals(owner)
+            .all(|rival| Some(rival.registration) < own && !is_owner(&rival.name))
+    }
+
+    fn registration(&self, owner: &Owner) -> Option<u64> {
+        let there = self.by_address.get(&owner.address)?;
+        let own = there.iter().find(|each| each.name == owner.name)?;
+        Some(own.registration)
+    }
+
+    /// Others that are registered at the address of `owner` and may run there.
+    fn rivals<'a>(&'a self, owner: &'a Owner) -> impl Iterator<Item = &'a Registrant> {
+        let there = self.by_address.get(&owner.address).into_iter().flatten();
+        there.filter(|each| each.name != owner.name && !self.has_ended(&each.name))
+    }
+}
+
+impl Registrant {
+    fn is(&self, back_end: &BackEnd) -> bool {
+        self.name == back_end.name && self.registration == back_end.registration
     }
 }
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -22,19 +22,20 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, ServiceName};
+use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
 use crate::action::StoreRevision;
 use crate::action::{Action, Condition, Notice};
 use crate::election::Predecessor;
 use crate::holders::Holders;
 use crate::load::{LoadMap, LoadReport};
+use crate::order::OrderId;
 use crate::record::{OwnershipRecord, Term};
 use crate::settings::Settings;
 
 pub use orders::ORDERS_AT_ONCE;
 use orders::under_way;
-use tracked::Tracked;
+use tracked::{Tracked, owners};
 
 /// What follows from a read of the record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,7 +117,13 @@
 
     /// Takes the back ends that are registered now, of all services.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
-        let shared = self.holders.set_registered(now, &self.service, back_ends);
+        let last_order = OrderId(self.next_order);
+        let owners = owners(&self.tracked);
+        let is_owner = |name: &BackEndName| owners.contains(name);
+        let shared =
+            self.holders
+                .set_registered(now, &self.service, back_ends, last_order, is_owner);
+        self.ask_who_runs(now);
         // One gateway tells: the one that decides by it.
         if !matches!(self.phase, Phase::Idle) {
             self.notices
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -3,7 +3,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::KeyRange;
 
-use super::tracked::Tracked;
+use super::tracked::{Tracked, owners};
 use crate::action::{Notice, ReleaseReason};
 use crate::holders::{Candidate, Holders, Ineligible};
 use crate::load::LoadMap;
@@ -94,7 +94,7 @@
         if unowned.is_empty() || (untouched && !self.gathered) {
             return pieces;
         }
-        let candidates = candidates(self.now, self.holders, self.load);
+        let candidates = candidates(self.now, self.holders, self.load, self.tracked);
         let held = held(pieces.iter().map(|piece| &piece.slice));
         let assignments = plan::assign(&unowned, &held, &candidates, &self.load.measure());
         place(pieces, assignments, notices)
@@ -191,8 +191,14 @@
 }
 
 /// Candidates, weighed by slots and speed.
-pub(super) fn candidates(now: Timestamp, holders: &Holders, load: &LoadMap) -> Vec<Candidate> {
-    let mut candidates = holders.candidates(now);
+pub(super) fn candidates(
+    now: Timestamp,
+    holders: &Holders,
+    load: &LoadMap,
+    tracked: &[Tracked],
+) -> Vec<Candidate> {
+    let owners = owners(tracked);
+    let mut candidates = holders.candidates(now, |name| owners.contains(name));
     for candidate in &mut candidates {
         candidate.weight *= load.speed(&candidate.owner.name);
     }
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -47,7 +47,7 @@
             return;
         }
         self.load.notice_sudden_changes();
-        let candidates = candidates(now, &self.holders, &self.load);
+        let candidates = candidates(now, &self.holders, &self.load, &self.tracked);
         let held = held(self.tracked.iter().map(|tracked| &tracked.slice));
         for range in plan::rebalance(&held, &candidates, &self.load.measure()) {
             self.release_piece(now, range, fence);
@@ -115,7 +115,7 @@
     pub(super) fn release_over(&self, tracked: &Tracked) -> Option<Timestamp> {
         tracked.releasing?;
         let owner = tracked.owner()?;
-        if self.holders.superseded(owner) {
+        if self.holders.has_ended(&owner.name) {
             return Some(Timestamp::ZERO);
         }
         let own = self
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -97,10 +97,28 @@
                 tracked.ended(now, &result, &self.settings);
             }
         }
+        // An order that was on its way when the registration came tells
+        // nothing of it.
+        if result == Ok(OrderReply::Granted) && self.holders.in_doubt(&order.to) {
+            self.ask_who_runs(now);
+        }
+    }
+
+    /// Renews grants at once where several processes may run at the address:
+    /// the answer tells which one does.
+    pub(super) fn ask_who_runs(&mut self, now: Timestamp) {
+        for tracked in &mut self.tracked {
+            let in_doubt = tracked
+                .owner()
+                .is_some_and(|owner| self.holders.in_doubt(owner));
+            if in_doubt && tracked.granted {
+                tracked.next_order = now;
+            }
+        }
     }
 
     fn answered(&mut self, now: Timestamp, order: &Order) {
-        let Some(silence) = self.holders.on_answer(&order.to.name) else {
+        let Some(silence) = self.holders.on_answer(order) else {
             return;
         };
         self.notices.push(Notice::HolderAnswers {
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -1,9 +1,10 @@
 //! What is under way for one range of keys.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::KeyRange;
+use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use crate::order::{GrantOrder, HandoverToken, OrderFault, OrderId, OrderKind, OrderReply};
 use crate::record::{Fence, Owner, Slice, SliceState};
@@ -201,6 +202,12 @@
     }
 }
 
+/// Every back end that may hold keys.
+pub(super) fn owners(tracked: &[Tracked]) -> BTreeSet<BackEndName> {
+    let owners = tracked.iter().filter_map(Tracked::owner);
+    owners.map(|owner| owner.name.clone()).collect()
+}
+
 fn same_owner(left: &Slice, right: &Slice) -> bool {
     match (left.holder(), right.holder()) {
         (Some(left), Some(right)) => left.name == right.name,
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -8,8 +8,8 @@
 use threadledge_coordination::occupancy::SharedAddress;
 use threadledge_coordination::ownership::{ORDERS_AT_ONCE, Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner, OwnershipRecord,
-    Settings, Slice, SliceState, Term,
+    Action, Fence, Notice, Order, OrderFault, OrderId, OrderKind, OrderReply, Owner,
+    OwnershipRecord, Settings, Slice, SliceState, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange, ShardKey};
@@ -123,7 +123,8 @@
 fn back_end_that_refuses_connections_counts_as_lost() {
     let now = Timestamp::from_millis(10_000);
     let mut holders = Holders::default();
-    holders.set_registered(Timestamp::ZERO, &"keyed".into(), &[back_end()]);
+    let registered = [back_end()];
+    holders.set_registered(now, &"keyed".into(), &registered, OrderId(0), |_| false);
     let name = "b-1".into();
     assert!(!holders.on_fault(now, &name, OrderFault::NotSent).lost);
     assert!(!holders.on_fault(now, &name, OrderFault::Withheld).lost);
