Withdraw what was given up: reset connections instead of closing them in order

Cause: an exchange that was given up closed its connection in order. The kernel keeps what has not left and sends it when it can: a renewal that was given up behind a cut arrived 1.2 to 1.8 s after it healed, five seconds after it was given up, and its back end held the keys beside their next owner for a whole hold. Class: a call that is taken for ended goes on somewhere else. Ruled out: orders sent later under that fence (none in the log), another coordinator (one election). Elsewhere: requests of callers (one reached a back end five seconds after its caller had left), calls to the store, releases, reports between gateways. All go through the one pool, so that all are withdrawn; the end of the process withdraws as well, since the option is set when a connection is opened. Idle connections end in order as before. Change: SO_LINGER of zero on connections of the pool; liveness becomes socket.

--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -115,6 +115,9 @@
     pub(super) fn release_over(&self, tracked: &Tracked) -> Option<Timestamp> {
         tracked.releasing?;
         let owner = tracked.owner()?;
+        // Only an answer proves that; to wait the hold out all the same served
+        // 0.934 of the credit in time in place of 0.952 (mean of six days on
+        // which two fifths of the owners crash and start again).
         if self.holders.has_ended(&owner.name) {
             return Some(Timestamp::ZERO);
         }
--- a/crates/net/src/pool/address.rs
+++ b/crates/net/src/pool/address.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::Mutex;
 
+use super::socket;
 use crate::wire::Wire;
 
 /// All addresses of one pool.
@@ -74,7 +75,7 @@
             remove_if_unused(&mut by_address, address);
             closed
         };
-        drop(closed);
+        closed.into_iter().for_each(Idle::close);
     }
 
     /// Connections in use and idle.
@@ -146,11 +147,21 @@
             }
             by_address.retain(|_, entry| !entry.is_unused());
         }
+        closed.into_iter().for_each(Idle::close);
         *sweeping = left > 0;
         left == 0
     }
 }
 
+impl Idle {
+    /// Nothing waits to be sent, and the peer need not take it for a failure.
+    fn close(self) {
+        if let Err(error) = socket::close_in_order(self.wire.stream()) {
+            tracing::debug!(%error, "an idle connection ends with a reset");
+        }
+    }
+}
+
 impl Address {
     fn is_unused(&self) -> bool {
         self.in_use == 0 && self.idle.is_empty() && self.limit.is_none()
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -2,15 +2,16 @@
 //!
 //! A connection is used again only after an exchange that ended cleanly: the
 //! request left whole, the response came whole, and nothing came after it.
-//! An exchange that is abandoned, fails or is cut short closes its connection,
-//! so that a late answer can never reach another caller.
+//! An exchange that is abandoned, fails or is cut short resets its connection,
+//! so that a late answer can never reach another caller, and nothing that has
+//! not left yet leaves later.
 
 mod address;
 mod connection;
 mod error;
 mod exchange;
-mod liveness;
 mod response;
+mod socket;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
@@ -113,7 +114,8 @@
     /// Sends one request and returns the head of its response, with a body
     /// that streams from the connection and fails when it comes short.
     /// Reading the body to its end gives the connection back; dropping it
-    /// earlier, or this future, closes the connection. `deadline` bounds the
+    /// earlier, or this future, resets the connection: what the kernel has not
+    /// sent by then is never sent. `deadline` bounds the
     /// body too.
     ///
     /// A response must tell where its body ends, by `Content-Length` or
@@ -220,7 +222,7 @@
             fault,
         };
         let deadline = deadline.min(Instant::now() + self.settings.connect_timeout);
-        let connecting = liveness::connect(address, self.settings.silence);
+        let connecting = socket::connect(address, self.settings.silence);
         let connected = timer::timeout_at(deadline, connecting).await;
         let stream = match connected {
             Err(timer::Elapsed) => return Err(failed(ExchangeFault::DeadlinePassed)),
