Count a hold from the last grant, not from releases that were not answered

Cause: each release without an answer put the end of the hold that is waited out off to its own end plus a hold. A release is given up after 2 s and a hold lasts 3 s, so that the keys of a back end that takes connections and answers no order never went to others. Change: only a grant without an answer puts it off. The model has back ends that answer no order and carry all out late.

--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -150,7 +150,12 @@
                 self.next_order = now + settings.retry_pause;
             }
             Err(OrderFault::NoAnswer) => {
-                self.possible_arrival = self.arrival_before.max(now);
+                // A release gives nothing: the hold that is waited out goes on
+                // from the last grant. Counted from each release as well, the
+                // keys of a back end that answers none never went to others.
+                if self.releasing.is_none() {
+                    self.possible_arrival = self.arrival_before.max(now);
+                }
                 self.next_order = now;
             }
         }
@@ -259,7 +264,7 @@
     }
 }
 
-fn overlap(left: KeyRange, right: KeyRange) -> bool {
+pub(super) fn overlap(left: KeyRange, right: KeyRange) -> bool {
     left.first <= right.last && right.first <= left.last
 }
 
--- a/crates/coordination/tests/simulation/back_end.rs
+++ b/crates/coordination/tests/simulation/back_end.rs
@@ -23,6 +23,8 @@
     pub up: bool,
     /// Routers cannot reach it before then.
     pub cut_until: Timestamp,
+    /// Until then it answers no order, and carries out late what it was sent.
+    pub deaf_until: Timestamp,
     pub holds: Vec<Hold>,
     /// The highest fence seen on each range.
     floors: Vec<(KeyRange, Fence)>,
@@ -36,6 +38,7 @@
             entry,
             up: true,
             cut_until: Timestamp::ZERO,
+            deaf_until: Timestamp::ZERO,
             holds: Vec::new(),
             floors: Vec::new(),
             slow_percent,
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -263,6 +263,24 @@
     assert!(world.all_served());
 }
 
+/// It takes connections and leaves every order without an answer, releases
+/// too: they do not put off the time when its keys go to others.
+#[test]
+fn keys_of_a_back_end_that_answers_no_order_go_to_others() {
+    let mut world = settled(19);
+    let owner = world.owner(100).expect("owned");
+    let now = world.now;
+    let back_end = world.back_ends.get_mut(&owner).expect("known");
+    back_end.deaf_until = now + SECOND * 20;
+    // Six orders of half a second, the hold, and the time to the next renewal.
+    let longest = SECOND * 3 + world.settings.hold + SECOND;
+    while world.owner(100).as_ref() == Some(&owner) {
+        world.step();
+        let took = world.now.since(now);
+        assert!(took <= longest, "after {took:?}: {}", world.story());
+    }
+}
+
 #[test]
 fn checker_sees_two_holders() {
     let mut world = settled(14);
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -430,8 +430,9 @@
             self.answer(index, Duration::from_millis(400), failed);
             return;
         }
-        let lost = self.chance(self.chances.order_lost);
-        let late = !lost && self.chance(self.chances.order_late);
+        let deaf = reachable.is_some_and(|back_end| now < back_end.deaf_until);
+        let lost = !deaf && self.chance(self.chances.order_lost);
+        let late = deaf || (!lost && self.chance(self.chances.order_late));
         if late {
             let at = now + self.late() * 2;
             self.push(at, Happening::LateOrder(order.clone()));
