Give an order up at a time counted from its decision

The time that is waited out begins when an order was decided on, its timeout began when its task ran. A machine that stood still, or had no processor time, in between sent it after its hold had been waited out. Change: the grant port takes a deadline, which the shell counts from the decision; an order whose time has passed is withheld.

--- a/crates/ports/src/grants.rs
+++ b/crates/ports/src/grants.rs
@@ -1,11 +1,19 @@
 //! Orders to back ends.
 
+use std::time::Instant;
+
 use threadledge_coordination::{Order, OrderFault, OrderReply};
 
 use crate::Call;
 
 /// Carries orders to back ends.
 pub trait GrantTransport: Send + Sync {
-    /// Sends one order and waits for its answer, up to the order's timeout.
-    fn send<'a>(&'a self, order: &'a Order) -> Call<'a, Result<OrderReply, OrderFault>>;
+    /// Sends one order and waits for its answer up to `deadline`. Nothing of
+    /// it leaves after that: what the network has not taken is withdrawn, and
+    /// an order whose time has passed is not sent at all.
+    fn send<'a>(
+        &'a self,
+        order: &'a Order,
+        deadline: Instant,
+    ) -> Call<'a, Result<OrderReply, OrderFault>>;
 }
--- a/crates/router/src/gateway/calls.rs
+++ b/crates/router/src/gateway/calls.rs
@@ -1,5 +1,7 @@
 //! The calls that coordinators ask for, and how they end.
 
+use std::time::Instant;
+
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned, WriteResult};
 use threadledge_coordination::{
     Action, CoordinatorLease, Order, OrderFault, OrderReply, OwnershipRecord,
@@ -53,8 +55,13 @@
     }
 }
 
-/// Makes one call that a coordinator asks for.
-pub(super) async fn call(ports: &Ports, service: &ServiceName, action: Action) -> Ended {
+/// Makes one call that a coordinator asked for at `asked`.
+pub(super) async fn call(
+    ports: &Ports,
+    service: &ServiceName,
+    action: Action,
+    asked: Instant,
+) -> Ended {
     let name = service.as_str();
     match action {
         Action::ReadLease(freshness) => {
@@ -74,7 +81,10 @@
             Ended::RecordWrite(record, result)
         }
         Action::Send(order) => {
-            let result = ports.grants.send(&order).await;
+            // From when the coordinator decided: it waits holds out from there,
+            // and this task may have been kept from running since.
+            let deadline = asked + order.timeout;
+            let result = ports.grants.send(&order, deadline).await;
             Ended::Order(order, result)
         }
     }
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned};
@@ -359,6 +359,7 @@
         let store_health = self.store_health.clone();
         let sources = self.participation.sources.clone();
         let clock = self.clock;
+        let asked = Instant::now();
         task::spawn(async move {
             let started = clock.now();
             let told = match action {
@@ -376,7 +377,7 @@
             let ended = match told {
                 Some(told) => told,
                 None => {
-                    let ended = call(&ports, &service, action).await;
+                    let ended = call(&ports, &service, action, asked).await;
                     if ended.store_answered() {
                         store_health.answered(started);
                     }
