Model: registrations written late or missing, back ends that answer no order

Cause: the random schedules could not show the incident: registrations never came back, no living back end lacked one, and no back end kept orders. Change: three faults more in the schedules of the coordination model.

--- a/crates/coordination/tests/simulation/schedules.rs
+++ b/crates/coordination/tests/simulation/schedules.rs
@@ -67,7 +67,7 @@
     let index = target.unwrap_or(index);
     let time = Duration::from_millis(200 + u64::from(world.random(7_000)));
     let until = world.now + time;
-    match world.random(13) {
+    match world.random(16) {
         0 => world.nodes[index].up = false,
         1 => world.start_node(index),
         2 => world.nodes[index].frozen_until = until,
@@ -91,6 +91,9 @@
         9 => replace_back_end(world),
         10 => drain_back_end(world),
         11 => world.nodes[index].coordinator.stop(),
+        12 => register_again(world),
+        13 => forget_registration(world),
+        14 => deafen_back_end(world, until),
         _ => cut_back_end(world, until),
     }
 }
@@ -130,6 +133,31 @@
     world.tell_back_ends();
 }
 
+/// Any process registers once more, most of them long after they ended.
+fn register_again(world: &mut World) {
+    let names: Vec<_> = world.back_ends.keys().cloned().collect();
+    let index = world.random(names.len() as u32) as usize;
+    world.register_again(&names[index]);
+}
+
+/// One that cannot reach the store loses its registration and serves on.
+fn forget_registration(world: &mut World) {
+    let names: Vec<_> = world.registered.keys().cloned().collect();
+    if names.len() < 2 {
+        return;
+    }
+    let index = world.random(names.len() as u32) as usize;
+    world.registered.remove(&names[index]);
+    world.tell_back_ends();
+}
+
+fn deafen_back_end(world: &mut World, until: threadledge_types::Timestamp) {
+    let count = world.back_ends.len() as u32;
+    let index = world.random(count) as usize;
+    let back_end = world.back_ends.values_mut().nth(index).expect("in range");
+    back_end.deaf_until = until;
+}
+
 fn cut_back_end(world: &mut World, until: threadledge_types::Timestamp) {
     let count = world.back_ends.len() as u32;
     let index = world.random(count) as usize;
@@ -148,6 +176,7 @@
     }
     for back_end in world.back_ends.values_mut() {
         back_end.cut_until = world.now;
+        back_end.deaf_until = world.now;
     }
     for entry in world.registered.values_mut() {
         entry.draining = false;
@@ -161,5 +190,13 @@
     for name in gone {
         world.registered.remove(&name);
     }
+    let living = world.back_ends.values().filter(|back_end| back_end.up);
+    let lacking: Vec<_> = living
+        .map(|back_end| back_end.entry.name.clone())
+        .filter(|name| !world.registered.contains_key(name))
+        .collect();
+    for name in lacking {
+        world.register_again(&name);
+    }
     world.tell_back_ends();
 }
