Tell with an office that is handed back how long earlier orders may go on

A coordinator that is cut off from the store goes on renewing for its lease. Its successor hands the office back before that; the third coordinator saw no holder and waited for nobody, so that keys went to another while the first one still renewed them. Change: a coordinator remembers until when those before it may give orders, and writes what is left of it into the lease that it hands back.

--- a/crates/coordination/src/election.rs
+++ b/crates/coordination/src/election.rs
@@ -54,6 +54,8 @@
         lease: CoordinatorLease,
         revision: StoreRevision,
         confirmed_at: Timestamp,
+        /// Coordinators before this one give no order later than this.
+        earlier_orders_end: Timestamp,
     },
     Retired,
 }
@@ -197,19 +199,29 @@
         let action = match &self.state {
             State::Retired => return None,
             State::Leading {
-                lease, revision, ..
-            } => Action::WriteLease(self.renewed(lease), Condition::Revision(*revision)),
+                lease,
+                revision,
+                earlier_orders_end,
+                ..
+            } => {
+                let renewed = self.renewed(lease, earlier_orders_end.since(now));
+                Action::WriteLease(renewed, Condition::Revision(*revision))
+            }
             State::Standby => self.standby_action(now),
         };
         self.call = Some(Call { started: now });
         Some(action)
     }
 
-    fn renewed(&self, lease: &CoordinatorLease) -> CoordinatorLease {
+    /// The next write of the lease. One that hands the office back tells how
+    /// long `earlier_orders` may go on: the next holder does not see whom this
+    /// one took it from, who may still be cut off from the store and renewing.
+    fn renewed(&self, lease: &CoordinatorLease, earlier_orders: Duration) -> CoordinatorLease {
         let mut renewed = lease.clone();
         renewed.renewals += 1;
         if self.handing_back {
             renewed.holder = None;
+            renewed.earlier_orders_ms = millis(earlier_orders);
         }
         renewed
     }
@@ -262,6 +274,7 @@
             renewals: 0,
             lease_ms: millis(self.settings.lease),
             hold_ms: millis(self.settings.hold),
+            earlier_orders_ms: 0,
         }
     }
 
@@ -441,10 +454,19 @@
         let was_leading = self.leading();
         let term = lease.term;
         let predecessor = self.predecessor(now);
+        let earlier_orders_end = match &self.state {
+            State::Leading {
+                lease,
+                earlier_orders_end,
+                ..
+            } if lease.term == term => *earlier_orders_end,
+            _ => predecessor.map_or(Timestamp::ZERO, |earlier| earlier.orders_end),
+        };
         self.state = State::Leading {
             lease,
             revision,
             confirmed_at,
+            earlier_orders_end,
         };
         self.confirmed = now;
         self.next_call = now + self.settings.lease_renewal;
@@ -470,8 +492,9 @@
             return (!self.absent).then_some(longest);
         };
         if seen.lease.holder.is_none() {
+            let earlier = Duration::from_millis(seen.lease.earlier_orders_ms);
             return Some(Predecessor {
-                orders_end: now,
+                orders_end: now + slowest(earlier, &self.settings),
                 hold: Duration::from_millis(seen.lease.hold_ms),
             });
         }
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -63,6 +63,10 @@
     pub lease_ms: u64,
     /// How long the grants of the holder last, in milliseconds.
     pub hold_ms: u64,
+    /// In a lease that was handed back: how long after it coordinators before
+    /// the last holder may still give orders, in milliseconds.
+    #[serde(default)]
+    pub earlier_orders_ms: u64,
 }
 
 /// Owners of all keys of one service.
--- a/crates/coordination/tests/simulation/back_end.rs
+++ b/crates/coordination/tests/simulation/back_end.rs
@@ -23,6 +23,8 @@
     pub up: bool,
     /// Routers cannot reach it before then.
     pub cut_until: Timestamp,
+    /// These nodes cannot reach it before `cut_until`; all, if there are none.
+    pub cut_from: std::collections::BTreeSet<usize>,
     /// Until then it answers no order, and carries out late what it was sent.
     pub deaf_until: Timestamp,
     pub holds: Vec<Hold>,
@@ -38,6 +40,7 @@
             entry,
             up: true,
             cut_until: Timestamp::ZERO,
+            cut_from: std::collections::BTreeSet::new(),
             deaf_until: Timestamp::ZERO,
             holds: Vec::new(),
             floors: Vec::new(),
@@ -45,8 +48,9 @@
         }
     }
 
-    pub fn reachable(&self, now: Timestamp) -> bool {
-        self.up && now >= self.cut_until
+    pub fn reachable(&self, now: Timestamp, from: usize) -> bool {
+        let cut = self.cut_from.is_empty() || self.cut_from.contains(&from);
+        self.up && (now >= self.cut_until || !cut)
     }
 
     pub fn expire(&mut self, now: Timestamp) {
--- /dev/null
+++ b/crates/coordination/tests/simulation/handed_back.rs
@@ -0,0 +1,40 @@
+//! An office that is handed back soon after it was taken from a coordinator
+//! that the store cannot be reached by: that one goes on giving orders until
+//! its lease is over, and the third coordinator is not told of it.
+
+use std::time::Duration;
+
+use super::world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn orders_of_the_coordinator_before_the_one_that_handed_back_are_waited_out() {
+    for seed in 0..10 {
+        let mut world = World::new(500 + seed, 3, 6);
+        assert!(world.until_served(SECOND * 5).is_some());
+        world.run(SECOND);
+        let first = world.coordinator().expect("one coordinates");
+        let owner = world.owner(100).expect("owned");
+        let until = world.now + SECOND * 12;
+        // Only the first coordinator reaches the owner, and it does not reach
+        // the store.
+        world.nodes[first].cut_until = until;
+        let others = (0..3).filter(|node| *node != first).collect();
+        let back_end = world.back_ends.get_mut(&owner).expect("known");
+        back_end.cut_from = others;
+        back_end.cut_until = until;
+        let second = loop {
+            world.step();
+            let leading = (0..3)
+                .find(|node| *node != first && world.nodes[*node].coordinator.leading().is_some());
+            if let Some(second) = leading {
+                break second;
+            }
+        };
+        world.run(Duration::from_millis(100));
+        world.nodes[second].coordinator.stop();
+        // The checker panics if others get the keys while it holds them.
+        world.run(SECOND * 10);
+    }
+}
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -3,6 +3,7 @@
 
 mod back_end;
 mod checker;
+mod handed_back;
 mod named;
 mod registrations;
 mod schedules;
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -425,7 +425,7 @@
         let now = self.now;
         let occupant = self.occupant(&order);
         let reachable = occupant.and_then(|name| self.back_ends.get(&name));
-        if !reachable.is_some_and(|back_end| back_end.reachable(now)) {
+        if !reachable.is_some_and(|back_end| back_end.reachable(now, index)) {
             let failed = Answer::Order(order, Err(OrderFault::NotSent));
             self.answer(index, Duration::from_millis(400), failed);
             return;
