Wait out a grant that a join of neighbours no longer awaits

Two pieces that pass to one back end under one fence are joined while the grant of the first waits for its answer; that grant was forgotten, and may arrive after the grant of both was answered. The hold that was waited out was up to one timeout short. Change: the latest arrival of such a grant bounds the hold from below.

--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -29,6 +29,9 @@
     pub(super) possible_arrival: Timestamp,
     /// What `possible_arrival` was before the order in flight.
     arrival_before: Timestamp,
+    /// A grant whose answer nobody awaits may arrive until then, and is taken:
+    /// its fence is the one in force.
+    unawaited_until: Timestamp,
     /// The back end answered an order of this term for these keys: it refuses
     /// those of earlier coordinators.
     pub(super) fenced_here: bool,
@@ -48,6 +51,7 @@
             next_order: now,
             possible_arrival: Timestamp::ZERO,
             arrival_before: Timestamp::ZERO,
+            unawaited_until: Timestamp::ZERO,
             fenced_here: false,
             fenced: false,
             granted: false,
@@ -166,7 +170,7 @@
             OrderReply::Granted => {
                 self.fenced_here = true;
                 self.granted = true;
-                self.possible_arrival = now;
+                self.possible_arrival = self.unawaited_until.max(now);
                 self.next_order = now + settings.grant_renewal;
             }
             OrderReply::Released(handover) => {
@@ -255,12 +259,14 @@
 fn join(last: &mut Tracked, piece: &Tracked) {
     last.slice.range.last = piece.slice.range.last;
     last.possible_arrival = last.possible_arrival.max(piece.possible_arrival);
+    last.unawaited_until = last.unawaited_until.max(piece.unawaited_until);
     last.fenced_here &= piece.fenced_here;
     last.fenced |= piece.fenced;
     last.granted &= piece.granted;
     last.next_order = last.next_order.min(piece.next_order);
     if last.in_flight != piece.in_flight {
         last.in_flight = None;
+        last.unawaited_until = last.possible_arrival;
     }
 }
 
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod checker;
 mod handed_back;
+mod joined;
 mod named;
 mod registrations;
 mod schedules;
