Let no registration that nobody asks after keep a back end without keys

A later registration at the address kept a back end from being given keys, also one that is never asked: of another service, or one that says it is leaving. Change: only one that owns keys does, which is asked at once.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -176,7 +176,7 @@
         self.registered
             .values()
             .filter(|registered| self.ineligible(&registered.owner.name, now).is_none())
-            .filter(|registered| self.occupancy.likely_runs(&registered.owner, &is_owner))
+            .filter(|registered| self.occupancy.may_run(&registered.owner, &is_owner))
             .map(|registered| Candidate {
                 owner: registered.owner.clone(),
                 weight: f64::from(registered.slots) * self.part_now(registered, now),
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -115,22 +115,14 @@
         !self.has_ended(&owner.name) && self.rivals(owner).next().is_some()
     }
 
-    /// Whether it is likely that `owner` runs: it is alone at its address, or
-    /// the latest to register there and none of the others is an owner. Those
-    /// are asked just now, and it is not worth moving keys before they answer.
-    pub fn likely_runs(&self, owner: &Owner, is_owner: impl Fn(&BackEndName) -> bool) -> bool {
-        if self.has_ended(&owner.name) {
-            return false;
-        }
-        let own = self.registration(owner);
-        self.rivals(owner)
-            .all(|rival| Some(rival.registration) < own && !is_owner(&rival.name))
-    }
-
-    fn registration(&self, owner: &Owner) -> Option<u64> {
-        let there = self.by_address.get(&owner.address)?;
-        let own = there.iter().find(|each| each.name == owner.name)?;
-        Some(own.registration)
+    /// Whether `owner` may be given keys: it is not known to have ended, and
+    /// nobody else at its address owns keys. One who does is asked just now, and
+    /// it is not worth moving keys before the answer. Nobody asks the others, so
+    /// that they are no reason to wait: one that has ended shows with the first
+    /// order to it.
+    pub fn may_run(&self, owner: &Owner, is_owner: impl Fn(&BackEndName) -> bool) -> bool {
+        let mut rivals = self.rivals(owner);
+        !self.has_ended(&owner.name) && !rivals.any(|rival| is_owner(&rival.name))
     }
 
     /// Others that are registered at the address of `owner` and may run there.
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -3,6 +3,7 @@
 
 mod back_end;
 mod checker;
+mod doubt;
 mod handed_back;
 mod joined;
 mod named;
