Count an order's deadline from the very time that its hold is counted from

A stall between the step of the coordinators and the start of their calls shifted the two. Besides, a coordinator that reads its record anew asked to be woken for orders that it does not send then, once a millisecond. Change: the time of the step is handed on; orders wake only an active phase.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -214,6 +214,7 @@
         let orders = self
             .tracked
             .iter()
+            .filter(|_| matches!(self.phase, Phase::Active { .. }))
             .filter(|tracked| tracked.in_flight.is_none() && tracked.wants_order())
             .filter(has_room)
             .map(|tracked| tracked.next_order);
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_std::task;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned};
@@ -257,7 +257,7 @@
             }
             Ended::RecordRead(result) => {
                 if let Some(action) = coordinator.on_record_read(now, result) {
-                    self.start(service.clone(), action);
+                    self.start(now, service.clone(), action);
                 }
             }
             Ended::RecordWrite(record, result) => {
@@ -279,7 +279,7 @@
             }
         }
         for (service, action) in calls {
-            self.start(service, action);
+            self.start(now, service, action);
         }
         let stopped = self.coordinators.values().all(Coordinator::stopped);
         if self.stopping && stopped {
@@ -353,13 +353,14 @@
         }
     }
 
-    fn start(&self, service: ServiceName, action: Action) {
+    /// Makes a call that a coordinator asked for at `now`.
+    fn start(&self, now: Timestamp, service: ServiceName, action: Action) {
         let ports = self.ports.clone();
         let sender = self.sender.clone();
         let store_health = self.store_health.clone();
         let sources = self.participation.sources.clone();
         let clock = self.clock;
-        let asked = Instant::now();
+        let asked = clock.instant(now);
         task::spawn(async move {
             let started = clock.now();
             let told = match action {
