Name former owners in the record, so that the next coordinator asks them

Who had not answered a release was known to one coordinator alone; after its stop nobody asked, and such a back end took keys by an order that it carried out late, beside their owner. A part of a range that its former owner owns again no longer ends the asking for the rest. Silence of one that is not registered is not told.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -139,6 +139,11 @@
         self.registered.is_empty()
     }
 
+    /// Whether a back end of the service is registered under `name`.
+    pub fn is_registered(&self, name: &BackEndName) -> bool {
+        self.registered.contains_key(name)
+    }
+
     /// Why `name` may not own keys; `None` when it may.
     pub fn ineligible(&self, name: &BackEndName, now: Timestamp) -> Option<Ineligible> {
         let Some(registered) = self.registered.get(name) else {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,7 +34,8 @@
 pub use load::{KeyCount, LoadReport, SpeedSample};
 pub use order::{GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply};
 pub use record::{
-    CoordinatorLease, Fence, NodeIdentity, Owner, OwnershipRecord, Slice, SliceState, Term,
+    CoordinatorLease, Fence, FormerHolder, NodeIdentity, Owner, OwnershipRecord, Slice, SliceState,
+    Term,
 };
 pub use settings::Settings;
 pub use view::{KeyOwner, OwnershipView};
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -230,6 +230,7 @@
             fence: Fence(highest.0 + 1),
             state: SliceState::Unowned,
         }],
+        former: Vec::new(),
     }
 }
 
--- a/crates/coordination/src/ownership/former.rs
+++ b/crates/coordination/src/ownership/former.rs
@@ -11,9 +11,9 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
-use super::tracked::{Tracked, overlap};
+use super::tracked::{Tracked, common, overlap};
 use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
-use crate::record::{Fence, Owner, Slice};
+use crate::record::{FormerHolder, Slice};
 use crate::settings::Settings;
 
 /// Time between two releases that a former owner did not answer.
@@ -22,55 +22,74 @@
 /// to 12 seconds late.
 const PATIENCE: Duration = Duration::from_secs(15);
 
-/// Keys that a back end may still take.
+/// One of them, with the order that it is asked by.
 #[derive(Clone, Debug)]
-struct FormerOwner {
-    owner: Owner,
-    range: KeyRange,
-    /// Of the release that was not answered; above every grant before it.
-    fence: Fence,
-    /// The keys went to another then.
+struct Asked {
+    holder: FormerHolder,
+    /// This coordinator asks since then.
     since: Timestamp,
     in_flight: Option<OrderId>,
     next_order: Timestamp,
 }
 
 /// All former owners that have not answered.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct FormerOwners {
-    unanswered: Vec<FormerOwner>,
+    unanswered: Vec<Asked>,
 }
 
 impl FormerOwners {
-    /// The record changed from what is `tracked` to `slices`.
+    /// Goes on asking those whom an earlier coordinator asked.
+    pub(super) fn take_over(&mut self, now: Timestamp, holders: &[FormerHolder]) {
+        let holders = holders.iter().cloned();
+        self.unanswered
+            .extend(holders.map(|holder| Asked::new(now, holder)));
+    }
+
+    /// The record changes from what is `tracked` to `slices`.
     pub(super) fn follow(&mut self, now: Timestamp, tracked: &[Tracked], slices: &[Slice]) {
-        let owned_by = |owner: &Owner, range: KeyRange| {
-            let mut there = slices.iter().filter(|slice| overlap(slice.range, range));
-            there.any(|slice| slice.holder().is_some_and(|holder| holder == owner))
-        };
         // A release under an earlier fence would take keys back that the back
         // end was given again.
-        self.unanswered
-            .retain(|former| !owned_by(&former.owner, former.range));
+        for asked in std::mem::take(&mut self.unanswered) {
+            let left = parts_without(&asked.holder, slices);
+            if left == [asked.holder.range] {
+                self.unanswered.push(asked);
+                continue;
+            }
+            self.ask(now, &asked.holder, left);
+        }
         for before in tracked {
             let (Some(fence), None, Some(owner)) =
                 (before.releasing, &before.released, before.owner())
             else {
                 continue;
             };
-            if !owned_by(owner, before.slice.range) {
-                self.unanswered.push(FormerOwner {
-                    owner: owner.clone(),
-                    range: before.slice.range,
-                    fence,
-                    since: now,
-                    in_flight: None,
-                    next_order: now,
-                });
-            }
+            let holder = FormerHolder {
+                owner: owner.clone(),
+                range: before.slice.range,
+                fence,
+            };
+            let left = parts_without(&holder, slices);
+            self.ask(now, &holder, left);
+        }
+    }
+
+    fn ask(&mut self, now: Timestamp, holder: &FormerHolder, ranges: Vec<KeyRange>) {
+        for range in ranges {
+            let part = FormerHolder {
+                range,
+                ..holder.clone()
+            };
+            self.unanswered.push(Asked::new(now, part));
         }
     }
 
+    /// Who has not answered, for the record.
+    pub(super) fn told(&self) -> Vec<FormerHolder> {
+        let asked = self.unanswered.iter();
+        asked.map(|asked| asked.holder.clone()).collect()
+    }
+
     /// Forgets all.
     pub(super) fn clear(&mut self) {
         self.unanswered.clear();
@@ -88,10 +107,10 @@
         let mut asked = self.asked();
         let mut orders = Vec::new();
         for former in &mut self.unanswered {
-            if former.next_order > now || asked.contains(&former.owner.name) {
+            if former.next_order > now || asked.contains(&former.holder.owner.name) {
                 continue;
             }
-            asked.insert(former.owner.name.clone());
+            asked.insert(former.holder.owner.name.clone());
             *next_order += 1;
             former.in_flight = Some(OrderId(*next_order));
             orders.push(former.release(OrderId(*next_order), settings.order_timeout));
@@ -99,18 +118,19 @@
         orders
     }
 
-    /// An order ended.
+    /// An order ended. Says whether it was one to a former owner.
     pub(super) fn on_order(
         &mut self,
         now: Timestamp,
         order: &Order,
         result: &Result<OrderReply, OrderFault>,
-    ) {
-        let is_it = |former: &FormerOwner| former.in_flight == Some(order.id);
+    ) -> bool {
+        let is_it = |former: &Asked| former.in_flight == Some(order.id);
+        let was_here = self.unanswered.iter().any(is_it);
         match result {
             Ok(OrderReply::OtherProcess) => {
                 self.unanswered
-                    .retain(|former| former.owner.name != order.to.name);
+                    .retain(|former| former.holder.owner.name != order.to.name);
             }
             Ok(OrderReply::Released(_)) => self.unanswered.retain(|former| !is_it(former)),
             Ok(_) | Err(_) => {
@@ -120,6 +140,7 @@
                 }
             }
         }
+        was_here
     }
 
     /// Whether no order waits for its answer.
@@ -133,7 +154,7 @@
     pub(super) fn next_wake(&self) -> Option<Timestamp> {
         let asked = self.asked();
         let waiting = self.unanswered.iter();
-        let waiting = waiting.filter(|former| !asked.contains(&former.owner.name));
+        let waiting = waiting.filter(|former| !asked.contains(&former.holder.owner.name));
         waiting.map(|former| former.next_order).min()
     }
 
@@ -141,19 +162,49 @@
     fn asked(&self) -> BTreeSet<BackEndName> {
         let asked = self.unanswered.iter();
         let asked = asked.filter(|former| former.in_flight.is_some());
-        asked.map(|former| former.owner.name.clone()).collect()
+        asked
+            .map(|former| former.holder.owner.name.clone())
+            .collect()
     }
 }
 
-impl FormerOwner {
+impl Asked {
+    fn new(now: Timestamp, holder: FormerHolder) -> Self {
+        Asked {
+            holder,
+            since: now,
+            in_flight: None,
+            next_order: now,
+        }
+    }
+
     fn release(&self, id: OrderId, timeout: Duration) -> Order {
         Order {
             id,
-            to: self.owner.clone(),
-            range: self.range,
-            fence: self.fence,
+            to: self.holder.owner.clone(),
+            range: self.holder.range,
+            fence: self.holder.fence,
             kind: OrderKind::Release,
             timeout,
         }
     }
 }
+
+/// The parts of a former holder's keys that it does not own in `slices`.
+fn parts_without(holder: &FormerHolder, slices: &[Slice]) -> Vec<KeyRange> {
+    let mut parts: Vec<KeyRange> = Vec::new();
+    for slice in slices {
+        let again = slice.holder().is_some_and(|owner| *owner == holder.owner);
+        if again || !overlap(slice.range, holder.range) {
+            continue;
+        }
+        let part = common(slice.range, holder.range);
+        match parts.last_mut() {
+            Some(last) if u32::from(last.last.0) + 1 == u32::from(part.first.0) => {
+                last.last = part.last;
+            }
+            _ => parts.push(part),
+        }
+    }
+    parts
+}
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -97,7 +97,13 @@
         };
         let drafted = draft.make(current);
         self.drafted = drafted.notices;
-        drafted.record
+        let mut record = drafted.record;
+        if record != *current {
+            let mut former = self.former.clone();
+            former.follow(now, &self.tracked, &record.slices);
+            record.former = former.told();
+        }
+        record
     }
 
     /// Whether a slice's owner has given it back; with the token, if any.
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -76,6 +76,7 @@
         order: &Order,
         result: Result<OrderReply, OrderFault>,
     ) {
+        let to_former_owner = self.former.on_order(now, order, &result);
         match &result {
             Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
                 self.holders.on_malformed(&order.to.name);
@@ -87,6 +88,8 @@
                 }
             }
             Ok(_) => self.answered(now, order),
+            // One whose registration has gone too is expected to be silent.
+            Err(_) if to_former_owner && !self.holders.is_registered(&order.to.name) => {}
             Err(fault) => self.given_up(now, order, *fault),
         }
         if result == Ok(OrderReply::Fenced) {
@@ -96,7 +99,6 @@
                 fence: order.fence,
             });
         }
-        self.former.on_order(now, order, &result);
         for tracked in &mut self.tracked {
             if tracked.in_flight == Some(order.id) {
                 tracked.ended(now, &result, &self.settings);
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -161,6 +161,9 @@
                 slices: found.value.slices.len(),
             });
         }
+        if first_of_term {
+            self.former.take_over(now, &found.value.former);
+        }
         self.former.follow(now, &self.tracked, &found.value.slices);
         let earlier = std::mem::take(&mut self.tracked);
         self.tracked = retrack(now, earlier, &found.value.slices);
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -274,7 +274,7 @@
     left.first <= right.last && right.first <= left.last
 }
 
-fn common(left: KeyRange, right: KeyRange) -> KeyRange {
+pub(super) fn common(left: KeyRange, right: KeyRange) -> KeyRange {
     KeyRange {
         first: left.first.max(right.first),
         last: left.last.min(right.last),
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -79,6 +79,24 @@
     pub next_fence: Fence,
     /// Slices in the order of their keys, without gaps or overlaps.
     pub slices: Vec<Slice>,
+    /// Back ends that lost keys without having answered the release. They go
+    /// on being asked, also by the next coordinator.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub former: Vec<FormerHolder>,
+}
+
+/// Keys that a back end may still take by an order that it has not carried
+/// out yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct FormerHolder {
+    /// The back end.
+    pub owner: Owner,
+    /// The keys.
+    pub range: KeyRange,
+    /// Fence of the release that was not answered; above every grant of these
+    /// keys to this back end.
+    pub fence: Fence,
 }
 
 /// A range of keys with one state.
@@ -139,6 +157,7 @@
                 fence: Fence(1),
                 state: SliceState::Unowned,
             }],
+            former: Vec::new(),
         }
     }
 
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -55,6 +55,7 @@
         term: Term(1),
         next_fence: Fence(u64::from(SLICES) + 1),
         slices: (0..SLICES).map(slice).collect(),
+        former: Vec::new(),
     }
 }
 
--- a/crates/coordination/tests/simulation/joined.rs
+++ b/crates/coordination/tests/simulation/joined.rs
@@ -57,6 +57,7 @@
             slice(2_000, 59_999, 3, &e),
             slice(60_000, 65_535, 4, &b),
         ],
+        former: Vec::new(),
     };
     let mut ownership = Ownership::new(ServiceName::from("service"), settings.clone());
     let start = Timestamp::from_millis(10_000);
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -10,4 +10,5 @@
 mod registrations;
 mod schedules;
 mod store;
+mod successor;
 mod world;
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -156,6 +156,7 @@
             term: Term(1),
             next_fence: Fence(self.fence + 1),
             slices: vec![slice(left, lower), slice(right, upper)],
+            former: Vec::new(),
         };
         let view = OwnershipView::of(&record);
         self.dispatcher
--- a/crates/router/src/gateway/changes.rs
+++ b/crates/router/src/gateway/changes.rs
@@ -158,6 +158,8 @@
             term: self.term,
             next_fence: self.next_fence,
             slices: slices.into_values().collect(),
+            // Only a coordinator asks them; it reads the record in the store.
+            former: Vec::new(),
         };
         Some(Versioned {
             value,
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -96,6 +96,7 @@
         term: Term(revision),
         next_fence: Fence(9),
         slices,
+        former: Vec::new(),
     };
     value.check().expect("a whole record");
     Versioned { value, revision }
