Renew soon where releases that were given up may still be carried out

A back end that was silent and is given keys again may carry out releases of that time: nothing refuses a release, and the keys were unserved until the next renewal, 0.7 s for each. Change: for 15 s after a release was given up the grants of that back end are renewed every 150 ms.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -19,6 +19,10 @@
 /// How long a lost back end is given nothing, unless it answers an order.
 const LOST_COOLDOWN: Duration = Duration::from_secs(3);
 
+/// How long after a release was given up it may still be carried out: back ends
+/// were seen to do so up to 12 seconds late.
+pub const LATE_ORDERS: Duration = Duration::from_secs(15);
+
 /// Part of its share of keys that a cold back end is given that bears few
 /// requests. Routers spare it by themselves; without any keys it would wait
 /// for the next time that keys are balanced: 0.735 of all requests were served
@@ -41,6 +45,8 @@
     unanswered: u32,
     lost_since: Option<Timestamp>,
     silence: Option<Silence>,
+    /// Until then releases that were given up may take keys from it.
+    releases_until: Timestamp,
     refused: bool,
 }
 
@@ -216,6 +222,7 @@
         let silence = contact.silence;
         *contact = Contact {
             refused: contact.refused,
+            releases_until: contact.releases_until,
             ..Contact::default()
         };
         silence
@@ -232,6 +239,18 @@
         self.contacts.entry(name.clone()).or_default().refused = true;
     }
 
+    /// Whether releases that were given up may still take keys from `name`.
+    pub fn may_lose_keys(&self, name: &BackEndName, now: Timestamp) -> bool {
+        let contact = self.contacts.get(name);
+        contact.is_some_and(|contact| now < contact.releases_until)
+    }
+
+    /// A release was given up: it may be carried out later.
+    pub fn on_lost_release(&mut self, now: Timestamp, name: &BackEndName) {
+        let contact = self.contacts.entry(name.clone()).or_default();
+        contact.releases_until = now + LATE_ORDERS;
+    }
+
     /// A back end left an order without an answer.
     pub fn on_fault(&mut self, now: Timestamp, name: &BackEndName, fault: OrderFault) -> FaultNews {
         let contact = self.contacts.entry(name.clone()).or_default();
--- a/crates/coordination/src/ownership/former.rs
+++ b/crates/coordination/src/ownership/former.rs
@@ -3,7 +3,8 @@
 //! Their hold was waited out, but an order of ours may still lie with them: a
 //! back end that stood still, or that carries orders out late, would take the
 //! keys beside their owner. It is asked to release them until it answers: from
-//! then on it refuses every earlier grant.
+//! then on it refuses every earlier grant. The record names them, so that the
+//! next coordinator goes on asking.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -12,21 +13,19 @@
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::tracked::{Tracked, common, overlap};
+use crate::holders::LATE_ORDERS;
 use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
 use crate::record::{FormerHolder, Slice};
 use crate::settings::Settings;
 
 /// Time between two releases that a former owner did not answer.
 const PAUSE: Duration = Duration::from_millis(500);
-/// How long a former owner is asked: back ends were seen to carry orders out up
-/// to 12 seconds late.
-const PATIENCE: Duration = Duration::from_secs(15);
 
 /// One of them, with the order that it is asked by.
 #[derive(Clone, Debug)]
 struct Asked {
     holder: FormerHolder,
-    /// This coordinator asks since then.
+    /// This coordinator asks since then, while an order may be carried out.
     since: Timestamp,
     in_flight: Option<OrderId>,
     next_order: Timestamp,
@@ -103,7 +102,7 @@
         next_order: &mut u64,
     ) -> Vec<Order> {
         self.unanswered
-            .retain(|former| former.in_flight.is_some() || now.since(former.since) < PATIENCE);
+            .retain(|former| former.in_flight.is_some() || now.since(former.since) < LATE_ORDERS);
         let mut asked = self.asked();
         let mut orders = Vec::new();
         for former in &mut self.unanswered {
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to back ends, and their answers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::BackEndName;
@@ -14,6 +15,12 @@
 /// many slices is asked about the others as it answers.
 pub const ORDERS_AT_ONCE: usize = 6;
 
+/// Time to the next renewal while a release that was given up may still be
+/// carried out: the keys that it takes are unserved until then. A back end that
+/// answered no order for 12 s had its keys unserved for 0.69 s after it was
+/// served again, in place of 3.34 s (worst of 20 seeds in the model).
+const QUICK_RENEWAL: Duration = Duration::from_millis(150);
+
 /// Orders that wait for an answer, by back end.
 pub(super) fn under_way(tracked: &[Tracked]) -> BTreeMap<BackEndName, usize> {
     let mut counts: BTreeMap<BackEndName, usize> = BTreeMap::new();
@@ -99,9 +106,14 @@
                 fence: order.fence,
             });
         }
+        let may_lose_keys = self.holders.may_lose_keys(&order.to.name, now);
         for tracked in &mut self.tracked {
-            if tracked.in_flight == Some(order.id) {
-                tracked.ended(now, &result, &self.settings);
+            if tracked.in_flight != Some(order.id) {
+                continue;
+            }
+            tracked.ended(now, &result, &self.settings);
+            if may_lose_keys {
+                tracked.next_order = tracked.next_order.min(now + QUICK_RENEWAL);
             }
         }
         // An order that was on its way when the registration came tells
@@ -136,6 +148,9 @@
     }
 
     fn given_up(&mut self, now: Timestamp, order: &Order, fault: OrderFault) {
+        if order.kind == OrderKind::Release && fault == OrderFault::NoAnswer {
+            self.holders.on_lost_release(now, &order.to.name);
+        }
         let news = self.holders.on_fault(now, &order.to.name, fault);
         if news.silent {
             let order = order.clone();
--- a/crates/coordination/tests/simulation/successor.rs
+++ b/crates/coordination/tests/simulation/successor.rs
@@ -44,3 +44,31 @@
     }
     assert!(broken.is_empty(), "{} of 20: {broken:?}", broken.len());
 }
+
+/// A back end was silent and answers again; it is given keys again. Releases
+/// of the time of its silence are carried out late, and take the keys until
+/// the next renewal. The bound is that of one such release in the schedules.
+#[test]
+fn late_releases_take_no_keys_for_long() {
+    let mut worst = Duration::ZERO;
+    for seed in 0..20 {
+        let mut world = World::new(700 + seed, 3, 1);
+        assert!(world.until_served(SECOND * 5).is_some());
+        let owner = world.owner(100).expect("owned");
+        let deaf_until = world.now + SECOND * 12;
+        let back_end = world.back_ends.get_mut(&owner).expect("known");
+        back_end.deaf_until = deaf_until;
+        world.run(SECOND * 12);
+        world.until_served(SECOND * 20).expect("served again");
+        let mut gone = Duration::ZERO;
+        for _ in 0..2_600 {
+            world.step();
+            let served = world.all_served();
+            if !served {
+                gone += Duration::from_millis(5);
+            }
+        }
+        worst = worst.max(gone);
+    }
+    assert!(worst <= Duration::from_millis(750), "{worst:?}");
+}
