Count callers that leave by how far their requests had come

Cause: of callers that leave before their answer only a sum was known, so that nobody could tell whether requests were dropped unread, while they waited, at back ends or amid long answers.

Ruled out: counting in the dispatcher, which does not see requests that are dropped before they begin nor answers that are on their way; counting in the server, which does not know about back ends.

Change: each request carries a visit that is told how far it has come and counts where it was when it is dropped. Answers that tell no length, or one beyond what is read ahead, take the visit along.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -10,6 +10,7 @@
 mod catch_up;
 pub mod changes;
 mod coordination;
+mod departures;
 mod directory;
 mod dispatch;
 mod exchange;
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 
 /// Bodies of answers up to this size are read before any of the answer is
 /// passed on, in bytes: one cut short then becomes another attempt.
-const READ_AHEAD: usize = 64 * 1024;
+pub(super) const READ_AHEAD: usize = 64 * 1024;
 /// First status that says that the back end failed.
 const FAILED_FROM: u16 = 500;
 
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use threadledge_types::deployment::BackEndName;
 
 use super::attempt::{Attempts, Ended, Outbound};
+use super::departures::{Stage, Visit};
 use crate::proxy::Signal;
 
 /// What became of an exchange.
@@ -79,12 +80,13 @@
         }
     }
 
-    /// Runs to the one outcome.
-    pub(super) async fn run(&mut self) -> Conclusion {
+    /// Runs to the one outcome; tells the visit how far it has come.
+    pub(super) async fn run(&mut self, visit: &mut Visit) -> Conclusion {
         loop {
             match self.attempts.dispatch.next(self.id) {
                 Step::Send(attempt) => self.start(attempt),
                 Step::Wait(until) => {
+                    visit.at(self.stage());
                     if let Some(conclusion) = self.wait(until).await {
                         return conclusion;
                     }
@@ -98,6 +100,14 @@
         }
     }
 
+    fn stage(&self) -> Stage {
+        if self.running.is_empty() {
+            Stage::Waiting
+        } else {
+            Stage::AtBackEnd
+        }
+    }
+
     fn start(&mut self, attempt: Attempt) {
         let id = attempt.id;
         let back_end = attempt.back_end.clone();
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -7,6 +7,7 @@
 };
 use threadledge_types::deployment::ServiceName;
 
+use super::departures::Departures;
 use super::dispatch::Dispatch;
 use super::log::RequestLine;
 use super::sources::Sources;
@@ -27,6 +28,7 @@
     dispatch: Arc<Dispatch>,
     sources: Arc<Sources>,
     usage: Usage,
+    departures: Departures,
 }
 
 #[derive(Clone)]
@@ -71,6 +73,7 @@
         registry.register(Box::new(latency.clone()))?;
         let gauges = Gauges::register(&registry)?;
         let usage = Usage::new(&registry)?;
+        let departures = Departures::new(&registry)?;
         Ok(GatewayMetrics {
             registry,
             requests,
@@ -79,6 +82,7 @@
             dispatch,
             sources,
             usage,
+            departures,
         })
     }
 
@@ -87,6 +91,11 @@
         &self.usage
     }
 
+    /// Counts callers that leave.
+    pub(super) fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Counts one request that has its outcome.
     pub(super) fn request(&self, line: &RequestLine) {
         let service = line.service.as_ref().map_or("", ServiceName::as_str);
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -11,6 +11,7 @@
 
 use super::answer;
 use super::attempt::{Attempts, Outbound};
+use super::departures::{Stage, Visit};
 use super::exchange::{Conclusion, Exchange};
 use super::log::{RequestLine, RequestLogger};
 use super::metrics::GatewayMetrics;
@@ -43,17 +44,19 @@
 
 impl Requests {
     /// One request from its head to the head of its answer.
-    pub(super) async fn handle(self: Arc<Self>, request: Request) -> Response {
+    pub(super) async fn handle(self: Arc<Self>, request: Request, mut visit: Visit) -> Response {
         let started = Instant::now();
+        let method = request.method();
         let caller = self.attempts.wording.caller(request.as_ref());
         let mut line = RequestLine::new(&request, &caller, started);
-        let mut response = self.answer(request, caller, &mut line).await;
+        let mut response = self.answer(request, caller, &mut line, &mut visit).await;
         if self.leaving.load(Ordering::Relaxed) {
             response.insert_header(CONNECTION, "close");
         }
         line.status = u16::from(response.status());
         self.metrics.request(&line);
         self.logger.write(&line);
+        visit.follow(&mut response, method);
         response
     }
 
@@ -62,7 +65,9 @@
         request: Request,
         caller: CallerHead,
         line: &mut RequestLine,
+        visit: &mut Visit,
     ) -> Response {
+        visit.at(Stage::Reading);
         let read = Inbound::read(request, READ_AHEAD, &self.attempts.budget);
         let inbound = match read.await {
             Ok(inbound) => inbound,
@@ -94,7 +99,7 @@
             id: begun.id,
         };
         let mut exchange = Exchange::new(self.attempts.clone(), outbound, &begun, signal);
-        let conclusion = exchange.run().await;
+        let conclusion = exchange.run(visit).await;
         line.attempts = std::mem::take(&mut exchange.history);
         match conclusion {
             Conclusion::Answered { response, back_end } => {
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -223,7 +223,9 @@
         }
         let close = StopSignal::new();
         let requests = self.requests.clone();
-        let handler = move |request, _connection| requests.clone().handle(request);
+        let departures = self.metrics.departures().clone();
+        let handler =
+            move |request, _connection| requests.clone().handle(request, departures.visit());
         let limits = self.server_limits();
         let served = task::spawn(serve(listeners.callers, limits, close.clone(), handler));
         self.stop.stopped().await;
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod follow;
 mod knowledge;
+mod leaving;
 mod names;
 mod outage;
 mod peers;
