Look for the caller before doing anything for it

Cause: a connection polled its request's handler before it looked whether the caller had hung up. A request that was read after its caller had gone (its gateway was short of processor time, or held up) was sent to a back end in that first poll, wherever a connection to one was at rest; the hang-up was noticed only then. The same after a wait: handler first, caller second. With a body, the caller cannot be looked for before the body is read, and the handler went on in the same poll.

Ruled out: requests that wait, are at back ends or amid an answer (all noticed and dropped, leaving.rs before this change). Looking only once, at the first poll: a caller that leaves while its request waits and the process is held up would be missed the same way.

Change: the caller is looked for before every poll of the handler. The reader of a request's body gives way once when the body is here, so that the server looks again before anything is begun.

Conclusion: what runs for callers that are gone was bounded by the connections at rest of one gateway, and is now nothing that had not begun before.

--- a/crates/net/src/server/connection.rs
+++ b/crates/net/src/server/connection.rs
@@ -213,7 +213,10 @@
         None
     }
 
-    /// Runs the handler; drops it when the caller hangs up.
+    /// Runs the handler; drops it when the caller hangs up. The caller is
+    /// looked for before each poll: a handler that could go on after a wait
+    /// does nothing more for a caller that left meanwhile, and one for a
+    /// caller that left before it was read does not begin.
     async fn run_handler(
         &mut self,
         request: Request,
@@ -222,12 +225,12 @@
         let mut running = pin!((self.handler)(request, self.info));
         let cut = &mut self.cut;
         poll_fn(|context| {
-            if let Poll::Ready(response) = running.as_mut().poll(context) {
-                return Poll::Ready(Ok(response));
-            }
             if caller.poll_hang_up(context).is_ready() {
                 return Poll::Ready(Err(Interruption::HungUp));
             }
+            if let Poll::Ready(response) = running.as_mut().poll(context) {
+                return Poll::Ready(Ok(response));
+            }
             Pin::new(&mut *cut)
                 .poll(context)
                 .map(|()| Err(Interruption::Cut))
--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -35,8 +35,10 @@
 /// Serves until `stop` is given and everything that runs has been answered,
 /// or the drain timeout has passed.
 ///
-/// The future of `handler` is dropped when the caller hangs up. A caller that
-/// shuts down its sending side is taken to have hung up.
+/// The future of `handler` is dropped when the caller hangs up, and is not
+/// polled for one that has. A caller that shuts down its sending side is taken
+/// to have hung up. One that still sends its body, or has sent all of it, is
+/// looked for once the body has been read and the future is polled again.
 ///
 /// A planned stop cuts off nothing: connections that wait to be accepted are
 /// still taken, running requests are answered with `Connection: close`, and
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -28,6 +28,15 @@
         F: Future<Output = Response> + Send + 'static,
     {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        TestServer::start_on(listener, limits, handler)
+    }
+
+    /// Starts one whose callers may have come before it.
+    pub fn start_on<H, F>(listener: TcpListener, limits: ServerLimits, handler: H) -> TestServer
+    where
+        H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
         let address = listener.local_addr().unwrap();
         let stop = StopSignal::new();
         let task = async_std::task::spawn(serve(listener, limits, stop.clone(), handler));
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use async_std::task;
 use futures::AsyncReadExt;
 use http_types::headers::HOST;
 use http_types::{Body, Headers, Request};
@@ -47,6 +48,9 @@
         let body = read_ahead(body, max_buffered, budget)
             .await
             .map_err(refused)?;
+        // The server can look for the caller only now that the body is read,
+        // and does so before it polls again.
+        task::yield_now().await;
         Ok(Inbound { request, body })
     }
 
--- a/crates/router/tests/gateway/leaving.rs
+++ b/crates/router/tests/gateway/leaving.rs
@@ -14,6 +14,8 @@
 
 /// Callers that leave, in all.
 const LEAVING: usize = 1_000;
+/// Callers that wait to be accepted at once; fewer than a listener holds.
+const BATCH: usize = 100;
 /// Callers whose requests are under way at once.
 const UNDER_WAY: usize = 250;
 /// Requests at once after which connections to back ends are at rest.
@@ -108,6 +110,28 @@
     eventually(|| (metric(&world.gateway, "threadledge_gateway_running ") == 0).then_some(()));
 }
 
+#[test]
+fn requests_whose_callers_left_before_they_were_read_reach_no_back_end() {
+    let world = world();
+    for batch in 0..LEAVING / BATCH {
+        world.gateway.signal("-STOP");
+        for index in 0..BATCH {
+            let id = format!("left-{batch}-{index}");
+            drop(Caller::ask(world.gateway.callers, &id, index % 2 == 0));
+        }
+        world.gateway.signal("-CONT");
+        let all = (batch + 1) * BATCH;
+        eventually(|| {
+            let left: u64 = left(&world.gateway).values().sum();
+            (left == all as u64).then_some(())
+        });
+    }
+    await_nothing_runs(&world);
+    assert_eq!(runs_of_kind(&world, "left-"), 0);
+    let stages = left(&world.gateway);
+    assert_eq!(stages["unread"] + stages["reading"], LEAVING as u64);
+}
+
 #[test]
 fn callers_that_leave_while_they_wait_or_are_served_are_dropped_everywhere() {
     let world = world();
