Doubt connections at rest where one to the same address fell silent

Cause: connections may fall silent for good without a reset while new ones work. One on which a request waits is closed at the end of the wait, but every other one at rest was then used in turn and cost another request: with several at rest, services with little traffic stayed away for seconds.

Ruled out: probes of the kernel on connections to back ends. What lies between may acknowledge bytes that it swallows; and a bound below a route's timeout would break off requests that must not be repeated. Closing what was at rest after every exchange without an answer: a back end that is slow would cost new connections all the time.

Change: where an exchange on a connection that had been at rest has heard nothing for PoolSettings::doubt_after, connections to its address that have been at rest since before it began are closed instead of used, also while it still waits.

--- a/crates/net/src/pool/address.rs
+++ b/crates/net/src/pool/address.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 
@@ -14,6 +14,9 @@
 #[derive(Debug)]
 pub(super) struct Addresses {
     default_limit: usize,
+    /// How long nothing may be heard on a connection before those that are at
+    /// rest since before are doubted as well.
+    doubt_after: Option<Duration>,
     by_address: Mutex<HashMap<SocketAddr, Address>>,
     sweeping: Mutex<bool>,
 }
@@ -24,6 +27,11 @@
     in_use: usize,
     /// The last one used is at the end, and taken first.
     idle: Vec<Idle>,
+    /// When exchanges began on connections that had been at rest, and of which
+    /// nothing has been heard yet.
+    unheard: Vec<Instant>,
+    /// Connections at rest since before may be as silent as one that was.
+    doubted: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -50,10 +58,22 @@
     address: SocketAddr,
 }
 
+/// An exchange on a connection that had been at rest, of which nothing has
+/// been heard. Dropping it after a long while casts doubt on connections at
+/// rest since before it began.
+#[derive(Debug)]
+pub(super) struct Unheard {
+    addresses: Weak<Addresses>,
+    address: SocketAddr,
+    since: Instant,
+    heard: bool,
+}
+
 impl Addresses {
-    pub(super) fn new(default_limit: usize) -> Self {
+    pub(super) fn new(default_limit: usize, doubt_after: Option<Duration>) -> Self {
         Addresses {
             default_limit,
+            doubt_after,
             by_address: Mutex::default(),
             sweeping: Mutex::new(false),
         }
@@ -94,6 +114,7 @@
     ) -> Reservation {
         let mut by_address = self.by_address.lock();
         let entry = by_address.entry(address).or_default();
+        let doubted = entry.take_doubted(self.doubt_after);
         entry.limit = limit.or(entry.limit);
         let limit = entry.limit.unwrap_or(self.default_limit);
         let fresh = |idle: &Idle| expired_before.is_none_or(|before| idle.since > before);
@@ -102,6 +123,8 @@
             return Reservation::Full;
         }
         entry.in_use += 1;
+        drop(by_address);
+        drop(doubted);
         let slot = Slot {
             addresses: Arc::downgrade(self),
             address,
@@ -112,6 +135,19 @@
         }
     }
 
+    /// An exchange begins on a connection that was at rest.
+    pub(super) fn begin_unheard(self: &Arc<Self>, address: SocketAddr) -> Unheard {
+        let since = Instant::now();
+        let mut by_address = self.by_address.lock();
+        by_address.entry(address).or_default().unheard.push(since);
+        Unheard {
+            addresses: Arc::downgrade(self),
+            address,
+            since,
+            heard: false,
+        }
+    }
+
     /// Keeps a connection for reuse. Says whether somebody must now begin to
     /// watch for connections that nobody uses.
     pub(super) fn give_back(&self, slot: Slot, mut wire: Wire) -> bool {
@@ -164,7 +200,48 @@
 
 impl Address {
     fn is_unused(&self) -> bool {
-        self.in_use == 0 && self.idle.is_empty() && self.limit.is_none()
+        self.in_use == 0 && self.idle.is_empty() && self.limit.is_none() && self.unheard.is_empty()
+    }
+
+    /// Takes out the connections at rest that are doubted, to be closed.
+    fn take_doubted(&mut self, doubt_after: Option<Duration>) -> Vec<Idle> {
+        let silent_since = doubt_after.and_then(|after| Instant::now().checked_sub(after));
+        let silent = self.unheard.iter().copied();
+        let silent = silent.filter(|since| silent_since.is_some_and(|before| *since <= before));
+        let doubted = silent.chain(self.doubted).max();
+        let doubts = |idle: &Idle| doubted.is_some_and(|doubted| idle.since <= doubted);
+        let count = self.idle.iter().take_while(|idle| doubts(idle)).count();
+        self.idle.drain(..count).collect()
+    }
+}
+
+impl Unheard {
+    /// Something was heard, were it the connection's end.
+    pub(super) fn heard(mut self) {
+        self.heard = true;
+    }
+}
+
+impl Drop for Unheard {
+    fn drop(&mut self) {
+        let Some(addresses) = self.addresses.upgrade() else {
+            return;
+        };
+        let silent = addresses
+            .doubt_after
+            .is_some_and(|after| !self.heard && self.since.elapsed() >= after);
+        let mut by_address = addresses.by_address.lock();
+        let Some(entry) = by_address.get_mut(&self.address) else {
+            return;
+        };
+        let begun = entry.unheard.iter().position(|since| *since == self.since);
+        if let Some(begun) = begun {
+            entry.unheard.swap_remove(begun);
+        }
+        if silent {
+            entry.doubted = entry.doubted.max(Some(self.since));
+        }
+        remove_if_unused(&mut by_address, self.address);
     }
 }
 
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -19,14 +19,23 @@
 pub struct PooledConnection {
     pool: Pool,
     address: SocketAddr,
+    /// It was at rest before.
+    rested: bool,
     unused: Option<(Slot, Wire)>,
 }
 
 impl PooledConnection {
-    pub(super) fn new(pool: Pool, address: SocketAddr, slot: Slot, wire: Wire) -> Self {
+    pub(super) fn new(
+        pool: Pool,
+        address: SocketAddr,
+        rested: bool,
+        slot: Slot,
+        wire: Wire,
+    ) -> Self {
         PooledConnection {
             pool,
             address,
+            rested,
             unused: Some((slot, wire)),
         }
     }
@@ -66,10 +75,16 @@
             let closed = std::io::Error::from(std::io::ErrorKind::NotConnected);
             return Err(failed(Stage::NothingSent, closed.into()));
         };
+        let addresses = &self.pool.addresses;
+        let unheard = self.rested.then(|| addresses.begin_unheard(address));
         let mut exchange = Exchange::new(request, wire, &self.pool.settings);
         // Until the response is whole, the slot stays with this future or
         // with the body: dropping either frees it and closes the connection.
         let ended = timer::timeout_at(deadline, exchange.run()).await;
+        let silent = ended.is_err() && exchange.stage() <= Stage::Sent;
+        if let Some(unheard) = unheard.filter(|_| !silent) {
+            unheard.heard();
+        }
         let head = match ended {
             Err(timer::Elapsed) => {
                 return Err(failed(exchange.stage(), ExchangeFault::DeadlinePassed));
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -48,6 +48,12 @@
     /// nothing is sent: connections are probed by the kernel. `None` leaves
     /// that to the kernel's defaults, which are hours.
     pub silence: Option<Duration>,
+    /// How long nothing may be heard of an exchange on a connection that had
+    /// been at rest before others at rest since before it began are closed
+    /// instead of used: where one fell silent, all may have. New connections
+    /// tell nothing about old ones. Longer than what a sound peer holds an
+    /// answer back.
+    pub doubt_after: Option<Duration>,
 }
 
 /// What to do with a response whose body ends with the connection.
@@ -71,6 +77,7 @@
             max_body_bytes: 64 * 1024 * 1024,
             unframed: Unframed::default(),
             silence: None,
+            doubt_after: None,
         }
     }
 }
@@ -86,7 +93,10 @@
     /// An empty pool.
     pub fn new(settings: PoolSettings) -> Self {
         Pool {
-            addresses: Arc::new(Addresses::new(settings.connections_per_address)),
+            addresses: Arc::new(Addresses::new(
+                settings.connections_per_address,
+                settings.doubt_after,
+            )),
             settings: Arc::new(settings),
         }
     }
@@ -180,11 +190,12 @@
         limit: Option<usize>,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
-        let (slot, wire) = match self.check_out(address, limit)? {
-            (slot, Some(wire)) => (slot, wire),
-            (slot, None) => (slot, self.connect(address, deadline).await?),
+        let (rested, slot, wire) = match self.check_out(address, limit)? {
+            (slot, Some(wire)) => (true, slot, wire),
+            (slot, None) => (false, slot, self.connect(address, deadline).await?),
         };
-        Ok(PooledConnection::new(self.clone(), address, slot, wire))
+        let pool = self.clone();
+        Ok(PooledConnection::new(pool, address, rested, slot, wire))
     }
 
     /// Takes an idle connection that is still good, or room for a new one.
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -36,6 +36,9 @@
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest wait for a peer. A report that is late is worth nothing.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a peer may say nothing before connections to it at rest are
+/// doubted: longer than a poll is held, shorter than any is waited for.
+const PEER_DOUBT: Duration = Duration::from_millis(700);
 /// Largest message taken, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
 /// Connections of peers.
@@ -94,6 +97,7 @@
                 connections_per_address: 2,
                 connect_timeout: PEER_TIMEOUT,
                 max_body_bytes: MAX_MESSAGE_BYTES,
+                doubt_after: Some(PEER_DOUBT),
                 ..PoolSettings::default()
             }),
             own,
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -41,6 +41,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long a connection to a back end is kept unused.
 const BACK_END_IDLE: Duration = Duration::from_secs(8);
+/// How long a back end may say nothing before connections to it at rest are
+/// doubted. Most answers come sooner; a wrong doubt costs a few new ones.
+const BACK_END_DOUBT: Duration = Duration::from_millis(400);
 /// Longest rest of a caller's connection.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
 /// Left of the grace time when the last request has to be over.
@@ -142,6 +145,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: BACK_END_IDLE,
             unframed: Unframed::EndAtClose,
+            doubt_after: Some(BACK_END_DOUBT),
             ..PoolSettings::default()
         });
         let heartbeat = seconds(settings.platform.heartbeat_s);
