--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -6,7 +6,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
-use crate::occupancy::{Occupancy, SharedAddress};
+use crate::occupancy::{Newcomers, Occupancy};
 use crate::order::{Order, OrderFault, OrderId};
 use crate::record::Owner;
 
@@ -104,8 +104,7 @@
 
 impl Holders {
     /// Takes the back ends that are registered now. `last_order` is the last
-    /// order sent so far, `is_owner` says who owns keys. Returns the addresses
-    /// that a further registration came to share.
+    /// order sent so far, `is_owner` says who owns keys.
     pub fn set_registered(
         &mut self,
         now: Timestamp,
@@ -113,8 +112,8 @@
         all: &[BackEnd],
         last_order: OrderId,
         is_owner: impl Fn(&BackEndName) -> bool,
-    ) -> Vec<SharedAddress> {
-        let shared = self.occupancy.set_registered(all, last_order, is_owner);
+    ) -> Newcomers {
+        let newcomers = self.occupancy.set_registered(all, last_order, is_owner);
         self.registered.clear();
         for back_end in all {
             if back_end.service == *service {
@@ -124,7 +123,7 @@
         let registered = &self.registered;
         self.contacts
             .retain(|name, _| registered.contains_key(name));
-        shared
+        newcomers
     }
 
     fn register(&mut self, now: Timestamp, back_end: &BackEnd) {
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -36,6 +36,15 @@
     known_after: OrderId,
 }
 
+/// What changed with the registrations.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Newcomers {
+    /// Addresses at which a registration is new.
+    pub addresses: Vec<SocketAddr>,
+    /// Those of them that another registration has too.
+    pub shared: Vec<SharedAddress>,
+}
+
 /// An address at which several back ends are registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SharedAddress {
@@ -47,14 +56,13 @@
 
 impl Occupancy {
     /// Takes the back ends that are registered now. `last_order` is the last
-    /// order sent so far, `is_owner` says who owns keys. Returns the addresses
-    /// that a further registration came to share.
+    /// order sent so far, `is_owner` says who owns keys.
     pub fn set_registered(
         &mut self,
         all: &[BackEnd],
         last_order: OrderId,
         is_owner: impl Fn(&BackEndName) -> bool,
-    ) -> Vec<SharedAddress> {
+    ) -> Newcomers {
         let registered: BTreeSet<&BackEndName> = all.iter().map(|each| &each.name).collect();
         self.ended
             .retain(|name| registered.contains(name) || is_owner(name));
@@ -71,21 +79,25 @@
                 known_after: last_order,
             }));
         }
-        let mut shared = Vec::new();
+        let mut newcomers = Newcomers::default();
         for (address, there) in &mut self.by_address {
             there.sort_by_key(|registrant| registrant.registration);
             let known = earlier.get(address);
             let is_known = |each| known.is_some_and(|known| known.contains(each));
-            if there.len() < 2 || there.iter().all(is_known) {
+            if there.iter().all(is_known) {
+                continue;
+            }
+            newcomers.addresses.push(*address);
+            if there.len() < 2 {
                 continue;
             }
             let names = there.iter().map(|registrant| registrant.name.clone());
-            shared.push(SharedAddress {
+            newcomers.shared.push(SharedAddress {
                 address: *address,
                 back_ends: names.collect(),
             });
         }
-        shared
+        newcomers
     }
 
     /// The process that an order names answered it. Those that had registered
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -124,14 +124,16 @@
         let last_order = OrderId(self.next_order);
         let owners = owners(&self.tracked);
         let is_owner = |name: &BackEndName| owners.contains(name);
-        let shared =
+        let newcomers =
             self.holders
                 .set_registered(now, &self.service, back_ends, last_order, is_owner);
-        self.ask_who_runs(now);
+        for address in newcomers.addresses {
+            self.ask_who_runs(now, address);
+        }
         // One gateway tells: the one that decides by it.
         if !matches!(self.phase, Phase::Idle) {
             self.notices
-                .extend(shared.into_iter().map(Notice::AddressShared));
+                .extend(newcomers.shared.into_iter().map(Notice::AddressShared));
         }
         if self.first_seen.is_none() && !self.holders.is_empty() {
             self.first_seen = Some(now);
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to back ends, and their answers.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
@@ -88,6 +89,8 @@
             Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
                 self.holders.on_malformed(&order.to.name);
             }
+            // It does not tell which process answered.
+            Ok(OrderReply::Malformed) => {}
             Ok(OrderReply::OtherProcess) => {
                 if self.holders.on_other_process(&order.to.name) {
                     let owner = order.to.name.clone();
@@ -119,19 +122,20 @@
         // An order that was on its way when the registration came tells
         // nothing of it.
         if result == Ok(OrderReply::Granted) && self.holders.in_doubt(&order.to) {
-            self.ask_who_runs(now);
+            self.ask_who_runs(now, order.to.address);
         }
     }
 
-    /// Renews grants at once where several processes may run at the address:
-    /// the answer tells which one does.
-    pub(super) fn ask_who_runs(&mut self, now: Timestamp) {
+    /// Asks back ends at one address at once which of them runs there, with
+    /// the order that is next anyway. One that is under way may wait for a
+    /// process that is gone.
+    pub(super) fn ask_who_runs(&mut self, now: Timestamp, address: SocketAddr) {
         for tracked in &mut self.tracked {
-            let in_doubt = tracked
+            if tracked
                 .owner()
-                .is_some_and(|owner| self.holders.in_doubt(owner));
-            if in_doubt && tracked.granted {
-                tracked.next_order = now;
+                .is_some_and(|owner| owner.address == address)
+            {
+                tracked.ask_again(now);
             }
         }
     }
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -93,6 +93,15 @@
         pieces.into_iter().map(piece).collect()
     }
 
+    /// Sends the next order now, and no longer awaits the one under way.
+    pub(super) fn ask_again(&mut self, now: Timestamp) {
+        let awaited = self.in_flight.take();
+        if awaited.is_some() && self.releasing.is_none() {
+            self.unawaited_until = self.possible_arrival;
+        }
+        self.next_order = now;
+    }
+
     /// Whether there is ever something to send.
     pub(super) fn wants_order(&self) -> bool {
         match (&self.slice.state, self.releasing) {
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -204,3 +204,47 @@
     let count = told.iter().filter(|notice| **notice == shared).count();
     assert_eq!(count, 1, "{told:?}");
 }
+
+/// An order may hang on a connection to a process that is gone. A registration
+/// at its address is a reason to ask again at once.
+#[test]
+fn order_under_way_does_not_put_off_asking_who_runs_at_an_address() {
+    let now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    let hanging = sent(ownership.poll(now, true));
+    assert_eq!(hanging.len(), ORDERS_AT_ONCE);
+    assert!(sent(ownership.poll(now, true)).is_empty());
+    let mut newcomer = back_end();
+    newcomer.name = "b-2".into();
+    newcomer.registration = 2;
+    // Also where the registration of the one that is gone went before.
+    ownership.set_back_ends(now, &[newcomer]);
+    let (asked, record) = divided(ownership.poll(now, true));
+    assert_eq!(asked.len(), ORDERS_AT_ONCE);
+    assert!(asked.iter().all(|order| order.to.name.as_str() == "b-1"));
+    // Those that were never granted in this term go on without an answer.
+    let record = record.expect("written");
+    ownership.on_write(now, record, WriteResult::Accepted(9));
+    // What hung says nothing more.
+    ownership.on_order(now, &hanging[0], Err(OrderFault::NoAnswer));
+    for order in &asked {
+        ownership.on_order(now, order, Ok(OrderReply::OtherProcess));
+    }
+    let (_, record) = divided(ownership.poll(now, true));
+    let record = record.expect("the keys go on at once");
+    let gone = |slice: &Slice| {
+        slice
+            .holder()
+            .is_none_or(|owner| owner.name.as_str() != "b-1")
+    };
+    assert!(record.slices.iter().all(gone), "{record:?}");
+}
+
+/// Orders, and the write of the record if there is one.
+fn divided(actions: Vec<Action>) -> (Vec<Order>, Option<OwnershipRecord>) {
+    let written = actions.iter().find_map(|action| match action {
+        Action::WriteRecord(record, _) => Some(record.clone()),
+        _ => None,
+    });
+    (sent(actions), written)
+}
