Divide the election: its calls, the store's answers, the office

The start of a settled world stood in several tests. Change: moved, no behaviour; World::settled serves all.

--- /dev/null
+++ b/crates/coordination/src/election/answers.rs
@@ -0,0 +1,166 @@
+//! What the store's answers say about the lease.
+
+use threadledge_types::Timestamp;
+
+use super::{Call, Change, Election, Seen, State};
+use crate::action::{Freshness, ReadResult, Versioned, WriteResult};
+use crate::record::CoordinatorLease;
+
+impl Election {
+    /// A read was answered, or was not.
+    pub fn on_read(
+        &mut self,
+        now: Timestamp,
+        freshness: Freshness,
+        result: ReadResult<CoordinatorLease>,
+    ) -> Option<Change> {
+        let call = self.call.take()?;
+        match result {
+            ReadResult::Failed => {
+                self.store_was_silent(now);
+                None
+            }
+            ReadResult::Found(found) => self.on_found(now, call, freshness, found),
+        }
+    }
+
+    /// A store that does not answer proves nothing about the coordinator.
+    fn store_was_silent(&mut self, now: Timestamp) {
+        if let Some(seen) = &mut self.seen {
+            seen.since = now;
+            seen.verified = false;
+        }
+        self.next_call = now + self.settings.retry_pause;
+    }
+
+    fn on_found(
+        &mut self,
+        now: Timestamp,
+        call: Call,
+        freshness: Freshness,
+        found: Option<Versioned<CoordinatorLease>>,
+    ) -> Option<Change> {
+        let fresh = freshness == Freshness::Linearizable;
+        let Some(found) = found else {
+            self.absent = fresh;
+            if fresh {
+                self.seen = None;
+            }
+            self.next_call = if fresh && self.candidate {
+                now
+            } else {
+                now + self.settings.standby_poll
+            };
+            return None;
+        };
+        if fresh && found.value.holder.as_ref() == Some(&self.me) {
+            return self.lead(now, call.started, found.value, found.revision);
+        }
+        if found.value.holder.as_ref() == Some(&self.me) {
+            // A write whose answer was lost took effect late.
+            self.forget_freshness();
+            self.next_call = now;
+            return None;
+        }
+        self.observe(now, fresh, found);
+        self.next_call = now + self.settings.standby_poll;
+        if let Some(seen) = &self.seen {
+            let patience = self.settings.takeover_after + self.patience;
+            let due = seen.verified && now.since(seen.since) >= patience;
+            if self.candidate && due {
+                self.next_call = now;
+            }
+            if let Some(free) = self.free_at(seen).filter(|_| self.candidate) {
+                self.next_call = self.next_call.min(free.max(now));
+            }
+        }
+        None
+    }
+
+    fn observe(&mut self, now: Timestamp, fresh: bool, found: Versioned<CoordinatorLease>) {
+        let later = |seen: &Seen| found.revision > seen.revision;
+        match &mut self.seen {
+            Some(seen) if !later(seen) => seen.verified = fresh,
+            _ => {
+                self.seen = Some(Seen {
+                    lease: found.value,
+                    revision: found.revision,
+                    since: now,
+                    verified: fresh,
+                });
+            }
+        }
+    }
+
+    /// A write was answered, or was not. `attempted` is what was written.
+    pub fn on_write(
+        &mut self,
+        now: Timestamp,
+        attempted: CoordinatorLease,
+        result: WriteResult<CoordinatorLease>,
+    ) -> Option<Change> {
+        let call = self.call.take()?;
+        match result {
+            WriteResult::Accepted(revision) => {
+                if attempted.holder.is_none() {
+                    self.state = State::Retired;
+                    return None;
+                }
+                self.lead(now, call.started, attempted, revision)
+            }
+            WriteResult::Conflict(Some(found)) => self.on_conflict(now, call, found),
+            WriteResult::Conflict(None) => self.on_gone(now),
+            WriteResult::NotDone | WriteResult::Unknown => {
+                self.store_was_silent(now);
+                if matches!(self.state, State::Standby) {
+                    // The write may have taken effect: look before anything
+                    // else, and do not count the silence as the holder's.
+                    self.next_call = now + self.settings.retry_pause;
+                    self.forget_freshness();
+                }
+                None
+            }
+        }
+    }
+
+    /// Makes the next look a linearizable one.
+    fn forget_freshness(&mut self) {
+        self.seen = None;
+        self.absent = false;
+    }
+
+    fn on_conflict(
+        &mut self,
+        now: Timestamp,
+        call: Call,
+        found: Versioned<CoordinatorLease>,
+    ) -> Option<Change> {
+        if found.value.holder.as_ref() == Some(&self.me) {
+            // A write whose answer was lost took effect after all.
+            return self.lead(now, call.started, found.value, found.revision);
+        }
+        let change = self.step_down();
+        self.seen = None;
+        self.observe(now, true, found);
+        self.next_call = now + self.settings.standby_poll;
+        change
+    }
+
+    fn on_gone(&mut self, now: Timestamp) -> Option<Change> {
+        let change = self.step_down();
+        self.forget_freshness();
+        self.next_call = now;
+        change
+    }
+
+    pub(super) fn step_down(&mut self) -> Option<Change> {
+        let term = self.leading()?;
+        if self.handing_back {
+            self.state = State::Retired;
+        } else {
+            self.state = State::Standby;
+        }
+        self.forget_freshness();
+        Some(Change::Deposed { term })
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/election/office.rs
@@ -0,0 +1,78 @@
+//! Taking the office, and who may still act in it.
+
+use std::time::Duration;
+
+use threadledge_types::Timestamp;
+
+use super::{Change, Election, Predecessor, State};
+use crate::action::StoreRevision;
+use crate::record::CoordinatorLease;
+use crate::settings::Settings;
+
+impl Election {
+    pub(super) fn lead(
+        &mut self,
+        now: Timestamp,
+        confirmed_at: Timestamp,
+        lease: CoordinatorLease,
+        revision: StoreRevision,
+    ) -> Option<Change> {
+        let was_leading = self.leading();
+        let term = lease.term;
+        let predecessor = self.predecessor(now);
+        let earlier_orders_end = match &self.state {
+            State::Leading {
+                lease,
+                earlier_orders_end,
+                ..
+            } if lease.term == term => *earlier_orders_end,
+            _ => predecessor.map_or(Timestamp::ZERO, |earlier| earlier.orders_end),
+        };
+        self.state = State::Leading {
+            lease,
+            revision,
+            confirmed_at,
+            earlier_orders_end,
+        };
+        self.confirmed = now;
+        self.next_call = now + self.settings.lease_renewal;
+        if self.handing_back {
+            self.next_call = now;
+        }
+        if was_leading == Some(term) {
+            return None;
+        }
+        self.seen = None;
+        Some(Change::Elected { term, predecessor })
+    }
+
+    /// Who may still give orders, as of an election that ended `now`.
+    fn predecessor(&self, now: Timestamp) -> Option<Predecessor> {
+        let longest = Predecessor {
+            orders_end: now + slowest(self.settings.lease, &self.settings),
+            hold: self.settings.hold,
+        };
+        let Some(seen) = &self.seen else {
+            // What stood there before was not seen: the worst is assumed,
+            // unless nothing did.
+            return (!self.absent).then_some(longest);
+        };
+        if seen.lease.holder.is_none() {
+            let earlier = Duration::from_millis(seen.lease.earlier_orders_ms);
+            return Some(Predecessor {
+                orders_end: now + slowest(earlier, &self.settings),
+                hold: Duration::from_millis(seen.lease.hold_ms),
+            });
+        }
+        let lease = Duration::from_millis(seen.lease.lease_ms);
+        Some(Predecessor {
+            orders_end: now + slowest(lease, &self.settings),
+            hold: Duration::from_millis(seen.lease.hold_ms),
+        })
+    }
+}
+
+/// A duration by the slowest clock.
+fn slowest(duration: Duration, settings: &Settings) -> Duration {
+    duration + duration * settings.clock_rate_percent / 100
+}
--- a/crates/coordination/tests/simulation/handed_back.rs
+++ b/crates/coordination/tests/simulation/handed_back.rs
@@ -11,8 +11,7 @@
 #[test]
 fn orders_of_the_coordinator_before_the_one_that_handed_back_are_waited_out() {
     for seed in 0..10 {
-        let mut world = World::new(500 + seed, 3, 6);
-        assert!(world.until_served(SECOND * 5).is_some());
+        let mut world = World::settled(500 + seed);
         world.run(SECOND);
         let first = world.coordinator().expect("one coordinates");
         let owner = world.owner(100).expect("owned");
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -12,16 +12,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn settled(seed: u64) -> World {
-    let mut world = World::new(seed, 3, 6);
-    let took = world.until_served(SECOND * 5);
-    assert!(took.is_some(), "not served after a start from nothing");
-    world
-}
-
 #[test]
 fn start_from_nothing_serves_every_key_evenly() {
-    let world = settled(1);
+    let world = World::settled(1);
     let view = world.view().expect("a record");
     for (range, name) in view.owned() {
         let fair = 65_536 / 6;
@@ -31,7 +24,7 @@
 
 #[test]
 fn killed_coordinator_is_followed_before_holds_run_out() {
-    let mut world = settled(2);
+    let mut world = World::settled(2);
     let coordinator = world.coordinator().expect("one coordinates");
     world.nodes[coordinator].up = false;
     let moves = world.moves;
@@ -48,7 +41,7 @@
 
 #[test]
 fn frozen_coordinator_that_wakes_gives_no_order_that_is_taken() {
-    let mut world = settled(3);
+    let mut world = World::settled(3);
     let coordinator = world.coordinator().expect("one coordinates");
     world.nodes[coordinator].frozen_until = world.now + SECOND * 4;
     world.run(SECOND * 3);
@@ -61,7 +54,7 @@
 
 #[test]
 fn all_nodes_lost_at_once_are_back_within_seconds() {
-    let mut world = settled(4);
+    let mut world = World::settled(4);
     let owner = world.owner(7).expect("owned");
     for node in &mut world.nodes {
         node.up = false;
@@ -78,7 +71,7 @@
 
 #[test]
 fn keys_of_a_crashed_back_end_wait_for_its_hold_and_go_to_others() {
-    let mut world = settled(5);
+    let mut world = World::settled(5);
     let owner = world.owner(100).expect("owned");
     world.back_ends.get_mut(&owner).expect("known").crash();
     let took = world.until_served(SECOND * 10).expect("served again");
@@ -89,7 +82,7 @@
 
 #[test]
 fn back_end_restarted_at_its_address_is_not_waited_for() {
-    let mut world = settled(6);
+    let mut world = World::settled(6);
     let owner = world.owner(100).expect("owned");
     world.back_ends.get_mut(&owner).expect("known").crash();
     world.add_back_end(0);
@@ -104,7 +97,7 @@
 /// carried out there, and shows that it is gone.
 #[test]
 fn back_end_whose_restart_is_not_registered_yet_is_not_waited_for() {
-    let mut world = settled(18);
+    let mut world = World::settled(18);
     let owner = world.owner(100).expect("owned");
     assert!(owner.as_str().starts_with("b0-"), "{owner}");
     world.back_ends.get_mut(&owner).expect("known").crash();
@@ -117,7 +110,7 @@
 
 #[test]
 fn back_end_that_cannot_be_reached_keeps_its_keys_until_its_hold_is_over() {
-    let mut world = settled(7);
+    let mut world = World::settled(7);
     let owner = world.owner(100).expect("owned");
     let now = world.now;
     world.back_ends.get_mut(&owner).expect("known").cut_until = now + SECOND * 8;
@@ -128,7 +121,7 @@
 
 #[test]
 fn draining_back_end_hands_over_at_once() {
-    let mut world = settled(8);
+    let mut world = World::settled(8);
     let owner = world.owner(100).expect("owned");
     world
         .registered
@@ -146,7 +139,7 @@
 
 #[test]
 fn new_back_end_gets_its_share() {
-    let mut world = settled(9);
+    let mut world = World::settled(9);
     let name = world.add_back_end(50);
     world.run(SECOND * 3);
     let view = world.view().expect("a record");
@@ -161,7 +154,7 @@
 
 #[test]
 fn cold_back_end_that_bears_little_gets_its_share_once_it_is_warm() {
-    let mut world = settled(16);
+    let mut world = World::settled(16);
     for node in &mut world.nodes {
         node.coordinator.set_frail_when_cold(true);
     }
@@ -201,7 +194,7 @@
 
 #[test]
 fn silent_store_stops_no_renewal_within_the_lease() {
-    let mut world = settled(10);
+    let mut world = World::settled(10);
     world.store_down_until = world.now + Duration::from_millis(4_500);
     for _ in 0..1_400 {
         world.step();
@@ -211,7 +204,7 @@
 
 #[test]
 fn coordinator_cut_from_the_store_is_followed() {
-    let mut world = settled(11);
+    let mut world = World::settled(11);
     let coordinator = world.coordinator().expect("one coordinates");
     world.nodes[coordinator].cut_until = world.now + SECOND * 8;
     world.run(SECOND * 4);
@@ -223,7 +216,7 @@
 
 #[test]
 fn planned_stop_hands_the_office_over_quickly() {
-    let mut world = settled(12);
+    let mut world = World::settled(12);
     let coordinator = world.coordinator().expect("one coordinates");
     world.nodes[coordinator].coordinator.stop();
     world.run(Duration::from_millis(300));
@@ -238,7 +231,7 @@
 /// waits for would never be read.
 #[test]
 fn planned_stop_waits_for_orders_without_spinning() {
-    let mut world = settled(15);
+    let mut world = World::settled(15);
     world.chances = Chances {
         order_lost: 1_000,
         ..Chances::default()
@@ -252,7 +245,7 @@
 
 #[test]
 fn orders_carried_out_late_change_no_owner() {
-    let mut world = settled(13);
+    let mut world = World::settled(13);
     world.chances = Chances {
         order_late: 300,
         ..Chances::default()
@@ -267,7 +260,7 @@
 /// too: they do not put off the time when its keys go to others.
 #[test]
 fn keys_of_a_back_end_that_answers_no_order_go_to_others() {
-    let mut world = settled(19);
+    let mut world = World::settled(19);
     let owner = world.owner(100).expect("owned");
     let now = world.now;
     let back_end = world.back_ends.get_mut(&owner).expect("known");
@@ -287,7 +280,7 @@
 #[test]
 fn former_owner_that_answers_again_takes_no_late_order() {
     for seed in 0..20 {
-        let mut world = settled(400 + seed);
+        let mut world = World::settled(400 + seed);
         let owner = world.owner(100).expect("owned");
         let deaf_until = world.now + SECOND * 9;
         let back_end = world.back_ends.get_mut(&owner).expect("known");
@@ -309,7 +302,7 @@
 
 #[test]
 fn checker_sees_two_holders() {
-    let mut world = settled(14);
+    let mut world = World::settled(14);
     let range = KeyRange::new(0, 10).expect("a range");
     let names: Vec<_> = world.back_ends.keys().cloned().collect();
     let owner = world.owner(5).expect("owned");
@@ -347,7 +340,7 @@
 #[test]
 fn busy_keys_stay_with_their_owner_while_the_store_is_silent() {
     for offset in 0..20 {
-        let mut world = settled(50 + offset);
+        let mut world = World::settled(50 + offset);
         world.run(Duration::from_millis(40 * offset));
         world.store_down_until = world.now + SECOND * 4;
         let coordinator = world.coordinator().expect("one coordinates");
@@ -374,7 +367,7 @@
 /// Operators are told of an assignment once it stands in the store.
 #[test]
 fn assignment_that_was_not_written_is_not_told() {
-    let mut world = settled(8);
+    let mut world = World::settled(8);
     let owner = world.owner(100).expect("owned");
     world.registered.remove(&owner);
     world.tell_back_ends();
--- a/crates/coordination/tests/simulation/registrations.rs
+++ b/crates/coordination/tests/simulation/registrations.rs
@@ -24,13 +24,6 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn settled(seed: u64) -> World {
-    let mut world = World::new(seed, 3, 6);
-    let took = world.until_served(SECOND * 5);
-    assert!(took.is_some(), "not served after a start from nothing");
-    world
-}
-
 /// Key 100 belongs to a process that started where another one crashed, whose
 /// registration has gone. Returns the one that lives and the one that crashed.
 fn restarted(world: &mut World) -> [BackEndName; 2] {
@@ -55,7 +48,7 @@
 #[test]
 fn registration_written_late_takes_no_keys_from_the_process_that_lives() {
     for seed in 0..20 {
-        let mut world = settled(100 + seed);
+        let mut world = World::settled(100 + seed);
         let [living, crashed] = restarted(&mut world);
         let keys = keys_of(&world, &living);
         world.register_again(&crashed);
@@ -79,7 +72,7 @@
 #[test]
 fn hold_of_a_back_end_without_a_registration_is_waited_out() {
     for seed in 0..20 {
-        let mut world = settled(200 + seed);
+        let mut world = World::settled(200 + seed);
         let [living, crashed] = restarted(&mut world);
         world.registered.remove(&living);
         world.register_again(&crashed);
--- a/crates/coordination/tests/simulation/successor.rs
+++ b/crates/coordination/tests/simulation/successor.rs
@@ -14,8 +14,7 @@
 fn former_owner_takes_no_late_order_after_its_coordinator_stopped() {
     let mut broken = Vec::new();
     for seed in 0..20 {
-        let mut world = World::new(400 + seed, 3, 6);
-        assert!(world.until_served(SECOND * 5).is_some());
+        let mut world = World::settled(400 + seed);
         let owner = world.owner(100).expect("owned");
         let deaf_until = world.now + SECOND * 9;
         let back_end = world.back_ends.get_mut(&owner).expect("known");
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -120,6 +120,14 @@
         world
     }
 
+    /// Three nodes and six back ends once every key is served.
+    pub fn settled(seed: u64) -> Self {
+        let mut world = World::new(seed, 3, 6);
+        let took = world.until_served(Duration::from_secs(5));
+        assert!(took.is_some(), "not served after a start from nothing");
+        world
+    }
+
     pub fn random(&mut self, below: u32) -> u32 {
         self.random.random_range(0..below)
     }
