One request asks an owner that refused again, for all that wait

Cause: after an owner said that it does not hold a key, every request that waited for the key asked again as soon as the pause of 25 ms to 120 ms was over. All were refused together, and each repeat took from the retry budget, so that requests were then refused with nothing left for a real repeat.

Change: the request that asks first puts the others off by the same pause; its refusal doubles it, an answer wakes them all.

--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -152,6 +152,10 @@
             budgeted: repeat,
         };
         exchange.in_flight.insert(attempt, in_flight);
+        if let (Some(key), Some(view)) = (exchange.key, self.ownership.get(&service)) {
+            let (_, fence) = view.owner(key);
+            self.not_held.asked(now, &service, key, fence);
+        }
         known.in_flight.insert((id, attempt), now);
         if let Some(interval) = cold_interval {
             known.cold.take(now, interval);
--- a/crates/dispatch/src/not_held.rs
+++ b/crates/dispatch/src/not_held.rs
@@ -3,6 +3,7 @@
 //! An owner refuses a key while it is on its way to the next one, or before
 //! its grant has arrived. One refusal is enough for all requests of that key:
 //! they wait for the next owner, and one of them asks again after a pause.
+//! While it waits for the answer, the others go on waiting.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     fence: Fence,
     until: Timestamp,
     pause: Duration,
+    /// One request is asking the owner again.
+    asking: bool,
 }
 
 /// Refusals by small ranges of keys.
@@ -50,7 +53,7 @@
         let place = (service.clone(), neighbourhood(key));
         let pause = match self.refused.get(&place) {
             // Requests that were sent together are refused together.
-            Some(before) if before.fence == fence && now < before.until => return,
+            Some(before) if before.fence == fence && now < before.until && !before.asking => return,
             Some(before) if before.fence == fence => (before.pause * 2).min(LONGEST_PAUSE),
             _ => first_pause,
         };
@@ -61,10 +64,33 @@
                 fence,
                 until,
                 pause,
+                asking: false,
             },
         );
     }
 
+    /// A request of `key` is being sent to the owner under `fence`: if the
+    /// owner refused the key before, the others wait for what it says now.
+    pub(crate) fn asked(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        key: ShardKey,
+        fence: Fence,
+    ) {
+        if self.refused.is_empty() {
+            return;
+        }
+        let place = (service.clone(), neighbourhood(key));
+        let Some(refused) = self.refused.get_mut(&place) else {
+            return;
+        };
+        if refused.fence == fence {
+            refused.until = now + refused.pause;
+            refused.asking = true;
+        }
+    }
+
     /// The owner answered: it holds the key.
     pub(crate) fn held(&mut self, service: &ServiceName, key: ShardKey) {
         if !self.refused.is_empty() {
--- a/crates/dispatch/tests/dispatcher/outcomes.rs
+++ b/crates/dispatch/tests/dispatcher/outcomes.rs
@@ -3,6 +3,7 @@
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::outcome::Rejection;
 use threadledge_dispatch::{AttemptEnd, Fault, Outcome, RefusalReason, Step, UnknownReason};
+use threadledge_types::Timestamp;
 
 use super::support::{
     Station, answered, configuration, failed_answer, fault, is_refused, is_unknown, not_run, route,
@@ -245,6 +246,37 @@
     assert_eq!(station.send(&second).back_end, "k-2".into());
 }
 
+/// Without this, every request that waits asks again when the pause ends: in
+/// vain, and each takes from the retry budget.
+#[test]
+fn one_of_the_waiting_requests_asks_an_owner_that_refused_again() {
+    let mut station = Station::new();
+    let first = station.begin_with("keyed", Some(1)).expect("admitted");
+    let second = station.begin_with("keyed", Some(2)).expect("admitted");
+    let attempt = station.send(&first);
+    station.end(&first, &attempt, not_run(Rejection::NotOwner));
+    let Step::Wait(until) = station.next(&first) else {
+        panic!("a pause first");
+    };
+    assert!(matches!(station.next(&second), Step::Wait(_)));
+    station.now = until;
+    let asking = station.send(&second);
+    assert!(matches!(station.next(&first), Step::Wait(_)));
+    station.after(1);
+    station.end(&second, &asking, not_run(Rejection::NotOwner));
+    let Step::Wait(again) = station.next(&second) else {
+        panic!("a pause again");
+    };
+    assert!(again.since(station.now) > until.since(Timestamp::from_millis(1_000)));
+    assert!(matches!(station.next(&first), Step::Wait(_)));
+    station.now = again;
+    let asking = station.send(&second);
+    station.dispatcher.take_woken();
+    station.end(&second, &asking, answered());
+    assert_eq!(station.dispatcher.take_woken(), [first.id]);
+    station.send(&first);
+}
+
 #[test]
 fn older_configuration_is_never_taken() {
     let mut station = Station::new();
