Tests: count the requests lost to silent connections, wherever they come

Two were lost, one at each of two back ends, which is what it promises; but it asked that they be the first two, and which back end is asked when is the router's choice. Change: it counts them. The bound is the same.

--- a/crates/router/tests/gateway/silence.rs
+++ b/crates/router/tests/gateway/silence.rs
@@ -111,8 +111,9 @@
 
 #[track_caller]
 fn assert_lost_at_most(statuses: &[u16], lost: usize) {
-    let served = &statuses[lost.min(statuses.len())..];
-    assert!(served.iter().all(|status| *status == 200), "{statuses:?}");
+    // Which request meets which back end first is the router's choice.
+    let unserved = statuses.iter().filter(|status| **status != 200).count();
+    assert!(unserved <= lost, "{statuses:?}");
 }
 
 #[test]
