Soak: judge owners from the histories of back ends

Cause: the soak looked at owners every 20 ms and saw neither whether both of two holders began requests nor under which fence a key was taken.

Change: `ownership::judge` replays what each back end took, released and lost, for stretches of keys with one history, and finds keys held twice (for longer than the tolerance, or with requests begun by both) and grants whose fence is not above all those under which others had held the key.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -32,6 +32,33 @@
     pub answer: Answer,
 }
 
+/// A time for which a back end held a key under one fence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// The back end.
+    pub back_end: String,
+    /// The fence.
+    pub fence: u64,
+    /// When it took the key.
+    pub from: Duration,
+    /// Until when it held it.
+    pub until: Duration,
+}
+
+impl fmt::Display for Tenure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Tenure {
+            back_end, fence, ..
+        } = self;
+        let from = self.from.as_secs_f64();
+        let until = self.until.as_secs_f64();
+        write!(
+            f,
+            "{back_end} (fence {fence}, from {from:.3} s to {until:.3} s)"
+        )
+    }
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -68,6 +95,23 @@
         /// Their ids.
         owners: [String; 2],
     },
+    /// Two back ends held keys at the same time, as their own histories show.
+    HeldTwice {
+        /// First and last key.
+        keys: (u16, u16),
+        /// Who held them.
+        tenures: Box<[Tenure; 2]>,
+        /// Whether both began requests for them in that time.
+        both_began: bool,
+    },
+    /// A back end took keys under a fence that is not above one under which
+    /// another had held them.
+    LowFence {
+        /// First and last key.
+        keys: (u16, u16),
+        /// Who had held them, and who took them.
+        tenures: Box<[Tenure; 2]>,
+    },
     /// A gateway showed an older configuration than before, in one life.
     WentBack {
         /// The gateway.
@@ -96,6 +140,24 @@
     },
 }
 
+impl Violation {
+    /// First and last key that the histories of back ends tell of.
+    pub fn keys(&self) -> Option<(u16, u16)> {
+        match self {
+            Violation::HeldTwice { keys, .. } | Violation::LowFence { keys, .. } => Some(*keys),
+            _ => None,
+        }
+    }
+
+    /// The same of other keys.
+    pub fn with_keys(mut self, other: (u16, u16)) -> Self {
+        if let Violation::HeldTwice { keys, .. } | Violation::LowFence { keys, .. } = &mut self {
+            *keys = other;
+        }
+        self
+    }
+}
+
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -110,6 +172,24 @@
             Violation::TwoOwners { key, owners } => {
                 write!(f, "key {key} was held by {} and {}", owners[0], owners[1])
             }
+            Violation::HeldTwice {
+                keys,
+                tenures,
+                both_began,
+            } => {
+                let (first, last) = keys;
+                let [one, two] = &**tenures;
+                let began = if *both_began { ", and both began" } else { "" };
+                write!(
+                    f,
+                    "keys {first} to {last} were held by {one} and {two}{began}"
+                )
+            }
+            Violation::LowFence { keys, tenures } => {
+                let (first, last) = keys;
+                let [had, took] = &**tenures;
+                write!(f, "keys {first} to {last} went to {took} after {had}")
+            }
             Violation::WentBack { gateway, versions } => write!(
                 f,
                 "gateway {gateway} went back from version {} to {}",
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,10 +13,11 @@
 pub mod caller;
 pub mod check;
 pub mod fault;
+pub mod ownership;
 pub mod process;
 pub mod proxy;
 pub mod run;
 pub mod world;
 
-pub use check::{Answer, Seen, Violation};
+pub use check::{Answer, Seen, Tenure, Violation};
 pub use run::{Options, Summary, run};
