Soak: cuts that keep bytes, and connections that go silent for good

Cause: the proxy's cuts dropped what was sent, so that an order given up during a cut was never delivered after it, as TCP does.

Change: a cut may keep what is sent, both ways or one, of all connections or of those of one process, and deliver it some time after it heals. An orderly close still delivers; a reset withdraws what is kept and resets the other side. Connections opened in such a cut never come up. Other connections go silent for good while new ones work. New connections can be led to another process. A connection whose sender resets it is now reset on the other side too.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,18 +1,20 @@
 //! A loopback proxy whose connections can be made to misbehave.
 
-use std::net::SocketAddr;
+mod link;
+mod sockets;
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::io::{ReadExt, WriteExt};
-use async_std::net::{Shutdown, TcpListener, TcpStream};
+use async_io::Async;
 use async_std::task;
 use parking_lot::Mutex;
 use threadledge_net::StopSignal;
 use threadledge_net::timer;
 
-/// Bytes passed on at once.
-const CHUNK: usize = 16 * 1024;
+use link::Link;
 
 /// How the connections of a proxy behave.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,10 +30,64 @@
     Slow(Duration),
 }
 
-#[derive(Debug, Default)]
+/// Which ways of a connection are cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ways {
+    /// From the caller.
+    There,
+    /// To the caller.
+    Back,
+    /// Both.
+    Both,
+}
+
+impl Ways {
+    fn includes(self, way: Way) -> bool {
+        match self {
+            Ways::There => way == Way::There,
+            Ways::Back => way == Way::Back,
+            Ways::Both => true,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+/// A cut that keeps bytes.
+#[derive(Clone, Debug)]
+struct Hold {
+    ways: Ways,
+    /// The process whose connections alone are cut, and their ports.
+    process: Option<(u32, BTreeSet<u16>)>,
+    /// The cut has healed: connections from this number on are new and sound.
+    /// Those before wait until they send again.
+    healed: Option<u64>,
+}
+
+#[derive(Debug)]
 struct State {
+    target: SocketAddr,
     mode: Mode,
+    hold: Option<Hold>,
+    /// Cuts so far.
+    holds: u64,
+    /// Number of the next connection.
+    next: u64,
+    /// Connections before this number are silent for good.
+    silent: u64,
     reset: StopSignal,
+    /// Given when connections should look at `hold` again.
+    changed: StopSignal,
+}
+
+impl State {
+    fn wake(&mut self) {
+        std::mem::take(&mut self.changed).stop();
+    }
 }
 
 /// A running proxy. Clones share it.
@@ -41,12 +97,6 @@
     state: Arc<Mutex<State>>,
 }
 
-#[derive(Clone, Copy)]
-enum Way {
-    There,
-    Back,
-}
-
 impl Proxy {
     /// Starts one on a free port of 127.0.0.1.
     ///
@@ -54,13 +104,33 @@
     ///
     /// No port can be listened on.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Proxy::start_at(any, target).await
+    }
+
+    /// Starts one at an address.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = Async::<TcpListener>::bind(address)?;
+        let address = listener.get_ref().local_addr()?;
+        let state = State {
+            target,
+            mode: Mode::Sound,
+            hold: None,
+            holds: 0,
+            next: 0,
+            silent: 0,
+            reset: StopSignal::new(),
+            changed: StopSignal::new(),
+        };
         let proxy = Proxy {
             address,
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
         };
-        task::spawn(proxy.clone().accept(listener, target));
+        task::spawn(proxy.clone().accept(listener));
         Ok(proxy)
     }
 
@@ -69,6 +139,16 @@
         self.address
     }
 
+    /// Connections that it accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.state.lock().next
+    }
+
+    /// New connections go to another process.
+    pub fn lead_to(&self, target: SocketAddr) {
+        self.state.lock().target = target;
+    }
+
     /// Changes how its connections behave. Bytes swallowed before are lost, so
     /// connections that come back to order are reset.
     pub fn set(&self, mode: Mode) {
@@ -78,52 +158,68 @@
         }
     }
 
-    /// Ends every connection.
+    /// Ends every connection but those that are silent for good.
     pub fn reset(&self) {
         let given = std::mem::take(&mut self.state.lock().reset);
         given.stop();
     }
 
-    async fn accept(self, listener: TcpListener, target: SocketAddr) {
-        while let Ok((near, _)) = listener.accept().await {
-            task::spawn(self.clone().connect(near, target));
-        }
+    /// Cuts its connections, or only those of one process, as a partition
+    /// does: what is sent is kept, and goes on its way once the cut has healed
+    /// unless its sender has reset the connection meanwhile. Connections that
+    /// are opened during the cut never come up.
+    pub fn hold(&self, ways: Ways, process: Option<u32>) {
+        let process = process.map(|process| (process, sockets::ports_of(process)));
+        let mut state = self.state.lock();
+        state.holds += 1;
+        state.hold = Some(Hold {
+            ways,
+            process,
+            healed: None,
+        });
+        state.wake();
     }
 
-    async fn connect(self, near: TcpStream, target: SocketAddr) {
-        let reset = self.state.lock().reset.clone();
-        let Ok(far) = TcpStream::connect(target).await else {
-            return;
+    /// Heals the cut. New connections work at once; those that it cut send
+    /// again what was kept after `lag`, as TCP waits longer from one attempt to
+    /// the next.
+    pub fn heal(&self, lag: Duration) {
+        let hold = {
+            let mut state = self.state.lock();
+            let next = state.next;
+            if let Some(hold) = &mut state.hold {
+                hold.healed = Some(next);
+            }
+            state.holds
         };
-        // Small messages must not wait for acknowledgements.
-        let _ = near.set_nodelay(true);
-        let _ = far.set_nodelay(true);
-        let there = self.clone().pump(near.clone(), far.clone(), Way::There);
-        let back = self.pump(far.clone(), near.clone(), Way::Back);
-        let pumps = Box::pin(futures::future::join(there, back));
-        futures::future::select(pumps, reset.stopped()).await;
-        // Either side may have ended already.
-        let _ = near.shutdown(Shutdown::Both);
-        let _ = far.shutdown(Shutdown::Both);
+        let proxy = self.clone();
+        task::spawn(async move {
+            timer::sleep(lag).await;
+            let mut state = proxy.state.lock();
+            // Another cut may have begun.
+            if state.holds == hold {
+                state.hold = None;
+                state.wake();
+            }
+        });
     }
 
-    async fn pump(self, mut from: TcpStream, mut to: TcpStream, way: Way) {
-        let mut chunk = vec![0; CHUNK];
-        while let Ok(read) = from.read(&mut chunk).await {
-            if read == 0 {
-                break;
-            }
-            let mode = self.state.lock().mode;
-            match (mode, way) {
-                (Mode::Cut, _) | (Mode::Deaf, Way::Back) => continue,
-                (Mode::Slow(late), _) => timer::sleep(late).await,
-                _ => {}
-            }
-            if to.write_all(&chunk[..read]).await.is_err() {
-                break;
-            }
+    /// Its connections go silent for good: bytes are swallowed both ways and
+    /// nobody is told. New connections work.
+    pub fn silence(&self) {
+        let mut state = self.state.lock();
+        state.silent = state.next;
+        state.wake();
+    }
+
+    async fn accept(self, listener: Async<TcpListener>) {
+        while let Ok((near, peer)) = listener.accept().await {
+            let link = {
+                let mut state = self.state.lock();
+                state.next += 1;
+                Link::new(state.next - 1, peer.port(), self.state.clone())
+            };
+            task::spawn(link.run(Arc::new(near)));
         }
-        // The other way may go on; a connection that is gone cannot be closed.
-        let _ = to.shutdown(Shutdown::Write);
     }
 }
