Soak: bounds of time that allow for a machine under load

Change: `--patience N` multiplies every bound of time: recovery, planned stops, drained zones, and how long two holders may be seen beside each other. What is promised without a bound is judged the same.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -273,18 +273,20 @@
 
 /// Runs that began in a zone while it was drained for longer than the bound,
 /// but for those beside or shortly after trouble that may have kept gateways
-/// from learning it. All times are from the start of the soak.
+/// from learning it. All times are from the start of the soak; bounds are
+/// `patience` times as long.
 pub fn runs_after_drain(
     runs: &[Duration],
     drained: &Range<Duration>,
     troubles: &[Range<Duration>],
+    patience: u32,
 ) -> usize {
     let held_to_it = |at: Duration| {
-        let calm_since = at.saturating_sub(CALM);
+        let calm_since = at.saturating_sub(CALM * patience);
         let disturbs = |trouble: &Range<Duration>| trouble.start <= at && calm_since <= trouble.end;
         !troubles.iter().any(disturbs)
     };
-    let bound = drained.start + ZONE_DRAIN;
+    let bound = drained.start + ZONE_DRAIN * patience;
     let late = runs
         .iter()
         .filter(|at| bound < **at && **at < drained.end && held_to_it(**at));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -37,6 +37,9 @@
     /// Back ends of each service, at most 20 [default: 3]
     #[bpaf(argument("N"), fallback(3), guard(few, "must be 1 to 20"))]
     back_ends: usize,
+    /// Bounds of time are N times as long, for machines under load [default: 1]
+    #[bpaf(argument("N"), fallback(1), guard(some, "must be 1 to 10"))]
+    patience: u32,
     /// Only faults that aim at the owners of keys
     owners_only: bool,
     /// Show the faults of the seed and run nothing
@@ -47,6 +50,10 @@
     (1..=20).contains(number)
 }
 
+fn some(number: &u32) -> bool {
+    (1..=10).contains(number)
+}
+
 fn main() -> eyre::Result<ExitCode> {
     let arguments = arguments().run();
     let mut sound = true;
@@ -63,6 +70,7 @@
             gateways: arguments.gateways,
             back_ends: arguments.back_ends,
             faults,
+            patience: arguments.patience,
         };
         if arguments.plan {
             let back_ends = options.back_ends * 2;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -56,6 +56,8 @@
     pub back_ends: usize,
     /// Which faults come.
     pub faults: Choice,
+    /// Bounds of time are so many times as long, for machines under load.
+    pub patience: u32,
 }
 
 /// What came of it.
@@ -104,6 +106,7 @@
 struct Soak {
     world: World,
     start: Instant,
+    patience: u32,
     /// What was done to the gateways, beside their logs.
     log: File,
     later: Vec<Later>,
@@ -136,6 +139,7 @@
     let mut soak = Soak {
         world,
         start: Instant::now(),
+        patience: options.patience,
         log: File::create(options.dir.join("faults.log"))?,
         later: Vec::new(),
         troubles: Vec::new(),
@@ -370,7 +374,8 @@
         let runs: Vec<Duration> = runs
             .map(|at| at.saturating_duration_since(self.start))
             .collect();
-        let requests = check::runs_after_drain(&runs, &(drained..restored), &self.troubles);
+        let requests =
+            check::runs_after_drain(&runs, &(drained..restored), &self.troubles, self.patience);
         if requests > 0 {
             let zone = zone.to_owned();
             self.violations
@@ -404,10 +409,11 @@
     }
 
     fn look_at_processes(&mut self, now: Instant) -> eyre::Result<()> {
+        let grace = GRACE * self.patience;
         for (number, gateway) in self.world.gateways.iter_mut().enumerate() {
             let asked = self.stopping.get(&number).copied();
             let Some(status) = gateway.ended() else {
-                if asked.is_some_and(|asked| now > asked + GRACE) {
+                if asked.is_some_and(|asked| now > asked + grace) {
                     self.stopping.remove(&number);
                     let problem = "it goes on after the grace time".to_owned();
                     self.violations.push(stop_cut(number, problem));
@@ -429,12 +435,13 @@
     /// Owners that two looks in a row find beside each other count.
     fn look_at_owners(&mut self, now: Instant) {
         let mut seen = BTreeMap::new();
+        let overlap = OVERLAP * self.patience;
         for violation in check::owners(&self.world.held()) {
             let Violation::TwoOwners { key, .. } = violation else {
                 continue;
             };
             let since = self.overlaps.get(&key).map_or(now, |(since, _)| *since);
-            if now.duration_since(since) >= OVERLAP && !self.violations.contains(&violation) {
+            if now.duration_since(since) >= overlap && !self.violations.contains(&violation) {
                 self.violations.push(violation.clone());
             }
             seen.insert(key, (since, violation));
@@ -464,6 +471,7 @@
     /// is held.
     async fn await_calm(&mut self, after: &str) {
         let start = Instant::now();
+        let calm = CALM * self.patience;
         loop {
             if let Err(error) = self.look().await {
                 let problem = error.to_string();
@@ -473,8 +481,8 @@
             let Some(problem) = self.unrest().await else {
                 return;
             };
-            if start.elapsed() > CALM {
-                let problem = format!("{problem} {CALM:?} after the {after}");
+            if start.elapsed() > calm {
+                let problem = format!("{problem} {calm:?} after the {after}");
                 self.violations.push(Violation::NotRecovered { problem });
                 return;
             }
@@ -529,7 +537,7 @@
             if matches!(answer, Answer::Whole { status: 200, .. }) {
                 return Ok(());
             }
-            if mended.elapsed() > CALM {
+            if mended.elapsed() > CALM * self.patience {
                 return Err(format!("{id} ended with {answer:?}"));
             }
             timer::sleep(LOOK * 5).await;
@@ -541,7 +549,9 @@
         let seen = history.lock();
         let found = check::requests(&seen, &self.world.runs());
         self.violations.extend(found);
-        let found = self.world.judge_ownership(self.start, OVERLAP);
+        let found = self
+            .world
+            .judge_ownership(self.start, OVERLAP * self.patience);
         self.violations.extend(found);
         let mut requests = BTreeMap::new();
         for each in seen.iter() {
