Soak: decide as a connection is accepted whether it comes up in a cut

Cause: the test of connections opened in a cut hung once: the link's task ran after the healing and let the connection through. The decision is made before the connection is counted now.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -214,12 +214,11 @@
 
     async fn accept(self, listener: Async<TcpListener>) {
         while let Ok((near, peer)) = listener.accept().await {
-            let link = {
-                let mut state = self.state.lock();
-                state.next += 1;
-                Link::new(state.next - 1, peer.port(), self.state.clone())
-            };
-            task::spawn(link.run(Arc::new(near)));
+            let number = self.accepted();
+            let link = Link::new(number, peer.port(), self.state.clone());
+            let cut = link.comes_up_in_a_cut();
+            self.state.lock().next = number + 1;
+            task::spawn(link.run(Arc::new(near), cut));
         }
     }
 }
--- a/crates/soak/src/proxy/link.rs
+++ b/crates/soak/src/proxy/link.rs
@@ -49,8 +49,10 @@
         }
     }
 
-    pub(super) async fn run(self, near: Stream) {
-        if self.comes_up_in_a_cut() {
+    /// Passes bytes until either side has had enough, or nothing when the
+    /// network was `cut` as it came up.
+    pub(super) async fn run(self, near: Stream, cut: bool) {
+        if cut {
             self.unheld().await;
             abort(&near);
             return;
@@ -92,7 +94,7 @@
     }
 
     /// Whether the network between its ends is cut when it is opened.
-    fn comes_up_in_a_cut(&self) -> bool {
+    pub(super) fn comes_up_in_a_cut(&self) -> bool {
         let process = {
             let state = self.state.lock();
             let cut = state.hold.as_ref().filter(|hold| self.is_old(hold));
