Soak: keyed requests take time, and keys given on while they run are found

Grants that come while another is at work on a key and its lease has not run out are found; tests with such histories.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -43,6 +43,8 @@
     pub from: Duration,
     /// Until when it held it.
     pub until: Duration,
+    /// Until when it would have held it, had it not been told to release it.
+    pub lease: Duration,
 }
 
 impl fmt::Display for Tenure {
@@ -104,6 +106,15 @@
         /// Whether both began requests for them in that time.
         both_began: bool,
     },
+    /// A key was given to another while its holder was at work on it.
+    StillAtWork {
+        /// The key.
+        key: u16,
+        /// From when to when it was at work.
+        work: (Duration, Duration),
+        /// Who held it, and who took it.
+        tenures: Box<[Tenure; 2]>,
+    },
     /// A back end took keys under a fence that is not above one under which
     /// another had held them.
     LowFence {
@@ -185,6 +196,14 @@
                     "keys {first} to {last} were held by {one} and {two}{began}"
                 )
             }
+            Violation::StillAtWork { key, work, tenures } => {
+                let [one, two] = &**tenures;
+                let (from, until) = (work.0.as_secs_f64(), work.1.as_secs_f64());
+                write!(
+                    f,
+                    "key {key} went to {two} while {one} was at work from {from:.3} s to {until:.3} s"
+                )
+            }
             Violation::LowFence { keys, tenures } => {
                 let (first, last) = keys;
                 let [had, took] = &**tenures;
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -25,14 +25,17 @@
     pub back_end: &'a str,
     /// When.
     pub at: Duration,
+    /// When the work ended, if it has.
+    pub until: Option<Duration>,
     /// The key.
     pub key: u16,
 }
 
 /// Finds keys that two back ends held at the same time, for `tolerance` or
-/// longer or with requests begun by both, and grants whose fence is not above
-/// all those under which others had held the key. A renewal continues a hold
-/// and counts as no grant. Changes may come in any order.
+/// longer or with requests begun by both; grants whose fence is not above all
+/// those under which others had held the key; and grants that came while
+/// another was at work on a key and its lease had not run out. A renewal
+/// continues a hold and counts as no grant. Changes may come in any order.
 pub fn judge(changes: &[Change], begun: &[Begun], tolerance: Duration) -> Vec<Violation> {
     let mut changes = changes.to_vec();
     changes.sort_by_key(|change| change.at);
@@ -44,6 +47,9 @@
         for each in held.overlaps(&begun, tolerance) {
             add(&mut found, each);
         }
+        for each in held.interrupted(&begun) {
+            add(&mut found, each);
+        }
         for each in held.low_fences {
             add(&mut found, each);
         }
@@ -123,6 +129,9 @@
         let KeyChange::Granted { fence, hold, .. } = change.what else {
             if let Some(running) = self.running(change) {
                 running.until = change.at;
+                if change.what == KeyChange::Ended {
+                    running.lease = change.at;
+                }
             }
             return;
         };
@@ -130,6 +139,7 @@
         if let Some(running) = self.running(change) {
             if running.fence == fence {
                 running.until = until;
+                running.lease = until;
                 return;
             }
             running.until = change.at;
@@ -139,6 +149,7 @@
             fence,
             from: change.at,
             until,
+            lease: until,
         };
         self.compare_fence(&tenure);
         self.tenures.push(tenure);
@@ -167,6 +178,33 @@
         }
     }
 
+    /// Grants that came while another was at work.
+    fn interrupted(&self, begun: &[&Begun]) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for run in begun {
+            let tenures = self.tenures.iter();
+            let mut under = tenures.filter(|each| {
+                each.back_end == run.back_end && each.from <= run.at && run.at < each.until
+            });
+            let Some(holder) = under.next_back() else {
+                continue;
+            };
+            let until = run.until.unwrap_or(holder.lease).min(holder.lease);
+            let others = self.tenures.iter();
+            let mut given = others.filter(|other| {
+                other.back_end != run.back_end && run.at < other.from && other.from < until
+            });
+            if let Some(other) = given.next() {
+                found.push(Violation::StillAtWork {
+                    key: run.key,
+                    work: (run.at, until),
+                    tenures: Box::new([holder.clone(), other.clone()]),
+                });
+            }
+        }
+        found
+    }
+
     fn overlaps(&self, begun: &[&Begun], tolerance: Duration) -> Vec<Violation> {
         let mut found = Vec::new();
         for (index, one) in self.tenures.iter().enumerate() {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -16,6 +16,9 @@
 /// Zones of back ends and gateways.
 pub const ZONES: usize = 2;
 
+/// Longest work on a keyed request: longer than an order takes.
+const WORK: Duration = Duration::from_millis(200);
+
 /// A back end behind its proxy.
 #[derive(Debug)]
 pub struct BackEnd {
@@ -96,7 +99,9 @@
     async fn start_inner(&mut self, service: &'static str) -> eyre::Result<StandInBackEnd> {
         self.started += 1;
         let id = format!("{service}-{}", self.started);
-        Ok(StandInBackEnd::start(&id, service == "keyed").await?)
+        let inner = StandInBackEnd::start(&id, service == "keyed").await?;
+        inner.set_work(WORK);
+        Ok(inner)
     }
 
     async fn start_back_end(&mut self, service: &'static str) -> eyre::Result<BackEnd> {
@@ -200,10 +205,11 @@
                 what: event.change,
             }));
             let keyed = inner.runs();
-            let keyed = keyed.iter().filter_map(|run| Some((run.at, run.key?)));
-            begun.extend(keyed.map(|(at, key)| Begun {
+            let keyed = keyed.iter().filter_map(|run| Some((run, run.key?)));
+            begun.extend(keyed.map(|(run, key)| Begun {
                 back_end,
-                at: since(at),
+                at: since(run.at),
+                until: run.until.map(since),
                 key,
             }));
         }
--- a/crates/soak/tests/ownership.rs
+++ b/crates/soak/tests/ownership.rs
@@ -33,7 +33,20 @@
 
 fn begun(back_end: &str, at_ms: u64, key: u16) -> Begun<'_> {
     let at = Duration::from_millis(at_ms);
-    Begun { back_end, at, key }
+    Begun {
+        back_end,
+        at,
+        until: Some(at),
+        key,
+    }
+}
+
+/// A request that ends at `until_ms`, or never.
+fn work<'a>(back_end: &'a str, at_ms: u64, until_ms: Option<u64>, key: u16) -> Begun<'a> {
+    Begun {
+        until: until_ms.map(Duration::from_millis),
+        ..begun(back_end, at_ms, key)
+    }
 }
 
 /// What was found, as kind and keys.
@@ -47,6 +60,7 @@
         } => ("both began", *keys),
         Violation::HeldTwice { keys, .. } => ("held twice", *keys),
         Violation::LowFence { keys, .. } => ("low fence", *keys),
+        Violation::StillAtWork { key, .. } => ("at work", (*key, *key)),
         other => panic!("{other}"),
     });
     named.collect()
@@ -122,6 +136,31 @@
     assert_eq!(found(&changes, &[]), [("held twice", (50, 99))]);
 }
 
+/// A release stops new work only: until what runs has ended or the lease has
+/// run out, the key is nobody else's.
+#[test]
+fn keys_given_on_while_their_owner_is_at_work_are_found() {
+    let given_on = |at_ms: u64| {
+        [
+            grant("a", 0, (0, 99), 1),
+            release("a", 500, (0, 99)),
+            grant("b", at_ms, (0, 99), 2),
+        ]
+    };
+    let ends = [work("a", 400, Some(700), 7)];
+    assert_eq!(found(&given_on(600), &ends), [("at work", (7, 7))]);
+    assert_eq!(found(&given_on(700), &ends), []);
+    let never_ends = [work("a", 400, None, 7)];
+    assert_eq!(found(&given_on(1_999), &never_ends), [("at work", (7, 7))]);
+    assert_eq!(found(&given_on(2_000), &never_ends), []);
+    let crashed = [
+        grant("a", 0, (0, 99), 1),
+        change("a", 500, KeyChange::Ended),
+        grant("b", 600, (0, 99), 2),
+    ];
+    assert_eq!(found(&crashed, &never_ends), []);
+}
+
 /// Another life has another name, and needs a higher fence like anybody.
 #[test]
 fn next_life_under_the_same_fence_is_found() {
