Soak: connections between gateways go silent for good

Cause: gateways spoke to each other directly, so that nothing between them could be disturbed.

Change: for each pair of gateways and direction a proxy stands in between. Since a gateway says where it listens itself, each proxy, that to the store included, exchanges the addresses in what passes for those that the receiver is shown.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -28,6 +28,8 @@
 const DARK_MS: (u64, u64) = (100, 900);
 /// From its registration until one of the dead process is written again.
 const LATE_WRITE_MS: (u64, u64) = (50, 2_000);
+/// Shortest and longest pause between two silences between gateways.
+const PEERS_PAUSE_MS: (u64, u64) = (2_000, 9_000);
 /// Time by which orders are carried out late.
 const LATE_ORDER_MS: (u64, u64) = (500, 3_000);
 
@@ -97,6 +99,8 @@
     BackEndMute(usize),
     /// The same between a gateway and the store.
     StoreMute(usize),
+    /// The same between a gateway and all others.
+    PeersMute(usize),
     /// A back end crashes, and another process serves at its address.
     Restart {
         /// The back end.
@@ -186,6 +190,7 @@
     choice: Choice,
 ) -> Vec<Fault> {
     let mut faults = aimed_at_owners(seed, total, gateways, back_ends);
+    faults.extend(silences(seed, total, gateways));
     if choice == Choice::All {
         faults.extend(mixed(seed, total, gateways, back_ends));
         faults.extend(drains(seed, total));
@@ -230,6 +235,25 @@
     }
 }
 
+/// Gateways whose connections with the others go silent, drawn apart as well.
+fn silences(seed: u64, total: Duration, gateways: usize) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(3);
+    let mut at = Duration::ZERO;
+    let mut faults = Vec::new();
+    loop {
+        at += between(&mut rng, PEERS_PAUSE_MS);
+        if at >= total {
+            return faults;
+        }
+        faults.push(Fault {
+            at,
+            length: between(&mut rng, LENGTH_MS),
+            kind: Kind::PeersMute(rng.random_range(0..gateways)),
+        });
+    }
+}
+
 fn draw_aimed(rng: &mut ChaCha8Rng, gateways: usize, back_ends: usize) -> Kind {
     let gateway = rng.random_range(0..gateways);
     let back_end = rng.random_range(0..back_ends);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod check;
 pub mod fault;
 pub mod ownership;
+pub mod peers;
 pub mod process;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -11,6 +11,9 @@
 use crate::check::ZONE_DRAIN;
 use crate::world::ZONES;
 
+/// Port at which a gateway listens for others.
+pub const PEER_PORT: u16 = 8_083;
+
 /// What a gateway is started with.
 #[derive(Clone, Debug)]
 pub struct Setup<'a> {
@@ -55,7 +58,7 @@
         let zone = setup.number % ZONES;
         let text = format!(
             "machine = \"{name}\"\nzone = \"zone-{zone}\"\n[listen]\ncallers = \"{callers}\"\n\
-             readiness = \"{readiness}\"\npeers = \"{own}:8083\"\n[platform]\nstore = \"{}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{own}:{PEER_PORT}\"\n[platform]\nstore = \"{}\"\n\
              [bounds]\nzone-drain-s = {}\n",
             setup.store,
             ZONE_DRAIN.as_secs(),
@@ -149,7 +152,7 @@
 }
 
 /// A loopback address of its own for each gateway of each soak.
-fn own_address(number: usize) -> Ipv4Addr {
+pub fn own_address(number: usize) -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let number = u8::try_from(number).unwrap_or(u8::MAX);
     Ipv4Addr::new(127, 128 | (high & 63), low, number.saturating_add(1))
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 mod link;
 mod sockets;
+pub mod wording;
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
@@ -15,6 +16,7 @@
 use threadledge_net::timer;
 
 use link::Link;
+use wording::Wording;
 
 /// How the connections of a proxy behave.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -71,6 +73,7 @@
 #[derive(Debug)]
 struct State {
     target: SocketAddr,
+    wording: Arc<Wording>,
     mode: Mode,
     hold: Option<Hold>,
     /// Cuts so far.
@@ -105,19 +108,24 @@
     /// No port can be listened on.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Proxy::start_at(any, target).await
+        Proxy::start_at(any, target, Wording::default()).await
     }
 
-    /// Starts one at an address.
+    /// Starts one at an address that words what passes anew.
     ///
     /// # Errors
     ///
     /// The address cannot be listened on.
-    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start_at(
+        address: SocketAddr,
+        target: SocketAddr,
+        wording: Wording,
+    ) -> std::io::Result<Self> {
         let listener = Async::<TcpListener>::bind(address)?;
         let address = listener.get_ref().local_addr()?;
         let state = State {
             target,
+            wording: Arc::new(wording),
             mode: Mode::Sound,
             hold: None,
             holds: 0,
--- a/crates/soak/src/proxy/link.rs
+++ b/crates/soak/src/proxy/link.rs
@@ -189,7 +189,10 @@
             };
             match read {
                 Ok(0) => open = false,
-                Ok(read) => kept.extend_from_slice(&chunk[..read]),
+                Ok(read) => {
+                    self.word(&mut chunk[..read], way);
+                    kept.extend_from_slice(&chunk[..read]);
+                }
                 Err(_) if self.is_silent() => return Ok(()),
                 Err(error) => {
                     self.unheld().await;
@@ -199,6 +202,14 @@
         }
     }
 
+    fn word(&self, bytes: &mut [u8], way: Way) {
+        let wording = self.state.lock().wording.clone();
+        match way {
+            Way::There => wording.there(bytes),
+            Way::Back => wording.back(bytes),
+        }
+    }
+
     async fn deliver(&self, bytes: &[u8], to: &Stream, how: Treatment) -> io::Result<()> {
         match how {
             Treatment::Keep | Treatment::Swallow | Treatment::Silence => return Ok(()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -267,6 +267,7 @@
             Kind::StoreHold { gateway, ways, .. } => self.world.doors[gateway].hold(ways, None),
             Kind::BackEndMute(be) => self.world.back_ends[be].proxy.silence(),
             Kind::StoreMute(gw) => self.world.doors[gw].silence(),
+            Kind::PeersMute(gw) => self.world.peers.silence(gw),
             Kind::Restart {
                 back_end,
                 dark,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,6 +1,7 @@
 //! The gateways of one soak and everything around them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 
 use crate::check::Violation;
 use crate::ownership::{self, Begun, Change};
+use crate::peers::{self, PeerLinks};
 use crate::process::{Gateway, Setup};
 use crate::proxy::{Mode, Proxy};
 
@@ -38,6 +40,8 @@
     pub store: StandInStore,
     /// Between each gateway and the store.
     pub doors: Vec<Proxy>,
+    /// Between gateways.
+    pub peers: PeerLinks,
     /// The gateways.
     pub gateways: Vec<Gateway>,
     /// The back ends.
@@ -69,6 +73,7 @@
         let mut world = World {
             store,
             doors: Vec::new(),
+            peers: PeerLinks::start(size.gateways).await?,
             gateways: Vec::new(),
             back_ends: Vec::new(),
             left: Vec::new(),
@@ -83,7 +88,9 @@
         }
         world.configure();
         for number in 0..size.gateways {
-            let door = Proxy::start(world.store.address()).await?;
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let wording = peers::to_store(number, size.gateways);
+            let door = Proxy::start_at(any, world.store.address(), wording).await?;
             let store = door.address();
             world.doors.push(door);
             world.gateways.push(Gateway::start(&Setup {
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -7,6 +7,7 @@
 
 use async_std::task;
 use rustix::net::sockopt;
+use threadledge_soak::proxy::wording::Wording;
 use threadledge_soak::proxy::{Proxy, Ways};
 
 /// A proxy, the listener behind it, and a connection through it.
@@ -177,3 +178,19 @@
     let (mut far, _) = other.accept().expect("its continuation");
     assert_eq!(read(&mut far, 4), b"next");
 }
+
+#[test]
+fn words_are_exchanged_both_ways() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let target = listener.local_addr().expect("its address");
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let pairs = [("near", "far!"), ("long", "short")];
+    let wording = Wording::new(pairs.map(|(near, far)| (near.to_owned(), far.to_owned())));
+    let proxy = task::block_on(Proxy::start_at(any, target, wording)).expect("a proxy");
+    let mut near = TcpStream::connect(proxy.address()).expect("a connection");
+    let (mut far, _) = listener.accept().expect("its continuation");
+    near.write_all(b"nnear near long").expect("sent");
+    assert_eq!(read(&mut far, 15), b"nfar! far! long");
+    far.write_all(b"far!far!").expect("sent");
+    assert_eq!(read(&mut near, 8), b"nearnear");
+}
