--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -492,6 +492,10 @@
     }
 
     async fn unrest(&self) -> Option<String> {
+        // It answers until it ends, and is started again by a look.
+        if let Some(number) = self.stopping.keys().next() {
+            return Some(format!("gateway {number} is stopping"));
+        }
         for (number, gateway) in self.world.gateways.iter().enumerate() {
             let shown = shown_version(&self.client, gateway.readiness).await;
             if shown != Some(self.world.version) {
