Soak: cuts that keep bytes until the keys are another's

Change: longer cuts from all gateways to one back end, drawn apart, so that other faults of a seed stay.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -21,6 +21,11 @@
 /// Shortest and longest cut that keeps bytes: from one that orders outlast to
 /// one after which keys are another's.
 const HOLD_MS: (u64, u64) = (500, 7_000);
+/// The same of one during which the keys of a back end become another's: its
+/// loss shows within 4 s, its hold is waited out within another 4 s.
+const LONG_HOLD_MS: (u64, u64) = (7_500, 10_000);
+/// Shortest and longest pause before such a cut.
+const LONG_HOLD_PAUSE_MS: (u64, u64) = (500, 4_000);
 /// From the healing of such a cut until what was kept goes on. TCP waits up to
 /// about as long again as a short cut lasted.
 const LAG_MS: (u64, u64) = (350, 2_500);
@@ -191,6 +196,7 @@
 ) -> Vec<Fault> {
     let mut faults = aimed_at_owners(seed, total, gateways, back_ends);
     faults.extend(silences(seed, total, gateways));
+    faults.extend(long_holds(seed, total, back_ends));
     if choice == Choice::All {
         faults.extend(mixed(seed, total, gateways, back_ends));
         faults.extend(drains(seed, total));
@@ -254,6 +260,30 @@
     }
 }
 
+/// Back ends that no order reaches for so long that their keys become
+/// another's, one after the other, drawn apart as well.
+fn long_holds(seed: u64, total: Duration, back_ends: usize) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(4);
+    let mut at = Duration::ZERO;
+    let mut faults = Vec::new();
+    loop {
+        at += between(&mut rng, LONG_HOLD_PAUSE_MS);
+        let length = between(&mut rng, LONG_HOLD_MS);
+        let kind = Kind::BackEndHold {
+            back_end: rng.random_range(0..back_ends),
+            ways: [Ways::There, Ways::Both][rng.random_range(0..2)],
+            gateway: None,
+            lag: between(&mut rng, LAG_MS),
+        };
+        if at >= total {
+            return faults;
+        }
+        faults.push(Fault { at, length, kind });
+        at += length;
+    }
+}
+
 fn draw_aimed(rng: &mut ChaCha8Rng, gateways: usize, back_ends: usize) -> Kind {
     let gateway = rng.random_range(0..gateways);
     let back_end = rng.random_range(0..back_ends);
