--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -22,8 +22,8 @@
 /// one after which keys are another's.
 const HOLD_MS: (u64, u64) = (500, 7_000);
 /// The same of one during which the keys of a back end become another's: its
-/// loss was seen to show within 5 s, its hold to be waited out 7 s later.
-const LONG_HOLD_MS: (u64, u64) = (11_500, 13_000);
+/// loss was seen to show within 5 s, its hold is waited out twice at the most.
+const LONG_HOLD_MS: (u64, u64) = (9_500, 11_500);
 /// Shortest and longest pause before such a cut.
 const LONG_HOLD_PAUSE_MS: (u64, u64) = (500, 4_000);
 /// From the healing of such a cut until what was kept goes on. TCP waits up to
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use eyre::{WrapErr, eyre};
 use rustix::process::{Pid, Signal, kill_process};
@@ -11,6 +12,9 @@
 use crate::check::ZONE_DRAIN;
 use crate::world::ZONES;
 
+/// Hold of a grant: short, so that holds are waited out in a soak.
+const HOLD: Duration = Duration::from_secs(2);
+
 /// Port at which a gateway listens for others.
 pub const PEER_PORT: u16 = 8_083;
 
@@ -56,10 +60,11 @@
         let name = format!("gateway-{}", setup.number);
         let settings = setup.dir.join(format!("{name}.toml"));
         let zone = setup.number % ZONES;
+        let hold = HOLD.as_secs();
         let text = format!(
             "machine = \"{name}\"\nzone = \"zone-{zone}\"\n[listen]\ncallers = \"{callers}\"\n\
              readiness = \"{readiness}\"\npeers = \"{own}:{PEER_PORT}\"\n[platform]\nstore = \"{}\"\n\
-             [bounds]\nzone-drain-s = {}\n",
+             [bounds]\nzone-drain-s = {}\n[ownership]\nhold-s = {hold}\nmax-hold-s = {hold}\n",
             setup.store,
             ZONE_DRAIN.as_secs(),
         );
