Soak: nobody connects during a cut

Cause: the proxy accepted connections during cuts that keep bytes, where a partition loses their first packets.

Change: the proxy keeps the kernel's queue of connections full during a cut of all callers, so that first packets are dropped and sent again.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -5,12 +5,13 @@
 pub mod wording;
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Async;
 use async_std::task;
+use futures::future::{Either, select};
 use parking_lot::Mutex;
 use threadledge_net::StopSignal;
 use threadledge_net::timer;
@@ -18,6 +19,14 @@
 use link::Link;
 use wording::Wording;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 128;
+/// Longest wait for one that fills the queue of those: none when it is full.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Connections that fill the shortest queue, whatever the kernel adds to it.
+const MOST_FILL: usize = 32;
+
 /// How the connections of a proxy behave.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -85,9 +94,17 @@
     reset: StopSignal,
     /// Given when connections should look at `hold` again.
     changed: StopSignal,
+    /// Connections of its own that keep others from coming up in a cut.
+    fill: Vec<TcpStream>,
 }
 
 impl State {
+    /// Whether nobody's connections come up.
+    fn is_closed(&self) -> bool {
+        let closed = |hold: &Hold| hold.process.is_none() && hold.healed.is_none();
+        self.hold.as_ref().is_some_and(closed)
+    }
+
     fn wake(&mut self) {
         std::mem::take(&mut self.changed).stop();
     }
@@ -97,6 +114,7 @@
 #[derive(Clone, Debug)]
 pub struct Proxy {
     address: SocketAddr,
+    listener: Arc<Async<TcpListener>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -133,12 +151,14 @@
             silent: 0,
             reset: StopSignal::new(),
             changed: StopSignal::new(),
+            fill: Vec::new(),
         };
         let proxy = Proxy {
             address,
+            listener: Arc::new(listener),
             state: Arc::new(Mutex::new(state)),
         };
-        task::spawn(proxy.clone().accept(listener));
+        task::spawn(proxy.clone().accept());
         Ok(proxy)
     }
 
@@ -174,8 +194,8 @@
 
     /// Cuts its connections, or only those of one process, as a partition
     /// does: what is sent is kept, and goes on its way once the cut has healed
-    /// unless its sender has reset the connection meanwhile. Connections that
-    /// are opened during the cut never come up.
+    /// unless its sender has reset the connection meanwhile. Nobody can connect
+    /// during the cut; connections of one process come up and carry nothing.
     pub fn hold(&self, ways: Ways, process: Option<u32>) {
         let process = process.map(|process| (process, sockets::ports_of(process)));
         let mut state = self.state.lock();
@@ -186,6 +206,26 @@
             healed: None,
         });
         state.wake();
+        if state.is_closed() {
+            state.fill = self.fill_queue();
+        } else {
+            self.open_queue(&mut state);
+        }
+    }
+
+    /// Fills the queue, so that the kernel drops the first packets of further
+    /// connections.
+    fn fill_queue(&self) -> Vec<TcpStream> {
+        // With the queue as long as before, the cut would be milder.
+        let _ = rustix::net::listen(&*self.listener, 0);
+        let fill = || TcpStream::connect_timeout(&self.address, FILL_TIMEOUT);
+        let filling = (0..MOST_FILL).map_while(|_| fill().ok());
+        filling.collect()
+    }
+
+    fn open_queue(&self, state: &mut State) {
+        state.fill.clear();
+        let _ = rustix::net::listen(&*self.listener, BACKLOG);
     }
 
     /// Heals the cut. New connections work at once; those that it cut send
@@ -198,6 +238,8 @@
             if let Some(hold) = &mut state.hold {
                 hold.healed = Some(next);
             }
+            self.open_queue(&mut state);
+            state.wake();
             state.holds
         };
         let proxy = self.clone();
@@ -220,8 +262,21 @@
         state.wake();
     }
 
-    async fn accept(self, listener: Async<TcpListener>) {
-        while let Ok((near, peer)) = listener.accept().await {
+    async fn accept(self) {
+        loop {
+            let (changed, closed) = {
+                let state = self.state.lock();
+                (state.changed.stopped(), state.is_closed())
+            };
+            if closed {
+                changed.await;
+                continue;
+            }
+            let accepted = Box::pin(self.listener.accept());
+            // A change comes first: in a cut the queue has to stay full.
+            let Either::Right((Ok((near, peer)), _)) = select(changed, accepted).await else {
+                continue;
+            };
             let number = self.accepted();
             let link = Link::new(number, peer.port(), self.state.clone());
             let cut = link.comes_up_in_a_cut();
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -118,11 +118,37 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
 
+/// As when first packets are lost.
+#[test]
+fn nobody_connects_in_a_cut() {
+    let mut scene = Scene::start();
+    let address = scene.proxy.address();
+    scene.proxy.hold(Ways::There, None);
+    let error = TcpStream::connect_timeout(&address, Duration::from_millis(200));
+    let error = error.expect_err("no connection");
+    assert_eq!(error.kind(), ErrorKind::TimedOut);
+    scene.proxy.heal(Duration::ZERO);
+    scene.speak_both_ways();
+    let mut next = TcpStream::connect(address).expect("a connection");
+    next.write_all(b"next").expect("sent");
+    // Those that filled the queue may come before it, and say nothing.
+    loop {
+        let (mut far, _) = scene.listener.accept().expect("its continuation");
+        let mut said = Vec::new();
+        if far.read_exact(&mut [0; 1]).is_ok() {
+            far.set_nonblocking(true).expect("set");
+            let _ = far.read_to_end(&mut said);
+            assert_eq!(said, b"ext");
+            return;
+        }
+    }
+}
+
 /// As one whose first packet is lost until its caller has given up.
 #[test]
-fn connection_opened_in_a_cut_never_comes_up() {
+fn connection_opened_in_a_cut_of_its_process_never_comes_up() {
     let scene = Scene::start();
-    scene.proxy.hold(Ways::There, None);
+    scene.proxy.hold(Ways::There, Some(std::process::id()));
     let mut late = TcpStream::connect(scene.proxy.address()).expect("a connection");
     late.write_all(b"lost").expect("sent");
     while scene.proxy.accepted() < 2 {
