Tests: no hold runs out while connections are silent

Cause: the test looked whether every key is held at each look; a key that is moved for balance is held by nobody for a moment, longer beside load: it failed in 1 of 9 runs beside a load of 38. Change: it judges the histories of back ends instead: no hold may end by itself at any time, which the looks could miss, and in the end all are held.

--- a/crates/router/tests/gateway/silence.rs
+++ b/crates/router/tests/gateway/silence.rs
@@ -2,10 +2,13 @@
 //! work.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use async_std::task::block_on;
 use futures::future::join_all;
-use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, configuration};
+use threadledge_platform_stand_in::{
+    KeyChange, KeyEvent, StandInBackEnd, StandInStore, configuration,
+};
 
 use super::process::{Ask, Gateway, eventually};
 use super::swallowing::SwallowingProxy;
@@ -76,6 +79,21 @@
         back_ends.map(|each| each.held(&keys()).len()).sum()
     }
 
+    /// Keys that are looked at whose hold ran out, with the back end: it was
+    /// neither renewed nor released in time.
+    fn ran_out(&self) -> Vec<(String, u16)> {
+        let keys = keys();
+        let lapsed = |back_end: &StandInBackEnd| {
+            let events = back_end.key_events();
+            let id = back_end.id.clone();
+            let ran_out = keys.iter().filter(move |key| ran_out(&events, **key));
+            ran_out
+                .map(move |key| (id.clone(), *key))
+                .collect::<Vec<_>>()
+        };
+        self.back_ends.iter().flat_map(lapsed).collect()
+    }
+
     /// Statuses of requests like this one, one after the other.
     fn ask_on(&self, ask: &Ask<'_>) -> Vec<u16> {
         let ids = (0..AFTERWARDS).map(|index| format!("later-{index}"));
@@ -88,6 +106,25 @@
     (0..=u16::MAX).step_by(4_096).collect()
 }
 
+/// Whether a hold of `key` ended by itself.
+fn ran_out(events: &[KeyEvent], key: u16) -> bool {
+    let mut until: Option<Instant> = None;
+    for event in events {
+        let late = until.is_some_and(|until| event.at > until);
+        match event.change {
+            KeyChange::Granted {
+                first, last, hold, ..
+            } if first <= key && key <= last => until = Some(event.at + hold),
+            KeyChange::Released { first, last } if first <= key && key <= last => until = None,
+            _ => continue,
+        }
+        if late {
+            return true;
+        }
+    }
+    until.is_some_and(|until| Instant::now() > until)
+}
+
 fn plain() -> Ask<'static> {
     Ask::default()
 }
@@ -159,18 +196,20 @@
     let before = grants(&world);
     world.silence();
     world.store.put("config", "main", configuration(2));
-    let all_held = || assert_eq!(world.held(), keys().len());
+    // A key that moves is held by nobody for a moment, and that is no matter.
+    let none_ran_out = || assert_eq!(world.ran_out(), []);
     eventually(|| {
-        all_held();
+        none_ran_out();
         let version = "threadledge_gateway_configuration_version 2";
         world.gateway.metrics().contains(version).then_some(())
     });
     let calls = world.store.calls() - calls;
     assert!(calls <= MOST_CALLS, "{calls} calls until it was known");
     eventually(|| {
-        all_held();
+        none_ran_out();
         let after = grants(&world);
         let renewed = |(before, after): (&u64, &u64)| *after >= before + RENEWALS;
-        before.iter().zip(&after).all(renewed).then_some(())
+        let all = before.iter().zip(&after).all(renewed) && world.held() == keys().len();
+        all.then_some(())
     });
 }
