Tests: a client of its own for each answer of a peer that closes

Cause: a flaky test, older than this work. The scripted peer closes after each answer; where its close came after the pool had looked at the connection, the second request went out on the first connection and broke. Change: each answer has its own client; what is asserted is the same.

--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -133,8 +133,10 @@
     let whole = format!("{head}{one}{two}0\r\n\r\n");
     let cut = format!("{head}{one}{two}");
     let peer = peer_with_script(vec![whole.into(), cut.into()]).await;
-    let client = HttpClient::default();
     for ends_well in [true, false] {
+        // A client of its own: the peer closes after each answer, and its close
+        // may come only after a pool would have used the connection again.
+        let client = HttpClient::default();
         let mut lines = client.get_json_lines(peer, "/", SAFETY).await.unwrap();
         for number in [1, 2] {
             let line: Option<Number> = lines.next(SAFETY).await.unwrap();
