--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -1,6 +1,7 @@
 //! The log of requests: every failure whole, successes by sample.
 
 use std::fmt::Write;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
 pub(super) struct RequestLine {
     started: Instant,
     id: Option<String>,
+    /// Address from which the caller connected.
+    from: IpAddr,
     key: Option<u16>,
     path: String,
     pub(super) route: Option<RouteName>,
@@ -35,10 +38,16 @@
 }
 
 impl RequestLine {
-    pub(super) fn new(request: &Request, caller: &CallerHead, started: Instant) -> Self {
+    pub(super) fn new(
+        request: &Request,
+        caller: &CallerHead,
+        from: IpAddr,
+        started: Instant,
+    ) -> Self {
         RequestLine {
             started,
             id: caller.request_id.clone(),
+            from,
             key: caller.key.map(|key| key.0),
             path: request.url().path().to_owned(),
             route: None,
@@ -141,6 +150,7 @@
         emit!(
             EventId::RequestEnded,
             request = text(line.id.as_deref()),
+            from = %line.from,
             route = text(line.route.as_ref().map(RouteName::as_str)),
             service = text(line.service.as_ref().map(ServiceName::as_str)),
             path = line.path,
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -1,5 +1,6 @@
 //! Takes callers' requests.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
@@ -44,11 +45,16 @@
 
 impl Requests {
     /// One request from its head to the head of its answer.
-    pub(super) async fn handle(self: Arc<Self>, request: Request, mut visit: Visit) -> Response {
+    pub(super) async fn handle(
+        self: Arc<Self>,
+        request: Request,
+        from: IpAddr,
+        mut visit: Visit,
+    ) -> Response {
         let started = Instant::now();
         let method = request.method();
         let caller = self.attempts.wording.caller(request.as_ref());
-        let mut line = RequestLine::new(&request, &caller, started);
+        let mut line = RequestLine::new(&request, &caller, from, started);
         let mut response = self.answer(request, caller, &mut line, &mut visit).await;
         if self.leaving.load(Ordering::Relaxed) {
             response.insert_header(CONNECTION, "close");
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -12,7 +12,9 @@
 use thiserror::Error;
 use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
-use threadledge_net::{Pool, PoolSettings, ServerLimits, StopSignal, Unframed, serve, timer};
+use threadledge_net::{
+    ConnectionInfo, Pool, PoolSettings, ServerLimits, StopSignal, Unframed, serve, timer,
+};
 use threadledge_ports::Ports;
 use threadledge_relay::Member;
 use threadledge_types::{Incarnation, MachineName};
@@ -228,8 +230,10 @@
         let close = StopSignal::new();
         let requests = self.requests.clone();
         let departures = self.metrics.departures().clone();
-        let handler =
-            move |request, _connection| requests.clone().handle(request, departures.visit());
+        let handler = move |request, connection: ConnectionInfo| {
+            let from = connection.peer.ip();
+            requests.clone().handle(request, from, departures.visit())
+        };
         let limits = self.server_limits();
         let served = task::spawn(serve(listeners.callers, limits, close.clone(), handler));
         self.stop.stopped().await;
