Test: a request that crashes each back end that runs it, through three gateways

Cause: nothing of a request's crashes outlives its try. Ruled out: a special case of keys; the test uses a service without keys, where one try ends two back ends.

--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! the users' platform on loopback.
 
 mod changes;
+mod crashing;
 mod fleet;
 mod follow;
 mod knowledge;
