Core: requests under suspicion, and what the request path makes of them

Cause: nothing outlives a try of a request that crashes back ends. Ruled out: one fixed reading of who the caller is. The tries of the incident came from addresses of several zones, and proper requests of others on the same path have the same headers: crashes of all callers count together until a success shows that callers differ, then by address and by headers. Change: crate threadledge-suspects (identity, evidence as sets, news, the record for the store, open breaks) and the dispatcher's use of it: no hedge after one crash, one exchange at a time and no second attempt after two, refused with the third. The gateway does not feed it yet.

--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -27,4 +27,6 @@
     pub repeats_denied: u64,
     /// Times that a back end was left alone for a while.
     pub ejections: u64,
+    /// Processes that ended while they ran a request from here.
+    pub crashes: u64,
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Joins routes, back ends, ownership, budgets and waiting requests.
 
 mod attempts;
+mod crashes;
 mod ending;
 mod steps;
 mod waiting;
@@ -13,9 +14,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::{LoadReport, OwnershipView};
+use threadledge_suspects::{Break, Suspects, Unconfirmed};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
-    BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
+    BackEnd, BackEndName, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
 };
 
 use crate::back_ends::BackEnds;
@@ -78,6 +80,12 @@
     counters: Counters,
     /// Routers of the deployment, if their number is known.
     fleet: Option<u32>,
+    /// Requests that crash back ends, as all routers know them.
+    suspects: Suspects,
+    /// Attempts that broke, while it is open whether their process ended.
+    unconfirmed: Unconfirmed,
+    confirmed: Vec<Break>,
+    to_look_at: Vec<BackEndName>,
 }
 
 impl Dispatcher {
@@ -104,6 +112,10 @@
             next_exchange: 0,
             counters: Counters::default(),
             fleet: None,
+            suspects: Suspects::default(),
+            unconfirmed: Unconfirmed::default(),
+            confirmed: Vec::new(),
+            to_look_at: Vec::new(),
         }
     }
 
@@ -260,6 +272,9 @@
             return Err(refusal(RefusalReason::NoBackEnd));
         };
         let service = destination.service.clone();
+        if self.suspects.is_held(&facts.identity) {
+            return Err(refusal(RefusalReason::CrashesBackEnds));
+        }
         let keyed = configuration.services.get(&service);
         let keyed = keyed.is_some_and(|service| service.keyed);
         if keyed && facts.key.is_none() {
@@ -291,6 +306,8 @@
             tried: BTreeSet::new(),
             may_have_run: None,
             hedged: false,
+            identity: facts.identity,
+            label: format!("{} {}{}", facts.method, facts.host, facts.path),
         };
         self.exchanges.insert(id, exchange);
         self.budget(&service).count_request(now);
@@ -319,9 +336,14 @@
 /// What callers are told to wait when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// What the caller of a request is told to wait that crashes back ends: until
+/// an operator lets it go, coming back helps nobody.
+const HELD_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 fn refusal(reason: RefusalReason) -> Refusal {
     let retry_after = match reason {
         RefusalReason::NoRoute | RefusalReason::MissingKey => None,
+        RefusalReason::CrashesBackEnds => Some(HELD_RETRY_AFTER),
         _ => Some(DEFAULT_RETRY_AFTER),
     };
     Refusal {
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -21,7 +21,8 @@
         let Some(exchange) = self.exchanges.get_mut(&id) else {
             return false;
         };
-        if now >= exchange.deadline {
+        // Another router may have found out while a connection was opened.
+        if now >= exchange.deadline || self.suspects.is_held(&exchange.identity) {
             return false;
         }
         let Some(in_flight) = exchange.in_flight.get_mut(&attempt) else {
@@ -60,6 +61,7 @@
             return Verdict::GoOn;
         };
         self.learn(now, id, &in_flight, end);
+        self.look_for_crash(now, id, &in_flight, end);
         let verdict = self.judge(now, id, &in_flight, end);
         if verdict == Verdict::Deliver {
             self.counters.answered += 1;
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -0,0 +1,164 @@
+//! Requests that crash the back ends that run them: evidence, what a first or
+//! second crash changes, and the end of it with the third.
+//!
+//! Nothing of a request used to outlive its exchange, so that each try of its
+//! caller, at whatever router, cost one or two back ends: 24 runs in 12 tries
+//! through three routers, measured with back ends that end under it; now 3.
+
+use threadledge_suspects::{Break, CRASHES_UNTIL_HELD, RequestHash, SuspectNews, Suspects};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::BackEndName;
+
+use super::{Dispatcher, HELD_RETRY_AFTER};
+use crate::exchange::{Exchange, InFlight};
+use crate::outcome::{AttemptEnd, Fault, RefusalReason, Rejection};
+use crate::request::{ExchangeId, Step};
+
+/// Crashes from which on a request is sent with care: once in an exchange, and
+/// one exchange at a time. The next crash holds it.
+const CAREFUL_FROM: usize = CRASHES_UNTIL_HELD - 1;
+/// Length of what operators are told of a request, in characters.
+const LABEL: usize = 160;
+
+impl Dispatcher {
+    /// Requests under suspicion, as known here.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Takes what another router knows of requests under suspicion. Says
+    /// whether any of it was new.
+    pub fn take_suspects(&mut self, now: Timestamp, news: &SuspectNews) -> bool {
+        let new = self.suspects.take_news(news, now);
+        if new {
+            self.serve_all(now);
+        }
+        new
+    }
+
+    /// An operator lets a request go. Says whether it was known.
+    pub fn release_suspect(&mut self, now: Timestamp, request: RequestHash) -> bool {
+        self.suspects.release(now, request)
+    }
+
+    /// Crashes that were confirmed here since this was asked last.
+    pub fn take_crashes(&mut self) -> Vec<Break> {
+        std::mem::take(&mut self.confirmed)
+    }
+
+    /// Processes at which an attempt broke and that are to be looked at.
+    pub fn take_to_look_at(&mut self) -> Vec<BackEndName> {
+        std::mem::take(&mut self.to_look_at)
+    }
+
+    /// Nobody listens at the address of a process any more, or another one
+    /// does: it has ended.
+    pub fn process_ended(&mut self, process: &BackEndName) {
+        for found in self.unconfirmed.ended(process) {
+            let Break {
+                identity,
+                label,
+                at,
+                ..
+            } = &found;
+            if self.suspects.crashed(*at, identity, process, label) {
+                self.counters.crashes += 1;
+                self.confirmed.push(found);
+            }
+        }
+    }
+
+    /// What the end of an attempt tells of crashes. Processes count and not
+    /// breaks: links that are reset and answers that are lost leave the
+    /// process as it was, and what it answers later shows that.
+    pub(super) fn look_for_crash(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        in_flight: &InFlight,
+        end: &AttemptEnd,
+    ) {
+        let process = &in_flight.back_end;
+        match end {
+            AttemptEnd::Answered { .. } => {
+                self.process_answered(in_flight);
+                if let Some(exchange) = self.exchanges.get(&id) {
+                    self.suspects.succeeded(now, &exchange.identity);
+                }
+            }
+            AttemptEnd::NotRun {
+                reason: Rejection::OtherInstance,
+                ..
+            } => self.process_ended(process),
+            AttemptEnd::NotRun { .. } => self.process_answered(in_flight),
+            AttemptEnd::Failed(Fault::Unreachable) => self.process_ended(process),
+            AttemptEnd::Failed(Fault::Broken | Fault::BadAnswer | Fault::TimedOut) => {
+                if in_flight.sent {
+                    self.attempt_broke(now, id, process.clone());
+                }
+            }
+            AttemptEnd::Failed(Fault::NoConnection | Fault::NothingSent)
+            | AttemptEnd::Abandoned => {}
+        }
+    }
+
+    fn process_answered(&mut self, in_flight: &InFlight) {
+        let sent = in_flight.chosen_at;
+        self.unconfirmed.answered(sent, &in_flight.back_end);
+        self.suspects.answered(sent, &in_flight.back_end);
+    }
+
+    /// An attempt ended without an answer, or none came in time.
+    pub(super) fn attempt_broke(&mut self, now: Timestamp, id: ExchangeId, process: BackEndName) {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            return;
+        };
+        let first = self.unconfirmed.broke(Break {
+            identity: exchange.identity,
+            label: exchange.label.chars().take(LABEL).collect(),
+            process: process.clone(),
+            at: now,
+        });
+        if first {
+            self.to_look_at.push(process);
+        }
+    }
+
+    /// What to do with an exchange whose request is under suspicion; `None`:
+    /// what is done with any other.
+    pub(super) fn step_of_suspect(&mut self, now: Timestamp, id: ExchangeId) -> Option<Step> {
+        let exchange = self.exchanges.get(&id)?;
+        let crashes = self.suspects.crashes_of(&exchange.identity);
+        let open = self.unconfirmed.count(&exchange.identity);
+        if crashes >= CRASHES_UNTIL_HELD {
+            return Some(self.finish_held(now, id));
+        }
+        if crashes + open < CAREFUL_FROM {
+            return None;
+        }
+        if exchange.sent > 0 {
+            return Some(self.finish_held(now, id));
+        }
+        let others = self.exchanges.iter();
+        let same = |other: &Exchange| other.identity.request == exchange.identity.request;
+        let mut at_work = others.filter(|(other, _)| **other != id);
+        if !at_work.any(|(_, other)| same(other) && !other.in_flight.is_empty()) {
+            return None;
+        }
+        // What becomes of the other one decides; it is asked again soon.
+        let again = now + self.settings.owner_pause;
+        if again >= exchange.patience_until {
+            return Some(self.finish_held(now, id));
+        }
+        Some(Step::Wait(again))
+    }
+
+    fn finish_held(&mut self, now: Timestamp, id: ExchangeId) -> Step {
+        self.finish(
+            now,
+            id,
+            RefusalReason::CrashesBackEnds,
+            Some(HELD_RETRY_AFTER),
+        )
+    }
+}
--- a/crates/dispatch/src/dispatcher/ending.rs
+++ b/crates/dispatch/src/dispatcher/ending.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::BackEndName;
 
 use super::{DEFAULT_RETRY_AFTER, Dispatcher};
 use crate::outcome::{Outcome, Refusal, RefusalReason, UnknownReason};
@@ -22,10 +23,15 @@
 
     pub(super) fn finish_late(&mut self, now: Timestamp, id: ExchangeId) -> Step {
         if let Some(exchange) = self.exchanges.get_mut(&id) {
-            let sent = exchange.in_flight.values().any(|flight| flight.sent);
-            if sent {
+            let sent = exchange.in_flight.values().filter(|flight| flight.sent);
+            let silent: Vec<BackEndName> = sent.map(|flight| flight.back_end.clone()).collect();
+            if !silent.is_empty() {
                 exchange.may_have_run = Some(UnknownReason::DeadlinePassed);
             }
+            // A process that ended without a word shows it by its silence only.
+            for process in silent {
+                self.attempt_broke(now, id, process);
+            }
         }
         self.finish(now, id, RefusalReason::DeadlinePassed, None)
     }
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -25,7 +25,10 @@
         if exchange.in_flight.is_empty() {
             return self.next_without_attempt(now, id);
         }
+        // A second run at the same moment would cost a second back end.
+        let suspected = self.suspects.crashes_of(&exchange.identity) > 0;
         let hedge_at = exchange.hedge_at(self.settings.hedge_after);
+        let hedge_at = hedge_at.filter(|_| !suspected);
         let deadline = exchange.deadline;
         match hedge_at {
             Some(at) if at <= now => match self.hedge(now, id) {
@@ -45,6 +48,9 @@
             return self.finish(now, id, RefusalReason::Rejected, None);
         }
         let late = now >= exchange.patience_until;
+        if let Some(step) = self.step_of_suspect(now, id) {
+            return step;
+        }
         let bound = if late { Bound::Deadline } else { Bound::Target };
         match self.choose(now, id, bound) {
             Some(Choice::Take(back_end)) => self.send_or_finish(now, id, back_end),
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use threadledge_suspects::RequestIdentity;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, Route, ServiceName, ShardKey};
 
@@ -44,6 +45,9 @@
     /// An attempt may have run; how the last such one ended.
     pub(crate) may_have_run: Option<UnknownReason>,
     pub(crate) hedged: bool,
+    pub(crate) identity: RequestIdentity,
+    /// Method, host and path, as operators are told of it.
+    pub(crate) label: String,
 }
 
 impl Exchange {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -116,11 +116,13 @@
     DeadlinePassed,
     /// Back ends that were asked did not run it.
     Rejected,
+    /// Each back end that ran it ended.
+    CrashesBackEnds,
 }
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 8] = [
+    pub const ALL: [RefusalReason; 9] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::MissingKey,
@@ -129,6 +131,7 @@
         RefusalReason::Overloaded,
         RefusalReason::DeadlinePassed,
         RefusalReason::Rejected,
+        RefusalReason::CrashesBackEnds,
     ];
 
     /// Name in logs and metrics.
@@ -142,6 +145,7 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::DeadlinePassed => "deadline-passed",
             RefusalReason::Rejected => "rejected",
+            RefusalReason::CrashesBackEnds => "crashes-back-ends",
         }
     }
 
@@ -155,7 +159,8 @@
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
             | RefusalReason::DeadlinePassed
-            | RefusalReason::Rejected => 503,
+            | RefusalReason::Rejected
+            | RefusalReason::CrashesBackEnds => 503,
         }
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use threadledge_suspects::RequestIdentity;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, ShardKey};
 
@@ -19,6 +20,8 @@
 /// What decisions depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestFacts<'a> {
+    /// Method, as the caller wrote it.
+    pub method: &'a str,
     /// Host, as the caller wrote it.
     pub host: &'a str,
     /// Path, without the query.
@@ -29,6 +32,8 @@
     pub key: Option<ShardKey>,
     /// The request can be sent more than once: its body is held whole.
     pub replayable: bool,
+    /// What makes it the same request as another try, and who sends it.
+    pub identity: RequestIdentity,
 }
 
 /// One attempt to make.
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -10,7 +10,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration};
 
-use super::support::{HOST, Station, answered, back_end, configuration, route};
+use super::support::{HOST, Station, answered, back_end, configuration, identity, route};
 
 const COLD: Duration = Duration::from_secs(3);
 /// Requests a second that a cold back end bears, and those that it may get in
@@ -83,6 +83,8 @@
             time_left: Some(Duration::from_secs(5)),
             key: None,
             replayable: true,
+            method: "GET",
+            identity: identity("/safe/x", 0),
         };
         let begun = router.begin(self.now, &facts).expect("admitted");
         let Step::Send(attempt) = router.next(self.now, begun.id) else {
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -13,6 +13,7 @@
     Attempt, AttemptEnd, Begun, Dispatcher, Fault, Outcome, Refusal, RequestFacts, Settings, Step,
     ToldLoad,
 };
+use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
     BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyRange, Route,
@@ -28,6 +29,7 @@
     pub now: Timestamp,
     pub back_ends: Vec<BackEnd>,
     fence: u64,
+    begun: u64,
 }
 
 pub fn route(name: &str, service: &str, repeatable: bool) -> Route {
@@ -108,6 +110,7 @@
                 back_end("k-2", "keyed", "far", 4),
             ],
             fence: 0,
+            begun: 0,
         };
         let routes = vec![
             route("safe", "plain", true),
@@ -173,12 +176,15 @@
 
     pub fn begin_with(&mut self, route: &str, key: Option<u16>) -> Result<Begun, Refusal> {
         let path = format!("/{route}/x");
+        self.begun += 1;
         let facts = RequestFacts {
             host: HOST,
             path: &path,
             time_left: Some(Duration::from_secs(5)),
             key: key.map(ShardKey),
             replayable: true,
+            method: "GET",
+            identity: identity(&path, self.begun),
         };
         self.dispatcher.begin(self.now, &facts)
     }
@@ -211,6 +217,13 @@
     }
 }
 
+/// A request that differs from those with other numbers.
+pub fn identity(path: &str, number: u64) -> RequestIdentity {
+    let target = format!("{path}?number={number}");
+    let builder = IdentityBuilder::new("GET", HOST, &target);
+    builder.from_address([10, 0, 0, 9].into())
+}
+
 pub fn answered() -> AttemptEnd {
     AttemptEnd::Answered {
         failed: false,
--- a/crates/dispatch/tests/model/gateways.rs
+++ b/crates/dispatch/tests/model/gateways.rs
@@ -10,6 +10,7 @@
 use threadledge_dispatch::{
     Attempt, AttemptEnd, Begun, Dispatcher, Fault, RequestFacts, Settings, Step,
 };
+use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
     BackEnd, BackEndName, CallerLimits, Configuration, ConfigurationVersion, Destination, Route,
@@ -108,6 +109,13 @@
     }
 }
 
+/// A request that differs from all others.
+fn identity(request: u64) -> RequestIdentity {
+    let target = format!("/x/{request}");
+    let builder = IdentityBuilder::new("GET", "host.example", &target);
+    builder.from_address([10, 0, 0, 9].into())
+}
+
 impl Gateways for Dispatchers {
     fn choose(&mut self, now: u64, request: u64, gateway: usize, _loads: &[Load]) -> Choice {
         let now = Timestamp::from_micros(now);
@@ -119,6 +127,8 @@
                 time_left: Some(Duration::from_secs(60)),
                 key: None,
                 replayable: true,
+                method: "GET",
+                identity: identity(request),
             };
             let Ok(begun) = dispatcher.begin(now, &facts) else {
                 return Choice::Refuse;
--- /dev/null
+++ b/crates/suspects/src/suspects.rs
@@ -0,0 +1,210 @@
+//! Every request under suspicion, as one gateway knows them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::BackEndName;
+
+use crate::identity::{RequestHash, RequestIdentity};
+use crate::recent::Recent;
+use crate::suspect::Suspect;
+
+/// Requests under suspicion that are remembered, about 500 bytes each. The
+/// ones not held go first, the longest unsuspected of them before the others.
+pub const MOST_SUSPECTS: usize = 512;
+/// How long a request that is not held stays under suspicion.
+const SUSPECTED: Duration = Duration::from_secs(600);
+/// Processes whose crash was withdrawn that are remembered.
+const MOST_WITHDRAWN: usize = 256;
+
+/// A process that was taken for ended, and answered later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Withdrawn {
+    /// When it was sent what it answered.
+    pub(crate) at: Timestamp,
+    pub(crate) changed: u64,
+}
+
+/// Every request under suspicion.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    pub(crate) suspects: BTreeMap<RequestHash, Suspect>,
+    pub(crate) withdrawn: BTreeMap<BackEndName, Withdrawn>,
+    /// Changes so far.
+    pub(crate) changes: u64,
+    recent: Recent,
+}
+
+impl Suspects {
+    /// Number of the last change.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Requests under suspicion.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether no request is under suspicion.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Processes that ended under a request of this caller.
+    pub fn crashes_of(&self, identity: &RequestIdentity) -> usize {
+        let suspect = self.suspects.get(&identity.request);
+        suspect.map_or(0, |suspect| suspect.crashes_of(identity.caller))
+    }
+
+    /// Whether a request of this caller may be sent to no back end.
+    pub fn is_held(&self, identity: &RequestIdentity) -> bool {
+        let suspect = self.suspects.get(&identity.request);
+        suspect.is_some_and(|suspect| suspect.is_held(identity.caller))
+    }
+
+    /// What is known of a request.
+    pub fn get(&self, request: RequestHash) -> Option<&Suspect> {
+        self.suspects.get(&request)
+    }
+
+    /// Every request that is held.
+    pub fn held(&self) -> impl Iterator<Item = (RequestHash, &Suspect)> {
+        let all = self.suspects.iter();
+        all.filter(|(_, suspect)| suspect.is_held_for_any())
+            .map(|(request, suspect)| (*request, suspect))
+    }
+
+    /// A process ended while it ran a request that came at `at`. Says whether
+    /// that was not known.
+    pub fn crashed(
+        &mut self,
+        at: Timestamp,
+        identity: &RequestIdentity,
+        process: &BackEndName,
+        label: &str,
+    ) -> bool {
+        if self
+            .withdrawn
+            .get(process)
+            .is_some_and(|seen| at <= seen.at)
+        {
+            return false;
+        }
+        self.forget_old(at);
+        let suspect = self.suspect(identity.request, label);
+        let new = suspect.crashed(at, (process.clone(), identity.caller));
+        if new {
+            self.change(identity.request);
+        }
+        self.recall(at, identity.request);
+        new
+    }
+
+    /// A back end answered a request of this caller.
+    pub fn succeeded(&mut self, at: Timestamp, identity: &RequestIdentity) {
+        self.recent.answered(at, *identity);
+        if self.suspects.is_empty() {
+            return;
+        }
+        let Some(suspect) = self.suspects.get_mut(&identity.request) else {
+            return;
+        };
+        if suspect.succeeded(at, identity.caller) {
+            self.change(identity.request);
+        }
+    }
+
+    /// A process answered something that was sent to it at `at`: it had not
+    /// ended by then.
+    pub fn answered(&mut self, at: Timestamp, process: &BackEndName) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        let mut changed = Vec::new();
+        for (request, suspect) in &mut self.suspects {
+            if suspect.withdraw(process, at) {
+                changed.push(*request);
+            }
+        }
+        if changed.is_empty() {
+            return;
+        }
+        self.changes += 1;
+        self.withdraw(process, at);
+        self.suspects.retain(|_, suspect| !suspect.is_idle());
+    }
+
+    /// An operator lets a request go. Says whether it was known.
+    pub fn release(&mut self, at: Timestamp, request: RequestHash) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return false;
+        };
+        suspect.release(at);
+        self.change(request);
+        true
+    }
+
+    pub(crate) fn withdraw(&mut self, process: &BackEndName, at: Timestamp) {
+        let changed = self.changes;
+        if self.withdrawn.len() >= MOST_WITHDRAWN && !self.withdrawn.contains_key(process) {
+            let oldest = self.withdrawn.iter().min_by_key(|(_, seen)| seen.changed);
+            if let Some(oldest) = oldest.map(|(process, _)| process.clone()) {
+                self.withdrawn.remove(&oldest);
+            }
+        }
+        self.withdrawn
+            .insert(process.clone(), Withdrawn { at, changed });
+    }
+
+    /// What this gateway remembers of earlier answers counts as well.
+    pub(crate) fn recall(&mut self, now: Timestamp, request: RequestHash) {
+        let Some((caller, at)) = self.recent.find(now, request) else {
+            return;
+        };
+        let suspect = self.suspects.get_mut(&request);
+        if suspect.is_some_and(|suspect| suspect.succeeded(at, caller)) {
+            self.change(request);
+        }
+    }
+
+    pub(crate) fn change(&mut self, request: RequestHash) {
+        self.changes += 1;
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.changed = self.changes;
+        }
+    }
+
+    /// The entry of a request, a new one if there is none.
+    pub(crate) fn suspect(&mut self, request: RequestHash, label: &str) -> &mut Suspect {
+        if !self.suspects.contains_key(&request) && self.suspects.len() >= MOST_SUSPECTS {
+            self.make_room();
+        }
+        self.suspects.entry(request).or_insert_with(|| Suspect {
+            label: label.to_owned(),
+            ..Suspect::default()
+        })
+    }
+
+    fn make_room(&mut self) {
+        let all = self.suspects.iter();
+        let first = all.min_by_key(|(_, suspect)| (suspect.is_held_for_any(), suspect.latest));
+        if let Some(first) = first.map(|(request, _)| *request) {
+            self.suspects.remove(&first);
+        }
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        self.suspects.retain(|_, suspect| {
+            now.since(suspect.latest) < SUSPECTED || suspect.is_held_for_any()
+        });
+    }
+}
+
+impl Suspect {
+    /// Nothing is known against it, and nobody let it go.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.crashes.is_empty() && self.released.is_none()
+    }
+}
