Gateways find out together which requests crash back ends

Cause: nothing of a request outlived its try, and no gateway told another: each found out for itself, at the price of a back end or two each time. Ruled out: counting breaks (a reset link, a lost answer and a full back end break as well: processes count, by whether anybody listens at their address and by what they answer later); the address as the caller (the incident's tries came from three zones); writing each crash into the store (a call and a watch of each zone for each of them; it may be away). Change: evidence is told along the tree of relays at once, between relays of zones, and to a few peers; who is new is asked for all. What is held stands in one object of the store, written when a request is held and read by a relay that is new. Conclusion: the class is knowledge that each gateway has to find out for itself; the store's record and restarts are to be tested next.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -85,7 +85,7 @@
     /// Attempts that broke, while it is open whether their process ended.
     unconfirmed: Unconfirmed,
     confirmed: Vec<Break>,
-    to_look_at: Vec<BackEndName>,
+    to_look_at: Vec<(BackEndName, SocketAddr)>,
 }
 
 impl Dispatcher {
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -5,6 +5,8 @@
 //! caller, at whatever router, cost one or two back ends: 24 runs in 12 tries
 //! through three routers, measured with back ends that end under it; now 3.
 
+use std::net::SocketAddr;
+
 use threadledge_suspects::{Break, CRASHES_UNTIL_HELD, RequestHash, SuspectNews, Suspects};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::BackEndName;
@@ -46,8 +48,14 @@
         std::mem::take(&mut self.confirmed)
     }
 
-    /// Processes at which an attempt broke and that are to be looked at.
-    pub fn take_to_look_at(&mut self) -> Vec<BackEndName> {
+    /// Whether [`Dispatcher::take_crashes`] has any.
+    pub fn has_crashes(&self) -> bool {
+        !self.confirmed.is_empty()
+    }
+
+    /// Processes at which an attempt broke and that are to be looked at, with
+    /// their addresses.
+    pub fn take_to_look_at(&mut self) -> Vec<(BackEndName, SocketAddr)> {
         std::mem::take(&mut self.to_look_at)
     }
 
@@ -119,8 +127,12 @@
             process: process.clone(),
             at: now,
         });
-        if first {
-            self.to_look_at.push(process);
+        let address = self
+            .back_ends
+            .get(&process)
+            .map(|known| known.back_end.address);
+        if let Some(address) = address.filter(|_| first) {
+            self.to_look_at.push((process, address));
         }
     }
 
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -15,6 +15,7 @@
 
 use threadledge_coordination::{CoordinatorLease, OwnershipRecord};
 use threadledge_relay::RelayRecord;
+use threadledge_suspects::HeldRecord;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
 
 pub use grants::GrantTransport;
@@ -39,6 +40,8 @@
     pub ownership: Arc<dyn RecordStore<OwnershipRecord>>,
     /// Who watches the store for each zone.
     pub relays: Arc<dyn RecordStore<RelayRecord>>,
+    /// Requests that are sent to no back end, in one object.
+    pub held_requests: Arc<dyn RecordStore<HeldRecord>>,
     /// Orders to back ends.
     pub grants: Arc<dyn GrantTransport>,
     /// The wording of headers.
--- a/crates/ports/src/wording.rs
+++ b/crates/ports/src/wording.rs
@@ -37,6 +37,10 @@
     /// Reads a caller's head.
     fn caller(&self, headers: &Headers) -> CallerHead;
 
+    /// Whether a header of a caller differs from try to try of the same
+    /// request.
+    fn differs_by_try(&self, name: &str) -> bool;
+
     /// Writes into a request how long the back end has and which back end is
     /// meant.
     fn address(&self, request: &mut Request, time_left: Duration, to: &BackEndName);
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -270,6 +270,15 @@
     RequestEnded = 510, "request-ended", Info,
         "A request ended: every one that failed or needed a second attempt, and a sample of the others.",
         "See the page on explaining a failed request.";
+    CrashedUnderRequest = 511, "back-end-crashed-under-request", Warn,
+        "A back end ended while it ran a request; the line names both. Others that ran beside it are named too.",
+        "Look for the fault in the back end; nothing need be done here.";
+    RequestHeld = 512, "request-held", Warn,
+        "Three back ends have ended under a request: it is sent to no other. The line names them and who told this gateway (own, another gateway, the store).",
+        "Mend the fault in the back ends, then let the request go: see the page on requests that crash back ends.";
+    RequestLetGo = 513, "request-let-go", Info,
+        "A request that was held is sent to back ends again: an operator let it go, or a back end that was taken for ended answered.",
+        "None.";
     ImbalanceTooHigh = 601, "imbalance-too-high", Warn,
         "A service's imbalance stayed above what its policy tolerates for a minute.",
         "Add back ends, or raise the service's churn budget.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -35,6 +35,7 @@
 pub mod sources;
 mod stop;
 pub mod store_health;
+mod suspects;
 pub mod usage;
 pub mod zones;
 
--- a/crates/router/src/gateway/answer.rs
+++ b/crates/router/src/gateway/answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http_types::{Body, Response, StatusCode};
+use serde::Serialize;
 use threadledge_dispatch::{Outcome, Refusal};
 
 /// Answers a request that no back end answered.
@@ -31,3 +32,16 @@
     }
     response
 }
+
+/// An answer with a value as JSON.
+pub(super) fn json<T: Serialize>(value: &T) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let mut response = own(200, "", None);
+            response.set_body(body);
+            response.insert_header("content-type", "application/json");
+            response
+        }
+        Err(_) => own(500, "unwritable", None),
+    }
+}
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -10,6 +10,7 @@
 };
 use threadledge_types::Timestamp;
 
+use super::suspects::{Finding, SuspectSignals};
 use crate::proxy::{Clock, Signal};
 
 /// The dispatcher with its clock. The clock is read under the lock, so that
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Dispatch {
     clock: Clock,
+    suspects: SuspectSignals,
     state: Mutex<State>,
 }
 
@@ -27,10 +29,11 @@
 }
 
 impl Dispatch {
-    pub(super) fn new(dispatcher: Dispatcher, clock: Clock) -> Self {
+    pub(super) fn new(dispatcher: Dispatcher, clock: Clock, suspects: SuspectSignals) -> Self {
         let signals = HashMap::new();
         Dispatch {
             clock,
+            suspects,
             state: Mutex::new(State {
                 dispatcher,
                 signals,
@@ -38,6 +41,11 @@
         }
     }
 
+    /// What the request path finds out of requests that crash back ends.
+    pub(super) fn suspect_signals(&self) -> &SuspectSignals {
+        &self.suspects
+    }
+
     pub(super) fn clock(&self) -> Clock {
         self.clock
     }
@@ -46,7 +54,15 @@
     pub(super) fn with<R>(&self, act: impl FnOnce(&mut Dispatcher, Timestamp) -> R) -> R {
         let mut state = self.state.lock();
         let now = self.clock.now();
+        let known = state.dispatcher.suspects().changes();
         let result = act(&mut state.dispatcher, now);
+        for (process, address) in state.dispatcher.take_to_look_at() {
+            self.suspects.found(Finding::Broke(process, address));
+        }
+        if state.dispatcher.has_crashes() {
+            self.suspects.found(Finding::Crashes);
+        }
+        let learned = state.dispatcher.suspects().changes() != known;
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
             .iter()
@@ -56,6 +72,9 @@
         for signal in signals {
             signal.give();
         }
+        if learned {
+            self.suspects.changed.notify();
+        }
         result
     }
 
--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -128,6 +128,16 @@
         Ok(())
     }
 
+    /// The followers themselves.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let heard = self.heard.lock();
+        let lately = heard
+            .iter()
+            .filter(|(_, heard)| now.since(heard.at) < FOLLOWER_SILENCE);
+        lately.map(|(follower, _)| *follower).collect()
+    }
+
     /// Gateways that learn through this one, itself included.
     pub(super) fn members(&self) -> u32 {
         let now = self.clock.now();
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -8,6 +8,7 @@
 use http_types::Request;
 use threadledge_dispatch::{AttemptEnd, Begun, Outcome};
 use threadledge_ports::CallerHead;
+use threadledge_suspects::RequestHash;
 use threadledge_types::deployment::{BackEndName, RouteName, ServiceName};
 
 use super::exchange::PastAttempt;
@@ -29,6 +30,8 @@
     from: IpAddr,
     key: Option<u16>,
     path: String,
+    /// What stays the same when the request comes again.
+    pub(super) identity: Option<RequestHash>,
     pub(super) route: Option<RouteName>,
     pub(super) service: Option<ServiceName>,
     pub(super) outcome: &'static str,
@@ -50,6 +53,7 @@
             from,
             key: caller.key.map(|key| key.0),
             path: request.url().path().to_owned(),
+            identity: None,
             route: None,
             service: None,
             outcome: "unfinished",
@@ -154,6 +158,7 @@
             route = text(line.route.as_ref().map(RouteName::as_str)),
             service = text(line.service.as_ref().map(ServiceName::as_str)),
             path = line.path,
+            identity = line.identity.map(|identity| identity.to_string()),
             key = line.key,
             outcome = line.outcome,
             status = line.status,
--- a/crates/router/src/gateway/messages.rs
+++ b/crates/router/src/gateway/messages.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use threadledge_coordination::action::StoreRevision;
 use threadledge_coordination::{CoordinatorLease, LoadReport};
+use threadledge_suspects::SuspectNews;
 use threadledge_types::deployment::ServiceName;
 
 use super::followers::Follower;
@@ -85,6 +86,19 @@
     pub(super) peers: Vec<SocketAddr>,
 }
 
+/// What one gateway tells another of requests that crash back ends.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct SuspectExchange {
+    /// Who tells.
+    pub(super) from: Option<SocketAddr>,
+    /// What the other one lacks.
+    pub(super) news: SuspectNews,
+    /// The answer is to tell everything that the other one knows.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(super) whole: bool,
+}
+
 /// A coordinator's lease with its revision.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -44,6 +44,9 @@
     repeats_denied: IntGauge,
     abandoned: IntGauge,
     relayed: IntGauge,
+    crashes: IntGauge,
+    suspected: IntGauge,
+    held: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -139,6 +142,12 @@
             hedges: gauge("hedges", "Attempts beside one without an answer")?,
             repeats_denied: gauge("repeats_denied", "Repeats beyond the budget")?,
             abandoned: gauge("abandoned", "Requests whose caller left")?,
+            crashes: gauge(
+                "crashes_under_requests",
+                "Processes that were seen to end while they ran a request from here",
+            )?,
+            suspected: gauge("requests_suspected", "Requests under which a process ended")?,
+            held: gauge("requests_held", "Requests that are sent to no back end")?,
             relayed: gauge(
                 "follows_relay",
                 "1 while another gateway watches the store for this one",
@@ -162,6 +171,9 @@
             self.hedges.set(counters.hedges as i64);
             self.repeats_denied.set(counters.repeats_denied as i64);
             self.abandoned.set(counters.abandoned as i64);
+            self.crashes.set(counters.crashes as i64);
+            self.suspected.set(dispatcher.suspects().len() as i64);
+            self.held.set(dispatcher.suspects().held().count() as i64);
         });
     }
 }
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -11,17 +11,18 @@
 use async_std::task;
 use http_types::{Method, Request, Response};
 use parking_lot::Mutex;
-use serde::Serialize;
 use threadledge_coordination::LoadReport;
 use threadledge_net::{HttpClient, PoolSettings, ServeReport, ServerLimits, StopSignal, serve};
+use threadledge_suspects::SuspectNews;
 use threadledge_types::deployment::ServiceName;
 
 use super::answer;
 use super::coordination::Event;
 use super::directory::Directory;
 use super::followers::Followers;
-use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport};
+use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::news::{Marks, News};
+use super::suspects::SuspectService;
 use super::usage::Usage;
 
 /// Path of reports.
@@ -30,6 +31,10 @@
 const NEWS_PATH: &str = "/threadledge/v1/news";
 /// Path of polls of a relay.
 const FOLLOW_PATH: &str = "/threadledge/v1/follow";
+/// Path of news of requests that crash back ends.
+const SUSPECTS_PATH: &str = "/threadledge/v1/suspects";
+/// Longest wait for the answer to such news: others wait to be told meanwhile.
+const SUSPECTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a poll of a relay is held.
 const FOLLOW_HOLD: Duration = Duration::from_millis(500);
 /// Longest wait for a poll's answer.
@@ -148,6 +153,19 @@
         polled.await.ok()
     }
 
+    /// Tells one gateway of requests that crash back ends. `None`: it did not
+    /// answer.
+    pub(super) async fn suspects(
+        &self,
+        to: SocketAddr,
+        exchange: &SuspectExchange,
+    ) -> Option<SuspectNews> {
+        let told = self
+            .client
+            .post_json(to, SUSPECTS_PATH, exchange, SUSPECTS_TIMEOUT);
+        told.await.ok()
+    }
+
     /// The address at which other gateways reach this one.
     pub(super) fn own(&self) -> Option<SocketAddr> {
         self.own
@@ -179,6 +197,7 @@
     pub(super) events: async_channel::Sender<Event>,
     pub(super) followers: Arc<Followers>,
     pub(super) usage: Usage,
+    pub(super) suspects: SuspectService,
 }
 
 impl PeerServer {
@@ -204,6 +223,7 @@
             LOAD_PATH => "load",
             FOLLOW_PATH => "follow",
             NEWS_PATH => "news",
+            SUSPECTS_PATH => "suspects",
             _ => "unknown",
         };
         let response = self.answer_body(&request, &body).await;
@@ -215,21 +235,35 @@
     async fn answer_body(&self, request: &Request, body: &[u8]) -> Response {
         match (request.method(), request.url().path()) {
             (Method::Post, LOAD_PATH) => match serde_json::from_slice(body) {
-                Ok(report) => json(&self.take_report(report)),
+                Ok(report) => answer::json(&self.take_report(report)),
                 Err(_) => answer::own(400, "malformed-report", None),
             },
             (Method::Post, FOLLOW_PATH) => match serde_json::from_slice::<FollowPoll>(body) {
-                Ok(poll) => json(&self.answer_poll(poll).await),
+                Ok(poll) => answer::json(&self.answer_poll(poll).await),
                 Err(_) => answer::own(400, "malformed-poll", None),
             },
             (Method::Post, NEWS_PATH) => match serde_json::from_slice::<Marks>(body) {
-                Ok(marks) => json(&self.directory.news_since(&marks)),
+                Ok(marks) => answer::json(&self.directory.news_since(&marks)),
                 Err(_) => answer::own(400, "malformed-marks", None),
             },
+            (Method::Post, SUSPECTS_PATH) => match serde_json::from_slice(body) {
+                Ok(exchange) => answer::json(&self.take_suspects(&exchange)),
+                Err(_) => answer::own(400, "malformed-suspects", None),
+            },
             _ => answer::own(404, "unknown-path", None),
         }
     }
 
+    fn take_suspects(&self, exchange: &SuspectExchange) -> SuspectNews {
+        let source = exchange.from.map_or(String::new(), |from| from.to_string());
+        self.suspects.take(exchange.from, &source, &exchange.news);
+        if exchange.whole {
+            self.suspects.all()
+        } else {
+            SuspectNews::default()
+        }
+    }
+
     async fn answer_poll(&self, mut poll: FollowPoll) -> FollowAnswer {
         self.peers.heard_of(poll.from);
         for (service, load) in std::mem::take(&mut poll.load) {
@@ -263,15 +297,3 @@
         KnownPeers { peers }
     }
 }
-
-fn json<T: Serialize>(value: &T) -> Response {
-    match serde_json::to_vec(value) {
-        Ok(body) => {
-            let mut response = answer::own(200, "", None);
-            response.set_body(body);
-            response.insert_header("content-type", "application/json");
-            response
-        }
-        Err(_) => answer::own(500, "unwritable", None),
-    }
-}
--- a/crates/router/src/gateway/readiness.rs
+++ b/crates/router/src/gateway/readiness.rs
@@ -11,6 +11,7 @@
 
 use super::answer;
 use super::metrics::GatewayMetrics;
+use super::suspects::SuspectService;
 use crate::events::{EventId, emit};
 use crate::metrics::Metrics;
 
@@ -67,51 +68,56 @@
     }
 }
 
-/// Serves readiness and metrics until `stop` is given.
-pub(super) async fn serve_readiness(
-    listener: TcpListener,
-    readiness: Arc<Readiness>,
-    metrics: GatewayMetrics,
-    wording: Arc<dyn Wording>,
-    stop: StopSignal,
-) -> ServeReport {
-    let limits = ServerLimits {
-        max_connections: MAX_CONNECTIONS,
-        idle_timeout: IDLE_TIMEOUT,
-        ..ServerLimits::default()
-    };
-    let handler = move |request: Request, _connection| {
-        let readiness = readiness.clone();
-        let metrics = metrics.clone();
-        let wording = wording.clone();
-        async move { respond(&request, &readiness, &metrics, wording.as_ref()) }
-    };
-    serve(listener, limits, stop, handler).await
+/// Answers questions on this gateway's state. Clones share it.
+#[derive(Clone)]
+pub(super) struct StateAnswers {
+    pub(super) readiness: Arc<Readiness>,
+    pub(super) metrics: GatewayMetrics,
+    pub(super) wording: Arc<dyn Wording>,
+    /// Requests that are held, where operators ask.
+    pub(super) suspects: Option<SuspectService>,
 }
 
-fn respond(
-    request: &Request,
-    readiness: &Readiness,
-    metrics: &GatewayMetrics,
-    wording: &dyn Wording,
-) -> Response {
-    let path = request.url().path();
-    if path == wording.readiness_path() {
-        return match readiness.is_ready() {
-            true => answer::own(200, "ready", None),
-            false => answer::own(503, "not-ready", None),
+impl StateAnswers {
+    /// Serves until `stop` is given.
+    pub(super) async fn serve(self, listener: TcpListener, stop: StopSignal) -> ServeReport {
+        let limits = ServerLimits {
+            max_connections: MAX_CONNECTIONS,
+            idle_timeout: IDLE_TIMEOUT,
+            ..ServerLimits::default()
         };
+        let handler = move |request: Request, _connection| {
+            let answers = self.clone();
+            async move { answers.respond(&request) }
+        };
+        serve(listener, limits, stop, handler).await
     }
-    if path != METRICS_PATH {
-        return answer::own(404, "unknown-path", None);
+
+    fn respond(&self, request: &Request) -> Response {
+        let path = request.url().path();
+        if path == self.wording.readiness_path() {
+            return match self.readiness.is_ready() {
+                true => answer::own(200, "ready", None),
+                false => answer::own(503, "not-ready", None),
+            };
+        }
+        if path == METRICS_PATH {
+            return self.metrics_text();
+        }
+        let suspects = self.suspects.as_ref();
+        let operated = suspects.and_then(|suspects| suspects.operate(request));
+        operated.unwrap_or_else(|| answer::own(404, "unknown-path", None))
     }
-    match metrics.text() {
-        Ok(text) => {
-            let mut response = Response::new(StatusCode::Ok);
-            response.set_body(text);
-            response.insert_header("content-type", Metrics::CONTENT_TYPE);
-            response
+
+    fn metrics_text(&self) -> Response {
+        match self.metrics.text() {
+            Ok(text) => {
+                let mut response = Response::new(StatusCode::Ok);
+                response.set_body(text);
+                response.insert_header("content-type", Metrics::CONTENT_TYPE);
+                response
+            }
+            Err(error) => answer::own(500, &error.to_string(), None),
         }
-        Err(error) => answer::own(500, &error.to_string(), None),
     }
 }
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -20,6 +20,7 @@
 use super::peers::PeerClient;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
+use super::suspects::neighbours::Neighbours;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
@@ -38,6 +39,7 @@
     pub(super) dispatch: Arc<Dispatch>,
     pub(super) client: PeerClient,
     pub(super) followers: Arc<Followers>,
+    pub(super) neighbours: Arc<Neighbours>,
 }
 
 /// What became of a poll on the way.
@@ -83,6 +85,8 @@
     /// Tells everyone whom it concerns where this gateway learns from.
     fn publish(&self) {
         self.sources.set(self.member.source(self.clock.now()));
+        self.neighbours
+            .set_place(self.member.upstream(), self.member.relays());
         if let Some(fleet) = self.sources.fleet() {
             self.dispatch
                 .with(|dispatcher, _now| dispatcher.set_fleet(fleet));
@@ -117,6 +121,7 @@
         let mut zone = self.followers.members();
         let mut fleet: u32 = 0;
         let mut own = None;
+        let mut others = Vec::new();
         for entry in entries {
             let Ok(value) = entry.value else {
                 continue;
@@ -127,8 +132,10 @@
                 own = Some(Versioned { value, revision });
             } else {
                 fleet = fleet.saturating_add(value.members);
+                others.extend(value.holder.address);
             }
         }
+        self.neighbours.set_others(others);
         if self.member.relays() {
             self.sources.set_fleet(fleet.saturating_add(zone));
         }
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -16,6 +16,7 @@
 use super::exchange::{Conclusion, Exchange};
 use super::log::{RequestLine, RequestLogger};
 use super::metrics::GatewayMetrics;
+use super::suspects::identity;
 use crate::proxy::inbound::Inbound;
 
 /// Bodies of requests up to this size are read before anything is sent, in
@@ -55,7 +56,9 @@
         let method = request.method();
         let caller = self.attempts.wording.caller(request.as_ref());
         let mut line = RequestLine::new(&request, &caller, from, started);
-        let mut response = self.answer(request, caller, &mut line, &mut visit).await;
+        let mut response = self
+            .answer(request, caller, from, &mut line, &mut visit)
+            .await;
         if self.leaving.load(Ordering::Relaxed) {
             response.insert_header(CONNECTION, "close");
         }
@@ -70,6 +73,7 @@
         &self,
         request: Request,
         caller: CallerHead,
+        from: IpAddr,
         line: &mut RequestLine,
         visit: &mut Visit,
     ) -> Response {
@@ -87,13 +91,19 @@
             .header(HOST)
             .map_or(String::new(), |values| values.last().as_str().to_owned());
         let path = inbound.request.url().path().to_owned();
+        let method = inbound.request.method();
+        let wording = self.attempts.wording.as_ref();
+        let identity = identity::of(&inbound, caller.key, from, wording);
+        line.identity = Some(identity.request);
         let outbound = Outbound::new(inbound, caller.request_id);
         let facts = RequestFacts {
+            method: method.as_ref(),
             host: &host,
             path: &path,
             time_left: caller.time_left,
             key: caller.key,
             replayable: outbound.replayable(),
+            identity,
         };
         let (begun, signal) = match self.attempts.dispatch.begin(&facts) {
             Ok(begun) => begun,
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -28,13 +28,14 @@
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::peers::{PeerClient, PeerServer, Peers};
-use super::readiness::{Readiness, serve_readiness};
+use super::readiness::{Readiness, StateAnswers};
 use super::relay::{Relaying, patience};
 use super::requests::Requests;
 use super::settings::{GatewaySettings, seconds};
 use super::sources::Sources;
 use super::stop::watch_signals;
 use super::store_health::StoreHealth;
+use super::suspects::{Finding, SuspectService, SuspectSignals};
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 use crate::proxy::budget::Budget;
@@ -132,6 +133,8 @@
     requests: Arc<Requests>,
     /// Begins the planned stop.
     stop: StopSignal,
+    suspects: SuspectService,
+    findings: async_channel::Receiver<Finding>,
 }
 
 impl Gateway {
@@ -142,7 +145,9 @@
     ) -> Result<Self, GatewayError> {
         let clock = Clock::start();
         let dispatcher = Dispatcher::new(settings.dispatch(), rand::random());
-        let dispatch = Arc::new(Dispatch::new(dispatcher, clock));
+        let (signals, findings) = SuspectSignals::new();
+        let dispatch = Arc::new(Dispatch::new(dispatcher, clock, signals));
+        let suspects = SuspectService::new(dispatch.clone());
         let pool = Pool::new(PoolSettings {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: BACK_END_IDLE,
@@ -186,6 +191,8 @@
             metrics,
             requests,
             stop,
+            suspects,
+            findings,
         })
     }
 
@@ -201,6 +208,12 @@
         let events = self.start_coordination(offices.clone());
         let directory = self.start_followers(events.clone());
         self.start_relaying(&directory);
+        self.suspects.start(
+            self.findings.clone(),
+            self.peer_client(),
+            self.followers.clone(),
+            &self.ports,
+        );
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
@@ -208,6 +221,7 @@
                 events: events.clone(),
                 followers: self.followers.clone(),
                 usage: self.metrics.usage().clone(),
+                suspects: self.suspects.clone(),
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
@@ -217,15 +231,20 @@
             self.store_health.clone(),
             self.sources.clone(),
         ));
-        let readiness = Some(listeners.readiness);
-        for listener in [readiness, listeners.operators].into_iter().flatten() {
-            task::spawn(serve_readiness(
-                listener,
-                self.readiness.clone(),
-                self.metrics.clone(),
-                self.ports.wording.clone(),
-                ended.clone(),
-            ));
+        let answers = StateAnswers {
+            readiness: self.readiness.clone(),
+            metrics: self.metrics.clone(),
+            wording: self.ports.wording.clone(),
+            suspects: None,
+        };
+        task::spawn(answers.clone().serve(listeners.readiness, ended.clone()));
+        if let Some(listener) = listeners.operators {
+            let suspects = Some(self.suspects.clone());
+            let answers = StateAnswers {
+                suspects,
+                ..answers
+            };
+            task::spawn(answers.serve(listener, ended.clone()));
         }
         let close = StopSignal::new();
         let requests = self.requests.clone();
@@ -320,6 +339,7 @@
             dispatch: self.dispatch.clone(),
             client: self.peer_client(),
             followers: self.followers.clone(),
+            neighbours: self.suspects.neighbours.clone(),
         };
         relaying.start();
     }
--- /dev/null
+++ b/crates/router/src/gateway/suspects.rs
@@ -0,0 +1,138 @@
+//! Requests that crash back ends, as this gateway finds them out, tells of
+//! them and keeps them: who is the same request, whether a process ended, what
+//! other gateways know, and what the store keeps for when all gateways end.
+
+pub(super) mod identity;
+mod keep;
+mod log;
+mod look;
+pub(super) mod neighbours;
+pub(super) mod operate;
+mod spread;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::task;
+use parking_lot::Mutex;
+use threadledge_ports::Ports;
+use threadledge_suspects::{RequestHash, SuspectNews};
+use threadledge_types::deployment::BackEndName;
+
+use super::dispatch::Dispatch;
+use super::followers::Followers;
+use super::notifier::Notifier;
+use super::peers::PeerClient;
+use keep::Keeper;
+use log::HeldLog;
+use look::Looker;
+use neighbours::Neighbours;
+use spread::{Cursors, Spreader};
+
+/// What the request path found out.
+#[derive(Debug)]
+pub(super) enum Finding {
+    /// An attempt broke at this process, which may have ended.
+    Broke(BackEndName, SocketAddr),
+    /// Processes have ended under requests.
+    Crashes,
+}
+
+/// What the dispatcher's shell tells of suspects.
+#[derive(Debug)]
+pub(super) struct SuspectSignals {
+    findings: async_channel::Sender<Finding>,
+    /// Something is known that was not before.
+    pub(super) changed: Notifier,
+}
+
+impl SuspectSignals {
+    /// The signals, and where the findings arrive.
+    pub(super) fn new() -> (Self, async_channel::Receiver<Finding>) {
+        let (findings, receiver) = async_channel::unbounded();
+        let changed = Notifier::default();
+        (SuspectSignals { findings, changed }, receiver)
+    }
+
+    pub(super) fn found(&self, finding: Finding) {
+        // The channel is unbounded and closes only when the process ends.
+        let _ = self.findings.try_send(finding);
+    }
+}
+
+/// This gateway's part in what the fleet knows. Clones share it.
+#[derive(Clone)]
+pub(super) struct SuspectService {
+    dispatch: Arc<Dispatch>,
+    cursors: Arc<Cursors>,
+    log: Arc<HeldLog>,
+    /// Requests of which this gateway saw a crash itself, or that an operator
+    /// let go here.
+    own: Arc<Mutex<BTreeSet<RequestHash>>>,
+    /// Its place in the tree of relays.
+    pub(super) neighbours: Arc<Neighbours>,
+}
+
+impl SuspectService {
+    pub(super) fn new(dispatch: Arc<Dispatch>) -> Self {
+        SuspectService {
+            dispatch,
+            cursors: Arc::default(),
+            log: Arc::default(),
+            own: Arc::default(),
+            neighbours: Arc::default(),
+        }
+    }
+
+    /// Begins to look at processes, to tell other gateways and to keep what
+    /// is held.
+    pub(super) fn start(
+        &self,
+        findings: async_channel::Receiver<Finding>,
+        client: PeerClient,
+        followers: Arc<Followers>,
+        ports: &Ports,
+    ) {
+        let looker = Looker {
+            service: self.clone(),
+            findings,
+        };
+        let keeper = Keeper::new(self.clone(), ports.held_requests.clone());
+        task::spawn(looker.run());
+        task::spawn(keeper.run());
+        if client.own().is_some() {
+            let spreader = Spreader {
+                service: self.clone(),
+                client,
+                followers,
+            };
+            task::spawn(spreader.run());
+        }
+    }
+
+    /// Takes what another gateway or the store tells.
+    pub(super) fn take(&self, from: Option<SocketAddr>, source: &str, news: &SuspectNews) {
+        if news.is_empty() {
+            return;
+        }
+        let (before, after) = self.dispatch.with(|dispatcher, now| {
+            let before = dispatcher.suspects().changes();
+            dispatcher.take_suspects(now, news);
+            (before, dispatcher.suspects().changes())
+        });
+        if let Some(from) = from {
+            self.cursors.heard(from, before, after);
+        }
+        self.log.tell(&self.dispatch, source);
+    }
+
+    /// Everything that is known here.
+    pub(super) fn all(&self) -> SuspectNews {
+        let everything = 0;
+        let news = |dispatcher: &mut threadledge_dispatch::Dispatcher, now| {
+            dispatcher.suspects().news_since(everything, now)
+        };
+        self.dispatch.with(news)
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/suspects/log.rs
@@ -0,0 +1,47 @@
+//! Writes into the log which requests are held and which are let go.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+use threadledge_suspects::RequestHash;
+
+use super::super::dispatch::Dispatch;
+use crate::events::{EventId, emit};
+
+/// What the log was told: each request that is held, with its label.
+#[derive(Debug, Default)]
+pub(super) struct HeldLog {
+    told: Mutex<BTreeMap<RequestHash, String>>,
+}
+
+impl HeldLog {
+    /// Tells what changed; `source` is who told this gateway of it.
+    pub(super) fn tell(&self, dispatch: &Dispatch, source: &str) {
+        let held = dispatch.with(|dispatcher, _now| {
+            let held = dispatcher.suspects().held();
+            held.map(|(request, suspect)| {
+                let processes = suspect.processes().into_iter();
+                let processes: Vec<String> = processes.map(ToString::to_string).collect();
+                (request, (suspect.label().to_owned(), processes.join(" ")))
+            })
+            .collect::<BTreeMap<_, _>>()
+        });
+        let mut told = self.told.lock();
+        for (request, (label, back_ends)) in &held {
+            if told.insert(*request, label.clone()).is_some() {
+                continue;
+            }
+            emit!(
+                EventId::RequestHeld,
+                identity = %request, request = label, back_ends, source,
+            );
+        }
+        told.retain(|request, label| {
+            let still = held.contains_key(request);
+            if !still {
+                emit!(EventId::RequestLetGo, identity = %request, request = label, source);
+            }
+            still
+        });
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/suspects/operate.rs
@@ -0,0 +1,68 @@
+//! What operators see of the requests that are held, and how they let one go.
+
+use http_types::{Method, Request, Response};
+use serde::Serialize;
+use threadledge_suspects::RequestHash;
+
+use super::super::answer;
+use super::SuspectService;
+
+/// Path of the list.
+const HELD_PATH: &str = "/threadledge/v1/held";
+/// Path under which one is let go, with its identity behind it.
+const RELEASE_PATH: &str = "/threadledge/v1/held/release/";
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct HeldRequest {
+    identity: String,
+    request: String,
+    back_ends: Vec<String>,
+}
+
+impl SuspectService {
+    /// Answers an operator; `None` on paths that are not about held requests.
+    pub(in super::super) fn operate(&self, request: &Request) -> Option<Response> {
+        let path = request.url().path();
+        if path == HELD_PATH && request.method() == Method::Get {
+            return Some(self.list());
+        }
+        let identity = path.strip_prefix(RELEASE_PATH)?;
+        if request.method() != Method::Post {
+            return Some(answer::own(405, "use-post", None));
+        }
+        let Ok(identity) = u64::from_str_radix(identity, 16) else {
+            return Some(answer::own(400, "identity-is-16-hex-digits", None));
+        };
+        Some(self.release(RequestHash(identity)))
+    }
+
+    fn list(&self) -> Response {
+        let held: Vec<HeldRequest> = self.dispatch.with(|dispatcher, _now| {
+            let held = dispatcher.suspects().held();
+            held.map(|(request, suspect)| HeldRequest {
+                identity: request.to_string(),
+                request: suspect.label().to_owned(),
+                back_ends: suspect
+                    .processes()
+                    .into_iter()
+                    .map(ToString::to_string)
+                    .collect(),
+            })
+            .collect()
+        });
+        answer::json(&held)
+    }
+
+    fn release(&self, request: RequestHash) -> Response {
+        let known = self
+            .dispatch
+            .with(|dispatcher, now| dispatcher.release_suspect(now, request));
+        if !known {
+            return answer::own(404, "no-such-request-is-held", None);
+        }
+        self.own.lock().insert(request);
+        self.log.tell(&self.dispatch, "operator");
+        answer::own(200, "let-go", None)
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/suspects/spread.rs
@@ -0,0 +1,162 @@
+//! Tells other gateways what this one learns of suspects, at once and to each
+//! along the tree of relays.
+//!
+//! A gateway tells the one that it follows, those that follow it and, as a
+//! relay, the relays of the other zones; each passes on what is new to it. What
+//! was told twice changes nothing, so that loops end by themselves. A few
+//! further peers are told as well: while a relay is being lost they bridge the
+//! gap. Who is new above this gateway, or beside it as a relay, is asked for
+//! all that it knows: a gateway that has just started learns it so.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::{join_all, select};
+use parking_lot::Mutex;
+use threadledge_net::timer;
+
+use super::super::followers::Followers;
+use super::super::messages::SuspectExchange;
+use super::super::peers::PeerClient;
+use super::SuspectService;
+
+/// Wait before a gateway that did not answer is told again. The fleet has to
+/// know of a crash within 3 s.
+const RETRY: Duration = Duration::from_millis(250);
+/// Peers beside the tree that are told.
+const MOST_PEERS: usize = 4;
+
+/// How much of what is known here each other gateway knows: the number of the
+/// last change that it was told of, or told of itself.
+#[derive(Debug, Default)]
+pub(super) struct Cursors {
+    known: Mutex<BTreeMap<SocketAddr, u64>>,
+}
+
+impl Cursors {
+    /// What `from` told led from one change to another: it need not be told of
+    /// that again.
+    pub(super) fn heard(&self, from: SocketAddr, before: u64, after: u64) {
+        let mut known = self.known.lock();
+        if known.get(&from) == Some(&before) {
+            known.insert(from, after);
+        }
+    }
+
+    fn get(&self, of: SocketAddr) -> Option<u64> {
+        self.known.lock().get(&of).copied()
+    }
+
+    fn told(&self, to: SocketAddr, changes: u64) {
+        let mut known = self.known.lock();
+        let cursor = known.entry(to).or_default();
+        *cursor = (*cursor).max(changes);
+    }
+
+    fn keep_only(&self, targets: &BTreeSet<SocketAddr>) {
+        self.known
+            .lock()
+            .retain(|target, _| targets.contains(target));
+    }
+}
+
+/// Tells other gateways.
+pub(super) struct Spreader {
+    pub(super) service: SuspectService,
+    pub(super) client: PeerClient,
+    pub(super) followers: Arc<Followers>,
+}
+
+/// A gateway that is to be told.
+#[derive(Clone, Copy, Debug)]
+struct Target {
+    address: SocketAddr,
+    /// It may know what this gateway does not, and is asked when it is new.
+    asked: bool,
+}
+
+impl Spreader {
+    /// Runs for ever.
+    pub(super) async fn run(self) {
+        loop {
+            let changed = self.service.dispatch.suspect_signals().changed.next();
+            let moved = self.service.neighbours.changed.next();
+            let all_told = self.tell_all().await;
+            let news = select(changed, moved);
+            if all_told {
+                news.await;
+            } else {
+                // Either way everyone is looked at again.
+                let _ = timer::timeout(RETRY, news).await;
+            }
+        }
+    }
+
+    /// Says whether everyone knows now.
+    async fn tell_all(&self) -> bool {
+        let targets = self.targets();
+        let addresses = targets.iter().map(|target| target.address).collect();
+        self.service.cursors.keep_only(&addresses);
+        let told = join_all(targets.into_iter().map(|target| self.tell(target))).await;
+        told.into_iter().all(|told| told)
+    }
+
+    fn targets(&self) -> Vec<Target> {
+        let place = self.service.neighbours.place();
+        let mut seen: BTreeSet<SocketAddr> = self.client.own().into_iter().collect();
+        let mut targets = Vec::new();
+        let beside = if place.relays {
+            place.others
+        } else {
+            Vec::new()
+        };
+        for address in place.upstream.into_iter().chain(beside) {
+            if seen.insert(address) {
+                targets.push(Target {
+                    address,
+                    asked: true,
+                });
+            }
+        }
+        let peers = self.client.latest().into_iter().take(MOST_PEERS);
+        for address in self.followers.addresses().into_iter().chain(peers) {
+            if seen.insert(address) {
+                targets.push(Target {
+                    address,
+                    asked: false,
+                });
+            }
+        }
+        targets
+    }
+
+    /// Tells one gateway what it lacks. Says whether it knows all now, or need
+    /// not be told again.
+    async fn tell(&self, target: Target) -> bool {
+        let cursor = self.service.cursors.get(target.address);
+        let (news, changes) = self.service.dispatch.with(|dispatcher, now| {
+            let suspects = dispatcher.suspects();
+            let news = suspects.news_since(cursor.unwrap_or_default(), now);
+            (news, suspects.changes())
+        });
+        let whole = target.asked && cursor.is_none();
+        if news.is_empty() && !whole {
+            return true;
+        }
+        let exchange = SuspectExchange {
+            from: self.client.own(),
+            news,
+            whole,
+        };
+        let Some(answer) = self.client.suspects(target.address, &exchange).await else {
+            // A peer beside the tree that does not answer is not waited for.
+            return !target.asked && !self.followers.addresses().contains(&target.address);
+        };
+        self.service.cursors.told(target.address, changes);
+        let source = target.address.to_string();
+        self.service.take(Some(target.address), &source, &answer);
+        true
+    }
+}
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -52,6 +52,7 @@
             leases: self.counted("leases", ports.leases),
             ownership: self.counted("ownership", ports.ownership),
             relays: self.counted("relays", ports.relays),
+            held_requests: self.counted("held-requests", ports.held_requests),
             ..ports
         }
     }
--- a/crates/router/src/proxy/headers.rs
+++ b/crates/router/src/proxy/headers.rs
@@ -36,7 +36,8 @@
     }
 }
 
-fn is_hop_by_hop(name: &str, connection: Option<&HeaderValues>) -> bool {
+/// Whether a header concerns one connection, or routers only.
+pub(crate) fn is_hop_by_hop(name: &str, connection: Option<&HeaderValues>) -> bool {
     HOP_BY_HOP.contains(&name)
         || name.starts_with(RESERVED_PREFIX)
         || connection.is_some_and(|connection| names(connection, name))
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -9,6 +9,7 @@
 use threadledge_net::BodyFault;
 use threadledge_net::message::Message;
 use threadledge_routing::{HeaderLookup, RequestHead};
+use threadledge_suspects::BodyDigest;
 use threadledge_types::NotRunReason;
 
 use super::budget::{Budget, Held, buffer_for};
@@ -31,6 +32,8 @@
     pub(crate) request: Request,
     /// Its body.
     pub(crate) body: RequestBody,
+    /// What of the body tells requests apart.
+    pub(crate) digest: BodyDigest,
 }
 
 impl Inbound {
@@ -42,16 +45,25 @@
     ) -> Result<Inbound, (NotRunReason, String)> {
         if request.is_empty() == Some(true) {
             let body = RequestBody::Whole(Held::new(Vec::new(), None));
-            return Ok(Inbound { request, body });
+            let digest = BodyDigest::new(Some(0), &[]);
+            return Ok(Inbound {
+                request,
+                body,
+                digest,
+            });
         }
         let body = request.take_body_only();
-        let body = read_ahead(body, max_buffered, budget)
+        let (body, digest) = read_ahead(body, max_buffered, budget)
             .await
             .map_err(refused)?;
         // The server can look for the caller only now that the body is read,
         // and does so before it polls again.
         task::yield_now().await;
-        Ok(Inbound { request, body })
+        Ok(Inbound {
+            request,
+            body,
+            digest,
+        })
     }
 
     /// The parts that decisions depend on.
@@ -84,23 +96,27 @@
     mut body: Body,
     max_buffered: usize,
     budget: &Budget,
-) -> io::Result<RequestBody> {
+) -> io::Result<(RequestBody, BodyDigest)> {
     let length = body.len();
-    let wanted = length.unwrap_or(max_buffered);
-    if wanted > max_buffered {
-        return Ok(RequestBody::Streamed(body));
-    }
+    let told = length.map(|length| length as u64);
+    let wanted = length.unwrap_or(max_buffered).min(max_buffered);
     let Some(reservation) = budget.reserve(wanted) else {
-        return Ok(RequestBody::Streamed(body));
+        let digest = BodyDigest::new(told, &[]);
+        return Ok((RequestBody::Streamed(body), digest));
     };
-    let mut start = buffer_for(length);
+    let mut start = buffer_for(Some(wanted));
     let limit = max_buffered as u64 + 1;
     (&mut body).take(limit).read_to_end(&mut start).await?;
     if start.len() <= max_buffered {
-        return Ok(RequestBody::Whole(Held::new(start, Some(reservation))));
+        // Chunks or a length: the same body is the same request.
+        let digest = BodyDigest::new(Some(start.len() as u64), &start);
+        let held = Held::new(start, Some(reservation));
+        return Ok((RequestBody::Whole(held), digest));
     }
+    let digest = BodyDigest::new(told, &start);
     let streamed = Prefixed::new(start, body);
-    Ok(RequestBody::Streamed(Body::from_reader(streamed, length)))
+    let streamed = Body::from_reader(streamed, length);
+    Ok((RequestBody::Streamed(streamed), digest))
 }
 
 fn refused(error: io::Error) -> (NotRunReason, String) {
