Tests: held requests outlive gateways, tell callers apart, and operators let them go

Cause: the mend was shown by one test only. Ruled out: that other callers' successes hide a request (same path and address, another cookie), that a store which is silent keeps gateways from each other. Change: seven tests with real gateways in two zones, twelve of the core; who tells news is a peer from then on, so that a relay that is new is told before the store names it; a gauge of the fleet's size.

--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     repeats_denied: IntGauge,
     abandoned: IntGauge,
     relayed: IntGauge,
+    fleet: IntGauge,
     crashes: IntGauge,
     suspected: IntGauge,
     held: IntGauge,
@@ -118,6 +119,8 @@
     pub(super) fn text(&self) -> Result<String, prometheus::Error> {
         self.gauges.update(&self.dispatch);
         self.gauges.relayed.set(self.sources.relayed().into());
+        let fleet = self.sources.fleet().unwrap_or(0);
+        self.gauges.fleet.set(fleet.into());
         let mut buffer = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buffer)?;
         Ok(String::from_utf8_lossy(&buffer).into_owned())
@@ -142,6 +145,7 @@
             hedges: gauge("hedges", "Attempts beside one without an answer")?,
             repeats_denied: gauge("repeats_denied", "Repeats beyond the budget")?,
             abandoned: gauge("abandoned", "Requests whose caller left")?,
+            fleet: gauge("fleet", "Gateways of the deployment; 0 while unknown")?,
             crashes: gauge(
                 "crashes_under_requests",
                 "Processes that were seen to end while they ran a request from here",
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -256,6 +256,8 @@
 
     fn take_suspects(&self, exchange: &SuspectExchange) -> SuspectNews {
         let source = exchange.from.map_or(String::new(), |from| from.to_string());
+        // A relay that is new is told in turn before the store names it here.
+        self.peers.heard_of(exchange.from);
         self.suspects.take(exchange.from, &source, &exchange.news);
         if exchange.whole {
             self.suspects.all()
--- a/crates/router/tests/gateway/crashing.rs
+++ b/crates/router/tests/gateway/crashing.rs
@@ -17,9 +17,10 @@
 use std::time::Duration;
 
 use async_std::task::block_on;
-use threadledge_platform_stand_in::StandInBackEnd;
+use threadledge_net::HttpClient;
+use threadledge_platform_stand_in::{Crashing, Fault, StandInBackEnd};
 
-use super::process::{Ask, Gateway, World, eventually};
+use super::process::{Ask, Gateway, TIMEOUT, World, eventually};
 
 /// Path of the request that crashes its back ends.
 const CRASHES: &str = "/safe/crashes";
@@ -30,41 +31,59 @@
 /// Back ends of the service.
 const BACK_ENDS: usize = 6;
 
-/// Three gateways of one zone, and back ends that come back after a crash.
+/// Three gateways of two zones, and back ends that come back after a crash.
 struct Fleet {
     world: World,
     others: Vec<Gateway>,
     running: Vec<StandInBackEnd>,
     ended: Vec<StandInBackEnd>,
+    crashing: Crashing,
     started: usize,
+    tries: usize,
 }
 
 impl Fleet {
+    /// Back ends end under the request, whoever sends it.
     fn start() -> Fleet {
+        Fleet::start_with(None)
+    }
+
+    /// Back ends end under the request of the caller with this cookie.
+    fn start_with(cookie: Option<&str>) -> Fleet {
         let world = World::start();
-        let store = world.store.address();
-        let mut others = vec![
-            Gateway::start_named("router-2", store),
-            Gateway::start_named("router-3", store),
-        ];
-        for gateway in &mut others {
-            gateway.await_ready();
-        }
         for sound in &world.plain {
             world.store.remove("servers", &sound.id);
         }
         let mut fleet = Fleet {
             world,
-            others,
+            others: Vec::new(),
             running: Vec::new(),
             ended: Vec::new(),
+            crashing: Crashing {
+                target: CRASHES.to_owned(),
+                cookie: cookie.map(str::to_owned),
+            },
             started: 0,
+            tries: 0,
         };
+        fleet.start_others();
         fleet.replace_ended();
         fleet.await_known();
+        fleet.await_joined();
         fleet
     }
 
+    fn start_others(&mut self) {
+        let store = self.world.store.address();
+        self.others = vec![
+            Gateway::start_named("router-2", store),
+            Gateway::start_in("zone-b", "router-3", store),
+        ];
+        for gateway in &mut self.others {
+            gateway.await_ready();
+        }
+    }
+
     fn gateways(&self) -> Vec<&Gateway> {
         let first = std::iter::once(&self.world.gateway);
         first.chain(&self.others).collect()
@@ -84,7 +103,7 @@
             self.started += 1;
             let id = format!("crashing-{}", self.started);
             let back_end = block_on(StandInBackEnd::start(&id, false)).expect("a back end");
-            back_end.set_crashes_on(CRASHES);
+            back_end.set_crashes_on(self.crashing.clone());
             let entry = back_end.entry("plain", "ready");
             self.world.store.put("servers", &id, entry);
             self.running.push(back_end);
@@ -100,32 +119,195 @@
         }
     }
 
-    /// Times that a back end began to run the request.
-    fn runs(&self) -> usize {
+    /// Waits until every gateway has its place among the three.
+    fn await_joined(&self) {
+        let line = "threadledge_gateway_fleet 3\n";
+        for gateway in self.gateways() {
+            eventually(|| gateway.metrics().contains(line).then_some(()));
+        }
+    }
+
+    /// Waits until every gateway holds one request.
+    fn await_held(&self) {
+        let line = "threadledge_gateway_requests_held 1\n";
+        for gateway in self.gateways() {
+            eventually(|| gateway.metrics().contains(line).then_some(()));
+        }
+    }
+
+    /// The request comes so often, at one gateway after the other.
+    fn send_crashing(&mut self, times: usize) {
+        for _ in 0..times {
+            self.tries += 1;
+            let id = format!("try-{}", self.tries);
+            let cookie = self.crashing.cookie.clone();
+            let crashing = Ask {
+                target: CRASHES,
+                id: &id,
+                cookie: cookie.as_deref(),
+                ..Ask::default()
+            };
+            let gateway = self.gateways()[self.tries % 3];
+            let status = crashing.send(gateway).status().as_u16();
+            assert!([502, 503].contains(&status), "{id}: {status}");
+            self.replace_ended();
+            std::thread::sleep(BETWEEN_TRIES);
+        }
+    }
+
+    /// Times that a back end began to run a try of the crashing caller.
+    fn crashes(&self) -> usize {
         let all = self.running.iter().chain(&self.ended);
         let runs = all.flat_map(StandInBackEnd::runs);
-        runs.filter(|run| run.target.starts_with(CRASHES)).count()
+        runs.filter(|run| run.id.starts_with("try-")).count()
+    }
+
+    /// Another caller's request for the same path is answered everywhere.
+    fn assert_others_served(&self, target: &str) {
+        for gateway in self.gateways() {
+            let other = Ask {
+                target,
+                cookie: Some("another"),
+                ..Ask::default()
+            };
+            assert_eq!(other.send(gateway).status(), 200);
+        }
     }
 }
 
+fn ask_operators(gateway: &Gateway, method: &str, path: &str) -> (u16, String) {
+    let request = http::Request::builder().method(method).uri(path);
+    let request = request.body(Vec::new()).expect("valid");
+    let client = HttpClient::default();
+    let answer = block_on(client.send(gateway.operators, request, TIMEOUT)).expect("an answer");
+    let status = answer.status().as_u16();
+    (status, String::from_utf8(answer.into_body()).expect("text"))
+}
+
 #[test]
 fn request_that_crashed_three_back_ends_is_sent_to_no_other_by_any_gateway() {
     let mut fleet = Fleet::start();
-    for number in 0..12 {
-        let id = format!("try-{number}");
-        let crashing = Ask {
-            target: CRASHES,
-            id: &id,
-            ..Ask::default()
-        };
-        let gateway = fleet.gateways()[number % 3];
-        let status = crashing.send(gateway).status();
-        assert!([502, 503].contains(&status.as_u16()), "{id}: {status}");
-        fleet.replace_ended();
-        std::thread::sleep(BETWEEN_TRIES);
+    fleet.send_crashing(12);
+    assert!(fleet.crashes() <= MOST_RUNS, "{} runs", fleet.crashes());
+    fleet.assert_others_served("/safe/x");
+}
+
+/// A refusal is final and true: it says that this try has not run, and when
+/// coming back may help.
+#[test]
+fn held_request_is_refused_at_once() {
+    let mut fleet = Fleet::start();
+    fleet.send_crashing(3);
+    fleet.await_held();
+    let crashing = Ask {
+        target: CRASHES,
+        id: "refused",
+        ..Ask::default()
+    };
+    let answer = crashing.send(fleet.gateways()[1]);
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.body(), b"crashes-back-ends\n");
+    assert_eq!(answer.headers()["retry-after"], "30.000");
+    let runs = fleet.running.iter().flat_map(StandInBackEnd::runs);
+    assert!(runs.into_iter().all(|run| run.id != "refused"));
+}
+
+/// The path is the same, the caller is not: others are served before, while
+/// and after the request is held.
+#[test]
+fn same_path_of_other_callers_is_served_while_one_is_held() {
+    let mut fleet = Fleet::start_with(Some("crashes"));
+    for _ in 0..8 {
+        fleet.assert_others_served(CRASHES);
+        fleet.send_crashing(1);
     }
-    assert!(fleet.runs() <= MOST_RUNS, "{} runs", fleet.runs());
+    assert!(fleet.crashes() <= MOST_RUNS, "{} runs", fleet.crashes());
+    fleet.await_held();
+    fleet.assert_others_served(CRASHES);
+}
+
+#[test]
+fn gateway_that_has_just_started_knows_what_others_hold() {
+    let mut fleet = Fleet::start();
+    fleet.send_crashing(3);
+    fleet.await_held();
+    let store = fleet.world.store.address();
+    fleet.others[0] = Gateway::start_named("router-2", store);
+    fleet.others[0].await_ready();
+    fleet.await_held();
+    fleet.others[1] = Gateway::start_in("zone-b", "router-3", store);
+    fleet.others[1].await_ready();
+    fleet.await_held();
+    fleet.send_crashing(6);
+    assert!(fleet.crashes() <= MOST_RUNS, "{} runs", fleet.crashes());
+}
+
+#[test]
+fn what_is_held_outlives_all_gateways() {
+    let mut fleet = Fleet::start();
+    fleet.send_crashing(3);
+    fleet.await_held();
+    let kept = || fleet.world.store.get("threadledge-held-requests", "all");
+    eventually(kept);
+    let store = fleet.world.store.address();
+    fleet.others.clear();
+    fleet.world.gateway = Gateway::start(store);
+    fleet.world.gateway.await_ready();
+    fleet.start_others();
+    fleet.await_held();
+    fleet.send_crashing(6);
+    assert!(fleet.crashes() <= MOST_RUNS, "{} runs", fleet.crashes());
+}
+
+/// While the store says nothing gateways tell each other all the same, and
+/// what is held is written down when it is back.
+#[test]
+fn gateways_tell_each_other_while_the_store_is_silent() {
+    let mut fleet = Fleet::start();
+    fleet.world.store.set_fault(Fault::Silent);
+    fleet.send_crashing(5);
+    assert!(fleet.crashes() <= MOST_RUNS, "{} runs", fleet.crashes());
+    fleet.world.store.set_fault(Fault::None);
+    eventually(|| fleet.world.store.get("threadledge-held-requests", "all"));
+}
+
+#[test]
+fn operator_sees_what_is_held_and_lets_it_go() {
+    let mut fleet = Fleet::start();
+    fleet.send_crashing(3);
+    fleet.await_held();
+    eventually(|| fleet.world.store.get("threadledge-held-requests", "all"));
+    let path = "/threadledge/v1/held";
+    let (status, list) = ask_operators(fleet.gateways()[2], "GET", path);
+    assert_eq!(status, 200);
+    let held: serde_json::Value = serde_json::from_str(&list).expect("JSON");
+    assert_eq!(held[0]["request"], "GET plain.example/safe/crashes");
+    assert_eq!(held[0]["back-ends"].as_array().map(Vec::len), Some(3));
+    let identity = held[0]["identity"].as_str().expect("text");
+    let release = format!("{path}/release/{identity}");
+    assert_eq!(ask_operators(fleet.gateways()[2], "GET", &release).0, 405);
+    let unknown = format!("{path}/release/0000000000000001");
+    assert_eq!(ask_operators(fleet.gateways()[2], "POST", &unknown).0, 404);
+    let malformed = format!("{path}/release/x");
+    assert_eq!(
+        ask_operators(fleet.gateways()[2], "POST", &malformed).0,
+        400
+    );
+    assert_eq!(ask_operators(fleet.gateways()[2], "POST", &release).0, 200);
     for gateway in fleet.gateways() {
-        assert_eq!(Ask::default().send(gateway).status(), 200);
+        let line = "threadledge_gateway_requests_held 0\n";
+        eventually(|| gateway.metrics().contains(line).then_some(()));
+    }
+    eventually(|| {
+        let kept = fleet.world.store.get("threadledge-held-requests", "all")?;
+        kept["held"].as_array()?.is_empty().then_some(())
+    });
+    // The back ends are mended.
+    for back_end in &fleet.running {
+        back_end.set_crashes_on(Crashing {
+            target: "/none".to_owned(),
+            cookie: None,
+        });
     }
+    fleet.assert_others_served(CRASHES);
 }
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -92,13 +92,17 @@
     }
 
     pub fn start_named(name: &str, store: SocketAddr) -> Gateway {
+        Gateway::start_in("zone-a", name, store)
+    }
+
+    pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Gateway {
         let own = own_address();
         let address = |port| SocketAddr::from((own, port));
         let [callers, readiness, peers, operators] = [8_081, 8_082, 8_083, 8_084].map(address);
         let text = |value: &dyn ToString| value.to_string();
         let values: BTreeMap<&str, String> = [
             ("NodeName", text(&name)),
-            ("Zone", text(&"zone-a")),
+            ("Zone", text(&zone)),
             ("Listen.Front", text(&callers)),
             ("Listen.Ready", text(&readiness)),
             ("Ip", text(&own)),
@@ -213,6 +217,7 @@
     pub target: &'a str,
     pub id: &'a str,
     pub key: Option<u16>,
+    pub cookie: Option<&'a str>,
     pub body: &'a str,
     pub deadline_ms: u64,
 }
@@ -225,6 +230,7 @@
             target: "/safe/x",
             id: "request-1",
             key: None,
+            cookie: None,
             body: "",
             deadline_ms: 5_000,
         }
@@ -243,6 +249,7 @@
             target: self.target,
             id: self.id,
             key: self.key,
+            cookie: self.cookie,
             body: self.body.as_bytes(),
             deadline: Duration::from_millis(self.deadline_ms),
         };
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -72,6 +72,7 @@
         target: &format!("{prefix}{id}"),
         id,
         key: (kind == Kind::Keyed).then_some(key),
+        cookie: None,
         body,
         deadline: DEADLINE,
     };
--- /dev/null
+++ b/crates/suspects/tests/suspects.rs
@@ -0,0 +1,250 @@
+//! What is known of requests under suspicion, and what follows from it.
+
+use std::time::Duration;
+
+use threadledge_suspects::{
+    BodyDigest, CRASHES_UNTIL_HELD, HeldRecord, IdentityBuilder, MOST_SUSPECTS, RequestIdentity,
+    Suspects,
+};
+use threadledge_types::Timestamp;
+
+const START: Timestamp = Timestamp::from_millis(10_000);
+
+fn after(millis: u64) -> Timestamp {
+    START + Duration::from_millis(millis)
+}
+
+/// A request of a caller at an address, with a cookie.
+fn request(target: &str, address: u8, cookie: &str) -> RequestIdentity {
+    let mut builder = IdentityBuilder::new("GET", "host.example", target);
+    builder.header("cookie", cookie);
+    builder.header("accept", "*/*");
+    builder.from_address([10, 0, 0, address].into())
+}
+
+fn crash(suspects: &mut Suspects, millis: u64, identity: &RequestIdentity, process: &str) {
+    suspects.crashed(
+        after(millis),
+        identity,
+        &process.into(),
+        "GET host.example/x",
+    );
+}
+
+#[test]
+fn third_process_holds_a_request_and_two_of_one_process_are_one() {
+    let mut suspects = Suspects::default();
+    let bad = request("/bad", 1, "a");
+    crash(&mut suspects, 0, &bad, "p-1");
+    crash(&mut suspects, 1, &bad, "p-1");
+    crash(&mut suspects, 2, &bad, "p-2");
+    assert_eq!(suspects.crashes_of(&bad), 2);
+    assert!(!suspects.is_held(&bad));
+    crash(&mut suspects, 3, &bad, "p-3");
+    assert_eq!(suspects.crashes_of(&bad), CRASHES_UNTIL_HELD);
+    assert!(suspects.is_held(&bad));
+    assert!(!suspects.is_held(&request("/good", 1, "a")));
+}
+
+#[test]
+fn tries_from_several_addresses_count_together_while_nobody_succeeds() {
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        let bad = request("/bad", number, &format!("cookie-{number}"));
+        crash(
+            &mut suspects,
+            u64::from(number),
+            &bad,
+            &format!("p-{number}"),
+        );
+    }
+    assert!(suspects.is_held(&request("/bad", 9, "another")));
+}
+
+#[test]
+fn callers_that_succeed_are_told_apart_by_address() {
+    let mut suspects = Suspects::default();
+    let bad = request("/same", 1, "a");
+    let good = request("/same", 2, "a");
+    for number in 0..3 {
+        suspects.succeeded(after(10 * number), &good);
+        crash(&mut suspects, 10 * number + 1, &bad, &format!("p-{number}"));
+    }
+    assert!(suspects.is_held(&bad));
+    assert!(!suspects.is_held(&good));
+    assert!(!suspects.is_held(&request("/same", 3, "a")));
+}
+
+#[test]
+fn callers_that_succeed_are_told_apart_by_headers() {
+    let mut suspects = Suspects::default();
+    let bad = |address| request("/same", address, "bad");
+    for number in 0..3 {
+        crash(
+            &mut suspects,
+            10 * u64::from(number),
+            &bad(number),
+            &format!("p-{number}"),
+        );
+        suspects.succeeded(
+            after(10 * u64::from(number) + 1),
+            &request("/same", number, "good"),
+        );
+    }
+    assert!(suspects.is_held(&bad(7)));
+    assert!(!suspects.is_held(&request("/same", 7, "good")));
+}
+
+#[test]
+fn success_before_the_first_crash_tells_callers_apart_as_well() {
+    let mut suspects = Suspects::default();
+    suspects.succeeded(START, &request("/same", 2, "a"));
+    let bad = request("/same", 1, "b");
+    for number in 0..3 {
+        crash(&mut suspects, number, &bad, &format!("p-{number}"));
+    }
+    assert!(suspects.is_held(&bad));
+    assert!(!suspects.is_held(&request("/same", 2, "a")));
+}
+
+#[test]
+fn success_of_the_same_caller_clears_it_of_what_came_before() {
+    let mut suspects = Suspects::default();
+    let popular = request("/popular", 1, "a");
+    crash(&mut suspects, 0, &popular, "p-1");
+    crash(&mut suspects, 1, &popular, "p-2");
+    suspects.succeeded(after(2), &popular);
+    assert_eq!(suspects.crashes_of(&popular), 0);
+    crash(&mut suspects, 3, &popular, "p-3");
+    assert!(!suspects.is_held(&popular));
+    crash(&mut suspects, 4, &popular, "p-4");
+    crash(&mut suspects, 5, &popular, "p-5");
+    assert!(suspects.is_held(&popular));
+}
+
+#[test]
+fn process_that_answers_later_did_not_end() {
+    let mut suspects = Suspects::default();
+    let request = request("/x", 1, "a");
+    for number in 0..3 {
+        crash(&mut suspects, number, &request, &format!("p-{number}"));
+    }
+    suspects.answered(after(10), &"p-1".into());
+    assert!(!suspects.is_held(&request));
+    // News of the same crash that comes late brings nothing back.
+    crash(&mut suspects, 1, &request, "p-1");
+    assert!(!suspects.is_held(&request));
+}
+
+#[test]
+fn other_key_body_method_and_query_are_other_requests() {
+    let identity = |method, target, key, body: &[u8]| {
+        let mut builder = IdentityBuilder::new(method, "host.example", target);
+        builder.key(key);
+        builder.body(BodyDigest::new(Some(body.len() as u64), body));
+        builder.from_address([10, 0, 0, 1].into()).request
+    };
+    let one = identity("POST", "/x?a=1", Some(1), b"body");
+    assert_eq!(one, identity("POST", "/x?a=1", Some(1), b"body"));
+    assert_ne!(one, identity("PUT", "/x?a=1", Some(1), b"body"));
+    assert_ne!(one, identity("POST", "/x?a=2", Some(1), b"body"));
+    assert_ne!(one, identity("POST", "/x?a=1", Some(2), b"body"));
+    assert_ne!(one, identity("POST", "/x?a=1", None, b"body"));
+    assert_ne!(one, identity("POST", "/x?a=1", Some(1), b"bodx"));
+}
+
+/// Each of three gateways saw one crash; whoever tells whom, in whatever
+/// order and however often, all hold the request.
+#[test]
+fn gateways_that_tell_each_other_agree() {
+    for seed in 0..40_u64 {
+        arbtest::arbtest(tell_each_other).seed(0x3000_0000_0000 + (seed << 32 | 4_096));
+    }
+}
+
+fn tell_each_other(
+    random: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let mut gateways: Vec<Suspects> = (0..3).map(|_| Suspects::default()).collect();
+    let bad = request("/bad", 1, "a");
+    for (number, gateway) in gateways.iter_mut().enumerate() {
+        crash(gateway, number as u64, &bad, &format!("p-{number}"));
+    }
+    let mut now = 100;
+    let mut tell = |gateways: &mut Vec<Suspects>, from: usize, to: usize, pause: u64| {
+        now += pause;
+        let news = gateways[from].news_since(0, after(now));
+        gateways[to].take_news(&news, after(now + 3))
+    };
+    for _ in 0..random.int_in_range(0..=10)? {
+        let from = random.int_in_range(0..=2)?;
+        let to = random.int_in_range(0..=2)?;
+        tell(&mut gateways, from, to, random.int_in_range(0..=20)?);
+    }
+    for (from, to) in [(0, 1), (1, 2), (2, 0), (0, 1)] {
+        tell(&mut gateways, from, to, 1);
+    }
+    assert!(gateways.iter().all(|gateway| gateway.is_held(&bad)));
+    // All is known everywhere: nothing is new any more.
+    for (from, to) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        assert!(!tell(&mut gateways, from, to, 50));
+    }
+    Ok(())
+}
+
+#[test]
+fn release_reaches_others_and_is_not_undone_by_old_news() {
+    let mut first = Suspects::default();
+    let mut second = Suspects::default();
+    let bad = request("/bad", 1, "a");
+    for number in 0..3 {
+        crash(&mut first, number, &bad, &format!("p-{number}"));
+    }
+    let old = first.news_since(0, after(10));
+    second.take_news(&old, after(12));
+    assert!(second.is_held(&bad));
+    assert!(first.release(after(1_000), bad.request));
+    second.take_news(&first.news_since(0, after(1_010)), after(1_012));
+    assert!(!second.is_held(&bad));
+    // The same old news, told late: its ages have grown on the way.
+    first.take_news(&second.news_since(0, after(1_020)), after(1_022));
+    assert!(!first.is_held(&bad));
+}
+
+#[test]
+fn record_keeps_what_is_held_and_drops_what_was_let_go() {
+    let mut suspects = Suspects::default();
+    let bad = request("/bad", 1, "a");
+    let empty = HeldRecord::default();
+    assert_eq!(empty.updated(&suspects, START), None);
+    for number in 0..3 {
+        crash(&mut suspects, number, &bad, &format!("p-{number}"));
+    }
+    let record = empty.updated(&suspects, after(10)).expect("changed");
+    assert_eq!(record.updated(&suspects, after(20)), None);
+    // A gateway of a fleet that was lost as a whole reads it.
+    let mut restarted = Suspects::default();
+    restarted.take_news(&record.news(), Timestamp::from_millis(50));
+    assert!(restarted.is_held(&bad));
+    assert_eq!(record.updated(&restarted, after(30)), None);
+    restarted.release(after(40), bad.request);
+    let record = record.updated(&restarted, after(50)).expect("changed");
+    assert!(record.held.is_empty());
+}
+
+/// Somebody sends many different ones: what is held stays, and memory is
+/// bounded.
+#[test]
+fn many_requests_push_out_those_that_are_not_held() {
+    let mut suspects = Suspects::default();
+    let bad = request("/bad", 1, "a");
+    for number in 0..3 {
+        crash(&mut suspects, number, &bad, &format!("p-{number}"));
+    }
+    for number in 0..3 * MOST_SUSPECTS {
+        let other = request(&format!("/other/{number}"), 1, "a");
+        crash(&mut suspects, 10 + number as u64, &other, "p-9");
+    }
+    assert_eq!(suspects.len(), MOST_SUSPECTS);
+    assert!(suspects.is_held(&bad));
+}
