Tests: the request path of one router and requests that crash back ends

Cause: what a first, second and third crash change was tested with processes only. Ruled out: that breaks alone count (ten resets at processes that go on: none).

--- /dev/null
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -0,0 +1,239 @@
+//! Requests that crash back ends, in the request path of one router.
+
+use std::time::Duration;
+
+use threadledge_dispatch::outcome::Rejection;
+use threadledge_dispatch::{Begun, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step};
+use threadledge_suspects::RequestIdentity;
+
+use super::support::{HOST, Station, answered, back_end, fault, identity, not_run};
+
+const BACK_ENDS: u16 = 8;
+
+/// A station with back ends enough of the service `plain`.
+fn station() -> Station {
+    let mut station = Station::with_seed(7);
+    for port in 10..10 + BACK_ENDS {
+        let name = format!("p-{port}");
+        station
+            .back_ends
+            .push(back_end(&name, "plain", "near", port));
+    }
+    station.publish();
+    station
+}
+
+fn begin(station: &mut Station, route: &str, identity: RequestIdentity) -> Result<Begun, Refusal> {
+    let path = format!("/{route}/x");
+    let facts = RequestFacts {
+        method: "GET",
+        host: HOST,
+        path: &path,
+        time_left: Some(Duration::from_secs(5)),
+        key: None,
+        replayable: true,
+        identity,
+    };
+    station.dispatcher.begin(station.now, &facts)
+}
+
+/// A try that breaks wherever it is sent; each process has ended when
+/// somebody looks. The number of back ends that it cost.
+fn crash_all(station: &mut Station, identity: RequestIdentity) -> usize {
+    let Ok(begun) = begin(station, "safe", identity) else {
+        return 0;
+    };
+    let mut sent = 0;
+    loop {
+        let step = station.next(&begun);
+        let Step::Send(attempt) = step else {
+            assert!(matches!(step, Step::Finish(_)), "{step:?}");
+            return sent;
+        };
+        assert!(
+            station
+                .dispatcher
+                .may_send(station.now, begun.id, attempt.id)
+        );
+        sent += 1;
+        station.after(20);
+        station.end(&begun, &attempt, fault(Fault::Broken));
+        station.after(5);
+        station.dispatcher.process_ended(&attempt.back_end);
+    }
+}
+
+fn is_held(refusal: Result<Begun, Refusal>) -> bool {
+    refusal.is_err_and(|refusal| refusal.reason == RefusalReason::CrashesBackEnds)
+}
+
+#[test]
+fn request_costs_two_back_ends_then_one_then_none() {
+    let mut station = station();
+    let bad = identity("/safe/x", 1);
+    assert_eq!(crash_all(&mut station, bad), 2);
+    assert_eq!(crash_all(&mut station, bad), 1);
+    assert_eq!(crash_all(&mut station, bad), 0);
+    assert!(is_held(begin(&mut station, "safe", bad)));
+    assert!(begin(&mut station, "safe", identity("/safe/x", 2)).is_ok());
+}
+
+/// Links that are reset and answers that are lost break as well: the process
+/// goes on, and what it answers later shows that.
+#[test]
+fn breaks_at_processes_that_go_on_do_not_count() {
+    let mut station = station();
+    let request = identity("/safe/x", 1);
+    for _ in 0..10 {
+        let begun = begin(&mut station, "safe", request).expect("not held");
+        while let Step::Send(attempt) = station.next(&begun) {
+            assert!(
+                station
+                    .dispatcher
+                    .may_send(station.now, begun.id, attempt.id)
+            );
+            station.after(20);
+            station.end(&begun, &attempt, fault(Fault::Broken));
+            let other = station.begin("safe").expect("admitted");
+            let Step::Send(next) = station.next(&other) else {
+                panic!("no back end");
+            };
+            assert!(station.dispatcher.may_send(station.now, other.id, next.id));
+            station.after(20);
+            station.end(&other, &next, answered());
+        }
+        station.after(11_000);
+    }
+    assert!(station.dispatcher.suspects().is_empty());
+}
+
+#[test]
+fn answer_after_the_break_shows_that_the_process_goes_on() {
+    let mut station = station();
+    let request = identity("/unsafe/x", 1);
+    let begun = begin(&mut station, "unsafe", request).expect("admitted");
+    let attempt = station.send(&begun);
+    station.after(20);
+    station.end(&begun, &attempt, fault(Fault::Broken));
+    station.after(10);
+    loop {
+        let other = station.begin("safe").expect("admitted");
+        let next = station.send(&other);
+        let same = next.back_end == attempt.back_end;
+        station.after(5);
+        station.end(&other, &next, answered());
+        if same {
+            break;
+        }
+    }
+    station.dispatcher.process_ended(&attempt.back_end);
+    assert!(station.dispatcher.suspects().is_empty());
+}
+
+#[test]
+fn another_process_at_the_address_shows_that_the_one_before_ended() {
+    let mut station = station();
+    let request = identity("/unsafe/x", 1);
+    let begun = begin(&mut station, "unsafe", request).expect("admitted");
+    let attempt = station.send(&begun);
+    station.after(20);
+    station.end(&begun, &attempt, fault(Fault::Broken));
+    station.after(10);
+    loop {
+        let other = station.begin("safe").expect("admitted");
+        let next = station.send(&other);
+        let same = next.back_end == attempt.back_end;
+        station.after(5);
+        let end = if same {
+            not_run(Rejection::OtherInstance)
+        } else {
+            answered()
+        };
+        station.end(&other, &next, end);
+        if same {
+            break;
+        }
+    }
+    assert_eq!(station.dispatcher.suspects().crashes_of(&request), 1);
+}
+
+/// A back end that falls silent takes a request along until its deadline.
+#[test]
+fn silent_processes_count_once_nobody_listens_there() {
+    let mut station = station();
+    let bad = identity("/safe/x", 1);
+    let begun = begin(&mut station, "safe", bad).expect("admitted");
+    let attempt = station.send(&begun);
+    station.after(10_000);
+    let step = station.next(&begun);
+    assert!(
+        matches!(step, Step::Finish(Outcome::Unknown(_))),
+        "{step:?}"
+    );
+    let looked_at = station.dispatcher.take_to_look_at();
+    assert_eq!(looked_at.len(), 1);
+    assert_eq!(looked_at[0].0, attempt.back_end);
+    station.dispatcher.process_ended(&attempt.back_end);
+    assert_eq!(station.dispatcher.suspects().crashes_of(&bad), 1);
+}
+
+#[test]
+fn request_under_suspicion_is_not_sent_to_a_second_one_beside_the_first() {
+    let mut station = station();
+    let bad = identity("/safe/x", 1);
+    assert_eq!(crash_all(&mut station, bad), 2);
+    station.after(1_000);
+    let begun = begin(&mut station, "safe", bad).expect("not held yet");
+    let _first = station.send(&begun);
+    station.after(190);
+    let step = station.next(&begun);
+    assert!(matches!(step, Step::Wait(_)), "{step:?}");
+}
+
+#[test]
+fn after_two_crashes_one_exchange_at_a_time_is_under_way() {
+    let mut station = station();
+    let bad = identity("/safe/x", 1);
+    assert_eq!(crash_all(&mut station, bad), 2);
+    let first = begin(&mut station, "safe", bad).expect("not held yet");
+    let attempt = station.send(&first);
+    let second = begin(&mut station, "safe", bad).expect("not held yet");
+    let step = station.next(&second);
+    assert!(matches!(step, Step::Wait(_)), "{step:?}");
+    // An answer clears it, and the other one goes on.
+    station.after(20);
+    station.end(&first, &attempt, answered());
+    let step = station.next(&second);
+    assert!(matches!(step, Step::Send(_)), "{step:?}");
+}
+
+/// Another router finds out while this one opens a connection.
+#[test]
+fn request_that_others_hold_is_not_sent_any_more() {
+    let mut other = station();
+    let bad = identity("/safe/x", 1);
+    assert_eq!(crash_all(&mut other, bad), 2);
+    assert_eq!(crash_all(&mut other, bad), 1);
+    let mut station = station();
+    let begun = begin(&mut station, "safe", bad).expect("nothing is known here");
+    let Step::Send(attempt) = station.next(&begun) else {
+        panic!("no back end");
+    };
+    let news = other.dispatcher.suspects().news_since(0, other.now);
+    assert!(station.dispatcher.take_suspects(station.now, &news));
+    assert!(
+        !station
+            .dispatcher
+            .may_send(station.now, begun.id, attempt.id)
+    );
+    station.end(
+        &begun,
+        &attempt,
+        threadledge_dispatch::AttemptEnd::Abandoned,
+    );
+    let step = station.next(&begun);
+    let Step::Finish(Outcome::Refused(refusal)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::CrashesBackEnds);
+}
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod cold;
+mod crashes;
 mod fleet;
 mod outcomes;
 mod parts;
