A process at which an attempt broke is asked whether it answers

Cause: a connection that comes up was taken for a process that runs. Behind a proxy, or where a back end falls silent, connections come up all the same, and a crash there was never confirmed. Ruled out: waiting for a request to show it (a gateway of a large fleet asks a back end once in seven seconds). Change: its health check is asked for twice, by name; no answer, another process, or a registration that is gone mean that it ended. An answer to what was sent after the break takes it back, on any gateway.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,6 +6,8 @@
 mod steps;
 mod waiting;
 
+pub use crashes::Look;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,7 +19,7 @@
 use threadledge_suspects::{Break, Suspects, Unconfirmed};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
-    BackEnd, BackEndName, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
+    BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
 };
 
 use crate::back_ends::BackEnds;
@@ -85,7 +87,7 @@
     /// Attempts that broke, while it is open whether their process ended.
     unconfirmed: Unconfirmed,
     confirmed: Vec<Break>,
-    to_look_at: Vec<(BackEndName, SocketAddr)>,
+    to_look_at: Vec<Look>,
 }
 
 impl Dispatcher {
@@ -207,6 +209,7 @@
     /// which nobody is registered any more.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) -> Vec<SocketAddr> {
         let left = self.back_ends.set(now, back_ends, &mut self.starts);
+        self.look_for_gone();
         self.serve_all(now);
         left
     }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -22,6 +22,17 @@
 /// Length of what operators are told of a request, in characters.
 const LABEL: usize = 160;
 
+/// A process that is to be looked at: whether it answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// The process.
+    pub process: BackEndName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Path of its health check.
+    pub health_path: String,
+}
+
 impl Dispatcher {
     /// Requests under suspicion, as known here.
     pub fn suspects(&self) -> &Suspects {
@@ -53,14 +64,13 @@
         !self.confirmed.is_empty()
     }
 
-    /// Processes at which an attempt broke and that are to be looked at, with
-    /// their addresses.
-    pub fn take_to_look_at(&mut self) -> Vec<(BackEndName, SocketAddr)> {
+    /// Processes at which an attempt broke and that are to be looked at.
+    pub fn take_to_look_at(&mut self) -> Vec<Look> {
         std::mem::take(&mut self.to_look_at)
     }
 
-    /// Nobody listens at the address of a process any more, or another one
-    /// does: it has ended.
+    /// Nobody answers at the address of a process, or another process does: it
+    /// has ended.
     pub fn process_ended(&mut self, process: &BackEndName) {
         for found in self.unconfirmed.ended(process) {
             let Break {
@@ -89,7 +99,7 @@
         let process = &in_flight.back_end;
         match end {
             AttemptEnd::Answered { .. } => {
-                self.process_answered(in_flight);
+                self.process_answered(in_flight.chosen_at, process);
                 if let Some(exchange) = self.exchanges.get(&id) {
                     self.suspects.succeeded(now, &exchange.identity);
                 }
@@ -98,7 +108,9 @@
                 reason: Rejection::OtherInstance,
                 ..
             } => self.process_ended(process),
-            AttemptEnd::NotRun { .. } => self.process_answered(in_flight),
+            AttemptEnd::NotRun { .. } => {
+                self.process_answered(in_flight.chosen_at, process);
+            }
             AttemptEnd::Failed(Fault::Unreachable) => self.process_ended(process),
             AttemptEnd::Failed(Fault::Broken | Fault::BadAnswer | Fault::TimedOut) => {
                 if in_flight.sent {
@@ -110,10 +122,20 @@
         }
     }
 
-    fn process_answered(&mut self, in_flight: &InFlight) {
-        let sent = in_flight.chosen_at;
-        self.unconfirmed.answered(sent, &in_flight.back_end);
-        self.suspects.answered(sent, &in_flight.back_end);
+    /// The process answered what was sent to it at `sent`.
+    pub fn process_answered(&mut self, sent: Timestamp, process: &BackEndName) {
+        self.unconfirmed.answered(sent, process);
+        self.suspects.answered(sent, process);
+    }
+
+    /// Processes that are not registered any more have ended, if an attempt
+    /// broke there.
+    pub(super) fn look_for_gone(&mut self) {
+        for process in self.unconfirmed.processes() {
+            if self.back_ends.get(&process).is_none() {
+                self.process_ended(&process);
+            }
+        }
     }
 
     /// An attempt ended without an answer, or none came in time.
@@ -127,15 +149,24 @@
             process: process.clone(),
             at: now,
         });
-        let address = self
-            .back_ends
-            .get(&process)
-            .map(|known| known.back_end.address);
-        if let Some(address) = address.filter(|_| first) {
-            self.to_look_at.push((process, address));
+        if first {
+            let look = self.look(process);
+            self.to_look_at.extend(look);
         }
     }
 
+    fn look(&self, process: BackEndName) -> Option<Look> {
+        let back_end = &self.back_ends.get(&process)?.back_end;
+        let services = &self.configuration.as_ref()?.services;
+        let health_path = services.get(&back_end.service)?.health_path.clone();
+        let address = back_end.address;
+        Some(Look {
+            process,
+            address,
+            health_path,
+        })
+    }
+
     /// What to do with an exchange whose request is under suspicion; `None`:
     /// what is done with any other.
     pub(super) fn step_of_suspect(&mut self, now: Timestamp, id: ExchangeId) -> Option<Step> {
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -172,7 +172,7 @@
     );
     let looked_at = station.dispatcher.take_to_look_at();
     assert_eq!(looked_at.len(), 1);
-    assert_eq!(looked_at[0].0, attempt.back_end);
+    assert_eq!(looked_at[0].process, attempt.back_end);
     station.dispatcher.process_ended(&attempt.back_end);
     assert_eq!(station.dispatcher.suspects().crashes_of(&bad), 1);
 }
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -173,19 +173,6 @@
         self.connection_of(address, None, deadline).await
     }
 
-    /// Opens a new connection and closes it at once.
-    ///
-    /// # Errors
-    ///
-    /// Nobody takes connections there.
-    pub async fn open_and_close(
-        &self,
-        address: SocketAddr,
-        deadline: Instant,
-    ) -> Result<(), ExchangeError> {
-        self.connect(address, deadline).await.map(drop)
-    }
-
     /// As [`Pool::connection`], setting the limit of connections to the
     /// address at the same time.
     pub async fn connection_within(
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -56,8 +56,8 @@
         let now = self.clock.now();
         let known = state.dispatcher.suspects().changes();
         let result = act(&mut state.dispatcher, now);
-        for (process, address) in state.dispatcher.take_to_look_at() {
-            self.suspects.found(Finding::Broke(process, address));
+        for look in state.dispatcher.take_to_look_at() {
+            self.suspects.found(Finding::Broke(look));
         }
         if state.dispatcher.has_crashes() {
             self.suspects.found(Finding::Crashes);
--- a/crates/router/src/gateway/suspects.rs
+++ b/crates/router/src/gateway/suspects.rs
@@ -16,9 +16,9 @@
 
 use async_std::task;
 use parking_lot::Mutex;
+use threadledge_dispatch::dispatcher::Look;
 use threadledge_ports::Ports;
 use threadledge_suspects::{RequestHash, SuspectNews};
-use threadledge_types::deployment::BackEndName;
 
 use super::dispatch::Dispatch;
 use super::followers::Followers;
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub(super) enum Finding {
     /// An attempt broke at this process, which may have ended.
-    Broke(BackEndName, SocketAddr),
+    Broke(Look),
     /// Processes have ended under requests.
     Crashes,
 }
@@ -96,6 +96,7 @@
     ) {
         let looker = Looker {
             service: self.clone(),
+            wording: ports.wording.clone(),
             findings,
         };
         let keeper = Keeper::new(self.clone(), ports.held_requests.clone());
--- a/crates/suspects/src/unconfirmed.rs
+++ b/crates/suspects/src/unconfirmed.rs
@@ -6,6 +6,7 @@
 //! later has not ended; one at whose address nobody, or another process,
 //! listens has.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
@@ -71,6 +72,12 @@
         open.filter(|known| known.identity == *identity).count()
     }
 
+    /// Processes at which an attempt broke.
+    pub fn processes(&self) -> BTreeSet<BackEndName> {
+        let processes = self.breaks.iter().map(|known| &known.process);
+        processes.cloned().collect()
+    }
+
     /// The process answered something that was sent to it at `sent`.
     pub fn answered(&mut self, sent: Timestamp, process: &BackEndName) {
         self.breaks
