First crashes meet at relays; everybody hears of a request with its second

Ruled out: telling nobody in herds of crashes (two requests sent every 0.12 s end as many back ends as a herd does). Change: every crash goes up the tree and between relays, down it go requests with more than one.

--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -4,7 +4,7 @@
 
 use threadledge_dispatch::outcome::Rejection;
 use threadledge_dispatch::{Begun, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step};
-use threadledge_suspects::RequestIdentity;
+use threadledge_suspects::{RequestIdentity, Scope};
 
 use super::support::{HOST, Station, answered, back_end, fault, identity, not_run};
 
@@ -219,7 +219,10 @@
     let Step::Send(attempt) = station.next(&begun) else {
         panic!("no back end");
     };
-    let news = other.dispatcher.suspects().news_since(0, other.now);
+    let news = other
+        .dispatcher
+        .suspects()
+        .news_since(0, Scope::All, other.now);
     assert!(station.dispatcher.take_suspects(station.now, &news));
     assert!(
         !station
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -262,7 +262,7 @@
         self.peers.heard_of(exchange.from);
         self.suspects.take(exchange.from, &source, &exchange.news);
         if exchange.whole {
-            self.suspects.all()
+            self.suspects.known(exchange.from)
         } else {
             SuspectNews::default()
         }
--- a/crates/router/src/gateway/suspects.rs
+++ b/crates/router/src/gateway/suspects.rs
@@ -18,7 +18,7 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::Look;
 use threadledge_ports::Ports;
-use threadledge_suspects::{RequestHash, SuspectNews};
+use threadledge_suspects::{RequestHash, Scope, SuspectNews};
 
 use super::dispatch::Dispatch;
 use super::followers::Followers;
@@ -128,12 +128,15 @@
         self.log.tell(&self.dispatch, source);
     }
 
-    /// Everything that is known here.
-    pub(super) fn all(&self) -> SuspectNews {
-        let everything = 0;
-        let news = |dispatcher: &mut threadledge_dispatch::Dispatcher, now| {
-            dispatcher.suspects().news_since(everything, now)
+    /// What is known here, as far as it concerns the gateway that asks.
+    pub(super) fn known(&self, asks: Option<SocketAddr>) -> SuspectNews {
+        let others = self.neighbours.place().others;
+        let scope = match asks.is_some_and(|asks| others.contains(&asks)) {
+            true => Scope::All,
+            false => Scope::Repeated,
         };
-        self.dispatch.with(news)
+        let since = 0;
+        self.dispatch
+            .with(|dispatcher, now| dispatcher.suspects().news_since(since, scope, now))
     }
 }
--- a/crates/router/src/gateway/suspects/spread.rs
+++ b/crates/router/src/gateway/suspects/spread.rs
@@ -1,8 +1,9 @@
 //! Tells other gateways what this one learns of suspects, at once and to each
 //! along the tree of relays.
 //!
-//! A gateway tells the one that it follows, those that follow it and, as a
-//! relay, the relays of the other zones; each passes on what is new to it. What
+//! A gateway tells the one that it follows and, as a relay, the relays of the
+//! other zones of every crash; it tells those that follow it of requests with
+//! more than one. Each passes on what is new to it. What
 //! was told twice changes nothing, so that loops end by themselves. Who is new above this gateway, or beside it as a relay, is asked for
 //! all that it knows: a gateway that has just started learns it so.
 
@@ -14,6 +15,7 @@
 use futures::future::{join_all, select};
 use parking_lot::Mutex;
 use threadledge_net::timer;
+use threadledge_suspects::Scope;
 
 use super::super::followers::Followers;
 use super::super::messages::SuspectExchange;
@@ -78,6 +80,7 @@
     address: SocketAddr,
     /// It may know what this gateway does not, and is asked when it is new.
     asked: bool,
+    scope: Scope,
 }
 
 impl Spreader {
@@ -121,6 +124,7 @@
                 targets.push(Target {
                     address,
                     asked: true,
+                    scope: Scope::All,
                 });
             }
         }
@@ -132,11 +136,15 @@
             MOST_PEERS
         };
         let peers = self.client.latest().into_iter().take(most);
-        for address in self.followers.addresses().into_iter().chain(peers) {
+        let peers = peers.map(|peer| (peer, Scope::All));
+        let followers = self.followers.addresses().into_iter();
+        let followers = followers.map(|follower| (follower, Scope::Repeated));
+        for (address, scope) in followers.chain(peers) {
             if seen.insert(address) {
                 targets.push(Target {
                     address,
                     asked: false,
+                    scope,
                 });
             }
         }
@@ -149,7 +157,7 @@
         let cursor = self.service.cursors.get(target.address);
         let (news, changes) = self.service.dispatch.with(|dispatcher, now| {
             let suspects = dispatcher.suspects();
-            let news = suspects.news_since(cursor.unwrap_or_default(), now);
+            let news = suspects.news_since(cursor.unwrap_or_default(), target.scope, now);
             (news, suspects.changes())
         });
         let whole = target.asked && cursor.is_none();
--- a/crates/suspects/src/identity.rs
+++ b/crates/suspects/src/identity.rs
@@ -11,7 +11,7 @@
 use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// What a request asks for, whoever sends it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -62,8 +62,12 @@
 }
 
 /// Puts an identity together.
+///
+/// Each part is hashed with the hash of those before it as its seed, so that
+/// no state is carried: a request costs about a tenth of a microsecond for each
+/// header, and every request is hashed.
 pub struct IdentityBuilder {
-    request: Xxh3,
+    request: u64,
     headers: u64,
 }
 
@@ -71,14 +75,9 @@
     /// Begins with the head's first line and the host. `target` is path and
     /// query.
     pub fn new(method: &str, host: &str, target: &str) -> Self {
-        let mut request = Xxh3::new();
-        for part in [method, host, target] {
-            // The length keeps parts from running into each other.
-            request.update(&(part.len() as u64).to_le_bytes());
-            request.update(part.as_bytes());
-        }
+        let parts = [method, host, target].into_iter();
         IdentityBuilder {
-            request,
+            request: parts.fold(0, |hash, part| chain(hash, part.as_bytes())),
             headers: 0,
         }
     }
@@ -86,24 +85,21 @@
     /// The request's key.
     pub fn key(&mut self, key: Option<u16>) {
         let key = key.map_or(u32::MAX, u32::from);
-        self.request.update(&key.to_le_bytes());
+        self.request = chain(self.request, &key.to_le_bytes());
     }
 
     /// The request's body.
     pub fn body(&mut self, body: BodyDigest) {
-        self.request
-            .update(&body.length.unwrap_or(u64::MAX).to_le_bytes());
-        self.request.update(&body.start.to_le_bytes());
+        let length = body.length.unwrap_or(u64::MAX);
+        self.request = chain(self.request, &length.to_le_bytes());
+        self.request = chain(self.request, &body.start.to_le_bytes());
     }
 
     /// A header that stays the same from try to try. Their order does not
     /// matter.
     pub fn header(&mut self, name: &str, value: &str) {
-        let mut hash = Xxh3::new();
-        hash.update(name.as_bytes());
-        hash.update(&[0]);
-        hash.update(value.as_bytes());
-        self.headers = self.headers.wrapping_add(hash.digest());
+        let hash = chain(chain(0, name.as_bytes()), value.as_bytes());
+        self.headers = self.headers.wrapping_add(hash);
     }
 
     /// The identity of the request, sent from this address.
@@ -113,7 +109,7 @@
             IpAddr::V6(address) => xxh3_64(&address.octets()),
         };
         RequestIdentity {
-            request: RequestHash(self.request.digest()),
+            request: RequestHash(self.request),
             caller: CallerId {
                 address,
                 headers: self.headers,
@@ -121,3 +117,8 @@
         }
     }
 }
+
+/// The hash of a part that follows others.
+fn chain(before: u64, part: &[u8]) -> u64 {
+    xxh3_64_with_seed(part, before)
+}
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod unconfirmed;
 
 pub use identity::{BodyDigest, CallerId, IdentityBuilder, RequestHash, RequestIdentity};
-pub use news::SuspectNews;
+pub use news::{Scope, SuspectNews};
 pub use record::HeldRecord;
 pub use suspect::{CRASHES_UNTIL_HELD, Suspect};
 pub use suspects::{MOST_SUSPECTS, Suspects};
--- a/crates/suspects/src/news.rs
+++ b/crates/suspects/src/news.rs
@@ -29,6 +29,19 @@
     pub answered: Vec<AnsweredReport>,
 }
 
+/// How much is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Every crash: up the tree of relays and between them, where crashes that
+    /// several gateways saw meet.
+    All,
+    /// Requests with more than one crash: down the tree, to everyone. First
+    /// crashes are many when back ends end in herds, and hardly ever followed by
+    /// a second: telling all 74 gateways of 1,074 of them cost a fifth more
+    /// processor time on a day of 30 s, and a tenth of what was served.
+    Repeated,
+}
+
 /// One request under suspicion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -90,11 +103,14 @@
 
 impl Suspects {
     /// What changed after the change of that number; everything for zero.
-    pub fn news_since(&self, changes: u64, now: Timestamp) -> SuspectNews {
+    pub fn news_since(&self, changes: u64, scope: Scope, now: Timestamp) -> SuspectNews {
+        let all = scope == Scope::All;
         let changed = self.suspects.iter();
         let changed = changed.filter(|(_, suspect)| suspect.changed > changes);
+        let changed = changed.filter(|(_, suspect)| all || suspect.is_repeated());
         let answered = self.withdrawn.iter();
         let answered = answered.filter(|(_, seen)| seen.changed > changes);
+        let answered = answered.filter(|(_, seen)| all || seen.mattered);
         SuspectNews {
             suspects: changed
                 .map(|(request, suspect)| report(*request, suspect, now))
@@ -126,9 +142,9 @@
         if known.is_some_and(|known| at <= known.at.after(SKEW)) {
             return;
         }
-        self.take_back(&seen.back_end, at);
+        let mattered = self.take_back(&seen.back_end, at);
         self.changes += 1;
-        self.withdraw(&seen.back_end, at);
+        self.withdraw(&seen.back_end, at, mattered.unwrap_or(true));
     }
 
     fn take_label(&mut self, report: &SuspectReport) {
@@ -179,7 +195,7 @@
     let successes = suspect.successes.iter();
     SuspectReport {
         request,
-        label: if suspect.processes().len() > 1 {
+        label: if suspect.is_repeated() {
             suspect.label.clone()
         } else {
             String::new()
--- a/crates/suspects/src/record.rs
+++ b/crates/suspects/src/record.rs
@@ -5,7 +5,7 @@
 use threadledge_types::Timestamp;
 
 use crate::identity::RequestHash;
-use crate::news::{SuspectNews, SuspectReport};
+use crate::news::{Scope, SuspectNews, SuspectReport};
 use crate::suspects::Suspects;
 
 /// Requests in the record, below what the store takes in one object. The
@@ -26,7 +26,7 @@
     /// stands there already and was not let go here. `None`: it stands there
     /// as it should.
     pub fn updated(&self, suspects: &Suspects, now: Timestamp) -> Option<HeldRecord> {
-        let own = suspects.news_since(0, now).suspects;
+        let own = suspects.news_since(0, Scope::Repeated, now).suspects;
         let is_held = |request: RequestHash| {
             let suspect = suspects.get(request);
             suspect.is_some_and(|suspect| suspect.is_held_for_any())
--- a/crates/suspects/src/suspect.rs
+++ b/crates/suspects/src/suspect.rs
@@ -66,6 +66,13 @@
         of_all.max(of_address).max(of_headers).max(of_caller)
     }
 
+    /// Whether more than one process ended under it.
+    pub(crate) fn is_repeated(&self) -> bool {
+        let mut processes = self.crashes.keys().map(|(process, _)| process);
+        let first = processes.next();
+        processes.any(|process| Some(process) != first)
+    }
+
     /// Whether it is held when it comes from `caller`.
     pub fn is_held(&self, caller: CallerId) -> bool {
         self.crashes_of(caller) >= CRASHES_UNTIL_HELD
--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -25,6 +25,8 @@
     /// When it was sent what it answered.
     pub(crate) at: Moment,
     pub(crate) changed: u64,
+    /// It took back one of several crashes of a request.
+    pub(crate) mattered: bool,
 }
 
 /// Every request under suspicion.
@@ -146,33 +148,33 @@
     /// ended by then.
     pub fn answered(&mut self, at: Timestamp, process: &BackEndName) {
         let at = Moment::from(at);
-        if self.take_back(process, at) {
+        if let Some(mattered) = self.take_back(process, at) {
             self.changes += 1;
-            self.withdraw(process, at);
+            self.withdraw(process, at, mattered);
         }
     }
 
-    /// Takes back crashes of a process up to `at`. Says whether there were any.
-    pub(crate) fn take_back(&mut self, process: &BackEndName, at: Moment) -> bool {
-        let Some(requests) = self.by_process.get(process).cloned() else {
-            return false;
-        };
-        let mut any = false;
+    /// Takes back crashes of a process up to `at`, if there are any. Says
+    /// whether one was among several of a request.
+    pub(crate) fn take_back(&mut self, process: &BackEndName, at: Moment) -> Option<bool> {
+        let requests = self.by_process.get(process).cloned()?;
+        let mut mattered = None;
         for request in requests {
             let Some(suspect) = self.suspects.get_mut(&request) else {
                 continue;
             };
+            let several = suspect.is_repeated();
             if !suspect.withdraw(process, at) {
                 continue;
             }
-            any = true;
+            mattered = Some(several || mattered == Some(true));
             if suspect.is_idle() {
                 self.suspects.remove(&request);
             }
             self.judge(request);
         }
         self.forget_processes();
-        any
+        mattered
     }
 
     /// An operator lets a request go. Says whether it was known.
@@ -185,7 +187,7 @@
         true
     }
 
-    pub(crate) fn withdraw(&mut self, process: &BackEndName, at: Moment) {
+    pub(crate) fn withdraw(&mut self, process: &BackEndName, at: Moment, mattered: bool) {
         let changed = self.changes;
         if self.withdrawn.len() >= MOST_WITHDRAWN && !self.withdrawn.contains_key(process) {
             let oldest = self.withdrawn.iter().min_by_key(|(_, seen)| seen.changed);
@@ -193,8 +195,12 @@
                 self.withdrawn.remove(&oldest);
             }
         }
-        self.withdrawn
-            .insert(process.clone(), Withdrawn { at, changed });
+        let seen = Withdrawn {
+            at,
+            changed,
+            mattered,
+        };
+        self.withdrawn.insert(process.clone(), seen);
     }
 
     /// What this gateway remembers of earlier answers counts as well.
--- a/crates/suspects/tests/suspects.rs
+++ b/crates/suspects/tests/suspects.rs
@@ -4,7 +4,7 @@
 
 use threadledge_suspects::{
     BodyDigest, CRASHES_UNTIL_HELD, HeldRecord, IdentityBuilder, MOST_SUSPECTS, RequestIdentity,
-    Suspects,
+    Scope, Suspects,
 };
 use threadledge_types::Timestamp;
 
@@ -173,7 +173,7 @@
     let mut now = 100;
     let mut tell = |gateways: &mut Vec<Suspects>, from: usize, to: usize, pause: u64| {
         now += pause;
-        let news = gateways[from].news_since(0, after(now));
+        let news = gateways[from].news_since(0, Scope::All, after(now));
         gateways[to].take_news(&news, after(now + 3))
     };
     for _ in 0..random.int_in_range(0..=10)? {
@@ -203,15 +203,44 @@
     for (number, process) in ["p-1", "p-2", "p-3"].into_iter().enumerate() {
         crash(&mut first, 2_000 + number as u64, &bad, process);
     }
-    let told = first.news_since(0, after(4_000));
+    let told = first.news_since(0, Scope::All, after(4_000));
     let mut started = Suspects::default();
     started.take_news(&told, Timestamp::from_millis(300));
     assert!(started.is_held(&bad));
-    let told_on = started.news_since(0, Timestamp::from_millis(400));
+    let told_on = started.news_since(0, Scope::All, Timestamp::from_millis(400));
     first.take_news(&told_on, after(4_102));
     assert!(first.is_held(&bad));
 }
 
+/// First crashes meet at relays; everybody hears of a request with its second.
+#[test]
+fn followers_are_told_of_requests_with_more_than_one_crash() {
+    let mut relay = Suspects::default();
+    let one = request("/one", 1, "a");
+    let two = request("/two", 1, "a");
+    crash(&mut relay, 0, &one, "p-1");
+    crash(&mut relay, 1, &two, "p-1");
+    let told = relay.changes();
+    assert!(relay.news_since(0, Scope::Repeated, after(2)).is_empty());
+    crash(&mut relay, 3, &two, "p-2");
+    let news = relay.news_since(told, Scope::Repeated, after(4));
+    assert_eq!(news.suspects.len(), 1);
+    assert_eq!(news.suspects[0].request, two.request);
+    assert_eq!(news.suspects[0].crashes.len(), 2);
+    // One that only one process ended under is taken back without a word.
+    let told = relay.changes();
+    relay.answered(after(10), &"p-2".into());
+    let news = relay.news_since(told, Scope::Repeated, after(11));
+    assert_eq!(news.answered.len(), 1);
+    relay.answered(after(10), &"p-1".into());
+    let told = relay.changes();
+    assert!(
+        relay
+            .news_since(told, Scope::Repeated, after(12))
+            .is_empty()
+    );
+}
+
 #[test]
 fn release_reaches_others_and_is_not_undone_by_old_news() {
     let mut first = Suspects::default();
@@ -220,14 +249,17 @@
     for number in 0..3 {
         crash(&mut first, number, &bad, &format!("p-{number}"));
     }
-    let old = first.news_since(0, after(10));
+    let old = first.news_since(0, Scope::All, after(10));
     second.take_news(&old, after(12));
     assert!(second.is_held(&bad));
     assert!(first.release(after(1_000), bad.request));
-    second.take_news(&first.news_since(0, after(1_010)), after(1_012));
+    second.take_news(&first.news_since(0, Scope::All, after(1_010)), after(1_012));
     assert!(!second.is_held(&bad));
     // The same old news, told late: its ages have grown on the way.
-    first.take_news(&second.news_since(0, after(1_020)), after(1_022));
+    first.take_news(
+        &second.news_since(0, Scope::All, after(1_020)),
+        after(1_022),
+    );
     assert!(!first.is_held(&bad));
 }
 
