--- a/crates/suspects/src/news.rs
+++ b/crates/suspects/src/news.rs
@@ -107,7 +107,7 @@
         let all = scope == Scope::All;
         let changed = self.suspects.iter();
         let changed = changed.filter(|(_, suspect)| suspect.changed > changes);
-        let changed = changed.filter(|(_, suspect)| all || suspect.is_repeated());
+        let changed = changed.filter(|(_, suspect)| all || suspect.concerns_all());
         let answered = self.withdrawn.iter();
         let answered = answered.filter(|(_, seen)| seen.changed > changes);
         let answered = answered.filter(|(_, seen)| all || seen.mattered);
--- a/crates/suspects/src/suspect.rs
+++ b/crates/suspects/src/suspect.rs
@@ -73,6 +73,11 @@
         processes.any(|process| Some(process) != first)
     }
 
+    /// Whether everybody has to know: it may be held soon, or was let go.
+    pub(crate) fn concerns_all(&self) -> bool {
+        self.is_repeated() || self.released.is_some()
+    }
+
     /// Whether it is held when it comes from `caller`.
     pub fn is_held(&self, caller: CallerId) -> bool {
         self.crashes_of(caller) >= CRASHES_UNTIL_HELD
--- a/crates/suspects/tests/suspects.rs
+++ b/crates/suspects/tests/suspects.rs
@@ -253,7 +253,8 @@
     second.take_news(&old, after(12));
     assert!(second.is_held(&bad));
     assert!(first.release(after(1_000), bad.request));
-    second.take_news(&first.news_since(0, Scope::All, after(1_010)), after(1_012));
+    let told = first.news_since(0, Scope::Repeated, after(1_010));
+    second.take_news(&told, after(1_012));
     assert!(!second.is_held(&bad));
     // The same old news, told late: its ages have grown on the way.
     first.take_news(
