Suspects: bounds, a lone gateway reads the record, a truer refusal

Cause: read as a newcomer: the set of requests whose crashes were seen here grew for ever; a gateway without peers never read what the store keeps; an exchange that waited for another of the same request was refused as one that crashes back ends, which was not certain. Change: the set keeps to requests under suspicion; a lone gateway counts as its own relay; that refusal is 'overloaded', with the usual time to come back.

--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -210,7 +210,7 @@
         // What becomes of the other one decides; it is asked again soon.
         let again = now + self.settings.owner_pause;
         if again >= exchange.patience_until {
-            return Some(self.finish_held(now, id));
+            return Some(self.finish(now, id, RefusalReason::Overloaded, None));
         }
         Some(Step::Wait(again))
     }
--- a/crates/router/src/gateway/suspects.rs
+++ b/crates/router/src/gateway/suspects.rs
@@ -109,6 +109,9 @@
                 followers,
             };
             task::spawn(spreader.run());
+        } else {
+            // Alone: it watches the store itself.
+            self.neighbours.set_place(None, true);
         }
     }
 
--- a/crates/router/src/gateway/suspects/keep.rs
+++ b/crates/router/src/gateway/suspects/keep.rs
@@ -48,17 +48,13 @@
     /// Runs for ever.
     pub(super) async fn run(mut self) {
         let mut relayed = false;
-        let mut failed = false;
         loop {
             let relays = self.service.neighbours.place().relays;
-            let began = relays && !relayed;
-            if began {
-                failed = !self.synchronize().await;
-                // A read that failed is made again.
-                relayed = !failed;
-            } else {
-                relayed = relays;
-            }
+            let newly = relays && !relayed;
+            let read = newly && self.synchronize().await;
+            // A read that failed is made again.
+            relayed = relays && (relayed || read);
+            let mut failed = newly && !read;
             let changed = self.service.dispatch.suspect_signals().changed.next();
             let moved = self.service.neighbours.changed.next();
             if self.held() != self.kept {
--- a/crates/router/src/gateway/suspects/look.rs
+++ b/crates/router/src/gateway/suspects/look.rs
@@ -172,11 +172,15 @@
 impl SuspectService {
     /// Writes the crashes that were confirmed here into the log.
     pub(super) fn tell_crashes(&self) {
-        let crashes = self
-            .dispatch
-            .with(|dispatcher, _now| dispatcher.take_crashes());
+        let (crashes, known) = self.dispatch.with(|dispatcher, _now| {
+            let known = dispatcher.suspects().requests();
+            (dispatcher.take_crashes(), known)
+        });
+        let mut own = self.own.lock();
+        own.retain(|request| known.contains(request));
+        own.extend(crashes.iter().map(|crash| crash.identity.request));
+        drop(own);
         for crash in crashes {
-            self.own.lock().insert(crash.identity.request);
             emit!(
                 EventId::CrashedUnderRequest,
                 back_end = %crash.process,
--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -72,6 +72,11 @@
         suspect.is_some_and(|suspect| suspect.is_held(identity.caller))
     }
 
+    /// Every request under suspicion.
+    pub fn requests(&self) -> BTreeSet<RequestHash> {
+        self.suspects.keys().copied().collect()
+    }
+
     /// What is known of a request.
     pub fn get(&self, request: RequestHash) -> Option<&Suspect> {
         self.suspects.get(&request)
@@ -90,8 +95,8 @@
         last.is_some_and(|(caller, answered)| caller == identity.caller && answered > at)
     }
 
-    /// A process ended while it ran a request that came at `at`. Says whether
-    /// that was not known.
+    /// A process ended at `at` while it ran a request. Says whether that was
+    /// not known.
     pub fn crashed(
         &mut self,
         at: Timestamp,
@@ -113,11 +118,8 @@
         process: &BackEndName,
         label: &str,
     ) -> bool {
-        if self
-            .withdrawn
-            .get(process)
-            .is_some_and(|seen| at <= seen.at)
-        {
+        let answered = self.withdrawn.get(process);
+        if answered.is_some_and(|seen| at <= seen.at) {
             return false;
         }
         let suspect = self.suspect(identity.request, label);
