--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use threadledge_dispatch::outcome::Rejection;
-use threadledge_dispatch::{Begun, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step};
+use threadledge_dispatch::{
+    Attempt, AttemptEnd, Begun, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step,
+};
 use threadledge_suspects::{RequestIdentity, Scope};
 
 use super::support::{HOST, Station, answered, back_end, fault, identity, not_run};
@@ -107,25 +109,36 @@
     assert!(station.dispatcher.suspects().is_empty());
 }
 
-#[test]
-fn answer_after_the_break_shows_that_the_process_goes_on() {
-    let mut station = station();
-    let request = identity("/unsafe/x", 1);
-    let begun = begin(&mut station, "unsafe", request).expect("admitted");
+/// An attempt of an unsafe request breaks, and the process goes unnoticed.
+fn break_one(station: &mut Station, request: RequestIdentity) -> Attempt {
+    let begun = begin(station, "unsafe", request).expect("admitted");
     let attempt = station.send(&begun);
     station.after(20);
     station.end(&begun, &attempt, fault(Fault::Broken));
     station.after(10);
+    attempt
+}
+
+/// Sends other requests until one reaches the process of `attempt`, which ends
+/// it so; the others are answered.
+fn reach_again(station: &mut Station, attempt: &Attempt, end: &AttemptEnd) {
     loop {
         let other = station.begin("safe").expect("admitted");
         let next = station.send(&other);
-        let same = next.back_end == attempt.back_end;
         station.after(5);
-        station.end(&other, &next, answered());
-        if same {
-            break;
+        if next.back_end == attempt.back_end {
+            station.end(&other, &next, end.clone());
+            return;
         }
+        station.end(&other, &next, answered());
     }
+}
+
+#[test]
+fn answer_after_the_break_shows_that_the_process_goes_on() {
+    let mut station = station();
+    let attempt = break_one(&mut station, identity("/unsafe/x", 1));
+    reach_again(&mut station, &attempt, &answered());
     station.dispatcher.process_ended(&attempt.back_end);
     assert!(station.dispatcher.suspects().is_empty());
 }
@@ -134,29 +147,42 @@
 fn another_process_at_the_address_shows_that_the_one_before_ended() {
     let mut station = station();
     let request = identity("/unsafe/x", 1);
-    let begun = begin(&mut station, "unsafe", request).expect("admitted");
-    let attempt = station.send(&begun);
-    station.after(20);
-    station.end(&begun, &attempt, fault(Fault::Broken));
-    station.after(10);
-    loop {
-        let other = station.begin("safe").expect("admitted");
-        let next = station.send(&other);
-        let same = next.back_end == attempt.back_end;
-        station.after(5);
-        let end = if same {
-            not_run(Rejection::OtherInstance)
-        } else {
-            answered()
-        };
-        station.end(&other, &next, end);
-        if same {
-            break;
-        }
-    }
+    let attempt = break_one(&mut station, request);
+    reach_again(&mut station, &attempt, &not_run(Rejection::OtherInstance));
     assert_eq!(station.dispatcher.suspects().crashes_of(&request), 1);
 }
 
+#[test]
+fn registration_that_is_gone_shows_that_the_process_ended() {
+    let mut station = station();
+    let request = identity("/unsafe/x", 1);
+    let attempt = break_one(&mut station, request);
+    station
+        .back_ends
+        .retain(|known| known.name != attempt.back_end);
+    station.publish();
+    assert_eq!(station.dispatcher.suspects().crashes_of(&request), 1);
+}
+
+/// It waits for the other one until its patience ends. Nothing is certain then:
+/// it is told to come back soon.
+#[test]
+fn exchange_that_waited_for_another_in_vain_may_come_back_soon() {
+    let mut station = station();
+    let bad = identity("/safe/x", 1);
+    assert_eq!(crash_all(&mut station, bad), 2);
+    let first = begin(&mut station, "safe", bad).expect("not held yet");
+    let _attempt = station.send(&first);
+    let second = begin(&mut station, "safe", bad).expect("not held yet");
+    station.after(100);
+    let step = station.next(&second);
+    let Step::Finish(Outcome::Refused(refusal)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+    assert!(refusal.retry_after < Some(Duration::from_secs(1)));
+}
+
 /// A back end that falls silent takes a request along until its deadline.
 #[test]
 fn silent_processes_count_once_nobody_listens_there() {
@@ -229,11 +255,7 @@
             .dispatcher
             .may_send(station.now, begun.id, attempt.id)
     );
-    station.end(
-        &begun,
-        &attempt,
-        threadledge_dispatch::AttemptEnd::Abandoned,
-    );
+    station.end(&begun, &attempt, AttemptEnd::Abandoned);
     let step = station.next(&begun);
     let Step::Finish(Outcome::Refused(refusal)) = step else {
         panic!("{step:?}");
