A request that was answered is cleared of the breaks that are open as well

Cause: found by reading: breaks at silent processes stay open for up to 10 s, and two of them let a request be sent one at a time by this router, also a popular one that is answered all the time meanwhile. Ruled out: shorter times for open breaks (a silent process is found out by them). Change: a success of the very same caller clears its open breaks, as it clears its crashes. Figures: a test that failed before (the second of three such requests waits) and passes now.

--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -112,6 +112,7 @@
             AttemptEnd::Answered { .. } => {
                 self.process_answered(in_flight.chosen_at, process);
                 if let Some(exchange) = self.exchanges.get(&id) {
+                    self.unconfirmed.succeeded(&exchange.identity);
                     self.suspects.succeeded(now, &exchange.identity);
                 }
             }
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -183,6 +183,29 @@
     assert!(refusal.retry_after < Some(Duration::from_secs(1)));
 }
 
+/// A popular request: two tries of it were silent at back ends that are only
+/// slow, others are answered all the time.
+#[test]
+fn request_that_is_answered_elsewhere_is_not_sent_one_at_a_time() {
+    let mut station = station();
+    let popular = identity("/safe/x", 1);
+    for _ in 0..2 {
+        let begun = begin(&mut station, "safe", popular).expect("admitted");
+        station.send(&begun);
+        station.after(2_000);
+        let step = station.next(&begun);
+        assert!(matches!(step, Step::Finish(_)), "{step:?}");
+    }
+    let begun = begin(&mut station, "safe", popular).expect("admitted");
+    let attempt = station.send(&begun);
+    station.after(20);
+    station.end(&begun, &attempt, answered());
+    for _ in 0..3 {
+        let begun = begin(&mut station, "safe", popular).expect("admitted");
+        station.send(&begun);
+    }
+}
+
 /// A back end that falls silent takes a request along until its deadline.
 #[test]
 fn silent_processes_count_once_nobody_listens_there() {
--- a/crates/suspects/src/unconfirmed.rs
+++ b/crates/suspects/src/unconfirmed.rs
@@ -84,6 +84,17 @@
         }
     }
 
+    /// A request of this caller was answered: it does not end back ends.
+    pub fn succeeded(&mut self, identity: &RequestIdentity) {
+        if self.breaks.is_empty() {
+            return;
+        }
+        self.breaks.retain(|_, breaks| {
+            breaks.retain(|known| known.identity != *identity);
+            !breaks.is_empty()
+        });
+    }
+
     /// The process has ended: what broke at it was cut off by that.
     pub fn ended(&mut self, process: &BackEndName) -> Vec<Break> {
         self.breaks.remove(process).unwrap_or_default()
