Base of two newcomers: tenants, regions and limits in types, configuration and settings

Cause: two customers ask for callers' keys, limits of tenants over all gateways, regions, pipelined requests, uploads and machines of two sizes; the gateway read none of the fields that say so.

Nothing decides by them yet.

--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -46,6 +46,8 @@
             service: service.into(),
             weight: 1,
         }],
+        public: false,
+        allowed_regions: None,
     }
 }
 
@@ -70,6 +72,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        tenants: BTreeMap::new(),
     }
 }
 
--- a/crates/dispatch/tests/model/gateways.rs
+++ b/crates/dispatch/tests/model/gateways.rs
@@ -88,6 +88,8 @@
             service: "service".into(),
             weight: 1,
         }],
+        public: false,
+        allowed_regions: None,
     };
     let service = Service {
         health_path: "/health".to_owned(),
@@ -106,6 +108,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        tenants: BTreeMap::new(),
     }
 }
 
--- a/crates/router/src/gateway/changes.rs
+++ b/crates/router/src/gateway/changes.rs
@@ -9,7 +9,7 @@
 use threadledge_coordination::{Fence, OwnershipRecord, Slice, Term};
 use threadledge_types::deployment::{
     CallerLimits, Configuration, ConfigurationVersion, KeyRange, Route, RouteName, Service,
-    ServiceName, ShardKey,
+    ServiceName, ShardKey, Tenant, TenantName,
 };
 
 /// Changes of a kind that are remembered.
@@ -35,6 +35,12 @@
     pub gone_services: Vec<ServiceName>,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// Tenants that are new or differ.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub tenants: BTreeMap<TenantName, Tenant>,
+    /// Tenants that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gone_tenants: Vec<TenantName>,
 }
 
 impl ConfigurationChange {
@@ -44,7 +50,6 @@
             old.routes.iter().map(|each| (&each.name, each)).collect();
         let after: BTreeSet<&RouteName> = new.routes.iter().map(|each| &each.name).collect();
         let routes = new.routes.iter();
-        let services = new.services.iter();
         ConfigurationChange {
             from: old.version,
             to: new.version,
@@ -57,17 +62,11 @@
                 .filter(|name| !after.contains(*name))
                 .map(|name| (*name).clone())
                 .collect(),
-            services: services
-                .filter(|(name, service)| old.services.get(*name) != Some(service))
-                .map(|(name, service)| (name.clone(), service.clone()))
-                .collect(),
-            gone_services: old
-                .services
-                .keys()
-                .filter(|name| !new.services.contains_key(*name))
-                .cloned()
-                .collect(),
+            services: changed(&old.services, &new.services),
+            gone_services: gone(&old.services, &new.services),
             limits: new.limits,
+            tenants: changed(&old.tenants, &new.tenants),
+            gone_tenants: gone(&old.tenants, &new.tenants),
         }
     }
 
@@ -87,20 +86,50 @@
         for route in self.routes {
             routes.insert(route.name.clone(), Arc::new(route));
         }
-        let mut services = old.services.clone();
-        for name in &self.gone_services {
-            services.remove(name);
-        }
-        services.extend(self.services);
         Some(Configuration {
             version: self.to,
             routes: routes.into_values().collect(),
-            services,
+            services: applied(&old.services, &self.gone_services, self.services),
             limits: self.limits,
+            tenants: applied(&old.tenants, &self.gone_tenants, self.tenants),
         })
     }
 }
 
+/// Entries of `new` that `old` lacks or has otherwise.
+fn changed<N: Ord + Clone, V: PartialEq + Clone>(
+    old: &BTreeMap<N, V>,
+    new: &BTreeMap<N, V>,
+) -> BTreeMap<N, V> {
+    new.iter()
+        .filter(|(name, value)| old.get(*name) != Some(value))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Names of `old` that are not in `new`.
+fn gone<N: Ord + Clone, V>(old: &BTreeMap<N, V>, new: &BTreeMap<N, V>) -> Vec<N> {
+    let names = old.keys();
+    names
+        .filter(|name| !new.contains_key(*name))
+        .cloned()
+        .collect()
+}
+
+/// `old` without what is gone, and with what changed.
+fn applied<N: Ord + Clone, V: Clone>(
+    old: &BTreeMap<N, V>,
+    gone: &[N],
+    changed: BTreeMap<N, V>,
+) -> BTreeMap<N, V> {
+    let mut entries = old.clone();
+    for name in gone {
+        entries.remove(name);
+    }
+    entries.extend(changed);
+    entries
+}
+
 /// From one revision of an ownership record to a later one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -211,7 +240,9 @@
     }
 
     fn parts(&self) -> usize {
-        self.routes.len() + self.gone_routes.len() + self.services.len()
+        let routes = self.routes.len() + self.gone_routes.len();
+        let tenants = self.tenants.len() + self.gone_tenants.len();
+        routes + tenants + self.services.len()
     }
 }
 
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -20,6 +21,12 @@
     pub machine: String,
     /// Zone of the machine; back ends of the same zone are preferred.
     pub zone: String,
+    /// Region of the machine, where zones lie in regions.
+    #[serde(default)]
+    pub region: Option<String>,
+    /// The region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
     /// Where to listen.
     pub listen: ListenSettings,
     /// The platform.
@@ -33,6 +40,9 @@
     /// Coordination of ownership.
     #[serde(default)]
     pub ownership: OwnershipSettings,
+    /// How limits of tenants are held over all gateways.
+    #[serde(default)]
+    pub tenant_limits: TenantLimitSettings,
     /// What one gateway may use.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -91,6 +101,18 @@
     pub cold_overage: f64,
     /// Requests that one cold back end gets in any second besides.
     pub cold_slack: f64,
+    /// From the store's acknowledgement of a configuration until it is in
+    /// force on every gateway that reaches the store.
+    pub configuration_s: f64,
+    /// How long a gateway must have been without trouble before bounds bind
+    /// it.
+    pub contact_s: f64,
+    /// From the taking away of a key until it is accepted nowhere, also by
+    /// gateways that the store does not answer.
+    pub revoke_s: f64,
+    /// A gateway that knows that it may be behind refuses what it would
+    /// otherwise serve by what it last knew.
+    pub fail_closed: bool,
 }
 
 /// The retry budget of the deployment.
@@ -126,6 +148,18 @@
     pub takeover_after_s: f64,
 }
 
+/// How closely limits of tenants are held over all gateways.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct TenantLimitSettings {
+    /// Window in which the requests of a tenant are counted, in seconds.
+    pub window_s: f64,
+    /// Requests beyond the limit of a window that are borne, as a part of it.
+    pub overage: f64,
+    /// Requests beyond the limit of a window that are borne besides.
+    pub slack: f64,
+}
+
 /// What one gateway may use.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
@@ -137,6 +171,10 @@
     /// Bandwidth of the machine's link, in Mbit/s: machines with fast links
     /// watch the store for the others.
     pub link_mbps: f64,
+    /// Part of a processor core.
+    pub cores: f64,
+    /// Memory, in MB.
+    pub memory_mb: f64,
 }
 
 impl Default for BoundSettings {
@@ -148,6 +186,10 @@
             // What the users' deployments state that have cold back ends.
             cold_overage: 1.5,
             cold_slack: 8.0,
+            configuration_s: 2.0,
+            contact_s: 3.0,
+            revoke_s: 5.0,
+            fail_closed: false,
         }
     }
 }
@@ -183,6 +225,19 @@
             caller_connections: 2_500,
             held_bytes: 32 * 1024 * 1024,
             link_mbps: 1_000.0,
+            cores: 1.0,
+            memory_mb: 1_024.0,
+        }
+    }
+}
+
+impl Default for TenantLimitSettings {
+    fn default() -> Self {
+        // What the users' deployments state that have limits.
+        TenantLimitSettings {
+            window_s: 5.0,
+            overage: 0.1,
+            slack: 20.0,
         }
     }
 }
@@ -233,6 +288,10 @@
             ("platform.heartbeat-s", self.platform.heartbeat_s),
             ("bounds.grace-s", self.bounds.grace_s),
             ("bounds.leave-s", self.bounds.leave_s),
+            ("bounds.configuration-s", self.bounds.configuration_s),
+            ("bounds.contact-s", self.bounds.contact_s),
+            ("bounds.revoke-s", self.bounds.revoke_s),
+            ("tenant-limits.window-s", self.tenant_limits.window_s),
             ("retry-budget.window-s", self.retry_budget.window_s),
             ("ownership.max-hold-s", ownership.max_hold_s),
             ("ownership.hold-s", ownership.hold_s),
@@ -255,6 +314,10 @@
             ("retry-budget.ratio", self.retry_budget.ratio),
             ("retry-budget.slack", self.retry_budget.slack),
             ("limits.link-mbps", self.limits.link_mbps),
+            ("limits.cores", self.limits.cores),
+            ("limits.memory-mb", self.limits.memory_mb),
+            ("tenant-limits.overage", self.tenant_limits.overage),
+            ("tenant-limits.slack", self.tenant_limits.slack),
             (
                 "bounds.zone-drain-s",
                 self.bounds.zone_drain_s.unwrap_or(0.0),
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -1,7 +1,7 @@
 //! Changes of configurations and ownership records: whatever differs, the
 //! change leads from the one to the other, and nowhere else.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,8 +16,8 @@
 use threadledge_ports::{Change, Changes, Entry, Listing};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
-    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyRange, Route,
-    Service,
+    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyDigest, KeyRange,
+    Route, Service, Tenant, TenantName,
 };
 
 use super::samples;
@@ -39,6 +39,8 @@
             service: "service".into(),
             weight: 1,
         }],
+        public: false,
+        allowed_regions: None,
     })
 }
 
@@ -69,9 +71,24 @@
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
         },
+        tenants: tenants(random),
     }
 }
 
+fn tenants(random: &mut ChaCha8Rng) -> BTreeMap<TenantName, Tenant> {
+    let numbers = (0..4).filter(|_| random.random_bool(0.7));
+    let numbers: Vec<u32> = numbers.collect();
+    let named = numbers.into_iter().map(|number| {
+        let key = format!("key-{number}-{}", random.random_range(0..2));
+        let tenant = Tenant {
+            keys: BTreeSet::from([KeyDigest::of(key.as_bytes())]),
+            ..Tenant::default()
+        };
+        (format!("tenant-{number}").as_str().into(), tenant)
+    });
+    named.collect()
+}
+
 fn record(random: &mut ChaCha8Rng, revision: u64) -> Versioned<OwnershipRecord> {
     let mut slices = Vec::new();
     let mut first = 0_u32;
--- a/crates/router/tests/gateway/knowledge.rs
+++ b/crates/router/tests/gateway/knowledge.rs
@@ -35,6 +35,7 @@
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
         },
+        tenants: BTreeMap::new(),
     }
 }
 
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -119,6 +119,8 @@
             ("Bounds.BudgetWindowS", text(&10)),
             ("Bounds.MaxHoldS", text(&10)),
             ("Limits.LinkMbps", text(&1_000.0)),
+            ("Limits.CpuShare", "1".to_owned()),
+            ("Limits.MemoryMb", "1024".to_owned()),
         ]
         .into();
         let file = format!("threadledge-{own}.toml");
--- a/crates/router/tests/gateway/zones.rs
+++ b/crates/router/tests/gateway/zones.rs
@@ -69,6 +69,7 @@
             header_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(1),
         },
+        tenants: BTreeMap::new(),
     };
     let entries = vec![entry("main", 1, configuration)];
     knowledge.take_configurations(Update::Listed(Listing { entries, at: 1 }));
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::configuration::ServiceName;
+use super::name::ServiceName;
 use crate::ids::ZoneName;
 
 /// One life of one back end process. A process that restarts registers under
--- a/crates/types/src/deployment/configuration.rs
+++ b/crates/types/src/deployment/configuration.rs
@@ -1,60 +1,15 @@
 //! One version of what operators want.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-macro_rules! shared_name {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(from = "String", into = "String")]
-        pub struct $name(Arc<str>);
-
-        impl $name {
-            /// The name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(&self.0)
-            }
-        }
-
-        impl From<&str> for $name {
-            fn from(text: &str) -> Self {
-                $name(text.into())
-            }
-        }
-
-        impl From<String> for $name {
-            fn from(text: String) -> Self {
-                $name(text.into())
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> String {
-                name.0.as_ref().to_owned()
-            }
-        }
-    };
-}
-
-shared_name!(
-    /// Name of a service.
-    ServiceName
-);
-shared_name!(
-    /// Name of a route.
-    RouteName
-);
+use super::name::{RouteName, ServiceName, TenantName};
+use super::tenant::Tenant;
+use crate::ids::RegionName;
 
 /// Number of a configuration; a later one is larger.
 #[derive(
@@ -81,6 +36,9 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// Every tenant; where there is none, callers need no key.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub tenants: BTreeMap<TenantName, Tenant>,
 }
 
 /// Where requests of one host and path go, and how.
@@ -104,6 +62,16 @@
     pub max_attempts: u32,
     /// Services that share the requests, at least one with a weight.
     pub destinations: Vec<Destination>,
+    /// Callers need no key, also where there are tenants.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
+    /// The only regions in which its requests may be served; `None`: all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<BTreeSet<RegionName>>,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// One service's part of a route.
--- /dev/null
+++ b/crates/types/src/deployment/tenant.rs
@@ -0,0 +1,87 @@
+//! Tenants: who may send requests, how many, and where they are served.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use sha2::{Digest, Sha256};
+
+use crate::ids::RegionName;
+
+/// A tenant's part of a configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Tenant {
+    /// Digests of the keys that its callers show.
+    pub keys: BTreeSet<KeyDigest>,
+    /// Rank of its requests, before that of the route; 0 goes first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
+    /// What it may send to all gateways together; `None`: as much as it likes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RateLimit>,
+    /// The only regions in which its requests may be served; `None`: all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<BTreeSet<RegionName>>,
+}
+
+/// How many requests a tenant may send to all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RateLimit {
+    /// Requests a second, above 0.
+    pub rate: f64,
+    /// Requests besides, in any window.
+    pub burst: f64,
+}
+
+/// SHA-256 of a caller's key. The key itself is kept nowhere: neither memory
+/// nor a message between gateways gives it away.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest([u8; DIGEST_BYTES]);
+
+/// Length of a digest, in bytes.
+const DIGEST_BYTES: usize = 32;
+
+impl KeyDigest {
+    /// The digest of `key`.
+    pub fn of(key: &[u8]) -> Self {
+        KeyDigest(Sha256::digest(key).into())
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+            return None;
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        for (index, byte) in digest.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(KeyDigest(digest))
+    }
+}
+
+/// Logs never show a digest: it would tell which requests share a key.
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("KeyDigest(..)")
+    }
+}
+
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut text = String::with_capacity(2 * DIGEST_BYTES);
+        for byte in self.0 {
+            text.push_str(&format!("{byte:02x}"));
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        KeyDigest::parse(&text)
+            .ok_or_else(|| serde::de::Error::custom("a key digest is 64 hexadecimal digits"))
+    }
+}
