Tenants: callers' keys decide before the body is read

Cause: keys of callers were not read: unknown ones were served, the key and a tenant's name that the caller wrote went on to back ends.

Change: crates/tenants, an index from digests of keys to tenants that goes on from version to version, and the decision whether a route may be used. The dispatcher decides from the head alone (admission) and once more when the exchange begins, by the configuration in force then. 401 with a reason for a missing or unknown key; a public route asks for none. Adapter: the digest of the caller's key, key header and forged tenant name always taken out, the tenant's name set. Identity of requests under suspicion: the tenant in the place of the key. Rank of a tenant before that of its route.

Ruled out: serving unknown keys on public routes as nobody's (a caller whose key was taken away would not notice); trusting the first decision when the body is there (a slow body would carry a key past the version that takes it away).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Joins routes, back ends, ownership, budgets and waiting requests.
 
+mod admitting;
 mod attempts;
 mod crashes;
 mod ending;
@@ -17,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::{LoadReport, OwnershipView};
 use threadledge_suspects::{Break, Suspects, Unconfirmed};
+use threadledge_tenants::{Admission, Caller, KeyIndex};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
     BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
@@ -42,6 +44,8 @@
     pub route: Arc<Route>,
     /// The service that it goes to.
     pub service: ServiceName,
+    /// Whose caller sends it, by the configuration in force.
+    pub caller: Option<Arc<Caller>>,
     /// When it must have been answered.
     pub deadline: Timestamp,
 }
@@ -62,6 +66,8 @@
     random: ChaCha8Rng,
     configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
+    /// The tenants of the configuration by their keys.
+    keys: KeyIndex,
     dealers: HashMap<RouteName, Dealer>,
     /// Draws where dealers and turns begin, apart from the draws of choices.
     starts: ChaCha8Rng,
@@ -100,6 +106,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             configuration: None,
             routes: RouteTable::default(),
+            keys: KeyIndex::default(),
             dealers: HashMap::new(),
             starts,
             cold_rates: BTreeMap::new(),
@@ -196,6 +203,7 @@
             return false;
         }
         self.routes = RouteTable::of(&configuration);
+        self.follow_keys(&configuration);
         self.cold_rates = self.settings.cold_rates(&configuration);
         let routes = &configuration.routes;
         self.dealers
@@ -247,24 +255,17 @@
     /// The refusal with which it is answered at once.
     pub fn begin(&mut self, now: Timestamp, facts: &RequestFacts<'_>) -> Result<Begun, Refusal> {
         self.counters.begun += 1;
-        let begun = self.admit(now, facts);
+        let begun = self.start(now, facts);
         if let Err(refusal) = &begun {
-            *self.counters.refused.entry(refusal.reason).or_default() += 1;
+            self.count_refusal(refusal);
         }
         begun
     }
 
-    pub(super) fn admit(
-        &mut self,
-        now: Timestamp,
-        facts: &RequestFacts<'_>,
-    ) -> Result<Begun, Refusal> {
-        let Some(configuration) = self.configuration.clone() else {
-            return Err(refusal(RefusalReason::NoConfiguration));
-        };
-        let Some(route) = self.routes.find(facts.host, facts.path).cloned() else {
-            return Err(refusal(RefusalReason::NoRoute));
-        };
+    fn start(&mut self, now: Timestamp, facts: &RequestFacts<'_>) -> Result<Begun, Refusal> {
+        let admission = self.admitted(&facts.call)?;
+        let rank = admission.rank();
+        let Admission { route, caller, .. } = admission;
         let starts = &mut self.starts;
         let dealer = self
             .dealers
@@ -278,7 +279,8 @@
         if self.suspects.is_held(&facts.identity) {
             return Err(refusal(RefusalReason::CrashesBackEnds));
         }
-        let keyed = configuration.services.get(&service);
+        let services = self.configuration.as_ref().map(|each| &each.services);
+        let keyed = services.and_then(|services| services.get(&service));
         let keyed = keyed.is_some_and(|service| service.keyed);
         if keyed && facts.key.is_none() {
             return Err(refusal(RefusalReason::MissingKey));
@@ -296,6 +298,7 @@
         let id = ExchangeId(self.next_exchange);
         let exchange = Exchange {
             key: facts.key.filter(|_| keyed),
+            rank,
             route: route.clone(),
             service: service.clone(),
             started: now,
@@ -310,7 +313,7 @@
             may_have_run: None,
             hedged: false,
             identity: facts.identity,
-            label: format!("{} {}{}", facts.method, facts.host, facts.path),
+            label: format!("{} {}{}", facts.method, facts.call.host, facts.call.path),
         };
         self.exchanges.insert(id, exchange);
         self.budget(&service).count_request(now);
@@ -318,6 +321,7 @@
             id,
             route,
             service,
+            caller,
             deadline,
         })
     }
@@ -345,7 +349,10 @@
 
 fn refusal(reason: RefusalReason) -> Refusal {
     let retry_after = match reason {
-        RefusalReason::NoRoute | RefusalReason::MissingKey => None,
+        RefusalReason::NoRoute
+        | RefusalReason::MissingApiKey
+        | RefusalReason::UnknownApiKey
+        | RefusalReason::MissingKey => None,
         RefusalReason::CrashesBackEnds => Some(HELD_RETRY_AFTER),
         _ => Some(DEFAULT_RETRY_AFTER),
     };
--- a/crates/dispatch/src/dispatcher/waiting.rs
+++ b/crates/dispatch/src/dispatcher/waiting.rs
@@ -12,7 +12,7 @@
 impl Dispatcher {
     pub(super) fn wait(&mut self, id: ExchangeId) {
         if let Some(exchange) = self.exchanges.get(&id) {
-            let rank = (exchange.route.priority, id);
+            let rank = (exchange.rank, id);
             let service = exchange.service.clone();
             self.waiting.entry(service).or_default().insert(rank);
         }
@@ -22,7 +22,7 @@
         let Some(exchange) = self.exchanges.get(&id) else {
             return;
         };
-        let rank = (exchange.route.priority, id);
+        let rank = (exchange.rank, id);
         if let Some(waiting) = self.waiting.get_mut(&exchange.service) {
             waiting.remove(&rank);
         }
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Exchange {
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// Its rank among those that wait; 0 goes first.
+    pub(crate) rank: u32,
     /// The key, if the service is divided by key.
     pub(crate) key: Option<ShardKey>,
     pub(crate) started: Timestamp,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,6 @@
 pub use counters::Counters;
 pub use dispatcher::{Begun, Dispatcher};
 pub use outcome::{AttemptEnd, Fault, Outcome, Refusal, RefusalReason, ToldLoad, UnknownReason};
-pub use request::{Attempt, AttemptId, ExchangeId, RequestFacts, Step};
+pub use request::{Attempt, AttemptId, Call, ExchangeId, RequestFacts, Step};
 pub use routes::RouteTable;
 pub use settings::Settings;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -104,6 +104,10 @@
     NoConfiguration,
     /// No route matches.
     NoRoute,
+    /// The caller shows no key, and the route asks for one.
+    MissingApiKey,
+    /// The caller shows a key that no tenant holds.
+    UnknownApiKey,
     /// The service is divided by key and the request has none.
     MissingKey,
     /// No back end of the service can be used.
@@ -122,9 +126,11 @@
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 9] = [
+    pub const ALL: [RefusalReason; 11] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
+        RefusalReason::MissingApiKey,
+        RefusalReason::UnknownApiKey,
         RefusalReason::MissingKey,
         RefusalReason::NoBackEnd,
         RefusalReason::NoOwner,
@@ -139,6 +145,8 @@
         match self {
             RefusalReason::NoConfiguration => "no-configuration",
             RefusalReason::NoRoute => "no-route",
+            RefusalReason::MissingApiKey => "missing-api-key",
+            RefusalReason::UnknownApiKey => "unknown-api-key",
             RefusalReason::MissingKey => "missing-key",
             RefusalReason::NoBackEnd => "no-back-end",
             RefusalReason::NoOwner => "no-owner",
@@ -153,6 +161,7 @@
     pub const fn status(self) -> u16 {
         match self {
             RefusalReason::NoRoute => 404,
+            RefusalReason::MissingApiKey | RefusalReason::UnknownApiKey => 401,
             RefusalReason::MissingKey => 400,
             RefusalReason::NoConfiguration
             | RefusalReason::NoBackEnd
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -5,7 +5,7 @@
 
 use threadledge_suspects::RequestIdentity;
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, ShardKey};
+use threadledge_types::deployment::{BackEndName, KeyDigest, ShardKey};
 
 use crate::outcome::Outcome;
 
@@ -17,15 +17,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u32);
 
-/// What decisions depend on.
+/// What of a request's head says who calls, and for what.
 #[derive(Clone, Copy, Debug)]
-pub struct RequestFacts<'a> {
-    /// Method, as the caller wrote it.
-    pub method: &'a str,
+pub struct Call<'a> {
     /// Host, as the caller wrote it.
     pub host: &'a str,
     /// Path, without the query.
     pub path: &'a str,
+    /// Digest of the key that the caller shows.
+    pub api_key: Option<&'a KeyDigest>,
+}
+
+/// What decisions depend on.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFacts<'a> {
+    /// Method, as the caller wrote it.
+    pub method: &'a str,
+    /// Who calls, and for what.
+    pub call: Call<'a>,
     /// How long the caller waits.
     pub time_left: Option<Duration>,
     /// Key, if the request has one.
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use threadledge_dispatch::{Begun, Dispatcher, Outcome, RequestFacts, Settings, Step};
+use threadledge_dispatch::{Begun, Call, Dispatcher, Outcome, RequestFacts, Settings, Step};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration};
 
@@ -78,8 +78,11 @@
     fn request(&mut self, number: usize) -> bool {
         let router = &mut self.routers[number];
         let facts = RequestFacts {
-            host: HOST,
-            path: "/safe/x",
+            call: Call {
+                host: HOST,
+                path: "/safe/x",
+                api_key: None,
+            },
             time_left: Some(Duration::from_secs(5)),
             key: None,
             replayable: true,
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -4,7 +4,7 @@
 
 use threadledge_dispatch::outcome::Rejection;
 use threadledge_dispatch::{
-    Attempt, AttemptEnd, Begun, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step,
+    Attempt, AttemptEnd, Begun, Call, Fault, Outcome, Refusal, RefusalReason, RequestFacts, Step,
 };
 use threadledge_suspects::{RequestIdentity, Scope};
 
@@ -29,8 +29,11 @@
     let path = format!("/{route}/x");
     let facts = RequestFacts {
         method: "GET",
-        host: HOST,
-        path: &path,
+        call: Call {
+            host: HOST,
+            path: &path,
+            api_key: None,
+        },
         time_left: Some(Duration::from_secs(5)),
         key: None,
         replayable: true,
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -10,8 +10,8 @@
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::outcome::Rejection;
 use threadledge_dispatch::{
-    Attempt, AttemptEnd, Begun, Dispatcher, Fault, Outcome, Refusal, RequestFacts, Settings, Step,
-    ToldLoad,
+    Attempt, AttemptEnd, Begun, Call, Dispatcher, Fault, Outcome, Refusal, RequestFacts, Settings,
+    Step, ToldLoad,
 };
 use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::Timestamp;
@@ -181,8 +181,11 @@
         let path = format!("/{route}/x");
         self.begun += 1;
         let facts = RequestFacts {
-            host: HOST,
-            path: &path,
+            call: Call {
+                host: HOST,
+                path: &path,
+                api_key: None,
+            },
             time_left: Some(Duration::from_secs(5)),
             key: key.map(ShardKey),
             replayable: true,
--- a/crates/dispatch/tests/model/gateways.rs
+++ b/crates/dispatch/tests/model/gateways.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_dispatch::{
-    Attempt, AttemptEnd, Begun, Dispatcher, Fault, RequestFacts, Settings, Step,
+    Attempt, AttemptEnd, Begun, Call, Dispatcher, Fault, RequestFacts, Settings, Step,
 };
 use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::Timestamp;
@@ -125,8 +125,11 @@
         let dispatcher = &mut self.gateways[gateway];
         if !self.begun.contains_key(&request) {
             let facts = RequestFacts {
-                host: "host.example",
-                path: "/x",
+                call: Call {
+                    host: "host.example",
+                    path: "/x",
+                    api_key: None,
+                },
                 time_left: Some(Duration::from_secs(60)),
                 key: None,
                 replayable: true,
--- a/crates/ports/src/wording.rs
+++ b/crates/ports/src/wording.rs
@@ -5,7 +5,7 @@
 use http_types::{Headers, Request};
 use threadledge_dispatch::ToldLoad;
 use threadledge_dispatch::outcome::Rejection;
-use threadledge_types::deployment::{BackEndName, ShardKey};
+use threadledge_types::deployment::{BackEndName, KeyDigest, ShardKey, TenantName};
 
 /// What a caller's head says beside route and body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub time_left: Option<Duration>,
     /// The request's key.
     pub key: Option<ShardKey>,
+    /// Digest of the key by which the caller shows whose it is.
+    pub api_key: Option<KeyDigest>,
 }
 
 /// What the head of a back end's answer says beside status and body.
@@ -41,6 +43,13 @@
     /// request.
     fn differs_by_try(&self, name: &str) -> bool;
 
+    /// Takes out what says whose caller sends a request: its key, which no
+    /// back end may see, and a tenant's name, which no caller may give itself.
+    fn hide_caller(&self, request: &mut Request);
+
+    /// Writes into a request whose caller sends it.
+    fn name_tenant(&self, request: &mut Request, tenant: &TenantName);
+
     /// Writes into a request how long the back end has and which back end is
     /// meant.
     fn address(&self, request: &mut Request, time_left: Duration, to: &BackEndName);
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -3,6 +3,7 @@
 //! [`threadledge_coordination`]; what the platform gives comes through
 //! [`threadledge_ports`].
 
+mod admission;
 mod answer;
 mod attempt;
 pub mod backoff;
--- /dev/null
+++ b/crates/router/src/gateway/admission.rs
@@ -0,0 +1,48 @@
+//! Decides from a request's head whether it may go on, before anything of its
+//! body is read, held or counted.
+
+use http_types::headers::HOST;
+use http_types::{Method, Request};
+use threadledge_dispatch::{Call, Refusal};
+use threadledge_ports::CallerHead;
+use threadledge_tenants::Admission;
+use threadledge_types::deployment::KeyDigest;
+
+use super::dispatch::Dispatch;
+
+/// What of a request's head says who calls, and for what.
+pub(super) struct Head {
+    pub(super) method: Method,
+    host: String,
+    path: String,
+    api_key: Option<KeyDigest>,
+}
+
+impl Head {
+    pub(super) fn of(request: &Request, caller: &CallerHead) -> Self {
+        let host = request.header(HOST);
+        Head {
+            method: request.method(),
+            host: host.map_or(String::new(), |all| all.last().as_str().to_owned()),
+            path: request.url().path().to_owned(),
+            api_key: caller.api_key,
+        }
+    }
+
+    pub(super) fn call(&self) -> Call<'_> {
+        Call {
+            host: &self.host,
+            path: &self.path,
+            api_key: self.api_key.as_ref(),
+        }
+    }
+
+    /// Says whose caller sends the request and which route it takes.
+    ///
+    /// # Errors
+    ///
+    /// The refusal with which it is answered at once.
+    pub(super) fn admit(&self, dispatch: &Dispatch) -> Result<Admission, Refusal> {
+        dispatch.with(|dispatcher, _now| dispatcher.admission(&self.call()))
+    }
+}
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use threadledge_net::message::Message;
 use threadledge_net::{ExchangeError, ExchangeFault, Pool, Stage};
 use threadledge_ports::Wording;
+use threadledge_types::deployment::TenantName;
 
 use super::dispatch::Dispatch;
 use crate::proxy::answer::{AnswerBody, read_ahead, read_over};
@@ -53,6 +54,8 @@
 pub(super) struct Outbound {
     replay: Replay,
     request_id: Option<String>,
+    /// Whose caller sends it.
+    pub(super) tenant: Option<TenantName>,
 }
 
 impl Outbound {
@@ -60,6 +63,7 @@
         Outbound {
             replay: Replay::new(inbound),
             request_id,
+            tenant: None,
         }
     }
 
@@ -96,6 +100,9 @@
         let time_left = attempt.deadline.since(now).max(Duration::from_millis(1));
         self.wording
             .address(&mut request, time_left, &attempt.back_end);
+        if let Some(tenant) = &outbound.tenant {
+            self.wording.name_tenant(&mut request, tenant);
+        }
         match connection.exchange(request, deadline).await {
             Ok(response) => self.read(&attempt, &outbound, response).await,
             Err(error) => Ended::failed(fault_of(&error)),
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -10,7 +10,7 @@
 use threadledge_net::Instant;
 use threadledge_ports::CallerHead;
 use threadledge_suspects::RequestHash;
-use threadledge_types::deployment::{BackEndName, RouteName, ServiceName};
+use threadledge_types::deployment::{BackEndName, RouteName, ServiceName, TenantName};
 
 use super::exchange::PastAttempt;
 use crate::events::{EventId, emit};
@@ -31,6 +31,8 @@
     from: IpAddr,
     key: Option<u16>,
     path: String,
+    /// Whose caller sent it.
+    pub(super) tenant: Option<TenantName>,
     /// What stays the same when the request comes again.
     pub(super) identity: Option<RequestHash>,
     pub(super) route: Option<RouteName>,
@@ -54,6 +56,7 @@
             from,
             key: caller.key.map(|key| key.0),
             path: request.url().path().to_owned(),
+            tenant: None,
             identity: None,
             route: None,
             service: None,
@@ -158,6 +161,7 @@
             from = %line.from,
             route = text(line.route.as_ref().map(RouteName::as_str)),
             service = text(line.service.as_ref().map(ServiceName::as_str)),
+            tenant = line.tenant.as_ref().map(TenantName::as_str),
             path = line.path,
             identity = line.identity.map(|identity| identity.to_string()),
             key = line.key,
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -4,19 +4,20 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use http_types::headers::{CONNECTION, HOST};
+use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
 use threadledge_dispatch::{ExchangeId, Refusal, RequestFacts};
 use threadledge_net::Instant;
 use threadledge_ports::CallerHead;
 
+use super::admission::Head;
 use super::answer;
 use super::attempt::{Attempts, Outbound};
 use super::departures::{Stage, Visit};
 use super::exchange::{Conclusion, Exchange};
 use super::log::{RequestLine, RequestLogger};
 use super::metrics::GatewayMetrics;
-use super::suspects::identity;
+use super::suspects::identity::{self, Sender};
 use crate::proxy::inbound::Inbound;
 
 /// Bodies of requests up to this size are read before anything is sent, in
@@ -77,29 +78,36 @@
         line: &mut RequestLine,
         visit: &mut Visit,
     ) -> Response {
+        let head = Head::of(&request, &caller);
+        let admission = match head.admit(&self.attempts.dispatch) {
+            Ok(admission) => admission,
+            Err(refusal) => return refused(&refusal, line),
+        };
+        line.tenant = admission.tenant().cloned();
         visit.at(Stage::Reading);
         let read = Inbound::read(request, READ_AHEAD, &self.attempts.budget);
-        let inbound = match read.await {
+        let mut inbound = match read.await {
             Ok(inbound) => inbound,
             Err((reason, _)) => {
                 line.outcome = reason.as_str();
                 return answer::own(reason.status(), reason.as_str(), None);
             }
         };
-        let host = inbound
-            .request
-            .header(HOST)
-            .map_or(String::new(), |values| values.last().as_str().to_owned());
-        let path = inbound.request.url().path().to_owned();
-        let method = inbound.request.method();
         let wording = self.attempts.wording.as_ref();
-        let identity = identity::of(&inbound, caller.key, from, wording);
+        // Invariant: no back end sees a caller's key or a tenant's name that
+        // the caller wrote, whether keys are asked for or not.
+        wording.hide_caller(&mut inbound.request);
+        let sender = Sender {
+            key: caller.key,
+            tenant: admission.tenant(),
+            address: from,
+        };
+        let identity = identity::of(&inbound, sender, wording);
         line.identity = Some(identity.request);
-        let outbound = Outbound::new(inbound, caller.request_id);
+        let mut outbound = Outbound::new(inbound, caller.request_id);
         let facts = RequestFacts {
-            method: method.as_ref(),
-            host: &host,
-            path: &path,
+            method: head.method.as_ref(),
+            call: head.call(),
             time_left: caller.time_left,
             key: caller.key,
             replayable: outbound.replayable(),
@@ -110,6 +118,7 @@
             Err(refusal) => return refused(&refusal, line),
         };
         line.begun(&begun);
+        outbound.tenant = begun.caller.as_ref().map(|caller| caller.name.clone());
         let _guard = Guard {
             requests: self,
             id: begun.id,
--- a/crates/router/src/gateway/suspects/identity.rs
+++ b/crates/router/src/gateway/suspects/identity.rs
@@ -6,16 +6,27 @@
 use http_types::headers::{CONTENT_LENGTH, HOST};
 use threadledge_ports::Wording;
 use threadledge_suspects::{IdentityBuilder, RequestIdentity};
-use threadledge_types::deployment::ShardKey;
+use threadledge_types::deployment::{ShardKey, TenantName};
 
 use crate::proxy::headers;
 use crate::proxy::inbound::Inbound;
 
-/// What makes `inbound` the same request as another try, sent from `from`.
+/// Name under which the tenant counts as a header: no header's name begins
+/// so, so that none can pass for it.
+const TENANT: &str = ":tenant";
+
+/// Who sends a request.
+pub(in super::super) struct Sender<'a> {
+    pub(in super::super) key: Option<ShardKey>,
+    pub(in super::super) tenant: Option<&'a TenantName>,
+    pub(in super::super) address: IpAddr,
+}
+
+/// What makes `inbound` the same request as another try. Its caller's key is
+/// hidden already; the tenant stands for it, whichever of its keys is shown.
 pub(in super::super) fn of(
     inbound: &Inbound,
-    key: Option<ShardKey>,
-    from: IpAddr,
+    sender: Sender<'_>,
     wording: &dyn Wording,
 ) -> RequestIdentity {
     let request = &inbound.request;
@@ -23,7 +34,10 @@
     let host = request.header(HOST).map_or("", |all| all.last().as_str());
     let target = &url[http_types::url::Position::BeforePath..];
     let mut builder = IdentityBuilder::new(request.method().as_ref(), host, target);
-    builder.key(key.map(|key| key.0));
+    builder.key(sender.key.map(|key| key.0));
+    if let Some(tenant) = sender.tenant {
+        builder.header(TENANT, tenant.as_str());
+    }
     builder.body(inbound.digest);
     for (name, values) in request.iter() {
         let name = name.as_str();
@@ -35,5 +49,5 @@
             builder.header(name, value.as_str());
         }
     }
-    builder.from_address(from)
+    builder.from_address(sender.address)
 }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -19,5 +19,6 @@
 mod stop;
 mod swallowing;
 mod template;
+mod tenants;
 mod usage;
 mod zones;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -85,6 +85,8 @@
         target: &format!("{prefix}{name}"),
         id,
         key: (kind == Kind::Keyed).then_some(key),
+        api_key: None,
+        tenant: None,
         cookie: None,
         body,
         deadline: DEADLINE,
--- /dev/null
+++ b/crates/tenants/src/admission.rs
@@ -0,0 +1,77 @@
+//! Whether a request may use its route, decided from its head alone.
+
+use std::sync::Arc;
+
+use threadledge_types::deployment::{
+    ConfigurationVersion, KeyDigest, RateLimit, Route, TenantName,
+};
+
+use crate::index::{Caller, KeyIndex};
+
+/// A request that may use its route.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// The configuration by which it may.
+    pub version: ConfigurationVersion,
+    /// The route that it takes.
+    pub route: Arc<Route>,
+    /// Whose caller sends it; `None` where no key is asked for and none shown.
+    pub caller: Option<Arc<Caller>>,
+}
+
+impl Admission {
+    /// Name of the tenant whose caller sends it.
+    pub fn tenant(&self) -> Option<&TenantName> {
+        self.caller.as_ref().map(|caller| &caller.name)
+    }
+
+    /// What the tenant may send to all gateways together; `None`: as much as
+    /// it likes.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.caller.as_ref().and_then(|caller| caller.limit)
+    }
+
+    /// Rank of the request; 0 goes first.
+    pub fn rank(&self) -> u32 {
+        rank(self.caller.as_deref(), &self.route)
+    }
+}
+
+/// Rank of a request: what its tenant states goes before what its route does.
+pub fn rank(caller: Option<&Caller>, route: &Route) -> u32 {
+    let own = caller.and_then(|caller| caller.priority);
+    own.unwrap_or(route.priority)
+}
+
+/// Why a caller may not use a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// It shows no key, and the route asks for one.
+    NoKey,
+    /// It shows a key that no tenant holds.
+    UnknownKey,
+}
+
+/// Says whose caller shows `key`, and whether `route` may be used with it.
+///
+/// A public route asks for no key. One that is shown has to be known also
+/// there: a caller whose key was taken away must not go on unnoticed.
+///
+/// # Errors
+///
+/// The caller may not use the route.
+pub fn admit<'a>(
+    keys: &'a KeyIndex,
+    asks_keys: bool,
+    route: &Route,
+    key: Option<&KeyDigest>,
+) -> Result<Option<&'a Arc<Caller>>, Denied> {
+    if !asks_keys {
+        return Ok(None);
+    }
+    match key {
+        Some(key) => keys.find(key).map(Some).ok_or(Denied::UnknownKey),
+        None if route.public => Ok(None),
+        None => Err(Denied::NoKey),
+    }
+}
--- /dev/null
+++ b/crates/tenants/src/index.rs
@@ -0,0 +1,99 @@
+//! Which tenant holds which key.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use threadledge_types::RegionName;
+use threadledge_types::deployment::{KeyDigest, RateLimit, Tenant, TenantName};
+
+/// A tenant as requests meet it: without its keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// Its name.
+    pub name: TenantName,
+    /// Rank of its requests, before that of the route; 0 goes first.
+    pub priority: Option<u32>,
+    /// What it may send to all gateways together; `None`: as much as it likes.
+    pub limit: Option<RateLimit>,
+    /// The only regions in which its requests may be served; `None`: all.
+    pub allowed_regions: Option<BTreeSet<RegionName>>,
+}
+
+impl Caller {
+    fn new(name: &TenantName, tenant: &Tenant) -> Self {
+        Caller {
+            name: name.clone(),
+            priority: tenant.priority,
+            limit: tenant.limit,
+            allowed_regions: tenant.allowed_regions.clone(),
+        }
+    }
+}
+
+/// The tenants of one configuration by the digests of their keys.
+///
+/// How long a look-up takes depends on the digest, which callers cannot
+/// choose: a key that resembles a known one has a digest like any other's, so
+/// that the time tells nothing of the keys.
+#[derive(Clone, Debug, Default)]
+pub struct KeyIndex {
+    callers: HashMap<KeyDigest, Arc<Caller>>,
+}
+
+impl KeyIndex {
+    /// The tenant that holds a key.
+    pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Caller>> {
+        self.callers.get(key)
+    }
+
+    /// Number of keys.
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Whether no key is known.
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+    }
+
+    /// Goes on from the tenants `old`, which it holds, to `new`. Only tenants
+    /// that differ are touched.
+    pub fn follow(
+        &mut self,
+        old: &BTreeMap<TenantName, Tenant>,
+        new: &BTreeMap<TenantName, Tenant>,
+    ) {
+        // Keys are taken away before any is added: one may go from a tenant
+        // to another.
+        for (name, tenant) in old {
+            if new.get(name) == Some(tenant) {
+                continue;
+            }
+            for key in &tenant.keys {
+                self.callers.remove(key);
+            }
+        }
+        for (name, tenant) in new {
+            if old.get(name) == Some(tenant) {
+                continue;
+            }
+            let caller = Arc::new(Caller::new(name, tenant));
+            let keys = tenant.keys.iter();
+            self.callers.extend(keys.map(|key| (*key, caller.clone())));
+        }
+    }
+}
+
+/// Two tenants of a configuration that hold the same key, if there are any:
+/// nobody could say whose callers show it.
+pub fn shared_key(tenants: &BTreeMap<TenantName, Tenant>) -> Option<(&TenantName, &TenantName)> {
+    let mut holders = HashMap::new();
+    for (name, tenant) in tenants {
+        for key in &tenant.keys {
+            if let Some(other) = holders.insert(key, name) {
+                return Some((other, name));
+            }
+        }
+    }
+    None
+}
