Requests sent before the first answer run side by side where their routes let them

Cause: requests of one connection ran one after the other, so that a caller that sends further ones before it has its answer waited for the sum of their times. Ruled out: a rule by method (a route decides what may be repeated), handlers that wait for their turn in their middle (what they had taken by then stays taken), bodies read into memory ahead (safe requests have none). Change: the server asks the handler of each head whether it runs beside others; those begun are bounded in number and in bytes of answers that wait; answers leave in order, a close waits for the requests begun behind it, and a caller that leaves ends them all. The time of a request counts from its head also where it waited for others or for its body; it counted from when it was begun. A caller that waits for each answer costs one more look at the route.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -248,6 +248,14 @@
         std::mem::take(&mut self.woken)
     }
 
+    /// Whether requests of this host and path may be repeated, and so run in
+    /// any order; not those without a route.
+    pub fn is_repeatable(&self, host: &str, path: &str) -> bool {
+        self.routes
+            .find(host, path)
+            .is_some_and(|route| route.repeatable)
+    }
+
     /// Begins an exchange.
     ///
     /// # Errors
@@ -292,7 +300,8 @@
         let held = facts
             .time_left
             .map_or(route.timeout, |left| left.min(route.timeout));
-        let deadline = now + held;
+        let started = now - facts.waited;
+        let deadline = started + held;
         let patience = route.target_latency.mul_f64(self.settings.patience);
         self.next_exchange += 1;
         let id = ExchangeId(self.next_exchange);
@@ -301,9 +310,9 @@
             rank,
             route: route.clone(),
             service: service.clone(),
-            started: now,
+            started,
             deadline,
-            patience_until: (now + patience).min(deadline),
+            patience_until: (started + patience).min(deadline),
             replayable: facts.replayable,
             next_attempt: 0,
             sent: 0,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -35,7 +35,10 @@
     pub method: &'a str,
     /// Who calls, and for what.
     pub call: Call<'a>,
-    /// How long the caller waits.
+    /// How long ago its head came. All of its times count from there, also
+    /// where it waited for its body or for others of its connection.
+    pub waited: Duration,
+    /// How long the caller waits, from when the head came.
     pub time_left: Option<Duration>,
     /// Key, if the request has one.
     pub key: Option<ShardKey>,
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -83,6 +83,7 @@
                 path: "/safe/x",
                 api_key: None,
             },
+            waited: Duration::ZERO,
             time_left: Some(Duration::from_secs(5)),
             key: None,
             replayable: true,
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -28,6 +28,7 @@
 fn begin(station: &mut Station, route: &str, identity: RequestIdentity) -> Result<Begun, Refusal> {
     let path = format!("/{route}/x");
     let facts = RequestFacts {
+        waited: Duration::ZERO,
         method: "GET",
         call: Call {
             host: HOST,
--- a/crates/dispatch/tests/dispatcher/outcomes.rs
+++ b/crates/dispatch/tests/dispatcher/outcomes.rs
@@ -6,7 +6,8 @@
 use threadledge_types::Timestamp;
 
 use super::support::{
-    Station, answered, configuration, failed_answer, fault, is_refused, is_unknown, not_run, route,
+    Station, TIMEOUT, answered, configuration, failed_answer, fault, is_refused, is_unknown,
+    not_run, route,
 };
 
 #[test]
@@ -130,6 +131,26 @@
     assert!(is_refused(&step), "{step:?}");
 }
 
+#[test]
+fn time_of_a_request_counts_from_its_head() {
+    let mut station = Station::new();
+    station.after(5_000);
+    let waited = TIMEOUT / 3;
+    let begun = station.begin_after("unsafe", None, waited);
+    let begun = begun.expect("admitted");
+    assert_eq!(begun.deadline, station.now + (TIMEOUT - waited));
+    assert_eq!(station.send(&begun).deadline, begun.deadline);
+}
+
+#[test]
+fn request_whose_time_passed_before_it_began_is_refused_and_not_sent() {
+    let mut station = Station::new();
+    station.after(5_000);
+    let begun = station.begin_after("unsafe", None, TIMEOUT);
+    let step = station.next(&begun.expect("admitted"));
+    assert!(is_refused(&step), "{step:?}");
+}
+
 #[test]
 fn request_for_which_there_is_no_slot_is_refused_early() {
     let mut station = Station::new();
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -178,6 +178,16 @@
     }
 
     pub fn begin_with(&mut self, route: &str, key: Option<u16>) -> Result<Begun, Refusal> {
+        self.begin_after(route, key, Duration::ZERO)
+    }
+
+    /// Begins a request whose head came `waited` ago.
+    pub fn begin_after(
+        &mut self,
+        route: &str,
+        key: Option<u16>,
+        waited: Duration,
+    ) -> Result<Begun, Refusal> {
         let path = format!("/{route}/x");
         self.begun += 1;
         let facts = RequestFacts {
@@ -186,6 +196,7 @@
                 path: &path,
                 api_key: None,
             },
+            waited,
             time_left: Some(Duration::from_secs(5)),
             key: key.map(ShardKey),
             replayable: true,
--- a/crates/dispatch/tests/model/gateways.rs
+++ b/crates/dispatch/tests/model/gateways.rs
@@ -130,6 +130,7 @@
                     path: "/x",
                     api_key: None,
                 },
+                waited: Duration::ZERO,
                 time_left: Some(Duration::from_secs(60)),
                 key: None,
                 replayable: true,
--- a/crates/net/src/head.rs
+++ b/crates/net/src/head.rs
@@ -65,7 +65,9 @@
         }
     }
 
-    fn find_end(&mut self, unread: &[u8]) -> Option<usize> {
+    /// Length of the head with its blank line, if its end is there. Bytes that
+    /// were searched are not searched again.
+    pub(crate) fn find_end(&mut self, unread: &[u8]) -> Option<usize> {
         let from = self.searched.saturating_sub(END_OF_HEAD.len() - 1);
         let found = unread[from..]
             .windows(END_OF_HEAD.len())
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,5 +29,5 @@
 pub use pool::{
     ExchangeError, ExchangeFault, Pool, PoolSettings, PooledConnection, Stage, Unframed,
 };
-pub use server::{ConnectionInfo, ServeReport, ServerLimits, serve};
+pub use server::{ConnectionInfo, Handler, ServeReport, ServerLimits, SideBySide, serve};
 pub use stop::StopSignal;
--- a/crates/net/src/server/caller.rs
+++ b/crates/net/src/server/caller.rs
@@ -41,7 +41,7 @@
                     }
                     match std::task::ready!(wire.poll_fill(context)) {
                         Ok(0) | Err(_) => *self = Caller::Gone,
-                        Ok(_) => {}
+                        Ok(_) => wire.note_arrival(),
                     }
                 }
                 Caller::Sending(body) => {
--- a/crates/net/src/server/limits.rs
+++ b/crates/net/src/server/limits.rs
@@ -4,6 +4,13 @@
 
 use crate::head::LARGEST_HEAD;
 
+/// Requests of one connection that may run behind the one being answered:
+/// with it sixteen, twice what callers of one page send at once.
+const REQUESTS_AHEAD: usize = 15;
+/// Bytes of answers of one connection that may wait for their turn: four of
+/// the largest that handlers hold whole.
+const ANSWERS_AHEAD_BYTES: u64 = 256 * 1024;
+
 /// Bounds on what callers may cost the server.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
@@ -11,6 +18,13 @@
     pub max_head_bytes: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
+    /// Requests of one connection that may run behind the one being answered,
+    /// where the handler lets them [run beside](super::Handler::runs_beside)
+    /// it. The next ones stay unread.
+    pub requests_ahead: usize,
+    /// Bytes of answers of one connection that wait for their turn, beyond
+    /// which no further request is begun.
+    pub answers_ahead_bytes: u64,
     /// Connections open at once; further ones are refused.
     pub max_connections: usize,
     /// Longest time from the first byte of a head to its end.
@@ -35,6 +49,8 @@
         ServerLimits {
             max_head_bytes: LARGEST_HEAD,
             max_body_bytes: 16 * 1024 * 1024,
+            requests_ahead: REQUESTS_AHEAD,
+            answers_ahead_bytes: ANSWERS_AHEAD_BYTES,
             max_connections: 4_096,
             head_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(60),
--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -1,13 +1,20 @@
-//! HTTP/1.1 server: one task a connection, one request at a time on each.
+//! HTTP/1.1 server: one task a connection. Requests of one connection run one
+//! at a time, or side by side where the handler says so; answers leave in the
+//! order of their requests.
 
+mod ahead;
+mod answering;
 mod attach;
 mod caller;
 mod closing;
 mod connection;
+mod handler;
+mod interruption;
 mod limits;
 mod report;
 mod request;
 mod respond;
+mod service;
 
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
@@ -18,13 +25,15 @@
 
 use async_std::net::{TcpListener, TcpStream};
 use futures::FutureExt;
-use http_types::{Request, Response};
 
+use crate::Instant;
 use crate::stop::StopSignal;
 use crate::timer;
 use connection::Connection;
 use report::Tracker;
+use service::Service;
 
+pub use handler::{Handler, SideBySide};
 pub use limits::ServerLimits;
 pub use report::{ConnectionInfo, ServeReport};
 
@@ -40,20 +49,21 @@
 /// to have hung up. One that still sends its body, or has sent all of it, is
 /// looked for once the body has been read and the future is polled again.
 ///
+/// Requests that a caller sends before it has its answers run side by side as
+/// far as the [`Handler`] and the limits let them. A close that an answer or
+/// the stop asks for waits for the requests begun behind it; those that were
+/// not begun are not run.
+///
 /// A planned stop cuts off nothing: connections that wait to be accepted are
 /// still taken, running requests are answered with `Connection: close`, and
 /// connections without a request stay open for the time of
 /// [`ServerLimits::stop_idle`], for requests already on their way.
-pub async fn serve<H, F>(
+pub async fn serve<H: Handler>(
     listener: TcpListener,
     limits: ServerLimits,
     stop: StopSignal,
     handler: H,
-) -> ServeReport
-where
-    H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
+) -> ServeReport {
     let mut server = Server {
         limits: Arc::new(limits),
         stop,
@@ -73,11 +83,7 @@
     handler: H,
 }
 
-impl<H, F> Server<H>
-where
-    H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
+impl<H: Handler> Server<H> {
     async fn accept_until_stopped(&mut self, listener: &TcpListener) {
         let mut stopped = self.stop.stopped();
         loop {
@@ -119,15 +125,20 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let connection = Connection::new(
-            stream,
-            ConnectionInfo { peer, local },
-            self.limits.clone(),
-            self.stop.clone(),
+        let info = ConnectionInfo {
+            peer,
+            local,
+            read_at: Instant::now(),
+            behind: 0,
+        };
+        let service = Service {
+            handler: self.handler.clone(),
+            info,
+            limits: self.limits.clone(),
+            stop: self.stop.clone(),
             guard,
-            self.handler.clone(),
-        );
-        async_std::task::spawn(connection.run());
+        };
+        async_std::task::spawn(Connection::new(stream, service).run());
     }
 
     async fn drain(mut self) -> ServeReport {
--- a/crates/net/src/server/report.rs
+++ b/crates/net/src/server/report.rs
@@ -4,15 +4,20 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
+use crate::Instant;
 use crate::stop::{StopSignal, Stopped};
 
-/// The two ends of a connection.
+/// Where a request came from, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionInfo {
     /// The caller's address.
     pub peer: SocketAddr,
     /// The address it reached.
     pub local: SocketAddr,
+    /// When the end of its head came.
+    pub read_at: Instant,
+    /// Requests of its connection that were not answered when it was begun.
+    pub behind: usize,
 }
 
 /// What a server did until it stopped.
@@ -30,6 +35,9 @@
     pub hung_up: u64,
     /// Answers cut short because their body failed after the head was sent.
     pub truncated: u64,
+    /// Requests that got no answer because one before them on their
+    /// connection was cut short.
+    pub broken_off: u64,
     /// Requests cut off when the drain timeout passed.
     pub cut: u64,
 }
@@ -41,6 +49,7 @@
     RefusedRequest,
     HungUp,
     Truncated,
+    BrokenOff,
     Cut,
 }
 
@@ -52,6 +61,7 @@
     refused_requests: AtomicU64,
     hung_up: AtomicU64,
     truncated: AtomicU64,
+    broken_off: AtomicU64,
     cut: AtomicU64,
 }
 
@@ -124,6 +134,7 @@
             refused_requests: read(&counters.refused_requests),
             hung_up: read(&counters.hung_up),
             truncated: read(&counters.truncated),
+            broken_off: read(&counters.broken_off),
             cut: read(&counters.cut),
         }
     }
@@ -136,16 +147,17 @@
 }
 
 impl ConnectionGuard {
-    pub(super) fn count(&self, count: Count) {
+    pub(super) fn count(&self, count: Count, requests: usize) {
         let counters = &self.shared.counters;
         let counter = match count {
             Count::Request => &counters.requests,
             Count::RefusedRequest => &counters.refused_requests,
             Count::HungUp => &counters.hung_up,
             Count::Truncated => &counters.truncated,
+            Count::BrokenOff => &counters.broken_off,
             Count::Cut => &counters.cut,
         };
-        counter.fetch_add(1, Ordering::Relaxed);
+        counter.fetch_add(requests as u64, Ordering::Relaxed);
     }
 
     /// Resolves when the drain timeout has passed.
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -5,9 +5,11 @@
 use http_types::{Method, Request, Response, StatusCode, Version};
 use threadledge_types::NotRunReason;
 
+use crate::Instant;
 use crate::framing::BodyDecoder;
 use crate::head::{self, HeadBytes};
 use crate::refusal;
+use crate::wire::Wire;
 
 /// Why the server refuses a request itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,9 +54,26 @@
     pub(super) expects_continue: bool,
 }
 
+/// A request whose head came.
+#[derive(Debug)]
+pub(super) struct ReadRequest {
+    pub(super) head: Result<RequestHead, RequestFault>,
+    /// When the end of the head came. Its deadline counts from here, also if
+    /// it waits for those before it.
+    pub(super) at: Instant,
+}
+
+/// Takes a whole head of `length` bytes.
+pub(super) fn take(wire: &mut Wire, length: usize, max_body_bytes: u64) -> ReadRequest {
+    let head = parse(&wire.unread()[..length], max_body_bytes);
+    wire.consume(length);
+    let at = wire.arrival().unwrap_or_else(Instant::now);
+    ReadRequest { head, at }
+}
+
 /// Parses a whole head. Not async, so that the large buffers of async-h1 stay
 /// out of the futures that are kept.
-pub(super) fn parse(head: &[u8], max_body_bytes: u64) -> Result<RequestHead, RequestFault> {
+fn parse(head: &[u8], max_body_bytes: u64) -> Result<RequestHead, RequestFault> {
     head::check_bytes(head).map_err(malformed)?;
     // The bytes are all here, so that this never waits.
     let decoded = async_h1::server::decode(HeadBytes::new(head)).now_or_never();
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -4,13 +4,17 @@
 //! too much. Here the bytes stay with the connection, so that a pipelined
 //! request is neither lost nor taken for a body.
 
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use async_std::net::TcpStream;
 use futures::io::AsyncRead;
 
+use crate::Instant;
+
 /// Size of a new buffer. Most heads fit.
 const INITIAL_BUFFER: usize = 2 * 1024;
 /// Size to which a buffer grows while reads fill it.
@@ -18,6 +22,11 @@
 /// Least free space before a read.
 const LEAST_ROOM: usize = 1024;
 
+/// Bytes that came within this time count as having come with the first of
+/// them, so that a caller that sends byte by byte costs little memory.
+const SAME_ARRIVAL: Duration = Duration::from_millis(10);
+const CRLF: &[u8] = b"\r\n";
+
 /// One TCP connection and its unread bytes.
 #[derive(Debug)]
 pub(crate) struct Wire {
@@ -26,6 +35,18 @@
     start: usize,
     end: usize,
     last_read_filled: bool,
+    /// Bytes used so far.
+    used: u64,
+    /// When bytes came that were read before their turn.
+    arrivals: VecDeque<Arrival>,
+}
+
+/// Bytes read before their turn.
+#[derive(Debug)]
+struct Arrival {
+    /// The last of them, counted from the start of the connection.
+    last: u64,
+    at: Instant,
 }
 
 impl Wire {
@@ -36,6 +57,8 @@
             start: 0,
             end: 0,
             last_read_filled: false,
+            used: 0,
+            arrivals: VecDeque::new(),
         }
     }
 
@@ -53,6 +76,7 @@
     pub(crate) fn consume(&mut self, count: usize) {
         debug_assert!(count <= self.end - self.start);
         self.start += count;
+        self.used += count as u64;
         if self.start == self.end {
             self.start = 0;
             self.end = 0;
@@ -72,6 +96,31 @@
         read
     }
 
+    /// Blank lines before a request are allowed and skipped.
+    pub(crate) fn skip_blank_lines(&mut self) {
+        while self.unread().starts_with(CRLF) {
+            self.consume(CRLF.len());
+        }
+    }
+
+    /// Notes when the bytes read last came.
+    pub(crate) fn note_arrival(&mut self) {
+        let at = Instant::now();
+        let last = self.used + self.unread().len() as u64;
+        match self.arrivals.back_mut() {
+            Some(arrival) if at - arrival.at < SAME_ARRIVAL => arrival.last = last,
+            _ => self.arrivals.push_back(Arrival { last, at }),
+        }
+    }
+
+    /// When the byte used last came, if it was read before its turn.
+    pub(crate) fn arrival(&mut self) -> Option<Instant> {
+        while self.arrivals.front()?.last < self.used {
+            self.arrivals.pop_front();
+        }
+        self.arrivals.front().map(|arrival| arrival.at)
+    }
+
     /// Gives the memory of a large buffer back before an idle time.
     pub(crate) fn shrink(&mut self) {
         if self.start == self.end && self.buffer.len() > INITIAL_BUFFER {
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use futures::{AsyncReadExt, AsyncWriteExt};
 use http_types::{Request, Response};
 use threadledge_net::{
-    ConnectionInfo, Instant, ServeReport, ServerLimits, StopSignal, serve, timer,
+    ConnectionInfo, Handler, Instant, ServeReport, ServerLimits, StopSignal, serve, timer,
 };
 
 /// Safety net only: no test depends on how long anything takes.
@@ -24,21 +24,17 @@
 }
 
 impl TestServer {
-    pub async fn start<H, F>(limits: ServerLimits, handler: H) -> TestServer
-    where
-        H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
-        F: Future<Output = Response> + Send + 'static,
-    {
+    pub async fn start<H: Handler>(limits: ServerLimits, handler: H) -> TestServer {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         TestServer::start_on(listener, limits, handler)
     }
 
     /// Starts one whose callers may have come before it.
-    pub fn start_on<H, F>(listener: TcpListener, limits: ServerLimits, handler: H) -> TestServer
-    where
-        H: Fn(Request, ConnectionInfo) -> F + Clone + Send + 'static,
-        F: Future<Output = Response> + Send + 'static,
-    {
+    pub fn start_on<H: Handler>(
+        listener: TcpListener,
+        limits: ServerLimits,
+        handler: H,
+    ) -> TestServer {
         let address = listener.local_addr().unwrap();
         let stop = StopSignal::new();
         let task = async_std::task::spawn(serve(listener, limits, stop.clone(), handler));
--- a/crates/router/src/gateway/admission.rs
+++ b/crates/router/src/gateway/admission.rs
@@ -10,6 +10,13 @@
 
 use super::dispatch::Dispatch;
 
+/// The host that a request names, as the caller wrote it.
+pub(super) fn host_of(request: &Request) -> &str {
+    request
+        .header(HOST)
+        .map_or("", |values| values.last().as_str())
+}
+
 /// What of a request's head says who calls, and for what.
 pub(super) struct Head {
     pub(super) method: Method,
@@ -20,10 +27,9 @@
 
 impl Head {
     pub(super) fn of(request: &Request, caller: &CallerHead) -> Self {
-        let host = request.header(HOST);
         Head {
             method: request.method(),
-            host: host.map_or(String::new(), |all| all.last().as_str().to_owned()),
+            host: host_of(request).to_owned(),
             path: request.url().path().to_owned(),
             api_key: caller.api_key,
         }
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -85,6 +85,11 @@
         Ok((begun, signal))
     }
 
+    /// Whether requests of this host and path may run in any order.
+    pub(super) fn is_repeatable(&self, host: &str, path: &str) -> bool {
+        self.state.lock().dispatcher.is_repeatable(host, path)
+    }
+
     pub(super) fn next(&self, id: ExchangeId) -> Step {
         self.with(|dispatcher, now| dispatcher.next(now, id))
     }
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use threadledge_types::deployment::ServiceName;
 
@@ -23,6 +24,7 @@
 pub(super) struct GatewayMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    pipelined: IntCounter,
     latency: HistogramVec,
     gauges: Gauges,
     dispatch: Arc<Dispatch>,
@@ -73,7 +75,12 @@
             .buckets(LATENCY_BUCKETS.to_vec()),
             &["service"],
         )?;
+        let pipelined = IntCounter::new(
+            "threadledge_gateway_pipelined_total",
+            "Requests begun before one ahead of them on their connection was answered",
+        )?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(pipelined.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         let gauges = Gauges::register(&registry)?;
         let usage = Usage::new(&registry)?;
@@ -81,6 +88,7 @@
         Ok(GatewayMetrics {
             registry,
             requests,
+            pipelined,
             latency,
             gauges,
             dispatch,
@@ -100,6 +108,11 @@
         &self.departures
     }
 
+    /// Counts a request that runs beside those before it.
+    pub(super) fn pipelined(&self) {
+        self.pipelined.inc();
+    }
+
     /// Counts one request that has its outcome.
     pub(super) fn request(&self, line: &RequestLine) {
         let service = line.service.as_ref().map_or("", ServiceName::as_str);
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -7,10 +7,10 @@
 use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
 use threadledge_dispatch::{ExchangeId, Refusal, RequestFacts};
-use threadledge_net::Instant;
+use threadledge_net::ConnectionInfo;
 use threadledge_ports::CallerHead;
 
-use super::admission::Head;
+use super::admission::{Head, host_of};
 use super::answer;
 use super::attempt::{Attempts, Outbound};
 use super::departures::{Stage, Visit};
@@ -46,14 +46,25 @@
 }
 
 impl Requests {
+    /// Whether a request may run beside others of its connection: what its
+    /// route says counts, and not the method.
+    pub(super) fn run_beside(&self, request: &Request) -> bool {
+        let dispatch = &self.attempts.dispatch;
+        dispatch.is_repeatable(host_of(request), request.url().path())
+    }
+
     /// One request from its head to the head of its answer.
     pub(super) async fn handle(
         self: Arc<Self>,
         request: Request,
-        from: IpAddr,
+        connection: ConnectionInfo,
         mut visit: Visit,
     ) -> Response {
-        let started = Instant::now();
+        let from = connection.peer.ip();
+        let started = connection.read_at;
+        if connection.behind > 0 {
+            self.metrics.pipelined();
+        }
         let method = request.method();
         let caller = self.attempts.wording.caller(request.as_ref());
         let mut line = RequestLine::new(&request, &caller, from, started);
@@ -108,6 +119,7 @@
         let facts = RequestFacts {
             method: head.method.as_ref(),
             call: head.call(),
+            waited: line.elapsed(),
             time_left: caller.time_left,
             key: caller.key,
             replayable: outbound.replayable(),
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -9,11 +9,13 @@
 
 use async_std::net::TcpListener;
 use async_std::task;
+use http_types::Request;
 use thiserror::Error;
 use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
 use threadledge_net::{
-    ConnectionInfo, Instant, Pool, PoolSettings, ServerLimits, StopSignal, Unframed, serve, timer,
+    ConnectionInfo, Instant, Pool, PoolSettings, ServerLimits, SideBySide, StopSignal, Unframed,
+    serve, timer,
 };
 use threadledge_ports::Ports;
 use threadledge_relay::Member;
@@ -249,10 +251,13 @@
         let close = StopSignal::new();
         let requests = self.requests.clone();
         let departures = self.metrics.departures().clone();
-        let handler = move |request, connection: ConnectionInfo| {
-            let from = connection.peer.ip();
-            requests.clone().handle(request, from, departures.visit())
+        let answering = requests.clone();
+        let handler = move |request: Request, connection: ConnectionInfo| {
+            let visit = departures.visit();
+            answering.clone().handle(request, connection, visit)
         };
+        let rule = move |request: &Request| requests.run_beside(request);
+        let handler = SideBySide { handler, rule };
         let limits = self.server_limits();
         let served = task::spawn(serve(listeners.callers, limits, close.clone(), handler));
         self.stop.stopped().await;
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod names;
 mod outage;
 mod peers;
+mod pipelined;
 mod process;
 mod relay;
 mod requests;
