Orders to another region are awaited until they surely arrived

Cause: an order that was given up after 0.5 s counted as one that cannot arrive later. In a link between two regions that is full, renewals arrived 1.1 to 2.2 s after they were sent and began a whole hold, while the keys had another owner. Releases, which would have raised the fence, needed a new connection and had 0.4 s for it, less than its first packet took; two such failures made a sound back end count as lost.

Ruled out: closing connections in another way (they are reset already; what has left the machine arrives all the same), and the orders of the earlier coordinator (its last one was refused by fences), though the same assumption stood there and when the office is handed back.

Change: back ends in other regions are far. A grant to one is overdue after 0.5 s and sent again, but its connection is kept for ownership.far-order-s (3 s) and its answer counts when it comes. A hold is waited out from when the last grant ended, and never while one is open. With one region nothing changes.

Tests of coordination (53), platform (15) and the gateway (83) pass.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -136,6 +136,8 @@
     OrderGivenUp {
         /// The order.
         order: Order,
+        /// How long its answer was waited for.
+        waited: Duration,
         /// Why there is no answer.
         fault: OrderFault,
     },
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
+use threadledge_types::{Timestamp, ZoneName};
 
 use crate::occupancy::{Newcomers, Occupancy};
 use crate::order::{Order, OrderFault, OrderId};
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 struct Registered {
     owner: Owner,
+    zone: ZoneName,
     slots: u32,
     draining: bool,
     cold_until: Timestamp,
@@ -132,6 +133,7 @@
                 name: back_end.name.clone(),
                 address: back_end.address,
             },
+            zone: back_end.zone.clone(),
             slots: back_end.slots.max(1),
             draining: back_end.draining,
             cold_until: now + back_end.cold_for,
@@ -149,6 +151,12 @@
         self.registered.contains_key(name)
     }
 
+    /// Zone of a back end that is registered.
+    pub fn zone(&self, name: &BackEndName) -> Option<&ZoneName> {
+        let registered = self.registered.get(name)?;
+        Some(&registered.zone)
+    }
+
     /// Why `name` may not own keys; `None` when it may.
     pub fn ineligible(&self, name: &BackEndName, now: Timestamp) -> Option<Ineligible> {
         let Some(registered) = self.registered.get(name) else {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -32,7 +32,9 @@
 pub use action::{Action, Notice};
 pub use coordinator::Coordinator;
 pub use load::{KeyCount, LoadReport, SpeedSample};
-pub use order::{GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply};
+pub use order::{
+    Distance, GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply,
+};
 pub use record::{
     CoordinatorLease, Fence, FormerHolder, NodeIdentity, Owner, OwnershipRecord, Slice, SliceState,
     Term,
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -30,10 +30,22 @@
     pub fence: Fence,
     /// What to do with them.
     pub kind: OrderKind,
-    /// How long to wait for the answer.
+    /// Where the back end is.
+    pub distance: Distance,
+    /// How long to wait for the answer before the connection is ended.
     pub timeout: Duration,
 }
 
+/// How far away a back end is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// In this region.
+    Near,
+    /// In another region, behind a link that all traffic between the two
+    /// shares: what is sent may stand in it for seconds.
+    Far,
+}
+
 /// What an order asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderKind {
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -13,10 +13,12 @@
 //! in the record, and its successor grants it the keys again under a fence
 //! that is at least that of the release.
 
+mod arrivals;
 mod draft;
 mod former;
 mod moves;
 mod orders;
+mod overdue;
 mod store;
 mod tracked;
 
@@ -37,6 +39,7 @@
 use former::FormerOwners;
 pub use orders::ORDERS_AT_ONCE;
 use orders::under_way;
+use overdue::OverdueWatch;
 use tracked::{Tracked, owners};
 
 /// What follows from a read of the record.
@@ -81,6 +84,7 @@
     phase: Phase,
     tracked: Vec<Tracked>,
     former: FormerOwners,
+    overdue: OverdueWatch,
     /// A call to the store is running.
     busy: bool,
     /// A write was not answered: the record is read back before the next one.
@@ -109,6 +113,7 @@
             phase: Phase::Idle,
             tracked: Vec::new(),
             former: FormerOwners::default(),
+            overdue: OverdueWatch::default(),
             busy: false,
             read_back: false,
             next_store_call: Timestamp::ZERO,
@@ -157,6 +162,7 @@
         self.phase = Phase::Reading;
         self.tracked.clear();
         self.former.clear();
+        self.overdue.clear();
         self.next_store_call = now;
     }
 
@@ -165,6 +171,7 @@
         self.phase = Phase::Idle;
         self.tracked.clear();
         self.former.clear();
+        self.overdue.clear();
     }
 
     /// What there is to tell operators.
@@ -180,12 +187,10 @@
         }
     }
 
-    /// Whether no order waits for its answer.
+    /// Whether no order waits for its answer, and none may still arrive.
     pub fn quiet(&self) -> bool {
-        self.tracked
-            .iter()
-            .all(|tracked| tracked.in_flight.is_none())
-            && self.former.quiet()
+        let ended = |tracked: &Tracked| tracked.in_flight.is_none();
+        self.tracked.iter().all(ended) && !self.overdue.any_overdue() && self.former.quiet()
     }
 
     /// What to do now. Called only while the office is surely held. Keys that
@@ -229,6 +234,7 @@
         let store = (!self.busy && waits).then_some(self.next_store_call);
         orders
             .chain(self.former.next_wake())
+            .chain(self.overdue.next_due())
             .chain(holds)
             .chain(store)
             .chain(self.gathered(now))
--- a/crates/coordination/src/ownership/former.rs
+++ b/crates/coordination/src/ownership/former.rs
@@ -13,8 +13,8 @@
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::tracked::{Tracked, common, overlap};
-use crate::holders::LATE_ORDERS;
-use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
+use crate::holders::{Holders, LATE_ORDERS};
+use crate::order::{Distance, Order, OrderFault, OrderId, OrderKind, OrderReply};
 use crate::record::{FormerHolder, Slice};
 use crate::settings::Settings;
 
@@ -99,6 +99,7 @@
         &mut self,
         now: Timestamp,
         settings: &Settings,
+        holders: &Holders,
         next_order: &mut u64,
     ) -> Vec<Order> {
         self.unanswered
@@ -112,7 +113,12 @@
             asked.insert(former.holder.owner.name.clone());
             *next_order += 1;
             former.in_flight = Some(OrderId(*next_order));
-            orders.push(former.release(OrderId(*next_order), settings.order_timeout));
+            let distance = settings.distance(holders.zone(&former.holder.owner.name));
+            let timeout = match distance {
+                Distance::Near => settings.order_timeout,
+                Distance::Far => settings.order_wait(&OrderKind::Release, distance),
+            };
+            orders.push(former.release(OrderId(*next_order), distance, timeout));
         }
         orders
     }
@@ -177,13 +183,14 @@
         }
     }
 
-    fn release(&self, id: OrderId, timeout: Duration) -> Order {
+    fn release(&self, id: OrderId, distance: Distance, timeout: Duration) -> Order {
         Order {
             id,
             to: self.holder.owner.clone(),
             range: self.holder.range,
             fence: self.holder.fence,
             kind: OrderKind::Release,
+            distance,
             timeout,
         }
     }
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -113,30 +113,38 @@
             return Some(handover.clone());
         }
         let over = self.release_over(tracked)?;
-        (now >= over).then_some(None)
+        // One that has not ended may arrive at any time, also when its end was
+        // due: this process may have stood still.
+        let arrived = self.has_ended(tracked) || !tracked.arrivals.any_open();
+        (arrived && now >= over).then_some(None)
     }
 
     /// When the owner of a slice that is being released holds it no longer
     /// even if it never answers.
     pub(super) fn release_over(&self, tracked: &Tracked) -> Option<Timestamp> {
         tracked.releasing?;
-        let owner = tracked.owner()?;
         // Only an answer proves that; to wait the hold out all the same served
         // 0.934 of the credit in time in place of 0.952 (mean of six days on
         // which two fifths of the owners crash and start again).
-        if self.holders.has_ended(&owner.name) {
+        if self.has_ended(tracked) {
             return Some(Timestamp::ZERO);
         }
         let own = self
             .settings
-            .hold_over(tracked.possible_arrival, self.settings.hold);
+            .hold_over(tracked.arrivals.latest(), self.settings.hold);
         let earlier = match self.predecessor {
             Some(predecessor) if !tracked.fenced_here => {
-                let orders_end = predecessor.orders_end + self.settings.order_timeout;
+                let orders_end = predecessor.orders_end + self.settings.longest_grant_wait();
                 self.settings.hold_over(orders_end, predecessor.hold)
             }
             _ => Timestamp::ZERO,
         };
         Some(own.max(earlier))
     }
+
+    /// Whether the owner is known to have ended.
+    fn has_ended(&self, tracked: &Tracked) -> bool {
+        let owner = tracked.owner();
+        owner.is_some_and(|owner| self.holders.has_ended(&owner.name))
+    }
 }
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -39,6 +39,9 @@
         if !matches!(self.phase, Phase::Active { .. }) {
             return;
         }
+        for order in self.overdue.take_due(now) {
+            self.on_overdue(now, &order);
+        }
         let mut under_way = under_way(&self.tracked);
         for tracked in &mut self.tracked {
             if tracked.in_flight.is_some() || now < tracked.next_order {
@@ -57,26 +60,37 @@
             *count += 1;
             self.next_order += 1;
             let id = OrderId(self.next_order);
-            let timeout = match &kind {
-                OrderKind::Grant(_) => self.settings.order_timeout,
-                OrderKind::Release => self.settings.release_timeout,
-            };
-            tracked.sent(now, id, &kind, timeout);
-            actions.push(Action::Send(Order {
+            let distance = self.settings.distance(self.holders.zone(&owner.name));
+            let timeout = self.settings.order_wait(&kind, distance);
+            tracked.sent(id, &kind, now + timeout);
+            let order = Order {
                 id,
                 to: owner,
                 range: tracked.slice.range,
                 fence: tracked.order_fence(),
                 kind,
+                distance,
                 timeout,
-            }));
+            };
+            self.overdue.watch(now, &order, &self.settings);
+            actions.push(Action::Send(order));
         }
         let releases = self
             .former
-            .orders(now, &self.settings, &mut self.next_order);
+            .orders(now, &self.settings, &self.holders, &mut self.next_order);
         actions.extend(releases.into_iter().map(Action::Send));
     }
 
+    /// A grant that is on its way to another region was not answered in time.
+    /// It is sent again, and goes on being waited for.
+    fn on_overdue(&mut self, now: Timestamp, order: &Order) {
+        let waited = self.settings.order_timeout;
+        self.given_up(now, order, waited, OrderFault::NoAnswer);
+        for tracked in &mut self.tracked {
+            tracked.overdue(now, order.id);
+        }
+    }
+
     /// An order was answered, or was not.
     pub fn on_order(
         &mut self,
@@ -84,6 +98,7 @@
         order: &Order,
         result: Result<OrderReply, OrderFault>,
     ) {
+        let was_overdue = self.overdue.ended(order);
         let to_former_owner = self.former.on_order(now, order, &result);
         match &result {
             Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
@@ -99,8 +114,10 @@
             }
             Ok(_) => self.answered(now, order),
             // One whose registration has gone too is expected to be silent.
+            // It was counted when it became overdue.
+            Err(OrderFault::NoAnswer) if was_overdue => {}
             Err(_) if to_former_owner && !self.holders.is_registered(&order.to.name) => {}
-            Err(fault) => self.given_up(now, order, *fault),
+            Err(fault) => self.given_up(now, order, order.timeout, *fault),
         }
         if result == Ok(OrderReply::Fenced) {
             self.notices.push(Notice::OrderFenced {
@@ -111,11 +128,9 @@
         }
         let may_lose_keys = self.holders.may_lose_keys(&order.to.name, now);
         for tracked in &mut self.tracked {
-            if tracked.in_flight != Some(order.id) {
-                continue;
-            }
-            tracked.ended(now, &result, &self.settings);
-            if may_lose_keys {
+            let awaited = tracked.in_flight == Some(order.id);
+            tracked.ended(now, order, &result, &self.settings);
+            if awaited && may_lose_keys {
                 tracked.next_order = tracked.next_order.min(now + QUICK_RENEWAL);
             }
         }
@@ -151,14 +166,18 @@
         });
     }
 
-    fn given_up(&mut self, now: Timestamp, order: &Order, fault: OrderFault) {
+    fn given_up(&mut self, now: Timestamp, order: &Order, waited: Duration, fault: OrderFault) {
         if order.kind == OrderKind::Release && fault == OrderFault::NoAnswer {
             self.holders.on_lost_release(now, &order.to.name);
         }
         let news = self.holders.on_fault(now, &order.to.name, fault);
         if news.silent {
             let order = order.clone();
-            self.notices.push(Notice::OrderGivenUp { order, fault });
+            self.notices.push(Notice::OrderGivenUp {
+                order,
+                waited,
+                fault,
+            });
         }
         if news.lost {
             let owner = order.to.name.clone();
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -1,12 +1,12 @@
 //! What is under way for one range of keys.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
-use crate::order::{GrantOrder, HandoverToken, OrderFault, OrderId, OrderKind, OrderReply};
+use super::arrivals::Arrivals;
+use crate::order::{GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply};
 use crate::record::{Fence, Owner, Slice, SliceState};
 use crate::settings::Settings;
 
@@ -25,13 +25,8 @@
     /// The order that waits for its answer.
     pub(super) in_flight: Option<OrderId>,
     pub(super) next_order: Timestamp,
-    /// No grant sent by this node arrives later than this.
-    pub(super) possible_arrival: Timestamp,
-    /// What `possible_arrival` was before the order in flight.
-    arrival_before: Timestamp,
-    /// A grant whose answer nobody awaits may arrive until then, and is taken:
-    /// its fence is the one in force.
-    unawaited_until: Timestamp,
+    /// Grants of this node that may still arrive.
+    pub(super) arrivals: Arrivals,
     /// The back end answered an order of this term for these keys: it refuses
     /// those of earlier coordinators.
     pub(super) fenced_here: bool,
@@ -49,9 +44,7 @@
             released: None,
             in_flight: None,
             next_order: now,
-            possible_arrival: Timestamp::ZERO,
-            arrival_before: Timestamp::ZERO,
-            unawaited_until: Timestamp::ZERO,
+            arrivals: Arrivals::default(),
             fenced_here: false,
             fenced: false,
             granted: false,
@@ -95,10 +88,7 @@
 
     /// Sends the next order now, and no longer awaits the one under way.
     pub(super) fn ask_again(&mut self, now: Timestamp) {
-        let awaited = self.in_flight.take();
-        if awaited.is_some() && self.releasing.is_none() {
-            self.unawaited_until = self.possible_arrival;
-        }
+        self.in_flight = None;
         self.next_order = now;
     }
 
@@ -135,66 +125,86 @@
         }))
     }
 
-    pub(super) fn sent(
-        &mut self,
-        now: Timestamp,
-        id: OrderId,
-        kind: &OrderKind,
-        timeout: Duration,
-    ) {
+    /// The next order is sent; its connection is ended at `until` at the
+    /// latest.
+    pub(super) fn sent(&mut self, id: OrderId, kind: &OrderKind, until: Timestamp) {
         self.in_flight = Some(id);
-        self.arrival_before = self.possible_arrival;
         if let OrderKind::Grant(_) = kind {
-            self.possible_arrival = self.possible_arrival.max(now + timeout);
+            self.arrivals.sent(id, until);
         }
     }
 
+    /// The order in flight is not waited for any longer; it may still arrive.
+    pub(super) fn overdue(&mut self, now: Timestamp, id: OrderId) {
+        if self.in_flight == Some(id) {
+            self.in_flight = None;
+            self.next_order = now;
+        }
+    }
+
+    /// An order ended; one that was overdue proves when it arrived.
     pub(super) fn ended(
         &mut self,
         now: Timestamp,
+        order: &Order,
         result: &Result<OrderReply, OrderFault>,
         settings: &Settings,
     ) {
-        self.in_flight = None;
+        // A release gives nothing: the hold that is waited out goes on from
+        // the last grant. Counted from each release as well, the keys of a
+        // back end that answers none never went to others.
         match result {
-            Ok(reply) => self.answered(now, reply, settings),
-            Err(OrderFault::NotSent | OrderFault::Withheld) => {
-                self.possible_arrival = self.arrival_before;
-                self.next_order = now + settings.retry_pause;
+            Ok(OrderReply::Granted) | Err(OrderFault::NoAnswer) => {
+                self.arrivals.ended(order.id, now);
             }
-            Err(OrderFault::NoAnswer) => {
-                // A release gives nothing: the hold that is waited out goes on
-                // from the last grant. Counted from each release as well, the
-                // keys of a back end that answers none never went to others.
-                if self.releasing.is_none() {
-                    self.possible_arrival = self.arrival_before.max(now);
-                }
-                self.next_order = now;
+            Ok(_) | Err(OrderFault::NotSent | OrderFault::Withheld) => {
+                self.arrivals.void(order.id);
+            }
+        }
+        if self.in_flight == Some(order.id) {
+            self.in_flight = None;
+            self.awaited_ended(now, result, settings);
+        } else if *result == Ok(OrderReply::Granted) && self.in_force(order) {
+            self.granted = true;
+            self.fenced_here = true;
+            if self.in_flight.is_none() {
+                self.next_order = now + settings.grant_renewal;
             }
         }
     }
 
-    fn answered(&mut self, now: Timestamp, reply: &OrderReply, settings: &Settings) {
-        match reply {
-            OrderReply::Granted => {
+    /// Whether `order` is a grant of all these keys as the next one would be.
+    fn in_force(&self, order: &Order) -> bool {
+        let range = self.slice.range;
+        let covered = order.range.first <= range.first && range.last <= order.range.last;
+        covered && self.releasing.is_none() && order.fence == self.slice.fence
+    }
+
+    fn awaited_ended(
+        &mut self,
+        now: Timestamp,
+        result: &Result<OrderReply, OrderFault>,
+        settings: &Settings,
+    ) {
+        match result {
+            Ok(OrderReply::Granted) => {
                 self.fenced_here = true;
                 self.granted = true;
-                self.possible_arrival = self.unawaited_until.max(now);
                 self.next_order = now + settings.grant_renewal;
             }
-            OrderReply::Released(handover) => {
+            Ok(OrderReply::Released(handover)) => {
                 self.fenced_here = true;
                 self.released = Some(handover.clone());
             }
-            OrderReply::Fenced => {
-                self.possible_arrival = self.arrival_before;
+            Ok(OrderReply::Fenced) => {
                 self.fenced = true;
                 self.next_order = now + settings.retry_pause;
             }
-            OrderReply::Malformed | OrderReply::OtherProcess => {
-                self.possible_arrival = self.arrival_before;
+            Ok(OrderReply::Malformed | OrderReply::OtherProcess)
+            | Err(OrderFault::NotSent | OrderFault::Withheld) => {
                 self.next_order = now + settings.retry_pause;
             }
+            Err(OrderFault::NoAnswer) => self.next_order = now,
         }
     }
 
@@ -208,7 +218,7 @@
         next.slice = slice.clone();
         if same_owner(&self.slice, slice) {
             // A grant in flight may still arrive while it waits.
-            next.possible_arrival = self.possible_arrival;
+            next.arrivals = self.arrivals.clone();
             next.fenced_here = self.fenced_here;
         }
         next
@@ -267,15 +277,13 @@
 /// Joins a piece to the one before it. What is sure of both alone is sure.
 fn join(last: &mut Tracked, piece: &Tracked) {
     last.slice.range.last = piece.slice.range.last;
-    last.possible_arrival = last.possible_arrival.max(piece.possible_arrival);
-    last.unawaited_until = last.unawaited_until.max(piece.unawaited_until);
+    last.arrivals.join(&piece.arrivals);
     last.fenced_here &= piece.fenced_here;
     last.fenced |= piece.fenced;
     last.granted &= piece.granted;
     last.next_order = last.next_order.min(piece.next_order);
     if last.in_flight != piece.in_flight {
         last.in_flight = None;
-        last.unawaited_until = last.possible_arrival;
     }
 }
 
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -1,8 +1,11 @@
 //! Durations of coordination, and the rules between them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use threadledge_types::Timestamp;
+use threadledge_types::{Timestamp, ZoneName};
+
+use crate::order::{Distance, OrderKind};
 
 /// Durations of one coordinator. [`Settings::check`] holds them to each
 /// other.
@@ -22,8 +25,14 @@
     pub hold: Duration,
     /// Time between renewals of a grant.
     pub grant_renewal: Duration,
-    /// Longest wait for a back end's answer to an order.
+    /// Longest wait for a back end's answer to an order before it is sent
+    /// again and counts as unanswered.
     pub order_timeout: Duration,
+    /// How long an order to another region may be on its way: its connection
+    /// is kept for that long, and ended then.
+    pub far_order: Duration,
+    /// Zones of this region; `None` where all are.
+    pub near_zones: Option<BTreeSet<ZoneName>>,
     /// Longest wait for a back end to finish its work on keys that it
     /// releases.
     pub release_timeout: Duration,
@@ -45,6 +54,8 @@
             hold: Duration::from_secs(3),
             grant_renewal: Duration::from_millis(700),
             order_timeout: Duration::from_millis(500),
+            far_order: FAR_ORDER,
+            near_zones: None,
             release_timeout: Duration::from_secs(2),
             retry_pause: Duration::from_millis(200),
             gather: Duration::from_millis(1_500),
@@ -73,6 +84,12 @@
             ("lease-renewal", self.lease_renewal, "lease", self.lease),
             ("grant-renewal", self.grant_renewal, "hold", self.hold),
             ("order-timeout", self.order_timeout, "hold", self.hold),
+            (
+                "order-timeout",
+                self.order_timeout,
+                "far-order",
+                self.far_order,
+            ),
             (
                 "lease-renewal",
                 self.lease_renewal,
@@ -88,6 +105,40 @@
         Ok(())
     }
 
+    /// How far away a back end in `zone` is. One whose zone nobody knows may be
+    /// anywhere.
+    pub fn distance(&self, zone: Option<&ZoneName>) -> Distance {
+        let Some(near) = &self.near_zones else {
+            return Distance::Near;
+        };
+        match zone {
+            Some(zone) if near.contains(zone) => Distance::Near,
+            _ => Distance::Far,
+        }
+    }
+
+    /// How long to wait for the answer to an order before its connection is
+    /// ended; nothing of it arrives later.
+    pub fn order_wait(&self, kind: &OrderKind, distance: Distance) -> Duration {
+        let answer = match kind {
+            OrderKind::Grant(_) => self.order_timeout,
+            OrderKind::Release => self.release_timeout,
+        };
+        match distance {
+            Distance::Near => answer,
+            Distance::Far => answer.max(self.far_order),
+        }
+    }
+
+    /// How long a grant of another coordinator, wherever it runs, may be on its
+    /// way.
+    pub fn longest_grant_wait(&self) -> Duration {
+        match self.near_zones {
+            None => self.order_timeout,
+            Some(_) => self.order_timeout.max(self.far_order),
+        }
+    }
+
     /// When a grant that arrived at `arrival` at the latest has surely run
     /// out, by the slowest clock.
     pub fn hold_over(&self, arrival: Timestamp, hold: Duration) -> Timestamp {
@@ -96,5 +147,7 @@
     }
 }
 
+/// Default of [`Settings::far_order`].
+const FAR_ORDER: Duration = Duration::from_secs(3);
 /// Added to every hold that is waited out, for rounding on the way.
 const HOLD_MARGIN: Duration = Duration::from_millis(20);
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -320,6 +320,7 @@
             hold: SECOND,
             handover: None,
         }),
+        distance: threadledge_coordination::Distance::Near,
         timeout: SECOND,
     };
     let now = world.now;
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -44,10 +44,14 @@
         Notice::HolderReplaced { owner } => {
             emit!(EventId::HolderReplaced, service = %service, owner = %owner);
         }
-        Notice::OrderGivenUp { order, fault } => emit!(
+        Notice::OrderGivenUp {
+            order,
+            waited,
+            fault,
+        } => emit!(
             EventId::OrderGivenUp,
             service = %service, order = order.kind.as_str(), keys = %order.range,
-            owner = %order.to.name, fence = order.fence.0, waited_ms = order.timeout.as_millis(),
+            owner = %order.to.name, fence = order.fence.0, waited_ms = waited.as_millis(),
             fault = ?fault,
         ),
         Notice::HolderAnswers {
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -2,12 +2,13 @@
 
 mod fault;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use serde::Deserialize;
+use threadledge_types::ZoneName;
 
 use crate::settings::LogSettings;
 
@@ -146,6 +147,10 @@
     pub lease_renewal_s: f64,
     /// Silence of a coordinator after which another takes over.
     pub takeover_after_s: f64,
+    /// How long an order to another region may be on its way. Its connection
+    /// is kept for that long; keys of a back end there that became silent go
+    /// to another that much later.
+    pub far_order_s: f64,
 }
 
 /// How closely limits of tenants are held over all gateways.
@@ -215,6 +220,7 @@
             lease_s: core.lease.as_secs_f64(),
             lease_renewal_s: core.lease_renewal.as_secs_f64(),
             takeover_after_s: core.takeover_after.as_secs_f64(),
+            far_order_s: core.far_order.as_secs_f64(),
         }
     }
 }
@@ -299,6 +305,7 @@
             ("ownership.lease-s", ownership.lease_s),
             ("ownership.lease-renewal-s", ownership.lease_renewal_s),
             ("ownership.takeover-after-s", ownership.takeover_after_s),
+            ("ownership.far-order-s", ownership.far_order_s),
         ];
         for (field, value) in positive {
             if !(value.is_finite() && value > 0.0 && value < LONGEST_S) {
@@ -362,10 +369,22 @@
             takeover_after: seconds(ownership.takeover_after_s),
             hold: seconds(ownership.hold_s),
             grant_renewal: seconds(ownership.grant_renewal_s),
+            far_order: seconds(ownership.far_order_s),
+            near_zones: self.near_zones(),
             ..threadledge_coordination::Settings::default()
         }
     }
 
+    /// Zones of this region; `None` where all zones lie in one.
+    fn near_zones(&self) -> Option<BTreeSet<ZoneName>> {
+        let region = self.region.as_ref()?;
+        if self.zones.values().all(|other| other == region) {
+            return None;
+        }
+        let near = self.zones.iter().filter(|(_, other)| *other == region);
+        Some(near.map(|(zone, _)| zone.as_str().into()).collect())
+    }
+
     /// Settings of the request path.
     pub fn dispatch(&self) -> threadledge_dispatch::Settings {
         let defaults = threadledge_dispatch::Settings::default();
