Regions in the request path: near before far, and requests that stay in their regions

Cause: the gateway knew zones only. A back end of a zone 12 ms away behind a narrow link counted as the next room, and the regions that a route allows were read and not heeded.

Change: the dispatcher knows which zone lies in which region (types::Places). A back end of another region is chosen only where none of the own region answers within the target, also by repeats and hedges. Requests of a route or tenant that allows certain regions are sent to back ends of these only (both: what they have in common). A key whose owner is outside, or regions that have nothing in common, are refused at once with 421: nothing has run. A gateway of another region passes the request on and keeps nothing of it: no path, key or hash in its log. What is told of a crash names the route only, since all regions and the store keep it. Zones of which no region is known get nothing restricted.

Metrics tell bytes to and from back ends by distance and by whether there was a choice.

Ruled out: a penalty on the cost for the other region as for zones; it sends there what the own region would answer in time as well. 403 for what may not be served: it reads as a fault of the caller's rights.

Conclusion: off (no regions in the settings, none in the configuration) choices and draws are as before.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::{KeyOwner, OwnershipView};
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, ShardKey};
+use threadledge_types::deployment::{BackEndName, Distance, ShardKey};
 
 use crate::back_ends::{BackEnds, Known};
 use crate::estimate::Usual;
@@ -46,6 +46,8 @@
     Take(BackEndName),
     /// None now.
     NotNow(NotNow),
+    /// None, however long it waits.
+    Refuse(RefusalReason),
 }
 
 /// Why nothing was chosen.
@@ -111,6 +113,9 @@
         let Some(known) = self.back_ends.get(name) else {
             return no_owner;
         };
+        if !exchange.may_run_in(&known.back_end.zone, &self.settings.places) {
+            return Choice::Refuse(RefusalReason::OutsideRegions);
+        }
         if !known.takes_requests() || known.ejected(self.now) {
             return no_owner;
         }
@@ -127,24 +132,17 @@
 
     fn best(&mut self, exchange: &Exchange, bound: Bound) -> Choice {
         let usual = self.back_ends.usual(self.now, &exchange.service);
-        let supposed = suppose(usual, exchange);
         let usable = self.usable(exchange);
-        let penalty = exchange.route.target_latency.as_secs_f64() * self.settings.zone_penalty;
-        let mut best: Option<(&Known, f64)> = None;
-        for known in &usable {
-            if !self.fits(known, exchange, bound, &usual) {
-                continue;
-            }
-            let mut cost = known.expected_s(self.now, &supposed);
-            cost *= 1.0 + NOISE * self.random.random::<f64>();
-            if known.back_end.zone != self.settings.zone {
-                cost += penalty;
-            }
-            if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((known, cost));
-            }
-        }
-        if let Some((known, _)) = best {
+        let places = &self.settings.places;
+        let distance = |known: &&Known| places.distance(&known.back_end.zone);
+        let fitting = usable.iter().copied();
+        let fitting = fitting.filter(|known| self.fits(known, exchange, bound, &usual));
+        // The other region is for what the own one cannot answer in time: its
+        // link is narrow, shared by everything, and dear.
+        let (near, far): (Vec<&Known>, Vec<&Known>) =
+            fitting.partition(|known| distance(known) < Distance::OtherRegion);
+        let candidates = if near.is_empty() { far } else { near };
+        if let Some(known) = self.cheapest(&candidates, exchange, usual) {
             return Choice::Take(known.back_end.name.clone());
         }
         let soonest = usable.into_iter().min_by(|left, right| {
@@ -154,13 +152,34 @@
         match soonest {
             Some(known) => self.overloaded(known, exchange, &usual),
             None => {
-                let all = self.back_ends.of_service(&exchange.service);
-                let takes = all.filter(|known| known.takes_requests());
+                let takes = self.open_to(exchange);
                 self.spared(takes.filter(|known| !self.admits(known)))
             }
         }
     }
 
+    fn cheapest(
+        &mut self,
+        candidates: &[&'a Known],
+        exchange: &Exchange,
+        usual: Usual,
+    ) -> Option<&'a Known> {
+        let supposed = suppose(usual, exchange);
+        let penalty = exchange.route.target_latency.as_secs_f64() * self.settings.zone_penalty;
+        let mut best: Option<(&Known, f64)> = None;
+        for &known in candidates {
+            let mut cost = known.expected_s(self.now, &supposed);
+            cost *= 1.0 + NOISE * self.random.random::<f64>();
+            if known.back_end.zone != *self.settings.places.zone() {
+                cost += penalty;
+            }
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((known, cost));
+            }
+        }
+        best.map(|(known, _)| known)
+    }
+
     /// Whether this router may send to a back end that may be cold.
     fn admits(&self, known: &Known) -> bool {
         let interval = self.cold_interval;
@@ -185,10 +204,18 @@
         })
     }
 
+    /// Back ends that take requests and may have this one.
+    fn open_to(&self, exchange: &Exchange) -> impl Iterator<Item = &'a Known> {
+        let places = &self.settings.places;
+        let all = self.back_ends.of_service(&exchange.service);
+        all.filter(move |known| {
+            known.takes_requests() && exchange.may_run_in(&known.back_end.zone, places)
+        })
+    }
+
     /// Back ends that may be asked: those not asked before and not left
     /// alone, or, when there are none such, the others.
     fn usable(&self, exchange: &Exchange) -> Vec<&'a Known> {
-        let takes = |known: &&Known| known.takes_requests() && self.admits(known);
         let busy = |known: &&Known| {
             let name = &known.back_end.name;
             let mut flights = exchange.in_flight.values();
@@ -198,7 +225,7 @@
             !exchange.tried.contains(&known.back_end.name) && !known.ejected(self.now)
         };
         // A second attempt beside the first is of use at another one only.
-        let all = self.back_ends.of_service(&exchange.service).filter(takes);
+        let all = self.open_to(exchange).filter(|known| self.admits(known));
         let all: Vec<&Known> = all.filter(|known| !busy(known)).collect();
         let usable: Vec<&Known> = all.iter().copied().filter(fresh).collect();
         if usable.is_empty() {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -19,10 +19,10 @@
 use threadledge_coordination::{LoadReport, OwnershipView};
 use threadledge_suspects::{Break, Suspects, Unconfirmed};
 use threadledge_tenants::{Admission, Caller, KeyIndex};
-use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
     BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
 };
+use threadledge_types::{RegionName, Timestamp};
 
 use crate::back_ends::BackEnds;
 use crate::budget::RetryBudget;
@@ -48,6 +48,9 @@
     pub caller: Option<Arc<Caller>>,
     /// When it must have been answered.
     pub deadline: Timestamp,
+    /// It must not leave certain regions, and this router is in none of them:
+    /// nothing of it is kept here.
+    pub in_transit: bool,
 }
 
 /// What follows from the end of an attempt.
@@ -273,6 +276,7 @@
     fn start(&mut self, now: Timestamp, facts: &RequestFacts<'_>) -> Result<Begun, Refusal> {
         let admission = self.admitted(&facts.call)?;
         let rank = admission.rank();
+        let allowed_regions = admission.allowed_regions();
         let Admission { route, caller, .. } = admission;
         let starts = &mut self.starts;
         let dealer = self
@@ -300,6 +304,7 @@
         let held = facts
             .time_left
             .map_or(route.timeout, |left| left.min(route.timeout));
+        let in_transit = self.in_transit(allowed_regions.as_ref());
         let started = now - facts.waited;
         let deadline = started + held;
         let patience = route.target_latency.mul_f64(self.settings.patience);
@@ -322,7 +327,8 @@
             may_have_run: None,
             hedged: false,
             identity: facts.identity,
-            label: format!("{} {}{}", facts.method, facts.call.host, facts.call.path),
+            label: label(facts, &route, allowed_regions.is_some()),
+            allowed_regions,
         };
         self.exchanges.insert(id, exchange);
         self.budget(&service).count_request(now);
@@ -332,9 +338,21 @@
             service,
             caller,
             deadline,
+            in_transit,
         })
     }
 
+    /// Whether a request must not leave certain regions, and this router is in
+    /// none of them: it passes the request on and keeps nothing of it.
+    pub fn passes_through(&self, admission: &Admission) -> bool {
+        self.in_transit(admission.allowed_regions().as_ref())
+    }
+
+    fn in_transit(&self, allowed: Option<&BTreeSet<RegionName>>) -> bool {
+        let places = &self.settings.places;
+        allowed.is_some_and(|allowed| !places.is_within(places.zone(), allowed))
+    }
+
     pub(super) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let slack = self.own_retry_slack();
         let settings = &self.settings;
@@ -356,12 +374,22 @@
 /// an operator lets it go, coming back helps nobody.
 const HELD_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// What operators are told of a request. Gateways of all regions and the store
+/// keep it: of one that must not leave its regions it names the route only.
+fn label(facts: &RequestFacts<'_>, route: &Route, restricted: bool) -> String {
+    if restricted {
+        return format!("{} route {}", facts.method, route.name);
+    }
+    format!("{} {}{}", facts.method, facts.call.host, facts.call.path)
+}
+
 fn refusal(reason: RefusalReason) -> Refusal {
     let retry_after = match reason {
         RefusalReason::NoRoute
         | RefusalReason::MissingApiKey
         | RefusalReason::UnknownApiKey
-        | RefusalReason::MissingKey => None,
+        | RefusalReason::MissingKey
+        | RefusalReason::OutsideRegions => None,
         RefusalReason::CrashesBackEnds => Some(HELD_RETRY_AFTER),
         _ => Some(DEFAULT_RETRY_AFTER),
     };
--- a/crates/dispatch/src/dispatcher/admitting.rs
+++ b/crates/dispatch/src/dispatcher/admitting.rs
@@ -40,11 +40,16 @@
         let asks_keys = !configuration.tenants.is_empty();
         let caller = admit(&self.keys, asks_keys, route, call.api_key);
         let caller = caller.map_err(|denied| refusal(reason(denied)))?;
-        Ok(Admission {
+        let admission = Admission {
             version: configuration.version,
             route: route.clone(),
             caller: caller.cloned(),
-        })
+        };
+        let regions = admission.allowed_regions();
+        if regions.is_some_and(|regions| regions.is_empty()) {
+            return Err(refusal(RefusalReason::OutsideRegions));
+        }
+        Ok(admission)
     }
 
     pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -55,6 +55,7 @@
         match self.choose(now, id, bound) {
             Some(Choice::Take(back_end)) => self.send_or_finish(now, id, back_end),
             Some(Choice::NotNow(not_now)) => self.wait_or_finish(now, id, &not_now),
+            Some(Choice::Refuse(reason)) => self.finish(now, id, reason, None),
             None => Step::Over,
         }
     }
@@ -171,6 +172,8 @@
             id: attempt,
             back_end: back_end.clone(),
             address: known.back_end.address,
+            distance: self.settings.places.distance(&known.back_end.zone),
+            keyed: exchange.key.is_some(),
             connection_limit: limit,
             deadline: exchange.deadline,
         })
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use threadledge_suspects::RequestIdentity;
-use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, Route, ServiceName, ShardKey};
+use threadledge_types::deployment::{BackEndName, Places, Route, ServiceName, ShardKey};
+use threadledge_types::{RegionName, Timestamp, ZoneName};
 
 use crate::outcome::UnknownReason;
 use crate::request::AttemptId;
@@ -31,6 +31,8 @@
     pub(crate) service: ServiceName,
     /// Its rank among those that wait; 0 goes first.
     pub(crate) rank: u32,
+    /// The only regions whose back ends may have it; `None`: all.
+    pub(crate) allowed_regions: Option<BTreeSet<RegionName>>,
     /// The key, if the service is divided by key.
     pub(crate) key: Option<ShardKey>,
     pub(crate) started: Timestamp,
@@ -66,6 +68,12 @@
         self.may_have_run.is_none() || self.route.repeatable
     }
 
+    /// Whether back ends of a zone may have it.
+    pub(crate) fn may_run_in(&self, zone: &ZoneName, places: &Places) -> bool {
+        let allowed = self.allowed_regions.as_ref();
+        allowed.is_none_or(|allowed| places.is_within(zone, allowed))
+    }
+
     /// When a second attempt beside the first is worth its price; `None` when
     /// there may be none.
     pub(crate) fn hedge_at(&self, hedge_after: f64) -> Option<Timestamp> {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -122,11 +122,14 @@
     Rejected,
     /// Each back end that ran it ended.
     CrashesBackEnds,
+    /// It may be served in other regions only than those in which its service
+    /// or its key is.
+    OutsideRegions,
 }
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 11] = [
+    pub const ALL: [RefusalReason; 12] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::MissingApiKey,
@@ -138,6 +141,7 @@
         RefusalReason::DeadlinePassed,
         RefusalReason::Rejected,
         RefusalReason::CrashesBackEnds,
+        RefusalReason::OutsideRegions,
     ];
 
     /// Name in logs and metrics.
@@ -154,6 +158,7 @@
             RefusalReason::DeadlinePassed => "deadline-passed",
             RefusalReason::Rejected => "rejected",
             RefusalReason::CrashesBackEnds => "crashes-back-ends",
+            RefusalReason::OutsideRegions => "outside-regions",
         }
     }
 
@@ -163,6 +168,8 @@
             RefusalReason::NoRoute => 404,
             RefusalReason::MissingApiKey | RefusalReason::UnknownApiKey => 401,
             RefusalReason::MissingKey => 400,
+            // Nothing has run; the request is proper, and is in the wrong place.
+            RefusalReason::OutsideRegions => 421,
             RefusalReason::NoConfiguration
             | RefusalReason::NoBackEnd
             | RefusalReason::NoOwner
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -5,7 +5,7 @@
 
 use threadledge_suspects::RequestIdentity;
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, KeyDigest, ShardKey};
+use threadledge_types::deployment::{BackEndName, Distance, KeyDigest, ShardKey};
 
 use crate::outcome::Outcome;
 
@@ -57,6 +57,10 @@
     pub back_end: BackEndName,
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// How far it is.
+    pub distance: Distance,
+    /// It was taken because it owns the request's key.
+    pub keyed: bool,
     /// Connections to it that may be open from here.
     pub connection_limit: usize,
     /// When the request must have been answered.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -3,18 +3,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use threadledge_types::ZoneName;
-use threadledge_types::deployment::{Configuration, ServiceName};
+use threadledge_types::deployment::{Configuration, Places, ServiceName};
 
 use crate::cold::mean_rate;
 
 /// Bounds and preferences of one router's request path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Zone of this router.
-    pub zone: ZoneName,
+    /// Where this router is.
+    pub places: Places,
     /// Part of a route's target latency that a back end of another zone must
-    /// be better by to be taken.
+    /// be better by to be taken. One of another region is taken only where
+    /// none of the own region answers within the target.
     pub zone_penalty: f64,
     /// Part of a route's target latency after which a request that found no
     /// slot is refused.
@@ -54,7 +54,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            zone: ZoneName::default(),
+            places: Places::default(),
             zone_penalty: 0.6,
             patience: 0.22,
             moving_patience: 0.7,
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -1,5 +1,6 @@
 //! Back ends that are cold, and what many routers send them together.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_dispatch::{Begun, Call, Dispatcher, Outcome, RequestFacts, Settings, Step};
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, Configuration};
+use threadledge_types::deployment::{BackEnd, Configuration, Places};
 
 use super::support::{HOST, Station, answered, back_end, configuration, identity, route};
 
@@ -56,7 +57,7 @@
         let configuration = Arc::new(with_cold_back_ends(&["plain"]));
         let router = |number: usize| {
             let settings = Settings {
-                zone: "near".into(),
+                places: Places::new("near".into(), None, BTreeMap::new()),
                 ..Settings::default()
             };
             let mut router = Dispatcher::new(settings, seed * 1_000 + number as u64);
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod outcomes;
 mod parts;
+mod regions;
 mod schedules;
 mod support;
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -16,8 +16,8 @@
 use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{
-    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyRange, Route,
-    Service, ShardKey,
+    BackEnd, CallerLimits, Configuration, ConfigurationVersion, Destination, KeyDigest, KeyRange,
+    Places, Route, Service, ShardKey,
 };
 
 pub const HOST: &str = "host.example";
@@ -98,8 +98,13 @@
 
     /// The same, of a router that draws other random numbers.
     pub fn with_seed(seed: u64) -> Self {
+        Station::at(Places::new("near".into(), None, BTreeMap::new()), seed)
+    }
+
+    /// The same, of a router elsewhere.
+    pub fn at(places: Places, seed: u64) -> Self {
         let settings = Settings {
-            zone: "near".into(),
+            places,
             retry_slack: 100,
             ..Settings::default()
         };
@@ -178,7 +183,7 @@
     }
 
     pub fn begin_with(&mut self, route: &str, key: Option<u16>) -> Result<Begun, Refusal> {
-        self.begin_after(route, key, Duration::ZERO)
+        self.begin_by(route, key, Duration::ZERO, None)
     }
 
     /// Begins a request whose head came `waited` ago.
@@ -187,6 +192,17 @@
         route: &str,
         key: Option<u16>,
         waited: Duration,
+    ) -> Result<Begun, Refusal> {
+        self.begin_by(route, key, waited, None)
+    }
+
+    /// The same, of the caller that shows a key with this digest.
+    pub fn begin_by(
+        &mut self,
+        route: &str,
+        key: Option<u16>,
+        waited: Duration,
+        api_key: Option<&KeyDigest>,
     ) -> Result<Begun, Refusal> {
         let path = format!("/{route}/x");
         self.begun += 1;
@@ -194,7 +210,7 @@
             call: Call {
                 host: HOST,
                 path: &path,
-                api_key: None,
+                api_key,
             },
             waited,
             time_left: Some(Duration::from_secs(5)),
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use threadledge_types::deployment::TenantName;
 
 use super::dispatch::Dispatch;
+use super::usage::Usage;
 use crate::proxy::answer::{AnswerBody, read_ahead, read_over};
 use crate::proxy::budget::Budget;
 use crate::proxy::headers;
@@ -30,6 +31,7 @@
     pub(super) pool: Pool,
     pub(super) budget: Budget,
     pub(super) wording: Arc<dyn Wording>,
+    pub(super) usage: Usage,
 }
 
 /// How an attempt ended, with the answer if there is one.
@@ -103,6 +105,7 @@
         if let Some(tenant) = &outbound.tenant {
             self.wording.name_tenant(&mut request, tenant);
         }
+        self.usage.asked_back_end(&attempt, request.len());
         match connection.exchange(request, deadline).await {
             Ok(response) => self.read(&attempt, &outbound, response).await,
             Err(error) => Ended::failed(fault_of(&error)),
@@ -121,6 +124,7 @@
             return Ended::failed(Fault::BadAnswer);
         }
         if let Some(reason) = head.not_run {
+            self.usage.back_end_answered(attempt, response.len());
             read_over(response.take_body_only());
             let load = head.load;
             return Ended::without_answer(AttemptEnd::NotRun { reason, load });
@@ -137,6 +141,7 @@
             Ok(body) => body,
             Err(_) => return Ended::failed(Fault::BadAnswer),
         };
+        self.usage.back_end_answered(attempt, body.len());
         response.replace_body_only(body);
         Ended {
             end: AttemptEnd::Answered {
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -8,6 +8,7 @@
 use threadledge_dispatch::{
     AttemptEnd, AttemptId, Begun, Dispatcher, ExchangeId, Refusal, RequestFacts, Step,
 };
+use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
 
 use super::suspects::{Finding, SuspectSignals};
@@ -90,6 +91,11 @@
         self.state.lock().dispatcher.is_repeatable(host, path)
     }
 
+    /// Whether nothing of a request may be kept here.
+    pub(super) fn passes_through(&self, admission: &Admission) -> bool {
+        self.state.lock().dispatcher.passes_through(admission)
+    }
+
     pub(super) fn next(&self, id: ExchangeId) -> Step {
         self.with(|dispatcher, now| dispatcher.next(now, id))
     }
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -70,6 +70,16 @@
     pub(super) fn begun(&mut self, begun: &Begun) {
         self.route = Some(begun.route.name.clone());
         self.service = Some(begun.service.clone());
+        if begun.in_transit {
+            self.forget_content();
+        }
+    }
+
+    /// Keeps nothing of what was asked for.
+    pub(super) fn forget_content(&mut self) {
+        self.path.clear();
+        self.identity = None;
+        self.key = None;
     }
 
     pub(super) fn own(&mut self, outcome: &Outcome) {
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -95,6 +95,10 @@
             Err(refusal) => return refused(&refusal, line),
         };
         line.tenant = admission.tenant().cloned();
+        let in_transit = self.attempts.dispatch.passes_through(&admission);
+        if in_transit {
+            line.forget_content();
+        }
         visit.at(Stage::Reading);
         let read = Inbound::read(request, READ_AHEAD, &self.attempts.budget);
         let mut inbound = match read.await {
@@ -114,7 +118,7 @@
             address: from,
         };
         let identity = identity::of(&inbound, sender, wording);
-        line.identity = Some(identity.request);
+        line.identity = Some(identity.request).filter(|_| !in_transit);
         let mut outbound = Outbound::new(inbound, caller.request_id);
         let facts = RequestFacts {
             method: head.method.as_ref(),
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -168,6 +168,7 @@
                 pool: pool.clone(),
                 budget: Budget::new(settings.limits.held_bytes),
                 wording: ports.wording.clone(),
+                usage: metrics.usage().clone(),
             },
             logger: RequestLogger::new(),
             metrics: metrics.clone(),
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use threadledge_types::ZoneName;
+use threadledge_types::deployment::Places;
+use threadledge_types::{RegionName, ZoneName};
 
 use crate::settings::LogSettings;
 
@@ -385,12 +386,22 @@
         Some(near.map(|(zone, _)| zone.as_str().into()).collect())
     }
 
+    /// Where this gateway is, and which zone lies in which region.
+    pub fn places(&self) -> Places {
+        let region = self.region.as_deref().map(RegionName::from);
+        let zones = self.zones.iter();
+        let regions = zones
+            .map(|(zone, region)| (zone.as_str().into(), region.as_str().into()))
+            .collect();
+        Places::new(self.zone.as_str().into(), region, regions)
+    }
+
     /// Settings of the request path.
     pub fn dispatch(&self) -> threadledge_dispatch::Settings {
         let defaults = threadledge_dispatch::Settings::default();
         let retry = &self.retry_budget;
         threadledge_dispatch::Settings {
-            zone: self.zone.as_str().into(),
+            places: self.places(),
             retry_ratio: retry.ratio * RATIO_PART,
             retry_slack: (retry.slack * SLACK_PART)
                 .floor()
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -1,5 +1,6 @@
 //! Counts what this gateway costs beside its requests: calls to the platform's
-//! store, and bytes to and from other gateways. Operators pay for both.
+//! store, and bytes to and from back ends and other gateways. Operators pay for
+//! them; bytes between regions are the dearest.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use threadledge_coordination::action::{
     Condition, Freshness, ReadResult, StoreRevision, WriteResult,
 };
+use threadledge_dispatch::Attempt;
 use threadledge_ports::{Call, Changes, Collection, Listing, Ports, RecordStore, StoreError};
 
 /// The counters. Clones share them.
@@ -15,6 +17,8 @@
 pub struct Usage {
     calls: IntCounterVec,
     peer_bytes: IntCounterVec,
+    back_end_bytes: IntCounterVec,
+    back_end_requests: IntCounterVec,
 }
 
 impl Usage {
@@ -38,9 +42,30 @@
             ),
             &["message", "direction"],
         )?;
+        let back_end_bytes = IntCounterVec::new(
+            Opts::new(
+                "threadledge_gateway_back_end_bytes_total",
+                "Bytes of bodies to and from back ends",
+            ),
+            &["distance", "choice", "direction"],
+        )?;
+        let back_end_requests = IntCounterVec::new(
+            Opts::new(
+                "threadledge_gateway_back_end_requests_total",
+                "Requests sent to back ends, repeats included",
+            ),
+            &["distance", "choice"],
+        )?;
         registry.register(Box::new(calls.clone()))?;
         registry.register(Box::new(peer_bytes.clone()))?;
-        Ok(Usage { calls, peer_bytes })
+        registry.register(Box::new(back_end_bytes.clone()))?;
+        registry.register(Box::new(back_end_requests.clone()))?;
+        Ok(Usage {
+            calls,
+            peer_bytes,
+            back_end_bytes,
+            back_end_requests,
+        })
     }
 
     /// The same ports, with every call to the store counted.
@@ -74,6 +99,34 @@
                 .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
         }
     }
+
+    /// A request goes to a back end, with a body of so many bytes if that is
+    /// known.
+    pub(super) fn asked_back_end(&self, attempt: &Attempt, bytes: Option<usize>) {
+        let labels = [attempt.distance.as_str(), choice_of(attempt)];
+        self.back_end_requests.with_label_values(&labels).inc();
+        self.count_back_end(attempt, "sent", bytes);
+    }
+
+    /// A back end answers with a body of so many bytes if that is known.
+    pub(super) fn back_end_answered(&self, attempt: &Attempt, bytes: Option<usize>) {
+        self.count_back_end(attempt, "received", bytes);
+    }
+
+    fn count_back_end(&self, attempt: &Attempt, direction: &str, bytes: Option<usize>) {
+        let Some(bytes) = bytes else {
+            return;
+        };
+        let labels = [attempt.distance.as_str(), choice_of(attempt), direction];
+        self.back_end_bytes
+            .with_label_values(&labels)
+            .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+}
+
+/// Whether there was a choice: bytes of keyed requests go where the key is.
+fn choice_of(attempt: &Attempt) -> &'static str {
+    if attempt.keyed { "owner" } else { "free" }
 }
 
 /// A collection whose calls are counted.
--- a/crates/tenants/src/admission.rs
+++ b/crates/tenants/src/admission.rs
@@ -1,7 +1,9 @@
 //! Whether a request may use its route, decided from its head alone.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use threadledge_types::RegionName;
 use threadledge_types::deployment::{
     ConfigurationVersion, KeyDigest, RateLimit, Route, TenantName,
 };
@@ -31,6 +33,18 @@
         self.caller.as_ref().and_then(|caller| caller.limit)
     }
 
+    /// The only regions in which it may be served: those that its route and
+    /// its tenant both allow; `None`: all.
+    pub fn allowed_regions(&self) -> Option<BTreeSet<RegionName>> {
+        let caller = self.caller.as_ref();
+        let tenants = caller.and_then(|caller| caller.allowed_regions.as_ref());
+        match (self.route.allowed_regions.as_ref(), tenants) {
+            (Some(route), Some(tenants)) => Some(route.intersection(tenants).cloned().collect()),
+            (Some(allowed), None) | (None, Some(allowed)) => Some(allowed.clone()),
+            (None, None) => None,
+        }
+    }
+
     /// Rank of the request; 0 goes first.
     pub fn rank(&self) -> u32 {
         rank(self.caller.as_deref(), &self.route)
--- a/crates/types/src/deployment/mod.rs
+++ b/crates/types/src/deployment/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod key;
 mod name;
+mod places;
 mod tenant;
 mod zone;
 
@@ -17,5 +18,6 @@
 };
 pub use key::{KeyRange, ShardKey};
 pub use name::{RouteName, ServiceName, TenantName};
+pub use places::{Distance, Places};
 pub use tenant::{KeyDigest, RateLimit, Tenant};
 pub use zone::DrainedZone;
