Test: a gateway of another region passes restricted requests on and keeps nothing of them

A process test: the request runs in the allowed region once, is counted by distance, and its log line has no path; a route whose region has no back end is refused at once as not run.

--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod pipelined;
 mod process;
+mod regions;
 mod relay;
 mod requests;
 mod samples;
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -96,11 +96,36 @@
     }
 
     pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Gateway {
+        Gateway::start_with(zone, name, store, [])
+    }
+
+    /// A gateway of a region that knows the region of one zone beside its own.
+    pub fn start_in_region(
+        (zone, region): (&str, &str),
+        (other, its_region): (&str, &str),
+        name: &str,
+        store: SocketAddr,
+    ) -> Gateway {
+        let places = [
+            ("Region", region.to_owned()),
+            ("Zones", String::new()),
+            ("@", other.to_owned()),
+            (".", its_region.to_owned()),
+        ];
+        Gateway::start_with(zone, name, store, places)
+    }
+
+    fn start_with<const N: usize>(
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+        places: [(&'static str, String); N],
+    ) -> Gateway {
         let own = own_address();
         let address = |port| SocketAddr::from((own, port));
         let [callers, readiness, peers, operators] = [8_081, 8_082, 8_083, 8_084].map(address);
         let text = |value: &dyn ToString| value.to_string();
-        let values: BTreeMap<&str, String> = [
+        let mut values: BTreeMap<&str, String> = [
             ("NodeName", text(&name)),
             ("Zone", text(&zone)),
             ("Listen.Front", text(&callers)),
@@ -123,6 +148,7 @@
             ("Limits.MemoryMb", "1024".to_owned()),
         ]
         .into();
+        values.extend(places);
         let file = format!("threadledge-{own}.toml");
         let settings = std::env::temp_dir().join(file);
         std::fs::write(&settings, fill(&values)).expect("settings written");
