One path between the store and a region: relays of zones follow the relay of their region

Cause: each zone's relay watched the store.

Change: where there are several regions, one gateway of a region takes a record of its region beside those of zones, and the relays of the region's other zones follow it by the same polls, held 0.2 s instead of 0.5 s. Ages add up, so the upper tier is the fresher: at most 0.625 s old, so that what a follower in a zone knows stays below 1.2 s as before, also while the region's relay is being lost; then a zone's relay watches the store at once. Who follows for a zone is always let in, not counted twice and not named to others.

Ruled out: following from region to region as well (one watch in all): a third tier is older than the bound allows, or is polled every 0.1 s over the narrow link.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -163,6 +163,11 @@
         matches!(self.state, State::Relaying(_))
     }
 
+    /// Whether a call is under way.
+    pub fn is_calling(&self) -> bool {
+        self.calling
+    }
+
     /// The gateway that is polled.
     pub fn upstream(&self) -> Option<SocketAddr> {
         match &self.state {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,8 +1,15 @@
 //! Durations of a member's life.
+//!
+//! Relays form two tiers where there are several regions: one relay of each
+//! region watches the store, the relays of its other zones follow that one, and
+//! everybody else the relay of their zone. Ages add up on the way, so that the
+//! upper tier has to be the fresher: what a follower in a zone knows is at most
+//! as old as the upper [`Settings::max_age`] and one more poll, which together
+//! stay below the lower one.
 
 use std::time::Duration;
 
-/// Durations, the same for all members of a zone.
+/// Durations, the same for all members of a zone, or of a region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Age of the store's last answer to a relay above which its followers
@@ -11,6 +18,10 @@
     /// Time between two reads of a relay, which show that the store answers
     /// it and that the record still names it.
     pub probe: Duration,
+    /// Longest time that a relay holds a poll.
+    pub hold: Duration,
+    /// Longest wait for the answer to a poll.
+    pub silence: Duration,
     /// Time between two polls of a relay that had something to tell.
     pub gather: Duration,
     /// Pause after a call to the store that was not answered.
@@ -41,6 +52,8 @@
         Settings {
             max_age: Duration::from_millis(1_200),
             probe: Duration::from_millis(500),
+            hold: Duration::from_millis(500),
+            silence: Duration::from_millis(900),
             gather: Duration::from_millis(100),
             retry: Duration::from_millis(800),
             look: Duration::from_millis(150),
@@ -52,3 +65,33 @@
         }
     }
 }
+
+impl Settings {
+    /// Of the relay of a zone, whose region has a relay of its own: that one
+    /// shows how fresh the store's answers are, and a zone's record changes
+    /// seldom.
+    pub fn below_a_region() -> Self {
+        Settings {
+            probe: Duration::from_secs(1),
+            ..Settings::default()
+        }
+    }
+
+    /// Of the relays of the zones of one region.
+    ///
+    /// A lost relay shows after one silence; until then what the zone's own
+    /// followers were told is fresh, so that none of them has to look.
+    pub fn of_a_region() -> Self {
+        Settings {
+            max_age: Duration::from_millis(625),
+            probe: Duration::from_millis(250),
+            hold: Duration::from_millis(200),
+            silence: Duration::from_millis(400),
+            gather: Duration::from_millis(50),
+            // Its zone's followers grow out of date meanwhile.
+            join: Duration::ZERO,
+            settle: Duration::ZERO,
+            ..Settings::default()
+        }
+    }
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -279,6 +279,18 @@
     RequestLetGo = 513, "request-let-go", Info,
         "A request that was held is sent to back ends again: an operator let it go, or a back end that was taken for ended answered.",
         "None.";
+    RegionRelayTaken = 540, "region-relay-taken", Info,
+        "This gateway watches the store for the relays of the other zones of its region.",
+        "None.";
+    RegionRelayPassedOn = 541, "region-relay-passed-on", Info,
+        "Another gateway of the region watches the store for the relays of its zones now.",
+        "None.";
+    RegionRelayFollowed = 542, "region-relay-followed", Info,
+        "The relay of the region tells this relay of a zone what is new in the store.",
+        "None.";
+    RegionRelayLost = 543, "region-relay-lost", Warn,
+        "The relay of the region is silent, leaving or too far behind; this relay of a zone looks for another, and watches the store itself if none serves within a moment.",
+        "None, unless it repeats: then look at the machine of that relay and its way to the store.";
     ImbalanceTooHigh = 601, "imbalance-too-high", Warn,
         "A service's imbalance stayed above what its policy tolerates for a minute.",
         "Add back ends, or raise the service's churn budget.";
--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -31,6 +31,8 @@
     pub(super) address: Option<SocketAddr>,
     /// Gateways that learn through it, itself included.
     pub(super) members: u32,
+    /// It relays for another zone of the region.
+    pub(super) for_zone: bool,
     pub(super) marks: &'a Marks,
 }
 
@@ -38,6 +40,7 @@
 struct Heard {
     at: Timestamp,
     members: u32,
+    for_zone: bool,
 }
 
 /// Serves the gateways that follow this one.
@@ -120,11 +123,26 @@
         let now = self.clock.now();
         let mut heard = self.heard.lock();
         heard.retain(|_, heard| now.since(heard.at) < FOLLOWER_SILENCE);
-        if heard.len() >= MOST_FOLLOWERS && !heard.contains_key(&from) {
-            return Err(heard.keys().copied().collect());
+        // A region has few zones; each follows its relay itself.
+        let of_zone = heard.iter().filter(|(_, heard)| !heard.for_zone);
+        let crowded = of_zone.clone().count() >= MOST_FOLLOWERS;
+        if crowded && !follower.for_zone && !heard.contains_key(&from) {
+            return Err(of_zone.map(|(follower, _)| *follower).collect());
         }
-        let members = follower.members;
-        heard.insert(from, Heard { at: now, members });
+        let members = if follower.for_zone {
+            0
+        } else {
+            follower.members
+        };
+        let for_zone = follower.for_zone;
+        heard.insert(
+            from,
+            Heard {
+                at: now,
+                members,
+                for_zone,
+            },
+        );
         Ok(())
     }
 
--- a/crates/router/src/gateway/messages.rs
+++ b/crates/router/src/gateway/messages.rs
@@ -46,6 +46,14 @@
     /// is.
     #[serde(default, skip_serializing_if = "is_false")]
     pub(super) at_once: bool,
+    /// Longest time that the answer is held, in milliseconds, where it is not
+    /// the usual one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) hold_ms: Option<u64>,
+    /// It asks as the relay of another zone of the region, which is counted
+    /// there.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(super) for_zone: bool,
 }
 
 fn one() -> u32 {
@@ -114,6 +122,7 @@
         Follower {
             address: self.from,
             members: self.members,
+            for_zone: self.for_zone,
             marks: &self.marks,
         }
     }
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -39,8 +39,6 @@
 const SUSPECTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a poll of a relay is held.
 const FOLLOW_HOLD: Duration = Duration::from_millis(500);
-/// Longest wait for a poll's answer.
-const FOLLOW_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest wait for a peer. A report that is late is worth nothing.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a peer may say nothing before connections to it at rest are
@@ -143,15 +141,14 @@
         }
     }
 
-    /// Polls a relay. `None`: it did not answer.
+    /// Polls a relay. `None`: it did not answer within `silence`.
     pub(super) async fn follow(
         &self,
         relay: SocketAddr,
         poll: &FollowPoll,
+        silence: Duration,
     ) -> Option<FollowAnswer> {
-        let polled = self
-            .client
-            .post_json(relay, FOLLOW_PATH, poll, FOLLOW_TIMEOUT);
+        let polled = self.client.post_json(relay, FOLLOW_PATH, poll, silence);
         polled.await.ok()
     }
 
@@ -278,7 +275,8 @@
         let hold = if poll.at_once {
             Duration::ZERO
         } else {
-            FOLLOW_HOLD
+            let asked = poll.hold_ms.map(Duration::from_millis);
+            asked.map_or(FOLLOW_HOLD, |asked| asked.min(FOLLOW_HOLD))
         };
         self.followers
             .answer(&self.directory, &poll.follower(), peers, hold)
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -1,5 +1,8 @@
-//! Watches the store for the other gateways of the zone, or follows the one
-//! that does: steps [`Member`] and makes the calls that it asks for.
+//! Watches the store for the other gateways of the zone, or of the region, or
+//! follows the one that does: steps [`Member`] and makes the calls that it asks
+//! for.
+
+mod tier;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,15 +24,19 @@
 use super::sources::Sources;
 use super::store_health::StoreHealth;
 use super::suspects::neighbours::Neighbours;
-use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
+pub(super) use tier::{Seat, Tier, record_of_region};
+
 /// Longest wait for a member's next step.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// One gateway's part in the relaying of its zone.
+/// One gateway's part in the relaying of its zone, or of its region.
 pub(super) struct Relaying {
-    pub(super) zone: String,
+    pub(super) tier: Tier,
+    /// Name of the record.
+    pub(super) record: String,
+    pub(super) seat: Seat,
     pub(super) member: Member,
     pub(super) ports: Ports,
     pub(super) clock: Clock,
@@ -55,36 +62,61 @@
     /// Begins; ends when this gateway leaves.
     pub(super) fn start(self) {
         self.publish();
-        task::spawn(self.run());
+        match self.tier {
+            Tier::Zone => task::spawn(self.run()),
+            Tier::Region => task::spawn(self.run_while_relay()),
+        };
     }
 
     async fn run(mut self) {
-        loop {
-            if self.followers.is_leaving() {
-                self.member.leave();
-                self.publish();
-                return;
+        while !self.followers.is_leaving() {
+            self.step().await;
+        }
+        self.member.leave();
+        self.publish();
+    }
+
+    /// Takes part in the region while this gateway relays for its zone.
+    async fn run_while_relay(mut self) {
+        while !self.followers.is_leaving() {
+            self.sources.until_relays().await;
+            self.member = self.seat.take(self.clock.now());
+            while self.sources.relays() && !self.followers.is_leaving() {
+                self.step().await;
             }
+            self.member.leave();
             self.publish();
-            self.member.set_members(self.followers.members());
-            let now = self.clock.now();
-            match self.member.poll(now) {
-                Some(Action::Read) => self.read().await,
-                Some(Action::Claim(record, condition)) => {
-                    let claim = self.ports.relays.write(&self.zone, &record, condition);
-                    let result = claim.await;
-                    self.heard_from_store(now, matches!(result, WriteResult::Accepted(_)));
-                    self.member.on_claim(self.clock.now(), result);
-                }
-                Some(Action::Follow(address)) => self.follow(now, address).await,
-                None => self.wait(now).await,
+        }
+    }
+
+    async fn step(&mut self) {
+        self.publish();
+        self.member.set_members(self.members());
+        let now = self.clock.now();
+        match self.member.poll(now) {
+            Some(Action::Read) => self.read().await,
+            Some(Action::Claim(record, condition)) => {
+                let relayed = self.member.relays();
+                let claim = self.ports.relays.write(&self.record, &record, condition);
+                let result = claim.await;
+                self.heard_from_store(now, matches!(result, WriteResult::Accepted(_)));
+                self.member.on_claim(self.clock.now(), result);
+                self.tier.tell_change(&self.record, relayed, &self.member);
             }
+            Some(Action::Follow(address)) => self.follow(now, address).await,
+            None => self.wait(now).await,
         }
     }
 
     /// Tells everyone whom it concerns where this gateway learns from.
     fn publish(&self) {
-        self.sources.set(self.member.source(self.clock.now()));
+        let source = self.member.source(self.clock.now());
+        if self.tier == Tier::Region {
+            let takes_part = self.member.next_wake().is_some() || self.member.is_calling();
+            self.sources.set_above(takes_part.then_some(source));
+            return;
+        }
+        self.sources.set(source, self.member.relays());
         self.neighbours
             .set_place(self.member.upstream(), self.member.relays());
         if let Some(fleet) = self.sources.fleet() {
@@ -93,6 +125,14 @@
         }
     }
 
+    /// Gateways that the record counts: each is counted in its zone.
+    fn members(&self) -> u32 {
+        match self.tier {
+            Tier::Zone => self.followers.members(),
+            Tier::Region => 0,
+        }
+    }
+
     async fn wait(&self, now: Timestamp) {
         let longest = now + LONGEST_WAIT;
         let wake = self.member.next_wake().unwrap_or(longest).min(longest);
@@ -111,11 +151,14 @@
         };
         self.heard_from_store(started, result != ReadResult::Failed);
         self.member.on_read(self.clock.now(), result);
-        self.tell_change(relayed);
+        self.tier.tell_change(&self.record, relayed, &self.member);
     }
 
     /// Counts the gateways of all zones; the record of this one.
     fn take_records(&self, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
+        if self.tier == Tier::Region {
+            return own_record(&self.record, entries);
+        }
         // A relay that is new has not heard of all its followers yet; the
         // record counts them as they were.
         let mut zone = self.followers.members();
@@ -126,7 +169,10 @@
             let Ok(value) = entry.value else {
                 continue;
             };
-            if entry.name == self.zone {
+            if tier::is_of_region(&entry.name) {
+                continue;
+            }
+            if entry.name == self.record {
                 zone = zone.max(value.members);
                 let revision = entry.revision;
                 own = Some(Versioned { value, revision });
@@ -150,22 +196,16 @@
         }
     }
 
-    fn tell_change(&self, relayed: bool) {
-        match (relayed, self.member.relays()) {
-            (false, true) => emit!(EventId::RelayTaken, zone = self.zone),
-            (true, false) => emit!(EventId::RelayPassedOn, zone = self.zone),
-            _ => {}
-        }
-    }
-
     async fn follow(&mut self, asked: Timestamp, address: SocketAddr) {
         let before = self.member.informant();
         let poll = FollowPoll {
             from: self.client.own(),
             marks: self.directory.marks(),
-            members: self.followers.members(),
+            members: self.members(),
             load: self.sources.take_load(),
             at_once: self.member.is_joining(),
+            hold_ms: self.tier.hold_ms(&self.seat.settings),
+            for_zone: self.tier == Tier::Region,
         };
         let polled = self.poll(address, &poll).await;
         if matches!(polled, Polled::Silent | Polled::Late) {
@@ -183,16 +223,15 @@
         let failed = followed == Followed::Failed;
         self.member.on_follow(self.clock.now(), followed);
         self.publish();
-        match (before, self.member.informant()) {
-            (None, Some(relay)) => emit!(EventId::RelayFollowed, relay = %relay),
-            (Some(relay), None) => emit!(EventId::RelayLost, relay = %relay, silent = failed),
-            _ => {}
-        }
+        self.tier
+            .tell_informant(before, self.member.informant(), failed);
     }
 
     /// Polls for as long as the member waits.
     async fn poll(&self, address: SocketAddr, poll: &FollowPoll) -> Polled {
-        let polling = self.client.follow(address, poll);
+        let polling = self
+            .client
+            .follow(address, poll, self.seat.settings.silence);
         let answer = match self.member.poll_deadline() {
             None => polling.await,
             Some(deadline) => {
@@ -258,6 +297,13 @@
     }
 }
 
+fn own_record(name: &str, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
+    let own = entries.into_iter().find(|entry| entry.name == name)?;
+    let revision = own.revision;
+    // A record that cannot be understood is written anew.
+    own.value.ok().map(|value| Versioned { value, revision })
+}
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -18,7 +18,6 @@
     serve, timer,
 };
 use threadledge_ports::Ports;
-use threadledge_relay::Member;
 use threadledge_types::{Incarnation, MachineName};
 
 use super::attempt::Attempts;
@@ -31,7 +30,7 @@
 use super::metrics::GatewayMetrics;
 use super::peers::{PeerClient, PeerServer, Peers};
 use super::readiness::{Readiness, StateAnswers};
-use super::relay::{Relaying, patience};
+use super::relay::{Relaying, Seat, Tier, patience, record_of_region};
 use super::requests::Requests;
 use super::settings::{GatewaySettings, seconds};
 use super::sources::Sources;
@@ -320,23 +319,47 @@
         events
     }
 
-    /// Follows the relay of this zone, or becomes it. A gateway that others
-    /// cannot reach watches the store itself.
+    /// Follows the relay of this zone, or becomes it, and as such follows or
+    /// becomes that of the region. A gateway that others cannot reach watches
+    /// the store itself.
     fn start_relaying(&self, directory: &Directory) {
         if self.settings.listen.peers.is_none() {
             return;
         }
+        let zone = self.settings.zone.clone();
+        let places = self.settings.places();
+        let region = places.region().filter(|_| places.has_relays_of_regions());
+        let Some(region) = region else {
+            let settings = threadledge_relay::Settings::default();
+            self.relaying(Tier::Zone, zone, settings, directory).start();
+            return;
+        };
+        let settings = threadledge_relay::Settings::below_a_region();
+        self.relaying(Tier::Zone, zone, settings, directory).start();
+        let settings = threadledge_relay::Settings::of_a_region();
+        let record = record_of_region(region);
+        self.relaying(Tier::Region, record, settings, directory)
+            .start();
+    }
+
+    fn relaying(
+        &self,
+        tier: Tier,
+        record: String,
+        settings: threadledge_relay::Settings,
+        directory: &Directory,
+    ) -> Relaying {
         let link = self.settings.limits.link_mbps;
-        let member = Member::new(
-            self.clock.now(),
-            self.identity.clone(),
-            threadledge_relay::Settings::default(),
-            patience(link, rand::random()),
-            rand::random(),
-        );
-        let relaying = Relaying {
-            zone: self.settings.zone.clone(),
-            member,
+        let seat = Seat {
+            me: self.identity.clone(),
+            settings,
+            patience: patience(link, rand::random()),
+        };
+        Relaying {
+            tier,
+            record,
+            member: seat.take(self.clock.now()),
+            seat,
             ports: self.ports.clone(),
             clock: self.clock,
             sources: self.sources.clone(),
@@ -346,8 +369,7 @@
             client: self.peer_client(),
             followers: self.followers.clone(),
             neighbours: self.suspects.neighbours.clone(),
-        };
-        relaying.start();
+        }
     }
 
     fn peer_client(&self) -> PeerClient {
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -57,7 +58,12 @@
 pub struct Sources {
     clock: Clock,
     health: Arc<StoreHealth>,
+    /// Within the zone.
     source: Mutex<Source>,
+    /// Within the region, while this gateway relays for its zone.
+    above: Mutex<Option<Source>>,
+    /// This gateway relays for its zone.
+    relays: AtomicBool,
     /// The store surely answered the relay at that time, as last told.
     told_seen: Mutex<Timestamp>,
     changed: Notifier,
@@ -73,6 +79,8 @@
             clock,
             health,
             source: Mutex::new(Source::Store),
+            above: Mutex::default(),
+            relays: AtomicBool::new(false),
             told_seen: Mutex::new(Timestamp::ZERO),
             changed: Notifier::default(),
             fleet: Mutex::default(),
@@ -81,21 +89,57 @@
         }
     }
 
-    /// Takes another source.
-    pub(super) fn set(&self, source: Source) {
-        if let Source::Relay { seen, .. } = source {
-            *self.told_seen.lock() = seen;
-        }
+    /// Takes another source within the zone.
+    pub(super) fn set(&self, source: Source, relays: bool) {
+        self.take_seen(Some(source));
         let before = std::mem::replace(&mut *self.source.lock(), source);
+        let related = self.relays.swap(relays, Ordering::Relaxed);
+        if before != source || related != relays {
+            self.changed.notify();
+        }
+    }
+
+    /// Takes another source within the region; `None`: this gateway has no
+    /// part in that.
+    pub(super) fn set_above(&self, source: Option<Source>) {
+        self.take_seen(source);
+        let before = std::mem::replace(&mut *self.above.lock(), source);
         if before != source {
             self.changed.notify();
         }
     }
 
+    fn take_seen(&self, source: Option<Source>) {
+        if let Some(Source::Relay { seen, .. }) = source {
+            *self.told_seen.lock() = seen;
+        }
+    }
+
+    /// Whether this gateway relays for its zone.
+    pub(super) fn relays(&self) -> bool {
+        self.relays.load(Ordering::Relaxed)
+    }
+
+    /// Resolves when this gateway relays for its zone.
+    pub(super) async fn until_relays(&self) {
+        loop {
+            let changed = self.changed.next();
+            if self.relays() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Where this gateway learns from now.
     pub(super) fn current(&self) -> Source {
         let now = self.clock.now();
-        let source = *self.source.lock();
+        let within_zone = *self.source.lock();
+        let above = *self.above.lock();
+        let source = match within_zone {
+            Source::Store if self.relays() => above.unwrap_or(Source::Store),
+            source => source,
+        };
         match source {
             Source::Settling { until } | Source::Joining { until } if now >= until => Source::Store,
             // The store is asked at that moment; the answer says what is next.
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -96,36 +96,21 @@
     }
 
     pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Gateway {
-        Gateway::start_with(zone, name, store, [])
+        Gateway::start_with(zone, name, store, &[])
     }
 
-    /// A gateway of a region that knows the region of one zone beside its own.
-    pub fn start_in_region(
-        (zone, region): (&str, &str),
-        (other, its_region): (&str, &str),
-        name: &str,
-        store: SocketAddr,
-    ) -> Gateway {
-        let places = [
-            ("Region", region.to_owned()),
-            ("Zones", String::new()),
-            ("@", other.to_owned()),
-            (".", its_region.to_owned()),
-        ];
-        Gateway::start_with(zone, name, store, places)
-    }
-
-    fn start_with<const N: usize>(
+    /// A gateway that knows the regions of zones, its own included.
+    pub fn start_with(
         zone: &str,
         name: &str,
         store: SocketAddr,
-        places: [(&'static str, String); N],
+        regions: &[(&str, &str)],
     ) -> Gateway {
         let own = own_address();
         let address = |port| SocketAddr::from((own, port));
         let [callers, readiness, peers, operators] = [8_081, 8_082, 8_083, 8_084].map(address);
         let text = |value: &dyn ToString| value.to_string();
-        let mut values: BTreeMap<&str, String> = [
+        let values: BTreeMap<&str, String> = [
             ("NodeName", text(&name)),
             ("Zone", text(&zone)),
             ("Listen.Front", text(&callers)),
@@ -148,10 +133,14 @@
             ("Limits.MemoryMb", "1024".to_owned()),
         ]
         .into();
-        values.extend(places);
         let file = format!("threadledge-{own}.toml");
         let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, fill(&values)).expect("settings written");
+        let mut zones = "[zones]\n".to_owned();
+        for (zone, region) in regions {
+            zones.push_str(&format!("{zone:?} = {region:?}\n"));
+        }
+        let filled = fill(&values).replace("[zones]\n", &zones);
+        std::fs::write(&settings, filled).expect("settings written");
         let process = Command::new(PROGRAM)
             .args(["gateway", "--settings"])
             .arg(&settings)
--- a/crates/router/tests/gateway/regions.rs
+++ b/crates/router/tests/gateway/regions.rs
@@ -1,11 +1,12 @@
 //! Gateways of two regions, and a route that allows one of them.
 
+use async_std::task::block_on;
 use serde_json::{Value, json};
 
 use super::process::{Ask, Gateway, World, configuration, eventually};
 
-/// The back ends are in `zone-a`, of region `home`.
-const BACK_ENDS: (&str, &str) = ("zone-a", "home");
+/// The back ends are in `zone-a`.
+const ZONES: [(&str, &str); 3] = [("zone-a", "home"), ("zone-b", "home"), ("zone-c", "away")];
 
 /// A configuration whose route for repeatable requests allows one region.
 fn allowing(version: u64, region: &str) -> Value {
@@ -14,6 +15,11 @@
     wanted
 }
 
+fn follows(gateway: &Gateway) -> Option<()> {
+    let line = "threadledge_gateway_follows_relay 1\n";
+    gateway.metrics().contains(line).then_some(())
+}
+
 fn await_version(gateway: &Gateway, version: u64) {
     let line = format!("threadledge_gateway_configuration_version {version}\n");
     eventually(|| gateway.metrics().contains(&line).then_some(()));
@@ -27,8 +33,7 @@
 #[test]
 fn request_that_must_not_leave_a_region_is_passed_on_and_not_kept() {
     let World { store, plain, .. } = &World::start();
-    let away = ("zone-b", "away");
-    let mut far = Gateway::start_in_region(away, BACK_ENDS, "router-2", store.address());
+    let mut far = Gateway::start_with("zone-c", "router-2", store.address(), &ZONES);
     far.await_ready();
     store.put("config", "main", allowing(2, "home"));
     await_version(&far, 2);
@@ -63,3 +68,29 @@
         assert!(passed_on["identity"].is_null(), "{passed_on}");
     }
 }
+
+/// Of the relays of a region's zones one watches the store; when it is lost,
+/// another does.
+#[test]
+fn relays_of_one_region_share_a_watch_of_the_store() {
+    let World { store, gateway, .. } = World::start();
+    drop(gateway);
+    let start = |zone: &str, name: &str, store| Gateway::start_with(zone, name, store, &ZONES);
+    let mut first = start("zone-a", "router-2", store.address());
+    first.await_ready();
+    eventually(|| store.get("threadledge-relays", "region.home"));
+    let door = block_on(store.open_another()).expect("another address");
+    let mut second = start("zone-b", "router-3", door.address());
+    second.await_ready();
+    eventually(|| follows(&second));
+    let watches = door.watches();
+    for version in 2..=4 {
+        store.put("config", "main", configuration(version));
+        await_version(&second, version);
+    }
+    assert_eq!(door.watches(), watches);
+    drop(first);
+    store.put("config", "main", configuration(5));
+    await_version(&second, 5);
+    eventually(|| follows(&second).is_none().then_some(()));
+}
--- a/crates/types/src/deployment/places.rs
+++ b/crates/types/src/deployment/places.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Whether the relays of the zones of a region share one: there are several
+    /// regions, and this one has several zones.
+    pub fn has_relays_of_regions(&self) -> bool {
+        let distance = |zone: &ZoneName| self.distance(zone);
+        let zones = || self.regions.keys();
+        let others = zones().any(|zone| distance(zone) == Distance::OtherRegion);
+        others && zones().any(|zone| distance(zone) == Distance::SameRegion)
+    }
+
     /// Whether a zone lies in one of the regions. One of which no region is
     /// known does not: what must not leave a region goes nowhere else by
     /// mistake.
