A relay with a fast link tells large configurations too

Cause: a configuration of more than 40 routes, or a change of more than 200 parts, was fetched from the store by each gateway. For gateways of another region every fetch crosses the link between the two: 1,900 routes are about 0.3 MB, 9 MB for 32 gateways, and what else is in that link waits behind it.

Ruled out: changes in smaller parts (the bytes stay the same); one relay of the other region for all its zones, which is part of the regions' work.

Change: what a relay tells grows with its link, 12 routes for each Mbit/s, 40 at least: followers of a relay with 200 Mbit/s get 2,400 routes within their zone, whole or as changes; those of a slow one fetch them as before.

--- a/crates/router/src/gateway/changes.rs
+++ b/crates/router/src/gateway/changes.rs
@@ -284,9 +284,15 @@
     /// The changes that lead on from `mark`, unless they are forgotten or too
     /// many.
     pub fn after(&self, mark: S::Mark) -> Option<Vec<S>> {
+        self.after_within(mark, MOST_PARTS)
+    }
+
+    /// As [`Chain::after`], with up to `most_parts` if that is more than
+    /// usual.
+    pub fn after_within(&self, mark: S::Mark, most_parts: usize) -> Option<Vec<S>> {
         let begin = self.steps.iter().position(|step| step.from() == mark)?;
         let steps: Vec<S> = self.steps.iter().skip(begin).cloned().collect();
         let parts: usize = steps.iter().map(Step::parts).sum();
-        (parts <= MOST_PARTS).then_some(steps)
+        (parts <= most_parts.max(MOST_PARTS)).then_some(steps)
     }
 }
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -57,6 +57,9 @@
     configurations_reach: StoreRevision,
     records_reach: StoreRevision,
     zones: Zones,
+    /// Routes that the link bears to be told at once; fewer than any relay
+    /// tells until it is known.
+    routes_told: usize,
 }
 
 impl Knowledge {
--- a/crates/router/src/gateway/knowledge/telling.rs
+++ b/crates/router/src/gateway/knowledge/telling.rs
@@ -7,11 +7,24 @@
 use super::super::news::{Differences, KnownRecord, Marks, News};
 use super::Knowledge;
 
-/// Routes of a configuration that is told whole; larger ones are fetched from
-/// the store, so that no relay's link carries them for every follower.
+/// Routes of a configuration that is told whole by any relay; larger ones are
+/// fetched from the store, so that no relay's link carries them for every
+/// follower.
 const MOST_ROUTES: usize = 40;
+/// Routes that a relay tells for each Mbit/s of its link. A route takes 200 to
+/// 250 bytes: 32 followers, which is as many as a relay serves, are told
+/// within 0.8 s, before they take it for silent. Fetched by 32 gateways of
+/// another region instead, 1,900 routes are 9 MB in the link between the two,
+/// 1.2 s of 60 Mbit/s (worked out from the size of a route).
+const ROUTES_PER_MBPS: f64 = 12.0;
 
 impl Knowledge {
+    /// Sets the speed of the link by which others are told, in Mbit/s.
+    pub fn set_link(&mut self, mbps: f64) {
+        // Rounds down; a link so fast that this saturates bears anything.
+        self.routes_told = (mbps * ROUTES_PER_MBPS) as usize;
+    }
+
     /// What a follower that knows what `marks` say lacks.
     pub fn differences_since(&self, marks: &Marks, now: Timestamp) -> Differences {
         let mut differences = Differences {
@@ -31,13 +44,14 @@
         if known <= marks.configuration {
             return;
         }
+        let chain = &self.configuration_changes;
         let changes = marks
             .configuration
-            .and_then(|version| self.configuration_changes.after(version));
+            .and_then(|version| chain.after_within(version, self.routes_told));
         match changes {
             Some(changes) => differences.configuration = changes,
             None => match self.configuration.as_deref() {
-                Some(known) if known.routes.len() <= MOST_ROUTES => {
+                Some(known) if known.routes.len() <= self.routes_told.max(MOST_ROUTES) => {
                     differences.whole = Some(known.clone());
                 }
                 _ => differences.fetch_configuration = true,
--- a/crates/router/src/gateway/run/following.rs
+++ b/crates/router/src/gateway/run/following.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use parking_lot::Mutex;
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::StoreRevision;
 use threadledge_ports::Collection;
@@ -11,6 +12,7 @@
 use super::super::coordination::Event;
 use super::super::directory::Directory;
 use super::super::follow::Follower;
+use super::super::knowledge::Knowledge;
 use super::super::notifier::Notifier;
 use super::super::settings::seconds;
 use super::Gateway;
@@ -26,8 +28,10 @@
     /// Follows everything that is kept in the store, and tells it to whom it
     /// concerns.
     pub(super) fn start_followers(&self, events: async_channel::Sender<Event>) -> Directory {
+        let mut knowledge = Knowledge::default();
+        knowledge.set_link(self.settings.limits.link_mbps);
         let directory = Directory {
-            knowledge: Arc::default(),
+            knowledge: Arc::new(Mutex::new(knowledge)),
             dispatch: self.dispatch.clone(),
             pool: self.pool.clone(),
             readiness: self.readiness.clone(),
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -329,6 +329,37 @@
     }
 }
 
+/// The link between two regions is shared by all: a relay whose own link bears
+/// it tells a large configuration, so that one gateway fetches it and not each.
+#[test]
+fn large_configuration_is_told_by_a_relay_whose_link_bears_it() {
+    let mut random = ChaCha8Rng::seed_from_u64(8);
+    let mut relay = samples::knowledge();
+    relay.set_link(200.0);
+    let mut small = configuration(&mut random, 5);
+    small.routes = (0..3).map(|number| route(&mut random, number)).collect();
+    let mut large = small.clone();
+    large.version = ConfigurationVersion(6);
+    let more = (3..1_900).map(|number| route(&mut random, number));
+    large.routes.extend(more);
+    let mut follower = samples::knowledge();
+    for (at, value) in [(5, small), (6, large)] {
+        let entries = vec![Entry {
+            name: "main".to_owned(),
+            revision: at,
+            value: Ok(value),
+        }];
+        relay.take_configurations(Update::Listed(Listing { entries, at }));
+        let told = relay.differences_since(&follower.marks(), NOW);
+        assert!(!told.fetch_configuration);
+        assert_eq!(told.whole.is_some(), at == 5, "then by what changed");
+        follower.take_differences(told, NOW);
+    }
+    assert_eq!(follower.marks(), relay.marks());
+    let told = relay.differences_since(&Marks::default(), NOW);
+    assert!(told.whole.is_some(), "to one that has just started");
+}
+
 fn relay_marks(found: &Versioned<OwnershipRecord>) -> Marks {
     let ownership = [("service".into(), found.revision)].into();
     Marks {
