Peers tell what changed, not everything

Cause: a gateway that the store does not answer asks two peers every 0.4 s, whichever it heard of last, also across the link between two regions. Each answer held every back end (some 70 KB for 294) as soon as one had changed, and the whole configuration. After a cut of 27 gateways that is up to 10 MB/s (worked out) at the moment when their orders and requests return.

Ruled out: asking less often (it is how a gateway that the store turns away stays within its bounds).

Change: news are the differences that followers of a relay get; only a configuration that cannot be told by changes comes whole. The reach of news ends with the back ends in them, as before.

Tests: peer_tells_what_changed_and_not_all_back_ends and news_reaches_no_further_than_what_it_tells; gateway tests 93 pass.

--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -55,39 +55,30 @@
 
     /// The relay told what changed.
     pub(super) fn take_differences(&self, told: Differences) {
-        let back_ends_told = !told.back_ends.is_empty() || !told.gone.is_empty();
-        let back_ends_told = back_ends_told || told.left.is_some() || !told.lapsed.is_empty();
-        let back_ends_told = back_ends_told || told.zones.is_some();
-        let learned = {
-            let mut knowledge = self.knowledge.lock();
-            let now = self.now();
-            let learned = knowledge.take_differences(told, now);
-            if back_ends_told {
-                self.publish_back_ends(knowledge.back_ends(now));
-            }
-            learned
-        };
+        let learned = self.learn(told);
         self.tell(learned);
     }
 
     /// Another gateway told what it knows beyond this one.
     pub(super) fn take_news(&self, news: News) {
-        let back_ends_told = news.back_ends.is_some() || news.zones.is_some();
-        let learned = {
-            let mut knowledge = self.knowledge.lock();
-            let now = self.now();
-            let learned = knowledge.take_news(news, now);
-            if back_ends_told {
-                self.publish_back_ends(knowledge.back_ends(now));
-            }
-            learned
-        };
+        let learned = self.learn(news.differences);
         if !learned.is_empty() {
             emit!(EventId::LearnedFromPeer, changes = learned.len());
         }
         self.tell(learned);
     }
 
+    fn learn(&self, told: Differences) -> Vec<Learned> {
+        let concerns_back_ends = told.concerns_back_ends();
+        let mut knowledge = self.knowledge.lock();
+        let now = self.now();
+        let learned = knowledge.take_differences(told, now);
+        if concerns_back_ends {
+            self.publish_back_ends(knowledge.back_ends(now));
+        }
+        learned
+    }
+
     pub(super) fn configurations(&self, update: Update<Configuration>) {
         let learned = self.knowledge.lock().take_configurations(update);
         self.tell(learned);
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -187,24 +187,7 @@
 
     /// Takes what another gateway knows beyond this one.
     pub fn take_news(&mut self, news: News, now: Timestamp) -> Vec<Learned> {
-        let mut learned = Vec::new();
-        if let Some(configuration) = news.configuration {
-            learned.extend(self.take_configuration(configuration));
-        }
-        if let Some(known) = news.back_ends {
-            learned.extend(self.back_ends.take_whole(known, now));
-        }
-        if let Some(zones) = news.zones {
-            learned.extend(self.zones.take_told(zones, now));
-        }
-        for known in news.ownership {
-            let found = Versioned {
-                value: known.record,
-                revision: known.revision,
-            };
-            learned.extend(self.take_record(known.service, found));
-        }
-        learned
+        self.take_differences(news.differences, now)
     }
 
     /// Takes configurations from the store; the newest that can be understood
--- a/crates/router/src/gateway/knowledge/telling.rs
+++ b/crates/router/src/gateway/knowledge/telling.rs
@@ -1,10 +1,8 @@
 //! What a gateway tells others of what it knows.
 
-use threadledge_coordination::action::StoreRevision;
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::ServiceName;
 
-use super::super::news::{Differences, KnownRecord, Marks, News};
+use super::super::news::{Differences, KnownRecord, Marks, News, Reach};
 use super::Knowledge;
 
 /// Routes of a configuration that is told whole by any relay; larger ones are
@@ -80,35 +78,22 @@
         }
     }
 
-    /// What it holds beyond `marks`.
+    /// What it holds beyond `marks`, for a gateway that the store may not
+    /// answer: a configuration whose changes cannot be told comes whole.
     pub fn news_since(&self, marks: &Marks, now: Timestamp) -> News {
-        let configuration = self
-            .configuration
-            .as_ref()
-            .filter(|known| Some(known.version) > marks.configuration)
-            .map(|known| known.as_ref().clone());
-        let later = self.back_ends.reach() > marks.back_ends;
-        let back_ends = later.then(|| self.back_ends.whole(now));
-        let later = |service: &ServiceName, revision: StoreRevision| {
-            marks
-                .ownership
-                .get(service)
-                .is_none_or(|known| revision > *known)
-        };
-        let ownership = self
-            .records
-            .iter()
-            .filter(|(service, known)| later(service, known.revision))
-            .map(|(service, known)| KnownRecord {
-                service: service.clone(),
-                revision: known.revision,
-                record: known.value.clone(),
-            });
-        News {
-            configuration,
-            back_ends,
-            ownership: ownership.collect(),
-            zones: self.zones.since(marks.zones),
+        let mut differences = self.differences_since(marks, now);
+        if std::mem::take(&mut differences.fetch_configuration) {
+            differences.whole = self.configuration.as_deref().cloned();
         }
+        let back_ends = self.back_ends.reach();
+        differences.reach = Reach {
+            back_ends: if back_ends > marks.back_ends {
+                back_ends
+            } else {
+                0
+            },
+            ..Reach::default()
+        };
+        News { differences }
     }
 }
--- a/crates/router/src/gateway/news.rs
+++ b/crates/router/src/gateway/news.rs
@@ -26,32 +26,14 @@
     pub zones: Option<StoreRevision>,
 }
 
-/// Parts of one gateway's knowledge that another does not have.
+/// Parts of one gateway's knowledge that another does not have: what changed, as
+/// far as that can be told.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(transparent)]
 pub struct News {
-    /// A later configuration.
-    pub configuration: Option<Configuration>,
-    /// Every back end, as of a later revision.
-    pub back_ends: Option<KnownBackEnds>,
-    /// Later ownership records.
-    pub ownership: Vec<KnownRecord>,
-    /// The drained zones, as of a later revision.
-    #[serde(default)]
-    pub zones: Option<KnownZones>,
-}
-
-/// Every back end as of one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct KnownBackEnds {
-    /// The revision.
-    pub at: StoreRevision,
-    /// The back ends.
-    pub back_ends: Vec<BackEnd>,
-    /// Back ends whose registration lapsed and that are awaited.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub lapsed: Vec<Lapsed>,
+    /// The parts. They reach no further than the back ends among them: whoever
+    /// asks goes on watching everything else from where it was.
+    pub differences: Differences,
 }
 
 /// A back end whose registration lapsed while the store was away, and that is
@@ -144,6 +126,12 @@
 }
 
 impl Differences {
+    /// Whether it tells anything of back ends.
+    pub fn concerns_back_ends(&self) -> bool {
+        let told = !self.back_ends.is_empty() || !self.gone.is_empty();
+        told || self.left.is_some() || !self.lapsed.is_empty() || self.zones.is_some()
+    }
+
     /// Whether there is anything to tell beside how far it reaches.
     pub fn is_empty(&self) -> bool {
         let reach = self.reach;
--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -11,7 +11,7 @@
 
 use super::follow::Update;
 use super::knowledge::Learned;
-use super::news::{Differences, KnownBackEnds, Lapsed, RevisedBackEnd};
+use super::news::{Differences, Lapsed, RevisedBackEnd};
 use super::removals::Removals;
 
 /// A back end whose registration lapsed.
@@ -138,36 +138,6 @@
         told.collect()
     }
 
-    /// Everything, for someone who knows less.
-    pub(super) fn whole(&self, now: Timestamp) -> KnownBackEnds {
-        let registered = self.registered.values();
-        KnownBackEnds {
-            at: self.reach,
-            back_ends: registered
-                .map(|known| self.told(known, now).back_end)
-                .collect(),
-            lapsed: self.told_lapsed(now),
-        }
-    }
-
-    /// Takes everything that another gateway knows, if it knows more.
-    pub(super) fn take_whole(&mut self, known: KnownBackEnds, now: Timestamp) -> Vec<Learned> {
-        if known.at <= self.reach {
-            return Vec::new();
-        }
-        let at = known.at;
-        let entries = known.back_ends.into_iter().map(|back_end| Entry {
-            name: back_end.name.as_str().to_owned(),
-            revision: at,
-            value: Ok(back_end),
-        });
-        let lapsed = known.lapsed;
-        let until = |name: &str| awaited_until(&lapsed, name, now);
-        let mut learned = self.replace(at, entries.collect(), until, now);
-        learned.extend(self.add_lapsed(lapsed, now));
-        learned
-    }
-
     /// Takes what a relay tells, which goes beyond what is known.
     pub(super) fn take_told(&mut self, told: Differences, now: Timestamp) -> Vec<Learned> {
         let at = told.reach.back_ends;
--- a/crates/router/tests/gateway/changes.rs
+++ b/crates/router/tests/gateway/changes.rs
@@ -267,7 +267,7 @@
     follower.take_differences(told, NOW);
     if fetch {
         let news = relay.news_since(&Marks::default(), NOW);
-        let value = Ok(news.configuration.expect("one is in force"));
+        let value = Ok(news.differences.whole.expect("one is in force"));
         let entry = Entry {
             name: "main".to_owned(),
             revision: 0,
--- a/crates/router/tests/gateway/knowledge.rs
+++ b/crates/router/tests/gateway/knowledge.rs
@@ -63,6 +63,37 @@
     assert_eq!(nothing, News::default());
 }
 
+/// Gateways that come back from a cut ask several peers at once, also across a
+/// narrow link: they are told what changed and not everything.
+#[test]
+fn peer_tells_what_changed_and_not_all_back_ends() {
+    let registered = |count: u64| -> Vec<_> {
+        let numbers = 1..=count;
+        let each = numbers.map(|at| entry(&format!("b-{at}"), at, back_end("b", false)));
+        each.collect()
+    };
+    let mut knowing = knowledge();
+    knowing.take_back_ends(listed(200, registered(200)), NOW);
+    let mut behind = knowledge();
+    behind.take_back_ends(listed(199, registered(199)), NOW);
+    let news = knowing.news_since(&behind.marks(), NOW);
+    assert_eq!(news.differences.back_ends.len(), 1);
+    assert_eq!(behind.take_news(news, NOW).len(), 1);
+    assert_eq!(behind.marks(), knowing.marks());
+}
+
+/// A peer may be behind the store in what it did not tell.
+#[test]
+fn news_reaches_no_further_than_what_it_tells() {
+    let mut knowing = knowledge();
+    knowing.take_configurations(listed(9, vec![entry("main", 9, configuration(7))]));
+    knowing.take_records(listed(9, Vec::new()));
+    let mut asking = knowledge();
+    let before = asking.reach();
+    asking.take_news(knowing.news_since(&asking.marks(), NOW), NOW);
+    assert_eq!(asking.reach(), before);
+}
+
 #[test]
 fn older_watch_does_not_undo_what_a_peer_told() {
     let mut knowing = knowledge();
