--- a/crates/router/tests/gateway/settings.rs
+++ b/crates/router/tests/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::process::Command;
 
 use threadledge::gateway::GatewaySettings;
+use threadledge_types::ZoneName;
 
 use super::process::PROGRAM;
 
@@ -33,6 +34,24 @@
     assert_eq!(refused(""), "");
 }
 
+/// Orders to another region may be long on their way; where zones lie in one
+/// region, nothing is far.
+#[test]
+fn zones_of_other_regions_are_far() {
+    let near = |addition: &str| {
+        let text = SOUND.replace("[listen]", &format!("{addition}\n[listen]"));
+        let settings: GatewaySettings = toml::from_str(&text).expect("sound");
+        settings.coordination().near_zones
+    };
+    assert_eq!(near(""), None);
+    assert_eq!(near("region = \"r-1\"\nzones = { zone-a = \"r-1\" }"), None);
+    let zones = "zones = { zone-a = \"r-1\", zone-b = \"r-1\", zone-c = \"r-2\" }";
+    let near = near(&format!("region = \"r-1\"\n{zones}")).expect("two regions");
+    let expected: Vec<ZoneName> = vec!["zone-a".into(), "zone-b".into()];
+    assert!(near.iter().eq(&expected), "{near:?}");
+    assert!(refused("[ownership]\nfar-order-s = 0.4").contains("far-order"));
+}
+
 #[test]
 fn unknown_fields_and_bad_values_are_named() {
     assert!(refused("colour = 1").contains("colour"));
