--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -113,9 +113,9 @@
                 }
             }
             Ok(_) => self.answered(now, order),
-            // One whose registration has gone too is expected to be silent.
             // It was counted when it became overdue.
             Err(OrderFault::NoAnswer) if was_overdue => {}
+            // One whose registration has gone too is expected to be silent.
             Err(_) if to_former_owner && !self.holders.is_registered(&order.to.name) => {}
             Err(fault) => self.given_up(now, order, order.timeout, *fault),
         }
