A break that was open holds a request once two processes ended

Change: when the second crash becomes known, here or by news, breaks of the request that are open count as crashes until their processes answer.

Ruled out as not worth it: a third look at processes that take connections and end them, which would tell a dead process behind a proxy sooner; it opens a connection for each break at a full back end.

What is left: nothing is certain when all gateways are killed 1.5 s after the first try; the gateways that start need the second crash to be certain (2.5 s) and told (0.5 s), in which four tries fit.

--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -46,6 +46,7 @@
     pub fn take_suspects(&mut self, now: Timestamp, news: &SuspectNews) -> bool {
         let new = self.suspects.take_news(news, now);
         if new {
+            self.presume_open();
             self.serve_all(now);
         }
         new
@@ -97,6 +98,22 @@
                 self.confirmed.push(Break { presumed, ..found });
             }
         }
+        self.presume_open();
+    }
+
+    /// Looks at the breaks that were open when the crash before the last became
+    /// known.
+    fn presume_open(&mut self) {
+        let open = self.unconfirmed.uncounted();
+        let last = open.filter(|found| self.suspects.crashes_of(&found.identity) >= CAREFUL_FROM);
+        let last: Vec<Break> = last.cloned().collect();
+        for mut found in last {
+            self.presume(&mut found);
+            if found.presumed {
+                self.unconfirmed
+                    .count_as_crash(&found.process, &found.identity);
+            }
+        }
     }
 
     /// Counts a break as a crash until its process answers, if the request has
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -215,6 +215,19 @@
     assert!(is_held(begin(&mut station, "safe", bad)));
 }
 
+/// It broke at a third process before anybody knew what became of the first
+/// two: it is held as soon as that is known.
+#[test]
+fn break_that_was_open_holds_a_request_once_two_processes_ended() {
+    let mut station = station();
+    let bad = identity("/unsafe/x", 1);
+    let attempts: Vec<Attempt> = (0..3).map(|_| break_one(&mut station, bad)).collect();
+    assert!(!is_held(begin(&mut station, "unsafe", bad)));
+    station.dispatcher.process_ended(&attempts[0].back_end);
+    station.dispatcher.process_ended(&attempts[1].back_end);
+    assert!(is_held(begin(&mut station, "unsafe", bad)));
+}
+
 /// The link of a process was reset: what it answers next lets the request go.
 #[test]
 fn request_held_for_a_break_is_let_go_when_the_process_answers() {
--- a/crates/suspects/src/unconfirmed.rs
+++ b/crates/suspects/src/unconfirmed.rs
@@ -70,6 +70,20 @@
             .count()
     }
 
+    /// Breaks that are open and do not count as crashes yet.
+    pub fn uncounted(&self) -> impl Iterator<Item = &Break> {
+        let open = self.breaks.values().flatten();
+        open.filter(|found| !found.presumed)
+    }
+
+    /// The break of this request at this process counts as a crash from now on.
+    pub fn count_as_crash(&mut self, process: &BackEndName, identity: &RequestIdentity) {
+        let open = self.breaks.get_mut(process).into_iter().flatten();
+        for found in open.filter(|found| found.identity == *identity) {
+            found.presumed = true;
+        }
+    }
+
     /// Processes at which an attempt broke.
     pub fn processes(&self) -> Vec<BackEndName> {
         self.breaks.keys().cloned().collect()
