What a caller does to its own body counts against no back end

Cause: a body that its caller broke off, framed wrongly or sent too slowly ended the attempt as a connection that broke at the back end: ten of them ejected a healthy one, and the attempt looked like a crash. A body that was gone when it should have been sent again (after an owner's refusal) opened connection after connection until the time was up. Ruled out: telling the caller that it was not run (some of it was sent). Change: two faults of their own, CallerBroke (unknown, blames nobody) and BodyGone (nothing was sent, ends the exchange at once).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -319,6 +319,7 @@
             deadline,
             patience_until: (started + patience).min(deadline),
             replayable: facts.replayable,
+            body_gone: false,
             next_attempt: 0,
             sent: 0,
             arrived: 0,
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -151,11 +151,15 @@
                 if *fault == Fault::NoConnection {
                     known.on_no_connection(now);
                 }
-                // A deadline says more about the request than about the back
+                // What the caller did says nothing. A deadline says more about the request than about the back
                 // end, and a connection closed before a byte left says nothing.
                 let counts = !matches!(
                     fault,
-                    Fault::TimedOut | Fault::NoConnection | Fault::NothingSent
+                    Fault::TimedOut
+                        | Fault::NoConnection
+                        | Fault::NothingSent
+                        | Fault::BodyGone
+                        | Fault::CallerBroke
                 );
                 if counts && known.on_fault(now, *fault, &self.settings) {
                     self.counters.ejections += 1;
@@ -212,6 +216,7 @@
             },
             AttemptEnd::Failed(fault) => {
                 exchange.tried.insert(in_flight.back_end.clone());
+                exchange.body_gone |= matches!(fault, Fault::BodyGone | Fault::CallerBroke);
                 if fault.may_have_run() {
                     exchange.may_have_run = Some((*fault).into());
                 }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -173,7 +173,9 @@
                     self.attempt_broke(now, id, process.clone(), silent);
                 }
             }
-            AttemptEnd::Failed(Fault::NoConnection | Fault::NothingSent)
+            AttemptEnd::Failed(
+                Fault::NoConnection | Fault::NothingSent | Fault::BodyGone | Fault::CallerBroke,
+            )
             | AttemptEnd::Abandoned => {}
         }
     }
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -44,7 +44,8 @@
         let Some(exchange) = self.exchanges.get(&id) else {
             return Step::Over;
         };
-        if exchange.sent > 0 && !exchange.may_repeat() {
+        let began = exchange.sent > 0 || exchange.body_gone;
+        if began && !exchange.may_repeat() {
             return self.finish(now, id, RefusalReason::Rejected, None);
         }
         let late = now >= exchange.patience_until;
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -39,6 +39,8 @@
     pub(crate) deadline: Timestamp,
     pub(crate) patience_until: Timestamp,
     pub(crate) replayable: bool,
+    /// Its body turned out not to be there for another attempt.
+    pub(crate) body_gone: bool,
     pub(crate) next_attempt: u32,
     /// Attempts that may have run.
     pub(crate) sent: u32,
@@ -62,7 +64,7 @@
         if self.sent >= self.route.max_attempts {
             return false;
         }
-        if self.sent > 0 && !self.replayable {
+        if self.body_gone || self.sent > 0 && !self.replayable {
             return false;
         }
         self.may_have_run.is_none() || self.route.repeatable
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -50,6 +50,12 @@
     NoConnection,
     /// A connection was open, and no byte of the request was handed to it.
     NothingSent,
+    /// The body can't be sent again, or its caller failed before any of the
+    /// request was sent.
+    BodyGone,
+    /// The caller failed to send its body after some of the request was sent.
+    /// It says nothing of the back end.
+    CallerBroke,
     /// The connection broke after some of the request was sent.
     Broken,
     /// The answer was malformed, cut short or another request's.
@@ -63,7 +69,7 @@
     pub const fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent
+            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent | Fault::BodyGone
         )
     }
 }
@@ -214,9 +220,12 @@
 impl From<Fault> for UnknownReason {
     fn from(fault: Fault) -> Self {
         match fault {
-            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent | Fault::Broken => {
-                UnknownReason::Broken
-            }
+            Fault::Unreachable
+            | Fault::NoConnection
+            | Fault::NothingSent
+            | Fault::BodyGone
+            | Fault::CallerBroke
+            | Fault::Broken => UnknownReason::Broken,
             Fault::BadAnswer => UnknownReason::BadAnswer,
             Fault::TimedOut => UnknownReason::DeadlinePassed,
         }
--- a/crates/dispatch/tests/dispatcher/outcomes.rs
+++ b/crates/dispatch/tests/dispatcher/outcomes.rs
@@ -61,6 +61,34 @@
     }
 }
 
+#[test]
+fn request_whose_body_is_gone_is_refused_at_once_if_it_did_not_run() {
+    for route in ["safe", "unsafe"] {
+        let mut station = Station::new();
+        let begun = station.begin(route).expect("admitted");
+        let first = station.send(&begun);
+        station.end(&begun, &first, not_run(Rejection::Busy));
+        let second = station.send(&begun);
+        station.end(&begun, &second, fault(Fault::BodyGone));
+        let step = station.next(&begun);
+        assert!(is_refused(&step), "{step:?}");
+    }
+}
+
+#[test]
+fn body_that_its_caller_broke_off_makes_a_request_unknown_and_blames_no_back_end() {
+    let mut station = Station::new();
+    for _ in 0..50 {
+        let begun = station.begin("safe").expect("admitted");
+        let attempt = station.send(&begun);
+        station.end(&begun, &attempt, fault(Fault::CallerBroke));
+        let step = station.next(&begun);
+        assert!(is_unknown(&step), "{step:?}");
+    }
+    let (_, ejected) = station.dispatcher.back_end_counts(station.now);
+    assert_eq!(ejected, 0);
+}
+
 #[test]
 fn safe_request_is_answered_by_another_back_end_after_a_failure() {
     for end in [
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -97,7 +97,7 @@
             return Ended::without_answer(AttemptEnd::Abandoned);
         };
         let Some(mut request) = outbound.replay.request() else {
-            return Ended::failed(Fault::NothingSent);
+            return Ended::failed(Fault::BodyGone);
         };
         let time_left = attempt.deadline.since(now).max(Duration::from_millis(1));
         self.wording
@@ -174,7 +174,9 @@
         // This router's own limit says nothing about the back end.
         (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NoConnection,
         (Stage::ConnectFailed, _) => Fault::Unreachable,
+        (Stage::NothingSent, ExchangeFault::RequestBody(_)) => Fault::BodyGone,
         (Stage::NothingSent, _) => Fault::NothingSent,
+        (_, ExchangeFault::RequestBody(_)) => Fault::CallerBroke,
         (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
         (_, ExchangeFault::Malformed(_)) => Fault::BadAnswer,
         (Stage::ResponseHead | Stage::ResponseBody, _) => Fault::BadAnswer,
