Long bodies are kept while they are passed on, within the memory of the machine

Cause: a body longer than the 64 KB read ahead could be sent once, so that a full or mistaken back end ended its request; and bodies beyond a budget of 32 MB, the same on machines of 160 MB, were passed on without any bound. Ruled out: reading bodies whole before anything is sent (nothing passes on meanwhile). Change: bodies up to 512 KB are kept while they are passed on, so that what surely did not run goes to another back end from its start; the budget is an eighth of limits.memory-mb unless limits.held-bytes is stated, with as much again for bodies passed on without being kept, and a request with a long body is refused beyond both. Two log events tell when that begins and ends. Conclusion: tests through the program (refused by a back end before the body was in, with a length and in chunks; longer than what is kept; broken off by callers; beyond the memory).

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -291,6 +291,12 @@
     RegionRelayLost = 543, "region-relay-lost", Warn,
         "The relay of the region is silent, leaving or too far behind; this relay of a zone looks for another, and watches the store itself if none serves within a moment.",
         "None, unless it repeats: then look at the machine of that relay and its way to the store.";
+    BodiesRefused = 545, "bodies-refused", Warn,
+        "There is no memory for more long bodies of requests: requests with long ones are refused with 503 until there is.",
+        "None for single times; if it repeats, add gateways, or memory and limits.memory-mb.";
+    BodiesTakenAgain = 546, "bodies-taken-again", Info,
+        "There is memory for long bodies of requests again.",
+        "None.";
     ImbalanceTooHigh = 601, "imbalance-too-high", Warn,
         "A service's imbalance stayed above what its policy tolerates for a minute.",
         "Add back ends, or raise the service's churn budget.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 pub mod backoff;
+mod bodies;
 mod calls;
 mod catch_up;
 pub mod changes;
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -9,10 +9,12 @@
 use threadledge_dispatch::{ExchangeId, Refusal, RequestFacts};
 use threadledge_net::ConnectionInfo;
 use threadledge_ports::CallerHead;
+use threadledge_types::NotRunReason;
 
 use super::admission::{Head, host_of};
 use super::answer;
 use super::attempt::{Attempts, Outbound};
+use super::bodies::{self, Bodies};
 use super::departures::{Stage, Visit};
 use super::exchange::{Conclusion, Exchange};
 use super::log::{RequestLine, RequestLogger};
@@ -31,6 +33,7 @@
     pub(super) metrics: GatewayMetrics,
     /// A planned stop has begun: connections are closed after their answers.
     pub(super) leaving: AtomicBool,
+    pub(super) bodies: Bodies,
 }
 
 /// Forgets the exchange when the request ends, however it ends.
@@ -108,6 +111,11 @@
                 return answer::own(reason.status(), reason.as_str(), None);
             }
         };
+        let Some(_room) = self.bodies.take_in(&mut inbound) else {
+            let reason = NotRunReason::Overloaded;
+            line.outcome = reason.as_str();
+            return answer::own(reason.status(), reason.as_str(), Some(bodies::RETRY_AFTER));
+        };
         let wording = self.attempts.wording.as_ref();
         // Invariant: no back end sees a caller's key or a tenant's name that
         // the caller wrote, whether keys are asked for or not.
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use threadledge_types::{Incarnation, MachineName};
 
 use super::attempt::Attempts;
+use super::bodies::Bodies;
 use super::catch_up::catch_up;
 use super::coordination::{Coordination, Event, Participation};
 use super::directory::Directory;
@@ -160,17 +161,19 @@
         let sources = Arc::new(Sources::new(clock, store_health.clone()));
         let metrics = GatewayMetrics::new(dispatch.clone(), sources.clone())?;
         let ports = metrics.usage().counting(ports);
+        let budget = Budget::new(settings.limits.held_bytes());
         let requests = Arc::new(Requests {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
                 pool: pool.clone(),
-                budget: Budget::new(settings.limits.held_bytes),
+                budget: budget.clone(),
                 wording: ports.wording.clone(),
                 usage: metrics.usage().clone(),
             },
             logger: RequestLogger::new(),
             metrics: metrics.clone(),
             leaving: AtomicBool::new(false),
+            bodies: Bodies::new(budget, settings.limits.held_bytes()),
         });
         let identity = NodeIdentity {
             node: MachineName(settings.machine.clone()),
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -172,8 +172,9 @@
 pub struct LimitSettings {
     /// Connections of callers.
     pub caller_connections: usize,
-    /// Bytes of bodies held at once.
-    pub held_bytes: usize,
+    /// Bytes of bodies held at once, and as many of bodies that are passed on
+    /// without being held; where it is not stated, an eighth of the memory each.
+    pub held_bytes: Option<usize>,
     /// Bandwidth of the machine's link, in Mbit/s: machines with fast links
     /// watch the store for the others.
     pub link_mbps: f64,
@@ -226,11 +227,17 @@
     }
 }
 
+/// Part of the memory that bodies held may take. As much again is for bodies
+/// passed on, and up to twice that lies unread in the system's buffers, which
+/// count as well; the rest is for the gateway itself.
+const HELD_PART: f64 = 0.125;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 impl Default for LimitSettings {
     fn default() -> Self {
         LimitSettings {
             caller_connections: 2_500,
-            held_bytes: 32 * 1024 * 1024,
+            held_bytes: None,
             link_mbps: 1_000.0,
             cores: 1.0,
             memory_mb: 1_024.0,
@@ -238,6 +245,15 @@
     }
 }
 
+impl LimitSettings {
+    /// Bytes of bodies held at once.
+    pub(super) fn held_bytes(&self) -> usize {
+        let part = self.memory_mb * BYTES_PER_MB * HELD_PART;
+        // A part of the memory of a machine fits into a usize.
+        self.held_bytes.unwrap_or(part as usize)
+    }
+}
+
 impl Default for TenantLimitSettings {
     fn default() -> Self {
         // What the users' deployments state that have limits.
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -14,13 +14,21 @@
 
 use super::budget::{Budget, Held, buffer_for};
 use super::headers;
+use super::kept::KeptBody;
 use super::stream::Prefixed;
 
+/// Memory that passing a body on takes, in bytes: what was read ahead of it
+/// (64 KB), what was read and not taken (64 KB at most), and what was gathered
+/// to be written (32 KB), with some room for requests and answers.
+pub(crate) const PASSING: usize = 192 * 1024;
+
 /// The request's body.
 #[derive(Debug)]
 pub(crate) enum RequestBody {
     /// Held whole: it can be sent again.
     Whole(Held),
+    /// Comes while it is sent, and is kept: it can be sent again.
+    Kept(KeptBody),
     /// Comes while it is sent: it can be sent once.
     Streamed(Body),
 }
@@ -66,6 +74,22 @@
         })
     }
 
+    /// Keeps a body that streams, as far as the budget has room for up to
+    /// `most` bytes of it.
+    pub(crate) fn keep(&mut self, most: usize, budget: &Budget) {
+        let RequestBody::Streamed(body) = &mut self.body else {
+            return;
+        };
+        let wanted = body.len().unwrap_or(most);
+        if wanted > most {
+            return;
+        }
+        if let Some(reservation) = budget.reserve(wanted + PASSING) {
+            let body = std::mem::replace(body, Body::empty());
+            self.body = RequestBody::Kept(KeptBody::new(body, wanted, reservation));
+        }
+    }
+
     /// The parts that decisions depend on.
     pub(crate) fn with_head<R>(&self, look: impl FnOnce(&RequestHead<'_>) -> R) -> R {
         let request = &self.request;
@@ -79,7 +103,7 @@
             path: url.path(),
             query: url.query(),
             headers: &headers,
-            body_replayable: matches!(self.body, RequestBody::Whole(_)),
+            body_replayable: !matches!(self.body, RequestBody::Streamed(_)),
         })
     }
 }
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 mod drive;
 pub(crate) mod headers;
 pub(crate) mod inbound;
+pub(crate) mod kept;
 mod metrics;
 mod observe;
 mod outbound;
--- a/crates/router/src/proxy/replay.rs
+++ b/crates/router/src/proxy/replay.rs
@@ -8,6 +8,7 @@
 use super::budget::Held;
 use super::headers;
 use super::inbound::{Inbound, RequestBody};
+use super::kept::KeptBody;
 
 /// What every attempt of one exchange sends, but for what is added for the
 /// one back end.
@@ -20,6 +21,8 @@
 #[derive(Debug)]
 enum ReplayBody {
     Whole(Held),
+    /// Some of it may still be coming.
+    Kept(KeptBody),
     /// Taken by the attempt that sends it. Invariant: a body that streams is
     /// sent at most once.
     Once(Mutex<Option<Body>>),
@@ -32,6 +35,7 @@
         template.remove_header(CONTENT_LENGTH);
         let body = match inbound.body {
             RequestBody::Whole(held) => ReplayBody::Whole(held),
+            RequestBody::Kept(kept) => ReplayBody::Kept(kept),
             RequestBody::Streamed(body) => ReplayBody::Once(Mutex::new(Some(body))),
         };
         Replay { template, body }
@@ -43,7 +47,7 @@
 
     /// Whether it can be sent more than once.
     pub(crate) fn is_held(&self) -> bool {
-        matches!(self.body, ReplayBody::Whole(_))
+        !matches!(self.body, ReplayBody::Once(_))
     }
 
     /// The request of one attempt; `None` when its body is gone.
@@ -54,6 +58,9 @@
             ReplayBody::Whole(held) => {
                 request.replace_body_only(Body::from_bytes(held.bytes().to_vec()));
             }
+            ReplayBody::Kept(kept) => {
+                request.replace_body_only(kept.body()?);
+            }
             ReplayBody::Once(body) => {
                 request.replace_body_only(body.lock().take()?);
             }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -23,5 +23,6 @@
 mod swallowing;
 mod template;
 mod tenants;
+mod uploads;
 mod usage;
 mod zones;
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -105,6 +105,21 @@
         name: &str,
         store: SocketAddr,
         regions: &[(&str, &str)],
+    ) -> Gateway {
+        Gateway::start_on(zone, name, store, regions, 1_024)
+    }
+
+    /// A gateway that may use so much memory, in MB.
+    pub fn start_small(name: &str, store: SocketAddr, memory_mb: u32) -> Gateway {
+        Gateway::start_on("zone-a", name, store, &[], memory_mb)
+    }
+
+    fn start_on(
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+        regions: &[(&str, &str)],
+        memory_mb: u32,
     ) -> Gateway {
         let own = own_address();
         let address = |port| SocketAddr::from((own, port));
@@ -130,7 +145,7 @@
             ("Bounds.MaxHoldS", text(&10)),
             ("Limits.LinkMbps", text(&1_000.0)),
             ("Limits.CpuShare", "1".to_owned()),
-            ("Limits.MemoryMb", "1024".to_owned()),
+            ("Limits.MemoryMb", text(&memory_mb)),
         ]
         .into();
         let file = format!("threadledge-{own}.toml");
