Suspects cross to another region once for each relay, not once for each of its zones

Cause: every zone's relay told those of all other zones of each crash, so that two regions of two zones had eight ways over the link between them. Change: the relays of the own region and one of each other region are told; where that one is not known yet, those of its zones, as before. What the records of relays say is read in one place, relay_records.rs, with tests.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -31,6 +31,7 @@
 mod readiness;
 mod registry;
 mod relay;
+pub mod relay_records;
 mod removals;
 mod requests;
 mod run;
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use threadledge_ports::{Entry, Ports};
 use threadledge_relay::{Action, Followed, Member, RelayRecord};
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::Places;
 
 use super::directory::Directory;
 use super::dispatch::Dispatch;
@@ -21,12 +22,13 @@
 use super::followers::Followers;
 use super::messages::{FollowAnswer, FollowNews, FollowPoll};
 use super::peers::PeerClient;
+use super::relay_records::Records;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
 use super::suspects::neighbours::Neighbours;
 use crate::proxy::Clock;
 
-pub(super) use tier::{Seat, Tier, record_of_region};
+pub(super) use tier::{Seat, Tier};
 
 /// Longest wait for a member's next step.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
@@ -36,6 +38,7 @@
     pub(super) tier: Tier,
     /// Name of the record.
     pub(super) record: String,
+    pub(super) places: Places,
     pub(super) seat: Seat,
     pub(super) member: Member,
     pub(super) ports: Ports,
@@ -159,36 +162,20 @@
 
     /// Counts the gateways of all zones; the record of this one.
     fn take_records(&self, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
+        let records = Records::of(entries, &self.record, &self.places);
         if self.tier == Tier::Region {
-            return own_record(&self.record, entries);
+            return records.own;
         }
-        // A relay that is new has not heard of all its followers yet; the
-        // record counts them as they were.
-        let mut zone = self.followers.members();
-        let mut fleet: u32 = 0;
-        let mut own = None;
-        let mut others = Vec::new();
-        for entry in entries {
-            let Ok(value) = entry.value else {
-                continue;
-            };
-            if tier::is_of_region(&entry.name) {
-                continue;
-            }
-            if entry.name == self.record {
-                zone = zone.max(value.members);
-                let revision = entry.revision;
-                own = Some(Versioned { value, revision });
-            } else {
-                fleet = fleet.saturating_add(value.members);
-                others.extend(value.holder.address);
-            }
-        }
-        self.neighbours.set_others(others);
+        self.neighbours.set_others(records.beside);
         if self.member.relays() {
-            self.sources.set_fleet(fleet.saturating_add(zone));
+            // A relay that is new has not heard of all its followers yet; the
+            // record counts them as they were.
+            let recorded = records.own.as_ref().map_or(0, |own| own.value.members);
+            let zone = self.followers.members().max(recorded);
+            self.sources
+                .set_fleet(records.elsewhere.saturating_add(zone));
         }
-        own
+        records.own
     }
 
     fn heard_from_store(&self, started: Timestamp, answered: bool) {
@@ -300,13 +287,6 @@
     }
 }
 
-fn own_record(name: &str, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
-    let own = entries.into_iter().find(|entry| entry.name == name)?;
-    let revision = own.revision;
-    // A record that cannot be understood is written anew.
-    own.value.ok().map(|value| Versioned { value, revision })
-}
-
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/gateway/relay/tier.rs
+++ b/crates/router/src/gateway/relay/tier.rs
@@ -9,23 +9,10 @@
 
 use threadledge_coordination::NodeIdentity;
 use threadledge_relay::{Member, Settings};
-use threadledge_types::{RegionName, Timestamp};
+use threadledge_types::Timestamp;
 
 use crate::events::{EventId, emit};
 
-/// Start of the names of regions' records, which lie beside those of zones.
-const REGION_PREFIX: &str = "region.";
-
-/// Name of the record that names the relay of a region.
-pub(in super::super) fn record_of_region(region: &RegionName) -> String {
-    format!("{REGION_PREFIX}{region}")
-}
-
-/// Whether a record names the relay of a region, and not of a zone.
-pub(super) fn is_of_region(record: &str) -> bool {
-    record.starts_with(REGION_PREFIX)
-}
-
 /// For whom a gateway relays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in super::super) enum Tier {
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -32,7 +32,8 @@
 use super::patience;
 use super::peers::{PeerClient, PeerServer, Peers};
 use super::readiness::{Readiness, StateAnswers};
-use super::relay::{Relaying, Seat, Tier, record_of_region};
+use super::relay::{Relaying, Seat, Tier};
+use super::relay_records::record_of_region;
 use super::requests::Requests;
 use super::settings::{GatewaySettings, seconds};
 use super::sources::Sources;
@@ -361,6 +362,7 @@
         Relaying {
             tier,
             record,
+            places: self.settings.places(),
             member: seat.take(self.clock.now()),
             seat,
             ports: self.ports.clone(),
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod process;
 mod regions;
 mod relay;
+mod relay_records;
 mod requests;
 mod samples;
 mod settings;
--- /dev/null
+++ b/crates/router/tests/gateway/relay_records.rs
@@ -0,0 +1,78 @@
+//! What the records of relays say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use threadledge::gateway::relay_records::{Records, record_of_region};
+use threadledge_coordination::NodeIdentity;
+use threadledge_ports::Entry;
+use threadledge_relay::RelayRecord;
+use threadledge_types::deployment::Places;
+use threadledge_types::{Incarnation, MachineName};
+
+use super::samples::entry;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn record(name: &str, holder: u16, members: u32) -> Entry<RelayRecord> {
+    let holder = NodeIdentity {
+        node: MachineName(format!("node-{holder}")),
+        incarnation: Incarnation(1),
+        address: Some(address(holder)),
+    };
+    entry(name, u64::from(members), RelayRecord { holder, members })
+}
+
+/// In zone `a` of two regions with two zones each.
+fn places() -> Places {
+    let regions = [("a", "home"), ("b", "home"), ("c", "away"), ("d", "away")];
+    let regions = regions.map(|(zone, region)| (zone.into(), region.into()));
+    Places::new("a".into(), None, BTreeMap::from(regions))
+}
+
+fn zones() -> Vec<Entry<RelayRecord>> {
+    let zones = [("a", 1, 5), ("b", 2, 6), ("c", 3, 7), ("d", 4, 8)];
+    let records = zones.map(|(zone, holder, members)| record(zone, holder, members));
+    records.into()
+}
+
+#[test]
+fn gateways_are_counted_in_their_zones_only() {
+    let mut all = zones();
+    all.push(record(&record_of_region(&"home".into()), 2, 0));
+    all.push(record(&record_of_region(&"away".into()), 3, 9));
+    let records = Records::of(all, "a", &places());
+    assert_eq!(records.elsewhere, 21);
+    let own = records.own.expect("found");
+    assert_eq!((own.value.members, own.revision), (5, 5));
+}
+
+#[test]
+fn one_relay_of_each_other_region_is_told() {
+    let mut all = zones();
+    all.push(record(&record_of_region(&"home".into()), 1, 0));
+    all.push(record(&record_of_region(&"away".into()), 4, 0));
+    let records = Records::of(all, "a", &places());
+    assert_eq!(records.beside, [address(2), address(4)]);
+}
+
+#[test]
+fn relays_of_all_zones_are_told_of_a_region_without_a_relay_of_its_own() {
+    let records = Records::of(zones(), "a", &places());
+    assert_eq!(records.beside, [address(2), address(3), address(4)]);
+    let one_region = Places::new("a".into(), None, BTreeMap::new());
+    let records = Records::of(zones(), "a", &one_region);
+    assert_eq!(records.beside, [address(2), address(3), address(4)]);
+}
+
+#[test]
+fn record_of_the_region_is_found_by_its_name() {
+    let name = record_of_region(&"home".into());
+    let mut all = zones();
+    assert_eq!(Records::of(all.clone(), &name, &places()).own, None);
+    all.push(record(&name, 2, 0));
+    let own = Records::of(all, &name, &places()).own.expect("found");
+    assert_eq!(own.value.holder.address, Some(address(2)));
+}
