Soak: callers that send several requests before they read an answer

Cause: no caller of the soak sent the next request before the answer to the one before, so that neither the order of answers nor what becomes of requests behind a close was looked at under faults.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -14,9 +14,9 @@
 use crate::check::{Answer, Seen};
 
 /// How long a caller waits for an answer.
-const DEADLINE: Duration = Duration::from_millis(2_000);
+pub(crate) const DEADLINE: Duration = Duration::from_millis(2_000);
 /// Added for the answer to come.
-const MARGIN: Duration = Duration::from_millis(600);
+pub(crate) const MARGIN: Duration = Duration::from_millis(600);
 /// Pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: (u64, u64) = (5, 40);
 
@@ -130,7 +130,11 @@
         let key = rng.random::<u16>();
         let seen = ask(&client, to, kind, &id, key).await;
         history.lock().push(seen);
-        let pause = rng.random_range(PAUSE_MS.0..PAUSE_MS.1);
-        timer::sleep(Duration::from_millis(pause)).await;
+        timer::sleep(pause(&mut rng)).await;
     }
 }
+
+/// A pause of a caller.
+pub(crate) fn pause(rng: &mut ChaCha8Rng) -> Duration {
+    Duration::from_millis(rng.random_range(PAUSE_MS.0..PAUSE_MS.1))
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fault;
 pub mod ownership;
 pub mod peers;
+pub mod pipelined;
 pub mod process;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::check::{self, Answer, Violation};
 use crate::crashing;
 use crate::fault::{self, Choice, Fault, Kind};
+use crate::pipelined;
 use crate::world::{Size, World};
 
 /// Time for everything to come up, and to come to rest after the faults.
@@ -194,13 +195,21 @@
     ) -> Vec<task::JoinHandle<()>> {
         let gateways = self.world.gateways.iter();
         let addresses: Vec<_> = gateways.map(|gateway| gateway.callers).collect();
-        (0..CALLERS)
-            .map(|number| {
-                let to = addresses.clone();
-                let (history, stop) = (history.clone(), stop.clone());
-                task::spawn(caller::call(number, seed, to, history, stop))
-            })
-            .collect()
+        let one_by_one = (0..CALLERS).map(|number| {
+            let (history, stop) = (history.clone(), stop.clone());
+            task::spawn(caller::call(number, seed, addresses.clone(), history, stop))
+        });
+        let ahead = (0..pipelined::CALLERS).map(|number| {
+            let (history, stop) = (history.clone(), stop.clone());
+            task::spawn(pipelined::call(
+                number,
+                seed,
+                addresses.clone(),
+                history,
+                stop,
+            ))
+        });
+        one_by_one.chain(ahead).collect()
     }
 
     fn start_crashing(&self, options: &Options, stop: &StopSignal) -> Vec<task::JoinHandle<()>> {
