--- /dev/null
+++ b/crates/net/examples/pipelined.rs
@@ -0,0 +1,66 @@
+//! How long a caller waits for requests that it sends all at once, with and
+//! without requests that run side by side.
+//!
+//! ```sh
+//! cargo run --release -p threadledge-net --example pipelined
+//! ```
+
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Request, Response};
+use threadledge_net::{
+    ConnectionInfo, Instant, ServerLimits, SideBySide, StopSignal, serve, timer,
+};
+
+/// Work of one request.
+const WORK: Duration = Duration::from_millis(50);
+/// Requests sent at once.
+const AT_ONCE: usize = 8;
+
+fn main() -> std::io::Result<()> {
+    task::block_on(async {
+        for requests_ahead in [0, ServerLimits::default().requests_ahead] {
+            let took = measure(requests_ahead).await?;
+            println!("{requests_ahead} ahead: {AT_ONCE} requests of {WORK:?} in {took:?}");
+        }
+        Ok(())
+    })
+}
+
+async fn measure(requests_ahead: usize) -> std::io::Result<Duration> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let stop = StopSignal::new();
+    let handler = SideBySide {
+        handler: |_request: Request, _connection: ConnectionInfo| async {
+            timer::sleep(WORK).await;
+            Response::new(200)
+        },
+        rule: |_request: &Request| true,
+    };
+    let limits = ServerLimits {
+        requests_ahead,
+        ..ServerLimits::default()
+    };
+    let server = task::spawn(serve(listener, limits, stop.clone(), handler));
+    let mut caller = TcpStream::connect(address).await?;
+    let start = Instant::now();
+    let requests = "GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(AT_ONCE);
+    caller.write_all(requests.as_bytes()).await?;
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    while text.matches("\r\n\r\n").count() < AT_ONCE {
+        let count = caller.read(&mut buffer).await?;
+        if count == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    let took = start.elapsed();
+    stop.stop();
+    server.await;
+    Ok(took)
+}
