Large answers of the store are read on, and a list is left once a relay tells

Cause: after all gateways had started again, those of the region away from the store each listed the configuration (1,900 routes, 0.3 MB) over the link between the regions.

Ruled out: longer time-outs (a silent store is noticed later by everybody); waiting for a relay before the first list (each start takes longer).

A list that has not come is left when a relay tells of the collection, and the watch goes on from there.

Tests: a_large_answer_is_read_on_beyond_the_time_for_its_head, a_large_answer_that_stops_coming_is_given_up, list_that_does_not_come_is_left_once_a_relay_tells; tests of net's client (9), platform (15) and following pass.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -16,6 +16,18 @@
 
 pub use crate::client_error::{ClientError, RequestError};
 
+/// Bytes read at once of an answer that may be large.
+const PART_BYTES: usize = 16 * 1024;
+
+/// How long the body of an answer that may be large may take.
+#[derive(Clone, Copy, Debug)]
+pub struct LargePace {
+    /// Longest time in which nothing comes.
+    pub pause: Duration,
+    /// Longest time for all of it.
+    pub longest: Duration,
+}
+
 /// Pooled HTTP client. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -73,6 +85,27 @@
         Ok(convert::response_to_http(&response, body).map_err(RequestError::from)?)
     }
 
+    /// As [`HttpClient::send`], for answers that may be large: `timeout` bounds
+    /// the time to the answer's head, and `pace` the time for its body. What
+    /// comes slowly over a full link is read on: asked for again from the
+    /// beginning it would fill that link once more.
+    pub async fn send_for_large(
+        &self,
+        to: SocketAddr,
+        request: http::Request<Vec<u8>>,
+        timeout: Duration,
+        pace: LargePace,
+    ) -> Result<http::Response<Vec<u8>>, ClientError> {
+        let request =
+            convert::request_to_http_types(request, &to.to_string()).map_err(RequestError::from)?;
+        let head_deadline = Instant::now() + timeout;
+        let sent = self.pool.exchange_stream(to, request, head_deadline).await;
+        let mut response = sent.map_err(ClientError::from_exchange)?;
+        let body = response.take_body();
+        let body = self.read_large(to, body, pace).await?;
+        Ok(convert::response_to_http(&response, body).map_err(RequestError::from)?)
+    }
+
     /// Gets `path` and reads the answer line by line, each line one JSON
     /// value, for as long as the peer sends. `timeout` bounds the time to the
     /// answer's head only.
@@ -124,6 +157,36 @@
         Ok((response, body))
     }
 
+    async fn read_large(
+        &self,
+        from: SocketAddr,
+        mut body: Body,
+        pace: LargePace,
+    ) -> Result<Vec<u8>, ClientError> {
+        let limit = self.max_body_bytes();
+        let longest = Instant::now() + pace.longest;
+        let mut bytes = Vec::new();
+        let mut part = vec![0; PART_BYTES];
+        loop {
+            let deadline = longest.min(Instant::now() + pace.pause);
+            let read = match timer::timeout_at(deadline, body.read(&mut part)).await {
+                Err(timer::Elapsed) => return Err(ClientError::late(from)),
+                Ok(Err(error)) => return Err(ClientError::from_body(from, error)),
+                Ok(Ok(read)) => read,
+            };
+            if read == 0 {
+                return Ok(bytes);
+            }
+            bytes.extend_from_slice(&part[..read]);
+            if bytes.len() as u64 > limit {
+                return Err(ClientError::AnswerTooLarge {
+                    address: from,
+                    limit,
+                });
+            }
+        }
+    }
+
     async fn read_body(
         &self,
         from: SocketAddr,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,7 +22,7 @@
 mod wire;
 
 pub use body::{BodyFault, LEAST_BODY_BYTES_PER_SECOND};
-pub use client::{ClientError, HttpClient};
+pub use client::{ClientError, HttpClient, LargePace};
 pub use head::LARGEST_HEAD;
 pub use instant::Instant;
 pub use json_lines::JsonLines;
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -6,12 +6,13 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
-use futures::future::{Either, select};
+use futures::future::{Either, join, select};
 use http_types::{Request, Response};
 use serde::{Deserialize, Serialize};
 use support::{SAFETY, TestServer, peer_with_script, quick_limits, within};
-use threadledge_net::{ClientError, ConnectionInfo, HttpClient, PoolSettings};
+use threadledge_net::{ClientError, ConnectionInfo, HttpClient, LargePace, PoolSettings, timer};
 
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Number {
@@ -110,6 +111,60 @@
     assert!(matches!(error, ClientError::Body(_)), "{error}");
 }
 
+/// A large answer over a full link comes slowly; to ask for it again would fill
+/// the link once more.
+#[async_std::test]
+async fn a_large_answer_is_read_on_beyond_the_time_for_its_head() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (go_on, may_go_on) = async_std::channel::bounded(1);
+    async_std::task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n12";
+        stream.write_all(head).await.unwrap();
+        may_go_on.recv().await.unwrap();
+        stream.write_all(b"34").await.unwrap();
+    });
+    let head_time = Duration::from_secs(1);
+    let pace = LargePace {
+        pause: SAFETY,
+        longest: SAFETY,
+    };
+    let request = http::Request::get("/").body(Vec::new()).unwrap();
+    let client = HttpClient::default();
+    let answer = client.send_for_large(address, request, head_time, pace);
+    let late = async {
+        timer::sleep(head_time).await;
+        go_on.send(()).await.unwrap();
+    };
+    let (answer, ()) = join(answer, late).await;
+    assert_eq!(answer.unwrap().body(), b"1234");
+}
+
+#[async_std::test]
+async fn a_large_answer_that_stops_coming_is_given_up() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n12";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = async_std::task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        let mut rest = Vec::new();
+        // Ends when the client leaves, in order or not.
+        let _ = stream.read_to_end(&mut rest).await;
+    });
+    let pace = LargePace {
+        pause: Duration::from_millis(20),
+        longest: SAFETY,
+    };
+    let request = http::Request::get("/").body(Vec::new()).unwrap();
+    let client = HttpClient::default();
+    let answer = client.send_for_large(address, request, SAFETY, pace).await;
+    let given_up = matches!(answer, Err(ClientError::Timeout { sent: true, .. }));
+    assert!(given_up, "{answer:?}");
+    peer.await;
+}
+
 #[async_std::test]
 async fn an_answer_above_the_limit_is_refused() {
     let client = HttpClient::new(PoolSettings {
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -72,6 +72,14 @@
     reach: Box<dyn Fn() -> StoreRevision + Send + Sync>,
 }
 
+/// How following begins.
+enum Begun<T> {
+    /// The store listed everything, or failed.
+    Listed(Result<Listing<T>, StoreError>),
+    /// A relay tells; everything is known up to this revision.
+    Told(StoreRevision),
+}
+
 /// How a watch ended.
 enum Watched<T> {
     /// A relay tells what is new.
@@ -117,7 +125,7 @@
 
     /// Lets the watch rest while a relay tells what is new. `reach` says up
     /// to which revision the collection is known.
-    pub(super) fn relayed(
+    pub fn relayed(
         mut self,
         sources: Arc<Sources>,
         reach: impl Fn() -> StoreRevision + Send + Sync + 'static,
@@ -136,17 +144,50 @@
             None => Freshness::Linearizable,
         };
         loop {
-            let listed = self.collection.list(freshness).await;
-            match listed {
-                Ok(listing) => {
+            match self.list_or_told(freshness).await {
+                Begun::Told(at) => {
+                    self.answered();
+                    freshness = Freshness::Linearizable;
+                    self.watch(at, &mut tell).await;
+                }
+                Begun::Listed(Ok(listing)) => {
                     freshness = Freshness::Linearizable;
                     self.answered();
                     let at = listing.at;
                     tell(Update::Listed(listing));
                     self.watch(at, &mut tell).await;
                 }
-                Err(error) => self.failed(&error).await,
+                Begun::Listed(Err(error)) => self.failed(&error).await,
+            }
+        }
+    }
+
+    /// Lists the collection, unless a relay tells of it before the list is
+    /// here. Over a full link to another region lists of many gateways held
+    /// each other up for 17 s after all had started again.
+    async fn list_or_told(&self, freshness: Freshness) -> Begun<T> {
+        let listing = self.collection.list(freshness);
+        let told = pin!(self.until_told());
+        match select(listing, told).await {
+            Either::Left((listed, _)) => Begun::Listed(listed),
+            Either::Right((at, _)) => Begun::Told(at),
+        }
+    }
+
+    /// Resolves when a relay tells of the collection; the revision up to which
+    /// it is known then.
+    async fn until_told(&self) -> StoreRevision {
+        let Some(relay) = &self.relay else {
+            return pending().await;
+        };
+        loop {
+            relay.sources.until_relayed().await;
+            let at = (relay.reach)();
+            if at > 0 {
+                return at;
             }
+            // Nobody tells when the relay itself has learned.
+            timer::sleep(FIRST_PAUSE).await;
         }
     }
 
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -74,7 +74,7 @@
 
 impl Sources {
     /// A gateway that watches the store itself.
-    pub(crate) fn new(clock: Clock, health: Arc<StoreHealth>) -> Self {
+    pub fn new(clock: Clock, health: Arc<StoreHealth>) -> Self {
         Sources {
             clock,
             health,
@@ -90,7 +90,7 @@
     }
 
     /// Takes another source within the zone.
-    pub(super) fn set(&self, source: Source, relays: bool) {
+    pub fn set(&self, source: Source, relays: bool) {
         self.take_seen(Some(source));
         let before = std::mem::replace(&mut *self.source.lock(), source);
         let related = self.relays.swap(relays, Ordering::Relaxed);
--- a/crates/router/tests/gateway/follow.rs
+++ b/crates/router/tests/gateway/follow.rs
@@ -9,9 +9,12 @@
 use parking_lot::Mutex;
 use threadledge::gateway::backoff::Backoff;
 use threadledge::gateway::follow::{Follower, Update};
+use threadledge::gateway::sources::Sources;
 use threadledge::gateway::store_health::StoreHealth;
+use threadledge::proxy::Clock;
 use threadledge_coordination::action::Freshness;
 use threadledge_ports::{Call, Changes, Collection, Entry, Listing, StoreError};
+use threadledge_relay::Source;
 use threadledge_types::Timestamp;
 
 /// Of the back ends' registrations.
@@ -211,3 +214,36 @@
     assert_eq!([(); 2].map(|()| following.told_at()), [3, 4]);
     task::block_on(answering.cancel());
 }
+
+/// After all gateways had started again, those of one region listed the
+/// configuration at once over a full link and gave it up together, for 17 s,
+/// while the relay that one of them followed could have told them.
+#[test]
+fn list_that_does_not_come_is_left_once_a_relay_tells() {
+    let clock = Clock::start();
+    let health = Arc::new(StoreHealth::new(HEARTBEAT));
+    let sources = Arc::new(Sources::new(clock, health.clone()));
+    let (asked_sender, asked) = async_channel::unbounded();
+    let collection = Arc::new(Scripted {
+        replies: Mutex::new([Reply::Silence].into()),
+        asked: asked_sender,
+    });
+    let (looked_sender, looked) = async_channel::unbounded();
+    let reach = move || {
+        let _ = looked_sender.try_send(());
+        7
+    };
+    let follower = Follower::new("test", collection, health, WAIT);
+    let follower = follower.relayed(sources.clone(), reach);
+    task::spawn(follower.run(|_| {}));
+    let next = || task::block_on(asked.recv()).expect("asked");
+    assert_eq!(next(), "list");
+    let relay = Source::Relay {
+        until: clock.now() + Duration::from_secs(600),
+        seen: clock.now(),
+    };
+    sources.set(relay, false);
+    task::block_on(looked.recv()).expect("it looks how far that goes");
+    sources.set(Source::Store, false);
+    assert_eq!(next(), "long watch after 7");
+}
