Tenants: whether keys are sure, from whom, and for how long

Cause: a gateway that the store turns away or that is cut off cannot tell a key that was added since from one that nobody holds, and goes on taking keys that were taken away; nothing said so.

Change: peers that are asked in the store's place say how old what they know is. The request path is told until when keys were surely in force; after bounds.revoke-s without that, unknown keys get 503 keys-out-of-date in place of 401, and with bounds.fail-closed known ones too. A version from the store in which two tenants share a key is malformed: the last good one stays. Keys of a version are counted as taken and added.

Ruled out: 401 from a gateway that may be behind (a client does not come back after one); a clock of its own for keys (what the relays and peers tell is as fresh as the store's own word).

Tests: virtual time for the bounds; the real program while the store turns a gateway away in its relay's zone and alone in another, restart without a configuration, alone with and without fail-closed, shared key, and a search for keys in log, metrics, operators' answers and peers' news.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -18,7 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::{LoadReport, OwnershipView};
 use threadledge_suspects::{Break, Suspects, Unconfirmed};
-use threadledge_tenants::{Admission, Caller, KeyIndex};
+use threadledge_tenants::{Admission, Caller, KeyChanges, KeyIndex};
 use threadledge_types::deployment::{
     BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
 };
@@ -71,6 +71,8 @@
     routes: RouteTable,
     /// The tenants of the configuration by their keys.
     keys: KeyIndex,
+    /// The keys that are known were surely in force then.
+    keys_confirmed: Timestamp,
     dealers: HashMap<RouteName, Dealer>,
     /// Draws where dealers and turns begin, apart from the draws of choices.
     starts: ChaCha8Rng,
@@ -110,6 +112,7 @@
             configuration: None,
             routes: RouteTable::default(),
             keys: KeyIndex::default(),
+            keys_confirmed: Timestamp::ZERO,
             dealers: HashMap::new(),
             starts,
             cold_rates: BTreeMap::new(),
@@ -201,19 +204,25 @@
     /// Puts a configuration in force, unless a later one is.
     ///
     /// Invariant: within one life, no configuration is followed by an older.
-    pub fn set_configuration(&mut self, now: Timestamp, configuration: Arc<Configuration>) -> bool {
+    ///
+    /// What became of callers' keys; `None`: a later configuration is in force.
+    pub fn set_configuration(
+        &mut self,
+        now: Timestamp,
+        configuration: Arc<Configuration>,
+    ) -> Option<KeyChanges> {
         if Some(configuration.version) <= self.configuration_version() {
-            return false;
+            return None;
         }
         self.routes = RouteTable::of(&configuration);
-        self.follow_keys(&configuration);
+        let keys = self.follow_keys(&configuration);
         self.cold_rates = self.settings.cold_rates(&configuration);
         let routes = &configuration.routes;
         self.dealers
             .retain(|name, _| routes.iter().any(|route| route.name == *name));
         self.configuration = Some(configuration);
         self.serve_all(now);
-        true
+        Some(keys)
     }
 
     /// Takes the back ends that are registered now. Returns addresses at
@@ -274,7 +283,7 @@
     }
 
     fn start(&mut self, now: Timestamp, facts: &RequestFacts<'_>) -> Result<Begun, Refusal> {
-        let admission = self.admitted(&facts.call)?;
+        let admission = self.admitted(now, &facts.call)?;
         let rank = admission.rank();
         let allowed_regions = admission.allowed_regions();
         let Admission { route, caller, .. } = admission;
--- a/crates/dispatch/src/dispatcher/admitting.rs
+++ b/crates/dispatch/src/dispatcher/admitting.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use threadledge_tenants::{Admission, Denied, admit};
-use threadledge_types::deployment::Configuration;
+use threadledge_tenants::{Admission, Caller, Denied, KeyChanges, admit};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{Configuration, KeyDigest};
 
 use super::{Dispatcher, refusal};
 use crate::outcome::{Refusal, RefusalReason};
@@ -16,8 +17,8 @@
     /// # Errors
     ///
     /// The refusal with which the request is answered at once.
-    pub fn admission(&mut self, call: &Call<'_>) -> Result<Admission, Refusal> {
-        let admission = self.admitted(call);
+    pub fn admission(&mut self, now: Timestamp, call: &Call<'_>) -> Result<Admission, Refusal> {
+        let admission = self.admitted(now, call);
         if let Err(refusal) = &admission {
             self.counters.begun += 1;
             self.count_refusal(refusal);
@@ -30,7 +31,18 @@
         self.keys.len()
     }
 
-    pub(super) fn admitted(&self, call: &Call<'_>) -> Result<Admission, Refusal> {
+    /// The keys that are known were surely in force at `at`: the store said so
+    /// then, to this router or to one that told it.
+    pub fn confirm_keys(&mut self, at: Timestamp) {
+        self.keys_confirmed = self.keys_confirmed.max(at);
+    }
+
+    /// The tenant that holds a key, by the configuration in force.
+    pub fn holder(&self, key: &KeyDigest) -> Option<&Caller> {
+        self.keys.find(key).map(AsRef::as_ref)
+    }
+
+    pub(super) fn admitted(&self, now: Timestamp, call: &Call<'_>) -> Result<Admission, Refusal> {
         let Some(configuration) = &self.configuration else {
             return Err(refusal(RefusalReason::NoConfiguration));
         };
@@ -39,7 +51,14 @@
         };
         let asks_keys = !configuration.tenants.is_empty();
         let caller = admit(&self.keys, asks_keys, route, call.api_key);
-        let caller = caller.map_err(|denied| refusal(reason(denied)))?;
+        let unsure = self.keys_unsure(now);
+        let caller = match caller {
+            Err(Denied::UnknownKey) if unsure => Err(RefusalReason::KeysOutOfDate),
+            Err(denied) => Err(reason(denied)),
+            Ok(Some(_)) if unsure && self.settings.fail_closed => Err(RefusalReason::KeysOutOfDate),
+            Ok(caller) => Ok(caller),
+        };
+        let caller = caller.map_err(refusal)?;
         let admission = Admission {
             version: configuration.version,
             route: route.clone(),
@@ -52,16 +71,23 @@
         Ok(admission)
     }
 
+    /// Whether it is too long since it was sure which keys are known.
+    pub fn keys_unsure(&self, now: Timestamp) -> bool {
+        let unconfirmed = now.since(self.keys_confirmed);
+        let keys_last = self.settings.keys_last;
+        keys_last.is_some_and(|keys_last| unconfirmed > keys_last)
+    }
+
     pub(super) fn count_refusal(&mut self, refusal: &Refusal) {
         *self.counters.refused.entry(refusal.reason).or_default() += 1;
     }
 
     /// Goes on to the keys of a later configuration.
-    pub(super) fn follow_keys(&mut self, later: &Configuration) {
+    pub(super) fn follow_keys(&mut self, later: &Configuration) -> KeyChanges {
         let none = BTreeMap::new();
         let known = self.configuration.as_ref();
         let known = known.map_or(&none, |known| &known.tenants);
-        self.keys.follow(known, &later.tenants);
+        self.keys.follow(known, &later.tenants)
     }
 }
 
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -114,6 +114,8 @@
     MissingApiKey,
     /// The caller shows a key that no tenant holds.
     UnknownApiKey,
+    /// Nobody has confirmed for too long which keys are known.
+    KeysOutOfDate,
     /// The service is divided by key and the request has none.
     MissingKey,
     /// No back end of the service can be used.
@@ -135,11 +137,12 @@
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 12] = [
+    pub const ALL: [RefusalReason; 13] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::MissingApiKey,
         RefusalReason::UnknownApiKey,
+        RefusalReason::KeysOutOfDate,
         RefusalReason::MissingKey,
         RefusalReason::NoBackEnd,
         RefusalReason::NoOwner,
@@ -157,6 +160,7 @@
             RefusalReason::NoRoute => "no-route",
             RefusalReason::MissingApiKey => "missing-api-key",
             RefusalReason::UnknownApiKey => "unknown-api-key",
+            RefusalReason::KeysOutOfDate => "keys-out-of-date",
             RefusalReason::MissingKey => "missing-key",
             RefusalReason::NoBackEnd => "no-back-end",
             RefusalReason::NoOwner => "no-owner",
@@ -177,6 +181,7 @@
             // Nothing has run; the request is proper, and is in the wrong place.
             RefusalReason::OutsideRegions => 421,
             RefusalReason::NoConfiguration
+            | RefusalReason::KeysOutOfDate
             | RefusalReason::NoBackEnd
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -45,6 +45,12 @@
     pub cold_overage: f64,
     /// Requests that a cold back end may get in any second besides.
     pub cold_slack: f64,
+    /// How long callers' keys are sure that nobody has confirmed since; after
+    /// that an unknown one may have been added. `None`: they are always sure.
+    pub keys_last: Option<Duration>,
+    /// Known keys that are not sure are refused as well: they may have been
+    /// taken away.
+    pub fail_closed: bool,
     /// How long a back end that cannot be reached is left alone at first.
     pub ejection_first: Duration,
     /// How long it is left alone at the most.
@@ -68,6 +74,8 @@
             connections_per_back_end: 8,
             cold_overage: 1.5,
             cold_slack: 8.0,
+            keys_last: None,
+            fail_closed: false,
             ejection_first: Duration::from_millis(300),
             ejection_longest: Duration::from_secs(3),
         }
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -9,3 +9,4 @@
 mod regions;
 mod schedules;
 mod support;
+mod tenants;
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -135,6 +135,7 @@
         let now = self.now;
         self.dispatcher
             .set_configuration(now, Arc::new(configuration))
+            .is_some()
     }
 
     pub fn publish(&mut self) {
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -279,6 +279,15 @@
     RequestLetGo = 513, "request-let-go", Info,
         "A request that was held is sent to back ends again: an operator let it go, or a back end that was taken for ended answered.",
         "None.";
+    TenantKeysChanged = 520, "tenant-keys-changed", Info,
+        "A configuration in force took callers' keys away or added some; the line has its version and the numbers.",
+        "None.";
+    KeysUnsure = 521, "tenant-keys-unsure", Warn,
+        "For longer than bounds.revoke-s neither the store nor another gateway has confirmed which callers' keys there are. Unknown keys get 503 in place of 401; where bounds.fail-closed is set, so do known ones.",
+        "Look at the way from this gateway to the store and to the other gateways.";
+    KeysSure = 522, "tenant-keys-sure", Info,
+        "It is known again which callers' keys there are.",
+        "None.";
     RegionRelayTaken = 540, "region-relay-taken", Info,
         "This gateway watches the store for the relays of the other zones of its region.",
         "None.";
--- a/crates/router/src/gateway/admission.rs
+++ b/crates/router/src/gateway/admission.rs
@@ -49,6 +49,6 @@
     ///
     /// The refusal with which it is answered at once.
     pub(super) fn admit(&self, dispatch: &Dispatch) -> Result<Admission, Refusal> {
-        dispatch.with(|dispatcher, _now| dispatcher.admission(&self.call()))
+        dispatch.with(|dispatcher, now| dispatcher.admission(now, &self.call()))
     }
 }
--- a/crates/router/src/gateway/catch_up.rs
+++ b/crates/router/src/gateway/catch_up.rs
@@ -32,19 +32,24 @@
         }
         timer::sleep(INTERVAL).await;
         if health.is_lost() || sources.waiting() {
-            ask(&directory, &client, turn).await;
+            ask(&directory, &client, &sources, turn).await;
             turn += ASKED_AT_ONCE;
         }
     }
 }
 
 /// Asks the next peers in turn.
-async fn ask(directory: &Directory, client: &PeerClient, turn: usize) {
+async fn ask(directory: &Directory, client: &PeerClient, sources: &Sources, turn: usize) {
     let peers = client.latest();
     let chosen = peers.iter().cycle().skip(turn % peers.len().max(1));
     for peer in chosen.take(ASKED_AT_ONCE.min(peers.len())) {
+        let asked = sources.now();
         if let Some(news) = client.news(*peer, &directory.marks()).await {
+            let age = news.age_ms.map(Duration::from_millis);
             directory.take_news(news);
+            if let Some(age) = age {
+                sources.confirm(asked, age);
+            }
         }
     }
 }
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use threadledge_coordination::{OwnershipRecord, OwnershipView};
 use threadledge_net::{Pool, timer};
+use threadledge_tenants::KeyChanges;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
 
@@ -211,7 +212,8 @@
     }
 
     fn configuration(&self, configuration: Arc<Configuration>) {
-        self.dispatch
+        let keys = self
+            .dispatch
             .with(|dispatcher, now| dispatcher.set_configuration(now, configuration.clone()));
         self.readiness.configured();
         emit!(
@@ -220,6 +222,15 @@
             routes = configuration.routes.len(),
             services = configuration.services.len(),
         );
+        if let Some(changes) = keys.filter(|changes| *changes != KeyChanges::default()) {
+            emit!(
+                EventId::TenantKeysChanged,
+                version = configuration.version.0,
+                tenants = configuration.tenants.len(),
+                taken = changes.taken,
+                added = changes.added,
+            );
+        }
         self.send(Event::Configuration(configuration));
     }
 
--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -146,6 +146,11 @@
         Ok(())
     }
 
+    /// Time since what this gateway knows was surely so.
+    pub(super) fn age(&self) -> Duration {
+        self.clock.now().since(self.sources.confirmed())
+    }
+
     /// The followers themselves.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
@@ -178,6 +183,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -13,6 +13,7 @@
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::{StoreRevision, Versioned};
 use threadledge_ports::{Change, Entry, Listing, Malformed};
+use threadledge_tenants::shared_key;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone, ServiceName};
 use threadledge_types::{Timestamp, ZoneName};
 
@@ -198,7 +199,10 @@
         let entries = put_entries(update).into_iter();
         entries
             .filter_map(|entry| match entry.value {
-                Ok(configuration) => self.take_configuration(configuration),
+                Ok(configuration) => match check_tenants(&configuration) {
+                    Ok(()) => self.take_configuration(configuration),
+                    Err(malformed) => Some(Learned::Malformed(malformed)),
+                },
                 Err(malformed) => Some(Learned::Malformed(malformed)),
             })
             .collect()
@@ -263,6 +267,20 @@
     }
 }
 
+/// Nobody could say whose callers show a key that two tenants hold: the last
+/// configuration without such a key stays.
+fn check_tenants(configuration: &Configuration) -> Result<(), Malformed> {
+    let Some((one, other)) = shared_key(&configuration.tenants) else {
+        return Ok(());
+    };
+    let version = configuration.version;
+    let problem = format!(
+        "in version {version} of the configuration the tenants {one} and {other} share a key; \
+         take it from one of them"
+    );
+    Err(Malformed { problem })
+}
+
 /// Objects of an update that are there.
 fn put_entries<T>(update: Update<T>) -> Vec<Entry<T>> {
     match update {
--- a/crates/router/src/gateway/knowledge/telling.rs
+++ b/crates/router/src/gateway/knowledge/telling.rs
@@ -94,6 +94,9 @@
             },
             ..Reach::default()
         };
-        News { differences }
+        News {
+            differences,
+            age_ms: None,
+        }
     }
 }
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -40,6 +40,8 @@
     back_ends: IntGauge,
     ejected: IntGauge,
     configuration: IntGauge,
+    tenants: IntGauge,
+    keys: IntGauge,
     attempts: IntGauge,
     repeats: IntGauge,
     hedges: IntGauge,
@@ -153,6 +155,8 @@
             back_ends: gauge("back_ends", "Back ends that are registered")?,
             ejected: gauge("back_ends_ejected", "Back ends that are left alone")?,
             configuration: gauge("configuration_version", "Configuration in force")?,
+            tenants: gauge("tenants", "Tenants of the configuration in force")?,
+            keys: gauge("tenant_keys", "Callers' keys that are known")?,
             attempts: gauge("attempts", "Attempts made")?,
             repeats: gauge("repeats", "Attempts beyond the first")?,
             hedges: gauge("hedges", "Attempts beside one without an answer")?,
@@ -183,6 +187,9 @@
             self.ejected.set(ejected as i64);
             self.configuration
                 .set(version.map_or(0, |version| version.0 as i64));
+            let tenants = dispatcher.configuration().map(|each| each.tenants.len());
+            self.tenants.set(tenants.unwrap_or(0) as i64);
+            self.keys.set(dispatcher.keys() as i64);
             self.attempts.set(counters.attempts as i64);
             self.repeats.set(counters.repeats as i64);
             self.hedges.set(counters.hedges as i64);
--- a/crates/router/src/gateway/news.rs
+++ b/crates/router/src/gateway/news.rs
@@ -29,11 +29,15 @@
 /// Parts of one gateway's knowledge that another does not have: what changed, as
 /// far as that can be told.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(rename_all = "kebab-case")]
 pub struct News {
     /// The parts. They reach no further than the back ends among them: whoever
     /// asks goes on watching everything else from where it was.
     pub differences: Differences,
+    /// Time since all this was surely so, in milliseconds, as far as whoever
+    /// tells it knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
 }
 
 /// A back end whose registration lapsed while the store was away, and that is
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -21,7 +21,7 @@
 use super::answer;
 use super::coordination::Event;
 use super::directory::Directory;
-use super::followers::Followers;
+use super::followers::{Followers, millis};
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::news::{Marks, News};
 use super::suspects::SuspectService;
@@ -242,7 +242,7 @@
                 Err(_) => answer::own(400, "malformed-poll", None),
             },
             (Method::Post, NEWS_PATH) => match serde_json::from_slice::<Marks>(body) {
-                Ok(marks) => answer::json(&self.directory.news_since(&marks)),
+                Ok(marks) => answer::json(&self.news_since(&marks)),
                 Err(_) => answer::own(400, "malformed-marks", None),
             },
             (Method::Post, SUSPECTS_PATH) => match serde_json::from_slice(body) {
@@ -253,6 +253,15 @@
         }
     }
 
+    fn news_since(&self, marks: &Marks) -> News {
+        // Before the news: what comes in between makes them younger.
+        let age = self.followers.age();
+        News {
+            age_ms: Some(millis(age)),
+            ..self.directory.news_since(marks)
+        }
+    }
+
     fn take_suspects(&self, exchange: &SuspectExchange) -> SuspectNews {
         let source = exchange.from.map_or(String::new(), |from| from.to_string());
         // A relay that is new is told in turn before the store names it here.
--- a/crates/router/src/gateway/readiness.rs
+++ b/crates/router/src/gateway/readiness.rs
@@ -10,7 +10,9 @@
 use threadledge_ports::Wording;
 
 use super::answer;
+use super::dispatch::Dispatch;
 use super::metrics::GatewayMetrics;
+use super::operate_keys;
 use super::suspects::SuspectService;
 use crate::events::{EventId, emit};
 use crate::metrics::Metrics;
@@ -76,6 +78,8 @@
     pub(super) wording: Arc<dyn Wording>,
     /// Requests that are held, where operators ask.
     pub(super) suspects: Option<SuspectService>,
+    /// Whose callers' keys are, where operators ask.
+    pub(super) keys: Option<Arc<Dispatch>>,
 }
 
 impl StateAnswers {
@@ -105,7 +109,9 @@
             return self.metrics_text();
         }
         let suspects = self.suspects.as_ref();
-        let operated = suspects.and_then(|suspects| suspects.operate(request));
+        let held = suspects.and_then(|suspects| suspects.operate(request));
+        let keys = self.keys.as_ref();
+        let operated = held.or_else(|| operate_keys::operate(keys?, request));
         operated.unwrap_or_else(|| answer::own(404, "unknown-path", None))
     }
 
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -27,6 +27,7 @@
 use super::directory::Directory;
 use super::dispatch::Dispatch;
 use super::followers::Followers;
+use super::key_watch::watch_keys;
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::patience;
@@ -230,6 +231,7 @@
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
+        task::spawn(watch_keys(self.dispatch.clone(), self.sources.clone()));
         task::spawn(catch_up(
             directory,
             self.peer_client(),
@@ -241,12 +243,13 @@
             metrics: self.metrics.clone(),
             wording: self.ports.wording.clone(),
             suspects: None,
+            keys: None,
         };
         task::spawn(answers.clone().serve(listeners.readiness, ended.clone()));
         if let Some(listener) = listeners.operators {
-            let suspects = Some(self.suspects.clone());
             let answers = StateAnswers {
-                suspects,
+                suspects: Some(self.suspects.clone()),
+                keys: Some(self.dispatch.clone()),
                 ..answers
             };
             task::spawn(answers.serve(listener, ended.clone()));
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -426,6 +426,8 @@
             retry_window: seconds(retry.window_s),
             cold_overage: self.bounds.cold_overage,
             cold_slack: self.bounds.cold_slack,
+            keys_last: Some(seconds(self.bounds.revoke_s)),
+            fail_closed: self.bounds.fail_closed,
             ..defaults
         }
     }
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -66,6 +66,9 @@
     relays: AtomicBool,
     /// The store surely answered the relay at that time, as last told.
     told_seen: Mutex<Timestamp>,
+    /// What this gateway knows was surely so at that time, as other gateways
+    /// told it while the store did not answer.
+    told_confirmed: Mutex<Timestamp>,
     changed: Notifier,
     fleet: Mutex<Fleet>,
     leases: Mutex<BTreeMap<ServiceName, Versioned<CoordinatorLease>>>,
@@ -82,6 +85,7 @@
             above: Mutex::default(),
             relays: AtomicBool::new(false),
             told_seen: Mutex::new(Timestamp::ZERO),
+            told_confirmed: Mutex::new(Timestamp::ZERO),
             changed: Notifier::default(),
             fleet: Mutex::default(),
             leases: Mutex::default(),
@@ -171,6 +175,26 @@
         }
     }
 
+    /// The steady clock.
+    pub(super) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// A peer that was asked at `asked` told everything that it knows, and
+    /// that it was so an `age` before.
+    pub(super) fn confirm(&self, asked: Timestamp, age: Duration) {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let at = Timestamp::from_micros(asked.as_micros().saturating_sub(micros));
+        let mut confirmed = self.told_confirmed.lock();
+        *confirmed = confirmed.max(at);
+    }
+
+    /// What this gateway knows was surely so at that time, whoever said it:
+    /// the store, a relay, or a peer that was asked in their place.
+    pub(super) fn confirmed(&self) -> Timestamp {
+        self.seen().max(*self.told_confirmed.lock())
+    }
+
     /// Gateways of the deployment, roughly, if it is known.
     pub(super) fn fleet(&self) -> Option<u32> {
         self.fleet.lock().gateways()
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -36,6 +36,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
 }
 
 impl World {
@@ -99,19 +100,30 @@
         Gateway::start_with(zone, name, store, &[])
     }
 
-    /// A gateway that knows the regions of zones, its own included.
+    /// The same with more values for the template.
     pub fn start_with(
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+        more: &[(&'static str, &str)],
+    ) -> Gateway {
+        Gateway::start_on(zone, name, store, &[], more)
+    }
+
+    /// A gateway that knows the regions of zones, its own included.
+    pub fn start_in_region(
         zone: &str,
         name: &str,
         store: SocketAddr,
         regions: &[(&str, &str)],
     ) -> Gateway {
-        Gateway::start_on(zone, name, store, regions, 1_024)
+        Gateway::start_on(zone, name, store, regions, &[])
     }
 
     /// A gateway that may use so much memory, in MB.
     pub fn start_small(name: &str, store: SocketAddr, memory_mb: u32) -> Gateway {
-        Gateway::start_on("zone-a", name, store, &[], memory_mb)
+        let memory = memory_mb.to_string();
+        Gateway::start_with("zone-a", name, store, &[("Limits.MemoryMb", &memory)])
     }
 
     fn start_on(
@@ -119,13 +131,13 @@
         name: &str,
         store: SocketAddr,
         regions: &[(&str, &str)],
-        memory_mb: u32,
+        more: &[(&'static str, &str)],
     ) -> Gateway {
         let own = own_address();
         let address = |port| SocketAddr::from((own, port));
         let [callers, readiness, peers, operators] = [8_081, 8_082, 8_083, 8_084].map(address);
         let text = |value: &dyn ToString| value.to_string();
-        let values: BTreeMap<&str, String> = [
+        let mut values: BTreeMap<&str, String> = [
             ("NodeName", text(&name)),
             ("Zone", text(&zone)),
             ("Listen.Front", text(&callers)),
@@ -145,9 +157,11 @@
             ("Bounds.MaxHoldS", text(&10)),
             ("Limits.LinkMbps", text(&1_000.0)),
             ("Limits.CpuShare", "1".to_owned()),
-            ("Limits.MemoryMb", text(&memory_mb)),
+            ("Limits.MemoryMb", "1024".to_owned()),
         ]
         .into();
+        let more = more.iter();
+        values.extend(more.map(|(name, value)| (*name, (*value).to_owned())));
         let file = format!("threadledge-{own}.toml");
         let settings = std::env::temp_dir().join(file);
         let mut zones = "[zones]\n".to_owned();
@@ -168,6 +182,7 @@
             callers,
             readiness,
             operators,
+            peers,
         }
     }
 
@@ -186,9 +201,12 @@
     }
 
     pub fn metrics(&self) -> String {
-        let request = http::Request::get("/metrics")
-            .body(Vec::new())
-            .expect("valid");
+        self.operated("/metrics")
+    }
+
+    /// What operators see on a path.
+    pub fn operated(&self, path: &str) -> String {
+        let request = http::Request::get(path).body(Vec::new()).expect("valid");
         let client = HttpClient::default();
         let answer = block_on(client.send(self.operators, request, TIMEOUT)).expect("an answer");
         String::from_utf8(answer.into_body()).expect("text")
--- a/crates/router/tests/gateway/regions.rs
+++ b/crates/router/tests/gateway/regions.rs
@@ -33,7 +33,7 @@
 #[test]
 fn request_that_must_not_leave_a_region_is_passed_on_and_not_kept() {
     let World { store, plain, .. } = &World::start();
-    let mut far = Gateway::start_with("zone-c", "router-2", store.address(), &ZONES);
+    let mut far = Gateway::start_in_region("zone-c", "router-2", store.address(), &ZONES);
     far.await_ready();
     store.put("config", "main", allowing(2, "home"));
     await_version(&far, 2);
@@ -75,7 +75,7 @@
 fn relays_of_one_region_share_a_watch_of_the_store() {
     let World { store, gateway, .. } = World::start();
     drop(gateway);
-    let start = |zone: &str, name: &str, store| Gateway::start_with(zone, name, store, &ZONES);
+    let start = |zone: &str, name: &str, store| Gateway::start_in_region(zone, name, store, &ZONES);
     let mut first = start("zone-a", "router-2", store.address());
     first.await_ready();
     eventually(|| store.get("threadledge-relays", "region.home"));
--- a/crates/router/tests/gateway/tenants.rs
+++ b/crates/router/tests/gateway/tenants.rs
@@ -1,9 +1,13 @@
 //! Callers with keys of tenants, through the real program.
 
+use async_std::task::block_on;
 use http::Response;
-use threadledge_platform_stand_in::{StandInBackEnd, with_tenants};
+use serde_json::{Value, json};
+use threadledge_net::HttpClient;
+use threadledge_platform_stand_in::{Fault, StandInBackEnd, StandInStore, with_tenants};
+use threadledge_types::deployment::KeyDigest;
 
-use super::process::{Ask, Gateway, World, configuration, eventually};
+use super::process::{Ask, Gateway, TIMEOUT, World, configuration, eventually};
 
 const ALPHA: &str = "alpha-key-one";
 const BETA: &str = "beta-key-one";
@@ -114,3 +118,184 @@
     assert_eq!(ask.send(&world.gateway).status(), 200);
     assert_eq!(seen(&world, ask.id), (None, None));
 }
+
+/// Status of the answer to a request with a key.
+fn status(gateway: &Gateway, api_key: &str) -> u16 {
+    let ask = Ask {
+        api_key: Some(api_key),
+        ..Ask::default()
+    };
+    ask.send(gateway).status().as_u16()
+}
+
+/// Takes the first key of `alpha` away.
+fn take_away(store: &StandInStore, version: u64) {
+    let alpha = ("alpha", &["alpha-key-two"][..], None);
+    let tenants = [alpha, ("beta", &[BETA], None)];
+    let wanted = with_tenants(configuration(version), &tenants);
+    store.put("config", "main", wanted);
+}
+
+#[test]
+fn key_that_is_taken_away_is_refused_and_the_others_go_on() {
+    let world = start();
+    assert_eq!(status(&world.gateway, ALPHA), 200);
+    take_away(&world.store, 3);
+    eventually(|| (status(&world.gateway, ALPHA) == 401).then_some(()));
+    assert_eq!(status(&world.gateway, "alpha-key-two"), 200);
+    assert_eq!(status(&world.gateway, BETA), 200);
+}
+
+/// The store turns a gateway away and serves the others: one of its zone that
+/// relays, or, where it is alone in its zone, any other one.
+#[test]
+fn gateway_that_the_store_turns_away_hears_from_others_of_a_key_taken_away() {
+    for zone in ["zone-a", "zone-b"] {
+        let world = start();
+        let door = block_on(world.store.open_another()).expect("another address");
+        let mut away = Gateway::start_in(zone, "router-2", door.address());
+        away.await_ready();
+        eventually(|| (status(&away, ALPHA) == 200).then_some(()));
+        door.set_fault(Fault::Busy);
+        take_away(&world.store, 3);
+        eventually(|| (status(&away, ALPHA) == 401).then_some(()));
+        assert_eq!(status(&away, BETA), 200);
+    }
+}
+
+#[test]
+fn gateway_that_restarts_takes_no_key_before_it_knows_a_configuration() {
+    let world = start();
+    let door = block_on(world.store.open_another()).expect("another address");
+    door.set_fault(Fault::Silent);
+    let away = Gateway::start_in("zone-c", "router-3", door.address());
+    eventually(|| away.readiness());
+    for api_key in [Some(ALPHA), Some("gamma-key"), None] {
+        let ask = Ask {
+            api_key,
+            ..Ask::default()
+        };
+        let answer = ask.send(&away);
+        assert_eq!(answer.status(), 503, "{}", text(&answer));
+    }
+    door.set_fault(Fault::None);
+    eventually(|| (status(&away, ALPHA) == 200).then_some(()));
+    eventually(|| (status(&away, "gamma-key") == 401).then_some(()));
+}
+
+/// Alone and without the store nobody can say which keys there are.
+#[test]
+fn gateway_that_hears_of_nobody_is_unsure_of_keys_and_refuses_all_if_it_fails_closed() {
+    for (more, known) in [
+        (&[("Bounds.RevokeS", "3")][..], 200),
+        (
+            &[("Bounds.RevokeS", "3"), ("Bounds.FailClosed", "true")],
+            503,
+        ),
+    ] {
+        let world = start();
+        let door = block_on(world.store.open_another()).expect("another address");
+        let mut alone = Gateway::start_with("zone-b", "router-2", door.address(), more);
+        alone.await_ready();
+        eventually(|| (status(&alone, ALPHA) == 200).then_some(()));
+        eventually(|| (status(&alone, "gamma-key") == 401).then_some(()));
+        door.set_fault(Fault::Silent);
+        let World { gateway, .. } = world;
+        drop(gateway);
+        eventually(|| (status(&alone, "gamma-key") == 503).then_some(()));
+        assert_eq!(status(&alone, ALPHA), known);
+        door.set_fault(Fault::None);
+        eventually(|| (status(&alone, "gamma-key") == 401).then_some(()));
+        eventually(|| (status(&alone, ALPHA) == 200).then_some(()));
+    }
+}
+
+#[test]
+fn version_in_which_two_tenants_share_a_key_changes_nothing() {
+    let mut world = start();
+    let alpha = ("alpha", &[ALPHA, BETA][..], None);
+    let shared = with_tenants(configuration(3), &[alpha, ("beta", &[BETA], None)]);
+    world.store.put("config", "main", shared);
+    take_away(&world.store, 4);
+    eventually(|| (status(&world.gateway, ALPHA) == 401).then_some(()));
+    assert_eq!(status(&world.gateway, BETA), 200);
+    world.gateway.await_ready();
+    world.gateway.signal("-TERM");
+    let (_, log) = world.gateway.finish();
+    let problem = log
+        .iter()
+        .find_map(|line| line["problem"].as_str())
+        .expect("it was said");
+    assert!(problem.contains("alpha and beta share a key"), "{problem}");
+    assert!(!problem.contains(BETA));
+}
+
+#[test]
+fn operators_look_a_key_up_by_its_digest() {
+    let world = start();
+    let state = |key: &str| {
+        let digest = serde_json::to_value(KeyDigest::of(key.as_bytes())).expect("written");
+        let digest = digest.as_str().expect("text").to_owned();
+        let path = format!("/threadledge/v1/keys/{digest}");
+        let text = world.gateway.operated(&path);
+        serde_json::from_str::<Value>(&text).expect("JSON")
+    };
+    let held = state(BETA);
+    assert_eq!(held["tenant"], "beta");
+    assert_eq!(held["version"], 2);
+    assert_eq!(held["unsure"], false);
+    assert_eq!(state("gamma-key")["tenant"], Value::Null);
+    let wrong = world.gateway.operated("/threadledge/v1/keys/beta-key-one");
+    assert_eq!(wrong, "digest-is-64-hex-digits-of-sha-256\n");
+}
+
+/// Everything that a gateway writes, serves and tells others while callers
+/// show good, bad and lost keys, searched for the keys.
+#[test]
+fn no_key_stands_in_anything_that_a_gateway_writes_or_tells() {
+    let world = start();
+    let door = block_on(world.store.open_another()).expect("another address");
+    let mut second = Gateway::start_named("router-2", door.address());
+    second.await_ready();
+    let keys = [ALPHA, "alpha-key-two", BETA, "gamma-key"];
+    for gateway in [&world.gateway, &second] {
+        for key in keys {
+            status(gateway, key);
+        }
+        Ask::default().send(gateway);
+    }
+    take_away(&world.store, 3);
+    eventually(|| (status(&second, ALPHA) == 401).then_some(()));
+    for back_end in &world.plain {
+        back_end.set_behaviour(threadledge_platform_stand_in::Behaviour::Full);
+    }
+    for key in keys {
+        status(&second, key);
+    }
+    let mut told = second.metrics();
+    told += &second.operated("/threadledge/v1/held");
+    told += &second.operated("/threadledge/v1/keys/gamma-key");
+    let marks = json!({"configuration": null, "back-ends": 0, "ownership": {}});
+    let news = http::Request::post("/threadledge/v1/news")
+        .body(marks.to_string().into_bytes())
+        .expect("valid");
+    let client = HttpClient::default();
+    let news = block_on(client.send(second.peers, news, TIMEOUT)).expect("an answer");
+    assert_eq!(news.status(), 200);
+    let news = text(&news);
+    assert!(news.contains("beta"), "the tenants are told: {news}");
+    second.signal("-TERM");
+    let (_, log) = second.finish();
+    let log: String = log.iter().map(|line| format!("{line}\n")).collect();
+    assert!(log.contains("unknown-api-key"), "{log}");
+    assert!(log.contains("tenant-keys-changed"), "{log}");
+    for key in keys {
+        let digest = serde_json::to_value(KeyDigest::of(key.as_bytes())).expect("written");
+        let digest = digest.as_str().expect("text");
+        for (place, text) in [("told", &told), ("news", &news), ("log", &log)] {
+            assert!(!text.contains(key), "{key} stands in {place}: {text}");
+            let tells = place != "news" && text.contains(digest);
+            assert!(!tells, "the digest of {key} stands in {place}");
+        }
+    }
+}
--- a/crates/tenants/src/index.rs
+++ b/crates/tenants/src/index.rs
@@ -40,6 +40,16 @@
     callers: HashMap<KeyDigest, Arc<Caller>>,
 }
 
+/// How many keys a version took away and added; one that went from a tenant
+/// to another counts as both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeyChanges {
+    /// Keys that count no more.
+    pub taken: usize,
+    /// Keys that count from now on.
+    pub added: usize,
+}
+
 impl KeyIndex {
     /// The tenant that holds a key.
     pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Caller>> {
@@ -62,25 +72,34 @@
         &mut self,
         old: &BTreeMap<TenantName, Tenant>,
         new: &BTreeMap<TenantName, Tenant>,
-    ) {
+    ) -> KeyChanges {
+        let mut changes = KeyChanges::default();
         // Keys are taken away before any is added: one may go from a tenant
         // to another.
         for (name, tenant) in old {
-            if new.get(name) == Some(tenant) {
+            let later = new.get(name);
+            if later == Some(tenant) {
                 continue;
             }
             for key in &tenant.keys {
                 self.callers.remove(key);
+                let kept = later.is_some_and(|later| later.keys.contains(key));
+                changes.taken += usize::from(!kept);
             }
         }
         for (name, tenant) in new {
-            if old.get(name) == Some(tenant) {
+            let before = old.get(name);
+            if before == Some(tenant) {
                 continue;
             }
             let caller = Arc::new(Caller::new(name, tenant));
-            let keys = tenant.keys.iter();
-            self.callers.extend(keys.map(|key| (*key, caller.clone())));
+            for key in &tenant.keys {
+                self.callers.insert(*key, caller.clone());
+                let held = before.is_some_and(|before| before.keys.contains(key));
+                changes.added += usize::from(!held);
+            }
         }
+        changes
     }
 }
 
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -7,4 +7,4 @@
 mod index;
 
 pub use admission::{Admission, Denied, admit, rank};
-pub use index::{Caller, KeyIndex, shared_key};
+pub use index::{Caller, KeyChanges, KeyIndex, shared_key};
--- a/crates/tenants/tests/tenants.rs
+++ b/crates/tenants/tests/tenants.rs
@@ -105,11 +105,13 @@
     let old = tenants(&[("a", &["1", "2"]), ("b", &["3"]), ("c", &["4"])]);
     let new = tenants(&[("a", &["2"]), ("b", &["1", "3", "5"]), ("d", &["4"])]);
     let mut index = index(&old);
-    index.follow(&old, &new);
+    let changes = index.follow(&old, &new);
+    assert_eq!((changes.taken, changes.added), (2, 3));
     let holders = ["1", "2", "3", "4", "5"].map(|key| holder(&index, key));
     let expected = ["b", "a", "b", "d", "b"].map(|name| Some(name.to_owned()));
     assert_eq!(holders, expected);
-    index.follow(&new, &tenants(&[("a", &[])]));
+    let changes = index.follow(&new, &tenants(&[("a", &[])]));
+    assert_eq!((changes.taken, changes.added), (5, 0));
     assert!(index.is_empty());
 }
 
--- a/crates/types/src/deployment/tenant.rs
+++ b/crates/types/src/deployment/tenant.rs
@@ -49,8 +49,10 @@
         KeyDigest(Sha256::digest(key).into())
     }
 
-    fn parse(text: &str) -> Option<Self> {
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+    /// The digest that `text` writes in hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 2 * DIGEST_BYTES || !digits {
             return None;
         }
         let mut digest = [0; DIGEST_BYTES];
