Soak: pipelined callers write their requests as the stand-in does

Cause: they wrote the platform's header names themselves, outside the adapter and its stand-ins, which the test of names forbids.

Change: the stand-in's caller gives the bytes of a request; the burst is made of those. The checks are the same.

--- a/crates/soak/src/pipelined.rs
+++ b/crates/soak/src/pipelined.rs
@@ -6,9 +6,11 @@
 use async_std::io::prelude::BufReadExt;
 use async_std::io::{BufReader, ReadExt, WriteExt};
 use async_std::net::TcpStream;
+use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_net::{Instant, StopSignal, timer};
+use threadledge_platform_stand_in::CallerRequest;
 
 use crate::caller::{DEADLINE, History, Kind, MARGIN, pause};
 use crate::check::{Answer, Seen};
@@ -29,19 +31,26 @@
 }
 
 impl Asked {
-    fn text(&self) -> String {
+    fn bytes(&self) -> http::Result<Vec<u8>> {
         let Asked { id, kind } = self;
         let (host, prefix) = kind.place();
         let (method, body) = match kind {
-            Kind::Unsafe => ("POST", id.as_str()),
-            Kind::Keyed | Kind::Safe => ("GET", ""),
+            Kind::Unsafe => (Method::POST, id.as_str()),
+            Kind::Keyed | Kind::Safe => (Method::GET, ""),
         };
-        format!(
-            "{method} {prefix}{id} HTTP/1.1\r\nhost: {host}\r\nx-request-id: {id}\r\n\
-             x-request-deadline-ms: {}\r\ncontent-length: {}\r\n\r\n{body}",
-            DEADLINE.as_millis(),
-            body.len()
-        )
+        let request = CallerRequest {
+            method: &method,
+            host,
+            target: &format!("{prefix}{id}"),
+            id,
+            key: None,
+            api_key: None,
+            tenant: None,
+            cookie: None,
+            body: body.as_bytes(),
+            deadline: DEADLINE,
+        };
+        request.bytes()
     }
 
     fn seen(self, answer: Option<Answer>) -> Seen {
@@ -86,11 +95,12 @@
 /// connection ends, or none comes for too long.
 async fn ask(to: SocketAddr, burst: &[Asked]) -> Vec<Answer> {
     let mut answers = Vec::new();
-    let text: String = burst.iter().map(Asked::text).collect();
+    let bytes: http::Result<Vec<Vec<u8>>> = burst.iter().map(Asked::bytes).collect();
+    let bytes = bytes.expect("an id of letters and digits").concat();
     let deadline = Instant::now() + DEADLINE + MARGIN;
     let exchange = async {
         let mut stream = TcpStream::connect(to).await?;
-        stream.write_all(text.as_bytes()).await?;
+        stream.write_all(&bytes).await?;
         let mut reader = BufReader::new(stream);
         while answers.len() < burst.len() {
             answers.push(read(&mut reader).await?);
