Attempts that wait for the same body do not wake each other; a test that left it to chance

Cause: two attempts of a repeatable request may wait for the rest of one long body. What comes from a connection wakes one waiter, and tells it when another takes its place: the two woke each other until bytes came, by the code (not measured). Change: one reader asks, the others wait for it; one that is dropped lets another ask. The test of uploads that are refused early needed the back end that refuses to be chosen, which the draw denied it in some runs; now the slots of the others but one are taken, and it checks the same. Timeouts of routes end nothing in these tests.

--- a/crates/router/src/proxy/kept.rs
+++ b/crates/router/src/proxy/kept.rs
@@ -30,8 +30,13 @@
     source: Source,
     /// Bytes that are kept at most.
     most: usize,
-    /// Readers that wait for more.
+    /// The reader that the source wakes. A source knows one, and wakes it when
+    /// another takes its place: two would wake each other without end.
+    asking: Option<u64>,
+    /// The others that wait for more.
     waiting: Vec<Waker>,
+    /// Readers there were.
+    readers: u64,
     _reservation: Reservation,
 }
 
@@ -54,7 +59,9 @@
             bytes: Vec::with_capacity(length.unwrap_or(0)),
             source: Source::Open(source),
             most,
+            asking: None,
             waiting: Vec::new(),
+            readers: 0,
             _reservation: reservation,
         };
         KeptBody {
@@ -65,10 +72,13 @@
 
     /// The body from its start; `None` when more came than is kept.
     pub(crate) fn body(&self) -> Option<Body> {
-        if matches!(self.kept.lock().source, Source::Taken) {
+        let mut kept = self.kept.lock();
+        if matches!(kept.source, Source::Taken) {
             return None;
         }
+        kept.readers += 1;
         let reader = KeptReader {
+            number: kept.readers,
             kept: self.kept.clone(),
             read: 0,
             piece: Vec::new(),
@@ -96,7 +106,12 @@
 }
 
 impl Kept {
-    fn poll_beyond(&mut self, place: usize, context: &mut Context<'_>) -> Poll<io::Result<More>> {
+    fn poll_beyond(
+        &mut self,
+        reader: u64,
+        place: usize,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<More>> {
         if place == self.bytes.len() {
             match &mut self.source {
                 Source::Open(_) => {}
@@ -104,10 +119,10 @@
                 Source::Failed(fault) => return Poll::Ready(Err(failure(*fault))),
                 Source::Taken => return Poll::Ready(Err(failure(None))),
             }
-            if ready!(self.poll_source(context)) == Found::More {
+            if ready!(self.poll_source(reader, context)) == Found::More {
                 return Poll::Ready(Ok(self.take_rest()));
             }
-            return self.poll_beyond(place, context);
+            return self.poll_beyond(reader, place, context);
         }
         let end = self.bytes.len().min(place + PIECE);
         Poll::Ready(Ok(More::Piece(self.bytes[place..end].to_vec())))
@@ -123,7 +138,11 @@
     }
 
     /// Takes what came, as far as it is kept.
-    fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Found> {
+    fn poll_source(&mut self, reader: u64, context: &mut Context<'_>) -> Poll<Found> {
+        if self.asking.is_some_and(|asking| asking != reader) {
+            self.waiting.push(context.waker().clone());
+            return Poll::Pending;
+        }
         let Source::Open(source) = &mut self.source else {
             return Poll::Ready(Found::Kept);
         };
@@ -131,7 +150,7 @@
         let mut source = Pin::new(source);
         match source.as_mut().poll_fill_buf(context) {
             Poll::Pending => {
-                self.waiting.push(context.waker().clone());
+                self.asking = Some(reader);
                 return Poll::Pending;
             }
             Poll::Ready(Ok([])) => self.source = Source::Ended,
@@ -148,6 +167,7 @@
     }
 
     fn wake_all(&mut self) {
+        self.asking = None;
         for waker in self.waiting.drain(..) {
             waker.wake();
         }
@@ -163,6 +183,7 @@
 
 /// Reads a kept body from its start.
 struct KeptReader {
+    number: u64,
     kept: Arc<Mutex<Kept>>,
     /// Bytes taken from what is kept.
     read: usize,
@@ -174,7 +195,11 @@
 
 impl KeptReader {
     fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let more = ready!(self.kept.lock().poll_beyond(self.read, context))?;
+        let more = ready!(
+            self.kept
+                .lock()
+                .poll_beyond(self.number, self.read, context)
+        )?;
         self.used = 0;
         self.piece.clear();
         match more {
@@ -189,6 +214,16 @@
     }
 }
 
+impl Drop for KeptReader {
+    fn drop(&mut self) {
+        let mut kept = self.kept.lock();
+        if kept.asking == Some(self.number) {
+            // Another one has to ask in its place.
+            kept.wake_all();
+        }
+    }
+}
+
 impl AsyncBufRead for KeptReader {
     fn poll_fill_buf(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let reader = self.get_mut();
--- a/crates/router/tests/gateway/pipelined.rs
+++ b/crates/router/tests/gateway/pipelined.rs
@@ -4,15 +4,12 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use serde_json::json;
 use threadledge_platform_stand_in::{Behaviour, StandInBackEnd};
 
-use super::process::{World, configuration, eventually};
+use super::process::{World, eventually};
 
 /// Requests on one connection at once.
 const AT_ONCE: usize = 8;
-/// Timeout of every route, in seconds: beyond the patience of these tests.
-const LONG_S: f64 = 120.0;
 
 /// A caller that reads its answers when it likes.
 struct Caller(BufReader<TcpStream>);
@@ -70,19 +67,6 @@
         .collect()
 }
 
-/// A world whose routes have no timeout that ends anything.
-fn patient_world() -> World {
-    let mut world = World::start_without_configuration();
-    let mut wanted = configuration(1);
-    for route in ["safe", "unsafe"] {
-        wanted["Routes"][route]["TimeoutS"] = json!(LONG_S);
-    }
-    world.store.put("config", "main", wanted);
-    world.gateway.await_ready();
-    world.await_held();
-    world
-}
-
 fn set_all(world: &World, behaviour: Behaviour) {
     for back_end in &world.plain {
         back_end.set_behaviour(behaviour);
@@ -116,7 +100,7 @@
 
 #[test]
 fn safe_requests_are_at_back_ends_together_and_one_that_changes_something_waits() {
-    let world = patient_world();
+    let world = World::start_patient();
     set_all(&world, Behaviour::Silent);
     let mut caller = Caller::connect(world.gateway.callers);
     let ids = ids("together");
@@ -131,7 +115,7 @@
 
 #[test]
 fn planned_stop_answers_what_was_sent_on_and_says_so_in_the_last_answer() {
-    let world = patient_world();
+    let world = World::start_patient();
     set_all(&world, Behaviour::Silent);
     let mut caller = Caller::connect(world.gateway.callers);
     caller.send(&[safe("first")]);
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::block_on;
-use serde_json::Value;
+use serde_json::{Value, json};
 use threadledge_net::HttpClient;
 pub use threadledge_platform_stand_in::configuration;
 use threadledge_platform_stand_in::{CallerRequest, StandInBackEnd, StandInStore};
@@ -18,6 +18,8 @@
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_threadledge");
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Timeout beyond it, in seconds.
+const LONG_S: f64 = 120.0;
 const PAUSE: Duration = Duration::from_millis(10);
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -49,6 +51,19 @@
         world
     }
 
+    /// The same with routes whose timeouts end nothing in a test.
+    pub fn start_patient() -> World {
+        let mut world = World::start_without_configuration();
+        let mut wanted = configuration(1);
+        for route in ["safe", "unsafe"] {
+            wanted["Routes"][route]["TimeoutS"] = json!(LONG_S);
+        }
+        world.store.put("config", "main", wanted);
+        world.gateway.await_ready();
+        world.await_held();
+        world
+    }
+
     pub fn start_without_configuration() -> World {
         let store = block_on(StandInStore::start()).expect("a store");
         let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
--- a/crates/router/tests/gateway/uploads.rs
+++ b/crates/router/tests/gateway/uploads.rs
@@ -20,6 +20,8 @@
 const CHUNK: usize = 20_000;
 /// Uploads until the back end under test has surely had one.
 const UPLOADS: usize = 40;
+/// Slots of the sound back ends.
+const SLOTS: usize = 4;
 
 /// Bytes that differ by place, so that a gap or a repetition shows.
 fn body(length: usize) -> Vec<u8> {
@@ -71,6 +73,14 @@
     line.expect("a line").parse().expect("a count")
 }
 
+/// An upload of which half has come.
+fn stalled(gateway: &Gateway, id: &str) -> TcpStream {
+    let bytes = with_length(id, &body(LONG));
+    let mut stream = TcpStream::connect(gateway.callers).expect("connected");
+    stream.write_all(&bytes[..LONG / 2]).expect("sent");
+    stream
+}
+
 /// Bodies with which a request ran.
 fn bodies_of(world: &World, id: &str) -> Vec<Vec<u8>> {
     let runs = world.plain.iter().flat_map(StandInBackEnd::runs);
@@ -167,7 +177,12 @@
 
 #[test]
 fn upload_that_is_refused_before_its_body_is_in_runs_whole_at_another_back_end() {
-    let world = World::start();
+    let world = World::start_patient();
+    // All slots of the others but one are taken, so that it gets requests too.
+    let _holding: Vec<TcpStream> = (0..SLOTS - 1)
+        .map(|index| stalled(&world.gateway, &format!("holding-{index}")))
+        .collect();
+    eventually(|| (metric(&world.gateway, "running") == SLOTS - 1).then_some(()));
     let hasty = Hasty::start();
     let entry = world.plain[0].entry_at(hasty.address, "zone-a", "plain", "ready");
     world.store.put("servers", "hasty", entry);
@@ -204,9 +219,29 @@
     assert_eq!(hasty.out_of_frame.load(Ordering::SeqCst), 0);
 }
 
+#[test]
+fn long_body_that_comes_slowly_is_whole_at_each_of_two_back_ends() {
+    let world = World::start_patient();
+    let whole = body(LONG);
+    let head = format!(
+        "PUT /safe/x HTTP/1.1\r\nhost: plain.example\r\nx-request-id: slow\r\n\
+         x-request-deadline-ms: 20000\r\ncontent-length: {LONG}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(world.gateway.callers).expect("connected");
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.write_all(&whole[..LONG / 2]).expect("sent");
+    // The second attempt begins while both wait for the rest.
+    eventually(|| (metric(&world.gateway, "hedges") == 1).then_some(()));
+    stream.write_all(&whole[LONG / 2..]).expect("sent");
+    assert_eq!(status(&stream), Some(200));
+    let ran = bodies_of(&world, "slow");
+    assert!(!ran.is_empty());
+    assert!(ran.iter().all(|ran| *ran == whole), "{} runs", ran.len());
+}
+
 #[test]
 fn body_longer_than_what_is_kept_arrives_whole() {
-    let world = World::start();
+    let world = World::start_patient();
     let sent = body(LONGER);
     for (id, bytes) in [
         ("length", with_length("length", &sent)),
@@ -219,7 +254,7 @@
 
 #[test]
 fn callers_that_break_off_their_bodies_count_against_no_back_end() {
-    let world = World::start();
+    let world = World::start_patient();
     let whole = body(LONG);
     for index in 0..UPLOADS {
         let id = format!("broken-{index}");
@@ -237,27 +272,31 @@
 
 #[test]
 fn uploads_beyond_the_memory_are_refused_and_short_requests_are_served() {
-    let mut world = World::start();
+    let mut world = World::start_patient();
     world.gateway = Gateway::start_small("router-2", world.store.address(), 16);
     world.gateway.await_ready();
-    let mut stalled = Vec::new();
+    let mut streams = Vec::new();
     let refused = loop {
-        let id = format!("stalled-{}", stalled.len());
-        let bytes = with_length(&id, &body(LONG));
-        let mut stream = TcpStream::connect(world.gateway.callers).expect("connected");
-        stream.write_all(&bytes[..LONG / 2]).expect("sent");
+        let stream = stalled(&world.gateway, &format!("stalled-{}", streams.len()));
         let short = std::time::Duration::from_millis(100);
         stream.set_read_timeout(Some(short)).expect("set");
         match status(&stream) {
             Some(status) => break status,
-            None => stalled.push(stream),
+            None => streams.push(stream),
         }
-        assert!(stalled.len() < 100, "there is no end of memory");
+        assert!(streams.len() < 100, "there is no end of memory");
     };
     assert_eq!(refused, 503);
-    assert!(!stalled.is_empty());
-    assert_eq!(Ask::default().send(&world.gateway).status(), 200);
-    drop(stalled);
+    assert!(!streams.is_empty());
+    // At back ends whose slots the stalled ones do not hold.
+    let short = Ask {
+        host: "keyed.example",
+        target: "/k/x",
+        key: Some(5),
+        ..Ask::default()
+    };
+    assert_eq!(short.send(&world.gateway).status(), 200);
+    drop(streams);
     eventually(|| {
         let sent = with_length("late", &body(LONG));
         (upload(world.gateway.callers, &sent) == Some(200)).then_some(())
