Coordination: keys that move without an end are written ten times a second

Cause: after each write of the ownership record whoever watches the store is sent all of it.

Ruled out: a gap after each write (keys that move once would wait too; a test holds that they go on at once).

Change: four writes may follow each other at once, then one every 0.1 s. Releases are sent as before.

Test: moves_without_an_end_are_written_ten_times_a_second. Tests of coordination 54 pass.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -21,6 +21,7 @@
 mod overdue;
 mod store;
 mod tracked;
+mod writes;
 
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 use orders::under_way;
 use overdue::OverdueWatch;
 use tracked::{Tracked, owners};
+use writes::WriteBudget;
 
 /// What follows from a read of the record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,6 +92,7 @@
     /// A write was not answered: the record is read back before the next one.
     read_back: bool,
     next_store_call: Timestamp,
+    writes: WriteBudget,
     /// When the first back end was seen.
     first_seen: Option<Timestamp>,
     next_order: u64,
@@ -117,6 +120,7 @@
             busy: false,
             read_back: false,
             next_store_call: Timestamp::ZERO,
+            writes: WriteBudget::default(),
             first_seen: None,
             next_order: 0,
             notices: Vec::new(),
@@ -232,11 +236,14 @@
             .filter(|over| *over > now);
         let waits = self.next_store_call > now || !matches!(self.phase, Phase::Active { .. });
         let store = (!self.busy && waits).then_some(self.next_store_call);
+        let may_write = self.writes.from(now);
+        let write = (!self.busy && may_write > now).then_some(may_write);
         orders
             .chain(self.former.next_wake())
             .chain(self.overdue.next_due())
             .chain(holds)
             .chain(store)
+            .chain(write)
             .chain(self.gathered(now))
             .min()
     }
@@ -261,6 +268,9 @@
                 if store_answers {
                     self.start_balancing(now, current.next_fence);
                 }
+                if self.writes.from(now) > now {
+                    return None;
+                }
                 let next = self.next_record(now, &current);
                 let changed = next != current;
                 changed.then_some(Action::WriteRecord(next, Condition::Revision(revision)))
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -89,6 +89,7 @@
         }
         match result {
             WriteResult::Accepted(revision) => {
+                self.writes.wrote(now);
                 self.notices.append(&mut self.drafted);
                 let value = attempted;
                 self.take_own(now, Versioned { value, revision });
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -240,6 +240,54 @@
     assert!(record.slices.iter().all(gone), "{record:?}");
 }
 
+/// Whoever watches the store is sent the whole record after each write: where
+/// keys move all the time, several moves are written as one.
+#[test]
+fn moves_without_an_end_are_written_ten_times_a_second() {
+    let taken_over_at = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(taken_over_at);
+    let mut granting = sent(ownership.poll(taken_over_at, true));
+    while let Some(order) = granting.pop() {
+        ownership.on_order(taken_over_at, &order, Ok(OrderReply::Granted));
+        granting.extend(sent(ownership.poll(taken_over_at, true)));
+    }
+    let start = taken_over_at + Duration::from_secs(2);
+    let mut leaving = back_end();
+    leaving.draining = true;
+    let mut second = back_end();
+    second.name = "b-2".into();
+    second.address = SocketAddr::from(([10, 0, 0, 1], 81));
+    ownership.set_back_ends(start, &[leaving, second]);
+    let mut waiting = Vec::new();
+    let mut written = Vec::new();
+    let mut record = None;
+    for millis in 0..1_000_u64 {
+        let now = start + Duration::from_millis(millis);
+        // Every 10 ms another range is given back; grants are answered too.
+        if millis % 10 == 0 && !waiting.is_empty() {
+            let order: Order = waiting.remove(0);
+            let reply = match order.kind {
+                OrderKind::Release => OrderReply::Released(None),
+                OrderKind::Grant(_) => OrderReply::Granted,
+            };
+            ownership.on_order(now, &order, Ok(reply));
+        }
+        let (orders, next) = divided(ownership.poll(now, true));
+        waiting.extend(orders);
+        if let Some(next) = next {
+            let revision = 9 + written.len() as u64;
+            written.push(millis);
+            ownership.on_write(now, next.clone(), WriteResult::Accepted(revision));
+            record = Some(next);
+        }
+    }
+    assert!(written.len() <= 14, "written at {written:?}");
+    assert!(written[0] < 20, "the first at once: {written:?}");
+    let record = record.expect("written");
+    let moved = |slice: &Slice| slice.holder().is_some_and(|it| it.name.as_str() == "b-2");
+    assert!(record.slices.iter().all(moved), "none is left: {record:?}");
+}
+
 /// Orders, and the write of the record if there is one.
 fn divided(actions: Vec<Action>) -> (Vec<Order>, Option<OwnershipRecord>) {
     let written = actions.iter().find_map(|action| match action {
