--- /dev/null
+++ b/crates/limits/src/ledger.rs
@@ -0,0 +1,291 @@
+//! The ledger: one token bucket for each tenant, for all gateways.
+//!
+//! Beside tokens it hands out shares of each tenant's rate. A gateway uses its
+//! shares only while it cannot reach the ledger; from then on the ledger gives
+//! out that much less. The shares of all gateways and what the ledger itself
+//! gives out are at no time more than the whole.
+//!
+//! A ledger begins with empty buckets and without any part of the rates. It
+//! gains what gateways hand in that held shares of the ledger before, and the
+//! whole once every machine that may hold one has asked, or everything that
+//! was handed out before has run out.
+
+mod account;
+mod claim;
+mod member;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use threadledge_coordination::Term;
+use threadledge_types::deployment::{RateLimit, TenantName};
+use threadledge_types::{MachineName, Timestamp};
+
+use crate::messages::{Answer, Ask, Echo, HolderRecord, Share, TenantAsk, TenantGrant};
+use crate::settings::{LONGEST_PAUSE, Settings};
+use account::Account;
+use claim::Claim;
+pub use claim::Predecessor;
+use member::{Holding, Member};
+
+/// How a ledger came into office.
+#[derive(Clone, Debug)]
+pub struct Office {
+    /// Its term.
+    pub term: Term,
+    /// Who may have kept the ledger until now.
+    pub predecessor: Option<Predecessor>,
+    /// The record of holders that it found.
+    pub found: Option<HolderRecord>,
+    /// The one that it wrote in its place, with its own machine: machines that
+    /// an earlier ledger would add are refused by the store from then on.
+    pub written: HolderRecord,
+}
+
+/// Limits of tenants over all gateways.
+#[derive(Debug)]
+pub struct Ledger {
+    settings: Settings,
+    term: Term,
+    claim: Claim,
+    accounts: BTreeMap<TenantName, Account>,
+    members: BTreeMap<MachineName, Member>,
+    /// When the next thing becomes of each member.
+    deadlines: BTreeSet<(Timestamp, MachineName)>,
+    listed: HolderRecord,
+}
+
+impl Ledger {
+    /// A ledger that takes its office `now`.
+    pub fn new(now: Timestamp, settings: Settings, office: Office) -> Self {
+        let claim = Claim::begin(now, &settings, office.predecessor, office.found);
+        Ledger {
+            settings,
+            term: office.term,
+            claim,
+            accounts: BTreeMap::new(),
+            members: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            listed: office.written,
+        }
+    }
+
+    /// Its term.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Whether the whole of each rate is this ledger's to give.
+    pub fn is_whole(&self) -> bool {
+        self.claim.is_whole()
+    }
+
+    /// Takes the limits of the configuration in force.
+    pub fn set_limits(&mut self, now: Timestamp, limits: BTreeMap<TenantName, RateLimit>) {
+        self.advance(now);
+        let mut before = std::mem::take(&mut self.accounts);
+        for (name, limit) in &limits {
+            let mut account = match before.remove(name) {
+                Some(account) if account.limit == *limit => {
+                    self.accounts.insert(name.clone(), account);
+                    continue;
+                }
+                Some(account) => account.under(now, *limit, &self.settings),
+                None => {
+                    let mut account = Account::new(now, *limit, &self.settings);
+                    account.total = self.claim.total();
+                    account
+                }
+            };
+            for member in self.members.values() {
+                if let Some(holding) = member.holdings.get(name) {
+                    account.count(*holding, member.silent);
+                }
+            }
+            account.refill(now);
+            self.accounts.insert(name.clone(), account);
+        }
+    }
+
+    /// The record of holders that the store has to keep before all members may
+    /// get shares; `None` if it does.
+    pub fn record_to_write(&self) -> Option<HolderRecord> {
+        let known = |machine: &MachineName| self.listed.machines.contains(machine);
+        if self.members.keys().all(known) {
+            return None;
+        }
+        let mut machines = self.listed.machines.clone();
+        machines.extend(self.members.keys().cloned());
+        let term = self.term;
+        Some(HolderRecord { term, machines })
+    }
+
+    /// The store keeps this record now.
+    pub fn recorded(&mut self, record: HolderRecord) {
+        self.listed = record;
+    }
+
+    /// Answers an ask that arrived `now`.
+    pub fn answer(&mut self, now: Timestamp, ask: &Ask) -> Answer {
+        self.advance(now);
+        let echo = ask.echo.filter(|echo| echo.term == self.term);
+        let tenants = match echo {
+            None => Vec::new(),
+            Some(echo) => match self.take(now, ask, echo) {
+                Some(tenants) => tenants,
+                None => return Answer::Elsewhere,
+            },
+        };
+        Answer::Ledger {
+            term: self.term,
+            at: now,
+            tenants,
+        }
+    }
+
+    /// `None`: the ask is older than what is known of its sender.
+    fn take(&mut self, now: Timestamp, ask: &Ask, echo: Echo) -> Option<Vec<TenantGrant>> {
+        let sent = echo.at + Duration::from_micros(echo.passed_us);
+        self.meet(now, ask, sent.min(now))?;
+        let mut grants = Vec::with_capacity(ask.tenants.len());
+        for tenant in &ask.tenants {
+            grants.push(self.grant(now, &ask.from, tenant));
+        }
+        Some(grants)
+    }
+
+    /// Takes in who asks and what it holds.
+    fn meet(&mut self, now: Timestamp, ask: &Ask, sent: Timestamp) -> Option<()> {
+        if let Some(member) = self.members.get_mut(&ask.from) {
+            if !member.accepts(ask) {
+                return None;
+            }
+            let deadline = (member.deadline, ask.from.clone());
+            self.deadlines.remove(&deadline);
+        }
+        let known = self.members.remove(&ask.from);
+        let is_new = known.as_ref().is_none_or(|known| known.life != ask.life);
+        let mut member = known.unwrap_or_else(|| Member::new(ask.life));
+        self.forget_holdings(now, &member);
+        member.hear(ask, sent);
+        for tenant in &ask.tenants {
+            let holding = Holding {
+                share: tenant.share,
+                rate: tenant.rate,
+            };
+            member.holdings.insert(tenant.name.clone(), holding);
+            let Some(account) = self.accounts.get_mut(&tenant.name) else {
+                continue;
+            };
+            account.refill(now);
+            if is_new && !self.claim.is_whole() {
+                account.total += u64::from(tenant.share.0);
+            }
+            account.count(holding, false);
+            account.put(tenant.back);
+        }
+        let deadline = (member.deadline, ask.from.clone());
+        self.deadlines.insert(deadline);
+        self.members.insert(ask.from.clone(), member);
+        if self.claim.accounted_for(&ask.from) {
+            self.become_whole(now);
+        }
+        // The ask may have been on its way for so long that its sender counts
+        // as silent already.
+        self.advance(now);
+        Some(())
+    }
+
+    fn forget_holdings(&mut self, now: Timestamp, member: &Member) {
+        for (name, holding) in &member.holdings {
+            if let Some(account) = self.accounts.get_mut(name) {
+                account.refill(now);
+                account.uncount(*holding, member.silent);
+            }
+        }
+    }
+
+    fn grant(&mut self, now: Timestamp, from: &MachineName, ask: &TenantAsk) -> TenantGrant {
+        let name = ask.name.clone();
+        let Some(account) = self.accounts.get_mut(&name) else {
+            // By this configuration the tenant has no limit.
+            return TenantGrant {
+                name,
+                tokens: ask.need + ask.want,
+                share: Share::default(),
+                none_ms: 0,
+                over: false,
+            };
+        };
+        account.refill(now);
+        let needed = account.take_needed(ask.need);
+        let tokens = needed + account.take_wanted(ask.want);
+        let none_ms = match needed < ask.need {
+            true => millis(account.pause()),
+            false => 0,
+        };
+        let over = none_ms > 0 && account.is_over();
+        let listed = self.listed.machines.contains(from);
+        let share = match self.members.get_mut(from) {
+            Some(member) if listed => account.offer(member, &name),
+            _ => ask.share,
+        };
+        TenantGrant {
+            name,
+            tokens,
+            share,
+            none_ms,
+            over,
+        }
+    }
+
+    /// Lets happen what was due until `now`.
+    fn advance(&mut self, now: Timestamp) {
+        if self.claim.is_over(now) {
+            self.become_whole(now);
+        }
+        while let Some((at, machine)) = self.deadlines.first().cloned() {
+            if at > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(mut member) = self.members.remove(&machine) else {
+                continue;
+            };
+            self.forget_holdings(at, &member);
+            if member.silent {
+                // Its shares have run out.
+                continue;
+            }
+            member.fall_silent(&self.settings);
+            for (name, holding) in &member.holdings {
+                if let Some(account) = self.accounts.get_mut(name) {
+                    account.count(*holding, true);
+                }
+            }
+            self.deadlines.insert((member.deadline, machine.clone()));
+            self.members.insert(machine, member);
+        }
+    }
+
+    fn become_whole(&mut self, now: Timestamp) {
+        self.claim = Claim::Whole;
+        for account in self.accounts.values_mut() {
+            account.refill(now);
+            account.total = self.claim.total();
+        }
+    }
+
+    /// What operators see of one tenant: its limit, tokens at hand, requests a
+    /// second that gateways report.
+    pub fn view(&self, tenant: &TenantName) -> Option<(RateLimit, f64, f64)> {
+        let account = self.accounts.get(tenant)?;
+        Some((account.limit, account.level(), account.reported_rate()))
+    }
+}
+
+fn millis(pause: Option<Duration>) -> u32 {
+    let pause = pause.unwrap_or(LONGEST_PAUSE);
+    let pause = pause.min(LONGEST_PAUSE);
+    u32::try_from(pause.as_millis() + 1).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/limits/tests/limits/bound.rs
@@ -0,0 +1,161 @@
+//! However gateways, ledgers, links and the store fail, no window holds more
+//! requests of a tenant than its limit with overage and slack.
+
+use arbtest::arbitrary::{Result, Unstructured};
+
+use super::world::{TICK_US, World};
+
+const SECOND_US: u64 = 1_000_000;
+const TENANTS: [(&str, f64, f64); 4] = [
+    ("trickle", 1.0, 0.0),
+    ("small", 8.0, 4.0),
+    ("middle", 40.0, 20.0),
+    ("large", 300.0, 150.0),
+];
+/// What tenants send, as a multiple of their limit.
+const DEMANDS: [f64; 4] = [0.6, 1.0, 3.0, 7.5];
+
+struct Demand {
+    factor: [f64; 4],
+    /// Gateways that see them, of all.
+    spread: u64,
+    shift: u64,
+}
+
+fn send(world: &mut World, demand: &Demand) {
+    let nodes = world.nodes.len() as u64;
+    for (index, (name, rate, _)) in TENANTS.iter().enumerate() {
+        let expected = rate * demand.factor[index] * TICK_US as f64 / SECOND_US as f64;
+        let mut arrivals = expected as u64;
+        let rest = ((expected - expected.floor()) * 1_000.0) as u64;
+        if world.random(1_000) < rest {
+            arrivals += 1;
+        }
+        for _ in 0..arrivals {
+            let node = (demand.shift + world.random(demand.spread)) % nodes;
+            world.request(node as usize, name);
+        }
+    }
+}
+
+fn fail(world: &mut World) {
+    let nodes = world.nodes.len() as u64;
+    let one = world.random(nodes) as usize;
+    let ledger = world.ledger().unwrap_or(one);
+    let span = world.random(8 * SECOND_US);
+    match world.random(14) {
+        0 => world.kill(ledger, span),
+        1 => world.kill(one, span / 4),
+        2 => {
+            for node in 0..world.nodes.len() {
+                world.kill(node, SECOND_US);
+            }
+        }
+        3 => {
+            let share = world.random(100);
+            for node in 0..world.nodes.len() {
+                if world.random(100) < share {
+                    world.kill(node, span);
+                }
+            }
+        }
+        4 => world.nodes[ledger].frozen_until = world.now + span,
+        5 => world.nodes[one].frozen_until = world.now + span,
+        6 => world.nodes[ledger].cut = true,
+        7 => {
+            for node in 0..world.nodes.len() {
+                world.nodes[node].cut = world.random(3) == 0;
+            }
+        }
+        8 => world.nodes[ledger].turned_away = true,
+        9 => {
+            for node in 0..world.nodes.len() {
+                world.nodes[node].turned_away = world.random(3) == 0;
+            }
+        }
+        10 => world.store_away = true,
+        11 => world.trouble = world.random(400),
+        _ => heal(world),
+    }
+}
+
+fn heal(world: &mut World) {
+    world.store_away = false;
+    world.trouble = 50;
+    for node in &mut world.nodes {
+        node.cut = false;
+        node.turned_away = false;
+    }
+}
+
+fn troubled(draw: &mut Unstructured<'_>) -> Result<()> {
+    let seed: u64 = draw.arbitrary()?;
+    let mut world = World::new(seed, 12, &TENANTS);
+    let mut demand = Demand {
+        factor: [3.0; 4],
+        spread: 12,
+        shift: 0,
+    };
+    for _ in 0..16 {
+        fail(&mut world);
+        for factor in &mut demand.factor {
+            *factor = DEMANDS[world.random(4) as usize];
+        }
+        demand.spread = 1 + world.random(12);
+        demand.shift = world.random(12);
+        let until = world.now + SECOND_US / 2 + world.random(5 * SECOND_US);
+        while world.now < until {
+            send(&mut world, &demand);
+            world.tick();
+        }
+    }
+    for (name, ..) in TENANTS {
+        let busiest = world.busiest(name, 0) as f64;
+        let bound = world.bound(name);
+        assert!(busiest <= bound, "seed {seed}: {name} ran {busiest} of {bound}");
+    }
+    Ok(())
+}
+
+#[test]
+fn no_window_holds_more_than_the_bound_whatever_fails() {
+    for run in 0..40 {
+        arbtest::arbtest(troubled).seed(0x5100_0000_0000 + (run << 32 | 64));
+    }
+}
+
+#[test]
+fn bound_falls_with_the_limit_within_one_window() {
+    for seed in 1..9 {
+        let mut world = World::new(seed * 7_919, 8, &TENANTS);
+        let mut demand = Demand {
+            factor: [4.0; 4],
+            spread: 8,
+            shift: 0,
+        };
+        run_for(&mut world, &mut demand, 8);
+        for limit in world.limits.values_mut() {
+            limit.rate /= 2.0;
+            limit.burst /= 2.0;
+        }
+        for node in 0..world.nodes.len() {
+            world.configure(node);
+            run_for(&mut world, &mut demand, 0);
+        }
+        let applied = world.now;
+        run_for(&mut world, &mut demand, 12);
+        for (name, ..) in TENANTS {
+            let busiest = world.busiest(name, applied + 5 * SECOND_US) as f64;
+            let bound = world.bound(name);
+            assert!(busiest <= bound, "seed {seed}: {name} ran {busiest} of {bound}");
+        }
+    }
+}
+
+fn run_for(world: &mut World, demand: &mut Demand, seconds: u64) {
+    let until = world.now + seconds * SECOND_US + SECOND_US / 10;
+    while world.now < until {
+        send(world, demand);
+        world.tick();
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/limits/main.rs
@@ -0,0 +1,6 @@
+//! Many gateways and ledgers in one process, in virtual time.
+
+mod bound;
+mod service;
+mod steps;
+mod world;
--- /dev/null
+++ b/crates/limits/tests/limits/steps.rs
@@ -0,0 +1,1 @@
+//! Single steps of a gateway and of the ledger.
