Gateway: tenants are held to their limits over all gateways

Cause: the core of limits was in nobody's way.

Change: a request of a limited tenant spends a token after its key is known and before its body is read; without one it waits for the ledger or gets 429 with the time to come back. One task asks the ledger, another stands for its office, keeps the lease and the record of machines with shares. The lease travels with those of services; a relay answers polls at once when a lease passes to another holder. Metrics, log events 530 to 536, and operators' view under /threadledge/v1/tenant-limits. Where no tenant has a limit there is no call, no message and no wait.

Tests: three real gateways: a tenant far beyond its limit gets it over all of them while another is never refused; ledger killed, store silent and all restarted keep the bound; 429 says when there is room and operators see why.

--- a/crates/limits/tests/limits/bound.rs
+++ b/crates/limits/tests/limits/bound.rs
@@ -112,7 +112,10 @@
     for (name, ..) in TENANTS {
         let busiest = world.busiest(name, 0) as f64;
         let bound = world.bound(name);
-        assert!(busiest <= bound, "seed {seed}: {name} ran {busiest} of {bound}");
+        assert!(
+            busiest <= bound,
+            "seed {seed}: {name} ran {busiest} of {bound}"
+        );
     }
     Ok(())
 }
@@ -147,7 +150,10 @@
         for (name, ..) in TENANTS {
             let busiest = world.busiest(name, applied + 5 * SECOND_US) as f64;
             let bound = world.bound(name);
-            assert!(busiest <= bound, "seed {seed}: {name} ran {busiest} of {bound}");
+            assert!(
+                busiest <= bound,
+                "seed {seed}: {name} ran {busiest} of {bound}"
+            );
         }
     }
 }
--- a/crates/limits/tests/limits/service.rs
+++ b/crates/limits/tests/limits/service.rs
@@ -3,7 +3,7 @@
 
 use threadledge_types::deployment::TenantName;
 
-use super::world::{TICK_US, World};
+use super::world::World;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -31,12 +31,19 @@
 }
 
 fn ran(world: &World, tenant: &str) -> usize {
-    world.runs.get(&TenantName::from(tenant)).map_or(0, Vec::len)
+    world
+        .runs
+        .get(&TenantName::from(tenant))
+        .map_or(0, Vec::len)
 }
 
 #[test]
 fn tenant_inside_its_limit_is_never_refused_wherever_its_requests_arrive() {
-    let tenants = [("trickle", 1.0, 1.0), ("small", 8.0, 4.0), ("large", 200.0, 100.0)];
+    let tenants = [
+        ("trickle", 1.0, 1.0),
+        ("small", 8.0, 4.0),
+        ("large", 200.0, 100.0),
+    ];
     for (name, rate, burst) in tenants {
         for together in [1, burst as u64] {
             let mut world = World::new(4_711, 76, &tenants);
@@ -111,5 +118,4 @@
     let after = world.asks;
     world.run(10 * SECOND_US);
     assert_eq!(world.asks, after, "{calm}: nobody sends anything");
-    let _ = TICK_US;
 }
--- a/crates/limits/tests/limits/world.rs
+++ b/crates/limits/tests/limits/world.rs
@@ -279,13 +279,13 @@
 
     fn step(&mut self, node: usize) {
         self.look_at_store(node);
-        if let Some((number, at)) = self.nodes[node].asked {
-            if self.now >= at + ASK_TIMEOUT_US {
-                self.nodes[node].asked = None;
-                let now = self.local(node);
-                self.nodes[node].spender.on_silence(now, number);
-                self.wake(node);
-            }
+        let asked = self.nodes[node].asked;
+        let late = asked.filter(|(_, at)| self.now >= at + ASK_TIMEOUT_US);
+        if let Some((number, _)) = late {
+            self.nodes[node].asked = None;
+            let now = self.local(node);
+            self.nodes[node].spender.on_silence(now, number);
+            self.wake(node);
         }
         let now = self.local(node);
         if let Some(ask) = self.nodes[node].spender.poll(now) {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 
 use threadledge_coordination::{CoordinatorLease, OwnershipRecord};
+use threadledge_limits::HolderRecord;
 use threadledge_relay::RelayRecord;
 use threadledge_suspects::HeldRecord;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
@@ -40,6 +41,8 @@
     pub ownership: Arc<dyn RecordStore<OwnershipRecord>>,
     /// Who watches the store for each zone.
     pub relays: Arc<dyn RecordStore<RelayRecord>>,
+    /// Which machines may hold shares of tenants' limits, in one object.
+    pub limit_holders: Arc<dyn RecordStore<HolderRecord>>,
     /// Requests that are sent to no back end, in one object.
     pub held_requests: Arc<dyn RecordStore<HeldRecord>>,
     /// Orders to back ends.
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -288,6 +288,27 @@
     KeysSure = 522, "tenant-keys-sure", Info,
         "It is known again which callers' keys there are.",
         "None.";
+    LedgerTaken = 530, "limit-ledger-taken", Info,
+        "This gateway keeps the ledger of tenants' limits. While `whole` is false it gives out only what other gateways handed in.",
+        "None.";
+    LedgerWhole = 531, "limit-ledger-whole", Info,
+        "The ledger of tenants' limits gives out the whole of each rate: nobody holds a part of an earlier ledger any more.",
+        "None.";
+    LedgerLost = 532, "limit-ledger-lost", Info,
+        "This gateway keeps the ledger of tenants' limits no more: another one does, or it stops.",
+        "None; if no other gateway takes it within some seconds, check the store.";
+    LimitFallbackBegun = 533, "limit-fallback-begun", Warn,
+        "The ledger of tenants' limits cannot be reached: this gateway runs what its last shares of the limits allow.",
+        "Check the gateway that keeps the ledger and the links to it; see the page on tenants' limits.";
+    LimitFallbackEnded = 534, "limit-fallback-ended", Info,
+        "The ledger of tenants' limits answers again, or this gateway's shares have run out.",
+        "None.";
+    TenantRefused = 535, "tenant-refused", Warn,
+        "Requests of a tenant are refused by its limit; the line names the reason. Written once until none was refused for some seconds.",
+        "None if the tenant sends too much; else raise its limit. See the page on tenants' limits.";
+    TenantServed = 536, "tenant-served", Info,
+        "Requests of a tenant that were refused by its limit have not been for some seconds; the line counts them.",
+        "None.";
     RegionRelayTaken = 540, "region-relay-taken", Info,
         "This gateway watches the store for the relays of the other zones of its region.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -20,6 +20,7 @@
 mod followers;
 mod key_watch;
 pub mod knowledge;
+mod limits;
 mod log;
 mod messages;
 mod metrics;
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -13,6 +13,7 @@
 use super::dispatch::Dispatch;
 use super::follow::Update;
 use super::knowledge::{Knowledge, Learned};
+use super::limits::Limits;
 use super::news::{Differences, Marks, News, Reach};
 use super::notifier::Notifier;
 use super::readiness::Readiness;
@@ -27,6 +28,7 @@
     pub(super) pool: Pool,
     pub(super) readiness: Arc<Readiness>,
     pub(super) health: Arc<StoreHealth>,
+    pub(super) limits: Limits,
     pub(super) events: async_channel::Sender<Event>,
     /// Something was learned.
     pub(super) changed: Arc<Notifier>,
@@ -215,6 +217,7 @@
         let keys = self
             .dispatch
             .with(|dispatcher, now| dispatcher.set_configuration(now, configuration.clone()));
+        self.limits.configure(&configuration);
         self.readiness.configured();
         emit!(
             EventId::ConfigurationInForce,
--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -92,7 +92,9 @@
         }
         let asked = self.clock.now();
         let deadline = self.clock.instant(asked + hold);
+        let holders = self.sources.lease_holders();
         loop {
+            let passed = self.sources.lease_changes().next();
             let changed = directory.changed.next();
             let left = self.left.next();
             if self.is_leaving() {
@@ -100,7 +102,9 @@
             }
             let differences = directory.differences_since(follower.marks);
             let now = self.clock.now();
-            if !differences.is_empty() || now >= asked + hold {
+            // Who waits for the holder of a lease must not wait for this poll.
+            let news = !differences.is_empty() || self.sources.lease_holders() != holders;
+            if news || now >= asked + hold {
                 return FollowAnswer::News(Box::new(FollowNews {
                     age_ms: millis(now.since(self.sources.seen())),
                     held_ms: millis(now.since(asked)),
@@ -111,6 +115,7 @@
                 }));
             }
             // The loop finds out which of them it was.
+            let changed = select(changed, passed);
             let _ = timer::timeout_at(deadline, select(changed, left)).await;
         }
     }
--- /dev/null
+++ b/crates/router/src/gateway/limits/ask.rs
@@ -0,0 +1,68 @@
+//! Asks the ledger for tokens.
+
+use threadledge_limits::settings::ASK_TIMEOUT;
+use threadledge_limits::{Answer, Ask};
+use threadledge_net::timer;
+
+use super::super::peers::PeerClient;
+use super::Limits;
+
+/// Sends what the spender asks for, one ask at a time.
+pub(super) struct Asker {
+    pub(super) limits: Limits,
+    pub(super) client: PeerClient,
+}
+
+impl Asker {
+    /// Runs for ever.
+    pub(super) async fn run(self) {
+        let shared = self.limits.shared.clone();
+        loop {
+            let wanted = shared.wanted.next();
+            let (ask, wake) = self
+                .limits
+                .with(|state, now| (state.spender.poll(now), state.spender.next_wake()));
+            if let Some(ask) = ask {
+                self.send(ask).await;
+                continue;
+            }
+            match wake {
+                Some(wake) => {
+                    let deadline = shared.clock.instant(wake);
+                    // Either way it is looked at again.
+                    let _ = timer::timeout_at(deadline, wanted).await;
+                }
+                None => wanted.await,
+            }
+        }
+    }
+
+    async fn send(&self, ask: Ask) {
+        let number = ask.number;
+        let answer = self.answer(ask).await;
+        let used = self.limits.with(|state, now| {
+            match answer {
+                Some(answer) => state.spender.on_answer(now, number, answer),
+                None => state.spender.on_silence(now, number),
+            }
+            state.yield_office();
+            state.spender.in_fallback(now)
+        });
+        let shared = &self.limits.shared;
+        shared.log.fallback(used);
+        shared.log.settle(shared.clock.now());
+        shared.answered.notify();
+    }
+
+    async fn answer(&self, ask: Ask) -> Option<Answer> {
+        let (own, holder) = self
+            .limits
+            .with(|state, _now| (state.ledger.is_some(), state.holder));
+        if own {
+            return Some(self.limits.answer(&ask));
+        }
+        let (_, address) = holder?;
+        let asked = self.client.limits(address?, &ask);
+        timer::timeout(ASK_TIMEOUT, asked).await.ok().flatten()
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/limits/metrics.rs
@@ -0,0 +1,107 @@
+//! Metrics of limits. Tenants are labels only while they are few: the first
+//! that are refused have one each, all others share one.
+
+use std::collections::BTreeSet;
+
+use parking_lot::Mutex;
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+use threadledge_limits::RefusedWhy;
+use threadledge_types::deployment::TenantName;
+
+use super::Limits;
+
+/// Tenants that have a label of their own.
+const MOST_LABELS: usize = 32;
+/// Label of all others.
+const OTHERS: &str = "(others)";
+
+pub(super) struct LimitMetrics {
+    refused: IntCounterVec,
+    labels: Mutex<BTreeSet<TenantName>>,
+    rates: IntGaugeVec,
+    tokens: IntGaugeVec,
+    ledger: IntGauge,
+    fallback: IntGauge,
+}
+
+impl LimitMetrics {
+    pub(super) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let refused = IntCounterVec::new(
+            Opts::new(
+                "threadledge_gateway_tenant_refused_total",
+                "Requests refused by the limit of their tenant",
+            ),
+            &["tenant", "reason"],
+        )?;
+        let rates = IntGaugeVec::new(
+            Opts::new(
+                "threadledge_gateway_tenant_millirequests_per_second",
+                "Requests of limited tenants that arrive here, in thousandths a second",
+            ),
+            &["tenant"],
+        )?;
+        let tokens = IntGaugeVec::new(
+            Opts::new(
+                "threadledge_gateway_tenant_tokens",
+                "Requests that a limited tenant may run here without another ask",
+            ),
+            &["tenant"],
+        )?;
+        let ledger = IntGauge::new(
+            "threadledge_gateway_limit_ledger",
+            "1 while this gateway keeps the ledger of limits",
+        )?;
+        let fallback = IntGauge::new(
+            "threadledge_gateway_limit_fallback",
+            "1 while this gateway uses its shares, since it cannot reach the ledger",
+        )?;
+        registry.register(Box::new(refused.clone()))?;
+        registry.register(Box::new(rates.clone()))?;
+        registry.register(Box::new(tokens.clone()))?;
+        registry.register(Box::new(ledger.clone()))?;
+        registry.register(Box::new(fallback.clone()))?;
+        Ok(LimitMetrics {
+            refused,
+            labels: Mutex::default(),
+            rates,
+            tokens,
+            ledger,
+            fallback,
+        })
+    }
+
+    pub(super) fn refused(&self, tenant: &TenantName, why: RefusedWhy) {
+        let mut labels = self.labels.lock();
+        let label = match labels.len() < MOST_LABELS || labels.contains(tenant) {
+            true => tenant.as_str(),
+            false => OTHERS,
+        };
+        self.refused.with_label_values(&[label, why.as_str()]).inc();
+        if label != OTHERS {
+            labels.insert(tenant.clone());
+        }
+    }
+}
+
+impl Limits {
+    /// Brings the gauges up to date, before they are read.
+    pub(in super::super) fn update_metrics(&self) {
+        let metrics = &self.shared.metrics;
+        let (mut tenants, ledger, fallback) = self.with(|state, now| {
+            let tenants = state.spender.tenants(now);
+            let ledger = state.ledger.is_some();
+            (tenants, ledger, state.spender.in_fallback(now))
+        });
+        metrics.ledger.set(ledger.into());
+        metrics.fallback.set(fallback.into());
+        metrics.rates.reset();
+        metrics.tokens.reset();
+        tenants.sort_by(|left, right| right.1.rate.total_cmp(&left.1.rate));
+        for (name, view) in tenants.into_iter().take(MOST_LABELS) {
+            let rate = (view.rate * 1_000.0) as i64;
+            metrics.rates.with_label_values(&[name.as_str()]).set(rate);
+            let tokens = metrics.tokens.with_label_values(&[name.as_str()]);
+            tokens.set(view.tokens.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/limits/operate.rs
@@ -0,0 +1,112 @@
+//! What operators see of limits: who keeps the ledger, what this gateway holds
+//! of each tenant's limit, and why a tenant is refused.
+
+use http_types::{Method, Request, Response};
+use serde::Serialize;
+use threadledge_limits::spender::TenantView;
+use threadledge_types::deployment::TenantName;
+
+use super::super::answer;
+use super::Limits;
+
+/// Path of the list; with a tenant's name behind it, of that one.
+const LIMITS_PATH: &str = "/threadledge/v1/tenant-limits";
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsStatus {
+    /// Where the ledger is kept, as far as this gateway knows.
+    ledger: Option<String>,
+    term: Option<u64>,
+    /// The ledger is kept here; whether the whole of the rates is its to give.
+    kept_here: Option<bool>,
+    /// Shares are used, since the ledger cannot be reached.
+    fallback: bool,
+    tenants: Vec<TenantStatus>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct TenantStatus {
+    tenant: String,
+    limit_per_s: f64,
+    burst: f64,
+    /// Requests a second that arrive at this gateway.
+    rate_here: f64,
+    tokens_here: u32,
+    /// Part of the limit that this gateway may use without the ledger.
+    share_here: f64,
+    /// Why its last request was refused here, if one was within some seconds.
+    refused: Option<&'static str>,
+    refusals: u64,
+    /// Requests are refused for so long without asking.
+    none_for_s: f64,
+    /// Requests a second that all gateways report, where the ledger is kept.
+    rate_everywhere: Option<f64>,
+    /// Tokens that the ledger has left.
+    ledger_tokens: Option<f64>,
+}
+
+impl Limits {
+    /// Answers an operator; `None` on paths that are not about limits.
+    pub(in super::super) fn operate(&self, request: &Request) -> Option<Response> {
+        let rest = request.url().path().strip_prefix(LIMITS_PATH)?;
+        if request.method() != Method::Get {
+            return Some(answer::own(405, "use-get", None));
+        }
+        if rest.is_empty() {
+            return Some(answer::json(&self.status()));
+        }
+        let tenant = TenantName::from(rest.strip_prefix('/')?);
+        let known = self.status().tenants.into_iter();
+        let mut known = known.filter(|status| status.tenant == tenant.as_str());
+        Some(match known.next() {
+            Some(status) => answer::json(&status),
+            None => answer::own(404, "no-such-tenant-with-a-limit-was-seen-lately", None),
+        })
+    }
+
+    fn status(&self) -> LimitsStatus {
+        self.with(|state, now| {
+            let tenants = state.spender.tenants(now).into_iter();
+            let tenants = tenants.map(|(name, view)| {
+                let ledger = state.ledger.as_ref();
+                let account = ledger.and_then(|ledger| ledger.view(&name));
+                self.tenant_status(&name, &view, account.map(|(_, level, rate)| (level, rate)))
+            });
+            let tenants = tenants.collect();
+            LimitsStatus {
+                ledger: state
+                    .holder
+                    .and_then(|(_, address)| address)
+                    .map(|address| address.to_string()),
+                term: state.holder.map(|(term, _)| term.0),
+                kept_here: state.ledger.as_ref().map(|ledger| ledger.is_whole()),
+                fallback: state.spender.in_fallback(now),
+                tenants,
+            }
+        })
+    }
+
+    fn tenant_status(
+        &self,
+        name: &TenantName,
+        view: &TenantView,
+        account: Option<(f64, f64)>,
+    ) -> TenantStatus {
+        let refusals = self.shared.log.refusals(name);
+        TenantStatus {
+            tenant: name.as_str().to_owned(),
+            limit_per_s: view.limit.rate,
+            burst: view.limit.burst,
+            rate_here: view.rate,
+            tokens_here: view.tokens,
+            share_here: view.share,
+            refused: refusals.map(|refusals| refusals.why.as_str()),
+            refusals: refusals.map_or(0, |refusals| refusals.count),
+            none_for_s: view.none_for.as_secs_f64(),
+            rate_everywhere: account.map(|(_, rate)| rate),
+            ledger_tokens: account.map(|(level, _)| level),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/limits/state.rs
@@ -0,0 +1,111 @@
+//! What a gateway knows of limits, under one lock: its tokens, the election,
+//! and the ledger while it keeps it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use threadledge_coordination::election::Election;
+use threadledge_coordination::{NodeIdentity, Term};
+use threadledge_limits::{Answer, Ask, Ledger, Settings, Spender};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{RateLimit, TenantName};
+
+/// Time between two renewals of the office, and between two looks at it by
+/// gateways that watch the store: each is a call that is paid for.
+const LEASE_RENEWAL: Duration = Duration::from_secs(1);
+/// Silence of the ledger's gateway at the store after which another takes
+/// over. Shares serve until then.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
+
+/// How the office of the ledger is held: as that of a coordinator, but longer
+/// without confirmation, so that a store that is away for some seconds ends no
+/// ledger.
+pub(super) fn office_settings(office: Duration) -> threadledge_coordination::Settings {
+    threadledge_coordination::Settings {
+        lease: office,
+        lease_renewal: LEASE_RENEWAL,
+        standby_poll: LEASE_RENEWAL,
+        takeover_after: TAKEOVER_AFTER,
+        ..threadledge_coordination::Settings::default()
+    }
+}
+
+pub(super) struct State {
+    pub(super) me: NodeIdentity,
+    pub(super) settings: Settings,
+    pub(super) spender: Spender,
+    pub(super) election: Election,
+    pub(super) ledger: Option<Ledger>,
+    /// Where the ledger is kept.
+    pub(super) holder: Option<(Term, Option<SocketAddr>)>,
+    pub(super) limits: BTreeMap<TenantName, RateLimit>,
+    /// A planned stop has begun.
+    pub(super) leaving: bool,
+}
+
+impl State {
+    pub(super) fn new(me: NodeIdentity, settings: Settings) -> Self {
+        let spender = Spender::new(me.node.clone(), me.incarnation, settings.clone());
+        let election = Election::new(me.clone(), office_settings(settings.office), Duration::ZERO);
+        State {
+            me,
+            settings,
+            spender,
+            election,
+            ledger: None,
+            holder: None,
+            limits: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    pub(super) fn set_limits(&mut self, now: Timestamp, limits: BTreeMap<TenantName, RateLimit>) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.set_limits(now, limits.clone());
+        }
+        self.spender.set_limits(limits.clone());
+        self.limits = limits;
+    }
+
+    /// The ledger of this term is kept at `address`.
+    pub(super) fn hear_of(&mut self, now: Timestamp, term: Term, address: Option<SocketAddr>) {
+        if self.holder.is_none_or(|(known, _)| known <= term) {
+            self.holder = Some((term, address));
+        }
+        self.spender.hear_of(now, term);
+        self.yield_office();
+    }
+
+    /// A ledger ends before its gateway asks the next one: whatever it holds
+    /// of the rates counts as accounted for from that ask on.
+    pub(super) fn yield_office(&mut self) {
+        let Some(ledger) = &self.ledger else {
+            return;
+        };
+        if self.spender.term().is_some_and(|term| term > ledger.term()) {
+            self.ledger = None;
+        }
+    }
+
+    /// Hands the office back; this gateway grants nothing from here on.
+    pub(super) fn leave(&mut self, now: Timestamp) {
+        self.leaving = true;
+        self.ledger = None;
+        self.election.hand_back(now);
+    }
+
+    /// Answers an ask; says whether a record has to be written.
+    pub(super) fn answer(&mut self, now: Timestamp, ask: &Ask) -> (Answer, bool) {
+        if !self.election.may_act(now) {
+            return (Answer::Elsewhere, false);
+        }
+        match &mut self.ledger {
+            Some(ledger) => {
+                let answer = ledger.answer(now, ask);
+                (answer, ledger.record_to_write().is_some())
+            }
+            None => (Answer::Elsewhere, false),
+        }
+    }
+}
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -6,13 +6,16 @@
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use threadledge_coordination::NodeIdentity;
 use threadledge_types::deployment::ServiceName;
 
 use super::departures::Departures;
 use super::dispatch::Dispatch;
+use super::limits::Limits;
 use super::log::RequestLine;
 use super::sources::Sources;
 use super::usage::Usage;
+use crate::proxy::Clock;
 
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -100,6 +103,20 @@
         })
     }
 
+    /// The limits of this gateway, with their metrics among these.
+    ///
+    /// # Errors
+    ///
+    /// Never with the names compiled in; the library checks them at run time.
+    pub(super) fn limits(
+        &self,
+        clock: Clock,
+        me: &NodeIdentity,
+        settings: threadledge_limits::Settings,
+    ) -> Result<Limits, prometheus::Error> {
+        Limits::new(clock, me, settings, &self.registry)
+    }
+
     /// Counts calls to the store and what other gateways send.
     pub(super) fn usage(&self) -> &Usage {
         &self.usage
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -12,6 +12,8 @@
 use http_types::{Method, Request, Response};
 use parking_lot::Mutex;
 use threadledge_coordination::LoadReport;
+use threadledge_limits::settings::ASK_TIMEOUT;
+use threadledge_limits::{Answer, Ask};
 use threadledge_net::{
     HttpClient, Instant, PoolSettings, ServeReport, ServerLimits, StopSignal, serve,
 };
@@ -22,6 +24,7 @@
 use super::coordination::Event;
 use super::directory::Directory;
 use super::followers::{Followers, millis};
+use super::limits::Limits;
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::news::{Marks, News};
 use super::suspects::SuspectService;
@@ -35,6 +38,8 @@
 const FOLLOW_PATH: &str = "/threadledge/v1/follow";
 /// Path of news of requests that crash back ends.
 const SUSPECTS_PATH: &str = "/threadledge/v1/suspects";
+/// Path of asks for tokens of tenants' limits.
+const LIMITS_PATH: &str = "/threadledge/v1/limits";
 /// Longest wait for the answer to such news: others wait to be told meanwhile.
 const SUSPECTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a poll of a relay is held.
@@ -165,6 +170,13 @@
         told.await.ok()
     }
 
+    /// Asks the gateway that keeps the ledger for tokens. `None`: it did not
+    /// answer.
+    pub(super) async fn limits(&self, to: SocketAddr, ask: &Ask) -> Option<Answer> {
+        let asked = self.client.post_json(to, LIMITS_PATH, ask, ASK_TIMEOUT);
+        asked.await.ok()
+    }
+
     /// The address at which other gateways reach this one.
     pub(super) fn own(&self) -> Option<SocketAddr> {
         self.own
@@ -197,6 +209,7 @@
     pub(super) followers: Arc<Followers>,
     pub(super) usage: Usage,
     pub(super) suspects: SuspectService,
+    pub(super) limits: Limits,
 }
 
 impl PeerServer {
@@ -223,6 +236,7 @@
             FOLLOW_PATH => "follow",
             NEWS_PATH => "news",
             SUSPECTS_PATH => "suspects",
+            LIMITS_PATH => "limits",
             _ => "unknown",
         };
         let response = self.answer_body(&request, &body).await;
@@ -249,6 +263,10 @@
                 Ok(exchange) => answer::json(&self.take_suspects(&exchange)),
                 Err(_) => answer::own(400, "malformed-suspects", None),
             },
+            (Method::Post, LIMITS_PATH) => match serde_json::from_slice(body) {
+                Ok(ask) => answer::json(&self.limits.answer(&ask)),
+                Err(_) => answer::own(400, "malformed-ask", None),
+            },
             _ => answer::own(404, "unknown-path", None),
         }
     }
--- a/crates/router/src/gateway/readiness.rs
+++ b/crates/router/src/gateway/readiness.rs
@@ -11,6 +11,7 @@
 
 use super::answer;
 use super::dispatch::Dispatch;
+use super::limits::Limits;
 use super::metrics::GatewayMetrics;
 use super::operate_keys;
 use super::suspects::SuspectService;
@@ -80,6 +81,8 @@
     pub(super) suspects: Option<SuspectService>,
     /// Whose callers' keys are, where operators ask.
     pub(super) keys: Option<Arc<Dispatch>>,
+    /// Limits of tenants; shown where operators ask.
+    pub(super) limits: Limits,
 }
 
 impl StateAnswers {
@@ -112,10 +115,13 @@
         let held = suspects.and_then(|suspects| suspects.operate(request));
         let keys = self.keys.as_ref();
         let operated = held.or_else(|| operate_keys::operate(keys?, request));
+        // Only operators are shown what is held.
+        let operated = operated.or_else(|| suspects.and(self.limits.operate(request)));
         operated.unwrap_or_else(|| answer::own(404, "unknown-path", None))
     }
 
     fn metrics_text(&self) -> Response {
+        self.limits.update_metrics();
         match self.metrics.text() {
             Ok(text) => {
                 let mut response = Response::new(StatusCode::Ok);
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -6,9 +6,10 @@
 
 use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
-use threadledge_dispatch::{ExchangeId, Refusal, RequestFacts};
+use threadledge_dispatch::{ExchangeId, Outcome, Refusal, RequestFacts};
 use threadledge_net::ConnectionInfo;
 use threadledge_ports::CallerHead;
+use threadledge_tenants::Admission;
 use threadledge_types::NotRunReason;
 
 use super::admission::{Head, host_of};
@@ -17,6 +18,7 @@
 use super::bodies::{self, Bodies};
 use super::departures::{Stage, Visit};
 use super::exchange::{Conclusion, Exchange};
+use super::limits::{Limits, Permit, Refused};
 use super::log::{RequestLine, RequestLogger};
 use super::metrics::GatewayMetrics;
 use super::suspects::identity::{self, Sender};
@@ -29,6 +31,8 @@
 /// What all requests share.
 pub(super) struct Requests {
     pub(super) attempts: Attempts,
+    /// Limits of tenants.
+    pub(super) limits: Limits,
     pub(super) logger: RequestLogger,
     pub(super) metrics: GatewayMetrics,
     /// A planned stop has begun: connections are closed after their answers.
@@ -48,6 +52,25 @@
     }
 }
 
+/// A request that may run, with its body unread.
+struct Arrival {
+    request: Request,
+    caller: CallerHead,
+    from: IpAddr,
+    head: Head,
+    admission: Admission,
+    /// It only passes through, to a region where it may be served.
+    in_transit: bool,
+}
+
+/// The answer to a request that might have run.
+enum Served {
+    /// It has run, or may have.
+    Run(Response),
+    /// It surely has not.
+    NotRun(Response),
+}
+
 impl Requests {
     /// Whether a request may run beside others of its connection: what its
     /// route says counts, and not the method.
@@ -102,19 +125,64 @@
         if in_transit {
             line.forget_content();
         }
+        // Before anything of the body is read, queued or charged to a budget:
+        // a tenant far beyond its limit costs the others nothing.
+        let permit = match self.permit(&admission).await {
+            Ok(permit) => permit,
+            Err(refused) => {
+                line.outcome = refused.why.as_str();
+                return answer::own(429, refused.why.as_str(), Some(refused.wait));
+            }
+        };
+        let arrival = Arrival {
+            request,
+            caller,
+            from,
+            head,
+            admission,
+            in_transit,
+        };
+        match self.serve(arrival, line, visit).await {
+            Served::Run(response) => response,
+            Served::NotRun(response) => {
+                permit.not_run();
+                response
+            }
+        }
+    }
+
+    /// Leave to run, of the tenant's limit.
+    async fn permit(&self, admission: &Admission) -> Result<Permit, Refused> {
+        match admission.tenant() {
+            Some(tenant) => self.limits.admit(tenant).await,
+            None => Ok(Permit::free()),
+        }
+    }
+
+    async fn serve(&self, arrival: Arrival, line: &mut RequestLine, visit: &mut Visit) -> Served {
+        let Arrival {
+            request,
+            caller,
+            from,
+            head,
+            admission,
+            in_transit,
+        } = arrival;
         visit.at(Stage::Reading);
         let read = Inbound::read(request, READ_AHEAD, &self.attempts.budget);
         let mut inbound = match read.await {
             Ok(inbound) => inbound,
             Err((reason, _)) => {
                 line.outcome = reason.as_str();
-                return answer::own(reason.status(), reason.as_str(), None);
+                let response = answer::own(reason.status(), reason.as_str(), None);
+                return Served::NotRun(response);
             }
         };
         let Some(_room) = self.bodies.take_in(&mut inbound) else {
             let reason = NotRunReason::Overloaded;
             line.outcome = reason.as_str();
-            return answer::own(reason.status(), reason.as_str(), Some(bodies::RETRY_AFTER));
+            let response = answer::own(reason.status(), reason.as_str(), Some(bodies::RETRY_AFTER));
+            return Served::NotRun(response);
         };
         let wording = self.attempts.wording.as_ref();
         // Invariant: no back end sees a caller's key or a tenant's name that
@@ -139,7 +207,7 @@
         };
         let (begun, signal) = match self.attempts.dispatch.begin(&facts) {
             Ok(begun) => begun,
-            Err(refusal) => return refused(&refusal, line),
+            Err(refusal) => return Served::NotRun(refused(&refusal, line)),
         };
         line.begun(&begun);
         outbound.tenant = begun.caller.as_ref().map(|caller| caller.name.clone());
@@ -154,11 +222,15 @@
             Conclusion::Answered { response, back_end } => {
                 line.outcome = "answered";
                 line.back_end = Some(back_end);
-                *response
+                Served::Run(*response)
             }
             Conclusion::Own(outcome) => {
                 line.own(&outcome);
-                answer::of_outcome(&outcome)
+                let response = answer::of_outcome(&outcome);
+                match outcome {
+                    Outcome::Refused(_) => Served::NotRun(response),
+                    Outcome::Unknown(_) => Served::Run(response),
+                }
             }
         }
     }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -28,6 +28,7 @@
 use super::dispatch::Dispatch;
 use super::followers::Followers;
 use super::key_watch::watch_keys;
+use super::limits::{Limits, OfficePlace, by_cores};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::patience;
@@ -137,6 +138,7 @@
     /// Begins the planned stop.
     stop: StopSignal,
     suspects: SuspectService,
+    limits: Limits,
     findings: async_channel::Receiver<Finding>,
 }
 
@@ -164,6 +166,12 @@
         let metrics = GatewayMetrics::new(dispatch.clone(), sources.clone())?;
         let ports = metrics.usage().counting(ports);
         let budget = Budget::new(settings.limits.held_bytes());
+        let identity = NodeIdentity {
+            node: MachineName(settings.machine.clone()),
+            incarnation: Incarnation(rand::random()),
+            address: settings.listen.peers,
+        };
+        let limits = metrics.limits(clock, &identity, settings.tenant_limits())?;
         let requests = Arc::new(Requests {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
@@ -172,16 +180,12 @@
                 wording: ports.wording.clone(),
                 usage: metrics.usage().clone(),
             },
+            limits: limits.clone(),
             logger: RequestLogger::new(),
             metrics: metrics.clone(),
             leaving: AtomicBool::new(false),
             bodies: Bodies::new(budget, settings.limits.held_bytes()),
         });
-        let identity = NodeIdentity {
-            node: MachineName(settings.machine.clone()),
-            incarnation: Incarnation(rand::random()),
-            address: settings.listen.peers,
-        };
         Ok(Gateway {
             settings,
             identity,
@@ -198,6 +202,7 @@
             requests,
             stop,
             suspects,
+            limits,
             findings,
         })
     }
@@ -220,6 +225,7 @@
             self.followers.clone(),
             &self.ports,
         );
+        self.start_limits();
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
@@ -228,6 +234,7 @@
                 followers: self.followers.clone(),
                 usage: self.metrics.usage().clone(),
                 suspects: self.suspects.clone(),
+                limits: self.limits.clone(),
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
@@ -244,6 +251,7 @@
             wording: self.ports.wording.clone(),
             suspects: None,
             keys: None,
+            limits: self.limits.clone(),
         };
         task::spawn(answers.clone().serve(listeners.readiness, ended.clone()));
         if let Some(listener) = listeners.operators {
@@ -287,6 +295,7 @@
     fn leave(&self, events: &async_channel::Sender<Event>) {
         self.readiness.leave();
         self.followers.leave();
+        self.limits.leave();
         self.requests.leaving.store(true, Ordering::Relaxed);
         // The channel is unbounded and closes only when the process ends.
         let _ = events.try_send(Event::Stop);
@@ -380,6 +389,22 @@
         }
     }
 
+    /// Holds tenants to their limits, with the other gateways.
+    fn start_limits(&self) {
+        let limits = &self.settings.limits;
+        let place = OfficePlace {
+            patience: patience::of_coordinator(limits.link_mbps, rand::random())
+                + by_cores(limits.cores),
+        };
+        self.limits.start(
+            self.peer_client(),
+            self.ports.clone(),
+            self.sources.clone(),
+            self.store_health.clone(),
+            place,
+        );
+    }
+
     fn peer_client(&self) -> PeerClient {
         PeerClient::new(self.settings.listen.peers, self.peers.clone())
     }
--- a/crates/router/src/gateway/run/following.rs
+++ b/crates/router/src/gateway/run/following.rs
@@ -36,6 +36,7 @@
             pool: self.pool.clone(),
             readiness: self.readiness.clone(),
             health: self.store_health.clone(),
+            limits: self.limits.clone(),
             events,
             changed: Arc::new(Notifier::default()),
         };
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -412,6 +412,17 @@
         Places::new(self.zone.as_str().into(), region, regions)
     }
 
+    /// Settings of the limits of tenants.
+    pub fn tenant_limits(&self) -> threadledge_limits::Settings {
+        let limits = &self.tenant_limits;
+        threadledge_limits::Settings {
+            window: seconds(limits.window_s),
+            overage: limits.overage,
+            slack: limits.slack,
+            office: LEDGER_OFFICE,
+        }
+    }
+
     /// Settings of the request path.
     pub fn dispatch(&self) -> threadledge_dispatch::Settings {
         let defaults = threadledge_dispatch::Settings::default();
@@ -433,6 +444,9 @@
     }
 }
 
+/// How long a ledger of limits goes on without confirmation by the store: a
+/// store that is away for some seconds ends no ledger.
+const LEDGER_OFFICE: Duration = Duration::from_secs(10);
 /// Longest time that a setting may state, in seconds.
 const LONGEST_S: f64 = 86_400.0;
 /// Part of the budget's slack that is shared: gateways that nobody has heard
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -72,6 +72,9 @@
     changed: Notifier,
     fleet: Mutex<Fleet>,
     leases: Mutex<BTreeMap<ServiceName, Versioned<CoordinatorLease>>>,
+    /// Another holds one of the leases.
+    lease_changes: Notifier,
+    lease_holders: AtomicU64,
     load: Mutex<BTreeMap<ServiceName, LoadReport>>,
 }
 
@@ -89,6 +92,8 @@
             changed: Notifier::default(),
             fleet: Mutex::default(),
             leases: Mutex::default(),
+            lease_changes: Notifier::default(),
+            lease_holders: AtomicU64::new(0),
             load: Mutex::default(),
         }
     }
@@ -255,11 +260,28 @@
     pub(super) fn take_lease(&self, service: &ServiceName, found: &Versioned<CoordinatorLease>) {
         let mut leases = self.leases.lock();
         let known = leases.get(service);
-        if known.is_none_or(|known| known.revision < found.revision) {
-            leases.insert(service.clone(), found.clone());
+        if known.is_some_and(|known| known.revision >= found.revision) {
+            return;
+        }
+        let passed = known.is_none_or(|known| known.value.term != found.value.term);
+        leases.insert(service.clone(), found.clone());
+        drop(leases);
+        if passed {
+            self.lease_holders.fetch_add(1, Ordering::Relaxed);
+            self.lease_changes.notify();
         }
     }
 
+    /// Told when another gateway holds a lease.
+    pub(super) fn lease_changes(&self) -> &Notifier {
+        &self.lease_changes
+    }
+
+    /// How often a lease has passed to another holder so far.
+    pub(super) fn lease_holders(&self) -> u64 {
+        self.lease_holders.load(Ordering::Relaxed)
+    }
+
     /// The lease as last read, written or told.
     pub(super) fn lease(&self, service: &ServiceName) -> Option<Versioned<CoordinatorLease>> {
         self.leases.lock().get(service).cloned()
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -77,6 +77,7 @@
             leases: self.counted("leases", ports.leases),
             ownership: self.counted("ownership", ports.ownership),
             relays: self.counted("relays", ports.relays),
+            limit_holders: self.counted("limit-holders", ports.limit_holders),
             held_requests: self.counted("held-requests", ports.held_requests),
             ..ports
         }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod knowledge;
 mod leaving;
+mod limits;
 mod names;
 mod outage;
 mod patience;
