Limits: a machine lost for good keeps little from a new ledger; the store is looked at in doubt only

Change: no gateway's share is more than a fifth, so that a new ledger has the rest at once when all other machines have asked and no ledger before it is in office; the record names these ledgers, and is pruned when the whole is accounted for. The office lasts 6 s without the store. A gateway looks at the lease only while the ledger does not answer it, or says that its office may end.

--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -40,6 +40,8 @@
     /// The one that it wrote in its place, with its own machine: machines that
     /// an earlier ledger would add are refused by the store from then on.
     pub written: HolderRecord,
+    /// The machine that keeps it.
+    pub machine: MachineName,
 }
 
 /// Limits of tenants over all gateways.
@@ -53,12 +55,16 @@
     /// When the next thing becomes of each member.
     deadlines: BTreeSet<(Timestamp, MachineName)>,
     listed: HolderRecord,
+    machine: MachineName,
+    /// What is its own of each rate in any case.
+    free: Share,
 }
 
 impl Ledger {
     /// A ledger that takes its office `now`.
     pub fn new(now: Timestamp, settings: Settings, office: Office) -> Self {
         let claim = Claim::begin(now, &settings, office.predecessor, office.found);
+        let free = claim.free(now);
         Ledger {
             settings,
             term: office.term,
@@ -67,6 +73,8 @@
             members: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             listed: office.written,
+            machine: office.machine,
+            free,
         }
     }
 
@@ -93,7 +101,7 @@
                 Some(account) => account.under(now, *limit, &self.settings),
                 None => {
                     let mut account = Account::new(now, *limit, &self.settings);
-                    account.total = self.claim.total();
+                    account.set_free(self.free);
                     account
                 }
             };
@@ -107,17 +115,41 @@
         }
     }
 
-    /// The record of holders that the store has to keep before all members may
-    /// get shares; `None` if it does.
-    pub fn record_to_write(&self) -> Option<HolderRecord> {
-        let known = |machine: &MachineName| self.listed.machines.contains(machine);
-        if self.members.keys().all(known) {
+    /// Whether the store should keep another record of holders.
+    pub fn needs_record(&self, now: Timestamp) -> bool {
+        self.record(now) != self.listed
+    }
+
+    /// The record of holders to write now; `None` if the store has it.
+    pub fn record_to_write(&mut self, now: Timestamp) -> Option<HolderRecord> {
+        let record = self.record(now);
+        if record == self.listed {
             return None;
         }
-        let mut machines = self.listed.machines.clone();
-        machines.extend(self.members.keys().cloned());
-        let term = self.term;
-        Some(HolderRecord { term, machines })
+        // Invariant: a machine that is not in the record gets no share, also
+        // while the record without it is on its way.
+        let machines = &mut self.listed.machines;
+        machines.retain(|machine| record.machines.contains(machine));
+        Some(record)
+    }
+
+    /// Machines in it that have not asked stay until all is accounted for, and
+    /// earlier ledgers until their offices have ended.
+    fn record(&self, now: Timestamp) -> HolderRecord {
+        let mut machines: BTreeSet<MachineName> = self.members.keys().cloned().collect();
+        machines.insert(self.machine.clone());
+        if !self.is_whole() {
+            machines.extend(self.listed.machines.iter().cloned());
+        }
+        let ledgers = match self.claim.is_alone(now) {
+            true => BTreeSet::from([self.machine.clone()]),
+            false => self.listed.ledgers.clone(),
+        };
+        HolderRecord {
+            term: self.term,
+            machines,
+            ledgers,
+        }
     }
 
     /// The store keeps this record now.
@@ -140,6 +172,7 @@
             term: self.term,
             at: now,
             tenants,
+            ailing: false,
         }
     }
 
@@ -179,7 +212,7 @@
             };
             account.refill(now);
             if is_new && !self.claim.is_whole() {
-                account.total += u64::from(tenant.share.0);
+                account.hand_in(tenant.share, self.free);
             }
             account.count(holding, false);
             account.put(tenant.back);
@@ -188,7 +221,7 @@
         self.deadlines.insert(deadline);
         self.members.insert(ask.from.clone(), member);
         if self.claim.accounted_for(&ask.from) {
-            self.become_whole(now);
+            self.claim = Claim::Whole;
         }
         // The ask may have been on its way for so long that its sender counts
         // as silent already.
@@ -242,8 +275,9 @@
     /// Lets happen what was due until `now`.
     fn advance(&mut self, now: Timestamp) {
         if self.claim.is_over(now) {
-            self.become_whole(now);
+            self.claim = Claim::Whole;
         }
+        self.free_up(now);
         while let Some((at, machine)) = self.deadlines.first().cloned() {
             if at > now {
                 return;
@@ -268,11 +302,15 @@
         }
     }
 
-    fn become_whole(&mut self, now: Timestamp) {
-        self.claim = Claim::Whole;
+    fn free_up(&mut self, now: Timestamp) {
+        let free = self.claim.free(now);
+        if free == self.free {
+            return;
+        }
+        self.free = free;
         for account in self.accounts.values_mut() {
             account.refill(now);
-            account.total = self.claim.total();
+            account.set_free(free);
         }
     }
 
--- a/crates/limits/src/ledger/account.rs
+++ b/crates/limits/src/ledger/account.rs
@@ -5,6 +5,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{RateLimit, TenantName};
 
+use super::claim::MOST_SHARE;
 use super::member::{Holding, Member};
 use crate::bucket::{Bucket, Flow};
 use crate::messages::Share;
@@ -27,8 +28,10 @@
     depth: f64,
     rounding: f64,
     bucket: Bucket,
-    /// What is this ledger's or is held by gateways, in millionths.
-    pub(super) total: u64,
+    /// What gateways handed in, in millionths.
+    handed: u64,
+    /// What is this ledger's or is held by gateways.
+    total: u64,
     /// What gateways hold of it.
     held: u64,
     /// What gateways hold that may be using it.
@@ -47,6 +50,7 @@
             depth: settings.depth(limit),
             rounding: settings.rounding(),
             bucket: Bucket::empty(now),
+            handed: 0,
             total: 0,
             held: 0,
             reserved: 0,
@@ -61,6 +65,7 @@
         self.refill(now);
         Account {
             bucket: self.bucket,
+            handed: self.handed,
             total: self.total,
             ..Account::new(now, limit, settings)
         }
@@ -79,6 +84,17 @@
         self.bucket.refill(now, self.flow());
     }
 
+    /// A gateway hands a share in that an earlier ledger gave it.
+    pub(super) fn hand_in(&mut self, share: Share, free: Share) {
+        self.handed += u64::from(share.0);
+        self.set_free(free);
+    }
+
+    /// So much is this ledger's in any case.
+    pub(super) fn set_free(&mut self, free: Share) {
+        self.total = self.handed.max(free.0.into()).min(Share::WHOLE.0.into());
+    }
+
     /// Takes back what was not used.
     pub(super) fn put(&mut self, tokens: u32) {
         self.bucket.put(tokens);
@@ -145,8 +161,8 @@
         let shared = (self.total as f64 * SHARED_PART) as u64;
         let left = shared.saturating_sub(self.held.saturating_sub(held.share.0.into()));
         let wanted = (shared as f64 * part) as u64;
-        let offered = u32::try_from(wanted.min(left)).unwrap_or(Share::WHOLE.0);
-        let mut offered = Share(offered.min(Share::WHOLE.0));
+        let offered = u32::try_from(wanted.min(left)).unwrap_or(u32::MAX);
+        let mut offered = Share(offered).min(MOST_SHARE);
         let others = self.exceeding - self.exceeding_of(held.share);
         if others + self.exceeding_of(offered) > self.rounding {
             offered = Share::default();
--- a/crates/limits/src/ledger/claim.rs
+++ b/crates/limits/src/ledger/claim.rs
@@ -14,6 +14,10 @@
     pub office_end: Timestamp,
 }
 
+/// Most of a tenant's rate that one gateway has as its share. A machine that
+/// was lost for good keeps no more than this from a new ledger.
+pub(super) const MOST_SHARE: Share = Share(200_000);
+
 /// What a ledger may give.
 #[derive(Clone, Debug)]
 pub(super) enum Claim {
@@ -23,6 +27,10 @@
     Part {
         /// Everything that was handed out before has run out by then.
         until: Timestamp,
+        /// No ledger before this one gives anything from then on.
+        office_end: Timestamp,
+        /// Machines of such ledgers that have not asked yet.
+        ledgers: BTreeSet<MachineName>,
         /// Machines that may hold shares and have not asked yet; `None` if
         /// they are not known.
         missing: Option<BTreeSet<MachineName>>,
@@ -42,10 +50,14 @@
             // Whoever was there before has listed nobody, itself neither.
             (Some(_), None) => Claim::Part {
                 until: office_end,
+                office_end,
+                ledgers: BTreeSet::new(),
                 missing: None,
             },
             (_, Some(found)) => Claim::Part {
                 until: settings.share_end(office_end),
+                office_end,
+                ledgers: found.ledgers,
                 missing: Some(found.machines),
             },
         }
@@ -55,11 +67,33 @@
         matches!(self, Claim::Whole)
     }
 
-    /// The part of a rate that is this ledger's without anything handed in.
-    pub(super) fn total(&self) -> u64 {
+    /// The part of a rate that is this ledger's without anything handed in:
+    /// what those that have not asked cannot have.
+    pub(super) fn free(&self, now: Timestamp) -> Share {
         match self {
-            Claim::Whole => Share::WHOLE.0.into(),
-            Claim::Part { .. } => 0,
+            Claim::Whole => Share::WHOLE,
+            Claim::Part {
+                missing: Some(missing),
+                ..
+            } if self.is_alone(now) => {
+                let missing = u32::try_from(missing.len()).unwrap_or(u32::MAX);
+                let kept = MOST_SHARE.0.saturating_mul(missing);
+                Share(Share::WHOLE.0.saturating_sub(kept))
+            }
+            Claim::Part { .. } => Share::default(),
+        }
+    }
+
+    /// Whether no ledger before this one gives anything any more.
+    pub(super) fn is_alone(&self, now: Timestamp) -> bool {
+        match self {
+            Claim::Whole => true,
+            Claim::Part {
+                missing,
+                ledgers,
+                office_end,
+                ..
+            } => *office_end <= now || (missing.is_some() && ledgers.is_empty()),
         }
     }
 
@@ -73,9 +107,11 @@
         match self {
             Claim::Part {
                 missing: Some(missing),
+                ledgers,
                 ..
             } => {
                 missing.remove(machine);
+                ledgers.remove(machine);
                 missing.is_empty()
             }
             Claim::Part { missing: None, .. } | Claim::Whole => false,
--- a/crates/limits/src/messages.rs
+++ b/crates/limits/src/messages.rs
@@ -104,6 +104,9 @@
         /// What each tenant gets; none when the ask only greeted.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         tenants: Vec<TenantGrant>,
+        /// The store has not confirmed its office for a while.
+        #[serde(default, skip_serializing_if = "is_false")]
+        ailing: bool,
     },
     /// This gateway does not keep the ledger.
     Elsewhere,
@@ -144,4 +147,8 @@
     pub term: Term,
     /// Machines whose gateways may hold shares.
     pub machines: BTreeSet<MachineName>,
+    /// Machines whose gateways may keep a ledger: the writer, and those before
+    /// it whose offices may not have ended.
+    #[serde(default)]
+    pub ledgers: BTreeSet<MachineName>,
 }
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -36,6 +36,9 @@
 /// Shortest life of a token. With a smaller overage the bound cannot be kept
 /// by tokens that outlive the round trip for which they are asked.
 const SHORTEST_LIFE: Duration = Duration::from_millis(20);
+/// For how long after its last answer a gateway can hand its shares in to
+/// another ledger.
+const HAND_IN_TIME: Duration = Duration::from_secs(8);
 /// How much faster one gateway's clock may run than another's, in percent.
 const CLOCK_RATE_PERCENT: u32 = 2;
 
@@ -60,7 +63,7 @@
     /// that asks another ledger hands it in only while the office of the one
     /// before ends first.
     pub(crate) fn share_life(&self) -> Duration {
-        slowest(self.office) + Duration::from_secs(9)
+        slowest(self.office) + HAND_IN_TIME
     }
 
     /// When a share that was last renewed at `heard` has surely ended.
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -176,7 +176,8 @@
             }
         }
         if now >= until {
-            return refused(RefusedWhy::NoLedger, LONGEST_PAUSE);
+            // It answers others of this gateway, or will soon.
+            return refused(RefusedWhy::OverLimit, LONGEST_PAUSE);
         }
         allowance.need += 1;
         self.urgent = true;
@@ -317,6 +318,17 @@
         }
     }
 
+    /// For how long no ledger has answered; `None` while one does or nothing
+    /// is asked.
+    pub fn lost_for(&self, now: Timestamp) -> Option<Duration> {
+        self.contact.lost_for(now)
+    }
+
+    /// Whether the ledger says that its office may end.
+    pub fn is_ledger_ailing(&self) -> bool {
+        self.contact.is_ailing()
+    }
+
     /// The term of the last ledger that answered or was told of.
     pub fn term(&self) -> Option<Term> {
         self.contact.term()
--- a/crates/limits/src/spender/contact.rs
+++ b/crates/limits/src/spender/contact.rs
@@ -47,8 +47,10 @@
     confirmed: Option<Timestamp>,
     /// The ledger has to hear of this gateway.
     to_introduce: bool,
-    /// Nothing was answered since an ask failed.
-    lost: bool,
+    /// Since when nothing was answered after an ask that failed.
+    lost: Option<Timestamp>,
+    /// The ledger says that its office may end.
+    ailing: bool,
     next_greeting: Timestamp,
 }
 
@@ -80,7 +82,16 @@
     }
 
     pub(super) fn is_lost(&self) -> bool {
-        self.lost
+        self.lost.is_some()
+    }
+
+    /// For how long no ledger has answered.
+    pub(super) fn lost_for(&self, now: Timestamp) -> Option<Duration> {
+        self.lost.map(|since| now.since(since))
+    }
+
+    pub(super) fn is_ailing(&self) -> bool {
+        self.ailing
     }
 
     /// When to greet; `None` where asks may be sent.
@@ -123,7 +134,10 @@
         number: u64,
         answer: &Answer,
     ) -> Option<Timestamp> {
-        let Answer::Ledger { term, at, .. } = answer else {
+        let Answer::Ledger {
+            term, at, ailing, ..
+        } = answer
+        else {
             self.unanswered(now, number);
             return None;
         };
@@ -143,7 +157,8 @@
             at: *at,
             received: now,
         });
-        self.lost = false;
+        self.lost = None;
+        self.ailing = *ailing;
         let echo = flight.echo?;
         if echo.term != *term {
             self.to_introduce = true;
@@ -160,7 +175,7 @@
         }
         self.flight = None;
         self.answered = None;
-        self.lost = true;
+        self.lost = self.lost.or(Some(now));
         self.next_greeting = self.next_greeting.max(now);
     }
 
--- a/crates/limits/tests/limits/world.rs
+++ b/crates/limits/tests/limits/world.rs
@@ -257,13 +257,16 @@
             term,
             ..found.clone().unwrap_or_default()
         };
-        written.machines.insert(MachineName(format!("m-{node}")));
+        let machine = MachineName(format!("m-{node}"));
+        written.machines.insert(machine.clone());
+        written.ledgers.insert(machine.clone());
         self.record = Some(written.clone());
         let office = Office {
             term,
             predecessor,
             found,
             written,
+            machine,
         };
         let mut ledger = Ledger::new(now, settings(), office);
         ledger.set_limits(now, self.limits.clone());
@@ -316,11 +319,12 @@
             }
         }
         let written = self.record.as_ref().map(|record| record.term);
+        let now = self.local(node);
         if let Some(ledger) = &mut self.nodes[node].ledger {
             if written != Some(ledger.term()) {
                 return;
             }
-            if let Some(record) = ledger.record_to_write() {
+            if let Some(record) = ledger.record_to_write(now) {
                 ledger.recorded(record.clone());
                 self.record = Some(record);
             }
--- a/crates/router/src/gateway/limits/ask.rs
+++ b/crates/router/src/gateway/limits/ask.rs
@@ -1,5 +1,7 @@
 //! Asks the ledger for tokens.
 
+use std::time::Duration;
+
 use threadledge_limits::settings::ASK_TIMEOUT;
 use threadledge_limits::{Answer, Ask};
 use threadledge_net::timer;
@@ -40,18 +42,22 @@
     async fn send(&self, ask: Ask) {
         let number = ask.number;
         let answer = self.answer(ask).await;
-        let used = self.limits.with(|state, now| {
+        let (used, doubts) = self.limits.with(|state, now| {
             match answer {
                 Some(answer) => state.spender.on_answer(now, number, answer),
                 None => state.spender.on_silence(now, number),
             }
             state.yield_office();
-            state.spender.in_fallback(now)
+            let doubts = state.doubts_ledger(now, Duration::ZERO);
+            (state.spender.in_fallback(now), doubts)
         });
         let shared = &self.limits.shared;
         shared.log.fallback(used);
         shared.log.settle(shared.clock.now());
         shared.answered.notify();
+        if doubts {
+            shared.changed.notify();
+        }
     }
 
     async fn answer(&self, ask: Ask) -> Option<Answer> {
--- a/crates/router/src/gateway/limits/office.rs
+++ b/crates/router/src/gateway/limits/office.rs
@@ -35,6 +35,10 @@
 /// the lease at first hand, and are few.
 const FOLLOWER_PATIENCE: Duration = Duration::from_millis(700);
 
+/// Loss of the ledger after which a follower of a relay looks for it in the
+/// store itself.
+const FOLLOWER_DOUBT: Duration = Duration::from_millis(2_500);
+
 /// How well this machine is placed to keep the ledger.
 #[derive(Clone, Copy, Debug)]
 pub(in super::super) struct OfficePlace {
@@ -108,7 +112,7 @@
             }
             self.look_around();
             self.tell_ledger();
-            let action = self.limits.with(|state, now| state.election.poll(now));
+            let action = self.poll();
             if let Some(action) = action {
                 self.act(action).await;
                 continue;
@@ -122,13 +126,35 @@
         }
     }
 
+    /// The election's next call. A gateway looks at the store only while there
+    /// is reason to doubt the ledger: looks at it all the time cost four calls
+    /// a second and more, each paid for, and told nothing.
+    fn poll(&self) -> Option<Action> {
+        let patience = self.doubt_after();
+        self.limits.with(|state, now| {
+            let doubts = state.doubts_ledger(now, patience);
+            doubts.then(|| state.election.poll(now)).flatten()
+        })
+    }
+
+    /// Relays look first, and tell the others.
+    fn doubt_after(&self) -> Duration {
+        match self.sources.current() {
+            Source::Relay { .. } => FOLLOWER_DOUBT,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn next_wake(&self) -> Timestamp {
+        let patience = self.doubt_after();
         self.limits.with(|state, now| {
             let longest = now + LONGEST_WAIT;
-            let election = state.election.next_wake().unwrap_or(longest);
+            let doubts = state.doubts_ledger(now, patience);
+            let election = state.election.next_wake().filter(|_| doubts);
+            let election = election.unwrap_or(longest);
             let ledger = state.ledger.as_ref();
-            let due = self.won.is_some()
-                || ledger.is_some_and(|ledger| ledger.record_to_write().is_some());
+            let needed = ledger.is_some_and(|ledger| ledger.needs_record(now));
+            let due = self.won.is_some() || needed;
             let record = if due { self.next_record } else { longest };
             election.min(record).min(longest).max(now + SHORTEST_WAIT)
         })
@@ -255,8 +281,9 @@
         if now < self.next_record {
             return false;
         }
-        let (leading, record) = self.limits.with(|state, _now| {
-            let record = state.ledger.as_ref().and_then(Ledger::record_to_write);
+        let (leading, record) = self.limits.with(|state, now| {
+            let ledger = state.ledger.as_mut();
+            let record = ledger.and_then(|ledger| ledger.record_to_write(now));
             (state.election.leading(), record)
         });
         self.won = self.won.filter(|won| leading == Some(won.term));
@@ -293,7 +320,8 @@
             ..found.clone().unwrap_or_default()
         };
         let machine = self.limits.with(|state, _now| state.me.node.clone());
-        record.machines.insert(machine);
+        record.machines.insert(machine.clone());
+        record.ledgers.insert(machine.clone());
         let result = holders.write(HOLDERS, &record, condition).await;
         let WriteResult::Accepted(revision) = result else {
             return;
@@ -309,6 +337,7 @@
                 predecessor: won.predecessor,
                 found,
                 written: record,
+                machine,
             };
             let mut ledger = Ledger::new(now, state.settings.clone(), office);
             ledger.set_limits(now, state.limits.clone());
--- a/crates/router/src/gateway/limits/state.rs
+++ b/crates/router/src/gateway/limits/state.rs
@@ -13,10 +13,14 @@
 
 /// Time between two renewals of the office, and between two looks at it by
 /// gateways that watch the store: each is a call that is paid for.
-const LEASE_RENEWAL: Duration = Duration::from_secs(1);
+const LEASE_RENEWAL: Duration = Duration::from_millis(800);
 /// Silence of the ledger's gateway at the store after which another takes
 /// over. Shares serve until then.
-const TAKEOVER_AFTER: Duration = Duration::from_millis(2_200);
+const TAKEOVER_AFTER: Duration = Duration::from_millis(1_600);
+
+/// How long before its office ends a ledger says so: other gateways look for
+/// another one then.
+const AILING_BEFORE: Duration = Duration::from_millis(3_500);
 
 /// How the office of the ledger is held: as that of a coordinator, but longer
 /// without confirmation, so that a store that is away for some seconds ends no
@@ -88,6 +92,19 @@
         }
     }
 
+    /// Whether there is reason to look at the office: it is held here, nobody
+    /// is known to hold it, its holder has not answered for `patience`, or says
+    /// that it may end.
+    pub(super) fn doubts_ledger(&self, now: Timestamp, patience: Duration) -> bool {
+        let held = self.election.leading().is_some() || self.leaving;
+        let unknown = self.holder.is_none_or(|(_, address)| address.is_none());
+        let lost = self
+            .spender
+            .lost_for(now)
+            .is_some_and(|lost| lost >= patience);
+        held || unknown || lost || self.spender.is_ledger_ailing()
+    }
+
     /// Hands the office back; this gateway grants nothing from here on.
     pub(super) fn leave(&mut self, now: Timestamp) {
         self.leaving = true;
@@ -102,8 +119,11 @@
         }
         match &mut self.ledger {
             Some(ledger) => {
-                let answer = ledger.answer(now, ask);
-                (answer, ledger.record_to_write().is_some())
+                let mut answer = ledger.answer(now, ask);
+                if let Answer::Ledger { ailing, .. } = &mut answer {
+                    *ailing = !self.election.may_act(now + AILING_BEFORE);
+                }
+                (answer, ledger.needs_record(now))
             }
             None => (Answer::Elsewhere, false),
         }
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -446,7 +446,7 @@
 
 /// How long a ledger of limits goes on without confirmation by the store: a
 /// store that is away for some seconds ends no ledger.
-const LEDGER_OFFICE: Duration = Duration::from_secs(10);
+const LEDGER_OFFICE: Duration = Duration::from_secs(6);
 /// Longest time that a setting may state, in seconds.
 const LONGEST_S: f64 = 86_400.0;
 /// Part of the budget's slack that is shared: gateways that nobody has heard
