--- a/crates/limits/src/ledger/claim.rs
+++ b/crates/limits/src/ledger/claim.rs
@@ -15,8 +15,9 @@
 }
 
 /// Most of a tenant's rate that one gateway has as its share. A machine that
-/// was lost for good keeps no more than this from a new ledger.
-pub(super) const MOST_SHARE: Share = Share(200_000);
+/// was lost for good keeps no more than this from a new ledger: what is left
+/// bears a tenant that uses two thirds of its limit.
+pub(super) const MOST_SHARE: Share = Share(300_000);
 
 /// What a ledger may give.
 #[derive(Clone, Debug)]
--- a/crates/router/src/gateway/limits/state.rs
+++ b/crates/router/src/gateway/limits/state.rs
@@ -11,12 +11,13 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{RateLimit, TenantName};
 
-/// Time between two renewals of the office, and between two looks at it by
-/// gateways that watch the store: each is a call that is paid for.
-const LEASE_RENEWAL: Duration = Duration::from_millis(800);
+/// Time between two renewals of the office: each is a call that is paid for.
+const LEASE_RENEWAL: Duration = Duration::from_millis(600);
+/// Time between two looks at the office by a gateway that doubts the ledger.
+const STANDBY_POLL: Duration = Duration::from_millis(300);
 /// Silence of the ledger's gateway at the store after which another takes
 /// over. Shares serve until then.
-const TAKEOVER_AFTER: Duration = Duration::from_millis(1_600);
+const TAKEOVER_AFTER: Duration = Duration::from_millis(1_300);
 
 /// How long before its office ends a ledger says so: other gateways look for
 /// another one then.
@@ -29,7 +30,7 @@
     threadledge_coordination::Settings {
         lease: office,
         lease_renewal: LEASE_RENEWAL,
-        standby_poll: LEASE_RENEWAL,
+        standby_poll: STANDBY_POLL,
         takeover_after: TAKEOVER_AFTER,
         ..threadledge_coordination::Settings::default()
     }
