Tenants: keys are searched for in the most verbose log too

Cause: the search for keys read a log of level info.

Change: the test's second gateway writes everything.

Test: no_key_stands_in_anything_that_a_gateway_writes_or_tells passes.

--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -183,7 +183,10 @@
         for (zone, region) in regions {
             zones.push_str(&format!("{zone:?} = {region:?}\n"));
         }
-        let filled = fill(&values).replace("[zones]\n", &zones);
+        let mut filled = fill(&values).replace("[zones]\n", &zones);
+        if let Some(level) = values.get("log.level") {
+            filled = filled.replace("level = \"info\"", &format!("level = \"{level}\""));
+        }
         std::fs::write(&settings, filled).expect("settings written");
         let process = Command::new(PROGRAM)
             .args(["gateway", "--settings"])
--- a/crates/router/tests/gateway/tenants.rs
+++ b/crates/router/tests/gateway/tenants.rs
@@ -255,7 +255,8 @@
 fn no_key_stands_in_anything_that_a_gateway_writes_or_tells() {
     let world = start();
     let door = block_on(world.store.open_another()).expect("another address");
-    let mut second = Gateway::start_named("router-2", door.address());
+    let everything = [("log.level", "trace")];
+    let mut second = Gateway::start_with("zone-a", "router-2", door.address(), &everything);
     second.await_ready();
     let keys = [ALPHA, "alpha-key-two", BETA, "gamma-key"];
     for gateway in [&world.gateway, &second] {
