Trace: what became of callers' keys at the gateway that refused one

Cause: the trace of a refused request did not say when the gateway learned that a key was taken away, or that it was unsure of keys.

--- a/crates/router/src/log_trace.rs
+++ b/crates/router/src/log_trace.rs
@@ -28,10 +28,13 @@
 ];
 
 /// Events on what a gateway depends on.
-const DEPENDENCY_EVENTS: [EventId; 7] = [
+const DEPENDENCY_EVENTS: [EventId; 10] = [
     EventId::StoreLost,
     EventId::StoreRegained,
     EventId::LearnedFromPeer,
+    EventId::TenantKeysChanged,
+    EventId::KeysUnsure,
+    EventId::KeysSure,
     EventId::CoordinatorElected,
     EventId::CoordinatorDeposed,
     EventId::CoordinatorLapsed,
--- a/crates/router/tests/log_trace.rs
+++ b/crates/router/tests/log_trace.rs
@@ -83,3 +83,25 @@
         "{message}"
     );
 }
+
+/// A caller whose key was taken away: the gateway that refused it shows when
+/// it learned of that, and other gateways show nothing.
+#[test]
+fn refused_key_is_told_with_what_became_of_keys_at_that_gateway() {
+    const GATEWAY: &str = r#"{"timestamp":"2026-01-01T00:00:01Z","event":520,"name":"tenant-keys-changed","version":4,"tenants":2,"taken":1,"added":0}
+{"timestamp":"2026-01-01T00:00:02Z","event":510,"name":"request-ended","request":"wanted","service":"","outcome":"unknown-api-key","status":401,"attempts":""}
+{"timestamp":"2026-01-01T00:00:03Z","event":521,"name":"tenant-keys-unsure","unconfirmed-ms":5001}
+"#;
+    let other = GATEWAY.replace("wanted", "another");
+    let files = [("router-1.log", GATEWAY), ("router-2.log", other.as_str())];
+    let logs = Logs::new("keys", &files);
+    let found = trace("wanted", &logs.paths(&["router-1.log", "router-2.log"])).expect("found");
+    let told: Vec<&str> = found
+        .lines
+        .iter()
+        .map(|(source, _)| source.as_str())
+        .collect();
+    assert!(told.iter().all(|source| *source == "router-1"), "{told:?}");
+    let text = found.to_string();
+    assert!(text.contains("tenant-keys-changed") && text.contains("unknown-api-key"));
+}
