Keys of a service are held only in regions that every route to it allows

Cause: a route may allow certain regions only; of a service divided by key, requests whose key had its owner elsewhere were refused, on two regions half of them, and what other routes left at owners outside was stored there.

Change: the coordinator is shown back ends outside those regions as draining: they get no keys, and move what they hold by the usual orders. Routes without a region in common say nothing. Without restrictions the list is passed on as it is.

Ruled out: leaving such back ends out.

--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -1,7 +1,7 @@
 //! Steps the coordinators of this gateway and makes the calls that they ask
 //! for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,11 +13,12 @@
 use threadledge_net::{StopSignal, timer};
 use threadledge_ports::Ports;
 use threadledge_relay::Source;
-use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, Configuration, ServiceName};
+use threadledge_types::deployment::{BackEnd, Configuration, Places, ServiceName};
+use threadledge_types::{RegionName, Timestamp};
 
 use super::calls::{Ended, call, written};
 use super::dispatch::Dispatch;
+use super::key_regions::{holders_within, key_regions};
 use super::notices::tell;
 use super::patience;
 use super::peers::PeerClient;
@@ -66,6 +67,8 @@
     pub(super) settings: Settings,
     /// Added to the time after which this gateway takes over.
     pub(super) patience: Duration,
+    /// Where this gateway is.
+    pub(super) places: Places,
     /// Speaks to other gateways.
     pub(super) peers: PeerClient,
     /// Where this gateway learns from.
@@ -79,6 +82,8 @@
     participation: Participation,
     coordinators: BTreeMap<ServiceName, Coordinator>,
     back_ends: Option<Arc<[BackEnd]>>,
+    /// The only regions in which keys of a service may be held.
+    key_regions: BTreeMap<ServiceName, BTreeSet<RegionName>>,
     stopping: bool,
     dispatch: Arc<Dispatch>,
     store_health: Arc<StoreHealth>,
@@ -107,6 +112,7 @@
             participation,
             coordinators: BTreeMap::new(),
             back_ends: None,
+            key_regions: BTreeMap::new(),
             stopping: false,
             dispatch,
             store_health,
@@ -164,10 +170,9 @@
         match event {
             Event::Configuration(configuration) => self.configure(&configuration),
             Event::BackEnds(back_ends) => {
-                for coordinator in self.coordinators.values_mut() {
-                    coordinator.set_back_ends(now, &back_ends);
-                }
                 self.back_ends = Some(back_ends);
+                let services = self.coordinators.keys().cloned().collect();
+                self.tell_back_ends(now, services);
             }
             Event::RecordObserved(service, found) => {
                 if let Some(coordinator) = self.coordinators.get_mut(&service) {
@@ -192,8 +197,28 @@
         }
     }
 
+    /// Tells coordinators which back ends there are, and which of them may hold
+    /// keys.
+    fn tell_back_ends(&mut self, now: Timestamp, services: Vec<ServiceName>) {
+        let Some(back_ends) = &self.back_ends else {
+            return;
+        };
+        for service in services {
+            let Some(coordinator) = self.coordinators.get_mut(&service) else {
+                continue;
+            };
+            let regions = self.key_regions.get(&service);
+            let seen = holders_within(back_ends, regions, &self.participation.places);
+            coordinator.set_back_ends(now, &seen);
+        }
+    }
+
     fn configure(&mut self, configuration: &Configuration) {
         let now = self.clock.now();
+        let former = std::mem::replace(&mut self.key_regions, key_regions(configuration));
+        let moved = |name: &&ServiceName| former.get(*name) != self.key_regions.get(*name);
+        let mut untold: Vec<ServiceName> =
+            self.coordinators.keys().filter(moved).cloned().collect();
         for (name, service) in &configuration.services {
             if let Some(coordinator) = self.coordinators.get_mut(name) {
                 coordinator.set_frail_when_cold(service.cold_rate.is_some());
@@ -210,11 +235,10 @@
             } = self.participation.clone();
             let mut coordinator = Coordinator::new(me, name.clone(), settings, patience);
             coordinator.set_frail_when_cold(service.cold_rate.is_some());
-            if let Some(back_ends) = &self.back_ends {
-                coordinator.set_back_ends(now, back_ends);
-            }
             self.coordinators.insert(name.clone(), coordinator);
+            untold.push(name.clone());
         }
+        self.tell_back_ends(now, untold);
     }
 
     /// Who knows no back ends must not decide about them. Followers take over
--- /dev/null
+++ b/crates/router/src/gateway/key_regions.rs
@@ -0,0 +1,56 @@
+//! In which regions the keys of a service may be held.
+//!
+//! A route may name the regions that it allows, and what runs on its requests
+//! is kept by the back end that owns the key. So keys are held only where every
+//! route to their service allows it: elsewhere requests of some route could
+//! not be served at all.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use threadledge_types::RegionName;
+use threadledge_types::deployment::{BackEnd, Configuration, Places, Route, ServiceName};
+
+/// The only regions in which keys of a service may be held, for each service of
+/// which that is said.
+///
+/// Routes that have no region in common say nothing: each is then served where
+/// it may be, as far as owners are there.
+pub fn key_regions(configuration: &Configuration) -> BTreeMap<ServiceName, BTreeSet<RegionName>> {
+    let mut regions = BTreeMap::new();
+    for (name, service) in &configuration.services {
+        if !service.keyed {
+            continue;
+        }
+        let routes = configuration.routes.iter();
+        let routes = routes.filter(|route| leads_to(route, name));
+        let allowed = routes.filter_map(|route| route.allowed_regions.clone());
+        let common = allowed.reduce(|left, right| &left & &right);
+        if let Some(common) = common.filter(|common| !common.is_empty()) {
+            regions.insert(name.clone(), common);
+        }
+    }
+    regions
+}
+
+fn leads_to(route: &Route, service: &ServiceName) -> bool {
+    let mut destinations = route.destinations.iter();
+    destinations.any(|destination| destination.service == *service && destination.weight > 0)
+}
+
+/// The back ends as the coordinator of a service is to see them: those outside
+/// the regions get no keys, and those that they have move, as if they drained.
+pub fn holders_within(
+    back_ends: &Arc<[BackEnd]>,
+    regions: Option<&BTreeSet<RegionName>>,
+    places: &Places,
+) -> Arc<[BackEnd]> {
+    let Some(regions) = regions else {
+        return back_ends.clone();
+    };
+    let seen = back_ends.iter().map(|back_end| BackEnd {
+        draining: back_end.draining || !places.is_within(&back_end.zone, regions),
+        ..back_end.clone()
+    });
+    seen.collect()
+}
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -320,6 +320,7 @@
             sources: self.sources.clone(),
             settings: self.settings.coordination(),
             patience: patience::of_coordinator(link, rand::random()),
+            places: self.settings.places(),
             peers: self.peer_client(),
         };
         let coordination = Coordination::new(
--- a/crates/router/tests/gateway/regions.rs
+++ b/crates/router/tests/gateway/regions.rs
@@ -94,3 +94,26 @@
     await_version(&second, 5);
     eventually(|| follows(&second).is_none().then_some(()));
 }
+
+/// Of two back ends that hold keys one is outside the region that a route to
+/// them allows.
+#[test]
+fn keys_are_held_where_every_route_to_them_allows_it() {
+    let world = World::start_without_configuration();
+    drop(world.gateway);
+    let outside = &world.keyed[1];
+    let entry = outside.entry_at(outside.address(), "zone-c", "keyed", "ready");
+    world.store.put("servers", &outside.id, entry);
+    let mut wanted = configuration(1);
+    wanted["Routes"]["keyed"]["AllowedRegions"] = json!(["home"]);
+    world.store.put("config", "main", wanted);
+    let mut gateway = Gateway::start_with("zone-a", "router-2", world.store.address(), &ZONES);
+    gateway.await_ready();
+    let held_inside = || {
+        (0..=u16::MAX)
+            .step_by(4_096)
+            .all(|key| world.keyed[0].holds(key))
+    };
+    eventually(|| held_inside().then_some(()));
+    assert_eq!(outside.grants(), 0);
+}
