--- a/crates/router/tests/gateway/regions.rs
+++ b/crates/router/tests/gateway/regions.rs
@@ -107,7 +107,7 @@
     let mut wanted = configuration(1);
     wanted["Routes"]["keyed"]["AllowedRegions"] = json!(["home"]);
     world.store.put("config", "main", wanted);
-    let mut gateway = Gateway::start_with("zone-a", "router-2", world.store.address(), &ZONES);
+    let mut gateway = Gateway::start_in_region("zone-a", "router-2", world.store.address(), &ZONES);
     gateway.await_ready();
     let held_inside = || {
         (0..=u16::MAX)
