Tenants: a gateway without others asks a quiet store whether its keys stand

Cause: a watch of a quiet store is answered after 20 s. A gateway that neither relays nor follows a relay heard nothing meanwhile, took its keys for unsure after bounds.revoke-s and answered unknown ones 503 in place of 401.

Change: while the store is followed without trouble and has said nothing for half of that time, the configuration is listed once. Gateways with relays hear more often and make no call more.

--- a/crates/router/src/gateway/key_watch.rs
+++ b/crates/router/src/gateway/key_watch.rs
@@ -4,37 +4,82 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use threadledge_coordination::action::Freshness;
 use threadledge_net::timer;
+use threadledge_ports::Collection;
+use threadledge_relay::Source;
+use threadledge_types::deployment::Configuration;
 
-use super::dispatch::Dispatch;
+use super::directory::Directory;
+use super::follow::Update;
 use super::sources::Sources;
+use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 
 /// Time between two looks: a tenth of the shortest time that deployments
 /// state for a key that is taken away.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Runs for ever. Where no configuration has tenants a look is all it costs.
-pub(super) async fn watch_keys(dispatch: Arc<Dispatch>, sources: Arc<Sources>) {
-    let mut unsure = false;
-    loop {
-        timer::sleep(INTERVAL).await;
-        let confirmed = sources.confirmed();
-        let now_unsure = dispatch.with(|dispatcher, now| {
-            dispatcher.confirm_keys(confirmed);
-            dispatcher.keys() > 0 && dispatcher.keys_unsure(now)
-        });
-        if std::mem::replace(&mut unsure, now_unsure) == now_unsure {
-            continue;
+/// Looks after the keys of one gateway.
+pub(super) struct KeyWatch {
+    pub(super) directory: Directory,
+    pub(super) sources: Arc<Sources>,
+    pub(super) health: Arc<StoreHealth>,
+    pub(super) configurations: Arc<dyn Collection<Configuration>>,
+    /// How long keys are sure that nobody has confirmed.
+    pub(super) keys_last: Duration,
+}
+
+impl KeyWatch {
+    /// Runs for ever. Where no configuration has tenants a look is all it
+    /// costs.
+    pub(super) async fn run(self) {
+        let mut unsure = false;
+        loop {
+            timer::sleep(INTERVAL).await;
+            if self.is_quiet() {
+                self.ask().await;
+            }
+            let confirmed = self.sources.confirmed();
+            let now_unsure = self.directory.dispatch.with(|dispatcher, now| {
+                dispatcher.confirm_keys(confirmed);
+                dispatcher.keys() > 0 && dispatcher.keys_unsure(now)
+            });
+            if std::mem::replace(&mut unsure, now_unsure) == now_unsure {
+                continue;
+            }
+            if now_unsure {
+                let since = self.sources.now().since(confirmed);
+                let unconfirmed_ms = since.as_millis() as u64;
+                emit!(EventId::KeysUnsure, unconfirmed_ms = unconfirmed_ms);
+            } else {
+                emit!(EventId::KeysSure);
+            }
         }
-        if now_unsure {
-            let since = sources.now().since(confirmed);
-            emit!(
-                EventId::KeysUnsure,
-                unconfirmed_ms = since.as_millis() as u64
-            );
-        } else {
-            emit!(EventId::KeysSure);
+    }
+
+    /// Whether the store is followed without trouble and has said nothing for
+    /// long: its watches wait longer than keys are sure. A gateway that relays
+    /// or follows a relay hears more often.
+    fn is_quiet(&self) -> bool {
+        let followed = self.sources.current() == Source::Store && !self.health.is_lost();
+        let unconfirmed = self.sources.now().since(self.sources.confirmed());
+        let has_keys = self
+            .directory
+            .dispatch
+            .with(|dispatcher, _now| dispatcher.keys() > 0);
+        followed && has_keys && unconfirmed > self.keys_last / 2
+    }
+
+    async fn ask(&self) {
+        let started = self.sources.now();
+        match self.configurations.list(Freshness::Linearizable).await {
+            Ok(listing) => {
+                self.health.answered(started);
+                self.directory.configurations(Update::Listed(listing));
+            }
+            // Makes the watches look whether the store still knows of them.
+            Err(_) => self.health.failed(),
         }
     }
 }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -27,7 +27,7 @@
 use super::directory::Directory;
 use super::dispatch::Dispatch;
 use super::followers::Followers;
-use super::key_watch::watch_keys;
+use super::key_watch::KeyWatch;
 use super::limits::{Limits, OfficePlace, by_cores};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
@@ -238,7 +238,14 @@
             };
             task::spawn(server.serve(listener, ended.clone()));
         }
-        task::spawn(watch_keys(self.dispatch.clone(), self.sources.clone()));
+        let keys = KeyWatch {
+            directory: directory.clone(),
+            sources: self.sources.clone(),
+            health: self.store_health.clone(),
+            configurations: self.ports.configurations.clone(),
+            keys_last: seconds(self.settings.bounds.revoke_s),
+        };
+        task::spawn(keys.run());
         task::spawn(catch_up(
             directory,
             self.peer_client(),
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -115,7 +115,8 @@
         Gateway::start_with(zone, name, store, &[])
     }
 
-    /// The same with more values for the template.
+    /// The same with more values for the template, and what it does not ask
+    /// for: `log.level` and `without-peers`.
     pub fn start_with(
         zone: &str,
         name: &str,
@@ -187,6 +188,10 @@
         if let Some(level) = values.get("log.level") {
             filled = filled.replace("level = \"info\"", &format!("level = \"{level}\""));
         }
+        if values.contains_key("without-peers") {
+            let own_peers = format!("peers = \"{peers}\"\n");
+            filled = filled.replace(&own_peers, "");
+        }
         std::fs::write(&settings, filled).expect("settings written");
         let process = Command::new(PROGRAM)
             .args(["gateway", "--settings"])
--- a/crates/router/tests/gateway/tenants.rs
+++ b/crates/router/tests/gateway/tenants.rs
@@ -210,6 +210,26 @@
     }
 }
 
+/// Lists of the configuration that the store answered.
+fn lists(gateway: &Gateway) -> u64 {
+    let wanted = r#"{call="list",collection="configurations",outcome="answered"} "#;
+    let text = gateway.metrics();
+    let found = text.lines().find_map(|line| line.split_once(wanted));
+    found.map_or(0, |(_, count)| count.parse().expect("a count"))
+}
+
+/// Watches of a quiet store wait longer than keys are sure.
+#[test]
+fn gateway_without_others_asks_a_quiet_store_whether_its_keys_still_stand() {
+    let World { store, .. } = start();
+    let more = [("Bounds.RevokeS", "1"), ("without-peers", "")];
+    let mut alone = Gateway::start_with("zone-b", "router-2", store.address(), &more);
+    alone.await_ready();
+    let before = lists(&alone);
+    eventually(|| (lists(&alone) >= before + 3).then_some(()));
+    eventually(|| (status(&alone, "gamma-key") == 401).then_some(()));
+}
+
 #[test]
 fn version_in_which_two_tenants_share_a_key_changes_nothing() {
     let mut world = start();
