Limits: a gateway that has just started waits for the first ledger

Change: requests wait up to 0.5 s for the first answer of a ledger, in the first 1.5 s of a gateway's asking; after that they are refused at once as before. Not measured yet.

--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -97,6 +97,12 @@
 /// Longest wait of a request for the ledger: a quarter of the shortest target
 /// that the users state; a refusal is not late by then.
 pub const LONGEST_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait of a request for the first ledger that a gateway that has just
+/// started finds. After a restart of all a ledger was elected 0.3 s after the
+/// first requests; those that were refused came back a second later.
+pub(crate) const STARTING_WAIT: Duration = Duration::from_millis(500);
+/// How long a gateway counts as just started, from its first ask.
+pub(crate) const STARTING: Duration = Duration::from_millis(1_500);
 /// Shortest time for which a tenant that finds no token is refused without
 /// another ask.
 pub(crate) const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -14,8 +14,8 @@
 use crate::bucket::Flow;
 use crate::messages::{Answer, Ask, TenantAsk, TenantGrant};
 use crate::settings::{
-    ASK_INTERVAL, FORGOTTEN_AFTER, LONGEST_PAUSE, LONGEST_WAIT, SHORTEST_PAUSE, Settings,
-    URGENT_INTERVAL,
+    ASK_INTERVAL, FORGOTTEN_AFTER, LONGEST_PAUSE, LONGEST_WAIT, SHORTEST_PAUSE, STARTING_WAIT,
+    Settings, URGENT_INTERVAL,
 };
 use allowance::Allowance;
 use contact::Contact;
@@ -172,6 +172,7 @@
             let has_share = !allowance.share.is_none();
             match self.contact.fallback_at(now, &self.settings) {
                 Some(at) if has_share => until = until.max(at),
+                _ if self.contact.is_starting(now) => until = since + STARTING_WAIT,
                 _ => return refused(RefusedWhy::NoLedger, LONGEST_PAUSE),
             }
         }
--- a/crates/limits/src/spender/contact.rs
+++ b/crates/limits/src/spender/contact.rs
@@ -6,7 +6,7 @@
 use threadledge_types::Timestamp;
 
 use crate::messages::{Answer, Echo};
-use crate::settings::{FALLBACK_AFTER, Settings};
+use crate::settings::{FALLBACK_AFTER, STARTING, Settings};
 
 /// Time between two greetings of a ledger that does not answer.
 const GREETING_INTERVAL: Duration = Duration::from_millis(150);
@@ -41,6 +41,8 @@
     answered: Option<Answered>,
     flight: Option<Flight>,
     number: u64,
+    /// The first ask or greeting.
+    first_sent: Option<Timestamp>,
     /// The last ask that was no greeting.
     last_ask: Timestamp,
     /// When the last ask was sent that was answered.
@@ -85,6 +87,12 @@
         self.lost.is_some()
     }
 
+    /// Whether this gateway has just started and no ledger has answered yet.
+    pub(super) fn is_starting(&self, now: Timestamp) -> bool {
+        let long = self.first_sent.is_some_and(|first| now >= first + STARTING);
+        self.confirmed.is_none() && !long
+    }
+
     /// For how long no ledger has answered.
     pub(super) fn lost_for(&self, now: Timestamp) -> Option<Duration> {
         self.lost.map(|since| now.since(since))
@@ -115,6 +123,7 @@
     /// An ask leaves; its number.
     pub(super) fn sent(&mut self, now: Timestamp, echo: Option<Echo>) -> u64 {
         self.number += 1;
+        self.first_sent = self.first_sent.or(Some(now));
         self.flight = Some(Flight {
             number: self.number,
             sent: now,
--- a/crates/limits/tests/limits/steps.rs
+++ b/crates/limits/tests/limits/steps.rs
@@ -367,3 +367,25 @@
     let ask = spender.poll(at(300)).expect("it asks");
     assert_eq!(ask.tenants[0].back, 1);
 }
+
+#[test]
+fn gateway_that_has_just_started_waits_for_a_ledger_and_later_refuses_at_once() {
+    let mut spender = Spender::new(machine("a"), Incarnation(1), settings());
+    spender.set_limits(limits());
+    let first = spender.arrive(at(0), &tenant());
+    assert!(matches!(first, Admission::Wait(_)), "{first:?}");
+    let greeting = spender.poll(at(0)).expect("it greets");
+    spender.on_silence(at(0), greeting.number);
+    assert_eq!(
+        spender.admit(at(100), &tenant(), at(0)),
+        Admission::Wait(at(500))
+    );
+    let late = spender.arrive(at(1_500), &tenant());
+    assert!(matches!(
+        late,
+        Admission::Refused {
+            why: RefusedWhy::NoLedger,
+            ..
+        }
+    ));
+}
