Limits: a ledger that has nothing yet is asked again soon

Change: where no token comes as things are, gateways ask again after 0.1 s, and requests wait as they do for a token that comes soon. A refusal after the wait tells whether the ledger answered. Not measured yet.

--- a/crates/limits/src/ledger.rs
+++ b/crates/limits/src/ledger.rs
@@ -322,8 +322,12 @@
     }
 }
 
+/// Time until a gateway asks again whose tenant gets no token as things are:
+/// what a ledger may give rises as gateways hand in what they have.
+const UNCLEAR_PAUSE: Duration = Duration::from_millis(100);
+
 fn millis(pause: Option<Duration>) -> u32 {
-    let pause = pause.unwrap_or(LONGEST_PAUSE);
+    let pause = pause.unwrap_or(UNCLEAR_PAUSE);
     let pause = pause.min(LONGEST_PAUSE);
     u32::try_from(pause.as_millis() + 1).unwrap_or(u32::MAX)
 }
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -177,8 +177,12 @@
             }
         }
         if now >= until {
-            // It answers others of this gateway, or will soon.
-            return refused(RefusedWhy::OverLimit, LONGEST_PAUSE);
+            let why = match self.contact.is_lost() {
+                true => RefusedWhy::NoLedger,
+                // It answers others of this gateway, or will soon.
+                false => RefusedWhy::OverLimit,
+            };
+            return refused(why, LONGEST_PAUSE);
         }
         allowance.need += 1;
         self.urgent = true;
--- a/crates/limits/tests/limits/steps.rs
+++ b/crates/limits/tests/limits/steps.rs
@@ -389,3 +389,11 @@
         }
     ));
 }
+
+#[test]
+fn ledger_that_has_nothing_yet_is_asked_again_soon() {
+    let mut ledger = successor(&["a", "b"], &["b"]);
+    let granted = ask(&mut ledger, 0, 0, &A).expect("taken in");
+    assert_eq!((granted.tokens, granted.over), (0, false));
+    assert!((1..250).contains(&granted.none_ms), "{}", granted.none_ms);
+}
