Nothing begins on a connection while its last answer leaves

Cause (by review): an answer that closes its connection, with none begun behind it, left the connection open for the next pipelined request while it was being sent: that one ran and got no answer.

Change: the close is noted whether others were begun or not.

Test: an answer larger than the sockets hold, and a request sent meanwhile.

--- a/crates/net/src/server/answering.rs
+++ b/crates/net/src/server/answering.rs
@@ -183,15 +183,18 @@
             || self.ahead.is_closing()
             || !readable
             || asked;
-        if closes && self.ahead.len() > 0 {
-            self.ahead.close();
-            response.remove_header(CONNECTION);
+        if !closes {
             return (response, false);
         }
-        if closes {
-            response.insert_header(CONNECTION, "close");
+        // Also where none is ahead: one that is begun while this answer leaves
+        // would run and get none.
+        self.ahead.close();
+        if self.ahead.len() > 0 {
+            response.remove_header(CONNECTION);
+            return (response, false);
         }
-        (response, closes)
+        response.insert_header(CONNECTION, "close");
+        (response, true)
     }
 
     /// Sends an answer. One that is lost before any of it left is replaced.
--- a/crates/net/tests/server_pipelined.rs
+++ b/crates/net/tests/server_pipelined.rs
@@ -21,6 +21,8 @@
     Bytes(usize),
     /// Its path, and the connection is to be closed.
     Close,
+    /// A body of so many bytes, and the connection is to be closed.
+    CloseAfter(usize),
     /// More bytes announced than come.
     Short(usize),
 }
@@ -72,6 +74,10 @@
             response.set_body(path);
             response.insert_header("connection", "close");
         }
+        Answer::CloseAfter(count) => {
+            response.set_body("x".repeat(count));
+            response.insert_header("connection", "close");
+        }
     }
     response
 }
@@ -332,6 +338,22 @@
     stage.none_begins();
 }
 
+/// The answer is more than the sockets hold, so that the next request comes
+/// while it is leaving: begun, that one would run and get no answer.
+#[async_std::test]
+async fn nothing_begins_while_an_answer_that_closes_is_leaving() {
+    let (stage, handler) = stage();
+    let server = TestServer::start(quick_limits(), handler).await;
+    let mut caller = RawCaller::connect(server.address).await;
+    caller.send(get("/safe/1")).await;
+    stage.all_begin(&["/safe/1"]).await;
+    stage.answer("/safe/1", Answer::CloseAfter(32 * 1024 * 1024));
+    caller.send(get("/safe/2")).await;
+    assert!(caller.rest().await.len() > 32 * 1024 * 1024);
+    assert_eq!(server.finish().await.requests, 1);
+    stage.none_begins();
+}
+
 #[async_std::test]
 async fn nothing_runs_behind_a_request_with_which_the_caller_closes() {
     let (stage, handler) = stage();
