Grants of several ranges in one full link are one silence

Cause (by review): each grant that was overdue counted as unanswered, and six make a back end count as lost: one of another region with six ranges was lost after 0.5 s, where 3 s are meant.

Change: overdue grants to one back end count once a time-out. Between the taking over of a term and the reading of its record, overdue grants wake nobody.

Test: six ranges, two seconds without an answer.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -46,6 +46,8 @@
     unanswered: u32,
     lost_since: Option<Timestamp>,
     silence: Option<Silence>,
+    /// When an overdue grant was last counted as unanswered.
+    overdue_counted: Option<Timestamp>,
     /// Until then releases that were given up may take keys from it.
     releases_until: Timestamp,
     refused: bool,
@@ -258,6 +260,25 @@
         contact.releases_until = now + LATE_ORDERS;
     }
 
+    /// A grant to a back end of another region is overdue. Grants of several
+    /// ranges stand in the same full link: they count as one silence, which
+    /// began with the first of them. Counted one by one, six ranges made a
+    /// sound back end count as lost within 0.5 s.
+    pub fn on_overdue(
+        &mut self,
+        now: Timestamp,
+        name: &BackEndName,
+        timeout: Duration,
+    ) -> FaultNews {
+        let contact = self.contacts.entry(name.clone()).or_default();
+        let again = |counted: Timestamp| now.since(counted) < timeout;
+        if contact.overdue_counted.is_some_and(again) {
+            return FaultNews::default();
+        }
+        contact.overdue_counted = Some(now);
+        self.on_fault(now, name, OrderFault::NoAnswer)
+    }
+
     /// A back end left an order without an answer.
     pub fn on_fault(&mut self, now: Timestamp, name: &BackEndName, fault: OrderFault) -> FaultNews {
         let contact = self.contacts.entry(name.clone()).or_default();
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -234,13 +234,15 @@
             .iter()
             .filter_map(|tracked| self.release_over(tracked))
             .filter(|over| *over > now);
-        let waits = self.next_store_call > now || !matches!(self.phase, Phase::Active { .. });
+        let active = matches!(self.phase, Phase::Active { .. });
+        let overdue = self.overdue.next_due().filter(|_| active);
+        let waits = self.next_store_call > now || !active;
         let store = (!self.busy && waits).then_some(self.next_store_call);
         let may_write = self.writes.from(now);
         let write = (!self.busy && may_write > now).then_some(may_write);
         orders
             .chain(self.former.next_wake())
-            .chain(self.overdue.next_due())
+            .chain(overdue)
             .chain(holds)
             .chain(store)
             .chain(write)
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -10,6 +10,7 @@
 use super::tracked::Tracked;
 use super::{Ownership, Phase};
 use crate::action::{Action, Notice};
+use crate::holders::FaultNews;
 use crate::order::{Order, OrderFault, OrderId, OrderKind, OrderReply};
 
 /// Orders that wait for the answer of one back end at the most. One that holds
@@ -85,7 +86,8 @@
     /// It is sent again, and goes on being waited for.
     fn on_overdue(&mut self, now: Timestamp, order: &Order) {
         let waited = self.settings.order_timeout;
-        self.given_up(now, order, waited, OrderFault::NoAnswer);
+        let news = self.holders.on_overdue(now, &order.to.name, waited);
+        self.tell_fault(order, waited, OrderFault::NoAnswer, news);
         for tracked in &mut self.tracked {
             tracked.overdue(now, order.id);
         }
@@ -171,6 +173,10 @@
             self.holders.on_lost_release(now, &order.to.name);
         }
         let news = self.holders.on_fault(now, &order.to.name, fault);
+        self.tell_fault(order, waited, fault, news);
+    }
+
+    fn tell_fault(&mut self, order: &Order, waited: Duration, fault: OrderFault, news: FaultNews) {
         if news.silent {
             let order = order.clone();
             self.notices.push(Notice::OrderGivenUp {
--- a/crates/coordination/tests/late_orders.rs
+++ b/crates/coordination/tests/late_orders.rs
@@ -13,8 +13,8 @@
 use threadledge_coordination::action::{ReadResult, Versioned, WriteResult};
 use threadledge_coordination::ownership::{Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Distance, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner,
-    OwnershipRecord, Settings, Slice, SliceState, Term,
+    Action, Distance, Fence, HandoverToken, Notice, Order, OrderFault, OrderKind, OrderReply,
+    Owner, OwnershipRecord, Settings, Slice, SliceState, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange, ShardKey};
@@ -51,26 +51,36 @@
 /// A coordinator that has just taken over a record in which the back end of
 /// the other region owns all keys.
 fn taken_over(settings: Settings) -> Ownership {
+    taken_over_in(settings, 1)
+}
+
+/// The same, with the keys in so many ranges.
+fn taken_over_in(settings: Settings, ranges: u32) -> Ownership {
     let far = far_back_end();
     let mut ownership = Ownership::new("keyed".into(), settings);
     ownership.set_back_ends(START, std::slice::from_ref(&far));
     ownership.begin_term(START, Term(2), None);
     ownership.poll(START, true);
-    let slice = Slice {
-        range: KeyRange::ALL,
-        fence: Fence(1),
-        state: SliceState::Owned {
-            owner: Owner {
-                name: far.name,
-                address: far.address,
+    let slice = |number: u32| {
+        let first = (number * 65_536 / ranges) as u16;
+        let last = ((number + 1) * 65_536 / ranges - 1) as u16;
+        Slice {
+            range: KeyRange::new(first, last).expect("a range"),
+            fence: Fence(u64::from(number) + 1),
+            state: SliceState::Owned {
+                owner: Owner {
+                    name: far.name.clone(),
+                    address: far.address,
+                },
+                // Ranges with a token are not joined.
+                handover: (ranges > 1).then(|| HandoverToken(number.to_string())),
             },
-            handover: None,
-        },
+        }
     };
     let value = OwnershipRecord {
         term: Term(1),
-        next_fence: Fence(2),
-        slices: vec![slice],
+        next_fence: Fence(u64::from(ranges) + 1),
+        slices: (0..ranges).map(slice).collect(),
         former: Vec::new(),
     };
     let found = Versioned { value, revision: 7 };
@@ -286,3 +296,26 @@
     };
     actions.into_iter().filter_map(order).collect()
 }
+
+/// Six grants stand in the same full link for two seconds: that is one silence,
+/// and its back end keeps its keys.
+#[test]
+fn grants_of_several_ranges_are_one_silence() {
+    let mut ownership = taken_over_in(two_regions(), 6);
+    let mut now = START;
+    let mut sent = 0;
+    while now < START + Duration::from_secs(2) {
+        let actions = ownership.poll(now, true);
+        let orders = actions
+            .iter()
+            .filter(|each| matches!(each, Action::Send(_)));
+        sent += orders.count();
+        let notices = ownership.take_notices();
+        let lost = notices
+            .iter()
+            .find(|each| matches!(each, Notice::HolderLost { .. }));
+        assert_eq!(lost, None, "after {:?}", now.since(START));
+        now = now + STEP;
+    }
+    assert!(sent >= 6, "{sent} orders");
+}
