Limits: a ledger that finds no record has the whole

Cause (by review): where the answer to the very first write of the office was lost, or its first holder died before it wrote the record, the ledger waited for the end of an office that had never handed anything out, and every limited tenant was refused meanwhile.

Change: a ledger begins only after its record was written; where there is no record there was no ledger.

--- a/crates/limits/src/ledger/claim.rs
+++ b/crates/limits/src/ledger/claim.rs
@@ -32,9 +32,8 @@
         office_end: Timestamp,
         /// Machines of such ledgers that have not asked yet.
         ledgers: BTreeSet<MachineName>,
-        /// Machines that may hold shares and have not asked yet; `None` if
-        /// they are not known.
-        missing: Option<BTreeSet<MachineName>>,
+        /// Machines that may hold shares and have not asked yet.
+        missing: BTreeSet<MachineName>,
     },
 }
 
@@ -47,19 +46,15 @@
     ) -> Self {
         let office_end = predecessor.map_or(now, |earlier| earlier.office_end);
         match (predecessor, found) {
-            (None, None) => Claim::Whole,
-            // Whoever was there before has listed nobody, itself neither.
-            (Some(_), None) => Claim::Part {
-                until: office_end,
-                office_end,
-                ledgers: BTreeSet::new(),
-                missing: None,
-            },
+            // A ledger begins only after its record was written: there was
+            // none. An office may have been won before, or seem so where the
+            // answer to the first write was lost.
+            (_, None) => Claim::Whole,
             (_, Some(found)) => Claim::Part {
                 until: settings.share_end(office_end),
                 office_end,
                 ledgers: found.ledgers,
-                missing: Some(found.machines),
+                missing: found.machines,
             },
         }
     }
@@ -73,10 +68,7 @@
     pub(super) fn free(&self, now: Timestamp) -> Share {
         match self {
             Claim::Whole => Share::WHOLE,
-            Claim::Part {
-                missing: Some(missing),
-                ..
-            } if self.is_alone(now) => {
+            Claim::Part { missing, .. } if self.is_alone(now) => {
                 let missing = u32::try_from(missing.len()).unwrap_or(u32::MAX);
                 let kept = MOST_SHARE.0.saturating_mul(missing);
                 Share(Share::WHOLE.0.saturating_sub(kept))
@@ -90,11 +82,10 @@
         match self {
             Claim::Whole => true,
             Claim::Part {
-                missing,
                 ledgers,
                 office_end,
                 ..
-            } => *office_end <= now || (missing.is_some() && ledgers.is_empty()),
+            } => *office_end <= now || ledgers.is_empty(),
         }
     }
 
@@ -107,15 +98,13 @@
     pub(super) fn accounted_for(&mut self, machine: &MachineName) -> bool {
         match self {
             Claim::Part {
-                missing: Some(missing),
-                ledgers,
-                ..
+                missing, ledgers, ..
             } => {
                 missing.remove(machine);
                 ledgers.remove(machine);
                 missing.is_empty()
             }
-            Claim::Part { missing: None, .. } | Claim::Whole => false,
+            Claim::Whole => false,
         }
     }
 }
