Relays of zones with more followers than they serve directly watch the store

Cause: in such a zone followers follow followers. With the region's relay above them the ages of three steps add up beyond what is good for 1.2 s, so that gateways leave their relays and ask the store themselves.

Change: a relay takes part in its region while it serves all of its zone itself: up to 33 gateways, and from 24 down again.

--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -21,7 +21,7 @@
 use crate::proxy::Clock;
 
 /// Followers that one gateway serves; more are passed on to these.
-const MOST_FOLLOWERS: usize = 32;
+pub(super) const MOST_FOLLOWERS: usize = 32;
 /// A follower that has not polled for so long is gone.
 const FOLLOWER_SILENCE: Duration = Duration::from_millis(2_500);
 
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::directory::Directory;
 use super::dispatch::Dispatch;
 use super::follow::Update;
-use super::followers::Followers;
+use super::followers::{Followers, MOST_FOLLOWERS};
 use super::messages::{FollowAnswer, FollowNews, FollowPoll};
 use super::peers::PeerClient;
 use super::relay_records::Records;
@@ -30,6 +30,12 @@
 
 pub(super) use tier::{Seat, Tier};
 
+/// Gateways of a zone, its relay included, up to which the relay follows the
+/// relay of the region: as many as it serves directly.
+const MOST_MEMBERS: u32 = MOST_FOLLOWERS as u32 + 1;
+/// Gateways up to which it begins to: a zone about as large as that would come
+/// and go.
+const MOST_MEMBERS_TO_JOIN: u32 = MOST_MEMBERS * 3 / 4;
 /// Longest wait for a member's next step.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
@@ -79,12 +85,17 @@
         self.publish();
     }
 
-    /// Takes part in the region while this gateway relays for its zone.
+    /// Takes part in the region while this gateway relays for its zone and
+    /// serves all of it directly.
     async fn run_while_relay(mut self) {
         while !self.followers.is_leaving() {
             self.sources.until_relays().await;
+            if self.followers.members() > MOST_MEMBERS_TO_JOIN {
+                timer::sleep(LONGEST_WAIT).await;
+                continue;
+            }
             self.member = self.seat.take(self.clock.now());
-            while self.sources.relays() && !self.followers.is_leaving() {
+            while self.takes_part() && !self.followers.is_leaving() {
                 self.step().await;
             }
             self.member.leave();
@@ -92,6 +103,14 @@
         }
     }
 
+    /// In a larger zone followers follow followers: with the region's relay
+    /// above them, what the last ones are told would be older than
+    /// [`max_age`](threadledge_relay::Settings::max_age), and each would watch
+    /// the store.
+    fn takes_part(&self) -> bool {
+        self.sources.relays() && self.followers.members() <= MOST_MEMBERS
+    }
+
     async fn step(&mut self) {
         self.publish();
         self.member.set_members(self.members());
