Test: callers leave while every thread of the gateway stands still

Change: the test waits until all threads are stopped, as it always assumed. What it checks is the same.

--- a/crates/router/tests/gateway/leaving.rs
+++ b/crates/router/tests/gateway/leaving.rs
@@ -114,7 +114,7 @@
 fn requests_whose_callers_left_before_they_were_read_reach_no_back_end() {
     let world = world();
     for batch in 0..LEAVING / BATCH {
-        world.gateway.signal("-STOP");
+        world.gateway.freeze();
         for index in 0..BATCH {
             let id = format!("left-{batch}-{index}");
             drop(Caller::ask(world.gateway.callers, &id, index % 2 == 0));
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -241,6 +241,27 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Stops the process, and waits until each of its threads stands still: on
+    /// a machine under load one may run on for a moment after the signal was
+    /// sent.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let tasks = format!("/proc/{}/task", self.process.id());
+        let stopped = |task: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            // The state stands behind the name, which is in brackets.
+            let state = stat
+                .rsplit(')')
+                .next()
+                .and_then(|rest| rest.trim().chars().next());
+            state == Some('T')
+        };
+        eventually(|| {
+            let mut tasks = std::fs::read_dir(&tasks).expect("the process's threads");
+            tasks.all(|task| task.is_ok_and(stopped)).then_some(())
+        });
+    }
+
     /// Waits for the end; the lines of the log.
     pub fn finish(mut self) -> (ExitStatus, Vec<Value>) {
         let status = eventually(|| self.process.try_wait().expect("waited for"));
