Settings of a gateway in three modules

Change: the tables with their defaults, and what the cores are told, stand in modules of their own; names and checks are the same.

--- /dev/null
+++ b/crates/router/src/gateway/settings/cores.rs
@@ -0,0 +1,87 @@
+//! What the cores are told of the settings.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use threadledge_types::deployment::Places;
+use threadledge_types::{RegionName, ZoneName};
+
+use super::{GatewaySettings, seconds};
+
+/// How long a ledger of limits goes on without confirmation by the store: a
+/// store that is away for some seconds ends no ledger.
+const LEDGER_OFFICE: Duration = Duration::from_secs(6);
+/// Part of the budget's slack that is shared: gateways that nobody has heard
+/// of yet have a share as well.
+const SLACK_PART: f64 = 0.8;
+/// Part of the budget's ratio that a gateway uses: its window and that of
+/// whoever counts do not begin together.
+const RATIO_PART: f64 = 0.75;
+
+impl GatewaySettings {
+    /// Settings of the coordination core.
+    pub fn coordination(&self) -> threadledge_coordination::Settings {
+        let ownership = &self.ownership;
+        threadledge_coordination::Settings {
+            lease: seconds(ownership.lease_s),
+            lease_renewal: seconds(ownership.lease_renewal_s),
+            takeover_after: seconds(ownership.takeover_after_s),
+            hold: seconds(ownership.hold_s),
+            grant_renewal: seconds(ownership.grant_renewal_s),
+            far_order: seconds(ownership.far_order_s),
+            near_zones: self.near_zones(),
+            ..threadledge_coordination::Settings::default()
+        }
+    }
+
+    /// Zones of this region; `None` where all zones lie in one.
+    fn near_zones(&self) -> Option<BTreeSet<ZoneName>> {
+        let region = self.region.as_ref()?;
+        if self.zones.values().all(|other| other == region) {
+            return None;
+        }
+        let near = self.zones.iter().filter(|(_, other)| *other == region);
+        Some(near.map(|(zone, _)| zone.as_str().into()).collect())
+    }
+
+    /// Where this gateway is, and which zone lies in which region.
+    pub fn places(&self) -> Places {
+        let region = self.region.as_deref().map(RegionName::from);
+        let zones = self.zones.iter();
+        let regions = zones
+            .map(|(zone, region)| (zone.as_str().into(), region.as_str().into()))
+            .collect();
+        Places::new(self.zone.as_str().into(), region, regions)
+    }
+
+    /// Settings of the limits of tenants.
+    pub fn tenant_limits(&self) -> threadledge_limits::Settings {
+        let limits = &self.tenant_limits;
+        threadledge_limits::Settings {
+            window: seconds(limits.window_s),
+            overage: limits.overage,
+            slack: limits.slack,
+            office: LEDGER_OFFICE,
+        }
+    }
+
+    /// Settings of the request path.
+    pub fn dispatch(&self) -> threadledge_dispatch::Settings {
+        let defaults = threadledge_dispatch::Settings::default();
+        let retry = &self.retry_budget;
+        threadledge_dispatch::Settings {
+            places: self.places(),
+            retry_ratio: retry.ratio * RATIO_PART,
+            retry_slack: (retry.slack * SLACK_PART)
+                .floor()
+                .clamp(0.0, f64::from(u32::MAX)) as u32,
+            gateways: retry.gateways.max(1),
+            retry_window: seconds(retry.window_s),
+            cold_overage: self.bounds.cold_overage,
+            cold_slack: self.bounds.cold_slack,
+            keys_last: Some(seconds(self.bounds.revoke_s)),
+            fail_closed: self.bounds.fail_closed,
+            ..defaults
+        }
+    }
+}
