--- a/crates/soak/src/crashing.rs
+++ b/crates/soak/src/crashing.rs
@@ -13,7 +13,7 @@
 use crate::check::Violation;
 
 /// What the requests ask for, below the path of their kind.
-const NAME: &str = "crashing";
+pub(crate) const NAME: &str = "crashing";
 /// Key of the one to the service divided by key.
 const KEY: u16 = 40_000;
 /// Time between two tries.
--- a/crates/soak/src/tenants.rs
+++ b/crates/soak/src/tenants.rs
@@ -5,6 +5,7 @@
 use threadledge_platform_stand_in::{Run, changing_configuration, with_tenants};
 
 use crate::check::Violation;
+use crate::crashing;
 
 /// The tenants with the key that each keeps.
 const TENANTS: [(&str, &str); 2] = [("tenant-0", "kept-0"), ("tenant-1", "kept-1")];
@@ -34,7 +35,11 @@
 
 /// The tenant whose caller sends a request, and the key that it shows.
 fn caller_of(id: &str) -> Option<(&'static str, &'static str)> {
-    let number: usize = id.bytes().map(usize::from).sum();
+    let number: usize = match id.starts_with(crashing::NAME) {
+        // All tries of it are one caller's.
+        true => 0,
+        false => id.bytes().map(usize::from).sum(),
+    };
     (!id.starts_with(STRAY)).then(|| TENANTS[number % TENANTS.len()])
 }
 
