Coordination: a coordinator's work grows with its back ends, not their square

Cause: after each answer to a renewal a coordinator walked over all slices (to find the one that the order was about, to look for owners that may not keep keys, to draft a record that hardly ever differs), compared each candidate with each in its look for owners with too much, and walked over all candidates for each range that it gave out; a new record was matched with what was tracked, all with all. Each is linear for one event, and events grow with back ends too.

Change: an order finds its slices by their keys; owners are looked through when one may have become unfit; a draft is made when something waits to be written; candidates stand in the order of their need; a record is matched in the order of the keys.

Its orders still grow with its back ends.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -103,6 +103,8 @@
     contacts: BTreeMap<BackEndName, Contact>,
     /// Cold back ends bear few requests.
     frail_when_cold: bool,
+    /// Some back end may have become unfit to own keys since it was asked last.
+    changed: bool,
 }
 
 impl Holders {
@@ -116,6 +118,7 @@
         last_order: OrderId,
         is_owner: impl Fn(&BackEndName) -> bool,
     ) -> Newcomers {
+        self.changed = true;
         let newcomers = self.occupancy.set_registered(all, last_order, is_owner);
         self.registered.clear();
         for back_end in all {
@@ -143,6 +146,12 @@
         self.registered.insert(back_end.name.clone(), entry);
     }
 
+    /// Whether some back end may have become unfit to own keys since this was
+    /// asked last: nobody looks through all of them for each order.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Whether no back end of the service is registered.
     pub fn is_empty(&self) -> bool {
         self.registered.is_empty()
@@ -226,7 +235,7 @@
 
     /// A back end answered an order. Returns the silence that this ended.
     pub fn on_answer(&mut self, order: &Order) -> Option<Silence> {
-        self.occupancy.on_answer(order);
+        self.changed |= self.occupancy.on_answer(order);
         let contact = self.contacts.get_mut(&order.to.name)?;
         let silence = contact.silence;
         *contact = Contact {
@@ -240,11 +249,13 @@
     /// Another process answered an order to a back end: it has ended, whatever
     /// its registration says. Says whether that is new.
     pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
+        self.changed = true;
         self.occupancy.on_other_process(name)
     }
 
     /// A back end did not understand a grant.
     pub fn on_malformed(&mut self, name: &BackEndName) {
+        self.changed = true;
         self.contacts.entry(name.clone()).or_default().refused = true;
     }
 
@@ -296,6 +307,7 @@
         if lost {
             contact.lost_since = Some(now);
         }
+        self.changed |= lost;
         let silence = contact.silence.get_or_insert(Silence {
             given_up: 0,
             since: now,
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -62,19 +62,23 @@
             .into_iter()
             .map(|(key, count)| KeyCount { key, count })
             .collect();
+        let mut speeds: BTreeMap<BackEndName, SpeedSample> = self
+            .speeds
+            .drain(..)
+            .map(|each| (each.back_end.clone(), each))
+            .collect();
         for sample in other.speeds {
-            let known = self
-                .speeds
-                .iter_mut()
-                .find(|each| each.back_end == sample.back_end);
-            match known {
+            match speeds.get_mut(&sample.back_end) {
                 Some(known) => {
                     known.count = known.count.saturating_add(sample.count);
                     known.work_s += sample.work_s;
                 }
-                None => self.speeds.push(sample),
+                None => {
+                    speeds.insert(sample.back_end.clone(), sample);
+                }
             }
         }
+        self.speeds = speeds.into_values().collect();
     }
 }
 
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -101,14 +101,17 @@
     }
 
     /// The process that an order names answered it. Those that had registered
-    /// at its address before it was sent have ended.
-    pub fn on_answer(&mut self, order: &Order) {
+    /// at its address before it was sent have ended. Says whether that is new of
+    /// any.
+    pub fn on_answer(&mut self, order: &Order) -> bool {
         let Some(there) = self.by_address.get(&order.to.address) else {
-            return;
+            return false;
         };
+        let known = self.ended.len();
         let before = there.iter().filter(|each| each.known_after < order.id);
         let others = before.filter(|each| each.name != order.to.name);
         self.ended.extend(others.map(|each| each.name.clone()));
+        self.ended.len() > known
     }
 
     /// Another process answered an order to `name`. Says whether that is new.
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -85,6 +85,8 @@
     predecessor: Option<Predecessor>,
     phase: Phase,
     tracked: Vec<Tracked>,
+    /// The record was taken since owners that may not keep keys were looked for.
+    retracked: bool,
     former: FormerOwners,
     overdue: OverdueWatch,
     /// A call to the store is running.
@@ -115,6 +117,7 @@
             predecessor: None,
             phase: Phase::Idle,
             tracked: Vec::new(),
+            retracked: false,
             former: FormerOwners::default(),
             overdue: OverdueWatch::default(),
             busy: false,
@@ -263,16 +266,22 @@
             Phase::Idle => None,
             Phase::Reading | Phase::Adopting => Some(Action::ReadRecord),
             Phase::Active { .. } if self.read_back => Some(Action::ReadRecord),
-            Phase::Active { record, revision } => {
-                let revision = *revision;
-                let current = record.clone();
-                self.take_back(now, current.next_fence);
+            Phase::Active { record, .. } => {
+                let next_fence = record.next_fence;
+                let retracked = std::mem::take(&mut self.retracked);
+                if self.holders.take_changed() || retracked {
+                    self.take_back(now, next_fence);
+                }
                 if store_answers {
-                    self.start_balancing(now, current.next_fence);
+                    self.start_balancing(now, next_fence);
                 }
-                if self.writes.from(now) > now {
+                if self.writes.from(now) > now || !self.wants_write(now) {
                     return None;
                 }
+                let Phase::Active { record, revision } = &self.phase else {
+                    return None;
+                };
+                let (current, revision) = (record.clone(), *revision);
                 let next = self.next_record(now, &current);
                 let changed = next != current;
                 changed.then_some(Action::WriteRecord(next, Condition::Revision(revision)))
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// Whether the record may have to change. A draft is made from all slices,
+    /// and asked for after each answer to a renewal: hardly ever is there
+    /// anything to write.
+    pub(super) fn wants_write(&self, now: Timestamp) -> bool {
+        let pending = |(index, tracked): (usize, &Tracked)| {
+            tracked.fenced
+                || tracked.owner().is_none()
+                || (tracked.releasing.is_some() && self.released(now, index).is_some())
+        };
+        self.tracked.iter().enumerate().any(pending)
+    }
+
     /// The record as it should be.
     pub(super) fn next_record(
         &mut self,
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::BackEndName;
+use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::tracked::Tracked;
 use super::{Ownership, Phase};
@@ -35,6 +35,14 @@
     counts
 }
 
+/// What is tracked of a range of keys: an order concerns nothing else, and
+/// thousands of slices are renewed each second.
+fn within(tracked: &mut [Tracked], range: KeyRange) -> &mut [Tracked] {
+    let begin = tracked.partition_point(|each| each.slice.range.last < range.first);
+    let end = tracked.partition_point(|each| each.slice.range.first <= range.last);
+    &mut tracked[begin..end]
+}
+
 impl Ownership {
     pub(super) fn orders(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         if !matches!(self.phase, Phase::Active { .. }) {
@@ -88,7 +96,7 @@
         let waited = self.settings.order_timeout;
         let news = self.holders.on_overdue(now, &order.to.name, waited);
         self.tell_fault(order, waited, OrderFault::NoAnswer, news);
-        for tracked in &mut self.tracked {
+        for tracked in within(&mut self.tracked, order.range) {
             tracked.overdue(now, order.id);
         }
     }
@@ -129,7 +137,7 @@
             });
         }
         let may_lose_keys = self.holders.may_lose_keys(&order.to.name, now);
-        for tracked in &mut self.tracked {
+        for tracked in within(&mut self.tracked, order.range) {
             let awaited = tracked.in_flight == Some(order.id);
             tracked.ended(now, order, &result, &self.settings);
             if awaited && may_lose_keys {
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -168,6 +168,7 @@
         self.former.follow(now, &self.tracked, &found.value.slices);
         let earlier = std::mem::take(&mut self.tracked);
         self.tracked = retrack(now, earlier, &found.value.slices);
+        self.retracked = true;
         self.phase = Phase::Active {
             record: found.value,
             revision: found.revision,
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -248,11 +248,16 @@
 /// A slice is tracked in as many pieces as before where keys of it are being
 /// taken back, and as a whole otherwise.
 pub(super) fn retrack(now: Timestamp, earlier: Vec<Tracked>, slices: &[Slice]) -> Vec<Tracked> {
-    let mut tracked: Vec<Tracked> = Vec::new();
+    let mut tracked: Vec<Tracked> = Vec::with_capacity(slices.len());
+    // Both are in the order of their keys: each range is looked for where the
+    // one before it was found.
+    let mut from = 0;
     for slice in slices {
-        let overlapping = earlier
+        let ends_before = |before: &&Tracked| before.slice.range.last < slice.range.first;
+        from += earlier[from..].iter().take_while(ends_before).count();
+        let overlapping = earlier[from..]
             .iter()
-            .filter(|before| overlap(before.slice.range, slice.range));
+            .take_while(|before| overlap(before.slice.range, slice.range));
         let mut any = false;
         for before in overlapping {
             any = true;
--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -1,6 +1,7 @@
 //! Which back end should own which keys.
 
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::BTreeSet;
 
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
@@ -51,100 +52,131 @@
     pub owner: BackEndName,
 }
 
+/// How needy a candidate is: what it lacks as a part of what is fair for it.
+/// Greater is needier, and of equals the first by name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Need {
+    lacks: f64,
+    index: usize,
+}
+
+impl Eq for Need {}
+
+impl Ord for Need {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_lack = self.lacks.total_cmp(&other.lacks);
+        by_lack.then(other.index.cmp(&self.index))
+    }
+}
+
+impl PartialOrd for Need {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// What every candidate holds, against the share that is fair by weight.
+/// Candidates are named by their place in the list, which is sorted by name.
 struct Shares<'a> {
     candidates: &'a [Candidate],
     total_weight: f64,
-    held: BTreeMap<BackEndName, f64>,
+    held: Vec<f64>,
+    /// The candidates by need: nobody walks over thousands of them for each
+    /// range that is given out.
+    needs: BTreeSet<Need>,
 }
 
 impl<'a> Shares<'a> {
     fn new(candidates: &'a [Candidate], held: &[Held], measure: &Measure) -> Self {
+        debug_assert!(candidates.is_sorted_by_key(|candidate| &candidate.owner.name));
         let mut shares = Shares {
             candidates,
             total_weight: candidates.iter().map(|candidate| candidate.weight).sum(),
-            held: BTreeMap::new(),
+            held: vec![0.0; candidates.len()],
+            needs: BTreeSet::new(),
         };
         for held in held {
-            shares.add(&held.owner, measure.of(held.range));
+            if let Some(index) = shares.index(&held.owner) {
+                shares.held[index] += measure.of(held.range);
+            }
         }
+        shares.needs = (0..candidates.len())
+            .map(|index| shares.need(index))
+            .collect();
         shares
     }
 
-    /// What `candidate` should hold; all shares together are 1.
-    fn fair(&self, candidate: &Candidate) -> f64 {
-        candidate.weight / self.total_weight
+    fn index(&self, name: &BackEndName) -> Option<usize> {
+        let by_name = |candidate: &Candidate| candidate.owner.name.cmp(name);
+        self.candidates.binary_search_by(by_name).ok()
+    }
+
+    /// What a candidate should hold; all shares together are 1.
+    fn fair(&self, index: usize) -> f64 {
+        self.candidates[index].weight / self.total_weight
     }
 
-    /// What `candidate` lacks; negative when it holds too much.
-    fn lacks(&self, candidate: &Candidate) -> f64 {
-        let held = self.held.get(&candidate.owner.name).copied();
-        self.fair(candidate) - held.unwrap_or(0.0)
+    /// What a candidate lacks; negative when it holds too much.
+    fn lacks(&self, index: usize) -> f64 {
+        self.fair(index) - self.held[index]
+    }
+
+    fn need(&self, index: usize) -> Need {
+        Need {
+            lacks: self.lacks(index) / self.fair(index),
+            index,
+        }
     }
 
     /// The candidate that lacks most of its share; of equals the first by
     /// name.
-    fn neediest(&self) -> Option<&'a Candidate> {
-        let mut neediest: Option<(&Candidate, f64)> = None;
-        for candidate in self.candidates {
-            let lacks = self.lacks(candidate) / self.fair(candidate);
-            if neediest.is_none_or(|(_, most)| lacks > most) {
-                neediest = Some((candidate, lacks));
-            }
-        }
-        neediest.map(|(candidate, _)| candidate)
+    fn neediest(&self) -> Option<usize> {
+        self.needs.last().map(|need| need.index)
     }
 
-    /// Parts of a fair share that `owner` may have too much.
-    fn tolerated(&self, owner: &Candidate, measure: &Measure) -> f64 {
-        let (least, deviations) = if self.any_hardly_has() {
+    /// Parts of a fair share that each owner may have too much, before what
+    /// chance adds; and standard deviations of that.
+    fn tolerances(&self) -> (f64, f64) {
+        if self.any_hardly_has() {
             (TOLERATED_BESIDE_EMPTY, DEVIATIONS_BESIDE_EMPTY)
         } else {
             (TOLERATED_SURPLUS, DEVIATIONS)
-        };
-        least.max(deviations * measure.noise(self.fair(owner)))
+        }
     }
 
     /// Whether some candidate has hardly anything.
     fn any_hardly_has(&self) -> bool {
-        let hardly_any = |candidate: &Candidate| {
-            self.lacks(candidate) > self.fair(candidate) * (1.0 - HARDLY_ANYTHING)
-        };
-        self.candidates.iter().any(hardly_any)
+        let neediest = self.needs.last();
+        neediest.is_some_and(|need| need.lacks > 1.0 - HARDLY_ANYTHING)
     }
 
     /// The candidate that would be least overloaded with `weight` more.
-    fn strongest(&self, weight: f64) -> Option<&'a Candidate> {
-        let load = |candidate: &Candidate| {
-            let fair = self.fair(candidate);
-            (fair - self.lacks(candidate) + weight) / fair
-        };
-        self.candidates
-            .iter()
-            .min_by(|left, right| load(left).total_cmp(&load(right)))
+    fn strongest(&self, weight: f64) -> Option<usize> {
+        let load = |index: &usize| (self.held[*index] + weight) / self.fair(*index);
+        (0..self.candidates.len()).min_by(|left, right| load(left).total_cmp(&load(right)))
     }
 
     /// Whether the owner of one key that weighs more than its share has a
     /// much stronger one beside it.
-    fn has_much_stronger(&self, owner: &Candidate) -> bool {
-        let fair = self.fair(owner);
-        self.candidates
-            .iter()
-            .any(|candidate| self.fair(candidate) > fair * MUCH_STRONGER)
+    fn has_much_stronger(&self, owner: usize) -> bool {
+        let much = self.candidates[owner].weight * MUCH_STRONGER;
+        let mut candidates = self.candidates.iter();
+        candidates.any(|candidate| candidate.weight > much)
     }
 
     /// What those candidates lack together for whom a move is worth it.
     fn worthwhile(&self) -> f64 {
-        self.candidates
-            .iter()
-            .map(|candidate| (self.lacks(candidate), self.fair(candidate)))
-            .filter(|(lacks, fair)| *lacks > fair * WORTHWHILE_LACK)
-            .map(|(lacks, _)| lacks)
+        let needs = self.needs.iter().rev();
+        needs
+            .take_while(|need| need.lacks > WORTHWHILE_LACK)
+            .map(|need| self.lacks(need.index))
             .sum()
     }
 
-    fn add(&mut self, name: &BackEndName, weight: f64) {
-        *self.held.entry(name.clone()).or_default() += weight;
+    fn add(&mut self, index: usize, weight: f64) {
+        self.needs.remove(&self.need(index));
+        self.held[index] += weight;
+        self.needs.insert(self.need(index));
     }
 }
 
@@ -173,10 +205,10 @@
             {
                 candidate = strongest;
             }
-            shares.add(&candidate.owner.name, weight);
+            shares.add(candidate, weight);
             assignments.push(Assignment {
                 range: piece,
-                owner: candidate.owner.clone(),
+                owner: candidates[candidate].owner.clone(),
             });
             rest = left;
         }
@@ -243,16 +275,22 @@
 pub fn rebalance(held: &[Held], candidates: &[Candidate], measure: &Measure) -> Vec<KeyRange> {
     let mut shares = Shares::new(candidates, held, measure);
     let mut missing = shares.worthwhile();
-    let tolerated = |owner: &Candidate| shares.fair(owner) * shares.tolerated(owner, measure);
-    let mut donors: Vec<(&Candidate, f64)> = candidates
-        .iter()
-        .map(|candidate| (candidate, -shares.lacks(candidate)))
-        .filter(|(candidate, surplus)| *surplus > tolerated(candidate))
+    let (least, deviations) = shares.tolerances();
+    let tolerated = |owner: usize| {
+        let fair = shares.fair(owner);
+        fair * least.max(deviations * measure.noise(fair))
+    };
+    let mut donors: Vec<(usize, f64)> = (0..candidates.len())
+        .map(|index| (index, -shares.lacks(index)))
+        .filter(|(index, surplus)| *surplus > tolerated(*index))
         .collect();
     donors.sort_by(|left, right| right.1.total_cmp(&left.1));
     let mut taken = Vec::new();
     for (donor, _) in donors {
-        for range in densest_first(held, &donor.owner.name, measure) {
+        if taken.len() >= MOST_PIECES {
+            break;
+        }
+        for range in densest_first(held, &candidates[donor].owner.name, measure) {
             let surplus = -shares.lacks(donor);
             let smallest = shares.fair(donor) * SMALLEST_PIECE;
             let wanted = surplus.min(missing);
@@ -267,7 +305,7 @@
             if heavy && !shares.has_much_stronger(donor) {
                 continue;
             }
-            shares.add(&donor.owner.name, -weight);
+            shares.add(donor, -weight);
             missing -= weight;
             taken.push(piece);
         }
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -228,3 +228,33 @@
     let many = uneven(4_000).measure();
     assert!(!rebalance(&held, &candidates, &many).is_empty());
 }
+
+/// Each range that is given out, and each look for owners with too much, once
+/// walked over all back ends: with the square of them, a coordinator of 2,000
+/// had no time for anything else.
+#[test]
+fn sixteen_thousand_back_ends_are_given_even_shares() {
+    let count = 16_384;
+    let candidates: Vec<Candidate> = (0..count)
+        .map(|number: u16| Candidate {
+            owner: Owner {
+                name: format!("b-{number:05}").into(),
+                address: ([10, 0, 0, 1], 1_000 + number).into(),
+            },
+            weight: 1.0,
+        })
+        .collect();
+    let measure = LoadMap::default().measure();
+    let assigned = assign(&[KeyRange::ALL], &[], &candidates, &measure);
+    let lengths = assigned.iter().map(|each| each.range.len());
+    assert!(lengths.clone().all(|length| length == 4));
+    assert_eq!(lengths.sum::<u32>(), KeyRange::ALL.len());
+    let held: Vec<Held> = assigned
+        .into_iter()
+        .map(|each| Held {
+            range: each.range,
+            owner: each.owner.name,
+        })
+        .collect();
+    rebalance(&held, &candidates, &measure);
+}
