Ownership record: a slice is written as a row

Cause: the record of a service is one object of the store, at most 1 MiB, with a slice for each owner. With names of fields an owned slice takes some 150 bytes, 182 with the token of a handover: 4,272 owners 0.65 MB, 5,528 after a scale-out 0.91 MB, more while keys move. A record above the bound is refused, and no key changes hands any more.

Change: rows `[first, last, fence, owner, address, handover]`; the form with names is read as well. Gateways of earlier code cannot read rows: they keep what they know until they are replaced.

Conclusion: by size the limit of one record lies at some 11,000 owners, twice of 5,528; beyond, a service needs records of its parts.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plan;
 pub mod record;
 pub mod settings;
+mod slice_form;
 pub mod view;
 
 pub use action::{Action, Notice};
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -99,9 +99,8 @@
     pub fence: Fence,
 }
 
-/// A range of keys with one state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+/// A range of keys with one state. Written as `slice_form` says.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Slice {
     /// The keys.
     pub range: KeyRange,
--- /dev/null
+++ b/crates/coordination/src/slice_form.rs
@@ -0,0 +1,95 @@
+//! How slices are written: in the store's record, and from gateway to gateway.
+//!
+//! A record has a slice for each owner, an object of the store a largest size
+//! and a link a speed, so that a slice is written as a row without names of
+//! fields: `[first, last, fence]` where nobody owns it, else
+//! `[first, last, fence, owner, address]`, with the token of a handover behind
+//! them. That is 70 bytes in place of 150 with an owner and no handover. The
+//! longer form is read as well.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::de::value::MapAccessDeserializer;
+use serde::de::{Error, MapAccess, SeqAccess, Visitor};
+use serde::ser::SerializeSeq;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use threadledge_types::deployment::{BackEndName, KeyRange, ShardKey};
+
+use crate::order::HandoverToken;
+use crate::record::{Fence, Owner, Slice, SliceState};
+
+impl Serialize for Slice {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut row = serializer.serialize_seq(None)?;
+        row.serialize_element(&self.range.first)?;
+        row.serialize_element(&self.range.last)?;
+        row.serialize_element(&self.fence)?;
+        if let SliceState::Owned { owner, handover } = &self.state {
+            row.serialize_element(&owner.name)?;
+            row.serialize_element(&owner.address)?;
+            if let Some(handover) = handover {
+                row.serialize_element(handover)?;
+            }
+        }
+        row.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Slice {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(SliceVisitor)
+    }
+}
+
+/// The form with names of fields.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct NamedSlice {
+    range: KeyRange,
+    fence: Fence,
+    state: SliceState,
+}
+
+struct SliceVisitor;
+
+impl<'de> Visitor<'de> for SliceVisitor {
+    type Value = Slice;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a slice as a row or with names of fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut row: A) -> Result<Slice, A::Error> {
+        let first: ShardKey = required(row.next_element()?, "first key")?;
+        let last: ShardKey = required(row.next_element()?, "last key")?;
+        let fence: Fence = required(row.next_element()?, "fence")?;
+        let state = match row.next_element::<BackEndName>()? {
+            None => SliceState::Unowned,
+            Some(name) => {
+                let address: SocketAddr = required(row.next_element()?, "owner's address")?;
+                let handover: Option<HandoverToken> = row.next_element()?;
+                let owner = Owner { name, address };
+                SliceState::Owned { owner, handover }
+            }
+        };
+        Ok(Slice {
+            range: KeyRange { first, last },
+            fence,
+            state,
+        })
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Slice, A::Error> {
+        let named = NamedSlice::deserialize(MapAccessDeserializer::new(map))?;
+        Ok(Slice {
+            range: named.range,
+            fence: named.fence,
+            state: named.state,
+        })
+    }
+}
+
+fn required<T, E: Error>(value: Option<T>, what: &str) -> Result<T, E> {
+    value.ok_or_else(|| E::custom(format_args!("a slice lacks its {what}")))
+}
