A back end that starts again under its id is another back end

Cause: a back end may now start again under the id that it had, knowing nothing; a field of its entry says when it started. Everything here rested on "a process that has ended never comes back under its name": occupancy, grants, suspects, estimates, what a request was sent to.

Ways weighed: a life beside the name in every type that names a back end; or the life as part of the name. A name is `id/born`; ids are parts of paths and hold no slash. Deployments that say nothing of lives keep their names.

What names no life: an order and a request reach the next life, which takes renewals of the former one's keys, since it has no floor of fences. So its keys stay with it, under a higher fence, and nothing is sent to the former life once the next is known; a release that still asks the former life would take back what the next was granted: it is dropped. An answer by the next life to such an order does not show that the next has ended.

Without the successor rule a life's keys go to others at once while it may hold them.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -224,7 +224,17 @@
 
     /// Whether a back end is known to have ended, so that it holds nothing.
     pub fn has_ended(&self, name: &BackEndName) -> bool {
-        self.occupancy.has_ended(name)
+        self.occupancy.has_ended(name) || self.successor(name).is_some()
+    }
+
+    /// The later life of a back end that has started again.
+    pub fn successor(&self, name: &BackEndName) -> Option<&Owner> {
+        name.born()?;
+        let (later, registered) = self.registered.range(name..).nth(0)?;
+        if later == name {
+            return None;
+        }
+        later.succeeds(name).then_some(&registered.owner)
     }
 
     /// Whether an order to `owner` would tell which of several processes runs
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -1,7 +1,8 @@
 //! Which process runs at an address.
 //!
 //! One address serves one process at a time, and a process that has ended
-//! never comes back under its name. Registrations do not tell which one runs:
+//! never comes back under its name: a back end that starts again under its id is
+//! another life, with another name. Registrations do not tell which one runs:
 //! each is a statement of its writer that may take effect after the writer
 //! has ended, and a process that lives may lack one. Only an answer given at
 //! the address tells:
@@ -109,7 +110,9 @@
         };
         let known = self.ended.len();
         let before = there.iter().filter(|each| each.known_after < order.id);
-        let others = before.filter(|each| each.name != order.to.name);
+        // The next life answers for the one before it.
+        let others =
+            before.filter(|each| each.name != order.to.name && !each.name.succeeds(&order.to.name));
         self.ended.extend(others.map(|each| each.name.clone()));
         self.ended.len() > known
     }
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -139,6 +139,7 @@
         let newcomers =
             self.holders
                 .set_registered(now, &self.service, back_ends, last_order, is_owner);
+        self.find_successors();
         for address in newcomers.addresses {
             self.ask_who_runs(now, address);
         }
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -76,6 +76,13 @@
                 piece.handover = handover;
                 record.next_fence = record.next_fence.max(Fence(fence.0 + 1));
             }
+        } else if let Some(successor) = &tracked.successor {
+            piece.slice.state = SliceState::Owned {
+                owner: successor.clone(),
+                handover: None,
+            };
+            piece.slice.fence = record.take_fence();
+            piece.granted = false;
         } else if tracked.fenced {
             piece.slice.fence = record.take_fence();
         }
--- a/crates/coordination/src/ownership/former.rs
+++ b/crates/coordination/src/ownership/former.rs
@@ -102,6 +102,9 @@
         holders: &Holders,
         next_order: &mut u64,
     ) -> Vec<Order> {
+        // The next life of one that ended would give back what it was granted.
+        self.unanswered
+            .retain(|former| !holders.has_ended(&former.holder.owner.name));
         self.unanswered
             .retain(|former| former.in_flight.is_some() || now.since(former.since) < LATE_ORDERS);
         let mut asked = self.asked();
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -12,6 +12,17 @@
 use crate::record::{Fence, OwnershipRecord};
 
 impl Ownership {
+    /// Finds owners that have started again. Their keys stay with them under a
+    /// higher fence: a renewal that was sent to the former life may have reached
+    /// the next one, so that nobody else may have them before it answered.
+    pub(super) fn find_successors(&mut self) {
+        for tracked in &mut self.tracked {
+            let owner = tracked.slice.holder();
+            let successor = owner.and_then(|owner| self.holders.successor(&owner.name));
+            tracked.successor = successor.cloned();
+        }
+    }
+
     /// Begins to take keys back from owners that may not keep them. `fence` is
     /// above that of every grant.
     pub(super) fn take_back(&mut self, now: Timestamp, fence: Fence) {
@@ -19,7 +30,7 @@
             let Some(owner) = tracked.owner().cloned() else {
                 continue;
             };
-            if tracked.releasing.is_some() {
+            if tracked.releasing.is_some() || tracked.successor.is_some() {
                 continue;
             }
             if let Some(reason) = self.holders.ineligible(&owner.name, now) {
@@ -85,6 +96,7 @@
     pub(super) fn wants_write(&self, now: Timestamp) -> bool {
         let pending = |(index, tracked): (usize, &Tracked)| {
             tracked.fenced
+                || tracked.successor.is_some()
                 || tracked.owner().is_none()
                 || (tracked.releasing.is_some() && self.released(now, index).is_some())
         };
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -169,6 +169,7 @@
         let earlier = std::mem::take(&mut self.tracked);
         self.tracked = retrack(now, earlier, &found.value.slices);
         self.retracked = true;
+        self.find_successors();
         self.phase = Phase::Active {
             record: found.value,
             revision: found.revision,
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -34,6 +34,10 @@
     pub(super) fenced: bool,
     /// The grant in force was answered.
     pub(super) granted: bool,
+    /// The owner has started again: its next life, which holds nothing of the
+    /// former one. Nothing is sent before the record names it, since it would
+    /// take what was meant for the former.
+    pub(super) successor: Option<Owner>,
 }
 
 impl Tracked {
@@ -48,6 +52,7 @@
             fenced_here: false,
             fenced: false,
             granted: false,
+            successor: None,
         }
     }
 
@@ -96,7 +101,7 @@
     pub(super) fn wants_order(&self) -> bool {
         match (&self.slice.state, self.releasing) {
             (SliceState::Unowned, _) => false,
-            (SliceState::Owned { .. }, None) => !self.fenced,
+            (SliceState::Owned { .. }, None) => !self.fenced && self.successor.is_none(),
             (SliceState::Owned { .. }, Some(_)) => self.released.is_none(),
         }
     }
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod doubt;
 mod handed_back;
 mod joined;
+mod lives;
 mod named;
 mod registrations;
 mod schedules;
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -82,6 +82,8 @@
     queue: BTreeMap<(Timestamp, u64), Happening>,
     next: u64,
     registrations: u64,
+    /// Back ends say when they started, and may start again under their ids.
+    lives: bool,
     checker: Checker,
     pub moves: u64,
     told_revision: u64,
@@ -91,7 +93,24 @@
 
 impl World {
     pub fn new(seed: u64, nodes: usize, back_ends: usize) -> Self {
-        let mut world = World {
+        let mut world = World::without_back_ends(seed);
+        world.start(nodes, back_ends);
+        world
+    }
+
+    /// As [`World::settled`], of back ends that may start again under their
+    /// ids.
+    pub fn settled_with_lives(seed: u64) -> Self {
+        let mut world = World::without_back_ends(seed);
+        world.lives = true;
+        world.start(3, 6);
+        let took = world.until_served(Duration::from_secs(5));
+        assert!(took.is_some(), "not served after a start from nothing");
+        world
+    }
+
+    fn without_back_ends(seed: u64) -> Self {
+        World {
             now: Timestamp::from_millis(1_000),
             settings: Settings::default(),
             nodes: Vec::new(),
@@ -106,18 +125,21 @@
             queue: BTreeMap::new(),
             next: 0,
             registrations: 0,
+            lives: false,
             checker: Checker::default(),
             moves: 0,
             told_revision: 0,
             told: Vec::new(),
-        };
+        }
+    }
+
+    fn start(&mut self, nodes: usize, back_ends: usize) {
         for index in 0..back_ends {
-            world.add_back_end(u16::try_from(index).expect("few back ends"));
+            self.add_back_end(u16::try_from(index).expect("few back ends"));
         }
         for index in 0..nodes {
-            world.start_node(index);
+            self.start_node(index);
         }
-        world
     }
 
     /// Three nodes and six back ends once every key is served.
@@ -174,7 +196,8 @@
     /// Starts a back end at the address with this number.
     pub fn add_back_end(&mut self, address: u16) -> BackEndName {
         self.registrations += 1;
-        let name = BackEndName::from(format!("b{address}-{}", self.registrations));
+        let id = format!("b{address}-{}", self.registrations);
+        let name = BackEndName::of_life(&id, self.lives.then_some(1));
         let entry = BackEnd {
             name: name.clone(),
             service: ServiceName::from(SERVICE),
@@ -193,6 +216,25 @@
         name
     }
 
+    /// A back end crashes and starts again under its id at once. Its
+    /// registration tells so after `untold`.
+    pub fn restart_back_end(&mut self, name: &BackEndName, untold: Duration) -> BackEndName {
+        let ended = self.back_ends.get_mut(name).expect("known");
+        ended.crash();
+        let mut entry = ended.entry.clone();
+        let born = name.born().unwrap_or_default() + 1;
+        entry.name = BackEndName::of_life(name.id(), Some(born));
+        let life = entry.name.clone();
+        let slow = self.random(3);
+        self.back_ends
+            .insert(life.clone(), ModelBackEnd::new(entry.clone(), slow));
+        self.run(untold);
+        self.registered.remove(name);
+        self.registered.insert(life.clone(), entry);
+        self.tell_back_ends();
+        life
+    }
+
     /// Starts a back end that is cold for a while.
     pub fn add_cold_back_end(&mut self, address: u16, cold_for: Duration) -> BackEndName {
         let name = self.add_back_end(address);
@@ -337,7 +379,7 @@
             }
         }
         for action in actions {
-            self.start(index, action);
+            self.call(index, action);
         }
     }
 
@@ -356,7 +398,7 @@
         self.now >= self.store_down_until && self.now >= self.nodes[index].cut_until
     }
 
-    fn start(&mut self, index: usize, action: Action) {
+    fn call(&mut self, index: usize, action: Action) {
         let silent = !self.store_answers(index);
         let long = Duration::from_secs(1);
         match action {
@@ -463,13 +505,13 @@
 
     fn carry_out(&mut self, order: &Order, late: bool) -> OrderReply {
         let now = self.now;
-        if self
-            .occupant(order)
-            .is_some_and(|name| name != order.to.name)
-        {
-            return OrderReply::OtherProcess;
-        }
-        let Some(back_end) = self.back_ends.get_mut(&order.to.name) else {
+        // An order names an id: each life of a back end takes it for its own.
+        let taker = match self.occupant(order) {
+            Some(name) if name.id() != order.to.name.id() => return OrderReply::OtherProcess,
+            Some(name) => name,
+            None => order.to.name.clone(),
+        };
+        let Some(back_end) = self.back_ends.get_mut(&taker) else {
             return OrderReply::Malformed;
         };
         let reply = back_end.take(now, order, late);
@@ -538,7 +580,7 @@
             }
         };
         if let Some(action) = next {
-            self.start(index, action);
+            self.call(index, action);
         }
     }
 
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -10,17 +10,55 @@
 use super::name::ServiceName;
 use crate::ids::ZoneName;
 
-/// One life of one back end process. A process that restarts registers under
-/// another name.
+/// One life of one back end process: the id under which it registers and, where
+/// a process may start again under the id that it had, the time of its start.
+/// Two lives never have one name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub struct BackEndName(Arc<str>);
 
+/// Stands between the id and the time of the start. No id holds one: ids are
+/// parts of paths.
+const LIFE_MARK: char = '/';
+
 impl BackEndName {
+    /// The life of the back end `id` that began at `born`, in milliseconds of
+    /// the back end's time of day. `None`: each of its lives has an id of its
+    /// own.
+    pub fn of_life(id: &str, born: Option<u64>) -> Self {
+        match born {
+            Some(born) => format!("{id}{LIFE_MARK}{born}").into(),
+            None => id.into(),
+        }
+    }
+
     /// The name as text.
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// The id under which this life registers, and those before and after it.
+    pub fn id(&self) -> &str {
+        self.parts().0
+    }
+
+    /// When this life began, in milliseconds of the back end's time of day, if
+    /// it says so.
+    pub fn born(&self) -> Option<u64> {
+        self.parts().1?.parse().ok()
+    }
+
+    /// Whether this is a life of the same back end that began after `other`.
+    pub fn succeeds(&self, other: &BackEndName) -> bool {
+        self.id() == other.id() && self.born() > other.born()
+    }
+
+    fn parts(&self) -> (&str, Option<&str>) {
+        match self.0.split_once(LIFE_MARK) {
+            Some((id, born)) => (id, Some(born)),
+            None => (&self.0, None),
+        }
+    }
 }
 
 impl fmt::Display for BackEndName {
