--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -20,7 +20,9 @@
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
 
 pub use grants::GrantTransport;
-pub use store::{Change, Changes, Collection, Entry, Listing, Malformed, RecordStore, StoreError};
+pub use store::{
+    Change, Changes, Collection, Entry, Listing, Malformed, Page, RecordStore, StoreError,
+};
 pub use wording::{AnswerHead, CallerHead, Wording};
 
 /// A call under way.
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -60,6 +60,36 @@
     pub at: StoreRevision,
 }
 
+impl<T> Default for Listing<T> {
+    fn default() -> Self {
+        Listing {
+            entries: Vec::new(),
+            at: StoreRevision::MAX,
+        }
+    }
+}
+
+impl<T> Listing<T> {
+    /// Adds a page; the name after which the next one begins.
+    pub fn add(&mut self, page: Page<T>) -> Option<String> {
+        self.entries.extend(page.entries);
+        // Changes between two pages are seen by a watch from the older.
+        self.at = self.at.min(page.at);
+        page.next
+    }
+}
+
+/// Objects of a collection in the order of their names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page<T> {
+    /// The objects.
+    pub entries: Vec<Entry<T>>,
+    /// The name after which the next page begins; `None`: this is the last.
+    pub next: Option<String>,
+    /// The revision from which to watch on.
+    pub at: StoreRevision,
+}
+
 /// One change of a collection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change<T> {
@@ -79,10 +109,28 @@
 }
 
 /// Objects of one kind that can be listed and watched.
-pub trait Collection<T>: Send + Sync {
-    /// Every object. A list that may be stale may mix states of several
-    /// moments; a watch from its revision on makes up for it.
-    fn list(&self, freshness: Freshness) -> Call<'_, Result<Listing<T>, StoreError>>;
+pub trait Collection<T: Send>: Send + Sync {
+    /// The first objects whose names come after `after`, as many as one call
+    /// tells.
+    fn page<'a>(
+        &'a self,
+        after: &'a str,
+        freshness: Freshness,
+    ) -> Call<'a, Result<Page<T>, StoreError>>;
+
+    /// Every object. A list that may be stale, or that takes several pages,
+    /// may mix states of several moments; a watch from its revision on makes
+    /// up for it.
+    fn list(&self, freshness: Freshness) -> Call<'_, Result<Listing<T>, StoreError>> {
+        Box::pin(async move {
+            let mut listing = Listing::default();
+            let mut after = Some(String::new());
+            while let Some(name) = after {
+                after = listing.add(self.page(&name, freshness).await?);
+            }
+            Ok(listing)
+        })
+    }
 
     /// Changes after `after`, waiting for one up to `wait`.
     fn changes(
@@ -93,7 +141,7 @@
 }
 
 /// Objects of one kind that are written on a condition.
-pub trait RecordStore<T>: Collection<T> {
+pub trait RecordStore<T: Send>: Collection<T> {
     /// Reads one object.
     fn read<'a>(&'a self, name: &'a str, freshness: Freshness) -> Call<'a, ReadResult<T>>;
 
--- a/crates/router/src/gateway/follow.rs
+++ b/crates/router/src/gateway/follow.rs
@@ -166,7 +166,7 @@
     /// here. Over a full link to another region lists of many gateways held
     /// each other up for 17 s after all had started again.
     async fn list_or_told(&self, freshness: Freshness) -> Begun<T> {
-        let listing = self.collection.list(freshness);
+        let listing = pin!(self.list(freshness));
         let told = pin!(self.until_told());
         match select(listing, told).await {
             Either::Left((listed, _)) => Begun::Listed(listed),
@@ -174,6 +174,24 @@
         }
     }
 
+    /// Lists the collection. What takes many pages is first left to a relay: all
+    /// gateways that start together would ask for each page of 10,000 back
+    /// ends, and fill the store's link for longer than they may take.
+    async fn list(&self, freshness: Freshness) -> Result<Listing<T>, StoreError> {
+        let mut listing = Listing::default();
+        let mut next = Some(String::new());
+        while let Some(after) = next {
+            next = listing.add(self.collection.page(&after, freshness).await?);
+            if next.is_some()
+                && freshness == Freshness::Stale
+                && let Some(relay) = &self.relay
+            {
+                relay.sources.until_store().await;
+            }
+        }
+        Ok(listing)
+    }
+
     /// Resolves when a relay tells of the collection; the revision up to which
     /// it is known then.
     async fn until_told(&self) -> StoreRevision {
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -10,7 +10,7 @@
     Condition, Freshness, ReadResult, StoreRevision, WriteResult,
 };
 use threadledge_dispatch::Attempt;
-use threadledge_ports::{Call, Changes, Collection, Listing, Ports, RecordStore, StoreError};
+use threadledge_ports::{Call, Changes, Collection, Page, Ports, RecordStore, StoreError};
 
 /// The counters. Clones share them.
 #[derive(Clone)]
@@ -31,7 +31,7 @@
         let calls = IntCounterVec::new(
             Opts::new(
                 "threadledge_gateway_store_calls_total",
-                "Calls to the platform's store; a list of several pages is one",
+                "Calls to the platform's store; each page of a list is one",
             ),
             &["collection", "call", "outcome"],
         )?;
@@ -170,14 +170,18 @@
     T: Send + 'static,
     S: Collection<T> + ?Sized,
 {
-    fn list(&self, freshness: Freshness) -> Call<'_, Result<Listing<T>, StoreError>> {
+    fn page<'a>(
+        &'a self,
+        after: &'a str,
+        freshness: Freshness,
+    ) -> Call<'a, Result<Page<T>, StoreError>> {
         let call = match freshness {
             Freshness::Stale => "list-stale",
             Freshness::Linearizable => "list",
         };
         Box::pin(async move {
             let begun = self.begin(call);
-            let result = self.inner.list(freshness).await;
+            let result = self.inner.page(after, freshness).await;
             begun.end(outcome_of(&result));
             result
         })
--- a/crates/router/tests/gateway/follow.rs
+++ b/crates/router/tests/gateway/follow.rs
@@ -13,7 +13,7 @@
 use threadledge::gateway::store_health::StoreHealth;
 use threadledge::proxy::Clock;
 use threadledge_coordination::action::Freshness;
-use threadledge_ports::{Call, Changes, Collection, Entry, Listing, StoreError};
+use threadledge_ports::{Call, Changes, Collection, Entry, Page, StoreError};
 use threadledge_relay::Source;
 use threadledge_types::Timestamp;
 
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 enum Reply {
     List(u64),
+    /// A page, and the name after which the next begins.
+    Page(u64, &'static str),
     Changes(u64),
     Fail(StoreError),
     Silence,
@@ -53,14 +55,22 @@
 }
 
 impl Collection<u64> for Scripted {
-    fn list(&self, _freshness: Freshness) -> Call<'_, Result<Listing<u64>, StoreError>> {
-        let reply = self.next("list".to_owned());
+    fn page<'a>(
+        &'a self,
+        after: &'a str,
+        _freshness: Freshness,
+    ) -> Call<'a, Result<Page<u64>, StoreError>> {
+        let asked = format!("list {after}");
+        let reply = self.next(asked.trim_end().to_owned());
         Box::pin(async move {
+            let page = |at, next| Page {
+                entries: vec![entry(at)],
+                next,
+                at,
+            };
             match reply {
-                Reply::List(at) => Ok(Listing {
-                    entries: vec![entry(at)],
-                    at,
-                }),
+                Reply::List(at) => Ok(page(at, None)),
+                Reply::Page(at, next) => Ok(page(at, Some(next.to_owned()))),
                 Reply::Fail(error) => Err(error),
                 Reply::Changes(_) | Reply::Silence => pending().await,
             }
@@ -77,7 +87,7 @@
                     at,
                 }),
                 Reply::Fail(error) => Err(error),
-                Reply::List(_) | Reply::Silence => pending().await,
+                Reply::List(_) | Reply::Page(..) | Reply::Silence => pending().await,
             }
         })
     }
@@ -247,3 +257,46 @@
     sources.set(Source::Store, false);
     assert_eq!(next(), "long watch after 7");
 }
+
+/// Hundreds of gateways that start together would list thousands of back ends
+/// each: one in each zone does, and tells the others.
+#[test]
+fn later_pages_of_a_long_list_are_left_to_a_relay() {
+    let clock = Clock::start();
+    let health = Arc::new(StoreHealth::new(HEARTBEAT));
+    let sources = Arc::new(Sources::new(clock, health.clone()));
+    sources.set(
+        Source::Settling {
+            until: clock.now() + Duration::from_secs(600),
+        },
+        false,
+    );
+    let (asked_sender, asked) = async_channel::unbounded();
+    let replies = [
+        Reply::Page(5, "b-500"),
+        Reply::Page(6, "b-999"),
+        Reply::List(7),
+    ];
+    let collection = Arc::new(Scripted {
+        replies: Mutex::new(replies.into()),
+        asked: asked_sender,
+    });
+    let (told_sender, told) = async_channel::unbounded();
+    let follower = Follower::new("test", collection, health, WAIT);
+    let follower = follower.relayed(sources.clone(), || 0);
+    task::spawn(follower.run(move |update| {
+        let _ = told_sender.try_send(update);
+    }));
+    let next = || task::block_on(asked.recv()).expect("asked");
+    assert_eq!(next(), "list");
+    // It is to relay itself: nobody else lists.
+    sources.set(Source::Store, true);
+    assert_eq!(
+        [(); 3].map(|()| next()),
+        ["list b-500", "list b-999", "long watch after 5"]
+    );
+    let Update::Listed(listing) = task::block_on(told.recv()).expect("told") else {
+        panic!("a list comes first");
+    };
+    assert_eq!((listing.entries.len(), listing.at), (3, 5));
+}
