A gateway that was told of no back ends yet is not ready

Cause: drained zones that came first put the back ends in use, none as yet, and the gateway said that it was ready; what callers sent was refused. A list came within a call then; now that later pages of a list are left to a relay it takes longer, and `uploads_beyond_the_memory_are_refused_and_short_requests_are_served` failed once with a 503 for the first request.

Change: back ends count as known once somebody told of them.

--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -82,7 +82,7 @@
     }
 
     /// Every back end as requests and keys may use it; `None` while it is not
-    /// known which zones are drained, or a first part of them was told only.
+    /// known which zones are drained, or not all back ends were told yet.
     ///
     /// Invariant: the back ends of a drained zone count as leaving, for every
     /// request and every key (before, 3,900 to 14,700 requests a day reached
@@ -103,7 +103,7 @@
         Some(all.into())
     }
 
-    /// Whether a first part of the back ends was told only.
+    /// Whether nothing was told of the back ends yet, or a first part only.
     pub fn is_partial(&self) -> bool {
         self.back_ends.is_partial()
     }
--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -51,9 +51,9 @@
         self.reach
     }
 
-    /// Whether a relay has told a first part of them only.
+    /// Whether nobody has told of them yet, or a relay a first part only.
     pub(super) fn is_partial(&self) -> bool {
-        self.partial
+        self.partial || self.reach == 0
     }
 
     /// Every back end, those that are awaited too, by name.
@@ -142,7 +142,7 @@
         let told = later.by_ref().take(most);
         let known = told.filter_map(|(_, id)| self.registered.get(id));
         differences.back_ends = known.map(|known| self.told(known, now)).collect();
-        differences.back_ends_go_on = self.partial;
+        differences.back_ends_go_on = self.is_partial();
         if later.next().is_some()
             && let Some(last) = differences.back_ends.last()
         {
--- a/crates/router/tests/gateway/parts.rs
+++ b/crates/router/tests/gateway/parts.rs
@@ -70,6 +70,19 @@
     assert_eq!(below.back_ends(NOW), relay.back_ends(NOW));
 }
 
+/// A gateway that is ready with no back end refuses what others would serve.
+#[test]
+fn nobody_counts_on_back_ends_before_they_are_told() {
+    let mut follower = knowledge();
+    assert!(follower.back_ends(NOW).is_none());
+    let none = Listing {
+        entries: Vec::new(),
+        at: 3,
+    };
+    follower.take_back_ends(Update::Listed(none), NOW);
+    assert_eq!(follower.back_ends(NOW).map(|all| all.len()), Some(0));
+}
+
 /// One that changes is found without a walk over all: a relay looks for each
 /// of its followers.
 #[test]
