Soak: back ends that come back under the ids that they had

A choice of the soak (`--lives`): back ends say when they started, and one that crashes serves again under its id, with late registrations of its former life; lives are judged apart.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -44,6 +44,8 @@
     owners_only: bool,
     /// Callers send requests that end the back ends that run them
     crashing: bool,
+    /// Back ends that crash come back under the ids that they had
+    lives: bool,
     /// Show the faults of the seed and run nothing
     plan: bool,
 }
@@ -73,6 +75,7 @@
             back_ends: arguments.back_ends,
             faults,
             crashing: arguments.crashing,
+            lives: arguments.lives,
             patience: arguments.patience,
         };
         if arguments.plan {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,6 +59,8 @@
     pub faults: Choice,
     /// Callers send requests that end the back ends that run them.
     pub crashing: bool,
+    /// Back ends come back under the ids that they had.
+    pub lives: bool,
     /// Bounds of time are so many times as long, for machines under load.
     pub patience: u32,
 }
@@ -140,6 +142,7 @@
         gateways: options.gateways,
         back_ends: options.back_ends,
         crashing: options.crashing,
+        lives: options.lives,
     };
     let world = World::start(&options.program, &options.dir, size).await?;
     let mut soak = Soak {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -56,6 +56,8 @@
     started: usize,
     /// Some requests end the back ends that run them.
     crashing: bool,
+    /// Back ends come back under the ids that they had.
+    lives: bool,
 }
 
 /// How many there are of what.
@@ -67,6 +69,8 @@
     pub back_ends: usize,
     /// Some requests end the back ends that run them.
     pub crashing: bool,
+    /// Back ends come back under the ids that they had.
+    pub lives: bool,
 }
 
 impl World {
@@ -87,6 +91,7 @@
             version: 0,
             started: 0,
             crashing: size.crashing,
+            lives: size.lives,
         };
         for _ in 0..size.back_ends {
             for service in ["keyed", "plain"] {
@@ -111,10 +116,16 @@
         Ok(world)
     }
 
-    async fn start_inner(&mut self, service: &'static str) -> eyre::Result<StandInBackEnd> {
+    /// Starts a back end, under `id` if it had one before.
+    async fn start_inner(
+        &mut self,
+        service: &'static str,
+        id: Option<String>,
+    ) -> eyre::Result<StandInBackEnd> {
         self.started += 1;
-        let id = format!("{service}-{}", self.started);
-        let inner = StandInBackEnd::start(&id, service == "keyed").await?;
+        let id = id.unwrap_or_else(|| format!("{service}-{}", self.started));
+        let born = self.lives.then_some(self.started as u64);
+        let inner = StandInBackEnd::start_life(&id, born, service == "keyed").await?;
         inner.set_work(WORK);
         if self.crashing {
             inner.set_crashes_on(crashing::crashing(inner.keyed));
@@ -123,7 +134,7 @@
     }
 
     async fn start_back_end(&mut self, service: &'static str) -> eyre::Result<BackEnd> {
-        let inner = self.start_inner(service).await?;
+        let inner = self.start_inner(service, None).await?;
         let proxy = Proxy::start(inner.address()).await?;
         let back_end = BackEnd {
             inner,
@@ -141,27 +152,40 @@
     }
 
     /// The registration of a process that is gone is written, again or late.
-    pub fn register_late(&self, id: &str) {
-        if let Some(left) = self.left.iter().find(|left| left.inner.id == id) {
-            self.register(left, "ready");
+    pub fn register_late(&self, life: &str) {
+        let Some(left) = self.left.iter().find(|left| left.inner.life() == life) else {
+            return;
+        };
+        self.register(left, "ready");
+        // Where another life has its id, that one goes on registering.
+        let mut back_ends = self.back_ends.iter();
+        if let Some(next) = back_ends.find(|next| next.inner.id == left.inner.id) {
+            self.register(next, "ready");
         }
     }
 
     /// A registration that nobody renews goes.
-    pub fn lapse(&self, id: &str) {
-        if self.store.get("servers", id).is_some() {
+    pub fn lapse(&self, life: &str) {
+        let all = self.back_ends.iter().chain(&self.left);
+        let Some(gone) = all.clone().find(|each| each.inner.life() == life) else {
+            return;
+        };
+        let id = gone.inner.id.as_str();
+        let renewed = |each: &BackEnd| each.inner.id == id && !each.inner.has_ended();
+        let another = self.lives && all.clone().any(renewed);
+        if !another && self.store.get("servers", id).is_some() {
             self.store.remove("servers", id);
         }
     }
 
-    /// A back end crashes. Its id, unless it had ended before.
+    /// A back end crashes. Which of its lives, unless it had ended before.
     pub fn crash(&self, index: usize) -> Option<String> {
         let inner = &self.back_ends[index].inner;
         if inner.has_ended() {
             return None;
         }
         inner.crash();
-        Some(inner.id.clone())
+        Some(inner.life())
     }
 
     /// Another process serves at the address of the one that crashed, unless
@@ -172,11 +196,12 @@
     /// A port cannot be listened on.
     pub async fn come_back(&mut self, index: usize, crashed: &str) -> eyre::Result<()> {
         let before = &self.back_ends[index];
-        if before.inner.id != crashed {
+        if before.inner.life() != crashed {
             return Ok(());
         }
         let (proxy, zone, service) = (before.proxy.clone(), before.zone.clone(), before.service);
-        let inner = self.start_inner(service).await?;
+        let id = self.lives.then(|| before.inner.id.clone());
+        let inner = self.start_inner(service, id).await?;
         proxy.lead_to(inner.address());
         let next = BackEnd {
             inner,
@@ -211,11 +236,13 @@
     /// Judges who held which keys when, in times from `start`.
     pub fn judge_ownership(&self, start: Instant, tolerance: Duration) -> Vec<Violation> {
         let inners = self.back_ends.iter().chain(&self.left);
-        let inners: Vec<&StandInBackEnd> = inners.map(|back_end| &back_end.inner).collect();
+        let inners: Vec<(String, &StandInBackEnd)> = inners
+            .map(|back_end| (back_end.inner.life(), &back_end.inner))
+            .collect();
         let mut changes = Vec::new();
         let mut begun = Vec::new();
-        for inner in inners {
-            let back_end = inner.id.as_str();
+        for (life, inner) in &inners {
+            let back_end = life.as_str();
             let since = |at: Instant| at.saturating_duration_since(start);
             changes.extend(inner.key_events().iter().map(|event| Change {
                 back_end,
@@ -260,7 +287,7 @@
     /// Back ends that have been leaving for a while are gone.
     pub fn forget_left(&self) {
         for left in &self.left {
-            self.lapse(&left.inner.id);
+            self.lapse(&left.inner.life());
         }
     }
 
@@ -315,7 +342,7 @@
         let all = self.back_ends.iter().chain(&self.left);
         let keyed = all.filter(|back_end| back_end.inner.keyed);
         keyed
-            .map(|back_end| (back_end.inner.id.clone(), back_end.inner.held(&looked_at())))
+            .map(|back_end| (back_end.inner.life(), back_end.inner.held(&looked_at())))
             .collect()
     }
 }
