--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -229,7 +229,7 @@
 
     /// The later life of a back end that has started again.
     pub fn successor(&self, name: &BackEndName) -> Option<&Owner> {
-        name.born()?;
+        name.started_ms()?;
         let (later, registered) = self.registered.range(name..).nth(0)?;
         if later == name {
             return None;
--- a/crates/coordination/src/slice_form.rs
+++ b/crates/coordination/src/slice_form.rs
@@ -4,8 +4,7 @@
 //! and a link a speed, so that a slice is written as a row without names of
 //! fields: `[first, last, fence]` where nobody owns it, else
 //! `[first, last, fence, owner, address]`, with the token of a handover behind
-//! them. That is 70 bytes in place of 150 with an owner and no handover. The
-//! longer form is read as well.
+//! them. The longer form, with names of fields, is read as well.
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -229,9 +229,9 @@
     assert!(!rebalance(&held, &candidates, &many).is_empty());
 }
 
-/// Each range that is given out, and each look for owners with too much, once
-/// walked over all back ends: with the square of them, a coordinator of 2,000
-/// had no time for anything else.
+/// Work that grows with the square of the back ends would not end here: a walk
+/// over all of them for each range that is given out, or for each owner in a look
+/// for those with too much.
 #[test]
 fn sixteen_thousand_back_ends_are_given_even_shares() {
     let count = 16_384;
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -222,8 +222,8 @@
         let ended = self.back_ends.get_mut(name).expect("known");
         ended.crash();
         let mut entry = ended.entry.clone();
-        let born = name.born().unwrap_or_default() + 1;
-        entry.name = BackEndName::of_life(name.id(), Some(born));
+        let started = name.started_ms().unwrap_or_default() + 1;
+        entry.name = BackEndName::of_life(name.id(), Some(started));
         let life = entry.name.clone();
         let slow = self.random(3);
         self.back_ends
--- a/crates/router/tests/gateway/lives.rs
+++ b/crates/router/tests/gateway/lives.rs
@@ -12,9 +12,9 @@
 /// Any time: nothing here is awaited.
 const NOW: Timestamp = Timestamp::ZERO;
 
-fn life(id: &str, born: u64) -> BackEnd {
+fn life(id: &str, started: u64) -> BackEnd {
     BackEnd {
-        name: BackEndName::of_life(id, Some(born)),
+        name: BackEndName::of_life(id, Some(started)),
         ..back_end(id, false)
     }
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -124,8 +124,8 @@
     ) -> eyre::Result<StandInBackEnd> {
         self.started += 1;
         let id = id.unwrap_or_else(|| format!("{service}-{}", self.started));
-        let born = self.lives.then_some(self.started as u64);
-        let inner = StandInBackEnd::start_life(&id, born, service == "keyed").await?;
+        let started = self.lives.then_some(self.started as u64);
+        let inner = StandInBackEnd::start_life(&id, started, service == "keyed").await?;
         inner.set_work(WORK);
         if self.crashing {
             inner.set_crashes_on(crashing::crashing(inner.keyed));
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -22,12 +22,12 @@
 const LIFE_MARK: char = '/';
 
 impl BackEndName {
-    /// The life of the back end `id` that began at `born`, in milliseconds of
+    /// The life of the back end `id` that began at `started`, in milliseconds of
     /// the back end's time of day. `None`: each of its lives has an id of its
     /// own.
-    pub fn of_life(id: &str, born: Option<u64>) -> Self {
-        match born {
-            Some(born) => format!("{id}{LIFE_MARK}{born}").into(),
+    pub fn of_life(id: &str, started: Option<u64>) -> Self {
+        match started {
+            Some(started) => format!("{id}{LIFE_MARK}{started}").into(),
             None => id.into(),
         }
     }
@@ -44,18 +44,18 @@
 
     /// When this life began, in milliseconds of the back end's time of day, if
     /// it says so.
-    pub fn born(&self) -> Option<u64> {
+    pub fn started_ms(&self) -> Option<u64> {
         self.parts().1?.parse().ok()
     }
 
     /// Whether this is a life of the same back end that began after `other`.
     pub fn succeeds(&self, other: &BackEndName) -> bool {
-        self.id() == other.id() && self.born() > other.born()
+        self.id() == other.id() && self.started_ms() > other.started_ms()
     }
 
     fn parts(&self) -> (&str, Option<&str>) {
         match self.0.split_once(LIFE_MARK) {
-            Some((id, born)) => (id, Some(born)),
+            Some((id, started)) => (id, Some(started)),
             None => (&self.0, None),
         }
     }
