Sight: retries of a service told by what became of them, and who counts the gateways

No log could tell whether retries piled up because parts of the budget were taken anew, divided by a wrong number or given back at a wrong time. Now event 514 tells denials with the window's figures, 424 each change of the number of gateways with who told it, and metrics the retries sent, denied, given back and given back late, by service. No decision changes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -8,6 +8,12 @@
 
 use threadledge_types::Timestamp;
 
+use crate::counters::RetryCounts;
+
+/// Age from which a retry that is given back counts as late.
+const LATE: Duration = Duration::from_secs(1);
+/// Time between two denials that are told.
+const TELL_EVERY: Duration = Duration::from_secs(1);
 /// Parts into which the window is divided.
 const WINDOW_PARTS: u32 = 20;
 /// Parts that are counted: one more than the window has, so that every window
@@ -29,6 +35,20 @@
     parts: [Part; PARTS],
     /// Number of the newest part since the origin of time.
     newest: u64,
+    counts: RetryCounts,
+    /// Denials before the one that was told last, and when that was.
+    told: Option<(u64, Timestamp)>,
+}
+
+/// What a budget allowed and what was used of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUse {
+    /// Requests of the window.
+    pub requests: u32,
+    /// Retries of the window.
+    pub retries: u32,
+    /// Retries allowed in a window beside those that the requests allow.
+    pub slack: f64,
 }
 
 impl RetryBudget {
@@ -41,6 +61,8 @@
             part_length: window / WINDOW_PARTS,
             parts: [Part::default(); PARTS],
             newest: 0,
+            counts: RetryCounts::default(),
+            told: None,
         }
     }
 
@@ -49,6 +71,11 @@
         self.slack = slack;
     }
 
+    /// Retries allowed in a window beside those that the requests allow.
+    pub fn slack(&self) -> f64 {
+        f64::from(self.slack)
+    }
+
     /// Counts a request.
     pub fn count_request(&mut self, now: Timestamp) {
         self.current(now).requests += 1;
@@ -56,19 +83,54 @@
 
     /// Takes the right to one repeat.
     pub fn take(&mut self, now: Timestamp) -> bool {
-        self.current(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let allowed = f64::from(requests) * self.ratio + f64::from(self.slack);
-        if f64::from(repeats) + 1.0 > allowed {
+        let used = self.used(now);
+        let allowed = f64::from(used.requests) * self.ratio + used.slack;
+        if f64::from(used.retries) + 1.0 > allowed {
+            self.counts.denied += 1;
             return false;
         }
         self.current(now).repeats += 1;
         true
     }
 
-    /// Gives the right to a repeat back that never left.
-    pub fn give_back(&mut self, now: Timestamp) {
+    /// What is used of it.
+    pub fn used(&mut self, now: Timestamp) -> BudgetUse {
+        self.current(now);
+        BudgetUse {
+            requests: self.parts.iter().map(|part| part.requests).sum(),
+            retries: self.parts.iter().map(|part| part.repeats).sum(),
+            slack: f64::from(self.slack),
+        }
+    }
+
+    /// Counts a retry that leaves for a back end.
+    pub fn count_sent(&mut self) {
+        self.counts.sent += 1;
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> RetryCounts {
+        self.counts
+    }
+
+    /// Denials that have not been told; `None` soon after others were.
+    pub fn take_denied(&mut self, now: Timestamp) -> Option<u64> {
+        let before = match self.told {
+            Some((_, at)) if now.since(at) < TELL_EVERY => return None,
+            Some((before, _)) => before,
+            None => 0,
+        };
+        self.told = Some((self.counts.denied, now));
+        Some(self.counts.denied - before)
+    }
+
+    /// Gives the right to a repeat back that never left; it was taken at
+    /// `taken`.
+    pub fn give_back(&mut self, now: Timestamp, taken: Timestamp) {
+        self.counts.given_back += 1;
+        if now.since(taken) > LATE {
+            self.counts.given_back_late += 1;
+        }
         let part = self.current(now);
         part.repeats = part.repeats.saturating_sub(1);
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -26,7 +26,7 @@
 
 use crate::back_ends::BackEnds;
 use crate::budget::RetryBudget;
-use crate::counters::Counters;
+use crate::counters::{Counters, Denial, RetryCounts};
 use crate::exchange::Exchange;
 use crate::not_held::NotHeld;
 use crate::observed::ObservedLoad;
@@ -91,6 +91,8 @@
     woken: Vec<ExchangeId>,
     next_exchange: u64,
     counters: Counters,
+    /// Denials of retries that have not been told.
+    denials: Vec<Denial>,
     /// Routers of the deployment, if their number is known.
     fleet: Option<u32>,
     /// Requests that crash back ends, as all routers know them.
@@ -126,6 +128,7 @@
             woken: Vec::new(),
             next_exchange: 0,
             counters: Counters::default(),
+            denials: Vec::new(),
             fleet: None,
             suspects: Suspects::default(),
             unconfirmed: Unconfirmed::default(),
@@ -170,6 +173,35 @@
         &self.counters
     }
 
+    /// Retries of each service since the start, and the slack in force here.
+    pub fn retries(&self) -> impl Iterator<Item = (&ServiceName, RetryCounts, f64)> {
+        let budgets = self.budgets.iter();
+        budgets.map(|(service, budget)| (service, budget.counts(), budget.slack()))
+    }
+
+    /// Denials of retries since the last call: for each service at most one a
+    /// second.
+    pub fn take_denials(&mut self) -> Vec<Denial> {
+        std::mem::take(&mut self.denials)
+    }
+
+    pub(super) fn note_denial(&mut self, now: Timestamp, service: &ServiceName) {
+        let routers = self.fleet;
+        let budget = self.budget(service);
+        let Some(denied) = budget.take_denied(now) else {
+            return;
+        };
+        let used = budget.used(now);
+        self.denials.push(Denial {
+            service: service.clone(),
+            denied,
+            requests: used.requests,
+            retries: used.retries,
+            slack: used.slack,
+            routers,
+        });
+    }
+
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> Option<ConfigurationVersion> {
         self.configuration.as_ref().map(|each| each.version)
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -41,11 +41,14 @@
             }
         }
         in_flight.sent = true;
-        if exchange.arrived > 0 {
-            self.counters.repeats += 1;
-        }
+        let retry = exchange.arrived > 0;
         exchange.sent += 1;
         exchange.arrived += 1;
+        if retry {
+            let service = exchange.service.clone();
+            self.counters.repeats += 1;
+            self.budget(&service).count_sent();
+        }
         true
     }
 
@@ -242,7 +245,7 @@
         }
         if in_flight.budgeted {
             let service = exchange.service.clone();
-            self.budget(&service).give_back(now);
+            self.budget(&service).give_back(now, in_flight.chosen_at);
         }
     }
 }
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -150,6 +150,7 @@
         let repeat = exchange.arrived > 0 || !exchange.in_flight.is_empty();
         if repeat && !self.budget(&service).take(now) {
             self.counters.repeats_denied += 1;
+            self.note_denial(now, &service);
             return None;
         }
         let usual = self.back_ends.usual(now, &service);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod routes;
 pub mod settings;
 
-pub use counters::Counters;
+pub use counters::{Counters, Denial};
 pub use dispatcher::{Begun, Dispatcher};
 pub use outcome::{AttemptEnd, Fault, Outcome, Refusal, RefusalReason, ToldLoad, UnknownReason};
 pub use request::{Attempt, AttemptId, Call, ExchangeId, RequestFacts, Step};
--- a/crates/dispatch/tests/dispatcher/parts.rs
+++ b/crates/dispatch/tests/dispatcher/parts.rs
@@ -130,7 +130,7 @@
     let now = Timestamp::from_millis(100);
     assert!(budget.take(now));
     assert!(!budget.take(now));
-    budget.give_back(now);
+    budget.give_back(now, now);
     assert!(budget.take(now));
     assert!(!budget.take(now + Duration::from_secs(9)));
     assert!(budget.take(now + Duration::from_secs(11)));
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -249,6 +249,9 @@
     RelayLost = 423, "relay-lost", Warn,
         "The gateway that told what is new is silent, leaving or too far behind; this one looks for another, and watches the store itself if the store answers and none serves within a moment.",
         "None, unless it repeats: then look at the machine of the relay and its way to the store.";
+    GatewaysCounted = 424, "gateways-counted", Info,
+        "The number of gateways changed that share the retry budget and the connections that back ends take; the line has the number before, the one in force and the one told, and the gateway that told it (records: those in the store).",
+        "None, unless the number in force stays far from that of the gateways that run: then look for their relays (420 to 423).";
     RequestsRefused = 501, "requests-refused", Info,
         "Requests of one service were not run in the last seconds, for the reason given; the line has their number.",
         "None for single ones; for many, see the reason in the operators' guide.";
@@ -279,6 +282,9 @@
     RequestLetGo = 513, "request-let-go", Info,
         "A request that was held is sent to back ends again: an operator let it go, or a back end that was taken for ended answered.",
         "None.";
+    RetriesDenied = 514, "retries-denied", Info,
+        "The retry budget of a service is used up on this gateway: requests that failed there are not sent again. At most one line a second; it has the retries denied since the one before, the requests and retries of the window, the slack of this gateway and the number of gateways that share it.",
+        "None for single ones; for many, find out why back ends of the service fail or turn requests away.";
     TenantKeysChanged = 520, "tenant-keys-changed", Info,
         "A configuration in force took callers' keys away or added some; the line has its version and the numbers.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -38,6 +38,7 @@
 pub mod relay_records;
 mod removals;
 mod requests;
+mod retries;
 mod run;
 pub mod settings;
 pub mod sources;
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -6,12 +6,13 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::{
-    AttemptEnd, AttemptId, Begun, Dispatcher, ExchangeId, Refusal, RequestFacts, Step,
+    AttemptEnd, AttemptId, Begun, Denial, Dispatcher, ExchangeId, Refusal, RequestFacts, Step,
 };
 use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
 
 use super::suspects::{Finding, SuspectSignals};
+use crate::events::{EventId, emit};
 use crate::proxy::{Clock, Signal};
 
 /// The dispatcher with its clock. The clock is read under the lock, so that
@@ -64,6 +65,7 @@
             self.suspects.found(Finding::Crashes);
         }
         let learned = state.dispatcher.suspects().changes() != known;
+        let denials = state.dispatcher.take_denials();
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
             .iter()
@@ -73,6 +75,7 @@
         for signal in signals {
             signal.give();
         }
+        denials.iter().for_each(tell_denial);
         if learned {
             self.suspects.changed.notify();
         }
@@ -120,3 +123,15 @@
         self.state.lock().signals.remove(&id);
     }
 }
+
+fn tell_denial(denial: &Denial) {
+    emit!(
+        EventId::RetriesDenied,
+        service = %denial.service,
+        denied = denial.denied,
+        requests = denial.requests,
+        retries = denial.retries,
+        slack = denial.slack,
+        gateways = denial.routers,
+    );
+}
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use super::dispatch::Dispatch;
 use super::limits::Limits;
 use super::log::RequestLine;
+use super::retries::RetryMetrics;
 use super::sources::Sources;
 use super::usage::Usage;
 use crate::proxy::Clock;
@@ -30,6 +31,7 @@
     pipelined: IntCounter,
     latency: HistogramVec,
     gauges: Gauges,
+    retries: RetryMetrics,
     dispatch: Arc<Dispatch>,
     sources: Arc<Sources>,
     usage: Usage,
@@ -88,6 +90,7 @@
         registry.register(Box::new(pipelined.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         let gauges = Gauges::register(&registry)?;
+        let retries = RetryMetrics::new(&registry)?;
         let usage = Usage::new(&registry)?;
         let departures = Departures::new(&registry)?;
         Ok(GatewayMetrics {
@@ -96,6 +99,7 @@
             pipelined,
             latency,
             gauges,
+            retries,
             dispatch,
             sources,
             usage,
@@ -150,6 +154,8 @@
     /// The library cannot write them.
     pub(super) fn text(&self) -> Result<String, prometheus::Error> {
         self.gauges.update(&self.dispatch);
+        self.dispatch
+            .with(|dispatcher, _now| self.retries.update(dispatcher));
         self.gauges.relayed.set(self.sources.relayed().into());
         let fleet = self.sources.fleet().unwrap_or(0);
         self.gauges.fleet.set(fleet.into());
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -194,7 +194,7 @@
             let recorded = records.own.as_ref().map_or(0, |own| own.value.members);
             let zone = self.followers.members().max(recorded);
             self.sources
-                .set_fleet(records.elsewhere.saturating_add(zone));
+                .set_fleet(records.elsewhere.saturating_add(zone), None);
         }
         records.own
     }
@@ -270,7 +270,7 @@
             self.sources.take_lease(&known.service, &lease);
         }
         if let Some(fleet) = news.fleet {
-            self.sources.set_fleet(fleet);
+            self.sources.set_fleet(fleet, Some(address));
         }
         self.client.heard_of(address);
         for peer in news.peers {
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -2,6 +2,7 @@
 //! concerns, and what goes up to its relay and comes down from it besides.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -16,6 +17,7 @@
 
 use super::notifier::Notifier;
 use super::store_health::StoreHealth;
+use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
 /// How long fewer gateways must be told of before it counts: those that a
@@ -228,10 +230,19 @@
         self.fleet.lock().gateways()
     }
 
-    /// So many gateways are there, roughly.
-    pub(super) fn set_fleet(&self, gateways: u32) {
+    /// So many gateways are there, roughly, as a relay told or the records do.
+    pub(super) fn set_fleet(&self, gateways: u32, relay: Option<SocketAddr>) {
         let now = self.clock.now();
-        self.fleet.lock().set(now, gateways);
+        let mut fleet = self.fleet.lock();
+        let before = fleet.gateways();
+        fleet.set(now, gateways);
+        let after = fleet.gateways();
+        drop(fleet);
+        if before == after {
+            return;
+        }
+        let by = relay.map_or_else(|| "records".to_owned(), |relay| relay.to_string());
+        emit!(EventId::GatewaysCounted, before, after, told = gateways, by);
     }
 
     /// Resolves when the store has to be watched.
