Retry budget: no slack and no cold requests until the gateways are counted

Cause: who had not been told how many gateways there are supposed 30. At 74 that start at once this shares out 2.5 times the slack, at 984 33 times. Change: a count is told or there is no share. Only gateways without an address for each other, which nobody can count, take the number from the settings. A gateway learns the count with the first news of its relay.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -155,22 +155,26 @@
     }
 
     /// Time between two requests of this router to one cold back end of a
-    /// service; `None` where cold ones bear as much as others.
+    /// service; `None` where cold ones bear as much as others. While the number
+    /// of routers is not known, there are no such requests.
     ///
     /// Invariant: while back ends are cold, all routers together stay below
     /// what one of them may get in any second, save by a chance of one in
     /// millions.
     pub(super) fn cold_interval(&self, service: &ServiceName) -> Option<Duration> {
         let rate = self.cold_rates.get(service)?;
-        let routers = self.fleet.unwrap_or(self.settings.gateways).max(1);
+        let Some(routers) = self.fleet else {
+            return Some(LONGEST_TURN);
+        };
         let interval = Duration::try_from_secs_f64(f64::from(routers) / rate);
         Some(interval.map_or(LONGEST_TURN, |interval| interval.min(LONGEST_TURN)))
     }
 
-    /// This router's part of the retry budget's slack.
+    /// This router's part of the retry budget's slack: nothing while the
+    /// number of those that share it is not known.
     fn own_retry_slack(&self) -> f64 {
-        let routers = self.fleet.unwrap_or(self.settings.gateways).max(1);
-        f64::from(self.settings.retry_slack) / f64::from(routers)
+        let slack = f64::from(self.settings.retry_slack);
+        self.fleet.map_or(0.0, |routers| slack / f64::from(routers))
     }
 
     /// Counts since the start.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -28,9 +28,6 @@
     pub retry_ratio: f64,
     /// Repeats allowed besides, by all routers together, within the window.
     pub retry_slack: u32,
-    /// Routers that share the slack and the connections of back ends, while
-    /// their number is not known.
-    pub gateways: u32,
     /// Window of the retry budget.
     pub retry_window: Duration,
     /// Part of a route's target latency after which a repeatable request
@@ -67,7 +64,6 @@
             back_end_queue: 5,
             retry_ratio: 0.14,
             retry_slack: 2,
-            gateways: 1,
             retry_window: Duration::from_secs(10),
             hedge_after: 0.8,
             owner_pause: Duration::from_millis(25),
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -213,3 +213,16 @@
     let later = station.begin_with("keyed", Some(5)).expect("admitted");
     assert_eq!(station.send(&later).back_end.as_str(), "k-1");
 }
+
+#[test]
+fn cold_back_end_gets_nothing_from_a_router_that_does_not_know_how_many_there_are() {
+    let mut station = Station::with(Settings::default(), 1);
+    station.configure(with_cold_back_ends(&["plain"]));
+    station.back_ends = vec![cold("p-cold", "plain", 1)];
+    station.publish();
+    for _ in 0..20 {
+        let begun = station.begin("safe").expect("admitted");
+        assert!(!matches!(station.next(&begun), Step::Send(_)));
+        station.after(100);
+    }
+}
--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -41,7 +41,6 @@
         let settings = Settings {
             retry_ratio: RATIO,
             retry_slack: SLACK,
-            gateways: ROUTERS,
             retry_window: WINDOW,
             ..Settings::default()
         };
@@ -116,6 +115,22 @@
     routers.check();
 }
 
+/// Whatever number it guessed, the routers that start may be many more.
+#[test]
+fn router_that_does_not_know_how_many_there_are_uses_no_slack() {
+    let mut routers = Routers::start(ROUTERS);
+    for _second in 0..10 {
+        routers.after(1_000);
+        routers.fail_one_each();
+    }
+    let allowed = routers.requests.len() as f64 * RATIO;
+    let retries = routers.retries.len();
+    assert!(
+        retries as f64 <= allowed,
+        "{retries} retries; allowed {allowed}"
+    );
+}
+
 /// Invariant: in every window that slides, repeats stay within the ratio of
 /// the requests of that window and the one before, and the slack.
 #[test]
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -149,7 +149,12 @@
         stop: StopSignal,
     ) -> Result<Self, GatewayError> {
         let clock = Clock::start();
-        let dispatcher = Dispatcher::new(settings.dispatch(), rand::random());
+        let mut dispatcher = Dispatcher::new(settings.dispatch(), rand::random());
+        if settings.listen.peers.is_none() {
+            // Nobody will tell it how many gateways there are.
+            let gateways = settings.retry_budget.gateways;
+            dispatcher.set_fleet(clock.now(), gateways);
+        }
         let (signals, findings) = SuspectSignals::new();
         let dispatch = Arc::new(Dispatch::new(dispatcher, clock, signals));
         let suspects = SuspectService::new(dispatch.clone());
--- a/crates/router/src/gateway/settings/cores.rs
+++ b/crates/router/src/gateway/settings/cores.rs
@@ -75,7 +75,6 @@
             retry_slack: (retry.slack * SLACK_PART)
                 .floor()
                 .clamp(0.0, f64::from(u32::MAX)) as u32,
-            gateways: retry.gateways.max(1),
             retry_window: seconds(retry.window_s),
             cold_overage: self.bounds.cold_overage,
             cold_slack: self.bounds.cold_slack,
--- a/crates/router/src/gateway/settings/tables.rs
+++ b/crates/router/src/gateway/settings/tables.rs
@@ -78,8 +78,8 @@
     pub slack: f64,
     /// Window, in seconds.
     pub window_s: f64,
-    /// Gateways among which the slack is divided while their number is not
-    /// known.
+    /// Gateways among which the slack is divided where they have no address
+    /// for each other. Those that have one count each other.
     pub gateways: u32,
 }
 
