Retry budget: what is given back late leaves the window it was taken in

Cause: a retry that never left was counted off the newest part of the window. There it hid another retry, which then stayed uncounted when the older part left the window; the slack took it back on top of what had been earned meanwhile. Evidence: on the code before the three new tests fail: with a share of two a window got three; ten requests at a ratio of 0.1 paid for two retries; a retry given back within its window could not be made again. Change: the part in which it was taken gets it back if it is still counted; the slack gets it less what was earned since.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -158,12 +158,22 @@
         if now.since(permit.taken) > LATE {
             self.counts.given_back_late += 1;
         }
-        self.slack.give_back(now, permit.of_slack);
-        let part = self.current(now);
+        self.slack.give_back(now, permit.of_slack, permit.taken);
+        self.current(now);
+        let Some(part) = self.part_of(permit.taken) else {
+            return;
+        };
         part.retries = part.retries.saturating_sub(1);
         part.of_requests = (part.of_requests - permit.of_requests).max(0.0);
     }
 
+    /// The part that a time lies in, unless it has left the window.
+    fn part_of(&mut self, at: Timestamp) -> Option<&mut Part> {
+        let number = self.number(at);
+        let kept = number <= self.newest && number + PARTS as u64 > self.newest;
+        kept.then(|| &mut self.parts[(number % PARTS as u64) as usize])
+    }
+
     fn current(&mut self, now: Timestamp) -> &mut Part {
         let number = self.number(now);
         let passed = number.saturating_sub(self.newest).min(PARTS as u64);
--- a/crates/dispatch/src/slack.rs
+++ b/crates/dispatch/src/slack.rs
@@ -56,10 +56,12 @@
         true
     }
 
-    /// Gives back what was taken and not used.
-    pub(crate) fn give_back(&mut self, now: Timestamp, retries: f64) {
+    /// Gives back what was taken at `taken` and not used, less what was earned
+    /// since: had it not been taken, that might have found no room.
+    pub(crate) fn give_back(&mut self, now: Timestamp, retries: f64, taken: Timestamp) {
         self.settle(now);
-        self.saved = (self.saved + retries).min(self.most_saved());
+        let left = (retries - self.earned_in(now.since(taken))).max(0.0);
+        self.saved = (self.saved + left).min(self.most_saved());
     }
 
     fn most_saved(&self) -> f64 {
--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -183,3 +183,43 @@
     assert!(budget.take(now + Duration::from_secs(9)).is_none());
     assert!(budget.take(now + Duration::from_secs(11)).is_some());
 }
+
+/// What was earned meanwhile has taken the place of a right that comes back.
+#[test]
+fn retry_given_back_late_does_not_add_to_the_slack_earned_meanwhile() {
+    let start = Timestamp::from_millis(100);
+    let mut budget = RetryBudget::new(start, 0.0, WINDOW);
+    budget.set_slack(start, 2.0);
+    let late = budget.take(start + WINDOW).expect("one is saved up");
+    let now = start + WINDOW * 2;
+    assert!(budget.take(now).is_some(), "the next is earned");
+    budget.give_back(now, late);
+    assert!(budget.take(now).is_none());
+}
+
+/// Counted off the present window, it would hide a retry of that window.
+#[test]
+fn retry_given_back_late_leaves_the_window_in_which_it_was_taken() {
+    let start = Timestamp::from_millis(100);
+    let mut budget = RetryBudget::new(start, 0.1, WINDOW);
+    (0..10).for_each(|_| budget.count_request(start));
+    let late = budget.take(start).expect("ten requests pay for it");
+    let now = start + WINDOW * 2;
+    (0..10).for_each(|_| budget.count_request(now));
+    assert!(budget.take(now).is_some(), "ten others pay for it");
+    budget.give_back(now, late);
+    assert!(budget.take(now).is_none());
+}
+
+/// A right given back within its window is there again.
+#[test]
+fn retry_given_back_in_time_can_be_made_by_another_request() {
+    let start = Timestamp::from_millis(100);
+    let mut budget = RetryBudget::new(start, 0.1, WINDOW);
+    (0..10).for_each(|_| budget.count_request(start));
+    let permit = budget.take(start).expect("ten requests pay for it");
+    let now = start + WINDOW / 2;
+    assert!(budget.take(now).is_none());
+    budget.give_back(now, permit);
+    assert!(budget.take(now).is_some());
+}
