Retry budget: a share ends unless the count of gateways is confirmed

Cause: gateways that a relay lost kept their part by the old count while the others, after 12 s, divided the whole by fewer: shares without a bound on their sum. Change: a count is good for 10 s after the store surely answered the relay that told it, less than the 12 s for which a lower count waits. Then the share ends and what was saved up is gone. Weighed against shares handed down the tree by need: these would go where failures are, but need a message for each burst, a holder whose loss they survive, and a start without anything all the same. What it costs: in an outage of the store of more than 10 s retries are paid for by requests alone.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -80,14 +80,14 @@
     }
 
     /// Changes how many retries are allowed in a window beside those that the
-    /// requests allow.
-    pub fn set_slack(&mut self, now: Timestamp, slack: f64) {
-        self.slack.set_share(now, slack);
+    /// requests allow, until then; `None`: for good.
+    pub fn set_slack(&mut self, now: Timestamp, slack: f64, until: Option<Timestamp>) {
+        self.slack.set_share(now, slack, until);
     }
 
     /// Retries allowed in a window beside those that the requests allow.
-    pub fn slack(&self) -> f64 {
-        self.slack.share()
+    pub fn slack(&self, now: Timestamp) -> f64 {
+        self.slack.share(now)
     }
 
     /// Counts a request.
@@ -127,7 +127,7 @@
         BudgetUse {
             requests: self.parts.iter().map(|part| part.requests).sum(),
             retries: self.parts.iter().map(|part| part.retries).sum(),
-            slack: self.slack(),
+            slack: self.slack(now),
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -97,6 +97,8 @@
     fleet: Option<u32>,
     /// Since when it is known.
     fleet_known: Option<Timestamp>,
+    /// Until when the slack is shared by it; `None`: for good.
+    slack_until: Option<Timestamp>,
     /// Requests that crash back ends, as all routers know them.
     suspects: Suspects,
     /// Attempts that broke, while it is open whether their process ended.
@@ -133,6 +135,7 @@
             denials: Vec::new(),
             fleet: None,
             fleet_known: None,
+            slack_until: None,
             suspects: Suspects::default(),
             unconfirmed: Unconfirmed::default(),
             confirmed: Vec::new(),
@@ -141,16 +144,15 @@
     }
 
     /// Says how many routers share the retry budget and the connections that
-    /// back ends take.
-    pub fn set_fleet(&mut self, now: Timestamp, routers: u32) {
-        let routers = routers.max(1);
-        if self.fleet.replace(routers) == Some(routers) {
-            return;
-        }
+    /// back ends take. The slack of the budget is shared by this number until
+    /// `until`; `None`: for good.
+    pub fn set_fleet(&mut self, now: Timestamp, routers: u32, until: Option<Timestamp>) {
+        self.fleet = Some(routers.max(1));
         self.fleet_known.get_or_insert(now);
+        self.slack_until = until;
         let slack = self.own_retry_slack();
         for budget in self.budgets.values_mut() {
-            budget.set_slack(now, slack);
+            budget.set_slack(now, slack, until);
         }
     }
 
@@ -183,9 +185,12 @@
     }
 
     /// Retries of each service since the start, and the slack in force here.
-    pub fn retries(&self) -> impl Iterator<Item = (&ServiceName, RetryCounts, f64)> {
+    pub fn retries(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&ServiceName, RetryCounts, f64)> {
         let budgets = self.budgets.iter();
-        budgets.map(|(service, budget)| (service, budget.counts(), budget.slack()))
+        budgets.map(move |(service, budget)| (service, budget.counts(), budget.slack(now)))
     }
 
     /// Denials of retries since the last call: for each service at most one a
@@ -407,10 +412,11 @@
     pub(super) fn budget(&mut self, now: Timestamp, service: &ServiceName) -> &mut RetryBudget {
         let slack = self.own_retry_slack();
         let since = self.fleet_known.unwrap_or(now);
+        let until = self.slack_until;
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
             let mut budget = RetryBudget::new(since, settings.retry_ratio, settings.retry_window);
-            budget.set_slack(since, slack);
+            budget.set_slack(since, slack, until);
             budget
         })
     }
--- a/crates/dispatch/src/slack.rs
+++ b/crates/dispatch/src/slack.rs
@@ -3,7 +3,9 @@
 //!
 //! A share is earned with time and begins empty: what a process used is
 //! forgotten with it, and its successor must not have it again. So one machine
-//! gets no more than its share in any window, however often it starts.
+//! gets no more than its share in any window, however often it starts. It ends
+//! by itself once nobody confirms how many routers share: others that lost
+//! sight of this one divide the whole among fewer.
 
 use std::time::Duration;
 
@@ -18,6 +20,8 @@
 pub(crate) struct SlackShare {
     /// Retries in any window.
     share: f64,
+    /// When the share ends; `None`: never.
+    until: Option<Timestamp>,
     window: Duration,
     saved: f64,
     settled: Timestamp,
@@ -28,6 +32,7 @@
     pub(crate) fn new(now: Timestamp, window: Duration) -> Self {
         SlackShare {
             share: 0.0,
+            until: None,
             window,
             saved: 0.0,
             settled: now,
@@ -35,14 +40,15 @@
     }
 
     /// Retries in any window.
-    pub(crate) fn share(&self) -> f64 {
-        self.share
+    pub(crate) fn share(&self, now: Timestamp) -> f64 {
+        if self.has_ended(now) { 0.0 } else { self.share }
     }
 
-    /// From now on it is this share.
-    pub(crate) fn set_share(&mut self, now: Timestamp, share: f64) {
+    /// From now on it is this share, until then; `None`: for good.
+    pub(crate) fn set_share(&mut self, now: Timestamp, share: f64, until: Option<Timestamp>) {
         self.settle(now);
         self.share = share;
+        self.until = until;
         self.saved = self.saved.min(self.most_saved());
     }
 
@@ -68,9 +74,16 @@
         self.share * SAVED_PART
     }
 
+    fn has_ended(&self, now: Timestamp) -> bool {
+        self.until.is_some_and(|until| now >= until)
+    }
+
     fn settle(&mut self, now: Timestamp) {
         let earned = self.earned_in(now.since(self.settled));
         self.saved = (self.saved + earned).min(self.most_saved());
+        if self.has_ended(now) {
+            self.saved = 0.0;
+        }
         self.settled = self.settled.max(now);
     }
 
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -61,7 +61,7 @@
                 ..Settings::default()
             };
             let mut router = Dispatcher::new(settings, seed * 1_000 + number as u64);
-            router.set_fleet(Timestamp::ZERO, ROUTERS as u32);
+            router.set_fleet(Timestamp::ZERO, ROUTERS as u32, None);
             router.set_configuration(now, configuration.clone());
             router.set_back_ends(now, &back_ends);
             router
@@ -184,7 +184,7 @@
 #[test]
 fn request_for_which_only_cold_back_ends_are_there_is_refused_in_time() {
     let mut station = Station::new();
-    station.dispatcher.set_fleet(station.now, 1_000_000);
+    station.dispatcher.set_fleet(station.now, 1_000_000, None);
     station.configure(with_cold_back_ends(&["plain"]));
     station.back_ends = vec![cold("p-cold", "plain", 1)];
     station.publish();
@@ -201,7 +201,7 @@
 #[test]
 fn key_of_a_cold_owner_waits_for_a_turn_and_is_served_once_it_is_warm() {
     let mut station = Station::new();
-    station.dispatcher.set_fleet(station.now, 1_000_000);
+    station.dispatcher.set_fleet(station.now, 1_000_000, None);
     station.configure(with_cold_back_ends(&["keyed"]));
     station.back_ends = vec![cold("k-1", "keyed", 3), back_end("k-2", "keyed", "far", 4)];
     station.publish();
--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -13,6 +13,8 @@
 const ROUTERS: u32 = 25;
 const RATIO: f64 = 0.15;
 const WINDOW: Duration = Duration::from_secs(10);
+/// How long a count of the routers holds.
+const CONFIRMED_FOR: Duration = Duration::from_secs(10);
 
 /// Routers whose requests all fail at first, and what reached the back ends.
 struct Routers {
@@ -56,10 +58,15 @@
 
     /// Every router is told how many there are.
     fn tell_count(&mut self) {
-        let count = u32::try_from(self.stations.len()).expect("few routers");
-        for station in &mut self.stations {
+        self.tell_some(self.stations.len(), ROUTERS);
+    }
+
+    /// The first of the routers are told that there are so many.
+    fn tell_some(&mut self, first: usize, count: u32) {
+        for station in &mut self.stations[..first] {
             station.now = self.now;
-            station.dispatcher.set_fleet(self.now, count);
+            let until = self.now + CONFIRMED_FOR;
+            station.dispatcher.set_fleet(self.now, count, Some(until));
         }
     }
 
@@ -145,7 +152,7 @@
         let window = Duration::from_secs(10);
         let mut now = Timestamp::from_millis(5);
         let mut budget = RetryBudget::new(now, 0.15, window);
-        budget.set_slack(now, 3.0);
+        budget.set_slack(now, 3.0, None);
         let mut requests: Vec<Timestamp> = Vec::new();
         let mut repeats: Vec<Timestamp> = Vec::new();
         for _ in 0..400 {
@@ -173,7 +180,7 @@
 fn right_that_was_not_used_can_be_given_back() {
     let start = Timestamp::from_millis(100);
     let mut budget = RetryBudget::new(start, 0.0, WINDOW);
-    budget.set_slack(start, 2.0);
+    budget.set_slack(start, 2.0, None);
     assert!(budget.take(start).is_none(), "nothing is earned yet");
     let now = start + WINDOW;
     let permit = budget.take(now).expect("one is saved up");
@@ -189,7 +196,7 @@
 fn retry_given_back_late_does_not_add_to_the_slack_earned_meanwhile() {
     let start = Timestamp::from_millis(100);
     let mut budget = RetryBudget::new(start, 0.0, WINDOW);
-    budget.set_slack(start, 2.0);
+    budget.set_slack(start, 2.0, None);
     let late = budget.take(start + WINDOW).expect("one is saved up");
     let now = start + WINDOW * 2;
     assert!(budget.take(now).is_some(), "the next is earned");
@@ -223,3 +230,24 @@
     budget.give_back(now, permit);
     assert!(budget.take(now).is_some());
 }
+
+/// Routers that were cut off go on by the old count while the others, told of
+/// fewer, divide by the new one.
+#[test]
+fn routers_cut_off_from_the_others_do_not_keep_a_share_that_these_use() {
+    let mut routers = Routers::start(ROUTERS);
+    routers.tell_count();
+    routers.after(30_000);
+    routers.tell_count();
+    for second in 0..30 {
+        routers.after(1_000);
+        let counted = if second < 12 { ROUTERS } else { 5 };
+        routers.tell_some(5, counted);
+    }
+    for _ in 0..60 {
+        routers.after(200);
+        routers.tell_some(5, 5);
+        routers.fail_one_each();
+    }
+    routers.check();
+}
--- a/crates/dispatch/tests/dispatcher/support.rs
+++ b/crates/dispatch/tests/dispatcher/support.rs
@@ -110,7 +110,7 @@
             ..Settings::default()
         };
         let mut station = Station::with(settings, seed);
-        station.dispatcher.set_fleet(Timestamp::ZERO, 1);
+        station.dispatcher.set_fleet(Timestamp::ZERO, 1, None);
         station
     }
 
--- a/crates/router/src/gateway/metrics.rs
+++ b/crates/router/src/gateway/metrics.rs
@@ -155,7 +155,7 @@
     pub(super) fn text(&self) -> Result<String, prometheus::Error> {
         self.gauges.update(&self.dispatch);
         self.dispatch
-            .with(|dispatcher, _now| self.retries.update(dispatcher));
+            .with(|dispatcher, now| self.retries.update(now, dispatcher));
         self.gauges.relayed.set(self.sources.relayed().into());
         let fleet = self.sources.fleet().unwrap_or(0);
         self.gauges.fleet.set(fleet.into());
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -143,9 +143,10 @@
         self.sources.tell_fresher();
         self.neighbours
             .set_place(self.member.upstream(), self.member.relays());
-        if let Some(fleet) = self.sources.fleet() {
+        let (fleet, until) = self.sources.fleet_shared_until();
+        if let Some(fleet) = fleet {
             self.dispatch
-                .with(|dispatcher, now| dispatcher.set_fleet(now, fleet));
+                .with(|dispatcher, now| dispatcher.set_fleet(now, fleet, Some(until)));
         }
     }
 
@@ -173,7 +174,7 @@
             self.health.took(self.clock.now().since(started));
         }
         let result = match listed {
-            Ok(listing) => ReadResult::Found(self.take_records(listing.entries)),
+            Ok(listing) => ReadResult::Found(self.take_records(started, listing.entries)),
             Err(_) => ReadResult::Failed,
         };
         self.heard_from_store(started, result != ReadResult::Failed);
@@ -182,7 +183,11 @@
     }
 
     /// Counts the gateways of all zones; the record of this one.
-    fn take_records(&self, entries: Vec<Entry<RelayRecord>>) -> Option<Versioned<RelayRecord>> {
+    fn take_records(
+        &self,
+        asked: Timestamp,
+        entries: Vec<Entry<RelayRecord>>,
+    ) -> Option<Versioned<RelayRecord>> {
         let records = Records::of(entries, &self.record, &self.places);
         if self.tier == Tier::Region {
             return records.own;
@@ -193,8 +198,8 @@
             // record counts them as they were.
             let recorded = records.own.as_ref().map_or(0, |own| own.value.members);
             let zone = self.followers.members().max(recorded);
-            self.sources
-                .set_fleet(records.elsewhere.saturating_add(zone), None);
+            let fleet = records.elsewhere.saturating_add(zone);
+            self.sources.set_fleet(fleet, asked, None);
         }
         records.own
     }
@@ -262,6 +267,10 @@
         // long before its answer came.
         let on_the_way = now.since(asked).saturating_sub(from_millis(news.held_ms));
         let age = from_millis(news.age_ms) + on_the_way;
+        let seen = now - age;
+        if let Some(fleet) = news.fleet {
+            self.sources.set_fleet(fleet, seen, Some(address));
+        }
         for known in news.leases {
             let lease = Versioned {
                 value: known.lease,
@@ -269,9 +278,6 @@
             };
             self.sources.take_lease(&known.service, &lease);
         }
-        if let Some(fleet) = news.fleet {
-            self.sources.set_fleet(fleet, Some(address));
-        }
         self.client.heard_of(address);
         for peer in news.peers {
             self.client.heard_of(peer);
@@ -282,8 +288,6 @@
         if fetch {
             self.fetch_configuration(address).await;
         }
-        let micros = now.as_micros().saturating_sub(micros(age));
-        let seen = Timestamp::from_micros(micros);
         self.health.heard(seen);
         Followed::Answered { seen, news: told }
     }
@@ -308,10 +312,6 @@
     }
 }
 
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn from_millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/crates/router/src/gateway/retries.rs
+++ b/crates/router/src/gateway/retries.rs
@@ -2,6 +2,7 @@
 
 use prometheus::{IntGaugeVec, Opts, Registry};
 use threadledge_dispatch::Dispatcher;
+use threadledge_types::Timestamp;
 
 /// Retries and the slack in force. Clones share them.
 #[derive(Clone)]
@@ -37,8 +38,8 @@
     }
 
     /// Takes what the dispatcher counted.
-    pub(super) fn update(&self, dispatcher: &Dispatcher) {
-        for (service, counts, slack) in dispatcher.retries() {
+    pub(super) fn update(&self, now: Timestamp, dispatcher: &Dispatcher) {
+        for (service, counts, slack) in dispatcher.retries(now) {
             let service = service.as_str();
             let ends = [
                 ("sent", counts.sent),
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -24,17 +24,25 @@
 /// relay has just lost still share what all may use together.
 const FEWER_AFTER: Duration = Duration::from_secs(12);
 
+/// How long what all may use together is shared by a count. Invariant: for
+/// less long than a lower count waits, so that a gateway that the others lost
+/// sight of has given its share up before they divide it.
+const COUNT_LASTS: Duration = Duration::from_secs(10);
+
 /// How many gateways there are.
 #[derive(Debug, Default)]
 pub struct Fleet {
     gateways: Option<u32>,
+    /// When the count was last surely so.
+    seen: Timestamp,
     /// Since when fewer are told of, and how many at the most.
     fewer: Option<(Timestamp, u32)>,
 }
 
 impl Fleet {
-    /// So many are told of.
-    pub fn set(&mut self, now: Timestamp, gateways: u32) {
+    /// So many are told of, and were there at `seen`.
+    pub fn set(&mut self, now: Timestamp, gateways: u32, seen: Timestamp) {
+        self.seen = self.seen.max(seen);
         if self.gateways.is_none_or(|known| gateways >= known) {
             self.gateways = Some(gateways);
             self.fewer = None;
@@ -53,6 +61,11 @@
     pub fn gateways(&self) -> Option<u32> {
         self.gateways
     }
+
+    /// Until when this gateway may use its share of what all may use together.
+    pub fn shared_until(&self) -> Timestamp {
+        self.seen + COUNT_LASTS
+    }
 }
 
 /// Where a gateway learns from.
@@ -230,12 +243,20 @@
         self.fleet.lock().gateways()
     }
 
-    /// So many gateways are there, roughly, as a relay told or the records do.
-    pub(super) fn set_fleet(&self, gateways: u32, relay: Option<SocketAddr>) {
+    /// The same, and until when this gateway may use its share of what all may
+    /// use together.
+    pub(super) fn fleet_shared_until(&self) -> (Option<u32>, Timestamp) {
+        let fleet = self.fleet.lock();
+        (fleet.gateways(), fleet.shared_until())
+    }
+
+    /// So many gateways are there, roughly, as a relay told or the records do,
+    /// and were at `seen`.
+    pub(super) fn set_fleet(&self, gateways: u32, seen: Timestamp, relay: Option<SocketAddr>) {
         let now = self.clock.now();
         let mut fleet = self.fleet.lock();
         let before = fleet.gateways();
-        fleet.set(now, gateways);
+        fleet.set(now, gateways, seen);
         let after = fleet.gateways();
         drop(fleet);
         if before == after {
