Test: no order of restarts and failures takes more than the retry budget of all

Forty seeds of restarts, counts told late or to some, and bursts of failures over 25 routers: in no window more retries than the ratio of the requests and the slack.

--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -49,9 +49,9 @@
         Station::with(settings, self.lives)
     }
 
-    /// Every router ends and another life begins in its place.
-    fn restart_all(&mut self) {
-        for index in 0..self.stations.len() {
+    /// The first of the routers end, and another life begins in their place.
+    fn restart(&mut self, first: usize) {
+        for index in 0..first {
             self.stations[index] = self.begin_life();
         }
     }
@@ -117,7 +117,7 @@
             }
             routers.fail_one_each();
         }
-        routers.restart_all();
+        routers.restart(routers.stations.len());
     }
     routers.check();
 }
@@ -251,3 +251,30 @@
     }
     routers.check();
 }
+
+/// Restarts, silence and bursts of failures in any order, at some of them.
+#[test]
+fn no_order_of_restarts_and_failures_takes_more_than_the_budget_of_all() {
+    for seed in 0..40_u64 {
+        budget_of_all_holds((seed << 32) | 0x800);
+    }
+}
+
+fn budget_of_all_holds(seed: u64) {
+    arbtest::arbtest(|data| {
+        let mut routers = Routers::start(ROUTERS);
+        for _ in 0..60 {
+            routers.after(data.int_in_range(0..=900)?);
+            let first = data.int_in_range(0..=routers.stations.len())?;
+            match data.int_in_range(0..=5)? {
+                0 => routers.restart(first),
+                1 => routers.tell_some(first, ROUTERS),
+                2 => routers.tell_count(),
+                _ => routers.fail_one_each(),
+            }
+        }
+        routers.check();
+        Ok(())
+    })
+    .seed(seed);
+}
