A change of back ends costs a gateway what changed, not all back ends

What callers saw: at thousands of back ends requests wait for their gateway; 2 in 5 of the late ones take half of their target to reach a back end. Cause: for each change every gateway copied its whole list, handed it to the request path, which built its maps anew, and to coordination, which did the same for each service, also on standbys, which have no use for it. Work grew with gateways times back ends. Tests: what changed adds up to the whole, over registrations, lapses, next lives, spoiled entries and zones; changes close the same connections as the whole list; one change among 10,000 back ends is told as one.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -55,6 +55,13 @@
         self.election.set_candidate(candidate && !self.stopping);
     }
 
+    /// Whether it decides by the back ends that are registered: a standby has
+    /// no use for them, and need not be told of each change. A node that was
+    /// elected is told before it is polled.
+    pub fn wants_back_ends(&self) -> bool {
+        !self.ownership.is_idle()
+    }
+
     /// Takes the back ends that are registered now, of all services.
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
         self.ownership.set_back_ends(now, back_ends);
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -182,6 +182,11 @@
         self.overdue.clear();
     }
 
+    /// Whether another node coordinates.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::Idle)
+    }
+
     /// What there is to tell operators.
     pub fn take_notices(&mut self) -> Vec<Notice> {
         std::mem::take(&mut self.notices)
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -51,6 +51,8 @@
 pub struct Node {
     pub coordinator: Coordinator,
     pub life: u64,
+    /// The back ends changed since it was told of them.
+    pub untold: bool,
     pub up: bool,
     pub frozen_until: Timestamp,
     /// The store cannot be reached before then.
@@ -168,12 +170,11 @@
         let patience = Duration::from_millis(u64::from(self.random(300)));
         let service = ServiceName::from(SERVICE);
         let mut coordinator = Coordinator::new(me, service, self.settings.clone(), patience);
-        let back_ends: Vec<BackEnd> = self.registered.values().cloned().collect();
-        coordinator.set_back_ends(self.now, &back_ends);
         coordinator.set_candidate(true);
         let node = Node {
             coordinator,
             life,
+            untold: true,
             up: true,
             frozen_until: Timestamp::ZERO,
             cut_until: Timestamp::ZERO,
@@ -266,17 +267,25 @@
         self.tell_back_ends();
     }
 
-    /// Tells every node that is up what is registered.
+    /// What is registered changed: nodes that decide by it are told at once.
     pub fn tell_back_ends(&mut self) {
-        let back_ends: Vec<BackEnd> = self.registered.values().cloned().collect();
-        let now = self.now;
-        for node in &mut self.nodes {
-            if node.up {
-                node.coordinator.set_back_ends(now, &back_ends);
-            }
+        for index in 0..self.nodes.len() {
+            self.nodes[index].untold = true;
+            self.tell_node(index);
         }
     }
 
+    /// Tells a node what is registered, once it decides by it.
+    fn tell_node(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if !node.up || !node.untold || !node.coordinator.wants_back_ends() {
+            return;
+        }
+        let back_ends: Vec<BackEnd> = self.registered.values().cloned().collect();
+        node.coordinator.set_back_ends(self.now, &back_ends);
+        node.untold = false;
+    }
+
     pub fn coordinator(&self) -> Option<usize> {
         let holder = self.lease.read()?.value.holder?;
         self.nodes.iter().position(|node| {
@@ -361,6 +370,7 @@
     }
 
     fn poll(&mut self, index: usize) {
+        self.tell_node(index);
         let now = self.now;
         let node = &mut self.nodes[index];
         if !node.up || now < node.frozen_until {
--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -183,6 +183,48 @@
         left
     }
 
+    /// Takes back ends that changed, and names of those that are gone. Returns
+    /// addresses at which nobody is registered any more.
+    pub(crate) fn change(
+        &mut self,
+        now: Timestamp,
+        changed: &[BackEnd],
+        gone: &[BackEndName],
+        random: &mut ChaCha8Rng,
+    ) -> Vec<SocketAddr> {
+        let moved = changed.iter().filter(|each| {
+            let service = self.services.get(&each.name);
+            service.is_some_and(|service| *service != each.service)
+        });
+        let moved: Vec<&BackEndName> = moved.map(|each| &each.name).collect();
+        let mut left: Vec<SocketAddr> = Vec::new();
+        for name in gone.iter().chain(moved) {
+            left.extend(self.remove(name));
+        }
+        for back_end in changed {
+            let service = back_end.service.clone();
+            self.services.insert(back_end.name.clone(), service);
+            self.put(now, back_end, random);
+        }
+        if !left.is_empty() {
+            let used: HashSet<SocketAddr> =
+                self.all().map(|known| known.back_end.address).collect();
+            left.retain(|address| !used.contains(address));
+        }
+        left
+    }
+
+    /// The address of one that is there no more.
+    fn remove(&mut self, name: &BackEndName) -> Option<SocketAddr> {
+        let service = self.services.remove(name)?;
+        let known = self.by_service.get_mut(&service)?;
+        let removed = known.remove(name)?;
+        if known.is_empty() {
+            self.by_service.remove(&service);
+        }
+        Some(removed.back_end.address)
+    }
+
     fn put(&mut self, now: Timestamp, back_end: &BackEnd, random: &mut ChaCha8Rng) {
         let service = self.by_service.entry(back_end.service.clone()).or_default();
         let known = service
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -20,7 +20,7 @@
 use threadledge_suspects::{Break, Suspects, Unconfirmed};
 use threadledge_tenants::{Admission, Caller, KeyChanges, KeyIndex};
 use threadledge_types::deployment::{
-    BackEnd, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
+    BackEnd, BackEndName, Configuration, ConfigurationVersion, Route, RouteName, ServiceName,
 };
 use threadledge_types::{RegionName, Timestamp};
 
@@ -280,6 +280,22 @@
         left
     }
 
+    /// The same for back ends that changed and names of those that are gone.
+    pub fn change_back_ends(
+        &mut self,
+        now: Timestamp,
+        changed: &[BackEnd],
+        gone: &[BackEndName],
+    ) -> Vec<SocketAddr> {
+        if changed.is_empty() && gone.is_empty() {
+            return Vec::new();
+        }
+        let left = self.back_ends.change(now, changed, gone, &mut self.starts);
+        self.look_for_gone();
+        self.serve_all(now);
+        left
+    }
+
     /// Takes the owners of the keys of a service.
     pub fn set_ownership(&mut self, now: Timestamp, service: ServiceName, view: OwnershipView) {
         self.ownership.insert(service.clone(), view);
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -1,5 +1,6 @@
 //! The request path in virtual time.
 
+mod back_ends;
 mod choice;
 mod cold;
 mod crashes;
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -18,6 +18,7 @@
 mod exchange;
 pub mod follow;
 mod followers;
+pub mod in_use;
 pub mod key_regions;
 mod key_watch;
 pub mod knowledge;
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use parking_lot::Mutex;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned};
 use threadledge_coordination::{
     Action, Coordinator, LoadReport, NodeIdentity, OwnershipRecord, Settings,
@@ -13,12 +14,13 @@
 use threadledge_net::{StopSignal, timer};
 use threadledge_ports::Ports;
 use threadledge_relay::Source;
-use threadledge_types::deployment::{BackEnd, Configuration, Places, ServiceName};
+use threadledge_types::deployment::{Configuration, Places, ServiceName};
 use threadledge_types::{RegionName, Timestamp};
 
 use super::calls::{Ended, call, written};
 use super::dispatch::Dispatch;
 use super::key_regions::{holders_within, key_regions};
+use super::knowledge::Knowledge;
 use super::notices::tell;
 use super::patience;
 use super::peers::PeerClient;
@@ -46,8 +48,8 @@
 pub(super) enum Event {
     /// A configuration is in force.
     Configuration(Arc<Configuration>),
-    /// These back ends are registered now.
-    BackEnds(Arc<[BackEnd]>),
+    /// The back ends that are known changed.
+    BackEndsChanged,
     /// A record changed in the store.
     RecordObserved(ServiceName, Versioned<OwnershipRecord>),
     /// A call ended.
@@ -81,7 +83,11 @@
     clock: Clock,
     participation: Participation,
     coordinators: BTreeMap<ServiceName, Coordinator>,
-    back_ends: Option<Arc<[BackEnd]>>,
+    knowledge: Arc<Mutex<Knowledge>>,
+    /// All back ends are known.
+    knows_back_ends: bool,
+    /// Services whose coordinator was not told of the last change of them.
+    untold: BTreeSet<ServiceName>,
     /// The only regions in which keys of a service may be held.
     key_regions: BTreeMap<ServiceName, BTreeSet<RegionName>>,
     stopping: bool,
@@ -102,6 +108,7 @@
         clock: Clock,
         participation: Participation,
         dispatch: Arc<Dispatch>,
+        knowledge: Arc<Mutex<Knowledge>>,
         store_health: Arc<StoreHealth>,
         stopped: StopSignal,
     ) -> Self {
@@ -111,7 +118,9 @@
             clock,
             participation,
             coordinators: BTreeMap::new(),
-            back_ends: None,
+            knowledge,
+            knows_back_ends: false,
+            untold: BTreeSet::new(),
             key_regions: BTreeMap::new(),
             stopping: false,
             dispatch,
@@ -133,6 +142,7 @@
     pub(super) async fn run(mut self) {
         loop {
             self.set_candidates();
+            self.tell_back_ends();
             self.poll_all();
             self.report_load();
             self.probe_store();
@@ -169,10 +179,9 @@
         let now = self.clock.now();
         match event {
             Event::Configuration(configuration) => self.configure(&configuration),
-            Event::BackEnds(back_ends) => {
-                self.back_ends = Some(back_ends);
-                let services = self.coordinators.keys().cloned().collect();
-                self.tell_back_ends(now, services);
+            Event::BackEndsChanged => {
+                self.knows_back_ends = true;
+                self.untold.extend(self.coordinators.keys().cloned());
             }
             Event::RecordObserved(service, found) => {
                 if let Some(coordinator) = self.coordinators.get_mut(&service) {
@@ -198,27 +207,37 @@
     }
 
     /// Tells coordinators which back ends there are, and which of them may hold
-    /// keys.
-    fn tell_back_ends(&mut self, now: Timestamp, services: Vec<ServiceName>) {
-        let Some(back_ends) = &self.back_ends else {
+    /// keys: those that decide by it. A standby is told when it is elected.
+    fn tell_back_ends(&mut self) {
+        let coordinators = &self.coordinators;
+        let wants = |service: &&ServiceName| {
+            let coordinator = coordinators.get(*service);
+            coordinator.is_some_and(Coordinator::wants_back_ends)
+        };
+        let due: Vec<ServiceName> = self.untold.iter().filter(wants).cloned().collect();
+        if due.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let Some(back_ends) = self.knowledge.lock().back_ends(now) else {
             return;
         };
-        for service in services {
+        for service in due {
+            self.untold.remove(&service);
             let Some(coordinator) = self.coordinators.get_mut(&service) else {
                 continue;
             };
             let regions = self.key_regions.get(&service);
-            let seen = holders_within(back_ends, regions, &self.participation.places);
+            let seen = holders_within(&back_ends, regions, &self.participation.places);
             coordinator.set_back_ends(now, &seen);
         }
     }
 
     fn configure(&mut self, configuration: &Configuration) {
-        let now = self.clock.now();
         let former = std::mem::replace(&mut self.key_regions, key_regions(configuration));
         let moved = |name: &&ServiceName| former.get(*name) != self.key_regions.get(*name);
-        let mut untold: Vec<ServiceName> =
-            self.coordinators.keys().filter(moved).cloned().collect();
+        let moved = self.coordinators.keys().filter(moved);
+        self.untold.extend(moved.cloned());
         for (name, service) in &configuration.services {
             if let Some(coordinator) = self.coordinators.get_mut(name) {
                 coordinator.set_frail_when_cold(service.cold_rate.is_some());
@@ -236,9 +255,8 @@
             let mut coordinator = Coordinator::new(me, name.clone(), settings, patience);
             coordinator.set_frail_when_cold(service.cold_rate.is_some());
             self.coordinators.insert(name.clone(), coordinator);
-            untold.push(name.clone());
+            self.untold.insert(name.clone());
         }
-        self.tell_back_ends(now, untold);
     }
 
     /// Who knows no back ends must not decide about them. Followers take over
@@ -247,7 +265,7 @@
     fn set_candidates(&mut self) {
         let source = self.participation.sources.current();
         let settled = !matches!(source, Source::Settling { .. });
-        let candidate = self.back_ends.is_some() && settled;
+        let candidate = self.knows_back_ends && settled;
         let behind = match source {
             Source::Relay { .. } | Source::Joining { .. } | Source::Waiting => FOLLOWER_PATIENCE,
             Source::Store | Source::Settling { .. } => Duration::ZERO,
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -12,6 +12,7 @@
 use super::coordination::Event;
 use super::dispatch::Dispatch;
 use super::follow::Update;
+use super::in_use::InUse;
 use super::knowledge::{Knowledge, Learned};
 use super::limits::Limits;
 use super::news::{Differences, Marks, News, Reach};
@@ -79,7 +80,7 @@
         let now = self.now();
         let learned = knowledge.take_differences(told, now);
         if concerns_back_ends {
-            self.publish_back_ends(knowledge.back_ends(now));
+            self.publish_back_ends(knowledge.take_in_use(now));
         }
         learned
     }
@@ -104,7 +105,7 @@
             let learned = knowledge.take_back_ends(update, now);
             // Under the lock, so that what is known and what is in use change
             // in the same order.
-            self.publish_back_ends(knowledge.back_ends(now));
+            self.publish_back_ends(knowledge.take_in_use(now));
             learned
         };
         self.tell(learned);
@@ -116,7 +117,7 @@
             let mut knowledge = self.knowledge.lock();
             let now = self.now();
             let learned = knowledge.take_zones(update, now);
-            self.publish_back_ends(knowledge.back_ends(now));
+            self.publish_back_ends(knowledge.take_in_use(now));
             learned
         };
         self.tell(learned);
@@ -144,7 +145,7 @@
             let mut knowledge = self.knowledge.lock();
             let now = self.now();
             let learned = knowledge.expire_lapsed(now);
-            self.publish_back_ends(knowledge.back_ends(now));
+            self.publish_back_ends(knowledge.take_in_use(now));
             learned
         };
         self.tell(learned);
@@ -155,18 +156,19 @@
     }
 
     /// Puts the back ends in use, once it is known which of them may be.
-    fn publish_back_ends(&self, back_ends: Option<Arc<[BackEnd]>>) {
-        let Some(back_ends) = back_ends else {
+    fn publish_back_ends(&self, in_use: Option<InUse>) {
+        let Some(in_use) = in_use else {
             return;
         };
-        let left = self
-            .dispatch
-            .with(|dispatcher, now| dispatcher.set_back_ends(now, &back_ends));
+        let left = self.dispatch.with(|dispatcher, now| match &in_use {
+            InUse::All(all) => dispatcher.set_back_ends(now, all),
+            InUse::Changed { changed, gone } => dispatcher.change_back_ends(now, changed, gone),
+        });
         for address in left {
             self.pool.forget(address);
         }
         self.readiness.listed();
-        self.send(Event::BackEnds(back_ends));
+        self.send(Event::BackEndsChanged);
     }
 
     fn tell(&self, learned: Vec<Learned>) {
--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -20,6 +20,7 @@
 
 use super::changes::{Chain, ConfigurationChange};
 use super::follow::Update;
+use super::in_use::InUse;
 use super::news::{Differences, Marks, News, Reach};
 use super::registry::Registry;
 use super::zones::Zones;
@@ -59,6 +60,9 @@
     configurations_reach: StoreRevision,
     records_reach: StoreRevision,
     zones: Zones,
+    /// The back ends in use were told whole, and only single ones have changed
+    /// since.
+    told_whole: bool,
     /// Speed of the link by which others are told, in Mbit/s; 0 until it is
     /// known.
     link_mbps: f64,
@@ -95,14 +99,34 @@
             return None;
         }
         let mut all = self.back_ends.all(now);
-        for back_end in &mut all {
-            back_end.draining |= self.zones.drained(&back_end.zone);
-            let restored = self.cold_after_restore(back_end, now);
-            back_end.cold_for = back_end.cold_for.max(restored);
-        }
+        all.iter_mut().for_each(|each| self.apply_zone(each, now));
         Some(all.into())
     }
 
+    /// The same, or what changed of it since this was called last.
+    pub fn take_in_use(&mut self, now: Timestamp) -> Option<InUse> {
+        if !self.told_whole {
+            let all = self.back_ends(now)?;
+            self.back_ends.all_told();
+            self.told_whole = true;
+            return Some(InUse::All(all));
+        }
+        let mut in_use = self.back_ends.take_changed(now);
+        if let InUse::Changed { changed, .. } = &mut in_use {
+            changed
+                .iter_mut()
+                .for_each(|each| self.apply_zone(each, now));
+        }
+        Some(in_use)
+    }
+
+    /// What a drained or restored zone makes of one of its back ends.
+    fn apply_zone(&self, back_end: &mut BackEnd, now: Timestamp) {
+        back_end.draining |= self.zones.drained(&back_end.zone);
+        let restored = self.cold_after_restore(back_end, now);
+        back_end.cold_for = back_end.cold_for.max(restored);
+    }
+
     /// Whether nothing was told of the back ends yet, or a first part only.
     pub fn is_partial(&self) -> bool {
         self.back_ends.is_partial()
@@ -122,6 +146,7 @@
 
     /// Takes drained zones from the store.
     pub fn take_zones(&mut self, update: Update<DrainedZone>, now: Timestamp) -> Vec<Learned> {
+        self.told_whole = false;
         self.zones.take(update, now)
     }
 
@@ -189,6 +214,7 @@
         }
         self.records_reach = self.records_reach.max(told.reach.records);
         if let Some(zones) = told.zones.take() {
+            self.told_whole = false;
             learned.extend(self.zones.take_told(zones, now));
         }
         self.zones.unchanged_until(told.reach.zones);
@@ -231,6 +257,8 @@
             self.configuration_changes.push(change);
         }
         self.configuration = Some(configuration.clone());
+        // How long back ends of a restored zone are cold may have changed.
+        self.told_whole &= !self.zones.any_restored();
         Some(Learned::Configuration(configuration))
     }
 
--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -10,6 +10,7 @@
 use threadledge_types::deployment::BackEnd;
 
 use super::follow::Update;
+use super::in_use::{InUse, Touched};
 use super::knowledge::Learned;
 use super::news::{Differences, Lapsed, RevisedBackEnd};
 use super::removals::Removals;
@@ -36,6 +37,8 @@
     /// Entries that cannot be understood, with their revisions: each is told
     /// of once.
     malformed: BTreeMap<String, StoreRevision>,
+    /// What changed since the back ends in use were told.
+    touched: Touched,
     removals: Removals,
     /// The revision up to which this goes.
     reach: StoreRevision,
@@ -67,6 +70,21 @@
         all.map(|known| self.told(known, now).back_end).collect()
     }
 
+    /// What is in use otherwise since this was called last.
+    pub(super) fn take_changed(&mut self, now: Timestamp) -> InUse {
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.take(|id| {
+            let awaited = || self.lapsed.get(id).map(|awaited| &awaited.known);
+            let known = self.registered.get(id).or_else(awaited)?;
+            Some(self.told(known, now).back_end)
+        })
+    }
+
+    /// All of them were told.
+    pub(super) fn all_told(&mut self) {
+        self.touched.clear();
+    }
+
     /// A back end as it is told now: what it said of being cold was true when
     /// it said so.
     fn told(&self, known: &RevisedBackEnd, now: Timestamp) -> RevisedBackEnd {
@@ -94,6 +112,9 @@
             .partition(|(_, awaited)| awaited.until <= now);
         self.lapsed = left;
         let over: BTreeMap<String, Awaited> = over;
+        for (id, awaited) in &over {
+            self.touched.mark(id, Some(&awaited.known.back_end.name));
+        }
         let gone = over.into_values().map(|awaited| awaited.known.back_end);
         gone.map(Learned::Gone).collect()
     }
@@ -216,6 +237,7 @@
                 continue;
             }
             learned.push(Learned::Lapsed(each.known.back_end.clone()));
+            self.touched.mark(&name, None);
             let until = now + each.left();
             let known = each.known;
             self.lapsed.insert(name, Awaited { known, until });
@@ -268,6 +290,10 @@
             self.cold_until.insert(entry.name.clone(), until);
         }
         let awaited = self.lapsed.remove(&entry.name);
+        if let Some(awaited) = &awaited {
+            let name = &awaited.known.back_end.name;
+            self.touched.mark(&entry.name, Some(name));
+        }
         let before = self.register(&entry.name, entry.revision, back_end.clone());
         self.malformed.remove(&entry.name);
         match before.or(awaited.map(|awaited| awaited.known)) {
@@ -321,6 +347,8 @@
     ) -> Option<RevisedBackEnd> {
         let known = RevisedBackEnd { revision, back_end };
         let before = self.registered.insert(id.to_owned(), known);
+        let name = before.as_ref().map(|before| &before.back_end.name);
+        self.touched.mark(id, name);
         if let Some(before) = &before {
             self.by_revision.remove(&(before.revision, id.to_owned()));
         }
@@ -341,6 +369,7 @@
             return self.forget(name, until);
         };
         self.by_revision.remove(&(known.revision, name.to_owned()));
+        self.touched.mark(name, Some(&known.back_end.name));
         self.removals.push(at, name.to_owned());
         self.cold_until.remove(name);
         match until {
@@ -361,6 +390,8 @@
             return None;
         }
         let awaited = self.lapsed.remove(name)?;
+        let before = &awaited.known.back_end.name;
+        self.touched.mark(name, Some(before));
         Some(Learned::Gone(awaited.known.back_end))
     }
 }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -10,6 +10,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use http_types::Request;
+use parking_lot::Mutex;
 use thiserror::Error;
 use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
@@ -28,6 +29,7 @@
 use super::dispatch::Dispatch;
 use super::followers::Followers;
 use super::key_watch::KeyWatch;
+use super::knowledge::Knowledge;
 use super::limits::{Limits, OfficePlace, by_cores};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
@@ -221,8 +223,11 @@
         );
         let ended = StopSignal::new();
         let offices = StopSignal::new();
-        let events = self.start_coordination(offices.clone());
-        let directory = self.start_followers(events.clone());
+        let mut knowledge = Knowledge::default();
+        knowledge.set_link(self.settings.limits.link_mbps);
+        let knowledge = Arc::new(Mutex::new(knowledge));
+        let events = self.start_coordination(knowledge.clone(), offices.clone());
+        let directory = self.start_followers(knowledge, events.clone());
         self.start_relaying(&directory);
         self.suspects.start(
             self.findings.clone(),
@@ -325,7 +330,11 @@
         }
     }
 
-    fn start_coordination(&self, stopped: StopSignal) -> async_channel::Sender<Event> {
+    fn start_coordination(
+        &self,
+        knowledge: Arc<Mutex<Knowledge>>,
+        stopped: StopSignal,
+    ) -> async_channel::Sender<Event> {
         let link = self.settings.limits.link_mbps;
         let participation = Participation {
             me: self.identity.clone(),
@@ -340,6 +349,7 @@
             self.clock,
             participation,
             self.dispatch.clone(),
+            knowledge,
             self.store_health.clone(),
             stopped,
         );
--- a/crates/router/src/gateway/run/following.rs
+++ b/crates/router/src/gateway/run/following.rs
@@ -27,11 +27,13 @@
 impl Gateway {
     /// Follows everything that is kept in the store, and tells it to whom it
     /// concerns.
-    pub(super) fn start_followers(&self, events: async_channel::Sender<Event>) -> Directory {
-        let mut knowledge = Knowledge::default();
-        knowledge.set_link(self.settings.limits.link_mbps);
+    pub(super) fn start_followers(
+        &self,
+        knowledge: Arc<Mutex<Knowledge>>,
+        events: async_channel::Sender<Event>,
+    ) -> Directory {
         let directory = Directory {
-            knowledge: Arc::new(Mutex::new(knowledge)),
+            knowledge,
             dispatch: self.dispatch.clone(),
             pool: self.pool.clone(),
             readiness: self.readiness.clone(),
--- a/crates/router/src/gateway/zones.rs
+++ b/crates/router/src/gateway/zones.rs
@@ -59,6 +59,11 @@
         self.restored.get(zone).copied()
     }
 
+    /// Whether a zone was restored at any time.
+    pub(super) fn any_restored(&self) -> bool {
+        !self.restored.is_empty()
+    }
+
     /// Takes what the store tells.
     pub(super) fn take(&mut self, update: Update<DrainedZone>, now: Timestamp) -> Vec<Learned> {
         let at = update.at();
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod fleet;
 mod follow;
+mod in_use;
 mod key_regions;
 mod knowledge;
 mod leaving;
