Request path: what is usual of a service is kept as answers come

Change: the mean is kept as samples come and go; its fading is the same for all of them, so that one factor serves. A test compares it with the walk over 40,000 steps.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -145,6 +145,7 @@
     /// nothing up: it does so for each request.
     by_service: BTreeMap<ServiceName, BTreeMap<BackEndName, Known>>,
     services: HashMap<BackEndName, ServiceName>,
+    means: BTreeMap<ServiceName, ServiceMean>,
 }
 
 impl BackEnds {
@@ -160,17 +161,16 @@
             .iter()
             .map(|each| (&each.name, &each.service))
             .collect();
+        let gone: Vec<BackEndName> = self
+            .services
+            .iter()
+            .filter(|(name, service)| registered.get(name) != Some(service))
+            .map(|(name, _)| name.clone())
+            .collect();
         let mut left: Vec<SocketAddr> = Vec::new();
-        for (service, known) in &mut self.by_service {
-            known.retain(|name, known| {
-                let stays = registered.get(name) == Some(&service);
-                if !stays {
-                    left.push(known.back_end.address);
-                }
-                stays
-            });
+        for name in &gone {
+            left.extend(self.remove(now, name));
         }
-        self.by_service.retain(|_, known| !known.is_empty());
         self.services = registered
             .into_iter()
             .map(|(name, service)| (name.clone(), service.clone()))
@@ -199,7 +199,7 @@
         let moved: Vec<&BackEndName> = moved.map(|each| &each.name).collect();
         let mut left: Vec<SocketAddr> = Vec::new();
         for name in gone.iter().chain(moved) {
-            left.extend(self.remove(name));
+            left.extend(self.remove(now, name));
         }
         for back_end in changed {
             let service = back_end.service.clone();
@@ -215,13 +215,16 @@
     }
 
     /// The address of one that is there no more.
-    fn remove(&mut self, name: &BackEndName) -> Option<SocketAddr> {
+    fn remove(&mut self, now: Timestamp, name: &BackEndName) -> Option<SocketAddr> {
         let service = self.services.remove(name)?;
         let known = self.by_service.get_mut(&service)?;
         let removed = known.remove(name)?;
         if known.is_empty() {
             self.by_service.remove(&service);
         }
+        if let Some(mean) = self.means.get_mut(&service) {
+            mean.change(now, &removed.estimate, &Estimate::default());
+        }
         Some(removed.back_end.address)
     }
 
@@ -267,11 +270,29 @@
 
     /// What is usual among the back ends of a service.
     pub(crate) fn usual(&self, now: Timestamp, service: &ServiceName) -> Usual {
-        let mut mean = ServiceMean::new();
-        for known in self.of_service(service) {
-            mean.add(now, &known.estimate);
-        }
-        mean.usual()
+        let mean = self.means.get(service);
+        mean.map_or_else(Usual::default, |mean| mean.usual(now))
+    }
+
+    /// What is known of a back end changed: it was `before`.
+    pub(crate) fn estimate_changed(
+        &mut self,
+        now: Timestamp,
+        name: &BackEndName,
+        before: &Estimate,
+    ) {
+        let Some(service) = self.services.get(name) else {
+            return;
+        };
+        let known = self.by_service.get(service);
+        let Some(known) = known.and_then(|known| known.get(name)) else {
+            return;
+        };
+        let mean = self
+            .means
+            .entry(service.clone())
+            .or_insert_with(ServiceMean::new);
+        mean.change(now, before, &known.estimate);
     }
 
     /// Every back end.
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -110,6 +110,7 @@
         let Some(known) = self.back_ends.get_mut(&in_flight.back_end) else {
             return;
         };
+        let before = known.estimate.clone();
         let own = u32::try_from(known.in_flight.len()).unwrap_or(u32::MAX);
         let mut told = |load: &Option<ToldLoad>| {
             if let Some(load) = load {
@@ -170,6 +171,8 @@
             }
             AttemptEnd::Abandoned => {}
         }
+        let name = &in_flight.back_end;
+        self.back_ends.estimate_changed(now, name, &before);
     }
 
     /// What the end of an attempt means for its exchange.
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -7,6 +7,7 @@
 
 use threadledge_types::Timestamp;
 
+use crate::fading::{FadingMean, Sample};
 use crate::outcome::ToldLoad;
 
 /// Weight of a new sample of the time that a request takes.
@@ -25,12 +26,6 @@
     others: Option<Sample>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    value: f64,
-    at: Timestamp,
-}
-
 /// What is usual among the back ends of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Usual {
@@ -38,13 +33,11 @@
     pub(crate) others: f64,
 }
 
-impl Sample {
-    /// The sample mixed with what is usual, the more the older it is.
-    fn faded(&self, now: Timestamp, usual: f64, half_life_s: f64) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        let kept = (-age / half_life_s).exp2();
-        usual + (self.value - usual) * kept
-    }
+/// The sample mixed with what is usual, the more the older it is.
+fn faded(sample: &Sample, now: Timestamp, usual: f64, half_life_s: f64) -> f64 {
+    let age = now.since(sample.at).as_secs_f64();
+    let kept = (-age / half_life_s).exp2();
+    usual + (sample.value - usual) * kept
 }
 
 impl Estimate {
@@ -75,77 +68,49 @@
 
     pub(crate) fn work_s(&self, now: Timestamp, usual: &Usual) -> f64 {
         match &self.work_s {
-            Some(sample) => sample.faded(now, usual.work_s, SPEED_HALF_LIFE_S),
+            Some(sample) => faded(sample, now, usual.work_s, SPEED_HALF_LIFE_S),
             None => usual.work_s,
         }
     }
 
     pub(crate) fn others(&self, now: Timestamp, usual: &Usual) -> f64 {
         match &self.others {
-            Some(sample) => sample.faded(now, usual.others, LOAD_HALF_LIFE_S),
+            Some(sample) => faded(sample, now, usual.others, LOAD_HALF_LIFE_S),
             None => usual.others,
         }
     }
 }
 
 /// Mean over the back ends of a service, in which samples weigh the less the
-/// older they are.
+/// older they are. Kept as they come: a walk over all back ends for each request
+/// would cost the more the more there are.
 #[derive(Debug)]
 pub(crate) struct ServiceMean {
-    work: WeightedSum,
-    others: WeightedSum,
-}
-
-#[derive(Debug, Default)]
-struct WeightedSum {
-    sum: f64,
-    weight: f64,
+    work: FadingMean,
+    others: FadingMean,
 }
 
 impl ServiceMean {
     pub(crate) fn new() -> Self {
-        // What one back end told of its load says little about the others:
-        // without more, they are taken to be idle.
-        let idle = WeightedSum {
-            sum: 0.0,
-            weight: 1.0,
-        };
+        let half_life = |seconds: f64| Duration::from_secs_f64(seconds * 3.0);
         ServiceMean {
-            work: WeightedSum::default(),
-            others: idle,
+            work: FadingMean::new(half_life(SPEED_HALF_LIFE_S), 0.0),
+            // What one back end told of its load says little about the others:
+            // without more, they are taken to be idle.
+            others: FadingMean::new(half_life(LOAD_HALF_LIFE_S), 1.0),
         }
     }
 
-    pub(crate) fn add(&mut self, now: Timestamp, estimate: &Estimate) {
-        self.work.add(now, estimate.work_s, SPEED_HALF_LIFE_S * 3.0);
-        self.others
-            .add(now, estimate.others, LOAD_HALF_LIFE_S * 3.0);
+    /// What is known of a back end changed.
+    pub(crate) fn change(&mut self, now: Timestamp, before: &Estimate, after: &Estimate) {
+        self.work.replace(now, before.work_s, after.work_s);
+        self.others.replace(now, before.others, after.others);
     }
 
-    pub(crate) fn usual(&self) -> Usual {
+    pub(crate) fn usual(&self, now: Timestamp) -> Usual {
         Usual {
-            work_s: self.work.mean(),
-            others: self.others.mean(),
-        }
-    }
-}
-
-impl WeightedSum {
-    fn add(&mut self, now: Timestamp, sample: Option<Sample>, half_life_s: f64) {
-        let Some(sample) = sample else {
-            return;
-        };
-        let age = now.since(sample.at).as_secs_f64();
-        let weight = (-age / half_life_s).exp2();
-        self.sum += sample.value * weight;
-        self.weight += weight;
-    }
-
-    fn mean(&self) -> f64 {
-        if self.weight > 0.0 {
-            self.sum / self.weight
-        } else {
-            0.0
+            work_s: self.work.mean(now),
+            others: self.others.mean(now),
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatcher;
 mod estimate;
 mod exchange;
+pub mod fading;
 mod not_held;
 mod observed;
 pub mod outcome;
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod cold;
 mod crashes;
+mod fading;
 mod fleet;
 mod outcomes;
 mod parts;
