Log: many back ends that register at once are told by their number

A gateway that starts on a deployment of 9,998 back ends wrote as many lines, 984 gateways some ten million. From 257 at once on it writes one (event 329).

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -198,6 +198,9 @@
     AddressShared = 328, "address-shared", Info,
         "Several back ends are registered at one address, where only one process runs; the latest registration comes last. Which one runs shows in the answers to orders.",
         "None, unless it lasts: then find out who writes registrations of a process that has ended.";
+    BackEndsRegistered = 329, "back-ends-registered", Info,
+        "Many back ends registered at once, as at the start of a gateway of a large deployment; the line has their number, and none of them is told by 320.",
+        "None. The store has their registrations.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway/directory.rs
+++ b/crates/router/src/gateway/directory.rs
@@ -21,6 +21,14 @@
 use super::store_health::StoreHealth;
 use crate::events::{EventId, emit};
 
+/// Registrations learned at once that are told one by one. Where there are
+/// thousands, each gateway that starts would write as many lines.
+const MOST_TOLD_SINGLY: usize = 256;
+
+fn is_registration(learned: &Learned) -> bool {
+    matches!(learned, Learned::Registered(_))
+}
+
 /// What the gateway knows, and who has to be told of it. Clones share it.
 #[derive(Clone)]
 pub(super) struct Directory {
@@ -175,8 +183,14 @@
         if !learned.is_empty() {
             self.changed.notify();
         }
+        let registered = learned.iter().filter(|each| is_registration(each)).count();
+        let singly = registered <= MOST_TOLD_SINGLY;
+        if !singly {
+            emit!(EventId::BackEndsRegistered, back_ends = registered);
+        }
         for each in learned {
             match each {
+                Learned::Registered(_) if !singly => {}
                 Learned::Configuration(configuration) => self.configuration(configuration),
                 Learned::Record(service, found) => {
                     let view = OwnershipView::of(&found.value);
