Limits: a token that has ended does not go back

A request refused seconds after its token was spent (a long body) gave the token back on top of what the ledger had gained since: where the bucket was full meanwhile, that is more than the limit allows. Evidence: refund_of_a_token_that_has_ended_does_not_go_back; before, a refund had no time and always went back (the test of the refund in time stood alone). What it costs: such a late refusal counts against its tenant.

--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -189,8 +189,15 @@
         Admission::Wait(until)
     }
 
-    /// A request on which a token was spent surely did not run.
-    pub fn refund(&mut self, tenant: &TenantName) {
+    /// A request on which a token was spent at `spent` surely did not run.
+    ///
+    /// Invariant: a token that has ended does not go back. What the ledger
+    /// gained since may have found no room in a full bucket; put back, the token
+    /// would come on top of it.
+    pub fn refund(&mut self, now: Timestamp, tenant: &TenantName, spent: Timestamp) {
+        if now.since(spent) >= self.settings.token_life() {
+            return;
+        }
         if let Some(allowance) = self.allowances.get_mut(tenant) {
             allowance.back += 1;
         }
--- a/crates/limits/tests/limits/steps.rs
+++ b/crates/limits/tests/limits/steps.rs
@@ -363,11 +363,21 @@
 fn refund_goes_back_with_the_next_ask() {
     let mut spender = spender(1, 0);
     assert_eq!(spender.arrive(at(20), &tenant()), Admission::Spent);
-    spender.refund(&tenant());
+    spender.refund(at(200), &tenant(), at(20));
     let ask = spender.poll(at(300)).expect("it asks");
     assert_eq!(ask.tenants[0].back, 1);
 }
 
+/// It would come on top of what was gained since.
+#[test]
+fn refund_of_a_token_that_has_ended_does_not_go_back() {
+    let mut spender = spender(1, 0);
+    assert_eq!(spender.arrive(at(20), &tenant()), Admission::Spent);
+    spender.refund(at(620), &tenant(), at(20));
+    let ask = spender.poll(at(620)).expect("it asks");
+    assert_eq!(ask.tenants[0].back, 0);
+}
+
 #[test]
 fn gateway_that_has_just_started_waits_for_a_ledger_and_later_refuses_at_once() {
     let mut spender = Spender::new(machine("a"), Incarnation(1), settings());
--- a/crates/limits/tests/limits/world.rs
+++ b/crates/limits/tests/limits/world.rs
@@ -179,7 +179,8 @@
             Admission::Spent => {
                 // One in sixteen is refused by back ends without having run.
                 if self.random(16) == 0 && self.trouble > 0 {
-                    self.nodes[node].spender.refund(&tenant);
+                    let now = self.local(node);
+                    self.nodes[node].spender.refund(now, &tenant, now);
                     return;
                 }
                 let now = self.now;
--- a/crates/router/src/gateway/limits.rs
+++ b/crates/router/src/gateway/limits.rs
@@ -62,10 +62,17 @@
     pub(super) wait: Duration,
 }
 
+/// A token that was spent.
+struct Spent {
+    limits: Limits,
+    tenant: TenantName,
+    at: Timestamp,
+}
+
 /// Leave for one request to run. A token was spent on it, if its tenant has a
 /// limit.
 pub(super) struct Permit {
-    spent: Option<(Limits, TenantName)>,
+    spent: Option<Spent>,
 }
 
 impl Permit {
@@ -76,10 +83,10 @@
 
     /// The request surely did not run: its token goes back.
     pub(super) fn not_run(self) {
-        let Some((limits, tenant)) = self.spent else {
+        let Some(Spent { limits, tenant, at }) = self.spent else {
             return;
         };
-        limits.with(|state, _now| state.spender.refund(&tenant));
+        limits.with(|state, now| state.spender.refund(now, &tenant, at));
     }
 }
 
@@ -166,8 +173,12 @@
             match admission {
                 Admission::Free => return Ok(Permit::free()),
                 Admission::Spent => {
-                    let spent = Some((self.clone(), tenant.clone()));
-                    return Ok(Permit { spent });
+                    let spent = Spent {
+                        limits: self.clone(),
+                        tenant: tenant.clone(),
+                        at: self.shared.clock.now(),
+                    };
+                    return Ok(Permit { spent: Some(spent) });
                 }
                 Admission::Refused { why, wait } => {
                     self.shared.metrics.refused(tenant, why);
