--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod crashes;
 mod ending;
+mod retries;
 mod steps;
 mod waiting;
 
@@ -26,7 +27,7 @@
 
 use crate::back_ends::BackEnds;
 use crate::budget::RetryBudget;
-use crate::counters::{Counters, Denial, RetryCounts};
+use crate::counters::{Counters, Denial};
 use crate::exchange::Exchange;
 use crate::not_held::NotHeld;
 use crate::observed::ObservedLoad;
@@ -143,19 +144,6 @@
         }
     }
 
-    /// Says how many routers share the retry budget and the connections that
-    /// back ends take. The slack of the budget is shared by this number until
-    /// `until`; `None`: for good.
-    pub fn set_fleet(&mut self, now: Timestamp, routers: u32, until: Option<Timestamp>) {
-        self.fleet = Some(routers.max(1));
-        self.fleet_known.get_or_insert(now);
-        self.slack_until = until;
-        let slack = self.own_retry_slack();
-        for budget in self.budgets.values_mut() {
-            budget.set_slack(now, slack, until);
-        }
-    }
-
     /// Time between two requests of this router to one cold back end of a
     /// service; `None` where cold ones bear as much as others. While the number
     /// of routers is not known, there are no such requests.
@@ -172,50 +160,11 @@
         Some(interval.map_or(LONGEST_TURN, |interval| interval.min(LONGEST_TURN)))
     }
 
-    /// This router's part of the retry budget's slack: nothing while the
-    /// number of those that share it is not known.
-    fn own_retry_slack(&self) -> f64 {
-        let slack = f64::from(self.settings.retry_slack);
-        self.fleet.map_or(0.0, |routers| slack / f64::from(routers))
-    }
-
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
     }
 
-    /// Retries of each service since the start, and the slack in force here.
-    pub fn retries(
-        &self,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&ServiceName, RetryCounts, f64)> {
-        let budgets = self.budgets.iter();
-        budgets.map(move |(service, budget)| (service, budget.counts(), budget.slack(now)))
-    }
-
-    /// Denials of retries since the last call: for each service at most one a
-    /// second.
-    pub fn take_denials(&mut self) -> Vec<Denial> {
-        std::mem::take(&mut self.denials)
-    }
-
-    pub(super) fn note_denial(&mut self, now: Timestamp, service: &ServiceName) {
-        let routers = self.fleet;
-        let budget = self.budget(now, service);
-        let Some(denied) = budget.take_denied(now) else {
-            return;
-        };
-        let used = budget.used(now);
-        self.denials.push(Denial {
-            service: service.clone(),
-            denied,
-            requests: used.requests,
-            retries: used.retries,
-            slack: used.slack,
-            routers,
-        });
-    }
-
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> Option<ConfigurationVersion> {
         self.configuration.as_ref().map(|each| each.version)
@@ -424,18 +373,6 @@
         let places = &self.settings.places;
         allowed.is_some_and(|allowed| !places.is_within(places.zone(), allowed))
     }
-
-    pub(super) fn budget(&mut self, now: Timestamp, service: &ServiceName) -> &mut RetryBudget {
-        let slack = self.own_retry_slack();
-        let since = self.fleet_known.unwrap_or(now);
-        let until = self.slack_until;
-        let settings = &self.settings;
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            let mut budget = RetryBudget::new(since, settings.retry_ratio, settings.retry_window);
-            budget.set_slack(since, slack, until);
-            budget
-        })
-    }
 }
 
 /// Longest time between two requests of one router to a cold back end: longer
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -148,15 +148,10 @@
         let exchange = self.exchanges.get(&id)?;
         let service = exchange.service.clone();
         let again = exchange.arrived > 0 || !exchange.in_flight.is_empty();
-        let mut retry = None;
-        if again {
-            retry = self.budget(now, &service).take(now);
-            if retry.is_none() {
-                self.counters.repeats_denied += 1;
-                self.note_denial(now, &service);
-                return None;
-            }
-        }
+        let retry = match again {
+            true => Some(self.permit_retry(now, &service)?),
+            false => None,
+        };
         let usual = self.back_ends.usual(now, &service);
         let limit = self.connection_limit(&service);
         let cold_interval = self.cold_interval(&service);
