--- a/crates/router/src/gateway/settings/cores.rs
+++ b/crates/router/src/gateway/settings/cores.rs
@@ -11,8 +11,8 @@
 /// How long a ledger of limits goes on without confirmation by the store: a
 /// store that is away for some seconds ends no ledger.
 const LEDGER_OFFICE: Duration = Duration::from_secs(6);
-/// Part of the budget's slack that is shared: gateways that nobody has heard
-/// of yet have a share as well.
+/// Part of the budget's slack that is shared: the record of a relay may tell up
+/// to a fifth fewer gateways than there are.
 const SLACK_PART: f64 = 0.8;
 /// Part of the budget's ratio that a gateway uses: its window and that of
 /// whoever counts do not begin together.
