--- a/crates/router/src/gateway/knowledge.rs
+++ b/crates/router/src/gateway/knowledge.rs
@@ -105,7 +105,8 @@
         Some(all.into())
     }
 
-    /// The same, or what changed of it since this was called last.
+    /// The same to someone who keeps what this tells: whole at first and when a
+    /// zone changed, else what changed since the last call.
     pub fn take_in_use(&mut self, now: Timestamp) -> Option<InUse> {
         if !self.told_whole {
             let all = self.back_ends(now)?;
