--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod key_regions;
 mod knowledge;
 mod leaving;
+mod limited;
 mod limits;
 mod lives;
 mod names;
