Limits that back ends name are kept by all gateways together

What callers and back ends saw: a back end that named a limit of 2 to 3 requests a second in its answers went on getting 4 to 14 a second; callers noticed nothing.

Cause: what an answer says with authority over later requests was dropped at the boundary; nobody read the header.

Before: the two tests of gateway/limited.rs failed with 192 requests in 4 s where 17 are allowed. After: both pass, the owner's callers are served in more than 20 of 21 cases from 3 s on, by the other owner. The suites of the router (144 tests of gateways), dispatcher (102) and coordination pass.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -12,6 +12,7 @@
 use crate::ownership::{LONGEST_SLEEP, Ownership, ReadConsequence};
 use crate::record::{CoordinatorLease, NodeIdentity, OwnershipRecord, Term};
 use crate::settings::Settings;
+use crate::tokens::{TokenAsk, TokenGrant};
 
 /// Election and ownership of one service, as one node sees them.
 ///
@@ -78,6 +79,16 @@
         self.ownership.add_load(now, report);
     }
 
+    /// Answers routers that ask for tokens for back ends that name a limit.
+    /// `None`: this node does not surely hold the office.
+    pub fn give_tokens(&mut self, now: Timestamp, asks: &[TokenAsk]) -> Option<Vec<TokenGrant>> {
+        if !self.election.may_act(now) || self.election.hands_back() {
+            return None;
+        }
+        let confirmed = self.election.is_unrivalled(now);
+        Some(self.ownership.give_tokens(now, asks, confirmed))
+    }
+
     /// Begins a planned stop: no further order is given, and the office goes
     /// back once every order has been answered.
     pub fn stop(&mut self) {
--- a/crates/coordination/src/election.rs
+++ b/crates/coordination/src/election.rs
@@ -141,6 +141,22 @@
         }
     }
 
+    /// Whether no standby can have taken the office yet, as the store confirmed
+    /// it so lately.
+    pub fn is_unrivalled(&self, now: Timestamp) -> bool {
+        match &self.state {
+            State::Leading { confirmed_at, .. } => {
+                now < *confirmed_at + self.settings.takeover_after
+            }
+            State::Standby | State::Retired => false,
+        }
+    }
+
+    /// Whether the office is being given back.
+    pub fn hands_back(&self) -> bool {
+        self.handing_back
+    }
+
     /// Whether the store has just confirmed the office, so that it will very
     /// likely take the next write.
     pub fn just_confirmed(&self, now: Timestamp) -> bool {
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -93,6 +93,9 @@
     pub owner: Owner,
     /// What it can do relative to others.
     pub weight: f64,
+    /// Most of all requests that it takes, as a part, if it names a limit that
+    /// is less than its usual share.
+    pub most: Option<f64>,
 }
 
 /// Back ends by name.
@@ -209,6 +212,7 @@
             .map(|registered| Candidate {
                 owner: registered.owner.clone(),
                 weight: f64::from(registered.slots) * self.part_now(registered, now),
+                most: None,
             })
             .collect()
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod settings;
 mod slice_form;
+pub mod tokens;
 pub mod view;
 
 pub use action::{Action, Notice};
@@ -41,4 +42,5 @@
     Term,
 };
 pub use settings::Settings;
+pub use tokens::{TOKEN_LIFE, TokenAsk, TokenGrant};
 pub use view::{KeyOwner, OwnershipView};
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -198,6 +198,12 @@
         self.counts.iter().sum::<f64>() >= LEAST_REQUESTS
     }
 
+    /// Requests a second for all keys together, lately.
+    pub fn requests_per_s(&self) -> f64 {
+        let counted: f64 = self.counts.iter().sum();
+        counted * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// How fast a back end is relative to the others; 1 when nothing is
     /// known of it.
     pub fn speed(&self, name: &BackEndName) -> f64 {
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -36,6 +36,7 @@
 use crate::order::OrderId;
 use crate::record::{OwnershipRecord, Term};
 use crate::settings::Settings;
+use crate::tokens::{TokenAsk, TokenGrant, TokenLedger};
 
 use former::FormerOwners;
 pub use orders::ORDERS_AT_ONCE;
@@ -78,6 +79,7 @@
     settings: Settings,
     holders: Holders,
     load: LoadMap,
+    tokens: TokenLedger,
     next_balancing: Timestamp,
     /// Until when a new coordinator waits for reports of load.
     load_awaited: Timestamp,
@@ -111,6 +113,7 @@
             settings,
             holders: Holders::default(),
             load: LoadMap::default(),
+            tokens: TokenLedger::default(),
             next_balancing: Timestamp::ZERO,
             load_awaited: Timestamp::ZERO,
             term: Term::default(),
@@ -163,10 +166,26 @@
         self.load.add(now, report);
     }
 
+    /// Answers routers that ask for tokens. Called only while the office is
+    /// surely held; `confirmed`: nobody else can hold it yet.
+    pub fn give_tokens(
+        &mut self,
+        now: Timestamp,
+        asks: &[TokenAsk],
+        confirmed: bool,
+    ) -> Vec<TokenGrant> {
+        let earlier = self.predecessor.map(|predecessor| predecessor.orders_end);
+        let sure = confirmed && earlier.is_none_or(|end| now >= end);
+        asks.iter()
+            .map(|ask| self.tokens.give(now, ask, sure))
+            .collect()
+    }
+
     /// This node was elected.
     pub fn begin_term(&mut self, now: Timestamp, term: Term, predecessor: Option<Predecessor>) {
         self.term = term;
         self.predecessor = predecessor;
+        self.tokens.clear();
         self.phase = Phase::Reading;
         self.tracked.clear();
         self.former.clear();
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -10,12 +10,14 @@
 use crate::order::HandoverToken;
 use crate::plan::{self, Assignment, Held};
 use crate::record::{Fence, OwnershipRecord, Slice, SliceState};
+use crate::tokens::TokenLedger;
 
 /// What a draft is made from.
 pub(super) struct Draft<'a> {
     pub(super) now: Timestamp,
     pub(super) holders: &'a Holders,
     pub(super) load: &'a LoadMap,
+    pub(super) tokens: &'a TokenLedger,
     pub(super) tracked: &'a [Tracked],
     /// Back ends have had time to register.
     pub(super) gathered: bool,
@@ -101,7 +103,7 @@
         if unowned.is_empty() || (untouched && !self.gathered) {
             return pieces;
         }
-        let candidates = candidates(self.now, self.holders, self.load, self.tracked);
+        let candidates = candidates(self.now, self.holders, self.load, self.tokens, self.tracked);
         let held = held(pieces.iter().map(|piece| &piece.slice));
         let assignments = plan::assign(&unowned, &held, &candidates, &self.load.measure());
         place(pieces, assignments, notices)
@@ -197,11 +199,12 @@
     }
 }
 
-/// Candidates, weighed by slots and speed.
+/// Candidates, weighed by slots, speed and the limits that they name.
 pub(super) fn candidates(
     now: Timestamp,
     holders: &Holders,
     load: &LoadMap,
+    tokens: &TokenLedger,
     tracked: &[Tracked],
 ) -> Vec<Candidate> {
     let owners = owners(tracked);
@@ -209,6 +212,7 @@
     for candidate in &mut candidates {
         candidate.weight *= load.speed(&candidate.owner.name);
     }
+    tokens.bound_weights(now, &mut candidates, load.requests_per_s());
     candidates
 }
 
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -58,7 +58,7 @@
             return;
         }
         self.load.notice_sudden_changes();
-        let candidates = candidates(now, &self.holders, &self.load, &self.tracked);
+        let candidates = candidates(now, &self.holders, &self.load, &self.tokens, &self.tracked);
         let held = held(self.tracked.iter().map(|tracked| &tracked.slice));
         for range in plan::rebalance(&held, &candidates, &self.load.measure()) {
             self.release_piece(now, range, fence);
@@ -113,6 +113,7 @@
             now,
             holders: &self.holders,
             load: &self.load,
+            tokens: &self.tokens,
             tracked: &self.tracked,
             gathered: self.gathered(now).is_none(),
             released: (0..self.tracked.len())
--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -278,13 +278,27 @@
     let (least, deviations) = shares.tolerances();
     let tolerated = |owner: usize| {
         let fair = shares.fair(owner);
+        // What is beyond a limit is refused, however it came to be there.
+        if candidates[owner].most.is_some() {
+            return fair * TOLERATED_SURPLUS;
+        }
         fair * least.max(deviations * measure.noise(fair))
     };
     let mut donors: Vec<(usize, f64)> = (0..candidates.len())
         .map(|index| (index, -shares.lacks(index)))
         .filter(|(index, surplus)| *surplus > tolerated(*index))
         .collect();
-    donors.sort_by(|left, right| right.1.total_cmp(&left.1));
+    let beyond_limits = donors
+        .iter()
+        .filter(|(index, _)| candidates[*index].most.is_some());
+    let beyond_limits: f64 = beyond_limits.map(|(_, surplus)| surplus).sum();
+    // Others take that in small parts, though none lacks enough for a move.
+    missing = missing.max(beyond_limits);
+    let limited = |donor: &(usize, f64)| candidates[donor.0].most.is_some();
+    donors.sort_by(|left, right| {
+        let first = limited(right).cmp(&limited(left));
+        first.then(right.1.total_cmp(&left.1))
+    });
     let mut taken = Vec::new();
     for (donor, _) in donors {
         if taken.len() >= MOST_PIECES {
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -30,6 +30,7 @@
                 address: ([10, 0, 0, 1], 1_000 + number).into(),
             },
             weight: 1.0,
+            most: None,
         })
         .collect()
 }
@@ -242,6 +243,7 @@
                 address: ([10, 0, 0, 1], 1_000 + number).into(),
             },
             weight: 1.0,
+            most: None,
         })
         .collect();
     let measure = LoadMap::default().measure();
--- /dev/null
+++ b/crates/coordination/tests/tokens.rs
@@ -0,0 +1,203 @@
+//! Tokens for back ends that name a limit, and the keys that these may keep.
+
+use std::time::Duration;
+
+use threadledge_coordination::holders::Candidate;
+use threadledge_coordination::load::LoadMap;
+use threadledge_coordination::plan::{Held, rebalance};
+use threadledge_coordination::tokens::{TOKEN_LIFE, TokenAsk, TokenLedger};
+use threadledge_coordination::{Owner, TokenGrant};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEndName, KeyRange};
+
+const STEP: Duration = Duration::from_millis(20);
+/// What a back end may get at the most is counted over this time.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn name(number: usize) -> BackEndName {
+    format!("b-{number:02}").into()
+}
+
+fn ask(rate: f64, needed: u32) -> TokenAsk {
+    TokenAsk {
+        back_end: name(0),
+        rate,
+        needed,
+    }
+}
+
+fn start() -> Timestamp {
+    Timestamp::from_millis(10_000)
+}
+
+/// Tokens that could be used within any window, if each is used at the worst
+/// moment of its life.
+fn worst_window(given: &[(Timestamp, u32)]) -> u32 {
+    let within = |from: &Timestamp| {
+        let window = given
+            .iter()
+            .filter(|(at, _)| at >= from && at.since(*from) < WINDOW + TOKEN_LIFE);
+        window.map(|(_, tokens)| tokens).sum()
+    };
+    given.iter().map(|(at, _)| within(at)).max().unwrap_or(0)
+}
+
+/// Asks each ledger for as much as it gives, for 20 s. Each may have been idle
+/// before, or not.
+fn pressed(ledgers: &mut [(TokenLedger, bool)], rate: f64, idle: Duration) -> u32 {
+    let mut now = start();
+    let mut given = Vec::new();
+    for (ledger, sure) in ledgers.iter_mut() {
+        ledger.give(now, &ask(rate, 0), *sure);
+    }
+    now = now + idle;
+    let until = now + Duration::from_secs(20);
+    while now < until {
+        for (ledger, sure) in ledgers.iter_mut() {
+            let grant = ledger.give(now, &ask(rate, 16), *sure);
+            given.push((now, grant.tokens));
+        }
+        now = now + STEP;
+    }
+    worst_window(&given)
+}
+
+#[test]
+fn tokens_of_one_coordinator_or_of_two_that_are_not_sure_stay_within_the_limit() {
+    for rate in [0.1, 0.5, 2.1, 10.0, 300.0] {
+        let allowed = 1.5 * rate * WINDOW.as_secs_f64() + 5.0;
+        for idle in [Duration::ZERO, Duration::from_secs(3)] {
+            let ledger = TokenLedger::default;
+            let one = pressed(&mut [(ledger(), true)], rate, idle);
+            assert!(f64::from(one) <= allowed, "{rate}: {one} of {allowed}");
+            let mut both = [(ledger(), false), (ledger(), false)];
+            let two = pressed(&mut both, rate, idle);
+            assert!(f64::from(two) <= allowed, "{rate}: {two} of {allowed}");
+            let least = rate * WINDOW.as_secs_f64() * 0.8;
+            assert!(f64::from(one) >= least.floor(), "{rate}: {one} of {least}");
+        }
+    }
+}
+
+#[test]
+fn new_coordinator_begins_without_tokens() {
+    let mut ledger = TokenLedger::default();
+    ledger.give(start(), &ask(100.0, 0), true);
+    let later = start() + Duration::from_secs(3);
+    ledger.clear();
+    assert_eq!(ledger.give(later, &ask(100.0, 16), true).tokens, 0);
+}
+
+#[test]
+fn lower_limit_counts_at_once_and_a_higher_one_when_nobody_asks_by_the_lower() {
+    let mut ledger = TokenLedger::default();
+    let mut now = start();
+    let mut wait = |millis: u64, rate: f64| {
+        now = now + Duration::from_millis(millis);
+        let TokenGrant { wait_ms, .. } = ledger.give(now, &ask(rate, 1_000), true);
+        wait_ms
+    };
+    wait(0, 10.0);
+    let fast = wait(1, 10.0);
+    let slow = wait(1, 1.0);
+    assert!(slow > 5 * fast, "{slow} after {fast}");
+    let still_slow = wait(500, 10.0);
+    assert!(still_slow > fast, "{still_slow} after {fast}");
+    wait(700, 10.0);
+    assert!(wait(1, 10.0) <= fast);
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count)
+        .map(|number| Candidate {
+            owner: Owner {
+                name: name(number),
+                address: ([10, 0, 0, 1], 1).into(),
+            },
+            weight: 1.0,
+            most: None,
+        })
+        .collect()
+}
+
+fn share(candidates: &[Candidate], number: usize) -> f64 {
+    let total: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
+    candidates[number].weight / total
+}
+
+/// Ten owners with 100 requests a second, the first of which names a limit.
+fn bounded(rate: f64) -> Vec<Candidate> {
+    let mut ledger = TokenLedger::default();
+    ledger.give(start(), &ask(rate, 1), true);
+    let mut candidates = candidates(10);
+    ledger.bound_weights(start(), &mut candidates, 100.0);
+    candidates
+}
+
+#[test]
+fn limited_owner_keeps_what_its_limit_allows_and_no_other_loses_by_it() {
+    let bounded = bounded(2.0);
+    assert!((share(&bounded, 0) - 0.014).abs() < 1e-9);
+    assert!((share(&bounded, 1) - 0.986 / 9.0).abs() < 1e-9);
+}
+
+#[test]
+fn limit_above_the_usual_share_changes_nothing() {
+    assert!((share(&bounded(50.0), 0) - 0.1).abs() < 1e-9);
+}
+
+#[test]
+fn limit_that_nobody_asks_by_any_more_bounds_nothing() {
+    let mut ledger = TokenLedger::default();
+    ledger.give(start(), &ask(2.0, 1), true);
+    let mut candidates = candidates(10);
+    let later = start() + Duration::from_secs(5);
+    ledger.bound_weights(later, &mut candidates, 100.0);
+    assert!((share(&candidates, 0) - 0.1).abs() < 1e-9);
+}
+
+#[test]
+fn owners_that_all_name_limits_share_by_them() {
+    let mut ledger = TokenLedger::default();
+    let mut candidates = candidates(3);
+    for (number, rate) in [1.0, 2.0, 1.0].into_iter().enumerate() {
+        let back_end = name(number);
+        let ask = TokenAsk {
+            back_end,
+            ..ask(rate, 1)
+        };
+        ledger.give(start(), &ask, true);
+    }
+    ledger.bound_weights(start(), &mut candidates, 100.0);
+    assert!((share(&candidates, 1) - 0.5).abs() < 1e-9);
+}
+
+#[test]
+fn keys_leave_an_owner_that_is_beyond_its_limit_though_no_other_lacks_any() {
+    let candidates = bounded(2.0);
+    let count = candidates.len() as u32;
+    let part = KeyRange::ALL.len() / count;
+    let mut rest = Some(KeyRange::ALL);
+    let mut held = Vec::new();
+    for candidate in &candidates {
+        let range = rest.expect("keys are left");
+        let (range, left) = match range.split_after(part) {
+            Some((range, left)) if held.len() + 1 < candidates.len() => (range, Some(left)),
+            _ => (range, None),
+        };
+        rest = left;
+        held.push(Held {
+            range,
+            owner: candidate.owner.name.clone(),
+        });
+    }
+    let measure = LoadMap::default().measure();
+    let taken = rebalance(&held, &candidates, &measure);
+    let moved: u32 = taken.iter().map(|range| range.len()).sum();
+    assert!(
+        taken
+            .iter()
+            .all(|range| held[0].range.contains(range.first))
+    );
+    assert!(moved > part * 8 / 10, "{moved} of {part}");
+}
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -11,6 +11,7 @@
 use crate::back_ends::{BackEnds, Known};
 use crate::estimate::Usual;
 use crate::exchange::Exchange;
+use crate::limited::LimitedBackEnds;
 use crate::not_held::NotHeld;
 use crate::outcome::RefusalReason;
 use crate::settings::Settings;
@@ -46,6 +47,8 @@
     Take(BackEndName),
     /// None now.
     NotNow(NotNow),
+    /// This owner, with a token of its limit.
+    NeedsToken(BackEndName),
     /// None, however long it waits.
     Refuse(RefusalReason),
 }
@@ -84,6 +87,7 @@
     pub(crate) back_ends: &'a BackEnds,
     pub(crate) ownership: Option<&'a OwnershipView>,
     pub(crate) not_held: &'a NotHeld,
+    pub(crate) limited: &'a LimitedBackEnds,
     pub(crate) random: &'a mut ChaCha8Rng,
     pub(crate) now: Timestamp,
 }
@@ -119,9 +123,12 @@
         if !known.takes_requests() || known.ejected(self.now) {
             return no_owner;
         }
-        if !self.admits(known) {
+        if !self.admits_cold(known) {
             return self.spared([known].into_iter());
         }
+        if !self.limited.has_token(self.now, name) {
+            return Choice::NeedsToken(name.clone());
+        }
         let usual = self.back_ends.usual(self.now, &exchange.service);
         if self.fits(known, exchange, bound, &usual) {
             Choice::Take(name.clone())
@@ -181,18 +188,29 @@
     }
 
     /// Whether this router may send to a back end that may be cold.
-    fn admits(&self, known: &Known) -> bool {
+    fn admits_cold(&self, known: &Known) -> bool {
         let interval = self.cold_interval;
         interval.is_none_or(|interval| known.cold.open(self.now, interval))
     }
 
-    /// Nothing is there but cold back ends that have what they bear, if any.
-    fn spared(&self, cold: impl Iterator<Item = &'a Known>) -> Choice {
-        let interval = self.cold_interval.unwrap_or_default();
-        let next = cold
-            .map(|known| known.cold.next_open(self.now, interval))
-            .min();
-        let Some(next) = next else {
+    /// Whether this router may send a request without a key to a back end that
+    /// may be cold or name a limit.
+    fn admits(&self, known: &Known) -> bool {
+        self.admits_cold(known) && self.limited.has_turn(self.now, &known.back_end.name)
+    }
+
+    /// When a back end may be asked again that has what it bears.
+    fn next_open(&self, known: &Known) -> Timestamp {
+        let cold = self.cold_interval.filter(|_| known.cold.is_cold(self.now));
+        let spared = cold.map(|interval| known.cold.next_open(self.now, interval));
+        let turn = self.limited.next_turn(self.now, &known.back_end.name);
+        // Turns come once the number of routers is known.
+        spared.max(turn).unwrap_or(self.now + LONGEST_RETRY_AFTER)
+    }
+
+    /// Nothing is there but back ends that have what they bear, if any.
+    fn spared(&self, full: impl Iterator<Item = &'a Known>) -> Choice {
+        let Some(next) = full.map(|known| self.next_open(known)).min() else {
             return NotNow::settled(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER);
         };
         let wait = next.since(self.now);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod crashes;
 mod ending;
+mod limits;
 mod retries;
 mod steps;
 mod waiting;
@@ -29,6 +30,7 @@
 use crate::budget::RetryBudget;
 use crate::counters::{Counters, Denial};
 use crate::exchange::Exchange;
+use crate::limited::LimitedBackEnds;
 use crate::not_held::NotHeld;
 use crate::observed::ObservedLoad;
 use crate::outcome::{Refusal, RefusalReason};
@@ -84,6 +86,7 @@
     ownership: BTreeMap<ServiceName, OwnershipView>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     not_held: NotHeld,
+    limited: LimitedBackEnds,
     /// Load of services divided by key, since the last report.
     observed: BTreeMap<ServiceName, ObservedLoad>,
     exchanges: HashMap<ExchangeId, Exchange>,
@@ -127,6 +130,7 @@
             ownership: BTreeMap::new(),
             budgets: BTreeMap::new(),
             not_held: NotHeld::default(),
+            limited: LimitedBackEnds::default(),
             observed: BTreeMap::new(),
             exchanges: HashMap::new(),
             waiting: BTreeMap::new(),
@@ -225,6 +229,7 @@
     pub fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) -> Vec<SocketAddr> {
         let left = self.back_ends.set(now, back_ends, &mut self.starts);
         self.look_for_gone();
+        self.forget_old_limits(now);
         self.serve_all(now);
         left
     }
@@ -241,6 +246,7 @@
         }
         let left = self.back_ends.change(now, changed, gone, &mut self.starts);
         self.look_for_gone();
+        self.forget_old_limits(now);
         self.serve_all(now);
         left
     }
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -28,6 +28,7 @@
         let Some(in_flight) = exchange.in_flight.get_mut(&attempt) else {
             return false;
         };
+        let exchange_keyed = exchange.key.is_some();
         let known = self.back_ends.get(&in_flight.back_end);
         if !known.is_some_and(|known| known.takes_requests()) {
             return false;
@@ -40,7 +41,17 @@
                 return false;
             }
         }
-        in_flight.sent = true;
+        let leave = in_flight.leave;
+        let back_end = in_flight.back_end.clone();
+        if !self.may_send_limited(now, &back_end, exchange_keyed, leave) {
+            return false;
+        }
+        let Some(exchange) = self.exchanges.get_mut(&id) else {
+            return false;
+        };
+        if let Some(in_flight) = exchange.in_flight.get_mut(&attempt) {
+            in_flight.sent = true;
+        }
         let retry = exchange.arrived > 0;
         exchange.sent += 1;
         exchange.arrived += 1;
@@ -246,6 +257,9 @@
             exchange.sent = exchange.sent.saturating_sub(1);
             exchange.arrived = exchange.arrived.saturating_sub(1);
         }
+        if let Some(ends) = in_flight.leave.filter(|_| exchange.key.is_some()) {
+            self.limited.put_back(now, &in_flight.back_end, ends);
+        }
         if let Some(permit) = in_flight.retry {
             let service = exchange.service.clone();
             self.budget(now, &service).give_back(now, permit);
--- a/crates/dispatch/src/dispatcher/retries.rs
+++ b/crates/dispatch/src/dispatcher/retries.rs
@@ -9,13 +9,17 @@
 use crate::counters::{Denial, RetryCounts};
 
 impl Dispatcher {
-    /// Says how many routers share the retry budget and the connections that
-    /// back ends take. The slack of the budget is shared by this number until
-    /// `until`; `None`: for good.
+    /// Says how many routers share the retry budget, the connections that back
+    /// ends take and the limits that they name. The slack of the budget and the
+    /// limits are shared by this number until `until`; `None`: for good.
     pub fn set_fleet(&mut self, now: Timestamp, routers: u32, until: Option<Timestamp>) {
-        self.fleet = Some(routers.max(1));
+        let before = self.fleet.replace(routers.max(1));
         self.fleet_known.get_or_insert(now);
         self.slack_until = until;
+        self.limited.set_shared_until(until);
+        if before != self.fleet {
+            self.share_limits(now);
+        }
         let slack = self.own_retry_slack();
         for budget in self.budgets.values_mut() {
             budget.set_slack(now, slack, until);
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -63,6 +63,7 @@
         match self.choose(now, id, bound) {
             Some(Choice::Take(back_end)) => self.send_or_finish(now, id, back_end),
             Some(Choice::NotNow(not_now)) => self.wait_or_finish(now, id, &not_now),
+            Some(Choice::NeedsToken(owner)) => self.wait_for_token(now, id, &owner),
             Some(Choice::Refuse(reason)) => self.finish(now, id, reason, None),
             None => Step::Over,
         }
@@ -121,6 +122,7 @@
             back_ends: &self.back_ends,
             ownership: self.ownership.get(&exchange.service),
             not_held: &self.not_held,
+            limited: &self.limited,
             random: &mut self.random,
             now,
         };
@@ -155,6 +157,8 @@
         let usual = self.back_ends.usual(now, &service);
         let limit = self.connection_limit(&service);
         let cold_interval = self.cold_interval(&service);
+        let keyed = self.exchanges.get(&id)?.key.is_some();
+        let leave = self.take_leave(now, back_end, keyed);
         let exchange = self.exchanges.get_mut(&id)?;
         let known = self.back_ends.get_mut(back_end)?;
         exchange.next_attempt += 1;
@@ -165,6 +169,7 @@
             crowding: known.crowding(now, &usual),
             sent: false,
             retry,
+            leave,
         };
         exchange.in_flight.insert(attempt, in_flight);
         if let (Some(key), Some(view)) = (exchange.key, self.ownership.get(&service)) {
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -23,6 +23,8 @@
     pub(crate) sent: bool,
     /// What it took from the retry budget.
     pub(crate) retry: Option<Permit>,
+    /// Until when it may be sent to its back end, if that names a limit.
+    pub(crate) leave: Option<Timestamp>,
 }
 
 /// One request of one caller.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,9 +15,11 @@
 mod estimate;
 mod exchange;
 pub mod fading;
+mod limited;
 mod not_held;
 mod observed;
 pub mod outcome;
+mod pace;
 pub mod request;
 pub mod routes;
 pub mod settings;
@@ -25,7 +27,10 @@
 
 pub use counters::{Counters, Denial};
 pub use dispatcher::{Begun, Dispatcher};
-pub use outcome::{AttemptEnd, Fault, Outcome, Refusal, RefusalReason, ToldLoad, UnknownReason};
+pub use limited::LimitNews;
+pub use outcome::{
+    AttemptEnd, Fault, Outcome, Refusal, RefusalReason, ToldLimit, ToldLoad, UnknownReason,
+};
 pub use request::{Attempt, AttemptId, Call, ExchangeId, RequestFacts, Step};
 pub use routes::RouteTable;
 pub use settings::Settings;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -85,6 +85,19 @@
     pub slots: u32,
 }
 
+/// What the head of a back end's answer says of the requests a second that it
+/// takes from all routers together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ToldLimit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// It names this one, in requests a second: zero or above.
+    Rate(f64),
+    /// It names something that is no such number.
+    Unreadable,
+}
+
 /// The outcome of a request that no back end's answer ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -124,6 +137,8 @@
     NoOwner,
     /// No slot will be free in time.
     Overloaded,
+    /// The back end names a limit, and all routers together have used it up.
+    BackEndLimited,
     /// The time was up before the request was sent.
     DeadlinePassed,
     /// Back ends that were asked did not run it.
@@ -137,7 +152,7 @@
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 13] = [
+    pub const ALL: [RefusalReason; 14] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::MissingApiKey,
@@ -147,6 +162,7 @@
         RefusalReason::NoBackEnd,
         RefusalReason::NoOwner,
         RefusalReason::Overloaded,
+        RefusalReason::BackEndLimited,
         RefusalReason::DeadlinePassed,
         RefusalReason::Rejected,
         RefusalReason::CrashesBackEnds,
@@ -165,6 +181,7 @@
             RefusalReason::NoBackEnd => "no-back-end",
             RefusalReason::NoOwner => "no-owner",
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::BackEndLimited => "back-end-limited",
             RefusalReason::DeadlinePassed => "deadline-passed",
             RefusalReason::Rejected => "rejected",
             RefusalReason::CrashesBackEnds => "crashes-back-ends",
@@ -185,6 +202,7 @@
             | RefusalReason::NoBackEnd
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
+            | RefusalReason::BackEndLimited
             | RefusalReason::DeadlinePassed
             | RefusalReason::Rejected
             | RefusalReason::CrashesBackEnds => 503,
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod fading;
 mod fleet;
+mod limited;
 mod outcomes;
 mod parts;
 mod regions;
--- a/crates/ports/src/wording.rs
+++ b/crates/ports/src/wording.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http_types::{Headers, Request};
-use threadledge_dispatch::ToldLoad;
 use threadledge_dispatch::outcome::Rejection;
+use threadledge_dispatch::{ToldLimit, ToldLoad};
 use threadledge_types::deployment::{BackEndName, KeyDigest, ShardKey, TenantName};
 
 /// What a caller's head says beside route and body.
@@ -21,7 +21,7 @@
 }
 
 /// What the head of a back end's answer says beside status and body.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// The id of the request that is answered.
     pub request_id: Option<String>,
@@ -29,6 +29,8 @@
     pub not_run: Option<Rejection>,
     /// The load of the back end.
     pub load: Option<ToldLoad>,
+    /// The requests a second that the back end takes from all gateways.
+    pub limit: ToldLimit,
     /// A successful answer bears the back end's mark.
     pub marked: bool,
 }
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -288,6 +288,15 @@
     RetriesDenied = 514, "retries-denied", Info,
         "The retry budget of a service is used up on this gateway: requests that failed there are not sent again. At most one line a second; it has the retries denied since the one before, the requests and retries of the window, the slack of this gateway and the number of gateways that share it.",
         "None for single ones; for many, find out why back ends of the service fail or turn requests away.";
+    BackEndLimited = 515, "back-end-limited", Info,
+        "A back end names the requests a second that it takes from all gateways together, or another number than before; the line has both. Gateways keep to it together: requests beyond it go to others, or are refused.",
+        "Find out what the back end lacks; nothing need be done here.";
+    BackEndLimitLifted = 516, "back-end-limit-lifted", Info,
+        "A back end that named a limit names none any more.",
+        "None.";
+    BackEndLimitUnreadable = 517, "back-end-limit-unreadable", Warn,
+        "A back end names something that is no number of requests a second; a limit that it named before stays in force. Written once for each back end.",
+        "Correct the back end.";
     TenantKeysChanged = 520, "tenant-keys-changed", Info,
         "A configuration in force took callers' keys away or added some; the line has its version and the numbers.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -46,6 +46,7 @@
 mod stop;
 pub mod store_health;
 mod suspects;
+mod tokens;
 pub mod usage;
 pub mod zones;
 
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -107,16 +107,23 @@
         }
         self.usage.asked_back_end(&attempt, request.len());
         match connection.exchange(request, deadline).await {
-            Ok(response) => self.read(&attempt, &outbound, response).await,
+            Ok(response) => self.read(exchange, &attempt, &outbound, response).await,
             Err(error) => Ended::failed(fault_of(&error)),
         }
     }
 
-    async fn read(&self, attempt: &Attempt, outbound: &Outbound, mut response: Response) -> Ended {
+    async fn read(
+        &self,
+        exchange: ExchangeId,
+        attempt: &Attempt,
+        outbound: &Outbound,
+        mut response: Response,
+    ) -> Ended {
         let status = u16::from(response.status());
         let head = self
             .wording
             .answer(status, response.as_ref(), &attempt.back_end);
+        self.dispatch.on_head(exchange, attempt.id, head.limit);
         // Invariant: no caller gets the answer to another's request. HTTP/1.1
         // pairs requests and answers by their order alone; the id shows a
         // wrong pair.
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use threadledge_coordination::action::{Freshness, ReadResult, Versioned};
 use threadledge_coordination::{
-    Action, Coordinator, LoadReport, NodeIdentity, OwnershipRecord, Settings,
+    Action, Coordinator, LoadReport, NodeIdentity, OwnershipRecord, Settings, TokenAsk,
 };
 use threadledge_net::{StopSignal, timer};
 use threadledge_ports::Ports;
@@ -26,6 +26,7 @@
 use super::peers::PeerClient;
 use super::sources::Sources;
 use super::store_health::StoreHealth;
+use super::tokens::TokenReply;
 use crate::proxy::Clock;
 
 /// Time between two probes of the store where there is nothing to coordinate.
@@ -56,6 +57,12 @@
     Ended(ServiceName, Ended),
     /// Another gateway reports what it saw of a service's load.
     Load(ServiceName, LoadReport),
+    /// A gateway asks for tokens of a service's back ends.
+    Tokens(
+        ServiceName,
+        Vec<TokenAsk>,
+        async_channel::Sender<TokenReply>,
+    ),
     /// A planned stop began.
     Stop,
 }
@@ -196,6 +203,10 @@
                     }
                 }
             }
+            Event::Tokens(service, asks, reply) => {
+                // Whoever asked may have given up meanwhile.
+                let _ = reply.try_send(self.give_tokens(now, &service, &asks));
+            }
             Event::Ended(service, ended) => self.ended(&service, ended),
             Event::Stop => {
                 self.stopping = true;
@@ -206,6 +217,25 @@
         }
     }
 
+    fn give_tokens(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        asks: &[TokenAsk],
+    ) -> TokenReply {
+        let Some(coordinator) = self.coordinators.get_mut(service) else {
+            return TokenReply::Elsewhere { coordinator: None };
+        };
+        if let Some(grants) = coordinator.give_tokens(now, asks) {
+            return TokenReply::Granted { grants };
+        }
+        let holder = coordinator.known().and_then(|(_, holder)| holder);
+        let other = holder.filter(|holder| **holder != self.participation.me);
+        TokenReply::Elsewhere {
+            coordinator: other.and_then(|holder| holder.address),
+        }
+    }
+
     /// Tells coordinators which back ends there are, and which of them may hold
     /// keys: those that decide by it. A standby is told when it is elected.
     fn tell_back_ends(&mut self) {
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -6,11 +6,13 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::{
-    AttemptEnd, AttemptId, Begun, Denial, Dispatcher, ExchangeId, Refusal, RequestFacts, Step,
+    AttemptEnd, AttemptId, Begun, Denial, Dispatcher, ExchangeId, LimitNews, Refusal, RequestFacts,
+    Step, ToldLimit,
 };
 use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
 
+use super::notifier::Notifier;
 use super::suspects::{Finding, SuspectSignals};
 use crate::events::{EventId, emit};
 use crate::proxy::{Clock, Signal};
@@ -21,6 +23,8 @@
 pub(super) struct Dispatch {
     clock: Clock,
     suspects: SuspectSignals,
+    /// A coordinator is to be asked for tokens.
+    tokens_wanted: Notifier,
     state: Mutex<State>,
 }
 
@@ -36,6 +40,7 @@
         Dispatch {
             clock,
             suspects,
+            tokens_wanted: Notifier::default(),
             state: Mutex::new(State {
                 dispatcher,
                 signals,
@@ -48,6 +53,11 @@
         &self.suspects
     }
 
+    /// Told when a coordinator is to be asked for tokens.
+    pub(super) fn tokens_wanted(&self) -> &Notifier {
+        &self.tokens_wanted
+    }
+
     pub(super) fn clock(&self) -> Clock {
         self.clock
     }
@@ -66,6 +76,8 @@
         }
         let learned = state.dispatcher.suspects().changes() != known;
         let denials = state.dispatcher.take_denials();
+        let limit_news = state.dispatcher.take_limit_news();
+        let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
             .iter()
@@ -76,6 +88,10 @@
             signal.give();
         }
         denials.iter().for_each(tell_denial);
+        limit_news.iter().for_each(tell_limit);
+        if wants_tokens {
+            self.tokens_wanted.notify();
+        }
         if learned {
             self.suspects.changed.notify();
         }
@@ -108,6 +124,11 @@
         self.with(|dispatcher, now| dispatcher.may_send(now, id, attempt).then_some(now))
     }
 
+    /// The head of an answer to an attempt came.
+    pub(super) fn on_head(&self, id: ExchangeId, attempt: AttemptId, limit: ToldLimit) {
+        self.with(|dispatcher, now| dispatcher.on_head(now, id, attempt, limit));
+    }
+
     pub(super) fn on_attempt(
         &self,
         id: ExchangeId,
@@ -135,3 +156,19 @@
         gateways = denial.routers,
     );
 }
+
+fn tell_limit(news: &LimitNews) {
+    match news {
+        LimitNews::Named {
+            back_end,
+            rate,
+            before,
+        } => emit!(EventId::BackEndLimited, back_end = %back_end, rate, before),
+        LimitNews::Lifted { back_end } => {
+            emit!(EventId::BackEndLimitLifted, back_end = %back_end);
+        }
+        LimitNews::Unreadable { back_end } => {
+            emit!(EventId::BackEndLimitUnreadable, back_end = %back_end);
+        }
+    }
+}
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -28,6 +28,7 @@
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::news::{Marks, News};
 use super::suspects::SuspectService;
+use super::tokens::{ServiceTokenAsk, TOKEN_TIMEOUT, TokenReply, ask_here};
 use super::usage::Usage;
 
 /// Path of reports.
@@ -40,7 +41,9 @@
 const SUSPECTS_PATH: &str = "/threadledge/v1/suspects";
 /// Path of asks for tokens of tenants' limits.
 const LIMITS_PATH: &str = "/threadledge/v1/limits";
-/// Longest wait for the answer to such news: others wait to be told meanwhile.
+/// Path of asks for tokens of back ends that name a limit.
+const TOKENS_PATH: &str = "/threadledge/v1/tokens";
+/// Longest wait for the answer to news of requests that crash back ends: others wait to be told meanwhile.
 const SUSPECTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for a peer. A report that is late is worth nothing.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -184,6 +187,12 @@
         asked.await.ok()
     }
 
+    /// Asks the coordinator of a service for tokens. `None`: it did not answer.
+    pub(super) async fn tokens(&self, to: SocketAddr, ask: &ServiceTokenAsk) -> Option<TokenReply> {
+        let asked = self.client.post_json(to, TOKENS_PATH, ask, TOKEN_TIMEOUT);
+        asked.await.ok()
+    }
+
     /// The address at which other gateways reach this one.
     pub(super) fn own(&self) -> Option<SocketAddr> {
         self.own
@@ -244,6 +253,7 @@
             NEWS_PATH => "news",
             SUSPECTS_PATH => "suspects",
             LIMITS_PATH => "limits",
+            TOKENS_PATH => "tokens",
             _ => "unknown",
         };
         let response = self.answer_body(&request, &body).await;
@@ -274,10 +284,21 @@
                 Ok(ask) => answer::json(&self.limits.answer(&ask)),
                 Err(_) => answer::own(400, "malformed-ask", None),
             },
+            (Method::Post, TOKENS_PATH) => match serde_json::from_slice(body) {
+                Ok(ask) => self.give_tokens(&ask).await,
+                Err(_) => answer::own(400, "malformed-ask", None),
+            },
             _ => answer::own(404, "unknown-path", None),
         }
     }
 
+    async fn give_tokens(&self, ask: &ServiceTokenAsk) -> Response {
+        match ask_here(&self.events, ask).await {
+            Some(reply) => answer::json(&reply),
+            None => answer::own(503, "stopping", None),
+        }
+    }
+
     fn news_since(&self, marks: &Marks) -> News {
         // Before the news: what comes in between makes them younger.
         let age = self.followers.age();
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -44,6 +44,7 @@
 use super::stop::watch_signals;
 use super::store_health::StoreHealth;
 use super::suspects::{Finding, SuspectService, SuspectSignals};
+use super::tokens::TokenAsker;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 use crate::proxy::budget::Budget;
@@ -236,6 +237,12 @@
             &self.ports,
         );
         self.start_limits();
+        let tokens = TokenAsker {
+            dispatch: self.dispatch.clone(),
+            peers: self.peer_client(),
+            events: events.clone(),
+        };
+        task::spawn(tokens.run());
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
--- a/crates/router/tests/gateway/limited.rs
+++ b/crates/router/tests/gateway/limited.rs
@@ -97,9 +97,11 @@
     };
     limited.set_limit(Some(&LIMIT.to_string()));
     let named = Instant::now();
-    fleet.press(&ask, &keys, CONTACT + WINDOW * 2);
+    let (served, refused) = fleet.press(&ask, &keys, CONTACT + WINDOW * 2);
     let most = busiest(limited, named);
     assert!(most <= allowed(), "{most} in 4 s, {} allowed", allowed());
+    // Its keys have gone to the other owner.
+    assert!(refused * 20 < served, "{served} served, {refused} refused");
 }
 
 #[test]
