Test, failing: back ends that asked for rest get requests in that time

One gateway with callers all the time, back ends that answer every request with 503 and Retry-After 3: 14 to 16 requests from half a second after an answer until the end of the time that it asked for; two are allowed.

--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod relay_records;
 mod requests;
+mod rest;
 mod samples;
 mod settings;
 mod silence;
--- a/crates/router/tests/gateway/pressed.rs
+++ b/crates/router/tests/gateway/pressed.rs
@@ -38,36 +38,48 @@
         Fleet { world, others }
     }
 
-    /// Sends at every gateway until the end of `counted`, from now; what became
-    /// of requests that ended within it.
+    /// Sends at every gateway; see [`press`].
     pub fn press(&self, ask: &Ask<'_>, keys: &[u16], counted: Range<Duration>) -> Outcomes {
-        let begun = Instant::now();
-        let done = AtomicBool::new(false);
-        let (served, others) = (AtomicUsize::new(0), AtomicUsize::new(0));
-        std::thread::scope(|scope| {
-            for gateway in std::iter::once(&self.world.gateway).chain(&self.others) {
-                let callers = gateway.callers;
-                let (done, served, others) = (&done, &served, &others);
-                scope.spawn(move || {
-                    let mut keys = keys.iter().cycle();
-                    while !done.load(Ordering::Relaxed) {
-                        let key = keys.next().copied();
-                        let ask = Ask { key, ..*ask };
-                        let status = block_on(ask.sending(callers)).status().as_u16();
-                        if begun.elapsed() > counted.start {
-                            let count = if status == 200 { served } else { others };
-                            count.fetch_add(1, Ordering::Relaxed);
-                        }
-                        std::thread::sleep(PAUSE);
+        let gateways = std::iter::once(&self.world.gateway);
+        let gateways: Vec<&Gateway> = gateways.chain(&self.others).collect();
+        press(&gateways, ask, keys, counted)
+    }
+}
+
+/// Sends at these gateways until the end of `counted`, from now; what became of
+/// requests that ended within it.
+pub fn press(
+    gateways: &[&Gateway],
+    ask: &Ask<'_>,
+    keys: &[u16],
+    counted: Range<Duration>,
+) -> Outcomes {
+    let begun = Instant::now();
+    let done = AtomicBool::new(false);
+    let (served, others) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for gateway in gateways {
+            let callers = gateway.callers;
+            let (done, served, others) = (&done, &served, &others);
+            scope.spawn(move || {
+                let mut keys = keys.iter().cycle();
+                while !done.load(Ordering::Relaxed) {
+                    let key = keys.next().copied();
+                    let ask = Ask { key, ..*ask };
+                    let status = block_on(ask.sending(callers)).status().as_u16();
+                    if begun.elapsed() > counted.start {
+                        let count = if status == 200 { served } else { others };
+                        count.fetch_add(1, Ordering::Relaxed);
                     }
-                });
-            }
-            std::thread::sleep(counted.end);
-            done.store(true, Ordering::Relaxed);
-        });
-        Outcomes {
-            served: served.into_inner(),
-            others: others.into_inner(),
+                    std::thread::sleep(PAUSE);
+                }
+            });
         }
+        std::thread::sleep(counted.end);
+        done.store(true, Ordering::Relaxed);
+    });
+    Outcomes {
+        served: served.into_inner(),
+        others: others.into_inner(),
     }
 }
--- /dev/null
+++ b/crates/router/tests/gateway/rest.rs
@@ -0,0 +1,73 @@
+//! Back ends that turn requests away and ask for rest, through the real
+//! program.
+
+use std::time::{Duration, Instant};
+
+use threadledge_platform_stand_in::StandInBackEnd;
+
+use super::pressed::{Outcomes, press};
+use super::process::{Ask, World};
+
+/// Rest that is asked for.
+const REST: Duration = Duration::from_secs(3);
+/// From then on after it was asked for.
+const HEARD: Duration = Duration::from_millis(500);
+/// Requests of one gateway that may come while it should rest.
+const ALLOWED: usize = 2;
+const LENGTH: Duration = Duration::from_secs(7);
+
+fn ask_for_rest(back_ends: &[&StandInBackEnd]) {
+    for back_end in back_ends {
+        back_end.set_rest(Some("3"));
+    }
+}
+
+/// Most requests that came in one rest that was asked for.
+fn disturbed(back_end: &StandInBackEnd) -> usize {
+    let arrivals = back_end.arrivals();
+    let within = |asked: &Instant| {
+        let rest = *asked + HEARD..*asked + REST;
+        arrivals.iter().filter(|at| rest.contains(*at)).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+fn keyed() -> Ask<'static> {
+    Ask {
+        host: "keyed.example",
+        target: "/k/x",
+        ..Ask::default()
+    }
+}
+
+#[test]
+fn back_ends_that_all_asked_for_rest_get_requests_in_that_time() {
+    let world = World::start();
+    let back_ends: Vec<&StandInBackEnd> = world.plain.iter().collect();
+    ask_for_rest(&back_ends);
+    press(&[&world.gateway], &Ask::default(), &[], HEARD..LENGTH);
+    for back_end in back_ends {
+        assert!(disturbed(back_end) <= ALLOWED, "{}", disturbed(back_end));
+    }
+}
+
+#[test]
+fn owner_that_asked_for_rest_gets_requests_in_that_time() {
+    let world = World::start();
+    let resting = &world.keyed[0];
+    ask_for_rest(&[resting]);
+    let keys: Vec<u16> = (0..u16::MAX).step_by(1_000).collect();
+    press(&[&world.gateway], &keyed(), &keys, HEARD..LENGTH);
+    assert!(disturbed(resting) <= ALLOWED, "{}", disturbed(resting));
+}
+
+#[test]
+fn back_end_that_asked_for_rest_gets_requests_in_that_time_though_others_have_room() {
+    let world = World::start();
+    let resting = &world.plain[0];
+    ask_for_rest(&[resting]);
+    let outcomes = press(&[&world.gateway], &Ask::default(), &[], HEARD..LENGTH);
+    assert!(disturbed(resting) <= ALLOWED, "{}", disturbed(resting));
+    let Outcomes { served, others } = outcomes;
+    assert!(others * 50 < served, "{served} served, {others} not");
+}
