Back ends that say in their answers that they leave get nothing new

Change: the adapter reads the word; from then on that life of the back end takes nothing here, whatever a list says, also what was chosen before. The coordinator of its keys is told at once, and with each report until the store says so; it takes the keys back while the store answers, and leaves them while nobody else could be given them.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -1,6 +1,6 @@
 //! What the coordinator knows of each back end that holds or may hold keys.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
@@ -104,6 +104,9 @@
     registered: BTreeMap<BackEndName, Registered>,
     occupancy: Occupancy,
     contacts: BTreeMap<BackEndName, Contact>,
+    /// Those that said to a router that they leave. Invariant: no registration
+    /// takes that back: it may be older.
+    said_leaving: BTreeSet<BackEndName>,
     /// Cold back ends bear few requests.
     frail_when_cold: bool,
     /// Some back end may have become unfit to own keys since it was asked last.
@@ -132,6 +135,8 @@
         let registered = &self.registered;
         self.contacts
             .retain(|name, _| registered.contains_key(name));
+        self.said_leaving
+            .retain(|name| registered.contains_key(name));
         newcomers
     }
 
@@ -149,6 +154,20 @@
         self.registered.insert(back_end.name.clone(), entry);
     }
 
+    /// A router was told by a back end that it leaves.
+    pub fn on_leaving(&mut self, name: &BackEndName) {
+        if self.is_registered(name) {
+            self.changed |= self.said_leaving.insert(name.clone());
+        }
+    }
+
+    /// Whether a back end said that it leaves, and its registration does not.
+    pub fn leaves_untold(&self, name: &BackEndName) -> bool {
+        let registered = self.registered.get(name);
+        let draining = registered.is_some_and(|registered| registered.draining);
+        !draining && self.said_leaving.contains(name)
+    }
+
     /// Whether some back end may have become unfit to own keys since this was
     /// asked last: nobody looks through all of them for each order.
     pub fn take_changed(&mut self) -> bool {
@@ -176,7 +195,7 @@
         let Some(registered) = self.registered.get(name) else {
             return Some(Ineligible::Unregistered);
         };
-        if registered.draining {
+        if registered.draining || self.said_leaving.contains(name) {
             return Some(Ineligible::Draining);
         }
         if self.occupancy.has_ended(name) {
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -4,7 +4,7 @@
 //! others together. What is older counts less, so that the map follows keys
 //! that become busy within seconds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,9 @@
     pub requests: Vec<KeyCount>,
     /// Speeds of back ends.
     pub speeds: Vec<SpeedSample>,
+    /// Back ends that said that they leave, of which the store does not say so.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<BackEndName>,
 }
 
 impl LoadReport {
@@ -79,6 +82,14 @@
             }
         }
         self.speeds = speeds.into_values().collect();
+        let mut leaving: BTreeSet<BackEndName> = self.leaving.drain(..).collect();
+        leaving.extend(other.leaving);
+        self.leaving = leaving.into_iter().collect();
+    }
+
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty() && self.speeds.is_empty() && self.leaving.is_empty()
     }
 }
 
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -164,6 +164,9 @@
     /// Takes what a router saw of the load.
     pub fn add_load(&mut self, now: Timestamp, report: &LoadReport) {
         self.load.add(now, report);
+        for name in &report.leaving {
+            self.holders.on_leaving(name);
+        }
     }
 
     /// Answers routers that ask for tokens. Called only while the office is
@@ -295,7 +298,7 @@
                 let next_fence = record.next_fence;
                 let retracked = std::mem::take(&mut self.retracked);
                 if self.holders.take_changed() || retracked {
-                    self.take_back(now, next_fence);
+                    self.take_back(now, next_fence, store_answers);
                 }
                 if store_answers {
                     self.start_balancing(now, next_fence);
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -18,7 +18,7 @@
     });
     LoadReport {
         requests: requests.collect(),
-        speeds: Vec::new(),
+        ..LoadReport::default()
     }
 }
 
@@ -103,7 +103,14 @@
     };
     let speeds = vec![sample("fast", 4.0), sample("slow", 12.0)];
     let requests = Vec::new();
-    map.add(Timestamp::from_millis(1), &LoadReport { requests, speeds });
+    map.add(
+        Timestamp::from_millis(1),
+        &LoadReport {
+            requests,
+            speeds,
+            ..LoadReport::default()
+        },
+    );
     assert!(map.speed(&"fast".into()) > 2.0 * map.speed(&"slow".into()));
     assert!((map.speed(&"unknown".into()) - 1.0).abs() < 1e-9);
 }
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -5,7 +5,7 @@
 use threadledge_coordination::{
     GrantOrder, KeyCount, LoadReport, Order, OrderId, OrderKind, Owner,
 };
-use threadledge_types::deployment::{KeyRange, ShardKey};
+use threadledge_types::deployment::{BackEndName, KeyRange, ShardKey};
 
 use super::checker::{Checker, Violation};
 use super::world::{Chances, World};
@@ -137,6 +137,42 @@
     }
 }
 
+fn say_leaving(world: &mut World, name: &BackEndName) {
+    let report = LoadReport {
+        leaving: vec![name.clone()],
+        ..LoadReport::default()
+    };
+    let coordinator = world.coordinator().expect("one coordinates");
+    let now = world.now;
+    world.nodes[coordinator].coordinator.add_load(now, &report);
+}
+
+#[test]
+fn back_end_that_only_told_routers_that_it_leaves_hands_over() {
+    let mut world = World::settled(8);
+    let owner = world.owner(100).expect("owned");
+    say_leaving(&mut world, &owner);
+    world.run(SECOND * 2);
+    assert_ne!(world.owner(100), Some(owner));
+    assert!(world.all_served());
+}
+
+/// Nobody else could be given the keys before the store answers.
+#[test]
+fn back_end_that_only_told_routers_that_it_leaves_keeps_its_keys_while_the_store_is_silent() {
+    let mut world = World::settled(8);
+    let owner = world.owner(100).expect("owned");
+    world.store_down_until = world.now + SECOND * 4;
+    world.run(SECOND);
+    say_leaving(&mut world, &owner);
+    for _ in 0..400 {
+        world.step();
+        assert!(world.all_served(), "keys unserved at {:?}", world.now);
+    }
+    world.run(SECOND * 4);
+    assert_ne!(world.owner(100), Some(owner));
+}
+
 #[test]
 fn new_back_end_gets_its_share() {
     let mut world = World::settled(9);
@@ -352,7 +388,7 @@
             });
             let report = LoadReport {
                 requests: busy.collect(),
-                speeds: Vec::new(),
+                ..LoadReport::default()
             };
             let now = world.now;
             world.nodes[coordinator].coordinator.add_load(now, &report);
--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -20,6 +20,9 @@
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// How long a back end is not asked to which no connection is free.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(20);
+/// How long one that said that it leaves is remembered while it is not
+/// registered: an older list may name it again.
+const LEAVING_REMEMBERED: Duration = Duration::from_secs(60);
 /// How much longer a request takes at a back end that has just started.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -39,6 +42,8 @@
     full_until: Timestamp,
     /// Another process was found at its address.
     gone: bool,
+    /// It said in an answer that it leaves.
+    said_leaving: bool,
 }
 
 impl Known {
@@ -53,12 +58,13 @@
             ejected_until: Timestamp::ZERO,
             full_until: Timestamp::ZERO,
             gone: false,
+            said_leaving: false,
         }
     }
 
     /// Whether it takes new requests at all.
     pub(crate) fn takes_requests(&self) -> bool {
-        !self.back_end.draining && !self.gone
+        !self.back_end.draining && !self.gone && !self.said_leaving
     }
 
     /// Whether it is left alone for a while.
@@ -146,6 +152,9 @@
     by_service: BTreeMap<ServiceName, BTreeMap<BackEndName, Known>>,
     services: HashMap<BackEndName, ServiceName>,
     means: BTreeMap<ServiceName, ServiceMean>,
+    /// Back ends that said in an answer that they leave, and when. Invariant:
+    /// nothing that is told of a registration takes that back: it may be older.
+    said_leaving: BTreeMap<BackEndName, Timestamp>,
 }
 
 impl BackEnds {
@@ -178,6 +187,7 @@
         for back_end in back_ends {
             self.put(now, back_end, random);
         }
+        self.forget_left(now);
         let addresses: HashSet<SocketAddr> = back_ends.iter().map(|each| each.address).collect();
         left.retain(|address| !addresses.contains(address));
         left
@@ -206,6 +216,9 @@
             self.services.insert(back_end.name.clone(), service);
             self.put(now, back_end, random);
         }
+        if !gone.is_empty() {
+            self.forget_left(now);
+        }
         if !left.is_empty() {
             let used: HashSet<SocketAddr> =
                 self.all().map(|known| known.back_end.address).collect();
@@ -236,10 +249,39 @@
         if known.back_end.address != back_end.address {
             known.gone = false;
         }
+        known.said_leaving = self.said_leaving.contains_key(&back_end.name);
         known.cold.set(now, now + back_end.cold_for, random);
         known.back_end = back_end.clone();
     }
 
+    /// A back end said in an answer that it leaves. Says whether that is new.
+    pub(crate) fn on_leaving(&mut self, now: Timestamp, name: &BackEndName) -> bool {
+        let Some(known) = self.get_mut(name) else {
+            return false;
+        };
+        known.said_leaving = true;
+        self.said_leaving.insert(name.clone(), now).is_none()
+    }
+
+    /// Back ends of a service that said that they leave, and whose registration
+    /// does not say so.
+    pub(crate) fn leaving_untold(&self, service: &ServiceName) -> Vec<BackEndName> {
+        let said = self.said_leaving.keys();
+        let untold = said.filter(|name| {
+            let known = self.get(name);
+            known
+                .is_some_and(|known| known.back_end.service == *service && !known.back_end.draining)
+        });
+        untold.cloned().collect()
+    }
+
+    fn forget_left(&mut self, now: Timestamp) {
+        let services = &self.services;
+        self.said_leaving.retain(|name, said| {
+            services.contains_key(name) || now.since(*said) < LEAVING_REMEMBERED
+        });
+    }
+
     /// Whether a process is registered, and nobody registered at its address
     /// after it.
     pub(crate) fn runs(&self, name: &BackEndName) -> bool {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 mod ending;
 mod limits;
 mod retries;
+mod signals;
 mod steps;
 mod waiting;
 
@@ -87,6 +88,8 @@
     budgets: BTreeMap<ServiceName, RetryBudget>,
     not_held: NotHeld,
     limited: LimitedBackEnds,
+    /// Back ends that said that they leave, which has not been told.
+    left: Vec<BackEndName>,
     /// Load of services divided by key, since the last report.
     observed: BTreeMap<ServiceName, ObservedLoad>,
     exchanges: HashMap<ExchangeId, Exchange>,
@@ -131,6 +134,7 @@
             budgets: BTreeMap::new(),
             not_held: NotHeld::default(),
             limited: LimitedBackEnds::default(),
+            left: Vec::new(),
             observed: BTreeMap::new(),
             exchanges: HashMap::new(),
             waiting: BTreeMap::new(),
@@ -266,10 +270,18 @@
     /// What was seen of the load of a service divided by key since the last
     /// report.
     pub fn take_load(&mut self, service: &ServiceName) -> LoadReport {
-        self.observed
-            .remove(service)
-            .map(ObservedLoad::into_report)
-            .unwrap_or_default()
+        let observed = self.observed.remove(service);
+        let mut report = observed.map(ObservedLoad::into_report).unwrap_or_default();
+        report.leaving = self.back_ends.leaving_untold(service);
+        report
+    }
+
+    /// The part of a report that tells which back ends said that they leave.
+    pub fn leaving_report(&self, service: &ServiceName) -> LoadReport {
+        LoadReport {
+            leaving: self.back_ends.leaving_untold(service),
+            ..LoadReport::default()
+        }
     }
 
     /// Exchanges whose next step may have changed.
--- a/crates/dispatch/src/dispatcher/limits.rs
+++ b/crates/dispatch/src/dispatcher/limits.rs
@@ -10,34 +10,32 @@
 use super::Dispatcher;
 use crate::limited::LimitNews;
 use crate::outcome::{RefusalReason, ToldLimit};
-use crate::request::{AttemptId, ExchangeId, Step};
+use crate::request::{ExchangeId, Step};
 
 /// Longest time that callers are told to wait for a back end that names a
 /// limit: another router, or another owner, may have room before.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 impl Dispatcher {
-    /// The head of an answer to an attempt came, whatever becomes of the
-    /// answer.
-    pub fn on_head(&mut self, now: Timestamp, id: ExchangeId, attempt: AttemptId, told: ToldLimit) {
+    /// An answer to a request that was chosen at `chosen` came from a back end.
+    pub(super) fn hear_limit(
+        &mut self,
+        now: Timestamp,
+        back_end: &BackEndName,
+        chosen: Timestamp,
+        told: ToldLimit,
+    ) {
         if told == ToldLimit::None && self.limited.is_empty() {
             return;
         }
-        let Some(exchange) = self.exchanges.get(&id) else {
-            return;
-        };
-        let Some(in_flight) = exchange.in_flight.get(&attempt) else {
-            return;
-        };
-        let back_end = &in_flight.back_end;
         let was_limited = self.limited.is_limited(back_end);
-        self.limited.hear(now, back_end, in_flight.chosen_at, told);
-        let service = exchange.service.clone();
-        let lifted = was_limited && !self.limited.is_limited(back_end);
+        self.limited.hear(now, back_end, chosen, told);
         if self.limited.has_news() {
             self.share_limits(now);
         }
-        if lifted {
+        let lifted = was_limited && !self.limited.is_limited(back_end);
+        let service = self.service_of_back_end(back_end);
+        if let Some(service) = service.filter(|_| lifted) {
             self.serve_waiting(now, &service);
         }
     }
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/signals.rs
@@ -0,0 +1,50 @@
+//! What back ends say in their answers that concerns later requests.
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEndName, ServiceName};
+
+use super::Dispatcher;
+use crate::outcome::Signals;
+use crate::request::{AttemptId, ExchangeId};
+
+impl Dispatcher {
+    /// The head of an answer to an attempt came, whatever becomes of the
+    /// answer.
+    pub fn on_head(
+        &mut self,
+        now: Timestamp,
+        id: ExchangeId,
+        attempt: AttemptId,
+        signals: &Signals,
+    ) {
+        let exchange = self.exchanges.get(&id);
+        let in_flight = exchange.and_then(|exchange| exchange.in_flight.get(&attempt));
+        let Some(in_flight) = in_flight else {
+            return;
+        };
+        let back_end = in_flight.back_end.clone();
+        let chosen = in_flight.chosen_at;
+        self.hear_limit(now, &back_end, chosen, signals.limit);
+        if signals.leaving {
+            self.hear_leaving(now, &back_end);
+        }
+    }
+
+    fn hear_leaving(&mut self, now: Timestamp, back_end: &BackEndName) {
+        if self.back_ends.on_leaving(now, back_end) {
+            self.left.push(back_end.clone());
+        }
+    }
+
+    /// Back ends that said that they leave, since this was asked last; each is
+    /// told once.
+    pub fn take_left(&mut self) -> Vec<(BackEndName, ServiceName)> {
+        let left = std::mem::take(&mut self.left);
+        left.into_iter()
+            .filter_map(|name| {
+                let service = self.service_of_back_end(&name)?;
+                Some((name, service))
+            })
+            .collect()
+    }
+}
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -98,6 +98,15 @@
     Unreadable,
 }
 
+/// What the head of a back end's answer says that concerns later requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Signals {
+    /// The requests a second that it takes.
+    pub limit: ToldLimit,
+    /// It leaves, and wants nothing new.
+    pub leaving: bool,
+}
+
 /// The outcome of a request that no back end's answer ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/dispatch/tests/dispatcher/limited.rs
+++ b/crates/dispatch/tests/dispatcher/limited.rs
@@ -13,7 +13,7 @@
 };
 use threadledge_dispatch::{
     Attempt, Begun, Call, Dispatcher, LimitNews, Outcome, RefusalReason, RequestFacts, Settings,
-    Step, ToldLimit,
+    Signals, Step, ToldLimit,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange, Places, ServiceName, ShardKey};
@@ -32,6 +32,13 @@
 /// Time from when a router is told until its requests count.
 const TOLD: Duration = Duration::from_millis(500);
 
+fn limit(limit: ToldLimit) -> Signals {
+    Signals {
+        limit,
+        ..Signals::default()
+    }
+}
+
 fn allowed(limit: f64) -> usize {
     (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize
 }
@@ -162,7 +169,7 @@
         for (_, number, begun, attempt) in over {
             let router = &mut self.routers[number];
             let told = ToldLimit::Rate(self.limit);
-            router.on_head(now, begun.id, attempt.id, told);
+            router.on_head(now, begun.id, attempt.id, &limit(told));
             self.told.entry(number).or_insert(now);
             router.on_attempt(now, begun.id, attempt.id, &answered());
         }
@@ -327,7 +334,9 @@
     let attempt = station.send(&begun);
     station.after(20);
     let now = station.now;
-    station.dispatcher.on_head(now, begun.id, attempt.id, told);
+    station
+        .dispatcher
+        .on_head(now, begun.id, attempt.id, &limit(told));
     station.end(&begun, &attempt, answered());
 }
 
@@ -350,7 +359,9 @@
     name_limit(&mut station, "keyed", Some(7), ToldLimit::Rate(2.0));
     for told in [ToldLimit::None, ToldLimit::Rate(50.0)] {
         let now = station.now;
-        station.dispatcher.on_head(now, early.id, attempt.id, told);
+        station
+            .dispatcher
+            .on_head(now, early.id, attempt.id, &limit(told));
     }
     assert!(is_limited(&mut station));
     let asks = station.dispatcher.take_token_asks();
@@ -494,6 +505,8 @@
         false => ToldLimit::None,
     };
     let now = station.now;
-    station.dispatcher.on_head(now, begun.id, attempt.id, told);
+    station
+        .dispatcher
+        .on_head(now, begun.id, attempt.id, &limit(told));
     station.end(&begun, &attempt, answered());
 }
--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -12,5 +12,6 @@
 mod regions;
 mod retries;
 mod schedules;
+mod signals;
 mod support;
 mod tenants;
--- a/crates/ports/src/wording.rs
+++ b/crates/ports/src/wording.rs
@@ -4,7 +4,7 @@
 
 use http_types::{Headers, Request};
 use threadledge_dispatch::outcome::Rejection;
-use threadledge_dispatch::{ToldLimit, ToldLoad};
+use threadledge_dispatch::{Signals, ToldLoad};
 use threadledge_types::deployment::{BackEndName, KeyDigest, ShardKey, TenantName};
 
 /// What a caller's head says beside route and body.
@@ -29,8 +29,8 @@
     pub not_run: Option<Rejection>,
     /// The load of the back end.
     pub load: Option<ToldLoad>,
-    /// The requests a second that the back end takes from all gateways.
-    pub limit: ToldLimit,
+    /// What concerns later requests.
+    pub signals: Signals,
     /// A successful answer bears the back end's mark.
     pub marked: bool,
 }
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -297,6 +297,9 @@
     BackEndLimitUnreadable = 517, "back-end-limit-unreadable", Warn,
         "A back end names something that is no number of requests a second; a limit that it named before stays in force. Written once for each back end.",
         "Correct the back end.";
+    BackEndSaidLeaving = 518, "back-end-said-leaving", Info,
+        "A back end said in an answer that it leaves; this gateway sends it nothing new, whatever the store says, and has told the coordinator of its keys.",
+        "None.";
     TenantKeysChanged = 520, "tenant-keys-changed", Info,
         "A configuration in force took callers' keys away or added some; the line has its version and the numbers.",
         "None.";
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -123,7 +123,7 @@
         let head = self
             .wording
             .answer(status, response.as_ref(), &attempt.back_end);
-        self.dispatch.on_head(exchange, attempt.id, head.limit);
+        self.dispatch.on_head(exchange, attempt.id, &head.signals);
         // Invariant: no caller gets the answer to another's request. HTTP/1.1
         // pairs requests and answers by their order alone; the id shows a
         // wrong pair.
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -57,6 +57,8 @@
     Ended(ServiceName, Ended),
     /// Another gateway reports what it saw of a service's load.
     Load(ServiceName, LoadReport),
+    /// A back end of a service said to this gateway that it leaves.
+    Leaving(ServiceName),
     /// A gateway asks for tokens of a service's back ends.
     Tokens(
         ServiceName,
@@ -203,6 +205,7 @@
                     }
                 }
             }
+            Event::Leaving(service) => self.report_leaving(now, &service),
             Event::Tokens(service, asks, reply) => {
                 // Whoever asked may have given up meanwhile.
                 let _ = reply.try_send(self.give_tokens(now, &service, &asks));
@@ -392,6 +395,26 @@
         });
     }
 
+    /// Tells the coordinator of a service at once which back ends said that they
+    /// leave: nobody is sent to them any more, and their keys wait for others.
+    fn report_leaving(&mut self, now: Timestamp, service: &ServiceName) {
+        let Some(coordinator) = self.coordinators.get_mut(service) else {
+            return;
+        };
+        let report = self
+            .dispatch
+            .with(|dispatcher, _now| dispatcher.leaving_report(service));
+        if coordinator.leading().is_some() {
+            coordinator.add_load(now, &report);
+            return;
+        }
+        let holder = coordinator.known().and_then(|(_, holder)| holder);
+        if let Some(address) = holder.and_then(|holder| holder.address) {
+            let peers = &self.participation.peers;
+            peers.report(address, service.clone(), report);
+        }
+    }
+
     /// Tells the coordinators what this gateway saw of the load.
     fn report_load(&mut self) {
         let now = self.clock.now();
@@ -430,7 +453,7 @@
                 continue;
             };
             self.participation.peers.heard_of(address);
-            if !report.requests.is_empty() || greeting {
+            if !report.is_empty() || greeting {
                 self.participation
                     .peers
                     .report(address, service.clone(), report);
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -3,14 +3,16 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use async_channel::{Receiver, Sender};
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::{
     AttemptEnd, AttemptId, Begun, Denial, Dispatcher, ExchangeId, LimitNews, Refusal, RequestFacts,
-    Step, ToldLimit,
+    Signals, Step,
 };
 use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
 
 use super::notifier::Notifier;
 use super::suspects::{Finding, SuspectSignals};
@@ -25,6 +27,8 @@
     suspects: SuspectSignals,
     /// A coordinator is to be asked for tokens.
     tokens_wanted: Notifier,
+    /// Services of back ends that said that they leave.
+    left: (Sender<ServiceName>, Receiver<ServiceName>),
     state: Mutex<State>,
 }
 
@@ -41,6 +45,7 @@
             clock,
             suspects,
             tokens_wanted: Notifier::default(),
+            left: async_channel::unbounded(),
             state: Mutex::new(State {
                 dispatcher,
                 signals,
@@ -53,6 +58,11 @@
         &self.suspects
     }
 
+    /// Tells the services of back ends that said that they leave, each once.
+    pub(super) fn left(&self) -> Receiver<ServiceName> {
+        self.left.1.clone()
+    }
+
     /// Told when a coordinator is to be asked for tokens.
     pub(super) fn tokens_wanted(&self) -> &Notifier {
         &self.tokens_wanted
@@ -77,6 +87,7 @@
         let learned = state.dispatcher.suspects().changes() != known;
         let denials = state.dispatcher.take_denials();
         let limit_news = state.dispatcher.take_limit_news();
+        let left = state.dispatcher.take_left();
         let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
@@ -89,6 +100,11 @@
         }
         denials.iter().for_each(tell_denial);
         limit_news.iter().for_each(tell_limit);
+        for (back_end, service) in left {
+            emit!(EventId::BackEndSaidLeaving, back_end = %back_end, service = %service);
+            // The channel is unbounded and closes only when the process ends.
+            let _ = self.left.0.try_send(service);
+        }
         if wants_tokens {
             self.tokens_wanted.notify();
         }
@@ -125,8 +141,8 @@
     }
 
     /// The head of an answer to an attempt came.
-    pub(super) fn on_head(&self, id: ExchangeId, attempt: AttemptId, limit: ToldLimit) {
-        self.with(|dispatcher, now| dispatcher.on_head(now, id, attempt, limit));
+    pub(super) fn on_head(&self, id: ExchangeId, attempt: AttemptId, signals: &Signals) {
+        self.with(|dispatcher, now| dispatcher.on_head(now, id, attempt, signals));
     }
 
     pub(super) fn on_attempt(
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -19,6 +19,7 @@
     serve, timer,
 };
 use threadledge_ports::Ports;
+use threadledge_types::deployment::ServiceName;
 use threadledge_types::{Incarnation, MachineName};
 
 use super::attempt::Attempts;
@@ -111,6 +112,17 @@
     Ok(())
 }
 
+/// Passes on which services have back ends that said that they leave.
+async fn tell_leaving(
+    left: async_channel::Receiver<ServiceName>,
+    events: async_channel::Sender<Event>,
+) {
+    while let Ok(service) = left.recv().await {
+        // The channel is unbounded and closes only when the process ends.
+        let _ = events.try_send(Event::Leaving(service));
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     let listening = TcpListener::bind(address).await;
     listening.map_err(|cause| GatewayError::Listen { address, cause })
@@ -243,6 +255,7 @@
             events: events.clone(),
         };
         task::spawn(tokens.run());
+        task::spawn(tell_leaving(self.dispatch.left(), events.clone()));
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
