Back ends that turn requests away and ask for rest get it

What callers saw: an alert that more than a tenth of profile-browse is not served; the three back ends that asked for 3 s of rest got up to 94 requests a second in place of 7 to 12, all turned away, two of each request 2 ms apart.

Where nothing else can take a request it is refused at once, with the end of the soonest rest, and without a retry of the budget. A rest has a bound of 300 s; what is no time is logged and gets the usual pause.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -23,6 +23,9 @@
 /// How long one that said that it leaves is remembered while it is not
 /// registered: an older list may name it again.
 const LEAVING_REMEMBERED: Duration = Duration::from_secs(60);
+/// Longest rest that a back end is given. One that asks for more, by mistake
+/// or not, is asked again then: nothing else would show that it is back.
+const LONGEST_REST: Duration = Duration::from_secs(300);
 /// How much longer a request takes at a back end that has just started.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -44,6 +47,8 @@
     gone: bool,
     /// It said in an answer that it leaves.
     said_leaving: bool,
+    /// It asked this router to send it nothing before then.
+    rests_until: Timestamp,
 }
 
 impl Known {
@@ -59,6 +64,7 @@
             full_until: Timestamp::ZERO,
             gone: false,
             said_leaving: false,
+            rests_until: Timestamp::ZERO,
         }
     }
 
@@ -67,6 +73,11 @@
         !self.back_end.draining && !self.gone && !self.said_leaving
     }
 
+    /// Until when this router is to send it nothing, as it asked.
+    pub(crate) fn rests_until(&self, now: Timestamp) -> Option<Timestamp> {
+        (now < self.rests_until).then_some(self.rests_until)
+    }
+
     /// Whether it is left alone for a while.
     pub(crate) fn ejected(&self, now: Timestamp) -> bool {
         now < self.ejected_until
@@ -155,6 +166,8 @@
     /// Back ends that said in an answer that they leave, and when. Invariant:
     /// nothing that is told of a registration takes that back: it may be older.
     said_leaving: BTreeMap<BackEndName, Timestamp>,
+    /// Ends of the rests that back ends asked for; they outlast registrations.
+    rests: BTreeMap<BackEndName, Timestamp>,
 }
 
 impl BackEnds {
@@ -250,6 +263,7 @@
             known.gone = false;
         }
         known.said_leaving = self.said_leaving.contains_key(&back_end.name);
+        known.rests_until = self.rests.get(&back_end.name).copied().unwrap_or_default();
         known.cold.set(now, now + back_end.cold_for, random);
         known.back_end = back_end.clone();
     }
@@ -263,6 +277,18 @@
         self.said_leaving.insert(name.clone(), now).is_none()
     }
 
+    /// A back end turned a request away and asked for so much rest. Of several
+    /// the one counts that ends last.
+    pub(crate) fn on_rest(&mut self, now: Timestamp, name: &BackEndName, rest: Duration) {
+        let until = now + rest.min(LONGEST_REST);
+        if let Some(known) = self.get_mut(name) {
+            known.rests_until = known.rests_until.max(until);
+            let until = known.rests_until;
+            self.rests.retain(|_, until| now < *until);
+            self.rests.insert(name.clone(), until);
+        }
+    }
+
     /// Back ends of a service that said that they leave, and whose registration
     /// does not say so.
     pub(crate) fn leaving_untold(&self, service: &ServiceName) -> Vec<BackEndName> {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -28,6 +28,9 @@
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest time that callers are told to wait.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// The same where back ends rest: they asked this router alone, and others may
+/// have room.
+const LONGEST_RESTING_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// What callers are told to wait for a key to have an owner again.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -123,6 +126,9 @@
         if !known.takes_requests() || known.ejected(self.now) {
             return no_owner;
         }
+        if let Some(until) = known.rests_until(self.now) {
+            return self.resting(until);
+        }
         if !self.admits_cold(known) {
             return self.spared([known].into_iter());
         }
@@ -158,10 +164,25 @@
         });
         match soonest {
             Some(known) => self.overloaded(known, exchange, &usual),
-            None => {
-                let takes = self.open_to(exchange);
-                self.spared(takes.filter(|known| !self.admits(known)))
-            }
+            None => self.none_open(exchange),
+        }
+    }
+
+    /// No back end is open to a request: some may be later.
+    fn none_open(&self, exchange: &Exchange) -> Choice {
+        let mut spared = self
+            .open_to(exchange)
+            .filter(|known| !self.admits(known))
+            .peekable();
+        if spared.peek().is_some() {
+            return self.spared(spared);
+        }
+        let rests = self
+            .staying(exchange)
+            .filter_map(|known| known.rests_until(self.now));
+        match rests.min() {
+            Some(until) => self.resting(until),
+            None => NotNow::settled(RefusalReason::NoBackEnd, LONGEST_RETRY_AFTER),
         }
     }
 
@@ -222,8 +243,19 @@
         })
     }
 
-    /// Back ends that take requests and may have this one.
-    fn open_to(&self, exchange: &Exchange) -> impl Iterator<Item = &'a Known> {
+    /// Nothing is there but back ends that asked for rest until then.
+    fn resting(&self, until: Timestamp) -> Choice {
+        let wait = until.since(self.now);
+        Choice::NotNow(NotNow {
+            reason: RefusalReason::BackEndResting,
+            retry_after: wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RESTING_RETRY_AFTER),
+            moving_until: None,
+            full_until: Some(until),
+        })
+    }
+
+    /// Back ends that are not leaving and may have this request.
+    fn staying(&self, exchange: &Exchange) -> impl Iterator<Item = &'a Known> {
         let places = &self.settings.places;
         let all = self.back_ends.of_service(&exchange.service);
         all.filter(move |known| {
@@ -231,6 +263,13 @@
         })
     }
 
+    /// Back ends that take requests and may have this one.
+    fn open_to(&self, exchange: &Exchange) -> impl Iterator<Item = &'a Known> {
+        let now = self.now;
+        self.staying(exchange)
+            .filter(move |known| known.rests_until(now).is_none())
+    }
+
     /// Back ends that may be asked: those not asked before and not left
     /// alone, or, when there are none such, the others.
     fn usable(&self, exchange: &Exchange) -> Vec<&'a Known> {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -90,6 +90,10 @@
     limited: LimitedBackEnds,
     /// Back ends that said that they leave, which has not been told.
     left: Vec<BackEndName>,
+    /// Back ends that asked for a rest that is no time, and those of them that
+    /// were not told.
+    odd_rests: BTreeSet<BackEndName>,
+    unreadable_rests: Vec<BackEndName>,
     /// Load of services divided by key, since the last report.
     observed: BTreeMap<ServiceName, ObservedLoad>,
     exchanges: HashMap<ExchangeId, Exchange>,
@@ -135,6 +139,8 @@
             not_held: NotHeld::default(),
             limited: LimitedBackEnds::default(),
             left: Vec::new(),
+            odd_rests: BTreeSet::new(),
+            unreadable_rests: Vec::new(),
             observed: BTreeMap::new(),
             exchanges: HashMap::new(),
             waiting: BTreeMap::new(),
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -5,6 +5,7 @@
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use super::{Dispatcher, Verdict};
+use crate::back_ends::Known;
 use crate::exchange::InFlight;
 use crate::outcome::{AttemptEnd, Fault, Rejection, ToldLoad, UnknownReason};
 use crate::request::{AttemptId, ExchangeId};
@@ -15,7 +16,7 @@
 impl Dispatcher {
     /// Whether an attempt may be sent now, asked right before its first byte.
     ///
-    /// Invariants: a leaving or vanished back end gets nothing new, and a key's
+    /// Invariants: a leaving, resting or vanished back end gets nothing new, and a key's
     /// request goes to its owner only, however long a connection took to open.
     pub fn may_send(&mut self, now: Timestamp, id: ExchangeId, attempt: AttemptId) -> bool {
         let Some(exchange) = self.exchanges.get_mut(&id) else {
@@ -30,7 +31,8 @@
         };
         let exchange_keyed = exchange.key.is_some();
         let known = self.back_ends.get(&in_flight.back_end);
-        if !known.is_some_and(|known| known.takes_requests()) {
+        let takes = |known: &Known| known.takes_requests() && known.rests_until(now).is_none();
+        if !known.is_some_and(takes) {
             return false;
         }
         if let Some(key) = exchange.key {
--- a/crates/dispatch/src/dispatcher/signals.rs
+++ b/crates/dispatch/src/dispatcher/signals.rs
@@ -4,7 +4,7 @@
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use super::Dispatcher;
-use crate::outcome::Signals;
+use crate::outcome::{Signals, ToldRest};
 use crate::request::{AttemptId, ExchangeId};
 
 impl Dispatcher {
@@ -28,6 +28,11 @@
         if signals.leaving {
             self.hear_leaving(now, &back_end);
         }
+        match signals.rest {
+            ToldRest::None => {}
+            ToldRest::For(rest) => self.back_ends.on_rest(now, &back_end, rest),
+            ToldRest::Unreadable => self.hear_unreadable_rest(back_end),
+        }
     }
 
     fn hear_leaving(&mut self, now: Timestamp, back_end: &BackEndName) {
@@ -36,6 +41,18 @@
         }
     }
 
+    fn hear_unreadable_rest(&mut self, back_end: BackEndName) {
+        if self.odd_rests.insert(back_end.clone()) {
+            self.unreadable_rests.push(back_end);
+        }
+    }
+
+    /// Back ends that asked for a rest that is no time, since this was asked
+    /// last; each is told once. They get the pause of one that is full.
+    pub fn take_unreadable_rests(&mut self) -> Vec<BackEndName> {
+        std::mem::take(&mut self.unreadable_rests)
+    }
+
     /// Back ends that said that they leave, since this was asked last; each is
     /// told once.
     pub fn take_left(&mut self) -> Vec<(BackEndName, ServiceName)> {
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -84,7 +84,10 @@
             let longer = exchange.started + target.mul_f64(self.settings.moving_patience);
             patience_until = patience_until.max(longer.min(exchange.deadline));
         }
-        if now >= patience_until {
+        // Nothing is sent before a rest has ended: the caller learns it at once.
+        let rests = not_now.reason == RefusalReason::BackEndResting;
+        let in_vain = rests && not_now.full_until.is_some_and(|end| end >= patience_until);
+        if now >= patience_until || in_vain {
             return self.finish(now, id, not_now.reason, Some(not_now.retry_after));
         }
         let again = [not_now.moving_until, not_now.full_until];
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,7 +29,8 @@
 pub use dispatcher::{Begun, Dispatcher};
 pub use limited::LimitNews;
 pub use outcome::{
-    AttemptEnd, Fault, Outcome, Refusal, RefusalReason, Signals, ToldLimit, ToldLoad, UnknownReason,
+    AttemptEnd, Fault, Outcome, Refusal, RefusalReason, Signals, ToldLimit, ToldLoad, ToldRest,
+    UnknownReason,
 };
 pub use request::{Attempt, AttemptId, Call, ExchangeId, RequestFacts, Step};
 pub use routes::RouteTable;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -105,6 +105,21 @@
     pub limit: ToldLimit,
     /// It leaves, and wants nothing new.
     pub leaving: bool,
+    /// It turned the request away and wants nothing from this router for a
+    /// while.
+    pub rest: ToldRest,
+}
+
+/// The rest that a back end asks for when it turns a request away.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ToldRest {
+    /// None.
+    #[default]
+    None,
+    /// So long.
+    For(Duration),
+    /// Something that is no time.
+    Unreadable,
 }
 
 /// The outcome of a request that no back end's answer ends.
@@ -148,6 +163,8 @@
     Overloaded,
     /// The back end names a limit, and all routers together have used it up.
     BackEndLimited,
+    /// Every back end that could take it asked this router for rest.
+    BackEndResting,
     /// The time was up before the request was sent.
     DeadlinePassed,
     /// Back ends that were asked did not run it.
@@ -161,7 +178,7 @@
 
 impl RefusalReason {
     /// Every reason.
-    pub const ALL: [RefusalReason; 14] = [
+    pub const ALL: [RefusalReason; 15] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::MissingApiKey,
@@ -172,6 +189,7 @@
         RefusalReason::NoOwner,
         RefusalReason::Overloaded,
         RefusalReason::BackEndLimited,
+        RefusalReason::BackEndResting,
         RefusalReason::DeadlinePassed,
         RefusalReason::Rejected,
         RefusalReason::CrashesBackEnds,
@@ -191,6 +209,7 @@
             RefusalReason::NoOwner => "no-owner",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::BackEndLimited => "back-end-limited",
+            RefusalReason::BackEndResting => "back-end-resting",
             RefusalReason::DeadlinePassed => "deadline-passed",
             RefusalReason::Rejected => "rejected",
             RefusalReason::CrashesBackEnds => "crashes-back-ends",
@@ -212,6 +231,7 @@
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
             | RefusalReason::BackEndLimited
+            | RefusalReason::BackEndResting
             | RefusalReason::DeadlinePassed
             | RefusalReason::Rejected
             | RefusalReason::CrashesBackEnds => 503,
--- a/crates/dispatch/tests/dispatcher/signals.rs
+++ b/crates/dispatch/tests/dispatcher/signals.rs
@@ -1,9 +1,12 @@
 //! What back ends say in their answers that concerns later requests.
 
-use threadledge_dispatch::{AttemptEnd, Signals, Step};
+use std::time::Duration;
+
+use threadledge_dispatch::outcome::Rejection;
+use threadledge_dispatch::{AttemptEnd, Outcome, RefusalReason, Signals, Step, ToldRest};
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
-use super::support::{Station, answered, back_end, is_refused};
+use super::support::{Station, answered, back_end, is_refused, not_run};
 
 const KEY: Option<u16> = Some(7);
 
@@ -108,3 +111,109 @@
     station.after(100);
     assert!(is_refused(&station.next(&begun)));
 }
+
+fn hear_rest(station: &mut Station, route: &str, key: Option<u16>, rest: ToldRest) {
+    let signals = Signals {
+        rest,
+        ..Signals::default()
+    };
+    hear(station, route, key, &signals, not_run(Rejection::Busy));
+}
+
+fn seconds(seconds: u64) -> ToldRest {
+    ToldRest::For(Duration::from_secs(seconds))
+}
+
+#[test]
+fn owner_that_asked_for_rest_gets_nothing_until_its_end() {
+    let mut station = Station::new();
+    hear_rest(&mut station, "keyed", KEY, seconds(3));
+    for _ in 0..29 {
+        assert!(!is_asked(&mut station));
+        // Registrations that come meanwhile end no rest.
+        station.publish();
+        station.after(100);
+    }
+    station.after(100);
+    assert!(is_asked(&mut station));
+}
+
+#[test]
+fn request_whose_owner_rests_is_refused_at_once_with_the_end_of_the_rest() {
+    let mut station = Station::new();
+    hear_rest(&mut station, "keyed", KEY, seconds(3));
+    station.after(1_000);
+    let begun = station.begin_with("keyed", KEY).expect("admitted");
+    let step = station.next(&begun);
+    let Step::Finish(Outcome::Refused(refusal)) = step else {
+        panic!("{step:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::BackEndResting);
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(2)));
+}
+
+#[test]
+fn of_two_rests_the_one_counts_that_ends_last() {
+    let mut station = Station::new();
+    let other = station.begin_with("keyed", KEY).expect("admitted");
+    let attempt = station.send(&other);
+    hear_rest(&mut station, "keyed", KEY, seconds(3));
+    let shorter = Signals {
+        rest: seconds(1),
+        ..Signals::default()
+    };
+    let now = station.now;
+    station
+        .dispatcher
+        .on_head(now, other.id, attempt.id, &shorter);
+    station.after(2_000);
+    assert!(!is_asked(&mut station));
+}
+
+#[test]
+fn rest_without_end_ends_after_some_minutes() {
+    let mut station = Station::new();
+    hear_rest(&mut station, "keyed", KEY, ToldRest::For(Duration::MAX));
+    station.after(299_000);
+    assert!(!is_asked(&mut station));
+    station.after(2_000);
+    assert!(is_asked(&mut station));
+}
+
+#[test]
+fn rest_that_is_no_time_is_told_once() {
+    let mut station = Station::new();
+    hear_rest(&mut station, "keyed", KEY, ToldRest::Unreadable);
+    assert_eq!(station.dispatcher.take_unreadable_rests().len(), 1);
+    station.after(2_000);
+    hear_rest(&mut station, "keyed", KEY, ToldRest::Unreadable);
+    assert!(station.dispatcher.take_unreadable_rests().is_empty());
+}
+
+#[test]
+fn request_that_was_chosen_before_the_rest_was_asked_for_is_not_sent_after() {
+    let mut station = Station::new();
+    let slow = station.begin_with("keyed", KEY).expect("admitted");
+    let Step::Send(attempt) = station.next(&slow) else {
+        panic!("not sent");
+    };
+    hear_rest(&mut station, "keyed", KEY, seconds(3));
+    let now = station.now;
+    assert!(!station.dispatcher.may_send(now, slow.id, attempt.id));
+}
+
+#[test]
+fn refusals_while_all_back_ends_rest_cost_no_retry() {
+    let mut station = Station::new();
+    for _ in 0..2 {
+        hear_rest(&mut station, "safe", None, seconds(3));
+    }
+    let repeats = station.dispatcher.counters().repeats;
+    for _ in 0..20 {
+        let begun = station.begin("safe").expect("admitted");
+        assert!(is_refused(&station.next(&begun)));
+        station.after(50);
+    }
+    let counters = station.dispatcher.counters();
+    assert_eq!((counters.repeats, counters.repeats_denied), (repeats, 0));
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -300,6 +300,9 @@
     BackEndSaidLeaving = 518, "back-end-said-leaving", Info,
         "A back end said in an answer that it leaves; this gateway sends it nothing new, whatever the store says, and has told the coordinator of its keys.",
         "None.";
+    RestUnreadable = 519, "rest-unreadable", Warn,
+        "A back end turned a request away and asked for a rest that is no number of seconds; it gets the pause of one that is full.",
+        "Correct the back end.";
     TenantKeysChanged = 520, "tenant-keys-changed", Info,
         "A configuration in force took callers' keys away or added some; the line has its version and the numbers.",
         "None.";
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -88,6 +88,7 @@
         let denials = state.dispatcher.take_denials();
         let limit_news = state.dispatcher.take_limit_news();
         let left = state.dispatcher.take_left();
+        let unreadable_rests = state.dispatcher.take_unreadable_rests();
         let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
@@ -105,6 +106,9 @@
             // The channel is unbounded and closes only when the process ends.
             let _ = self.left.0.try_send(service);
         }
+        for back_end in unreadable_rests {
+            emit!(EventId::RestUnreadable, back_end = %back_end);
+        }
         if wants_tokens {
             self.tokens_wanted.notify();
         }
