Cold back ends: the moment at which a turn begins ends no process

What callers would see: a gateway that ends while back ends are cold.

Cause: the age of a turn was reckoned as the time passed less the turns so far; where a turn begins at this very moment, rounding makes it a little less than nothing (0.3 % of such moments where turns are whole milliseconds apart, 10,416 of 3,000,000 drawn), and a negative duration panics.

Before: cold::moment_at_which_a_turn_begins_is_reckoned_without_a_panic fails with 'cannot convert float seconds to Duration: value is negative'. After: it passes, as do the other tests of cold back ends.

--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -124,7 +124,8 @@
         let passed = now.since(first).as_secs_f64();
         let length = interval.as_secs_f64().max(1e-3);
         let turn = (passed / length).floor();
-        let age = Duration::from_secs_f64(passed - turn * length);
+        // Rounding may put the turn a little later than now.
+        let age = Duration::from_secs_f64((passed - turn * length).max(0.0));
         Some((turn as u64, age))
     }
 }
--- a/crates/dispatch/tests/dispatcher/cold.rs
+++ b/crates/dispatch/tests/dispatcher/cold.rs
@@ -226,3 +226,36 @@
         station.after(100);
     }
 }
+
+/// At the moment at which a turn begins, rounding may put it a little later.
+#[test]
+fn moment_at_which_a_turn_begins_is_reckoned_without_a_panic() {
+    for routers in 1..=40 {
+        let settings = Settings {
+            cold_slack: 1_000.0,
+            ..Settings::default()
+        };
+        let mut station = Station::with(settings, u64::from(routers));
+        station.dispatcher.set_fleet(station.now, routers, None);
+        let mut configuration = with_cold_back_ends(&["plain"]);
+        let service = configuration.services.get_mut(&"plain".into());
+        // Turns are whole milliseconds apart.
+        service.expect("the service").cold_rate = Some(2.5);
+        station.configure(configuration);
+        let cold_for = Duration::from_secs(3_600);
+        station.back_ends = vec![BackEnd {
+            cold_for,
+            ..cold("p-cold", "plain", 1)
+        }];
+        station.publish();
+        for _ in 0..2_000 {
+            let begun = station.begin("safe").expect("admitted");
+            if let Step::Wait(until) = station.next(&begun) {
+                station.now = until;
+                station.next(&begun);
+            }
+            station.dispatcher.abandon(station.now, begun.id);
+            station.after(20);
+        }
+    }
+}
