Soak: back ends that name limits, say that they leave or ask for rest

Judged from what came at the back ends, by gateway: limits over all gateways that were told, leaving and rests for each; a gateway that was killed has heard nothing before. Requests bear the gateway that they are sent to in their id.

--- a/crates/router/tests/gateway/leaving_back_ends.rs
+++ b/crates/router/tests/gateway/leaving_back_ends.rs
@@ -27,7 +27,8 @@
 /// Requests that came after everybody could know.
 fn late(back_end: &StandInBackEnd, said: Instant) -> usize {
     let arrivals = back_end.arrivals();
-    arrivals.iter().filter(|at| **at >= said + DRAIN).count()
+    let late = arrivals.iter().filter(|arrival| arrival.at >= said + DRAIN);
+    late.count()
 }
 
 #[test]
--- a/crates/router/tests/gateway/limited.rs
+++ b/crates/router/tests/gateway/limited.rs
@@ -21,8 +21,8 @@
 
 /// Most requests that came in any window, from when all gateways know.
 fn busiest(back_end: &StandInBackEnd, named: Instant) -> usize {
-    let mut arrivals = back_end.arrivals();
-    arrivals.retain(|at| *at >= named + CONTACT);
+    let arrivals = back_end.arrivals().into_iter().map(|arrival| arrival.at);
+    let arrivals: Vec<Instant> = arrivals.filter(|at| *at >= named + CONTACT).collect();
     let within = |from: &Instant| {
         let window = arrivals
             .iter()
--- a/crates/router/tests/gateway/rest.rs
+++ b/crates/router/tests/gateway/rest.rs
@@ -24,7 +24,11 @@
 
 /// Most requests that came in one rest that was asked for.
 fn disturbed(back_end: &StandInBackEnd) -> usize {
-    let arrivals = back_end.arrivals();
+    let arrivals: Vec<Instant> = back_end
+        .arrivals()
+        .iter()
+        .map(|arrival| arrival.at)
+        .collect();
     let within = |asked: &Instant| {
         let rest = *asked + HEARD..*asked + REST;
         arrivals.iter().filter(|at| rest.contains(*at)).count()
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -137,14 +137,15 @@
     let client = client();
     let mut sent = 0_u64;
     while !stop.is_stopped() {
-        let to = gateways[rng.random_range(0..gateways.len())];
+        let gateway = rng.random_range(0..gateways.len());
+        let to = gateways[gateway];
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
         let stray = if sent % tenants::STRAY_EACH == tenants::STRAY_EACH - 1 {
             tenants::STRAY
         } else {
             ""
         };
-        let id = format!("{stray}c{number}-{sent}");
+        let id = format!("{stray}c{number}-{sent}{}", at_gateway(gateway));
         sent += 1;
         let key = rng.random::<u16>();
         let seen = ask(&client, to, kind, &id, key).await;
@@ -153,6 +154,17 @@
     }
 }
 
+/// The end of the id of a request that is sent to a gateway.
+pub(crate) fn at_gateway(number: usize) -> String {
+    format!("-g{number}")
+}
+
+/// Which gateway a request was sent to, as its id tells.
+pub(crate) fn gateway_of(id: &str) -> Option<usize> {
+    let (_, number) = id.rsplit_once("-g")?;
+    number.parse().ok()
+}
+
 /// A pause of a caller.
 pub(crate) fn pause(rng: &mut ChaCha8Rng) -> Duration {
     Duration::from_millis(rng.random_range(PAUSE_MS.0..PAUSE_MS.1))
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -162,6 +162,19 @@
         /// Those of them that it reached when the fleet had to know.
         late: usize,
     },
+    /// A back end got requests that it had said it does not want.
+    Unwanted {
+        /// The back end.
+        back_end: String,
+        /// What it had said.
+        said: String,
+        /// Requests that it got.
+        requests: usize,
+        /// Those that it might get.
+        allowed: usize,
+        /// When the last of them came.
+        at: Duration,
+    },
     /// In the calm after the faults something still does not work.
     NotRecovered {
         /// What does not.
@@ -250,6 +263,18 @@
                 f,
                 "a request ({kind}) that crashes back ends reached {runs}, {late} of them too late"
             ),
+            Violation::Unwanted {
+                back_end,
+                said,
+                requests,
+                allowed,
+                at,
+            } => write!(
+                f,
+                "{back_end} had said {said} and got {requests} requests until {:.3} s, \
+                 {allowed} allowed",
+                at.as_secs_f64()
+            ),
             Violation::NotRecovered { problem } => write!(f, "after the faults: {problem}"),
         }
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -119,6 +119,22 @@
     },
     /// A back end is slow for a while, as after its start, and says so.
     Cold(usize),
+    /// A back end names a limit in its answers.
+    NamesLimit {
+        /// The back end.
+        back_end: usize,
+        /// Requests that it takes in ten seconds.
+        in_ten_s: u32,
+    },
+    /// A back end says in its answers that it leaves, and is replaced then.
+    SaysLeaving(usize),
+    /// A back end turns every request away and asks for rest.
+    AsksRest {
+        /// The back end.
+        back_end: usize,
+        /// The rest.
+        rest: Duration,
+    },
     /// A back end leaves grants unanswered and carries them out later.
     LateGrants {
         /// The back end.
@@ -146,6 +162,9 @@
                 | Kind::Restart { .. }
                 | Kind::Cold(_)
                 | Kind::LateGrants { .. }
+                | Kind::NamesLimit { .. }
+                | Kind::SaysLeaving(_)
+                | Kind::AsksRest { .. }
         )
     }
 
@@ -177,6 +196,20 @@
     }
 }
 
+/// Pause between two things that back ends say, in milliseconds.
+const SAID_PAUSE_MS: (u64, u64) = (400, 2_000);
+/// Pause between what happens beside them, in milliseconds.
+const BESIDE_PAUSE_MS: (u64, u64) = (1_500, 5_000);
+/// How long a back end names a limit, in milliseconds.
+const LIMIT_MS: (u64, u64) = (6_000, 12_000);
+/// Requests that one takes in ten seconds.
+const LIMIT_IN_TEN_S: (u32, u32) = (5, 60);
+/// From when a back end says that it leaves until it is replaced, in
+/// milliseconds.
+const LEAVING_MS: (u64, u64) = (4_000, 7_000);
+/// Rest that is asked for, in milliseconds.
+const REST_MS: (u64, u64) = (800, 4_000);
+
 /// Which faults come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -184,6 +217,9 @@
     All,
     /// Those alone that aim at the owners of keys.
     Owners,
+    /// Back ends that say what concerns later requests, a store that is away and
+    /// gateways that are killed.
+    Backpressure,
 }
 
 /// The faults of a run of `total`, in the order of their beginnings.
@@ -194,6 +230,12 @@
     back_ends: usize,
     choice: Choice,
 ) -> Vec<Fault> {
+    if choice == Choice::Backpressure {
+        let mut faults = backpressure(seed, total, back_ends);
+        faults.extend(beside_backpressure(seed, total, gateways));
+        faults.sort_by_key(|fault| fault.at);
+        return faults;
+    }
     let mut faults = aimed_at_owners(seed, total, gateways, back_ends);
     faults.extend(silences(seed, total, gateways));
     faults.extend(long_holds(seed, total, back_ends));
@@ -363,3 +405,55 @@
         _ => Kind::Configure,
     }
 }
+
+/// Back ends that say what concerns later requests, in series that overlap.
+fn backpressure(seed: u64, total: Duration, back_ends: usize) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(5);
+    let mut at = Duration::ZERO;
+    let mut faults = Vec::new();
+    loop {
+        at += between(&mut rng, SAID_PAUSE_MS);
+        if at >= total {
+            return faults;
+        }
+        let back_end = rng.random_range(0..back_ends);
+        let (kind, lengths) = match rng.random_range(0..4) {
+            0 => (Kind::SaysLeaving(back_end), LEAVING_MS),
+            1 => {
+                let rest = between(&mut rng, REST_MS);
+                (Kind::AsksRest { back_end, rest }, LENGTH_MS)
+            }
+            _ => {
+                let in_ten_s = rng.random_range(LIMIT_IN_TEN_S.0..LIMIT_IN_TEN_S.1);
+                (Kind::NamesLimit { back_end, in_ten_s }, LIMIT_MS)
+            }
+        };
+        let length = between(&mut rng, lengths);
+        faults.push(Fault { at, length, kind });
+    }
+}
+
+/// What happens beside that: what excuses a gateway from them must be known,
+/// so that no link is cut.
+fn beside_backpressure(seed: u64, total: Duration, gateways: usize) -> Vec<Fault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(6);
+    let mut at = Duration::ZERO;
+    let mut faults = Vec::new();
+    loop {
+        at += between(&mut rng, BESIDE_PAUSE_MS);
+        if at >= total {
+            return faults;
+        }
+        let kind = match rng.random_range(0..6) {
+            0 | 1 => Kind::Kill(rng.random_range(0..gateways)),
+            2 => Kind::StoreSilent,
+            3 => Kind::StoreBusy,
+            4 => Kind::StoreForgets,
+            _ => Kind::Configure,
+        };
+        let length = between(&mut rng, LENGTH_MS);
+        faults.push(Fault { at, length, kind });
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 //! The seed decides which faults come when. Processes and sockets run in real
 //! time, so a seed repeats the faults and not the run.
 
+pub mod backpressure;
 pub mod caller;
 pub mod check;
 pub mod crashing;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -46,6 +46,9 @@
     crashing: bool,
     /// Back ends that crash come back under the ids that they had
     lives: bool,
+    /// Only back ends that say what concerns later requests, beside a store
+    /// that is away and gateways that are killed
+    backpressure: bool,
     /// Show the faults of the seed and run nothing
     plan: bool,
 }
@@ -61,9 +64,14 @@
 fn main() -> eyre::Result<ExitCode> {
     let arguments = arguments().run();
     let mut sound = true;
-    let faults = match arguments.owners_only {
-        true => Choice::Owners,
-        false => Choice::All,
+    let faults = match arguments {
+        Arguments {
+            backpressure: true, ..
+        } => Choice::Backpressure,
+        Arguments {
+            owners_only: true, ..
+        } => Choice::Owners,
+        _ => Choice::All,
     };
     for seed in arguments.seed..arguments.seed + arguments.soaks {
         let options = Options {
--- a/crates/soak/src/pipelined.rs
+++ b/crates/soak/src/pipelined.rs
@@ -12,7 +12,7 @@
 use threadledge_net::{Instant, StopSignal, timer};
 use threadledge_platform_stand_in::CallerRequest;
 
-use crate::caller::{DEADLINE, History, Kind, MARGIN, pause};
+use crate::caller::{DEADLINE, History, Kind, MARGIN, at_gateway, pause};
 use crate::check::{Answer, Seen};
 use crate::tenants;
 
@@ -75,13 +75,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64 + 1) << 32 ^ DRAWS);
     let mut sent = 0_u64;
     while !stop.is_stopped() {
-        let to = gateways[rng.random_range(0..gateways.len())];
+        let gateway = rng.random_range(0..gateways.len());
+        let to = gateways[gateway];
         let count = rng.random_range(AT_ONCE.0..AT_ONCE.1);
         let burst = (0..count).map(|_| {
             sent += 1;
             let changes = rng.random_range(0..ONE_UNSAFE_IN) == 0;
             let kind = if changes { Kind::Unsafe } else { Kind::Safe };
-            let id = format!("p{number}-{sent}");
+            let id = format!("p{number}-{sent}{}", at_gateway(gateway));
             Asked { id, kind }
         });
         let burst: Vec<Asked> = burst.collect();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use async_std::task;
 use threadledge_net::{HttpClient, StopSignal, timer};
 
+use crate::backpressure::Episode;
 use crate::caller::{self, History};
 use crate::check::{self, Answer, Violation};
 use crate::crashing;
@@ -124,6 +125,10 @@
     shown: BTreeMap<(usize, u64), u64>,
     /// Back ends that crashed and come back.
     away: BTreeSet<String>,
+    /// What back ends said, by when they began to.
+    episodes: Vec<(Duration, Episode)>,
+    /// Gateways that were killed.
+    kills: Vec<(usize, Instant)>,
     overlaps: BTreeMap<u16, (Instant, Violation)>,
     looks: u64,
     client: HttpClient,
@@ -155,6 +160,8 @@
         stopping: BTreeMap::new(),
         shown: BTreeMap::new(),
         away: BTreeSet::new(),
+        episodes: Vec::new(),
+        kills: Vec::new(),
         overlaps: BTreeMap::new(),
         looks: 0,
         client: caller::client(),
@@ -248,6 +255,10 @@
             .world
             .judge_ownership(self.start, OVERLAP * self.patience);
         self.violations.extend(found);
+        for (_, episode) in &self.episodes {
+            let found = episode.judge(self.start, &self.kills, self.patience);
+            self.violations.extend(found);
+        }
         for kind in crashing::KINDS {
             let runs = self.world.crashing_runs(kind).into_iter();
             let runs = runs.map(|at| at.saturating_duration_since(self.start));
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -8,6 +8,7 @@
 use threadledge_platform_stand_in::Fault as StoreFault;
 
 use super::{LAPSE, LATE, Later, Soak, Step, zone_name};
+use crate::backpressure::{Backpressure, Episode};
 use crate::check::{self, Violation};
 use crate::fault::{Fault, Kind};
 use crate::proxy::Mode;
@@ -24,6 +25,7 @@
     pub(super) async fn inject(&mut self, fault: &Fault) -> eyre::Result<()> {
         self.note(fault)?;
         let due = Instant::now() + fault.length;
+        let began = self.since_start();
         let kind = fault.kind;
         match kind {
             Kind::Kill(gw) => self.kill(gw),
@@ -84,12 +86,19 @@
                 late,
             } => self.restart(back_end, dark, lapses, late),
             Kind::Cold(be) => self.world.turn_cold(be, fault.length),
+            Kind::NamesLimit { back_end, in_ten_s } => {
+                let rate = f64::from(in_ten_s) / 10.0;
+                self.say(began, back_end, Backpressure::Limit(rate));
+            }
+            Kind::SaysLeaving(be) => self.say(began, be, Backpressure::Leaving),
+            Kind::AsksRest { back_end, rest } => {
+                self.say(began, back_end, Backpressure::Rest(rest));
+            }
             Kind::LateGrants { back_end, lateness } => {
                 let inner = &self.world.back_ends[back_end].inner;
                 inner.set_lateness(Some(lateness));
             }
         }
-        let began = self.since_start();
         if kind.cuts_off() {
             self.troubles.push(began..began + fault.length + kind.lag());
         }
@@ -97,6 +106,25 @@
         Ok(())
     }
 
+    /// A back end begins to say something, unless it says such a thing already.
+    fn say(&mut self, began: Duration, back_end: usize, said: Backpressure) {
+        let inner = self.world.back_ends[back_end].inner.clone();
+        let mut episodes = self.episodes.iter();
+        if episodes.any(|(_, episode)| episode.says(&inner, said)) {
+            return;
+        }
+        let episode = Episode::begin(inner, said);
+        self.episodes.push((began, episode));
+    }
+
+    /// The back ends that began to say something then say it no more.
+    fn unsay(&mut self, began: Duration) {
+        let begun = self.episodes.iter_mut();
+        for (_, episode) in begun.filter(|(at, _)| *at == began) {
+            episode.end();
+        }
+    }
+
     pub(super) fn put_off(&mut self, due: Instant, step: Step) {
         self.later.push(Later { due, step });
     }
@@ -129,6 +157,7 @@
     }
 
     pub(super) fn kill(&mut self, gw: usize) {
+        self.kills.push((gw, Instant::now()));
         self.stopping.remove(&gw);
         self.world.gateways[gw].kill();
     }
@@ -142,6 +171,11 @@
         for each in due {
             self.note(&each.step)?;
             match each.step {
+                Step::End(Kind::SaysLeaving(be), began) => {
+                    self.unsay(began);
+                    self.world.forget_left();
+                    self.world.replace(be).await?;
+                }
                 Step::End(kind, began) => self.end(kind, began)?,
                 Step::ComeBack { back_end, crashed } => {
                     self.world.come_back(back_end, &crashed).await?;
@@ -175,6 +209,7 @@
             }
             Kind::StoreHold { gateway, lag, .. } => self.world.doors[gateway].heal(lag),
             Kind::Cold(be) => self.world.turn_cold(be, Duration::ZERO),
+            Kind::NamesLimit { .. } | Kind::AsksRest { .. } => self.unsay(began),
             Kind::LateGrants { back_end, .. } => {
                 self.world.back_ends[back_end].inner.set_lateness(None);
             }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use threadledge_soak::check::{owners, requests, runs_after_drain};
-use threadledge_soak::fault::{Choice, plan};
+use threadledge_soak::fault::{Choice, Kind, plan};
 use threadledge_soak::{Answer, Seen, Violation};
 
 fn seen(id: &str, repeatable: bool, status: u16) -> Seen {
@@ -116,3 +116,17 @@
     assert!(first.is_sorted_by_key(|fault| fault.at));
     assert!(first.iter().all(|fault| fault.at < total));
 }
+
+#[test]
+fn seed_decides_what_back_ends_say_and_no_link_is_cut_beside() {
+    let total = Duration::from_secs(60);
+    let first = plan(5, total, 4, 6, Choice::Backpressure);
+    assert_eq!(first, plan(5, total, 4, 6, Choice::Backpressure));
+    assert!(first.is_sorted_by_key(|fault| fault.at));
+    let says = |wanted: fn(&Kind) -> bool| first.iter().any(|fault| wanted(&fault.kind));
+    assert!(says(|kind| matches!(kind, Kind::NamesLimit { .. })));
+    assert!(says(|kind| matches!(kind, Kind::SaysLeaving(_))));
+    assert!(says(|kind| matches!(kind, Kind::AsksRest { .. })));
+    let cuts = |kind: &Kind| matches!(kind, Kind::BackEndHold { .. } | Kind::StoreCut(_));
+    assert!(!first.iter().any(|fault| cuts(&fault.kind)));
+}
