Keys leave an owner that asked for rest, while others can take them

What callers saw: with one of four owners at rest, 399 of 513 requests were served from 2 s on (three gateways, 120 requests a second); the others were refused until the rest was over, while three owners had room.

Cause: a rest is asked of one gateway, and only that one heard of it; the coordinator did not, though every gateway is asked in turn.

Change: a gateway that is asked for 0.8 s of rest or more tells the coordinator at once; the owner gets no keys for twice what is left, 10 s at the most, then its share again. Where more than a third of the owners rest they keep their keys, since the others would be next. While the store is silent nothing is taken from them. Event 507 tells of rests.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -171,6 +171,8 @@
 pub enum ReleaseReason {
     /// The back end is leaving.
     Draining,
+    /// It asked routers for rest.
+    Resting,
     /// Its registration is gone.
     Unregistered,
     /// It no longer answers.
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -19,6 +19,11 @@
 /// How long a lost back end is given nothing, unless it answers an order.
 const LOST_COOLDOWN: Duration = Duration::from_secs(3);
 
+/// Longest rest by which keys are kept away from a back end.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+/// Where more than one in so many owners rests, their keys stay.
+const MANY_REST: usize = 3;
+
 /// How long after a release was given up it may still be carried out: back ends
 /// were seen to do so up to 12 seconds late.
 pub const LATE_ORDERS: Duration = Duration::from_secs(15);
@@ -78,6 +83,8 @@
     Draining,
     /// It is not registered.
     Unregistered,
+    /// It asked routers for rest.
+    Resting,
     /// It does not answer.
     Lost,
     /// It did not understand a grant.
@@ -107,6 +114,8 @@
     /// Those that said to a router that they leave. Invariant: no registration
     /// takes that back: it may be older.
     said_leaving: BTreeSet<BackEndName>,
+    /// Those that asked routers for rest, and until when they get no keys.
+    resting: BTreeMap<BackEndName, Timestamp>,
     /// Cold back ends bear few requests.
     frail_when_cold: bool,
     /// Some back end may have become unfit to own keys since it was asked last.
@@ -161,11 +170,40 @@
         }
     }
 
-    /// Whether a back end said that it leaves, and its registration does not.
-    pub fn leaves_untold(&self, name: &BackEndName) -> bool {
+    /// A router was asked by a back end for rest, of which so much is left.
+    /// Twice that long it gets no keys: what overloaded it lasts as a rule.
+    pub fn on_resting(&mut self, now: Timestamp, name: &BackEndName, left: Duration) {
+        if !self.is_registered(name) {
+            return;
+        }
+        let until = now + left.min(LONGEST_REST) * 2;
+        self.resting.retain(|_, until| now < *until);
+        let known = self.resting.entry(name.clone()).or_insert(until);
+        *known = until.max(*known);
+        self.changed = true;
+    }
+
+    /// Whether a back end rests and others can take its keys. Where many rest
+    /// the others would be the next ones.
+    fn rests(&self, now: Timestamp, name: &BackEndName) -> bool {
+        let resting = |until: &Timestamp| now < *until;
+        if !self.resting.get(name).is_some_and(resting) {
+            return false;
+        }
+        let count = self.resting.values().filter(|until| resting(until)).count();
+        count * MANY_REST <= self.registered.len()
+    }
+
+    /// Whether it is known from routers alone that a back end should not keep
+    /// its keys: it still answers requests for them.
+    pub fn is_said_only(&self, name: &BackEndName, reason: Ineligible) -> bool {
         let registered = self.registered.get(name);
         let draining = registered.is_some_and(|registered| registered.draining);
-        !draining && self.said_leaving.contains(name)
+        match reason {
+            Ineligible::Resting => true,
+            Ineligible::Draining => !draining,
+            _ => false,
+        }
     }
 
     /// Whether some back end may have become unfit to own keys since this was
@@ -201,6 +239,9 @@
         if self.occupancy.has_ended(name) {
             return Some(Ineligible::Replaced);
         }
+        if self.rests(now, name) {
+            return Some(Ineligible::Resting);
+        }
         let contact = self.contacts.get(name)?;
         if contact.refused {
             return Some(Ineligible::Refused);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use action::{Action, Notice};
 pub use coordinator::Coordinator;
-pub use load::{KeyCount, LoadReport, SpeedSample};
+pub use load::{KeyCount, LoadReport, RestingBackEnd, SpeedSample};
 pub use order::{
     Distance, GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply,
 };
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -47,6 +47,9 @@
     /// Back ends that said that they leave, of which the store does not say so.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<BackEndName>,
+    /// Back ends that asked this router for rest.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub resting: Vec<RestingBackEnd>,
 }
 
 impl LoadReport {
@@ -85,11 +88,17 @@
         let mut leaving: BTreeSet<BackEndName> = self.leaving.drain(..).collect();
         leaving.extend(other.leaving);
         self.leaving = leaving.into_iter().collect();
+        self.resting.extend(other.resting);
+    }
+
+    /// Whether it says of no back end that it should not keep its keys.
+    pub fn tells_no_owner(&self) -> bool {
+        self.leaving.is_empty() && self.resting.is_empty()
     }
 
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty() && self.speeds.is_empty() && self.leaving.is_empty()
+        self.requests.is_empty() && self.speeds.is_empty() && self.tells_no_owner()
     }
 }
 
@@ -103,6 +112,16 @@
     pub count: u32,
 }
 
+/// A back end that asked a router for rest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RestingBackEnd {
+    /// The back end.
+    pub back_end: BackEndName,
+    /// What is left of the rest, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// How long requests took at one back end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -167,6 +167,10 @@
         for name in &report.leaving {
             self.holders.on_leaving(name);
         }
+        for resting in &report.resting {
+            let left = Duration::from_millis(resting.left_ms);
+            self.holders.on_resting(now, &resting.back_end, left);
+        }
     }
 
     /// Answers routers that ask for tokens. Called only while the office is
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -248,6 +248,7 @@
 pub(super) fn release_reason(reason: Ineligible) -> ReleaseReason {
     match reason {
         Ineligible::Draining => ReleaseReason::Draining,
+        Ineligible::Resting => ReleaseReason::Resting,
         Ineligible::Unregistered => ReleaseReason::Unregistered,
         Ineligible::Lost => ReleaseReason::Lost,
         Ineligible::Refused => ReleaseReason::Refused,
--- a/crates/coordination/src/ownership/moves.rs
+++ b/crates/coordination/src/ownership/moves.rs
@@ -24,8 +24,9 @@
     }
 
     /// Begins to take keys back from owners that may not keep them. `fence` is
-    /// above that of every grant. Those that only said that they leave keep
-    /// them until the store answers: nobody else could be given them before.
+    /// above that of every grant. Those that only told routers that
+    /// they leave or rest keep them until the store answers: nobody else could be
+    /// given them before.
     pub(super) fn take_back(&mut self, now: Timestamp, fence: Fence, store_answers: bool) {
         for tracked in &mut self.tracked {
             let Some(owner) = tracked.owner().cloned() else {
@@ -34,11 +35,11 @@
             if tracked.releasing.is_some() || tracked.successor.is_some() {
                 continue;
             }
-            if !store_answers && self.holders.leaves_untold(&owner.name) {
-                self.retracked = true;
-                continue;
-            }
             if let Some(reason) = self.holders.ineligible(&owner.name, now) {
+                if !store_answers && self.holders.is_said_only(&owner.name, reason) {
+                    self.retracked = true;
+                    continue;
+                }
                 tracked.release(now, fence);
                 self.notices.push(Notice::ReleaseStarted {
                     range: tracked.slice.range,
--- a/crates/coordination/tests/simulation/named.rs
+++ b/crates/coordination/tests/simulation/named.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use threadledge_coordination::{
-    GrantOrder, KeyCount, LoadReport, Order, OrderId, OrderKind, Owner,
+    GrantOrder, KeyCount, LoadReport, Order, OrderId, OrderKind, Owner, RestingBackEnd,
 };
 use threadledge_types::deployment::{BackEndName, KeyRange, ShardKey};
 
@@ -173,6 +173,50 @@
     assert_ne!(world.owner(100), Some(owner));
 }
 
+fn ask_for_rest(world: &mut World, names: &[BackEndName], left_ms: u64) {
+    let resting = names.iter().map(|name| RestingBackEnd {
+        back_end: name.clone(),
+        left_ms,
+    });
+    let report = LoadReport {
+        resting: resting.collect(),
+        ..LoadReport::default()
+    };
+    let coordinator = world.coordinator().expect("one coordinates");
+    let now = world.now;
+    world.nodes[coordinator].coordinator.add_load(now, &report);
+}
+
+fn keys_of(world: &World, name: &BackEndName) -> u32 {
+    let view = world.view().expect("a record");
+    let owned = view.owned().filter(|(_, owner)| *owner == name);
+    owned.map(|(range, _)| range.len()).sum()
+}
+
+#[test]
+fn owner_that_asked_routers_for_rest_hands_over_and_gets_keys_again() {
+    let mut world = World::settled(8);
+    let owner = world.owner(100).expect("owned");
+    ask_for_rest(&mut world, std::slice::from_ref(&owner), 2_000);
+    world.run(SECOND);
+    assert_eq!(keys_of(&world, &owner), 0);
+    assert!(world.all_served());
+    world.run(SECOND * 6);
+    assert!(keys_of(&world, &owner) > 65_536 / 6 / 2);
+    assert!(world.all_served());
+}
+
+#[test]
+fn owners_of_whom_many_asked_for_rest_keep_their_keys() {
+    let mut world = World::settled(8);
+    let names: Vec<BackEndName> = world.back_ends.keys().take(4).cloned().collect();
+    let before: Vec<u32> = names.iter().map(|name| keys_of(&world, name)).collect();
+    ask_for_rest(&mut world, &names, 2_000);
+    world.run(SECOND);
+    let after: Vec<u32> = names.iter().map(|name| keys_of(&world, name)).collect();
+    assert_eq!(before, after);
+}
+
 #[test]
 fn new_back_end_gets_its_share() {
     let mut world = World::settled(9);
--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
+use threadledge_coordination::RestingBackEnd;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 
@@ -26,6 +27,9 @@
 /// Longest rest that a back end is given. One that asks for more, by mistake
 /// or not, is asked again then: nothing else would show that it is back.
 const LONGEST_REST: Duration = Duration::from_secs(300);
+/// Shortest rest of which a coordinator is told: keys that move are refused for
+/// some tenths of a second.
+const TOLD_REST: Duration = Duration::from_millis(800);
 /// How much longer a request takes at a back end that has just started.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -278,15 +282,18 @@
     }
 
     /// A back end turned a request away and asked for so much rest. Of several
-    /// the one counts that ends last.
-    pub(crate) fn on_rest(&mut self, now: Timestamp, name: &BackEndName, rest: Duration) {
+    /// the one counts that ends last. Says whether it did not rest before.
+    pub(crate) fn on_rest(&mut self, now: Timestamp, name: &BackEndName, rest: Duration) -> bool {
         let until = now + rest.min(LONGEST_REST);
-        if let Some(known) = self.get_mut(name) {
-            known.rests_until = known.rests_until.max(until);
-            let until = known.rests_until;
-            self.rests.retain(|_, until| now < *until);
-            self.rests.insert(name.clone(), until);
-        }
+        let Some(known) = self.get_mut(name) else {
+            return false;
+        };
+        let begins = known.rests_until(now).is_none() && until > now;
+        known.rests_until = known.rests_until.max(until);
+        let until = known.rests_until;
+        self.rests.retain(|_, until| now < *until);
+        self.rests.insert(name.clone(), until);
+        begins
     }
 
     /// Back ends of a service that said that they leave, and whose registration
@@ -301,6 +308,24 @@
         untold.cloned().collect()
     }
 
+    /// Back ends of a service that asked this router for a rest that is long
+    /// enough to be told of.
+    pub(crate) fn resting(&self, now: Timestamp, service: &ServiceName) -> Vec<RestingBackEnd> {
+        let mut resting = Vec::new();
+        for (name, until) in &self.rests {
+            let left = until.since(now);
+            let known = self.get(name);
+            let there = known.is_some_and(|known| known.back_end.service == *service);
+            if there && left >= TOLD_REST {
+                resting.push(RestingBackEnd {
+                    back_end: name.clone(),
+                    left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+                });
+            }
+        }
+        resting
+    }
+
     fn forget_left(&mut self, now: Timestamp) {
         let services = &self.services;
         self.said_leaving.retain(|name, said| {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -90,6 +90,8 @@
     limited: LimitedBackEnds,
     /// Back ends that said that they leave, which has not been told.
     left: Vec<BackEndName>,
+    /// Rests that began and were not told.
+    rests_begun: Vec<(BackEndName, Duration)>,
     /// Back ends that asked for a rest that is no time, and those of them that
     /// were not told.
     odd_rests: BTreeSet<BackEndName>,
@@ -139,6 +141,7 @@
             not_held: NotHeld::default(),
             limited: LimitedBackEnds::default(),
             left: Vec::new(),
+            rests_begun: Vec::new(),
             odd_rests: BTreeSet::new(),
             unreadable_rests: Vec::new(),
             observed: BTreeMap::new(),
@@ -282,10 +285,12 @@
         report
     }
 
-    /// The part of a report that tells which back ends said that they leave.
-    pub fn leaving_report(&self, service: &ServiceName) -> LoadReport {
+    /// The part of a report that tells which back ends said that they leave, or
+    /// asked this router for rest.
+    pub fn owners_report(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         LoadReport {
             leaving: self.back_ends.leaving_untold(service),
+            resting: self.back_ends.resting(now, service),
             ..LoadReport::default()
         }
     }
--- a/crates/dispatch/src/dispatcher/signals.rs
+++ b/crates/dispatch/src/dispatcher/signals.rs
@@ -1,5 +1,7 @@
 //! What back ends say in their answers that concerns later requests.
 
+use std::time::Duration;
+
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
@@ -30,7 +32,7 @@
         }
         match signals.rest {
             ToldRest::None => {}
-            ToldRest::For(rest) => self.back_ends.on_rest(now, &back_end, rest),
+            ToldRest::For(rest) => self.hear_rest(now, &back_end, rest),
             ToldRest::Unreadable => self.hear_unreadable_rest(back_end),
         }
     }
@@ -41,6 +43,25 @@
         }
     }
 
+    fn hear_rest(&mut self, now: Timestamp, back_end: &BackEndName, rest: Duration) {
+        if self.back_ends.on_rest(now, back_end, rest) {
+            self.rests_begun.push((back_end.clone(), rest));
+        }
+    }
+
+    /// Rests that back ends asked for which did not rest before, since this was
+    /// asked last.
+    pub fn take_rests(&mut self) -> Vec<(BackEndName, ServiceName, Duration)> {
+        let rests = std::mem::take(&mut self.rests_begun);
+        rests
+            .into_iter()
+            .filter_map(|(name, rest)| {
+                let service = self.service_of_back_end(&name)?;
+                Some((name, service, rest))
+            })
+            .collect()
+    }
+
     fn hear_unreadable_rest(&mut self, back_end: BackEndName) {
         if self.odd_rests.insert(back_end.clone()) {
             self.unreadable_rests.push(back_end);
--- a/crates/dispatch/src/observed.rs
+++ b/crates/dispatch/src/observed.rs
@@ -45,7 +45,7 @@
         LoadReport {
             requests: requests.collect(),
             speeds: speeds.collect(),
-            leaving: Vec::new(),
+            ..LoadReport::default()
         }
     }
 }
--- a/crates/dispatch/tests/dispatcher/signals.rs
+++ b/crates/dispatch/tests/dispatcher/signals.rs
@@ -128,6 +128,11 @@
 fn owner_that_asked_for_rest_gets_nothing_until_its_end() {
     let mut station = Station::new();
     hear_rest(&mut station, "keyed", KEY, seconds(3));
+    let told = station.dispatcher.take_rests();
+    assert_eq!(
+        told,
+        vec![("k-1".into(), "keyed".into(), Duration::from_secs(3))]
+    );
     for _ in 0..29 {
         assert!(!is_asked(&mut station));
         // Registrations that come meanwhile end no rest.
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -273,6 +273,9 @@
     ShareExhausted = 506, "share-exhausted", Warn,
         "One namespace uses up its share of this router; its further requests are refused.",
         "Ask that partner to slow down, or raise limits.namespace-share.";
+    BackEndResting = 507, "back-end-resting", Info,
+        "A back end turned a request away and asked this gateway to send it nothing for a while; the line has the time in seconds. Until its end it gets nothing from here.",
+        "None for single ones; for many, add back ends.";
     RequestEnded = 510, "request-ended", Info,
         "A request ended: every one that failed or needed a second attempt, and a sample of the others.",
         "See the page on explaining a failed request.";
--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -57,8 +57,9 @@
     Ended(ServiceName, Ended),
     /// Another gateway reports what it saw of a service's load.
     Load(ServiceName, LoadReport),
-    /// A back end of a service said to this gateway that it leaves.
-    Leaving(ServiceName),
+    /// A back end of a service said to this gateway that it leaves, or asked it
+    /// for rest.
+    OwnersUnfit(ServiceName),
     /// A gateway asks for tokens of a service's back ends.
     Tokens(
         ServiceName,
@@ -205,7 +206,7 @@
                     }
                 }
             }
-            Event::Leaving(service) => self.report_leaving(now, &service),
+            Event::OwnersUnfit(service) => self.report_owners(now, &service),
             Event::Tokens(service, asks, reply) => {
                 // Whoever asked may have given up meanwhile.
                 let _ = reply.try_send(self.give_tokens(now, &service, &asks));
@@ -396,14 +397,15 @@
     }
 
     /// Tells the coordinator of a service at once which back ends said that they
-    /// leave: nobody is sent to them any more, and their keys wait for others.
-    fn report_leaving(&mut self, now: Timestamp, service: &ServiceName) {
+    /// leave or asked for rest: requests for their keys are refused until others
+    /// have them.
+    fn report_owners(&mut self, now: Timestamp, service: &ServiceName) {
         let Some(coordinator) = self.coordinators.get_mut(service) else {
             return;
         };
         let report = self
             .dispatch
-            .with(|dispatcher, _now| dispatcher.leaving_report(service));
+            .with(|dispatcher, now| dispatcher.owners_report(now, service));
         if coordinator.leading().is_some() {
             coordinator.add_load(now, &report);
             return;
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -27,8 +27,8 @@
     suspects: SuspectSignals,
     /// A coordinator is to be asked for tokens.
     tokens_wanted: Notifier,
-    /// Services of back ends that said that they leave.
-    left: (Sender<ServiceName>, Receiver<ServiceName>),
+    /// Services of back ends that said that they leave, or asked for rest.
+    unfit: (Sender<ServiceName>, Receiver<ServiceName>),
     state: Mutex<State>,
 }
 
@@ -45,7 +45,7 @@
             clock,
             suspects,
             tokens_wanted: Notifier::default(),
-            left: async_channel::unbounded(),
+            unfit: async_channel::unbounded(),
             state: Mutex::new(State {
                 dispatcher,
                 signals,
@@ -58,9 +58,10 @@
         &self.suspects
     }
 
-    /// Tells the services of back ends that said that they leave, each once.
-    pub(super) fn left(&self) -> Receiver<ServiceName> {
-        self.left.1.clone()
+    /// Tells the services of back ends that said that they leave, or asked for
+    /// rest.
+    pub(super) fn unfit(&self) -> Receiver<ServiceName> {
+        self.unfit.1.clone()
     }
 
     /// Told when a coordinator is to be asked for tokens.
@@ -88,6 +89,7 @@
         let denials = state.dispatcher.take_denials();
         let limit_news = state.dispatcher.take_limit_news();
         let left = state.dispatcher.take_left();
+        let rests = state.dispatcher.take_rests();
         let unreadable_rests = state.dispatcher.take_unreadable_rests();
         let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
@@ -104,7 +106,13 @@
         for (back_end, service) in left {
             emit!(EventId::BackEndSaidLeaving, back_end = %back_end, service = %service);
             // The channel is unbounded and closes only when the process ends.
-            let _ = self.left.0.try_send(service);
+            let _ = self.unfit.0.try_send(service);
+        }
+        for (back_end, service, rest) in rests {
+            let rest_s = rest.as_secs_f64();
+            emit!(EventId::BackEndResting, back_end = %back_end, service = %service, rest_s);
+            // The channel is unbounded and closes only when the process ends.
+            let _ = self.unfit.0.try_send(service);
         }
         for back_end in unreadable_rests {
             emit!(EventId::RestUnreadable, back_end = %back_end);
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -112,14 +112,15 @@
     Ok(())
 }
 
-/// Passes on which services have back ends that said that they leave.
-async fn tell_leaving(
-    left: async_channel::Receiver<ServiceName>,
+/// Passes on which services have back ends that said that they leave, or asked
+/// for rest.
+async fn tell_unfit(
+    unfit: async_channel::Receiver<ServiceName>,
     events: async_channel::Sender<Event>,
 ) {
-    while let Ok(service) = left.recv().await {
+    while let Ok(service) = unfit.recv().await {
         // The channel is unbounded and closes only when the process ends.
-        let _ = events.try_send(Event::Leaving(service));
+        let _ = events.try_send(Event::OwnersUnfit(service));
     }
 }
 
@@ -255,7 +256,7 @@
             events: events.clone(),
         };
         task::spawn(tokens.run());
-        task::spawn(tell_leaving(self.dispatch.left(), events.clone()));
+        task::spawn(tell_unfit(self.dispatch.unfit(), events.clone()));
         if let Some(listener) = listeners.peers {
             let server = PeerServer {
                 directory: directory.clone(),
--- a/crates/router/tests/gateway/rest.rs
+++ b/crates/router/tests/gateway/rest.rs
@@ -5,8 +5,10 @@
 
 use threadledge_platform_stand_in::StandInBackEnd;
 
-use super::pressed::{Outcomes, press};
-use super::process::{Ask, World};
+use async_std::task::block_on;
+
+use super::pressed::{Fleet, Outcomes, press};
+use super::process::{Ask, World, eventually};
 
 /// Rest that is asked for.
 const REST: Duration = Duration::from_secs(3);
@@ -75,3 +77,22 @@
     let Outcomes { served, others } = outcomes;
     assert!(others * 50 < served, "{served} served, {others} not");
 }
+
+#[test]
+fn keys_of_an_owner_that_rests_are_served_by_others() {
+    let fleet = Fleet::start();
+    let more: Vec<StandInBackEnd> = ["k-3", "k-4"]
+        .map(|name| block_on(StandInBackEnd::start(name, true)).expect("one"))
+        .into();
+    for back_end in &more {
+        let entry = back_end.entry("keyed", "ready");
+        fleet.world.store.put("servers", &back_end.id, entry);
+    }
+    let held = || more.iter().all(|back_end| back_end.grants() > 0);
+    eventually(|| held().then_some(()));
+    ask_for_rest(&[&fleet.world.keyed[0]]);
+    let keys: Vec<u16> = (0..u16::MAX).step_by(1_000).collect();
+    let counted = Duration::from_secs(2)..LENGTH;
+    let Outcomes { served, others } = fleet.press(&keyed(), &keys, counted);
+    assert!(others * 20 < served, "{served} served, {others} not");
+}
