--- a/crates/router/src/gateway/coordination.rs
+++ b/crates/router/src/gateway/coordination.rs
@@ -1,6 +1,8 @@
 //! Steps the coordinators of this gateway and makes the calls that they ask
 //! for.
 
+mod reports;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,16 +37,9 @@
 const PROBE_NAME: &str = "probe";
 /// Shortest wait for the next event.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
-/// Time between two reports of load.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Added to the time after which a follower of a relay takes over.
 const FOLLOWER_PATIENCE: Duration = Duration::from_millis(700);
 
-/// Time after which a report is sent even if there is nothing to report, so
-/// that the coordinator and its peers know of this gateway.
-const GREETING_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Something that coordinators have to know.
 pub(super) enum Event {
     /// A configuration is in force.
@@ -221,25 +216,6 @@
         }
     }
 
-    fn give_tokens(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-        asks: &[TokenAsk],
-    ) -> TokenReply {
-        let Some(coordinator) = self.coordinators.get_mut(service) else {
-            return TokenReply::Elsewhere { coordinator: None };
-        };
-        if let Some(grants) = coordinator.give_tokens(now, asks) {
-            return TokenReply::Granted { grants };
-        }
-        let holder = coordinator.known().and_then(|(_, holder)| holder);
-        let other = holder.filter(|holder| **holder != self.participation.me);
-        TokenReply::Elsewhere {
-            coordinator: other.and_then(|holder| holder.address),
-        }
-    }
-
     /// Tells coordinators which back ends there are, and which of them may hold
     /// keys: those that decide by it. A standby is told when it is elected.
     fn tell_back_ends(&mut self) {
@@ -396,73 +372,6 @@
         });
     }
 
-    /// Tells the coordinator of a service at once which back ends said that they
-    /// leave or asked for rest: requests for their keys are refused until others
-    /// have them.
-    fn report_owners(&mut self, now: Timestamp, service: &ServiceName) {
-        let Some(coordinator) = self.coordinators.get_mut(service) else {
-            return;
-        };
-        let report = self
-            .dispatch
-            .with(|dispatcher, now| dispatcher.owners_report(now, service));
-        if coordinator.leading().is_some() {
-            coordinator.add_load(now, &report);
-            return;
-        }
-        let holder = coordinator.known().and_then(|(_, holder)| holder);
-        if let Some(address) = holder.and_then(|holder| holder.address) {
-            let peers = &self.participation.peers;
-            peers.report(address, service.clone(), report);
-        }
-    }
-
-    /// Tells the coordinators what this gateway saw of the load.
-    fn report_load(&mut self) {
-        let now = self.clock.now();
-        if now < self.next_report {
-            return;
-        }
-        self.next_report = now + REPORT_INTERVAL;
-        let sources = self.participation.sources.clone();
-        let relayed = sources.relayed();
-        let mut below = if relayed {
-            BTreeMap::new()
-        } else {
-            sources.take_load()
-        };
-        let greeting = now >= self.next_greeting;
-        if greeting {
-            self.next_greeting = now + GREETING_INTERVAL;
-        }
-        for (service, coordinator) in &mut self.coordinators {
-            let mut report = self
-                .dispatch
-                .with(|dispatcher, _now| dispatcher.take_load(service));
-            if coordinator.leading().is_some() {
-                coordinator.add_load(now, &report);
-                continue;
-            }
-            if relayed {
-                sources.put_load(service, report);
-                continue;
-            }
-            if let Some(below) = below.remove(service) {
-                report.merge(below);
-            }
-            let holder = coordinator.known().and_then(|(_, holder)| holder);
-            let Some(address) = holder.and_then(|holder| holder.address) else {
-                continue;
-            };
-            self.participation.peers.heard_of(address);
-            if !report.is_empty() || greeting {
-                self.participation
-                    .peers
-                    .report(address, service.clone(), report);
-            }
-        }
-    }
-
     /// Makes a call that a coordinator asked for at `now`.
     fn start(&self, now: Timestamp, service: ServiceName, action: Action) {
         let ports = self.ports.clone();
--- /dev/null
+++ b/crates/router/src/gateway/coordination/reports.rs
@@ -0,0 +1,109 @@
+//! What gateways tell the coordinator of a service, and ask of it: the load that
+//! they see, owners that should not keep their keys, tokens for those that name
+//! a limit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use threadledge_coordination::TokenAsk;
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
+
+use super::super::tokens::TokenReply;
+use super::Coordination;
+
+/// Time between two reports of load.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which a report is sent even if there is nothing to report, so
+/// that the coordinator and its peers know of this gateway.
+const GREETING_INTERVAL: Duration = Duration::from_secs(4);
+
+impl Coordination {
+    /// Tells the coordinator of a service at once which back ends said that they
+    /// leave or asked for rest: requests for their keys are refused until others
+    /// have them.
+    pub(super) fn report_owners(&mut self, now: Timestamp, service: &ServiceName) {
+        let Some(coordinator) = self.coordinators.get_mut(service) else {
+            return;
+        };
+        let report = self
+            .dispatch
+            .with(|dispatcher, now| dispatcher.owners_report(now, service));
+        if coordinator.leading().is_some() {
+            coordinator.add_load(now, &report);
+            return;
+        }
+        let holder = coordinator.known().and_then(|(_, holder)| holder);
+        if let Some(address) = holder.and_then(|holder| holder.address) {
+            let peers = &self.participation.peers;
+            peers.report(address, service.clone(), report);
+        }
+    }
+
+    /// Tells the coordinators what this gateway saw of the load.
+    pub(super) fn report_load(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        let sources = self.participation.sources.clone();
+        let relayed = sources.relayed();
+        let mut below = if relayed {
+            BTreeMap::new()
+        } else {
+            sources.take_load()
+        };
+        let greeting = now >= self.next_greeting;
+        if greeting {
+            self.next_greeting = now + GREETING_INTERVAL;
+        }
+        for (service, coordinator) in &mut self.coordinators {
+            let mut report = self
+                .dispatch
+                .with(|dispatcher, _now| dispatcher.take_load(service));
+            if coordinator.leading().is_some() {
+                coordinator.add_load(now, &report);
+                continue;
+            }
+            if relayed {
+                sources.put_load(service, report);
+                continue;
+            }
+            if let Some(below) = below.remove(service) {
+                report.merge(below);
+            }
+            let holder = coordinator.known().and_then(|(_, holder)| holder);
+            let Some(address) = holder.and_then(|holder| holder.address) else {
+                continue;
+            };
+            self.participation.peers.heard_of(address);
+            if !report.is_empty() || greeting {
+                self.participation
+                    .peers
+                    .report(address, service.clone(), report);
+            }
+        }
+    }
+
+    /// Answers a gateway that asks for tokens of a service's back ends.
+    pub(super) fn give_tokens(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        asks: &[TokenAsk],
+    ) -> TokenReply {
+        let Some(coordinator) = self.coordinators.get_mut(service) else {
+            return TokenReply::Elsewhere { coordinator: None };
+        };
+        if let Some(grants) = coordinator.give_tokens(now, asks) {
+            return TokenReply::Granted { grants };
+        }
+        let holder = coordinator.known().and_then(|(_, holder)| holder);
+        let other = holder.filter(|holder| **holder != self.participation.me);
+        TokenReply::Elsewhere {
+            coordinator: other.and_then(|holder| holder.address),
+        }
+    }
+}
