Dispatcher: what back ends say is told in one kind of news

Four lists with a call each became one typed list; what is told is the same. An answer that says nothing of later requests costs no look at the exchange any more. The suites of the dispatcher pass.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -27,6 +27,7 @@
 };
 use threadledge_types::{RegionName, Timestamp};
 
+use crate::back_end_news::BackEndNews;
 use crate::back_ends::BackEnds;
 use crate::budget::RetryBudget;
 use crate::counters::{Counters, Denial};
@@ -88,14 +89,10 @@
     budgets: BTreeMap<ServiceName, RetryBudget>,
     not_held: NotHeld,
     limited: LimitedBackEnds,
-    /// Back ends that said that they leave, which has not been told.
-    left: Vec<BackEndName>,
-    /// Rests that began and were not told.
-    rests_begun: Vec<(BackEndName, Duration)>,
-    /// Back ends that asked for a rest that is no time, and those of them that
-    /// were not told.
+    /// Back ends that asked for a rest that is no time.
     odd_rests: BTreeSet<BackEndName>,
-    unreadable_rests: Vec<BackEndName>,
+    /// What back ends said and was not told.
+    news: Vec<BackEndNews>,
     /// Load of services divided by key, since the last report.
     observed: BTreeMap<ServiceName, ObservedLoad>,
     exchanges: HashMap<ExchangeId, Exchange>,
@@ -140,10 +137,8 @@
             budgets: BTreeMap::new(),
             not_held: NotHeld::default(),
             limited: LimitedBackEnds::default(),
-            left: Vec::new(),
-            rests_begun: Vec::new(),
             odd_rests: BTreeSet::new(),
-            unreadable_rests: Vec::new(),
+            news: Vec::new(),
             observed: BTreeMap::new(),
             exchanges: HashMap::new(),
             waiting: BTreeMap::new(),
--- a/crates/dispatch/src/dispatcher/limits.rs
+++ b/crates/dispatch/src/dispatcher/limits.rs
@@ -8,7 +8,6 @@
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use super::Dispatcher;
-use crate::limited::LimitNews;
 use crate::outcome::{RefusalReason, ToldLimit};
 use crate::request::{ExchangeId, Step};
 
@@ -30,7 +29,9 @@
         }
         let was_limited = self.limited.is_limited(back_end);
         self.limited.hear(now, back_end, chosen, told);
-        if self.limited.has_news() {
+        let news = self.limited.take_news();
+        if !news.is_empty() {
+            self.news.extend(news);
             self.share_limits(now);
         }
         let lifted = was_limited && !self.limited.is_limited(back_end);
@@ -40,11 +41,6 @@
         }
     }
 
-    /// What became known of limits since this was asked last.
-    pub fn take_limit_news(&mut self) -> Vec<LimitNews> {
-        self.limited.take_news()
-    }
-
     /// Whether a coordinator is to be asked for tokens.
     pub fn wants_tokens(&self) -> bool {
         self.limited.wants_tokens()
--- a/crates/dispatch/src/dispatcher/signals.rs
+++ b/crates/dispatch/src/dispatcher/signals.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, ServiceName};
+use threadledge_types::deployment::BackEndName;
 
 use super::Dispatcher;
+use crate::back_end_news::BackEndNews;
 use crate::outcome::{Signals, ToldRest};
 use crate::request::{AttemptId, ExchangeId};
 
@@ -19,6 +20,9 @@
         attempt: AttemptId,
         signals: &Signals,
     ) {
+        if *signals == Signals::default() && self.limited.is_empty() {
+            return;
+        }
         let exchange = self.exchanges.get(&id);
         let in_flight = exchange.and_then(|exchange| exchange.in_flight.get(&attempt));
         let Some(in_flight) = in_flight else {
@@ -37,52 +41,36 @@
         }
     }
 
+    /// What back ends said since this was asked last.
+    pub fn take_back_end_news(&mut self) -> Vec<BackEndNews> {
+        std::mem::take(&mut self.news)
+    }
+
     fn hear_leaving(&mut self, now: Timestamp, back_end: &BackEndName) {
-        if self.back_ends.on_leaving(now, back_end) {
-            self.left.push(back_end.clone());
+        let is_new = self.back_ends.on_leaving(now, back_end);
+        let service = self.service_of_back_end(back_end).filter(|_| is_new);
+        if let Some(service) = service {
+            let back_end = back_end.clone();
+            self.news.push(BackEndNews::Leaving { back_end, service });
         }
     }
 
     fn hear_rest(&mut self, now: Timestamp, back_end: &BackEndName, rest: Duration) {
-        if self.back_ends.on_rest(now, back_end, rest) {
-            self.rests_begun.push((back_end.clone(), rest));
+        let begins = self.back_ends.on_rest(now, back_end, rest);
+        let service = self.service_of_back_end(back_end).filter(|_| begins);
+        if let Some(service) = service {
+            self.news.push(BackEndNews::Resting {
+                back_end: back_end.clone(),
+                service,
+                rest,
+            });
         }
     }
 
-    /// Rests that back ends asked for which did not rest before, since this was
-    /// asked last.
-    pub fn take_rests(&mut self) -> Vec<(BackEndName, ServiceName, Duration)> {
-        let rests = std::mem::take(&mut self.rests_begun);
-        rests
-            .into_iter()
-            .filter_map(|(name, rest)| {
-                let service = self.service_of_back_end(&name)?;
-                Some((name, service, rest))
-            })
-            .collect()
-    }
-
+    /// Told once for each back end.
     fn hear_unreadable_rest(&mut self, back_end: BackEndName) {
         if self.odd_rests.insert(back_end.clone()) {
-            self.unreadable_rests.push(back_end);
+            self.news.push(BackEndNews::RestUnreadable { back_end });
         }
     }
-
-    /// Back ends that asked for a rest that is no time, since this was asked
-    /// last; each is told once. They get the pause of one that is full.
-    pub fn take_unreadable_rests(&mut self) -> Vec<BackEndName> {
-        std::mem::take(&mut self.unreadable_rests)
-    }
-
-    /// Back ends that said that they leave, since this was asked last; each is
-    /// told once.
-    pub fn take_left(&mut self) -> Vec<(BackEndName, ServiceName)> {
-        let left = std::mem::take(&mut self.left);
-        left.into_iter()
-            .filter_map(|name| {
-                let service = self.service_of_back_end(&name)?;
-                Some((name, service))
-            })
-            .collect()
-    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Dispatcher::next`] whenever something may have changed, carries the
 //! [`Step`] out and reports how each attempt ended.
 
+mod back_end_news;
 mod back_ends;
 pub mod budget;
 mod choice;
@@ -25,9 +26,9 @@
 pub mod settings;
 mod slack;
 
+pub use back_end_news::BackEndNews;
 pub use counters::{Counters, Denial};
 pub use dispatcher::{Begun, Dispatcher};
-pub use limited::LimitNews;
 pub use outcome::{
     AttemptEnd, Fault, Outcome, Refusal, RefusalReason, Signals, ToldLimit, ToldLoad, ToldRest,
     UnknownReason,
--- a/crates/dispatch/src/limited.rs
+++ b/crates/dispatch/src/limited.rs
@@ -14,6 +14,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
+use crate::back_end_news::BackEndNews;
 use crate::outcome::ToldLimit;
 use crate::pace::{Pace, Turns};
 
@@ -31,30 +32,6 @@
 /// Most tokens that are asked for at once.
 const MOST_NEEDED: u32 = 16;
 
-/// What became known of a limit.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LimitNews {
-    /// A back end names a limit, or another one than before.
-    Named {
-        /// The back end.
-        back_end: BackEndName,
-        /// The limit that counts, in requests a second.
-        rate: f64,
-        /// The one before.
-        before: Option<f64>,
-    },
-    /// A back end names none any more.
-    Lifted {
-        /// The back end.
-        back_end: BackEndName,
-    },
-    /// A back end names something that is no limit: what was known counts on.
-    Unreadable {
-        /// The back end.
-        back_end: BackEndName,
-    },
-}
-
 /// A limit in force, and this router's part of it.
 #[derive(Debug)]
 struct Limited {
@@ -101,7 +78,7 @@
     unreadable: BTreeSet<BackEndName>,
     /// Until when turns are shared by the number of routers; `None`: for good.
     shared_until: Option<Timestamp>,
-    news: Vec<LimitNews>,
+    news: Vec<BackEndNews>,
 }
 
 impl LimitedBackEnds {
@@ -128,7 +105,7 @@
             ToldLimit::Unreadable => {
                 if self.unreadable.insert(name.clone()) {
                     let back_end = name.clone();
-                    self.news.push(LimitNews::Unreadable { back_end });
+                    self.news.push(BackEndNews::LimitUnreadable { back_end });
                 }
                 return;
             }
@@ -151,7 +128,7 @@
     }
 
     fn tell_named(&mut self, name: &BackEndName, rate: f64, before: Option<f64>) {
-        self.news.push(LimitNews::Named {
+        self.news.push(BackEndNews::Limited {
             back_end: name.clone(),
             rate,
             before,
@@ -165,7 +142,7 @@
         }
         self.limited.remove(name);
         let back_end = name.clone();
-        self.news.push(LimitNews::Lifted { back_end });
+        self.news.push(BackEndNews::LimitLifted { back_end });
     }
 
     /// Forgets what is long gone.
@@ -179,11 +156,7 @@
         self.unreadable.retain(|name| is_registered(name));
     }
 
-    pub(crate) fn has_news(&self) -> bool {
-        !self.news.is_empty()
-    }
-
-    pub(crate) fn take_news(&mut self) -> Vec<LimitNews> {
+    pub(crate) fn take_news(&mut self) -> Vec<BackEndNews> {
         std::mem::take(&mut self.news)
     }
 
--- a/crates/dispatch/tests/dispatcher/limited.rs
+++ b/crates/dispatch/tests/dispatcher/limited.rs
@@ -12,7 +12,7 @@
     Fence, Owner, OwnershipRecord, OwnershipView, Slice, SliceState, Term, TokenAsk,
 };
 use threadledge_dispatch::{
-    Attempt, Begun, Call, Dispatcher, LimitNews, Outcome, RefusalReason, RequestFacts, Settings,
+    Attempt, BackEndNews, Begun, Call, Dispatcher, Outcome, RefusalReason, RequestFacts, Settings,
     Signals, Step, ToldLimit,
 };
 use threadledge_types::Timestamp;
@@ -392,9 +392,9 @@
     give_token(&mut station);
     name_limit(&mut station, "keyed", Some(7), ToldLimit::None);
     assert!(!is_limited(&mut station));
-    let news = station.dispatcher.take_limit_news();
-    assert!(matches!(news[0], LimitNews::Named { rate: 2.0, .. }));
-    assert!(matches!(news[1], LimitNews::Lifted { .. }));
+    let news = station.dispatcher.take_back_end_news();
+    assert!(matches!(news[0], BackEndNews::Limited { rate: 2.0, .. }));
+    assert!(matches!(news[1], BackEndNews::LimitLifted { .. }));
 }
 
 #[test]
@@ -420,13 +420,13 @@
 fn limit_that_cannot_be_read_leaves_the_one_before_in_force_and_is_told_once() {
     let mut station = Station::new();
     name_limit(&mut station, "keyed", Some(7), ToldLimit::Rate(2.0));
-    station.dispatcher.take_limit_news();
+    station.dispatcher.take_back_end_news();
     assert!(is_limited(&mut station));
     give_token(&mut station);
     name_limit(&mut station, "keyed", Some(7), ToldLimit::Unreadable);
     assert!(is_limited(&mut station));
-    let news = station.dispatcher.take_limit_news();
-    assert!(matches!(news[..], [LimitNews::Unreadable { .. }]));
+    let news = station.dispatcher.take_back_end_news();
+    assert!(matches!(news[..], [BackEndNews::LimitUnreadable { .. }]));
 }
 
 #[test]
--- a/crates/dispatch/tests/dispatcher/signals.rs
+++ b/crates/dispatch/tests/dispatcher/signals.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use threadledge_dispatch::outcome::Rejection;
-use threadledge_dispatch::{AttemptEnd, Outcome, RefusalReason, Signals, Step, ToldRest};
+use threadledge_dispatch::{
+    AttemptEnd, BackEndNews, Outcome, RefusalReason, Signals, Step, ToldRest,
+};
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use super::support::{Station, answered, back_end, is_refused, not_run};
@@ -85,11 +87,24 @@
 #[test]
 fn leaving_is_told_once_and_reported_until_the_store_tells_of_it() {
     let mut station = Station::new();
+    let early = station.begin_with("keyed", KEY).expect("admitted");
+    let attempt = station.send(&early);
     let service = ServiceName::from("keyed");
     hear_leaving(&mut station);
-    let left = station.dispatcher.take_left();
-    assert_eq!(left, vec![("k-1".into(), service.clone())]);
-    assert!(station.dispatcher.take_left().is_empty());
+    let told = BackEndNews::Leaving {
+        back_end: "k-1".into(),
+        service: service.clone(),
+    };
+    assert_eq!(station.dispatcher.take_back_end_news(), vec![told]);
+    let now = station.now;
+    let leaving = Signals {
+        leaving: true,
+        ..Signals::default()
+    };
+    station
+        .dispatcher
+        .on_head(now, early.id, attempt.id, &leaving);
+    assert!(station.dispatcher.take_back_end_news().is_empty());
     for _ in 0..2 {
         let report = station.dispatcher.take_load(&service);
         assert_eq!(report.leaving, vec![BackEndName::from("k-1")]);
@@ -128,11 +143,12 @@
 fn owner_that_asked_for_rest_gets_nothing_until_its_end() {
     let mut station = Station::new();
     hear_rest(&mut station, "keyed", KEY, seconds(3));
-    let told = station.dispatcher.take_rests();
-    assert_eq!(
-        told,
-        vec![("k-1".into(), "keyed".into(), Duration::from_secs(3))]
-    );
+    let told = BackEndNews::Resting {
+        back_end: "k-1".into(),
+        service: "keyed".into(),
+        rest: Duration::from_secs(3),
+    };
+    assert_eq!(station.dispatcher.take_back_end_news(), vec![told]);
     for _ in 0..29 {
         assert!(!is_asked(&mut station));
         // Registrations that come meanwhile end no rest.
@@ -189,10 +205,11 @@
 fn rest_that_is_no_time_is_told_once() {
     let mut station = Station::new();
     hear_rest(&mut station, "keyed", KEY, ToldRest::Unreadable);
-    assert_eq!(station.dispatcher.take_unreadable_rests().len(), 1);
+    let told = station.dispatcher.take_back_end_news();
+    assert!(matches!(told[..], [BackEndNews::RestUnreadable { .. }]));
     station.after(2_000);
     hear_rest(&mut station, "keyed", KEY, ToldRest::Unreadable);
-    assert!(station.dispatcher.take_unreadable_rests().is_empty());
+    assert!(station.dispatcher.take_back_end_news().is_empty());
 }
 
 #[test]
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -7,8 +7,8 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::Verdict;
 use threadledge_dispatch::{
-    AttemptEnd, AttemptId, Begun, Denial, Dispatcher, ExchangeId, LimitNews, Refusal, RequestFacts,
-    Signals, Step,
+    AttemptEnd, AttemptId, BackEndNews, Begun, Denial, Dispatcher, ExchangeId, Refusal,
+    RequestFacts, Signals, Step,
 };
 use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
@@ -87,10 +87,7 @@
         }
         let learned = state.dispatcher.suspects().changes() != known;
         let denials = state.dispatcher.take_denials();
-        let limit_news = state.dispatcher.take_limit_news();
-        let left = state.dispatcher.take_left();
-        let rests = state.dispatcher.take_rests();
-        let unreadable_rests = state.dispatcher.take_unreadable_rests();
+        let back_end_news = state.dispatcher.take_back_end_news();
         let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
         let signals: Vec<Arc<Signal>> = woken
@@ -102,20 +99,10 @@
             signal.give();
         }
         denials.iter().for_each(tell_denial);
-        limit_news.iter().for_each(tell_limit);
-        for (back_end, service) in left {
-            emit!(EventId::BackEndSaidLeaving, back_end = %back_end, service = %service);
-            // The channel is unbounded and closes only when the process ends.
-            let _ = self.unfit.0.try_send(service);
-        }
-        for (back_end, service, rest) in rests {
-            let rest_s = rest.as_secs_f64();
-            emit!(EventId::BackEndResting, back_end = %back_end, service = %service, rest_s);
+        back_end_news.iter().for_each(tell_back_end);
+        for service in back_end_news.iter().filter_map(service_of_unfit) {
             // The channel is unbounded and closes only when the process ends.
-            let _ = self.unfit.0.try_send(service);
-        }
-        for back_end in unreadable_rests {
-            emit!(EventId::RestUnreadable, back_end = %back_end);
+            let _ = self.unfit.0.try_send(service.clone());
         }
         if wants_tokens {
             self.tokens_wanted.notify();
@@ -185,18 +172,45 @@
     );
 }
 
-fn tell_limit(news: &LimitNews) {
+/// The service of a back end that should not keep its keys.
+fn service_of_unfit(news: &BackEndNews) -> Option<&ServiceName> {
+    match news {
+        BackEndNews::Leaving { service, .. } | BackEndNews::Resting { service, .. } => {
+            Some(service)
+        }
+        BackEndNews::Limited { .. }
+        | BackEndNews::LimitLifted { .. }
+        | BackEndNews::LimitUnreadable { .. }
+        | BackEndNews::RestUnreadable { .. } => None,
+    }
+}
+
+fn tell_back_end(news: &BackEndNews) {
     match news {
-        LimitNews::Named {
+        BackEndNews::Limited {
             back_end,
             rate,
             before,
         } => emit!(EventId::BackEndLimited, back_end = %back_end, rate, before),
-        LimitNews::Lifted { back_end } => {
+        BackEndNews::LimitLifted { back_end } => {
             emit!(EventId::BackEndLimitLifted, back_end = %back_end);
         }
-        LimitNews::Unreadable { back_end } => {
+        BackEndNews::LimitUnreadable { back_end } => {
             emit!(EventId::BackEndLimitUnreadable, back_end = %back_end);
         }
+        BackEndNews::Leaving { back_end, service } => {
+            emit!(EventId::BackEndSaidLeaving, back_end = %back_end, service = %service);
+        }
+        BackEndNews::Resting {
+            back_end,
+            service,
+            rest,
+        } => {
+            let rest_s = rest.as_secs_f64();
+            emit!(EventId::BackEndResting, back_end = %back_end, service = %service, rest_s);
+        }
+        BackEndNews::RestUnreadable { back_end } => {
+            emit!(EventId::RestUnreadable, back_end = %back_end);
+        }
     }
 }
