Limits: odd asks and grants of tokens have a bounded meaning

A grant counts for at most what is asked for at once, an ask by less than 0.1 a second is read as one by 0.1, as what back ends say is.

--- a/crates/coordination/src/tokens.rs
+++ b/crates/coordination/src/tokens.rs
@@ -22,6 +22,9 @@
 
 /// How long a token may be used, from when it was asked for.
 pub const TOKEN_LIFE: Duration = Duration::from_millis(500);
+/// Limits below this are read as this, in requests a second: who sends nothing
+/// would never hear that a limit has ended.
+pub const LEAST_RATE: f64 = 0.1;
 /// Part of a limit that a coordinator gives out while another one may do so.
 const UNSURE_PART: f64 = 0.4;
 /// Tokens that a bucket holds besides a part of a second's.
@@ -132,13 +135,7 @@
     pub fn give(&mut self, now: Timestamp, ask: &TokenAsk, sure: bool) -> TokenGrant {
         let part = if sure { 1.0 } else { UNSURE_PART };
         self.forget_old(now);
-        // What a router can hear is above zero; another one's word is not
-        // taken for it.
-        let rate = if ask.rate > 0.0 {
-            ask.rate
-        } else {
-            f64::MIN_POSITIVE
-        };
+        let rate = ask.rate.max(LEAST_RATE);
         let account = self
             .accounts
             .entry(ask.back_end.clone())
--- a/crates/coordination/tests/tokens.rs
+++ b/crates/coordination/tests/tokens.rs
@@ -79,6 +79,20 @@
     }
 }
 
+#[test]
+fn ask_by_no_proper_limit_is_read_as_one_by_the_least() {
+    for rate in [0.0, -1.0, f64::NAN] {
+        let mut ledger = TokenLedger::default();
+        ledger.give(start(), &ask(rate, 0), true);
+        let later = start() + Duration::from_secs(3);
+        let grant = ledger.give(later, &ask(rate, 1), true);
+        assert_eq!((grant.tokens, grant.wait_ms), (0, 7_000), "{rate}");
+        let mut candidates = candidates(3);
+        ledger.bound_weights(later, &mut candidates, 100.0);
+        assert!(candidates.iter().all(|candidate| candidate.weight > 0.0));
+    }
+}
+
 #[test]
 fn new_coordinator_begins_without_tokens() {
     let mut ledger = TokenLedger::default();
--- a/crates/dispatch/src/limited.rs
+++ b/crates/dispatch/src/limited.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
-use threadledge_coordination::{TOKEN_LIFE, TokenAsk, TokenGrant};
+use threadledge_coordination::tokens::{LEAST_RATE, TOKEN_LIFE, TokenAsk, TokenGrant};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
@@ -18,9 +18,6 @@
 use crate::outcome::ToldLimit;
 use crate::pace::{Pace, Turns};
 
-/// Limits below this are read as this, in requests a second: who sends nothing
-/// would never hear that a limit has ended.
-const LEAST_RATE: f64 = 0.1;
 /// Limits from this on are none, in requests a second.
 const UNBOUNDED_RATE: f64 = 10_000.0;
 /// How long a limit is remembered of one that is not registered.
@@ -238,8 +235,9 @@
         limited.drop_ended(now);
         let ends = asked + TOKEN_LIFE;
         if now < ends {
-            let tokens = std::iter::repeat_n(ends, grant.tokens as usize);
-            limited.tokens.extend(tokens);
+            // No answer fills the memory, whatever it says.
+            let count = grant.tokens.min(MOST_NEEDED) as usize;
+            limited.tokens.extend(std::iter::repeat_n(ends, count));
         }
         if grant.wait_ms > 0 {
             let wait = Duration::from_millis(grant.wait_ms.into());
--- a/crates/dispatch/tests/dispatcher/limited.rs
+++ b/crates/dispatch/tests/dispatcher/limited.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::tokens::TokenLedger;
 use threadledge_coordination::{
-    Fence, Owner, OwnershipRecord, OwnershipView, Slice, SliceState, Term, TokenAsk,
+    Fence, Owner, OwnershipRecord, OwnershipView, Slice, SliceState, Term, TokenAsk, TokenGrant,
 };
 use threadledge_dispatch::{
     Attempt, BackEndNews, Begun, Call, Dispatcher, Outcome, RefusalReason, RequestFacts, Settings,
@@ -480,6 +480,29 @@
     assert!(is_refused(&at_once), "{at_once:?}");
 }
 
+#[test]
+fn grant_of_any_number_of_tokens_takes_little_memory() {
+    let mut station = Station::new();
+    name_limit(&mut station, "keyed", Some(7), ToldLimit::Rate(1.0));
+    assert!(is_limited(&mut station));
+    let asked = station.now;
+    for (service, asks) in station.dispatcher.take_token_asks() {
+        let grant = TokenGrant {
+            back_end: asks[0].back_end.clone(),
+            tokens: u32::MAX,
+            wait_ms: 0,
+        };
+        station
+            .dispatcher
+            .on_tokens(asked, &service, asked, &[grant]);
+    }
+    let sent = (0..20).filter(|_| {
+        let begun = station.begin_with("keyed", Some(7)).expect("admitted");
+        matches!(station.next(&begun), Step::Send(_))
+    });
+    assert!(sent.count() <= 16);
+}
+
 /// Others have room: callers notice nothing of the limit.
 #[test]
 fn requests_without_a_key_go_to_back_ends_that_name_no_limit() {
