What a back end says counts also while a list lacks its entry

A back end that says that it leaves, or asks for rest, while a list lacks its entry for a moment was not heard: once listed again it got requests until its next answer.

Before: signals::what_a_back_end_says_counts_also_while_a_list_lacks_it fails; after: it passes, with all 117 tests of the dispatcher. Besides, the moment until which an attempt at a limited back end may be sent has a name of its own (send_by): 'leave' read like leaving.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -274,26 +274,26 @@
 
     /// A back end said in an answer that it leaves. Says whether that is new.
     pub(crate) fn on_leaving(&mut self, now: Timestamp, name: &BackEndName) -> bool {
-        let Some(known) = self.get_mut(name) else {
-            return false;
-        };
-        known.said_leaving = true;
+        if let Some(known) = self.get_mut(name) {
+            known.said_leaving = true;
+        }
         self.said_leaving.insert(name.clone(), now).is_none()
     }
 
     /// A back end turned a request away and asked for so much rest. Of several
     /// the one counts that ends last. Says whether it did not rest before.
     pub(crate) fn on_rest(&mut self, now: Timestamp, name: &BackEndName, rest: Duration) -> bool {
-        let until = now + rest.min(LONGEST_REST);
-        let Some(known) = self.get_mut(name) else {
-            return false;
-        };
-        let begins = known.rests_until(now).is_none() && until > now;
-        known.rests_until = known.rests_until.max(until);
-        let until = known.rests_until;
         self.rests.retain(|_, until| now < *until);
+        let before = self.rests.get(name).copied();
+        let until = (now + rest.min(LONGEST_REST)).max(before.unwrap_or_default());
+        if until <= now {
+            return false;
+        }
         self.rests.insert(name.clone(), until);
-        begins
+        if let Some(known) = self.get_mut(name) {
+            known.rests_until = until;
+        }
+        before.is_none()
     }
 
     /// Back ends of a service that said that they leave, and whose registration
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -16,8 +16,9 @@
 impl Dispatcher {
     /// Whether an attempt may be sent now, asked right before its first byte.
     ///
-    /// Invariants: a leaving, resting or vanished back end gets nothing new, and a key's
-    /// request goes to its owner only, however long a connection took to open.
+    /// Invariants: a leaving, resting or vanished back end gets nothing new, one
+    /// that names a limit nothing beyond it, and a key's request goes to its owner
+    /// only, however long a connection took to open.
     pub fn may_send(&mut self, now: Timestamp, id: ExchangeId, attempt: AttemptId) -> bool {
         let Some(exchange) = self.exchanges.get_mut(&id) else {
             return false;
@@ -29,7 +30,7 @@
         let Some(in_flight) = exchange.in_flight.get_mut(&attempt) else {
             return false;
         };
-        let exchange_keyed = exchange.key.is_some();
+        let keyed = exchange.key.is_some();
         let known = self.back_ends.get(&in_flight.back_end);
         let takes = |known: &Known| known.takes_requests() && known.rests_until(now).is_none();
         if !known.is_some_and(takes) {
@@ -43,9 +44,9 @@
                 return false;
             }
         }
-        let leave = in_flight.leave;
+        let send_by = in_flight.send_by;
         let back_end = in_flight.back_end.clone();
-        if !self.may_send_limited(now, &back_end, exchange_keyed, leave) {
+        if !self.may_send_limited(now, &back_end, keyed, send_by) {
             return false;
         }
         let Some(exchange) = self.exchanges.get_mut(&id) else {
@@ -259,7 +260,7 @@
             exchange.sent = exchange.sent.saturating_sub(1);
             exchange.arrived = exchange.arrived.saturating_sub(1);
         }
-        if let Some(ends) = in_flight.leave.filter(|_| exchange.key.is_some()) {
+        if let Some(ends) = in_flight.send_by.filter(|_| exchange.key.is_some()) {
             self.limited.put_back(now, &in_flight.back_end, ends);
         }
         if let Some(permit) = in_flight.retry {
--- a/crates/dispatch/src/dispatcher/limits.rs
+++ b/crates/dispatch/src/dispatcher/limits.rs
@@ -1,4 +1,4 @@
-//! Back ends that name a limit: what is heard of them, and leave to send.
+//! Back ends that name a limit: what is heard of them, and what may be sent.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -124,7 +124,7 @@
 
     /// Takes what an attempt at a back end needs that names a limit; until when
     /// it may be sent.
-    pub(super) fn take_leave(
+    pub(super) fn take_token_or_turn(
         &mut self,
         now: Timestamp,
         back_end: &BackEndName,
@@ -139,19 +139,19 @@
         }
     }
 
-    /// Whether an attempt may be sent that has leave until then. Its back end
-    /// may have named its limit after it was chosen.
+    /// Whether an attempt may be sent whose token or turn ends at `send_by`. Its
+    /// back end may have named its limit after it was chosen.
     pub(super) fn may_send_limited(
         &mut self,
         now: Timestamp,
         back_end: &BackEndName,
         keyed: bool,
-        leave: Option<Timestamp>,
+        send_by: Option<Timestamp>,
     ) -> bool {
-        if !self.limited.is_limited(back_end) || leave.is_some_and(|until| now < until) {
+        if !self.limited.is_limited(back_end) || send_by.is_some_and(|end| now < end) {
             return true;
         }
-        self.take_leave(now, back_end, keyed).is_some()
+        self.take_token_or_turn(now, back_end, keyed).is_some()
     }
 
     pub(super) fn forget_old_limits(&mut self, now: Timestamp) {
--- a/crates/dispatch/src/dispatcher/steps.rs
+++ b/crates/dispatch/src/dispatcher/steps.rs
@@ -161,7 +161,7 @@
         let limit = self.connection_limit(&service);
         let cold_interval = self.cold_interval(&service);
         let keyed = self.exchanges.get(&id)?.key.is_some();
-        let leave = self.take_leave(now, back_end, keyed);
+        let send_by = self.take_token_or_turn(now, back_end, keyed);
         let exchange = self.exchanges.get_mut(&id)?;
         let known = self.back_ends.get_mut(back_end)?;
         exchange.next_attempt += 1;
@@ -172,7 +172,7 @@
             crowding: known.crowding(now, &usual),
             sent: false,
             retry,
-            leave,
+            send_by,
         };
         exchange.in_flight.insert(attempt, in_flight);
         if let (Some(key), Some(view)) = (exchange.key, self.ownership.get(&service)) {
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -24,7 +24,7 @@
     /// What it took from the retry budget.
     pub(crate) retry: Option<Permit>,
     /// Until when it may be sent to its back end, if that names a limit.
-    pub(crate) leave: Option<Timestamp>,
+    pub(crate) send_by: Option<Timestamp>,
 }
 
 /// One request of one caller.
--- a/crates/dispatch/tests/dispatcher/signals.rs
+++ b/crates/dispatch/tests/dispatcher/signals.rs
@@ -57,6 +57,34 @@
     assert!(!is_asked(&mut station));
 }
 
+#[test]
+fn what_a_back_end_says_counts_also_while_a_list_lacks_it() {
+    for signals in [
+        Signals {
+            leaving: true,
+            ..Signals::default()
+        },
+        Signals {
+            rest: seconds(3),
+            ..Signals::default()
+        },
+    ] {
+        let mut station = Station::new();
+        let begun = station.begin_with("keyed", KEY).expect("admitted");
+        let attempt = station.send(&begun);
+        let all = std::mem::take(&mut station.back_ends);
+        station.publish();
+        let now = station.now;
+        station
+            .dispatcher
+            .on_head(now, begun.id, attempt.id, &signals);
+        station.back_ends = all;
+        station.publish();
+        station.after(1_000);
+        assert!(!is_asked(&mut station), "{signals:?}");
+    }
+}
+
 #[test]
 fn request_that_was_chosen_before_the_back_end_said_that_it_leaves_is_not_sent_after() {
     let mut station = Station::new();
