dispatch: report allowed retries and the age of the requests that paid

Cause: event 514 shows the sums of a window, and only where a retry is denied, so that no log tells whether retries are paid for by old requests, or are more than the gateways count.

Change: event 523 (retries-allowed), at most once a second for each service: retries allowed and sent, what the slack paid for, age of the oldest request that paid. No decision changes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
 
-use crate::counters::RetryCounts;
+use crate::counters::{AllowedRetries, RetryCounts};
 use crate::slack_bucket::SlackBucket;
 
 /// Age from which a returned permit counts as returned late.
@@ -53,6 +54,17 @@
     counts: RetryCounts,
     /// Denials up to the last report, and when that was made.
     last_report: Option<(u64, Timestamp)>,
+    unreported: UnreportedRetries,
+}
+
+/// What happened to the budget since the last report of allowed retries.
+#[derive(Clone, Copy, Debug, Default)]
+struct UnreportedRetries {
+    /// When the last report was made, and the retries sent until then.
+    reported: Option<(Timestamp, u64)>,
+    allowed: u64,
+    from_slack: f64,
+    oldest_request: Duration,
 }
 
 /// The usage of a budget, and the slack that it has.
@@ -78,6 +90,7 @@
             newest_bucket: 0,
             counts: RetryCounts::default(),
             last_report: None,
+            unreported: UnreportedRetries::default(),
         }
     }
 
@@ -104,12 +117,66 @@
             self.counts.denied += 1;
             return None;
         }
+        self.record_allowed(now, &permit);
         let bucket = self.current_bucket(now);
         bucket.retries += 1;
         bucket.from_ratio += permit.from_ratio;
         Some(permit)
     }
 
+    /// Adds a retry to the next report of allowed retries.
+    fn record_allowed(&mut self, now: Timestamp, permit: &Permit) {
+        let age = match permit.from_ratio > 0.0 {
+            true => self.age_of_paying_request(now),
+            false => Duration::ZERO,
+        };
+        let unreported = &mut self.unreported;
+        unreported.allowed += 1;
+        unreported.from_slack += permit.from_slack;
+        unreported.oldest_request = unreported.oldest_request.max(age);
+    }
+
+    /// Age of the oldest request in the window that has not paid for a retry.
+    fn age_of_paying_request(&self, now: Timestamp) -> Duration {
+        let mut paid: f64 = self.buckets.iter().map(|bucket| bucket.from_ratio).sum();
+        let oldest = (self.newest_bucket + 1).saturating_sub(BUCKET_COUNT as u64);
+        for number in oldest..=self.newest_bucket {
+            let bucket = &self.buckets[(number % BUCKET_COUNT as u64) as usize];
+            paid -= f64::from(bucket.requests) * self.ratio;
+            if paid < 0.0 {
+                return now.since(self.bucket_start(number));
+            }
+        }
+        Duration::ZERO
+    }
+
+    /// The allowed retries since the last report, for `service`. Returns `None`
+    /// if there are none or the last report was less than `REPORT_INTERVAL`
+    /// ago.
+    pub fn take_allowed(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Option<AllowedRetries> {
+        let (reported_at, sent_before) = self.unreported.reported.unwrap_or_default();
+        let is_due = now.since(reported_at) >= REPORT_INTERVAL;
+        if self.unreported.allowed == 0 || !is_due {
+            return None;
+        }
+        let next = UnreportedRetries {
+            reported: Some((now, self.counts.sent)),
+            ..UnreportedRetries::default()
+        };
+        let last = std::mem::replace(&mut self.unreported, next);
+        Some(AllowedRetries {
+            service: service.clone(),
+            allowed: last.allowed,
+            sent: self.counts.sent - sent_before,
+            from_slack: last.from_slack,
+            oldest_request: last.oldest_request,
+        })
+    }
+
     /// Computes how a retry would be charged now: to the requests of the window
     /// as far as they suffice, and to the slack for the rest.
     fn price_retry(&mut self, now: Timestamp) -> Permit {
@@ -197,6 +264,12 @@
         &mut self.buckets[(self.newest_bucket % BUCKET_COUNT as u64) as usize]
     }
 
+    /// When a bucket begins.
+    fn bucket_start(&self, number: u64) -> Timestamp {
+        let length = u64::try_from(self.bucket_length.as_micros()).unwrap_or(1);
+        Timestamp::from_micros(number * length.max(1))
+    }
+
     /// Number of the bucket of a point in time, counted from the time origin.
     fn bucket_number(&self, at: Timestamp) -> u64 {
         let length = u64::try_from(self.bucket_length.as_micros())
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of a dispatcher.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use threadledge_types::deployment::ServiceName;
 
@@ -19,6 +20,21 @@
     pub given_back_late: u64,
 }
 
+/// The retries of a service that its budget allowed since the last report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AllowedRetries {
+    /// The service.
+    pub service: ServiceName,
+    /// Number of allowed retries since the last report.
+    pub allowed: u64,
+    /// Retries sent to a back end since the last report.
+    pub sent: u64,
+    /// The part of the allowed retries that was charged to the slack.
+    pub from_slack: f64,
+    /// Age of the oldest request whose part of the ratio paid for one of them.
+    pub oldest_request: Duration,
+}
+
 /// The retries of a service that its budget denied since the last report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RetryDenials {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -31,7 +31,7 @@
 use crate::back_end_events::BackEndEvent;
 use crate::back_ends::BackEnds;
 use crate::budget::RetryBudget;
-use crate::counters::{Counters, RetryDenials};
+use crate::counters::{AllowedRetries, Counters, RetryDenials};
 use crate::exchange::Exchange;
 use crate::key_refusals::KeyRefusals;
 use crate::limited_back_ends::LimitedBackEnds;
@@ -111,6 +111,7 @@
     counters: Counters,
     /// Denied retries that have not been reported yet.
     denials: Vec<RetryDenials>,
+    allowed_retries: Vec<AllowedRetries>,
     /// Number of routers in the deployment, if known.
     router_count: Option<u32>,
     /// When the number of routers first became known.
@@ -158,6 +159,7 @@
             next_exchange: 0,
             counters: Counters::default(),
             denials: Vec::new(),
+            allowed_retries: Vec::new(),
             router_count: None,
             router_count_since: None,
             router_count_valid_until: None,
@@ -412,6 +414,7 @@
         };
         self.exchanges.insert(id, exchange);
         self.retry_budget(now, &service).count_request(now);
+        self.record_allowed_retries(now, &service);
         Ok(StartedExchange {
             id,
             route,
--- a/crates/dispatch/src/dispatcher/retries.rs
+++ b/crates/dispatch/src/dispatcher/retries.rs
@@ -5,7 +5,7 @@
 
 use super::Dispatcher;
 use crate::budget::{Permit, RetryBudget};
-use crate::counters::{RetryCounts, RetryDenials};
+use crate::counters::{AllowedRetries, RetryCounts, RetryDenials};
 
 impl Dispatcher {
     /// Sets the number of routers that share the retry budgets, the connections
@@ -46,6 +46,18 @@
         std::mem::take(&mut self.denials)
     }
 
+    /// Allowed retries since the last call; at most one report per service and
+    /// second.
+    pub fn take_allowed_retries(&mut self) -> Vec<AllowedRetries> {
+        std::mem::take(&mut self.allowed_retries)
+    }
+
+    /// Reports the allowed retries of a service, at most once per second.
+    pub(super) fn record_allowed_retries(&mut self, now: Timestamp, service: &ServiceName) {
+        let report = self.retry_budget(now, service).take_allowed(now, service);
+        self.allowed_retries.extend(report);
+    }
+
     /// Reports the denied retries of a service, at most once per second.
     fn record_denial(&mut self, now: Timestamp, service: &ServiceName) {
         let routers = self.router_count;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 mod slack_bucket;
 
 pub use back_end_events::BackEndEvent;
-pub use counters::{Counters, RetryDenials};
+pub use counters::{AllowedRetries, Counters, RetryDenials};
 pub use dispatcher::{Dispatcher, StartedExchange};
 pub use outcome::{
     AttemptEnd, Fault, Outcome, Refusal, RefusalReason, ReportedLimit, ReportedLoad,
--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -284,3 +284,20 @@
     })
     .seed(seed);
 }
+
+#[test]
+fn report_of_allowed_retries_tells_the_age_of_the_request_that_paid() {
+    let start = Timestamp::from_millis(100_000);
+    let mut budget = RetryBudget::new(start, 0.1, WINDOW);
+    (0..10).for_each(|_| budget.count_request(start));
+    let later = start + Duration::from_secs(6);
+    assert!(budget.take(later).is_some());
+    budget.count_sent();
+    let service = "plain".into();
+    let report = budget.take_allowed(later, &service).expect("a retry");
+    assert_eq!((report.allowed, report.sent), (1, 1));
+    assert!(report.oldest_request >= Duration::from_secs(6));
+    assert!(report.oldest_request < Duration::from_millis(6_500));
+    assert!(report.from_slack.abs() < 1e-9);
+    assert_eq!(budget.take_allowed(later + WINDOW, &service), None);
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -315,6 +315,9 @@
     KeysSure = 522, "tenant-keys-sure", Info,
         "The set of callers' API keys is confirmed again.",
         "None.";
+    RetriesAllowed = 523, "retries-allowed", Info,
+        "The retry budget of a service allowed retries. Logged at most once a second, with the next request; the line has the retries allowed since the previous one, the retries sent to back ends, the part that the slack paid for and the age of the oldest request that paid for one.",
+        "None.";
     LedgerTaken = 530, "limit-ledger-taken", Info,
         "This gateway keeps the ledger of tenants' limits. While `whole` is false it grants only what other gateways returned.",
         "None.";
--- a/crates/router/src/gateway/dispatch.rs
+++ b/crates/router/src/gateway/dispatch.rs
@@ -8,8 +8,8 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::dispatcher::NextAction;
 use threadledge_dispatch::{
-    AttemptEnd, AttemptId, BackEndEvent, Dispatcher, ExchangeId, Refusal, RequestInfo,
-    RetryDenials, Signals, StartedExchange, Step,
+    AllowedRetries, AttemptEnd, AttemptId, BackEndEvent, Dispatcher, ExchangeId, Refusal,
+    RequestInfo, RetryDenials, Signals, StartedExchange, Step,
 };
 use threadledge_tenants::Admission;
 use threadledge_types::Timestamp;
@@ -91,6 +91,7 @@
         }
         let suspects_changed = state.dispatcher.suspects().changes() != changes_before;
         let retry_denials = state.dispatcher.take_retry_denials();
+        let allowed_retries = state.dispatcher.take_allowed_retries();
         let back_end_events = state.dispatcher.take_back_end_events();
         let wants_tokens = state.dispatcher.wants_tokens();
         let woken = state.dispatcher.take_woken();
@@ -103,6 +104,7 @@
             signal.notify();
         }
         retry_denials.iter().for_each(log_retry_denial);
+        allowed_retries.iter().for_each(log_allowed_retries);
         back_end_events.iter().for_each(log_back_end_event);
         for service in back_end_events.iter().filter_map(unavailable_service) {
             // The channel is unbounded and closes only when the process ends.
@@ -182,6 +184,17 @@
     );
 }
 
+fn log_allowed_retries(report: &AllowedRetries) {
+    emit!(
+        EventId::RetriesAllowed,
+        service = %report.service,
+        allowed = report.allowed,
+        sent = report.sent,
+        from_slack = report.from_slack,
+        oldest_request_ms = report.oldest_request.as_millis() as u64,
+    );
+}
+
 /// Returns the service of a back end that should not keep its keys.
 fn unavailable_service(event: &BackEndEvent) -> Option<&ServiceName> {
     match event {
