dispatch: apply the retry ratio's margin where the budget is kept

Cause: the deployment's ratio was reduced in the program's settings, so that no test of the retry budget covered the margin against the rule.

Change: Settings::retry_ratio is the deployment's, RATIO_FRACTION stands in the budget. The default is 0.2 (was 0.14, used by tests only); the tests of many routers keep the 0.15 that each request pays for. No behaviour of the program changes: 0.75 of the ratio, as before.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -13,6 +13,9 @@
 use crate::counters::{AllowedRetries, RetryCounts};
 use crate::slack_bucket::SlackBucket;
 
+/// Fraction of the ratio that a router uses, because its window and that of an
+/// outside observer do not begin at the same time.
+pub const RATIO_FRACTION: f64 = 0.75;
 /// Age from which a returned permit counts as returned late.
 const LATE_RETURN: Duration = Duration::from_secs(1);
 /// Minimum time between two reports of denied retries.
--- a/crates/dispatch/src/dispatcher/retries.rs
+++ b/crates/dispatch/src/dispatcher/retries.rs
@@ -4,7 +4,7 @@
 use threadledge_types::deployment::ServiceName;
 
 use super::Dispatcher;
-use crate::budget::{Permit, RetryBudget};
+use crate::budget::{Permit, RATIO_FRACTION, RetryBudget};
 use crate::counters::{AllowedRetries, RetryCounts, RetryDenials};
 
 impl Dispatcher {
@@ -104,8 +104,8 @@
         self.retry_budgets
             .entry(service.clone())
             .or_insert_with(|| {
-                let mut budget =
-                    RetryBudget::new(since, settings.retry_ratio, settings.retry_window);
+                let ratio = settings.retry_ratio * RATIO_FRACTION;
+                let mut budget = RetryBudget::new(since, ratio, settings.retry_window);
                 budget.set_slack(since, slack, valid_until);
                 budget
             })
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -24,7 +24,8 @@
     /// Number of requests beyond its slots that a back end may have, as
     /// estimated by this router.
     pub queue_per_back_end: u32,
-    /// Retries allowed for each request of a service within the window.
+    /// Retries that all routers together may send for each request of a service
+    /// within the window. A router uses [`crate::budget::RATIO_FRACTION`] of it.
     pub retry_ratio: f64,
     /// Retries allowed in addition, by all routers together, within the window.
     pub retry_slack: u32,
@@ -63,7 +64,7 @@
             queue_timeout_ratio: 0.22,
             handover_timeout_ratio: 0.7,
             queue_per_back_end: 5,
-            retry_ratio: 0.14,
+            retry_ratio: 0.2,
             retry_slack: 2,
             retry_window: Duration::from_secs(10),
             hedge_delay_ratio: 0.8,
--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use threadledge_dispatch::budget::RetryBudget;
+use threadledge_dispatch::budget::{RATIO_FRACTION, RetryBudget};
 use threadledge_dispatch::{Settings, Step};
 use threadledge_types::Timestamp;
 
@@ -11,6 +11,7 @@
 /// Retries that all routers may send in a window in addition to the ratio.
 const SLACK: u32 = 100;
 const ROUTERS: u32 = 25;
+/// Retries that each request pays for.
 const RATIO: f64 = 0.15;
 const WINDOW: Duration = Duration::from_secs(10);
 /// How long the number of routers stays valid.
@@ -42,7 +43,7 @@
     fn start_instance(&mut self) -> Harness {
         self.started += 1;
         let settings = Settings {
-            retry_ratio: RATIO,
+            retry_ratio: RATIO / RATIO_FRACTION,
             retry_slack: SLACK,
             retry_window: WINDOW,
             ..Settings::default()
--- a/crates/router/src/gateway/settings/core_settings.rs
+++ b/crates/router/src/gateway/settings/core_settings.rs
@@ -16,9 +16,6 @@
 /// because a relay's record may count up to a fifth fewer gateways than there
 /// are.
 const SLACK_FRACTION: f64 = 0.8;
-/// Fraction of the retry budget's ratio that a gateway uses, because its window
-/// and that of an outside observer do not begin at the same time.
-const RATIO_FRACTION: f64 = 0.75;
 
 impl GatewaySettings {
     /// Settings of the coordination crate.
@@ -73,7 +70,7 @@
         let retry = &self.retry_budget;
         threadledge_dispatch::Settings {
             topology: self.topology(),
-            retry_ratio: retry.ratio * RATIO_FRACTION,
+            retry_ratio: retry.ratio,
             retry_slack: (retry.slack * SLACK_FRACTION)
                 .floor()
                 .clamp(0.0, f64::from(u32::MAX)) as u32,
