dispatch: let each request pay for half of the retry ratio, for eight tenths of a window

Cause: each router kept its retries within a ratio of its own requests, in a window of its own. A router could spend in one moment what the requests of ten seconds had earned. Routers that callers left spent that, and those that they went to earned from the same callers' next requests: 3 s of requests in a window of 2 s and the slack. A bound over all routers made of bounds over different times.

Change: each request earns credit, half of the deployment's ratio (was 0.75). A retry spends credit, the oldest first; credit expires after 16 buckets of half a second. So the retries that arrive in a window are paid for by the requests of that window and the one before, also if they arrive up to 2 s after they were allowed, and each of the two pays half at the most: wherever callers go, however traffic varies, whatever restarts. That is the users' rule, which takes the best of three windows. What a router has spent no longer blocks what new requests earn, so that a failure of some seconds gets more retries, not fewer.

Ruled out: requests counted twice or not at all, retries counted and not sent (the sums agree).

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -1,9 +1,11 @@
 //! The retry budget of one service, as kept by one router.
 //!
 //! In any window, all routers together may send retries up to a ratio of the
-//! requests, plus a fixed slack. Each router retries up to the ratio of its own
-//! requests and uses a share of the slack, so that routers need not coordinate
-//! for each retry.
+//! requests, plus a fixed slack. Each request earns its router a credit, and
+//! each retry spends credit or a share of the slack, so that routers need not
+//! coordinate for each retry. Credit expires, so that the retries of a window
+//! are paid for by the requests of that window and the one before, whichever
+//! routers they came to.
 
 use std::time::Duration;
 
@@ -13,9 +15,9 @@
 use crate::counters::{AllowedRetries, RetryCounts};
 use crate::slack_bucket::SlackBucket;
 
-/// Fraction of the ratio that a router uses, because its window and that of an
-/// outside observer do not begin at the same time.
-pub const RATIO_FRACTION: f64 = 0.75;
+/// Fraction of the ratio that each request earns as credit: the requests of two
+/// windows pay for the retries of one.
+pub const RATIO_FRACTION: f64 = 0.5;
 /// Age from which a returned permit counts as returned late.
 const LATE_RETURN: Duration = Duration::from_secs(1);
 /// Minimum time between two reports of denied retries.
@@ -25,21 +27,29 @@
 /// Number of buckets that are kept: one more than the window has, so that they
 /// always cover a whole window, wherever it starts within a bucket.
 const BUCKET_COUNT: usize = BUCKETS_PER_WINDOW as usize + 1;
+/// Credit that one retry costs.
+const RETRY_COST: u64 = 1_000_000;
+/// Number of buckets whose credit can be spent. The rest of the window is for
+/// the time until a retry arrives at its back end.
+const CREDIT_BUCKETS: u64 = 16;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     requests: u32,
     retries: u32,
-    /// The part of the retries that the requests of the window paid for.
-    from_ratio: f64,
+    /// Credit that the requests of this bucket earned and that is not spent, in
+    /// the unit of `RETRY_COST`.
+    credit: u64,
 }
 
 /// Permission for one retry, and where it was charged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Permit {
     taken_at: Timestamp,
-    /// The part charged to the ratio of the requests in the window.
-    from_ratio: f64,
+    /// The oldest bucket whose credit was spent.
+    paid_by: u64,
+    /// The part charged to the credit of requests, in the unit of `RETRY_COST`.
+    from_credit: u64,
     /// The part charged to the slack.
     from_slack: f64,
 }
@@ -48,7 +58,8 @@
 /// retries.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    ratio: f64,
+    /// Credit that each request earns, in the unit of `RETRY_COST`.
+    credit_per_request: u64,
     slack: SlackBucket,
     bucket_length: Duration,
     buckets: [Bucket; BUCKET_COUNT],
@@ -82,11 +93,11 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget of `ratio` retries for each request within each
-    /// `window`, without any slack yet.
+    /// Creates a budget in which each request earns a credit of `ratio`
+    /// retries, without any slack yet.
     pub fn new(now: Timestamp, ratio: f64, window: Duration) -> Self {
         RetryBudget {
-            ratio,
+            credit_per_request: (ratio * RETRY_COST as f64).round() as u64,
             slack: SlackBucket::new(now, window),
             bucket_length: window / BUCKETS_PER_WINDOW,
             buckets: [Bucket::default(); BUCKET_COUNT],
@@ -110,7 +121,10 @@
 
     /// Counts a request.
     pub fn count_request(&mut self, now: Timestamp) {
-        self.current_bucket(now).requests += 1;
+        let credit = self.credit_per_request;
+        let bucket = self.current_bucket(now);
+        bucket.requests += 1;
+        bucket.credit += credit;
     }
 
     /// Takes a permit for one retry, if the budget allows one.
@@ -121,16 +135,15 @@
             return None;
         }
         self.record_allowed(now, &permit);
-        let bucket = self.current_bucket(now);
-        bucket.retries += 1;
-        bucket.from_ratio += permit.from_ratio;
+        self.current_bucket(now).retries += 1;
+        self.spend_credit(permit.from_credit);
         Some(permit)
     }
 
     /// Adds a retry to the next report of allowed retries.
     fn record_allowed(&mut self, now: Timestamp, permit: &Permit) {
-        let age = match permit.from_ratio > 0.0 {
-            true => self.age_of_paying_request(now),
+        let age = match permit.from_credit > 0 {
+            true => now.since(self.bucket_start(permit.paid_by)),
             false => Duration::ZERO,
         };
         let unreported = &mut self.unreported;
@@ -139,20 +152,6 @@
         unreported.oldest_request = unreported.oldest_request.max(age);
     }
 
-    /// Age of the oldest request in the window that has not paid for a retry.
-    fn age_of_paying_request(&self, now: Timestamp) -> Duration {
-        let mut paid: f64 = self.buckets.iter().map(|bucket| bucket.from_ratio).sum();
-        let oldest = (self.newest_bucket + 1).saturating_sub(BUCKET_COUNT as u64);
-        for number in oldest..=self.newest_bucket {
-            let bucket = &self.buckets[(number % BUCKET_COUNT as u64) as usize];
-            paid -= f64::from(bucket.requests) * self.ratio;
-            if paid < 0.0 {
-                return now.since(self.bucket_start(number));
-            }
-        }
-        Duration::ZERO
-    }
-
     /// The allowed retries since the last report, for `service`. Returns `None`
     /// if there are none or the last report was less than `REPORT_INTERVAL`
     /// ago.
@@ -180,19 +179,44 @@
         })
     }
 
-    /// Computes how a retry would be charged now: to the requests of the window
-    /// as far as they suffice, and to the slack for the rest.
+    /// Computes how a retry would be charged now: to the credit of requests as
+    /// far as it suffices, and to the slack for the rest.
     fn price_retry(&mut self, now: Timestamp) -> Permit {
-        let requests = self.usage(now).requests;
-        let paid: f64 = self.buckets.iter().map(|bucket| bucket.from_ratio).sum();
-        let from_ratio = (f64::from(requests) * self.ratio - paid).clamp(0.0, 1.0);
+        self.current_bucket(now);
+        let mut credit = 0;
+        let mut paid_by = self.newest_bucket;
+        for number in self.numbers_with_credit().rev() {
+            if self.bucket(number).credit > 0 {
+                credit += self.bucket(number).credit;
+                paid_by = number;
+            }
+        }
+        let from_credit = credit.min(RETRY_COST);
         Permit {
             taken_at: now,
-            from_ratio,
-            from_slack: 1.0 - from_ratio,
+            paid_by,
+            from_credit,
+            from_slack: (RETRY_COST - from_credit) as f64 / RETRY_COST as f64,
         }
     }
 
+    /// Spends this much credit, the oldest first.
+    fn spend_credit(&mut self, amount: u64) {
+        let mut left = amount;
+        for number in self.numbers_with_credit() {
+            let bucket = self.bucket_mut(number);
+            let spent = left.min(bucket.credit);
+            bucket.credit -= spent;
+            left -= spent;
+        }
+    }
+
+    /// Numbers of the buckets whose credit has not expired, the oldest first.
+    fn numbers_with_credit(&self) -> std::ops::RangeInclusive<u64> {
+        let oldest = (self.newest_bucket + 1).saturating_sub(CREDIT_BUCKETS);
+        oldest..=self.newest_bucket
+    }
+
     /// The current usage of the budget.
     pub fn usage(&mut self, now: Timestamp) -> BudgetUsage {
         self.current_bucket(now);
@@ -234,19 +258,29 @@
         self.slack
             .return_unused(now, permit.from_slack, permit.taken_at);
         self.current_bucket(now);
-        let Some(bucket) = self.bucket_at(permit.taken_at) else {
-            return;
-        };
-        bucket.retries = bucket.retries.saturating_sub(1);
-        bucket.from_ratio = (bucket.from_ratio - permit.from_ratio).max(0.0);
+        let taken_in = self.bucket_number(permit.taken_at);
+        if self.is_kept(taken_in) {
+            let bucket = self.bucket_mut(taken_in);
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+        // Credit expires as if it had not been spent, or earlier if several
+        // buckets paid.
+        if self.is_kept(permit.paid_by) {
+            self.bucket_mut(permit.paid_by).credit += permit.from_credit;
+        }
+    }
+
+    /// Whether a bucket has not left the window.
+    fn is_kept(&self, number: u64) -> bool {
+        number <= self.newest_bucket && number + BUCKET_COUNT as u64 > self.newest_bucket
+    }
+
+    fn bucket(&self, number: u64) -> &Bucket {
+        &self.buckets[(number % BUCKET_COUNT as u64) as usize]
     }
 
-    /// The bucket of a point in time, unless it has left the window.
-    fn bucket_at(&mut self, at: Timestamp) -> Option<&mut Bucket> {
-        let number = self.bucket_number(at);
-        let kept =
-            number <= self.newest_bucket && number + BUCKET_COUNT as u64 > self.newest_bucket;
-        kept.then(|| &mut self.buckets[(number % BUCKET_COUNT as u64) as usize])
+    fn bucket_mut(&mut self, number: u64) -> &mut Bucket {
+        &mut self.buckets[(number % BUCKET_COUNT as u64) as usize]
     }
 
     /// The bucket of `now`. Clears the buckets between the newest one and this
@@ -257,14 +291,13 @@
             .saturating_sub(self.newest_bucket)
             .min(BUCKET_COUNT as u64);
         for step in 1..=passed {
-            let index = (self.newest_bucket + step) % BUCKET_COUNT as u64;
-            self.buckets[index as usize] = Bucket::default();
+            *self.bucket_mut(self.newest_bucket + step) = Bucket::default();
         }
         if passed == BUCKET_COUNT as u64 {
             self.buckets = [Bucket::default(); BUCKET_COUNT];
         }
         self.newest_bucket = self.newest_bucket.max(number);
-        &mut self.buckets[(self.newest_bucket % BUCKET_COUNT as u64) as usize]
+        self.bucket_mut(self.newest_bucket)
     }
 
     /// When a bucket begins.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -64,7 +64,7 @@
             queue_timeout_ratio: 0.22,
             handover_timeout_ratio: 0.7,
             queue_per_back_end: 5,
-            retry_ratio: 0.2,
+            retry_ratio: 0.28,
             retry_slack: 2,
             retry_window: Duration::from_secs(10),
             hedge_delay_ratio: 0.8,
