dispatch: keep the window of requests, retries and credit in a module of its own

Cause: the retry budget had grown to 316 lines and mixed the window's buckets with permits, slack and reports.

Change: credit_window.rs has the buckets, what requests earn and retries spend; budget.rs has permits, slack, counts and reports. No behaviour changes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -3,9 +3,7 @@
 //! In any window, all routers together may send retries up to a ratio of the
 //! requests, plus a fixed slack. Each request earns its router a credit, and
 //! each retry spends credit or a share of the slack, so that routers need not
-//! coordinate for each retry. Credit expires, so that the retries of a window
-//! are paid for by the requests of that window and the one before, whichever
-//! routers they came to.
+//! coordinate for each retry.
 
 use std::time::Duration;
 
@@ -13,6 +11,7 @@
 use threadledge_types::deployment::ServiceName;
 
 use crate::counters::{AllowedRetries, RetryCounts};
+use crate::credit_window::{CreditWindow, Payment};
 use crate::slack_bucket::SlackBucket;
 
 /// Fraction of the ratio that each request earns as credit: the requests of two
@@ -22,34 +21,12 @@
 const LATE_RETURN: Duration = Duration::from_secs(1);
 /// Minimum time between two reports of denied retries.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of buckets into which the sliding window is divided.
-const BUCKETS_PER_WINDOW: u32 = 20;
-/// Number of buckets that are kept: one more than the window has, so that they
-/// always cover a whole window, wherever it starts within a bucket.
-const BUCKET_COUNT: usize = BUCKETS_PER_WINDOW as usize + 1;
-/// Credit that one retry costs.
-const RETRY_COST: u64 = 1_000_000;
-/// Number of buckets whose credit can be spent. The rest of the window is for
-/// the time until a retry arrives at its back end.
-const CREDIT_BUCKETS: u64 = 16;
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    requests: u32,
-    retries: u32,
-    /// Credit that the requests of this bucket earned and that is not spent, in
-    /// the unit of `RETRY_COST`.
-    credit: u64,
-}
-
 /// Permission for one retry, and where it was charged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Permit {
     taken_at: Timestamp,
-    /// The oldest bucket whose credit was spent.
-    paid_by: u64,
-    /// The part charged to the credit of requests, in the unit of `RETRY_COST`.
-    from_credit: u64,
+    /// The part charged to the credit of requests.
+    payment: Payment,
     /// The part charged to the slack.
     from_slack: f64,
 }
@@ -58,13 +35,8 @@
 /// retries.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    /// Credit that each request earns, in the unit of `RETRY_COST`.
-    credit_per_request: u64,
+    window: CreditWindow,
     slack: SlackBucket,
-    bucket_length: Duration,
-    buckets: [Bucket; BUCKET_COUNT],
-    /// Number of the newest bucket, counted from the time origin.
-    newest_bucket: u64,
     counts: RetryCounts,
     /// Denials up to the last report, and when that was made.
     last_report: Option<(u64, Timestamp)>,
@@ -97,11 +69,8 @@
     /// retries, without any slack yet.
     pub fn new(now: Timestamp, ratio: f64, window: Duration) -> Self {
         RetryBudget {
-            credit_per_request: (ratio * RETRY_COST as f64).round() as u64,
+            window: CreditWindow::new(ratio, window),
             slack: SlackBucket::new(now, window),
-            bucket_length: window / BUCKETS_PER_WINDOW,
-            buckets: [Bucket::default(); BUCKET_COUNT],
-            newest_bucket: 0,
             counts: RetryCounts::default(),
             last_report: None,
             unreported: UnreportedRetries::default(),
@@ -121,10 +90,7 @@
 
     /// Counts a request.
     pub fn count_request(&mut self, now: Timestamp) {
-        let credit = self.credit_per_request;
-        let bucket = self.current_bucket(now);
-        bucket.requests += 1;
-        bucket.credit += credit;
+        self.window.count_request(now);
     }
 
     /// Takes a permit for one retry, if the budget allows one.
@@ -135,15 +101,14 @@
             return None;
         }
         self.record_allowed(now, &permit);
-        self.current_bucket(now).retries += 1;
-        self.spend_credit(permit.from_credit);
+        self.window.count_retry(now, &permit.payment);
         Some(permit)
     }
 
     /// Adds a retry to the next report of allowed retries.
     fn record_allowed(&mut self, now: Timestamp, permit: &Permit) {
-        let age = match permit.from_credit > 0 {
-            true => now.since(self.bucket_start(permit.paid_by)),
+        let age = match permit.payment.credit > 0 {
+            true => self.window.age(now, &permit.payment),
             false => Duration::ZERO,
         };
         let unreported = &mut self.unreported;
@@ -182,47 +147,19 @@
     /// Computes how a retry would be charged now: to the credit of requests as
     /// far as it suffices, and to the slack for the rest.
     fn price_retry(&mut self, now: Timestamp) -> Permit {
-        self.current_bucket(now);
-        let mut credit = 0;
-        let mut paid_by = self.newest_bucket;
-        for number in self.numbers_with_credit().rev() {
-            if self.bucket(number).credit > 0 {
-                credit += self.bucket(number).credit;
-                paid_by = number;
-            }
-        }
-        let from_credit = credit.min(RETRY_COST);
+        let payment = self.window.price(now);
         Permit {
             taken_at: now,
-            paid_by,
-            from_credit,
-            from_slack: (RETRY_COST - from_credit) as f64 / RETRY_COST as f64,
+            payment,
+            from_slack: 1.0 - payment.fraction(),
         }
     }
 
-    /// Spends this much credit, the oldest first.
-    fn spend_credit(&mut self, amount: u64) {
-        let mut left = amount;
-        for number in self.numbers_with_credit() {
-            let bucket = self.bucket_mut(number);
-            let spent = left.min(bucket.credit);
-            bucket.credit -= spent;
-            left -= spent;
-        }
-    }
-
-    /// Numbers of the buckets whose credit has not expired, the oldest first.
-    fn numbers_with_credit(&self) -> std::ops::RangeInclusive<u64> {
-        let oldest = (self.newest_bucket + 1).saturating_sub(CREDIT_BUCKETS);
-        oldest..=self.newest_bucket
-    }
-
     /// The current usage of the budget.
     pub fn usage(&mut self, now: Timestamp) -> BudgetUsage {
-        self.current_bucket(now);
         BudgetUsage {
-            requests: self.buckets.iter().map(|bucket| bucket.requests).sum(),
-            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+            requests: self.window.requests(now),
+            retries: self.window.retries(now),
             slack: self.slack(now),
         }
     }
@@ -257,60 +194,7 @@
         }
         self.slack
             .return_unused(now, permit.from_slack, permit.taken_at);
-        self.current_bucket(now);
-        let taken_in = self.bucket_number(permit.taken_at);
-        if self.is_kept(taken_in) {
-            let bucket = self.bucket_mut(taken_in);
-            bucket.retries = bucket.retries.saturating_sub(1);
-        }
-        // Credit expires as if it had not been spent, or earlier if several
-        // buckets paid.
-        if self.is_kept(permit.paid_by) {
-            self.bucket_mut(permit.paid_by).credit += permit.from_credit;
-        }
-    }
-
-    /// Whether a bucket has not left the window.
-    fn is_kept(&self, number: u64) -> bool {
-        number <= self.newest_bucket && number + BUCKET_COUNT as u64 > self.newest_bucket
-    }
-
-    fn bucket(&self, number: u64) -> &Bucket {
-        &self.buckets[(number % BUCKET_COUNT as u64) as usize]
-    }
-
-    fn bucket_mut(&mut self, number: u64) -> &mut Bucket {
-        &mut self.buckets[(number % BUCKET_COUNT as u64) as usize]
-    }
-
-    /// The bucket of `now`. Clears the buckets between the newest one and this
-    /// one.
-    fn current_bucket(&mut self, now: Timestamp) -> &mut Bucket {
-        let number = self.bucket_number(now);
-        let passed = number
-            .saturating_sub(self.newest_bucket)
-            .min(BUCKET_COUNT as u64);
-        for step in 1..=passed {
-            *self.bucket_mut(self.newest_bucket + step) = Bucket::default();
-        }
-        if passed == BUCKET_COUNT as u64 {
-            self.buckets = [Bucket::default(); BUCKET_COUNT];
-        }
-        self.newest_bucket = self.newest_bucket.max(number);
-        self.bucket_mut(self.newest_bucket)
-    }
-
-    /// When a bucket begins.
-    fn bucket_start(&self, number: u64) -> Timestamp {
-        let length = u64::try_from(self.bucket_length.as_micros()).unwrap_or(1);
-        Timestamp::from_micros(number * length.max(1))
-    }
-
-    /// Number of the bucket of a point in time, counted from the time origin.
-    fn bucket_number(&self, at: Timestamp) -> u64 {
-        let length = u64::try_from(self.bucket_length.as_micros())
-            .unwrap_or(1)
-            .max(1);
-        at.as_micros() / length
+        self.window
+            .undo_retry(now, permit.taken_at, &permit.payment);
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod choice;
 mod cold_start;
 pub mod counters;
+mod credit_window;
 pub mod decaying_mean;
 pub mod dispatcher;
 mod estimate;
