dispatch: test that a burst of retries leaves the credit of later requests

Cause: with a window for each router, the retries of a short failure blocked those of single failures until they had left the window.

Change: a test: 100 requests pay for ten retries at once, and 4 s later ten new requests pay for one more.

--- a/crates/dispatch/tests/dispatcher/retries.rs
+++ b/crates/dispatch/tests/dispatcher/retries.rs
@@ -302,3 +302,17 @@
     assert!(report.from_slack.abs() < 1e-9);
     assert_eq!(budget.take_allowed(later + WINDOW, &service), None);
 }
+
+/// Callers would lose retries of single failures for a window after a burst.
+#[test]
+fn burst_of_retries_leaves_the_credit_of_later_requests() {
+    let start = Timestamp::from_millis(100_000);
+    let mut budget = RetryBudget::new(start, 0.1, WINDOW);
+    (0..100).for_each(|_| budget.count_request(start));
+    let failure = start + Duration::from_secs(7);
+    let retries = (0..100).filter(|_| budget.take(failure).is_some()).count();
+    assert_eq!(retries, 10);
+    let later = start + Duration::from_secs(11);
+    (0..10).for_each(|_| budget.count_request(later));
+    assert!(budget.take(later).is_some());
+}
