--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -19,8 +19,9 @@
 pub const RATIO_FRACTION: f64 = 0.5;
 /// Age from which a returned permit counts as returned late.
 const LATE_RETURN: Duration = Duration::from_secs(1);
-/// Minimum time between two reports of denied retries.
+/// Minimum time between two reports of denied retries, and of allowed ones.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Permission for one retry, and where it was charged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Permit {
