router: log paths to back ends that are lost and work again

The incident's logs do not tell whether a gateway reaches a back end, since when not, and by which evidence. New core crate: threadledge-paths keeps which back ends a gateway can connect to; events 524 and 525 log the changes. No change of logic.

--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -45,6 +45,11 @@
         self.address
     }
 
+    /// Whether the connection was open before it was checked out.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Sends the request and returns the response with a streaming body, like
     /// [`Pool::exchange`].
     pub async fn exchange(
--- /dev/null
+++ b/crates/paths/src/forwarders.rs
@@ -0,0 +1,137 @@
+//! Which other gateways reach back ends that this one does not.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use threadledge_types::Timestamp;
+
+/// Time for which a gateway that does not answer, or has lost its own paths, is
+/// not asked again.
+const FORWARDER_RETRY: Duration = Duration::from_millis(500);
+/// Time for which a back end counts as unreachable for all after a gateway that
+/// reaches others could not connect to it.
+const CONFIRMED_FOR: Duration = Duration::from_millis(300);
+/// Time for which a forwarder counts as working after its last success.
+const WORKING_FOR: Duration = Duration::from_secs(2);
+/// Most forwarders named to another gateway.
+const MAX_NAMED: usize = 4;
+
+/// The way to a back end that this gateway does not reach itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextForwarder {
+    /// Ask this gateway.
+    Ask(SocketAddr),
+    /// A gateway that reaches other back ends did not reach this one.
+    Confirmed,
+    /// No known gateway is left to ask, so nothing is known about the back
+    /// end.
+    NoneLeft,
+}
+
+/// What is known of one other gateway as a forwarder.
+#[derive(Clone, Copy, Debug, Default)]
+struct Forwarder {
+    /// When it last forwarded successfully.
+    worked_at: Option<Timestamp>,
+    /// It is not asked before this time.
+    not_before: Timestamp,
+}
+
+/// The gateways that this one may ask to forward. Gateways are identified by
+/// the address at which peers call them.
+#[derive(Debug)]
+pub struct Forwarders {
+    random: ChaCha8Rng,
+    by_address: BTreeMap<SocketAddr, Forwarder>,
+    /// Back ends that another gateway confirmed to be unreachable, and until
+    /// when that counts.
+    confirmed: HashMap<SocketAddr, Timestamp>,
+}
+
+impl Forwarders {
+    /// Creates an empty set. `seed` decides between equal forwarders.
+    pub fn new(seed: u64) -> Self {
+        Forwarders {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            by_address: BTreeMap::new(),
+            confirmed: HashMap::new(),
+        }
+    }
+
+    /// Chooses the gateway through which to reach `back_end` among the gateways
+    /// known. Requests are spread over all that work or were not tried yet.
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        back_end: SocketAddr,
+        known: &[SocketAddr],
+    ) -> NextForwarder {
+        if self
+            .confirmed
+            .get(&back_end)
+            .is_some_and(|until| now < *until)
+        {
+            return NextForwarder::Confirmed;
+        }
+        let may_ask = |address: &&SocketAddr| {
+            let forwarder = self.by_address.get(address);
+            forwarder.is_none_or(|forwarder| forwarder.not_before <= now)
+        };
+        let candidates: Vec<SocketAddr> = known.iter().filter(may_ask).copied().collect();
+        let working = |address: &&SocketAddr| {
+            let forwarder = self.by_address.get(address);
+            forwarder.is_some_and(|forwarder| forwarder.works(now))
+        };
+        let working: Vec<SocketAddr> = candidates.iter().filter(working).copied().collect();
+        let pool = if working.len() >= MAX_NAMED {
+            working
+        } else {
+            candidates
+        };
+        if pool.is_empty() {
+            return NextForwarder::NoneLeft;
+        }
+        NextForwarder::Ask(pool[self.random.random_range(0..pool.len())])
+    }
+
+    /// Records that a gateway reached a back end.
+    pub fn on_forwarded(&mut self, now: Timestamp, forwarder: SocketAddr) {
+        let forwarder = self.by_address.entry(forwarder).or_default();
+        forwarder.worked_at = Some(now);
+        forwarder.not_before = Timestamp::ZERO;
+    }
+
+    /// Records that a gateway does not answer, or cannot reach back ends
+    /// either.
+    pub fn on_unusable(&mut self, now: Timestamp, forwarder: SocketAddr) {
+        let forwarder = self.by_address.entry(forwarder).or_default();
+        forwarder.worked_at = None;
+        forwarder.not_before = now + FORWARDER_RETRY;
+    }
+
+    /// Records that a gateway that reaches other back ends could not connect to
+    /// this one.
+    pub fn on_confirmed_unreachable(&mut self, now: Timestamp, back_end: SocketAddr) {
+        self.confirmed.retain(|_, until| now < *until);
+        self.confirmed.insert(back_end, now + CONFIRMED_FOR);
+    }
+
+    /// Gateways that forwarded recently, to be named to others.
+    pub fn working(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let working = self.by_address.iter();
+        let working = working.filter(|(_, forwarder)| forwarder.works(now));
+        working
+            .map(|(address, _)| *address)
+            .take(MAX_NAMED)
+            .collect()
+    }
+}
+
+impl Forwarder {
+    fn works(&self, now: Timestamp) -> bool {
+        self.worked_at.is_some_and(|at| now.since(at) < WORKING_FOR)
+    }
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -318,6 +318,12 @@
     RetriesAllowed = 523, "retries-allowed", Info,
         "The retry budget of a service allowed retries. Logged at most once a second, with the next request; the line has the retries allowed since the previous one, the retries sent to back ends, the part that the slack paid for and the age of the oldest request that paid for one.",
         "None.";
+    BackEndPathLost = 524, "back-end-path-lost", Warn,
+        "This gateway cannot open connections to a back end; the line has its address and whether the connection was refused or not established in time.",
+        "None if the back end has ended; if other gateways reach it, check the network between this gateway and the back end.";
+    BackEndPathRestored = 525, "back-end-path-restored", Info,
+        "This gateway can open connections to a back end again; the line has its address and the time since the path was lost.",
+        "None.";
     LedgerTaken = 530, "limit-ledger-taken", Info,
         "This gateway keeps the ledger of tenants' limits. While `whole` is false it grants only what other gateways returned.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -21,6 +21,7 @@
 mod key_confirmation;
 pub mod key_regions;
 mod limits;
+mod links;
 mod log;
 mod messages;
 mod metrics;
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,11 +6,12 @@
 use http_types::{Body, Method, Response};
 use threadledge_dispatch::{Attempt, AttemptEnd, ExchangeId, Fault};
 use threadledge_net::message::Message;
-use threadledge_net::{ExchangeError, ExchangeFault, Pool, Stage};
+use threadledge_net::{ExchangeError, ExchangeFault, Stage};
 use threadledge_ports::HeaderCodec;
 use threadledge_types::deployment::TenantName;
 
 use super::dispatch::Dispatch;
+use super::links::BackEndLinks;
 use super::usage::Usage;
 use crate::proxy::answer::{AnswerBody, drain_available, read_ahead};
 use crate::proxy::headers;
@@ -29,7 +30,7 @@
 #[derive(Clone)]
 pub(super) struct Attempts {
     pub(super) dispatch: Arc<Dispatch>,
-    pub(super) pool: Pool,
+    pub(super) links: BackEndLinks,
     pub(super) budget: MemoryBudget,
     pub(super) header_codec: Arc<dyn HeaderCodec>,
     pub(super) usage: Usage,
@@ -88,8 +89,8 @@
     ) -> AttemptResult {
         let deadline = self.dispatch.clock().instant(attempt.deadline);
         let connection = self
-            .pool
-            .checkout_with_limit(attempt.address, attempt.connection_limit, deadline)
+            .links
+            .open(attempt.address, attempt.connection_limit, deadline)
             .await;
         let connection = match connection {
             Ok(connection) => connection,
@@ -112,6 +113,7 @@
         self.usage.record_back_end_request(&attempt, request.len());
         match connection.exchange(request, deadline).await {
             Ok(response) => {
+                self.links.on_answer(attempt.address);
                 self.read_response(exchange, &attempt, &outbound, response)
                     .await
             }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -31,6 +31,7 @@
 use super::followers::Followers;
 use super::key_confirmation::KeyConfirmation;
 use super::limits::{LedgerPlacement, Limits, takeover_delay_for_cores};
+use super::links::BackEndLinks;
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::peers::{PeerClient, PeerServer, Peers};
@@ -203,7 +204,7 @@
         let requests = Arc::new(RequestHandler {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
-                pool: pool.clone(),
+                links: BackEndLinks::new(pool.clone(), clock),
                 budget: budget.clone(),
                 header_codec: ports.header_codec.clone(),
                 usage: metrics.usage().clone(),
