router: reach back ends through other gateways where the own path is lost

Callers of a gateway that is partitioned from back ends got 503 or nothing: it has one way to each back end. Their connections stay with it, and the platform takes a gateway out only while half of its zone stays in.

Cause: no second way. Ruled out: back ends that end or overload; ejections alone (each path hung for 350 ms, then the next one).

Change: a path that cannot be connected within 60 ms in the region, or is refused, counts as lost; requests to that back end go over another gateway (paths, links/). Each attempt stays the dispatcher's: deadline, retry permit, fence, region, limits and cancellation are decided here, the other gateway only carries bytes over its own connection and never forwards further. A request whose answer does not come on an old connection makes the gateway open a new one to check the path, and the others if all are silent. Lost paths are checked every 300 ms, all at once after one works again. What the other gateway could not send says so, and only that counts as not sent. The deadline is named by the other gateway's clock, which is read before: a gateway that freezes with a request in hand sends nothing late.

The test's second gateway is in another zone now: in one zone it got the addresses of the first one's proxies. New connections are no longer what shows direct sending, as old ones may do; that nothing is forwarded any more shows it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod finish;
 mod limits;
 mod next_step;
+mod paths;
 mod retries;
 mod signals;
 mod wait_queue;
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -186,6 +186,7 @@
                 let is_back_end_fault = !matches!(
                     fault,
                     Fault::TimedOut
+                        | Fault::PathFailed
                         | Fault::NoConnection
                         | Fault::NothingSent
                         | Fault::BodyGone
@@ -252,6 +253,8 @@
                     exchange.tried_back_ends.insert(in_flight.back_end.clone());
                 }
             },
+            // The same back end may be reached another way.
+            AttemptEnd::Failed(Fault::PathFailed) => {}
             AttemptEnd::Failed(fault) => {
                 exchange.tried_back_ends.insert(in_flight.back_end.clone());
                 exchange.body_unavailable |= matches!(fault, Fault::BodyGone | Fault::CallerBroke);
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -182,7 +182,11 @@
                 }
             }
             AttemptEnd::Failed(
-                Fault::NoConnection | Fault::NothingSent | Fault::BodyGone | Fault::CallerBroke,
+                Fault::PathFailed
+                | Fault::NoConnection
+                | Fault::NothingSent
+                | Fault::BodyGone
+                | Fault::CallerBroke,
             )
             | AttemptEnd::Abandoned => {}
         }
--- a/crates/dispatch/src/dispatcher/next_step.rs
+++ b/crates/dispatch/src/dispatcher/next_step.rs
@@ -1,5 +1,7 @@
 //! Decides on the next step of an exchange.
 
+use std::time::Duration;
+
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
@@ -20,6 +22,12 @@
 /// of them and blocked its router for 5 s.
 const MAX_ATTEMPTS: u32 = 64;
 
+/// Fraction of a route's target latency without a response after which the path
+/// to the back end is checked.
+const PATH_PATIENCE_RATIO: f64 = 0.5;
+/// Shortest such time: a few times what a connection takes to be opened.
+const MIN_PATH_PATIENCE: Duration = Duration::from_millis(100);
+
 impl Dispatcher {
     /// The next step of an exchange.
     pub fn next(&mut self, now: Timestamp, id: ExchangeId) -> Step {
@@ -208,6 +216,11 @@
             keyed: exchange.key.is_some(),
             connection_limit,
             deadline: exchange.deadline,
+            path_patience: exchange
+                .route
+                .target_latency
+                .mul_f64(PATH_PATIENCE_RATIO)
+                .max(MIN_PATH_PATIENCE),
         })
     }
 
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -0,0 +1,34 @@
+//! What other routers, and paths that are lost, need to know of back ends.
+
+use std::net::SocketAddr;
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEndName, Distance};
+
+use super::Dispatcher;
+
+impl Dispatcher {
+    /// Address, distance and connection limit of a back end to which a request
+    /// of another router may be forwarded. `None` if this router would send it
+    /// nothing itself: it is not registered, is leaving or asked for a backoff.
+    pub fn forward_target(
+        &self,
+        now: Timestamp,
+        name: &BackEndName,
+    ) -> Option<(SocketAddr, Distance, usize)> {
+        let state = self.back_ends.get(name)?;
+        if !state.accepts_requests() || state.backoff_until(now).is_some() {
+            return None;
+        }
+        let back_end = &state.back_end;
+        let distance = self.settings.topology.distance(&back_end.zone);
+        let limit = self.connection_limit(&back_end.service);
+        Some((back_end.address, distance, limit))
+    }
+
+    /// Address of a registered back end.
+    pub fn back_end_address(&self, name: &BackEndName) -> Option<SocketAddr> {
+        let state = self.back_ends.get(name)?;
+        Some(state.back_end.address)
+    }
+}
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -46,6 +46,9 @@
 pub enum Fault {
     /// No connection could be opened. Nothing was sent.
     Unreachable,
+    /// The way that was tried does not reach the back end, but another one may.
+    /// Nothing was sent.
+    PathFailed,
     /// All connections that this router may have to the back end are in use.
     /// Nothing was sent.
     NoConnection,
@@ -70,7 +73,11 @@
     pub const fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Fault::Unreachable | Fault::NoConnection | Fault::NothingSent | Fault::BodyGone
+            Fault::Unreachable
+                | Fault::PathFailed
+                | Fault::NoConnection
+                | Fault::NothingSent
+                | Fault::BodyGone
         )
     }
 }
@@ -276,6 +283,7 @@
     fn from(fault: Fault) -> Self {
         match fault {
             Fault::Unreachable
+            | Fault::PathFailed
             | Fault::NoConnection
             | Fault::NothingSent
             | Fault::BodyGone
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -67,6 +67,8 @@
     pub connection_limit: usize,
     /// When the request must have been answered.
     pub deadline: Timestamp,
+    /// Time without a response after which the path to the back end is checked.
+    pub path_patience: Duration,
 }
 
 /// The next step for an exchange.
--- a/crates/net/src/pool/address_table.rs
+++ b/crates/net/src/pool/address_table.rs
@@ -142,6 +142,19 @@
         }
     }
 
+    /// Reserves a slot for a new connection; `None` if the connection limit is
+    /// reached.
+    pub(super) fn reserve_new(self: &Arc<Self>, address: SocketAddr) -> Option<Slot> {
+        let mut by_address = self.by_address.lock();
+        let entry = by_address.entry(address).or_default();
+        if entry.in_use >= entry.limit.unwrap_or(self.default_limit) {
+            return None;
+        }
+        entry.in_use += 1;
+        let addresses = Arc::downgrade(self);
+        Some(Slot { addresses, address })
+    }
+
     /// Starts tracking an exchange on a reused connection.
     pub(super) fn watch_reuse(self: &Arc<Self>, address: SocketAddr) -> ReuseWatch {
         let since = Instant::now();
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -190,6 +190,21 @@
         self.checkout_within(address, Some(limit), deadline).await
     }
 
+    /// Opens a new connection, even if there are idle ones. Dropping it unused
+    /// adds it to the idle ones.
+    pub async fn open_new(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<PooledConnection, ExchangeError> {
+        let Some(slot) = self.addresses.reserve_new(address) else {
+            return Err(no_connection_free(address));
+        };
+        let buffered = self.connect(address, deadline).await?;
+        let pool = self.clone();
+        Ok(PooledConnection::new(pool, address, false, slot, buffered))
+    }
+
     async fn checkout_within(
         &self,
         address: SocketAddr,
@@ -221,13 +236,7 @@
                     }
                 }
                 Reservation::New(slot) => return Ok((slot, None)),
-                Reservation::Full => {
-                    return Err(ExchangeError {
-                        address,
-                        stage: Stage::ConnectFailed,
-                        fault: ExchangeFault::NoConnectionFree,
-                    });
-                }
+                Reservation::Full => return Err(no_connection_free(address)),
             }
         }
     }
@@ -272,6 +281,14 @@
     }
 }
 
+fn no_connection_free(address: SocketAddr) -> ExchangeError {
+    ExchangeError {
+        address,
+        stage: Stage::ConnectFailed,
+        fault: ExchangeFault::NoConnectionFree,
+    }
+}
+
 /// Closes connections that stay unused for too long, until none is idle.
 async fn close_expired(addresses: Weak<AddressTable>, idle_timeout: Duration) {
     loop {
--- a/crates/paths/src/direct.rs
+++ b/crates/paths/src/direct.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// Records that a check was not made, because no further connection to the
+    /// back end is allowed.
+    pub fn on_check_skipped(&mut self, now: Timestamp, address: SocketAddr) {
+        if let Some(path) = self.paths.get_mut(&address) {
+            path.checking = false;
+            path.next_check = now + CHECK_INTERVAL;
+        }
+    }
+
     /// Handles a request that was sent over an old connection at `sent` and has
     /// no answer yet. Returns the back ends to which a new connection should be
     /// opened to check the path: this one and, if none has answered since,
--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -62,7 +62,8 @@
     }
 
     /// Chooses the gateway through which to reach `back_end` among the gateways
-    /// known. Requests are spread over all that work or were not tried yet.
+    /// known. Requests are spread over all that work or were not tried yet;
+    /// those that failed are only tried again if there are none.
     pub fn choose(
         &mut self,
         now: Timestamp,
@@ -81,15 +82,14 @@
             forwarder.is_none_or(|forwarder| forwarder.not_before <= now)
         };
         let candidates: Vec<SocketAddr> = known.iter().filter(may_ask).copied().collect();
-        let working = |address: &&SocketAddr| {
+        let promising = |address: &&SocketAddr| {
             let forwarder = self.by_address.get(address);
-            forwarder.is_some_and(|forwarder| forwarder.works(now))
+            forwarder.is_none_or(|forwarder| forwarder.works(now))
         };
-        let working: Vec<SocketAddr> = candidates.iter().filter(working).copied().collect();
-        let pool = if working.len() >= MAX_NAMED {
-            working
-        } else {
-            candidates
+        let promising: Vec<SocketAddr> = candidates.iter().filter(promising).copied().collect();
+        let pool = match promising.is_empty() {
+            true => candidates,
+            false => promising,
         };
         if pool.is_empty() {
             return NextForwarder::NoneLeft;
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -6,12 +6,11 @@
 use http_types::{Body, Method, Response};
 use threadledge_dispatch::{Attempt, AttemptEnd, ExchangeId, Fault};
 use threadledge_net::message::Message;
-use threadledge_net::{ExchangeError, ExchangeFault, Stage};
 use threadledge_ports::HeaderCodec;
 use threadledge_types::deployment::TenantName;
 
 use super::dispatch::Dispatch;
-use super::links::BackEndLinks;
+use super::links::{BackEndLinks, Target};
 use super::usage::Usage;
 use crate::proxy::answer::{AnswerBody, drain_available, read_ahead};
 use crate::proxy::headers;
@@ -88,13 +87,9 @@
         outbound: Arc<OutboundRequest>,
     ) -> AttemptResult {
         let deadline = self.dispatch.clock().instant(attempt.deadline);
-        let connection = self
-            .links
-            .open(attempt.address, attempt.connection_limit, deadline)
-            .await;
-        let connection = match connection {
-            Ok(connection) => connection,
-            Err(error) => return AttemptResult::failed(fault_from_error(&error)),
+        let link = match self.links.open(Target::from(&attempt), deadline).await {
+            Ok(link) => link,
+            Err(fault) => return AttemptResult::failed(fault),
         };
         // Invariant: no byte is written before the dispatcher permits it, and
         // from here on the request counts as one that may have run.
@@ -111,13 +106,15 @@
             self.header_codec.set_tenant(&mut request, tenant);
         }
         self.usage.record_back_end_request(&attempt, request.len());
-        match connection.exchange(request, deadline).await {
+        match link
+            .exchange(request, deadline, attempt.path_patience)
+            .await
+        {
             Ok(response) => {
-                self.links.on_answer(attempt.address);
                 self.read_response(exchange, &attempt, &outbound, response)
                     .await
             }
-            Err(error) => AttemptResult::failed(fault_from_error(&error)),
+            Err(fault) => AttemptResult::failed(fault),
         }
     }
 
@@ -187,19 +184,3 @@
         )
     }
 }
-
-fn fault_from_error(error: &ExchangeError) -> Fault {
-    match (error.stage, &error.fault) {
-        // Reaching the router's own connection limit says nothing about the
-        // back end.
-        (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NoConnection,
-        (Stage::ConnectFailed, _) => Fault::Unreachable,
-        (Stage::NothingSent, ExchangeFault::RequestBody(_)) => Fault::BodyGone,
-        (Stage::NothingSent, _) => Fault::NothingSent,
-        (_, ExchangeFault::RequestBody(_)) => Fault::CallerBroke,
-        (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
-        (_, ExchangeFault::Malformed(_)) => Fault::BadAnswer,
-        (Stage::ResponseHead | Stage::ResponseBody, _) => Fault::BadAnswer,
-        _ => Fault::Broken,
-    }
-}
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -1,94 +1,359 @@
-//! Connections to back ends, and what they show about this gateway's paths to
-//! them.
+//! Connections to back ends: direct ones and, where this gateway has lost its
+//! path, ones through other gateways that forward.
+
+mod checks;
+mod forward_server;
+mod forwarding;
+mod peer_deadlines;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use http_types::{Request, Response};
 use parking_lot::Mutex;
-use threadledge_net::{ExchangeError, ExchangeFault, Instant, Pool, PooledConnection};
-use threadledge_paths::{DirectPaths, Evidence, PathChange};
+use threadledge_dispatch::{Attempt, Fault};
+use threadledge_net::{
+    ExchangeError, ExchangeFault, Instant, Pool, PoolSettings, PooledConnection, Stage,
+    UnframedBodies, timer,
+};
+use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange};
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEndName, Distance};
 
+use super::dispatch::Dispatch;
+use super::notifier::Notifier;
+use super::peers::PeerClient;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
 
+pub(super) use forward_server::ForwardServer;
+pub(super) use forwarding::is_forwarded;
+pub(super) use peer_deadlines::ClockReading;
+
+/// Time after which a connection that is not established yet is given up for
+/// one through another gateway. Within a region connections take a few
+/// milliseconds.
+const NEAR_CONNECT_PATIENCE: Duration = Duration::from_millis(60);
+/// Timeout for connecting to another gateway.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Most gateways asked for one connection.
+const MAX_FORWARDERS_TRIED: usize = 4;
+/// Most connections to one other gateway for forwarded requests.
+const FORWARDED_PER_PEER: usize = 64;
+/// Time without data from another gateway after which idle connections to it
+/// are suspect.
+const PEER_SUSPECT_AFTER: Duration = Duration::from_millis(400);
+
+/// The back end to connect to.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) name: BackEndName,
+    pub(super) address: SocketAddr,
+    pub(super) distance: Distance,
+    /// Most connections that this gateway may have to it.
+    pub(super) connection_limit: usize,
+}
+
+impl From<&Attempt> for Target {
+    fn from(attempt: &Attempt) -> Self {
+        Target {
+            name: attempt.back_end.clone(),
+            address: attempt.address,
+            distance: attempt.distance,
+            connection_limit: attempt.connection_limit,
+        }
+    }
+}
+
 /// Opens connections to back ends. Clones share everything.
 #[derive(Clone, Debug)]
 pub(super) struct BackEndLinks {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
     pool: Pool,
+    /// Connections to other gateways for forwarded requests.
+    peer_pool: Pool,
+    peers: PeerClient,
     clock: Clock,
-    direct: Arc<Mutex<DirectPaths>>,
+    dispatch: Arc<Dispatch>,
+    direct: Mutex<DirectPaths>,
+    forwarders: Mutex<Forwarders>,
+    readings: peer_deadlines::ClockReadings,
+    /// Notified when a path is lost or a check has ended.
+    checks_changed: Notifier,
+}
+
+/// A connection on which nothing has been sent yet.
+#[derive(Debug)]
+pub(super) struct Link {
+    links: BackEndLinks,
+    target: Target,
+    connection: PooledConnection,
+    /// The gateway that forwards, if the connection leads to one.
+    forwarder: Option<SocketAddr>,
 }
 
 impl BackEndLinks {
-    pub(super) fn new(pool: Pool, clock: Clock) -> Self {
+    pub(super) fn new(pool: Pool, dispatch: Arc<Dispatch>, peers: PeerClient) -> Self {
+        let peer_pool = Pool::new(PoolSettings {
+            connections_per_address: FORWARDED_PER_PEER,
+            connect_timeout: PEER_CONNECT_TIMEOUT,
+            unframed_bodies: UnframedBodies::Refuse,
+            suspect_idle_after: Some(PEER_SUSPECT_AFTER),
+            ..PoolSettings::default()
+        });
         BackEndLinks {
-            pool,
-            clock,
-            direct: Arc::default(),
+            shared: Arc::new(Shared {
+                pool,
+                peer_pool,
+                peers,
+                clock: dispatch.clock(),
+                dispatch,
+                direct: Mutex::default(),
+                forwarders: Mutex::new(Forwarders::new(rand::random())),
+                readings: peer_deadlines::ClockReadings::default(),
+                checks_changed: Notifier::default(),
+            }),
         }
     }
 
-    /// Checks out a connection to a back end and records what that shows.
-    pub(super) async fn open(
-        &self,
-        address: SocketAddr,
-        limit: usize,
-        deadline: Instant,
-    ) -> Result<PooledConnection, ExchangeError> {
-        let opened = self
-            .pool
-            .checkout_with_limit(address, limit, deadline)
-            .await;
-        match &opened {
-            Ok(connection) if connection.is_reused() => {}
-            Ok(_) => self.with_paths(|paths, now| paths.on_connected(now, address)),
-            Err(error) => {
-                if let Some(evidence) = evidence_of(error) {
-                    self.with_paths(|paths, now| paths.on_connect_failed(now, address, evidence));
+    /// Opens a connection to a back end, directly or through another gateway.
+    ///
+    /// # Errors
+    ///
+    /// The fault of the attempt; nothing was sent.
+    pub(super) async fn open(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
+        if !self.is_lost(target.address) {
+            match self.open_direct(&target, deadline).await {
+                Ok(link) => return Ok(link),
+                Err(Fault::NoConnection) => return Err(Fault::NoConnection),
+                Err(_) => {}
+            }
+        }
+        self.open_forwarded(target, deadline).await
+    }
+
+    /// Opens a direct connection. Waits only briefly if another gateway may
+    /// forward instead.
+    async fn open_direct(&self, target: &Target, deadline: Instant) -> Result<Link, Fault> {
+        let pool = &self.shared.pool;
+        let address = target.address;
+        let mut opening =
+            pin!(pool.checkout_with_limit(address, target.connection_limit, deadline));
+        let is_near = target.distance < Distance::OtherRegion;
+        let patience = is_near.then_some(NEAR_CONNECT_PATIENCE);
+        let opened = match patience {
+            Some(patience) => timer::timeout(patience, &mut opening).await,
+            None => Ok((&mut opening).await),
+        };
+        let opened = match opened {
+            Ok(opened) => opened,
+            Err(timer::Elapsed) if self.may_forward(address) => {
+                self.on_connect_failed(address, Evidence::Timeout);
+                return Err(Fault::Unreachable);
+            }
+            Err(timer::Elapsed) => opening.await,
+        };
+        match opened {
+            Ok(connection) => {
+                if !connection.is_reused() {
+                    self.with_direct(|paths, now| paths.on_connected(now, address));
+                }
+                Ok(self.link(target.clone(), connection, None))
+            }
+            Err(error) => match evidence_of(&error) {
+                None => Err(Fault::NoConnection),
+                Some(evidence) => {
+                    self.on_connect_failed(address, evidence);
+                    Err(Fault::Unreachable)
                 }
+            },
+        }
+    }
+
+    /// Opens a connection to a gateway that may reach the back end.
+    async fn open_forwarded(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
+        for _ in 0..MAX_FORWARDERS_TRIED {
+            let NextForwarder::Ask(forwarder) = self.next_forwarder(target.address) else {
+                return Err(Fault::Unreachable);
+            };
+            let reading = self.read_clock_of(forwarder).await;
+            let opened = match reading {
+                Some(()) => self.shared.peer_pool.checkout(forwarder, deadline).await,
+                None => {
+                    self.on_unusable(forwarder);
+                    continue;
+                }
+            };
+            match opened {
+                Ok(connection) => return Ok(self.link(target, connection, Some(forwarder))),
+                Err(error) if evidence_of(&error).is_none() => return Err(Fault::NoConnection),
+                Err(_) => self.on_unusable(forwarder),
             }
         }
-        opened
+        Err(Fault::Unreachable)
     }
 
-    /// Records that a back end answered.
-    pub(super) fn on_answer(&self, address: SocketAddr) {
-        self.with_paths(|paths, now| paths.on_answer(now, address));
+    fn link(
+        &self,
+        target: Target,
+        connection: PooledConnection,
+        forwarder: Option<SocketAddr>,
+    ) -> Link {
+        Link {
+            links: self.clone(),
+            target,
+            connection,
+            forwarder,
+        }
     }
 
-    /// Runs `act` on the direct paths and logs their changes.
-    fn with_paths<R>(&self, act: impl FnOnce(&mut DirectPaths, Timestamp) -> R) -> R {
-        let mut direct = self.direct.lock();
-        let now = self.clock.now();
+    /// Returns whether this gateway cannot connect to a back end itself.
+    pub(super) fn is_lost(&self, address: SocketAddr) -> bool {
+        self.shared.direct.lock().is_lost(address)
+    }
+
+    fn may_forward(&self, address: SocketAddr) -> bool {
+        matches!(self.next_forwarder(address), NextForwarder::Ask(_))
+    }
+
+    fn next_forwarder(&self, address: SocketAddr) -> NextForwarder {
+        let known = self.shared.peers.most_recent();
+        let now = self.shared.clock.now();
+        self.shared.forwarders.lock().choose(now, address, &known)
+    }
+
+    fn on_unusable(&self, forwarder: SocketAddr) {
+        let now = self.shared.clock.now();
+        self.shared.forwarders.lock().on_unusable(now, forwarder);
+    }
+
+    fn on_connect_failed(&self, address: SocketAddr, evidence: Evidence) {
+        self.with_direct(|paths, now| paths.on_connect_failed(now, address, evidence));
+    }
+
+    /// Forgets a back end that is no longer registered.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.shared.direct.lock().forget(address);
+        self.shared.pool.remove_address(address);
+    }
+
+    /// Runs `act` on the direct paths and handles their changes.
+    fn with_direct<R>(&self, act: impl FnOnce(&mut DirectPaths, Timestamp) -> R) -> R {
+        let mut direct = self.shared.direct.lock();
+        let now = self.shared.clock.now();
         let result = act(&mut direct, now);
         let changes = direct.take_changes();
         drop(direct);
-        changes.iter().for_each(log_change);
+        for change in changes {
+            self.on_change(&change);
+        }
         result
     }
+
+    fn on_change(&self, change: &PathChange) {
+        match change {
+            PathChange::Lost { address, evidence } => {
+                emit!(
+                    EventId::BackEndPathLost,
+                    address = %address,
+                    evidence = evidence.as_str(),
+                );
+                // Idle connections would hang as well.
+                self.shared.pool.remove_address(*address);
+                self.shared.checks_changed.notify();
+            }
+            PathChange::Restored { address, after } => emit!(
+                EventId::BackEndPathRestored,
+                address = %address,
+                after_ms = after.as_millis() as u64,
+            ),
+        }
+    }
+}
+
+impl Link {
+    /// Sends a request and returns the response. After `patience` without one
+    /// on a connection that was open before, the path is checked.
+    ///
+    /// # Errors
+    ///
+    /// The fault of the attempt.
+    pub(super) async fn exchange(
+        self,
+        request: Request,
+        deadline: Instant,
+        patience: Duration,
+    ) -> Result<Response, Fault> {
+        match self.forwarder {
+            Some(forwarder) => self.exchange_forwarded(forwarder, request, deadline).await,
+            None => self.exchange_direct(request, deadline, patience).await,
+        }
+    }
+
+    async fn exchange_direct(
+        self,
+        request: Request,
+        deadline: Instant,
+        patience: Duration,
+    ) -> Result<Response, Fault> {
+        let Link {
+            links,
+            target,
+            connection,
+            ..
+        } = self;
+        let address = target.address;
+        let is_reused = connection.is_reused();
+        let sent = links.shared.clock.now();
+        let mut exchange = pin!(connection.exchange(request, deadline));
+        let answered = match is_reused {
+            true => timer::timeout(patience, &mut exchange).await,
+            false => Ok((&mut exchange).await),
+        };
+        let answered = match answered {
+            Ok(answered) => answered,
+            Err(timer::Elapsed) => {
+                links.check_after_silence(address, sent);
+                exchange.await
+            }
+        };
+        match answered {
+            Ok(response) => {
+                links.with_direct(|paths, now| paths.on_answer(now, address));
+                Ok(response)
+            }
+            Err(error) => Err(fault_from_error(&error)),
+        }
+    }
 }
 
 /// What a failure to open a connection shows about the path, if anything.
 fn evidence_of(error: &ExchangeError) -> Option<Evidence> {
     match &error.fault {
+        // Reaching the router's own connection limit says nothing about the
+        // back end.
         ExchangeFault::NoConnectionFree => None,
         ExchangeFault::DeadlinePassed => Some(Evidence::Timeout),
         _ => Some(Evidence::Refused),
     }
 }
 
-fn log_change(change: &PathChange) {
-    match change {
-        PathChange::Lost { address, evidence } => emit!(
-            EventId::BackEndPathLost,
-            address = %address,
-            evidence = evidence.as_str(),
-        ),
-        PathChange::Restored { address, after } => emit!(
-            EventId::BackEndPathRestored,
-            address = %address,
-            after_ms = after.as_millis() as u64,
-        ),
+fn fault_from_error(error: &ExchangeError) -> Fault {
+    match (error.stage, &error.fault) {
+        (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NoConnection,
+        (Stage::ConnectFailed, _) => Fault::Unreachable,
+        (Stage::NothingSent, ExchangeFault::RequestBody(_)) => Fault::BodyGone,
+        (Stage::NothingSent, _) => Fault::NothingSent,
+        (_, ExchangeFault::RequestBody(_)) => Fault::CallerBroke,
+        (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
+        (_, ExchangeFault::Malformed(_)) => Fault::BadAnswer,
+        (Stage::ResponseHead | Stage::ResponseBody, _) => Fault::BadAnswer,
+        _ => Fault::Broken,
     }
 }
--- /dev/null
+++ b/crates/router/src/gateway/links/checks.rs
@@ -0,0 +1,60 @@
+//! Checks of direct paths by opening connections, which stay in the pool.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::task;
+use threadledge_net::{Instant, timer};
+use threadledge_types::Timestamp;
+
+use super::{BackEndLinks, evidence_of};
+
+/// Time within which a connection must be established.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+impl BackEndLinks {
+    /// Checks lost paths until they work again; never returns.
+    pub(in super::super) async fn check_lost_paths(self) {
+        loop {
+            let changed = self.shared.checks_changed.next();
+            let due = self.with_direct(|paths, now| paths.take_due_checks(now));
+            for address in due {
+                task::spawn(self.clone().check(address));
+            }
+            let next = self.shared.direct.lock().next_check();
+            match next {
+                Some(next) => {
+                    let next = self.shared.clock.instant(next);
+                    // The loop looks for due checks in either case.
+                    let _ = timer::timeout_at(next, changed).await;
+                }
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Checks the path to a back end that has left a request without an answer
+    /// since `sent` and, if no back end has answered since, the other paths.
+    pub(super) fn check_after_silence(&self, address: SocketAddr, sent: Timestamp) {
+        let checks = self.with_direct(|paths, now| paths.on_silence(now, address, sent));
+        for address in checks {
+            task::spawn(self.clone().check(address));
+        }
+    }
+
+    /// Opens a connection to a back end and records whether that is possible.
+    pub(super) async fn check(self, address: SocketAddr) -> bool {
+        let deadline = Instant::now() + CHECK_TIMEOUT;
+        let opened = self.shared.pool.open_new(address, deadline).await;
+        let is_open = opened.is_ok();
+        self.with_direct(|paths, now| match &opened {
+            Ok(_) => paths.on_connected(now, address),
+            Err(error) => match evidence_of(error) {
+                Some(evidence) => paths.on_connect_failed(now, address, evidence),
+                None => paths.on_check_skipped(now, address),
+            },
+        });
+        self.shared.checks_changed.notify();
+        is_open
+    }
+}
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -24,6 +24,7 @@
 use super::coordination::Event;
 use super::followers::{Followers, millis};
 use super::limits::Limits;
+use super::links::{ClockReading, ForwardServer, is_forwarded};
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::publisher::StatePublisher;
 use super::suspects::SuspectService;
@@ -43,6 +44,10 @@
 const LIMITS_PATH: &str = "/threadledge/v1/limits";
 /// Path of token requests for back ends that name a limit.
 const TOKENS_PATH: &str = "/threadledge/v1/tokens";
+/// Path of readings of a gateway's clock.
+const CLOCK_PATH: &str = "/threadledge/v1/clock";
+/// Timeout of a reading of another gateway's clock: a request waits for it.
+const CLOCK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of an exchange about requests that crash back ends: other gateways
 /// wait for their turn meanwhile.
 const SUSPECTS_TIMEOUT: Duration = Duration::from_millis(300);
@@ -208,6 +213,12 @@
         call.await.ok()
     }
 
+    /// Reads another gateway's clock. Returns `None` if it did not answer.
+    pub(super) async fn read_clock(&self, of: SocketAddr) -> Option<ClockReading> {
+        let read = self.client.get_json(of, CLOCK_PATH, CLOCK_TIMEOUT);
+        read.await.ok()
+    }
+
     /// The address at which other gateways reach this one.
     pub(super) fn own_address(&self) -> Option<SocketAddr> {
         self.own_address
@@ -245,6 +256,7 @@
     pub(super) usage: Usage,
     pub(super) suspects: SuspectService,
     pub(super) limits: Limits,
+    pub(super) forward: ForwardServer,
 }
 
 impl PeerServer {
@@ -264,6 +276,14 @@
 
     /// Answers one request and counts its bytes.
     async fn answer(&self, mut request: Request) -> Response {
+        if is_forwarded(&request) {
+            let received = request.len().unwrap_or_default();
+            let response = self.forward.forward(request).await;
+            let answered = response.len().unwrap_or_default();
+            self.usage
+                .record_peer_message("forwarded", received, answered);
+            return response;
+        }
         let Ok(body) = request.body_bytes().await else {
             return answer::text(400, "cut-short", None);
         };
@@ -274,6 +294,7 @@
             SUSPECTS_PATH => "suspects",
             LIMITS_PATH => "limits",
             TOKENS_PATH => "tokens",
+            CLOCK_PATH => "clock",
             _ => "unknown",
         };
         let response = self.route(&request, &body).await;
@@ -310,6 +331,7 @@
                 Ok(ask) => self.handle_tokens(&ask).await,
                 Err(_) => answer::text(400, "malformed-ask", None),
             },
+            (Method::Get, CLOCK_PATH) => answer::json(&self.forward.clock_reading()),
             _ => answer::text(404, "unknown-path", None),
         }
     }
--- a/crates/router/src/gateway/publisher.rs
+++ b/crates/router/src/gateway/publisher.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::Mutex;
 use threadledge_coordination::{OwnershipRecord, OwnershipView};
-use threadledge_net::{Pool, timer};
+use threadledge_net::timer;
 use threadledge_tenants::KeyChanges;
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone};
@@ -15,6 +15,7 @@
 use super::coordination::Event;
 use super::dispatch::Dispatch;
 use super::limits::Limits;
+use super::links::BackEndLinks;
 use super::notifier::Notifier;
 use super::readiness::Readiness;
 use super::store_health::StoreHealth;
@@ -37,7 +38,7 @@
 pub(super) struct StatePublisher {
     pub(super) cluster_state: Arc<Mutex<ClusterState>>,
     pub(super) dispatch: Arc<Dispatch>,
-    pub(super) pool: Pool,
+    pub(super) links: BackEndLinks,
     pub(super) readiness: Arc<Readiness>,
     pub(super) health: Arc<StoreHealth>,
     pub(super) limits: Limits,
@@ -184,7 +185,7 @@
             }
         });
         for address in unused {
-            self.pool.remove_address(address);
+            self.links.forget(address);
         }
         self.readiness.set_back_ends_known();
         self.send(Event::BackEndsChanged);
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -202,6 +202,9 @@
         if self.tier == Tier::Region {
             return records.own;
         }
+        for relay in &records.neighbours {
+            self.client.note_peer(*relay);
+        }
         self.neighbours.set_other_relays(records.neighbours);
         if self.member.is_relay() {
             // A new relay has not been polled by all its followers yet; the
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -31,7 +31,7 @@
 use super::followers::Followers;
 use super::key_confirmation::KeyConfirmation;
 use super::limits::{LedgerPlacement, Limits, takeover_delay_for_cores};
-use super::links::BackEndLinks;
+use super::links::{BackEndLinks, ForwardServer};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::peers::{PeerClient, PeerServer, Peers};
@@ -149,7 +149,7 @@
     ports: Ports,
     clock: Clock,
     dispatch: Arc<Dispatch>,
-    pool: Pool,
+    links: BackEndLinks,
     readiness: Arc<Readiness>,
     store_health: Arc<StoreHealth>,
     sources: Arc<Sources>,
@@ -201,10 +201,13 @@
             address: settings.listen.peers,
         };
         let limits = metrics.limits(clock, &identity, settings.tenant_limits())?;
+        let peers = Arc::new(Peers::default());
+        let peer_client = PeerClient::new(settings.listen.peers, peers.clone());
+        let links = BackEndLinks::new(pool, dispatch.clone(), peer_client);
         let requests = Arc::new(RequestHandler {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
-                links: BackEndLinks::new(pool.clone(), clock),
+                links: links.clone(),
                 budget: budget.clone(),
                 header_codec: ports.header_codec.clone(),
                 usage: metrics.usage().clone(),
@@ -221,12 +224,12 @@
             ports,
             clock,
             dispatch,
-            pool,
+            links,
             readiness: Arc::new(Readiness::default()),
             store_health,
             followers: Arc::new(Followers::new(clock, sources.clone())),
             sources,
-            peers: Arc::new(Peers::default()),
+            peers,
             metrics,
             requests,
             stop,
@@ -259,6 +262,7 @@
             &self.ports,
         );
         self.start_limits();
+        task::spawn(self.links.clone().check_lost_paths());
         let token_requester = TokenRequester {
             dispatch: self.dispatch.clone(),
             peers: self.peer_client(),
@@ -278,6 +282,10 @@
                 usage: self.metrics.usage().clone(),
                 suspects: self.suspects.clone(),
                 limits: self.limits.clone(),
+                forward: ForwardServer {
+                    links: self.links.clone(),
+                    incarnation: self.identity.incarnation,
+                },
             };
             task::spawn(server.serve(listener, servers_stop.clone()));
         }
--- a/crates/router/src/gateway/run/watchers.rs
+++ b/crates/router/src/gateway/run/watchers.rs
@@ -37,7 +37,7 @@
         let publisher = StatePublisher {
             cluster_state,
             dispatch: self.dispatch.clone(),
-            pool: self.pool.clone(),
+            links: self.links.clone(),
             readiness: self.readiness.clone(),
             health: self.store_health.clone(),
             limits: self.limits.clone(),
--- a/crates/router/tests/gateway/lost_paths.rs
+++ b/crates/router/tests/gateway/lost_paths.rs
@@ -78,7 +78,8 @@
         cut_off.await_ready();
         let owned = || keys().all(|key| back_ends.iter().any(|each| each.holds(key)));
         eventually(|| owned().then_some(()));
-        let mut in_reach = Gateway::start_named("router-2", store.address());
+        // A gateway of the same zone would get the addresses of the proxies.
+        let mut in_reach = Gateway::start_in("zone-b", "router-2", store.address());
         in_reach.await_ready();
         let world = World {
             store,
@@ -94,6 +95,9 @@
                 eventually(|| (request.send(gateway).status() == 200).then_some(()));
             }
         }
+        let heard_of =
+            r#"threadledge_gateway_peer_bytes_total{direction="received",message="load"}"#;
+        eventually(|| world.cut_off.metrics().contains(heard_of).then_some(()));
         world
     }
 
@@ -117,8 +121,14 @@
         }
     }
 
-    fn connections(&self) -> u64 {
-        self.paths.iter().map(Proxy::accepted).sum()
+    /// The line of the second gateway's metrics that grows with each request
+    /// that it forwards.
+    fn forwarded(&self) -> Option<String> {
+        let metrics = self.in_reach.metrics();
+        let name =
+            r#"threadledge_gateway_peer_bytes_total{direction="answered",message="forwarded"}"#;
+        let mut lines = metrics.lines();
+        lines.find(|line| line.starts_with(name)).map(str::to_owned)
     }
 
     fn unowned(&self) -> Vec<u16> {
@@ -179,12 +189,11 @@
     }
     let unserved = statuses.iter().filter(|status| **status != 200).count();
     assert_eq!(unserved, 0, "{how:?}: {statuses:?}");
-    let before = world.connections();
     world.heal();
     eventually(|| {
-        let answer = plain().send(&world.cut_off);
-        assert_eq!(answer.status(), 200);
-        (world.connections() > before).then_some(())
+        let before = world.forwarded();
+        assert_eq!(plain().send(&world.cut_off).status(), 200);
+        (world.forwarded() == before).then_some(())
     });
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -148,8 +148,10 @@
         target: SocketAddr,
         rewriter: Rewriter,
     ) -> std::io::Result<Self> {
+        // A port that the kernel chose would be lost with the first refusal of
+        // connections; one that was named stays bound.
+        let address = TcpListener::bind(address)?.local_addr()?;
         let listener = Async::<TcpListener>::bind(address)?;
-        let address = listener.get_ref().local_addr()?;
         let state = State {
             target,
             rewriter: Arc::new(rewriter),
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -227,3 +227,17 @@
     server.write_all(b"far!far!").expect("sent");
     assert_eq!(read(&mut client, 8), b"nearnear");
 }
+
+#[test]
+fn refused_connections_leave_open_ones_alone_until_accepted_again() {
+    let mut setup = ProxySetup::start();
+    setup.proxy.refuse_connections().expect("refuses");
+    let refused = TcpStream::connect(setup.proxy.address()).expect_err("refused");
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    setup.exchange_both_ways();
+    setup.proxy.accept_connections().expect("accepts");
+    let mut client = TcpStream::connect(setup.proxy.address()).expect("a connection");
+    let (mut server, _) = setup.listener.accept().expect("its continuation");
+    client.write_all(b"there").expect("sent");
+    assert_eq!(read(&mut server, 5), b"there");
+}
