coordination: send orders through other gateways, and call no owner lost that others reach

Callers of all gateways were refused the keyed service while the coordinator was partitioned from back ends: it kept its lease, could not renew grants, took its own partition for the end of 14 owners and released their keys.

Cause: a witness that is cut off is taken for proof. Ruled out: a lost lease (renewed all the while), a second coordinator (one election).

Change: an order to a back end whose path is lost goes through a gateway that reaches it, named by its deadline on that gateway's clock, so that nothing is sent late. There is one copy of an order: one that may have been sent is reported so and not forwarded as well. What counts against an owner: no connection from here and from a gateway that reaches at least a third of the service, or from here if this one does. Otherwise the order counts as withheld, which says nothing. Without other gateways nothing changes.

--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -47,7 +47,8 @@
 }
 
 /// The operation that an order requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// Grants the keys, or renews the grant.
     Grant(GrantOrder),
@@ -66,7 +67,8 @@
 }
 
 /// Parameters of a grant.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct GrantOrder {
     /// Duration of the grant, counted from the arrival of the order.
     pub hold: Duration,
@@ -75,7 +77,8 @@
 }
 
 /// The answer of a back end to an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum OrderReply {
     /// The grant was accepted.
     Granted,
@@ -96,9 +99,9 @@
 pub enum OrderFault {
     /// No connection could be opened, so the order certainly never arrives.
     NotSent,
-    /// This node has too many orders in flight to that back end. The order
-    /// certainly never arrives, and its failure says nothing about the back
-    /// end.
+    /// This node has too many orders in flight to that back end, or has lost
+    /// its path to most back ends. The order certainly never arrives, and its
+    /// failure says nothing about the back end.
     Withheld,
     /// The order was sent, at least in part. It may be executed now or later.
     NoAnswer,
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -26,6 +26,16 @@
         Some((back_end.address, distance, limit))
     }
 
+    /// Addresses of the registered back ends of the service that a back end
+    /// belongs to.
+    pub fn addresses_beside(&self, name: &BackEndName) -> Vec<SocketAddr> {
+        let Some(service) = self.service_of_back_end(name) else {
+            return Vec::new();
+        };
+        let back_ends = self.back_ends.of_service(&service);
+        back_ends.map(|state| state.back_end.address).collect()
+    }
+
     /// Address of a registered back end.
     pub fn back_end_address(&self, name: &BackEndName) -> Option<SocketAddr> {
         let state = self.back_ends.get(name)?;
--- a/crates/paths/src/direct.rs
+++ b/crates/paths/src/direct.rs
@@ -16,6 +16,10 @@
 /// Shortest time between two checks of the same path after silences.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A witness reaches at least one in this many back ends of a service: fewer
+/// than all end at once, while a gateway that is cut off loses nearly all.
+const MIN_WITNESS_SHARE: usize = 3;
+
 /// What shows that a path is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -83,11 +87,13 @@
         path.is_some_and(|path| path.lost_since.is_some())
     }
 
-    /// Returns whether most of the known paths work. A gateway that lost most
-    /// of its paths is no witness for the end of a back end.
-    pub fn most_work(&self) -> bool {
-        let lost = self.paths.values().filter(|path| path.lost_since.is_some());
-        lost.count() * 2 < self.paths.len().max(1)
+    /// Returns whether this gateway is a witness for the end of a back end of
+    /// the service with these addresses: it has not lost too many of its own
+    /// paths to them.
+    pub fn is_witness(&self, service: &[SocketAddr]) -> bool {
+        let lost = service.iter().filter(|address| self.is_lost(**address));
+        let working = service.len() - lost.count();
+        working * MIN_WITNESS_SHARE >= service.len()
     }
 
     /// Records that a connection to a back end was opened.
--- a/crates/paths/tests/direct.rs
+++ b/crates/paths/tests/direct.rs
@@ -68,11 +68,13 @@
 }
 
 #[test]
-fn gateway_that_lost_most_paths_is_no_witness() {
-    let mut paths = reached(4);
-    assert!(paths.most_work());
+fn gateway_that_lost_most_paths_to_a_service_is_no_witness() {
+    let service: Vec<SocketAddr> = (0..4).map(back_end).collect();
+    let mut paths = reached(40);
+    assert!(paths.is_witness(&service));
     paths.on_connect_failed(at(10), back_end(0), Evidence::Timeout);
-    assert!(paths.most_work());
     paths.on_connect_failed(at(10), back_end(1), Evidence::Timeout);
-    assert!(!paths.most_work());
+    assert!(paths.is_witness(&service));
+    paths.on_connect_failed(at(10), back_end(2), Evidence::Timeout);
+    assert!(!paths.is_witness(&service));
 }
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod forward_server;
 mod forwarding;
+mod orders;
 mod peer_deadlines;
 
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 
 pub(super) use forward_server::ForwardServer;
 pub(super) use forwarding::is_forwarded;
+pub(super) use orders::{ForwardedOrder, ForwardedOrderResult, OrderSender, OrderServer};
 pub(super) use peer_deadlines::ClockReading;
 
 /// Time after which a connection that is not established yet is given up for
@@ -218,6 +220,15 @@
         self.shared.direct.lock().is_lost(address)
     }
 
+    /// Returns whether a failure to connect to a back end says something about
+    /// it. Invariant: a gateway that lost most paths to a service is no witness
+    /// against a back end of that service.
+    pub(super) fn is_witness(&self, name: &BackEndName) -> bool {
+        let dispatch = &self.shared.dispatch;
+        let service = dispatch.with(|dispatcher, _now| dispatcher.addresses_beside(name));
+        self.shared.direct.lock().is_witness(&service)
+    }
+
     fn may_forward(&self, address: SocketAddr) -> bool {
         matches!(self.next_forwarder(address), NextForwarder::Ask(_))
     }
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -59,7 +59,9 @@
         let link = self.open(&target, deadline).await?;
         let left = deadline.saturating_duration_since(Instant::now());
         let exchange = link.exchange(request, deadline, left.min(NEAR_CONNECT_PATIENCE * 2));
-        exchange.await.map_err(|fault| self.result_of(fault))
+        exchange
+            .await
+            .map_err(|fault| self.result_of(&target.name, fault))
     }
 
     /// The instant of a deadline by this gateway's clock.
@@ -87,23 +89,22 @@
 
     async fn open(&self, target: &Target, deadline: Instant) -> Result<super::Link, ForwardResult> {
         if self.links.is_lost(target.address) {
-            return Err(self.unreachable());
+            return Err(self.unreachable(&target.name));
         }
         let opened = self.links.open_direct(target, deadline).await;
-        opened.map_err(|fault| self.result_of(fault))
+        opened.map_err(|fault| self.result_of(&target.name, fault))
     }
 
-    fn result_of(&self, fault: Fault) -> ForwardResult {
+    fn result_of(&self, name: &BackEndName, fault: Fault) -> ForwardResult {
         match fault {
-            Fault::Unreachable => self.unreachable(),
+            Fault::Unreachable => self.unreachable(name),
             fault => ForwardResult::Failed(fault),
         }
     }
 
-    /// The result after this gateway could not connect to a back end. Invariant:
-    /// a gateway that lost most of its paths is no witness against a back end.
-    pub(super) fn unreachable(&self) -> ForwardResult {
-        match self.links.shared.direct.lock().most_work() {
+    /// The result after this gateway could not connect to a back end.
+    pub(super) fn unreachable(&self, name: &BackEndName) -> ForwardResult {
+        match self.links.is_witness(name) {
             true => ForwardResult::Unreachable,
             false => ForwardResult::NoPath,
         }
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -15,7 +15,8 @@
 use threadledge_limits::settings::QUOTA_REQUEST_TIMEOUT;
 use threadledge_limits::{QuotaRequest, QuotaResponse};
 use threadledge_net::{
-    BodyTimeouts, HttpClient, Instant, PoolSettings, ServeReport, ServerLimits, StopSignal, serve,
+    BodyTimeouts, ClientError, HttpClient, Instant, PoolSettings, ServeReport, ServerLimits,
+    StopSignal, serve,
 };
 use threadledge_suspects::SuspectUpdate;
 use threadledge_types::deployment::ServiceName;
@@ -24,7 +25,9 @@
 use super::coordination::Event;
 use super::followers::{Followers, millis};
 use super::limits::Limits;
-use super::links::{ClockReading, ForwardServer, is_forwarded};
+use super::links::{
+    ClockReading, ForwardServer, ForwardedOrder, ForwardedOrderResult, OrderServer, is_forwarded,
+};
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::publisher::StatePublisher;
 use super::suspects::SuspectService;
@@ -46,6 +49,8 @@
 const TOKENS_PATH: &str = "/threadledge/v1/tokens";
 /// Path of readings of a gateway's clock.
 const CLOCK_PATH: &str = "/threadledge/v1/clock";
+/// Path of orders to back ends that this gateway forwards.
+const ORDER_PATH: &str = "/threadledge/v1/order";
 /// Timeout of a reading of another gateway's clock: a request waits for it.
 const CLOCK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of an exchange about requests that crash back ends: other gateways
@@ -62,6 +67,8 @@
 const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
 /// Most connections from peers.
 const MAX_CONNECTIONS: usize = 512;
+/// Most connections to one peer for orders that it forwards.
+const ORDER_CONNECTIONS: usize = 32;
 /// How long a peer is remembered after it was last heard of.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Most peers passed on to another gateway at once.
@@ -106,20 +113,26 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerClient {
     client: HttpClient,
+    /// Client for orders that other gateways forward; many may be in flight.
+    orders: HttpClient,
     own_address: Option<SocketAddr>,
     peers: Arc<Peers>,
 }
 
 impl PeerClient {
     pub(super) fn new(own_address: Option<SocketAddr>, peers: Arc<Peers>) -> Self {
-        PeerClient {
-            client: HttpClient::new(PoolSettings {
-                connections_per_address: 2,
+        let client = |connections| {
+            HttpClient::new(PoolSettings {
+                connections_per_address: connections,
                 connect_timeout: PEER_TIMEOUT,
                 max_body_bytes: MAX_MESSAGE_BYTES,
                 suspect_idle_after: Some(PEER_SUSPECT_AFTER),
                 ..PoolSettings::default()
-            }),
+            })
+        };
+        PeerClient {
+            client: client(2),
+            orders: client(ORDER_CONNECTIONS),
             own_address,
             peers,
         }
@@ -219,6 +232,17 @@
         read.await.ok()
     }
 
+    /// Sends an order to a back end through another gateway.
+    pub(super) async fn forward_order(
+        &self,
+        through: SocketAddr,
+        order: &ForwardedOrder,
+        timeout: Duration,
+    ) -> Result<ForwardedOrderResult, ClientError> {
+        let call = self.orders.post_json(through, ORDER_PATH, order, timeout);
+        call.await
+    }
+
     /// The address at which other gateways reach this one.
     pub(super) fn own_address(&self) -> Option<SocketAddr> {
         self.own_address
@@ -257,6 +281,7 @@
     pub(super) suspects: SuspectService,
     pub(super) limits: Limits,
     pub(super) forward: ForwardServer,
+    pub(super) orders: OrderServer,
 }
 
 impl PeerServer {
@@ -295,6 +320,7 @@
             LIMITS_PATH => "limits",
             TOKENS_PATH => "tokens",
             CLOCK_PATH => "clock",
+            ORDER_PATH => "order",
             _ => "unknown",
         };
         let response = self.route(&request, &body).await;
@@ -331,6 +357,10 @@
                 Ok(ask) => self.handle_tokens(&ask).await,
                 Err(_) => answer::text(400, "malformed-ask", None),
             },
+            (Method::Post, ORDER_PATH) => match serde_json::from_slice(body) {
+                Ok(order) => answer::json(&self.orders.forward(order).await),
+                Err(_) => answer::text(400, "malformed-order", None),
+            },
             (Method::Get, CLOCK_PATH) => answer::json(&self.forward.clock_reading()),
             _ => answer::text(404, "unknown-path", None),
         }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -18,7 +18,7 @@
     ConcurrentHandler, ConnectionInfo, Instant, Pool, PoolSettings, ServerLimits, StopSignal,
     UnframedBodies, serve, timer,
 };
-use threadledge_ports::Ports;
+use threadledge_ports::{GrantTransport, Ports};
 use threadledge_types::deployment::ServiceName;
 use threadledge_types::{Incarnation, MachineName};
 
@@ -31,7 +31,7 @@
 use super::followers::Followers;
 use super::key_confirmation::KeyConfirmation;
 use super::limits::{LedgerPlacement, Limits, takeover_delay_for_cores};
-use super::links::{BackEndLinks, ForwardServer};
+use super::links::{BackEndLinks, ForwardServer, OrderSender, OrderServer};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
 use super::peers::{PeerClient, PeerServer, Peers};
@@ -150,6 +150,8 @@
     clock: Clock,
     dispatch: Arc<Dispatch>,
     links: BackEndLinks,
+    /// Orders over connections of this gateway's own.
+    direct_orders: Arc<dyn GrantTransport>,
     readiness: Arc<Readiness>,
     store_health: Arc<StoreHealth>,
     sources: Arc<Sources>,
@@ -204,6 +206,14 @@
         let peers = Arc::new(Peers::default());
         let peer_client = PeerClient::new(settings.listen.peers, peers.clone());
         let links = BackEndLinks::new(pool, dispatch.clone(), peer_client);
+        let direct_orders = ports.grants.clone();
+        let ports = Ports {
+            grants: Arc::new(OrderSender {
+                links: links.clone(),
+                grants: direct_orders.clone(),
+            }),
+            ..ports
+        };
         let requests = Arc::new(RequestHandler {
             attempts: Attempts {
                 dispatch: dispatch.clone(),
@@ -225,6 +235,7 @@
             clock,
             dispatch,
             links,
+            direct_orders,
             readiness: Arc::new(Readiness::default()),
             store_health,
             followers: Arc::new(Followers::new(clock, sources.clone())),
@@ -274,6 +285,10 @@
             events.clone(),
         ));
         if let Some(listener) = listeners.peers {
+            let forward = ForwardServer {
+                links: self.links.clone(),
+                incarnation: self.identity.incarnation,
+            };
             let server = PeerServer {
                 publisher: publisher.clone(),
                 peers: self.peers.clone(),
@@ -282,10 +297,11 @@
                 usage: self.metrics.usage().clone(),
                 suspects: self.suspects.clone(),
                 limits: self.limits.clone(),
-                forward: ForwardServer {
-                    links: self.links.clone(),
-                    incarnation: self.identity.incarnation,
+                orders: OrderServer {
+                    forward: forward.clone(),
+                    grants: self.direct_orders.clone(),
                 },
+                forward,
             };
             task::spawn(server.serve(listener, servers_stop.clone()));
         }
