suspects: a process counts as ended only for a gateway that reaches others

Cause: 'no connection could be opened' was read as 'the process has ended', by attempts and by probes, whoever could not connect. Same class as keys that a cut off coordinator takes away.

Change: a failed connection is evidence only for a gateway that opens a new connection to another back end of the service at that time (links/witness); otherwise the attempt ends as cut off, which ejects but accuses nobody. Probes go the way of requests, through other gateways too, and a silent probe accuses only if a new connection can be opened. The end of a process whose registration goes is evidence as before.

Ruled out: to ignore failed connections altogether, as crashes of the soak's and the tests' fleets would be known only 2.5 s later.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -140,7 +140,7 @@
     /// Records a failed attempt. Returns whether this ejects the back end.
     pub(crate) fn on_fault(&mut self, now: Timestamp, fault: Fault, settings: &Settings) -> bool {
         self.consecutive_failures += 1;
-        let unreachable = fault == Fault::Unreachable;
+        let unreachable = matches!(fault, Fault::Unreachable | Fault::CutOff);
         if !unreachable && self.consecutive_failures < CONSECUTIVE_FAILURES_TO_EJECT {
             return false;
         }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -182,7 +182,8 @@
                 }
             }
             AttemptEnd::Failed(
-                Fault::PathFailed
+                Fault::CutOff
+                | Fault::PathFailed
                 | Fault::NoConnection
                 | Fault::NothingSent
                 | Fault::BodyGone
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, Distance};
+use threadledge_types::deployment::{BackEndName, Distance, ServiceName};
 
 use super::Dispatcher;
 
@@ -26,14 +26,21 @@
         Some((back_end.address, distance, limit))
     }
 
-    /// Addresses of the registered back ends of the service that a back end
-    /// belongs to.
-    pub fn addresses_beside(&self, name: &BackEndName) -> Vec<SocketAddr> {
-        let Some(service) = self.service_of_back_end(name) else {
-            return Vec::new();
-        };
+    /// The service of a registered back end, with the addresses of its back
+    /// ends.
+    pub fn service_addresses(&self, name: &BackEndName) -> Option<(ServiceName, Vec<SocketAddr>)> {
+        let service = self.service_of_back_end(name)?;
         let back_ends = self.back_ends.of_service(&service);
-        back_ends.map(|state| state.back_end.address).collect()
+        let addresses = back_ends.map(|state| state.back_end.address).collect();
+        Some((service, addresses))
+    }
+
+    /// Distance of the back end at an address; `None` if none is registered
+    /// there.
+    pub fn distance_of(&self, address: SocketAddr) -> Option<Distance> {
+        let mut all = self.back_ends.all();
+        let state = all.find(|state| state.back_end.address == address)?;
+        Some(self.settings.topology.distance(&state.back_end.zone))
     }
 
     /// Address of a registered back end.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -46,6 +46,10 @@
 pub enum Fault {
     /// No connection could be opened. Nothing was sent.
     Unreachable,
+    /// No connection could be opened by a router that reaches no other back end
+    /// of the service either, so that this says nothing about the back end.
+    /// Nothing was sent.
+    CutOff,
     /// The way that was tried does not reach the back end, but another one may.
     /// Nothing was sent.
     PathFailed,
@@ -74,6 +78,7 @@
         !matches!(
             self,
             Fault::Unreachable
+                | Fault::CutOff
                 | Fault::PathFailed
                 | Fault::NoConnection
                 | Fault::NothingSent
@@ -283,6 +288,7 @@
     fn from(fault: Fault) -> Self {
         match fault {
             Fault::Unreachable
+            | Fault::CutOff
             | Fault::PathFailed
             | Fault::NoConnection
             | Fault::NothingSent
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -205,7 +205,8 @@
         Ok(PooledConnection::new(pool, address, false, slot, buffered))
     }
 
-    async fn checkout_within(
+    /// Like [`Pool::checkout_with_limit`]; `None` leaves the limit as it is.
+    pub async fn checkout_within(
         &self,
         address: SocketAddr,
         limit: Option<usize>,
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -6,6 +6,7 @@
 mod forwarding;
 mod orders;
 mod peer_deadlines;
+mod witness;
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -54,8 +55,9 @@
     pub(super) name: BackEndName,
     pub(super) address: SocketAddr,
     pub(super) distance: Distance,
-    /// Most connections that this gateway may have to it.
-    pub(super) connection_limit: usize,
+    /// Most connections that this gateway may have to it; `None` if that was
+    /// set before.
+    pub(super) connection_limit: Option<usize>,
 }
 
 impl From<&Attempt> for Target {
@@ -64,7 +66,7 @@
             name: attempt.back_end.clone(),
             address: attempt.address,
             distance: attempt.distance,
-            connection_limit: attempt.connection_limit,
+            connection_limit: Some(attempt.connection_limit),
         }
     }
 }
@@ -86,6 +88,7 @@
     direct: Mutex<DirectPaths>,
     forwarders: Mutex<Forwarders>,
     readings: peer_deadlines::ClockReadings,
+    controls: witness::Controls,
     /// Notified when a path is lost or a check has ended.
     checks_changed: Notifier,
 }
@@ -119,6 +122,7 @@
                 direct: Mutex::default(),
                 forwarders: Mutex::new(Forwarders::new(rand::random())),
                 readings: peer_deadlines::ClockReadings::default(),
+                controls: witness::Controls::default(),
                 checks_changed: Notifier::default(),
             }),
         }
@@ -145,8 +149,7 @@
     async fn open_direct(&self, target: &Target, deadline: Instant) -> Result<Link, Fault> {
         let pool = &self.shared.pool;
         let address = target.address;
-        let mut opening =
-            pin!(pool.checkout_with_limit(address, target.connection_limit, deadline));
+        let mut opening = pin!(pool.checkout_within(address, target.connection_limit, deadline));
         let is_near = target.distance < Distance::OtherRegion;
         let patience = is_near.then_some(NEAR_CONNECT_PATIENCE);
         let opened = match patience {
@@ -181,8 +184,10 @@
     /// Opens a connection to a gateway that may reach the back end.
     async fn open_forwarded(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
         for _ in 0..MAX_FORWARDERS_TRIED {
-            let NextForwarder::Ask(forwarder) = self.next_forwarder(target.address) else {
-                return Err(Fault::Unreachable);
+            let forwarder = match self.next_forwarder(target.address) {
+                NextForwarder::Ask(forwarder) => forwarder,
+                NextForwarder::Confirmed => return Err(Fault::Unreachable),
+                NextForwarder::NoneLeft => return Err(self.no_way_to(&target.name).await),
             };
             let reading = self.read_clock_of(forwarder).await;
             let opened = match reading {
@@ -198,7 +203,7 @@
                 Err(_) => self.on_unusable(forwarder),
             }
         }
-        Err(Fault::Unreachable)
+        Err(self.no_way_to(&target.name).await)
     }
 
     fn link(
@@ -220,15 +225,6 @@
         self.shared.direct.lock().is_lost(address)
     }
 
-    /// Returns whether a failure to connect to a back end says something about
-    /// it. Invariant: a gateway that lost most paths to a service is no witness
-    /// against a back end of that service.
-    pub(super) fn is_witness(&self, name: &BackEndName) -> bool {
-        let dispatch = &self.shared.dispatch;
-        let service = dispatch.with(|dispatcher, _now| dispatcher.addresses_beside(name));
-        self.shared.direct.lock().is_witness(&service)
-    }
-
     fn may_forward(&self, address: SocketAddr) -> bool {
         matches!(self.next_forwarder(address), NextForwarder::Ask(_))
     }
@@ -239,6 +235,13 @@
         self.shared.forwarders.lock().choose(now, address, &known)
     }
 
+    /// Distance of the back end at an address, the largest if it is unknown.
+    pub(super) fn distance_of(&self, address: SocketAddr) -> Distance {
+        let dispatch = &self.shared.dispatch;
+        let distance = dispatch.with(|dispatcher, _now| dispatcher.distance_of(address));
+        distance.unwrap_or(Distance::OtherRegion)
+    }
+
     fn on_unusable(&self, forwarder: SocketAddr) {
         let now = self.shared.clock.now();
         self.shared.forwarders.lock().on_unusable(now, forwarder);
--- a/crates/router/src/gateway/links/checks.rs
+++ b/crates/router/src/gateway/links/checks.rs
@@ -6,11 +6,13 @@
 use async_std::task;
 use threadledge_net::{Instant, timer};
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::Distance;
 
 use super::{BackEndLinks, evidence_of};
 
-/// Time within which a connection must be established.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which a connection within the region must be established. To
+/// another region it may take as long as for a request.
+const NEAR_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl BackEndLinks {
     /// Checks lost paths until they work again; never returns.
@@ -42,9 +44,18 @@
         }
     }
 
+    /// Returns whether a new connection to a back end can be opened.
+    pub(in super::super) async fn can_connect(&self, address: SocketAddr) -> bool {
+        self.clone().check(address).await
+    }
+
     /// Opens a connection to a back end and records whether that is possible.
     pub(super) async fn check(self, address: SocketAddr) -> bool {
-        let deadline = Instant::now() + CHECK_TIMEOUT;
+        let timeout = match self.distance_of(address) {
+            Distance::OtherRegion => self.shared.pool.settings().connect_timeout,
+            Distance::SameZone | Distance::SameRegion => NEAR_CHECK_TIMEOUT,
+        };
+        let deadline = Instant::now() + timeout;
         let opened = self.shared.pool.open_new(address, deadline).await;
         let is_open = opened.is_ok();
         self.with_direct(|paths, now| match &opened {
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -59,9 +59,10 @@
         let link = self.open(&target, deadline).await?;
         let left = deadline.saturating_duration_since(Instant::now());
         let exchange = link.exchange(request, deadline, left.min(NEAR_CONNECT_PATIENCE * 2));
-        exchange
-            .await
-            .map_err(|fault| self.result_of(&target.name, fault))
+        match exchange.await {
+            Ok(response) => Ok(response),
+            Err(fault) => Err(self.result_of(&target.name, fault).await),
+        }
     }
 
     /// The instant of a deadline by this gateway's clock.
@@ -83,28 +84,30 @@
             name: name.clone(),
             address,
             distance,
-            connection_limit,
+            connection_limit: Some(connection_limit),
         })
     }
 
     async fn open(&self, target: &Target, deadline: Instant) -> Result<super::Link, ForwardResult> {
         if self.links.is_lost(target.address) {
-            return Err(self.unreachable(&target.name));
+            return Err(self.unreachable(&target.name).await);
+        }
+        match self.links.open_direct(target, deadline).await {
+            Ok(link) => Ok(link),
+            Err(fault) => Err(self.result_of(&target.name, fault).await),
         }
-        let opened = self.links.open_direct(target, deadline).await;
-        opened.map_err(|fault| self.result_of(&target.name, fault))
     }
 
-    fn result_of(&self, name: &BackEndName, fault: Fault) -> ForwardResult {
+    async fn result_of(&self, name: &BackEndName, fault: Fault) -> ForwardResult {
         match fault {
-            Fault::Unreachable => self.unreachable(name),
+            Fault::Unreachable => self.unreachable(name).await,
             fault => ForwardResult::Failed(fault),
         }
     }
 
     /// The result after this gateway could not connect to a back end.
-    pub(super) fn unreachable(&self, name: &BackEndName) -> ForwardResult {
-        match self.links.is_witness(name) {
+    pub(super) async fn unreachable(&self, name: &BackEndName) -> ForwardResult {
+        match self.links.is_witness(name).await {
             true => ForwardResult::Unreachable,
             false => ForwardResult::NoPath,
         }
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -117,7 +117,7 @@
             let forwarder = match self.links.next_forwarder(address) {
                 NextForwarder::Ask(forwarder) => forwarder,
                 NextForwarder::Confirmed => return Err(OrderFault::NotSent),
-                NextForwarder::NoneLeft => return Err(self.fault_without_forwarder(order)),
+                NextForwarder::NoneLeft => return Err(self.fault_without_forwarder(order).await),
             };
             if self.links.read_clock_of(forwarder).await.is_none() {
                 self.links.on_unusable(forwarder);
@@ -161,15 +161,15 @@
                 return Ok(reply);
             }
         }
-        Err(self.fault_without_forwarder(order))
+        Err(self.fault_without_forwarder(order).await)
     }
 
     /// The fault of an order that was not sent, while no other gateway that
     /// reaches the back end is known. Invariant: a coordinator that is cut off
     /// itself does not take keys away for that.
-    fn fault_without_forwarder(&self, order: &Order) -> OrderFault {
+    async fn fault_without_forwarder(&self, order: &Order) -> OrderFault {
         let knows_others = !self.links.shared.peers.most_recent().is_empty();
-        match knows_others && !self.links.is_witness(&order.to.name) {
+        match knows_others && !self.links.is_witness(&order.to.name).await {
             true => OrderFault::Withheld,
             false => OrderFault::NotSent,
         }
@@ -196,7 +196,7 @@
             return ForwardedOrderResult::NoPath;
         };
         if self.forward.links.is_lost(address) {
-            return self.unreachable(&message.to);
+            return self.unreachable(&message.to).await;
         }
         let order = Order {
             id: OrderId::default(),
@@ -216,13 +216,13 @@
             Err(OrderFault::Withheld) => ForwardedOrderResult::NoPath,
             Err(OrderFault::NotSent) => {
                 self.forward.links.clone().check(address).await;
-                self.unreachable(&order.to.name)
+                self.unreachable(&order.to.name).await
             }
         }
     }
 
-    fn unreachable(&self, name: &BackEndName) -> ForwardedOrderResult {
-        match self.forward.unreachable(name) {
+    async fn unreachable(&self, name: &BackEndName) -> ForwardedOrderResult {
+        match self.forward.unreachable(name).await {
             ForwardResult::Unreachable => ForwardedOrderResult::Unreachable,
             _ => ForwardedOrderResult::NoPath,
         }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -271,6 +271,7 @@
             self.peer_client(),
             self.followers.clone(),
             &self.ports,
+            self.links.clone(),
         );
         self.start_limits();
         task::spawn(self.links.clone().check_lost_paths());
--- a/crates/router/src/gateway/suspects.rs
+++ b/crates/router/src/gateway/suspects.rs
@@ -22,6 +22,7 @@
 
 use super::dispatch::Dispatch;
 use super::followers::Followers;
+use super::links::BackEndLinks;
 use super::notifier::Notifier;
 use super::peers::PeerClient;
 use gossip::{Cursors, GossipTask};
@@ -94,10 +95,12 @@
         client: PeerClient,
         followers: Arc<Followers>,
         ports: &Ports,
+        links: BackEndLinks,
     ) {
         let prober = ProcessProber {
             service: self.clone(),
             header_codec: ports.header_codec.clone(),
+            links,
             findings,
         };
         let persistence = PersistenceTask::new(self.clone(), ports.held_requests.clone());
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -7,13 +7,14 @@
 
 use async_std::task;
 use http_types::headers::{CONNECTION, HOST};
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request, Response, Url};
 use threadledge_dispatch::dispatcher::ProcessCheck;
-use threadledge_dispatch::outcome::Rejection;
-use threadledge_net::{ExchangeFault, Instant, Pool, PoolSettings, Stage, timer};
+use threadledge_dispatch::outcome::{Fault, Rejection};
+use threadledge_net::{Instant, timer};
 use threadledge_ports::HeaderCodec;
 use threadledge_types::Timestamp;
 
+use super::super::links::{BackEndLinks, Target};
 use super::{Finding, SuspectService};
 use crate::events::{EventId, emit};
 
@@ -25,16 +26,18 @@
 /// slow, and answer some request during the first delay.
 const DELAYS_AFTER_TIMEOUT: [Duration; 2] =
     [Duration::from_millis(200), Duration::from_millis(150)];
-/// Connection timeout, the same as that of a request.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Response timeout. A probe queues in the back end as a request does; a back
 /// end that needs longer is cleared by its next response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time without a response after which the path to the process is checked.
+const PATH_PATIENCE: Duration = Duration::from_millis(150);
+
 /// Task that starts a probe for each suspected process.
 pub(super) struct ProcessProber {
     pub(super) service: SuspectService,
     pub(super) header_codec: Arc<dyn HeaderCodec>,
+    pub(super) links: BackEndLinks,
     pub(super) findings: async_channel::Receiver<Finding>,
 }
 
@@ -43,10 +46,10 @@
     /// The process answers.
     Running,
     /// Another process runs at its address, or the address accepts no
-    /// connections.
+    /// connections from a gateway that reaches other back ends.
     Ended,
     /// The connection was closed without a response: the process is full, or
-    /// there is a proxy in front of it.
+    /// there is a proxy in front of it. Or there is no way to the process.
     Closed,
     /// The process did not answer in time.
     Silent,
@@ -55,10 +58,6 @@
 impl ProcessProber {
     /// Handles findings until their channel is closed.
     pub(super) async fn run(self) {
-        let pool = Pool::new(PoolSettings {
-            connect_timeout: CONNECT_TIMEOUT,
-            ..PoolSettings::default()
-        });
         while let Ok(finding) = self.findings.recv().await {
             match finding {
                 Finding::Crashes => self.service.record_crashes(),
@@ -66,7 +65,7 @@
                     let probe = Probe {
                         service: self.service.clone(),
                         header_codec: self.header_codec.clone(),
-                        pool: pool.clone(),
+                        links: self.links.clone(),
                         check,
                     };
                     task::spawn(probe.run());
@@ -80,7 +79,7 @@
 struct Probe {
     service: SuspectService,
     header_codec: Arc<dyn HeaderCodec>,
-    pool: Pool,
+    links: BackEndLinks,
     check: ProcessCheck,
 }
 
@@ -106,7 +105,13 @@
         }
         // If connections were only closed, this stays undecided until a
         // registration shows the end of the process.
-        if matches!(result, ProbeResult::Ended | ProbeResult::Silent) {
+        let ended = match result {
+            ProbeResult::Ended => true,
+            // An open connection may be silent because its path is cut.
+            ProbeResult::Silent => self.links.can_connect(self.check.address).await,
+            ProbeResult::Closed | ProbeResult::Running => false,
+        };
+        if ended {
             self.record_ended();
         }
     }
@@ -136,13 +141,10 @@
             return ProbeResult::Closed;
         };
         let deadline = Instant::now() + RESPONSE_TIMEOUT;
-        let exchange = self.pool.exchange(self.check.address, request, deadline);
-        let response = match exchange.await {
+        let response = match self.exchange(request, deadline).await {
             Ok(response) => response,
-            Err(error) if error.stage == Stage::ConnectFailed => return ProbeResult::Ended,
-            Err(error) if matches!(error.fault, ExchangeFault::DeadlinePassed) => {
-                return ProbeResult::Silent;
-            }
+            Err(Fault::Unreachable) => return ProbeResult::Ended,
+            Err(Fault::TimedOut) => return ProbeResult::Silent,
             Err(_) => return ProbeResult::Closed,
         };
         let status = u16::from(response.status());
@@ -155,6 +157,17 @@
         }
     }
 
+    async fn exchange(&self, request: Request, deadline: Instant) -> Result<Response, Fault> {
+        let target = Target {
+            name: self.check.process.clone(),
+            address: self.check.address,
+            distance: self.links.distance_of(self.check.address),
+            connection_limit: None,
+        };
+        let link = self.links.open(target, deadline).await?;
+        link.exchange(request, deadline, PATH_PATIENCE).await
+    }
+
     fn request(&self) -> Option<Request> {
         let ProcessCheck {
             process,
