suspects: an own crash gives its label to a request known without one

Cause: reports of a single crash carry no label; a gateway that had such a report and then saw a crash itself kept the empty one. Ruled out: lost gossip (the crashes were all listed).

Change: the first label that is known stays. The new test fails without it (left empty).

--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -300,10 +300,11 @@
         if !self.suspects.contains_key(&request) && self.suspects.len() >= MAX_SUSPECTS {
             self.evict_one();
         }
-        self.suspects.entry(request).or_insert_with(|| Suspect {
-            label: label.to_owned(),
-            ..Suspect::default()
-        })
+        let suspect = self.suspects.entry(request).or_default();
+        if suspect.label.is_empty() {
+            suspect.label = label.to_owned();
+        }
+        suspect
     }
 
     /// Removes the request that was last suspected longest ago, preferring
--- a/crates/suspects/tests/suspects.rs
+++ b/crates/suspects/tests/suspects.rs
@@ -342,3 +342,16 @@
     assert_eq!(suspects.len(), MAX_SUSPECTS);
     assert!(suspects.is_held(&bad));
 }
+
+#[test]
+fn own_crash_names_a_request_that_another_gateway_reported_without_its_label() {
+    let bad = request("/bad", 1, "a");
+    let mut other = Suspects::default();
+    crash(&mut other, 0, &bad, "p-1");
+    let report = other.updates_since(0, UpdateScope::All, after(1));
+    let mut suspects = Suspects::default();
+    suspects.merge(&report, after(2));
+    crash(&mut suspects, 3, &bad, "p-2");
+    let suspect = suspects.get(bad.request).expect("a suspect");
+    assert_eq!(suspect.label(), "GET host.example/x");
+}
