router: remember by service which gateways forward

A gateway that reaches one service and not another was taken for usable and unusable in turn, so that requests went to gateways that refused them, up to six and more before one carried them, and ended refused with their owner ejected for up to 3 s.

Change: forwarders are kept by service. An attempt that was cut off ejects for the shortest time only: a way may be back before a back end would be.

--- a/crates/dispatch/src/back_ends.rs
+++ b/crates/dispatch/src/back_ends.rs
@@ -146,6 +146,11 @@
         }
         let factor = 1 << self.consecutive_ejections.min(6);
         let duration = (settings.min_ejection * factor).min(settings.max_ejection);
+        if fault == Fault::CutOff {
+            // The way may be back before the back end would be.
+            self.ejected_until = now + settings.min_ejection;
+            return true;
+        }
         self.consecutive_ejections += 1;
         self.ejected_until = now + duration;
         true
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod wait_queue;
 
 pub use crashes::ProcessCheck;
+pub use paths::ForwardTarget;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
--- a/crates/dispatch/src/dispatcher/next_step.rs
+++ b/crates/dispatch/src/dispatcher/next_step.rs
@@ -211,6 +211,7 @@
         Some(Attempt {
             id: attempt,
             back_end: back_end.clone(),
+            service,
             address: state.back_end.address,
             distance: self.settings.topology.distance(&state.back_end.zone),
             keyed: exchange.key.is_some(),
--- a/crates/dispatch/src/dispatcher/paths.rs
+++ b/crates/dispatch/src/dispatcher/paths.rs
@@ -7,23 +7,35 @@
 
 use super::Dispatcher;
 
+/// A back end to which requests of other routers may be forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardTarget {
+    /// Its service.
+    pub service: ServiceName,
+    /// Address at which it accepts requests.
+    pub address: SocketAddr,
+    /// Distance between this router and the back end.
+    pub distance: Distance,
+    /// Number of connections that this router may have to it.
+    pub connection_limit: usize,
+}
+
 impl Dispatcher {
-    /// Address, distance and connection limit of a back end to which a request
-    /// of another router may be forwarded. `None` if this router would send it
-    /// nothing itself: it is not registered, is leaving or asked for a backoff.
-    pub fn forward_target(
-        &self,
-        now: Timestamp,
-        name: &BackEndName,
-    ) -> Option<(SocketAddr, Distance, usize)> {
+    /// The back end to which a request of another router may be forwarded.
+    /// `None` if this router would send it nothing itself: it is not
+    /// registered, is leaving or asked for a backoff.
+    pub fn forward_target(&self, now: Timestamp, name: &BackEndName) -> Option<ForwardTarget> {
         let state = self.back_ends.get(name)?;
         if !state.accepts_requests() || state.backoff_until(now).is_some() {
             return None;
         }
         let back_end = &state.back_end;
-        let distance = self.settings.topology.distance(&back_end.zone);
-        let limit = self.connection_limit(&back_end.service);
-        Some((back_end.address, distance, limit))
+        Some(ForwardTarget {
+            service: back_end.service.clone(),
+            address: back_end.address,
+            distance: self.settings.topology.distance(&back_end.zone),
+            connection_limit: self.connection_limit(&back_end.service),
+        })
     }
 
     /// The service of a registered back end, with the addresses of its back
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -5,7 +5,7 @@
 
 use threadledge_suspects::RequestIdentity;
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, Distance, KeyDigest, ShardKey};
+use threadledge_types::deployment::{BackEndName, Distance, KeyDigest, ServiceName, ShardKey};
 
 use crate::outcome::Outcome;
 
@@ -57,6 +57,8 @@
     pub id: AttemptId,
     /// The back end.
     pub back_end: BackEndName,
+    /// Its service.
+    pub service: ServiceName,
     /// Address at which the back end accepts requests.
     pub address: SocketAddr,
     /// Distance between this router and the back end.
--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use threadledge_types::Timestamp;
+use threadledge_types::deployment::ServiceName;
 
 /// Time for which a gateway that does not answer, or has lost its own paths, is
 /// not asked again.
@@ -45,7 +46,8 @@
 #[derive(Debug)]
 pub struct Forwarders {
     random: ChaCha8Rng,
-    by_address: BTreeMap<SocketAddr, Forwarder>,
+    /// By service, because a gateway may reach one and not another.
+    by_service: BTreeMap<ServiceName, BTreeMap<SocketAddr, Forwarder>>,
     /// Back ends that another gateway confirmed to be unreachable, and until
     /// when that counts.
     confirmed: HashMap<SocketAddr, Timestamp>,
@@ -56,17 +58,18 @@
     pub fn new(seed: u64) -> Self {
         Forwarders {
             random: ChaCha8Rng::seed_from_u64(seed),
-            by_address: BTreeMap::new(),
+            by_service: BTreeMap::new(),
             confirmed: HashMap::new(),
         }
     }
 
-    /// Chooses the gateway through which to reach `back_end` among the gateways
-    /// known. Requests are spread over all that work or were not tried yet;
+    /// Chooses the gateway through which to reach `back_end` of `service` among
+    /// the gateways known. Requests are spread over all that work or were not tried yet;
     /// those that failed are only tried again if there are none.
     pub fn choose(
         &mut self,
         now: Timestamp,
+        service: &ServiceName,
         back_end: SocketAddr,
         known: &[SocketAddr],
     ) -> NextForwarder {
@@ -77,13 +80,15 @@
         {
             return NextForwarder::Confirmed;
         }
+        let tried = self.by_service.get(service);
+        let forwarder = |address: &SocketAddr| tried.and_then(|tried| tried.get(address).copied());
         let may_ask = |address: &&SocketAddr| {
-            let forwarder = self.by_address.get(address);
+            let forwarder = forwarder(address);
             forwarder.is_none_or(|forwarder| forwarder.not_before <= now)
         };
         let candidates: Vec<SocketAddr> = known.iter().filter(may_ask).copied().collect();
         let promising = |address: &&SocketAddr| {
-            let forwarder = self.by_address.get(address);
+            let forwarder = forwarder(address);
             forwarder.is_none_or(|forwarder| forwarder.works(now))
         };
         let promising: Vec<SocketAddr> = candidates.iter().filter(promising).copied().collect();
@@ -97,17 +102,17 @@
         NextForwarder::Ask(pool[self.random.random_range(0..pool.len())])
     }
 
-    /// Records that a gateway reached a back end.
-    pub fn on_forwarded(&mut self, now: Timestamp, forwarder: SocketAddr) {
-        let forwarder = self.by_address.entry(forwarder).or_default();
+    /// Records that a gateway reached a back end of a service.
+    pub fn on_forwarded(&mut self, now: Timestamp, service: &ServiceName, forwarder: SocketAddr) {
+        let forwarder = self.entry(service, forwarder);
         forwarder.worked_at = Some(now);
         forwarder.not_before = Timestamp::ZERO;
     }
 
-    /// Records that a gateway does not answer, or cannot reach back ends
-    /// either.
-    pub fn on_unusable(&mut self, now: Timestamp, forwarder: SocketAddr) {
-        let forwarder = self.by_address.entry(forwarder).or_default();
+    /// Records that a gateway does not answer, or cannot reach the back ends of
+    /// a service either.
+    pub fn on_unusable(&mut self, now: Timestamp, service: &ServiceName, forwarder: SocketAddr) {
+        let forwarder = self.entry(service, forwarder);
         forwarder.worked_at = None;
         forwarder.not_before = now + FORWARDER_RETRY;
     }
@@ -119,9 +124,15 @@
         self.confirmed.insert(back_end, now + CONFIRMED_FOR);
     }
 
-    /// Gateways that forwarded recently, to be named to others.
-    pub fn working(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let working = self.by_address.iter();
+    fn entry(&mut self, service: &ServiceName, forwarder: SocketAddr) -> &mut Forwarder {
+        let tried = self.by_service.entry(service.clone()).or_default();
+        tried.entry(forwarder).or_default()
+    }
+
+    /// Gateways that recently forwarded to back ends of a service, to be named
+    /// to others.
+    pub fn working(&self, now: Timestamp, service: &ServiceName) -> Vec<SocketAddr> {
+        let working = self.by_service.get(service).into_iter().flatten();
         let working = working.filter(|(_, forwarder)| forwarder.works(now));
         working
             .map(|(address, _)| *address)
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -22,7 +22,7 @@
 };
 use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange};
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEndName, Distance};
+use threadledge_types::deployment::{BackEndName, Distance, ServiceName};
 
 use super::dispatch::Dispatch;
 use super::notifier::Notifier;
@@ -53,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Target {
     pub(super) name: BackEndName,
+    pub(super) service: ServiceName,
     pub(super) address: SocketAddr,
     pub(super) distance: Distance,
     /// Most connections that this gateway may have to it; `None` if that was
@@ -64,6 +65,7 @@
     fn from(attempt: &Attempt) -> Self {
         Target {
             name: attempt.back_end.clone(),
+            service: attempt.service.clone(),
             address: attempt.address,
             distance: attempt.distance,
             connection_limit: Some(attempt.connection_limit),
@@ -158,7 +160,7 @@
         };
         let opened = match opened {
             Ok(opened) => opened,
-            Err(timer::Elapsed) if self.may_forward(address) => {
+            Err(timer::Elapsed) if self.may_forward(target) => {
                 self.on_connect_failed(address, Evidence::Timeout);
                 return Err(Fault::Unreachable);
             }
@@ -184,7 +186,7 @@
     /// Opens a connection to a gateway that may reach the back end.
     async fn open_forwarded(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
         for _ in 0..MAX_FORWARDERS_TRIED {
-            let forwarder = match self.next_forwarder(target.address) {
+            let forwarder = match self.next_forwarder(&target.service, target.address) {
                 NextForwarder::Ask(forwarder) => forwarder,
                 NextForwarder::Confirmed => return Err(Fault::Unreachable),
                 NextForwarder::NoneLeft => return Err(self.no_way_to(&target.name).await),
@@ -193,14 +195,14 @@
             let opened = match reading {
                 Some(()) => self.shared.peer_pool.checkout(forwarder, deadline).await,
                 None => {
-                    self.on_unusable(forwarder);
+                    self.on_unusable(&target.service, forwarder);
                     continue;
                 }
             };
             match opened {
                 Ok(connection) => return Ok(self.link(target, connection, Some(forwarder))),
                 Err(error) if evidence_of(&error).is_none() => return Err(Fault::NoConnection),
-                Err(_) => self.on_unusable(forwarder),
+                Err(_) => self.on_unusable(&target.service, forwarder),
             }
         }
         Err(self.no_way_to(&target.name).await)
@@ -225,14 +227,25 @@
         self.shared.direct.lock().is_lost(address)
     }
 
-    fn may_forward(&self, address: SocketAddr) -> bool {
-        matches!(self.next_forwarder(address), NextForwarder::Ask(_))
+    fn may_forward(&self, target: &Target) -> bool {
+        let next = self.next_forwarder(&target.service, target.address);
+        matches!(next, NextForwarder::Ask(_))
     }
 
-    fn next_forwarder(&self, address: SocketAddr) -> NextForwarder {
+    fn next_forwarder(&self, service: &ServiceName, address: SocketAddr) -> NextForwarder {
         let known = self.shared.peers.most_recent();
         let now = self.shared.clock.now();
-        self.shared.forwarders.lock().choose(now, address, &known)
+        self.shared
+            .forwarders
+            .lock()
+            .choose(now, service, address, &known)
+    }
+
+    /// The service of a registered back end.
+    pub(super) fn service_of(&self, name: &BackEndName) -> Option<ServiceName> {
+        let dispatch = &self.shared.dispatch;
+        let service = dispatch.with(|dispatcher, _now| dispatcher.service_addresses(name));
+        service.map(|(service, _)| service)
     }
 
     /// Distance of the back end at an address, the largest if it is unknown.
@@ -242,9 +255,10 @@
         distance.unwrap_or(Distance::OtherRegion)
     }
 
-    fn on_unusable(&self, forwarder: SocketAddr) {
+    fn on_unusable(&self, service: &ServiceName, forwarder: SocketAddr) {
         let now = self.shared.clock.now();
-        self.shared.forwarders.lock().on_unusable(now, forwarder);
+        let mut forwarders = self.shared.forwarders.lock();
+        forwarders.on_unusable(now, service, forwarder);
     }
 
     fn on_connect_failed(&self, address: SocketAddr, evidence: Evidence) {
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -6,7 +6,7 @@
 use threadledge_net::Instant;
 use threadledge_net::message::Message;
 use threadledge_types::Incarnation;
-use threadledge_types::deployment::BackEndName;
+use threadledge_types::deployment::{BackEndName, ServiceName};
 
 use super::forwarding::{FORWARD_RESULT, FORWARD_TO, FORWARD_UNTIL, FORWARDERS, ForwardResult};
 use super::peer_deadlines::{ClockReading, PeerDeadline};
@@ -33,13 +33,15 @@
     /// Forwards a request to the back end that it names, over a connection of
     /// this gateway's own. Dropping the future abandons the request.
     pub(in super::super) async fn forward(&self, request: Request) -> Response {
+        let to = headers::single(request.as_ref(), FORWARD_TO).map(BackEndName::from);
+        let service = to.and_then(|to| self.links.service_of(&to));
         match self.exchange(request).await {
             Ok(mut response) => {
                 headers::strip(&mut response);
                 response.insert_header(FORWARD_RESULT, ForwardResult::Answered.as_str());
                 response
             }
-            Err(result) => self.without_answer(result),
+            Err(result) => self.without_answer(result, service.as_ref()),
         }
     }
 
@@ -79,12 +81,13 @@
     fn target(&self, name: &BackEndName) -> Result<Target, ForwardResult> {
         let dispatch = &self.links.shared.dispatch;
         let known = dispatch.with(|dispatcher, now| dispatcher.forward_target(now, name));
-        let (address, distance, connection_limit) = known.ok_or(ForwardResult::NoPath)?;
+        let known = known.ok_or(ForwardResult::NoPath)?;
         Ok(Target {
             name: name.clone(),
-            address,
-            distance,
-            connection_limit: Some(connection_limit),
+            service: known.service,
+            address: known.address,
+            distance: known.distance,
+            connection_limit: Some(known.connection_limit),
         })
     }
 
@@ -113,11 +116,13 @@
         }
     }
 
-    fn without_answer(&self, result: ForwardResult) -> Response {
+    fn without_answer(&self, result: ForwardResult, service: Option<&ServiceName>) -> Response {
         let mut response = Response::new(StatusCode::BadGateway);
         response.insert_header(FORWARD_RESULT, result.as_str());
         let now = self.links.shared.clock.now();
-        let working = self.links.shared.forwarders.lock().working(now);
+        let forwarders = self.links.shared.forwarders.lock();
+        let working = service.map(|service| forwarders.working(now, service));
+        let working = working.unwrap_or_default();
         if result == ForwardResult::NoPath && !working.is_empty() {
             let working: Vec<String> = working.iter().map(ToString::to_string).collect();
             response.insert_header(FORWARDERS, working.join(","));
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -11,6 +11,7 @@
 use http_types::{Request, Response};
 use threadledge_dispatch::Fault;
 use threadledge_net::Instant;
+use threadledge_types::deployment::ServiceName;
 
 use super::{BackEndLinks, Link, fault_from_error};
 use crate::proxy::headers;
@@ -102,7 +103,7 @@
         let mut response = match exchanged {
             Ok(response) => response,
             Err(error) => {
-                links.on_unusable(forwarder);
+                links.on_unusable(&target.service, forwarder);
                 return Err(match fault_from_error(&error) {
                     Fault::Unreachable | Fault::NothingSent => Fault::PathFailed,
                     fault => fault,
@@ -117,7 +118,7 @@
         };
         links.note_named_forwarders(&response);
         response.remove_header(FORWARD_RESULT);
-        links.record_result(forwarder, target.address, result);
+        links.record_result(forwarder, &target.service, target.address, result);
         match result {
             ForwardResult::Answered => Ok(response),
             ForwardResult::NoPath | ForwardResult::TooLate => Err(Fault::PathFailed),
@@ -141,14 +142,15 @@
     pub(super) fn record_result(
         &self,
         forwarder: SocketAddr,
+        service: &ServiceName,
         back_end: SocketAddr,
         result: ForwardResult,
     ) {
         let now = self.shared.clock.now();
         let mut forwarders = self.shared.forwarders.lock();
         match result {
-            ForwardResult::Answered => forwarders.on_forwarded(now, forwarder),
-            ForwardResult::NoPath => forwarders.on_unusable(now, forwarder),
+            ForwardResult::Answered => forwarders.on_forwarded(now, service, forwarder),
+            ForwardResult::NoPath => forwarders.on_unusable(now, service, forwarder),
             ForwardResult::TooLate => self.forget_clock_of(forwarder),
             ForwardResult::Unreachable => forwarders.on_confirmed_unreachable(now, back_end),
             ForwardResult::Failed(_) => {}
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -112,15 +112,18 @@
         order: &Order,
         deadline: Instant,
     ) -> Result<OrderReply, OrderFault> {
+        let address = order.to.address;
+        let Some(service) = self.links.service_of(&order.to.name) else {
+            return Err(OrderFault::NotSent);
+        };
         for _ in 0..MAX_FORWARDERS_TRIED {
-            let address = order.to.address;
-            let forwarder = match self.links.next_forwarder(address) {
+            let forwarder = match self.links.next_forwarder(&service, address) {
                 NextForwarder::Ask(forwarder) => forwarder,
                 NextForwarder::Confirmed => return Err(OrderFault::NotSent),
                 NextForwarder::NoneLeft => return Err(self.fault_without_forwarder(order).await),
             };
             if self.links.read_clock_of(forwarder).await.is_none() {
-                self.links.on_unusable(forwarder);
+                self.links.on_unusable(&service, forwarder);
                 continue;
             }
             let Some(until) = self.links.deadline_at(forwarder, deadline) else {
@@ -141,11 +144,11 @@
             let result = match peers.forward_order(forwarder, &message, time_left).await {
                 Ok(result) => result,
                 Err(error) if error.may_have_been_received() => {
-                    self.links.on_unusable(forwarder);
+                    self.links.on_unusable(&service, forwarder);
                     return Err(OrderFault::NoAnswer);
                 }
                 Err(_) => {
-                    self.links.on_unusable(forwarder);
+                    self.links.on_unusable(&service, forwarder);
                     continue;
                 }
             };
@@ -156,7 +159,8 @@
                 ForwardedOrderResult::Unreachable => ForwardResult::Unreachable,
                 ForwardedOrderResult::NoAnswer => return Err(OrderFault::NoAnswer),
             };
-            self.links.record_result(forwarder, address, shown);
+            self.links
+                .record_result(forwarder, &service, address, shown);
             if let ForwardedOrderResult::Replied(reply) = result {
                 return Ok(reply);
             }
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -158,8 +158,10 @@
     }
 
     async fn exchange(&self, request: Request, deadline: Instant) -> Result<Response, Fault> {
+        let service = self.links.service_of(&self.check.process);
         let target = Target {
             name: self.check.process.clone(),
+            service: service.ok_or(Fault::CutOff)?,
             address: self.check.address,
             distance: self.links.distance_of(self.check.address),
             connection_limit: None,
