router: a gateway that declines one back end still forwards to others

Cause: a gateway that knew sooner that a back end was leaving answered as if it had no path, and was not asked again for 500 ms. Ruled out: a lost peer (it answered), a full back end (idle).

Change: 'declined' is a result of its own. It ejects the back end here for the shortest time and says nothing about the gateway. An exchange ends after eight attempts without a way: it went on to 64, some milliseconds each.

The new tests play what forwarded requests must keep: once at most and never after the deadline (the forwarding gateway freezes), an end when the caller leaves, streamed uploads, no circles, nothing for back ends that leave. The soak's proxy tries another port if the one that it chose is taken before it is bound.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -404,6 +404,7 @@
             replayable: info.replayable,
             body_unavailable: false,
             attempts_started: 0,
+            cut_off_attempts: 0,
             possibly_run: 0,
             possibly_arrived: 0,
             in_flight: BTreeMap::new(),
--- a/crates/dispatch/src/dispatcher/attempts.rs
+++ b/crates/dispatch/src/dispatcher/attempts.rs
@@ -256,6 +256,7 @@
             // The same back end may be reached another way.
             AttemptEnd::Failed(Fault::PathFailed) => {}
             AttemptEnd::Failed(fault) => {
+                exchange.cut_off_attempts += u32::from(*fault == Fault::CutOff);
                 exchange.tried_back_ends.insert(in_flight.back_end.clone());
                 exchange.body_unavailable |= matches!(fault, Fault::BodyGone | Fault::CallerBroke);
                 if fault.may_have_run() {
--- a/crates/dispatch/src/dispatcher/next_step.rs
+++ b/crates/dispatch/src/dispatcher/next_step.rs
@@ -22,6 +22,9 @@
 /// of them and blocked its router for 5 s.
 const MAX_ATTEMPTS: u32 = 64;
 
+/// Attempts without a way to a back end after which an exchange ends. Others
+/// would hardly find one in the same moment.
+const MAX_CUT_OFF_ATTEMPTS: u32 = 8;
 /// Fraction of a route's target latency without a response after which the path
 /// to the back end is checked.
 const PATH_PATIENCE_RATIO: f64 = 0.5;
@@ -65,6 +68,10 @@
         if attempts_used_up || (possibly_sent && !exchange.may_repeat()) {
             return self.finish(now, id, RefusalReason::Rejected, None);
         }
+        if exchange.cut_off_attempts >= MAX_CUT_OFF_ATTEMPTS {
+            let retry_after = self.settings.min_ejection;
+            return self.finish(now, id, RefusalReason::NoBackEnd, Some(retry_after));
+        }
         let past_queue_deadline = now >= exchange.queue_deadline;
         if let Some(step) = self.next_step_for_suspect(now, id) {
             return step;
--- a/crates/dispatch/src/exchange.rs
+++ b/crates/dispatch/src/exchange.rs
@@ -50,6 +50,8 @@
     /// The body turned out to be unavailable for another attempt.
     pub(crate) body_unavailable: bool,
     pub(crate) attempts_started: u32,
+    /// Number of attempts for which there was no way to the back end.
+    pub(crate) cut_off_attempts: u32,
     /// Number of attempts that may have run.
     pub(crate) possibly_run: u32,
     /// Number of attempts that may have reached a back end, including refused
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -81,7 +81,7 @@
     fn target(&self, name: &BackEndName) -> Result<Target, ForwardResult> {
         let dispatch = &self.links.shared.dispatch;
         let known = dispatch.with(|dispatcher, now| dispatcher.forward_target(now, name));
-        let known = known.ok_or(ForwardResult::NoPath)?;
+        let known = known.ok_or(ForwardResult::Declined)?;
         Ok(Target {
             name: name.clone(),
             service: known.service,
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -34,9 +34,11 @@
 pub(super) enum ForwardResult {
     /// The response is that of the back end.
     Answered,
-    /// The gateway has lost most of its own paths, or does not know the back
-    /// end; nothing was sent.
+    /// The gateway has lost most of its own paths; nothing was sent.
     NoPath,
+    /// The gateway would send the back end nothing itself, as far as it knows:
+    /// it is not registered, is leaving or asked for a backoff.
+    Declined,
     /// The deadline had passed or named another process; nothing was sent.
     TooLate,
     /// The gateway reaches other back ends but not this one; nothing was sent.
@@ -46,9 +48,10 @@
 }
 
 /// Results other than answers, with their names in the header.
-const RESULTS: [(ForwardResult, &str); 11] = [
+const RESULTS: [(ForwardResult, &str); 12] = [
     (ForwardResult::Answered, "answered"),
     (ForwardResult::NoPath, "no-path"),
+    (ForwardResult::Declined, "declined"),
     (ForwardResult::TooLate, "too-late"),
     (ForwardResult::Unreachable, "unreachable"),
     (ForwardResult::Failed(Fault::NoConnection), "no-connection"),
@@ -122,6 +125,7 @@
         match result {
             ForwardResult::Answered => Ok(response),
             ForwardResult::NoPath | ForwardResult::TooLate => Err(Fault::PathFailed),
+            ForwardResult::Declined => Err(Fault::CutOff),
             ForwardResult::Unreachable => Err(Fault::Unreachable),
             ForwardResult::Failed(fault) => Err(fault),
         }
@@ -153,7 +157,7 @@
             ForwardResult::NoPath => forwarders.on_unusable(now, service, forwarder),
             ForwardResult::TooLate => self.forget_clock_of(forwarder),
             ForwardResult::Unreachable => forwarders.on_confirmed_unreachable(now, back_end),
-            ForwardResult::Failed(_) => {}
+            ForwardResult::Declined | ForwardResult::Failed(_) => {}
         }
     }
 }
--- a/crates/router/tests/gateway/lost_paths.rs
+++ b/crates/router/tests/gateway/lost_paths.rs
@@ -27,7 +27,7 @@
 
 /// How paths are lost.
 #[derive(Clone, Copy, Debug)]
-enum Cut {
+pub enum Cut {
     /// Connections hang, open ones and new ones.
     Hang,
     /// Connections are reset, and new ones refused.
@@ -38,20 +38,20 @@
 
 /// Two gateways. All paths of the first to back ends lead through proxies of
 /// its own.
-struct World {
-    store: StandInStore,
-    back_ends: Vec<StandInBackEnd>,
+pub struct World {
+    pub store: StandInStore,
+    pub back_ends: Vec<StandInBackEnd>,
     paths: Vec<Proxy>,
     /// Keeps the first gateway's connection to the store.
     _store_proxy: Proxy,
-    cut_off: Gateway,
-    in_reach: Gateway,
+    pub cut_off: Gateway,
+    pub in_reach: Gateway,
 }
 
 impl World {
     /// Starts everything. The gateway that will lose its paths starts first, so
     /// that it is the coordinator.
-    fn start() -> World {
+    pub fn start() -> World {
         let store = block_on(StandInStore::start()).expect("a store");
         let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
         let back_ends = vec![
@@ -101,7 +101,7 @@
         world
     }
 
-    fn cut(&self, how: Cut) {
+    pub fn cut(&self, how: Cut) {
         for path in &self.paths {
             match how {
                 Cut::Hang => path.partition(Directions::Both, None),
@@ -114,7 +114,7 @@
         }
     }
 
-    fn heal(&self) {
+    pub fn heal(&self) {
         for path in &self.paths {
             path.accept_connections().expect("accepted");
             path.heal(Duration::ZERO);
@@ -137,7 +137,7 @@
     }
 
     /// Sends load to the first gateway until [`DETECTION`] after a cut.
-    fn load_until_detected(&self) {
+    pub fn load_until_detected(&self) {
         let started = Instant::now();
         while started.elapsed() < DETECTION {
             let requests = [plain(), not_repeatable(), keyed(5), keyed(40_000)];
@@ -154,11 +154,11 @@
     (0..=u16::MAX).step_by(4_096)
 }
 
-fn plain() -> TestRequest<'static> {
+pub fn plain() -> TestRequest<'static> {
     TestRequest::default()
 }
 
-fn not_repeatable() -> TestRequest<'static> {
+pub fn not_repeatable() -> TestRequest<'static> {
     TestRequest {
         method: "POST",
         target: "/unsafe/x",
@@ -167,7 +167,7 @@
     }
 }
 
-fn keyed(key: u16) -> TestRequest<'static> {
+pub fn keyed(key: u16) -> TestRequest<'static> {
     TestRequest {
         host: "keyed.example",
         target: "/k/x",
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crashing;
 mod draining_back_ends;
 mod fleet;
+mod forwarding;
 mod incarnations;
 mod key_regions;
 mod limits;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -25,6 +25,8 @@
 /// once the queue is full.
 const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Ports that are tried for a proxy on any free port.
+const BIND_TRIES: usize = 16;
 /// Enough connections to fill the shortest queue, including what the kernel
 /// adds to it.
 const MAX_QUEUE_FILLERS: usize = 32;
@@ -119,6 +121,22 @@
     }
 }
 
+/// Binds an address by the number of its port. A port that the kernel chose
+/// would be lost with the first refusal of connections; one that was named
+/// stays bound.
+fn bind_named(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    let mut bound = Err(std::io::ErrorKind::AddrInUse.into());
+    for _ in 0..BIND_TRIES {
+        let free = TcpListener::bind(address)?.local_addr()?;
+        // Another process may take the port meanwhile.
+        bound = Async::<TcpListener>::bind(free);
+        if bound.is_ok() {
+            break;
+        }
+    }
+    bound
+}
+
 /// A running proxy. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Proxy {
@@ -148,10 +166,8 @@
         target: SocketAddr,
         rewriter: Rewriter,
     ) -> std::io::Result<Self> {
-        // A port that the kernel chose would be lost with the first refusal of
-        // connections; one that was named stays bound.
-        let address = TcpListener::bind(address)?.local_addr()?;
-        let listener = Async::<TcpListener>::bind(address)?;
+        let listener = bind_named(address)?;
+        let address = listener.get_ref().local_addr()?;
         let state = State {
             target,
             rewriter: Arc::new(rewriter),
