--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! Carries out one attempt at a back end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
 pub(super) struct AttemptResult {
     pub(super) end: AttemptEnd,
     pub(super) response: Option<Box<Response>>,
+    /// The gateway that forwarded the request, unless it was sent directly.
+    pub(super) forwarder: Option<SocketAddr>,
 }
 
 impl AttemptResult {
@@ -47,6 +50,7 @@
         AttemptResult {
             end,
             response: None,
+            forwarder: None,
         }
     }
 
@@ -106,15 +110,18 @@
             self.header_codec.set_tenant(&mut request, tenant);
         }
         self.usage.record_back_end_request(&attempt, request.len());
-        match link
-            .exchange(request, deadline, attempt.path_patience)
-            .await
-        {
+        let forwarder = link.forwarder();
+        let exchanged = link.exchange(request, deadline, attempt.path_patience);
+        let result = match exchanged.await {
             Ok(response) => {
                 self.read_response(exchange, &attempt, &outbound, response)
                     .await
             }
             Err(fault) => AttemptResult::failed(fault),
+        };
+        AttemptResult {
+            forwarder,
+            ..result
         }
     }
 
@@ -163,6 +170,7 @@
                 load: head.load,
             },
             response: Some(Box::new(response)),
+            forwarder: None,
         }
     }
 
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Drives one exchange by carrying out the dispatcher's steps.
 
 use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -27,6 +28,8 @@
     Answered {
         response: Box<Response>,
         back_end: BackEndName,
+        /// The gateway that forwarded the request, unless it was sent directly.
+        forwarder: Option<SocketAddr>,
     },
     /// No back end answered; the gateway sends a response of its own for this
     /// outcome.
@@ -56,6 +59,8 @@
 pub(super) struct PastAttempt {
     pub(super) back_end: BackEndName,
     pub(super) end: threadledge_dispatch::AttemptEnd,
+    /// The gateway that forwarded it, unless it was sent directly.
+    pub(super) forwarder: Option<SocketAddr>,
     pub(super) at: Instant,
 }
 
@@ -159,12 +164,18 @@
             .on_attempt_end(self.id, id, &result.end);
         match (next_action, result.response) {
             (NextAction::Deliver, Some(response)) => {
-                Some(Conclusion::Answered { response, back_end })
+                let forwarder = result.forwarder;
+                Some(Conclusion::Answered {
+                    response,
+                    back_end,
+                    forwarder,
+                })
             }
             _ => {
                 self.history.push(PastAttempt {
                     back_end,
                     end: result.end,
+                    forwarder: result.forwarder,
                     at: Instant::now(),
                 });
                 None
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -306,6 +306,11 @@
 }
 
 impl Link {
+    /// The gateway that forwards, unless the connection is direct.
+    pub(super) fn forwarder(&self) -> Option<SocketAddr> {
+        self.forwarder
+    }
+
     /// Sends a request and returns the response. After `patience` without one
     /// on a connection that was open before, the path is checked.
     ///
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -1,7 +1,7 @@
 //! Logs requests: every failure, and a sample of the successes.
 
 use std::fmt::Write;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
     pub(super) outcome: &'static str,
     pub(super) status: u16,
     pub(super) back_end: Option<BackEndName>,
+    /// The gateway that forwarded the request, unless it was sent directly.
+    pub(super) forwarder: Option<SocketAddr>,
     pub(super) attempts: Vec<PastAttempt>,
 }
 
@@ -64,6 +66,7 @@
             outcome: "unfinished",
             status: 0,
             back_end: None,
+            forwarder: None,
             attempts: Vec::new(),
         }
     }
@@ -109,8 +112,9 @@
             // Writing to a string cannot fail.
             let _ = write!(
                 text,
-                "{separator}{} {end} at {} ms",
+                "{separator}{} {end}{} at {} ms",
                 attempt.back_end,
+                through_text(attempt.forwarder),
                 at.as_millis()
             );
         }
@@ -122,6 +126,10 @@
     }
 }
 
+fn through_text(forwarder: Option<SocketAddr>) -> String {
+    forwarder.map_or_else(String::new, |forwarder| format!(" through {forwarder}"))
+}
+
 fn end_text(end: &AttemptEnd) -> String {
     match end {
         AttemptEnd::Answered { .. } => "failed".to_owned(),
@@ -179,6 +187,7 @@
             outcome = line.outcome,
             status = line.status,
             back_end = text(line.back_end.as_ref().map(BackEndName::as_str)),
+            through = line.forwarder.map(|forwarder| forwarder.to_string()),
             ms = line.elapsed().as_millis() as u64,
             attempts = line.attempts_text(),
         );
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -235,8 +235,13 @@
         let conclusion = exchange.run(tracker).await;
         line.attempts = std::mem::take(&mut exchange.history);
         match conclusion {
-            Conclusion::Answered { response, back_end } => {
+            Conclusion::Answered {
+                response,
+                back_end,
+                forwarder,
+            } => {
                 line.outcome = "answered";
+                line.forwarder = forwarder;
                 line.back_end = Some(back_end);
                 ServeResult::MayHaveRun(*response)
             }
