router: forget paths and clocks of what is gone

By reading: an attempt that ends after its back end was unregistered entered the path again, which was then checked every 300 ms for good; clocks of other gateways and forwarders were kept for the life of the process. Paths of unregistered addresses are forgotten at their check, clocks when they are out of date, forwarders beyond 256 of a service.

--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -17,6 +17,9 @@
 const CONFIRMED_FOR: Duration = Duration::from_millis(300);
 /// Time for which a forwarder counts as working after its last success.
 const WORKING_FOR: Duration = Duration::from_secs(2);
+/// Most gateways remembered for one service: several times as many as a gateway
+/// knows at once.
+const MAX_REMEMBERED: usize = 256;
 /// Most forwarders named to another gateway.
 const MAX_NAMED: usize = 4;
 
@@ -126,6 +129,9 @@
 
     fn entry(&mut self, service: &ServiceName, forwarder: SocketAddr) -> &mut Forwarder {
         let tried = self.by_service.entry(service.clone()).or_default();
+        if tried.len() >= MAX_REMEMBERED {
+            tried.clear();
+        }
         tried.entry(forwarder).or_default()
     }
 
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -248,11 +248,11 @@
         service.map(|(service, _)| service)
     }
 
-    /// Distance of the back end at an address, the largest if it is unknown.
-    pub(super) fn distance_of(&self, address: SocketAddr) -> Distance {
+    /// Distance of the back end at an address; `None` if none is registered
+    /// there.
+    pub(super) fn distance_of(&self, address: SocketAddr) -> Option<Distance> {
         let dispatch = &self.shared.dispatch;
-        let distance = dispatch.with(|dispatcher, _now| dispatcher.distance_of(address));
-        distance.unwrap_or(Distance::OtherRegion)
+        dispatch.with(|dispatcher, _now| dispatcher.distance_of(address))
     }
 
     fn on_unusable(&self, service: &ServiceName, forwarder: SocketAddr) {
--- a/crates/router/src/gateway/links/checks.rs
+++ b/crates/router/src/gateway/links/checks.rs
@@ -52,8 +52,13 @@
     /// Opens a connection to a back end and records whether that is possible.
     pub(super) async fn check(self, address: SocketAddr) -> bool {
         let timeout = match self.distance_of(address) {
-            Distance::OtherRegion => self.shared.pool.settings().connect_timeout,
-            Distance::SameZone | Distance::SameRegion => NEAR_CHECK_TIMEOUT,
+            // An attempt may have ended after its back end was unregistered.
+            None => {
+                self.forget(address);
+                return false;
+            }
+            Some(Distance::OtherRegion) => self.shared.pool.settings().connect_timeout,
+            Some(Distance::SameZone | Distance::SameRegion) => NEAR_CHECK_TIMEOUT,
         };
         let deadline = Instant::now() + timeout;
         let opened = self.shared.pool.open_new(address, deadline).await;
--- a/crates/router/src/gateway/links/peer_deadlines.rs
+++ b/crates/router/src/gateway/links/peer_deadlines.rs
@@ -113,7 +113,9 @@
         }
         let reading = self.shared.peers.read_clock(peer).await?;
         let entry = (reading, Instant::now());
-        readings.readings.lock().insert(peer, entry);
+        let mut readings = readings.readings.lock();
+        readings.retain(|_, (_, arrived)| arrived.elapsed() < MAX_READING_AGE);
+        readings.insert(peer, entry);
         Some(())
     }
 
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -159,11 +159,12 @@
 
     async fn exchange(&self, request: Request, deadline: Instant) -> Result<Response, Fault> {
         let service = self.links.service_of(&self.check.process);
+        let distance = self.links.distance_of(self.check.address);
         let target = Target {
             name: self.check.process.clone(),
             service: service.ok_or(Fault::CutOff)?,
             address: self.check.address,
-            distance: self.links.distance_of(self.check.address),
+            distance: distance.ok_or(Fault::CutOff)?,
             connection_limit: None,
         };
         let link = self.links.open(target, deadline).await?;
