--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod forward_server;
 mod forwarding;
+mod link;
 mod orders;
 mod peer_deadlines;
 mod witness;
@@ -13,13 +14,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::{Request, Response};
 use parking_lot::Mutex;
 use threadledge_dispatch::{Attempt, Fault};
-use threadledge_net::{
-    ExchangeError, ExchangeFault, Instant, Pool, PoolSettings, PooledConnection, Stage,
-    UnframedBodies, timer,
-};
+use threadledge_net::{Instant, Pool, PoolSettings, PooledConnection, UnframedBodies, timer};
 use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, Distance, ServiceName};
@@ -29,9 +26,11 @@
 use super::peers::PeerClient;
 use crate::events::{EventId, emit};
 use crate::proxy::Clock;
+use link::evidence_of;
 
 pub(super) use forward_server::ForwardServer;
 pub(super) use forwarding::is_forwarded;
+pub(super) use link::Link;
 pub(super) use orders::{ForwardedOrder, ForwardedOrderResult, OrderSender, OrderServer};
 pub(super) use peer_deadlines::ClockReading;
 
@@ -95,16 +94,6 @@
     checks_changed: Notifier,
 }
 
-/// A connection on which nothing has been sent yet.
-#[derive(Debug)]
-pub(super) struct Link {
-    links: BackEndLinks,
-    target: Target,
-    connection: PooledConnection,
-    /// The gateway that forwards, if the connection leads to one.
-    forwarder: Option<SocketAddr>,
-}
-
 impl BackEndLinks {
     pub(super) fn new(pool: Pool, dispatch: Arc<Dispatch>, peers: PeerClient) -> Self {
         let peer_pool = Pool::new(PoolSettings {
@@ -304,89 +293,3 @@
         }
     }
 }
-
-impl Link {
-    /// The gateway that forwards, unless the connection is direct.
-    pub(super) fn forwarder(&self) -> Option<SocketAddr> {
-        self.forwarder
-    }
-
-    /// Sends a request and returns the response. After `patience` without one
-    /// on a connection that was open before, the path is checked.
-    ///
-    /// # Errors
-    ///
-    /// The fault of the attempt.
-    pub(super) async fn exchange(
-        self,
-        request: Request,
-        deadline: Instant,
-        patience: Duration,
-    ) -> Result<Response, Fault> {
-        match self.forwarder {
-            Some(forwarder) => self.exchange_forwarded(forwarder, request, deadline).await,
-            None => self.exchange_direct(request, deadline, patience).await,
-        }
-    }
-
-    async fn exchange_direct(
-        self,
-        request: Request,
-        deadline: Instant,
-        patience: Duration,
-    ) -> Result<Response, Fault> {
-        let Link {
-            links,
-            target,
-            connection,
-            ..
-        } = self;
-        let address = target.address;
-        let is_reused = connection.is_reused();
-        let sent = links.shared.clock.now();
-        let mut exchange = pin!(connection.exchange(request, deadline));
-        let answered = match is_reused {
-            true => timer::timeout(patience, &mut exchange).await,
-            false => Ok((&mut exchange).await),
-        };
-        let answered = match answered {
-            Ok(answered) => answered,
-            Err(timer::Elapsed) => {
-                links.check_after_silence(address, sent);
-                exchange.await
-            }
-        };
-        match answered {
-            Ok(response) => {
-                links.with_direct(|paths, now| paths.on_answer(now, address));
-                Ok(response)
-            }
-            Err(error) => Err(fault_from_error(&error)),
-        }
-    }
-}
-
-/// What a failure to open a connection shows about the path, if anything.
-fn evidence_of(error: &ExchangeError) -> Option<Evidence> {
-    match &error.fault {
-        // Reaching the router's own connection limit says nothing about the
-        // back end.
-        ExchangeFault::NoConnectionFree => None,
-        ExchangeFault::DeadlinePassed => Some(Evidence::Timeout),
-        _ => Some(Evidence::Refused),
-    }
-}
-
-fn fault_from_error(error: &ExchangeError) -> Fault {
-    match (error.stage, &error.fault) {
-        (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => Fault::NoConnection,
-        (Stage::ConnectFailed, _) => Fault::Unreachable,
-        (Stage::NothingSent, ExchangeFault::RequestBody(_)) => Fault::BodyGone,
-        (Stage::NothingSent, _) => Fault::NothingSent,
-        (_, ExchangeFault::RequestBody(_)) => Fault::CallerBroke,
-        (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
-        (_, ExchangeFault::Malformed(_)) => Fault::BadAnswer,
-        (Stage::ResponseHead | Stage::ResponseBody, _) => Fault::BadAnswer,
-        _ => Fault::Broken,
-    }
-}
--- a/crates/router/src/gateway/links/checks.rs
+++ b/crates/router/src/gateway/links/checks.rs
@@ -8,7 +8,8 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::Distance;
 
-use super::{BackEndLinks, evidence_of};
+use super::BackEndLinks;
+use super::link::evidence_of;
 
 /// Time within which a connection within the region must be established. To
 /// another region it may take as long as for a request.
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -13,7 +13,8 @@
 use threadledge_net::Instant;
 use threadledge_types::deployment::ServiceName;
 
-use super::{BackEndLinks, Link, fault_from_error};
+use super::link::fault_from_error;
+use super::{BackEndLinks, Link};
 use crate::proxy::headers;
 
 /// Request header that names the back end.
