router: log when another gateway's word marks a back end as unreachable

Cause: nothing showed on which evidence a gateway reported a crash under a request (511) or called an owner lost (316) beside a cut; 524 shows its own paths only.

Change: event 526, once per period in which a back end counts as unreachable for all, with the gateway that said so. No change of behaviour.

--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -121,10 +121,12 @@
     }
 
     /// Records that a gateway that reaches other back ends could not connect to
-    /// this one.
-    pub fn on_confirmed_unreachable(&mut self, now: Timestamp, back_end: SocketAddr) {
+    /// this one. Returns whether the back end counted as reachable before.
+    pub fn on_confirmed_unreachable(&mut self, now: Timestamp, back_end: SocketAddr) -> bool {
         self.confirmed.retain(|_, until| now < *until);
-        self.confirmed.insert(back_end, now + CONFIRMED_FOR);
+        self.confirmed
+            .insert(back_end, now + CONFIRMED_FOR)
+            .is_none()
     }
 
     fn entry(&mut self, service: &ServiceName, forwarder: SocketAddr) -> &mut Forwarder {
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -15,6 +15,7 @@
 
 use super::link::fault_from_error;
 use super::{BackEndLinks, Link};
+use crate::events::{EventId, emit};
 use crate::proxy::headers;
 
 /// Request header that names the back end.
@@ -157,7 +158,16 @@
             ForwardResult::Answered => forwarders.on_forwarded(now, service, forwarder),
             ForwardResult::NoPath => forwarders.on_unusable(now, service, forwarder),
             ForwardResult::TooLate => self.forget_clock_of(forwarder),
-            ForwardResult::Unreachable => forwarders.on_confirmed_unreachable(now, back_end),
+            ForwardResult::Unreachable => {
+                if forwarders.on_confirmed_unreachable(now, back_end) {
+                    emit!(
+                        EventId::BackEndMissedElsewhere,
+                        address = %back_end,
+                        by = %forwarder,
+                        asked = 1_u64,
+                    );
+                }
+            }
             ForwardResult::Declined | ForwardResult::Failed(_) => {}
         }
     }
