router: ask all known gateways before a back end counts as ended

Cause: one other gateway's word was taken for proof. One that was cut from the same back end 'confirmed' that it had ended, for 300 ms, though a third one reached it: an owner was called lost (316), a break under a request a crash (511). Ruled out as the cause: the control of a witness alone. It is right as far as it goes: that gateway does reach another back end of the service.

Change: what gateways show is kept by back end. One that missed it is not asked for it again for 1.5 s, and the next one is asked; requests ask three at once, then one each 150 ms; orders and probes of processes ask all (32 at most). A back end counts as ended only if none reaches it, at least one of them reaches others of the service, none reached it a moment ago and is silent now, and enough gateways are known: all of a small fleet, 12 of a large one. An order whose time ran out while gateways were left to ask is withheld; it counted as a failed connection.

Replaced as the rule it held is the fault: back_end_that_a_witness_did_not_reach_is_asked_for_again_after_a_while; in its place is the property that the verdict holds if and only if no known gateway reaches the back end, over random sets of them, and four more.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -191,6 +191,11 @@
         }))
     }
 
+    /// Number of routers, if it is known.
+    pub fn router_count(&self) -> Option<u32> {
+        self.router_count
+    }
+
     /// Counts since the process started.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod forwarders;
 
 pub use direct::{DirectPaths, Evidence, PathChange};
-pub use forwarders::{Forwarders, NextForwarder};
+pub use forwarders::{Forwarders, NextForwarder, Search, Witness};
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -325,7 +325,7 @@
         "This gateway can open connections to a back end again; the line has its address and the time since the path was lost.",
         "None.";
     BackEndMissedElsewhere = 526, "back-end-missed-elsewhere", Info,
-        "This gateway has lost its path to a back end, and other gateways that it asked did not reach the back end either, so that the back end counts as unreachable for all; the line has its address, the last gateway asked and the number of those that did not reach it.",
+        "This gateway has lost its path to a back end, and none of the other gateways that it asked reaches the back end either, so that it counts as unreachable for all; the line has its address and the number of those asked.",
         "None if the back end has ended; otherwise check the network between the gateways and the back end.";
     LedgerTaken = 530, "limit-ledger-taken", Info,
         "This gateway keeps the ledger of tenants' limits. While `whole` is false it grants only what other gateways returned.",
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http_types::{Body, Method, Response};
 use threadledge_dispatch::{Attempt, AttemptEnd, ExchangeId, Fault};
 use threadledge_net::message::Message;
+use threadledge_paths::Search;
 use threadledge_ports::HeaderCodec;
 use threadledge_types::deployment::TenantName;
 
@@ -91,7 +92,8 @@
         outbound: Arc<OutboundRequest>,
     ) -> AttemptResult {
         let deadline = self.dispatch.clock().instant(attempt.deadline);
-        let link = match self.links.open(Target::from(&attempt), deadline).await {
+        let target = Target::from(&attempt);
+        let link = match self.links.open(target, deadline, Search::Brief).await {
             Ok(link) => link,
             Err(fault) => return AttemptResult::failed(fault),
         };
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod forward_server;
 mod forwarding;
+mod gateways;
 mod link;
 mod orders;
 mod peer_deadlines;
@@ -17,7 +18,7 @@
 use parking_lot::Mutex;
 use threadledge_dispatch::{Attempt, Fault};
 use threadledge_net::{Instant, Pool, PoolSettings, PooledConnection, UnframedBodies, timer};
-use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange};
+use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange, Search};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, Distance, ServiceName};
 
@@ -32,7 +33,7 @@
 pub(super) use forwarding::is_forwarded;
 pub(super) use link::Link;
 pub(super) use orders::{ForwardedOrder, ForwardedOrderResult, OrderSender, OrderServer};
-pub(super) use peer_deadlines::ClockReading;
+pub(super) use peer_deadlines::ClockAnswer;
 
 /// Time after which a connection that is not established yet is given up for
 /// one through another gateway. Within a region connections take a few
@@ -88,6 +89,7 @@
     dispatch: Arc<Dispatch>,
     direct: Mutex<DirectPaths>,
     forwarders: Mutex<Forwarders>,
+    gateways: gateways::NamedGateways,
     readings: peer_deadlines::ClockReadings,
     controls: witness::Controls,
     /// Notified when a path is lost or a check has ended.
@@ -112,6 +114,7 @@
                 dispatch,
                 direct: Mutex::default(),
                 forwarders: Mutex::new(Forwarders::new(rand::random())),
+                gateways: gateways::NamedGateways::default(),
                 readings: peer_deadlines::ClockReadings::default(),
                 controls: witness::Controls::default(),
                 checks_changed: Notifier::default(),
@@ -124,7 +127,12 @@
     /// # Errors
     ///
     /// The fault of the attempt; nothing was sent.
-    pub(super) async fn open(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
+    pub(super) async fn open(
+        &self,
+        target: Target,
+        deadline: Instant,
+        search: Search,
+    ) -> Result<Link, Fault> {
         if !self.is_lost(target.address) {
             match self.open_direct(&target, deadline).await {
                 Ok(link) => return Ok(link),
@@ -132,7 +140,7 @@
                 Err(_) => {}
             }
         }
-        self.open_forwarded(target, deadline).await
+        self.open_forwarded(target, deadline, search).await
     }
 
     /// Opens a direct connection. Waits only briefly if another gateway may
@@ -173,11 +181,17 @@
     }
 
     /// Opens a connection to a gateway that may reach the back end.
-    async fn open_forwarded(&self, target: Target, deadline: Instant) -> Result<Link, Fault> {
+    async fn open_forwarded(
+        &self,
+        target: Target,
+        deadline: Instant,
+        search: Search,
+    ) -> Result<Link, Fault> {
         for _ in 0..MAX_FORWARDERS_TRIED {
-            let forwarder = match self.next_forwarder(&target.service, target.address) {
+            let forwarder = match self.next_forwarder(&target.service, target.address, search) {
                 NextForwarder::Ask(forwarder) => forwarder,
-                NextForwarder::Confirmed => return Err(Fault::Unreachable),
+                NextForwarder::Confirmed { .. } => return Err(Fault::Unreachable),
+                NextForwarder::Pausing => return Err(Fault::CutOff),
                 NextForwarder::NoneLeft => return Err(self.no_way_to(&target.name).await),
             };
             let reading = self.read_clock_of(forwarder).await;
@@ -217,17 +231,35 @@
     }
 
     fn may_forward(&self, target: &Target) -> bool {
-        let next = self.next_forwarder(&target.service, target.address);
+        let next = self.next_forwarder(&target.service, target.address, Search::Brief);
         matches!(next, NextForwarder::Ask(_))
     }
 
-    fn next_forwarder(&self, service: &ServiceName, address: SocketAddr) -> NextForwarder {
-        let known = self.shared.peers.most_recent();
+    fn next_forwarder(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+        search: Search,
+    ) -> NextForwarder {
+        let known = self.known_gateways();
         let now = self.shared.clock.now();
-        self.shared
-            .forwarders
-            .lock()
-            .choose(now, service, address, &known)
+        let mut forwarders = self.shared.forwarders.lock();
+        let next = forwarders.choose(now, service, address, &known, search);
+        drop(forwarders);
+        let is_verdict = matches!(next, NextForwarder::Confirmed { .. });
+        if is_verdict && !self.knows_enough_gateways() {
+            return NextForwarder::NoneLeft;
+        }
+        if let NextForwarder::Confirmed { missed, is_new } = next
+            && is_new
+        {
+            emit!(
+                EventId::BackEndMissedElsewhere,
+                address = %address,
+                asked = missed as u64,
+            );
+        }
+        next
     }
 
     /// The service of a registered back end.
@@ -257,6 +289,7 @@
     /// Forgets a back end that is no longer registered.
     pub(super) fn forget(&self, address: SocketAddr) {
         self.shared.direct.lock().forget(address);
+        self.shared.forwarders.lock().forget(address);
         self.shared.pool.remove_address(address);
     }
 
@@ -285,11 +318,14 @@
                 self.shared.pool.remove_address(*address);
                 self.shared.checks_changed.notify();
             }
-            PathChange::Restored { address, after } => emit!(
-                EventId::BackEndPathRestored,
-                address = %address,
-                after_ms = after.as_millis() as u64,
-            ),
+            PathChange::Restored { address, after } => {
+                self.shared.forwarders.lock().forget(*address);
+                emit!(
+                    EventId::BackEndPathRestored,
+                    address = %address,
+                    after_ms = after.as_millis() as u64,
+                );
+            }
         }
     }
 }
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -11,11 +11,11 @@
 use http_types::{Request, Response};
 use threadledge_dispatch::Fault;
 use threadledge_net::Instant;
+use threadledge_paths::Witness;
 use threadledge_types::deployment::ServiceName;
 
 use super::link::fault_from_error;
 use super::{BackEndLinks, Link};
-use crate::events::{EventId, emit};
 use crate::proxy::headers;
 
 /// Request header that names the back end.
@@ -43,7 +43,8 @@
     Declined,
     /// The deadline had passed or named another process; nothing was sent.
     TooLate,
-    /// The gateway reaches other back ends but not this one; nothing was sent.
+    /// The gateway reaches other back ends of the service but not this one;
+    /// nothing was sent.
     Unreachable,
     /// The exchange with the back end failed.
     Failed(Fault),
@@ -126,9 +127,10 @@
         links.record_result(forwarder, &target.service, target.address, result);
         match result {
             ForwardResult::Answered => Ok(response),
-            ForwardResult::NoPath | ForwardResult::TooLate => Err(Fault::PathFailed),
+            ForwardResult::NoPath | ForwardResult::TooLate | ForwardResult::Unreachable => {
+                Err(Fault::PathFailed)
+            }
             ForwardResult::Declined => Err(Fault::CutOff),
-            ForwardResult::Unreachable => Err(Fault::Unreachable),
             ForwardResult::Failed(fault) => Err(fault),
         }
     }
@@ -155,18 +157,16 @@
         let now = self.shared.clock.now();
         let mut forwarders = self.shared.forwarders.lock();
         match result {
-            ForwardResult::Answered => forwarders.on_forwarded(now, service, forwarder),
-            ForwardResult::NoPath => forwarders.on_unusable(now, service, forwarder),
+            ForwardResult::Answered => {
+                forwarders.on_forwarded(now, service, back_end, forwarder);
+            }
+            ForwardResult::NoPath => {
+                forwarders.on_unusable(now, service, forwarder);
+                forwarders.on_missed(now, back_end, forwarder, Witness::No);
+            }
             ForwardResult::TooLate => self.forget_clock_of(forwarder),
             ForwardResult::Unreachable => {
-                if forwarders.on_confirmed_unreachable(now, back_end) {
-                    emit!(
-                        EventId::BackEndMissedElsewhere,
-                        address = %back_end,
-                        by = %forwarder,
-                        asked = 1_u64,
-                    );
-                }
+                forwarders.on_missed(now, back_end, forwarder, Witness::Yes);
             }
             ForwardResult::Declined | ForwardResult::Failed(_) => {}
         }
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -9,13 +9,13 @@
 use threadledge_coordination::record::{Fence, Owner};
 use threadledge_coordination::{Order, OrderFault, OrderId, OrderKind, OrderReply};
 use threadledge_net::{Instant, timer};
-use threadledge_paths::NextForwarder;
+use threadledge_paths::{NextForwarder, Search};
 use threadledge_ports::{GrantTransport, PortFuture};
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::forwarding::ForwardResult;
 use super::peer_deadlines::PeerDeadline;
-use super::{BackEndLinks, ForwardServer, MAX_FORWARDERS_TRIED};
+use super::{BackEndLinks, ForwardServer};
 
 /// Time without an answer after which the path of an order is checked. Orders
 /// take a few milliseconds.
@@ -116,12 +116,21 @@
         let Some(service) = self.links.service_of(&order.to.name) else {
             return Err(OrderFault::NotSent);
         };
-        for _ in 0..MAX_FORWARDERS_TRIED {
-            let forwarder = match self.links.next_forwarder(&service, address) {
+        loop {
+            let next = self
+                .links
+                .next_forwarder(&service, address, Search::Exhaustive);
+            let forwarder = match next {
                 NextForwarder::Ask(forwarder) => forwarder,
-                NextForwarder::Confirmed => return Err(OrderFault::NotSent),
-                NextForwarder::NoneLeft => return Err(self.fault_without_forwarder(order).await),
+                NextForwarder::Confirmed { .. } => return Err(OrderFault::NotSent),
+                NextForwarder::Pausing | NextForwarder::NoneLeft => {
+                    return Err(self.fault_without_forwarder(order).await);
+                }
             };
+            // Nothing is known of the back end while gateways are left to ask.
+            if Instant::now() >= deadline {
+                return Err(OrderFault::Withheld);
+            }
             if self.links.read_clock_of(forwarder).await.is_none() {
                 self.links.on_unusable(&service, forwarder);
                 continue;
@@ -130,9 +139,6 @@
                 continue;
             };
             let time_left = deadline.saturating_duration_since(Instant::now());
-            if time_left.is_zero() {
-                return Err(OrderFault::NotSent);
-            }
             let message = ForwardedOrder {
                 to: order.to.name.clone(),
                 range: order.range,
@@ -165,17 +171,16 @@
                 return Ok(reply);
             }
         }
-        Err(self.fault_without_forwarder(order).await)
     }
 
     /// The fault of an order that was not sent, while no other gateway that
     /// reaches the back end is known. Invariant: a coordinator that is cut off
     /// itself does not take keys away for that.
     async fn fault_without_forwarder(&self, order: &Order) -> OrderFault {
-        let knows_others = !self.links.shared.peers.most_recent().is_empty();
-        match knows_others && !self.links.is_witness(&order.to.name).await {
-            true => OrderFault::Withheld,
-            false => OrderFault::NotSent,
+        let is_alone = self.links.known_gateways().is_empty() && self.links.knows_enough_gateways();
+        match is_alone || self.links.is_only_witness(&order.to.name).await {
+            true => OrderFault::NotSent,
+            false => OrderFault::Withheld,
         }
     }
 }
--- a/crates/router/src/gateway/links/peer_deadlines.rs
+++ b/crates/router/src/gateway/links/peer_deadlines.rs
@@ -30,6 +30,18 @@
     pub(in super::super) now: Timestamp,
 }
 
+/// The answer to a gateway that asks for a reading: it is about to forward
+/// through this gateway.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(in super::super) struct ClockAnswer {
+    #[serde(flatten)]
+    pub(in super::super) reading: ClockReading,
+    /// Other gateways that may forward.
+    #[serde(default)]
+    pub(in super::super) gateways: Vec<SocketAddr>,
+}
+
 /// A point in time by the clock of the gateway that receives it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -111,8 +123,9 @@
         if readings.is_fresh(peer) {
             return Some(());
         }
-        let reading = self.shared.peers.read_clock(peer).await?;
-        let entry = (reading, Instant::now());
+        let answer = self.shared.peers.read_clock(peer).await?;
+        self.shared.gateways.note_named(answer.gateways);
+        let entry = (answer.reading, Instant::now());
         let mut readings = readings.readings.lock();
         readings.retain(|_, (_, arrived)| arrived.elapsed() < MAX_READING_AGE);
         readings.insert(peer, entry);
--- a/crates/router/src/gateway/links/witness.rs
+++ b/crates/router/src/gateway/links/witness.rs
@@ -73,9 +73,15 @@
 
     /// The fault of an attempt for which there is no way to a back end.
     pub(super) async fn no_way_to(&self, name: &BackEndName) -> Fault {
-        match self.is_witness(name).await {
+        match self.is_only_witness(name).await {
             true => Fault::Unreachable,
             false => Fault::CutOff,
         }
     }
+
+    /// Returns whether this gateway alone can say that a back end has ended,
+    /// because no other one answers. Others that it does not know may reach it.
+    pub(super) async fn is_only_witness(&self, name: &BackEndName) -> bool {
+        self.knows_enough_gateways() && self.is_witness(name).await
+    }
 }
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -26,7 +26,7 @@
 use super::followers::{Followers, millis};
 use super::limits::Limits;
 use super::links::{
-    ClockReading, ForwardServer, ForwardedOrder, ForwardedOrderResult, OrderServer, is_forwarded,
+    ClockAnswer, ForwardServer, ForwardedOrder, ForwardedOrderResult, OrderServer, is_forwarded,
 };
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
 use super::publisher::StatePublisher;
@@ -73,6 +73,8 @@
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Most peers passed on to another gateway at once.
 const MAX_PEERS_SHARED: usize = 4;
+/// Most gateways named to one that is about to forward through this one.
+const MAX_GATEWAYS_NAMED: usize = 16;
 /// Most peers remembered.
 const MAX_PEERS: usize = 32;
 
@@ -227,7 +229,7 @@
     }
 
     /// Reads another gateway's clock. Returns `None` if it did not answer.
-    pub(super) async fn read_clock(&self, of: SocketAddr) -> Option<ClockReading> {
+    pub(super) async fn read_clock(&self, of: SocketAddr) -> Option<ClockAnswer> {
         let read = self.client.get_json(of, CLOCK_PATH, CLOCK_TIMEOUT);
         read.await.ok()
     }
@@ -361,11 +363,20 @@
                 Ok(order) => answer::json(&self.orders.forward(order).await),
                 Err(_) => answer::text(400, "malformed-order", None),
             },
-            (Method::Get, CLOCK_PATH) => answer::json(&self.forward.clock_reading()),
+            (Method::Get, CLOCK_PATH) => answer::json(&self.clock_answer()),
             _ => answer::text(404, "unknown-path", None),
         }
     }
 
+    fn clock_answer(&self) -> ClockAnswer {
+        let mut gateways = self.peers.most_recent();
+        gateways.truncate(MAX_GATEWAYS_NAMED);
+        ClockAnswer {
+            reading: self.forward.clock_reading(),
+            gateways,
+        }
+    }
+
     async fn handle_tokens(&self, ask: &ServiceTokenRequest) -> Response {
         match request_local_tokens(&self.events, ask).await {
             Some(reply) => answer::json(&reply),
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -11,6 +11,7 @@
 use threadledge_dispatch::dispatcher::ProcessCheck;
 use threadledge_dispatch::outcome::{Fault, Rejection};
 use threadledge_net::{Instant, timer};
+use threadledge_paths::Search;
 use threadledge_ports::HeaderCodec;
 use threadledge_types::Timestamp;
 
@@ -137,11 +138,8 @@
     }
 
     async fn send(&self) -> ProbeResult {
-        let Some(request) = self.request() else {
-            return ProbeResult::Closed;
-        };
         let deadline = Instant::now() + RESPONSE_TIMEOUT;
-        let response = match self.exchange(request, deadline).await {
+        let response = match self.exchange(deadline).await {
             Ok(response) => response,
             Err(Fault::Unreachable) => return ProbeResult::Ended,
             Err(Fault::TimedOut) => return ProbeResult::Silent,
@@ -157,7 +155,9 @@
         }
     }
 
-    async fn exchange(&self, request: Request, deadline: Instant) -> Result<Response, Fault> {
+    /// Sends the probe. Invariant: while the own path is lost, all other gateways
+    /// are asked before the process counts as ended.
+    async fn exchange(&self, deadline: Instant) -> Result<Response, Fault> {
         let service = self.links.service_of(&self.check.process);
         let distance = self.links.distance_of(self.check.address);
         let target = Target {
@@ -167,8 +167,18 @@
             distance: distance.ok_or(Fault::CutOff)?,
             connection_limit: None,
         };
-        let link = self.links.open(target, deadline).await?;
-        link.exchange(request, deadline, PATH_PATIENCE).await
+        while Instant::now() < deadline {
+            let request = self.request().ok_or(Fault::CutOff)?;
+            let link = self
+                .links
+                .open(target.clone(), deadline, Search::Exhaustive)
+                .await?;
+            match link.exchange(request, deadline, PATH_PATIENCE).await {
+                Err(Fault::PathFailed) => continue,
+                ended => return ended,
+            }
+        }
+        Err(Fault::PathFailed)
     }
 
     fn request(&self) -> Option<Request> {
--- a/crates/router/tests/gateway/forwarding.rs
+++ b/crates/router/tests/gateway/forwarding.rs
@@ -6,11 +6,15 @@
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task::block_on;
+use serde_json::Value;
+use threadledge_net::HttpClient;
 use threadledge_platform_stand_in::{Behaviour, StandInBackEnd};
 
 use super::lost_paths::{Cut, World, not_repeatable, plain};
 use super::process::{TestRequest, eventually};
 
+/// Longest wait for the answer of a gateway.
+const PATIENCE: Duration = Duration::from_secs(5);
 /// Requests sent one after the other.
 const REQUESTS: usize = 30;
 /// Size of an upload that is streamed, in bytes.
@@ -125,3 +129,17 @@
     }
     assert_eq!(leaving.runs().len(), before);
 }
+
+#[test]
+fn gateway_asked_for_its_clock_names_others_that_may_forward() {
+    let world = World::start();
+    let ask = || {
+        let request = http::Request::get("/threadledge/v1/clock").body(Vec::new());
+        let client = HttpClient::default();
+        let sent = client.send(world.cut_off.peers, request.expect("valid"), PATIENCE);
+        let answer = block_on(sent).expect("an answer");
+        serde_json::from_slice::<Value>(answer.body()).expect("JSON")
+    };
+    let named = serde_json::json!([world.in_reach.peers.to_string()]);
+    eventually(|| (ask()["gateways"] == named).then_some(()));
+}
--- a/crates/router/tests/gateway/lost_paths.rs
+++ b/crates/router/tests/gateway/lost_paths.rs
@@ -36,14 +36,72 @@
     RefuseNew,
 }
 
+/// The paths of one gateway to back ends, which lead through proxies of its
+/// own. It learns their addresses from its own proxy of the store.
+pub struct OwnPaths {
+    pub paths: Vec<Proxy>,
+    pub store: Proxy,
+}
+
+impl OwnPaths {
+    pub fn start(store: &StandInStore, back_ends: &[StandInBackEnd]) -> OwnPaths {
+        let mut paths = Vec::new();
+        let mut pairs = Vec::new();
+        for back_end in back_ends {
+            let path = block_on(Proxy::start(back_end.address())).expect("a proxy");
+            pairs.push((path.address().to_string(), back_end.address().to_string()));
+            paths.push(path);
+        }
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = Proxy::start_at(any, store.address(), Rewriter::new(pairs));
+        let store = block_on(store).expect("a proxy");
+        OwnPaths { paths, store }
+    }
+}
+
+/// Cuts one path.
+pub fn cut_path(path: &Proxy, how: Cut) {
+    match how {
+        Cut::Hang => path.partition(Directions::Both, None),
+        Cut::Reset => {
+            path.refuse_connections().expect("refused");
+            path.reset_connections();
+        }
+        Cut::RefuseNew => path.refuse_connections().expect("refused"),
+    }
+}
+
+/// Starts two back ends of each service, with the store that lists them.
+pub fn start_back_ends() -> (StandInStore, Vec<StandInBackEnd>) {
+    let store = block_on(StandInStore::start()).expect("a store");
+    let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
+    let back_ends = vec![
+        start("k-1", true),
+        start("k-2", true),
+        start("p-1", false),
+        start("p-2", false),
+    ];
+    for back_end in &back_ends {
+        let service = if back_end.keyed { "keyed" } else { "plain" };
+        let registration = back_end.registration(service, "ready");
+        store.put("servers", &back_end.id, registration);
+    }
+    store.put("config", "main", configuration(1));
+    (store, back_ends)
+}
+
+/// The keys, of a sample of all, that no back end holds.
+pub fn unowned(back_ends: &[StandInBackEnd]) -> Vec<u16> {
+    let holds = |key: &u16| back_ends.iter().any(|each| each.holds(*key));
+    keys().filter(|key| !holds(key)).collect()
+}
+
 /// Two gateways. All paths of the first to back ends lead through proxies of
 /// its own.
 pub struct World {
     pub store: StandInStore,
     pub back_ends: Vec<StandInBackEnd>,
-    paths: Vec<Proxy>,
-    /// Keeps the first gateway's connection to the store.
-    _store_proxy: Proxy,
+    own: OwnPaths,
     pub cut_off: Gateway,
     pub in_reach: Gateway,
 }
@@ -52,40 +110,18 @@
     /// Starts everything. The gateway that will lose its paths starts first, so
     /// that it is the coordinator.
     pub fn start() -> World {
-        let store = block_on(StandInStore::start()).expect("a store");
-        let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
-        let back_ends = vec![
-            start("k-1", true),
-            start("k-2", true),
-            start("p-1", false),
-            start("p-2", false),
-        ];
-        let mut paths = Vec::new();
-        let mut pairs = Vec::new();
-        for back_end in &back_ends {
-            let service = if back_end.keyed { "keyed" } else { "plain" };
-            let registration = back_end.registration(service, "ready");
-            store.put("servers", &back_end.id, registration);
-            let path = block_on(Proxy::start(back_end.address())).expect("a proxy");
-            pairs.push((path.address().to_string(), back_end.address().to_string()));
-            paths.push(path);
-        }
-        store.put("config", "main", configuration(1));
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let store_proxy = Proxy::start_at(any, store.address(), Rewriter::new(pairs));
-        let store_proxy = block_on(store_proxy).expect("a proxy");
-        let mut cut_off = Gateway::start_named("router-1", store_proxy.address());
+        let (store, back_ends) = start_back_ends();
+        let own = OwnPaths::start(&store, &back_ends);
+        let mut cut_off = Gateway::start_named("router-1", own.store.address());
         cut_off.await_ready();
-        let owned = || keys().all(|key| back_ends.iter().any(|each| each.holds(key)));
-        eventually(|| owned().then_some(()));
+        eventually(|| unowned(&back_ends).is_empty().then_some(()));
         // A gateway of the same zone would get the addresses of the proxies.
         let mut in_reach = Gateway::start_in("zone-b", "router-2", store.address());
         in_reach.await_ready();
         let world = World {
             store,
             back_ends,
-            paths,
-            _store_proxy: store_proxy,
+            own,
             cut_off,
             in_reach,
         };
@@ -102,20 +138,13 @@
     }
 
     pub fn cut(&self, how: Cut) {
-        for path in &self.paths {
-            match how {
-                Cut::Hang => path.partition(Directions::Both, None),
-                Cut::Reset => {
-                    path.refuse_connections().expect("refused");
-                    path.reset_connections();
-                }
-                Cut::RefuseNew => path.refuse_connections().expect("refused"),
-            }
+        for path in &self.own.paths {
+            cut_path(path, how);
         }
     }
 
     pub fn heal(&self) {
-        for path in &self.paths {
+        for path in &self.own.paths {
             path.accept_connections().expect("accepted");
             path.heal(Duration::ZERO);
         }
@@ -131,11 +160,6 @@
         lines.find(|line| line.starts_with(name)).map(str::to_owned)
     }
 
-    fn unowned(&self) -> Vec<u16> {
-        let holds = |key: &u16| self.back_ends.iter().any(|each| each.holds(*key));
-        keys().filter(|key| !holds(key)).collect()
-    }
-
     /// Sends load to the first gateway until [`DETECTION`] after a cut.
     pub fn load_until_detected(&self) {
         let started = Instant::now();
@@ -219,7 +243,12 @@
         world.cut(how);
         let started = Instant::now();
         while started.elapsed() < TWO_HOLDS {
-            assert_eq!(world.unowned(), [0; 0], "{how:?} {:?}", started.elapsed());
+            assert_eq!(
+                unowned(&world.back_ends),
+                [0; 0],
+                "{how:?} {:?}",
+                started.elapsed()
+            );
             thread::sleep(PAUSE);
         }
         assert_eq!(keyed(5).send(&world.in_reach).status(), 200);
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod lost_paths;
 mod outage;
 mod partial_lists;
+mod partly_lost_paths;
 mod peers;
 mod pipelined;
 mod platform_names;
