router: forward nothing over a connection that may hang

Callers saw: where a back end was cut from the gateway that forwards as well, but that gateway did not know yet, a forwarded request waited for its deadline (504 after 3 s in the test), and an owner's keys came back later than they could.

Cause: the forwarding gateway sent over connections that were open before. They hang when the path is cut. An order that may have been sent counts as one that may have arrived at its end, so that the hold of a lost owner was counted from there.

Change: a gateway forwards only if the back end answered or accepted a connection within 200 ms, or accepts a new one now.

--- a/crates/paths/src/direct.rs
+++ b/crates/paths/src/direct.rs
@@ -16,6 +16,9 @@
 /// Shortest time between two checks of the same path after silences.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a contact shows that a path works.
+const CONTACT_VALIDITY: Duration = Duration::from_millis(200);
+
 /// A witness reaches at least one in this many back ends of a service: fewer
 /// than all end at once, while a gateway that is cut off loses nearly all.
 const MIN_WITNESS_SHARE: usize = 3;
@@ -87,6 +90,14 @@
         path.is_some_and(|path| path.lost_since.is_some())
     }
 
+    /// Returns whether a back end has answered or accepted a connection within
+    /// [`CONTACT_VALIDITY`], so that its path surely works.
+    pub fn is_proven(&self, now: Timestamp, address: SocketAddr) -> bool {
+        let path = self.paths.get(&address);
+        let contact = path.and_then(|path| path.last_contact);
+        contact.is_some_and(|contact| now.since(contact) < CONTACT_VALIDITY)
+    }
+
     /// Returns whether this gateway is a witness for the end of a back end of
     /// the service with these addresses: it has not lost too many of its own
     /// paths to them.
--- a/crates/paths/tests/direct.rs
+++ b/crates/paths/tests/direct.rs
@@ -78,3 +78,14 @@
     paths.on_connect_failed(at(10), back_end(2), Evidence::Timeout);
     assert!(!paths.is_witness(&service));
 }
+
+#[test]
+fn path_is_proven_by_a_recent_answer_or_connection_only() {
+    let mut paths = reached(1);
+    assert!(paths.is_proven(at(199), back_end(0)));
+    assert!(!paths.is_proven(at(200), back_end(0)));
+    paths.on_answer(at(300), back_end(0));
+    assert!(paths.is_proven(at(499), back_end(0)));
+    assert!(!paths.is_proven(at(500), back_end(0)));
+    assert!(!paths.is_proven(at(0), back_end(1)));
+}
--- a/crates/router/src/gateway/links/checks.rs
+++ b/crates/router/src/gateway/links/checks.rs
@@ -50,6 +50,17 @@
         self.clone().check(address).await
     }
 
+    /// Returns whether this gateway reaches a back end, as a contact of a moment
+    /// ago or a new connection shows. Open connections prove nothing: they hang
+    /// when the path is cut, and what is sent on them may arrive later.
+    pub(super) async fn has_path(&self, address: SocketAddr) -> bool {
+        if self.is_lost(address) {
+            return false;
+        }
+        let is_proven = self.with_direct(|paths, now| paths.is_proven(now, address));
+        is_proven || self.clone().check(address).await
+    }
+
     /// Opens a connection to a back end and records whether that is possible.
     pub(super) async fn check(self, address: SocketAddr) -> bool {
         let timeout = match self.distance_of(address) {
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -92,7 +92,7 @@
     }
 
     async fn open(&self, target: &Target, deadline: Instant) -> Result<super::Link, ForwardResult> {
-        if self.links.is_lost(target.address) {
+        if !self.links.has_path(target.address).await {
             return Err(self.unreachable(&target.name).await);
         }
         match self.links.open_direct(target, deadline).await {
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -204,7 +204,7 @@
         let Some(address) = address else {
             return ForwardedOrderResult::NoPath;
         };
-        if self.forward.links.is_lost(address) {
+        if !self.forward.links.has_path(address).await {
             return self.unreachable(&message.to).await;
         }
         let order = Order {
--- a/crates/router/tests/gateway/partly_lost_paths.rs
+++ b/crates/router/tests/gateway/partly_lost_paths.rs
@@ -11,7 +11,7 @@
 use super::lost_paths::{
     Cut, OwnPaths, cut_path, keyed, not_repeatable, plain, start_back_ends, unowned,
 };
-use super::process::{Gateway, eventually};
+use super::process::{Gateway, TestRequest, eventually};
 
 /// Time for which every request must be served: twice as long as a grant holds.
 const TWO_HOLDS: Duration = Duration::from_secs(6);
@@ -19,12 +19,16 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Time in which the cut gateways find out which paths are lost.
 const DETECTION: Duration = Duration::from_secs(1);
+/// Time after which a contact no longer shows that a path works.
+const QUIET: Duration = Duration::from_millis(400);
 /// Requests at back ends when their connections are reset.
 const OPEN_REQUESTS: usize = 8;
 /// Cuts in a row: each asks one of the other gateways first by chance.
 const ROUNDS: usize = 6;
 /// Back ends of each service to which paths are cut, as indices.
 const CUT_BACK_ENDS: [usize; 2] = [0, 2];
+/// Deadline of a request that must not wait for it, in milliseconds.
+const LONG_DEADLINE_MS: u64 = 3_000;
 
 /// Three gateways. The first two reach back ends over paths of their own; the
 /// first one is the coordinator.
@@ -151,3 +155,23 @@
     }
     assert_eq!(world.logged_by_coordinator(511), 0);
 }
+
+#[test]
+fn request_is_not_forwarded_over_a_connection_that_hangs() {
+    let world = World::start();
+    world.in_reach.signal("-KILL");
+    for path in &world.own[0].paths {
+        cut_path(path, Cut::Hang);
+    }
+    world.load(DETECTION);
+    thread::sleep(QUIET);
+    for path in &world.own[1].paths {
+        cut_path(path, Cut::Hang);
+    }
+    let request = TestRequest {
+        deadline_ms: LONG_DEADLINE_MS,
+        ..not_repeatable()
+    };
+    let status = request.send(&world.coordinator).status();
+    assert_eq!(status, 503, "it was sent on and waited for its deadline");
+}
