coordination: orders that end unanswered together count as one failure

Cause: an owner counts as lost after six consecutive unanswered orders, and each of those under way at once was counted: up to six, one a range. One reset or one cut ends them all together.

Change: an order that had been sent when a failure was counted is not counted again, unless the back end has answered in between. Orders that never left and overdue ones to other regions are counted as before.

Test, red before (lost in round 1 of 6): orders_that_end_unanswered_together_count_once_against_a_back_end.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -54,6 +54,9 @@
     failed_connects: u32,
     /// Consecutive unanswered orders.
     unanswered: u32,
+    /// The last order that had been sent when one was last counted as
+    /// unanswered.
+    counted_until: OrderId,
     /// Time at which the back end last counted as lost.
     lost_since: Option<Timestamp>,
     /// The current period without answers, if any.
@@ -381,6 +384,31 @@
         self.on_fault(now, name, OrderFault::NoAnswer)
     }
 
+    /// Records that an order to a back end failed. `last_sent` is the last order
+    /// sent so far. Invariant: orders that were under way together and are not
+    /// answered count as one failure, since one broken connection ends them all.
+    pub fn on_order_failed(
+        &mut self,
+        now: Timestamp,
+        order: &Order,
+        fault: OrderFault,
+        last_sent: OrderId,
+    ) -> FaultEffect {
+        let name = &order.to.name;
+        if fault != OrderFault::NoAnswer {
+            return self.on_fault(now, name, fault);
+        }
+        let reachability = self.reachability.entry(name.clone()).or_default();
+        if order.id <= reachability.counted_until
+            && let Some(silence) = &mut reachability.silence
+        {
+            silence.given_up += 1;
+            return FaultEffect::default();
+        }
+        reachability.counted_until = last_sent;
+        self.on_fault(now, name, fault)
+    }
+
     /// Records that an order to a back end has no answer.
     pub fn on_fault(
         &mut self,
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -191,7 +191,8 @@
         if order.kind == OrderKind::Release && fault == OrderFault::NoAnswer {
             self.holders.on_unanswered_release(now, &order.to.name);
         }
-        let effect = self.holders.on_fault(now, &order.to.name, fault);
+        let last_sent = OrderId(self.last_order_id);
+        let effect = self.holders.on_order_failed(now, order, fault, last_sent);
         self.report_fault(order, waited, fault, effect);
     }
 
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -304,3 +304,21 @@
     });
     (sent(actions), written)
 }
+
+/// One broken connection ends all the orders on it.
+#[test]
+fn orders_that_end_unanswered_together_count_once_against_a_back_end() {
+    let mut now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    let lost = |notice: &Notice| matches!(notice, Notice::HolderLost { .. });
+    for round in 1..=6 {
+        let mut together = sent(ownership.poll(now, true));
+        assert_eq!(together.len(), MAX_ORDERS_IN_FLIGHT);
+        now = now + Duration::from_millis(20);
+        for order in together.drain(..) {
+            ownership.on_order(now, &order, Err(OrderFault::NoAnswer));
+        }
+        let is_lost = ownership.take_notices().iter().any(lost);
+        assert_eq!(is_lost, round == 6, "round {round}");
+    }
+}
