suspects: a process that only closes connections counts as ended until it answers

Cause: behind a proxy that accepts connections for an ended process a break becomes certain only when the registration lapses, 1.5 to 2.5 s later, and nobody is told before. The gateway that saw it may end first.

Change: after a break, two new connections that are closed without an answer (5 ms and 155 ms later) make the open breaks at that process count as crashes until it answers: gateways are told, two of them reach the store, and an answer takes them back everywhere, as it did for the third break. A probe that found no way to the process still says nothing; before, both were one result.

Test: breaks_at_processes_that_only_close_connections_are_told_to_other_routers (new entry point, so it does not compile before); the soak is what was red.

--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -107,6 +107,31 @@
         self.presume_unconfirmed();
     }
 
+    /// Counts the open breaks at a process that only closes connections as
+    /// crashes until it answers.
+    pub fn presume_ended(&mut self, process: &BackEndName) {
+        let open = self.unconfirmed_breaks.not_presumed();
+        let open = open.filter(|record| record.process == *process);
+        let open: Vec<BrokenAttempt> = open.cloned().collect();
+        for record in open {
+            let identity = &record.identity;
+            if self.suspects.succeeded_since(record.at, identity) {
+                continue;
+            }
+            if self
+                .suspects
+                .record_crash(record.at, identity, process, &record.label)
+            {
+                self.unconfirmed_breaks.mark_presumed(process, identity);
+                self.crashes.push(BrokenAttempt {
+                    presumed: true,
+                    ..record
+                });
+            }
+        }
+        self.presume_unconfirmed();
+    }
+
     /// Re-examines the unconfirmed breaks of requests that have reached
     /// [`CAUTION_THRESHOLD`] crashes.
     fn presume_unconfirmed(&mut self) {
--- a/crates/dispatch/tests/dispatcher/crashes.rs
+++ b/crates/dispatch/tests/dispatcher/crashes.rs
@@ -219,6 +219,31 @@
     assert!(is_held(begin(&mut harness, "safe", bad)));
 }
 
+/// Behind a proxy that accepts connections for processes that have ended, every
+/// router that saw a break may itself end before the break is certain.
+#[test]
+fn breaks_at_processes_that_only_close_connections_are_told_to_other_routers() {
+    let mut harness = harness();
+    let bad = identity("/unsafe/x", 1);
+    let attempts: Vec<Attempt> = (0..3).map(|_| break_one(&mut harness, bad)).collect();
+    for attempt in &attempts {
+        harness.dispatcher.presume_ended(&attempt.back_end);
+    }
+    assert!(is_held(begin(&mut harness, "unsafe", bad)));
+    let news = harness.dispatcher.suspects();
+    let news = news.updates_since(0, UpdateScope::All, harness.now);
+    let mut other = Harness::with_seed(8);
+    other.dispatcher.merge_suspects(other.now, &news);
+    assert!(other.dispatcher.suspects().is_held(&bad));
+    let presumed = harness.dispatcher.take_crashes();
+    assert!(presumed.iter().all(|crash| crash.presumed));
+    // One of them answers: it was only full.
+    harness.advance(20);
+    let alive = &attempts[1].back_end;
+    harness.dispatcher.process_answered(harness.now, alive);
+    assert!(!is_held(begin(&mut harness, "unsafe", bad)));
+}
+
 /// The request broke at a third process before the first two were known to have
 /// ended: it is refused as soon as that is known.
 #[test]
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -49,9 +49,11 @@
     /// Another process runs at its address, or the address accepts no
     /// connections from a gateway that reaches other back ends.
     Ended,
-    /// The connection was closed without a response: the process is full, or
-    /// there is a proxy in front of it. Or there is no way to the process.
+    /// The connection was closed without a response: the process is full, or a
+    /// proxy in front of it accepts connections although it has ended.
     Closed,
+    /// There is no way to the process.
+    NoWay,
     /// The process did not answer in time.
     Silent,
 }
@@ -90,7 +92,7 @@
             true => DELAYS_AFTER_TIMEOUT,
             false => DELAYS_AFTER_BREAK,
         };
-        let mut result = ProbeResult::Closed;
+        let mut result = ProbeResult::NoWay;
         for delay in delays {
             timer::sleep(delay).await;
             if !self.is_unconfirmed() {
@@ -101,19 +103,17 @@
             match result {
                 ProbeResult::Ended => break,
                 ProbeResult::Running => return self.record_running(sent),
-                ProbeResult::Closed | ProbeResult::Silent => {}
+                ProbeResult::Closed | ProbeResult::NoWay | ProbeResult::Silent => {}
             }
         }
-        // If connections were only closed, this stays undecided until a
-        // registration shows the end of the process.
-        let ended = match result {
-            ProbeResult::Ended => true,
+        match result {
+            ProbeResult::Ended => self.record_ended(),
             // An open connection may be silent because its path is cut.
-            ProbeResult::Silent => self.links.can_connect(self.check.address).await,
-            ProbeResult::Closed | ProbeResult::Running => false,
-        };
-        if ended {
-            self.record_ended();
+            ProbeResult::Silent if self.links.can_connect(self.check.address).await => {
+                self.record_ended();
+            }
+            ProbeResult::Closed => self.record_closed(),
+            ProbeResult::Silent | ProbeResult::NoWay | ProbeResult::Running => {}
         }
     }
 
@@ -130,6 +130,15 @@
         });
     }
 
+    /// A registration decides later. Invariant: until then others are told, since
+    /// this gateway may end before it knows for certain.
+    fn record_closed(&self) {
+        let process = &self.check.process;
+        self.service
+            .dispatch
+            .with(|dispatcher, _now| dispatcher.presume_ended(process));
+    }
+
     fn record_ended(&self) {
         let process = &self.check.process;
         self.service
@@ -143,7 +152,10 @@
             Ok(response) => response,
             Err(Fault::Unreachable) => return ProbeResult::Ended,
             Err(Fault::TimedOut) => return ProbeResult::Silent,
-            Err(_) => return ProbeResult::Closed,
+            Err(Fault::Broken | Fault::NothingSent | Fault::BadAnswer) => {
+                return ProbeResult::Closed;
+            }
+            Err(_) => return ProbeResult::NoWay,
         };
         let status = u16::from(response.status());
         let head = self
--- a/crates/soak/tests/back_end.rs
+++ b/crates/soak/tests/back_end.rs
@@ -1,7 +1,7 @@
 //! Tests of the grant handling of the stand-in back end that the soak relies
 //! on.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -23,13 +23,26 @@
 /// that gave the grant up.
 fn give_up_grant(back_end: &StandInBackEnd, fence: u64) {
     let body = StandInBackEnd::grant_body(0, u16::MAX, fence, Duration::from_secs(60));
+    send(back_end, StandInBackEnd::GRANT_PATH, &body);
+}
+
+/// Releases all keys under a fence and waits for the answer.
+fn release(back_end: &StandInBackEnd, fence: u64) {
+    let body = StandInBackEnd::grant_body(0, u16::MAX, fence, Duration::ZERO);
+    let mut stream = send(back_end, StandInBackEnd::RELEASE_PATH, &body);
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 200");
+}
+
+fn send(back_end: &StandInBackEnd, path: &str, body: &str) -> TcpStream {
     let text = format!(
-        "POST {} HTTP/1.1\r\nhost: b\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        StandInBackEnd::GRANT_PATH,
+        "POST {path} HTTP/1.1\r\nhost: b\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len(),
     );
     let mut stream = TcpStream::connect(back_end.address()).expect("a connection");
     stream.write_all(text.as_bytes()).expect("sent");
+    stream
 }
 
 fn start() -> StandInBackEnd {
@@ -59,6 +72,21 @@
     assert!(matches!(event.change, KeyChange::Granted { fence: 3, .. }));
 }
 
+#[test]
+fn late_grant_is_taken_beside_the_next_owner_until_a_release_arrives() {
+    let [late, next] = [start(), start()];
+    late.set_grant_delay(Some(Duration::from_millis(50)));
+    give_up_grant(&late, 3);
+    give_up_grant(&next, 9);
+    wait_until(|| next.holds(7) && late.holds(7));
+    // Nothing but a higher fence at the same back end withdraws it.
+    release(&late, 10);
+    assert!(!late.holds(7));
+    give_up_grant(&late, 3);
+    task::block_on(task::sleep(Duration::from_millis(200)));
+    assert!(!late.holds(7));
+}
+
 #[test]
 fn crashed_back_end_takes_no_more_grants() {
     let back_end = start();
