paths: what other gateways show of one back end in a module of its own

Split by job; no behaviour but one flag of the log: event 526 is written again when the gateways that missed a back end were forgotten meanwhile.

--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -9,17 +9,11 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::ServiceName;
 
+use crate::reached::{Reached, Witness};
+
 /// Time for which a gateway that does not answer, or has lost its own paths, is
 /// not asked again.
 const FORWARDER_RETRY: Duration = Duration::from_millis(500);
-/// Time for which a gateway that did not reach a back end is not asked for that
-/// back end again.
-const MISSED_FOR: Duration = Duration::from_millis(1_500);
-/// Gateways that a brief search asks for one back end without a pause.
-const BRIEF_SEARCH: usize = 3;
-/// Pause after a gateway did not reach a back end: of a brief search before it
-/// asks one more, and before requests that others forward try further ones.
-const SEARCH_PAUSE: Duration = Duration::from_millis(150);
 /// Time for which a forwarder counts as working after its last success.
 const WORKING_FOR: Duration = Duration::from_secs(2);
 /// Most gateways remembered for one service: several times as many as a gateway
@@ -60,27 +54,6 @@
     NoneLeft,
 }
 
-/// Whether a gateway that did not reach a back end reaches others of its
-/// service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Witness {
-    /// It does.
-    Yes,
-    /// It does not, so that its failure says nothing about the back end.
-    No,
-}
-
-/// What other gateways showed about the way to one back end.
-#[derive(Debug, Default)]
-struct Reached {
-    /// Gateways that reached it, and when they last did.
-    by: BTreeMap<SocketAddr, Timestamp>,
-    /// Gateways that did not reach it, and when they were last asked.
-    missed: BTreeMap<SocketAddr, (Timestamp, Witness)>,
-    /// True while it counts as unreachable for all.
-    confirmed: bool,
-}
-
 /// What is known of one other gateway as a forwarder.
 #[derive(Clone, Copy, Debug, Default)]
 struct Forwarder {
@@ -124,49 +97,62 @@
         known: &[SocketAddr],
         search: Search,
     ) -> NextForwarder {
-        let reached = self.by_back_end.get_mut(&back_end);
-        if let Some(reached) = reached {
+        if let Some(reached) = self.by_back_end.get_mut(&back_end) {
             reached.forget_old(now);
         }
-        let tried = self.by_service.get(service);
-        let forwarder = |address: &SocketAddr| tried.and_then(|tried| tried.get(address).copied());
-        let may_ask = |address: &&SocketAddr| {
-            let forwarder = forwarder(address);
-            forwarder.is_none_or(|forwarder| forwarder.not_before <= now)
-        };
+        let candidates = self.candidates(now, service, back_end, known);
+        if candidates.is_empty() {
+            let reached = self.by_back_end.get_mut(&back_end);
+            return reached.map_or(NextForwarder::NoneLeft, Reached::verdict);
+        }
         let reached = self.by_back_end.get(&back_end);
-        let missed = |address: &SocketAddr| {
-            reached.is_some_and(|reached| reached.missed.contains_key(address))
-        };
-        let candidates = known.iter().filter(may_ask).copied();
-        let candidates: Vec<SocketAddr> = candidates.filter(|each| !missed(each)).collect();
-        let reaches = |address: &&SocketAddr| {
-            reached.is_some_and(|reached| reached.by.contains_key(*address))
-        };
-        let promising = |address: &&SocketAddr| {
-            let forwarder = forwarder(address);
-            forwarder.is_none_or(|forwarder| forwarder.works(now))
-        };
+        let reaches = |address: &SocketAddr| reached.is_some_and(|reached| reached.is_by(address));
+        let (mut pool, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            candidates.iter().copied().partition(reaches);
         let missed_lately = reached.is_some_and(|reached| reached.missed_lately(now));
-        let mut pool: Vec<SocketAddr> = candidates.iter().filter(reaches).copied().collect();
-        let pauses = reached.is_some_and(Reached::has_many_misses) && missed_lately;
-        if pool.is_empty() && pauses && search == Search::Brief && !candidates.is_empty() {
+        let missed_often = reached.is_some_and(Reached::missed_often);
+        if pool.is_empty() && missed_lately && missed_often && search == Search::Brief {
             return NextForwarder::Pausing;
         }
         if pool.is_empty() || !missed_lately {
-            let others = candidates.iter().filter(|each| !reaches(each));
-            pool.extend(others.filter(promising).copied());
+            let promising = |address: &SocketAddr| self.is_promising(now, service, address);
+            pool.extend(others.into_iter().filter(promising));
         }
         if pool.is_empty() {
             pool = candidates;
         }
-        if pool.is_empty() {
-            let reached = self.by_back_end.get_mut(&back_end);
-            return reached.map_or(NextForwarder::NoneLeft, Reached::verdict);
-        }
         NextForwarder::Ask(pool[self.random.random_range(0..pool.len())])
     }
 
+    /// Returns the gateways known that have neither failed for the service nor
+    /// missed the back end lately.
+    fn candidates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        back_end: SocketAddr,
+        known: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        let reached = self.by_back_end.get(&back_end);
+        let mut candidates = known.to_vec();
+        candidates.retain(|address| {
+            let forwarder = self.tried(service, address);
+            let missed = reached.is_some_and(|reached| reached.is_missed_by(address));
+            !missed && forwarder.is_none_or(|forwarder| forwarder.not_before <= now)
+        });
+        candidates
+    }
+
+    /// Returns whether a gateway forwards to the service, or was not tried yet.
+    fn is_promising(&self, now: Timestamp, service: &ServiceName, address: &SocketAddr) -> bool {
+        let forwarder = self.tried(service, address);
+        forwarder.is_none_or(|forwarder| forwarder.works(now))
+    }
+
+    fn tried(&self, service: &ServiceName, address: &SocketAddr) -> Option<&Forwarder> {
+        self.by_service.get(service)?.get(address)
+    }
+
     /// Records that a gateway reached a back end of a service.
     pub fn on_forwarded(
         &mut self,
@@ -176,9 +162,7 @@
         forwarder: SocketAddr,
     ) {
         let reached = self.by_back_end.entry(back_end).or_default();
-        reached.missed.remove(&forwarder);
-        reached.by.insert(forwarder, now);
-        reached.confirmed = false;
+        reached.on_reached(now, forwarder);
         let forwarder = self.entry(service, forwarder);
         forwarder.worked_at = Some(now);
         forwarder.not_before = Timestamp::ZERO;
@@ -201,8 +185,7 @@
         witness: Witness,
     ) {
         let reached = self.by_back_end.entry(back_end).or_default();
-        reached.by.remove(&forwarder);
-        reached.missed.insert(forwarder, (now, witness));
+        reached.on_missed(now, forwarder, witness);
     }
 
     /// Forgets a back end that is no longer registered or that this gateway
@@ -236,33 +219,3 @@
         self.worked_at.is_some_and(|at| now.since(at) < WORKING_FOR)
     }
 }
-
-impl Reached {
-    fn forget_old(&mut self, now: Timestamp) {
-        self.by.retain(|_, at| now.since(*at) < WORKING_FOR);
-        self.missed.retain(|_, (at, _)| now.since(*at) < MISSED_FOR);
-    }
-
-    fn missed_lately(&self, now: Timestamp) -> bool {
-        let last = self.missed.values().map(|(at, _)| *at).max();
-        last.is_some_and(|last| now.since(last) < SEARCH_PAUSE)
-    }
-
-    fn has_many_misses(&self) -> bool {
-        self.missed.len() >= BRIEF_SEARCH
-    }
-
-    /// What follows once no gateway is left to ask. Invariant: a gateway that
-    /// reached the back end a moment ago and does not answer now leaves it open.
-    fn verdict(&mut self) -> NextForwarder {
-        let mut witnesses = self.missed.values().map(|(_, witness)| *witness);
-        if !self.by.is_empty() || !witnesses.any(|witness| witness == Witness::Yes) {
-            return NextForwarder::NoneLeft;
-        }
-        let is_new = !std::mem::replace(&mut self.confirmed, true);
-        NextForwarder::Confirmed {
-            missed: self.missed.len(),
-            is_new,
-        }
-    }
-}
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -10,6 +10,8 @@
 
 pub mod direct;
 pub mod forwarders;
+mod reached;
 
 pub use direct::{DirectPaths, Evidence, PathChange};
-pub use forwarders::{Forwarders, NextForwarder, Search, Witness};
+pub use forwarders::{Forwarders, NextForwarder, Search};
+pub use reached::Witness;
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -230,38 +230,6 @@
         self.shared.direct.lock().is_lost(address)
     }
 
-    fn may_forward(&self, target: &Target) -> bool {
-        let next = self.next_forwarder(&target.service, target.address, Search::Brief);
-        matches!(next, NextForwarder::Ask(_))
-    }
-
-    fn next_forwarder(
-        &self,
-        service: &ServiceName,
-        address: SocketAddr,
-        search: Search,
-    ) -> NextForwarder {
-        let known = self.known_gateways();
-        let now = self.shared.clock.now();
-        let mut forwarders = self.shared.forwarders.lock();
-        let next = forwarders.choose(now, service, address, &known, search);
-        drop(forwarders);
-        let is_verdict = matches!(next, NextForwarder::Confirmed { .. });
-        if is_verdict && !self.knows_enough_gateways() {
-            return NextForwarder::NoneLeft;
-        }
-        if let NextForwarder::Confirmed { missed, is_new } = next
-            && is_new
-        {
-            emit!(
-                EventId::BackEndMissedElsewhere,
-                address = %address,
-                asked = missed as u64,
-            );
-        }
-        next
-    }
-
     /// The service of a registered back end.
     pub(super) fn service_of(&self, name: &BackEndName) -> Option<ServiceName> {
         let dispatch = &self.shared.dispatch;
@@ -276,12 +244,6 @@
         dispatch.with(|dispatcher, _now| dispatcher.distance_of(address))
     }
 
-    fn on_unusable(&self, service: &ServiceName, forwarder: SocketAddr) {
-        let now = self.shared.clock.now();
-        let mut forwarders = self.shared.forwarders.lock();
-        forwarders.on_unusable(now, service, forwarder);
-    }
-
     fn on_connect_failed(&self, address: SocketAddr, evidence: Evidence) {
         self.with_direct(|paths, now| paths.on_connect_failed(now, address, evidence));
     }
--- a/crates/router/src/gateway/links/gateways.rs
+++ b/crates/router/src/gateway/links/gateways.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use threadledge_dispatch::Dispatcher;
 use threadledge_net::Instant;
+use threadledge_paths::{NextForwarder, Search};
+use threadledge_types::deployment::ServiceName;
 
-use super::BackEndLinks;
+use super::{BackEndLinks, Target};
+use crate::events::{EventId, emit};
 
 /// How long a gateway is remembered after it was named.
 const NAMED_FOR: Duration = Duration::from_secs(10);
@@ -57,6 +59,48 @@
         }
         known
     }
+
+    /// Returns whether there is a gateway to ask for a back end.
+    pub(super) fn may_forward(&self, target: &Target) -> bool {
+        let next = self.next_forwarder(&target.service, target.address, Search::Brief);
+        matches!(next, NextForwarder::Ask(_))
+    }
+
+    /// The gateway through which to reach a back end next.
+    pub(super) fn next_forwarder(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+        search: Search,
+    ) -> NextForwarder {
+        let known = self.known_gateways();
+        let now = self.shared.clock.now();
+        let mut forwarders = self.shared.forwarders.lock();
+        let next = forwarders.choose(now, service, address, &known, search);
+        drop(forwarders);
+        let is_verdict = matches!(next, NextForwarder::Confirmed { .. });
+        if is_verdict && !self.knows_enough_gateways() {
+            return NextForwarder::NoneLeft;
+        }
+        if let NextForwarder::Confirmed { missed, is_new } = next
+            && is_new
+        {
+            emit!(
+                EventId::BackEndMissedElsewhere,
+                address = %address,
+                asked = missed as u64,
+            );
+        }
+        next
+    }
+
+    /// Records that a gateway does not answer.
+    pub(super) fn on_unusable(&self, service: &ServiceName, forwarder: SocketAddr) {
+        let now = self.shared.clock.now();
+        let mut forwarders = self.shared.forwarders.lock();
+        forwarders.on_unusable(now, service, forwarder);
+    }
+
     /// Returns whether enough other gateways are known for their failures to
     /// prove something. A gateway without peers decides by itself.
     pub(super) fn knows_enough_gateways(&self) -> bool {
@@ -64,11 +108,8 @@
             return true;
         }
         let known = self.known_gateways().len();
-        let count = |dispatcher: &mut Dispatcher| dispatcher.router_count();
-        let fleet = self
-            .shared
-            .dispatch
-            .with(|dispatcher, _now| count(dispatcher));
+        let dispatch = &self.shared.dispatch;
+        let fleet = dispatch.with(|dispatcher, _now| dispatcher.router_count());
         let others = fleet.map_or(known, |fleet| fleet.saturating_sub(1) as usize);
         known >= others.min(MIN_KNOWN)
     }
