gateway: log how the first complete list of back ends arrives after a start

The log of a gateway that is not ready does not tell whether the list of back ends has begun to arrive, from whom and how far it is: 320 and 329 come with each part, and nothing says that others are missing. Events 330 (complete: parts, sender, times of the first part and of the last) and 331 (still incomplete, every 5 s). No change of logic.

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -201,6 +201,12 @@
     BackEndsRegistered = 329, "back-ends-registered", Info,
         "Many back ends registered at once, as at the start of a gateway of a large deployment; the line has their number, and 320 is not logged for them.",
         "None. The store has their registrations.";
+    BackEndsKnown = 330, "back-ends-known", Info,
+        "This gateway has its first complete list of back ends since its start; the line has their number, the number of parts in which they came, the sender of the last part (a gateway or the store), and the times since the start of the first part and of the last.",
+        "None, unless it takes more than a few seconds: then compare the lines of the gateways named as senders, up to the one that watches the store (420).";
+    BackEndsIncomplete = 331, "back-ends-incomplete", Warn,
+        "The first list of back ends since this gateway's start is still incomplete; the line has the same figures as 330.",
+        "Check the network between this gateway and the sender, and whether the sender has a complete list (330).";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -18,6 +18,7 @@
 mod dispatch;
 mod exchange;
 mod followers;
+mod initial_sync;
 mod key_confirmation;
 pub mod key_regions;
 mod limits;
--- a/crates/router/src/gateway/catch_up.rs
+++ b/crates/router/src/gateway/catch_up.rs
@@ -52,7 +52,7 @@
         let asked = sources.now();
         if let Some(update) = client.fetch_updates(*peer, &publisher.position()).await {
             let age = update.age_ms.map(Duration::from_millis);
-            publisher.apply_peer_update(update);
+            publisher.apply_peer_update(*peer, update);
             if let Some(age) = age {
                 sources.confirm(asked, age);
             }
--- a/crates/router/src/gateway/cluster_state.rs
+++ b/crates/router/src/gateway/cluster_state.rs
@@ -141,6 +141,11 @@
         self.back_ends.is_partial()
     }
 
+    /// Number of registered back ends received so far.
+    pub fn known_back_ends(&self) -> usize {
+        self.back_ends.len()
+    }
+
     /// How much longer a back end counts as cold because its zone was restored.
     fn remaining_cold_after_restore(&self, back_end: &BackEnd, now: Timestamp) -> Duration {
         let Some(restored) = self.zones.restored_at(&back_end.zone) else {
--- a/crates/router/src/gateway/publisher.rs
+++ b/crates/router/src/gateway/publisher.rs
@@ -1,6 +1,7 @@
 //! Applies updates to the cluster state and passes the changes to the request
 //! path and the coordinators.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -14,6 +15,7 @@
 use super::cluster_state::{ClusterState, StateChange};
 use super::coordination::Event;
 use super::dispatch::Dispatch;
+use super::initial_sync::{InitialSync, PartSource};
 use super::limits::Limits;
 use super::links::BackEndLinks;
 use super::notifier::Notifier;
@@ -43,6 +45,7 @@
     pub(super) health: Arc<StoreHealth>,
     pub(super) limits: Limits,
     pub(super) events: async_channel::Sender<Event>,
+    pub(super) initial_sync: Arc<InitialSync>,
     /// Notified when the cluster state changes.
     pub(super) changed: Arc<Notifier>,
 }
@@ -72,15 +75,15 @@
         cluster_state.delta_since(position, now)
     }
 
-    /// Applies a delta from the relay.
-    pub(super) fn apply_delta(&self, delta: Delta) {
-        let changes = self.apply(delta);
+    /// Applies a delta from the relay at `from`.
+    pub(super) fn apply_delta(&self, from: SocketAddr, delta: Delta) {
+        let changes = self.apply(from, delta);
         self.publish(changes);
     }
 
-    /// Applies an update from another gateway.
-    pub(super) fn apply_peer_update(&self, update: PeerUpdate) {
-        let changes = self.apply(update.delta);
+    /// Applies an update from the gateway at `from`.
+    pub(super) fn apply_peer_update(&self, from: SocketAddr, update: PeerUpdate) {
+        let changes = self.apply(from, update.delta);
         if !changes.is_empty() {
             emit!(EventId::LearnedFromPeer, changes = changes.len());
         }
@@ -89,12 +92,13 @@
 
     /// Applies a delta to the cluster state and publishes the back ends in use.
     /// Returns the other changes, which are still to be published.
-    fn apply(&self, delta: Delta) -> Vec<StateChange> {
+    fn apply(&self, from: SocketAddr, delta: Delta) -> Vec<StateChange> {
         let mut cluster_state = self.cluster_state.lock();
         let concerns_back_ends = delta.concerns_back_ends() || cluster_state.is_partial();
         let now = self.now();
         let changes = cluster_state.apply_delta(delta, now);
         if concerns_back_ends {
+            self.record_part(&cluster_state, PartSource::Gateway(from));
             self.publish_back_ends(cluster_state.take_in_use(now));
         }
         changes
@@ -120,6 +124,7 @@
             let mut cluster_state = self.cluster_state.lock();
             cluster_state.set_lapse_grace(self.health.grace_until(now));
             let changes = cluster_state.apply_back_ends(update, now);
+            self.record_part(&cluster_state, PartSource::Store);
             // Under the lock, so that the cluster state and the back ends in
             // use change in the same order.
             self.publish_back_ends(cluster_state.take_in_use(now));
@@ -128,6 +133,13 @@
         self.publish(changes);
     }
 
+    fn record_part(&self, cluster_state: &ClusterState, from: PartSource) {
+        let known = cluster_state.known_back_ends();
+        let complete = !cluster_state.is_partial();
+        self.initial_sync
+            .record_part(self.now(), from, known, complete);
+    }
+
     /// Applies drained zones from the store.
     pub(super) fn update_zones(&self, update: Update<DrainedZone>) {
         let changes = {
--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -60,6 +60,11 @@
         self.partial || self.revision == 0
     }
 
+    /// Number of registered back ends.
+    pub(super) fn len(&self) -> usize {
+        self.registered.len()
+    }
+
     /// All back ends, including those in their grace period, ordered by id.
     pub(super) fn all(&self, now: Timestamp) -> Vec<BackEnd> {
         let mut all: BTreeMap<&str, &RevisedBackEnd> = BTreeMap::new();
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -310,7 +310,7 @@
         }
         let has_changes = !update.delta.is_empty();
         let fetch = update.delta.fetch_configuration;
-        self.publisher.apply_delta(update.delta);
+        self.publisher.apply_delta(address, update.delta);
         if fetch {
             self.fetch_configuration(address).await;
         }
@@ -333,7 +333,7 @@
             Err(_) => {
                 let position = self.publisher.position();
                 if let Some(update) = self.client.fetch_updates(relay, &position).await {
-                    self.publisher.apply_peer_update(update);
+                    self.publisher.apply_peer_update(relay, update);
                 }
             }
         }
--- a/crates/router/src/gateway/run/watchers.rs
+++ b/crates/router/src/gateway/run/watchers.rs
@@ -11,6 +11,7 @@
 
 use super::super::cluster_state::ClusterState;
 use super::super::coordination::Event;
+use super::super::initial_sync::InitialSync;
 use super::super::notifier::Notifier;
 use super::super::publisher::StatePublisher;
 use super::super::settings::seconds;
@@ -42,6 +43,7 @@
             health: self.store_health.clone(),
             limits: self.limits.clone(),
             events,
+            initial_sync: Arc::new(InitialSync::new(self.clock.now())),
             changed: Arc::new(Notifier::default()),
         };
         self.watch_back_ends(&publisher);
