gateway: after a start of all, only relays list the store at once

Cause: each gateway that starts listed configuration, ownership record and a page of back ends itself, half a megabyte each: more than four seconds of the store's link, while calls end after one second, so that most was sent in vain. The relays' lists and probes were among them: followers found what relays know too old, turned to the store and listed all 50 pages. Relays changed while they ran, and each began the list anew. A loop that feeds itself; it grows with gateways times the size of a list.

Change: a gateway lists at once if it watches the store for its zone. Parts of a list no longer count as a revision to watch from.

Ruled out: processor (0.01 of a core a gateway), the tree as the first cause (the relay itself had no list). Weighed: longer time-outs (what is sent is the same; a silent store is noticed later); no list but the relay's at all (a zone without a reachable relay never serves).

Test: only_the_relay_of_a_large_fleet_lists_at_once; without the turn it is red: "list" is called at once by a gateway that is not the relay.

--- a/crates/router/src/gateway/publisher.rs
+++ b/crates/router/src/gateway/publisher.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use threadledge_coordination::action::StoreRevision;
 use threadledge_coordination::{OwnershipRecord, OwnershipView};
 use threadledge_net::timer;
 use threadledge_tenants::KeyChanges;
@@ -66,6 +67,16 @@
         self.cluster_state.lock().revisions()
     }
 
+    /// The store revision that the back ends reflect; 0 while some of them are
+    /// missing.
+    pub(super) fn complete_back_ends_revision(&self) -> StoreRevision {
+        let cluster_state = self.cluster_state.lock();
+        if cluster_state.is_partial() {
+            return 0;
+        }
+        cluster_state.revisions().back_ends
+    }
+
     /// The delta that a follower at `position` lacks, where `followers` share
     /// the link.
     pub(super) fn delta_since(&self, position: &SyncPosition, followers: usize) -> Delta {
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -201,6 +201,7 @@
         let records = RelayRecords::parse(entries, &self.record, &self.topology);
         if self.tier == Tier::Region {
             return records.own;
+        self.sources.set_recorded_gateways(records.members());
         }
         for relay in &records.neighbours {
             self.client.note_peer(*relay);
--- a/crates/router/src/gateway/relay_records.rs
+++ b/crates/router/src/gateway/relay_records.rs
@@ -34,6 +34,12 @@
 }
 
 impl RelayRecords {
+    /// Number of gateways in the deployment, by all records.
+    pub fn members(&self) -> u32 {
+        let own = self.own.as_ref().map_or(0, |own| own.value.members);
+        self.members_elsewhere.saturating_add(own)
+    }
+
     /// Parses all records; `own` is the name of the record to look for.
     pub fn parse(entries: Vec<Entry<RelayRecord>>, own: &str, topology: &Topology) -> RelayRecords {
         let mut records = RelayRecords::default();
--- a/crates/router/src/gateway/run/watchers.rs
+++ b/crates/router/src/gateway/run/watchers.rs
@@ -58,7 +58,7 @@
         let back_ends = self.watcher("back-ends", self.ports.back_ends.clone());
         let back_ends = back_ends.batch_changes(BACK_END_BATCH_WINDOW);
         let known = publisher.clone();
-        let back_ends = self.with_relay(back_ends, move || known.revisions().back_ends);
+        let back_ends = self.with_relay(back_ends, move || known.complete_back_ends_revision());
         let target = publisher.clone();
         task::spawn(back_ends.run(move |update| target.update_back_ends(update)));
     }
--- a/crates/router/src/gateway/sources.rs
+++ b/crates/router/src/gateway/sources.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -30,6 +30,14 @@
 /// themselves.
 const SHARE_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Interval at which gateways without a relay list a collection one after the
+/// other. The lists of all gateways at once saturate the store's link, so that
+/// not even the relays get theirs.
+const LIST_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of gateways assumed until the relay records were read, and where
+/// there are none.
+const DEFAULT_RECORDED_GATEWAYS: u32 = 100;
+
 /// The number of gateways in the deployment, which share the common budgets.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -92,6 +100,8 @@
     /// The freshness at the last notification.
     notified_as_of: Mutex<Timestamp>,
     fleet: Mutex<Fleet>,
+    /// Number of gateways by the relay records; 0: unknown.
+    recorded_gateways: AtomicU32,
     /// The latest known leases of the coordinators.
     leases: Mutex<BTreeMap<ServiceName, Versioned<CoordinatorLease>>>,
     /// Notified when a lease passes to another holder.
@@ -117,6 +127,7 @@
             freshness: Notifier::default(),
             notified_as_of: Mutex::new(Timestamp::ZERO),
             fleet: Mutex::default(),
+            recorded_gateways: AtomicU32::new(0),
             leases: Mutex::default(),
             lease_changes: Notifier::default(),
             holder_changes: AtomicU64::new(0),
@@ -291,6 +302,40 @@
         }
     }
 
+    /// Records the number of gateways by the relay records in the store.
+    pub fn set_recorded_gateways(&self, gateways: u32) {
+        let before = self.recorded_gateways.swap(gateways, Ordering::Relaxed);
+        if before != gateways {
+            self.changed.notify();
+        }
+    }
+
+    /// Resolves when this gateway may list a collection: at once if it watches
+    /// the store for its zone, otherwise in a turn that spreads the lists of
+    /// all gateways over time. `turn` is drawn from 0 to 1.
+    pub(super) async fn until_list_turn(&self, turn: f64) {
+        let asked = self.clock.now();
+        loop {
+            let changed = self.changed.next();
+            let at = asked + self.list_spread().mul_f64(turn);
+            let lists_for_zone = self.is_relay() && self.current() == Source::Store;
+            if lists_for_zone || self.clock.now() >= at {
+                return;
+            }
+            // The next iteration finds out which of the two happened.
+            let _ = timer::timeout_at(self.clock.instant(at), changed).await;
+        }
+    }
+
+    /// Time over which the lists of all gateways are spread.
+    fn list_spread(&self) -> Duration {
+        let gateways = match self.recorded_gateways.load(Ordering::Relaxed) {
+            0 => DEFAULT_RECORDED_GATEWAYS,
+            gateways => gateways,
+        };
+        LIST_INTERVAL * gateways
+    }
+
     /// Resolves when neither the store nor a relay is known to answer.
     pub(super) async fn until_waiting(&self) {
         loop {
--- a/crates/router/src/gateway/watcher.rs
+++ b/crates/router/src/gateway/watcher.rs
@@ -70,7 +70,8 @@
 /// The relay that also delivers the collection.
 struct Relayed {
     sources: Arc<Sources>,
-    /// Returns the revision up to which the collection is known.
+    /// Returns the revision up to which the collection is known; 0 while the
+    /// relay has delivered none of it or only some parts.
     revision: Box<dyn Fn() -> StoreRevision + Send + Sync>,
 }
 
@@ -177,11 +178,14 @@
         }
     }
 
-    /// Lists the collection. After the first page of a stale list it waits
-    /// whether a relay delivers the rest: if all gateways that start together
-    /// asked for each page of 10,000 back ends, they would saturate the store's
-    /// link for longer than they may take.
+    /// Lists the collection once it is this gateway's turn. After the first
+    /// page of a stale list it waits whether a relay delivers the rest: if all
+    /// gateways that start together asked for each page of 10,000 back ends,
+    /// they would saturate the store's link for longer than they may take.
     async fn list(&self, freshness: Freshness) -> Result<Listing<T>, StoreError> {
+        if let Some(relay) = &self.relay {
+            relay.sources.until_list_turn(rand::random()).await;
+        }
         let mut listing = Listing::default();
         let mut next = Some(String::new());
         while let Some(after) = next {
--- a/crates/router/tests/gateway/watcher.rs
+++ b/crates/router/tests/gateway/watcher.rs
@@ -245,6 +245,7 @@
     let clock = Clock::start();
     let health = Arc::new(StoreHealth::new(HEARTBEAT));
     let sources = Arc::new(Sources::new(clock, health.clone()));
+    sources.set_recorded_gateways(1);
     let (call_sender, calls) = async_channel::unbounded();
     let collection = Arc::new(Scripted {
         replies: Mutex::new([Reply::NeverAnswer].into()),
@@ -278,6 +279,7 @@
     let clock = Clock::start();
     let health = Arc::new(StoreHealth::new(HEARTBEAT));
     let sources = Arc::new(Sources::new(clock, health.clone()));
+    sources.set_recorded_gateways(1);
     sources.set(
         Source::Starting {
             until: clock.now() + Duration::from_secs(600),
@@ -313,3 +315,27 @@
     };
     assert_eq!((listing.entries.len(), listing.at), (3, 5));
 }
+
+/// Guards against lists of all gateways that start together: over the store's
+/// link, none of them arrived in time, the relay's neither.
+#[test]
+fn only_the_relay_of_a_large_fleet_lists_at_once() {
+    let clock = Clock::start();
+    let health = Arc::new(StoreHealth::new(HEARTBEAT));
+    let sources = Arc::new(Sources::new(clock, health.clone()));
+    // The gateways' turns are spread over hours.
+    sources.set_recorded_gateways(10_000_000);
+    let (call_sender, calls) = async_channel::unbounded();
+    let collection = Arc::new(Scripted {
+        replies: Mutex::new([Reply::List(5)].into()),
+        calls: call_sender,
+    });
+    let collection_watcher = CollectionWatcher::new("test", collection, health, WAIT);
+    let collection_watcher = collection_watcher.with_relay(sources.clone(), || 0);
+    task::spawn(collection_watcher.run(|_| {}));
+    task::block_on(task::sleep(Duration::from_millis(50)));
+    assert!(calls.is_empty(), "{:?}", calls.try_recv());
+    sources.set(Source::Store, true);
+    let next = || task::block_on(calls.recv()).expect("a call");
+    assert_eq!([next(), next()], ["list", "long watch after 5"]);
+}
