relay: an incomplete member keeps an upstream that delivers

What callers saw: after a start of all gateways, refusals until each had all back ends.

Cause: a starting gateway left its upstream, or gave up an answer on its way, when what it sent was older than 1.2 s, though it used none of it yet. The bound guards state in use. It began the transfer again at another gateway, after a read of the store, and the bytes on the way were lost to all that share the link. Class: a check for freshness that slows down what it waits for.

Change: until it has a configuration and all back ends, a member stays with an upstream whose answers bring something, whatever their age, and asks for the rest without a pause. An upstream that is silent or brings nothing new is left as before.

Test: incomplete_member_keeps_an_upstream_that_delivers; set_complete is new, without its effect the poll is given up at 1,210 ms.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -101,6 +101,8 @@
     members: u32,
     /// Number of members in the record that was read last.
     recorded_members: u32,
+    /// Whether the gateway has all data that it needs to serve.
+    is_complete: bool,
 }
 
 impl Member {
@@ -126,9 +128,19 @@
         }
     }
 
+            is_complete: true,
     /// Sets the number of gateways that learn through this one, itself
     /// included.
     pub fn set_members(&mut self, members: u32) {
+    /// Sets whether the gateway has all data that it needs to serve; a new
+    /// member assumes that it has. Until then
+    /// the age of what it receives harms nobody, and it keeps an upstream that
+    /// delivers: to look for a fresher one would begin a transfer again that
+    /// all members of the zone share.
+    pub fn set_complete(&mut self, is_complete: bool) {
+        self.is_complete = is_complete;
+    }
+
         self.members = members;
     }
 
@@ -149,7 +161,7 @@
     /// from the relay before it is then too old.
     pub fn poll_deadline(&self) -> Option<Timestamp> {
         match &self.state {
-            State::Following(following) if following.joined => {
+            State::Following(following) if following.joined && self.is_complete => {
                 following.seen.map(|seen| self.outdated_at(seen))
             }
             _ => None,
--- a/crates/relay/src/member/polls.rs
+++ b/crates/relay/src/member/polls.rs
@@ -23,7 +23,7 @@
     fn polled(&mut self, now: Timestamp, following: Following, outcome: PollOutcome) -> State {
         let claim_from = now + self.claim_delay;
         match outcome {
-            PollOutcome::Answered { seen, has_changes } if now < self.outdated_at(seen) => {
+            PollOutcome::Answered { seen, has_changes } if self.keeps(now, seen, has_changes) => {
                 State::Following(Following {
                     due: self.next_poll(now, has_changes),
                     seen: following.seen.max(Some(seen)),
@@ -91,9 +91,15 @@
         }
     }
 
+    /// Whether an upstream that responded like this is followed further.
+    fn keeps(&self, now: Timestamp, seen: Timestamp, has_changes: bool) -> bool {
+        let delivers = has_changes && !self.is_complete;
+        delivers || now < self.outdated_at(seen)
+    }
+
     /// Returns when to poll again after a response.
     fn next_poll(&self, now: Timestamp, has_changes: bool) -> Timestamp {
-        if has_changes {
+        if has_changes && self.is_complete {
             now + self.settings.poll_pause
         } else {
             now
--- a/crates/relay/src/member/sources.rs
+++ b/crates/relay/src/member/sources.rs
@@ -29,6 +29,10 @@
         let fresh = following.seen.map(|seen| (seen, self.outdated_at(seen)));
         if following.joined {
             return match fresh {
+                Some((seen, _)) if !self.is_complete => {
+                    let until = now + self.settings.max_transfer;
+                    Source::Relay { until, seen }
+                }
                 Some((seen, until)) if now < until => Source::Relay { until, seen },
                 _ => Source::Unavailable,
             };
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -24,6 +24,8 @@
     pub max_hold: Duration,
     /// Maximum wait for the response to a poll.
     pub poll_timeout: Duration,
+    /// Longest time for the response to a poll while its data keeps arriving.
+    pub max_transfer: Duration,
     /// Pause before the next poll of a relay that had changes to report.
     pub poll_pause: Duration,
     /// Delay after a call to the store that failed.
@@ -56,6 +58,7 @@
             probe_interval: Duration::from_millis(500),
             max_hold: Duration::from_millis(600),
             poll_timeout: Duration::from_millis(900),
+            max_transfer: Duration::from_secs(6),
             poll_pause: Duration::from_millis(100),
             retry_delay: Duration::from_millis(800),
             recheck_interval: Duration::from_millis(150),
--- a/crates/relay/tests/member.rs
+++ b/crates/relay/tests/member.rs
@@ -385,6 +385,24 @@
     assert_eq!(member.poll(at(4)), claim(Condition::Revision(5)));
 }
 
+/// Guards against starting members that leave an upstream in the middle of a
+/// long transfer because what it sends is old, and begin it again elsewhere.
+#[test]
+fn incomplete_member_keeps_an_upstream_that_delivers() {
+    let mut member = follower();
+    member.set_complete(false);
+    member.poll(at(12));
+    assert_eq!(member.poll_deadline(), None);
+    let (seen, has_changes) = (at(10), true);
+    member.on_poll(at(5_000), PollOutcome::Answered { seen, has_changes });
+    assert!(matches!(member.source(at(5_000)), Source::Relay { .. }));
+    // The rest is requested without a pause.
+    assert_eq!(member.poll(at(5_000)), Some(Action::Poll(address(2))));
+    let has_changes = false;
+    member.on_poll(at(5_600), PollOutcome::Answered { seen, has_changes });
+    assert_eq!(member.poll(at(5_600)), Some(Action::Read));
+}
+
 #[test]
 fn member_that_leaves_makes_no_more_calls() {
     let mut member = follower();
--- a/crates/router/src/gateway/cluster_state.rs
+++ b/crates/router/src/gateway/cluster_state.rs
@@ -141,6 +141,11 @@
         self.back_ends.is_partial()
     }
 
+    /// Whether a configuration is known.
+    pub fn is_configured(&self) -> bool {
+        self.configuration.is_some()
+    }
+
     /// Number of registered back ends received so far.
     pub fn known_back_ends(&self) -> usize {
         self.back_ends.len()
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -61,8 +61,6 @@
 /// Time without any data from a peer after which its idle connections count as
 /// suspect: longer than a poll is held, shorter than any call's timeout.
 const PEER_SUSPECT_AFTER: Duration = Duration::from_millis(700);
-/// Longest time for a relay's answer to arrive while data keeps coming.
-const MAX_POLL_TRANSFER: Duration = Duration::from_secs(6);
 /// Largest accepted message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
 /// Most connections from peers.
@@ -172,18 +170,19 @@
         }
     }
 
-    /// Polls a relay. Returns `None` if no data arrived for `silence`. An
-    /// answer that takes longer keeps being read: a new request for it would
+    /// Polls a relay. Returns `None` if no data arrived for the poll timeout.
+    /// An answer that takes longer keeps being read: a new request for it would
     /// take as long again.
     pub(super) async fn poll_relay(
         &self,
         relay: SocketAddr,
         poll: &FollowPoll,
-        silence: Duration,
+        settings: &threadledge_relay::Settings,
     ) -> Option<FollowAnswer> {
+        let silence = settings.poll_timeout;
         let pace = BodyTimeouts {
             idle: silence,
-            total: MAX_POLL_TRANSFER,
+            total: settings.max_transfer,
         };
         let polled =
             self.client
--- a/crates/router/src/gateway/publisher.rs
+++ b/crates/router/src/gateway/publisher.rs
@@ -67,6 +67,12 @@
         self.cluster_state.lock().revisions()
     }
 
+    /// Whether all back ends and a configuration are known.
+    pub(super) fn is_complete(&self) -> bool {
+        let cluster_state = self.cluster_state.lock();
+        !cluster_state.is_partial() && cluster_state.is_configured()
+    }
+
     /// The store revision that the back ends reflect; 0 while some of them are
     /// missing.
     pub(super) fn complete_back_ends_revision(&self) -> StoreRevision {
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -115,6 +115,7 @@
 
     /// Performs the member's next action.
     async fn step(&mut self) {
+        self.member.set_complete(self.publisher.is_complete());
         self.publish();
         self.member.set_members(self.members());
         let now = self.clock.now();
@@ -254,6 +255,7 @@
             }
             PollResult::Answered(FollowAnswer::Leaving) | PollResult::Silent => PollOutcome::Failed,
             PollResult::Late => PollOutcome::TimedOut,
+        self.member.set_complete(self.publisher.is_complete());
         };
         let failed = outcome == PollOutcome::Failed;
         self.member.on_poll(self.clock.now(), outcome);
@@ -264,9 +266,8 @@
 
     /// Polls the relay for as long as the member waits.
     async fn poll(&self, address: SocketAddr, poll: &FollowPoll) -> PollResult {
-        let polling =
-            self.client
-                .poll_relay(address, poll, self.member_config.settings.poll_timeout);
+        let settings = &self.member_config.settings;
+        let polling = self.client.poll_relay(address, poll, settings);
         let answer = match self.member.poll_deadline() {
             None => polling.await,
             Some(deadline) => {
