relay: the former relay's next life claims in turn

What callers saw: after a start of all gateways, refusals for half a minute in a zone whose relay was a small machine before.

Cause: a process that finds its former life in the record claimed it at once, before machines with faster links had their turn. A relay of 20 Mbit/s then sends everything to everybody.

Change: it waits for its claim delay as others do.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -121,17 +121,17 @@
             claim_delay,
             startup_ends: now + settings.startup_timeout,
             random: ChaCha8Rng::seed_from_u64(seed),
-            state: State::Searching(Searching::at(now)),
+            state: State::Searching(Searching {
+                claim_from: now + claim_delay,
+                ..Searching::at(now)
+            }),
             calling: false,
             members: 1,
             recorded_members: 0,
+            is_complete: true,
         }
     }
 
-            is_complete: true,
-    /// Sets the number of gateways that learn through this one, itself
-    /// included.
-    pub fn set_members(&mut self, members: u32) {
     /// Sets whether the gateway has all data that it needs to serve; a new
     /// member assumes that it has. Until then
     /// the age of what it receives harms nobody, and it keeps an upstream that
@@ -141,6 +141,9 @@
         self.is_complete = is_complete;
     }
 
+    /// Sets the number of gateways that learn through this one, itself
+    /// included.
+    pub fn set_members(&mut self, members: u32) {
         self.members = members;
     }
 
--- a/crates/relay/src/member/reads.rs
+++ b/crates/relay/src/member/reads.rs
@@ -103,7 +103,7 @@
                 State::Following(searching.follow(now, holder, address))
             }
             // Other members claim first, and may have done so by the next read.
-            _ if lost && now < searching.claim_from => State::Searching(Searching {
+            _ if (lost || own) && now < searching.claim_from => State::Searching(Searching {
                 due: searching
                     .claim_from
                     .min(now + self.settings.recheck_interval),
