gateway: send back ends as rows

Cause: a back end took 231 bytes in an answer, mostly names of fields; 10,000 of them 2.3 MB, nearly a second of 20 Mbit/s for each follower. After a start the list goes to every gateway.

Change: a row of values, some 90 bytes. Weighed: compression (a tenth of a core a gateway, and each follower's answer is another one), services and zones by number (20 bytes less, a table that each part needs).

Gateways of the earlier version cannot read the rows: they are not mixed in a deployment that is started as one.

--- a/crates/router/src/gateway/sync.rs
+++ b/crates/router/src/gateway/sync.rs
@@ -2,12 +2,16 @@
 //! records and drained zones.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::StoreRevision;
-use threadledge_types::deployment::{BackEnd, Configuration, ConfigurationVersion, ServiceName};
+use threadledge_types::ZoneName;
+use threadledge_types::deployment::{
+    BackEnd, BackEndName, Configuration, ConfigurationVersion, ServiceName,
+};
 
 use super::changes::{ConfigurationChange, RecordChange};
 use super::zones::DrainedZoneSet;
@@ -132,7 +136,7 @@
 
 /// A back end with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(from = "BackEndRow", into = "BackEndRow")]
 pub struct RevisedBackEnd {
     /// Revision of the last change.
     pub revision: StoreRevision,
@@ -140,6 +144,70 @@
     pub back_end: BackEnd,
 }
 
+/// A back end as sent: its values in order, without the names of the fields.
+/// After a start, the list of all back ends goes to every gateway, and its size
+/// decides how soon they serve.
+#[derive(Serialize, Deserialize)]
+struct BackEndRow(
+    StoreRevision,
+    BackEndName,
+    ServiceName,
+    SocketAddr,
+    ZoneName,
+    /// Slots.
+    u32,
+    /// Whether it is draining.
+    bool,
+    /// Remaining cold time in milliseconds.
+    u64,
+    /// Number of its registration.
+    u64,
+);
+
+impl From<RevisedBackEnd> for BackEndRow {
+    fn from(known: RevisedBackEnd) -> Self {
+        let back_end = known.back_end;
+        BackEndRow(
+            known.revision,
+            back_end.name,
+            back_end.service,
+            back_end.address,
+            back_end.zone,
+            back_end.slots,
+            back_end.draining,
+            u64::try_from(back_end.cold_for.as_millis()).unwrap_or(u64::MAX),
+            back_end.registration,
+        )
+    }
+}
+
+impl From<BackEndRow> for RevisedBackEnd {
+    fn from(row: BackEndRow) -> Self {
+        let BackEndRow(
+            revision,
+            name,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+            cold_ms,
+            registration,
+        ) = row;
+        let back_end = BackEnd {
+            name,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+            cold_for: Duration::from_millis(cold_ms),
+            registration,
+        };
+        RevisedBackEnd { revision, back_end }
+    }
+}
+
 impl Delta {
     /// Whether it changes the back ends in use.
     pub fn concerns_back_ends(&self) -> bool {
