gateway: serve fewer followers over a slow link

Cause: each gateway of a zone's tree served up to 32 followers whatever its link. On the second level a machine of 20 Mbit/s sent the list of back ends to 12 and more of them, one after the other, so that the time until all are complete grew with the zone.

Change: 0.4 followers for each Mbit/s, 8 to 32. Deployments with 200 Mbit/s relays keep 32 there. Weighed: one limit of 8 (a fast relay's link would stand idle; deeper trees), the link of each follower named in the answer of a full gateway (more to send; not needed).

Model of a zone (fleet_start, new here; aim: 5 s): last of 50, 200, 400 gateways complete after 1,995, 4,850, 6,105 ms before (red at 400), 1,770, 3,315, 3,360 ms now. A calm zone of 200 and 400 makes no call to the store but the relay's (tree.rs with the new limits).

--- a/crates/relay/tests/tree.rs
+++ b/crates/relay/tests/tree.rs
@@ -17,8 +17,10 @@
 /// Minimum and maximum one-way delay between two gateways, of which the
 /// smallest have a tenth of a core.
 const LATENCY_MS: [u64; 2] = [2, 30];
-/// Maximum number of followers per gateway.
-const FAN_OUT: usize = 32;
+/// Maximum number of followers of a gateway with a fast link, and of another.
+const FAN_OUT: [usize; 2] = [32, 8];
+/// Gateways with a fast link.
+const FAST_GATEWAYS: usize = 10;
 /// Time without a poll after which a follower is dropped.
 const FOLLOWER_TIMEOUT_MS: u64 = 2_500;
 /// Time by which all members have found their place in the tree.
@@ -169,7 +171,8 @@
         let now = self.now;
         let followers = &mut self.nodes[to].followers;
         followers.retain(|_, at| now < *at + FOLLOWER_TIMEOUT_MS);
-        if followers.len() >= FAN_OUT && !followers.contains_key(&index) {
+        let fan_out = FAN_OUT[usize::from(to >= FAST_GATEWAYS)];
+        if followers.len() >= fan_out && !followers.contains_key(&index) {
             let others = followers.keys().map(|each| address(*each)).collect();
             return Call::Responding(self.arrival(), PollOutcome::AtCapacity(others));
         }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -17,7 +17,7 @@
 mod disconnects;
 mod dispatch;
 mod exchange;
-mod followers;
+pub mod followers;
 mod initial_sync;
 mod key_confirmation;
 pub mod key_regions;
--- a/crates/router/src/gateway/followers.rs
+++ b/crates/router/src/gateway/followers.rs
@@ -21,9 +21,15 @@
 use super::sync::SyncPosition;
 use crate::proxy::Clock;
 
-/// Most followers that one gateway serves; further ones are redirected to
+/// Most followers that any gateway serves; further ones are redirected to
 /// these.
 pub(super) const MAX_FOLLOWERS: usize = 32;
+/// Followers that a gateway serves however slow its link is. With fewer, the
+/// tree of a zone would be deeper than the age of its data allows.
+const MIN_FOLLOWERS: usize = 8;
+/// Followers per Mbit/s of the link. They share it when a list of all back ends
+/// goes to each of them after a start.
+const FOLLOWERS_PER_MBPS: f64 = 0.4;
 /// A follower that has not polled for this long is removed.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -50,16 +56,20 @@
 pub(super) struct Followers {
     clock: Clock,
     sources: Arc<Sources>,
+    /// Most followers that this gateway serves.
+    capacity: usize,
     entries: Mutex<BTreeMap<SocketAddr, FollowerEntry>>,
     leaving: AtomicBool,
     leaving_notice: Notifier,
 }
 
 impl Followers {
-    pub(super) fn new(clock: Clock, sources: Arc<Sources>) -> Self {
+    /// Starts without followers, on a gateway with a link of `link_mbps`.
+    pub(super) fn new(clock: Clock, sources: Arc<Sources>, link_mbps: f64) -> Self {
         Followers {
             clock,
             sources,
+            capacity: follower_capacity(link_mbps),
             entries: Mutex::default(),
             leaving: AtomicBool::new(false),
             leaving_notice: Notifier::default(),
@@ -82,7 +92,7 @@
     }
 
     /// Answers a poll as soon as there are updates, at the latest after `hold`.
-    /// An additional follower above [`MAX_FOLLOWERS`] is refused, and a gateway
+    /// An additional follower above the capacity is refused, and a gateway
     /// that is leaving says so.
     pub(super) async fn answer(
         &self,
@@ -141,7 +151,7 @@
         // Relays of zones do not count: a region has few zones, and each zone's
         // relay follows the region's relay directly.
         let in_zone = entries.iter().filter(|(_, entry)| !entry.for_zone);
-        let crowded = in_zone.clone().count() >= MAX_FOLLOWERS;
+        let crowded = in_zone.clone().count() >= self.capacity;
         if crowded && !follower.for_zone && !entries.contains_key(&from) {
             return Err(in_zone.map(|(follower, _)| *follower).collect());
         }
@@ -162,6 +172,12 @@
         Ok(())
     }
 
+    /// Most gateways of a zone that get their updates directly from this one,
+    /// including itself.
+    pub(super) fn max_direct_members(&self) -> u32 {
+        u32::try_from(self.capacity).map_or(u32::MAX, |capacity| capacity.saturating_add(1))
+    }
+
     /// Time since this gateway's state was last confirmed.
     pub(super) fn confirmed_age(&self) -> Duration {
         self.clock.now().since(self.sources.confirmed_at())
@@ -199,6 +215,13 @@
     }
 }
 
+/// Most followers that a gateway with a link of `link_mbps` serves.
+pub fn follower_capacity(link_mbps: f64) -> usize {
+    // The cast saturates for very fast links.
+    let by_link = (link_mbps * FOLLOWERS_PER_MBPS) as usize;
+    by_link.clamp(MIN_FOLLOWERS, MAX_FOLLOWERS)
+}
+
 /// The duration in whole milliseconds; saturates.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/router/src/gateway/relay.rs
+++ b/crates/router/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use threadledge_types::deployment::Topology;
 
 use super::dispatch::Dispatch;
-use super::followers::{Followers, MAX_FOLLOWERS};
+use super::followers::Followers;
 use super::messages::{FollowAnswer, FollowPoll, FollowUpdate};
 use super::peers::PeerClient;
 use super::publisher::StatePublisher;
@@ -30,13 +30,10 @@
 
 pub(super) use tier::{MemberConfig, Tier};
 
-/// Most gateways in a zone, including its relay, with which the relay follows
-/// the region's relay: as many as the relay serves directly.
-const MAX_MEMBERS: u32 = MAX_FOLLOWERS as u32 + 1;
-/// Most gateways with which the relay starts to follow the region's relay. The
-/// lower bound prevents a zone of about that size from joining and leaving
-/// repeatedly.
-const MAX_MEMBERS_TO_JOIN: u32 = MAX_MEMBERS * 3 / 4;
+/// Part of the gateways that a relay serves directly, up to which it starts to
+/// follow the region's relay. It stops at all of them, so that a zone of about
+/// that size does not join and leave repeatedly.
+const JOIN_REGION_FRACTION: f64 = 0.75;
 /// Longest wait for a member's next step.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -91,7 +88,8 @@
     async fn run_while_relay(mut self) {
         while !self.followers.is_leaving() {
             self.sources.until_is_relay().await;
-            if self.followers.members() > MAX_MEMBERS_TO_JOIN {
+            let most = f64::from(self.followers.max_direct_members()) * JOIN_REGION_FRACTION;
+            if f64::from(self.followers.members()) > most {
                 timer::sleep(MAX_WAIT).await;
                 continue;
             }
@@ -110,14 +108,14 @@
     /// [`max_age`](threadledge_relay::Settings::max_age), and each would watch
     /// the store.
     fn may_join_region(&self) -> bool {
-        self.sources.is_relay() && self.followers.members() <= MAX_MEMBERS
+        self.sources.is_relay() && self.followers.members() <= self.followers.max_direct_members()
     }
 
     /// Performs the member's next action.
     async fn step(&mut self) {
-        self.member.set_complete(self.publisher.is_complete());
         self.publish();
         self.member.set_members(self.members());
+        self.member.set_complete(self.publisher.is_complete());
         let now = self.clock.now();
         match self.member.poll(now) {
             Some(Action::Read) => self.read().await,
@@ -202,8 +200,8 @@
         let records = RelayRecords::parse(entries, &self.record, &self.topology);
         if self.tier == Tier::Region {
             return records.own;
-        self.sources.set_recorded_gateways(records.members());
         }
+        self.sources.set_recorded_gateways(records.members());
         for relay in &records.neighbours {
             self.client.note_peer(*relay);
         }
@@ -255,9 +253,9 @@
             }
             PollResult::Answered(FollowAnswer::Leaving) | PollResult::Silent => PollOutcome::Failed,
             PollResult::Late => PollOutcome::TimedOut,
-        self.member.set_complete(self.publisher.is_complete());
         };
         let failed = outcome == PollOutcome::Failed;
+        self.member.set_complete(self.publisher.is_complete());
         self.member.on_poll(self.clock.now(), outcome);
         self.publish();
         self.tier
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -228,6 +228,7 @@
             stopping: AtomicBool::new(false),
             bodies: Bodies::new(budget, settings.limits.held_bytes()),
         });
+        let link_mbps = settings.limits.link_mbps;
         Ok(Gateway {
             settings,
             identity,
@@ -238,7 +239,7 @@
             direct_orders,
             readiness: Arc::new(Readiness::default()),
             store_health,
-            followers: Arc::new(Followers::new(clock, sources.clone())),
+            followers: Arc::new(Followers::new(clock, sources.clone(), link_mbps)),
             sources,
             peers,
             metrics,
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crashing;
 mod draining_back_ends;
 mod fleet;
+mod fleet_start;
 mod forwarding;
 mod incarnations;
 mod key_regions;
