gateway: a list completes a partial state, also an older one

Cause: a list older than the last part from a relay was discarded, as it is for a complete state. The list may be stale by seconds, and a part reaches the revision of its last back end without all that is older. The gateway then watched the store from the list's revision, and the first change made it count as complete with the parts alone: it would serve with some of the back ends, for good.

Change: while parts are missing a list is applied whatever its age; what was newer comes with the watch.

Test: an_older_list_completes_a_partial_state, red before (position 2025, expected 2024).

--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -132,7 +132,8 @@
         now: Timestamp,
     ) -> Vec<StateChange> {
         match update {
-            Update::Listed(listing) if listing.at < self.revision => Vec::new(),
+            // Parts from a relay reach a revision without all that is older.
+            Update::Listed(listing) if listing.at < self.revision && !self.partial => Vec::new(),
             Update::Listed(listing) => {
                 let until = self.grace_until;
                 self.replace_all(listing.at, listing.entries, |_| until, now)
--- a/crates/router/tests/gateway/partial_lists.rs
+++ b/crates/router/tests/gateway/partial_lists.rs
@@ -112,3 +112,32 @@
     follower.apply_delta(delta, NOW);
     assert_eq!(follower.back_ends(NOW), relay.back_ends(NOW));
 }
+
+/// Guards against a gateway that counts as complete with only the first parts:
+/// its own stale list was older than the last part and was discarded.
+#[test]
+fn an_older_list_completes_a_partial_state() {
+    let mut relay = relay();
+    relay.set_follower_count(32);
+    let mut follower = empty_state();
+    for _ in 0..3 {
+        poll(&mut follower, &relay);
+    }
+    let listed_at = follower.position().back_ends - 1;
+    let numbers = 1..=listed_at;
+    let entries = numbers.map(|number| {
+        let id = format!("b-{number}");
+        entry(&id, number, back_end(&id, false))
+    });
+    let entries = entries.collect();
+    let listing = Listing {
+        entries,
+        at: listed_at,
+    };
+    follower.apply_back_ends(Update::Listed(listing), NOW);
+    assert_eq!(follower.position().back_ends, listed_at);
+    assert_eq!(
+        follower.back_ends(NOW).map(|all| all.len() as u64),
+        Some(listed_at)
+    );
+}
