--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -103,6 +103,29 @@
         false
     }
 
+    /// Asks the process to stop as planned.
+    pub fn terminate(&self) {
+        let id = self.process.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", id.as_str()]).status();
+    }
+
+    /// Starts the program again with the same settings.
+    pub fn start_again(&mut self, deployment: &Deployment) {
+        let path = format!("{}/{}.toml", deployment.folder, self.name);
+        let log = fs::OpenOptions::new()
+            .append(true)
+            .open(format!("{}/{}.log", deployment.folder, self.name))
+            .expect("the log");
+        self.process = Command::new(&deployment.program)
+            .args(["gateway", "--settings", &path])
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the gateway starts");
+        note_process(&deployment.folder, self.process.id());
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.process.try_wait(), Ok(Some(_)))
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -111,6 +111,15 @@
 
     /// Reads a message; `None` if the peer closed before its first byte.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else {
+            return Ok(None);
+        };
+        self.read_body(&mut message)?;
+        Ok(Some(message))
+    }
+
+    /// Reads the head of a message.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let mut message = Message::default();
         loop {
             match self.line()? {
@@ -127,6 +136,11 @@
                 }
             }
         }
+        Ok(Some(message))
+    }
+
+    /// Reads the body that follows the head of a message.
+    pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
         let chunked = message
             .header("transfer-encoding")
             .is_some_and(|value| value == "chunked");
@@ -148,7 +162,7 @@
             let length = length.parse().map_err(|_| io::ErrorKind::InvalidData)?;
             message.body = self.exactly(length)?;
         }
-        Ok(Some(message))
+        Ok(())
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod client;
 mod deployment;
+mod fuzz;
 mod gateway;
 mod http;
 mod json;
@@ -47,6 +48,7 @@
     let verdict = match scenario.as_str() {
         "surplus" => surplus::run(&arguments),
         "order-surplus" => order_surplus::run(&arguments),
+        "fuzz" => fuzz::run(&arguments),
         "targets" => targets::run(&arguments),
         _ => Verdict::CouldNotRun,
     };
--- a/review/stand-ins/src/order_surplus.rs
+++ b/review/stand-ins/src/order_surplus.rs
@@ -23,10 +23,10 @@
     slots: 4,
     queue: 8,
     work_ms: (150, 400),
-    callers: 60,
+    callers: 80,
     pause_ms: 900,
-    length: Duration::from_secs(90),
-    replace_every: Duration::from_millis(1_500),
+    length: Duration::from_secs(95),
+    replace_every: Duration::from_millis(1_000),
     set_fault: |state, on| state.order_surplus_share = if on { SURPLUS_SHARE } else { 0.0 },
 };
 
