--- a/review/stand-ins/src/back_end.rs
+++ b/review/stand-ins/src/back_end.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,9 +34,20 @@
     first: u16,
     last: u16,
     fence: u64,
+    /// Since when the keys are held without a break.
+    since: Instant,
     until: Instant,
 }
 
+/// The begin of a request.
+#[derive(Clone)]
+struct Begin {
+    back_end: String,
+    key: u16,
+    at: Instant,
+    id: String,
+}
+
 /// Work on one key.
 #[derive(Clone)]
 struct Work {
@@ -45,6 +57,16 @@
     lease_ends: Instant,
 }
 
+/// Orders that get no answer and are carried out later.
+#[derive(Clone, Copy)]
+pub struct LateOrders {
+    /// Share of the orders.
+    pub share: f64,
+    /// By how much grants and releases are late; from 2 to 12 s at random if
+    /// nothing is given.
+    pub delays: Option<(Duration, Duration)>,
+}
+
 #[derive(Default)]
 pub struct State {
     running: usize,
@@ -62,6 +84,8 @@
     pub order_answers: u64,
     pub surplus_answers: u64,
     pub ended: bool,
+    pub late_orders: Option<LateOrders>,
+    pub late_order_count: u64,
     random: Option<Random>,
 }
 
@@ -81,6 +105,78 @@
     /// Keys that were given to a back end while another one was still at work
     /// on them, within its lease.
     pub given_early: Arc<Mutex<Vec<String>>>,
+    /// What each back end holds.
+    holds: Arc<Mutex<BTreeMap<String, Vec<Hold>>>>,
+    begins: Arc<Mutex<Vec<Begin>>>,
+    /// Two back ends that held the same keys and both began requests on them.
+    both_began: Arc<Mutex<Vec<String>>>,
+    /// Whether a fault is on, and the orders to all back ends while one was.
+    fault_is_on: Arc<AtomicBool>,
+    orders_in_fault: Arc<AtomicU64>,
+}
+
+impl Runs {
+    pub fn set_fault(&self, on: bool) {
+        self.fault_is_on.store(on, Ordering::Relaxed);
+    }
+
+    pub fn orders_in_fault(&self) -> u64 {
+        self.orders_in_fault.load(Ordering::Relaxed)
+    }
+
+    pub fn both_began(&self) -> Vec<String> {
+        self.both_began.lock().unwrap().clone()
+    }
+
+    /// Notes the begin of a request at a back end that holds its key. Another
+    /// one may hold the key as well and have begun a request on the keys that
+    /// both hold since both hold them.
+    fn begin(&self, record: &Record, back_end: &str, key: u16, id: &str) {
+        let now = Instant::now();
+        let holds = self.holds.lock().unwrap();
+        let covering = |hold: &&Hold| hold.first <= key && key <= hold.last && hold.until > now;
+        let own = holds
+            .get(back_end)
+            .and_then(|holds| holds.iter().find(covering).cloned());
+        let mut begins = self.begins.lock().unwrap();
+        begins.retain(|begin| now - begin.at < Duration::from_secs(10));
+        if let Some(own) = own {
+            for (other, theirs) in holds.iter().filter(|(other, _)| *other != back_end) {
+                let Some(theirs) = theirs.iter().find(covering) else {
+                    continue;
+                };
+                let (first, last) = (own.first.max(theirs.first), own.last.min(theirs.last));
+                let both_since = own.since.max(theirs.since);
+                let text = format!(
+                    "{back_end} (fence {}) begins {id} on key {key}; {other} (fence {}) holds keys {first}-{last} as well, for {} ms so far",
+                    own.fence,
+                    theirs.fence,
+                    (now - both_since).as_millis()
+                );
+                record.line(&format!("two holders: {text}"));
+                let earlier = begins.iter().find(|begin| {
+                    begin.back_end == *other
+                        && first <= begin.key
+                        && begin.key <= last
+                        && begin.at >= both_since
+                });
+                if let Some(earlier) = earlier {
+                    let text = format!(
+                        "{text}; {other} began {} on key {} in that time",
+                        earlier.id, earlier.key
+                    );
+                    record.line(&format!("OWNER: {text}"));
+                    self.both_began.lock().unwrap().push(text);
+                }
+            }
+        }
+        begins.push(Begin {
+            back_end: back_end.to_owned(),
+            key,
+            at: now,
+            id: id.to_owned(),
+        });
+    }
 }
 
 #[derive(Clone)]
@@ -162,6 +258,16 @@
                 }
             }
             let is_order = request.path().starts_with("/api/");
+            if is_order && self.runs.fault_is_on.load(Ordering::Relaxed) {
+                self.runs.orders_in_fault.fetch_add(1, Ordering::Relaxed);
+            }
+            if is_order && self.carries_out_late(&request) {
+                // No answer; the caller gives up.
+                while !connection.is_closed() {
+                    thread::sleep(LOOK);
+                }
+                return;
+            }
             let answer = match self.answer(&request, &mut connection) {
                 Answer::Send(answer) => answer,
                 Answer::CallerLeft => return,
@@ -199,6 +305,56 @@
         }
     }
 
+    /// Whether an order stays unanswered and is carried out later.
+    fn carries_out_late(&self, request: &Message) -> bool {
+        let mut state = self.state.0.lock().unwrap();
+        let Some(late) = state.late_orders else {
+            return false;
+        };
+        let random = state.random.as_mut().expect("seeded");
+        let drawn = random.unit() < late.share;
+        let any_delay = Duration::from_millis(2_000 + random.below(10_000));
+        if !drawn {
+            return false;
+        }
+        state.late_order_count += 1;
+        state.order_answers += 1;
+        drop(state);
+        let is_grant = request.path() == "/api/grant";
+        let delay = match (is_grant, late.delays) {
+            (_, None) => any_delay,
+            (true, Some((grant, _))) => grant,
+            (false, Some((_, release))) => release,
+        };
+        let (own, body, path) = (
+            self.clone(),
+            request.text().to_owned(),
+            request.path().to_owned(),
+        );
+        self.record.line(&format!(
+            "back end {} leaves {path} {body} unanswered",
+            self.config.id
+        ));
+        thread::spawn(move || {
+            thread::sleep(delay);
+            own.record.line(&format!(
+                "back end {} carries out {path} {body} late",
+                own.config.id
+            ));
+            let answer = if is_grant {
+                own.grant(&body)
+            } else {
+                own.release(&body)
+            };
+            let status = String::from_utf8_lossy(&answer[9..12]).into_owned();
+            own.record.line(&format!(
+                "back end {} would have answered {status}",
+                own.config.id
+            ));
+        });
+        true
+    }
+
     fn answer(&self, request: &Message, connection: &mut Connection) -> Answer {
         let own = self.config.id.as_str();
         let id = request.header("x-request-id").unwrap_or("").to_owned();
@@ -314,6 +470,9 @@
             "back end {} begins to run {id} key {key:?} {}",
             self.config.id, request.start
         ));
+        if let Some(key) = key.filter(|_| self.config.keyed) {
+            self.runs.begin(&self.record, &self.config.id, key, id);
+        }
         drop(state);
         let ends = Instant::now() + duration;
         let mut left = false;
@@ -370,15 +529,24 @@
                 && hold.fence == fence
                 && hold.until > Instant::now()
         });
+        let now = Instant::now();
+        let covering = |hold: &&Hold| hold.first <= first && last <= hold.last && hold.until > now;
+        let since = state
+            .holds
+            .iter()
+            .find(covering)
+            .map_or(now, |hold| hold.since);
         state.drop_keys(first, last);
         state.see(first, last, fence);
-        let until = Instant::now() + Duration::from_secs_f64(hold);
+        let until = now + Duration::from_secs_f64(hold);
         state.holds.push(Hold {
             first,
             last,
             fence,
+            since,
             until,
         });
+        self.show_holds(&state);
         if fresh {
             self.check_others(first, last, fence);
         }
@@ -393,6 +561,19 @@
         response(200, &[], b"")
     }
 
+    fn show_holds(&self, state: &State) {
+        let mut holds = self.runs.holds.lock().unwrap();
+        holds.insert(self.config.id.clone(), state.holds.clone());
+    }
+
+    /// Ends it: it holds nothing any more and answers nobody.
+    pub fn end(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.ended = true;
+        state.holds.clear();
+        self.show_holds(&state);
+    }
+
     /// Work in progress goes on under the renewed hold.
     fn renew_work(&self, first: u16, last: u16, until: Instant) {
         let mut work = self.runs.work.lock().unwrap();
@@ -437,6 +618,7 @@
         let mut state = self.state.0.lock().unwrap();
         state.drop_keys(first, last);
         state.see(first, last, fence);
+        self.show_holds(&state);
         self.record.line(&format!(
             "back end {} releases keys {first}-{last} fence {fence}",
             self.config.id
--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -20,9 +20,7 @@
 /// Traffic starts so long after the machines do.
 const LEAD: Duration = Duration::from_secs(8);
 const HEARTBEAT: Duration = Duration::from_millis(1_300);
-/// Longest time of the fault in the site file, and the pause until it comes
-/// again.
-const FAULT_LENGTH: Duration = Duration::from_secs(5);
+/// Pause until a fault comes again.
 const FAULT_PAUSE: Duration = Duration::from_secs(1);
 
 /// What differs between scenarios.
@@ -44,12 +42,24 @@
     /// Longest pause of a caller between two requests, in milliseconds.
     pub pause_ms: u64,
     pub length: Duration,
-    /// Time between two replacements of a back end.
-    pub replace_every: Duration,
+    /// What is planned: back ends are replaced, or one comes and goes.
+    pub planned: Planned,
+    /// How long the fault lasts.
+    pub fault_length: Duration,
     /// Turns the fault of a back end on or off.
     pub set_fault: fn(&mut State, bool),
 }
 
+/// Planned work on the back ends.
+#[derive(Clone, Copy)]
+pub enum Planned {
+    /// One after the other is replaced, each this long after the one before.
+    Replace(Duration),
+    /// One comes in each cycle, shortly after the fault of the first back end
+    /// has begun, and leaves when that is over.
+    Grow,
+}
+
 /// What was seen.
 pub struct Seen {
     pub runs: Runs,
@@ -108,7 +118,7 @@
         let mut members = self.members.lock().unwrap();
         members.retain(|(each, _)| each.config.id != back_end.config.id);
         self.store.remove("servers", &back_end.config.id);
-        back_end.set(|state| state.ended = true);
+        back_end.end();
     }
 }
 
@@ -186,9 +196,15 @@
     {
         // Planned work: the back ends are replaced one after the other.
         let (fleet, everyone, plan) = (fleet.clone(), everyone.clone(), plan.clone());
-        thread::spawn(move || replace(&fleet, &everyone, &plan, until, start));
+        let (trouble, record, noted) = (arguments.trouble, record.clone(), runs.clone());
+        thread::spawn(move || match plan.planned {
+            Planned::Replace(every) => replace(&fleet, &everyone, &plan, every, until, start),
+            Planned::Grow => grow(
+                &fleet, &everyone, &plan, trouble, until, start, &record, &noted,
+            ),
+        });
     }
-    if arguments.trouble {
+    if arguments.trouble && matches!(plan.planned, Planned::Replace(_)) {
         let (everyone, record, plan) = (everyone.clone(), record.clone(), plan.clone());
         thread::spawn(move || disturb(&everyone, &record, &plan, until));
     }
@@ -230,6 +246,7 @@
     fleet: &Fleet,
     everyone: &Mutex<Vec<BackEnd>>,
     plan: &Plan,
+    every: Duration,
     until: Instant,
     start: impl Fn(usize) -> BackEnd,
 ) {
@@ -238,11 +255,11 @@
         let new = start(plan.back_ends + next);
         everyone.lock().unwrap().push(new.clone());
         fleet.join(new);
-        thread::sleep(plan.replace_every / 2);
+        thread::sleep(every / 2);
         let old = everyone.lock().unwrap()[next].clone();
         next += 1;
         fleet.drain(&old);
-        thread::sleep(plan.replace_every / 2);
+        thread::sleep(every / 2);
         let fleet = fleet.clone();
         thread::spawn(move || {
             // It serves on for longer than `DrainS`, 2 s.
@@ -252,6 +269,50 @@
     }
 }
 
+#[allow(clippy::too_many_arguments)]
+fn grow(
+    fleet: &Fleet,
+    everyone: &Mutex<Vec<BackEnd>>,
+    plan: &Plan,
+    trouble: bool,
+    until: Instant,
+    start: impl Fn(usize) -> BackEnd,
+    record: &Record,
+    noted: &Runs,
+) {
+    let faulty: Vec<BackEnd> = everyone.lock().unwrap()[..plan.faulty].to_vec();
+    let set_fault = |on: bool| {
+        noted.set_fault(on);
+        for back_end in &faulty {
+            back_end.set(|state| (plan.set_fault)(state, on));
+        }
+    };
+    let mut next = plan.back_ends;
+    while Instant::now() + Duration::from_secs(14) < until {
+        let begun = Instant::now();
+        if trouble {
+            record.line("the fault begins");
+            set_fault(true);
+        }
+        thread::sleep(Duration::from_millis(200));
+        let new = start(next);
+        next += 1;
+        everyone.lock().unwrap().push(new.clone());
+        fleet.join(new.clone());
+        thread::sleep((plan.fault_length).saturating_sub(begun.elapsed()));
+        if trouble {
+            record.line("the fault ends");
+            set_fault(false);
+        }
+        // The late orders have been carried out before the back end leaves.
+        thread::sleep(Duration::from_secs(3));
+        fleet.drain(&new);
+        thread::sleep(Duration::from_secs(4));
+        fleet.leave(&new);
+        thread::sleep(Duration::from_secs(2));
+    }
+}
+
 fn disturb(everyone: &Mutex<Vec<BackEnd>>, record: &Record, plan: &Plan, until: Instant) {
     let faulty = |on: bool| {
         for (number, back_end) in everyone.lock().unwrap().iter().enumerate() {
@@ -262,7 +323,7 @@
     while Instant::now() < until {
         faulty(true);
         record.line("the fault of some back ends begins");
-        thread::sleep(FAULT_LENGTH);
+        thread::sleep(plan.fault_length);
         faulty(false);
         record.line("the fault of some back ends ends");
         thread::sleep(FAULT_PAUSE);
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod http;
 mod json;
+mod late_orders;
 mod order_surplus;
 mod record;
 mod store;
@@ -49,6 +50,8 @@
         "surplus" => surplus::run(&arguments),
         "order-surplus" => order_surplus::run(&arguments),
         "fuzz" => fuzz::run(&arguments),
+        "late-orders" => late_orders::run(&arguments, &late_orders::PLAN),
+        "late-orders-drawn" => late_orders::run(&arguments, &late_orders::DRAWN_PLAN),
         "targets" => targets::run(&arguments),
         _ => Verdict::CouldNotRun,
     };
--- a/review/stand-ins/src/order_surplus.rs
+++ b/review/stand-ins/src/order_surplus.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::deployment::{play, Plan, Seen};
+use crate::deployment::{play, Plan, Planned, Seen};
 use crate::record::Record;
 use crate::{Arguments, Verdict};
 
@@ -26,7 +26,9 @@
     callers: 80,
     pause_ms: 900,
     length: Duration::from_secs(95),
-    replace_every: Duration::from_millis(1_000),
+    planned: Planned::Replace(Duration::from_millis(1_000)),
+    // The longest time of the fault in the site file.
+    fault_length: Duration::from_secs(5),
     set_fault: |state, on| state.order_surplus_share = if on { SURPLUS_SHARE } else { 0.0 },
 };
 
--- a/review/stand-ins/src/surplus.rs
+++ b/review/stand-ins/src/surplus.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::client::Outcome;
-use crate::deployment::{play, Plan, Seen};
+use crate::deployment::{play, Plan, Planned, Seen};
 use crate::record::Record;
 use crate::{Arguments, Verdict};
 
@@ -29,7 +29,9 @@
     callers: 90,
     pause_ms: 900,
     length: Duration::from_secs(60),
-    replace_every: Duration::from_secs(2),
+    planned: Planned::Replace(Duration::from_secs(2)),
+    // The longest time of the fault in the site file.
+    fault_length: Duration::from_secs(5),
     set_fault: |state, on| state.surplus_share = if on { SURPLUS_SHARE } else { 0.0 },
 };
 
