--- a/review/run-scenario.sh
+++ b/review/run-scenario.sh
@@ -17,7 +17,7 @@
   # Nothing is left here unless the scenario was ended early.
   if [ -f "$folder/processes" ]; then
     while read -r id; do
-      case "$(ps -o args= -p "$id" 2>/dev/null)" in
+      case "$(tr '\0' ' ' 2>/dev/null < "/proc/$id/cmdline")" in
         *"$folder"*) kill -KILL "$id" 2>/dev/null ;;
       esac
     done < "$folder/processes"
--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -19,6 +19,8 @@
 const GATEWAYS: usize = 3;
 /// Traffic starts so long after the machines do.
 const LEAD: Duration = Duration::from_secs(8);
+/// Longest time from the start until callers send no more.
+const LONGEST: Duration = Duration::from_secs(108);
 const HEARTBEAT: Duration = Duration::from_millis(1_300);
 /// Pause until a fault comes again.
 const FAULT_PAUSE: Duration = Duration::from_secs(1);
@@ -124,6 +126,7 @@
 
 /// Plays a scenario; `None` if it could not run.
 pub fn play(arguments: &Arguments, plan: &Plan, record: &Record) -> Option<Seen> {
+    let begun = Instant::now();
     let store = Store::start();
     let runs = Runs::default();
     let zones = ["zone-a", "zone-b", "zone-c"].map(str::to_owned);
@@ -191,7 +194,7 @@
         return None;
     }
     let outcomes = Outcomes::default();
-    let until = Instant::now() + plan.length;
+    let until = (Instant::now() + plan.length).min(begun + LONGEST);
     let everyone = Arc::new(Mutex::new(first));
     {
         // Planned work: the back ends are replaced one after the other.
--- a/review/stand-ins/src/late_orders.rs
+++ b/review/stand-ins/src/late_orders.rs
@@ -20,7 +20,7 @@
     slots: 2,
     queue: 8,
     work_ms: (150, 250),
-    callers: 80,
+    callers: 60,
     pause_ms: 600,
     length: Duration::from_secs(95),
     planned: Planned::Grow,
