--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -57,9 +57,14 @@
 pub enum Planned {
     /// One after the other is replaced, each this long after the one before.
     Replace(Duration),
-    /// One comes in each cycle, shortly after the fault of the first back end
-    /// has begun, and leaves when that is over.
-    Grow,
+    /// Some come in each cycle, shortly after the fault of the first back ends
+    /// has begun, and leave when that is over.
+    Grow {
+        /// How many come.
+        joins: usize,
+        /// The fault comes again while they leave.
+        fault_while_leaving: bool,
+    },
 }
 
 /// What was seen.
@@ -202,7 +207,7 @@
         let (trouble, record, noted) = (arguments.trouble, record.clone(), runs.clone());
         thread::spawn(move || match plan.planned {
             Planned::Replace(every) => replace(&fleet, &everyone, &plan, every, until, start),
-            Planned::Grow => grow(
+            Planned::Grow { .. } => grow(
                 &fleet, &everyone, &plan, trouble, until, start, &record, &noted,
             ),
         });
@@ -283,6 +288,13 @@
     record: &Record,
     noted: &Runs,
 ) {
+    let Planned::Grow {
+        joins,
+        fault_while_leaving,
+    } = plan.planned
+    else {
+        return;
+    };
     let faulty: Vec<BackEnd> = everyone.lock().unwrap()[..plan.faulty].to_vec();
     let set_fault = |on: bool| {
         noted.set_fault(on);
@@ -298,10 +310,17 @@
             set_fault(true);
         }
         thread::sleep(Duration::from_millis(200));
-        let new = start(next);
-        next += 1;
-        everyone.lock().unwrap().push(new.clone());
-        fleet.join(new.clone());
+        let mut joined = Vec::new();
+        for _ in 0..joins {
+            let new = start(next);
+            next += 1;
+            everyone.lock().unwrap().push(new.clone());
+            fleet.join(new.clone());
+            joined.push(new);
+            if joined.len() < joins {
+                thread::sleep(Duration::from_millis(700));
+            }
+        }
         thread::sleep((plan.fault_length).saturating_sub(begun.elapsed()));
         if trouble {
             record.line("the fault ends");
@@ -309,9 +328,19 @@
         }
         // The late orders have been carried out before the back end leaves.
         thread::sleep(Duration::from_secs(3));
-        fleet.drain(&new);
+        if trouble && fault_while_leaving {
+            set_fault(true);
+        }
+        for new in &joined {
+            fleet.drain(new);
+        }
         thread::sleep(Duration::from_secs(4));
-        fleet.leave(&new);
+        if trouble && fault_while_leaving {
+            set_fault(false);
+        }
+        for new in &joined {
+            fleet.leave(new);
+        }
         thread::sleep(Duration::from_secs(2));
     }
 }
--- a/review/stand-ins/src/late_orders.rs
+++ b/review/stand-ins/src/late_orders.rs
@@ -23,7 +23,10 @@
     callers: 60,
     pause_ms: 600,
     length: Duration::from_secs(95),
-    planned: Planned::Grow,
+    planned: Planned::Grow {
+        joins: 1,
+        fault_while_leaving: false,
+    },
     // The longest time of the fault in the site file.
     fault_length: Duration::from_millis(5_500),
     // Carried out 2 to 12 s late.
@@ -35,10 +38,16 @@
     },
 };
 
-/// The same with 0.3 of the orders to all back ends, drawn at random, each from 2
-/// to 12 s late.
+/// The same with 0.3 of the orders to all of twelve back ends, drawn at random, each
+/// from 2 to 12 s late, while three others come and leave.
 pub const DRAWN_PLAN: Plan = Plan {
-    faulty: 5,
+    back_ends: 12,
+    faulty: 12,
+    callers: 150,
+    planned: Planned::Grow {
+        joins: 3,
+        fault_while_leaving: true,
+    },
     set_fault: |state, on| {
         state.late_orders = on.then_some(LateOrders {
             share: 0.3,
