coordination: report what ended a release

Nobody could tell from the logs why keys went to another back end: because the former owner had answered, because its process counted as ended, or because its grant had run out by the clock.

Change: event 332 `release-ended`, one line for each release that ends: keys, owner, fencing token, what ended it, how long after 314, and whether the last grant was answered. No change of logic. A release that is dropped because the record changed its fencing token (neighbours merged) has no such line.

Tests: each of the three ends, answered and unanswered grant. They cannot fail on the code before, which has no such notice.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -113,6 +113,23 @@
         /// Reason for the release.
         reason: ReleaseReason,
     },
+    /// The former owner of keys no longer holds them, so that they may be
+    /// assigned. Reported once for each release.
+    ReleaseEnded {
+        /// The keys.
+        range: KeyRange,
+        /// The former owner.
+        owner: BackEndName,
+        /// Fencing token of the release.
+        fence: Fence,
+        /// What ended the release.
+        end: ReleaseEnd,
+        /// Time since the release was decided.
+        took: Duration,
+        /// True if the back end answered the last grant of these keys that this
+        /// node sent to it.
+        grant_answered: bool,
+    },
     /// Keys were assigned to a back end.
     Assigned {
         /// The keys.
@@ -168,6 +185,17 @@
     RecordBroken,
 }
 
+/// What ended a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseEnd {
+    /// The owner answered the release.
+    Answered,
+    /// The process that owned the keys is known to have ended.
+    HolderEnded,
+    /// The grant has expired by the clock.
+    Expired,
+}
+
 /// Reason for taking keys back from their owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReleaseReason {
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -248,6 +248,7 @@
     /// assigned only by a write.
     pub fn poll(&mut self, now: Timestamp, store_answers: bool) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.report_ended_releases(now);
         if let Some(call) = self.store_call(now, store_answers) {
             self.store_call_running = true;
             actions.push(call);
--- a/crates/coordination/src/ownership/arrivals.rs
+++ b/crates/coordination/src/ownership/arrivals.rs
@@ -23,6 +23,10 @@
     /// Latest possible arrival of the grants that have ended.
     last_arrival: Timestamp,
     open: Vec<OpenGrant>,
+    /// The last grant that was sent.
+    newest: OrderId,
+    /// True if the back end answered that grant.
+    newest_answered: bool,
 }
 
 impl GrantArrivals {
@@ -30,6 +34,19 @@
     /// `until` at the latest.
     pub(super) fn sent(&mut self, id: OrderId, until: Timestamp) {
         self.open.push(OpenGrant { id, until });
+        self.newest = id;
+        self.newest_answered = false;
+    }
+
+    /// Records that the back end answered a grant, whether it accepted it or
+    /// not.
+    pub(super) fn answered(&mut self, id: OrderId) {
+        self.newest_answered |= self.newest == id;
+    }
+
+    /// Returns whether the last grant was answered.
+    pub(super) fn newest_answered(&self) -> bool {
+        self.newest_answered
     }
 
     /// Records that a grant was answered or that its connection has ended: it
@@ -60,6 +77,8 @@
     /// Adds the grants of an adjacent range.
     pub(super) fn merge(&mut self, other: &GrantArrivals) {
         self.last_arrival = self.last_arrival.max(other.last_arrival);
+        self.newest = self.newest.max(other.newest);
+        self.newest_answered &= other.newest_answered;
         for open in &other.open {
             if self.open.iter().any(|known| known.id == open.id) {
                 continue;
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -6,7 +6,7 @@
 use super::draft::{Draft, candidates, held_ranges, release_reason};
 use super::tracked::TrackedRange;
 use super::{BALANCING_INTERVAL, Ownership};
-use crate::action::{Notice, ReleaseReason};
+use crate::action::{Notice, ReleaseEnd, ReleaseReason};
 use crate::order::HandoverToken;
 use crate::plan;
 use crate::record::{Fence, OwnershipRecord};
@@ -101,6 +101,38 @@
         }
     }
 
+    /// Reports each release that has ended since the last call.
+    pub(super) fn report_ended_releases(&mut self, now: Timestamp) {
+        for index in 0..self.tracked.len() {
+            let tracked = &self.tracked[index];
+            let Some(fence) = tracked.releasing.filter(|_| !tracked.end_reported) else {
+                continue;
+            };
+            let Some(owner) = tracked.owner().map(|owner| owner.name.clone()) else {
+                continue;
+            };
+            if self.released(now, index).is_none() {
+                continue;
+            }
+            let end = if tracked.released.is_some() {
+                ReleaseEnd::Answered
+            } else if self.has_ended(tracked) {
+                ReleaseEnd::HolderEnded
+            } else {
+                ReleaseEnd::Expired
+            };
+            self.notices.push(Notice::ReleaseEnded {
+                range: tracked.slice.range,
+                owner,
+                fence,
+                end,
+                took: now.since(tracked.release_began),
+                grant_answered: tracked.arrivals.newest_answered(),
+            });
+            self.tracked[index].end_reported = true;
+        }
+    }
+
     /// Returns whether the record may have to change. This check avoids
     /// computing a draft from all slices after each answer to a renewal, when
     /// there is hardly ever anything to write.
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -20,6 +20,10 @@
     pub(super) slice: Slice,
     /// Fencing token under which the keys are being taken back.
     pub(super) releasing: Option<Fence>,
+    /// Time at which the release was decided.
+    pub(super) release_began: Timestamp,
+    /// True once the end of the release was reported.
+    pub(super) end_reported: bool,
     /// `Some` once the owner has released the keys, with the handover token if
     /// there is one.
     pub(super) released: Option<Option<HandoverToken>>,
@@ -47,6 +51,8 @@
         TrackedRange {
             slice,
             releasing: None,
+            release_began: Timestamp::ZERO,
+            end_reported: false,
             released: None,
             in_flight: None,
             next_order_at: now,
@@ -67,6 +73,8 @@
     /// the fencing token of the grant.
     pub(super) fn release(&mut self, now: Timestamp, fence: Fence) {
         self.releasing = Some(fence);
+        self.release_began = now;
+        self.end_reported = false;
         // A grant in flight may still arrive; the higher fencing token takes
         // precedence.
         self.in_flight = None;
@@ -165,6 +173,9 @@
         // A release grants nothing, so the expiry counts from the last grant.
         // When it counted from each release as well, the keys of a back end
         // that answered no release never went to others.
+        if result.is_ok() {
+            self.arrivals.answered(order.id);
+        }
         match result {
             Ok(OrderReply::Granted) | Err(OrderFault::NoAnswer) => {
                 self.arrivals.ended(order.id, now);
--- /dev/null
+++ b/crates/coordination/tests/release_ends.rs
@@ -0,0 +1,194 @@
+//! What the coordinator reports about the end of a release.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use threadledge_coordination::action::{ReadResult, ReleaseEnd, Versioned, WriteResult};
+use threadledge_coordination::ownership::{Ownership, ReadConsequence};
+use threadledge_coordination::{
+    Action, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner, OwnershipRecord,
+    Settings, Slice, SliceState, Term,
+};
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::{BackEnd, BackEndName, KeyRange};
+
+const START: Timestamp = Timestamp::from_millis(10_000);
+const TICK: Duration = Duration::from_millis(10);
+const LONGEST: Duration = Duration::from_secs(10);
+
+fn back_end(name: &str, port: u16) -> BackEnd {
+    BackEnd {
+        name: name.into(),
+        service: "keyed".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: "zone".into(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::ZERO,
+        registration: u64::from(port),
+    }
+}
+
+/// Creates a coordinator that has just taken over a record in which `owner`
+/// holds all keys.
+fn taken_over(owner: &BackEnd) -> Ownership {
+    let mut ownership = Ownership::new("keyed".into(), Settings::default());
+    ownership.set_back_ends(START, std::slice::from_ref(owner));
+    ownership.begin_term(START, Term(2), None);
+    ownership.poll(START, true);
+    let value = OwnershipRecord {
+        term: Term(1),
+        next_fence: Fence(2),
+        slices: vec![Slice {
+            range: KeyRange::ALL,
+            fence: Fence(1),
+            state: SliceState::Owned {
+                owner: Owner {
+                    name: owner.name.clone(),
+                    address: owner.address,
+                },
+                handover: None,
+            },
+        }],
+        former: Vec::new(),
+    };
+    let found = Versioned { value, revision: 7 };
+    let read = ownership.on_read(START, ReadResult::Found(Some(found)));
+    let ReadConsequence::Call(call) = read else {
+        panic!("expected a write of the record for this term: {read:?}");
+    };
+    let Action::WriteRecord(record, _) = *call else {
+        panic!("{call:?}");
+    };
+    ownership.on_write(START, record, WriteResult::Accepted(8));
+    ownership
+}
+
+/// One end of a release, as reported.
+#[derive(Debug, PartialEq, Eq)]
+struct Reported {
+    owner: BackEndName,
+    end: ReleaseEnd,
+    took: Duration,
+    grant_answered: bool,
+}
+
+/// Lets the first grant end with `first_grant`, drains the owner 100 ms later
+/// and ends each order that follows with `later`, one tick after it was sent.
+/// Returns the reported ends until a second after the first.
+fn reported(
+    first_grant: Result<OrderReply, OrderFault>,
+    later: impl Fn(&Order) -> Result<OrderReply, OrderFault>,
+) -> Vec<Reported> {
+    let mut owner = back_end("b-1", 80);
+    let mut ownership = taken_over(&owner);
+    let grant = orders(ownership.poll(START, true)).remove(0);
+    ownership.on_order(START + TICK, &grant, first_grant);
+    owner.draining = true;
+    let mut now = START + Duration::from_millis(100);
+    ownership.set_back_ends(now, &[owner, back_end("b-2", 81)]);
+    let mut reported: Vec<Reported> = Vec::new();
+    let mut revision = 8;
+    let mut end = now + LONGEST;
+    while now < end {
+        let actions = ownership.poll(now, true);
+        for action in &actions {
+            if let Action::WriteRecord(record, _) = action {
+                revision += 1;
+                let accepted = WriteResult::Accepted(revision);
+                ownership.on_write(now, record.clone(), accepted);
+            }
+        }
+        now = now + TICK;
+        for order in orders(actions) {
+            let result = later(&order);
+            ownership.on_order(now, &order, result);
+        }
+        for notice in ownership.take_notices() {
+            let Notice::ReleaseEnded {
+                owner,
+                end: how,
+                took,
+                grant_answered,
+                ..
+            } = notice
+            else {
+                continue;
+            };
+            if reported.is_empty() {
+                end = now + Duration::from_secs(1);
+            }
+            reported.push(Reported {
+                owner,
+                end: how,
+                took,
+                grant_answered,
+            });
+        }
+    }
+    reported
+}
+
+fn orders(actions: Vec<Action>) -> Vec<Order> {
+    let order = |action| match action {
+        Action::Send(order) => Some(order),
+        _ => None,
+    };
+    actions.into_iter().filter_map(order).collect()
+}
+
+fn answered(order: &Order) -> Result<OrderReply, OrderFault> {
+    Ok(match order.kind {
+        OrderKind::Grant(_) => OrderReply::Granted,
+        OrderKind::Release => OrderReply::Released(None),
+    })
+}
+
+#[test]
+fn release_that_was_answered_is_reported_as_answered() {
+    let expected = Reported {
+        owner: "b-1".into(),
+        end: ReleaseEnd::Answered,
+        took: TICK,
+        grant_answered: true,
+    };
+    assert_eq!(reported(Ok(OrderReply::Granted), answered), [expected]);
+}
+
+#[test]
+fn release_from_a_process_that_has_ended_is_reported_as_such() {
+    let ended = |order: &Order| match order.to.name.as_str() {
+        "b-1" => Ok(OrderReply::OtherProcess),
+        _ => answered(order),
+    };
+    let expected = Reported {
+        owner: "b-1".into(),
+        end: ReleaseEnd::HolderEnded,
+        took: TICK,
+        grant_answered: false,
+    };
+    assert_eq!(reported(Err(OrderFault::NoAnswer), ended), [expected]);
+}
+
+#[test]
+fn release_without_an_answer_is_reported_as_expired_by_the_clock() {
+    let silent = |order: &Order| match order.to.name.as_str() {
+        "b-1" => Err(OrderFault::NoAnswer),
+        _ => answered(order),
+    };
+    let settings = Settings::default();
+    let expiry = settings.hold_expiry(START + TICK, settings.hold);
+    for (first_grant, grant_answered) in [
+        (Ok(OrderReply::Granted), true),
+        (Err(OrderFault::NoAnswer), false),
+    ] {
+        let ends = reported(first_grant, silent);
+        let [only] = ends.as_slice() else {
+            panic!("{ends:?}");
+        };
+        assert_eq!(only.end, ReleaseEnd::Expired);
+        assert_eq!(only.grant_answered, grant_answered);
+        let drained = START + Duration::from_millis(100);
+        assert!(drained + only.took >= expiry, "{only:?}");
+    }
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -207,6 +207,9 @@
     BackEndsIncomplete = 331, "back-ends-incomplete", Warn,
         "The first list of back ends since this gateway's start is still incomplete; the line has the same figures as 330.",
         "Check the network between this gateway and the sender, and whether the sender has a complete list (330).";
+    ReleaseEnded = 332, "release-ended", Info,
+        "The former owner of keys no longer holds them. The line says what ended the release that 314 began: it was answered (`Answered`), the owner's process has ended (`HolderEnded`), or its grant expired by the clock (`Expired`); how long after 314 that was; and whether the last grant of the keys was answered.",
+        "None. If two back ends held a key, this line of the first one tells why its release counted as ended.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -29,6 +29,18 @@
             EventId::ReleaseStarted,
             service = %service, keys = %range, owner = %owner, fence = fence.0, reason = ?reason,
         ),
+        Notice::ReleaseEnded {
+            range,
+            owner,
+            fence,
+            end,
+            took,
+            grant_answered,
+        } => emit!(
+            EventId::ReleaseEnded,
+            service = %service, keys = %range, owner = %owner, fence = fence.0, end = ?end,
+            took_ms = took.as_millis(), grant_answered,
+        ),
         Notice::Assigned {
             range,
             owner,
--- a/crates/router/src/log_trace.rs
+++ b/crates/router/src/log_trace.rs
@@ -22,8 +22,9 @@
 ];
 
 /// Events about key ranges.
-const KEY_EVENTS: [EventId; 3] = [
+const KEY_EVENTS: [EventId; 4] = [
     EventId::ReleaseStarted,
+    EventId::ReleaseEnded,
     EventId::KeysAssigned,
     EventId::OrderFenced,
 ];
