coordination: a restarted process may hold the keys of the previous one

Callers of deployments whose back ends restart under their ids could have had two back ends at work on one key: keys whose release was in flight went to another back end as soon as the owner's restart was registered.

Cause: a restart was taken as proof that nobody holds the keys, so that a release ended at once. But orders name an id: between its start and its registration the new process accepts grants that were meant for the previous one, and works on the keys. For keys that were not being released this was known (they stay with the new process under a higher fencing token).

Change: such a release goes on until the new process answers it or the last grant has expired. A process that restarted at another address cannot have taken those grants, so its keys go on at once, as before.

This one keeps the rule that keys go on by an answer or by the clock, and needs no grant beside a release that is still under way.

Failed before, with [true, true] instead of [false, true]: keys_that_a_restarted_process_may_hold_are_not_given_on_before_it_answers.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -307,6 +307,15 @@
         self.occupancy.has_ended(name) || self.successor(name).is_some()
     }
 
+    /// Returns whether the process of an owner is known to have ended and no
+    /// other process can hold its keys. A process that restarted at the same
+    /// address may hold them, because it accepts orders to the previous one.
+    pub fn holds_nothing(&self, owner: &Owner) -> bool {
+        let elsewhere = |successor: &Owner| successor.address != owner.address;
+        self.occupancy.has_ended(&owner.name)
+            || self.successor(&owner.name).is_some_and(elsewhere)
+    }
+
     /// Returns the newer process of a back end that has restarted.
     pub fn successor(&self, name: &BackEndName) -> Option<&Owner> {
         name.started_ms()?;
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -212,9 +212,10 @@
         Some(own_expiry.max(earlier_expiry))
     }
 
-    /// Returns whether the owner is known to have ended.
+    /// Returns whether the owner is known to have ended and nobody holds its
+    /// keys.
     fn has_ended(&self, tracked: &TrackedRange) -> bool {
         let owner = tracked.owner();
-        owner.is_some_and(|owner| self.holders.has_ended(&owner.name))
+        owner.is_some_and(|owner| self.holders.holds_nothing(owner))
     }
 }
--- a/crates/coordination/tests/release_ends.rs
+++ b/crates/coordination/tests/release_ends.rs
@@ -1,4 +1,4 @@
-//! What the coordinator reports about the end of a release.
+//! What ends a release, and what the coordinator reports about it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -192,3 +192,51 @@
         assert!(drained + only.took >= expiry, "{only:?}");
     }
 }
+
+/// Drains the process `b-1/1` and registers its restart at `port` while its
+/// release is in flight. Returns whether its keys go to others within half a
+/// second without an answer, and whether they do once the release is answered.
+fn given_on_after_restart(port: u16) -> [bool; 2] {
+    let mut owner = back_end("b-1/1", 80);
+    let mut ownership = taken_over(&owner);
+    let grant = orders(ownership.poll(START, true)).remove(0);
+    ownership.on_order(START + TICK, &grant, Ok(OrderReply::Granted));
+    owner.draining = true;
+    let other = back_end("b-2", 81);
+    let drained = START + Duration::from_millis(100);
+    ownership.set_back_ends(drained, &[owner, other.clone()]);
+    let release = orders(ownership.poll(drained, true)).remove(0);
+    assert_eq!(release.kind, OrderKind::Release);
+    let mut now = drained + Duration::from_millis(100);
+    ownership.set_back_ends(now, &[back_end("b-1/2", port), other]);
+    let mut given = false;
+    let mut latest = release;
+    for _ in 0..50 {
+        for action in ownership.poll(now, true) {
+            match action {
+                Action::Send(order) => latest = order,
+                Action::WriteRecord(..) => given = true,
+                _ => {}
+            }
+        }
+        now = now + TICK;
+    }
+    if given {
+        return [true, true];
+    }
+    ownership.on_order(now, &latest, Ok(OrderReply::Released(None)));
+    let actions = ownership.poll(now, true);
+    let write = |action: &Action| matches!(action, Action::WriteRecord(..));
+    [false, actions.iter().any(write)]
+}
+
+/// A process restarted at the same address accepts grants to the previous one.
+#[test]
+fn keys_that_a_restarted_process_may_hold_are_not_given_on_before_it_answers() {
+    assert_eq!(given_on_after_restart(80), [false, true]);
+}
+
+#[test]
+fn keys_of_a_process_that_restarted_at_another_address_are_given_on_at_once() {
+    assert_eq!(given_on_after_restart(82), [true, true]);
+}
