coordination: wait out grants that a restarted process took under its former name

Callers of deployments whose back ends restart under their ids could have had two back ends at work on one key: keys that the record had just passed to the new process of a restarted owner went to others at once when that process was lost from the registrations or could not be reached.

Cause: the times at which grants may have arrived were kept for the same name only.

Change: the arrival times pass to a process that restarted at the same address. Whether it refuses grants of earlier coordinators is not passed on.

Failed before: keys_that_a_restarted_process_was_granted_under_its_former_name_are_waited_out (the keys had no owner in the write after the one that names the new process).

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -312,8 +312,7 @@
     /// address may hold them, because it accepts orders to the previous one.
     pub fn holds_nothing(&self, owner: &Owner) -> bool {
         let elsewhere = |successor: &Owner| successor.address != owner.address;
-        self.occupancy.has_ended(&owner.name)
-            || self.successor(&owner.name).is_some_and(elsewhere)
+        self.occupancy.has_ended(&owner.name) || self.successor(&owner.name).is_some_and(elsewhere)
     }
 
     /// Returns the newer process of a back end that has restarted.
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -242,10 +242,12 @@
             TrackedRange::new(now, slice.clone())
         };
         next.slice = slice.clone();
-        if same_owner(&self.slice, slice) {
+        if takes_grants_of(&self.slice, slice) {
             // A grant in flight may still arrive even if its answer is no
             // longer awaited.
             next.arrivals = self.arrivals.clone();
+        }
+        if same_owner(&self.slice, slice) {
             next.fence_acknowledged = self.fence_acknowledged;
         }
         next
@@ -271,6 +273,16 @@
     }
 }
 
+/// Returns whether grants to the owner of `earlier` may have reached the owner
+/// of `later`: it is the same process, or one that restarted at its address.
+fn takes_grants_of(earlier: &Slice, later: &Slice) -> bool {
+    let (Some(earlier), Some(later)) = (earlier.holder(), later.holder()) else {
+        return false;
+    };
+    let restarted = later.name.is_restart_of(&earlier.name) && later.address == earlier.address;
+    later.name == earlier.name || restarted
+}
+
 /// Returns the tracked ranges of a changed record, with the order state that
 /// existed for their keys.
 ///
--- a/crates/coordination/tests/release_ends.rs
+++ b/crates/coordination/tests/release_ends.rs
@@ -240,3 +240,44 @@
 fn keys_of_a_process_that_restarted_at_another_address_are_given_on_at_once() {
     assert_eq!(given_on_after_restart(82), [true, true]);
 }
+
+/// Registers the restart of `b-1/1` at its address, then removes the
+/// registration as soon as the record names the new process. Returns how long
+/// after the last grant to the previous process its keys count as released.
+fn given_on_after_unregistered_restart() -> Duration {
+    let mut ownership = taken_over(&back_end("b-1/1", 80));
+    let grant = orders(ownership.poll(START, true)).remove(0);
+    let granted = START + TICK;
+    ownership.on_order(granted, &grant, Ok(OrderReply::Granted));
+    let other = back_end("b-2", 81);
+    let mut now = START + Duration::from_millis(100);
+    ownership.set_back_ends(now, &[back_end("b-1/2", 80), other.clone()]);
+    let mut revision = 8;
+    while now < START + LONGEST {
+        for action in ownership.poll(now, true) {
+            match action {
+                Action::Send(order) => {
+                    ownership.on_order(now, &order, Err(OrderFault::NotSent));
+                }
+                Action::WriteRecord(record, _) => {
+                    let owner = record.slices[0].holder();
+                    if owner.is_none_or(|owner| owner.name == other.name) {
+                        return now.since(granted);
+                    }
+                    revision += 1;
+                    ownership.on_write(now, record, WriteResult::Accepted(revision));
+                    ownership.set_back_ends(now, std::slice::from_ref(&other));
+                }
+                _ => {}
+            }
+        }
+        now = now + TICK;
+    }
+    panic!("the keys never went to others");
+}
+
+#[test]
+fn keys_that_a_restarted_process_was_granted_under_its_former_name_are_waited_out() {
+    let waited = given_on_after_unregistered_restart();
+    assert!(waited >= Settings::default().hold, "{waited:?}");
+}
