net, gateway: an attempt never uses a connection that carried its request before

Cause: HTTP/1.1 pairs requests and answers by their order; the gateway tells a wrong pair by X-Request-Id, which all attempts at one request share. The pool handed the next attempt the connection on which the rejected one had run, so a second copy of the rejection, late, passed for the answer to an attempt that was running.

A connection now remembers the last 16 requests that it carried (a hash of the id, 128 bytes at most), and the pool never hands it to the same request again: another idle one is used, or a new one opened; at the connection limit an idle one that carried the request is closed to make room. A surplus answer stands in the place of the next one due, and any other request tells it apart by its id, so that a few exchanges are enough to remember. The identity is the id, so it also holds for hedges, for a caller that sends an id again, and in the pool of a gateway that forwards.

The gateway's tests with both uses of the identity taken out (code as before), on a keyed route whose requests must not be repeated: ..._to_the_next_attempt: (status, runs) [(200, 2), (200, 2), (503, 0), (502, 0), (503, 1), (503, 0), (502, 0), (503, 1)] ..._to_a_request_with_the_same_id: 503 for 200 ..._to_the_gateway_that_forwarded_the_next_attempt: 503 for 200 The pool's tests without the memory: the third copy got the second response of a connection (2 connections for 3), and at the limit none was left idle; both fail. With it all pass. The back end of these tests repeats the rejection as soon as the next request has arrived on the connection.

A new id for each attempt is ruled out: X-Request-Id is kept as the client sent it.

--- a/crates/net/src/pool/address_table.rs
+++ b/crates/net/src/pool/address_table.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::Mutex;
 
+use super::carried::{CarriedRequests, RequestIdentity};
 use super::socket;
 use crate::Instant;
 use crate::buffered_stream::BufferedStream;
@@ -42,6 +43,7 @@
 struct IdleConnection {
     buffered: BufferedStream,
     since: Instant,
+    carried: CarriedRequests,
 }
 
 /// Result of a reservation.
@@ -60,6 +62,19 @@
 pub(super) struct Slot {
     addresses: Weak<AddressTable>,
     address: SocketAddr,
+    /// Requests that the connection has carried, with the one that it is
+    /// reserved for.
+    carried: CarriedRequests,
+}
+
+/// What a connection is reserved for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    pub(super) address: SocketAddr,
+    /// New connection limit of the address; `None` leaves it as it is.
+    pub(super) limit: Option<usize>,
+    /// The request to send; `None` if its connection does not matter.
+    pub(super) request: Option<RequestIdentity>,
 }
 
 /// Tracks an exchange on a reused connection on which nothing has been received
@@ -111,34 +126,45 @@
     }
 
     /// Reserves a slot, with an idle connection if one exists that was used
-    /// after `expired_before`. Closes suspect idle connections first.
+    /// after `expired_before` and has not carried the request. Closes suspect
+    /// idle connections first, and an idle one that has carried the request if
+    /// a new one has no room otherwise.
     pub(super) fn reserve(
         self: &Arc<Self>,
-        address: SocketAddr,
-        limit: Option<usize>,
+        demand: Demand,
         expired_before: Option<Instant>,
     ) -> Reservation {
         let mut by_address = self.by_address.lock();
-        let entry = by_address.entry(address).or_default();
+        let entry = by_address.entry(demand.address).or_default();
         let suspect = entry.take_suspect(self.suspect_idle_after);
-        entry.limit = limit.or(entry.limit);
+        entry.limit = demand.limit.or(entry.limit);
         let limit = entry.limit.unwrap_or(self.default_limit);
         let is_fresh =
             |idle: &IdleConnection| expired_before.is_none_or(|before| idle.since > before);
-        let idle = entry.idle.pop();
-        if idle.is_none() && entry.in_use >= limit {
-            return Reservation::Full;
-        }
+        let idle = entry.take_idle(demand.request);
+        let has_room = entry.in_use + entry.idle.len() < limit;
+        let replaced = match idle.is_none() && !has_room {
+            true if entry.idle.is_empty() => return Reservation::Full,
+            true => Some(entry.idle.remove(0)),
+            false => None,
+        };
         entry.in_use += 1;
         drop(by_address);
         drop(suspect);
-        let slot = Slot {
-            addresses: Arc::downgrade(self),
-            address,
+        if let Some(replaced) = replaced {
+            replaced.close();
+        }
+        let (idle, carried) = match idle {
+            Some(idle) if is_fresh(&idle) => (Some(idle.buffered), idle.carried),
+            Some(_) | None => (None, CarriedRequests::default()),
         };
+        let mut slot = self.slot(demand.address, carried);
+        if let Some(request) = demand.request {
+            slot.carried.add(request);
+        }
         match idle {
-            Some(idle) if is_fresh(&idle) => Reservation::Idle(slot, idle.buffered),
-            Some(_) | None => Reservation::New(slot),
+            Some(buffered) => Reservation::Idle(slot, buffered),
+            None => Reservation::New(slot),
         }
     }
 
@@ -151,8 +177,15 @@
             return None;
         }
         entry.in_use += 1;
-        let addresses = Arc::downgrade(self);
-        Some(Slot { addresses, address })
+        Some(self.slot(address, CarriedRequests::default()))
+    }
+
+    fn slot(self: &Arc<Self>, address: SocketAddr, carried: CarriedRequests) -> Slot {
+        Slot {
+            addresses: Arc::downgrade(self),
+            address,
+            carried,
+        }
     }
 
     /// Starts tracking an exchange on a reused connection.
@@ -174,8 +207,9 @@
 
     /// Stores a connection for reuse. Returns whether the caller must start the
     /// task that closes expired connections.
-    pub(super) fn check_in(&self, slot: Slot, mut buffered: BufferedStream) -> bool {
+    pub(super) fn check_in(&self, mut slot: Slot, mut buffered: BufferedStream) -> bool {
         buffered.shrink();
+        let carried = std::mem::take(&mut slot.carried);
         {
             let mut by_address = self.by_address.lock();
             let entry = by_address.entry(slot.address).or_default();
@@ -183,7 +217,11 @@
             // The limit may have been lowered in the meantime.
             if entry.in_use + entry.idle.len() <= limit {
                 let since = Instant::now();
-                entry.idle.push(IdleConnection { buffered, since });
+                entry.idle.push(IdleConnection {
+                    buffered,
+                    since,
+                    carried,
+                });
             }
         }
         drop(slot);
@@ -232,6 +270,15 @@
             && self.awaiting_response.is_empty()
     }
 
+    /// Removes and returns the most recently used idle connection that has not
+    /// carried the request.
+    fn take_idle(&mut self, request: Option<RequestIdentity>) -> Option<IdleConnection> {
+        let has_carried =
+            |idle: &IdleConnection| request.is_some_and(|request| idle.carried.contains(request));
+        let position = self.idle.iter().rposition(|idle| !has_carried(idle))?;
+        Some(self.idle.remove(position))
+    }
+
     /// Removes and returns the suspect idle connections, which are then closed.
     fn take_suspect(&mut self, suspect_idle_after: Option<Duration>) -> Vec<IdleConnection> {
         let silent_since = suspect_idle_after.and_then(|after| Instant::now().checked_sub(after));
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -7,6 +7,7 @@
 //! later.
 
 mod address_table;
+mod carried;
 mod connection;
 mod error;
 mod exchange;
@@ -24,8 +25,9 @@
 use crate::buffered_stream::BufferedStream;
 use crate::head::MAX_HEAD_BYTES;
 use crate::timer;
-use address_table::{AddressTable, Reservation, Slot};
+use address_table::{AddressTable, Demand, Reservation, Slot};
 
+pub use carried::RequestIdentity;
 pub use connection::PooledConnection;
 pub use error::{ExchangeError, ExchangeFault, Stage};
 
@@ -176,7 +178,7 @@
         address: SocketAddr,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
-        self.checkout_within(address, None, deadline).await
+        self.checkout_for(address, None, None, deadline).await
     }
 
     /// Like [`Pool::checkout`], and sets the connection limit of the address at
@@ -187,7 +189,8 @@
         limit: usize,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
-        self.checkout_within(address, Some(limit), deadline).await
+        self.checkout_for(address, None, Some(limit), deadline)
+            .await
     }
 
     /// Opens a new connection, even if there are idle ones. Dropping it unused
@@ -206,13 +209,23 @@
     }
 
     /// Like [`Pool::checkout_with_limit`]; `None` leaves the limit as it is.
-    pub async fn checkout_within(
+    ///
+    /// Invariant: no connection that has lately carried `request` is checked
+    /// out for it again. A peer may repeat the response to an earlier copy of
+    /// the request, and only the connection tells it from the one that is due.
+    pub async fn checkout_for(
         &self,
         address: SocketAddr,
+        request: Option<RequestIdentity>,
         limit: Option<usize>,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
-        let (reused, slot, buffered) = match self.reserve_connection(address, limit)? {
+        let demand = Demand {
+            address,
+            limit,
+            request,
+        };
+        let (reused, slot, buffered) = match self.reserve_connection(demand)? {
             (slot, Some(buffered)) => (true, slot, buffered),
             (slot, None) => (false, slot, self.connect(address, deadline).await?),
         };
@@ -223,12 +236,11 @@
     /// Reserves a slot, together with a usable idle connection if there is one.
     fn reserve_connection(
         &self,
-        address: SocketAddr,
-        limit: Option<usize>,
+        demand: Demand,
     ) -> Result<(Slot, Option<BufferedStream>), ExchangeError> {
         loop {
             let expired_before = Instant::now().checked_sub(self.settings.idle_timeout);
-            match self.addresses.reserve(address, limit, expired_before) {
+            match self.addresses.reserve(demand, expired_before) {
                 Reservation::Idle(slot, buffered) => {
                     // The peer may have closed the connection or sent something
                     // while it was idle.
@@ -237,7 +249,7 @@
                     }
                 }
                 Reservation::New(slot) => return Ok((slot, None)),
-                Reservation::Full => return Err(no_connection_free(address)),
+                Reservation::Full => return Err(no_connection_free(demand.address)),
             }
         }
     }
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -92,7 +92,7 @@
         outbound: Arc<OutboundRequest>,
     ) -> AttemptResult {
         let deadline = self.dispatch.clock().instant(attempt.deadline);
-        let target = Target::from(&attempt);
+        let target = Target::of(&attempt, outbound.request_id.as_deref());
         let link = match self.links.open(target, deadline, Search::Brief).await {
             Ok(link) => link,
             Err(fault) => return AttemptResult::failed(fault),
--- a/crates/router/src/gateway/links.rs
+++ b/crates/router/src/gateway/links.rs
@@ -17,7 +17,9 @@
 
 use parking_lot::Mutex;
 use threadledge_dispatch::{Attempt, Fault};
-use threadledge_net::{Instant, Pool, PoolSettings, PooledConnection, UnframedBodies, timer};
+use threadledge_net::{
+    Instant, Pool, PoolSettings, PooledConnection, RequestIdentity, UnframedBodies, timer,
+};
 use threadledge_paths::{DirectPaths, Evidence, Forwarders, NextForwarder, PathChange, Search};
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, Distance, ServiceName};
@@ -59,16 +61,21 @@
     /// Most connections that this gateway may have to it; `None` if that was
     /// set before.
     pub(super) connection_limit: Option<usize>,
+    /// Request to send, whose earlier attempts must have used other
+    /// connections; `None` if it has no id.
+    pub(super) request: Option<RequestIdentity>,
 }
 
-impl From<&Attempt> for Target {
-    fn from(attempt: &Attempt) -> Self {
+impl Target {
+    /// The back end of an attempt at a request with this id.
+    pub(super) fn of(attempt: &Attempt, request_id: Option<&str>) -> Self {
         Target {
             name: attempt.back_end.clone(),
             service: attempt.service.clone(),
             address: attempt.address,
             distance: attempt.distance,
             connection_limit: Some(attempt.connection_limit),
+            request: request_id.map(RequestIdentity::of),
         }
     }
 }
@@ -148,7 +155,8 @@
     async fn open_direct(&self, target: &Target, deadline: Instant) -> Result<Link, Fault> {
         let pool = &self.shared.pool;
         let address = target.address;
-        let mut opening = pin!(pool.checkout_within(address, target.connection_limit, deadline));
+        let limit = target.connection_limit;
+        let mut opening = pin!(pool.checkout_for(address, target.request, limit, deadline));
         let is_near = target.distance < Distance::OtherRegion;
         let patience = is_near.then_some(NEAR_CONNECT_PATIENCE);
         let opened = match patience {
--- a/crates/router/src/gateway/links/forward_server.rs
+++ b/crates/router/src/gateway/links/forward_server.rs
@@ -1,10 +1,13 @@
 //! Forwards requests of other gateways to back ends.
 
+use std::sync::Arc;
+
 use http_types::headers::CONTENT_LENGTH;
 use http_types::{Request, Response, StatusCode};
 use threadledge_dispatch::Fault;
-use threadledge_net::Instant;
 use threadledge_net::message::Message;
+use threadledge_net::{Instant, RequestIdentity};
+use threadledge_ports::HeaderCodec;
 use threadledge_types::Incarnation;
 use threadledge_types::deployment::{BackEndName, ServiceName};
 
@@ -14,9 +17,10 @@
 use crate::proxy::headers;
 
 /// Forwards requests of other gateways. Clones share everything.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(in super::super) struct ForwardServer {
     pub(in super::super) links: BackEndLinks,
+    pub(in super::super) header_codec: Arc<dyn HeaderCodec>,
     /// This run of this gateway.
     pub(in super::super) incarnation: Incarnation,
 }
@@ -53,7 +57,11 @@
         };
         let deadline = until.parse().map_err(|_| ForwardResult::TooLate)?;
         let deadline = self.own_deadline(&deadline)?;
-        let target = self.target(&BackEndName::from(to))?;
+        let head = self.header_codec.read_request(request.as_ref());
+        let target = Target {
+            request: head.request_id.as_deref().map(RequestIdentity::of),
+            ..self.target(&BackEndName::from(to))?
+        };
         headers::strip(&mut request);
         let body = request.take_body_keeping_headers();
         request.remove_header(CONTENT_LENGTH);
@@ -88,6 +96,7 @@
             address: known.address,
             distance: known.distance,
             connection_limit: Some(known.connection_limit),
+            request: None,
         })
     }
 
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -289,6 +289,7 @@
         if let Some(listener) = listeners.peers {
             let forward = ForwardServer {
                 links: self.links.clone(),
+                header_codec: self.ports.header_codec.clone(),
                 incarnation: self.identity.incarnation,
             };
             let server = PeerServer {
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -178,6 +178,7 @@
             address: self.check.address,
             distance: distance.ok_or(Fault::CutOff)?,
             connection_limit: None,
+            request: None,
         };
         while Instant::now() < deadline {
             let request = self.request().ok_or(Fault::CutOff)?;
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -28,6 +28,8 @@
 mod regions;
 mod relay;
 mod relay_records;
+mod repeated_answers;
+mod repeating_proxy;
 mod requests;
 mod samples;
 mod settings;
