orders: show answers that may be those of an earlier order

Callers saw keys given on while their holder was at work. What could not be seen in the logs: whether the answer that ended a release came on a connection that had carried orders before, and answers that cannot be what they stand for (a 200 to a release without a handover token, a 200 to a grant with one, and 409, 421 and 400 on such a connection).

The pool hands the connection back with the response, and says whether it may have carried an earlier exchange. The transport returns such an answer as a fault of its own, OrderFault::Doubtful, with what the answer says; the sender of orders logs it (333, order-answer-doubtful) and takes it for the order's as before: what an answer counts for does not change here. Only the connection is treated differently: it is kept after the plain answer to a grant alone.

333 leaves 332 free.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -399,12 +399,12 @@
         &mut self,
         now: Timestamp,
         order: &Order,
-        fault: OrderFault,
+        fault: &OrderFault,
         last_sent: OrderId,
     ) -> FaultEffect {
         let name = &order.to.name;
-        if fault != OrderFault::NoAnswer {
-            return self.on_fault(now, name, fault);
+        if *fault != OrderFault::NoAnswer {
+            return self.on_fault(now, name, fault.clone());
         }
         let reachability = self.reachability.entry(name.clone()).or_default();
         if order.id <= reachability.counted_until
@@ -414,7 +414,7 @@
             return FaultEffect::default();
         }
         reachability.counted_until = last_sent;
-        self.on_fault(now, name, fault)
+        self.on_fault(now, name, OrderFault::NoAnswer)
     }
 
     /// Records that an order to a back end has no answer.
@@ -426,7 +426,7 @@
     ) -> FaultEffect {
         let reachability = self.reachability.entry(name.clone()).or_default();
         match fault {
-            OrderFault::Withheld => return FaultEffect::default(),
+            OrderFault::Withheld | OrderFault::Doubtful(_) => return FaultEffect::default(),
             OrderFault::NotSent => reachability.failed_connects += 1,
             OrderFault::NoAnswer => reachability.unanswered += 1,
         }
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -94,8 +94,22 @@
     OtherProcess,
 }
 
+impl OrderReply {
+    /// Returns the name used in logs.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            OrderReply::Granted => "granted",
+            OrderReply::Released(Some(_)) => "released with handover",
+            OrderReply::Released(None) => "released",
+            OrderReply::Fenced => "fenced",
+            OrderReply::Malformed => "malformed",
+            OrderReply::OtherProcess => "other process",
+        }
+    }
+}
+
 /// Reason why an order has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderFault {
     /// No connection could be opened, so the order certainly never arrives.
     NotSent,
@@ -105,4 +119,7 @@
     Withheld,
     /// The order was sent, at least in part. It may be executed now or later.
     NoAnswer,
+    /// The order was sent, and this answer may be that of an earlier order on
+    /// the connection, which is closed. The order may be executed now or later.
+    Doubtful(OrderReply),
 }
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -96,7 +96,7 @@
     fn on_overdue(&mut self, now: Timestamp, order: &Order) {
         let waited = self.settings.order_timeout;
         let effect = self.holders.on_overdue(now, &order.to.name, waited);
-        self.report_fault(order, waited, OrderFault::NoAnswer, effect);
+        self.report_fault(order, waited, &OrderFault::NoAnswer, effect);
         for tracked in tracked_in(&mut self.tracked, order.range) {
             tracked.overdue(now, order.id);
         }
@@ -125,11 +125,11 @@
             }
             Ok(_) => self.on_answer(now, order),
             // The fault was counted when the order became overdue.
-            Err(OrderFault::NoAnswer) if was_overdue => {}
+            Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) if was_overdue => {}
             // A former owner whose registration is also gone is expected not to
             // answer.
             Err(_) if to_former_owner && !self.holders.is_registered(&order.to.name) => {}
-            Err(fault) => self.on_order_failed(now, order, order.timeout, *fault),
+            Err(fault) => self.on_order_failed(now, order, order.timeout, fault),
         }
         if result == Ok(OrderReply::Fenced) {
             self.notices.push(Notice::OrderFenced {
@@ -186,9 +186,10 @@
         now: Timestamp,
         order: &Order,
         waited: Duration,
-        fault: OrderFault,
+        fault: &OrderFault,
     ) {
-        if order.kind == OrderKind::Release && fault == OrderFault::NoAnswer {
+        let may_be_executed = matches!(fault, OrderFault::NoAnswer | OrderFault::Doubtful(_));
+        if order.kind == OrderKind::Release && may_be_executed {
             self.holders.on_unanswered_release(now, &order.to.name);
         }
         let last_sent = OrderId(self.last_order_id);
@@ -201,11 +202,12 @@
         &mut self,
         order: &Order,
         waited: Duration,
-        fault: OrderFault,
+        fault: &OrderFault,
         effect: FaultEffect,
     ) {
         if effect.first_failure {
             let order = order.clone();
+            let fault = fault.clone();
             self.notices.push(Notice::OrderGivenUp {
                 order,
                 waited,
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -177,7 +177,7 @@
             self.arrivals.answered(order.id);
         }
         match result {
-            Ok(OrderReply::Granted) | Err(OrderFault::NoAnswer) => {
+            Ok(OrderReply::Granted) | Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => {
                 self.arrivals.ended(order.id, now);
             }
             Ok(_) | Err(OrderFault::NotSent | OrderFault::Withheld) => {
@@ -229,7 +229,7 @@
             | Err(OrderFault::NotSent | OrderFault::Withheld) => {
                 self.next_order_at = now + settings.retry_delay;
             }
-            Err(OrderFault::NoAnswer) => self.next_order_at = now,
+            Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => self.next_order_at = now,
         }
     }
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -12,7 +12,7 @@
 use crate::Instant;
 use crate::convert;
 use crate::json_lines::JsonLines;
-use crate::pool::{Pool, PoolSettings};
+use crate::pool::{ConnectionChoice, HeldConnection, Pool, PoolSettings};
 use crate::timer;
 
 pub use crate::client_error::{ClientError, RequestError};
@@ -86,6 +86,31 @@
         Ok(convert::response_to_http(&response, body).map_err(RequestError::from)?)
     }
 
+    /// Like [`HttpClient::send`], and returns the connection with the response:
+    /// the caller decides whether it is reused.
+    pub async fn send_held(
+        &self,
+        to: SocketAddr,
+        choice: ConnectionChoice,
+        request: http::Request<Vec<u8>>,
+        timeout: Duration,
+    ) -> Result<(http::Response<Vec<u8>>, HeldConnection), ClientError> {
+        let request =
+            convert::request_to_http_types(request, &to.to_string()).map_err(RequestError::from)?;
+        let deadline = Instant::now() + timeout;
+        let connection = match choice {
+            ConnectionChoice::Any => self.pool.checkout(to, deadline).await,
+            ConnectionChoice::New => self.pool.open_new(to, deadline).await,
+        };
+        let connection = connection.map_err(ClientError::from_exchange)?;
+        let sent = connection.exchange_held(request, deadline).await;
+        let (mut response, held) = sent.map_err(ClientError::from_exchange)?;
+        let body = response.take_body();
+        let body = self.read_body(to, body, deadline).await?;
+        let response = convert::response_to_http(&response, body).map_err(RequestError::from)?;
+        Ok((response, held))
+    }
+
     /// Like [`HttpClient::send`], for potentially large responses: `timeout`
     /// limits the time until the response head, and `body_timeouts` the time
     /// for the body. A body that arrives slowly over a saturated link is read
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,8 +27,8 @@
 pub use instant::Instant;
 pub use json_lines::JsonLines;
 pub use pool::{
-    ExchangeError, ExchangeFault, Pool, PoolSettings, PooledConnection, RequestIdentity, Stage,
-    UnframedBodies,
+    ConnectionChoice, ExchangeError, ExchangeFault, HeldConnection, Pool, PoolSettings,
+    PooledConnection, RequestIdentity, Stage, UnframedBodies,
 };
 pub use server::{ConcurrentHandler, ConnectionInfo, Handler, ServeReport, ServerLimits, serve};
 pub use stop::StopSignal;
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -8,6 +8,7 @@
 use super::address_table::Slot;
 use super::error::{ExchangeError, ExchangeFault, Stage};
 use super::exchange::Exchange;
+use super::held::HeldConnection;
 use crate::Instant;
 use crate::body::BodyDeadline;
 use crate::buffered_stream::BufferedStream;
@@ -64,10 +65,40 @@
     /// Like [`PooledConnection::exchange`], with a separate deadline for the
     /// body.
     pub(super) async fn exchange_with_body_deadline(
+        self,
+        request: Request,
+        deadline: Instant,
+        body_deadline: BodyDeadline,
+    ) -> Result<Response, ExchangeError> {
+        let pool = self.pool.clone();
+        let on_release = move |slot, buffered| pool.check_in(slot, buffered);
+        self.run(request, deadline, body_deadline, on_release).await
+    }
+
+    /// Like [`PooledConnection::exchange`], but the caller decides after the
+    /// response whether the connection is reused.
+    pub async fn exchange_held(
+        self,
+        request: Request,
+        deadline: Instant,
+    ) -> Result<(Response, HeldConnection), ExchangeError> {
+        let held = HeldConnection::new(self.pool.clone(), self.reused);
+        let on_release = held.place();
+        let body_deadline = BodyDeadline::Until(deadline);
+        let response = self
+            .run(request, deadline, body_deadline, on_release)
+            .await?;
+        Ok((response, held))
+    }
+
+    /// Runs the exchange. `on_release` gets the connection after the response
+    /// if it can be reused.
+    async fn run(
         mut self,
         request: Request,
         deadline: Instant,
         body_deadline: BodyDeadline,
+        on_release: impl FnOnce(Slot, BufferedStream) + Send + Sync + 'static,
     ) -> Result<Response, ExchangeError> {
         let address = self.address;
         let failed = |stage, fault| ExchangeError {
@@ -99,10 +130,9 @@
             Ok(Err(fault)) => return Err(failed(exchange.stage(), fault)),
             Ok(Ok(head)) => head,
         };
-        let pool = self.pool.clone();
         let on_release = move |buffered| {
             if let Some(buffered) = buffered {
-                pool.check_in(slot, buffered);
+                on_release(slot, buffered);
             }
         };
         Ok(exchange.into_response(head, body_deadline, on_release))
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod error;
 mod exchange;
+mod held;
 mod response;
 mod socket;
 
@@ -30,6 +31,7 @@
 pub use carried::RequestIdentity;
 pub use connection::PooledConnection;
 pub use error::{ExchangeError, ExchangeFault, Stage};
+pub use held::{ConnectionChoice, HeldConnection};
 
 /// Settings of a [`Pool`].
 #[derive(Clone, Debug)]
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -16,6 +16,7 @@
 use super::forwarding::ForwardResult;
 use super::peer_deadlines::PeerDeadline;
 use super::{BackEndLinks, ForwardServer};
+use crate::events::{EventId, emit};
 
 /// Time without an answer after which the path of an order is checked. Orders
 /// take a few milliseconds.
@@ -101,10 +102,17 @@
                 sending.await
             }
         };
-        if ended == Err(OrderFault::NotSent) {
-            self.links.clone().check(address).await;
+        match ended {
+            Err(OrderFault::NotSent) => {
+                self.links.clone().check(address).await;
+                ended
+            }
+            Err(OrderFault::Doubtful(reply)) => {
+                log_doubtful(order, &reply);
+                Ok(reply)
+            }
+            _ => ended,
         }
-        ended
     }
 
     async fn send_forwarded(
@@ -185,6 +193,15 @@
     }
 }
 
+/// Logs an answer that may be that of an earlier order on its connection.
+fn log_doubtful(order: &Order, reply: &OrderReply) {
+    emit!(
+        EventId::OrderAnswerDoubtful,
+        order = order.kind.as_str(), keys = %order.range, owner = %order.to.name,
+        fence = order.fence.0, answer = reply.as_str(),
+    );
+}
+
 /// Forwards orders of other gateways to back ends.
 #[derive(Clone)]
 pub(in super::super) struct OrderServer {
@@ -222,6 +239,10 @@
         match self.grants.send(&order, deadline).await {
             Ok(reply) => ForwardedOrderResult::Replied(reply),
             Err(OrderFault::NoAnswer) => ForwardedOrderResult::NoAnswer,
+            Err(OrderFault::Doubtful(reply)) => {
+                log_doubtful(&order, &reply);
+                ForwardedOrderResult::Replied(reply)
+            }
             Err(OrderFault::Withheld) => ForwardedOrderResult::NoPath,
             Err(OrderFault::NotSent) => {
                 self.forward.links.clone().check(address).await;
