Send targets on as they came, and refuse those that lead out of their route

The route was chosen by the rewritten path.

Cause: between the server and the encoder of the pool a target exists only as the URL type of the HTTP library, which resolves dots and encodes characters.

Now the server keeps a target that the URL would change beside it (net::target), and the pool writes its own request line for such a request; all others take the way they took. Clones of a request lose it, so that the copy for an attempt gets it again. A fragment, which the URL dropped in silence, gets 400; `*`, a space and bytes that are not visible ASCII got it before and have a test now.

Which form chooses the route: the path as it was sent, for everything (route, may it be repeated, limits, regions, identity of held requests, log). Passing the path on byte for byte makes it matter how a back end reads it: /public/../private/x would be judged as /public/ here and served as /private/ there. Two ways: judge by the normal form of one reading (as before, but a back end that merges slashes, decodes %2F or takes backslashes reads another one), or judge by the path as sent and refuse it where any reading (dots, merged slashes, encoded bytes decoded once with or without separators, backslashes, and these together: types::path_readings) leads to another route or to none. The second stays: nothing is judged as one path and served as another, and /entries/a/../b is still served. Bytes decoded twice and parameters behind `;` are not read.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -472,6 +472,7 @@
 fn refusal(reason: RefusalReason) -> Refusal {
     let retry_after = match reason {
         RefusalReason::NoRoute
+        | RefusalReason::AmbiguousPath
         | RefusalReason::MissingApiKey
         | RefusalReason::UnknownApiKey
         | RefusalReason::MissingKey
--- a/crates/dispatch/src/dispatcher/admission.rs
+++ b/crates/dispatch/src/dispatcher/admission.rs
@@ -60,6 +60,10 @@
         let Some(route) = self.routes.find(head.host, head.path) else {
             return Err(refusal(RefusalReason::NoRoute));
         };
+        // Invariant: no back end serves a path that was judged as another one.
+        if self.routes.is_ambiguous(head.host, head.path) {
+            return Err(refusal(RefusalReason::AmbiguousPath));
+        }
         let keys_required = !configuration.tenants.is_empty();
         let caller = authorize(&self.api_keys, keys_required, route, head.api_key);
         let stale = self.api_keys_stale(now);
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -160,6 +160,8 @@
     NoConfiguration,
     /// No route matches.
     NoRoute,
+    /// A back end may read the path as one of another route.
+    AmbiguousPath,
     /// The request has no API key, and the route requires one.
     MissingApiKey,
     /// The API key belongs to no tenant.
@@ -192,9 +194,10 @@
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 15] = [
+    pub const ALL: [RefusalReason; 16] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
+        RefusalReason::AmbiguousPath,
         RefusalReason::MissingApiKey,
         RefusalReason::UnknownApiKey,
         RefusalReason::KeysOutOfDate,
@@ -215,6 +218,7 @@
         match self {
             RefusalReason::NoConfiguration => "no-configuration",
             RefusalReason::NoRoute => "no-route",
+            RefusalReason::AmbiguousPath => "ambiguous-path",
             RefusalReason::MissingApiKey => "missing-api-key",
             RefusalReason::UnknownApiKey => "unknown-api-key",
             RefusalReason::KeysOutOfDate => "keys-out-of-date",
@@ -236,7 +240,7 @@
         match self {
             RefusalReason::NoRoute => 404,
             RefusalReason::MissingApiKey | RefusalReason::UnknownApiKey => 401,
-            RefusalReason::MissingKey => 400,
+            RefusalReason::AmbiguousPath | RefusalReason::MissingKey => 400,
             // 421 Misdirected Request: nothing has run, and the request is
             // valid but was sent to the wrong place.
             RefusalReason::OutsideRegions => 421,
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use threadledge_types::deployment::{Configuration, Destination, Route};
+use threadledge_types::path_readings;
 
 /// Routes by host. The routes of one host are sorted by prefix length, longest
 /// first.
@@ -37,6 +38,18 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Whether a back end may read a path as one of another route than the one
+    /// that is found for it.
+    pub fn is_ambiguous(&self, host: &str, path: &str) -> bool {
+        let readings = path_readings(path);
+        if readings.is_empty() {
+            return false;
+        }
+        let name = |path: &str| self.find(host, path).map(|route| &route.name);
+        let judged = name(path);
+        readings.iter().any(|reading| name(reading) != judged)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.by_host.values().map(Vec::len).sum()
--- a/crates/dispatch/tests/dispatcher/parts.rs
+++ b/crates/dispatch/tests/dispatcher/parts.rs
@@ -29,6 +29,42 @@
     assert_eq!(name("nowhere.example", "/a/x"), None);
 }
 
+#[test]
+fn path_that_a_back_end_may_read_as_one_of_another_route_is_ambiguous() {
+    let mut inner = route("a", "plain", true);
+    inner.name = "inner".into();
+    inner.path_prefix = "/a/b/".to_owned();
+    let mut other = route("a", "plain", true);
+    other.name = "other".into();
+    other.path_prefix = "/other/".to_owned();
+    let routes = vec![route("a", "plain", true), inner, other];
+    let table = RouteTable::of(&configuration(1, routes));
+    for path in [
+        "/a/x",
+        "/a/x/../y",
+        "/a//x",
+        "/a/x%2Fy",
+        "/a/b/c/%2e%2e/d",
+        "/a/{x}",
+    ] {
+        assert!(!table.is_ambiguous(HOST, path), "{path}");
+    }
+    for path in [
+        "/a/../other/x",
+        "/a/%2e%2e/other/x",
+        "/a/..%2Fother/x",
+        "/a/b/../x",
+        "/a/x/../b/y",
+        "/a//b/x",
+        "/a/b%2Fx",
+        "/a/%62/x",
+        "/a/../../x",
+        "/a/x\\..\\b\\y",
+    ] {
+        assert!(table.is_ambiguous(HOST, path), "{path}");
+    }
+}
+
 #[test]
 fn requests_are_distributed_by_weight_in_every_window() {
     let destinations: Vec<Destination> = [90, 0, 10]
--- a/crates/net/src/convert.rs
+++ b/crates/net/src/convert.rs
@@ -4,6 +4,8 @@
 
 use http_types::{Body, Method, Request, Url};
 
+use crate::target;
+
 /// A message could not be converted between the two libraries.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum ConvertError {
@@ -32,13 +34,14 @@
         .as_str()
         .parse::<Method>()
         .map_err(|_| ConvertError::Method(parts.method.to_string()))?;
-    let target = parts
+    let path_and_query = parts
         .uri
         .path_and_query()
         .map_or("/", |target| target.as_str());
-    let url = Url::parse(&format!("http://{host}{target}"))
-        .map_err(|_| ConvertError::Target(target.to_owned()))?;
+    let url = Url::parse(&format!("http://{host}{path_and_query}"))
+        .map_err(|_| ConvertError::Target(path_and_query.to_owned()))?;
     let mut converted = Request::new(method, url);
+    target::set(&mut converted, path_and_query);
     for (name, value) in &parts.headers {
         let text = value
             .to_str()
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod server;
 pub mod stop;
+pub mod target;
 pub mod timer;
 
 pub use body::{BodyFault, MIN_BODY_BYTES_PER_SECOND};
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -3,11 +3,11 @@
 use std::future::poll_fn;
 use std::task::{Context, Poll};
 
-use async_h1::client::Encoder;
 use futures::task::noop_waker_ref;
 use http_types::{Body, Method, Request, Response};
 
 use super::error::{ExchangeFault, Stage};
+use super::request_encoder::RequestEncoder;
 use super::response::{self, ResponseHead};
 use super::{PoolSettings, UnframedBodies};
 use crate::body::{BodyDeadline, BodyReader, ReleasedConnection};
@@ -30,7 +30,7 @@
 /// State of one exchange until its response head has been read.
 pub(super) struct Exchange {
     method: Method,
-    writer: MessageWriter<Encoder>,
+    writer: MessageWriter<RequestEncoder>,
     whole_request_sent: bool,
     send_fault: Option<SendFault>,
     buffered: BufferedStream,
@@ -43,7 +43,7 @@
     pub(super) fn new(request: Request, buffered: BufferedStream, settings: &PoolSettings) -> Self {
         Exchange {
             method: request.method(),
-            writer: MessageWriter::new(Encoder::new(request)),
+            writer: MessageWriter::new(RequestEncoder::new(request)),
             whole_request_sent: false,
             send_fault: None,
             buffered,
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 mod exchange;
 mod held;
+mod request_encoder;
 mod response;
 mod socket;
 
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -1,5 +1,7 @@
 //! Parses and checks the head of a request.
 
+use std::borrow::Cow;
+
 use futures::FutureExt;
 use http_types::headers::{CONTENT_TYPE, EXPECT, HOST};
 use http_types::{Method, Request, Response, StatusCode, Version};
@@ -10,6 +12,7 @@
 use crate::error_response;
 use crate::framing::BodyDecoder;
 use crate::head::{self, HeadBytes};
+use crate::target;
 
 /// Reason why the server itself refuses a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,7 +94,8 @@
         request.remove_header(CONTENT_TYPE);
     }
     check_request(&request)?;
-    check_target(head, &request)?;
+    let sent = sent_target(head, &request)?;
+    target::set(&mut request, &sent);
     let body = head::framing(request.as_ref()).map_err(malformed)?;
     if body
         .as_ref()
@@ -132,25 +136,33 @@
     Ok(())
 }
 
-/// Checks that a target with its own host names the same host as the Host
-/// header: one decides the route, and the back end may use the other.
-fn check_target(head: &[u8], request: &Request) -> Result<(), RequestFault> {
+/// Returns the path and query as they were sent. Checks that a target with its
+/// own host names the same host as the Host header: one decides the route, and
+/// the back end may use the other.
+fn sent_target<'a>(head: &'a [u8], request: &Request) -> Result<Cow<'a, str>, RequestFault> {
     let mut words = head.split(|byte| *byte == b' ');
     let target = words.nth(1).unwrap_or_default();
-    if target.starts_with(b"/") {
-        return Ok(());
+    // The bytes of the head were checked to be ASCII.
+    let target = str::from_utf8(target).map_err(|_| malformed("the target is not ASCII"))?;
+    if target.contains('#') {
+        return Err(malformed("the target has a fragment"));
+    }
+    if target.starts_with('/') {
+        return Ok(Cow::Borrowed(target));
     }
-    let Some(rest) = target.strip_prefix(b"http://") else {
+    let Some(rest) = target.strip_prefix("http://") else {
         return Err(malformed("the target is neither a path nor an http URL"));
     };
-    let authority = rest.split(|byte| b"/?#".contains(byte)).next();
-    let authority = authority.unwrap_or_default();
-    if host_of(request).as_bytes().eq_ignore_ascii_case(authority) {
-        return Ok(());
+    let (authority, target) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
+    if !host_of(request).eq_ignore_ascii_case(authority) {
+        return Err(malformed(
+            "the target and the Host header name different hosts",
+        ));
+    }
+    match target.starts_with('/') {
+        true => Ok(Cow::Borrowed(target)),
+        false => Ok(Cow::Owned(format!("/{target}"))),
     }
-    Err(malformed(
-        "the target and the Host header name different hosts",
-    ))
 }
 
 fn host_of(request: &Request) -> &str {
--- a/crates/net/tests/server_refusals.rs
+++ b/crates/net/tests/server_refusals.rs
@@ -52,6 +52,10 @@
             "malformed",
         ),
         bad("GET a HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
+        bad("OPTIONS * HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
+        bad("GET /a#b HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
+        bad("GET /a b HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
+        bad("GET /\u{e9} HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
         bad("BREW / HTTP/1.1\r\nhost: a\r\n\r\n", 400, "malformed"),
         bad("CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n", 501, "malformed"),
         bad(
--- a/crates/router/src/gateway/admission.rs
+++ b/crates/router/src/gateway/admission.rs
@@ -4,6 +4,7 @@
 use http_types::headers::HOST;
 use http_types::{Method, Request};
 use threadledge_dispatch::{Refusal, RequestHead};
+use threadledge_net::target;
 use threadledge_ports::RequestMetadata;
 use threadledge_tenants::Admission;
 use threadledge_types::deployment::KeyDigest;
@@ -31,7 +32,7 @@
         Head {
             method: request.method(),
             host: host_of(request).to_owned(),
-            path: request.url().path().to_owned(),
+            path: target::path(request).to_owned(),
             api_key: caller.api_key,
         }
     }
--- a/crates/router/src/gateway/log.rs
+++ b/crates/router/src/gateway/log.rs
@@ -7,7 +7,7 @@
 
 use http_types::Request;
 use threadledge_dispatch::{AttemptEnd, Outcome, StartedExchange};
-use threadledge_net::Instant;
+use threadledge_net::{Instant, target};
 use threadledge_ports::RequestMetadata;
 use threadledge_suspects::RequestHash;
 use threadledge_types::deployment::{BackEndName, RouteName, ServiceName, TenantName};
@@ -58,7 +58,7 @@
             id: caller.request_id.clone(),
             from,
             key: caller.key.map(|key| key.0),
-            path: request.url().path().to_owned(),
+            path: target::path(request).to_owned(),
             tenant: None,
             identity: None,
             route: None,
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -7,7 +7,7 @@
 use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
 use threadledge_dispatch::{ExchangeId, Outcome, Refusal, RequestInfo};
-use threadledge_net::ConnectionInfo;
+use threadledge_net::{ConnectionInfo, target};
 use threadledge_ports::RequestMetadata;
 use threadledge_tenants::Admission;
 use threadledge_types::NotRunReason;
@@ -80,7 +80,7 @@
     /// connection. The route decides this, not the method.
     pub(super) fn may_run_concurrently(&self, request: &Request) -> bool {
         let dispatch = &self.attempts.dispatch;
-        dispatch.is_repeatable(host_of(request), request.url().path())
+        dispatch.is_repeatable(host_of(request), target::path(request))
     }
 
     /// Handles one request and returns its response, with the head complete and
--- a/crates/router/src/gateway/suspects/identity.rs
+++ b/crates/router/src/gateway/suspects/identity.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 
 use http_types::headers::{CONTENT_LENGTH, HOST};
+use threadledge_net::target;
 use threadledge_ports::HeaderCodec;
 use threadledge_suspects::{IdentityBuilder, RequestIdentity};
 use threadledge_types::deployment::{ShardKey, TenantName};
@@ -30,9 +31,8 @@
     header_codec: &dyn HeaderCodec,
 ) -> RequestIdentity {
     let request = &inbound.request;
-    let url = request.url();
     let host = request.header(HOST).map_or("", |all| all.last().as_str());
-    let target = &url[http_types::url::Position::BeforePath..];
+    let target = target::path_and_query(request);
     let mut builder = IdentityBuilder::new(request.method().as_ref(), host, target);
     builder.key(sender.key.map(|key| key.0));
     if let Some(tenant) = sender.tenant {
--- a/crates/router/src/proxy/inbound.rs
+++ b/crates/router/src/proxy/inbound.rs
@@ -8,6 +8,7 @@
 use http_types::{Body, Headers, Request};
 use threadledge_net::BodyFault;
 use threadledge_net::message::Message;
+use threadledge_net::target;
 use threadledge_routing::{HeaderLookup, RequestHead};
 use threadledge_suspects::BodyDigest;
 use threadledge_types::NotRunReason;
@@ -96,15 +97,14 @@
     /// Calls `read` with the parts of the request that routing depends on.
     pub(crate) fn with_head<R>(&self, read: impl FnOnce(&RequestHead<'_>) -> R) -> R {
         let request = &self.request;
-        let url = request.url();
         let headers = Lookup(request.as_ref());
         read(&RequestHead {
             method: request.method().as_ref(),
             host: request
                 .header(HOST)
                 .map_or("", |values| values.last().as_str()),
-            path: url.path(),
-            query: url.query(),
+            path: target::path(request),
+            query: target::query(request),
             headers: &headers,
             body_replayable: !matches!(self.body, RequestBody::Streamed(_)),
         })
--- a/crates/router/src/proxy/replayable_request.rs
+++ b/crates/router/src/proxy/replayable_request.rs
@@ -4,6 +4,7 @@
 use http_types::{Body, Method, Request};
 use parking_lot::Mutex;
 use threadledge_net::message::Message;
+use threadledge_net::target;
 
 use super::headers;
 use super::inbound::{Inbound, RequestBody};
@@ -54,6 +55,7 @@
     /// be sent.
     pub(crate) fn request(&self) -> Option<Request> {
         let mut request = self.template.clone();
+        target::copy(&self.template, &mut request);
         match &self.body {
             ReplayBody::Buffered(buffered) if buffered.bytes().is_empty() => {}
             ReplayBody::Buffered(buffered) => {
--- a/crates/router/tests/gateway/forwarding.rs
+++ b/crates/router/tests/gateway/forwarding.rs
@@ -94,6 +94,19 @@
     assert_eq!(request.send(&world.cut_off).status(), 200);
 }
 
+#[test]
+fn target_arrives_byte_for_byte_through_another_gateway() {
+    let world = cut_off();
+    let target = "/unsafe/{id}/../x?name=O'Brien";
+    let request = TestRequest {
+        target,
+        ..not_repeatable()
+    };
+    assert_eq!(request.send(&world.cut_off).status(), 200);
+    let mut runs = world.back_ends.iter().flat_map(StandInBackEnd::runs);
+    assert!(runs.any(|run| run.target == target));
+}
+
 #[test]
 fn gateways_that_are_all_cut_off_refuse_and_forward_nothing_in_circles() {
     let world = cut_off();
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -37,6 +37,7 @@
 mod stalling_proxy;
 mod stop;
 mod takeover_delay;
+mod targets;
 mod template;
 mod tenants;
 mod uploads;
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -14,6 +14,7 @@
 use threadledge_types::records::RecordDelta;
 use threadledge_types::{
     BackEndId, Epoch, GroupId, Incarnation, NotRunReason, Point, Revision, ServiceId, hash_key,
+    path_readings,
 };
 
 use crate::head::RequestHead;
@@ -181,10 +182,22 @@
             .services
             .route(head.host, head.method, head.path)
             .ok_or(NotRunReason::NoRoute)?;
+        if self.is_ambiguous(head, route) {
+            return Err(NotRunReason::Malformed);
+        }
         let key = extract_key(&route.key, head)?;
         Ok((index, service, route, hash_key(&key)))
     }
 
+    /// Whether a back end may read the path as one of another route than the one
+    /// that was found.
+    fn is_ambiguous(&self, head: &RequestHead<'_>, found: &Arc<Route>) -> bool {
+        path_readings(head.path).iter().any(|reading| {
+            let other = self.services.route(head.host, head.method, reading);
+            other.is_none_or(|(_, _, route)| !Arc::ptr_eq(route, found))
+        })
+    }
+
     /// Returns the owner of a point of a service; `None` if there is none or
     /// its session has ended.
     pub fn owner(&self, service: &ServiceId, point: Point) -> Option<Owner> {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 mod map_diff;
 pub mod objects;
 pub mod outcome;
+mod path_readings;
 pub mod records;
 pub mod session;
 pub mod time;
@@ -27,5 +28,6 @@
 pub use key::{Point, Slice, hash_key};
 pub use map_diff::{EntryDiff, diff_maps};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use path_readings::path_readings;
 pub use time::Timestamp;
 pub use timing::Timing;
