coordination: ask an owner that an overdue grant shows to be lost in the same step

Callers of keys of another region could wait up to half a second longer: an owner that counted as lost by an overdue grant was sent one more grant, and was asked to release its keys only at the next wake of the coordinator.

Cause: overdue grants were counted after the check for owners that may not keep their keys, within one poll.

Change: overdue grants are counted first.

Failed before (a grant in place of the release): owner_lost_by_an_overdue_grant_is_asked_to_release_at_once.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -248,6 +248,8 @@
     /// assigned only by a write.
     pub fn poll(&mut self, now: Timestamp, store_answers: bool) -> Vec<Action> {
         let mut actions = Vec::new();
+        // Before the check for owners that may not keep their keys.
+        self.handle_overdue(now);
         self.report_ended_releases(now);
         if let Some(call) = self.store_call(now, store_answers) {
             self.store_call_running = true;
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -49,9 +49,6 @@
         if !matches!(self.phase, Phase::Active { .. }) {
             return;
         }
-        for order in self.overdue.take_due(now) {
-            self.on_overdue(now, &order);
-        }
         let mut orders_in_flight = orders_in_flight(&self.tracked);
         for tracked in &mut self.tracked {
             if tracked.in_flight.is_some() || now < tracked.next_order_at {
@@ -91,6 +88,16 @@
         actions.extend(releases.into_iter().map(Action::Send));
     }
 
+    /// Handles the grants that have become overdue.
+    pub(super) fn handle_overdue(&mut self, now: Timestamp) {
+        if !matches!(self.phase, Phase::Active { .. }) {
+            return;
+        }
+        for order in self.overdue.take_due(now) {
+            self.on_overdue(now, &order);
+        }
+    }
+
     /// Handles a grant to another region that was not answered in time. It is
     /// sent again, and the first one remains open.
     fn on_overdue(&mut self, now: Timestamp, order: &Order) {
--- a/crates/coordination/tests/late_orders.rs
+++ b/crates/coordination/tests/late_orders.rs
@@ -333,3 +333,20 @@
     }
     assert!(sent >= 6, "{sent} orders");
 }
+
+#[test]
+fn owner_lost_by_an_overdue_grant_is_asked_to_release_at_once() {
+    let mut ownership = taken_over(two_regions());
+    let mut now = START;
+    while now < START + Duration::from_secs(10) {
+        let orders = sent(ownership.poll(now, true));
+        let lost = |notice: &Notice| matches!(notice, Notice::HolderLost { .. });
+        if ownership.take_notices().iter().any(lost) {
+            let release = |order: &Order| order.kind == OrderKind::Release;
+            assert!(orders.iter().any(release), "{orders:?}");
+            return;
+        }
+        now = now + STEP;
+    }
+    panic!("the owner was never lost");
+}
