orders: an answer that may be an earlier order's ends nothing

Cause: orders carry no id and use kept connections. A back end that answers an order twice, the second time late, leaves an answer that is read in place of the next one due. Any 200 ended a release; a surplus 421 or 400 ended an owner at once; a surplus 409 discarded the arrival of a grant that may have been taken.

Every other answer there is doubtful: it proves nothing, the order counts as possibly taken, and the coordinator sends it again at once on a connection that has carried nothing, where any answer is the order's own. A doubtful answer does not count towards a lost owner. Each order keeps its own arrival, so that the failure of the repeat says nothing about the first copy. Gateways that forward orders pass the choice of the connection and the doubt on.

With doubt counted as no answer, doubtful_answers_neither_release_keys_nor_make_an_owner_lost failed; with the arrival discarded, grant_whose_refusal_is_doubtful_may_still_hold_the_keys did.

Open: a surplus plain 200 still counts as the answer to a grant. Its keys then count as granted up to one renewal too early, and the arrival of the grant as before it has arrived; that matters only if the holder then never answers its release. It is bounded by the time the order is under way, longest over a full link to another region.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -35,7 +35,8 @@
 pub use coordinator::Coordinator;
 pub use load::{KeyCount, LoadReport, RestingBackEnd, SpeedSample};
 pub use order::{
-    Distance, GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply,
+    Distance, GrantOrder, HandoverToken, Order, OrderConnection, OrderFault, OrderId, OrderKind,
+    OrderReply,
 };
 pub use record::{
     CoordinatorLease, Fence, FormerHolder, NodeIdentity, Owner, OwnershipRecord, Slice, SliceState,
--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -32,10 +32,25 @@
     pub kind: OrderKind,
     /// Region of the back end relative to this node.
     pub distance: Distance,
+    /// Connections on which the order may be sent.
+    pub connection: OrderConnection,
     /// Maximum time to wait for the answer before the connection is closed.
     pub timeout: Duration,
 }
 
+/// Connections on which an order may be sent. Orders carry no id, so a back end
+/// that answers one twice leaves an answer that looks like the next one due on
+/// the connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderConnection {
+    /// Any; an answer that may be another order's is [`OrderFault::Doubtful`].
+    #[default]
+    Any,
+    /// One that has carried nothing, so that its answer is this order's.
+    New,
+}
+
 /// Distance to a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Distance {
--- a/crates/coordination/src/ownership/former_owners.rs
+++ b/crates/coordination/src/ownership/former_owners.rs
@@ -13,9 +13,9 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
-use super::tracked::{TrackedRange, intersection, overlap};
+use super::tracked::{TrackedRange, connection_after, intersection, overlap};
 use crate::holders::{Holders, LATE_ORDER_WINDOW};
-use crate::order::{Distance, Order, OrderFault, OrderId, OrderKind, OrderReply};
+use crate::order::{Distance, Order, OrderConnection, OrderFault, OrderId, OrderKind, OrderReply};
 use crate::record::{FormerHolder, Slice};
 use crate::settings::Settings;
 
@@ -30,6 +30,8 @@
     /// once no order can still be executed.
     since: Timestamp,
     in_flight: Option<OrderId>,
+    /// Connections on which the next release may be sent.
+    connection: OrderConnection,
     next_order_at: Timestamp,
 }
 
@@ -157,6 +159,7 @@
                     .filter(|release| is_this_order(release))
                 {
                     release.in_flight = None;
+                    release.connection = connection_after(result);
                     release.next_order_at = now + RETRY_INTERVAL;
                 }
             }
@@ -195,6 +198,7 @@
             holder,
             since: now,
             in_flight: None,
+            connection: OrderConnection::default(),
             next_order_at: now,
         }
     }
@@ -207,6 +211,7 @@
             fence: self.holder.fence,
             kind: OrderKind::Release,
             distance,
+            connection: self.connection,
             timeout,
         }
     }
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -77,6 +77,7 @@
                 fence: tracked.order_fence(),
                 kind,
                 distance,
+                connection: tracked.connection,
                 timeout,
             };
             self.overdue.watch(now, &order, &self.settings);
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -6,7 +6,9 @@
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::arrivals::GrantArrivals;
-use crate::order::{GrantOrder, HandoverToken, Order, OrderFault, OrderId, OrderKind, OrderReply};
+use crate::order::{
+    GrantOrder, HandoverToken, Order, OrderConnection, OrderFault, OrderId, OrderKind, OrderReply,
+};
 use crate::record::{Fence, Owner, Slice, SliceState};
 use crate::settings::Settings;
 
@@ -29,6 +31,8 @@
     pub(super) released: Option<Option<HandoverToken>>,
     /// The order that is awaiting an answer.
     pub(super) in_flight: Option<OrderId>,
+    /// Connections on which the next order may be sent.
+    pub(super) connection: OrderConnection,
     /// Time at which the next order is due.
     pub(super) next_order_at: Timestamp,
     /// Grants of this node that may still arrive.
@@ -55,6 +59,7 @@
             end_reported: false,
             released: None,
             in_flight: None,
+            connection: OrderConnection::default(),
             next_order_at: now,
             arrivals: GrantArrivals::default(),
             fence_acknowledged: false,
@@ -211,6 +216,7 @@
         result: &Result<OrderReply, OrderFault>,
         settings: &Settings,
     ) {
+        self.connection = connection_after(result);
         match result {
             Ok(OrderReply::Granted) => {
                 self.fence_acknowledged = true;
@@ -260,6 +266,15 @@
     }
 }
 
+/// Returns the connections on which the order after one with this result may be
+/// sent.
+pub(super) fn connection_after(result: &Result<OrderReply, OrderFault>) -> OrderConnection {
+    match result {
+        Err(OrderFault::Doubtful(_)) => OrderConnection::New,
+        Ok(_) | Err(_) => OrderConnection::Any,
+    }
+}
+
 /// Returns every back end that may hold keys.
 pub(super) fn owners(tracked: &[TrackedRange]) -> BTreeSet<BackEndName> {
     let owners = tracked.iter().filter_map(TrackedRange::owner);
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -8,8 +8,8 @@
 use threadledge_coordination::occupancy::SharedAddress;
 use threadledge_coordination::ownership::{MAX_ORDERS_IN_FLIGHT, Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Fence, Notice, Order, OrderFault, OrderId, OrderKind, OrderReply, Owner,
-    OwnershipRecord, Settings, Slice, SliceState, Term,
+    Action, Fence, Notice, Order, OrderConnection, OrderFault, OrderId, OrderKind, OrderReply,
+    Owner, OwnershipRecord, Settings, Slice, SliceState, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange, ShardKey};
@@ -322,3 +322,109 @@
         assert_eq!(is_lost, round == 6, "round {round}");
     }
 }
+
+#[test]
+fn order_with_a_doubtful_answer_is_sent_again_at_once_on_a_new_connection() {
+    let now = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(now);
+    let order = sent(ownership.poll(now, true)).remove(0);
+    assert_eq!(order.connection, OrderConnection::Any);
+    let doubtful = Err(OrderFault::Doubtful(OrderReply::Fenced));
+    ownership.on_order(now, &order, doubtful);
+    let again = |order: &&Order| order.connection == OrderConnection::New;
+    let actions = sent(ownership.poll(now, true));
+    let again = actions.iter().find(again).expect("sent again");
+    assert_eq!((again.range, again.fence), (order.range, order.fence));
+    ownership.on_order(now, again, Ok(OrderReply::Granted));
+    let fenced = |notice: &Notice| matches!(notice, Notice::OrderFenced { .. });
+    assert!(!ownership.take_notices().iter().any(fenced));
+    let next = now + Settings::default().grant_renewal;
+    let renewals = sent(ownership.poll(next, true));
+    let renewal = renewals.iter().find(|next| next.range == order.range);
+    let renewal = renewal.expect("a renewal");
+    assert_eq!(renewal.connection, OrderConnection::Any);
+}
+
+/// Answers all orders that are due now, and those that follow at once.
+fn answer_all(
+    ownership: &mut Ownership,
+    now: Timestamp,
+    answer: impl Fn(&Order) -> Result<OrderReply, OrderFault>,
+) {
+    loop {
+        let (due, write) = orders_and_write(ownership.poll(now, true));
+        if due.is_empty() && write.is_none() {
+            return;
+        }
+        for order in due {
+            ownership.on_order(now, &order, answer(&order));
+        }
+        if let Some(record) = write {
+            ownership.on_write(now, record, WriteResult::Accepted(9));
+        }
+    }
+}
+
+#[test]
+fn doubtful_answers_neither_release_keys_nor_make_an_owner_lost() {
+    let start = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(start);
+    answer_all(&mut ownership, start, |_| Ok(OrderReply::Granted));
+    let mut draining = back_end();
+    draining.draining = true;
+    ownership.set_back_ends(start, &[draining]);
+    for round in 0..20 {
+        let now = start + Duration::from_millis(50 * round);
+        let (orders, write) = orders_and_write(ownership.poll(now, true));
+        assert_eq!(write, None, "keys were given on in round {round}");
+        for order in orders {
+            let reply = match order.kind {
+                OrderKind::Grant(_) => OrderReply::OtherProcess,
+                OrderKind::Release => OrderReply::Released(None),
+            };
+            ownership.on_order(now, &order, Err(OrderFault::Doubtful(reply)));
+        }
+    }
+    let ended = |notice: &Notice| {
+        matches!(
+            notice,
+            Notice::HolderLost { .. } | Notice::HolderReplaced { .. }
+        )
+    };
+    let notices = ownership.take_notices();
+    assert!(!notices.iter().any(ended), "{notices:?}");
+}
+
+#[test]
+fn grant_whose_refusal_is_doubtful_may_still_hold_the_keys() {
+    let start = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(start);
+    let granted = start + Duration::from_secs(10);
+    answer_all(&mut ownership, granted, |order| {
+        Err(match order.connection {
+            OrderConnection::Any => OrderFault::Doubtful(OrderReply::Fenced),
+            OrderConnection::New => OrderFault::Withheld,
+        })
+    });
+    let mut next = back_end();
+    next.name = "b-2".into();
+    next.address.set_port(81);
+    ownership.set_back_ends(granted, &[next]);
+    let end = granted + Settings::default().hold;
+    let mut now = granted;
+    loop {
+        let (orders, write) = orders_and_write(ownership.poll(now, true));
+        if write.is_some() {
+            break;
+        }
+        for order in orders {
+            ownership.on_order(now, &order, Err(OrderFault::Withheld));
+        }
+        assert!(
+            now < end + Duration::from_secs(5),
+            "keys are never given on"
+        );
+        now = now + Duration::from_millis(100);
+    }
+    assert!(now > end, "keys were given on at {now:?}");
+}
--- a/crates/coordination/tests/simulation/scenarios.rs
+++ b/crates/coordination/tests/simulation/scenarios.rs
@@ -406,6 +406,7 @@
             handover: None,
         }),
         distance: threadledge_coordination::Distance::Near,
+        connection: threadledge_coordination::OrderConnection::Any,
         timeout: SECOND,
     };
     let now = world.now;
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -211,7 +211,7 @@
         "The former owner of keys no longer holds them. The line says what ended the release that 314 began: it was answered (`Answered`), the owner's process has ended (`HolderEnded`), or its grant expired by the clock (`Expired`); how long after 314 that was; and whether the last grant of the keys was answered.",
         "None. If two back ends held a key, this line of the first one tells why its release counted as ended.";
     OrderAnswerDoubtful = 333, "order-answer-doubtful", Warn,
-        "An answer to an order came on a connection that had carried earlier orders, and cannot be told from a second answer to one of them; the connection is closed. The line has the order and what the answer says.",
+        "An answer to an order came on a connection that had carried earlier orders, and cannot be told from a second answer to one of them; the connection is closed and the order is sent again on a new one. The line has the order and what the answer says.",
         "None, unless it repeats: then check whether the back end answers orders twice.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -7,7 +7,9 @@
 use serde::{Deserialize, Serialize};
 use threadledge_coordination::order::Distance;
 use threadledge_coordination::record::{Fence, Owner};
-use threadledge_coordination::{Order, OrderFault, OrderId, OrderKind, OrderReply};
+use threadledge_coordination::{
+    Order, OrderConnection, OrderFault, OrderId, OrderKind, OrderReply,
+};
 use threadledge_net::{Instant, timer};
 use threadledge_paths::{NextForwarder, Search};
 use threadledge_ports::{GrantTransport, PortFuture};
@@ -30,6 +32,8 @@
     range: KeyRange,
     fence: Fence,
     kind: OrderKind,
+    #[serde(default)]
+    connection: OrderConnection,
     until: PeerDeadline,
 }
 
@@ -41,6 +45,8 @@
     Replied(OrderReply),
     /// The order was sent, at least in part.
     NoAnswer,
+    /// The order was sent, and this answer may be that of an earlier one.
+    Doubtful(OrderReply),
     /// Nothing was sent: the gateway has lost most of its own paths, or does
     /// not know the back end.
     NoPath,
@@ -102,17 +108,14 @@
                 sending.await
             }
         };
-        match ended {
+        match &ended {
             Err(OrderFault::NotSent) => {
                 self.links.clone().check(address).await;
-                ended
             }
-            Err(OrderFault::Doubtful(reply)) => {
-                log_doubtful(order, &reply);
-                Ok(reply)
-            }
-            _ => ended,
+            Err(OrderFault::Doubtful(reply)) => log_doubtful(order, reply),
+            _ => {}
         }
+        ended
     }
 
     async fn send_forwarded(
@@ -152,6 +155,7 @@
                 range: order.range,
                 fence: order.fence,
                 kind: order.kind.clone(),
+                connection: order.connection,
                 until,
             };
             let peers = &self.links.shared.peers;
@@ -167,7 +171,9 @@
                 }
             };
             let shown = match &result {
-                ForwardedOrderResult::Replied(_) => ForwardResult::Answered,
+                ForwardedOrderResult::Replied(_) | ForwardedOrderResult::Doubtful(_) => {
+                    ForwardResult::Answered
+                }
                 ForwardedOrderResult::NoPath => ForwardResult::NoPath,
                 ForwardedOrderResult::TooLate => ForwardResult::TooLate,
                 ForwardedOrderResult::Unreachable => ForwardResult::Unreachable,
@@ -175,8 +181,10 @@
             };
             self.links
                 .record_result(forwarder, &service, address, shown);
-            if let ForwardedOrderResult::Replied(reply) = result {
-                return Ok(reply);
+            match result {
+                ForwardedOrderResult::Replied(reply) => return Ok(reply),
+                ForwardedOrderResult::Doubtful(reply) => return Err(OrderFault::Doubtful(reply)),
+                _ => {}
             }
         }
     }
@@ -234,6 +242,7 @@
             fence: message.fence,
             kind: message.kind,
             distance: Distance::Near,
+            connection: message.connection,
             timeout: deadline.saturating_duration_since(Instant::now()),
         };
         match self.grants.send(&order, deadline).await {
@@ -241,7 +250,7 @@
             Err(OrderFault::NoAnswer) => ForwardedOrderResult::NoAnswer,
             Err(OrderFault::Doubtful(reply)) => {
                 log_doubtful(&order, &reply);
-                ForwardedOrderResult::Replied(reply)
+                ForwardedOrderResult::Doubtful(reply)
             }
             Err(OrderFault::Withheld) => ForwardedOrderResult::NoPath,
             Err(OrderFault::NotSent) => {
