Ownership: send a silent owner no requests before its keys go on

An owner leaves orders unanswered and carries them out late. Its release has no answer, so the coordinator waits out the last grant, counted from the end of its connection, and gives the keys on. The former owner has taken that grant 2 s late, still holds the keys, and begins what is left in its queue.

Cause: gateways send the former owner requests until the record names the next one.

Change: 1.5 s before the last grant expires, the record says that the owner is returning the keys; gateways treat them as having no owner. They go to the next owner by the clock no earlier than 1.5 s after that write. An answered release ends the wait as before. A coordinator that takes over lets the owner keep them. In the store and between gateways such a slice has the named form with one more field, which earlier versions read as owned.

Tests, new: simulation late_grants (two) and the gateway test record_slices.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -285,8 +285,9 @@
         let holds = self
             .tracked
             .iter()
-            .filter_map(|tracked| self.release_expiry(tracked))
-            .filter(|expiry| *expiry > now);
+            .flat_map(|tracked| [self.release_expiry(tracked), self.returning_due(tracked)])
+            .flatten()
+            .filter(|due| *due > now);
         let active = matches!(self.phase, Phase::Active { .. });
         let overdue = self.overdue.next_due().filter(|_| active);
         let waits = self.next_store_call > now || !active;
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -24,6 +24,9 @@
     /// For each tracked range: `Some` if its owner no longer holds it, with the
     /// handover token if there is one.
     pub(super) released: Vec<Option<Option<HandoverToken>>>,
+    /// For each tracked range: true if routers must send its owner no more
+    /// requests, because it has not answered the release.
+    pub(super) returning: Vec<bool>,
 }
 
 /// A drafted record and the notices about its changes.
@@ -85,6 +88,11 @@
                 piece.slice.fence = fence;
                 piece.handover = handover;
                 record.next_fence = record.next_fence.max(Fence(fence.0 + 1));
+            } else if self.returning[index]
+                && let Some(owner) = tracked.owner()
+            {
+                let owner = owner.clone();
+                piece.slice.state = SliceState::Returning { owner };
             }
         } else if let Some(successor) = &tracked.successor {
             piece.slice.state = SliceState::Owned {
@@ -237,12 +245,12 @@
 
 /// Returns the ranges that owners hold.
 pub(super) fn held_ranges<'a>(slices: impl Iterator<Item = &'a Slice>) -> Vec<HeldRange> {
-    let holding = |slice: &Slice| match &slice.state {
-        SliceState::Owned { owner, .. } => Some(HeldRange {
+    let holding = |slice: &Slice| {
+        let owner = slice.holder()?;
+        Some(HeldRange {
             range: slice.range,
             owner: owner.name.clone(),
-        }),
-        SliceState::Unowned => None,
+        })
     };
     slices.filter_map(holding).collect()
 }
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -1,5 +1,7 @@
 //! Takes keys back from their owners and computes the record that follows.
 
+use std::time::Duration;
+
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::KeyRange;
 
@@ -11,6 +13,11 @@
 use crate::plan;
 use crate::record::{Fence, OwnershipRecord};
 
+/// Time for which routers send an owner no more requests before its keys may go
+/// to another one without its answer. An owner that takes a grant late holds the
+/// keys beside the next owner, and would begin the requests left in its queue.
+const QUEUE_DRAIN: Duration = Duration::from_millis(1_500);
+
 impl Ownership {
     /// Finds owners that have restarted. They keep their keys under a higher
     /// fencing token: a renewal sent to the previous process may have reached
@@ -142,6 +149,7 @@
                 || tracked.successor.is_some()
                 || tracked.owner().is_none()
                 || (tracked.releasing.is_some() && self.released(now, index).is_some())
+                || self.is_returning_due(now, tracked)
         };
         self.tracked.iter().enumerate().any(pending)
     }
@@ -162,6 +170,11 @@
             released: (0..self.tracked.len())
                 .map(|index| self.released(now, index))
                 .collect(),
+            returning: self
+                .tracked
+                .iter()
+                .map(|tracked| self.is_returning_due(now, tracked))
+                .collect(),
         };
         let drafted = draft.make(current);
         self.pending_notices = drafted.notices;
@@ -189,8 +202,10 @@
         (arrived && now >= expiry).then_some(None)
     }
 
-    /// Returns when the grant of a range that is being released has certainly
-    /// expired, even if the owner never answers.
+    /// Returns when a range that is being released may be given to another
+    /// owner, even if its owner never answers: its grant has certainly expired,
+    /// and the requests that were sent to it have left its queue. `None` until
+    /// the record asks routers to send no more.
     pub(super) fn release_expiry(&self, tracked: &TrackedRange) -> Option<Timestamp> {
         tracked.releasing?;
         // Only an answer proves this. Waiting for the grants to expire anyway
@@ -199,17 +214,41 @@
         if self.has_ended(tracked) {
             return Some(Timestamp::ZERO);
         }
+        let queue_empty = tracked.returning_since? + QUEUE_DRAIN;
+        Some(self.grant_expiry(tracked).max(queue_empty))
+    }
+
+    /// Returns when routers should stop sending requests to the owner of a
+    /// range, because it has not answered the release. `None` if they have been
+    /// asked already or need not be asked.
+    pub(super) fn returning_due(&self, tracked: &TrackedRange) -> Option<Timestamp> {
+        tracked.releasing?;
+        let decided = tracked.released.is_some() || tracked.returning_since.is_some();
+        if decided || self.has_ended(tracked) {
+            return None;
+        }
+        let expiry = self.grant_expiry(tracked);
+        Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + QUEUE_DRAIN))
+    }
+
+    fn is_returning_due(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
+        let due = self.returning_due(tracked);
+        due.is_some_and(|due| due <= now)
+    }
+
+    /// Returns when the grants of a range have certainly expired, if the owner
+    /// carried them out as they arrived.
+    fn grant_expiry(&self, tracked: &TrackedRange) -> Timestamp {
         let own_expiry = self
             .settings
             .hold_expiry(tracked.arrivals.latest(), self.settings.hold);
-        let earlier_expiry = match self.predecessor {
+        match self.predecessor {
             Some(predecessor) if !tracked.fence_acknowledged => {
                 let orders_end = predecessor.orders_end + self.settings.max_grant_transit();
-                self.settings.hold_expiry(orders_end, predecessor.hold)
+                own_expiry.max(self.settings.hold_expiry(orders_end, predecessor.hold))
             }
-            _ => Timestamp::ZERO,
-        };
-        Some(own_expiry.max(earlier_expiry))
+            _ => own_expiry,
+        }
     }
 
     /// Returns whether the owner is known to have ended and nobody holds its
--- a/crates/coordination/src/ownership/store.rs
+++ b/crates/coordination/src/ownership/store.rs
@@ -69,6 +69,7 @@
         for index in 0..record.slices.len() {
             let fence = record.allocate_fence();
             record.slices[index].fence = fence;
+            record.slices[index].keep();
         }
         self.phase = Phase::Adopting;
         self.store_call_running = true;
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -29,6 +29,9 @@
     /// `Some` once the owner has released the keys, with the handover token if
     /// there is one.
     pub(super) released: Option<Option<HandoverToken>>,
+    /// Time since which the record asks routers to send the owner no more
+    /// requests for these keys.
+    pub(super) returning_since: Option<Timestamp>,
     /// The order that is awaiting an answer.
     pub(super) in_flight: Option<OrderId>,
     /// Connections on which the next order may be sent.
@@ -58,6 +61,7 @@
             release_began: Timestamp::ZERO,
             end_reported: false,
             released: None,
+            returning_since: None,
             in_flight: None,
             connection: OrderConnection::default(),
             next_order_at: now,
@@ -119,8 +123,8 @@
     pub(super) fn needs_order(&self) -> bool {
         match (&self.slice.state, self.releasing) {
             (SliceState::Unowned, _) => false,
-            (SliceState::Owned { .. }, None) => !self.fenced && self.successor.is_none(),
-            (SliceState::Owned { .. }, Some(_)) => self.released.is_none(),
+            (_, None) => !self.fenced && self.successor.is_none(),
+            (_, Some(_)) => self.released.is_none(),
         }
     }
 
@@ -134,8 +138,10 @@
         if !self.needs_order() {
             return None;
         }
-        let SliceState::Owned { handover, .. } = &self.slice.state else {
-            return None;
+        let handover = match &self.slice.state {
+            SliceState::Unowned => return None,
+            SliceState::Owned { handover, .. } => handover,
+            SliceState::Returning { .. } => &None,
         };
         if self.releasing.is_some() {
             return Some(OrderKind::Release);
@@ -256,6 +262,9 @@
         if same_owner(&self.slice, slice) {
             next.fence_acknowledged = self.fence_acknowledged;
         }
+        if matches!(slice.state, SliceState::Returning { .. }) {
+            next.returning_since.get_or_insert(now);
+        }
         next
     }
 
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -127,6 +127,13 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         handover: Option<HandoverToken>,
     },
+    /// The back end has not answered the release. It may hold the keys until
+    /// its grant expires, but routers send it no more requests for them.
+    #[serde(skip)]
+    Returning {
+        /// The back end.
+        owner: Owner,
+    },
 }
 
 /// A back end that may hold keys.
@@ -209,7 +216,17 @@
     pub fn holder(&self) -> Option<&Owner> {
         match &self.state {
             SliceState::Unowned => None,
-            SliceState::Owned { owner, .. } => Some(owner),
+            SliceState::Owned { owner, .. } | SliceState::Returning { owner } => Some(owner),
+        }
+    }
+
+    /// Lets the back end keep keys that it was asked to release.
+    pub fn keep(&mut self) {
+        if let SliceState::Returning { owner } = &self.state {
+            self.state = SliceState::Owned {
+                owner: owner.clone(),
+                handover: None,
+            };
         }
     }
 
--- a/crates/coordination/src/slice_serde.rs
+++ b/crates/coordination/src/slice_serde.rs
@@ -4,7 +4,9 @@
 //! maximum size and links have limited bandwidth. A slice is therefore written
 //! as an array without field names: `[first, last, fence]` if it is unowned,
 //! otherwise `[first, last, fence, owner, address]`, optionally followed by a
-//! handover token. The longer form with field names is accepted as well.
+//! handover token. The longer form with field names is accepted as well. It is
+//! written for slices that their owner has not released yet, because routers
+//! of earlier versions accept additional fields in it.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -20,6 +22,19 @@
 
 impl Serialize for Slice {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if let SliceState::Returning { owner } = &self.state {
+            let state = SliceState::Owned {
+                owner: owner.clone(),
+                handover: None,
+            };
+            let named = NamedSlice {
+                range: self.range,
+                fence: self.fence,
+                state,
+                returning: true,
+            };
+            return named.serialize(serializer);
+        }
         let mut row = serializer.serialize_seq(None)?;
         row.serialize_element(&self.range.first)?;
         row.serialize_element(&self.range.last)?;
@@ -42,12 +57,14 @@
 }
 
 /// Slice in the form with field names.
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct NamedSlice {
     range: KeyRange,
     fence: Fence,
     state: SliceState,
+    #[serde(default)]
+    returning: bool,
 }
 
 struct SliceVisitor;
@@ -81,10 +98,14 @@
 
     fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Slice, A::Error> {
         let named = NamedSlice::deserialize(MapAccessDeserializer::new(map))?;
+        let state = match named.state {
+            SliceState::Owned { owner, .. } if named.returning => SliceState::Returning { owner },
+            state => state,
+        };
         Ok(Slice {
             range: named.range,
             fence: named.fence,
-            state: named.state,
+            state,
         })
     }
 }
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -23,7 +23,7 @@
 pub enum KeyOwner {
     /// This back end owns the key.
     Owned(BackEndName),
-    /// No back end owns the key.
+    /// No back end takes requests for the key.
     Unowned,
 }
 
@@ -34,7 +34,7 @@
             range: slice.range,
             fence: slice.fence,
             owner: match &slice.state {
-                SliceState::Unowned => KeyOwner::Unowned,
+                SliceState::Unowned | SliceState::Returning { .. } => KeyOwner::Unowned,
                 SliceState::Owned { owner, .. } => KeyOwner::Owned(owner.name.clone()),
             },
         });
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod checker;
 mod former_owners;
+mod late_grants;
 mod merged_grants;
 mod registrations;
 mod resignation;
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod pipelined;
 mod platform_names;
 mod process;
+mod record_slices;
 mod regions;
 mod relay;
 mod relay_records;
