coordination: simulate keys that move while back ends work on them

The simulation released keys without any work on them: an owner answered each release at once, so that nothing could show a key that is given on while its holder is at work.

The checker: no key is given in time to a back end while another one works on it and its lease, by grants that arrived in time, has not run out.

Existing scenarios and seeds draw the same random numbers as before. The two lists of probabilities in restarts.rs and schedules.rs name the new ones as zero; no check or bound of an existing test is changed.

--- a/crates/coordination/tests/simulation/back_end.rs
+++ b/crates/coordination/tests/simulation/back_end.rs
@@ -7,6 +7,8 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange};
 
+use super::work::Workload;
+
 /// Keys that a back end holds.
 #[derive(Clone, Copy, Debug)]
 pub struct Hold {
@@ -29,6 +31,8 @@
     /// Time until which it answers no order and executes late what it received.
     pub unresponsive_until: Timestamp,
     pub holds: Vec<Hold>,
+    /// Requests that it works on.
+    pub work: Workload,
     /// The highest fencing token seen for each range.
     fences: Vec<(KeyRange, Fence)>,
     /// Percentage by which its clock runs slow.
@@ -44,6 +48,7 @@
             unreachable_from: std::collections::BTreeSet::new(),
             unresponsive_until: Timestamp::ZERO,
             holds: Vec::new(),
+            work: Workload::default(),
             fences: Vec::new(),
             clock_drift_percent,
         }
@@ -56,11 +61,13 @@
 
     pub fn expire(&mut self, now: Timestamp) {
         self.holds.retain(|hold| hold.until > now);
+        self.work.expire(now);
     }
 
     pub fn crash(&mut self) {
         self.up = false;
         self.holds.clear();
+        self.work.clear();
     }
 
     fn highest_fence(&self, range: KeyRange) -> Fence {
@@ -81,11 +88,15 @@
                 }
                 self.remove(order.range);
                 self.fences.push((order.range, order.fence));
+                let until = now + with_clock_drift(grant.hold, self.clock_drift_percent);
                 self.holds.push(Hold {
                     range: order.range,
-                    until: now + with_clock_drift(grant.hold, self.clock_drift_percent),
+                    until,
                     late,
                 });
+                if !late {
+                    self.work.extend_lease(order.range, until);
+                }
                 OrderReply::Granted
             }
             OrderKind::Release => {
--- a/crates/coordination/tests/simulation/checker.rs
+++ b/crates/coordination/tests/simulation/checker.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 
 use threadledge_coordination::{Fence, Order, OrderKind};
+use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::back_end::{ModelBackEnd, overlap};
+use super::work::Work;
 
 /// Only every `STEP`-th key is checked.
 const STEP: usize = 64;
@@ -21,6 +23,14 @@
 pub enum Violation {
     /// Two running back ends hold the same keys.
     TwoHolders(BackEndName, BackEndName, KeyRange),
+    /// Keys were given to a back end while another one worked on one of them
+    /// and its lease had not run out.
+    GivenDuringWork {
+        to: BackEndName,
+        range: KeyRange,
+        from: BackEndName,
+        work: Work,
+    },
     /// A back end accepted keys under a fencing token that is not higher than
     /// all tokens under which others held them.
     FenceNotAbove(BackEndName, KeyRange, Fence, Fence),
@@ -52,6 +62,27 @@
         Ok(())
     }
 
+    /// Checks that nobody else works on keys that a back end accepted in time.
+    pub fn given<'a>(
+        now: Timestamp,
+        to: &BackEndName,
+        range: KeyRange,
+        back_ends: impl Iterator<Item = &'a ModelBackEnd>,
+    ) -> Result<(), Violation> {
+        let others = back_ends.filter(|back_end| back_end.up && back_end.entry.name != *to);
+        for other in others {
+            if let Some(work) = other.work.under_lease(now, range) {
+                return Err(Violation::GivenDuringWork {
+                    to: to.clone(),
+                    range,
+                    from: other.entry.name.clone(),
+                    work: *work,
+                });
+            }
+        }
+        Ok(())
+    }
+
     /// Checks what all back ends hold now.
     pub fn holders<'a>(back_ends: impl Iterator<Item = &'a ModelBackEnd>) -> Result<(), Violation> {
         let up: Vec<&ModelBackEnd> = back_ends.filter(|back_end| back_end.up).collect();
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 mod back_end;
 mod checker;
 mod former_owners;
+mod handovers;
 mod late_grants;
 mod merged_grants;
 mod registrations;
@@ -13,4 +14,5 @@
 mod schedules;
 mod stale_registrations;
 mod store;
+mod work;
 mod world;
--- a/crates/coordination/tests/simulation/restarts.rs
+++ b/crates/coordination/tests/simulation/restarts.rs
@@ -71,6 +71,7 @@
             order_late: 20,
             write_lost: 20,
             write_late: 0,
+            ..FaultChances::default()
         };
         for _ in 0..8 {
             let names: Vec<_> = world.registered.keys().cloned().collect();
--- a/crates/coordination/tests/simulation/schedules.rs
+++ b/crates/coordination/tests/simulation/schedules.rs
@@ -80,6 +80,7 @@
                 write_late: world.random(400),
                 order_lost: world.random(300),
                 order_late: world.random(300),
+                ..FaultChances::default()
             }
         }
         6 => world.chances = FaultChances::default(),
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -43,6 +43,8 @@
         threadledge_coordination::action::Condition,
     ),
     LateRecord(OwnershipRecord, threadledge_coordination::action::Condition),
+    /// An order reaches its back end before its caller has timed out.
+    DelayedOrder(usize, u64, Order, Timestamp),
     /// An order reaches its back end after its caller has timed out.
     LateOrder(Order),
     /// The watch of one process of a node reports the record.
@@ -68,6 +70,12 @@
     pub write_late: u32,
     pub order_lost: u32,
     pub order_late: u32,
+    /// An order is in transit for some of its timeout.
+    pub order_delayed: u32,
+    /// An order is executed and its connection ends without the answer.
+    pub answer_lost: u32,
+    /// A back end begins to work on a request, in each tick.
+    pub work: u32,
 }
 
 /// The simulated deployment and its virtual clock.
@@ -100,7 +108,21 @@
 
 impl World {
     pub fn new(seed: u64, nodes: usize, back_ends: usize) -> Self {
+        World::with_settings(seed, nodes, back_ends, Settings::default(), false)
+    }
+
+    /// Like [`World::new`], with back ends that can restart under their ids if
+    /// `restartable` is true.
+    pub fn with_settings(
+        seed: u64,
+        nodes: usize,
+        back_ends: usize,
+        settings: Settings,
+        restartable: bool,
+    ) -> Self {
         let mut world = World::without_back_ends(seed);
+        world.restartable = restartable;
+        world.settings = settings;
         world.start(nodes, back_ends);
         world
     }
@@ -108,9 +130,7 @@
     /// Like [`World::settled`], with back ends that can restart under their
     /// ids.
     pub fn settled_with_restarts(seed: u64) -> Self {
-        let mut world = World::without_back_ends(seed);
-        world.restartable = true;
-        world.start(3, 6);
+        let mut world = World::with_settings(seed, 3, 6, Settings::default(), true);
         let took = world.until_served(Duration::from_secs(5));
         assert!(took.is_some(), "not served after a start from nothing");
         world
@@ -166,6 +186,11 @@
         self.random(1_000) < thousandths
     }
 
+    /// Like [`World::chance`], without a random draw if the probability is zero.
+    fn chance_if_set(&mut self, thousandths: u32) -> bool {
+        thousandths > 0 && self.chance(thousandths)
+    }
+
     pub fn start_node(&mut self, index: usize) {
         let incarnation = self.nodes.get(index).map_or(1, |node| node.incarnation + 1);
         let me = NodeIdentity {
@@ -344,6 +369,9 @@
         let now = self.now;
         for back_end in self.back_ends.values_mut() {
             back_end.expire(now);
+            if self.chances.work > 0 && back_end.up {
+                back_end.begin_work(now, self.chances.work, &mut self.random);
+            }
         }
         if let Err(violation) = Checker::holders(self.back_ends.values()) {
             panic!("at {now:?}: {violation:?}; record {:?}", self.record.read());
@@ -524,8 +552,47 @@
             self.answer(index, timeout, failed);
             return;
         }
+        if self.chance_if_set(self.chances.order_delayed) {
+            let delay = timeout * self.random(1_000) / 1_000;
+            let incarnation = self.nodes[index].incarnation;
+            let end = now + timeout;
+            let event = Event::DelayedOrder(index, incarnation, order, end);
+            self.push(now + delay, event);
+            return;
+        }
+        self.answer_order(index, order, now + timeout);
+    }
+
+    /// Executes an order that arrives in time and schedules its result. A
+    /// release is answered once the work on its keys has ended. The sender
+    /// closes the connection at `end`.
+    fn answer_order(&mut self, index: usize, order: Order, end: Timestamp) {
+        let now = self.now;
+        let process = self.process_at(&order);
+        let left = end.since(now);
+        if process.is_none() {
+            let failed = Answer::Order(order, Err(OrderFault::NoAnswer));
+            self.answer(index, left, failed);
+            return;
+        }
         let reply = self.execute_order(&order, false);
-        self.answer(index, ORDER_DELAY, Answer::Order(order, Ok(reply)));
+        let mut took = ORDER_DELAY;
+        if let (Some(name), OrderReply::Released(_)) = (process, &reply) {
+            let work = &self.back_ends[&name].work;
+            took += work
+                .end(order.range)
+                .map_or(Duration::ZERO, |end| end.since(now));
+        }
+        if self.chance_if_set(self.chances.answer_lost) {
+            let after = took.min(left) * self.random(1_000) / 1_000;
+            let failed = Answer::Order(order, Err(OrderFault::NoAnswer));
+            self.answer(index, after, failed);
+        } else if took > left {
+            let failed = Answer::Order(order, Err(OrderFault::NoAnswer));
+            self.answer(index, left, failed);
+        } else {
+            self.answer(index, took, Answer::Order(order, Ok(reply)));
+        }
     }
 
     /// Returns the process that runs at the address of an order.
@@ -550,6 +617,13 @@
         if reply == OrderReply::Granted && !late {
             let checked = self.checker.granted(order);
             assert_eq!(checked, Ok(()), "at {now:?} by {order:?}");
+            let given = Checker::given(now, &target, order.range, self.back_ends.values());
+            assert_eq!(
+                given,
+                Ok(()),
+                "at {now:?} by {order:?}: {}",
+                self.diagnostics()
+            );
         }
         reply
     }
@@ -580,6 +654,11 @@
                 self.revision = revision;
             }
             Event::Observed(index, incarnation) => self.observed(index, incarnation),
+            Event::DelayedOrder(index, incarnation, order, end) => {
+                if self.nodes[index].incarnation == incarnation {
+                    self.answer_order(index, order, end);
+                }
+            }
             Event::LateOrder(order) => {
                 let up = self.back_ends.get(&order.to.name);
                 if up.is_some_and(|back_end| back_end.up) {
