types: readings of a path with its dots resolved before its slashes are merged

A path such as /a//..//b was judged by its own route and not refused, though a back end that resolves dots first and merges slashes afterwards reads it as /a/b, which may be another route's. docs/callers.md promises any combination.

Failed before: reading_that_leads_elsewhere_is_found (/a//..//b: ["/a//b", "/b"]).

--- a/crates/types/src/path_readings.rs
+++ b/crates/types/src/path_readings.rs
@@ -28,8 +28,9 @@
                 true => Cow::Owned(decoded.replace('\\', "/")),
                 false => Cow::Borrowed(decoded.as_str()),
             };
-            for merges in [false, true] {
-                let reading = resolve(&split, merges);
+            let resolved = resolve(&split, false);
+            let merged_after = merge_slashes(&resolved);
+            for reading in [resolve(&split, true), merged_after, resolved] {
                 if reading != path && !readings.contains(&reading) {
                     readings.push(reading);
                 }
@@ -73,6 +74,17 @@
     u8::try_from(digit(*high)? * 16 + digit(*low)?).ok()
 }
 
+/// Drops empty segments except the last.
+fn merge_slashes(path: &str) -> String {
+    let mut merged = String::with_capacity(path.len());
+    for part in path.split_inclusive('/') {
+        if part != "/" || !merged.ends_with('/') {
+            merged.push_str(part);
+        }
+    }
+    merged
+}
+
 /// Resolves `.` and `..`, and drops empty segments if `merges` is set.
 fn resolve(path: &str, merges: bool) -> String {
     let mut kept: Vec<&str> = Vec::new();
--- a/crates/types/tests/path_readings.rs
+++ b/crates/types/tests/path_readings.rs
@@ -20,6 +20,8 @@
         ("/a/.%2e/b", "/b"),
         ("/a//b", "/a/b"),
         ("//b/c", "/b/c"),
+        // Dots are resolved first, then slashes are merged.
+        ("/a//..//b", "/a/b"),
         ("/a%2Fb", "/a/b"),
         ("/a/..%2fb", "/b"),
         ("/a/..%5Cb", "/b"),
