gateway: signals in the answer to another request are not taken

What callers saw: 503 for requests to a back end that was well. A back end that answers a request twice, or under the id of another, may state in that answer that it leaves, asks for rest or has a limit. The answer itself was refused by its id, but its signals had been taken in before: the back end counted as leaving, and its callers were refused.

Cause: Attempts::read_response told the dispatcher of the signals before it compared the id of the request.

Ruled out: the answers to orders carry the same header in the stand-in, but their signals are read nowhere.

Why it works: nothing of the head is used before the id is known to be that of the request. The order holds for answers that another gateway forwarded as well, since they pass the same place.

--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -138,14 +138,14 @@
         let head = self
             .header_codec
             .read_response(status, response.as_ref(), &attempt.back_end);
-        self.dispatch
-            .on_response_head(exchange, attempt.id, &head.signals);
         // Invariant: no caller gets the response to another caller's request.
         // HTTP/1.1 pairs requests and responses only by their order; the
         // request id reveals a wrong pair.
         if head.request_id.is_some() && head.request_id != outbound.request_id {
             return AttemptResult::failed(Fault::BadAnswer);
         }
+        self.dispatch
+            .on_response_head(exchange, attempt.id, &head.signals);
         if let Some(reason) = head.not_run {
             self.usage.record_back_end_response(attempt, response.len());
             drain_available(response.take_body_keeping_headers());
--- a/crates/router/tests/gateway/repeated_answers.rs
+++ b/crates/router/tests/gateway/repeated_answers.rs
@@ -116,6 +116,17 @@
     assert_eq!(world.runs_of("forwarded"), 1);
 }
 
+#[test]
+fn signals_in_the_answer_to_another_request_are_not_taken_for_current_ones() {
+    let world = World::start();
+    world.owner.set_leaving(true);
+    world.owner.set_behaviour(Behaviour::WrongRequestId);
+    assert_eq!(keyed("first").send(&world.gateway).status(), 502);
+    world.owner.set_leaving(false);
+    world.owner.set_behaviour(Behaviour::Healthy);
+    assert_eq!(keyed("second").send(&world.gateway).status(), 200);
+}
+
 /// Sends a request as another gateway forwards it and returns the status.
 fn forward(world: &World, id: &str) -> u16 {
     let client = HttpClient::default();
