pool: a response without an id answers the only request of its connection

What callers saw: 503 for requests that ran (REFUSED), requests that must not be repeated run twice (TWICE), and rejections meant for others, where a back end answers twice and leaves X-Request-Id out of its rejections.

Cause: the check of the id let an answer without one pass as the answer to anything (head.request_id.is_some() && ...). On a kept connection such an answer may be the second one to any earlier request.

Change: the pool judges each response head before anything of it is used. A response that names another request, or none on a connection that carried others, ends the exchange as one that may have run. On a new connection it can only be that of its request; the connection is closed after it, since a second copy could not be told apart later. A request without an id gets a connection of its own, and so do probes of a process, whose answers have no id: a second answer of a request no longer counts as a sign of life there. The connection of a refused answer without a body is no longer given back to the pool ahead of the check, which cost the next request there a 502 too.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,7 +29,7 @@
 pub use json_lines::JsonLines;
 pub use pool::{
     ConnectionChoice, ExchangeError, ExchangeFault, HeldConnection, Pool, PoolSettings,
-    PooledConnection, RequestIdentity, Stage, UnframedBodies,
+    PooledConnection, RequestIdentity, ResponseIds, Stage, UnframedBodies, Unpaired,
 };
 pub use server::{ConcurrentHandler, ConnectionInfo, Handler, ServeReport, ServerLimits, serve};
 pub use stop::StopSignal;
--- a/crates/net/src/pool/address_table.rs
+++ b/crates/net/src/pool/address_table.rs
@@ -12,6 +12,10 @@
 use crate::Instant;
 use crate::buffered_stream::BufferedStream;
 
+/// Time after a response without an id for which no connection to its peer is
+/// reused, so that a further one answers the only request of its connection.
+const NAMELESS_CAUTION: Duration = Duration::from_secs(60);
+
 /// State of all addresses of one pool.
 #[derive(Debug)]
 pub(super) struct AddressTable {
@@ -37,6 +41,9 @@
     /// Connections idle since this time or earlier are suspect, because a
     /// connection that had been idle as long turned out to be dead.
     suspect_until: Option<Instant>,
+    /// Time of the latest response that did not name its request although it
+    /// had to.
+    nameless_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -62,9 +69,21 @@
 pub(super) struct Slot {
     addresses: Weak<AddressTable>,
     address: SocketAddr,
-    /// Requests that the connection has carried, with the one that it is
-    /// reserved for.
-    carried: CarriedRequests,
+    /// Requests that the connection has carried before.
+    pub(super) earlier: CarriedRequests,
+    /// Request that the connection is reserved for; `None` if it has no id.
+    pub(super) request: Option<RequestIdentity>,
+}
+
+/// Which idle connections a demand accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Any.
+    Any,
+    /// Those that have not lately carried this request.
+    Without(RequestIdentity),
+    /// None.
+    Never,
 }
 
 /// What a connection is reserved for.
@@ -73,8 +92,7 @@
     pub(super) address: SocketAddr,
     /// New connection limit of the address; `None` leaves it as it is.
     pub(super) limit: Option<usize>,
-    /// The request to send; `None` if its connection does not matter.
-    pub(super) request: Option<RequestIdentity>,
+    pub(super) reuse: Reuse,
 }
 
 /// Tracks an exchange on a reused connection on which nothing has been received
@@ -110,6 +128,7 @@
                 return;
             };
             entry.limit = None;
+            entry.nameless_at = None;
             let closed = std::mem::take(&mut entry.idle);
             remove_if_unused(&mut by_address, address);
             closed
@@ -117,6 +136,18 @@
         closed.into_iter().for_each(IdleConnection::close);
     }
 
+    /// Records a response that did not name its request although it had to.
+    pub(super) fn on_nameless(&self, address: SocketAddr) {
+        let mut by_address = self.by_address.lock();
+        let Some(entry) = by_address.get_mut(&address) else {
+            return;
+        };
+        entry.nameless_at = Some(Instant::now());
+        let closed = std::mem::take(&mut entry.idle);
+        drop(by_address);
+        closed.into_iter().for_each(IdleConnection::close);
+    }
+
     /// Returns the numbers of connections in use and idle.
     pub(super) fn open_connections(&self, address: SocketAddr) -> (usize, usize) {
         let by_address = self.by_address.lock();
@@ -141,7 +172,7 @@
         let limit = entry.limit.unwrap_or(self.default_limit);
         let is_fresh =
             |idle: &IdleConnection| expired_before.is_none_or(|before| idle.since > before);
-        let idle = entry.take_idle(demand.request);
+        let idle = entry.take_idle(demand.reuse);
         let has_room = entry.in_use + entry.idle.len() < limit;
         let replaced = match idle.is_none() && !has_room {
             true if entry.idle.is_empty() => return Reservation::Full,
@@ -159,8 +190,8 @@
             Some(_) | None => (None, CarriedRequests::default()),
         };
         let mut slot = self.slot(demand.address, carried);
-        if let Some(request) = demand.request {
-            slot.carried.add(request);
+        if let Reuse::Without(request) = demand.reuse {
+            slot.request = Some(request);
         }
         match idle {
             Some(buffered) => Reservation::Idle(slot, buffered),
@@ -180,11 +211,12 @@
         Some(self.slot(address, CarriedRequests::default()))
     }
 
-    fn slot(self: &Arc<Self>, address: SocketAddr, carried: CarriedRequests) -> Slot {
+    fn slot(self: &Arc<Self>, address: SocketAddr, earlier: CarriedRequests) -> Slot {
         Slot {
             addresses: Arc::downgrade(self),
             address,
-            carried,
+            earlier,
+            request: None,
         }
     }
 
@@ -209,19 +241,24 @@
     /// task that closes expired connections.
     pub(super) fn check_in(&self, mut slot: Slot, mut buffered: BufferedStream) -> bool {
         buffered.shrink();
-        let carried = std::mem::take(&mut slot.carried);
+        let mut carried = std::mem::take(&mut slot.earlier);
+        if let Some(request) = slot.request {
+            carried.add(request);
+        }
         {
             let mut by_address = self.by_address.lock();
             let entry = by_address.entry(slot.address).or_default();
             let limit = entry.limit.unwrap_or(self.default_limit);
+            let idle = IdleConnection {
+                buffered,
+                since: Instant::now(),
+                carried,
+            };
             // The limit may have been lowered in the meantime.
-            if entry.in_use + entry.idle.len() <= limit {
-                let since = Instant::now();
-                entry.idle.push(IdleConnection {
-                    buffered,
-                    since,
-                    carried,
-                });
+            if entry.in_use + entry.idle.len() <= limit && !entry.is_nameless() {
+                entry.idle.push(idle);
+            } else {
+                idle.close();
             }
         }
         drop(slot);
@@ -268,14 +305,24 @@
             && self.idle.is_empty()
             && self.limit.is_none()
             && self.awaiting_response.is_empty()
+            && !self.is_nameless()
+    }
+
+    /// Whether the peer has lately omitted the id in a response.
+    fn is_nameless(&self) -> bool {
+        self.nameless_at
+            .is_some_and(|at| at.elapsed() < NAMELESS_CAUTION)
     }
 
-    /// Removes and returns the most recently used idle connection that has not
-    /// carried the request.
-    fn take_idle(&mut self, request: Option<RequestIdentity>) -> Option<IdleConnection> {
-        let has_carried =
-            |idle: &IdleConnection| request.is_some_and(|request| idle.carried.contains(request));
-        let position = self.idle.iter().rposition(|idle| !has_carried(idle))?;
+    /// Removes and returns the most recently used idle connection that the
+    /// demand accepts.
+    fn take_idle(&mut self, reuse: Reuse) -> Option<IdleConnection> {
+        let is_accepted = |idle: &IdleConnection| match reuse {
+            Reuse::Any => true,
+            Reuse::Without(request) => !idle.carried.contains(request),
+            Reuse::Never => false,
+        };
+        let position = self.idle.iter().rposition(is_accepted)?;
         Some(self.idle.remove(position))
     }
 
--- a/crates/net/src/pool/carried.rs
+++ b/crates/net/src/pool/carried.rs
@@ -23,13 +23,17 @@
 }
 
 /// The last requests that a connection has carried.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct CarriedRequests {
     /// The last one is the latest.
     recent: VecDeque<RequestIdentity>,
 }
 
 impl CarriedRequests {
+    pub(super) fn is_empty(&self) -> bool {
+        self.recent.is_empty()
+    }
+
     pub(super) fn contains(&self, request: RequestIdentity) -> bool {
         self.recent.contains(&request)
     }
--- a/crates/net/src/pool/connection.rs
+++ b/crates/net/src/pool/connection.rs
@@ -9,6 +9,7 @@
 use super::error::{ExchangeError, ExchangeFault, Stage};
 use super::exchange::Exchange;
 use super::held::HeldConnection;
+use super::pairing::Pairing;
 use crate::Instant;
 use crate::body::BodyDeadline;
 use crate::buffered_stream::BufferedStream;
@@ -115,10 +116,18 @@
         };
         let addresses = &self.pool.addresses;
         let reuse = self.reused.then(|| addresses.watch_reuse(address));
-        let mut exchange = Exchange::new(request, buffered, &self.pool.settings);
+        let pairing = Pairing {
+            ids: self.pool.settings.response_ids,
+            request: slot.request,
+            earlier: slot.earlier.clone(),
+        };
+        let mut exchange = Exchange::new(request, buffered, pairing, &self.pool.settings);
         // Until the response is complete, either this future or the body owns
         // the slot: dropping it frees the slot and closes the connection.
         let ended = timer::timeout_at(deadline, exchange.run()).await;
+        if exchange.is_nameless() {
+            addresses.on_nameless(address);
+        }
         let silent = ended.is_err() && exchange.stage() <= Stage::Sent;
         if let Some(reuse) = reuse.filter(|_| !silent) {
             reuse.activity_seen();
--- a/crates/net/src/pool/error.rs
+++ b/crates/net/src/pool/error.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::pairing::Unpaired;
+
 /// Progress of an exchange at the time it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Stage {
@@ -47,6 +49,9 @@
     /// The response violates HTTP/1.1 or a limit.
     #[error("the answer is malformed ({0}); mend the peer")]
     Malformed(String),
+    /// The response cannot be told from that of another request.
+    #[error("the answer is not that of the request ({0}); see why the peer answers twice")]
+    Unpaired(#[from] Unpaired),
 }
 
 /// A failed exchange.
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -7,6 +7,7 @@
 use http_types::{Body, Method, Request, Response};
 
 use super::error::{ExchangeFault, Stage};
+use super::pairing::{Pairing, Unpaired, Verdict};
 use super::request_encoder::RequestEncoder;
 use super::response::{self, ResponseHead};
 use super::{PoolSettings, UnframedBodies};
@@ -34,19 +35,29 @@
     whole_request_sent: bool,
     send_fault: Option<SendFault>,
     buffered: BufferedStream,
+    pairing: Pairing,
+    /// Whether the response named no request although it had to.
+    nameless: bool,
     max_head_bytes: usize,
     unframed_bodies: UnframedBodies,
     stage: Stage,
 }
 
 impl Exchange {
-    pub(super) fn new(request: Request, buffered: BufferedStream, settings: &PoolSettings) -> Self {
+    pub(super) fn new(
+        request: Request,
+        buffered: BufferedStream,
+        pairing: Pairing,
+        settings: &PoolSettings,
+    ) -> Self {
         Exchange {
             method: request.method(),
             writer: MessageWriter::new(RequestEncoder::new(request)),
             whole_request_sent: false,
             send_fault: None,
             buffered,
+            pairing,
+            nameless: false,
             max_head_bytes: settings.max_head_bytes,
             unframed_bodies: settings.unframed_bodies,
             stage: Stage::NothingSent,
@@ -58,18 +69,39 @@
         self.stage
     }
 
+    /// Whether the response named no request although it had to.
+    pub(super) fn is_nameless(&self) -> bool {
+        self.nameless
+    }
+
     /// Sends the request and reads the response head. A response that arrives
     /// before the whole request was sent ends the sending.
+    ///
+    /// Invariant: a response is passed on only if it names the request, or if
+    /// nothing else was sent on the connection.
     pub(super) async fn run(&mut self) -> Result<ResponseHead, ExchangeFault> {
         for _ in 0..=MAX_INTERIM {
             let mut search = HeadSearch::default();
             let length = poll_fn(|context| self.poll_head(&mut search, context)).await?;
-            let head = self.buffered.unread();
-            let head = response::parse(&head[..length], self.method, self.unframed_bodies)?;
-            self.buffered.consume(length);
-            if !head.is_interim() {
-                return Ok(head);
+            let bytes = &self.buffered.unread()[..length];
+            let mut head = response::parse(bytes, self.method, self.unframed_bodies)?;
+            if head.is_interim() {
+                self.buffered.consume(length);
+                continue;
             }
+            match self.pairing.judge(&head.response) {
+                Verdict::Due => {}
+                Verdict::DueWithoutId => {
+                    self.nameless = self.pairing.request.is_some();
+                    head.closes = true;
+                }
+                Verdict::Unpaired(unpaired) => {
+                    self.nameless = unpaired == Unpaired::NoRequest;
+                    return Err(unpaired.into());
+                }
+            }
+            self.buffered.consume(length);
+            return Ok(head);
         }
         let detail = "more interim responses than allowed";
         Err(ExchangeFault::Malformed(detail.to_owned()))
--- a/crates/net/src/pool/mod.rs
+++ b/crates/net/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod error;
 mod exchange;
 mod held;
+mod pairing;
 mod request_encoder;
 mod response;
 mod socket;
@@ -27,12 +28,13 @@
 use crate::buffered_stream::BufferedStream;
 use crate::head::MAX_HEAD_BYTES;
 use crate::timer;
-use address_table::{AddressTable, Demand, Reservation, Slot};
+use address_table::{AddressTable, Demand, Reservation, Reuse, Slot};
 
 pub use carried::RequestIdentity;
 pub use connection::PooledConnection;
 pub use error::{ExchangeError, ExchangeFault, Stage};
 pub use held::{ConnectionChoice, HeldConnection};
+pub use pairing::{ResponseIds, Unpaired};
 
 /// Settings of a [`Pool`].
 #[derive(Clone, Debug)]
@@ -51,6 +53,9 @@
     pub max_body_bytes: u64,
     /// How to treat a response that does not announce where its body ends.
     pub unframed_bodies: UnframedBodies,
+    /// How responses name the request that they answer. If they must, a request
+    /// without an id always uses a new connection.
+    pub response_ids: ResponseIds,
     /// Time after which a silent peer is detected, even while nothing is sent:
     /// the kernel sends keepalive probes. `None` keeps the defaults of the
     /// kernel, which are hours.
@@ -84,6 +89,7 @@
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: 64 * 1024 * 1024,
             unframed_bodies: UnframedBodies::default(),
+            response_ids: ResponseIds::default(),
             dead_peer_timeout: None,
             suspect_idle_after: None,
         }
@@ -216,6 +222,7 @@
     /// Invariant: no connection that has lately carried `request` is checked
     /// out for it again. A peer may repeat the response to an earlier copy of
     /// the request, and only the connection tells it from the one that is due.
+    /// Nothing tells the responses to requests without an id apart.
     pub async fn checkout_for(
         &self,
         address: SocketAddr,
@@ -223,10 +230,15 @@
         limit: Option<usize>,
         deadline: Instant,
     ) -> Result<PooledConnection, ExchangeError> {
+        let reuse = match request {
+            Some(request) => Reuse::Without(request),
+            None if self.settings.response_ids.are_required() => Reuse::Never,
+            None => Reuse::Any,
+        };
         let demand = Demand {
             address,
             limit,
-            request,
+            reuse,
         };
         let (reused, slot, buffered) = match self.reserve_connection(demand)? {
             (slot, Some(buffered)) => (true, slot, buffered),
--- a/crates/ports/src/header_codec.rs
+++ b/crates/ports/src/header_codec.rs
@@ -39,6 +39,10 @@
 /// Reads and writes the headers that gateways exchange with callers and back
 /// ends.
 pub trait HeaderCodec: Send + Sync {
+    /// Name of the header with the id of a request, in requests and in the
+    /// responses to them.
+    fn request_id_header(&self) -> &'static str;
+
     /// Reads the headers of a caller's request.
     fn read_request(&self, headers: &Headers) -> RequestMetadata;
 
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -213,6 +213,9 @@
     OrderAnswerDoubtful = 333, "order-answer-doubtful", Warn,
         "An answer to an order came on a connection that had carried earlier orders, and cannot be told from a second answer to one of them; the connection is closed and the order is sent again on a new one. The line has the order and what the answer says.",
         "None, unless it repeats: then check whether the back end answers orders twice.";
+    AnswerUnpaired = 334, "answer-unpaired", Warn,
+        "An answer of a back end cannot be told from that to another request: it names another one, or none on a connection that had carried others before. The connection is closed, and the request counts as one that may have run. The line has the back end and the reason.",
+        "None, unless it repeats: then check whether the back end answers requests twice, and whether it repeats the id of the request in each answer.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway/links/link.rs
+++ b/crates/router/src/gateway/links/link.rs
@@ -10,6 +10,7 @@
 use threadledge_paths::Evidence;
 
 use super::{BackEndLinks, Target};
+use crate::events::{EventId, emit};
 
 /// A connection on which nothing has been sent yet.
 #[derive(Debug)]
@@ -77,7 +78,16 @@
                 links.with_direct(|paths, now| paths.on_answer(now, address));
                 Ok(response)
             }
-            Err(error) => Err(fault_from_error(&error)),
+            Err(error) => {
+                if let ExchangeFault::Unpaired(reason) = error.fault {
+                    emit!(
+                        EventId::AnswerUnpaired,
+                        back_end = %target.name,
+                        reason = %reason,
+                    );
+                }
+                Err(fault_from_error(&error))
+            }
         }
     }
 }
@@ -102,7 +112,7 @@
         (Stage::NothingSent, _) => Fault::NothingSent,
         (_, ExchangeFault::RequestBody(_)) => Fault::CallerBroke,
         (_, ExchangeFault::DeadlinePassed) => Fault::TimedOut,
-        (_, ExchangeFault::Malformed(_)) => Fault::BadAnswer,
+        (_, ExchangeFault::Malformed(_) | ExchangeFault::Unpaired(_)) => Fault::BadAnswer,
         (Stage::ResponseHead | Stage::ResponseBody, _) => Fault::BadAnswer,
         _ => Fault::Broken,
     }
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -15,8 +15,8 @@
 use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
 use threadledge_net::{
-    ConcurrentHandler, ConnectionInfo, Instant, Pool, PoolSettings, ServerLimits, StopSignal,
-    UnframedBodies, serve, timer,
+    ConcurrentHandler, ConnectionInfo, Instant, Pool, PoolSettings, ResponseIds, ServerLimits,
+    StopSignal, UnframedBodies, serve, timer,
 };
 use threadledge_ports::{GrantTransport, Ports};
 use threadledge_types::deployment::ServiceName;
@@ -188,6 +188,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: BACK_END_IDLE_TIMEOUT,
             unframed_bodies: UnframedBodies::ReadUntilClose,
+            response_ids: ResponseIds::Required(ports.header_codec.request_id_header()),
             suspect_idle_after: Some(BACK_END_SUSPECT_AFTER),
             ..PoolSettings::default()
         });
--- a/crates/router/src/proxy/attempt.rs
+++ b/crates/router/src/proxy/attempt.rs
@@ -92,7 +92,9 @@
         (Stage::ConnectFailed, ExchangeFault::NoConnectionFree) => AttemptEvent::SentNothing,
         (Stage::ConnectFailed, _) => AttemptEvent::ConnectFailed,
         (Stage::NothingSent, _) => AttemptEvent::SentNothing,
-        (_, ExchangeFault::Malformed(_)) => AttemptEvent::Failed(AttemptFailure::BadAnswer),
+        (_, ExchangeFault::Malformed(_) | ExchangeFault::Unpaired(_)) => {
+            AttemptEvent::Failed(AttemptFailure::BadAnswer)
+        }
         (Stage::ResponseHead | Stage::ResponseBody, ExchangeFault::Truncated) => {
             AttemptEvent::Failed(AttemptFailure::BadAnswer)
         }
--- a/crates/router/src/proxy/settings.rs
+++ b/crates/router/src/proxy/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the proxy.
 
-use threadledge_net::{PoolSettings, ServerLimits};
+use threadledge_net::{PoolSettings, ResponseIds, ServerLimits};
+use threadledge_types::session::REQUEST_ID_HEADER;
 
 use crate::settings::Limits;
 
@@ -43,7 +44,10 @@
     pub fn with_seed(seed: u64) -> Self {
         ProxySettings {
             server: ServerLimits::default(),
-            pool: PoolSettings::default(),
+            pool: PoolSettings {
+                response_ids: ResponseIds::Optional(REQUEST_ID_HEADER),
+                ..PoolSettings::default()
+            },
             routing: threadledge_routing::Settings::default(),
             max_buffered_request: DEFAULT_BUFFERED_REQUEST,
             max_buffered_response: DEFAULT_BUFFERED_RESPONSE,
--- a/crates/router/tests/gateway/repeated_answers.rs
+++ b/crates/router/tests/gateway/repeated_answers.rs
@@ -9,7 +9,7 @@
 use threadledge_platform_stand_in::{Behaviour, StandInBackEnd, StandInStore, configuration};
 
 use super::process::{Gateway, TIMEOUT, TestRequest, eventually};
-use super::repeating_proxy::RepeatingProxy;
+use super::repeating_proxy::{RejectionIds, RepeatingProxy};
 
 /// Requests sent one after the other.
 const REQUESTS: usize = 8;
@@ -31,10 +31,10 @@
 }
 
 impl World {
-    fn start() -> World {
+    fn start(ids: RejectionIds) -> World {
         let store = block_on(StandInStore::start()).expect("a store");
         let owner = block_on(StandInBackEnd::start("k-1", true)).expect("a back end");
-        let path = block_on(RepeatingProxy::start(owner.address()));
+        let path = block_on(RepeatingProxy::start(owner.address(), ids));
         let registration = owner.registration_at(path.address, "zone-a", "keyed", "ready");
         store.put("servers", &owner.id, registration);
         let mut wanted = configuration(1);
@@ -79,11 +79,9 @@
     }
 }
 
-#[test]
-fn repeated_rejection_is_never_taken_for_the_answer_to_the_next_attempt() {
-    let world = World::start();
-    let seen = world.send_rejected_once();
-    for (status, runs) in &seen {
+/// Checks the status and the number of runs of each request.
+fn assert_true_statuses(seen: &[(u16, usize)]) {
+    for (status, runs) in seen {
         match status {
             200 => assert_eq!(*runs, 1, "{seen:?}"),
             503 => assert_eq!(*runs, 0, "{seen:?}"),
@@ -93,9 +91,21 @@
     assert!(seen.contains(&(200, 1)), "{seen:?}");
 }
 
+#[test]
+fn repeated_rejection_is_never_taken_for_the_answer_to_the_next_attempt() {
+    let world = World::start(RejectionIds::Kept);
+    assert_true_statuses(&world.send_rejected_once());
+}
+
+#[test]
+fn repeated_rejection_without_an_id_is_never_taken_for_the_answer_to_another_request() {
+    let world = World::start(RejectionIds::Omitted);
+    assert_true_statuses(&world.send_rejected_once());
+}
+
 #[test]
 fn repeated_rejection_is_never_taken_for_the_answer_to_a_request_with_the_same_id() {
-    let world = World::start();
+    let world = World::start(RejectionIds::Kept);
     world.owner.set_behaviour(Behaviour::Full);
     let request = TestRequest {
         deadline_ms: 300,
@@ -109,7 +119,7 @@
 
 #[test]
 fn repeated_rejection_is_never_passed_on_to_the_gateway_that_forwarded_the_next_attempt() {
-    let world = World::start();
+    let world = World::start(RejectionIds::Kept);
     world.owner.reject_next(FULL);
     assert_eq!(forward(&world, "forwarded"), 503);
     assert_eq!(forward(&world, "forwarded"), 200);
@@ -118,7 +128,7 @@
 
 #[test]
 fn signals_in_the_answer_to_another_request_are_not_taken_for_current_ones() {
-    let world = World::start();
+    let world = World::start(RejectionIds::Kept);
     world.owner.set_leaving(true);
     world.owner.set_behaviour(Behaviour::WrongRequestId);
     assert_eq!(keyed("first").send(&world.gateway).status(), 502);
--- a/crates/router/tests/gateway/repeating_proxy.rs
+++ b/crates/router/tests/gateway/repeating_proxy.rs
@@ -12,15 +12,22 @@
     pub address: SocketAddr,
 }
 
+/// Whether rejections name the request that they answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum RejectionIds {
+    Kept,
+    Omitted,
+}
+
 impl RepeatingProxy {
-    pub async fn start(back_end: SocketAddr) -> RepeatingProxy {
+    pub async fn start(back_end: SocketAddr, ids: RejectionIds) -> RepeatingProxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         task::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 task::spawn(async move {
                     // The end of either side ends the connection.
-                    let _ = relay(caller, back_end).await;
+                    let _ = relay(caller, back_end, ids).await;
                 });
             }
         });
@@ -29,7 +36,11 @@
 }
 
 /// Passes on one request after the other with its response.
-async fn relay(mut caller: TcpStream, back_end: SocketAddr) -> std::io::Result<()> {
+async fn relay(
+    mut caller: TcpStream,
+    back_end: SocketAddr,
+    ids: RejectionIds,
+) -> std::io::Result<()> {
     let mut back_end = TcpStream::connect(back_end).await?;
     let mut late: Option<Vec<u8>> = None;
     loop {
@@ -38,8 +49,11 @@
         if let Some(copy) = late.take() {
             caller.write_all(&copy).await?;
         }
-        let response = read_message(&mut back_end).await?;
+        let mut response = read_message(&mut back_end).await?;
         let is_rejection = has_header(&response, "x-not-executed");
+        if is_rejection && ids == RejectionIds::Omitted {
+            response = without_id(&response);
+        }
         caller.write_all(&response).await?;
         late = is_rejection.then_some(response);
     }
@@ -69,6 +83,14 @@
     text.lines().any(|line| is_header(line, name))
 }
 
+/// Removes the header with the id of the request.
+fn without_id(message: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8(message.to_vec()).expect("ASCII");
+    let lines = text.split_inclusive("\r\n");
+    let kept = lines.filter(|line| !is_header(&line.to_ascii_lowercase(), "x-request-id"));
+    kept.collect::<String>().into_bytes()
+}
+
 fn is_header(line: &str, name: &str) -> bool {
     let rest = line.strip_prefix(name);
     rest.is_some_and(|rest| rest.starts_with(':'))
