pool: an answer that begins within the head of another is refused

What callers would see: the status or the rejection of one answer with the rest of another, as "503, not run" for a request that ran.

Cause: a back end that cuts an answer short within its head and goes on with the next one on the same connection makes one head of two: "HTTP/1.1 503 ..." from the first, the id of the request from the second. The parser takes the second status line for a reason phrase or for part of a header's value.

Evidence: found while cutting a repeated answer at each of its bytes. a_response_that_begins_within_the_head_of_another_is_refused fails without the check (Ok with status 503 for an answer that was 200), passes with it.

Why it works: whatever is cut, the answer after it brings its status line, and no head that holds a second one is parsed.

--- a/crates/net/src/pool/response.rs
+++ b/crates/net/src/pool/response.rs
@@ -9,6 +9,9 @@
 use crate::framing::BodyDecoder;
 use crate::head::{self, HeadBytes};
 
+/// Start of a status line; each zero stands for a digit.
+const STATUS_LINE_START: &[u8] = b"HTTP/0.0 000";
+
 /// A parsed and checked response head.
 #[derive(Debug)]
 pub(super) struct ResponseHead {
@@ -36,6 +39,9 @@
     unframed_bodies: UnframedBodies,
 ) -> Result<ResponseHead, ExchangeFault> {
     head::check_bytes(head).map_err(malformed)?;
+    if has_second_status_line(head) {
+        return Err(malformed("another answer begins within the head"));
+    }
     // All bytes are available, so decoding never waits.
     let mut response = async_h1::client::decode(HeadBytes::new(head))
         .now_or_never()
@@ -71,6 +77,23 @@
     })
 }
 
+/// Whether a second response begins within a head, because the peer cut the
+/// first one short. The status of one would be taken for that of the other.
+fn has_second_status_line(head: &[u8]) -> bool {
+    let rest = head.get(1..).unwrap_or_default();
+    rest.windows(STATUS_LINE_START.len())
+        .any(is_status_line_start)
+}
+
+/// Whether bytes are a version of HTTP/1 and a status, which begin a response.
+fn is_status_line_start(bytes: &[u8]) -> bool {
+    let mut pairs = bytes.iter().zip(STATUS_LINE_START);
+    pairs.all(|(byte, expected)| match expected {
+        b'0' => byte.is_ascii_digit(),
+        expected => byte == expected,
+    })
+}
+
 fn has_no_body(status: StatusCode) -> bool {
     status.is_informational()
         || status == StatusCode::NoContent
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -229,6 +229,22 @@
     }
 }
 
+#[async_std::test]
+async fn a_response_that_begins_within_the_head_of_another_is_refused() {
+    let first = "HTTP/1.1 503 Service Unavailable\r\nx-first: 1\r\ncontent-length: 0\r\n\r\n";
+    let second = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    // At the end of the head the first response is whole.
+    for cut in 1..first.len() {
+        let response: &'static str = (first[..cut].to_owned() + second).leak();
+        let (address, _accepted) = peer(response, true).await;
+        let fault = exchange(&pool(), address).await.unwrap_err().fault;
+        assert!(
+            matches!(fault, ExchangeFault::Malformed(_)),
+            "{cut}: {fault}"
+        );
+    }
+}
+
 #[async_std::test]
 async fn a_head_above_the_limit_is_refused() {
     let address = peer_with_script(vec![
