Ownership: a release answered while a grant is in transit is sent again

What callers see: two back ends hold the same keys (OWNER), where processes restart under the id of the one before them. Not possible where each process has an id of its own, as on the users' platform.

The new process knows no fence and takes the old grant; the keys have been given on.

Change: for an owner that may restart under its id, the answer to a release counts only if no grant could still arrive when the release was sent; else the release is sent again, until one is sent after the last such grant has ended.

Ruled out: an overdue release that is matched to a later move; a clock; a coordinator that takes over (node 0 leads all the time).

Why it works: once the last grant has ended, a process that starts later can't get one, and the one that answers the release then refuses earlier ones.

--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -29,6 +29,10 @@
     /// `Some` once the owner has released the keys, with the handover token if
     /// there is one.
     pub(super) released: Option<Option<HandoverToken>>,
+    /// Handover token of a release that was answered but proves nothing yet.
+    handover: Option<HandoverToken>,
+    /// True if a grant could still arrive when the release in flight was sent.
+    grants_open_at_release: bool,
     /// Time since which the record asks routers to send the owner no more
     /// requests for these keys.
     pub(super) returning_since: Option<Timestamp>,
@@ -61,6 +65,8 @@
             release_began: Timestamp::ZERO,
             end_reported: false,
             released: None,
+            handover: None,
+            grants_open_at_release: false,
             returning_since: None,
             in_flight: None,
             connection: OrderConnection::default(),
@@ -159,8 +165,9 @@
     /// `until` at the latest.
     pub(super) fn sent(&mut self, id: OrderId, kind: &OrderKind, until: Timestamp) {
         self.in_flight = Some(id);
-        if let OrderKind::Grant(_) = kind {
-            self.arrivals.sent(id, until);
+        match kind {
+            OrderKind::Grant(_) => self.arrivals.sent(id, until),
+            OrderKind::Release => self.grants_open_at_release = self.arrivals.any_open(),
         }
     }
 
@@ -231,7 +238,12 @@
             }
             Ok(OrderReply::Released(handover)) => {
                 self.fence_acknowledged = true;
-                self.released = Some(handover.clone());
+                self.handover = handover.clone().or(self.handover.take());
+                if self.release_is_certain() {
+                    self.released = Some(self.handover.take());
+                } else {
+                    self.next_order_at = now + settings.retry_delay;
+                }
             }
             Ok(OrderReply::Fenced) => {
                 self.fenced = true;
@@ -245,6 +257,15 @@
         }
     }
 
+    /// Returns whether an answer to the release in flight proves that nobody
+    /// holds the keys. The process that answered refuses earlier grants from
+    /// then on, but one that is started after it under the same id does not know
+    /// the fencing token, and would take a grant that arrives late.
+    fn release_is_certain(&self) -> bool {
+        let may_restart = self.owner().is_some_and(|owner| owner.name.may_restart());
+        !(may_restart && self.grants_open_at_release)
+    }
+
     /// Returns the state of this range as part of `slice`, a slice of a later
     /// record.
     fn carried_over(&self, now: Timestamp, slice: &Slice) -> TrackedRange {
--- a/crates/coordination/tests/release_ends.rs
+++ b/crates/coordination/tests/release_ends.rs
@@ -6,8 +6,8 @@
 use threadledge_coordination::action::{ReadResult, ReleaseEnd, Versioned, WriteResult};
 use threadledge_coordination::ownership::{Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner, OwnershipRecord,
-    Settings, Slice, SliceState, Term,
+    Action, Fence, HandoverToken, Notice, Order, OrderFault, OrderKind, OrderReply, Owner,
+    OwnershipRecord, Settings, Slice, SliceState, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName, KeyRange};
@@ -15,6 +15,8 @@
 const START: Timestamp = Timestamp::from_millis(10_000);
 const TICK: Duration = Duration::from_millis(10);
 const LONGEST: Duration = Duration::from_secs(10);
+/// Time after a drain at which an earlier grant ends.
+const GRANT_ENDS: Duration = Duration::from_millis(500);
 
 fn back_end(name: &str, port: u16) -> BackEnd {
     BackEnd {
@@ -32,24 +34,31 @@
 /// Creates a coordinator that has just taken over a record in which `owner`
 /// holds all keys.
 fn taken_over(owner: &BackEnd) -> Ownership {
+    taken_over_slices(&[(KeyRange::ALL, owner)])
+}
+
+/// Creates a coordinator that has just taken over a record with these slices.
+fn taken_over_slices(slices: &[(KeyRange, &BackEnd)]) -> Ownership {
     let mut ownership = Ownership::new("keyed".into(), Settings::default());
-    ownership.set_back_ends(START, std::slice::from_ref(owner));
+    let owners: Vec<BackEnd> = slices.iter().map(|(_, owner)| (*owner).clone()).collect();
+    ownership.set_back_ends(START, &owners);
     ownership.begin_term(START, Term(2), None);
     ownership.poll(START, true);
+    let slice = |(range, owner): &(KeyRange, &BackEnd)| Slice {
+        range: *range,
+        fence: Fence(1),
+        state: SliceState::Owned {
+            owner: Owner {
+                name: owner.name.clone(),
+                address: owner.address,
+            },
+            handover: None,
+        },
+    };
     let value = OwnershipRecord {
         term: Term(1),
         next_fence: Fence(2),
-        slices: vec![Slice {
-            range: KeyRange::ALL,
-            fence: Fence(1),
-            state: SliceState::Owned {
-                owner: Owner {
-                    name: owner.name.clone(),
-                    address: owner.address,
-                },
-                handover: None,
-            },
-        }],
+        slices: slices.iter().map(slice).collect(),
         former: Vec::new(),
     };
     let found = Versioned { value, revision: 7 };
@@ -281,3 +290,60 @@
     let waited = given_on_after_unregistered_restart();
     assert!(waited >= Settings::default().hold, "{waited:?}");
 }
+
+/// Token of the former owner's state.
+const TOKEN: &str = "state";
+
+/// Drains an owner while a grant to it is in transit, answers each release with
+/// `TOKEN` the first time, and lets the grant end after half a second. Returns
+/// when the keys are given on after the drain, and with which token.
+fn given_on_beside_an_open_grant(owner: &str) -> (Duration, Option<HandoverToken>) {
+    let mut owner = back_end(owner, 80);
+    let other = back_end("b-2", 81);
+    let (lower, upper) = KeyRange::ALL.split_after(1 << 15).expect("two halves");
+    let mut ownership = taken_over_slices(&[(lower, &owner), (upper, &other)]);
+    let granted = orders(ownership.poll(START, true));
+    let [grant, _grant_to_other] = granted.as_slice() else {
+        panic!("{granted:?}");
+    };
+    owner.draining = true;
+    let drained = START + Duration::from_millis(100);
+    ownership.set_back_ends(drained, &[owner, other]);
+    let mut token = Some(HandoverToken(TOKEN.to_owned()));
+    let mut now = drained;
+    while now.since(drained) < LONGEST {
+        for action in ownership.poll(now, true) {
+            match action {
+                Action::Send(order) if order.kind == OrderKind::Release => {
+                    let released = OrderReply::Released(token.take());
+                    ownership.on_order(now, &order, Ok(released));
+                }
+                Action::WriteRecord(record, _) => {
+                    let SliceState::Owned { owner, handover } = &record.slices[0].state else {
+                        panic!("{record:?}");
+                    };
+                    assert_eq!(owner.name.as_str(), "b-2");
+                    return (now.since(drained), handover.clone());
+                }
+                _ => {}
+            }
+        }
+        if now == drained + GRANT_ENDS {
+            ownership.on_order(now, grant, Err(OrderFault::NoAnswer));
+        }
+        now = now + TICK;
+    }
+    panic!("the keys stay with their former owner");
+}
+
+/// A process started under the same id would take that grant for keys given on.
+#[test]
+fn release_answered_while_a_grant_is_in_transit_is_asked_again_once_the_grant_has_ended() {
+    let token = Some(HandoverToken(TOKEN.to_owned()));
+    let (after, handover) = given_on_beside_an_open_grant("b-1/1");
+    assert!(after > GRANT_ENDS, "{after:?}");
+    assert_eq!(handover, token);
+    let (after, handover) = given_on_beside_an_open_grant("b-1");
+    assert!(after < GRANT_ENDS, "{after:?}");
+    assert_eq!(handover, token);
+}
--- a/crates/coordination/tests/simulation/handovers.rs
+++ b/crates/coordination/tests/simulation/handovers.rs
@@ -35,6 +35,12 @@
     assert!(moves > MEAN_MOVES * seeds, "{moves} moves");
 }
 
+/// Guards against two holders after a restart under one id.
+#[test]
+fn grant_in_transit_past_a_release_and_a_restart_gives_no_key_a_second_holder() {
+    run(10_791);
+}
+
 /// Runs one seed and returns the number of assignments. Every other seed has
 /// back ends that restart under their ids, and every third one back ends in
 /// another region, whose orders stay in flight for seconds.
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -51,6 +51,11 @@
         self.parts().1?.parse().ok()
     }
 
+    /// Whether other processes may run under the same id after this one.
+    pub fn may_restart(&self) -> bool {
+        self.started_ms().is_some()
+    }
+
     /// Returns true if this process has the same id as `other` and started
     /// later.
     pub fn is_restart_of(&self, other: &BackEndName) -> bool {
