--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -52,6 +52,8 @@
     backpressure: bool,
     /// Back ends send answers twice while keys move, and nothing else fails
     doubled: bool,
+    /// Two of three back ends leave the ids of requests out of rejections
+    omitted_ids: bool,
     /// Print the faults of the seed and run nothing
     plan: bool,
 }
@@ -88,6 +90,7 @@
             faults,
             crashing_requests: arguments.crashing,
             reuse_ids: arguments.lives,
+            omitted_ids: arguments.omitted_ids,
             time_factor: arguments.patience,
         };
         if arguments.plan {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,6 +65,8 @@
     pub crashing_requests: bool,
     /// Back ends restart under the ids that they had.
     pub reuse_ids: bool,
+    /// Two of three back ends leave the ids of requests out of rejections.
+    pub omitted_ids: bool,
     /// Factor for all time limits, for machines under load.
     pub time_factor: u32,
 }
@@ -162,6 +164,7 @@
         crashing_requests: options.crashing_requests,
         reuse_ids: options.reuse_ids,
         doubled_answers: options.faults == FaultSet::Doubled,
+        omitted_ids: options.omitted_ids,
     };
     let world = World::start(&options.program, &options.dir, size).await?;
     let mut soak = Soak {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -72,6 +72,8 @@
     reuse_ids: bool,
     /// Back ends send answers twice.
     doubled_answers: bool,
+    /// Two of three back ends leave the ids of requests out of rejections.
+    omitted_ids: bool,
 }
 
 /// Number of processes, and options of the back ends.
@@ -87,6 +89,8 @@
     pub reuse_ids: bool,
     /// Back ends send answers twice.
     pub doubled_answers: bool,
+    /// Two of three back ends leave the ids of requests out of rejections.
+    pub omitted_ids: bool,
 }
 
 impl World {
@@ -109,6 +113,7 @@
             crashing_requests: size.crashing_requests,
             reuse_ids: size.reuse_ids,
             doubled_answers: size.doubled_answers,
+            omitted_ids: size.omitted_ids,
         };
         for _ in 0..size.back_ends {
             for service in SERVICES {
@@ -149,6 +154,9 @@
             inner.set_max_work(MAX_LONG_WORK);
             inner.set_slots(Some(SLOTS));
         }
+        if self.omitted_ids {
+            inner.set_omits_ids(!self.started_count.is_multiple_of(3));
+        }
         if self.crashing_requests {
             inner.set_crash_trigger(crashing::crash_trigger(inner.keyed));
         }
