--- a/crates/net/tests/pool_response_ids.rs
+++ b/crates/net/tests/pool_response_ids.rs
@@ -196,6 +196,7 @@
     }
 }
 
+/// Guards against 502 for a request that its back end answered.
 #[async_std::test]
 async fn repeated_response_to_an_earlier_request_costs_the_next_request_nothing() {
     let chunked = format!(
--- a/crates/router/tests/gateway/repeated_answers.rs
+++ b/crates/router/tests/gateway/repeated_answers.rs
@@ -91,18 +91,21 @@
     assert!(seen.contains(&(200, 1)), "{seen:?}");
 }
 
+/// Guards against 503 for a request that ran, and against a second run.
 #[test]
 fn repeated_rejection_is_never_taken_for_the_answer_to_the_next_attempt() {
     let world = World::start(RejectionIds::Kept);
     assert_true_statuses(&world.send_rejected_once());
 }
 
+/// Guards against 503 for a request that ran, and against a second run.
 #[test]
 fn repeated_rejection_without_an_id_is_never_taken_for_the_answer_to_another_request() {
     let world = World::start(RejectionIds::Omitted);
     assert_true_statuses(&world.send_rejected_once());
 }
 
+/// Guards against 503 for a request that ran.
 #[test]
 fn repeated_rejection_is_never_taken_for_the_answer_to_a_request_with_the_same_id() {
     let world = World::start(RejectionIds::Kept);
@@ -117,6 +120,7 @@
     assert_eq!(world.runs_of("again"), 1);
 }
 
+/// Guards against 503 for a request that ran, told by another gateway.
 #[test]
 fn repeated_rejection_is_never_passed_on_to_the_gateway_that_forwarded_the_next_attempt() {
     let world = World::start(RejectionIds::Kept);
@@ -126,6 +130,7 @@
     assert_eq!(world.runs_of("forwarded"), 1);
 }
 
+/// Guards against 503 because of a back end that is well.
 #[test]
 fn signals_in_the_answer_to_another_request_are_not_taken_for_current_ones() {
     let world = World::start(RejectionIds::Kept);
