pool: settings, entries of addresses and watches in modules of their own

The end of an exchange on a reused connection is recorded by the table, which owns the lock, rather than by the watch that reports it.

--- a/crates/net/src/pool/address_table.rs
+++ b/crates/net/src/pool/address_table.rs
@@ -7,15 +7,12 @@
 
 use parking_lot::Mutex;
 
+use super::address_entry::{AddressEntry, IdleConnection, Reuse};
 use super::carried::{CarriedRequests, RequestIdentity};
-use super::socket;
+use super::reuse_watch::ReuseWatch;
 use crate::Instant;
 use crate::buffered_stream::BufferedStream;
 
-/// Time after a response without an id for which no connection to its peer is
-/// reused, so that a further one answers the only request of its connection.
-const NAMELESS_CAUTION: Duration = Duration::from_secs(60);
-
 /// State of all addresses of one pool.
 #[derive(Debug)]
 pub(super) struct AddressTable {
@@ -29,30 +26,6 @@
     sweep_running: Mutex<bool>,
 }
 
-#[derive(Debug, Default)]
-struct AddressEntry {
-    limit: Option<usize>,
-    in_use: usize,
-    /// Idle connections, most recently used last. The last one is taken first.
-    idle: Vec<IdleConnection>,
-    /// Start times of exchanges on reused connections on which nothing has been
-    /// received yet.
-    awaiting_response: Vec<Instant>,
-    /// Connections idle since this time or earlier are suspect, because a
-    /// connection that had been idle as long turned out to be dead.
-    suspect_until: Option<Instant>,
-    /// Time of the latest response that did not name its request although it
-    /// had to.
-    nameless_at: Option<Instant>,
-}
-
-#[derive(Debug)]
-struct IdleConnection {
-    buffered: BufferedStream,
-    since: Instant,
-    carried: CarriedRequests,
-}
-
 /// Result of a reservation.
 #[derive(Debug)]
 pub(super) enum Reservation {
@@ -78,17 +51,6 @@
     pub(super) bodiless: bool,
 }
 
-/// Which idle connections a demand accepts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Reuse {
-    /// Any.
-    Any,
-    /// Those that have not lately carried this request.
-    Without(RequestIdentity),
-    /// None.
-    Never,
-}
-
 /// What a connection is reserved for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
@@ -98,17 +60,6 @@
     pub(super) reuse: Reuse,
 }
 
-/// Tracks an exchange on a reused connection on which nothing has been received
-/// yet. If it is dropped in that state after the configured time, connections
-/// idle since before the exchange began become suspect.
-#[derive(Debug)]
-pub(super) struct ReuseWatch {
-    addresses: Weak<AddressTable>,
-    address: SocketAddr,
-    since: Instant,
-    active: bool,
-}
-
 impl AddressTable {
     pub(super) fn new(default_limit: usize, suspect_idle_after: Option<Duration>) -> Self {
         AddressTable {
@@ -233,12 +184,21 @@
             .or_default()
             .awaiting_response
             .push(since);
-        ReuseWatch {
-            addresses: Arc::downgrade(self),
-            address,
-            since,
-            active: false,
-        }
+        ReuseWatch::new(Arc::downgrade(self), address, since)
+    }
+
+    /// Records the end of an exchange on a reused connection that began at
+    /// `since`, and whether anything was received in it.
+    pub(super) fn end_watch(&self, address: SocketAddr, since: Instant, active: bool) {
+        let silent = self
+            .suspect_idle_after
+            .is_some_and(|after| !active && since.elapsed() >= after);
+        let mut by_address = self.by_address.lock();
+        let Some(entry) = by_address.get_mut(&address) else {
+            return;
+        };
+        entry.end_exchange(since, silent);
+        remove_if_unused(&mut by_address, address);
     }
 
     /// Stores a connection for reuse. Returns whether the caller must start the
@@ -293,91 +253,6 @@
     }
 }
 
-impl IdleConnection {
-    /// Closes gracefully: nothing is waiting to be sent, and the peer should
-    /// not see an error.
-    fn close(self) {
-        if let Err(error) = socket::close_gracefully(self.buffered.stream()) {
-            tracing::debug!(%error, "closing an idle connection resets it");
-        }
-    }
-}
-
-impl AddressEntry {
-    fn is_unused(&self) -> bool {
-        self.in_use == 0
-            && self.idle.is_empty()
-            && self.limit.is_none()
-            && self.awaiting_response.is_empty()
-            && !self.is_nameless()
-    }
-
-    /// Whether the peer has lately omitted the id in a response.
-    fn is_nameless(&self) -> bool {
-        self.nameless_at
-            .is_some_and(|at| at.elapsed() < NAMELESS_CAUTION)
-    }
-
-    /// Removes and returns the most recently used idle connection that the
-    /// demand accepts.
-    fn take_idle(&mut self, reuse: Reuse) -> Option<IdleConnection> {
-        let is_accepted = |idle: &IdleConnection| match reuse {
-            Reuse::Any => true,
-            Reuse::Without(request) => !idle.carried.contains(request),
-            Reuse::Never => false,
-        };
-        let position = self.idle.iter().rposition(is_accepted)?;
-        Some(self.idle.remove(position))
-    }
-
-    /// Removes and returns the suspect idle connections, which are then closed.
-    fn take_suspect(&mut self, suspect_idle_after: Option<Duration>) -> Vec<IdleConnection> {
-        let silent_since = suspect_idle_after.and_then(|after| Instant::now().checked_sub(after));
-        let silent = self.awaiting_response.iter().copied();
-        let silent = silent.filter(|since| silent_since.is_some_and(|before| *since <= before));
-        let suspect_until = silent.chain(self.suspect_until).max();
-        let is_suspect = |idle: &IdleConnection| {
-            suspect_until.is_some_and(|suspect_until| idle.since <= suspect_until)
-        };
-        let count = self.idle.iter().take_while(|idle| is_suspect(idle)).count();
-        self.idle.drain(..count).collect()
-    }
-}
-
-impl ReuseWatch {
-    /// Records that something was received, which includes the end of the
-    /// connection.
-    pub(super) fn activity_seen(mut self) {
-        self.active = true;
-    }
-}
-
-impl Drop for ReuseWatch {
-    fn drop(&mut self) {
-        let Some(addresses) = self.addresses.upgrade() else {
-            return;
-        };
-        let silent = addresses
-            .suspect_idle_after
-            .is_some_and(|after| !self.active && self.since.elapsed() >= after);
-        let mut by_address = addresses.by_address.lock();
-        let Some(entry) = by_address.get_mut(&self.address) else {
-            return;
-        };
-        let position = entry
-            .awaiting_response
-            .iter()
-            .position(|since| *since == self.since);
-        if let Some(position) = position {
-            entry.awaiting_response.swap_remove(position);
-        }
-        if silent {
-            entry.suspect_until = entry.suspect_until.max(Some(self.since));
-        }
-        remove_if_unused(&mut by_address, self.address);
-    }
-}
-
 fn remove_if_unused(by_address: &mut HashMap<SocketAddr, AddressEntry>, address: SocketAddr) {
     if by_address
         .get(&address)
