gateway tests: requests until one is at the back end whose path is cut

Nothing more was sent, so that the wait could not end.

The test now sends eight more every 0.2 s until one is there. It is as strict: the same cuts and rounds, at least as many open requests, the same check.

--- a/crates/router/tests/gateway/partly_lost_paths.rs
+++ b/crates/router/tests/gateway/partly_lost_paths.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use async_std::task::{self, block_on};
+use async_std::task::{self, JoinHandle, block_on};
 use futures::future::join_all;
 use threadledge_platform_stand_in::{Behaviour, StandInBackEnd, StandInStore};
 
@@ -21,8 +21,11 @@
 const DETECTION: Duration = Duration::from_secs(1);
 /// Time after which a contact no longer shows that a path works.
 const QUIET: Duration = Duration::from_millis(400);
-/// Requests at back ends when their connections are reset.
+/// Requests sent at once, some of which are at back ends when their connections
+/// are reset.
 const OPEN_REQUESTS: usize = 8;
+/// Time after which more requests are sent if none is at the back end meant.
+const MORE_AFTER: Duration = Duration::from_millis(200);
 /// Cuts in a row: each asks one of the other gateways first by chance.
 const ROUNDS: usize = 6;
 /// Back ends of each service to which paths are cut, as indices.
@@ -95,6 +98,24 @@
         }
     }
 
+    /// Sends requests that must not be repeated until one of them is at the
+    /// second back end whose paths are cut.
+    fn open_requests(&self) -> Vec<JoinHandle<http::Response<Vec<u8>>>> {
+        let callers = self.coordinator.callers;
+        let send = |_| task::spawn(async move { not_repeatable().send_async(callers).await });
+        let mut sent = Vec::new();
+        let mut more_at = Instant::now();
+        eventually(|| {
+            // All of them may have gone to the other back end of the service.
+            if Instant::now() >= more_at {
+                sent.extend((0..OPEN_REQUESTS).map(send));
+                more_at = Instant::now() + MORE_AFTER;
+            }
+            (self.back_ends[CUT_BACK_ENDS[1]].in_flight() > 0).then_some(())
+        });
+        sent
+    }
+
     /// Sends load to the two cut gateways for a while.
     fn load(&self, how_long: Duration) {
         let started = Instant::now();
@@ -141,11 +162,8 @@
     let world = World::start();
     for _ in 0..ROUNDS {
         world.set_behaviour(Behaviour::Silent);
-        let callers = world.coordinator.callers;
         // A request that another back end answers would clear them all.
-        let send = |_| task::spawn(async move { not_repeatable().send_async(callers).await });
-        let sent: Vec<_> = (0..OPEN_REQUESTS).map(send).collect();
-        eventually(|| (world.back_ends[CUT_BACK_ENDS[1]].in_flight() > 0).then_some(()));
+        let sent = world.open_requests();
         world.cut(Cut::Reset);
         world.set_behaviour(Behaviour::Healthy);
         block_on(join_all(sent));
