Ownership: a new release forgets the handover token of the one before

By reading: a token that a release left, because its answer proved nothing, would go with the next release of the same range.

--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -90,6 +90,7 @@
         self.releasing = Some(fence);
         self.release_began = now;
         self.end_reported = false;
+        self.handover = None;
         // A grant in flight may still arrive; the higher fencing token takes
         // precedence.
         self.in_flight = None;
