Ownership: a move that need not be waits for its owner's answer

Callers saw two back ends hold the same keys (OWNER).

Cause: keys were taken for balance from an owner that leaves orders unanswered, and given on by the clock. An owner that carries its last grant out late holds the keys beside the next one; nothing but its answer shows that it does not.

Ruled out: waiting longer for everybody (keys of a crashed owner are to be served again within 4 s; such a move is for need, and unchanged).

Change: a release for balance, or for the rest of an owner, that is not answered by the time at which routers would be told to stop is called off. The owner keeps the keys under a fencing token above that of the release, which may still be executed; renewals are sent soon after, as before. If the owner has meanwhile become unfit (draining, lost, replaced) the release goes on as before. Keys are taken for balance only from an owner that has accepted its current grant and answers orders; without this a move that was called off began again before the renewal was sent, and was called off at once.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -194,6 +194,9 @@
     HolderEnded,
     /// The grant has expired by the clock.
     Expired,
+    /// The owner has not answered in time and keeps the keys, which it need not
+    /// give up.
+    CalledOff,
 }
 
 /// Reason for taking keys back from their owner.
@@ -214,3 +217,11 @@
     /// Another process runs at the back end's address.
     Replaced,
 }
+
+impl ReleaseReason {
+    /// Returns whether the owner may as well keep the keys. Such a move needs the
+    /// owner's answer: only that proves that it holds them no more.
+    pub const fn is_optional(self) -> bool {
+        matches!(self, ReleaseReason::Balance | ReleaseReason::Resting)
+    }
+}
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -268,6 +268,11 @@
             .then_some(Ineligible::Lost)
     }
 
+    /// Returns whether an owner may keep its keys although it rests.
+    pub fn may_keep_keys(&self, name: &BackEndName, now: Timestamp) -> bool {
+        matches!(self.ineligible(name, now), None | Some(Ineligible::Resting))
+    }
+
     /// Sets whether cold back ends can serve only few requests.
     pub fn set_reduced_when_cold(&mut self, reduced: bool) {
         self.reduced_when_cold = reduced;
@@ -359,6 +364,12 @@
         self.reachability.entry(name.clone()).or_default().refused = true;
     }
 
+    /// Returns whether the last orders to `name` were not answered.
+    pub fn is_silent(&self, name: &BackEndName) -> bool {
+        let reachability = self.reachability.get(name);
+        reachability.is_some_and(|reachability| reachability.silence.is_some())
+    }
+
     /// Returns whether unanswered releases may still take keys from `name`.
     pub fn may_lose_keys(&self, name: &BackEndName, now: Timestamp) -> bool {
         let reachability = self.reachability.get(name);
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -4,7 +4,7 @@
 use threadledge_types::deployment::KeyRange;
 
 use super::tracked::{TrackedRange, owners};
-use crate::action::{Notice, ReleaseReason};
+use crate::action::{Notice, ReleaseEnd, ReleaseReason};
 use crate::holders::{Candidate, Holders, Ineligible};
 use crate::load::LoadMap;
 use crate::order::HandoverToken;
@@ -24,9 +24,18 @@
     /// For each tracked range: `Some` if its owner no longer holds it, with the
     /// handover token if there is one.
     pub(super) released: Vec<Option<Option<HandoverToken>>>,
-    /// For each tracked range: true if routers must send its owner no more
-    /// requests, because it has not answered the release.
-    pub(super) returning: Vec<bool>,
+    /// For each tracked range: what follows because its owner has not answered
+    /// the release.
+    pub(super) unanswered: Vec<Option<Unanswered>>,
+}
+
+/// What follows from a release that the owner has not answered in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unanswered {
+    /// The owner keeps the keys.
+    CallOff,
+    /// Routers must send the owner no more requests for the keys.
+    StopRequests,
 }
 
 /// A drafted record and the notices about its changes.
@@ -53,7 +62,7 @@
         for (index, tracked) in self.tracked.iter().enumerate() {
             pieces.push(self.draft_range(&mut record, index, tracked));
         }
-        let mut notices = Vec::new();
+        let mut notices = self.called_off();
         let pieces = self.assign_unowned(pieces, &mut notices);
         let granted: Vec<bool> = pieces.iter().map(|piece| piece.granted).collect();
         record.slices = pieces.into_iter().map(|piece| piece.slice).collect();
@@ -88,11 +97,23 @@
                 piece.slice.fence = fence;
                 piece.handover = handover;
                 record.next_fence = record.next_fence.max(Fence(fence.0 + 1));
-            } else if self.returning[index]
-                && let Some(owner) = tracked.owner()
+            } else if let (Some(unanswered), Some(owner)) =
+                (self.unanswered[index], tracked.owner())
             {
                 let owner = owner.clone();
-                piece.slice.state = SliceState::Returning { owner };
+                piece.slice.state = match unanswered {
+                    Unanswered::StopRequests => SliceState::Returning { owner },
+                    Unanswered::CallOff => {
+                        // Above that of the release, which may still be executed.
+                        record.next_fence = record.next_fence.max(Fence(fence.0 + 1));
+                        piece.slice.fence = record.allocate_fence();
+                        piece.granted = false;
+                        SliceState::Owned {
+                            owner,
+                            handover: None,
+                        }
+                    }
+                };
             }
         } else if let Some(successor) = &tracked.successor {
             piece.slice.state = SliceState::Owned {
@@ -107,6 +128,25 @@
         piece
     }
 
+    /// Returns a notice for each release that is called off.
+    fn called_off(&self) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        for (tracked, unanswered) in self.tracked.iter().zip(&self.unanswered) {
+            let (Some(Unanswered::CallOff), Some(owner)) = (unanswered, tracked.owner()) else {
+                continue;
+            };
+            notices.push(Notice::ReleaseEnded {
+                range: tracked.slice.range,
+                owner: owner.name.clone(),
+                fence: tracked.order_fence(),
+                end: ReleaseEnd::CalledOff,
+                took: self.now.since(tracked.release_began),
+                grant_answered: tracked.arrivals.newest_answered(),
+            });
+        }
+        notices
+    }
+
     /// Assigns the unowned ranges to candidates.
     fn assign_unowned(
         &self,
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -5,7 +5,7 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::KeyRange;
 
-use super::draft::{Draft, candidates, held_ranges, release_reason};
+use super::draft::{Draft, Unanswered, candidates, held_ranges, release_reason};
 use super::tracked::TrackedRange;
 use super::{BALANCING_INTERVAL, Ownership};
 use crate::action::{Notice, ReleaseEnd, ReleaseReason};
@@ -48,12 +48,13 @@
                     self.recheck_owners = true;
                     continue;
                 }
-                tracked.release(now, fence);
+                let reason = release_reason(reason);
+                tracked.release(now, fence, reason);
                 self.notices.push(Notice::ReleaseStarted {
                     range: tracked.slice.range,
                     owner: owner.name,
                     fence,
-                    reason: release_reason(reason),
+                    reason,
                 });
             }
         }
@@ -77,10 +78,23 @@
         let candidates = candidates(now, &self.holders, &self.load, &self.tokens, &self.tracked);
         let held = held_ranges(self.tracked.iter().map(|tracked| &tracked.slice));
         for range in plan::rebalance(&held, &candidates, &self.load.key_weights()) {
-            self.release_range(now, range, fence);
+            if self.has_responsive_owner(range) {
+                self.release_range(now, range, fence);
+            }
         }
     }
 
+    /// Returns whether the owner of `range` accepted its current grant and
+    /// answers orders, so that it will probably answer a release.
+    fn has_responsive_owner(&self, range: KeyRange) -> bool {
+        let contains = |tracked: &&TrackedRange| tracked.slice.range.contains(range.first);
+        let Some(tracked) = self.tracked.iter().find(contains) else {
+            return false;
+        };
+        let owner = tracked.owner();
+        tracked.granted && owner.is_some_and(|owner| !self.holders.is_silent(&owner.name))
+    }
+
     /// Starts to release `range` and tracks it separately from the rest of its
     /// slice.
     pub(super) fn release_range(&mut self, now: Timestamp, range: KeyRange, fence: Fence) {
@@ -97,7 +111,7 @@
         else {
             return;
         };
-        piece.release(now, fence);
+        piece.release(now, fence, ReleaseReason::Balance);
         if let Some(owner) = piece.owner() {
             self.notices.push(Notice::ReleaseStarted {
                 range,
@@ -170,10 +184,10 @@
             released: (0..self.tracked.len())
                 .map(|index| self.released(now, index))
                 .collect(),
-            returning: self
+            unanswered: self
                 .tracked
                 .iter()
-                .map(|tracked| self.is_returning_due(now, tracked))
+                .map(|tracked| self.unanswered(now, tracked))
                 .collect(),
         };
         let drafted = draft.make(current);
@@ -231,6 +245,20 @@
         Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + QUEUE_DRAIN))
     }
 
+    /// Returns what follows from the missing answer to a release, if it is due.
+    fn unanswered(&self, now: Timestamp, tracked: &TrackedRange) -> Option<Unanswered> {
+        if !self.is_returning_due(now, tracked) {
+            return None;
+        }
+        let owner = tracked.owner()?;
+        let may_keep = tracked.reason.is_some_and(ReleaseReason::is_optional)
+            && self.holders.may_keep_keys(&owner.name, now);
+        Some(match may_keep {
+            true => Unanswered::CallOff,
+            false => Unanswered::StopRequests,
+        })
+    }
+
     fn is_returning_due(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
         let due = self.returning_due(tracked);
         due.is_some_and(|due| due <= now)
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -6,6 +6,7 @@
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
 use super::arrivals::GrantArrivals;
+use crate::action::ReleaseReason;
 use crate::order::{
     GrantOrder, HandoverToken, Order, OrderConnection, OrderFault, OrderId, OrderKind, OrderReply,
 };
@@ -22,6 +23,8 @@
     pub(super) slice: Slice,
     /// Fencing token under which the keys are being taken back.
     pub(super) releasing: Option<Fence>,
+    /// Reason of the release, if one was decided.
+    pub(super) reason: Option<ReleaseReason>,
     /// Time at which the release was decided.
     pub(super) release_began: Timestamp,
     /// True once the end of the release was reported.
@@ -62,6 +65,7 @@
         TrackedRange {
             slice,
             releasing: None,
+            reason: None,
             release_began: Timestamp::ZERO,
             end_reported: false,
             released: None,
@@ -86,8 +90,9 @@
 
     /// Starts to take the keys back under `fence`, which must be higher than
     /// the fencing token of the grant.
-    pub(super) fn release(&mut self, now: Timestamp, fence: Fence) {
+    pub(super) fn release(&mut self, now: Timestamp, fence: Fence, reason: ReleaseReason) {
         self.releasing = Some(fence);
+        self.reason = Some(reason);
         self.release_began = now;
         self.end_reported = false;
         self.handover = None;
