Holders: an owner that serves requests is not lost by unanswered orders

Cause: six orders in a row without an answer made a back end count as lost, although it carried out its grants late and served requests all the while. Its keys were given on by the clock while it held them.

Change: an unanswered order makes a back end count as lost only if routers have reported no request that it served within the last 1.2 s (they report every 0.5 s; refusals and wrong answers are not reported as served). One that takes no grant loses its keys by the clock, serves nothing more and is lost with the next unanswered order. Refused connections count as before.

Ruled out: a higher count of unanswered orders, which would leave the keys of a back end that is gone with nobody for longer.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -16,6 +16,9 @@
 /// Consecutive unanswered orders after which a back end counts as lost. Some
 /// back ends answer requests while they leave orders unanswered.
 const UNANSWERED_UNTIL_LOST: u32 = 6;
+/// Time after a report of served requests for which unanswered orders do not
+/// make a back end count as lost: two intervals of the reports and their way.
+const SERVED_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time for which a lost back end is assigned no keys, unless it answers an
 /// order.
 const LOST_COOLDOWN: Duration = Duration::from_secs(3);
@@ -123,6 +126,8 @@
     registered: BTreeMap<BackEndName, Registered>,
     occupancy: Occupancy,
     reachability: BTreeMap<BackEndName, Reachability>,
+    /// Time at which routers last reported requests that a back end served.
+    served: BTreeMap<BackEndName, Timestamp>,
     /// Back ends that told a router that they are leaving. Invariant: no
     /// registration reverts this, because the registration may be older.
     reported_leaving: BTreeSet<BackEndName>,
@@ -158,6 +163,7 @@
         let registered = &self.registered;
         self.reachability
             .retain(|name, _| registered.contains_key(name));
+        self.served.retain(|name, _| registered.contains_key(name));
         self.reported_leaving
             .retain(|name| registered.contains_key(name));
         changes
@@ -184,6 +190,20 @@
         }
     }
 
+    /// Records that a router reported requests that a back end served.
+    pub fn on_served(&mut self, now: Timestamp, name: &BackEndName) {
+        if self.is_registered(name) {
+            self.served.insert(name.clone(), now);
+        }
+    }
+
+    /// Returns whether a back end served requests lately, so that it runs and
+    /// holds keys whether it answers orders or not.
+    fn serves(&self, now: Timestamp, name: &BackEndName) -> bool {
+        let served = self.served.get(name);
+        served.is_some_and(|served| now.since(*served) < SERVED_WINDOW)
+    }
+
     /// Records that a back end asked a router for a rest, of which `left`
     /// remains. It is assigned no keys for twice that time, because the cause
     /// of an overload usually persists.
@@ -435,6 +455,7 @@
         name: &BackEndName,
         fault: OrderFault,
     ) -> FaultEffect {
+        let serves = self.serves(now, name);
         let reachability = self.reachability.entry(name.clone()).or_default();
         match fault {
             OrderFault::Withheld | OrderFault::Doubtful(_) => return FaultEffect::default(),
@@ -442,7 +463,7 @@
             OrderFault::NoAnswer => reachability.unanswered += 1,
         }
         let lost = reachability.failed_connects >= FAILED_CONNECTS_UNTIL_LOST
-            || reachability.unanswered >= UNANSWERED_UNTIL_LOST;
+            || (reachability.unanswered >= UNANSWERED_UNTIL_LOST && !serves);
         let effect = FaultEffect {
             first_failure: reachability.silence.is_none(),
             lost: lost && reachability.lost_since.is_none(),
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -169,6 +169,11 @@
     /// Adds the load that a router reported.
     pub fn add_load(&mut self, now: Timestamp, report: &LoadReport) {
         self.load.add(now, report);
+        for sample in &report.speeds {
+            if sample.count > 0 {
+                self.holders.on_served(now, &sample.back_end);
+            }
+        }
         for name in &report.leaving {
             self.holders.on_leaving(name);
         }
--- a/crates/coordination/tests/unanswered_moves.rs
+++ b/crates/coordination/tests/unanswered_moves.rs
@@ -6,24 +6,38 @@
 use threadledge_coordination::action::{ReadResult, ReleaseEnd, Versioned, WriteResult};
 use threadledge_coordination::ownership::{Ownership, ReadConsequence};
 use threadledge_coordination::{
-    Action, Fence, Notice, Order, OrderFault, OrderKind, OrderReply, Owner, OwnershipRecord,
-    Settings, Slice, SliceState, Term,
+    Action, Fence, LoadReport, Notice, Order, OrderFault, OrderKind, OrderReply, Owner,
+    OwnershipRecord, Settings, Slice, SliceState, SpeedSample, Term,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange};
 
 const START: Timestamp = Timestamp::from_millis(10_000);
 const TICK: Duration = Duration::from_millis(10);
+/// Time between two load reports of a router.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A coordinator, the owner of all keys and an idle back end. The owner answers
-/// grants and no release.
+/// How the owner treats orders.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Orders {
+    /// Grants are answered, releases are not.
+    ReleasesUnanswered,
+    /// None is answered, but the owner serves requests.
+    AllUnanswered,
+}
+
+/// A coordinator, the owner of all keys and an idle back end.
 struct World {
     ownership: Ownership,
     owner: BackEnd,
     idle: BackEnd,
+    orders: Orders,
+    /// The owner serves requests until then.
+    serves_until: Timestamp,
     in_flight: Vec<(Timestamp, Order)>,
     sent: Vec<Order>,
     notices: Vec<Notice>,
+    next_report: Timestamp,
     revision: u64,
     /// Time at which the record first named the idle back end.
     moved_at: Option<Timestamp>,
@@ -43,7 +57,7 @@
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(orders: Orders, serves_until: Timestamp) -> Self {
         let owner = back_end("b-1", 80);
         let mut ownership = Ownership::new("keyed".into(), Settings::default());
         ownership.set_back_ends(START, std::slice::from_ref(&owner));
@@ -78,9 +92,12 @@
             ownership,
             owner,
             idle: back_end("b-2", 81),
+            orders,
+            serves_until,
             in_flight: Vec::new(),
             sent: Vec::new(),
             notices: Vec::new(),
+            next_report: START,
             revision: 8,
             moved_at: None,
         }
@@ -94,6 +111,7 @@
     fn run(&mut self, from: Timestamp, until: Timestamp) {
         let mut now = from;
         while now < until {
+            self.report_load(now);
             self.end_orders(now);
             for action in self.ownership.poll(now, true) {
                 match action {
@@ -107,6 +125,23 @@
         }
     }
 
+    /// Reports a request that the owner has served.
+    fn report_load(&mut self, now: Timestamp) {
+        if now < self.next_report || now >= self.serves_until {
+            return;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        let served = LoadReport {
+            speeds: vec![SpeedSample {
+                back_end: self.owner.name.clone(),
+                count: 1,
+                work_s: 0.1,
+            }],
+            ..LoadReport::default()
+        };
+        self.ownership.add_load(now, &served);
+    }
+
     fn send(&mut self, now: Timestamp, order: Order) {
         let ends = if self.is_answered(&order) {
             now + TICK
@@ -119,7 +154,7 @@
 
     fn is_answered(&self, order: &Order) -> bool {
         let is_grant = matches!(order.kind, OrderKind::Grant(_));
-        is_grant || order.to.name != self.owner.name
+        order.to.name != self.owner.name || (is_grant && self.orders == Orders::ReleasesUnanswered)
     }
 
     fn end_orders(&mut self, now: Timestamp) {
@@ -157,7 +192,7 @@
 #[test]
 fn keys_of_an_owner_that_answers_no_release_are_not_moved_for_balance() {
     let end = START + Duration::from_secs(15);
-    let mut world = World::new();
+    let mut world = World::new(Orders::ReleasesUnanswered, end);
     world.register_both(START);
     world.run(START, end);
     let releases = world.releases();
@@ -173,7 +208,7 @@
 #[test]
 fn owner_keeps_called_off_keys_under_a_fence_above_that_of_the_release() {
     let end = START + Duration::from_secs(15);
-    let mut world = World::new();
+    let mut world = World::new(Orders::ReleasesUnanswered, end);
     world.register_both(START);
     world.run(START, end);
     let first = world.releases()[0].clone();
@@ -186,3 +221,17 @@
     let above = |fence: &Fence| *fence > first.fence;
     assert!(fences.iter().all(above), "{fences:?} after {first:?}");
 }
+
+#[test]
+fn owner_that_serves_requests_is_not_lost_by_unanswered_orders() {
+    let serves_until = START + Duration::from_secs(10);
+    let mut world = World::new(Orders::AllUnanswered, serves_until);
+    world.register_both(START);
+    world.run(START, serves_until);
+    assert_eq!(world.moved_at, None);
+    world.run(serves_until, serves_until + Duration::from_secs(8));
+    assert!(
+        world.moved_at.is_some(),
+        "it is lost once it serves nothing"
+    );
+}
