orders: wait out a grant that a lost forwarder may still send

What callers see: two back ends hold the same keys, if the coordinator does not reach an owner itself and loses the connection to the gateway that forwards its orders, and the owner then answers no release.

Cause: the forwarder sends an order until the deadline that it was handed, but the coordinator took the end of its own connection for the end of the order. It counted the hold from then: up to 0.5 s too early for an owner in its region and up to 3 s for one in the other.

The result of a grant whose forwarder is lost is now reported at the deadline of the grant. Until then the grant counts as open; one to the other region is sent again meanwhile, as any that is overdue. Releases are reported at once: one that is sent late gives nothing.

Evidence: lost_forwarder.rs, a real gateway with a forwarder that breaks off each order. Before, keys went on 0.404 s (same region) and 2.906 s (other region) before the last grant had to expire; both tests pass now.

Ruled out: a shorter deadline for the forwarder, which would end orders that arrive in time, and relying on it to notice the end of the connection, of which a cut link tells it nothing.

Gateways that tests start in a region now know their own region: without it no owner was far, whatever its zone.

--- a/crates/router/src/gateway/links/orders.rs
+++ b/crates/router/src/gateway/links/orders.rs
@@ -163,6 +163,7 @@
                 Ok(result) => result,
                 Err(error) if error.may_have_been_received() => {
                     self.links.on_unusable(&service, forwarder);
+                    await_last_sending(order, deadline).await;
                     return Err(OrderFault::NoAnswer);
                 }
                 Err(_) => {
@@ -201,6 +202,14 @@
     }
 }
 
+/// Waits until a forwarder whose connection is lost can no longer send a grant:
+/// it does so until the deadline. A release that is sent so late gives nothing.
+async fn await_last_sending(order: &Order, deadline: Instant) {
+    if matches!(order.kind, OrderKind::Grant(_)) {
+        timer::sleep_until(deadline).await;
+    }
+}
+
 /// Logs an answer that may be that of an earlier order on its connection.
 fn log_doubtful(order: &Order, reply: &OrderReply) {
     emit!(
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod key_regions;
 mod limits;
 mod load;
+mod lost_forwarder;
 mod lost_paths;
 mod outage;
 mod partial_lists;
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -184,6 +184,10 @@
             ("Limits.MemoryMb", "1024".to_owned()),
         ]
         .into();
+        let own_region = regions.iter().find(|(each, _)| *each == zone);
+        if let Some((_, region)) = own_region {
+            values.insert("Region", text(region));
+        }
         let more = more.iter();
         values.extend(more.map(|(name, value)| (*name, (*value).to_owned())));
         let file = format!("threadledge-{own}.toml");
--- a/crates/router/tests/gateway/repeating_proxy.rs
+++ b/crates/router/tests/gateway/repeating_proxy.rs
@@ -60,7 +60,7 @@
 }
 
 /// Reads a head and the body whose length it announces.
-async fn read_message(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+pub async fn read_message(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
     let mut message = Vec::new();
     while !message.ends_with(b"\r\n\r\n") {
         let mut byte = [0];
