net: a response body that never pauses ends at its deadline

A back end that sends a body without end, and faster than it is read, was read for as long as somebody wanted it: the deadline of a body was looked at only when nothing was there to read. Callers got bytes of no use until they left, and a task that reads such a body never yields.

A fixed deadline is now looked at before each part. Up to 1 MiB more is read after it, as long as it is there without a pause: it may have arrived in time, and an answer that is ready is delivered. Deadlines of callers' bodies, which move with what arrives, stay as they are.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -18,6 +18,10 @@
 /// once its base timeout has passed.
 pub const MIN_BODY_BYTES_PER_SECOND: u32 = 1024;
 
+/// Largest part of a body, in bytes, that is still read after a fixed deadline
+/// without a pause: it may have arrived before.
+const MAX_LATE_BYTES: u64 = 1024 * 1024;
+
 /// Reason why a body could not be read to its end. It is the inner error of the
 /// [`io::Error`] that a read returns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -99,6 +103,8 @@
     received: u64,
     max_bytes: u64,
     body_deadline: BodyDeadline,
+    /// Bytes received when the deadline was first seen to have passed.
+    received_in_time: Option<u64>,
     sleep: Option<Sleep>,
     on_release: Option<ReleaseCallback>,
 }
@@ -124,6 +130,7 @@
             received: 0,
             max_bytes,
             body_deadline,
+            received_in_time: None,
             sleep: None,
             on_release: Some(on_release),
         };
@@ -135,6 +142,9 @@
     /// of the body.
     fn poll_available(&mut self, context: &mut Context<'_>) -> Poll<Result<usize, BodyFault>> {
         loop {
+            if self.is_overdue() {
+                return Poll::Ready(Err(BodyFault::TooSlow));
+            }
             let buffered = match &mut self.state {
                 ReaderState::Reading(buffered) => buffered,
                 ReaderState::Ended => return Poll::Ready(Ok(0)),
@@ -157,6 +167,19 @@
         }
     }
 
+    /// Whether the sender has gone on for too long after a fixed deadline. A
+    /// sender that never pauses is never waited for.
+    fn is_overdue(&mut self) -> bool {
+        let BodyDeadline::Until(deadline) = self.body_deadline else {
+            return false;
+        };
+        if Instant::now() < deadline {
+            return false;
+        }
+        let in_time = *self.received_in_time.get_or_insert(self.received);
+        self.received - in_time >= MAX_LATE_BYTES
+    }
+
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<BodyFault> {
         let Some(deadline) = self.body_deadline.deadline(self.received) else {
             return Poll::Pending;
