net: a body announced above the limit is refused at its head

The test failed before (the call did not end: the peer announces 900 GB, sends one byte and pauses). The connection is closed as after any unread body. The error is the one of a body that exceeds the limit while it is read.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -217,7 +217,7 @@
         mut body: Body,
         body_timeouts: BodyTimeouts,
     ) -> Result<Vec<u8>, ClientError> {
-        let limit = self.max_body_bytes();
+        let limit = self.check_announced(from, &body)?;
         let total_deadline = Instant::now() + body_timeouts.total;
         let mut bytes = Vec::new();
         let mut part = vec![0; PART_BYTES];
@@ -247,7 +247,7 @@
         body: Body,
         deadline: Instant,
     ) -> Result<Vec<u8>, ClientError> {
-        let limit = self.max_body_bytes();
+        let limit = self.check_announced(from, &body)?;
         let mut bytes = Vec::new();
         let mut bounded = body.take(limit + 1);
         let read = bounded.read_to_end(&mut bytes);
@@ -262,6 +262,20 @@
         }
     }
 
+    /// Returns the limit of a body that is read whole, unless the head has
+    /// announced more.
+    fn check_announced(&self, from: SocketAddr, body: &Body) -> Result<u64, ClientError> {
+        let limit = self.max_body_bytes();
+        let announced = body.len().unwrap_or_default() as u64;
+        if announced > limit {
+            return Err(ClientError::ResponseTooLarge {
+                address: from,
+                limit,
+            });
+        }
+        Ok(limit)
+    }
+
     fn max_body_bytes(&self) -> u64 {
         self.pool.settings().max_body_bytes
     }
--- a/crates/net/tests/endless_responses.rs
+++ b/crates/net/tests/endless_responses.rs
@@ -11,7 +11,8 @@
 use http_types::{Method, Request, Url};
 use support::{RawCaller, SAFETY, read_request_head, within};
 use threadledge_net::{
-    ClientError, ExchangeFault, HttpClient, Instant, Pool, PoolSettings, UnframedBodies,
+    BodyTimeouts, ClientError, ExchangeFault, HttpClient, Instant, Pool, PoolSettings,
+    UnframedBodies,
 };
 
 /// Limit of the clients in these tests, in bytes.
@@ -93,6 +94,22 @@
     (address, closed)
 }
 
+/// A peer that sends the head of a response and `body`, and nothing more until
+/// its connection closes.
+async fn pausing_peer(head: &'static str, body: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    async_std::task::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut caller = RawCaller::from(stream);
+        read_request_head(&mut caller).await;
+        caller.send(head).await;
+        caller.send(body).await;
+        let _ = caller.stream.read_to_end(&mut Vec::new()).await;
+    });
+    address
+}
+
 fn client() -> HttpClient {
     HttpClient::new(PoolSettings {
         max_body_bytes: LIMIT,
@@ -136,6 +153,23 @@
     }
 }
 
+/// The rest of the body never comes, so that only the head can tell.
+#[async_std::test]
+async fn body_announced_above_the_limit_is_refused_without_reading_it() {
+    let address = pausing_peer(ANNOUNCED, "a".to_owned()).await;
+    let error = within(client().send(address, http_get(), 2 * SAFETY)).await;
+    assert!(matches!(error, Err(ClientError::ResponseTooLarge { .. })));
+    let address = pausing_peer(ANNOUNCED, "a".to_owned()).await;
+    let body_timeouts = BodyTimeouts {
+        idle: 2 * SAFETY,
+        total: 2 * SAFETY,
+    };
+    let client = client();
+    let sending = client.send_with_body_timeouts(address, http_get(), SAFETY, body_timeouts);
+    let error = within(sending).await;
+    assert!(matches!(error, Err(ClientError::ResponseTooLarge { .. })));
+}
+
 /// Nobody ever waits for a sender that does not pause.
 #[async_std::test]
 async fn body_that_never_pauses_ends_soon_after_its_deadline() {
