soak: two regions joined by a narrow link, full for seconds, with tens of owners of keys

The soak knew one region, so that no run of real processes had reached what gateways do for back ends of another one: long orders, grants that overlap, connections kept open.

All traffic between the regions crosses one link: 12 ms, one rate each way, a queue that other traffic fills for seconds. What has left a sender is delivered in its turn, also after a reset, which travels behind it. Faults in overlapping series: back ends come, leave, crash, lose the store, and other services take over their addresses; grants and releases unanswered and carried out up to 12 s late; answers twice; the coordinator killed or suspended; the store away, slow, late, or closed to some gateways.

Reports of keys with two holders say which line of OWNER they break, or that the soak is stricter than the line; late grants are named. Nothing that counted counts no more. Addresses that are split between two reads are replaced now as well: with tens of back ends messages are longer than a read, and a gateway would have seen a foreign address.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -46,6 +46,8 @@
     /// Time at which the lease would have expired, had the back end not been
     /// told to release the key.
     pub lease: Duration,
+    /// True if the last of its grants was left unanswered and applied later.
+    pub late: bool,
 }
 
 impl fmt::Display for Tenure {
@@ -55,9 +57,10 @@
         } = self;
         let from = self.from.as_secs_f64();
         let until = self.until.as_secs_f64();
+        let late = if self.late { ", late grant" } else { "" };
         write!(
             f,
-            "{back_end} (fence {fence}, from {from:.3} s to {until:.3} s)"
+            "{back_end} (fence {fence}, from {from:.3} s to {until:.3} s{late})"
         )
     }
 }
@@ -238,23 +241,28 @@
                 } else {
                     ""
                 };
+                let line = overlap_line(tenures, *both_started);
                 write!(
                     f,
-                    "keys {first} to {last} were held by {one} and {two}{began}"
+                    "keys {first} to {last} were held by {one} and {two}{began} [{line}]"
                 )
             }
             Violation::GrantedDuringWork { key, work, tenures } => {
                 let [one, two] = &**tenures;
                 let (from, until) = (work.0.as_secs_f64(), work.1.as_secs_f64());
+                let line = work_line(tenures);
                 write!(
                     f,
-                    "key {key} went to {two} while {one} was at work from {from:.3} s to {until:.3} s"
+                    "key {key} went to {two} while {one} was at work from {from:.3} s to {until:.3} s [{line}]"
                 )
             }
             Violation::StaleFence { keys, tenures } => {
                 let (first, last) = keys;
                 let [had, took] = &**tenures;
-                write!(f, "keys {first} to {last} went to {took} after {had}")
+                write!(
+                    f,
+                    "keys {first} to {last} went to {took} after {had} [second line of OWNER]"
+                )
             }
             Violation::VersionRegressed { gateway, versions } => write!(
                 f,
@@ -296,6 +304,32 @@
     }
 }
 
+/// Overlap above which the users count two holders that begin no requests.
+const COUNTED_OVERLAP: Duration = Duration::from_millis(500);
+
+/// Says whether the users count keys that two back ends held at once.
+fn overlap_line(tenures: &[Tenure; 2], both_started: bool) -> &'static str {
+    let [one, two] = tenures;
+    let overlap = one.until.min(two.until) - one.from.max(two.from);
+    if both_started {
+        "first line of OWNER"
+    } else if overlap <= COUNTED_OVERLAP {
+        "stricter than OWNER: up to half a second"
+    } else if one.late || two.late {
+        "stricter than OWNER: a late grant"
+    } else {
+        "third line of OWNER"
+    }
+}
+
+/// Says whether the users count keys that were given on during work.
+fn work_line(tenures: &[Tenure; 2]) -> &'static str {
+    match tenures.iter().any(|tenure| tenure.late) {
+        true => "stricter than OWNER: a late grant",
+        false => "third line of OWNER",
+    }
+}
+
 /// Status codes that guarantee that a request has not run and never will.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,7 @@
 //! Fault schedules drawn from a seed.
 
 mod doubled;
+mod regions;
 
 use std::fmt;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 use crate::proxy::Directions;
 use crate::proxy::copies::CopyTiming;
+use crate::regions::PLAIN_COUNT;
 use crate::world::ZONES;
 
 /// Bounds of the length of a fault, in milliseconds.
@@ -162,6 +164,50 @@
         /// Percentage of the answers that are sent twice.
         percent: u32,
     },
+    /// A back end leaves grants and releases unanswered and applies them later.
+    LateOrders {
+        /// The back end.
+        back_end: usize,
+        /// Longest delay after which one is applied.
+        lateness: Duration,
+    },
+    /// A back end leaves, its process ends later, and another one has come at
+    /// another address.
+    Leave {
+        /// The back end.
+        back_end: usize,
+        /// True if it registers as draining; else its registration vanishes.
+        says_draining: bool,
+        /// True if a back end of another service takes over its address.
+        reused: bool,
+    },
+    /// A back end cannot reach the store: its registration lapses while it
+    /// serves on.
+    Unregistered(usize),
+    /// Other traffic fills the link between two regions.
+    LinkFull {
+        /// Directions that are full, as seen from the first region.
+        ways: Directions,
+        /// How long the queue is, as a time.
+        queue: Duration,
+    },
+    /// The gateway that holds the lease of a coordinator is killed.
+    KillCoordinator,
+    /// The gateway that holds the lease of a coordinator is paused.
+    PauseCoordinator,
+    /// The store answers after this time.
+    StoreSlow(Duration),
+    /// The store answers no write and applies it after this time.
+    StoreWritesLate(Duration),
+    /// The store turns some gateways away.
+    StoreTurnsAway {
+        /// The first of them.
+        first: usize,
+        /// Their number; after the last gateway comes the first.
+        count: usize,
+        /// True if it does not answer them; else it rejects their calls.
+        silently: bool,
+    },
 }
 
 impl Kind {
@@ -186,6 +232,9 @@
                 | Kind::SaysLeaving(_)
                 | Kind::AsksRest { .. }
                 | Kind::Doubles { .. }
+                | Kind::LateOrders { .. }
+                | Kind::Leave { .. }
+                | Kind::Unregistered(_)
         )
     }
 
@@ -244,6 +293,8 @@
     Backpressure,
     /// Only answers that back ends send twice, while keys move.
     Doubled,
+    /// Those of two regions with a narrow link between them.
+    Regions,
 }
 
 /// Returns the faults of a soak that lasts `total`, ordered by start time.
@@ -266,6 +317,16 @@
         faults.sort_by_key(|fault| fault.at);
         return faults;
     }
+    if fault_set == FaultSet::Regions {
+        let targets = regions::Targets {
+            gateways,
+            keyed: back_ends - PLAIN_COUNT,
+            back_ends,
+        };
+        let mut faults = regions::plan_regions(seed, total, targets);
+        faults.sort_by_key(|fault| fault.at);
+        return faults;
+    }
     let mut faults = plan_owner_faults(seed, total, gateways, back_ends);
     faults.extend(plan_peer_stalls(seed, total, gateways));
     faults.extend(plan_long_partitions(seed, total, back_ends));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pipelined;
 pub mod process;
 pub mod proxy;
+pub mod regions;
 pub mod run;
 pub mod tenants;
 pub mod world;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -54,6 +54,12 @@
     doubled: bool,
     /// Two of three back ends leave the ids of requests out of rejections
     omitted_ids: bool,
+    /// Two regions joined by a narrow link, each with as many back ends that
+    /// hold keys, and the faults of such a deployment
+    regions: bool,
+    /// Rate of that link in each direction, in Mbit/s [default: 60]
+    #[bpaf(argument("N"), fallback(60), guard(is_positive, "must be above 0"))]
+    link_mbps: u32,
     /// Print the faults of the seed and run nothing
     plan: bool,
 }
@@ -66,6 +72,10 @@
     (1..=10).contains(number)
 }
 
+fn is_positive(number: &u32) -> bool {
+    *number > 0
+}
+
 fn main() -> eyre::Result<ExitCode> {
     let arguments = arguments().run();
     let mut no_violations = true;
@@ -73,6 +83,7 @@
         Arguments {
             backpressure: true, ..
         } => FaultSet::Backpressure,
+        Arguments { regions: true, .. } => FaultSet::Regions,
         Arguments { doubled: true, .. } => FaultSet::Doubled,
         Arguments {
             owners_only: true, ..
@@ -92,9 +103,10 @@
             reuse_ids: arguments.lives,
             omitted_ids: arguments.omitted_ids,
             time_factor: arguments.patience,
+            link_mbps: arguments.regions.then_some(arguments.link_mbps),
         };
         if arguments.plan {
-            let back_ends = options.back_ends * 2;
+            let back_ends = options.back_end_count();
             let (length, gateways) = (options.length, options.gateways);
             for fault in fault::plan(seed, length, gateways, back_ends, faults) {
                 println!("{fault}");
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -17,6 +17,8 @@
     pub at: Duration,
     /// The change.
     pub change: KeyChange,
+    /// True if the order was left unanswered and applied later.
+    pub late: bool,
 }
 
 /// A request for a key that a back end started to process.
@@ -148,6 +150,7 @@
             if current_tenure.fence == fence {
                 current_tenure.until = until;
                 current_tenure.lease = until;
+                current_tenure.late = event.late;
                 return;
             }
             current_tenure.until = event.at;
@@ -158,6 +161,7 @@
             from: event.at,
             until,
             lease: until,
+            late: event.late,
         };
         self.check_fence(&tenure);
         self.tenures.push(tenure);
--- a/crates/soak/src/peers.rs
+++ b/crates/soak/src/peers.rs
@@ -9,7 +9,9 @@
 
 use crate::process::{PEER_PORT, gateway_address};
 use crate::proxy::Proxy;
+use crate::proxy::link::{Link, LinkEnd};
 use crate::proxy::rewriter::Rewriter;
+use crate::regions;
 
 /// Port of the proxies that the first gateway uses; those of the others follow.
 /// It has as many digits as the port of the gateways.
@@ -27,18 +29,27 @@
 }
 
 impl PeerLinks {
-    /// Starts one proxy for each ordered pair of gateways.
+    /// Starts one proxy for each ordered pair of gateways. Those between two
+    /// regions cross the link, if there is one.
     ///
     /// # Errors
     ///
     /// Fails if an address cannot be listened on.
-    pub async fn start(gateways: usize) -> std::io::Result<Self> {
+    pub async fn start(gateways: usize, link: Option<&Link>) -> std::io::Result<Self> {
         let mut links = Vec::new();
         for from in 0..gateways {
             for to in (0..gateways).filter(|to| *to != from) {
-                let rewriter = peer_rewriter(from, to, gateways);
+                let (here, there) = match link {
+                    Some(_) => (regions::region_of(from), regions::region_of(to)),
+                    None => (0, 0),
+                };
+                let rewriter = peer_rewriter(from, to, gateways, regions::view_pair(here, there));
                 let proxy =
                     Proxy::start_at(proxy_address(from, to), peer_address(to), rewriter).await?;
+                if let Some(link) = link.filter(|_| here != there) {
+                    let link = link.clone();
+                    proxy.set_link(LinkEnd { link, region: here });
+                }
                 links.push((from, to, proxy));
             }
         }
@@ -64,26 +75,34 @@
     }
 }
 
-/// Address replacements of the proxy between a gateway and the store.
-pub fn store_rewriter(gateway: usize, gateways: usize) -> Rewriter {
+/// Address replacements of the proxy between a gateway and the store; `view`
+/// are those for its region.
+pub fn store_rewriter(gateway: usize, gateways: usize, view: Option<(String, String)>) -> Rewriter {
     let others = (0..gateways).filter(|other| *other != gateway);
-    Rewriter::new(others.map(|other| {
+    let gateways = others.map(|other| {
         (
             proxy_address(gateway, other).to_string(),
             peer_address(other).to_string(),
         )
-    }))
+    });
+    Rewriter::new(gateways.chain(view))
 }
 
-/// Address replacements of the proxy from one gateway to another.
-fn peer_rewriter(from: usize, to: usize, gateways: usize) -> Rewriter {
+/// Address replacements of the proxy from one gateway to another; `view` are
+/// those between their regions.
+fn peer_rewriter(
+    from: usize,
+    to: usize,
+    gateways: usize,
+    view: Option<(String, String)>,
+) -> Rewriter {
     let pair = |each| {
         (
             address_seen_by(from, each).to_string(),
             address_seen_by(to, each).to_string(),
         )
     };
-    Rewriter::new((0..gateways).map(pair))
+    Rewriter::new((0..gateways).map(pair).chain(view))
 }
 
 /// Address at which a gateway sees another gateway, or itself.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::check::ZONE_DRAIN;
+use crate::regions;
 use crate::world::ZONES;
 
 /// Hold time of a grant: short, so that holds expire within a soak.
@@ -29,6 +30,8 @@
     pub number: usize,
     /// Address at which the gateway reaches the store.
     pub store: SocketAddr,
+    /// Zones lie in two regions.
+    pub regions: bool,
 }
 
 /// A gateway process. Dropping it kills the process.
@@ -59,14 +62,30 @@
         let readiness = SocketAddr::from((own, 8_082));
         let name = format!("gateway-{}", config.number);
         let settings = config.dir.join(format!("{name}.toml"));
-        let zone = config.number % ZONES;
-        let hold = GRANT_HOLD.as_secs();
+        let store = config.store;
+        let drain = ZONE_DRAIN.as_secs();
+        let (zone, region) = match config.regions {
+            true => (
+                regions::zone_of(config.number),
+                format!(
+                    "region = \"region-{}\"\n",
+                    regions::region_of(config.number)
+                ),
+            ),
+            false => (config.number % ZONES, String::new()),
+        };
+        let last = match config.regions {
+            true => regions::settings(),
+            false => {
+                let hold = GRANT_HOLD.as_secs();
+                format!("[ownership]\nhold-s = {hold}\nmax-hold-s = {hold}\n")
+            }
+        };
         let text = format!(
-            "machine = \"{name}\"\nzone = \"zone-{zone}\"\n[listen]\ncallers = \"{callers}\"\n\
-             readiness = \"{readiness}\"\npeers = \"{own}:{PEER_PORT}\"\n[platform]\nstore = \"{}\"\n\
-             [bounds]\nzone-drain-s = {}\n[ownership]\nhold-s = {hold}\nmax-hold-s = {hold}\n",
-            config.store,
-            ZONE_DRAIN.as_secs(),
+            "machine = \"{name}\"\nzone = \"zone-{zone}\"\n{region}[listen]\n\
+             callers = \"{callers}\"\nreadiness = \"{readiness}\"\n\
+             peers = \"{own}:{PEER_PORT}\"\n[platform]\nstore = \"{store}\"\n\
+             [bounds]\nzone-drain-s = {drain}\n{last}"
         );
         std::fs::write(&settings, text)
             .wrap_err_with(|| format!("{} cannot be written", settings.display()))?;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,6 +2,8 @@
 
 mod connection;
 pub mod copies;
+pub mod link;
+mod linked;
 mod process_ports;
 pub mod rewriter;
 
@@ -19,6 +21,7 @@
 
 use connection::ProxiedConnection;
 use copies::{CopyTiming, Doubling};
+use link::LinkEnd;
 use rewriter::Rewriter;
 
 /// Connections that may wait to be accepted.
@@ -113,6 +116,8 @@
     doubling: Option<Doubling>,
     /// Number of answers that were sent twice.
     doubled: u64,
+    /// The link that the connections cross, if any.
+    link: Option<LinkEnd>,
 }
 
 impl State {
@@ -196,6 +201,7 @@
             refusing: false,
             doubling: None,
             doubled: 0,
+            link: None,
         };
         let proxy = Proxy {
             address,
@@ -237,6 +243,12 @@
         self.state.lock().doubling = Some(doubling);
     }
 
+    /// Leads new connections over a link. Of the other faults only resets and
+    /// refusals concern them.
+    pub fn set_link(&self, link: LinkEnd) {
+        self.state.lock().link = Some(link);
+    }
+
     /// Number of answers that were sent twice so far.
     pub fn doubled(&self) -> u64 {
         self.state.lock().doubled
--- a/crates/soak/src/proxy/connection.rs
+++ b/crates/soak/src/proxy/connection.rs
@@ -15,10 +15,12 @@
 use threadledge_net::timer;
 
 use super::copies::AnswerCopies;
+use super::linked::LinkedConnection;
+use super::rewriter::RewriteBuffer;
 use super::{Direction, Mode, Partition, State, process_ports};
 
 /// Bytes read at once.
-const CHUNK: usize = 16 * 1024;
+pub(super) const CHUNK: usize = 16 * 1024;
 
 /// One end of a connection. The stream of async-std lends no descriptor, which
 /// resetting a connection needs.
@@ -65,10 +67,16 @@
             set_reset_on_close(&client);
             return;
         }
-        let (reset, target) = {
+        let (reset, target, link) = {
             let state = self.state.lock();
-            (state.reset.clone(), state.target)
+            (state.reset.clone(), state.target, state.link.clone())
         };
+        if let Some(link) = link {
+            let rewriter = self.state.lock().rewriter.clone();
+            let connection = LinkedConnection::new(link, rewriter);
+            select(Box::pin(connection.run(client, target)), reset.stopped()).await;
+            return;
+        }
         let Ok(server) = Async::<TcpStream>::connect(target).await else {
             return;
         };
@@ -184,6 +192,7 @@
     async fn pump(&self, from: Stream, to: Stream, direction: Direction) -> io::Result<()> {
         let mut chunk = vec![0; CHUNK];
         let mut buffered = Vec::new();
+        let mut rewriting = RewriteBuffer::default();
         let mut open = true;
         loop {
             let changed = self.state.lock().changed.stopped();
@@ -212,10 +221,13 @@
                 Either::Right(_) => continue,
             };
             match read {
-                Ok(0) => open = false,
+                Ok(0) => {
+                    open = false;
+                    buffered.extend(rewriting.finish());
+                }
                 Ok(read) => {
-                    self.rewrite(&mut chunk[..read], direction);
-                    buffered.extend_from_slice(&chunk[..read]);
+                    let rewriter = self.state.lock().rewriter.clone();
+                    buffered.extend(rewriting.pass(&chunk[..read], &rewriter, direction));
                 }
                 Err(_) if self.is_stalled() => return Ok(()),
                 Err(error) => {
@@ -226,14 +238,6 @@
         }
     }
 
-    fn rewrite(&self, bytes: &mut [u8], direction: Direction) {
-        let rewriter = self.state.lock().rewriter.clone();
-        match direction {
-            Direction::There => rewriter.rewrite_forward(bytes),
-            Direction::Back => rewriter.rewrite_backward(bytes),
-        }
-    }
-
     async fn deliver(
         &self,
         bytes: &[u8],
@@ -277,7 +281,7 @@
 }
 
 /// Makes the connection be reset when the last clone of the stream is dropped.
-fn set_reset_on_close(stream: &Stream) {
+pub(super) fn set_reset_on_close(stream: &Stream) {
     // A connection that is already gone needs no reset.
     let _ = sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,7 +19,8 @@
 use crate::crashing;
 use crate::fault::{self, Fault, FaultSet, Kind};
 use crate::pipelined;
-use crate::world::{Size, World};
+use crate::regions;
+use crate::world::{SERVICES, Size, World};
 
 /// Time for everything to come up, and to recover after the faults.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -41,6 +42,8 @@
 /// Number of further callers, if back ends send answers twice: their requests
 /// are repeated at the one owner of their key, and only after a rejection.
 const UNSAFE_KEYED_CALLERS: usize = 8;
+/// The same if there are two regions with tens of owners of keys.
+const UNSAFE_KEYED_CALLERS_OF_REGIONS: usize = 40;
 /// Requests of each kind to each gateway after recovery.
 const FINAL_REQUESTS: usize = 5;
 
@@ -69,6 +72,18 @@
     pub omitted_ids: bool,
     /// Factor for all time limits, for machines under load.
     pub time_factor: u32,
+    /// Rate of the link between two regions in Mbit/s, if there are regions.
+    pub link_mbps: Option<u32>,
+}
+
+impl Options {
+    /// Number of back ends of all services.
+    pub fn back_end_count(&self) -> usize {
+        match self.link_mbps {
+            Some(_) => regions::keyed_count(self.back_ends) + regions::PLAIN_COUNT,
+            None => self.back_ends * SERVICES.len(),
+        }
+    }
 }
 
 /// Result of one soak.
@@ -117,6 +132,10 @@
     RegisterLate(String),
     /// Removes a registration.
     Lapse(String),
+    /// Ends the process of a back end that has left.
+    EndLeft(String),
+    /// Starts a back end of another service at the address of one that ended.
+    Reuse(String),
 }
 
 /// State of a running soak.
@@ -163,8 +182,9 @@
         back_ends: options.back_ends,
         crashing_requests: options.crashing_requests,
         reuse_ids: options.reuse_ids,
-        doubled_answers: options.faults == FaultSet::Doubled,
+        doubled_answers: matches!(options.faults, FaultSet::Doubled | FaultSet::Regions),
         omitted_ids: options.omitted_ids,
+        link_mbps: options.link_mbps,
     };
     let world = World::start(&options.program, &options.dir, size).await?;
     let mut soak = Soak {
@@ -192,7 +212,7 @@
         options.seed,
         options.length,
         options.gateways,
-        options.back_ends * 2,
+        options.back_end_count(),
         options.faults,
     );
     let stop_crashing = StopSignal::new();
@@ -225,6 +245,7 @@
         let addresses: Vec<_> = gateways.map(|gateway| gateway.callers).collect();
         let unsafe_keyed = match options.faults {
             FaultSet::Doubled => UNSAFE_KEYED_CALLERS,
+            FaultSet::Regions => UNSAFE_KEYED_CALLERS_OF_REGIONS,
             _ => 0,
         };
         let sequential = (0..CALLERS + unsafe_keyed).map(|number| {
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -14,6 +14,9 @@
 use crate::proxy::Mode;
 use crate::proxy::copies::Doubling;
 
+/// Time from the end of a back end until its address is used again.
+const REUSE_AFTER: Duration = Duration::from_secs(2);
+
 impl Soak {
     /// Writes an action to the log with the machine time in seconds, as in the
     /// gateways' logs, and the time since the start, as in the summary.
@@ -24,10 +27,14 @@
     }
 
     pub(super) async fn inject(&mut self, fault: &Fault) -> eyre::Result<()> {
-        self.log_action(fault)?;
         let due = Instant::now() + fault.length;
         let began = self.since_start();
-        let kind = fault.kind;
+        let kind = match fault.kind {
+            Kind::KillCoordinator => Kind::Kill(self.world.coordinator()),
+            Kind::PauseCoordinator => Kind::Pause(self.world.coordinator()),
+            kind => kind,
+        };
+        self.log_action(&Fault { kind, ..*fault })?;
         match kind {
             Kind::Kill(gw) => self.kill(gw),
             Kind::KillAll => {
@@ -46,9 +53,19 @@
                 }
             }
             Kind::Reload(gw) => self.world.gateways[gw].signal(Signal::HUP)?,
-            Kind::StoreSilent => self.world.store.set_fault(StoreFault::Silent),
-            Kind::StoreBusy => self.world.store.set_fault(StoreFault::Busy),
-            Kind::StoreLosesAnswers => self.world.store.set_fault(StoreFault::LosesResponses),
+            Kind::KillCoordinator | Kind::PauseCoordinator => {}
+            Kind::StoreSilent => self.world.set_store_fault(StoreFault::Silent),
+            Kind::StoreBusy => self.world.set_store_fault(StoreFault::Busy),
+            Kind::StoreLosesAnswers => self.world.set_store_fault(StoreFault::LosesResponses),
+            Kind::StoreSlow(delay) => self.world.set_store_fault(StoreFault::Slow(delay)),
+            Kind::StoreWritesLate(delay) => {
+                self.world.set_store_fault(StoreFault::WritesLate(delay));
+            }
+            Kind::StoreTurnsAway {
+                first,
+                count,
+                silently,
+            } => self.world.turn_away(first, count, silently),
             Kind::StoreForgets => self.world.store.compact(),
             Kind::StoreCut(gw) => self.world.store_proxies[gw].set_mode(Mode::DropAll),
             Kind::StoreDeaf(gw) => self.world.store_proxies[gw].set_mode(Mode::DropResponses),
@@ -104,6 +121,23 @@
                 let inner = &self.world.back_ends[back_end].inner;
                 inner.set_grant_delay(Some(lateness));
             }
+            Kind::LateOrders { back_end, lateness } => {
+                let inner = &self.world.back_ends[back_end].inner;
+                inner.set_order_delay(Some(lateness));
+            }
+            Kind::Leave {
+                back_end,
+                says_draining,
+                reused,
+            } => {
+                let left = self.world.leave(back_end, says_draining).await?;
+                self.schedule(due, Step::EndLeft(left.clone()));
+                if reused {
+                    self.schedule(due + REUSE_AFTER, Step::Reuse(left));
+                }
+            }
+            Kind::Unregistered(be) => self.world.unregister(be),
+            Kind::LinkFull { ways, queue } => self.world.crowd_link(ways, queue),
             Kind::Doubles {
                 back_end,
                 timing,
@@ -199,6 +233,8 @@
                 Step::ComeBack { back_end, crashed } => {
                     self.world.restart_back_end(back_end, &crashed).await?;
                 }
+                Step::EndLeft(id) => self.world.end_left(&id),
+                Step::Reuse(id) => self.world.reuse_address(&id).await?,
                 Step::RegisterLate(id) => self.world.register_again(&id),
                 Step::Lapse(id) => self.world.expire_registration(&id),
             }
@@ -215,9 +251,12 @@
                 }
             }
             Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::CONT)?,
-            Kind::StoreSilent | Kind::StoreBusy | Kind::StoreLosesAnswers => {
-                self.world.store.set_fault(StoreFault::None);
-            }
+            Kind::StoreSilent
+            | Kind::StoreBusy
+            | Kind::StoreLosesAnswers
+            | Kind::StoreSlow(_)
+            | Kind::StoreWritesLate(_)
+            | Kind::StoreTurnsAway { .. } => self.world.set_store_fault(StoreFault::None),
             Kind::StoreCut(gw) | Kind::StoreDeaf(gw) => {
                 self.world.store_proxies[gw].set_mode(Mode::Normal)
             }
@@ -234,6 +273,11 @@
             Kind::LateGrants { back_end, .. } => {
                 self.world.back_ends[back_end].inner.set_grant_delay(None);
             }
+            Kind::LateOrders { back_end, .. } => {
+                self.world.back_ends[back_end].inner.set_order_delay(None);
+            }
+            Kind::Unregistered(be) => self.world.register_cold(be, Duration::ZERO),
+            Kind::LinkFull { ways, .. } => self.world.crowd_link(ways, Duration::ZERO),
             Kind::Doubles { back_end, .. } => {
                 let proxy = &self.world.back_ends[back_end].proxy;
                 proxy.set_doubling(Doubling::none());
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,5 +1,7 @@
 //! The gateways of one soak and everything around them.
 
+mod regions;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -16,7 +18,9 @@
 use crate::peers::{self, PeerLinks};
 use crate::process::{Gateway, GatewayConfig};
 use crate::proxy::copies::Doubling;
+use crate::proxy::link::{Link, LinkEnd};
 use crate::proxy::{Mode, Proxy};
+use crate::regions as layout;
 use crate::tenants;
 
 /// Number of zones over which back ends and gateways are spread.
@@ -34,6 +38,8 @@
 /// Requests that a back end works on at once if answers are sent twice; it
 /// rejects further ones. As many as its registration says.
 const SLOTS: usize = 2;
+/// Requests that wait at a back end for one of them, if there are regions.
+const QUEUE: usize = 6;
 
 /// A back end behind its proxy.
 #[derive(Debug)]
@@ -44,6 +50,11 @@
     pub proxy: Proxy,
     /// Zone of the back end.
     pub zone: String,
+    /// Proxy for gateways of the other region, if there are regions; it leads
+    /// to the other one.
+    far: Option<Proxy>,
+    /// Address at which it is registered.
+    registered: SocketAddr,
     service: &'static str,
 }
 
@@ -52,6 +63,11 @@
 pub struct World {
     /// The stand-in store.
     pub store: StandInStore,
+    /// Address of the store for each gateway if there are regions, with faults
+    /// of its own.
+    pub store_endpoints: Vec<StandInStore>,
+    /// The link between the regions, if there are any.
+    pub link: Option<Link>,
     /// Proxy between each gateway and the store, by gateway number.
     pub store_proxies: Vec<Proxy>,
     /// Proxies between the gateways.
@@ -91,6 +107,8 @@
     pub doubled_answers: bool,
     /// Two of three back ends leave the ids of requests out of rejections.
     pub omitted_ids: bool,
+    /// Rate of the link between two regions in Mbit/s, if there are regions.
+    pub link_mbps: Option<u32>,
 }
 
 impl World {
@@ -101,10 +119,13 @@
     /// Fails if a port cannot be listened on or the program does not start.
     pub async fn start(program: &Path, dir: &Path, size: Size) -> eyre::Result<Self> {
         let store = StandInStore::start().await.wrap_err("no store")?;
+        let link = size.link_mbps.map(Link::new);
         let mut world = World {
             store,
+            store_endpoints: Vec::new(),
             store_proxies: Vec::new(),
-            peers: PeerLinks::start(size.gateways).await?,
+            peers: PeerLinks::start(size.gateways, link.as_ref()).await?,
+            link,
             gateways: Vec::new(),
             back_ends: Vec::new(),
             former_back_ends: Vec::new(),
@@ -115,29 +136,71 @@
             doubled_answers: size.doubled_answers,
             omitted_ids: size.omitted_ids,
         };
-        for _ in 0..size.back_ends {
-            for service in SERVICES {
-                let back_end = world.start_back_end(service).await?;
-                world.back_ends.push(back_end);
-            }
-        }
+        world.start_back_ends(size.back_ends).await?;
         world.configure();
         for number in 0..size.gateways {
-            let any = SocketAddr::from(([127, 0, 0, 1], 0));
-            let rewriter = peers::store_rewriter(number, size.gateways);
-            let store_proxy = Proxy::start_at(any, world.store.address(), rewriter).await?;
-            let store = store_proxy.address();
-            world.store_proxies.push(store_proxy);
+            let store = world.start_store_proxy(number, size.gateways).await?;
             world.gateways.push(Gateway::start(&GatewayConfig {
                 program,
                 dir,
                 number,
                 store,
+                regions: world.link.is_some(),
             })?);
         }
         Ok(world)
     }
 
+    /// Starts this many back ends of each service; in regions, as many that
+    /// hold keys in each of the two, and fewer others.
+    async fn start_back_ends(&mut self, count: usize) -> eyre::Result<()> {
+        if self.link.is_some() {
+            let [keyed, plain] = SERVICES;
+            let keyed = std::iter::repeat_n(keyed, layout::keyed_count(count));
+            let plain = std::iter::repeat_n(plain, layout::PLAIN_COUNT);
+            for (number, service) in keyed.chain(plain).enumerate() {
+                let back_end = self.start_back_end_in(service, number).await?;
+                self.back_ends.push(back_end);
+            }
+            return Ok(());
+        }
+        for _ in 0..count {
+            for service in SERVICES {
+                let back_end = self.start_back_end(service).await?;
+                self.back_ends.push(back_end);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts the proxy between a gateway and the store. Returns its address.
+    async fn start_store_proxy(
+        &mut self,
+        number: usize,
+        gateways: usize,
+    ) -> eyre::Result<SocketAddr> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let Some(link) = self.link.clone() else {
+            let rewriter = peers::store_rewriter(number, gateways, None);
+            let proxy = Proxy::start_at(any, self.store.address(), rewriter).await?;
+            let address = proxy.address();
+            self.store_proxies.push(proxy);
+            return Ok(address);
+        };
+        let region = layout::region_of(number);
+        let view = layout::view_pair(region, layout::STORE_REGION);
+        let rewriter = peers::store_rewriter(number, gateways, view);
+        let endpoint = self.store.open_endpoint().await?;
+        let proxy = Proxy::start_at(any, endpoint.address(), rewriter).await?;
+        if region != layout::STORE_REGION {
+            proxy.set_link(LinkEnd { link, region });
+        }
+        let address = proxy.address();
+        self.store_endpoints.push(endpoint);
+        self.store_proxies.push(proxy);
+        Ok(address)
+    }
+
     /// Starts a stand-in back end, under `id` if it restarts an earlier one.
     async fn start_stand_in(
         &mut self,
@@ -154,6 +217,9 @@
             inner.set_max_work(MAX_LONG_WORK);
             inner.set_slots(Some(SLOTS));
         }
+        if self.link.is_some() {
+            inner.set_queue(QUEUE);
+        }
         if self.omitted_ids {
             inner.set_omits_ids(!self.started_count.is_multiple_of(3));
         }
@@ -169,10 +235,38 @@
         if self.doubled_answers {
             proxy.set_doubling(Doubling::none());
         }
+        let registered = proxy.address();
         let back_end = BackEnd {
             inner,
             proxy,
             zone: format!("zone-{}", self.started_count / 2 % ZONES),
+            far: None,
+            registered,
+            service,
+        };
+        self.register(&back_end, "ready");
+        Ok(back_end)
+    }
+
+    /// Starts a back end in the zone and region of this number.
+    async fn start_back_end_in(
+        &mut self,
+        service: &'static str,
+        number: usize,
+    ) -> eyre::Result<BackEnd> {
+        let Some(link) = self.link.clone() else {
+            return self.start_back_end(service).await;
+        };
+        let inner = self.start_stand_in(service, None).await?;
+        let region = layout::region_of(number);
+        let proxies = layout::start_proxies(&link, region, inner.address()).await?;
+        proxies.near.set_doubling(Doubling::none());
+        let back_end = BackEnd {
+            inner,
+            proxy: proxies.near,
+            zone: format!("zone-{}", layout::zone_of(number)),
+            far: Some(proxies.far),
+            registered: proxies.registered,
             service,
         };
         self.register(&back_end, "ready");
@@ -241,16 +335,10 @@
         if before.inner.incarnation() != crashed {
             return Ok(());
         }
-        let (proxy, zone, service) = (before.proxy.clone(), before.zone.clone(), before.service);
+        let service = before.service;
         let id = self.reuse_ids.then(|| before.inner.id.clone());
         let inner = self.start_stand_in(service, id).await?;
-        proxy.set_target(inner.address());
-        let next = BackEnd {
-            inner,
-            proxy,
-            zone,
-            service,
-        };
+        let next = self.back_ends[index].next_process(inner, service);
         self.register(&next, "ready");
         let crashed_back_end = std::mem::replace(&mut self.back_ends[index], next);
         self.former_back_ends.push(crashed_back_end);
@@ -276,6 +364,7 @@
                 back_end.proxy.set_doubling(Doubling::none());
             }
             back_end.inner.set_grant_delay(None);
+            back_end.inner.set_order_delay(None);
         }
     }
 
@@ -305,6 +394,7 @@
                 back_end,
                 at: since(event.at),
                 change: event.change,
+                late: event.late,
             }));
             let keyed = inner.runs();
             let keyed = keyed.iter().filter_map(|run| Some((run, run.key?)));
@@ -333,7 +423,7 @@
     /// Fails if a port cannot be listened on.
     pub async fn replace(&mut self, index: usize) -> eyre::Result<()> {
         let service = self.back_ends[index].service;
-        let next = self.start_back_end(service).await?;
+        let next = self.start_back_end_in(service, index).await?;
         let leaving = std::mem::replace(&mut self.back_ends[index], next);
         if !leaving.inner.has_crashed() {
             self.register(&leaving, "draining");
@@ -414,7 +504,20 @@
 impl BackEnd {
     fn registration(&self, state: &str) -> Value {
         self.inner
-            .registration_at(self.proxy.address(), &self.zone, self.service, state)
+            .registration_at(self.registered, &self.zone, self.service, state)
+    }
+
+    /// Leads the address of this back end to another process.
+    fn next_process(&self, inner: StandInBackEnd, service: &'static str) -> BackEnd {
+        self.proxy.set_target(inner.address());
+        BackEnd {
+            inner,
+            proxy: self.proxy.clone(),
+            zone: self.zone.clone(),
+            far: self.far.clone(),
+            registered: self.registered,
+            service,
+        }
     }
 }
 
--- a/crates/soak/tests/ownership.rs
+++ b/crates/soak/tests/ownership.rs
@@ -16,6 +16,7 @@
         back_end,
         at,
         change,
+        late: false,
     }
 }
 
