--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -16,6 +16,10 @@
 
 /// Deadline that a caller gives its requests.
 pub(crate) const DEADLINE: Duration = Duration::from_millis(2_000);
+/// The same of requests that may wait longer.
+pub(crate) const PATIENT_DEADLINE: Duration = Duration::from_millis(2_500);
+/// Number of the keys, the first ones, to which half of those requests go.
+const BUSY_KEYS: u16 = 8_192;
 /// Time beyond the deadline that a caller waits for the response to arrive.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(600);
 /// Bounds of the pause of a caller between two requests, in milliseconds.
@@ -36,6 +40,9 @@
     /// A request to the service that is partitioned by key, which must not run
     /// more than once.
     UnsafeKeyed,
+    /// The same with a longer deadline, for keys of which some are far busier
+    /// than others.
+    PatientKeyed,
 }
 
 impl Kind {
@@ -48,7 +55,7 @@
             Kind::Keyed => ("keyed.example", "/k/"),
             Kind::Safe => ("plain.example", "/safe/"),
             Kind::Unsafe => ("plain.example", "/unsafe/"),
-            Kind::UnsafeKeyed => ("keyed.example", "/unsafe/"),
+            Kind::UnsafeKeyed | Kind::PatientKeyed => ("keyed.example", "/unsafe/"),
         }
     }
 
@@ -59,7 +66,23 @@
 
     /// Returns whether a request names a key.
     pub const fn is_keyed(self) -> bool {
-        matches!(self, Kind::Keyed | Kind::UnsafeKeyed)
+        matches!(self, Kind::Keyed | Kind::UnsafeKeyed | Kind::PatientKeyed)
+    }
+
+    /// Deadline of a request.
+    const fn deadline(self) -> Duration {
+        match self {
+            Kind::PatientKeyed => PATIENT_DEADLINE,
+            _ => DEADLINE,
+        }
+    }
+
+    fn draw_key(self, rng: &mut ChaCha8Rng) -> u16 {
+        let any = rng.random::<u16>();
+        match self {
+            Kind::PatientKeyed if any.is_multiple_of(2) => any % BUSY_KEYS,
+            _ => any,
+        }
     }
 }
 
@@ -119,11 +142,11 @@
         tenant: None,
         cookie: None,
         body,
-        deadline: DEADLINE,
+        deadline: kind.deadline(),
     };
     let answer = match request.build() {
         Ok(request) => client
-            .send(to, request, DEADLINE + RESPONSE_MARGIN)
+            .send(to, request, kind.deadline() + RESPONSE_MARGIN)
             .await
             .ok(),
         Err(_) => None,
@@ -149,7 +172,7 @@
 pub async fn run_caller(
     number: usize,
     seed: u64,
-    kinds: &[Kind],
+    kinds: Vec<Kind>,
     gateways: Vec<SocketAddr>,
     history: History,
     stop: StopSignal,
@@ -168,7 +191,7 @@
         };
         let id = format!("{prefix}c{number}-{sent}{}", gateway_suffix(gateway));
         sent += 1;
-        let key = rng.random::<u16>();
+        let key = kind.draw_key(&mut rng);
         let record = send_unique(&client, to, kind, &id, key).await;
         history.lock().push(record);
         timer::sleep(random_pause(&mut rng)).await;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -48,6 +48,19 @@
     pub lease: Duration,
     /// True if the last of its grants was left unanswered and applied later.
     pub late: bool,
+    /// True if that grant may have waited in a full link.
+    pub delayed: bool,
+}
+
+impl Tenure {
+    /// Describes what the users may hold against counting its last grant.
+    fn remark(&self) -> &'static str {
+        match (self.late, self.delayed) {
+            (true, _) => ", late grant",
+            (false, true) => ", link full",
+            (false, false) => "",
+        }
+    }
 }
 
 impl fmt::Display for Tenure {
@@ -57,10 +70,10 @@
         } = self;
         let from = self.from.as_secs_f64();
         let until = self.until.as_secs_f64();
-        let late = if self.late { ", late grant" } else { "" };
+        let remark = self.remark();
         write!(
             f,
-            "{back_end} (fence {fence}, from {from:.3} s to {until:.3} s{late})"
+            "{back_end} (fence {fence}, from {from:.3} s to {until:.3} s{remark})"
         )
     }
 }
@@ -317,6 +330,8 @@
         "stricter than OWNER: up to half a second"
     } else if one.late || two.late {
         "stricter than OWNER: a late grant"
+    } else if one.delayed || two.delayed {
+        "third line of OWNER, unless the link delayed a grant"
     } else {
         "third line of OWNER"
     }
@@ -324,9 +339,13 @@
 
 /// Says whether the users count keys that were given on during work.
 fn work_line(tenures: &[Tenure; 2]) -> &'static str {
-    match tenures.iter().any(|tenure| tenure.late) {
-        true => "stricter than OWNER: a late grant",
-        false => "third line of OWNER",
+    let any = |has: fn(&Tenure) -> bool| tenures.iter().any(has);
+    if any(|tenure| tenure.late) {
+        "stricter than OWNER: a late grant"
+    } else if any(|tenure| tenure.delayed) {
+        "third line of OWNER, unless the link delayed a grant"
+    } else {
+        "third line of OWNER"
     }
 }
 
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -19,6 +19,8 @@
     pub change: KeyChange,
     /// True if the order was left unanswered and applied later.
     pub late: bool,
+    /// True if the order may have waited in a full link.
+    pub delayed: bool,
 }
 
 /// A request for a key that a back end started to process.
@@ -151,6 +153,7 @@
                 current_tenure.until = until;
                 current_tenure.lease = until;
                 current_tenure.late = event.late;
+                current_tenure.delayed = event.delayed;
                 return;
             }
             current_tenure.until = event.at;
@@ -162,6 +165,7 @@
             until,
             lease: until,
             late: event.late,
+            delayed: event.delayed,
         };
         self.check_fence(&tenure);
         self.tenures.push(tenure);
--- a/crates/soak/src/proxy/link.rs
+++ b/crates/soak/src/proxy/link.rs
@@ -21,6 +21,22 @@
     free_at: Instant,
     /// While other traffic fills the queue: how long it is, as a time.
     crowded: Duration,
+    /// The changes of that, for the checks.
+    changes: Vec<(std::time::Instant, Duration)>,
+}
+
+impl Lane {
+    /// Returns whether what arrived at this time may have waited in a queue that
+    /// other traffic had filled.
+    fn may_have_delayed(&self, arrival: std::time::Instant) -> bool {
+        let ends = self.changes.iter().skip(1).map(|(at, _)| Some(*at));
+        let changes = self.changes.iter().zip(ends.chain([None]));
+        let mut queues = changes.filter(|((_, queue), _)| !queue.is_zero());
+        queues.any(|((from, queue), end)| {
+            let emptied = end.map(|end| end + *queue + LATENCY);
+            *from <= arrival && emptied.is_none_or(|emptied| arrival <= emptied)
+        })
+    }
 }
 
 /// A link between two regions. Clones share it.
@@ -37,6 +53,7 @@
             Mutex::new(Lane {
                 free_at: Instant::now(),
                 crowded: Duration::ZERO,
+                changes: Vec::new(),
             })
         };
         Link {
@@ -51,11 +68,20 @@
     pub fn crowd(&self, ways: Directions, queue: Duration) {
         for (lane, direction) in self.lanes.iter().zip([Direction::There, Direction::Back]) {
             if ways.includes(direction) {
-                lane.lock().crowded = queue;
+                let mut lane = lane.lock();
+                lane.crowded = queue;
+                lane.changes.push((std::time::Instant::now(), queue));
             }
         }
     }
 
+    /// Returns whether what arrived at this time may have waited in a queue that
+    /// other traffic had filled, in either direction.
+    pub fn may_have_delayed(&self, arrival: std::time::Instant) -> bool {
+        let mut lanes = self.lanes.iter();
+        lanes.any(|lane| lane.lock().may_have_delayed(arrival))
+    }
+
     /// Sends bytes from a region. Returns when they arrive.
     fn send(&self, region: usize, bytes: usize) -> Instant {
         let mut lane = self.lanes[region].lock();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -43,7 +43,7 @@
 /// are repeated at the one owner of their key, and only after a rejection.
 const UNSAFE_KEYED_CALLERS: usize = 8;
 /// The same if there are two regions with tens of owners of keys.
-const UNSAFE_KEYED_CALLERS_OF_REGIONS: usize = 40;
+const PATIENT_KEYED_CALLERS: usize = 60;
 /// Requests of each kind to each gateway after recovery.
 const FINAL_REQUESTS: usize = 5;
 
@@ -230,6 +230,8 @@
         each.await;
     }
     soak.send_final_requests(faults_ended_at, &history).await;
+    let key_log = options.dir.join("keys.log");
+    soak.world.write_key_log(&key_log, soak.start)?;
     Ok(soak.summary(faults.len(), &history))
 }
 
@@ -243,16 +245,16 @@
         let seed = options.seed;
         let gateways = self.world.gateways.iter();
         let addresses: Vec<_> = gateways.map(|gateway| gateway.callers).collect();
-        let unsafe_keyed = match options.faults {
-            FaultSet::Doubled => UNSAFE_KEYED_CALLERS,
-            FaultSet::Regions => UNSAFE_KEYED_CALLERS_OF_REGIONS,
-            _ => 0,
+        let (keyed_callers, keyed_kind) = match options.faults {
+            FaultSet::Doubled => (UNSAFE_KEYED_CALLERS, caller::Kind::UnsafeKeyed),
+            FaultSet::Regions => (PATIENT_KEYED_CALLERS, caller::Kind::PatientKeyed),
+            _ => (0, caller::Kind::UnsafeKeyed),
         };
-        let sequential = (0..CALLERS + unsafe_keyed).map(|number| {
+        let sequential = (0..CALLERS + keyed_callers).map(|number| {
             let (history, stop) = (history.clone(), stop.clone());
             let kinds = match number < CALLERS {
-                true => &caller::Kind::ALL[..],
-                false => &[caller::Kind::UnsafeKeyed],
+                true => caller::Kind::ALL.to_vec(),
+                false => vec![keyed_kind],
             };
             task::spawn(caller::run_caller(
                 number,
--- a/crates/soak/src/tenants.rs
+++ b/crates/soak/src/tenants.rs
@@ -1,12 +1,12 @@
 //! Tenants of the soak: every request carries an API key, and each version of
 //! the configuration removes one key and adds one.
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use threadledge_platform_stand_in::{
     Run, changing_configuration, with_tenants, with_unsafe_keyed_route,
 };
 
-use crate::caller::Kind;
+use crate::caller::{self, Kind};
 use crate::check::Violation;
 use crate::crashing;
 
@@ -38,6 +38,14 @@
     with_unsafe_keyed_route(wanted, Kind::UnsafeKeyed.host_and_path().1)
 }
 
+/// The same, with time for requests that wait at busy owners of keys.
+pub(crate) fn patient_configuration(version: u64) -> Value {
+    let mut wanted = configuration(version);
+    let timeout = caller::PATIENT_DEADLINE.as_secs_f64();
+    wanted["Routes"]["unsafe-keyed"]["TimeoutS"] = json!(timeout);
+    wanted
+}
+
 /// Returns the tenant that sends a request and its API key, or `None` for
 /// requests with an unknown key.
 fn tenant_and_key(id: &str) -> Option<(&'static str, &'static str)> {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,5 +1,6 @@
 //! The gateways of one soak and everything around them.
 
+mod key_log;
 mod regions;
 
 use std::collections::BTreeMap;
@@ -390,11 +391,17 @@
         for (incarnation, inner) in &inners {
             let back_end = incarnation.as_str();
             let since = |at: Instant| at.saturating_duration_since(start);
-            changes.extend(inner.key_events().iter().map(|event| KeyChangeEvent {
-                back_end,
-                at: since(event.at),
-                change: event.change,
-                late: event.late,
+            changes.extend(inner.key_events().iter().map(|event| {
+                KeyChangeEvent {
+                    back_end,
+                    at: since(event.at),
+                    change: event.change,
+                    late: event.late,
+                    delayed: self
+                        .link
+                        .as_ref()
+                        .is_some_and(|link| link.may_have_delayed(event.at)),
+                }
             }));
             let keyed = inner.runs();
             let keyed = keyed.iter().filter_map(|run| Some((run, run.key?)));
@@ -411,7 +418,10 @@
     /// Writes the next configuration, as an operator does.
     pub fn configure(&mut self) {
         self.version += 1;
-        let wanted = tenants::configuration(self.version);
+        let wanted = match self.link {
+            Some(_) => tenants::patient_configuration(self.version),
+            None => tenants::configuration(self.version),
+        };
         self.store.put("config", "main", wanted);
     }
 
--- a/crates/soak/tests/ownership.rs
+++ b/crates/soak/tests/ownership.rs
@@ -17,6 +17,7 @@
         at,
         change,
         late: false,
+        delayed: false,
     }
 }
 
