simulation: nodes and back ends of two regions

The model knew one region, or one in which every back end is far. In two, each node has its own near zones: a coordinator is followed by one for which other owners are far.

--- a/crates/coordination/tests/simulation/handovers.rs
+++ b/crates/coordination/tests/simulation/handovers.rs
@@ -35,6 +35,18 @@
     assert!(moves > MEAN_MOVES * seeds, "{moves} moves");
 }
 
+#[test]
+fn keys_have_one_holder_while_coordinators_of_two_regions_follow_each_other() {
+    let first = from_environment("THREADLEDGE_FIRST_SEED", 0);
+    let seeds = from_environment("THREADLEDGE_SEEDS", SEEDS);
+    let mut moves = 0;
+    for seed in first..first + seeds {
+        println!("seed {seed}");
+        moves += run_in(World::in_two_regions(seed, 4, BACK_ENDS.into()));
+    }
+    assert!(moves > MEAN_MOVES * seeds, "{moves} moves");
+}
+
 /// Guards against two holders after a restart under one id.
 #[test]
 fn grant_in_transit_past_a_release_and_a_restart_gives_no_key_a_second_holder() {
@@ -50,7 +62,12 @@
         ..Settings::default()
     };
     let restartable = !seed.is_multiple_of(2);
-    let mut world = World::with_settings(seed, 3, BACK_ENDS.into(), settings, restartable);
+    let world = World::with_settings(seed, 3, BACK_ENDS.into(), settings, restartable);
+    run_in(world)
+}
+
+/// Runs a schedule of moves and faults in a world that has just started.
+fn run_in(mut world: World) -> u64 {
     world.run(Duration::from_secs(3));
     world.chances = random_chances(&mut world);
     for _ in 0..EVENTS {
@@ -65,6 +82,7 @@
 }
 
 fn random_chances(world: &mut World) -> FaultChances {
+    let forwards = world.two_regions;
     let mut chance = |most| match world.random(2) {
         0 => 0,
         _ => world.random(most),
@@ -77,6 +95,10 @@
         order_delayed: chance(600),
         answer_lost: chance(500),
         work: 150,
+        forwarder_lost: match forwards {
+            true => chance(200),
+            false => 0,
+        },
     }
 }
 
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -7,11 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 use threadledge_coordination::action::{Action, Freshness, ReadResult, WriteResult};
 use threadledge_coordination::{
-    Coordinator, CoordinatorLease, KeyOwner, NodeIdentity, Order, OrderFault, OrderReply,
-    OwnershipRecord, OwnershipView, Settings,
+    Coordinator, CoordinatorLease, KeyOwner, NodeIdentity, Order, OrderFault, OrderKind,
+    OrderReply, OwnershipRecord, OwnershipView, Settings,
 };
 use threadledge_types::deployment::{BackEnd, BackEndName, KeyRange, ServiceName, ShardKey};
-use threadledge_types::{Incarnation, MachineName, Timestamp};
+use threadledge_types::{Incarnation, MachineName, Timestamp, ZoneName};
 
 use super::back_end::ModelBackEnd;
 use super::checker::Checker;
@@ -45,6 +45,8 @@
     LateRecord(OwnershipRecord, threadledge_coordination::action::Condition),
     /// An order reaches its back end before its caller has timed out.
     DelayedOrder(usize, u64, Order, Timestamp),
+    /// An order reaches its back end, and its answer reaches nobody.
+    UnansweredOrder(Order),
     /// An order reaches its back end after its caller has timed out.
     LateOrder(Order),
     /// The watch of one process of a node reports the record.
@@ -74,6 +76,9 @@
     pub order_delayed: u32,
     /// An order is executed and its connection ends without the answer.
     pub answer_lost: u32,
+    /// The connection to the node that forwards an order ends, while that node
+    /// sends it on until its deadline.
+    pub forwarder_lost: u32,
     /// A back end begins to work on a request, in each tick.
     pub work: u32,
 }
@@ -98,6 +103,8 @@
     /// True if the names of back ends include their start times, so that they
     /// can restart under their ids.
     restartable: bool,
+    /// True if nodes and back ends are spread over two regions.
+    pub two_regions: bool,
     checker: Checker,
     /// Number of assignments reported by coordinators.
     pub moves: u64,
@@ -127,6 +134,14 @@
         world
     }
 
+    /// Like [`World::new`], with nodes and back ends spread over two regions.
+    pub fn in_two_regions(seed: u64, nodes: usize, back_ends: usize) -> Self {
+        let mut world = World::without_back_ends(seed);
+        world.two_regions = true;
+        world.start(nodes, back_ends);
+        world
+    }
+
     /// Like [`World::settled`], with back ends that can restart under their
     /// ids.
     pub fn settled_with_restarts(seed: u64) -> Self {
@@ -153,6 +168,7 @@
             next: 0,
             registrations: 0,
             restartable: false,
+            two_regions: false,
             checker: Checker::default(),
             moves: 0,
             watched_revision: 0,
@@ -200,7 +216,11 @@
         };
         let patience = Duration::from_millis(u64::from(self.random(300)));
         let service = ServiceName::from(SERVICE);
-        let mut coordinator = Coordinator::new(me, service, self.settings.clone(), patience);
+        let mut settings = self.settings.clone();
+        if self.two_regions {
+            settings.near_zones = Some([zone(index)].into());
+        }
+        let mut coordinator = Coordinator::new(me, service, settings, patience);
         coordinator.set_candidate(true);
         let node = Node {
             coordinator,
@@ -234,7 +254,10 @@
             name: name.clone(),
             service: ServiceName::from(SERVICE),
             address: std::net::SocketAddr::from(([10, 0, 0, 1], 1_000 + address)),
-            zone: "zone".into(),
+            zone: match self.two_regions {
+                true => zone(address.into()),
+                false => "zone".into(),
+            },
             slots: 2,
             draining: false,
             cold_for: Duration::ZERO,
@@ -552,6 +575,10 @@
             self.answer(index, timeout, failed);
             return;
         }
+        if self.chance_if_set(self.chances.forwarder_lost) {
+            self.lose_forwarder(index, order);
+            return;
+        }
         if self.chance_if_set(self.chances.order_delayed) {
             let delay = timeout * self.random(1_000) / 1_000;
             let incarnation = self.nodes[index].incarnation;
@@ -563,6 +590,21 @@
         self.answer_order(index, order, now + timeout);
     }
 
+    /// Ends the connection to the node that forwards an order, which does not
+    /// learn of it.
+    fn lose_forwarder(&mut self, index: usize, order: Order) {
+        let timeout = order.timeout;
+        let arrival = self.now + timeout * self.random(1_000) / 1_000;
+        self.push(arrival, Event::UnansweredOrder(order.clone()));
+        // The sender waits until a grant can no longer be sent on.
+        let after = match order.kind {
+            OrderKind::Grant(_) => timeout,
+            OrderKind::Release => timeout * self.random(1_000) / 1_000,
+        };
+        let failed = Answer::Order(order, Err(OrderFault::NoAnswer));
+        self.answer(index, after, failed);
+    }
+
     /// Executes an order that arrives in time and schedules its result. A
     /// release is answered once the work on its keys has ended. The sender
     /// closes the connection at `end`.
@@ -628,6 +670,13 @@
         reply
     }
 
+    /// Executes an order whose sender does not wait any more.
+    fn execute_unanswered(&mut self, order: &Order) {
+        if self.process_at(order).is_some() {
+            self.execute_order(order, false);
+        }
+    }
+
     fn handle_event(&mut self, event: Event) {
         let now = self.now;
         match event {
@@ -657,8 +706,11 @@
             Event::DelayedOrder(index, incarnation, order, end) => {
                 if self.nodes[index].incarnation == incarnation {
                     self.answer_order(index, order, end);
+                } else {
+                    self.execute_unanswered(&order);
                 }
             }
+            Event::UnansweredOrder(order) => self.execute_unanswered(&order),
             Event::LateOrder(order) => {
                 let up = self.back_ends.get(&order.to.name);
                 if up.is_some_and(|back_end| back_end.up) {
@@ -744,3 +796,11 @@
         None
     }
 }
+
+/// Returns the zone of one of two regions, by the number of a node or address.
+fn zone(number: usize) -> ZoneName {
+    match number % 2 {
+        0 => "zone-a".into(),
+        _ => "zone-b".into(),
+    }
+}
