logs: what proved that an owner has ended (338)

A release that ends because its owner has ended (332, HolderEnded) frees the keys without a wait. The log did not tell by which proof, nor how old it was: 319 names the owner only, comes once, and not at all when the end follows from another process at the address. Line 338 comes with each such release: a refused grant or release, an answer of another process registered at the address, or a restart elsewhere, and the time since it was known.

Behaviour is unchanged; the store of ended back ends keeps the first proof.

--- a/crates/coordination/src/action.rs
+++ b/crates/coordination/src/action.rs
@@ -4,7 +4,7 @@
 
 use threadledge_types::deployment::{BackEndName, KeyRange};
 
-use crate::occupancy::SharedAddress;
+use crate::occupancy::{EndProof, SharedAddress};
 use crate::order::{Order, OrderFault};
 use crate::record::{CoordinatorLease, Fence, OwnershipRecord, Term};
 
@@ -130,6 +130,17 @@
         /// node sent to it.
         grant_answered: bool,
     },
+    /// A release ended because its owner has ended.
+    HolderEndProved {
+        /// The keys.
+        range: KeyRange,
+        /// The former owner.
+        owner: BackEndName,
+        /// What proved its end.
+        proof: EndProof,
+        /// Time since that was known.
+        age: Duration,
+    },
     /// Keys were assigned to a back end.
     Assigned {
         /// The keys.
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -6,7 +6,7 @@
 use threadledge_types::deployment::{BackEnd, BackEndName, ServiceName};
 use threadledge_types::{Timestamp, ZoneName};
 
-use crate::occupancy::{Occupancy, RegistrationChanges};
+use crate::occupancy::{EndEvidence, EndProof, Occupancy, RegistrationChanges};
 use crate::order::{Order, OrderFault, OrderId};
 use crate::record::Owner;
 
@@ -336,8 +336,23 @@
     /// other process can hold its keys. A process that restarted at the same
     /// address may hold them, because it accepts orders to the previous one.
     pub fn holds_nothing(&self, owner: &Owner) -> bool {
+        self.occupancy.has_ended(&owner.name) || self.restarted_elsewhere(owner)
+    }
+
+    fn restarted_elsewhere(&self, owner: &Owner) -> bool {
         let elsewhere = |successor: &Owner| successor.address != owner.address;
-        self.occupancy.has_ended(&owner.name) || self.successor(&owner.name).is_some_and(elsewhere)
+        self.successor(&owner.name).is_some_and(elsewhere)
+    }
+
+    /// Returns what proves that an owner holds nothing. Its restart elsewhere is
+    /// proved by the registration that is known now.
+    pub fn end_evidence(&self, now: Timestamp, owner: &Owner) -> Option<EndEvidence> {
+        let restarted = EndEvidence {
+            proof: EndProof::RestartedElsewhere,
+            since: now,
+        };
+        let answered = self.occupancy.end_evidence(&owner.name);
+        answered.or_else(|| self.restarted_elsewhere(owner).then_some(restarted))
     }
 
     /// Returns the newer process of a back end that has restarted.
@@ -358,8 +373,8 @@
 
     /// Records that a back end answered an order. Returns the period of silence
     /// that this ended, if any.
-    pub fn on_answer(&mut self, order: &Order) -> Option<Silence> {
-        self.changed |= self.occupancy.on_answer(order);
+    pub fn on_answer(&mut self, now: Timestamp, order: &Order) -> Option<Silence> {
+        self.changed |= self.occupancy.on_answer(now, order);
         let reachability = self.reachability.get_mut(&order.to.name)?;
         let silence = reachability.silence;
         *reachability = Reachability {
@@ -373,9 +388,9 @@
     /// Records that another process answered an order to a back end, so that
     /// the back end has ended regardless of its registration. Returns whether
     /// this was not known before.
-    pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
+    pub fn on_other_process(&mut self, now: Timestamp, order: &Order) -> bool {
         self.changed = true;
-        self.occupancy.on_other_process(name)
+        self.occupancy.on_other_process(now, order)
     }
 
     /// Records that a back end rejected a grant as malformed.
--- a/crates/coordination/src/occupancy.rs
+++ b/crates/coordination/src/occupancy.rs
@@ -14,9 +14,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, BackEndName};
 
-use crate::order::{Order, OrderId};
+use crate::order::{Order, OrderId, OrderKind};
 use crate::record::Owner;
 
 /// Registrations by address over all services, and the back ends that are known
@@ -24,7 +25,29 @@
 #[derive(Debug, Default)]
 pub struct Occupancy {
     by_address: BTreeMap<SocketAddr, Vec<Registrant>>,
-    ended: BTreeSet<BackEndName>,
+    ended: BTreeMap<BackEndName, EndEvidence>,
+}
+
+/// What proved that a process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndEvidence {
+    /// The kind of proof.
+    pub proof: EndProof,
+    /// Time at which it was known.
+    pub since: Timestamp,
+}
+
+/// A kind of proof that a process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndProof {
+    /// Another process refused a grant that was addressed to it.
+    GrantRefused,
+    /// Another process refused a release that was addressed to it.
+    ReleaseRefused,
+    /// Another process that is registered at its address answered an order.
+    AddressAnswered,
+    /// It restarted under its id at another address.
+    RestartedElsewhere,
 }
 
 /// A back end that is registered at an address.
@@ -66,7 +89,7 @@
     ) -> RegistrationChanges {
         let registered: BTreeSet<&BackEndName> = all.iter().map(|each| &each.name).collect();
         self.ended
-            .retain(|name| registered.contains(name) || is_owner(name));
+            .retain(|name, _| registered.contains(name) || is_owner(name));
         let earlier = std::mem::take(&mut self.by_address);
         for back_end in all {
             let registrants = self.by_address.entry(back_end.address).or_default();
@@ -104,7 +127,7 @@
     /// Handles an answer from the process that an order addressed. The others
     /// that had registered at its address before the order was sent have ended.
     /// Returns whether any of them was not known to have ended.
-    pub fn on_answer(&mut self, order: &Order) -> bool {
+    pub fn on_answer(&mut self, now: Timestamp, order: &Order) -> bool {
         let Some(registrants) = self.by_address.get(&order.to.address) else {
             return false;
         };
@@ -115,19 +138,37 @@
         // A restarted process also answers for the process before it.
         let others = before
             .filter(|each| each.name != order.to.name && !each.name.is_restart_of(&order.to.name));
-        self.ended.extend(others.map(|each| each.name.clone()));
+        for other in others {
+            let evidence = self.ended.entry(other.name.clone());
+            evidence.or_insert(EndEvidence {
+                proof: EndProof::AddressAnswered,
+                since: now,
+            });
+        }
         self.ended.len() > known
     }
 
-    /// Handles an answer from a process other than `name` to an order for
-    /// `name`. Returns whether `name` was not known to have ended.
-    pub fn on_other_process(&mut self, name: &BackEndName) -> bool {
-        self.ended.insert(name.clone())
+    /// Handles an answer from another process than the one that an order
+    /// addressed. Returns whether that one was not known to have ended.
+    pub fn on_other_process(&mut self, now: Timestamp, order: &Order) -> bool {
+        let known = self.ended.len();
+        let proof = match order.kind {
+            OrderKind::Grant(_) => EndProof::GrantRefused,
+            OrderKind::Release => EndProof::ReleaseRefused,
+        };
+        let evidence = self.ended.entry(order.to.name.clone());
+        evidence.or_insert(EndEvidence { proof, since: now });
+        self.ended.len() > known
     }
 
     /// Returns whether a back end is known to have ended.
     pub fn has_ended(&self, name: &BackEndName) -> bool {
-        self.ended.contains(name)
+        self.ended.contains_key(name)
+    }
+
+    /// Returns what proved that a back end has ended.
+    pub fn end_evidence(&self, name: &BackEndName) -> Option<EndEvidence> {
+        self.ended.get(name).copied()
     }
 
     /// Returns whether an order to `owner` would show which of several
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -170,7 +170,7 @@
             // This reply does not tell which process answered.
             Ok(OrderReply::Malformed) => {}
             Ok(OrderReply::OtherProcess) => {
-                if self.holders.on_other_process(&order.to.name) {
+                if self.holders.on_other_process(now, order) {
                     let owner = order.to.name.clone();
                     self.notices.push(Notice::HolderReplaced { owner });
                 }
@@ -222,7 +222,7 @@
     /// Records an answer in the state of its back end and reports the end of a
     /// period of silence.
     fn on_answer(&mut self, now: Timestamp, order: &Order) {
-        let Some(silence) = self.holders.on_answer(order) else {
+        let Some(silence) = self.holders.on_answer(now, order) else {
             return;
         };
         self.notices.push(Notice::HolderAnswers {
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -150,10 +150,25 @@
                 took: now.since(tracked.release_began),
                 grant_answered: tracked.arrivals.newest_answered(),
             });
+            if end == ReleaseEnd::HolderEnded {
+                self.notices.extend(self.end_proof(now, tracked));
+            }
             self.tracked[index].end_reported = true;
         }
     }
 
+    /// Returns the notice of what proved that the owner of a range has ended.
+    fn end_proof(&self, now: Timestamp, tracked: &TrackedRange) -> Option<Notice> {
+        let owner = tracked.owner()?;
+        let evidence = self.holders.end_evidence(now, owner)?;
+        Some(Notice::HolderEndProved {
+            range: tracked.slice.range,
+            owner: owner.name.clone(),
+            proof: evidence.proof,
+            age: now.since(evidence.since),
+        })
+    }
+
     /// Returns whether the record may have to change. This check avoids
     /// computing a draft from all slices after each answer to a renewal, when
     /// there is hardly ever anything to write.
--- a/crates/coordination/tests/release_ends.rs
+++ b/crates/coordination/tests/release_ends.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use threadledge_coordination::action::{ReadResult, ReleaseEnd, Versioned, WriteResult};
+use threadledge_coordination::occupancy::EndProof;
 use threadledge_coordination::ownership::{Ownership, ReadConsequence};
 use threadledge_coordination::{
     Action, Fence, HandoverToken, Notice, Order, OrderConnection, OrderFault, OrderKind,
@@ -423,3 +424,40 @@
     ownership.on_order(now, &first, Err(OrderFault::NoAnswer));
     assert!(ownership.has_no_pending_orders());
 }
+
+/// Drains an owner whose first order is answered as `reply`, and returns what
+/// proved its end by the time of its release.
+fn proofs(reply: impl Fn(&Order) -> Result<OrderReply, OrderFault>) -> Vec<(EndProof, Duration)> {
+    let mut owner = back_end("b-1", 80);
+    let mut ownership = taken_over(&owner);
+    let grant = orders(ownership.poll(START, true)).remove(0);
+    ownership.on_order(START + TICK, &grant, reply(&grant));
+    owner.draining = true;
+    let drained = START + Duration::from_millis(100);
+    ownership.set_back_ends(drained, &[owner, back_end("b-2", 81)]);
+    for order in orders(ownership.poll(drained, true)) {
+        ownership.on_order(drained + TICK, &order, reply(&order));
+    }
+    ownership.poll(drained + TICK, true);
+    let proved = |notice| match notice {
+        Notice::HolderEndProved { proof, age, .. } => Some((proof, age)),
+        _ => None,
+    };
+    let notices = ownership.take_notices().into_iter();
+    notices.filter_map(proved).collect()
+}
+
+#[test]
+fn end_of_an_owner_is_reported_with_its_proof_and_the_age_of_it() {
+    let gone = |_: &Order| Ok(OrderReply::OtherProcess);
+    // From the first order's answer until the poll after the release.
+    let age = Duration::from_millis(100);
+    assert_eq!(proofs(gone), [(EndProof::GrantRefused, age)]);
+    let gone_later = |order: &Order| match order.kind {
+        OrderKind::Grant(_) => Ok(OrderReply::Granted),
+        OrderKind::Release => Ok(OrderReply::OtherProcess),
+    };
+    let expected = [(EndProof::ReleaseRefused, Duration::ZERO)];
+    assert_eq!(proofs(gone_later), expected);
+    assert_eq!(proofs(answered), []);
+}
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -219,6 +219,9 @@
     AnswerRepeated = 335, "answer-repeated", Warn,
         "A back end answered an earlier request again, ahead of the answer that was due. That answer was read and passed on; the connection is closed. The line has the back end.",
         "None, unless it repeats: then check why the back end answers requests twice.";
+    HolderEndProved = 338, "holder-end-proved", Info,
+        "A release ended because its owner has ended (332 with `HolderEnded`). The line says what proved that: another process refused a grant or a release for the owner (`GrantRefused`, `ReleaseRefused`), another one that is registered at its address answered an order (`AddressAnswered`), or the owner restarted elsewhere (`RestartedElsewhere`); and how long this had been known.",
+        "None. If two back ends held a key, check whether the owner named here was still running.";
     ConfigurationAccepted = 401, "configuration-accepted", Info,
         "An object was validated and committed; it is in force at the revision given.",
         "None.";
--- a/crates/router/src/gateway/notices.rs
+++ b/crates/router/src/gateway/notices.rs
@@ -41,6 +41,16 @@
             service = %service, keys = %range, owner = %owner, fence = fence.0, end = ?end,
             took_ms = took.as_millis(), grant_answered,
         ),
+        Notice::HolderEndProved {
+            range,
+            owner,
+            proof,
+            age,
+        } => emit!(
+            EventId::HolderEndProved,
+            service = %service, keys = %range, owner = %owner, proof = ?proof,
+            age_ms = age.as_millis(),
+        ),
         Notice::Assigned {
             range,
             owner,
