gateway: an older removal in a watch no longer removes a back end that a list showed since

A watch that began before the list was answered after it. Of its changes, removals were applied because the batch is newer than what is known, but registrations only if they themselves are: a back end that lapsed and registered again between the two lost its entry until that changed. A removal now passes over a back end whose later registration, in the same batch, is known already; a removal after that one counts as before.

The test failed before: [b] in place of [a, b].

--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -140,8 +140,10 @@
             }
             Update::Changed(batch) => {
                 let mut state_changes = Vec::new();
-                for change in batch.changes {
+                let mut changes = batch.changes.into_iter();
+                while let Some(change) = changes.next() {
                     match change {
+                        Change::Gone(name) if self.knows_return(&name, changes.as_slice()) => {}
                         Change::Put(entry) if entry.revision > self.revision => {
                             state_changes.extend(self.upsert(entry, now));
                         }
@@ -158,6 +160,15 @@
         }
     }
 
+    /// Returns whether a back end registered again, in one of the changes that
+    /// follow its removal, and is known since. A watch may have begun before the
+    /// list that showed it.
+    fn knows_return(&self, id: &str, later: &[Change<BackEnd>]) -> bool {
+        let mut later = later.iter();
+        let is_return = |change: &Change<BackEnd>| matches!(change, Change::Put(entry) if entry.name == id && entry.revision <= self.revision);
+        self.registered.contains_key(id) && later.any(is_return)
+    }
+
     /// Adds to `delta` what a follower at revision `since` lacks, in the order
     /// of revisions, with at most `max_back_ends` back ends at once.
     pub(super) fn delta_since(
--- a/crates/router/tests/gateway/outage.rs
+++ b/crates/router/tests/gateway/outage.rs
@@ -203,3 +203,22 @@
     assert_eq!(names(&asking), ["a", "b", "c"]);
     assert_eq!(asking.next_expiry(), Some(at(12_100)));
 }
+
+#[test]
+fn batch_that_began_before_the_list_does_not_remove_a_back_end_that_registered_again() {
+    for grace in [None, Some(at(12_000))] {
+        let mut state = empty_state();
+        state.set_lapse_grace(grace);
+        let entries = vec![entry("a", 8, back_end("a", false))];
+        state.apply_back_ends(Update::Listed(Listing { entries, at: 10 }), NOW);
+        // The store removed `a` at 7 and took it again at 8.
+        let changes = vec![
+            Change::Gone("a".to_owned()),
+            Change::Put(entry("a", 8, back_end("a", false))),
+            Change::Put(entry("b", 12, back_end("b", false))),
+        ];
+        state.apply_back_ends(Update::Changed(Changes { changes, at: 12 }), NOW);
+        state.expire_lapsed(at(12_000));
+        assert_eq!(names(&state), ["a", "b"]);
+    }
+}
