gateway: a relay's older removal no longer removes a back end that its follower knows since

The same from a relay: it notes removals under the revision of the whole batch that told them. A follower whose list is older than that revision, but newer than the return of the back end, was told of the removal and not of the return. Removals of back ends that registered again, up to what the follower knows, are no longer told; of later ones follower learns both as before.

--- a/crates/router/src/gateway/registry.rs
+++ b/crates/router/src/gateway/registry.rs
@@ -198,11 +198,24 @@
             return;
         }
         match self.removals.since(since) {
-            Some(gone) => delta.gone = gone,
+            Some(gone) => {
+                let gone = gone
+                    .into_iter()
+                    .filter(|id| !self.is_known_since(id, since));
+                delta.gone = gone.collect();
+            }
             None => delta.remaining = Some(self.registered.keys().cloned().collect()),
         }
     }
 
+    /// Returns whether a back end that was removed registered again, which a
+    /// follower at this revision knows: removals bear the revision of the whole
+    /// batch that told them.
+    fn is_known_since(&self, id: &str, revision: StoreRevision) -> bool {
+        let known = self.registered.get(id);
+        known.is_some_and(|known| known.revision <= revision)
+    }
+
     fn lapsed_back_ends(&self, now: Timestamp) -> Vec<LapsedBackEnd> {
         let lapsed = self.lapsed.values();
         let lapsed = lapsed.map(|entry| LapsedBackEnd::new(&entry.known, entry.until.since(now)));
--- a/crates/router/tests/gateway/outage.rs
+++ b/crates/router/tests/gateway/outage.rs
@@ -222,3 +222,23 @@
         assert_eq!(names(&state), ["a", "b"]);
     }
 }
+
+#[test]
+fn relay_that_saw_a_back_end_return_does_not_remove_it_from_a_follower_that_listed_it_since() {
+    let mut relay = state_with_back_ends();
+    let changes = vec![
+        Change::Gone("a".to_owned()),
+        Change::Put(entry("a", 8, back_end("a", false))),
+        Change::Put(entry("d", 12, back_end("d", false))),
+    ];
+    relay.apply_back_ends(Update::Changed(Changes { changes, at: 12 }), NOW);
+    let mut follower = empty_state();
+    let entries = vec![
+        entry("a", 8, back_end("a", false)),
+        entry("b", 2, back_end("b", false)),
+    ];
+    follower.apply_back_ends(Update::Listed(Listing { entries, at: 10 }), NOW);
+    let delta = delta_over_the_wire(&relay, &follower, NOW);
+    follower.apply_delta(delta, NOW);
+    assert_eq!(names(&follower), ["a", "b", "d"]);
+}
