coordination: stop requests to owners earlier while grants may be late

What callers saw: two back ends held the same keys and both began requests on them; the former owner those that had waited in its queue for more than 1.5 s, under a grant that it had taken late.

Change: while a grant is unanswered, or was within the time in which late orders are carried out, routers are told 2.5 s before. The keys still go on 1.5 s after that at the earliest and when the last grant has expired, so that no move takes longer and a crashed owner's keys are served as soon as before. Owners whose grants were all answered serve until 1.5 s before, as they did.

Not covered: requests with deadlines above 2.5 s, and two holders at one time.

--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -298,7 +298,12 @@
         let holds = self
             .tracked
             .iter()
-            .flat_map(|tracked| [self.release_expiry(tracked), self.returning_due(tracked)])
+            .flat_map(|tracked| {
+                [
+                    self.release_expiry(tracked),
+                    self.returning_due(now, tracked),
+                ]
+            })
             .flatten()
             .filter(|due| *due > now);
         let active = matches!(self.phase, Phase::Active { .. });
--- a/crates/coordination/src/ownership/arrivals.rs
+++ b/crates/coordination/src/ownership/arrivals.rs
@@ -7,6 +7,7 @@
 
 use threadledge_types::Timestamp;
 
+use crate::holders::LATE_ORDER_WINDOW;
 use crate::order::OrderId;
 
 /// A grant that was sent and has neither been answered nor lost its connection.
@@ -23,6 +24,8 @@
     /// Latest possible arrival of the grants that have ended.
     last_arrival: Timestamp,
     open: Vec<OpenGrant>,
+    /// Time at which a grant last ended without an answer.
+    last_unanswered: Option<Timestamp>,
     /// The last grant that was sent.
     newest: OrderId,
     /// True if the back end answered that grant.
@@ -57,6 +60,18 @@
         }
     }
 
+    /// Records that the connection of a grant has ended without an answer.
+    pub(super) fn lost(&mut self, id: OrderId, now: Timestamp) {
+        self.ended(id, now);
+        self.last_unanswered = Some(now);
+    }
+
+    /// Returns whether the back end may carry out a grant from now on.
+    pub(super) fn any_late(&self, now: Timestamp) -> bool {
+        let recent = |since: Timestamp| now.since(since) < LATE_ORDER_WINDOW;
+        self.any_open() || self.last_unanswered.is_some_and(recent)
+    }
+
     /// Removes a grant that was never sent or was refused.
     pub(super) fn discard(&mut self, id: OrderId) {
         self.remove(id);
@@ -77,6 +92,7 @@
     /// Adds the grants of an adjacent range.
     pub(super) fn merge(&mut self, other: &GrantArrivals) {
         self.last_arrival = self.last_arrival.max(other.last_arrival);
+        self.last_unanswered = self.last_unanswered.max(other.last_unanswered);
         self.newest = self.newest.max(other.newest);
         self.newest_answered &= other.newest_answered;
         for open in &other.open {
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -17,6 +17,9 @@
 /// to another one without its answer. An owner that takes a grant late holds the
 /// keys beside the next owner, and would begin the requests left in its queue.
 const QUEUE_DRAIN: Duration = Duration::from_millis(1_500);
+/// Time before the end of the grants at which routers stop, instead of
+/// [`QUEUE_DRAIN`], while a grant may still be carried out late.
+const LATE_GRANT_DRAIN: Duration = Duration::from_millis(2_500);
 
 impl Ownership {
     /// Finds owners that have restarted. They keep their keys under a higher
@@ -250,14 +253,23 @@
     /// Returns when routers should stop sending requests to the owner of a
     /// range, because it has not answered the release. `None` if they have been
     /// asked already or need not be asked.
-    pub(super) fn returning_due(&self, tracked: &TrackedRange) -> Option<Timestamp> {
+    pub(super) fn returning_due(
+        &self,
+        now: Timestamp,
+        tracked: &TrackedRange,
+    ) -> Option<Timestamp> {
         tracked.releasing?;
         let decided = tracked.released.is_some() || tracked.returning_since.is_some();
         if decided || self.has_ended(tracked) {
             return None;
         }
         let expiry = self.grant_expiry(tracked);
-        Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + QUEUE_DRAIN))
+        let drain = if tracked.arrivals.any_late(now) {
+            LATE_GRANT_DRAIN
+        } else {
+            QUEUE_DRAIN
+        };
+        Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + drain))
     }
 
     /// Returns what follows from the missing answer to a release, if it is due.
@@ -275,7 +287,7 @@
     }
 
     fn is_returning_due(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
-        let due = self.returning_due(tracked);
+        let due = self.returning_due(now, tracked);
         due.is_some_and(|due| due <= now)
     }
 
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -218,8 +218,11 @@
             self.arrivals.answered(order.id);
         }
         match result {
-            Ok(OrderReply::Granted) | Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => {
-                self.arrivals.ended(order.id, now);
+            Ok(OrderReply::Granted) => self.arrivals.ended(order.id, now),
+            Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => {
+                if matches!(order.kind, OrderKind::Grant(_)) {
+                    self.arrivals.lost(order.id, now);
+                }
             }
             Ok(_) | Err(OrderFault::NotSent | OrderFault::Withheld) => {
                 self.arrivals.discard(order.id);
--- a/crates/coordination/tests/simulation/late_grants.rs
+++ b/crates/coordination/tests/simulation/late_grants.rs
@@ -171,3 +171,62 @@
         );
     }
 }
+
+/// Longest deadline that requests have in these tests.
+const LONGEST_DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// Lets the owner of [`KEY`] leave all orders unanswered for [`LATE_FOR`] and ask
+/// to leave meanwhile.
+/// Returns for how long it held the key beside the next owner while a request
+/// could be left in its queue.
+fn silent_owner(seed: u64, far: bool) -> Duration {
+    let mut world = World::with_settings(seed, 3, 6, region(far), false);
+    let settled = world.until_served(Duration::from_secs(5));
+    assert!(settled.is_some(), "seed {seed}: not served after a start");
+    let wait = u64::from(world.random(700));
+    world.run(Duration::from_millis(wait));
+    let owner = world.owner(KEY).expect("owned");
+    let started = world.now;
+    world
+        .back_ends
+        .get_mut(&owner)
+        .expect("known")
+        .unresponsive_until = started + LATE_FOR;
+    let leaves = u64::from(world.random(1_500));
+    world.run(Duration::from_millis(leaves));
+    world
+        .registered
+        .get_mut(&owner)
+        .expect("registered")
+        .draining = true;
+    world.notify_back_ends();
+    let mut last_request = world.now;
+    let mut both = Duration::ZERO;
+    while world.now.since(started) < LATEST {
+        let before = world.now;
+        world.step();
+        let step = world.now.since(before);
+        if world.owner(KEY).as_ref() == Some(&owner) {
+            last_request = world.now;
+        }
+        let mut holds = world.back_ends[&owner].holds.iter();
+        let former = holds.any(|hold| hold.range.contains(ShardKey(KEY)));
+        let queued = world.now.since(last_request) < LONGEST_DEADLINE;
+        if former && queued && next_owner_holds(&world, &owner) {
+            both += step;
+        }
+    }
+    both
+}
+
+/// Guards against requests that begin at a former owner, from its queue and under
+/// a late grant, while the next owner holds the keys.
+#[test]
+fn no_request_is_left_at_a_former_owner_that_may_take_late_grants() {
+    for seed in 8_000..8_020 {
+        for far in [false, true] {
+            let both = silent_owner(seed, far);
+            assert!(both.is_zero(), "seed {seed}, far {far}: {both:?}");
+        }
+    }
+}
