--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -208,7 +208,7 @@
         "The first list of back ends since this gateway's start is still incomplete; the line has the same figures as 330.",
         "Check the network between this gateway and the sender, and whether the sender has a complete list (330).";
     ReleaseEnded = 332, "release-ended", Info,
-        "The former owner of keys no longer holds them. The line says what ended the release that 314 began: it was answered (`Answered`), the owner's process has ended (`HolderEnded`), or its grant expired by the clock (`Expired`); how long after 314 that was; and whether the last grant of the keys was answered.",
+        "The former owner of keys no longer holds them, or keeps them (`CalledOff`). The line says what ended the release that 314 began: it was answered (`Answered`), the owner's process has ended (`HolderEnded`), its grant expired by the clock (`Expired`), or the move need not be and was called off, so that the owner keeps the keys (`CalledOff`); how long after 314 that was; and whether the last grant of the keys was answered.",
         "None. If two back ends held a key, this line of the first one tells why its release counted as ended.";
     OrderAnswerDoubtful = 333, "order-answer-doubtful", Warn,
         "An answer to an order came on a connection that had carried earlier orders, and cannot be told from a second answer to one of them; the connection is closed and the order is sent again on a new one. The line has the order and what the answer says.",
