Ownership: a move is called off only after the time that an answer may take

Found in review, before it reached callers. A move for balance was called off 1.58 s after the last grant, which is 0.9 to 1.5 s after the release. An owner that works on a key for longer answers later: its keys were taken, given back cold, and asked for again, and never moved. An owner that asked for a rest was asked again before its renewal was sent, and called off at once.

Change: a move is called off when the timeout of a release is over, at the earliest; its owner is then asked for no optional keys while the release may still be executed (15 s); an owner that rests is asked only if it has accepted its grant and answers, as for balance.

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -128,6 +128,9 @@
     reachability: BTreeMap<BackEndName, Reachability>,
     /// Time at which routers last reported requests that a back end served.
     served: BTreeMap<BackEndName, Timestamp>,
+    /// Owners that left a release unanswered which was then called off, with the
+    /// time until which they are asked for no keys that they need not give up.
+    called_off: BTreeMap<BackEndName, Timestamp>,
     /// Back ends that told a router that they are leaving. Invariant: no
     /// registration reverts this, because the registration may be older.
     reported_leaving: BTreeSet<BackEndName>,
@@ -399,10 +402,21 @@
         self.reachability.entry(name.clone()).or_default().refused = true;
     }
 
-    /// Returns whether the last orders to `name` were not answered.
-    pub fn is_silent(&self, name: &BackEndName) -> bool {
+    /// Records that a release was called off because `name` did not answer it.
+    /// It may still be executed, and would be again if it were repeated.
+    pub fn on_called_off(&mut self, now: Timestamp, name: &BackEndName) {
+        self.called_off.retain(|_, until| now < *until);
+        self.called_off
+            .insert(name.clone(), now + LATE_ORDER_WINDOW);
+    }
+
+    /// Returns whether an owner will probably answer a release: it answered its
+    /// last order, and none of its releases was called off lately.
+    pub fn may_be_asked(&self, name: &BackEndName, now: Timestamp) -> bool {
         let reachability = self.reachability.get(name);
-        reachability.is_some_and(|reachability| reachability.silence.is_some())
+        let is_silent = reachability.is_some_and(|reachability| reachability.silence.is_some());
+        let paused = self.called_off.get(name).is_some_and(|until| now < *until);
+        !is_silent && !paused
     }
 
     /// Returns whether unanswered releases may still take keys from `name`.
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -301,7 +301,7 @@
             .flat_map(|tracked| {
                 [
                     self.release_expiry(tracked),
-                    self.returning_due(now, tracked),
+                    self.unanswered_due(now, tracked),
                 ]
             })
             .flatten()
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -9,6 +9,7 @@
 use super::tracked::TrackedRange;
 use super::{BALANCING_INTERVAL, Ownership};
 use crate::action::{Notice, ReleaseEnd, ReleaseReason};
+use crate::holders::Holders;
 use crate::order::HandoverToken;
 use crate::plan;
 use crate::record::{Fence, OwnershipRecord};
@@ -52,6 +53,10 @@
                     continue;
                 }
                 let reason = release_reason(reason);
+                if reason.is_optional() && !may_ask(tracked, &self.holders, now) {
+                    self.recheck_owners = true;
+                    continue;
+                }
                 tracked.release(now, fence, reason);
                 self.notices.push(Notice::ReleaseStarted {
                     range: tracked.slice.range,
@@ -81,23 +86,14 @@
         let candidates = candidates(now, &self.holders, &self.load, &self.tokens, &self.tracked);
         let held = held_ranges(self.tracked.iter().map(|tracked| &tracked.slice));
         for range in plan::rebalance(&held, &candidates, &self.load.key_weights()) {
-            if self.has_responsive_owner(range) {
+            let contains = |tracked: &&TrackedRange| tracked.slice.range.contains(range.first);
+            let tracked = self.tracked.iter().find(contains);
+            if tracked.is_some_and(|tracked| may_ask(tracked, &self.holders, now)) {
                 self.release_range(now, range, fence);
             }
         }
     }
 
-    /// Returns whether the owner of `range` accepted its current grant and
-    /// answers orders, so that it will probably answer a release.
-    fn has_responsive_owner(&self, range: KeyRange) -> bool {
-        let contains = |tracked: &&TrackedRange| tracked.slice.range.contains(range.first);
-        let Some(tracked) = self.tracked.iter().find(contains) else {
-            return false;
-        };
-        let owner = tracked.owner();
-        tracked.granted && owner.is_some_and(|owner| !self.holders.is_silent(&owner.name))
-    }
-
     /// Starts to release `range` and tracks it separately from the rest of its
     /// slice.
     pub(super) fn release_range(&mut self, now: Timestamp, range: KeyRange, fence: Fence) {
@@ -181,7 +177,7 @@
                 || tracked.successor.is_some()
                 || tracked.owner().is_none()
                 || (tracked.releasing.is_some() && self.released(now, index).is_some())
-                || self.is_returning_due(now, tracked)
+                || self.unanswered(now, tracked).is_some()
         };
         self.tracked.iter().enumerate().any(pending)
     }
@@ -209,6 +205,7 @@
                 .collect(),
         };
         let drafted = draft.make(current);
+        self.pause_moves(now);
         self.pending_notices = drafted.notices;
         let mut record = drafted.record;
         if record != *current {
@@ -272,23 +269,50 @@
         Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + drain))
     }
 
+    /// Returns when something follows from the missing answer to a release. A
+    /// move that can be called off waits for as long as an answer may take: the
+    /// owner may be at work on the keys.
+    pub(super) fn unanswered_due(
+        &self,
+        now: Timestamp,
+        tracked: &TrackedRange,
+    ) -> Option<Timestamp> {
+        let due = self.returning_due(now, tracked)?;
+        if !self.may_call_off(now, tracked) {
+            return Some(due);
+        }
+        Some(due.max(tracked.release_began + self.settings.release_timeout))
+    }
+
     /// Returns what follows from the missing answer to a release, if it is due.
     fn unanswered(&self, now: Timestamp, tracked: &TrackedRange) -> Option<Unanswered> {
-        if !self.is_returning_due(now, tracked) {
+        let due = self.unanswered_due(now, tracked)?;
+        if now < due {
             return None;
         }
-        let owner = tracked.owner()?;
-        let may_keep = tracked.reason.is_some_and(ReleaseReason::is_optional)
-            && self.holders.may_keep_keys(&owner.name, now);
-        Some(match may_keep {
+        Some(match self.may_call_off(now, tracked) {
             true => Unanswered::CallOff,
             false => Unanswered::StopRequests,
         })
     }
 
-    fn is_returning_due(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
-        let due = self.returning_due(now, tracked);
-        due.is_some_and(|due| due <= now)
+    fn may_call_off(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
+        let is_optional = tracked.reason.is_some_and(ReleaseReason::is_optional);
+        let owner = tracked.owner();
+        is_optional && owner.is_some_and(|owner| self.holders.may_keep_keys(&owner.name, now))
+    }
+
+    /// Pauses the moves from owners whose release is being called off.
+    fn pause_moves(&mut self, now: Timestamp) {
+        let mut owners = Vec::new();
+        for tracked in &self.tracked {
+            if self.unanswered(now, tracked) == Some(Unanswered::CallOff) {
+                owners.extend(tracked.owner().map(|owner| owner.name.clone()));
+            }
+        }
+        for owner in owners {
+            self.holders.on_called_off(now, &owner);
+        }
     }
 
     /// Returns when the grants of a range have certainly expired, if the owner
@@ -313,3 +337,10 @@
         owner.is_some_and(|owner| self.holders.holds_nothing(owner))
     }
 }
+
+/// Returns whether an owner can be asked for keys that it need not give up: it
+/// accepted its current grant and will probably answer.
+fn may_ask(tracked: &TrackedRange, holders: &Holders, now: Timestamp) -> bool {
+    let owner = tracked.owner();
+    tracked.granted && owner.is_some_and(|owner| holders.may_be_asked(&owner.name, now))
+}
