Ownership: releases that were called off stay known while they are open

Open releases now stay with the range as long as its owner does, also where ranges merge. An answer counts only under the current fencing token.

--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -47,7 +47,8 @@
         let Some(owner) = tracked.owner() else {
             continue;
         };
-        let newest = usize::from(tracked.in_flight.is_some());
+        let is_open = |id| tracked.releases.is_open(id);
+        let newest = usize::from(tracked.in_flight.is_some_and(is_open));
         let repeated = tracked.releases.count().saturating_sub(newest);
         if repeated > 0 {
             *counts.entry(owner.name.clone()).or_default() += repeated;
--- a/crates/coordination/src/ownership/release_orders.rs
+++ b/crates/coordination/src/ownership/release_orders.rs
@@ -1,4 +1,4 @@
-//! Releases of one range that are under way.
+//! Releases of one range that are under way, also of those that were called off.
 //!
 //! Only the answer to a release proves that its back end takes no earlier grant
 //! any more. A release without an answer is therefore repeated soon, while
@@ -17,7 +17,7 @@
     pub(super) grants_open: bool,
 }
 
-/// The releases of one range under one fencing token.
+/// The releases of one range.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReleaseOrders {
     open: Vec<OpenRelease>,
@@ -32,6 +32,25 @@
         self.last_sent = Some(now);
     }
 
+    /// Begins a release under a new fencing token. Earlier ones stay open.
+    pub(super) fn restart(&mut self) {
+        self.last_sent = None;
+    }
+
+    /// Adds the open releases of an adjacent range.
+    pub(super) fn merge(&mut self, other: &ReleaseOrders) {
+        for open in &other.open {
+            if !self.is_open(open.id) {
+                self.open.push(*open);
+            }
+        }
+    }
+
+    /// Returns whether a release has not ended.
+    pub(super) fn is_open(&self, id: OrderId) -> bool {
+        self.open.iter().any(|release| release.id == id)
+    }
+
     /// Records that a release has ended. Returns it if it was one of these.
     pub(super) fn ended(&mut self, id: OrderId) -> Option<OpenRelease> {
         let index = self.open.iter().position(|release| release.id == id)?;
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -97,7 +97,7 @@
         self.release_began = now;
         self.end_reported = false;
         self.handover = None;
-        self.releases = ReleaseOrders::default();
+        self.releases.restart();
         // A grant in flight may still arrive; the higher fencing token takes
         // precedence.
         self.in_flight = None;
@@ -229,6 +229,7 @@
             }
         }
         let release = self.releases.ended(order.id);
+        let release = release.filter(|_| self.releasing == Some(order.fence));
         if let (Some(release), Ok(OrderReply::Released(handover))) = (release, result) {
             self.release_answered(now, order, release, handover.as_ref(), settings);
         } else if self.in_flight == Some(order.id) {
@@ -327,6 +328,7 @@
             next.arrivals = self.arrivals.clone();
         }
         if same_owner(&self.slice, slice) {
+            next.releases = self.releases.clone();
             next.fence_acknowledged = self.fence_acknowledged;
         }
         if matches!(slice.state, SliceState::Returning { .. }) {
@@ -420,6 +422,7 @@
 fn merge(last: &mut TrackedRange, piece: &TrackedRange) {
     last.slice.range.last = piece.slice.range.last;
     last.arrivals.merge(&piece.arrivals);
+    last.releases.merge(&piece.releases);
     last.fence_acknowledged &= piece.fence_acknowledged;
     last.fenced |= piece.fenced;
     last.granted &= piece.granted;
