--- /dev/null
+++ b/crates/coordination/src/holders/order_results.rs
@@ -0,0 +1,206 @@
+//! Results of orders to back ends, and what they show of them.
+
+use std::time::Duration;
+
+use threadledge_types::Timestamp;
+use threadledge_types::deployment::BackEndName;
+
+use super::Holders;
+use crate::order::{Order, OrderFault, OrderId};
+
+/// Consecutive failed connection attempts after which a back end counts as
+/// lost.
+const FAILED_CONNECTS_UNTIL_LOST: u32 = 2;
+/// Consecutive unanswered orders after which a back end counts as lost. Some
+/// back ends answer requests while they leave orders unanswered.
+const UNANSWERED_UNTIL_LOST: u32 = 6;
+/// Time after a report of served requests for which unanswered orders do not
+/// make a back end count as lost: two intervals of the reports and their way.
+const SERVED_WINDOW: Duration = Duration::from_millis(1_200);
+/// Time after its timeout during which an unanswered release may still be
+/// executed. Back ends were seen to execute orders up to 12 seconds late.
+pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(15);
+
+/// Results of recent orders to a back end.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Reachability {
+    /// Consecutive failed connection attempts.
+    failed_connects: u32,
+    /// Consecutive unanswered orders.
+    unanswered: u32,
+    /// The last order that had been sent when one was last counted as
+    /// unanswered.
+    counted_until: OrderId,
+    /// Time at which the back end last counted as lost.
+    pub(super) lost_since: Option<Timestamp>,
+    /// The current period without answers, if any.
+    silence: Option<Silence>,
+    /// Time at which an overdue grant was last counted as unanswered.
+    overdue_counted: Option<Timestamp>,
+    /// End of the time in which unanswered releases may still take keys from
+    /// the back end.
+    late_releases_until: Timestamp,
+    /// True if the back end rejected a grant as malformed.
+    pub(super) refused: bool,
+}
+
+/// A period in which a back end has answered no order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Number of orders that failed in this period.
+    pub given_up: u32,
+    /// Time at which the first of them failed.
+    pub since: Timestamp,
+}
+
+/// Consequences of a failed order for the state of its back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FaultEffect {
+    /// True if this is the first consecutive failure.
+    pub first_failure: bool,
+    /// True if the back end counts as lost from now on.
+    pub lost: bool,
+}
+
+impl Holders {
+    /// Records that a router reported requests that a back end served.
+    pub fn on_served(&mut self, now: Timestamp, name: &BackEndName) {
+        if self.is_registered(name) {
+            self.served.insert(name.clone(), now);
+        }
+    }
+
+    /// Returns whether a back end served requests lately, so that it runs and
+    /// holds keys whether it answers orders or not.
+    fn serves(&self, now: Timestamp, name: &BackEndName) -> bool {
+        let served = self.served.get(name);
+        served.is_some_and(|served| now.since(*served) < SERVED_WINDOW)
+    }
+
+    /// Records that a back end answered an order. Returns the period of silence
+    /// that this ended, if any.
+    pub fn on_answer(&mut self, now: Timestamp, order: &Order) -> Option<Silence> {
+        self.changed |= self.occupancy.on_answer(now, order);
+        let reachability = self.reachability.get_mut(&order.to.name)?;
+        let silence = reachability.silence;
+        *reachability = Reachability {
+            refused: reachability.refused,
+            late_releases_until: reachability.late_releases_until,
+            ..Reachability::default()
+        };
+        silence
+    }
+
+    /// Records that a back end rejected a grant as malformed.
+    pub fn on_malformed(&mut self, name: &BackEndName) {
+        self.changed = true;
+        self.reachability.entry(name.clone()).or_default().refused = true;
+    }
+
+    /// Records that a release was called off because `name` did not answer it.
+    /// It may still be executed, and would be again if it were repeated.
+    pub fn on_called_off(&mut self, now: Timestamp, name: &BackEndName) {
+        self.called_off.retain(|_, until| now < *until);
+        self.called_off
+            .insert(name.clone(), now + LATE_ORDER_WINDOW);
+    }
+
+    /// Returns whether an owner will probably answer a release: it answered its
+    /// last order, and none of its releases was called off lately.
+    pub fn may_be_asked(&self, name: &BackEndName, now: Timestamp) -> bool {
+        let reachability = self.reachability.get(name);
+        let is_silent = reachability.is_some_and(|reachability| reachability.silence.is_some());
+        let paused = self.called_off.get(name).is_some_and(|until| now < *until);
+        !is_silent && !paused
+    }
+
+    /// Returns whether unanswered releases may still take keys from `name`.
+    pub fn may_lose_keys(&self, name: &BackEndName, now: Timestamp) -> bool {
+        let reachability = self.reachability.get(name);
+        reachability.is_some_and(|reachability| now < reachability.late_releases_until)
+    }
+
+    /// Records that a release was not answered, so that it may be executed
+    /// later.
+    pub fn on_unanswered_release(&mut self, now: Timestamp, name: &BackEndName) {
+        let reachability = self.reachability.entry(name.clone()).or_default();
+        reachability.late_releases_until = now + LATE_ORDER_WINDOW;
+    }
+
+    /// Records that a grant to a back end of another region is overdue. Grants
+    /// of several ranges are queued in the same full link, so they count as one
+    /// failure per timeout, starting with the first. When they were counted
+    /// separately, six ranges made a healthy back end count as lost within 0.5
+    /// s.
+    pub fn on_overdue(
+        &mut self,
+        now: Timestamp,
+        name: &BackEndName,
+        timeout: Duration,
+    ) -> FaultEffect {
+        let reachability = self.reachability.entry(name.clone()).or_default();
+        let again = |counted: Timestamp| now.since(counted) < timeout;
+        if reachability.overdue_counted.is_some_and(again) {
+            return FaultEffect::default();
+        }
+        reachability.overdue_counted = Some(now);
+        self.on_fault(now, name, OrderFault::NoAnswer)
+    }
+
+    /// Records that an order to a back end failed. `last_sent` is the last order
+    /// sent so far. Invariant: orders that were under way together and are not
+    /// answered count as one failure, since one broken connection ends them all.
+    pub fn on_order_failed(
+        &mut self,
+        now: Timestamp,
+        order: &Order,
+        fault: &OrderFault,
+        last_sent: OrderId,
+    ) -> FaultEffect {
+        let name = &order.to.name;
+        if *fault != OrderFault::NoAnswer {
+            return self.on_fault(now, name, fault.clone());
+        }
+        let reachability = self.reachability.entry(name.clone()).or_default();
+        if order.id <= reachability.counted_until
+            && let Some(silence) = &mut reachability.silence
+        {
+            silence.given_up += 1;
+            return FaultEffect::default();
+        }
+        reachability.counted_until = last_sent;
+        self.on_fault(now, name, OrderFault::NoAnswer)
+    }
+
+    /// Records that an order to a back end has no answer.
+    pub fn on_fault(
+        &mut self,
+        now: Timestamp,
+        name: &BackEndName,
+        fault: OrderFault,
+    ) -> FaultEffect {
+        let serves = self.serves(now, name);
+        let reachability = self.reachability.entry(name.clone()).or_default();
+        match fault {
+            OrderFault::Withheld | OrderFault::Doubtful(_) => return FaultEffect::default(),
+            OrderFault::NotSent => reachability.failed_connects += 1,
+            OrderFault::NoAnswer => reachability.unanswered += 1,
+        }
+        let lost = reachability.failed_connects >= FAILED_CONNECTS_UNTIL_LOST
+            || (reachability.unanswered >= UNANSWERED_UNTIL_LOST && !serves);
+        let effect = FaultEffect {
+            first_failure: reachability.silence.is_none(),
+            lost: lost && reachability.lost_since.is_none(),
+        };
+        if lost {
+            reachability.lost_since = Some(now);
+        }
+        self.changed |= lost;
+        let silence = reachability.silence.get_or_insert(Silence {
+            given_up: 0,
+            since: now,
+        });
+        silence.given_up += 1;
+        effect
+    }
+}
