--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -23,6 +23,7 @@
 mod releases;
 mod store;
 mod tracked;
+mod unanswered;
 mod write_budget;
 
 use std::time::Duration;
--- a/crates/coordination/src/ownership/draft.rs
+++ b/crates/coordination/src/ownership/draft.rs
@@ -4,6 +4,7 @@
 use threadledge_types::deployment::KeyRange;
 
 use super::tracked::{TrackedRange, owners};
+use super::unanswered::Unanswered;
 use crate::action::{Notice, ReleaseEnd, ReleaseReason};
 use crate::holders::{Candidate, Holders, Ineligible};
 use crate::load::LoadMap;
@@ -29,15 +30,6 @@
     pub(super) unanswered: Vec<Option<Unanswered>>,
 }
 
-/// What follows from a release that the owner has not answered in time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Unanswered {
-    /// The owner keeps the keys.
-    CallOff,
-    /// Routers must send the owner no more requests for the keys.
-    StopRequests,
-}
-
 /// A drafted record and the notices about its changes.
 pub(super) struct DraftResult {
     pub(super) record: OwnershipRecord,
--- a/crates/coordination/src/ownership/releases.rs
+++ b/crates/coordination/src/ownership/releases.rs
@@ -5,11 +5,11 @@
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::KeyRange;
 
-use super::draft::{Draft, Unanswered, candidates, held_ranges, release_reason};
+use super::draft::{Draft, candidates, held_ranges, release_reason};
 use super::tracked::TrackedRange;
+use super::unanswered::may_ask;
 use super::{BALANCING_INTERVAL, Ownership};
 use crate::action::{Notice, ReleaseEnd, ReleaseReason};
-use crate::holders::Holders;
 use crate::order::HandoverToken;
 use crate::plan;
 use crate::record::{Fence, OwnershipRecord};
@@ -17,10 +17,7 @@
 /// Time for which routers send an owner no more requests before its keys may go
 /// to another one without its answer. An owner that takes a grant late holds the
 /// keys beside the next owner, and would begin the requests left in its queue.
-const QUEUE_DRAIN: Duration = Duration::from_millis(1_500);
-/// Time before the end of the grants at which routers stop, instead of
-/// [`QUEUE_DRAIN`], while a grant may still be carried out late.
-const LATE_GRANT_DRAIN: Duration = Duration::from_millis(2_500);
+pub(super) const QUEUE_DRAIN: Duration = Duration::from_millis(1_500);
 
 impl Ownership {
     /// Finds owners that have restarted. They keep their keys under a higher
@@ -247,77 +244,9 @@
         Some(self.grant_expiry(tracked).max(queue_empty))
     }
 
-    /// Returns when routers should stop sending requests to the owner of a
-    /// range, because it has not answered the release. `None` if they have been
-    /// asked already or need not be asked.
-    pub(super) fn returning_due(
-        &self,
-        now: Timestamp,
-        tracked: &TrackedRange,
-    ) -> Option<Timestamp> {
-        tracked.releasing?;
-        let decided = tracked.released.is_some() || tracked.returning_since.is_some();
-        if decided || self.has_ended(tracked) {
-            return None;
-        }
-        let expiry = self.grant_expiry(tracked);
-        let drain = if tracked.arrivals.any_late(now) {
-            LATE_GRANT_DRAIN
-        } else {
-            QUEUE_DRAIN
-        };
-        Some(Timestamp::ZERO + expiry.since(Timestamp::ZERO + drain))
-    }
-
-    /// Returns when something follows from the missing answer to a release. A
-    /// move that can be called off waits for as long as an answer may take: the
-    /// owner may be at work on the keys.
-    pub(super) fn unanswered_due(
-        &self,
-        now: Timestamp,
-        tracked: &TrackedRange,
-    ) -> Option<Timestamp> {
-        let due = self.returning_due(now, tracked)?;
-        if !self.may_call_off(now, tracked) {
-            return Some(due);
-        }
-        Some(due.max(tracked.release_began + self.settings.release_timeout))
-    }
-
-    /// Returns what follows from the missing answer to a release, if it is due.
-    fn unanswered(&self, now: Timestamp, tracked: &TrackedRange) -> Option<Unanswered> {
-        let due = self.unanswered_due(now, tracked)?;
-        if now < due {
-            return None;
-        }
-        Some(match self.may_call_off(now, tracked) {
-            true => Unanswered::CallOff,
-            false => Unanswered::StopRequests,
-        })
-    }
-
-    fn may_call_off(&self, now: Timestamp, tracked: &TrackedRange) -> bool {
-        let is_optional = tracked.reason.is_some_and(ReleaseReason::is_optional);
-        let owner = tracked.owner();
-        is_optional && owner.is_some_and(|owner| self.holders.may_keep_keys(&owner.name, now))
-    }
-
-    /// Pauses the moves from owners whose release is being called off.
-    fn pause_moves(&mut self, now: Timestamp) {
-        let mut owners = Vec::new();
-        for tracked in &self.tracked {
-            if self.unanswered(now, tracked) == Some(Unanswered::CallOff) {
-                owners.extend(tracked.owner().map(|owner| owner.name.clone()));
-            }
-        }
-        for owner in owners {
-            self.holders.on_called_off(now, &owner);
-        }
-    }
-
     /// Returns when the grants of a range have certainly expired, if the owner
     /// carried them out as they arrived.
-    fn grant_expiry(&self, tracked: &TrackedRange) -> Timestamp {
+    pub(super) fn grant_expiry(&self, tracked: &TrackedRange) -> Timestamp {
         let own_expiry = self
             .settings
             .hold_expiry(tracked.arrivals.latest(), self.settings.hold);
@@ -332,15 +261,8 @@
 
     /// Returns whether the owner is known to have ended and nobody holds its
     /// keys.
-    fn has_ended(&self, tracked: &TrackedRange) -> bool {
+    pub(super) fn has_ended(&self, tracked: &TrackedRange) -> bool {
         let owner = tracked.owner();
         owner.is_some_and(|owner| self.holders.holds_nothing(owner))
     }
 }
-
-/// Returns whether an owner can be asked for keys that it need not give up: it
-/// accepted its current grant and will probably answer.
-fn may_ask(tracked: &TrackedRange, holders: &Holders, now: Timestamp) -> bool {
-    let owner = tracked.owner();
-    tracked.granted && owner.is_some_and(|owner| holders.may_be_asked(&owner.name, now))
-}
