dispatch tests: the simulation of many routers in a module of its own

limited.rs had grown to 588 lines with two jobs: the tests of back ends that report a limit, and the simulation of many routers and their coordinator that some of them use.

--- a/crates/dispatch/tests/dispatcher/main.rs
+++ b/crates/dispatch/tests/dispatcher/main.rs
@@ -7,6 +7,7 @@
 mod decaying_mean;
 mod fleet;
 mod limited;
+mod limited_routers;
 mod moving_callers;
 mod outcomes;
 mod parts;
