net tests: one function starts the server of the pipelining tests

Fourteen tests began with the same three lines (controlled handler, server, caller). They call connected() now; no check changed.

--- a/crates/net/tests/server_pipelined.rs
+++ b/crates/net/tests/server_pipelined.rs
@@ -155,6 +155,14 @@
     }
 }
 
+/// Starts a server with a controlled handler and connects a caller to it.
+async fn connected(limits: ServerLimits) -> (HandlerController, TestServer, RawCaller) {
+    let (controller, handler) = controlled_handler();
+    let server = TestServer::start(limits, handler).await;
+    let caller = RawCaller::connect(server.address).await;
+    (controller, server, caller)
+}
+
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
@@ -169,9 +177,7 @@
 
 #[async_std::test]
 async fn concurrent_requests_are_answered_in_order() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let paths: Vec<String> = (0..8).map(|number| format!("/safe/{number}")).collect();
     let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
     caller.send(get(paths[0])).await;
@@ -196,9 +202,7 @@
 
 #[async_std::test]
 async fn a_request_with_effects_runs_alone() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let paths = ["/safe/1", "/safe/2", "/change/3", "/safe/4", "/safe/5"];
     caller.send(gets(&paths)).await;
     controller.expect_started(&paths[..2]).await;
@@ -223,9 +227,7 @@
 
 #[async_std::test]
 async fn a_request_with_a_body_waits_and_gets_its_own_body() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let put = "PUT /safe/body HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nGET / HTT";
     caller.send([&get("/safe/1"), put].concat()).await;
     controller.expect_started(&["/safe/1"]).await;
@@ -242,13 +244,11 @@
 
 #[async_std::test]
 async fn no_more_requests_run_than_allowed() {
-    let (controller, handler) = controlled_handler();
     let limits = ServerLimits {
         max_pipelined_requests: 2,
         ..quick_limits()
     };
-    let server = TestServer::start(limits, handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(limits).await;
     let paths = ["/safe/1", "/safe/2", "/safe/3", "/safe/4", "/safe/5"];
     caller.send(gets(&paths)).await;
     controller.expect_started(&paths[..3]).await;
@@ -269,13 +269,11 @@
 
 #[async_std::test]
 async fn buffered_responses_delay_further_requests() {
-    let (controller, handler) = controlled_handler();
     let limits = ServerLimits {
         max_pipelined_response_bytes: 100,
         ..quick_limits()
     };
-    let server = TestServer::start(limits, handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(limits).await;
     caller.send(gets(&["/safe/1", "/safe/2"])).await;
     controller.expect_started(&["/safe/1", "/safe/2"]).await;
     controller.respond("/safe/2", TestResponse::Bytes(100));
@@ -297,9 +295,7 @@
 
 #[async_std::test]
 async fn a_disconnect_cancels_all_requests_of_the_caller() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let paths = ["/safe/1", "/safe/2", "/safe/3", "/change/4"];
     caller.send(gets(&paths)).await;
     controller.expect_started(&paths[..3]).await;
@@ -314,9 +310,7 @@
 
 #[async_std::test]
 async fn a_graceful_stop_answers_started_requests_and_starts_no_more() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let paths = ["/safe/1", "/safe/2", "/safe/3", "/change/4"];
     caller.send(gets(&paths)).await;
     controller.expect_started(&paths[..3]).await;
@@ -337,9 +331,7 @@
 
 #[async_std::test]
 async fn a_close_requested_by_a_response_waits_for_started_requests() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     caller.send(gets(&["/safe/1", "/safe/2"])).await;
     controller.expect_started(&["/safe/1", "/safe/2"]).await;
     controller.respond("/safe/1", TestResponse::Close);
@@ -360,9 +352,7 @@
 /// and get no response.
 #[async_std::test]
 async fn no_request_starts_while_a_closing_response_is_being_sent() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     caller.send(get("/safe/1")).await;
     controller.expect_started(&["/safe/1"]).await;
     controller.respond("/safe/1", TestResponse::CloseAfter(32 * 1024 * 1024));
@@ -374,9 +364,7 @@
 
 #[async_std::test]
 async fn nothing_runs_behind_a_request_that_closes_the_connection() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let closing = "GET /safe/2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
     let sent = [&get("/safe/1"), closing, &get("/safe/3")].concat();
     caller.send(sent).await;
@@ -393,9 +381,7 @@
 
 #[async_std::test]
 async fn invalid_bytes_are_refused_after_the_earlier_responses() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     let sent = [&gets(&["/safe/1", "/safe/2"]), "nonsense\r\n\r\n"].concat();
     caller.send(sent).await;
     controller.expect_started(&["/safe/1", "/safe/2"]).await;
@@ -411,9 +397,7 @@
 
 #[async_std::test]
 async fn a_truncated_response_ends_later_requests_without_mixing_responses() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     caller.send(gets(&["/safe/1", "/safe/2"])).await;
     controller.expect_started(&["/safe/1", "/safe/2"]).await;
     controller.respond("/safe/2", TestResponse::Path);
@@ -431,9 +415,7 @@
 
 #[async_std::test]
 async fn a_response_that_fails_unsent_ends_no_later_request() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     caller.send(gets(&["/safe/1", "/safe/2"])).await;
     controller.expect_started(&["/safe/1", "/safe/2"]).await;
     controller.respond("/safe/1", TestResponse::Short(5));
@@ -446,9 +428,7 @@
 
 #[async_std::test]
 async fn the_time_of_a_request_counts_from_its_arrival() {
-    let (controller, handler) = controlled_handler();
-    let server = TestServer::start(quick_limits(), handler).await;
-    let mut caller = RawCaller::connect(server.address).await;
+    let (controller, server, mut caller) = connected(quick_limits()).await;
     caller.send(gets(&["/safe/1", "/change/2"])).await;
     controller.expect_started(&["/safe/1"]).await;
     controller.wait_until_checked("/change/2").await;
