coordination: orders that end within 75 ms count as one failure

Cause: an order whose kept connection is reset was sent again on the next kept connection, which the same event had ended; each was counted, because it was sent after the one before had failed. Six in a row were one event.

Ruled out: orders in flight together; they count once already (counted_until).

Change: unanswered orders that end within 75 ms of the last one counted belong to that failure. An order that ends long before its timeout is sent again on a new connection. New connections that end so are counted by themselves, once per 75 ms: the second makes the back end lost, unless it serves requests. Orders that use their timeout are counted as before, six.

Half the order timeout as the limit for "long before": a gateway that forwards an order ends it somewhat before the timeout, and a silent owner that it forwards to must not be lost after two.

Test replaced: orders_that_end_unanswered_together_count_once_against_a_back_end asked that six rounds 20 ms apart make a back end lost, which is the fault. It asks the same of six rounds that use the order timeout: once per round, lost in the sixth and no earlier.

--- a/crates/coordination/src/holders/order_results.rs
+++ b/crates/coordination/src/holders/order_results.rs
@@ -6,7 +6,7 @@
 use threadledge_types::deployment::BackEndName;
 
 use super::Holders;
-use crate::order::{Order, OrderFault, OrderId};
+use crate::order::{Order, OrderConnection, OrderFault, OrderId};
 
 /// Consecutive failed connection attempts after which a back end counts as
 /// lost.
@@ -14,6 +14,13 @@
 /// Consecutive unanswered orders after which a back end counts as lost. Some
 /// back ends answer requests while they leave orders unanswered.
 const UNANSWERED_UNTIL_LOST: u32 = 6;
+/// Consecutive new connections that ended soon without an answer after which a
+/// back end counts as lost.
+const CUTS_UNTIL_LOST: u32 = 2;
+/// Time within which failures count as one, because one event ends many
+/// connections. Shorter than the delay of a repeated order, whose failure must
+/// count: the keys of an ended owner wait for the expiry of its last order.
+const SAME_FAILURE: Duration = Duration::from_millis(75);
 /// Time after a report of served requests for which unanswered orders do not
 /// make a back end count as lost: two intervals of the reports and their way.
 const SERVED_WINDOW: Duration = Duration::from_millis(1_200);
@@ -31,6 +38,12 @@
     /// The last order that had been sent when one was last counted as
     /// unanswered.
     counted_until: OrderId,
+    /// Time at which an order was last counted as unanswered.
+    counted_at: Option<Timestamp>,
+    /// Consecutive new connections that ended soon without an answer.
+    cuts: u32,
+    /// Time at which one of them was last counted.
+    cut_at: Option<Timestamp>,
     /// Time at which the back end last counted as lost.
     pub(super) lost_since: Option<Timestamp>,
     /// The current period without answers, if any.
@@ -62,6 +75,43 @@
     pub lost: bool,
 }
 
+impl Reachability {
+    /// Counts an unanswered order, unless its failure is part of the last one.
+    /// Returns whether it was counted.
+    fn count_unanswered(&mut self, now: Timestamp, id: OrderId, last_sent: OrderId) -> bool {
+        let together = id <= self.counted_until && self.silence.is_some();
+        if together || is_same_failure(now, self.counted_at) {
+            return false;
+        }
+        self.counted_until = last_sent;
+        self.counted_at = Some(now);
+        self.unanswered += 1;
+        true
+    }
+
+    /// Counts a new connection that ended soon without an answer, unless it is
+    /// part of the last such failure. Returns whether it was counted.
+    fn count_cut(&mut self, now: Timestamp) -> bool {
+        if is_same_failure(now, self.cut_at) {
+            return false;
+        }
+        self.cut_at = Some(now);
+        self.cuts += 1;
+        true
+    }
+
+    /// Returns whether so many orders were sent and not answered that the back
+    /// end counts as lost, unless it serves requests.
+    fn is_silent(&self) -> bool {
+        self.unanswered >= UNANSWERED_UNTIL_LOST || self.cuts >= CUTS_UNTIL_LOST
+    }
+}
+
+/// Returns whether a failure is part of the one that was last counted.
+fn is_same_failure(now: Timestamp, counted: Option<Timestamp>) -> bool {
+    counted.is_some_and(|counted| now.since(counted) < SAME_FAILURE)
+}
+
 impl Holders {
     /// Records that a router reported requests that a back end served.
     pub fn on_served(&mut self, now: Timestamp, name: &BackEndName) {
@@ -147,14 +197,16 @@
         self.on_fault(now, name, OrderFault::NoAnswer)
     }
 
-    /// Records that an order to a back end failed. `last_sent` is the last order
-    /// sent so far. Invariant: orders that were under way together and are not
-    /// answered count as one failure, since one broken connection ends them all.
+    /// Records that an order to a back end failed, `early` if long before the
+    /// order timeout. `last_sent` is the last order sent so far. Invariant:
+    /// orders that were under way together, or end at about the same time, and
+    /// are not answered count as one failure, since one event ends them all.
     pub fn on_order_failed(
         &mut self,
         now: Timestamp,
         order: &Order,
         fault: &OrderFault,
+        early: bool,
         last_sent: OrderId,
     ) -> FaultEffect {
         let name = &order.to.name;
@@ -162,14 +214,17 @@
             return self.on_fault(now, name, fault.clone());
         }
         let reachability = self.reachability.entry(name.clone()).or_default();
-        if order.id <= reachability.counted_until
+        let is_cut = early && order.connection == OrderConnection::New;
+        let cut_counts = is_cut && reachability.count_cut(now);
+        let unanswered_counts = reachability.count_unanswered(now, order.id, last_sent);
+        if !cut_counts
+            && !unanswered_counts
             && let Some(silence) = &mut reachability.silence
         {
             silence.given_up += 1;
             return FaultEffect::default();
         }
-        reachability.counted_until = last_sent;
-        self.on_fault(now, name, OrderFault::NoAnswer)
+        self.on_counted(now, name)
     }
 
     /// Records that an order to a back end has no answer.
@@ -179,15 +234,21 @@
         name: &BackEndName,
         fault: OrderFault,
     ) -> FaultEffect {
-        let serves = self.serves(now, name);
         let reachability = self.reachability.entry(name.clone()).or_default();
         match fault {
             OrderFault::Withheld | OrderFault::Doubtful(_) => return FaultEffect::default(),
             OrderFault::NotSent => reachability.failed_connects += 1,
             OrderFault::NoAnswer => reachability.unanswered += 1,
         }
+        self.on_counted(now, name)
+    }
+
+    /// Determines whether a back end is lost after a failure was counted.
+    fn on_counted(&mut self, now: Timestamp, name: &BackEndName) -> FaultEffect {
+        let serves = self.serves(now, name);
+        let reachability = self.reachability.entry(name.clone()).or_default();
         let lost = reachability.failed_connects >= FAILED_CONNECTS_UNTIL_LOST
-            || (reachability.unanswered >= UNANSWERED_UNTIL_LOST && !serves);
+            || (reachability.is_silent() && !serves);
         let effect = FaultEffect {
             first_failure: reachability.silence.is_none(),
             lost: lost && reachability.lost_since.is_none(),
--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -163,6 +163,7 @@
         result: Result<OrderReply, OrderFault>,
     ) {
         let was_overdue = self.overdue.ended(order);
+        let early = self.is_early(now, order);
         let to_former_owner = self.former.on_order(now, order, &result);
         match &result {
             Ok(OrderReply::Malformed) if matches!(order.kind, OrderKind::Grant(_)) => {
@@ -182,7 +183,7 @@
             // A former owner whose registration is also gone is expected not to
             // answer.
             Err(_) if to_former_owner && !self.holders.is_registered(&order.to.name) => {}
-            Err(fault) => self.on_order_failed(now, order, order.timeout, fault),
+            Err(fault) => self.on_order_failed(now, order, early, fault),
         }
         if result == Ok(OrderReply::Fenced) {
             self.notices.push(Notice::OrderFenced {
@@ -234,20 +235,25 @@
     }
 
     /// Records an order without an answer in the state of its back end.
-    fn on_order_failed(
-        &mut self,
-        now: Timestamp,
-        order: &Order,
-        waited: Duration,
-        fault: &OrderFault,
-    ) {
+    fn on_order_failed(&mut self, now: Timestamp, order: &Order, early: bool, fault: &OrderFault) {
         let may_be_executed = matches!(fault, OrderFault::NoAnswer | OrderFault::Doubtful(_));
         if order.kind == OrderKind::Release && may_be_executed {
             self.holders.on_unanswered_release(now, &order.to.name);
         }
         let last_sent = OrderId(self.last_order_id);
-        let effect = self.holders.on_order_failed(now, order, fault, last_sent);
-        self.report_fault(order, waited, fault, effect);
+        let effect = self
+            .holders
+            .on_order_failed(now, order, fault, early, last_sent);
+        self.report_fault(order, order.timeout, fault, effect);
+    }
+
+    /// Returns whether an order that is awaited ends long before the order
+    /// timeout.
+    fn is_early(&mut self, now: Timestamp, order: &Order) -> bool {
+        let settings = &self.settings;
+        tracked_in(&mut self.tracked, order.range)
+            .iter()
+            .any(|tracked| tracked.in_flight == Some(order.id) && tracked.is_early(now, settings))
     }
 
     /// Reports a back end that has just become silent or lost.
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -44,6 +44,8 @@
     pub(super) in_flight: Option<OrderId>,
     /// Connections on which the next order may be sent.
     pub(super) connection: OrderConnection,
+    /// Time at which the last order was sent.
+    sent_at: Timestamp,
     /// Time at which the next order is due.
     pub(super) next_order_at: Timestamp,
     /// Grants of this node that may still arrive.
@@ -75,6 +77,7 @@
             returning_since: None,
             in_flight: None,
             connection: OrderConnection::default(),
+            sent_at: Timestamp::ZERO,
             next_order_at: now,
             arrivals: GrantArrivals::default(),
             fence_acknowledged: false,
@@ -173,6 +176,7 @@
     /// `until` at the latest.
     pub(super) fn sent(&mut self, now: Timestamp, id: OrderId, kind: &OrderKind, until: Timestamp) {
         self.in_flight = Some(id);
+        self.sent_at = now;
         match kind {
             OrderKind::Grant(_) => self.arrivals.sent(id, until),
             OrderKind::Release => self.releases.sent(id, now, self.arrivals.any_open()),
@@ -187,6 +191,13 @@
         }
     }
 
+    /// Returns whether the order in flight has used less than half of the order
+    /// timeout, so that its end is no timeout. A gateway that forwards an order
+    /// ends it somewhat before the timeout.
+    pub(super) fn is_early(&self, now: Timestamp, settings: &Settings) -> bool {
+        now.since(self.sent_at) * 2 < settings.order_timeout
+    }
+
     /// Returns when the release in flight is sent once more if it has no answer
     /// until then.
     pub(super) fn repeat_due(&self, settings: &Settings) -> Option<Timestamp> {
@@ -259,7 +270,11 @@
         result: &Result<OrderReply, OrderFault>,
         settings: &Settings,
     ) {
-        self.connection = connection_after(result);
+        self.connection = match result {
+            // What ended this connection has probably ended the other kept ones.
+            Err(OrderFault::NoAnswer) if self.is_early(now, settings) => OrderConnection::New,
+            _ => connection_after(result),
+        };
         match result {
             Ok(OrderReply::Granted) => {
                 self.fence_acknowledged = true;
@@ -426,6 +441,7 @@
     last.fence_acknowledged &= piece.fence_acknowledged;
     last.fenced |= piece.fenced;
     last.granted &= piece.granted;
+    last.sent_at = last.sent_at.max(piece.sent_at);
     last.next_order_at = last.next_order_at.min(piece.next_order_at);
     if last.in_flight != piece.in_flight {
         last.in_flight = None;
--- a/crates/coordination/tests/simulation/back_end.rs
+++ b/crates/coordination/tests/simulation/back_end.rs
@@ -30,6 +30,9 @@
     pub unreachable_from: std::collections::BTreeSet<usize>,
     /// Time until which it answers no order and executes late what it received.
     pub unresponsive_until: Timestamp,
+    /// Time until which a connection to its address is accepted and reset by
+    /// what is in front of it.
+    pub reset_until: Timestamp,
     pub holds: Vec<Hold>,
     /// Requests that it works on.
     pub work: Workload,
@@ -47,6 +50,7 @@
             unreachable_until: Timestamp::ZERO,
             unreachable_from: std::collections::BTreeSet::new(),
             unresponsive_until: Timestamp::ZERO,
+            reset_until: Timestamp::ZERO,
             holds: Vec::new(),
             work: Workload::default(),
             fences: Vec::new(),
--- a/crates/coordination/tests/simulation/main.rs
+++ b/crates/coordination/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 mod late_grants;
 mod merged_grants;
 mod registrations;
+mod resets;
 mod resignation;
 mod restarts;
 mod scenarios;
--- a/crates/coordination/tests/simulation/world.rs
+++ b/crates/coordination/tests/simulation/world.rs
@@ -556,6 +556,11 @@
     fn send(&mut self, index: usize, order: Order) {
         let timeout = order.timeout;
         let now = self.now;
+        if self.is_reset(&order) {
+            let failed = Answer::Order(order, Err(OrderFault::NoAnswer));
+            self.answer(index, ORDER_DELAY, failed);
+            return;
+        }
         let process = self.process_at(&order);
         let reachable = process.and_then(|name| self.back_ends.get(&name));
         if !reachable.is_some_and(|back_end| back_end.reachable(now, index)) {
@@ -637,6 +642,14 @@
         }
     }
 
+    /// Returns whether the connection of an order is reset at once.
+    fn is_reset(&self, order: &Order) -> bool {
+        let reset = |back_end: &ModelBackEnd| {
+            back_end.entry.address == order.to.address && self.now < back_end.reset_until
+        };
+        self.back_ends.values().any(reset)
+    }
+
     /// Returns the process that runs at the address of an order.
     fn process_at(&self, order: &Order) -> Option<BackEndName> {
         let mut up = self.back_ends.values().filter(|back_end| back_end.up);
