coordination: orders on new connections that end at once are spaced by 100 ms

Cause: an order that ended without an answer, or with a doubtful one, was sent again at once, however early it had ended.

Looked at with the same cause: former owners are asked again 500 ms after a failure, one order at a time; a release that is open is repeated once per order timeout; a probe of an address is sent once per registration; renewals while a release may be executed late wait for 100 ms.

Change: an order on a new connection that ends without an answer is sent again no earlier than 100 ms after it was sent. The first repetition, after the reset of a kept connection, and an order that used its timeout follow at once as before.

Test, red before: order_whose_connections_are_reset_is_repeated_ten_times_a_second, "4000 orders of one range". release_whose_kept_connection_is_reset_is_repeated_at_once guards the first repetition; it passed before.

Conclusion: ten orders a second for each range in place of as many as the path resets. Six ranges of one owner still get sixty.

--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -1,6 +1,7 @@
 //! Order state of one range of keys.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEndName, KeyRange};
@@ -14,6 +15,11 @@
 use crate::record::{Fence, Owner, Slice, SliceState};
 use crate::settings::Settings;
 
+/// Time between two orders on new connections that end without an answer.
+/// Shorter than [`Settings::retry_delay`]: the keys of an owner that has ended
+/// wait for the expiry of its last grant.
+const CUT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// A range within one slice of the record, with the state of its orders.
 ///
 /// A range that is being taken back is tracked separately, while the record
@@ -245,7 +251,7 @@
             self.release_answered(now, order, release, handover.as_ref(), settings);
         } else if self.in_flight == Some(order.id) {
             self.in_flight = None;
-            self.in_flight_ended(now, result, settings);
+            self.in_flight_ended(now, order.connection, result, settings);
         } else if *result == Ok(OrderReply::Granted) && self.in_force(order) {
             self.granted = true;
             self.fence_acknowledged = true;
@@ -263,10 +269,12 @@
         covered && self.releasing.is_none() && order.fence == self.slice.fence
     }
 
-    /// Schedules the next order after the one in flight has ended.
+    /// Schedules the next order after the one in flight, which was sent on
+    /// `connection`, has ended.
     fn in_flight_ended(
         &mut self,
         now: Timestamp,
+        connection: OrderConnection,
         result: &Result<OrderReply, OrderFault>,
         settings: &Settings,
     ) {
@@ -291,7 +299,13 @@
             | Err(OrderFault::NotSent | OrderFault::Withheld) => {
                 self.next_order_at = now + settings.retry_delay;
             }
-            Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => self.next_order_at = now,
+            Err(OrderFault::NoAnswer | OrderFault::Doubtful(_)) => {
+                self.next_order_at = match connection {
+                    // The reset of a kept connection is ordinary.
+                    OrderConnection::Any => now,
+                    OrderConnection::New => now.max(self.sent_at + CUT_RETRY_DELAY),
+                };
+            }
         }
     }
 
--- a/crates/coordination/tests/orders.rs
+++ b/crates/coordination/tests/orders.rs
@@ -379,6 +379,55 @@
     );
 }
 
+#[test]
+fn order_whose_connections_are_reset_is_repeated_ten_times_a_second() {
+    let duration = Duration::from_secs(4);
+    let (orders, lost_at) = with_resets(duration, |_| true);
+    let first = orders[0].range;
+    let count = orders.iter().filter(|order| order.range == first).count();
+    let all = orders.len();
+    println!("{all} orders, {count} of one range, lost {lost_at:?}");
+    // The first and its repetition follow each other at once, twice: as a grant
+    // and as a release.
+    assert!(count <= 40 + 4, "{count} orders of one range");
+}
+
+/// Returns how long the release of an owner that leaves takes if its orders are
+/// reset for `duration`, on new connections too if `also_new`.
+fn release_took(duration: Duration, also_new: bool) -> Duration {
+    let start = Timestamp::from_millis(10_000);
+    let mut ownership = taken_over(start);
+    answer_all(&mut ownership, start, |_| Ok(OrderReply::Granted));
+    let mut leaving = back_end();
+    leaving.draining = true;
+    ownership.set_back_ends(start, &[leaving]);
+    let mut now = start;
+    while now < start + Duration::from_secs(2) {
+        let (orders, _) = orders_and_write(ownership.poll(now, true));
+        now = now + Duration::from_millis(1);
+        for order in orders {
+            let resets = now < start + duration;
+            if resets && (also_new || order.connection == OrderConnection::Any) {
+                ownership.on_order(now, &order, Err(OrderFault::NoAnswer));
+                continue;
+            }
+            return now.since(start);
+        }
+    }
+    panic!("no release was answered");
+}
+
+#[test]
+fn release_whose_kept_connection_is_reset_is_repeated_at_once() {
+    let always = Duration::from_secs(10);
+    assert_eq!(release_took(Duration::ZERO, true), Duration::from_millis(1));
+    assert_eq!(release_took(always, false), Duration::from_millis(2));
+    println!(
+        "100 ms: {:?}",
+        release_took(Duration::from_millis(100), true)
+    );
+}
+
 #[test]
 fn back_end_is_not_lost_by_resets_of_kept_connections() {
     let is_kept = |order: &Order| order.connection == OrderConnection::Any;
