Second answers to grants of an earlier term acknowledge nothing

What callers saw: nothing is recorded. Found by reading and shown by a test: two back ends could hold the same keys (rule OWNER).

Cause: a coordinator keeps its connections to back ends for 8 s. Elected again within that time, it sent the first grant of its new term on one of them. A back end that answers an old grant twice then seems to have accepted the new one: the coordinator noted that the owner refuses orders of earlier coordinators, and no longer waited for the grants of the coordinator in between. A gateway that forwarded orders for an earlier coordinator keeps such connections as well.

Ruled out: the result of an order of the first term that ends in the second one. Order ids go on from term to term, and each election raises every fencing token, so that the result matches nothing (answer_to_a_grant_of_the_first_term_..., passed before the change too).

Change: after a predecessor, orders for a range go on new connections until the owner has answered one of this term. A coordinator that takes over for the first time has no kept connections of its own, so that it opens at most one for each range.

Evidence, on the code before: second_answer_to_a_grant_of_the_first_term_... failed, 'given on after 3.09s' after the second election; grants of the coordinator in between may last until 9.5 s.

That a real back end sends such a second answer in this window was not played with sockets.

--- a/crates/coordination/src/ownership/orders.rs
+++ b/crates/coordination/src/ownership/orders.rs
@@ -79,6 +79,7 @@
         }
         self.repeat_releases(now);
         let mut orders_in_flight = orders_in_flight(&self.tracked);
+        let has_no_predecessor = self.predecessor.is_none();
         for tracked in &mut self.tracked {
             if tracked.in_flight.is_some() || now < tracked.next_order_at {
                 continue;
@@ -106,7 +107,7 @@
                 fence: tracked.order_fence(),
                 kind,
                 distance,
-                connection: tracked.connection,
+                connection: tracked.next_connection(has_no_predecessor),
                 timeout,
             };
             self.overdue.watch(now, &order, &self.settings);
--- a/crates/coordination/src/ownership/tracked.rs
+++ b/crates/coordination/src/ownership/tracked.rs
@@ -178,6 +178,17 @@
         }))
     }
 
+    /// Returns the connections on which the next order may be sent. A kept one
+    /// may carry a second answer to a grant of an earlier term, which would seem
+    /// to show that the back end refuses the orders of earlier coordinators.
+    pub(super) fn next_connection(&self, has_no_predecessor: bool) -> OrderConnection {
+        if has_no_predecessor || self.fence_acknowledged {
+            self.connection
+        } else {
+            OrderConnection::New
+        }
+    }
+
     /// Records that the next order is sent and that its connection is closed at
     /// `until` at the latest.
     pub(super) fn sent(&mut self, now: Timestamp, id: OrderId, kind: &OrderKind, until: Timestamp) {
