platform: large answers of the store are read one at a time

Each of up to 16 connections to the store read an answer up to 8 MiB, all beside each other: 128 MiB of answers without end, at a gateway that has 160 MB.

Ruled out, with tests that were right before: calls that do not end. Pages, watches, reads and writes end at once where a head has no end, where a body is announced above the limit or has no framing, and at 8 MiB of chunks; the connection is closed, and a write's result is unknown. Only the sum had no bound.

A lower limit for one answer was refused: a watch's batch after a silence may hold many objects, and one that is cut would be asked for again without end. Answers up to the size of the largest object, 1 MiB, go beside each other as before, so that a record's read or write never waits. More of an answer is read while no other is that large. All of them share one link, so that the turn takes no time from them; a stalled one holds it until its own deadline, 10 s at most, and the wait of the others counts as their time, not as a pause.

Memory of a gateway process was not measured with it. What is parsed of a whole answer is not counted by the bound.

--- /dev/null
+++ b/crates/net/src/whole_body.rs
@@ -0,0 +1,116 @@
+//! Reads response bodies whole, within limits of bytes and time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::sync::{Mutex, MutexGuard};
+use futures::io::AsyncReadExt;
+use http_types::Body;
+
+use crate::Instant;
+use crate::client_error::ClientError;
+use crate::pool::PoolSettings;
+use crate::timer;
+
+/// Largest read buffer.
+const PART_BYTES: usize = 16 * 1024;
+
+/// Time for a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimeLimits {
+    /// Longest time without receiving a byte, if there is a limit of its own.
+    pub(crate) idle: Option<Duration>,
+    /// End of the time for the whole body.
+    pub(crate) deadline: Instant,
+}
+
+impl TimeLimits {
+    fn next_deadline(&self) -> Instant {
+        let idle = self.idle.map(|idle| Instant::now() + idle);
+        idle.map_or(self.deadline, |idle| idle.min(self.deadline))
+    }
+}
+
+/// Reads bodies whole. Clones share the turn of large bodies.
+#[derive(Clone, Debug)]
+pub(crate) struct WholeBodies {
+    max_bytes: u64,
+    large_bytes: u64,
+    /// Held while more of a body is read than `large_bytes`.
+    turn: Arc<Mutex<()>>,
+}
+
+impl WholeBodies {
+    pub(crate) fn new(settings: &PoolSettings) -> Self {
+        WholeBodies {
+            max_bytes: settings.max_body_bytes,
+            large_bytes: settings.large_body_bytes,
+            turn: Arc::default(),
+        }
+    }
+
+    /// The limit of a body, in bytes.
+    pub(crate) fn max_bytes(&self) -> u64 {
+        self.max_bytes
+    }
+
+    /// Reads a body to its end. Invariant: of all bodies, at most one takes more
+    /// than `large_bytes` of memory while it is read.
+    pub(crate) async fn read(
+        &self,
+        from: SocketAddr,
+        mut body: Body,
+        limits: TimeLimits,
+    ) -> Result<Vec<u8>, ClientError> {
+        self.check_announced(from, &body)?;
+        let part_bytes = body.len().unwrap_or(PART_BYTES).clamp(1, PART_BYTES);
+        let mut turn = None;
+        let mut bytes = Vec::new();
+        let mut part = vec![0; part_bytes];
+        loop {
+            let reading = body.read(&mut part);
+            let read = match timer::timeout_at(limits.next_deadline(), reading).await {
+                Err(timer::Elapsed) => return Err(ClientError::timed_out(from)),
+                Ok(Err(error)) => return Err(ClientError::from_body(from, error)),
+                Ok(Ok(read)) => read,
+            };
+            if read == 0 {
+                return Ok(bytes);
+            }
+            let length = (bytes.len() + read) as u64;
+            if length > self.max_bytes {
+                return Err(self.too_large(from));
+            }
+            if length > self.large_bytes && turn.is_none() {
+                turn = Some(self.take_turn(from, limits.deadline).await?);
+            }
+            bytes.extend_from_slice(&part[..read]);
+        }
+    }
+
+    async fn take_turn(
+        &self,
+        from: SocketAddr,
+        deadline: Instant,
+    ) -> Result<MutexGuard<'_, ()>, ClientError> {
+        let turn = timer::timeout_at(deadline, self.turn.lock()).await;
+        turn.map_err(|timer::Elapsed| ClientError::timed_out(from))
+    }
+
+    /// Refuses a body whose head has announced more than the limit.
+    fn check_announced(&self, from: SocketAddr, body: &Body) -> Result<(), ClientError> {
+        let announced = body.len().unwrap_or_default() as u64;
+        if announced > self.max_bytes {
+            return Err(self.too_large(from));
+        }
+        Ok(())
+    }
+
+    fn too_large(&self, address: SocketAddr) -> ClientError {
+        ClientError::ResponseTooLarge {
+            address,
+            limit: self.max_bytes,
+        }
+    }
+}
