soak: gateways that run for a part of the time, back ends that read slowly

--slow-gateways: two of three gateways run for 10 to 60 ms of each 100 ms while faults come. The soak stops and continues processes that it started; a process and its id stand in a slot under one lock now, so that no signal reaches another process after the end of the first. A gateway that a fault has suspended stays suspended.

What waits in the kernel's buffers is read also after a reset. Reports of keys with two holders name it, as they name late grants and a full link; what counts stays.

Up to 80 gateways and back ends can be named.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -50,15 +50,21 @@
     pub late: bool,
     /// True if that grant may have waited in a full link.
     pub delayed: bool,
+    /// True if that grant may have waited unread at the back end.
+    pub unread: bool,
 }
 
 impl Tenure {
     /// Describes what the users may hold against counting its last grant.
     fn remark(&self) -> &'static str {
-        match (self.late, self.delayed) {
-            (true, _) => ", late grant",
-            (false, true) => ", link full",
-            (false, false) => "",
+        if self.late {
+            ", late grant"
+        } else if self.unread {
+            ", read slowly"
+        } else if self.delayed {
+            ", link full"
+        } else {
+            ""
         }
     }
 }
@@ -330,6 +336,8 @@
         "stricter than OWNER: up to half a second"
     } else if one.late || two.late {
         "stricter than OWNER: a late grant"
+    } else if one.unread || two.unread {
+        "third line of OWNER, unless a grant waited unread"
     } else if one.delayed || two.delayed {
         "third line of OWNER, unless the link delayed a grant"
     } else {
@@ -342,6 +350,8 @@
     let any = |has: fn(&Tenure) -> bool| tenures.iter().any(has);
     if any(|tenure| tenure.late) {
         "stricter than OWNER: a late grant"
+    } else if any(|tenure| tenure.unread) {
+        "third line of OWNER, unless a grant waited unread"
     } else if any(|tenure| tenure.delayed) {
         "third line of OWNER, unless the link delayed a grant"
     } else {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,6 +2,7 @@
 
 mod doubled;
 mod regions;
+mod slow;
 
 use std::fmt;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 use crate::regions::PLAIN_COUNT;
 use crate::world::ZONES;
 
+pub use slow::{plan_slow_gateways, plan_slow_readers};
+
 /// Bounds of the length of a fault, in milliseconds.
 const LENGTH_MS: (u64, u64) = (400, 5_000);
 /// Bounds of the pause between the starts of two faults.
@@ -184,6 +187,21 @@
     /// A back end cannot reach the store: its registration lapses while it
     /// serves on.
     Unregistered(usize),
+    /// A gateway gets the processor only for a part of each period.
+    SlowGateway {
+        /// The gateway.
+        gateway: usize,
+        /// Time for which it runs in each period.
+        share: Duration,
+    },
+    /// A back end reads each connection slowly, so that what it was sent waits
+    /// unread.
+    SlowReader {
+        /// The back end.
+        back_end: usize,
+        /// Rate at which it reads each connection.
+        bytes_per_s: u32,
+    },
     /// Other traffic fills the link between two regions.
     LinkFull {
         /// Directions that are full, as seen from the first region.
@@ -235,6 +253,8 @@
                 | Kind::LateOrders { .. }
                 | Kind::Leave { .. }
                 | Kind::Unregistered(_)
+                | Kind::SlowGateway { .. }
+                | Kind::SlowReader { .. }
         )
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod world;
 
 pub use check::{Answer, RequestRecord, Tenure, Violation};
+pub use fault::Fault;
 pub use run::{Options, Summary, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,8 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use threadledge_soak::fault::{self, FaultSet};
+use eyre::ensure;
+use threadledge_soak::fault::FaultSet;
 use threadledge_soak::{Options, run};
 
 /// Runs real gateways under injected faults and checks their guarantees.
@@ -32,11 +33,11 @@
     /// How long faults are injected, in seconds [default: 60]
     #[bpaf(argument("N"), fallback(60))]
     seconds: u64,
-    /// Number of gateways, at most 20 [default: 5]
-    #[bpaf(argument("N"), fallback(5), guard(is_1_to_20, "must be 1 to 20"))]
+    /// Number of gateways, at most 80 [default: 5]
+    #[bpaf(argument("N"), fallback(5), guard(is_1_to_80, "must be 1 to 80"))]
     gateways: usize,
-    /// Number of back ends of each service, at most 20 [default: 3]
-    #[bpaf(argument("N"), fallback(3), guard(is_1_to_20, "must be 1 to 20"))]
+    /// Number of back ends of each service, at most 80 [default: 3]
+    #[bpaf(argument("N"), fallback(3), guard(is_1_to_80, "must be 1 to 80"))]
     back_ends: usize,
     /// Factor for all time limits, for machines under load [default: 1]
     #[bpaf(argument("N"), fallback(1), guard(is_1_to_10, "must be 1 to 10"))]
@@ -60,12 +61,17 @@
     /// Rate of that link in each direction, in Mbit/s [default: 60]
     #[bpaf(argument("N"), fallback(60), guard(is_positive, "must be above 0"))]
     link_mbps: u32,
+    /// Some gateways get the processor only for a part of each 100 ms
+    slow_gateways: bool,
+    /// With two regions: back ends read slowly at times, so that what they were
+    /// sent waits unread
+    slow_readers: bool,
     /// Print the faults of the seed and run nothing
     plan: bool,
 }
 
-fn is_1_to_20(number: &usize) -> bool {
-    (1..=20).contains(number)
+fn is_1_to_80(number: &usize) -> bool {
+    (1..=80).contains(number)
 }
 
 fn is_1_to_10(number: &u32) -> bool {
@@ -78,6 +84,10 @@
 
 fn main() -> eyre::Result<ExitCode> {
     let arguments = arguments().run();
+    ensure!(
+        arguments.regions || !arguments.slow_readers,
+        "--slow-readers needs --regions"
+    );
     let mut no_violations = true;
     let faults = match arguments {
         Arguments {
@@ -104,11 +114,11 @@
             omitted_ids: arguments.omitted_ids,
             time_factor: arguments.patience,
             link_mbps: arguments.regions.then_some(arguments.link_mbps),
+            slow_gateways: arguments.slow_gateways,
+            slow_readers: arguments.slow_readers,
         };
         if arguments.plan {
-            let back_ends = options.back_end_count();
-            let (length, gateways) = (options.length, options.gateways);
-            for fault in fault::plan(seed, length, gateways, back_ends, faults) {
+            for fault in options.plan() {
                 println!("{fault}");
             }
             continue;
--- a/crates/soak/src/ownership.rs
+++ b/crates/soak/src/ownership.rs
@@ -21,6 +21,8 @@
     pub late: bool,
     /// True if the order may have waited in a full link.
     pub delayed: bool,
+    /// True if the order may have waited unread at the back end.
+    pub unread: bool,
 }
 
 /// A request for a key that a back end started to process.
@@ -154,6 +156,7 @@
                 current_tenure.lease = until;
                 current_tenure.late = event.late;
                 current_tenure.delayed = event.delayed;
+                current_tenure.unread = event.unread;
                 return;
             }
             current_tenure.until = event.at;
@@ -166,6 +169,7 @@
             lease: until,
             late: event.late,
             delayed: event.delayed,
+            unread: event.unread,
         };
         self.check_fence(&tenure);
         self.tenures.push(tenure);
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,13 +1,15 @@
 //! A gateway in its own process.
 
+pub mod duty;
+
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
-use eyre::{WrapErr, eyre};
-use rustix::process::{Pid, Signal, kill_process};
+use duty::ProcessSlot;
+use eyre::WrapErr;
 
 use crate::check::ZONE_DRAIN;
 use crate::regions;
@@ -37,11 +39,11 @@
 /// A gateway process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct Gateway {
-    number: usize,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
-    child: Option<Child>,
+    /// The process.
+    pub process: ProcessSlot,
     /// Address for the requests of callers.
     pub callers: SocketAddr,
     /// Address of the readiness check and the metrics.
@@ -90,11 +92,10 @@
         std::fs::write(&settings, text)
             .wrap_err_with(|| format!("{} cannot be written", settings.display()))?;
         let mut gateway = Gateway {
-            number: config.number,
             program: config.program.to_owned(),
             settings,
             log: config.dir.join(format!("{name}.log")),
-            child: None,
+            process: ProcessSlot::default(),
             callers,
             readiness,
             incarnation: 0,
@@ -109,7 +110,7 @@
     ///
     /// Fails if the program does not start.
     pub fn spawn(&mut self) -> eyre::Result<()> {
-        if self.child.is_some() {
+        if self.process.is_running() {
             return Ok(());
         }
         let log = File::options().append(true).create(true).open(&self.log)?;
@@ -118,7 +119,7 @@
             .arg(&self.settings)
             .stdout(Stdio::from(log))
             .spawn();
-        self.child = Some(child.wrap_err_with(|| {
+        self.process.set(child.wrap_err_with(|| {
             format!(
                 "{} does not start; build it or name it with --program",
                 self.program.display()
@@ -127,52 +128,12 @@
         self.incarnation += 1;
         Ok(())
     }
-
-    /// Returns whether a process was started and its end has not been observed.
-    pub fn is_running(&self) -> bool {
-        self.child.is_some()
-    }
-
-    /// Returns the id of the process, if one is running.
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    /// Sends a signal to the process, if one is running.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the signal cannot be sent.
-    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
-        let Some(child) = &self.child else {
-            return Ok(());
-        };
-        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-        let pid = pid.ok_or_else(|| eyre!("gateway {} has no process id", self.number))?;
-        Ok(kill_process(pid, signal)?)
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // A process that has already ended needs no kill.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Returns the exit status if the process ended by itself, and forgets the
-    /// process.
-    pub fn take_exit_status(&mut self) -> Option<std::process::ExitStatus> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        self.child = None;
-        Some(status)
-    }
 }
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        self.kill();
+        self.process.set_share(None);
+        self.process.kill();
     }
 }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -5,6 +5,7 @@
 pub mod link;
 mod linked;
 mod process_ports;
+mod reading;
 pub mod rewriter;
 
 use std::collections::BTreeSet;
@@ -22,6 +23,7 @@
 use connection::ProxiedConnection;
 use copies::{CopyTiming, Doubling};
 use link::LinkEnd;
+use reading::Reading;
 use rewriter::Rewriter;
 
 /// Connections that may wait to be accepted.
@@ -118,6 +120,8 @@
     doubled: u64,
     /// The link that the connections cross, if any.
     link: Option<LinkEnd>,
+    /// How fast the target reads.
+    reading: Reading,
 }
 
 impl State {
@@ -202,6 +206,7 @@
             doubling: None,
             doubled: 0,
             link: None,
+            reading: Reading::default(),
         };
         let proxy = Proxy {
             address,
@@ -249,6 +254,27 @@
         self.state.lock().link = Some(link);
     }
 
+    /// Makes the target read each connection at this rate for a while: what it
+    /// was sent waits in the buffers of the kernel, also if its sender closes or
+    /// resets the connection meanwhile. Concerns no connection over a link.
+    pub fn read_slowly(&self, bytes_per_s: u32, length: Duration) {
+        let mut state = self.state.lock();
+        state.reading.slow_down(bytes_per_s, length);
+        state.notify_connections();
+    }
+
+    /// Makes the target read what it is sent at once again.
+    pub fn read_at_once(&self) {
+        let mut state = self.state.lock();
+        state.reading.end();
+        state.notify_connections();
+    }
+
+    /// Returns whether what the target took at this time may have waited unread.
+    pub fn may_have_read_late(&self, taken: std::time::Instant) -> bool {
+        self.state.lock().reading.may_have_delayed(taken)
+    }
+
     /// Number of answers that were sent twice so far.
     pub fn doubled(&self) -> u64 {
         self.state.lock().doubled
--- a/crates/soak/src/proxy/connection.rs
+++ b/crates/soak/src/proxy/connection.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::{Shutdown, TcpStream};
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 
 use super::copies::AnswerCopies;
 use super::linked::LinkedConnection;
+use super::reading::READ_PAUSE;
 use super::rewriter::RewriteBuffer;
 use super::{Direction, Mode, Partition, State, process_ports};
 
@@ -194,13 +196,15 @@
         let mut buffered = Vec::new();
         let mut rewriting = RewriteBuffer::default();
         let mut open = true;
+        let mut was_slow = false;
         loop {
             let changed = self.state.lock().changed.stopped();
             let treatment = self.treatment(direction);
             let buffers = matches!(treatment, Treatment::Buffer);
             if !buffers && !buffered.is_empty() {
-                // A reset may have arrived that was not read yet.
-                if let Some(error) = from.get_ref().take_error()? {
+                // A reset may have arrived that was not read yet. It does not
+                // withdraw what waited unread at a target that reads slowly.
+                if !was_slow && let Some(error) = from.get_ref().take_error()? {
                     return Err(error);
                 }
                 let ends = (&from, &to);
@@ -214,8 +218,9 @@
             if !open {
                 return self.close(&to);
             }
-            let mut sender = &*from;
-            let read = Box::pin(sender.read(&mut chunk));
+            let pace = self.pace(direction);
+            was_slow |= pace.is_some();
+            let read = Box::pin(read_at_pace(&from, &mut chunk, pace));
             let read = match select(read, changed).await {
                 Either::Left((read, _)) => read,
                 Either::Right(_) => continue,
@@ -238,6 +243,14 @@
         }
     }
 
+    /// Returns how many bytes each read takes if the target reads slowly.
+    fn pace(&self, direction: Direction) -> Option<NonZeroUsize> {
+        match direction {
+            Direction::There => self.state.lock().reading.bytes_per_read(),
+            Direction::Back => None,
+        }
+    }
+
     async fn deliver(
         &self,
         bytes: &[u8],
@@ -280,6 +293,21 @@
     }
 }
 
+/// Reads what has arrived, or only as much as the pace allows after a pause.
+async fn read_at_pace(
+    from: &Stream,
+    chunk: &mut [u8],
+    pace: Option<NonZeroUsize>,
+) -> io::Result<usize> {
+    let mut sender = &**from;
+    let Some(bytes) = pace else {
+        return sender.read(chunk).await;
+    };
+    timer::sleep(READ_PAUSE).await;
+    let bytes = bytes.get().min(chunk.len());
+    sender.read(&mut chunk[..bytes]).await
+}
+
 /// Makes the connection be reset when the last clone of the stream is dropped.
 pub(super) fn set_reset_on_close(stream: &Stream) {
     // A connection that is already gone needs no reset.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -74,9 +74,29 @@
     pub time_factor: u32,
     /// Rate of the link between two regions in Mbit/s, if there are regions.
     pub link_mbps: Option<u32>,
+    /// Some gateways get the processor only for a part of the time.
+    pub slow_gateways: bool,
+    /// Back ends read slowly at times; only if there are regions.
+    pub slow_readers: bool,
 }
 
 impl Options {
+    /// Returns the faults to inject, ordered by start time.
+    pub fn plan(&self) -> Vec<Fault> {
+        let (seed, length, gateways) = (self.seed, self.length, self.gateways);
+        let back_ends = self.back_end_count();
+        let mut faults = fault::plan(seed, length, gateways, back_ends, self.faults);
+        if self.slow_gateways {
+            faults.extend(fault::plan_slow_gateways(seed, length, gateways));
+        }
+        if self.slow_readers {
+            let keyed = back_ends - regions::PLAIN_COUNT;
+            faults.extend(fault::plan_slow_readers(seed, length, keyed, back_ends));
+        }
+        faults.sort_by_key(|fault| fault.at);
+        faults
+    }
+
     /// Number of back ends of all services.
     pub fn back_end_count(&self) -> usize {
         match self.link_mbps {
@@ -208,13 +228,7 @@
     let history = History::default();
     let stop = StopSignal::new();
     let callers = soak.start_callers(options, &history, &stop);
-    let faults = fault::plan(
-        options.seed,
-        options.length,
-        options.gateways,
-        options.back_end_count(),
-        options.faults,
-    );
+    let faults = options.plan();
     let stop_crashing = StopSignal::new();
     let crashing_callers = soak.start_crashing(options, &stop_crashing);
     soak.run_faults(&faults, options.length).await?;
--- a/crates/soak/src/run/checks.rs
+++ b/crates/soak/src/run/checks.rs
@@ -34,12 +34,12 @@
         let stop_timeout = STOP_TIMEOUT * self.time_factor;
         for (number, gateway) in self.world.gateways.iter_mut().enumerate() {
             let asked = self.stopping.get(&number).copied();
-            let Some(status) = gateway.take_exit_status() else {
+            let Some(status) = gateway.process.take_exit_status() else {
                 if asked.is_some_and(|asked| now > asked + stop_timeout) {
                     self.stopping.remove(&number);
                     let problem = "it goes on after the grace time".to_owned();
                     self.violations.push(stop_failed(number, problem));
-                    gateway.kill();
+                    gateway.process.kill();
                     gateway.spawn()?;
                 }
                 continue;
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -42,17 +42,18 @@
                     self.kill(gw);
                 }
             }
-            Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::STOP)?,
+            Kind::Pause(gw) => self.world.gateways[gw].process.pause()?,
             Kind::Stop(gw) => {
                 // A killed gateway cannot be asked to stop.
-                if self.world.gateways[gw].is_running() && !self.stopping.contains_key(&gw) {
+                let process = &self.world.gateways[gw].process;
+                if process.is_running() && !self.stopping.contains_key(&gw) {
                     // A paused gateway cannot stop in time.
-                    self.world.gateways[gw].signal(Signal::CONT)?;
-                    self.world.gateways[gw].signal(Signal::TERM)?;
+                    process.resume()?;
+                    process.signal(Signal::TERM)?;
                     self.stopping.insert(gw, Instant::now());
                 }
             }
-            Kind::Reload(gw) => self.world.gateways[gw].signal(Signal::HUP)?,
+            Kind::Reload(gw) => self.world.gateways[gw].process.signal(Signal::HUP)?,
             Kind::KillCoordinator | Kind::PauseCoordinator => {}
             Kind::StoreSilent => self.world.set_store_fault(StoreFault::Silent),
             Kind::StoreBusy => self.world.set_store_fault(StoreFault::Busy),
@@ -88,7 +89,7 @@
                 gateway,
                 ..
             } => {
-                let process = gateway.map(|gw| self.world.gateways[gw].pid());
+                let process = gateway.map(|gw| self.world.gateways[gw].process.pid());
                 // The connections of a gateway that is not running cannot be
                 // cut.
                 if process != Some(None) {
@@ -137,6 +138,16 @@
                 }
             }
             Kind::Unregistered(be) => self.world.unregister(be),
+            Kind::SlowGateway { gateway, share } => {
+                self.world.gateways[gateway].process.set_share(Some(share));
+            }
+            Kind::SlowReader {
+                back_end,
+                bytes_per_s,
+            } => {
+                let proxy = &self.world.back_ends[back_end].proxy;
+                proxy.read_slowly(bytes_per_s, fault.length);
+            }
             Kind::LinkFull { ways, queue } => self.world.crowd_link(ways, queue),
             Kind::Doubles {
                 back_end,
@@ -210,7 +221,7 @@
     pub(super) fn kill(&mut self, gw: usize) {
         self.kills.push((gw, Instant::now()));
         self.stopping.remove(&gw);
-        self.world.gateways[gw].kill();
+        self.world.gateways[gw].process.kill();
     }
 
     /// Runs the steps that are due at `now`, or all of them, in the order of
@@ -250,7 +261,7 @@
                     gateway.spawn()?;
                 }
             }
-            Kind::Pause(gw) => self.world.gateways[gw].signal(Signal::CONT)?,
+            Kind::Pause(gw) => self.world.gateways[gw].process.resume()?,
             Kind::StoreSilent
             | Kind::StoreBusy
             | Kind::StoreLosesAnswers
@@ -278,6 +289,9 @@
             }
             Kind::Unregistered(be) => self.world.register_cold(be, Duration::ZERO),
             Kind::LinkFull { ways, .. } => self.world.crowd_link(ways, Duration::ZERO),
+            Kind::SlowGateway { gateway, .. } => {
+                self.world.gateways[gateway].process.set_share(None);
+            }
             Kind::Doubles { back_end, .. } => {
                 let proxy = &self.world.back_ends[back_end].proxy;
                 proxy.set_doubling(Doubling::none());
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -364,6 +364,7 @@
             if self.doubled_answers {
                 back_end.proxy.set_doubling(Doubling::none());
             }
+            back_end.proxy.read_at_once();
             back_end.inner.set_grant_delay(None);
             back_end.inner.set_order_delay(None);
         }
@@ -382,13 +383,13 @@
     /// Checks which back ends held which keys when. Times in the violations
     /// count from `start`.
     pub fn check_ownership(&self, start: Instant, tolerance: Duration) -> Vec<Violation> {
-        let inners = self.back_ends.iter().chain(&self.former_back_ends);
-        let inners: Vec<(String, &StandInBackEnd)> = inners
-            .map(|back_end| (back_end.inner.incarnation(), &back_end.inner))
+        let all = self.back_ends.iter().chain(&self.former_back_ends);
+        let all: Vec<(String, &BackEnd)> = all
+            .map(|back_end| (back_end.inner.incarnation(), back_end))
             .collect();
         let mut changes = Vec::new();
         let mut runs = Vec::new();
-        for (incarnation, inner) in &inners {
+        for (incarnation, BackEnd { inner, proxy, .. }) in &all {
             let back_end = incarnation.as_str();
             let since = |at: Instant| at.saturating_duration_since(start);
             changes.extend(inner.key_events().iter().map(|event| {
@@ -401,6 +402,7 @@
                         .link
                         .as_ref()
                         .is_some_and(|link| link.may_have_delayed(event.at)),
+                    unread: proxy.may_have_read_late(event.at),
                 }
             }));
             let keyed = inner.runs();
--- a/crates/soak/tests/ownership.rs
+++ b/crates/soak/tests/ownership.rs
@@ -18,6 +18,7 @@
         change,
         late: false,
         delayed: false,
+        unread: false,
     }
 }
 
