soak: a proxy reads what arrives together with a change in the new way

Two of the tests of slow readers failed in one of five runs: a read that had begun at full speed took what arrived at the same time as the slow time began (160 bytes at once; a reset withdrew them). The change of a proxy's state is looked at before the read now, as it is for connections to be accepted. In the soak itself it concerned one read at the start of a slow time.

--- a/crates/soak/src/proxy/connection.rs
+++ b/crates/soak/src/proxy/connection.rs
@@ -221,9 +221,10 @@
             let pace = self.pace(direction);
             was_slow |= pace.is_some();
             let read = Box::pin(read_at_pace(&from, &mut chunk, pace));
-            let read = match select(read, changed).await {
-                Either::Left((read, _)) => read,
-                Either::Right(_) => continue,
+            // A change comes first: what arrives with it is read the new way.
+            let read = match select(changed, read).await {
+                Either::Left(_) => continue,
+                Either::Right((read, _)) => read,
             };
             match read {
                 Ok(0) => {
