gateway: the result of a forwarded order has 32 KiB at most

A gateway that forwards its orders through another one read each result up to 4 MiB, on up to 32 connections to each such gateway: 128 MiB, where a gateway may have 160 MB. The result is a verdict and the state of a release, which comes from a header (heads have 8 KiB; JSON doubles them at most).

Evidence: a real gateway with 40 owners that it reaches only through another one, whose results have no end. Such an order ends as before: unanswered, and a grant is waited out until its deadline.

Their limit of 4 MiB, on two connections to each peer, stays: what a relay tells at once, and the tokens of thousands of back ends, may be large.

--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -63,6 +63,9 @@
 const PEER_SUSPECT_AFTER: Duration = Duration::from_millis(700);
 /// Largest accepted message, in bytes.
 const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
+/// Largest result of a forwarded order, in bytes: the state of a release comes
+/// from a header.
+const MAX_ORDER_RESULT_BYTES: u64 = 32 * 1024;
 /// Most connections from peers.
 const MAX_CONNECTIONS: usize = 512;
 /// Most connections to one peer for orders that it forwards.
@@ -121,18 +124,21 @@
 
 impl PeerClient {
     pub(super) fn new(own_address: Option<SocketAddr>, peers: Arc<Peers>) -> Self {
-        let client = |connections| {
-            HttpClient::new(PoolSettings {
-                connections_per_address: connections,
-                connect_timeout: PEER_TIMEOUT,
-                max_body_bytes: MAX_MESSAGE_BYTES,
-                suspect_idle_after: Some(PEER_SUSPECT_AFTER),
-                ..PoolSettings::default()
-            })
+        let settings = PoolSettings {
+            connections_per_address: 2,
+            connect_timeout: PEER_TIMEOUT,
+            max_body_bytes: MAX_MESSAGE_BYTES,
+            suspect_idle_after: Some(PEER_SUSPECT_AFTER),
+            ..PoolSettings::default()
+        };
+        let orders = PoolSettings {
+            connections_per_address: ORDER_CONNECTIONS,
+            max_body_bytes: MAX_ORDER_RESULT_BYTES,
+            ..settings.clone()
         };
         PeerClient {
-            client: client(2),
-            orders: client(ORDER_CONNECTIONS),
+            client: HttpClient::new(settings),
+            orders: HttpClient::new(orders),
             own_address,
             peers,
         }
--- /dev/null
+++ b/crates/router/tests/gateway/endless_peers.rs
@@ -0,0 +1,207 @@
+//! Peers of a gateway that send bytes for as long as the connection is open.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, block_on};
+use serde_json::json;
+use threadledge_coordination::{CoordinatorLease, Term};
+use threadledge_net::HttpClient;
+use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, configuration};
+
+use super::process::{Gateway, TIMEOUT, eventually};
+use super::repeating_proxy::read_message;
+
+/// Owners that the gateway reaches only through its peer.
+const OWNERS: u8 = 40;
+/// Orders that a peer is sent at once.
+const ORDERS: usize = 32;
+/// Bytes of an answer that are sent before the peer pauses.
+const ANSWER_BYTES: usize = 3 * 1024 * 1024;
+/// Time for bytes that were sent to arrive.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Memory that all answers together may take, in KiB.
+const MAX_GROWTH_KIB: u64 = 16 * 1024;
+
+/// A gateway that answers each order with a body that has no end.
+#[derive(Clone)]
+struct EndlessForwarder {
+    started: Instant,
+    address: SocketAddr,
+    orders: Arc<AtomicUsize>,
+}
+
+impl EndlessForwarder {
+    async fn start() -> EndlessForwarder {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let forwarder = EndlessForwarder {
+            started: Instant::now(),
+            address: listener.local_addr().expect("an address"),
+            orders: Arc::default(),
+        };
+        let accepting = forwarder.clone();
+        task::spawn(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                let serving = accepting.clone();
+                task::spawn(async move {
+                    // The gateway closes the connection.
+                    let _ = serving.serve(caller).await;
+                });
+            }
+        });
+        forwarder
+    }
+
+    async fn serve(&self, mut caller: TcpStream) -> std::io::Result<()> {
+        loop {
+            let request = read_message(&mut caller).await?;
+            if String::from_utf8_lossy(&request).contains("/v1/order") {
+                self.orders.fetch_add(1, Ordering::Relaxed);
+                return send_without_end(caller).await;
+            }
+            let now = self.started.elapsed().as_micros() as u64;
+            let reading = json!({"incarnation": 7, "now": now}).to_string();
+            let length = reading.len();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+            caller.write_all(head.as_bytes()).await?;
+            caller.write_all(reading.as_bytes()).await?;
+        }
+    }
+
+    /// Makes a gateway know this one.
+    fn introduce_to(&self, gateway: &Gateway) {
+        let report = json!({
+            "from": self.address,
+            "service": "keyed",
+            "load": {"requests": [], "speeds": []},
+        });
+        let request = http::Request::post("/threadledge/v1/load").body(report.to_string().into());
+        let client = HttpClient::default();
+        let sent = client.send(gateway.peers, request.expect("valid"), TIMEOUT);
+        assert_eq!(block_on(sent).expect("an answer").status(), 200);
+    }
+}
+
+async fn send_without_end(mut stream: TcpStream) -> std::io::Result<()> {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffff\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'a'; ANSWER_BYTES]).await?;
+    stream.read_to_end(&mut Vec::new()).await.map(|_| ())
+}
+
+/// Answers to forwarded orders used to be read up to 4 MiB each.
+#[test]
+fn endless_answers_of_a_forwarder_take_no_memory() {
+    let store = block_on(StandInStore::start()).expect("a store");
+    let owner = block_on(StandInBackEnd::start("k", true)).expect("one");
+    for number in 1..=OWNERS {
+        // Nothing listens there.
+        let address = ([127, 0, 1, number], 9).into();
+        let registration = owner.registration_at(address, "zone-a", "keyed", "ready");
+        store.put("servers", &format!("k-{number}"), registration);
+    }
+    let mut gateway = Gateway::start(store.address());
+    let forwarder = block_on(EndlessForwarder::start());
+    eventually(|| gateway.readiness());
+    forwarder.introduce_to(&gateway);
+    let before = gateway.peak_memory_kib();
+    store.put("config", "main", configuration(1));
+    gateway.await_ready();
+    eventually(|| (forwarder.orders.load(Ordering::Relaxed) >= ORDERS).then_some(()));
+    std::thread::sleep(PAUSE);
+    let grown = gateway.peak_memory_kib() - before;
+    assert!(grown <= MAX_GROWTH_KIB, "grown by {grown} KiB");
+}
+
+/// An answer without end: what is sent once and what is sent again and again.
+#[derive(Clone, Copy, Debug)]
+struct Endless {
+    start: &'static str,
+    repeated: &'static str,
+}
+
+const ANSWERS: [Endless; 4] = [
+    Endless {
+        start: "HTTP/1.1 200 OK\r\n",
+        repeated: "x-more: a\r\n",
+    },
+    Endless {
+        start: "HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n",
+        repeated: "aaaaaaaa",
+    },
+    Endless {
+        start: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        repeated: "8\r\naaaaaaaa\r\n",
+    },
+    Endless {
+        start: "HTTP/1.1 200 OK\r\n\r\n",
+        repeated: "aaaaaaaa",
+    },
+];
+
+/// A gateway that answers everything so, as fast as it is read. Returns its
+/// address and the number of its connections that were closed.
+async fn endless_gateway(answer: Endless) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let closed: Arc<AtomicUsize> = Arc::default();
+    let counter = closed.clone();
+    task::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            let counter = counter.clone();
+            task::spawn(async move {
+                // The gateway closes the connection.
+                let _ = repeat(caller, answer).await;
+                counter.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+    });
+    (address, closed)
+}
+
+async fn repeat(mut caller: TcpStream, answer: Endless) -> std::io::Result<()> {
+    read_message(&mut caller).await?;
+    let part = answer.repeated.repeat(4_096);
+    caller.write_all(answer.start.as_bytes()).await?;
+    loop {
+        caller.write_all(part.as_bytes()).await?;
+    }
+}
+
+/// The answers of a relay and of a coordinator are given up, and the gateway
+/// takes the place of both.
+#[test]
+fn endless_answers_of_a_relay_and_coordinator_are_given_up() {
+    for answer in ANSWERS {
+        let store = block_on(StandInStore::start()).expect("a store");
+        let owner = block_on(StandInBackEnd::start("k", true)).expect("one");
+        let (peer, closed) = block_on(endless_gateway(answer));
+        let holder = json!({"node": "router-2", "incarnation": 7, "address": peer});
+        let relay = json!({"holder": holder, "members": 2});
+        store.put("threadledge-relays", "zone-a", relay);
+        let lease = CoordinatorLease {
+            term: Term(1),
+            holder: serde_json::from_value(holder).expect("an identity"),
+            renewals: 1,
+            lease_ms: 3_000,
+            earlier_orders_ms: 0,
+            hold_ms: 3_000,
+        };
+        let lease = serde_json::to_value(lease).expect("JSON");
+        store.put("threadledge-leases", "keyed", lease);
+        store.put("servers", &owner.id, owner.registration("keyed", "ready"));
+        store.put("config", "main", configuration(1));
+        let mut gateway = Gateway::start(store.address());
+        eventually(|| gateway.readiness());
+        let before = gateway.peak_memory_kib();
+        gateway.await_ready();
+        eventually(|| owner.holds(5).then_some(()));
+        assert!(closed.load(Ordering::Relaxed) > 0, "{answer:?}");
+        let grown = gateway.peak_memory_kib() - before;
+        assert!(grown <= MAX_GROWTH_KIB, "{answer:?}: {grown} KiB");
+    }
+}
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cluster_state;
 mod crashing;
 mod draining_back_ends;
+mod endless_peers;
 mod fleet;
 mod fleet_start;
 mod forwarding;
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -247,6 +247,15 @@
         String::from_utf8(answer.into_body()).expect("text")
     }
 
+    /// The most memory that the process has had so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(status).expect("a status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let value = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        value.and_then(|value| value.parse().ok()).expect("a value")
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
         let sent = Command::new("kill").args([name, &pid]).status();
