gateway: messages of peers take 16 MiB of memory at most beyond their first 16 KiB

The peer address read each message whole, up to 4 MiB, before it looked at the path, on up to 512 connections: 2 GiB. A message that goes on is held until it ends, or for ten seconds and one more for each KiB.

Evidence: 128 connections that each send 3 MiB of a message without end. Small messages are answered meanwhile, and 32 reports of the load of every key, 1.6 MB each, one after the other, all read.

Bodies of callers have budgets of their own.

A lower limit for one message was refused: load reports are as long as there are keys. A long message that finds no memory is refused with 503, as bodies of callers are, and logged once until one is read again (547, 548).

Failed try: buffers of which 16 KiB were cleared before each part of a body, also for chunks of 8 bytes; a clock reading beside it was not answered within 10 s. The test asks for one.

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -387,6 +387,12 @@
     BodiesTakenAgain = 546, "bodies-taken-again", Info,
         "There is memory for long request bodies again.",
         "None.";
+    PeerMessagesRefused = 547, "peer-messages-refused", Warn,
+        "There is no memory for more long messages of other gateways: they are refused with 503 until there is.",
+        "None for single occurrences; if it repeats, check what sends so much to the peer address: it is for gateways only.";
+    PeerMessagesTakenAgain = 548, "peer-messages-taken-again", Info,
+        "There is memory for long messages of other gateways again.",
+        "None.";
     ImbalanceTooHigh = 601, "imbalance-too-high", Warn,
         "A service's imbalance stayed above what its policy tolerates for a minute.",
         "Add back ends, or raise the service's churn budget.";
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -30,6 +30,7 @@
 mod notifier;
 mod operator_keys;
 pub mod outage;
+mod peer_messages;
 mod peers;
 mod publisher;
 mod readiness;
--- a/crates/router/src/gateway/peers.rs
+++ b/crates/router/src/gateway/peers.rs
@@ -29,6 +29,7 @@
     ClockAnswer, ForwardServer, ForwardedOrder, ForwardedOrderResult, OrderServer, is_forwarded,
 };
 use super::messages::{FollowAnswer, FollowPoll, KnownPeers, ServiceReport, SuspectExchange};
+use super::peer_messages::{MessageFault, MessageReader};
 use super::publisher::StatePublisher;
 use super::suspects::SuspectService;
 use super::sync::{PeerUpdate, SyncPosition};
@@ -289,6 +290,7 @@
     pub(super) limits: Limits,
     pub(super) forward: ForwardServer,
     pub(super) orders: OrderServer,
+    pub(super) messages: MessageReader,
 }
 
 impl PeerServer {
@@ -316,8 +318,10 @@
                 .record_peer_message("forwarded", received, answered);
             return response;
         }
-        let Ok(body) = request.body_bytes().await else {
-            return answer::text(400, "cut-short", None);
+        let body = match self.messages.read(&mut request).await {
+            Ok(message) => message,
+            Err(MessageFault::CutShort) => return answer::text(400, "cut-short", None),
+            Err(MessageFault::NoMemory) => return answer::text(503, "no-memory", None),
         };
         let message = match request.url().path() {
             LOAD_PATH => "load",
@@ -330,10 +334,10 @@
             ORDER_PATH => "order",
             _ => "unknown",
         };
-        let response = self.route(&request, &body).await;
+        let response = self.route(&request, &body.bytes).await;
         let answered = response.len().unwrap_or_default();
         self.usage
-            .record_peer_message(message, body.len(), answered);
+            .record_peer_message(message, body.bytes.len(), answered);
         response
     }
 
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -34,6 +34,7 @@
 use super::links::{BackEndLinks, ForwardServer, OrderSender, OrderServer};
 use super::log::RequestLogger;
 use super::metrics::GatewayMetrics;
+use super::peer_messages::MessageReader;
 use super::peers::{PeerClient, PeerServer, Peers};
 use super::publisher::StatePublisher;
 use super::readiness::{Readiness, StatusHandler};
@@ -306,6 +307,7 @@
                     grants: self.direct_orders.clone(),
                 },
                 forward,
+                messages: MessageReader::default(),
             };
             task::spawn(server.serve(listener, servers_stop.clone()));
         }
--- a/crates/router/tests/gateway/endless_peers.rs
+++ b/crates/router/tests/gateway/endless_peers.rs
@@ -10,7 +10,7 @@
 use async_std::task::{self, block_on};
 use serde_json::json;
 use threadledge_coordination::{CoordinatorLease, Term};
-use threadledge_net::HttpClient;
+use threadledge_net::{HttpClient, timer};
 use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, configuration};
 
 use super::process::{Gateway, TIMEOUT, eventually};
@@ -24,6 +24,9 @@
 const ANSWER_BYTES: usize = 3 * 1024 * 1024;
 /// Time for bytes that were sent to arrive.
 const PAUSE: Duration = Duration::from_secs(2);
+/// Memory that all messages of peers together may take, in KiB: the limit of 16
+/// MiB twice, because buffers are copied when they grow, and a margin.
+const MAX_MESSAGES_KIB: u64 = 48 * 1024;
 /// Memory that all answers together may take, in KiB.
 const MAX_GROWTH_KIB: u64 = 16 * 1024;
 
@@ -205,3 +208,95 @@
         assert!(grown <= MAX_GROWTH_KIB, "{answer:?}: {grown} KiB");
     }
 }
+
+/// Sends the start of a request on a connection of its own, and then `part`
+/// until the gateway closes the connection or `bytes` have been sent.
+async fn send_request(
+    to: SocketAddr,
+    start: String,
+    part: &'static str,
+    bytes: usize,
+) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(to).await?;
+    stream.write_all(start.as_bytes()).await?;
+    let part = part.repeat(4_096);
+    let mut sent = 0;
+    while sent < bytes {
+        stream.write_all(part.as_bytes()).await?;
+        sent += part.len();
+    }
+    stream.read_to_end(&mut Vec::new()).await.map(|_| ())
+}
+
+/// Heads without end are refused on each port, and bodies that nobody reads.
+#[test]
+fn endless_requests_are_refused_on_each_port() {
+    let gateway = Gateway::start(block_on(StandInStore::start()).expect("one").address());
+    eventually(|| gateway.readiness());
+    let before = gateway.peak_memory_kib();
+    let (callers, peers) = (gateway.callers, gateway.peers);
+    let (readiness, operators) = (gateway.readiness, gateway.operators);
+    let head = "POST /metrics HTTP/1.1\r\nhost: a\r\n";
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let mut sending = Vec::new();
+    for to in [callers, peers, readiness, operators] {
+        let sent = send_request(to, head.to_owned(), "x-more: a\r\n", usize::MAX);
+        sending.push(task::spawn(sent));
+    }
+    for to in [callers, readiness, operators] {
+        for _ in 0..ORDERS {
+            let sent = send_request(to, chunked.clone(), "8\r\naaaaaaaa\r\n", usize::MAX);
+            sending.push(task::spawn(sent));
+        }
+    }
+    for each in sending {
+        let ended = block_on(timer::timeout(TIMEOUT, each));
+        assert!(ended.is_ok(), "not closed");
+    }
+    let grown = gateway.peak_memory_kib() - before;
+    assert!(grown <= MAX_GROWTH_KIB, "grown by {grown} KiB");
+}
+
+/// Messages of peers used to be read up to 4 MiB each, on up to 512 connections.
+#[test]
+fn endless_messages_of_peers_take_no_memory() {
+    let gateway = Gateway::start(block_on(StandInStore::start()).expect("one").address());
+    eventually(|| gateway.readiness());
+    let before = gateway.peak_memory_kib();
+    for path in ["order", "clock", "follow", "load"] {
+        let peers = gateway.peers;
+        for _ in 0..ORDERS {
+            let head = format!("POST /threadledge/v1/{path} HTTP/1.1\r\nhost: a\r\n");
+            let start = format!("{head}transfer-encoding: chunked\r\n\r\n");
+            let sent = send_request(peers, start, "8\r\naaaaaaaa\r\n", ANSWER_BYTES);
+            task::spawn(sent);
+        }
+    }
+    std::thread::sleep(PAUSE);
+    let request = http::Request::get("/threadledge/v1/clock").body(Vec::new());
+    let client = HttpClient::default();
+    let small = client.send(gateway.peers, request.expect("valid"), TIMEOUT);
+    assert_eq!(block_on(small).expect("an answer").status(), 200);
+    let grown = gateway.peak_memory_kib() - before;
+    assert!(grown <= MAX_MESSAGES_KIB, "grown by {grown} KiB");
+}
+
+/// A report of the load of every key is longer than most messages.
+#[test]
+fn long_messages_of_peers_are_read() {
+    let gateway = Gateway::start(block_on(StandInStore::start()).expect("one").address());
+    eventually(|| gateway.readiness());
+    let requests = (0..=u16::MAX).map(|key| json!({"key": key, "count": 1}));
+    let report = json!({
+        "from": gateway.operators,
+        "service": "keyed",
+        "load": {"requests": requests.collect::<Vec<_>>(), "speeds": []},
+    });
+    let report = report.to_string().into_bytes();
+    for _ in 0..ORDERS {
+        let request = http::Request::post("/threadledge/v1/load").body(report.clone());
+        let client = HttpClient::default();
+        let sent = client.send(gateway.peers, request.expect("valid"), TIMEOUT);
+        assert_eq!(block_on(sent).expect("an answer").status(), 200);
+    }
+}
