coordination tests: one set-up for moves and releases without an answer

called_off.rs and unanswered_moves.rs had the same back end, start time, step and coordinator that has taken over a record with one owner. They are in tests/shared now. No check changed; the names of the back ends in unanswered_moves.rs follow their ports (b-80, b-81).

--- a/crates/coordination/tests/called_off.rs
+++ b/crates/coordination/tests/called_off.rs
@@ -1,20 +1,20 @@
 //! Owners that leave the release of a move that need not be unanswered, and
 //! still rest once it was called off.
 
-use std::net::SocketAddr;
+mod shared;
+
 use std::time::Duration;
 
-use threadledge_coordination::action::{ReadResult, Versioned, WriteResult};
-use threadledge_coordination::ownership::{Ownership, ReadConsequence};
+use threadledge_coordination::action::WriteResult;
 use threadledge_coordination::{
-    Action, Fence, HandoverToken, LoadReport, Order, OrderFault, OrderKind, OrderReply, Owner,
-    OwnershipRecord, RestingBackEnd, Settings, Slice, SliceState, Term,
+    Action, HandoverToken, LoadReport, Order, OrderFault, OrderKind, OrderReply, RestingBackEnd,
+    Settings, Slice, SliceState,
 };
 use threadledge_types::Timestamp;
 use threadledge_types::deployment::{BackEnd, KeyRange};
 
-const START: Timestamp = Timestamp::from_millis(10_000);
-const TICK: Duration = Duration::from_millis(10);
+use shared::{START, TICK, back_end, taken_over};
+
 /// Time after the start at which the owner asks for a rest.
 const REST_BEGINS: Duration = Duration::from_secs(1);
 /// The rest that it asks for. No keys are assigned to it for twice that time.
@@ -31,19 +31,6 @@
     WaitForWork,
 }
 
-fn back_end(port: u16) -> BackEnd {
-    BackEnd {
-        name: format!("b-{port}").as_str().into(),
-        service: "keyed".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
-        zone: "zone".into(),
-        slots: 4,
-        draining: false,
-        cold_for: Duration::ZERO,
-        registration: u64::from(port),
-    }
-}
-
 /// What a coordinator and the owner of all keys did.
 #[derive(Default)]
 struct Seen {
@@ -55,43 +42,10 @@
     given_on: Option<Timestamp>,
 }
 
-fn taken_over(owner: &BackEnd) -> Ownership {
-    let mut ownership = Ownership::new("keyed".into(), Settings::default());
-    ownership.set_back_ends(START, std::slice::from_ref(owner));
-    ownership.begin_term(START, Term(2), None);
-    ownership.poll(START, true);
-    let value = OwnershipRecord {
-        term: Term(1),
-        next_fence: Fence(2),
-        slices: vec![Slice {
-            range: KeyRange::ALL,
-            fence: Fence(1),
-            state: SliceState::Owned {
-                owner: Owner {
-                    name: owner.name.clone(),
-                    address: owner.address,
-                },
-                handover: None,
-            },
-        }],
-        former: Vec::new(),
-    };
-    let found = Versioned { value, revision: 7 };
-    let read = ownership.on_read(START, ReadResult::Found(Some(found)));
-    let ReadConsequence::Call(call) = read else {
-        panic!("expected a write of the record for this term: {read:?}");
-    };
-    let Action::WriteRecord(record, _) = *call else {
-        panic!("{call:?}");
-    };
-    ownership.on_write(START, record, WriteResult::Accepted(8));
-    ownership
-}
-
 /// Lets the owner of all keys ask for a rest while three others are idle.
 fn rest(releases: Releases) -> Seen {
     let owner = back_end(80);
-    let mut ownership = taken_over(&owner);
+    let mut ownership = taken_over(&owner, Settings::default());
     let mut seen = Seen::default();
     let mut in_flight: Vec<(Timestamp, Order, Result<OrderReply, OrderFault>)> = Vec::new();
     let mut revision = 8;
@@ -198,7 +152,7 @@
 #[test]
 fn stateless_answer_proves_nothing_after_an_earlier_release_ended_without_an_answer() {
     let owner = back_end(80);
-    let mut ownership = taken_over(&owner);
+    let mut ownership = taken_over(&owner, Settings::default());
     let mut now = START;
     let Action::Send(grant) = ownership.poll(now, true).remove(0) else {
         panic!("a grant is due");
@@ -248,7 +202,7 @@
 /// given on, and how many releases took keys.
 fn balance_beside_work(work: Duration, repeats_wait: bool) -> (Duration, Option<Duration>, usize) {
     let owner = back_end(80);
-    let mut ownership = taken_over(&owner);
+    let mut ownership = taken_over(&owner, Settings::default());
     ownership.set_back_ends(START, &[owner.clone(), back_end(81)]);
     let mut in_flight: Vec<(Timestamp, Order, Result<OrderReply, OrderFault>)> = Vec::new();
     // Keys that a release took from the owner, which the record still names.
--- a/crates/coordination/tests/unanswered_moves.rs
+++ b/crates/coordination/tests/unanswered_moves.rs
@@ -1,19 +1,20 @@
 //! Moves of keys whose owner leaves orders unanswered.
 
-use std::net::SocketAddr;
+mod shared;
+
 use std::time::Duration;
 
-use threadledge_coordination::action::{ReadResult, ReleaseEnd, Versioned, WriteResult};
-use threadledge_coordination::ownership::{Ownership, ReadConsequence};
+use threadledge_coordination::action::{ReleaseEnd, WriteResult};
+use threadledge_coordination::ownership::Ownership;
 use threadledge_coordination::{
-    Action, Fence, LoadReport, Notice, Order, OrderFault, OrderKind, OrderReply, Owner,
-    OwnershipRecord, Settings, Slice, SliceState, SpeedSample, Term,
+    Action, Fence, LoadReport, Notice, Order, OrderFault, OrderKind, OrderReply, OwnershipRecord,
+    Settings, Slice, SpeedSample,
 };
 use threadledge_types::Timestamp;
-use threadledge_types::deployment::{BackEnd, BackEndName, KeyRange};
+use threadledge_types::deployment::{BackEnd, BackEndName};
+
+use shared::{START, TICK, back_end, taken_over};
 
-const START: Timestamp = Timestamp::from_millis(10_000);
-const TICK: Duration = Duration::from_millis(10);
 /// Time between two load reports of a router.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -47,19 +48,6 @@
     moved_at: Option<Timestamp>,
 }
 
-fn back_end(name: &str, port: u16) -> BackEnd {
-    BackEnd {
-        name: name.into(),
-        service: "keyed".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
-        zone: "zone".into(),
-        slots: 4,
-        draining: false,
-        cold_for: Duration::ZERO,
-        registration: u64::from(port),
-    }
-}
-
 impl World {
     fn new(orders: Orders, serves_until: Timestamp) -> Self {
         World::with_settings(orders, serves_until, Settings::default())
@@ -75,40 +63,12 @@
     }
 
     fn with_settings(orders: Orders, serves_until: Timestamp, settings: Settings) -> Self {
-        let owner = back_end("b-1", 80);
-        let mut ownership = Ownership::new("keyed".into(), settings);
-        ownership.set_back_ends(START, std::slice::from_ref(&owner));
-        ownership.begin_term(START, Term(2), None);
-        ownership.poll(START, true);
-        let value = OwnershipRecord {
-            term: Term(1),
-            next_fence: Fence(2),
-            slices: vec![Slice {
-                range: KeyRange::ALL,
-                fence: Fence(1),
-                state: SliceState::Owned {
-                    owner: Owner {
-                        name: owner.name.clone(),
-                        address: owner.address,
-                    },
-                    handover: None,
-                },
-            }],
-            former: Vec::new(),
-        };
-        let found = Versioned { value, revision: 7 };
-        let read = ownership.on_read(START, ReadResult::Found(Some(found)));
-        let ReadConsequence::Call(call) = read else {
-            panic!("expected a write of the record for this term: {read:?}");
-        };
-        let Action::WriteRecord(record, _) = *call else {
-            panic!("{call:?}");
-        };
-        ownership.on_write(START, record, WriteResult::Accepted(8));
+        let owner = back_end(80);
+        let ownership = taken_over(&owner, settings);
         World {
             ownership,
             owner,
-            idle: back_end("b-2", 81),
+            idle: back_end(81),
             orders,
             serves_until,
             in_flight: Vec::new(),
@@ -148,7 +108,7 @@
     fn report_load(&mut self, now: Timestamp) {
         let time = now.since(START).as_millis();
         if self.zone_is_reported && time.is_multiple_of(REPORT_INTERVAL.as_millis()) {
-            self.report_served(now, "b-2".into());
+            self.report_served(now, self.idle.name.clone());
         }
         if now < self.next_report || now >= self.serves_until {
             return;
