net: large bodies are read into one buffer, which outlives those that fail

What was seen: endless_answers_at_once_take_the_memory_of_one_large_answer failed in 4 of 13 plays beside builds: 53,440, 57,168 and 38,320 KiB in place of 32,768.

Cause (by reading): one large body at a time is read, but each into a buffer of its own, on another thread. The allocator keeps what a thread has freed in an arena of that thread, so that one endless answer after the other left a hole of up to 8 MiB in each.

Ruled out: two large bodies at once; the turn is held until the buffer is dropped.

Change: the turn is the buffer. A body that fails leaves it to the next one; one that succeeds takes it along. The bound of the test is as it was.

Conclusion: a gateway keeps up to 8 MiB after an endless answer of the store.

--- a/crates/net/src/whole_body.rs
+++ b/crates/net/src/whole_body.rs
@@ -32,13 +32,15 @@
     }
 }
 
-/// Reads bodies whole. Clones share the turn of large bodies.
+/// Reads bodies whole. Clones share the buffer of large bodies.
 #[derive(Clone, Debug)]
 pub(crate) struct WholeBodies {
     max_bytes: u64,
     large_bytes: u64,
-    /// Held while more of a body is read than `large_bytes`.
-    turn: Arc<Mutex<()>>,
+    /// Buffer of the body that is larger than `large_bytes`. Only one is read at
+    /// a time, and the buffer outlives one that fails: the allocator would keep
+    /// the memory of many, one for each thread.
+    large: Arc<Mutex<Vec<u8>>>,
 }
 
 impl WholeBodies {
@@ -46,7 +48,7 @@
         WholeBodies {
             max_bytes: settings.max_body_bytes,
             large_bytes: settings.large_body_bytes,
-            turn: Arc::default(),
+            large: Arc::default(),
         }
     }
 
@@ -65,7 +67,7 @@
     ) -> Result<Vec<u8>, ClientError> {
         self.check_announced(from, &body)?;
         let part_bytes = body.len().unwrap_or(PART_BYTES).clamp(1, PART_BYTES);
-        let mut turn = None;
+        let mut large: Option<MutexGuard<'_, Vec<u8>>> = None;
         let mut bytes = Vec::new();
         let mut part = vec![0; part_bytes];
         loop {
@@ -76,26 +78,32 @@
                 Ok(Ok(read)) => read,
             };
             if read == 0 {
-                return Ok(bytes);
+                return Ok(large.map_or(bytes, |mut large| std::mem::take(&mut large)));
             }
-            let length = (bytes.len() + read) as u64;
+            let received = large.as_ref().map_or(bytes.len(), |large| large.len());
+            let length = (received + read) as u64;
             if length > self.max_bytes {
                 return Err(self.too_large(from));
             }
-            if length > self.large_bytes && turn.is_none() {
-                turn = Some(self.take_turn(from, limits.deadline).await?);
+            if length > self.large_bytes && large.is_none() {
+                let mut buffer = self.take_large(from, limits.deadline).await?;
+                buffer.clear();
+                buffer.extend(std::mem::take(&mut bytes));
+                large = Some(buffer);
             }
-            bytes.extend_from_slice(&part[..read]);
+            let buffer = large.as_deref_mut().unwrap_or(&mut bytes);
+            buffer.extend_from_slice(&part[..read]);
         }
     }
 
-    async fn take_turn(
+    /// Waits until no other body is large.
+    async fn take_large(
         &self,
         from: SocketAddr,
         deadline: Instant,
-    ) -> Result<MutexGuard<'_, ()>, ClientError> {
-        let turn = timer::timeout_at(deadline, self.turn.lock()).await;
-        turn.map_err(|timer::Elapsed| ClientError::timed_out(from))
+    ) -> Result<MutexGuard<'_, Vec<u8>>, ClientError> {
+        let large = timer::timeout_at(deadline, self.large.lock()).await;
+        large.map_err(|timer::Elapsed| ClientError::timed_out(from))
     }
 
     /// Refuses a body whose head has announced more than the limit.
