Failing test: a gateway that hears nothing of the record keeps sending to a former owner

What callers would see: requests for one key at two owners (first line of rule OWNER), if the former owner takes a grant late besides. So far only a model of the relays showed it.

Evidence, real gateways: the paths of one gateway to the store and to the coordinator are cut, and the owner leaves while it answers no orders. The keys go on 3.0 to 3.2 s after the cut; the gateway sends to the former owner for as long as the cut lasts: 40, 43, 47 and 47 arrivals in the 6 s that were watched. The test fails in 4 of 4 plays, 'arrivals at the former owner after the next one's grant' (22 or 23). It orders by events: each request is sent after the next owner's grant was seen. Ruled out: a cut that leaves the coordinator's own path to the gateway. There the gateway asked back and refused the keys in time (seven plays). No play had two back ends begin requests.

Change: none.

--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -36,6 +36,7 @@
 mod requests;
 mod samples;
 mod settings;
+mod silent_record;
 mod stalled_connections;
 mod stalling_proxy;
 mod stop;
