gateway: tests of answers without end to requests, probes and forwarded requests

Four back ends of eight answer requests, probes and orders with a head, a body announced, chunks or bytes until the connection closes, all without end and as fast as they can, with the right id and stamp; so does a gateway that is to forward. Every request ends, a long answer reaches the caller only where a whole head came, and the gateway serves afterwards.

--- a/crates/router/tests/gateway/endless_peers.rs
+++ b/crates/router/tests/gateway/endless_peers.rs
@@ -13,7 +13,7 @@
 use threadledge_net::{HttpClient, timer};
 use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, configuration};
 
-use super::process::{Gateway, TIMEOUT, eventually};
+use super::process::{Gateway, TIMEOUT, TestRequest, World, eventually};
 use super::repeating_proxy::read_message;
 
 /// Owners that the gateway reaches only through its peer.
@@ -22,6 +22,8 @@
 const ORDERS: usize = 32;
 /// Bytes of an answer that are sent before the peer pauses.
 const ANSWER_BYTES: usize = 3 * 1024 * 1024;
+/// Bytes of an answer that no gateway holds in memory.
+const LONG_ANSWER_BYTES: usize = 1024 * 1024;
 /// Time for bytes that were sent to arrive.
 const PAUSE: Duration = Duration::from_secs(2);
 /// Memory that all messages of peers together may take, in KiB: the limit of 16
@@ -30,12 +32,15 @@
 /// Memory that all answers together may take, in KiB.
 const MAX_GROWTH_KIB: u64 = 16 * 1024;
 
-/// A gateway that answers each order with a body that has no end.
+/// A gateway that answers each order, and each request that it is to forward, with
+/// a body that has no end.
 #[derive(Clone)]
 struct EndlessForwarder {
     started: Instant,
     address: SocketAddr,
     orders: Arc<AtomicUsize>,
+    /// Requests that it was to forward.
+    requests: Arc<AtomicUsize>,
 }
 
 impl EndlessForwarder {
@@ -45,6 +50,7 @@
             started: Instant::now(),
             address: listener.local_addr().expect("an address"),
             orders: Arc::default(),
+            requests: Arc::default(),
         };
         let accepting = forwarder.clone();
         task::spawn(async move {
@@ -66,6 +72,20 @@
                 self.orders.fetch_add(1, Ordering::Relaxed);
                 return send_without_end(caller).await;
             }
+            if String::from_utf8_lossy(&request).contains("threadledge-forward-to") {
+                self.requests.fetch_add(1, Ordering::Relaxed);
+                let id = id_of(&request);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nthreadledge-forward-result: answered\r\n\
+                     x-server-stamp: a\r\nx-request-id: {id}\r\n\
+                     transfer-encoding: chunked\r\n\r\n"
+                );
+                caller.write_all(head.as_bytes()).await?;
+                let part = "8\r\naaaaaaaa\r\n".repeat(4_096);
+                loop {
+                    caller.write_all(part.as_bytes()).await?;
+                }
+            }
             let now = self.started.elapsed().as_micros() as u64;
             let reading = json!({"incarnation": 7, "now": now}).to_string();
             let length = reading.len();
@@ -133,15 +153,15 @@
         repeated: "x-more: a\r\n",
     },
     Endless {
-        start: "HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n",
+        start: "HTTP/1.1 200 OK\r\nx-server-stamp: a\r\nx-request-id: ID\r\ncontent-length: 900000000000\r\n\r\n",
         repeated: "aaaaaaaa",
     },
     Endless {
-        start: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        start: "HTTP/1.1 200 OK\r\nx-server-stamp: a\r\nx-request-id: ID\r\ntransfer-encoding: chunked\r\n\r\n",
         repeated: "8\r\naaaaaaaa\r\n",
     },
     Endless {
-        start: "HTTP/1.1 200 OK\r\n\r\n",
+        start: "HTTP/1.1 200 OK\r\nx-server-stamp: a\r\nx-request-id: ID\r\n\r\n",
         repeated: "aaaaaaaa",
     },
 ];
@@ -167,14 +187,23 @@
 }
 
 async fn repeat(mut caller: TcpStream, answer: Endless) -> std::io::Result<()> {
-    read_message(&mut caller).await?;
+    let request = read_message(&mut caller).await?;
     let part = answer.repeated.repeat(4_096);
-    caller.write_all(answer.start.as_bytes()).await?;
+    let start = answer.start.replace("ID", &id_of(&request));
+    caller.write_all(start.as_bytes()).await?;
     loop {
         caller.write_all(part.as_bytes()).await?;
     }
 }
 
+/// The id of a request, or a text that is none.
+fn id_of(request: &[u8]) -> String {
+    let text = String::from_utf8_lossy(request);
+    let mut lines = text.lines();
+    let id = lines.find_map(|line| line.strip_prefix("x-request-id: "));
+    id.unwrap_or("none").to_owned()
+}
+
 /// The answers of a relay and of a coordinator are given up, and the gateway
 /// takes the place of both.
 #[test]
@@ -300,3 +329,95 @@
         assert_eq!(block_on(sent).expect("an answer").status(), 200);
     }
 }
+
+/// Sends a request and reads its answer until it ends, without keeping it.
+/// Returns the number of its bytes.
+async fn request_and_discard(callers: SocketAddr, number: usize) -> std::io::Result<usize> {
+    let mut stream = TcpStream::connect(callers).await?;
+    let head = "GET /safe/x HTTP/1.1\r\nhost: plain.example\r\nconnection: close\r\n";
+    let request = format!("{head}x-request-id: endless-{number}\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut part = vec![0; 64 * 1024];
+    let mut received = 0;
+    loop {
+        match stream.read(&mut part).await {
+            // A cut answer may end with a reset.
+            Ok(0) | Err(_) => return Ok(received),
+            Ok(count) => received += count,
+        }
+    }
+}
+
+/// Sends many requests at once and waits until all have ended. Returns whether
+/// an answer was passed on that is longer than a gateway holds.
+fn await_requests(gateway: &Gateway) -> bool {
+    let start = |number| task::spawn(request_and_discard(gateway.callers, number));
+    let requests: Vec<_> = (0..ORDERS).map(start).collect();
+    let received = requests.into_iter().map(|request| {
+        let ended = block_on(timer::timeout(TIMEOUT, request));
+        ended.expect("ends at its deadline").expect("sent")
+    });
+    // All are awaited.
+    received
+        .max()
+        .is_some_and(|longest| longest > LONG_ANSWER_BYTES)
+}
+
+/// Back ends that answer requests, orders and probes so.
+#[test]
+fn endless_answers_of_back_ends_end_and_take_no_memory() {
+    for answer in ANSWERS {
+        let mut world = World::start();
+        let owner = &world.keyed[0];
+        let before = world.gateway.peak_memory_kib();
+        let mut closed = Vec::new();
+        for (number, service) in ["plain", "plain", "keyed", "keyed"].iter().enumerate() {
+            let (address, count) = block_on(endless_gateway(answer));
+            let registration = owner.registration_at(address, "zone-a", service, "ready");
+            let name = format!("endless-{number}");
+            world.store.put("servers", &name, registration);
+            closed.push((name, count));
+        }
+        let mut passed_on = false;
+        for (_, count) in &closed {
+            eventually(|| {
+                passed_on |= await_requests(&world.gateway);
+                (count.load(Ordering::Relaxed) > 0).then_some(())
+            });
+        }
+        let has_whole_head = answer.start.ends_with("\r\n\r\n");
+        assert_eq!(passed_on, has_whole_head, "{answer:?}");
+        let grown = world.gateway.peak_memory_kib() - before;
+        assert!(grown <= MAX_GROWTH_KIB, "{answer:?}: {grown} KiB");
+        for (name, _) in &closed {
+            world.store.remove("servers", name);
+        }
+        world.gateway.await_ready();
+        eventually(|| (TestRequest::default().send(&world.gateway).status() == 200).then_some(()));
+    }
+}
+
+/// A gateway that answers requests which it is to forward so.
+#[test]
+fn endless_answers_to_forwarded_requests_end_and_take_no_memory() {
+    let store = block_on(StandInStore::start()).expect("a store");
+    let back_end = block_on(StandInBackEnd::start("p", false)).expect("one");
+    // Nothing listens there.
+    let address = ([127, 0, 2, 1], 9).into();
+    let registration = back_end.registration_at(address, "zone-a", "plain", "ready");
+    store.put("servers", &back_end.id, registration);
+    store.put("config", "main", configuration(1));
+    let mut gateway = Gateway::start(store.address());
+    let forwarder = block_on(EndlessForwarder::start());
+    gateway.await_ready();
+    forwarder.introduce_to(&gateway);
+    let before = gateway.peak_memory_kib();
+    let mut passed_on = false;
+    eventually(|| {
+        passed_on |= await_requests(&gateway);
+        (forwarder.requests.load(Ordering::Relaxed) >= ORDERS).then_some(())
+    });
+    assert!(passed_on, "no long answer");
+    let grown = gateway.peak_memory_kib() - before;
+    assert!(grown <= MAX_GROWTH_KIB, "grown by {grown} KiB");
+}
