--- a/crates/router/src/gateway/peer_messages.rs
+++ b/crates/router/src/gateway/peer_messages.rs
@@ -63,7 +63,6 @@
             if length == bytes.len() {
                 let reserved = self.budget.reserve(FREE_BYTES);
                 reservations.push(reserved.ok_or_else(|| self.refuse())?);
-                bytes.reserve_exact(FREE_BYTES);
                 bytes.resize(length + FREE_BYTES, 0);
             }
             let read = body.read(&mut bytes[length..]).await;
