suspects: a gateway asks its upstream as soon as it has one

What callers saw: nothing yet. A gateway that had just started served requests for up to 0.48 s before it knew which ones are held, so that one could crash a fourth back end.

Cause: a gateway that starts has nobody to ask yet. Its first round sent nothing, and the wait of 0.3 s after a round held up the next one, in which it asks the gateway that it follows for everything.

Change: another position in the tree of relays ends the wait.

--- a/crates/router/src/gateway/suspects/gossip.rs
+++ b/crates/router/src/gateway/suspects/gossip.rs
@@ -23,6 +23,7 @@
 use super::super::messages::SuspectExchange;
 use super::super::peers::PeerClient;
 use super::SuspectService;
+use super::neighbours::TreePosition;
 
 /// Delay before a gateway that did not answer is sent the update again. The
 /// whole fleet has to know of a crash within 3 s.
@@ -96,8 +97,9 @@
             let changed = self.service.dispatch.suspect_signals().changed.next();
             let position_changed = self.service.neighbours.changed.next();
             let sent = self.changes();
+            let position = self.service.neighbours.position();
             let all_up_to_date = self.send_to_all().await;
-            self.wait_for_batch(sent).await;
+            self.wait_for_batch(sent, &position).await;
             let any_change = select(changed, position_changed);
             if all_up_to_date {
                 any_change.await;
@@ -115,18 +117,22 @@
     }
 
     /// Waits for further changes to be sent together, until one after the change
-    /// with number `sent` is urgent.
-    async fn wait_for_batch(&self, sent: u64) {
+    /// with number `sent` is urgent, or until the position is another one: a
+    /// gateway that has just started knows nothing before it has asked upstream.
+    async fn wait_for_batch(&self, sent: u64, position: &TreePosition) {
         let dispatch = &self.service.dispatch;
+        let neighbours = &self.service.neighbours;
         let mut delay = pin!(timer::sleep(BATCH_DELAY));
         loop {
             let changed = dispatch.suspect_signals().changed.next();
+            let position_changed = neighbours.changed.next();
             let urgent = dispatch
                 .with(|dispatcher, _now| dispatcher.suspects().has_urgent_changes_since(sent));
-            if urgent {
+            if urgent || neighbours.position() != *position {
                 return;
             }
-            if let Either::Left(_) = select(delay.as_mut(), changed).await {
+            let any_change = select(changed, position_changed);
+            if let Either::Left(_) = select(delay.as_mut(), any_change).await {
                 return;
             }
         }
