tests: held requests outlive all gateways: wait for the stored record with all crashes

The record is written when the next crash would hold the request, with two crashes, and again with the third. The test waited for any record and then killed all gateways: a record with two of the three was enough for it. It waits for the record that names three crashes now, which is stricter.

--- a/crates/router/tests/gateway/crashing.rs
+++ b/crates/router/tests/gateway/crashing.rs
@@ -139,6 +139,17 @@
         }
     }
 
+    /// Waits until the stored record names this many crashes of one request: it
+    /// is written when the next crash would hold the request, and again when the
+    /// request is held.
+    fn await_stored_crashes(&self, count: usize) {
+        eventually(|| {
+            let stored = self.world.store.get("threadledge-held-requests", "all")?;
+            let crashes = stored["held"][0]["crashes"].as_array()?;
+            (crashes.len() == count).then_some(())
+        });
+    }
+
     /// Sends the crashing request this many times, at one gateway after the
     /// other.
     fn send_crashing(&mut self, times: usize) {
@@ -287,8 +298,7 @@
     let mut fleet = Fleet::start();
     fleet.send_crashing(3);
     fleet.await_request_held();
-    let stored = || fleet.world.store.get("threadledge-held-requests", "all");
-    eventually(stored);
+    fleet.await_stored_crashes(MOST_RUNS);
     let store = fleet.world.store.address();
     fleet.others.clear();
     fleet.world.gateway = Gateway::start(store);
