coordination: connection attempts that one event ends count as one failure

What callers saw: nothing recorded. Found by the review: a refusal that lasts a millisecond takes the keys of an owner that serves, if two orders are on their way to it.

Cause: orders that could not be sent were counted one by one, the only failures that were; two of them make an owner lost whatever it serves.

Ways weighed: refusals count only where no request was served lately (by reading: an owner that has ended would then be lost 1.2 s later); refusals within 75 ms are one failure, as unanswered orders are (taken).

Change: that. A refused order is sent again after 200 ms, so that an owner that has ended is lost by its second refusal as before; with several orders on their way it is lost 200 ms later than before, at the latest.

--- a/crates/coordination/src/holders/order_results.rs
+++ b/crates/coordination/src/holders/order_results.rs
@@ -41,6 +41,8 @@
 pub(super) struct Reachability {
     /// Consecutive failed connection attempts.
     failed_connects: u32,
+    /// Time at which one of them was last counted.
+    connect_failed_at: Option<Timestamp>,
     /// Consecutive unanswered orders.
     unanswered: u32,
     /// The last order that had been sent when one was last counted as
@@ -84,6 +86,17 @@
 }
 
 impl Reachability {
+    /// Counts a failed connection attempt, unless it is part of the last such
+    /// failure. Returns whether it was counted.
+    fn count_failed_connect(&mut self, now: Timestamp) -> bool {
+        if is_same_failure(now, self.connect_failed_at) {
+            return false;
+        }
+        self.connect_failed_at = Some(now);
+        self.failed_connects += 1;
+        true
+    }
+
     /// Counts an unanswered order, unless its failure is part of the last one.
     /// Returns whether it was counted.
     fn count_unanswered(&mut self, now: Timestamp, id: OrderId, last_sent: OrderId) -> bool {
@@ -108,6 +121,16 @@
         true
     }
 
+    /// Adds an order that belongs to a failure already counted to the current
+    /// period without answers. Returns false if there is none.
+    fn add_to_silence(&mut self) -> bool {
+        let Some(silence) = &mut self.silence else {
+            return false;
+        };
+        silence.given_up += 1;
+        true
+    }
+
     /// Returns whether so many orders were sent and not answered that the back
     /// end counts as lost, unless it serves requests.
     fn is_silent(&self) -> bool {
@@ -239,11 +262,7 @@
         let is_cut = early && order.connection == OrderConnection::New;
         let cut_counts = is_cut && reachability.count_cut(now);
         let unanswered_counts = reachability.count_unanswered(now, order.id, last_sent);
-        if !cut_counts
-            && !unanswered_counts
-            && let Some(silence) = &mut reachability.silence
-        {
-            silence.given_up += 1;
+        if !cut_counts && !unanswered_counts && reachability.add_to_silence() {
             return FaultEffect::default();
         }
         self.on_counted(now, name, order.distance)
@@ -260,7 +279,11 @@
         let reachability = self.reachability.entry(name.clone()).or_default();
         match fault {
             OrderFault::Withheld | OrderFault::Doubtful(_) => return FaultEffect::default(),
-            OrderFault::NotSent => reachability.failed_connects += 1,
+            OrderFault::NotSent => {
+                if !reachability.count_failed_connect(now) && reachability.add_to_silence() {
+                    return FaultEffect::default();
+                }
+            }
             OrderFault::NoAnswer => reachability.unanswered += 1,
         }
         self.on_counted(now, name, distance)
