coordination: an owner whose new connections end soon is kept by its latest report only

What callers saw: nothing recorded. Found by the review: the keys of an owner that served until it ended behind a proxy that accepts and resets connections went on 4.17 s after its end, in another region whose zone is not reported 5.6 s, where 4 s are asked.

Cause: a report of served requests kept the owner for 1.2 s, and, since a gap in the reports of a whole zone shows nothing, for 2.5 s. Those windows are for orders that nobody answers. Where connections end at once, a grant goes out every 100 ms meanwhile, and each extends the wait for its expiry.

Ruled out: the spacing of orders; an owner that served nothing goes on after 3.27 s in both regions. A full link between regions ends no connection.

Ways weighed: no more grants to an owner while it is undecided (by reading: one that runs would lose its keys by the clock); only reports that came after the first reset count (by reading: a report names what was served up to half a second before, so that an ended owner would pass); an owner whose new connections end soon serves only if a report of the last 0.6 s, an interval and its way, named it (taken).

An owner that serves and is reported keeps its keys through resets as before.

--- a/crates/coordination/src/holders/order_results.rs
+++ b/crates/coordination/src/holders/order_results.rs
@@ -130,12 +130,6 @@
         silence.given_up += 1;
         true
     }
-
-    /// Returns whether so many orders were sent and not answered that the back
-    /// end counts as lost, unless it serves requests.
-    fn is_silent(&self) -> bool {
-        self.unanswered >= UNANSWERED_UNTIL_LOST || self.cuts >= CUTS_UNTIL_LOST
-    }
 }
 
 /// Returns whether a failure is part of the one that was last counted.
@@ -163,6 +157,14 @@
         gap < SERVED_WINDOW || (may_be_held && !self.is_zone_reported(now, name))
     }
 
+    /// Returns whether routers have just reported requests that `name` served.
+    /// Connections that end soon are no silence: each grant that ends so delays
+    /// when the keys go on, and a full link does not end connections.
+    fn is_reported(&self, now: Timestamp, name: &BackEndName) -> bool {
+        let served = self.served.get(name);
+        served.is_some_and(|served| now.since(*served) < REPORTED_WINDOW)
+    }
+
     /// Returns whether routers have just reported requests that another back end
     /// in the zone of `name` served.
     fn is_zone_reported(&self, now: Timestamp, name: &BackEndName) -> bool {
@@ -297,9 +299,11 @@
         distance: Distance,
     ) -> FaultEffect {
         let serves = self.serves(now, name, distance);
+        let is_reported = self.is_reported(now, name);
         let reachability = self.reachability.entry(name.clone()).or_default();
         let lost = reachability.failed_connects >= FAILED_CONNECTS_UNTIL_LOST
-            || (reachability.is_silent() && !serves);
+            || (reachability.unanswered >= UNANSWERED_UNTIL_LOST && !serves)
+            || (reachability.cuts >= CUTS_UNTIL_LOST && !is_reported);
         let effect = FaultEffect {
             first_failure: reachability.silence.is_none(),
             lost: lost && reachability.lost_since.is_none(),
--- a/crates/coordination/tests/unanswered_moves.rs
+++ b/crates/coordination/tests/unanswered_moves.rs
@@ -25,6 +25,9 @@
     ReleasesUnanswered,
     /// None is answered, but the owner serves requests.
     AllUnanswered,
+    /// All are answered while the owner serves requests. What is in front of it
+    /// accepts and resets connections after its end.
+    ResetAfterEnd,
 }
 
 /// A coordinator, the owner of all keys and an idle back end.
@@ -144,18 +147,24 @@
     }
 
     fn send(&mut self, now: Timestamp, order: Order) {
-        let ends = if self.is_answered(&order) {
-            now + TICK
-        } else {
-            now + order.timeout
+        let is_reset = self.orders == Orders::ResetAfterEnd;
+        let ends = match self.is_answered(now, &order) || is_reset {
+            true => now + TICK,
+            false => now + order.timeout,
         };
         self.sent.push(order.clone());
         self.in_flight.push((ends, order));
     }
 
-    fn is_answered(&self, order: &Order) -> bool {
-        let is_grant = matches!(order.kind, OrderKind::Grant(_));
-        order.to.name != self.owner.name || (is_grant && self.orders == Orders::ReleasesUnanswered)
+    fn is_answered(&self, now: Timestamp, order: &Order) -> bool {
+        if order.to.name != self.owner.name {
+            return true;
+        }
+        match self.orders {
+            Orders::ReleasesUnanswered => matches!(order.kind, OrderKind::Grant(_)),
+            Orders::AllUnanswered => false,
+            Orders::ResetAfterEnd => now < self.serves_until,
+        }
     }
 
     fn end_orders(&mut self, now: Timestamp) {
@@ -163,7 +172,7 @@
         let ended: Vec<_> = self.in_flight.extract_if(.., due).collect();
         for (_, order) in ended {
             let result = match order.kind {
-                _ if !self.is_answered(&order) => Err(OrderFault::NoAnswer),
+                _ if !self.is_answered(now, &order) => Err(OrderFault::NoAnswer),
                 OrderKind::Grant(_) => Ok(OrderReply::Granted),
                 OrderKind::Release => Ok(OrderReply::Released(None)),
             };
@@ -276,3 +285,55 @@
     println!("lost after {lost:?}");
     assert!(lost <= Duration::from_millis(2_600), "after {lost:?}");
 }
+
+/// Returns the longest time until keys of an owner go on, over the phases of its
+/// renewals, if it ends behind a proxy that accepts and resets connections.
+fn longest_until_moved(in_another_region: bool, last_reports: bool) -> Duration {
+    let mut longest = Duration::ZERO;
+    for phase in 0..70 {
+        let serves_until = START + Duration::from_millis(5_000 + 10 * phase);
+        let mut world = match in_another_region {
+            true => World::in_another_region(serves_until),
+            false => World::new(Orders::ResetAfterEnd, serves_until),
+        };
+        world.orders = Orders::ResetAfterEnd;
+        if !last_reports {
+            world.next_report = serves_until;
+        }
+        // The idle back end is registered late, so that no move is under way.
+        world.run(START, serves_until);
+        world.register_both(serves_until);
+        world.run(serves_until, serves_until + Duration::from_secs(12));
+        let moved = world.moved_at.expect("moved").since(serves_until);
+        longest = longest.max(moved);
+    }
+    longest
+}
+
+/// Time within which the keys of an owner that has ended go on.
+const GIVEN_ON: Duration = Duration::from_secs(4);
+
+#[test]
+fn keys_of_an_owner_that_served_nothing_and_ended_behind_a_proxy_go_on_within_four_seconds() {
+    for in_another_region in [false, true] {
+        let longest = longest_until_moved(in_another_region, false);
+        println!("in another region {in_another_region}: {longest:?}");
+        assert!(longest <= GIVEN_ON, "{longest:?}");
+    }
+}
+
+/// Guards against a last report of service that outlives its owner.
+#[test]
+fn keys_of_an_owner_that_served_until_it_ended_behind_a_proxy_go_on_within_four_seconds() {
+    let longest = longest_until_moved(false, true);
+    println!("{longest:?}");
+    assert!(longest <= GIVEN_ON, "{longest:?}");
+}
+
+#[test]
+fn keys_of_an_owner_in_another_region_that_served_until_it_ended_behind_a_proxy_go_on_within_four_seconds()
+ {
+    let longest = longest_until_moved(true, true);
+    println!("{longest:?}");
+    assert!(longest <= GIVEN_ON, "{longest:?}");
+}
