suspects: third crashes of many requests are sent together

What callers saw: nothing recorded.

Cause: requests that the next crash holds are urgent only while these are few, held ones were always.

Evidence: crashes_of_many_held_requests_are_not_urgent failed before: '200 of 200 third crashes are urgent'.

Weighed: urgent changes counted for each round (by reading: a zone's crashes come one by one, each round would have one); no bound for held requests (the code before). Taken: with more than eight held requests their changes wait for the batch, 0.3 s at most, as all changes did before; eight is the bound that requests one crash short of being held have.

Messages in a fleet were not measured. All tests of the crate pass.

--- a/crates/suspects/src/suspects.rs
+++ b/crates/suspects/src/suspects.rs
@@ -24,6 +24,8 @@
 /// held are persisted too. More at once mean that many back ends crash together
 /// under whatever they run, and each request would cost a write.
 const MAX_REPEATED_PERSISTED: usize = 8;
+/// Most held requests while changes of each are sent without delay.
+const MAX_URGENT_HELD: usize = 8;
 
 /// Reason why a request is persisted, so that it survives the loss of all
 /// gateways.
@@ -124,15 +126,18 @@
     }
 
     /// Whether the evidence about any request to persist changed after the
-    /// change with number `changes`. Invariant: what is worth a write to the
-    /// store is sent to other gateways without delay, because their next attempt
-    /// may crash another back end.
+    /// change with number `changes`, while these are few. Invariant: what is
+    /// worth a write to the store is sent to other gateways without delay,
+    /// because their next attempt may crash another back end. Crashes of many
+    /// requests at once are those of back ends, and are sent together.
     pub fn has_urgent_changes_since(&self, changes: u64) -> bool {
+        let many_held = self.held.len() > MAX_URGENT_HELD;
         let persisted = self.to_persist();
-        let mut persisted = persisted
-            .keys()
-            .filter_map(|known| self.suspects.get(known));
-        persisted.any(|suspect| suspect.last_change > changes)
+        let mut urgent = persisted
+            .iter()
+            .filter(|(_, reason)| !many_held || **reason != PersistReason::Held)
+            .filter_map(|(request, _)| self.suspects.get(request));
+        urgent.any(|suspect| suspect.last_change > changes)
     }
 
     /// Whether a request of this caller succeeded after `at`, as far as this
--- a/crates/suspects/tests/suspects.rs
+++ b/crates/suspects/tests/suspects.rs
@@ -359,6 +359,22 @@
     assert!(suspects.has_urgent_changes_since(before));
 }
 
+/// Guards against as many messages as crashes when a whole zone ends.
+#[test]
+fn crashes_of_many_held_requests_are_not_urgent() {
+    let mut suspects = Suspects::default();
+    let mut urgent = 0;
+    for number in 0..200 {
+        let herd = request(&format!("/herd-{number}"), 1, "a");
+        crash(&mut suspects, 0, &herd, "p-1");
+        crash(&mut suspects, 1, &herd, "p-2");
+        let before = suspects.changes();
+        crash(&mut suspects, 2, &herd, "p-3");
+        urgent += u64::from(suspects.has_urgent_changes_since(before));
+    }
+    assert!(urgent <= 20, "{urgent} of 200 third crashes are urgent");
+}
+
 /// Many different suspect requests neither evict the held one nor exceed the
 /// memory bound.
 #[test]
