--- a/crates/router/tests/gateway/lost_forwarder.rs
+++ b/crates/router/tests/gateway/lost_forwarder.rs
@@ -24,21 +24,23 @@
 const INCARNATION: u64 = 7;
 
 /// A gateway that takes orders to forward and breaks off each connection without
-/// an answer.
+/// an answer, but for grants if `answers_grants`.
 #[derive(Clone)]
 struct BreakingForwarder {
     started: Instant,
     address: SocketAddr,
+    answers_grants: bool,
     /// Latest time at which it may send each grant, with the hold of the grant.
     grants: Arc<Mutex<Vec<(Instant, Duration)>>>,
 }
 
 impl BreakingForwarder {
-    async fn start() -> BreakingForwarder {
+    async fn start(answers_grants: bool) -> BreakingForwarder {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let forwarder = BreakingForwarder {
             started: Instant::now(),
             address: listener.local_addr().expect("an address"),
+            answers_grants,
             grants: Arc::default(),
         };
         let accepting = forwarder.clone();
@@ -62,15 +64,17 @@
                 return Ok(());
             };
             if head.contains("/v1/order") {
-                self.note_order(&serde_json::from_str(body).expect("JSON"));
-                return Ok(());
+                let order: Value = serde_json::from_str(body).expect("JSON");
+                self.note_order(&order);
+                if !self.answers_grants || order["kind"]["grant"].is_null() {
+                    return Ok(());
+                }
+                write_json(&mut caller, &json!({"replied": "granted"})).await?;
+                continue;
             }
             let now = self.started.elapsed().as_micros() as u64;
-            let reading = json!({"incarnation": INCARNATION, "now": now}).to_string();
-            let length = reading.len();
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
-            caller.write_all(head.as_bytes()).await?;
-            caller.write_all(reading.as_bytes()).await?;
+            let reading = json!({"incarnation": INCARNATION, "now": now});
+            write_json(&mut caller, &reading).await?;
         }
     }
 
@@ -99,6 +103,14 @@
     }
 }
 
+async fn write_json(caller: &mut TcpStream, value: &Value) -> std::io::Result<()> {
+    let text = value.to_string();
+    let length = text.len();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    caller.write_all(head.as_bytes()).await?;
+    caller.write_all(text.as_bytes()).await
+}
+
 fn is_grant_of(key: u16, change: KeyChange) -> bool {
     matches!(change, KeyChange::Granted { first, last, .. } if first <= key && key <= last)
 }
@@ -119,7 +131,7 @@
     gateway.await_ready();
     let sample = || (0..=u16::MAX).step_by(1_024);
     let key = eventually(|| sample().find(|key| owner.holds(*key)));
-    let forwarder = block_on(BreakingForwarder::start());
+    let forwarder = block_on(BreakingForwarder::start(false));
     forwarder.introduce_to(&gateway);
     cut_path(&path, Cut::Reset);
     let cut = Instant::now();
@@ -145,3 +157,47 @@
 fn grant_that_a_lost_forwarder_may_still_send_to_another_region_is_waited_out() {
     assert_waited_out("zone-b");
 }
+
+/// Number of the event that a back end counts as lost.
+const HOLDER_LOST: u64 = 316;
+/// Forwarders that break off releases.
+const FORWARDERS: usize = 3;
+/// Time without an answer that makes no owner lost, since six orders take 3 s.
+const SHORT: Duration = Duration::from_secs(1);
+
+#[test]
+fn owner_is_not_lost_by_releases_that_lost_forwarders_break_off() {
+    let store = block_on(StandInStore::start()).expect("a store");
+    let start = |name: &str| block_on(StandInBackEnd::start(name, true)).expect("one");
+    let (owner, other) = (start("k-1"), start("k-2"));
+    let path = block_on(Proxy::start(owner.address())).expect("a proxy");
+    let registration = |state| owner.registration_at(path.address(), "zone-a", "keyed", state);
+    store.put("servers", &owner.id, registration("ready"));
+    store.put("servers", &other.id, other.registration("keyed", "ready"));
+    store.put("config", "main", configuration(1));
+    let mut gateway = Gateway::start_in_region("zone-a", "router-1", store.address(), &ZONES);
+    gateway.await_ready();
+    let sample = || (0..=u16::MAX).step_by(1_024);
+    eventually(|| sample().find(|key| owner.holds(*key)));
+    let forwarders: Vec<_> = (0..FORWARDERS)
+        .map(|_| block_on(BreakingForwarder::start(true)))
+        .collect();
+    for forwarder in &forwarders {
+        forwarder.introduce_to(&gateway);
+    }
+    cut_path(&path, Cut::Reset);
+    let forwarded = || forwarders.iter().map(|each| each.grants.lock().len()).sum();
+    eventually(|| {
+        let grants: usize = forwarded();
+        (grants >= 3).then_some(())
+    });
+    store.put("servers", &owner.id, registration("draining"));
+    std::thread::sleep(SHORT);
+    gateway.signal("-KILL");
+    let (_, log) = gateway.wait_for_exit();
+    let lost: Vec<_> = log
+        .iter()
+        .filter(|line| line["event"] == HOLDER_LOST)
+        .collect();
+    assert!(lost.is_empty(), "{lost:?}");
+}
