--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::io::AsyncReadExt;
 use http_types::{Body, Method, Request, Response, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -12,10 +13,13 @@
 use crate::convert;
 use crate::json_lines::JsonLines;
 use crate::pool::{ConnectionChoice, HeldConnection, Pool, PoolSettings};
-use crate::whole_body::{TimeLimits, WholeBodies};
+use crate::timer;
 
 pub use crate::client_error::{ClientError, RequestError};
 
+/// Read buffer size for a potentially large response body.
+const PART_BYTES: usize = 16 * 1024;
+
 /// Timeouts for the body of a potentially large response.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyTimeouts {
@@ -29,7 +33,6 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     pool: Pool,
-    bodies: WholeBodies,
 }
 
 impl Default for HttpClient {
@@ -42,7 +45,6 @@
     /// Creates a client with its own pool.
     pub fn new(settings: PoolSettings) -> Self {
         HttpClient {
-            bodies: WholeBodies::new(&settings),
             pool: Pool::new(settings),
         }
     }
@@ -165,7 +167,7 @@
         Ok(JsonLines::new(
             to,
             response.take_body(),
-            self.bodies.max_bytes(),
+            self.max_body_bytes(),
         ))
     }
 
@@ -189,11 +191,7 @@
         let sent = self.pool.exchange_stream(to, request, head_deadline).await;
         let mut response = sent.map_err(ClientError::from_exchange)?;
         let body = response.take_body();
-        let limits = TimeLimits {
-            idle: Some(body_timeouts.idle),
-            deadline: Instant::now() + body_timeouts.total,
-        };
-        let body = self.bodies.read(to, body, limits).await?;
+        let body = self.read_large(to, body, body_timeouts).await?;
         Ok((response, body))
     }
 
@@ -211,17 +209,75 @@
         Ok((response, body))
     }
 
+    /// Reads a body, limiting both the time without progress and the total
+    /// time.
+    async fn read_large(
+        &self,
+        from: SocketAddr,
+        mut body: Body,
+        body_timeouts: BodyTimeouts,
+    ) -> Result<Vec<u8>, ClientError> {
+        let limit = self.check_announced(from, &body)?;
+        let total_deadline = Instant::now() + body_timeouts.total;
+        let mut bytes = Vec::new();
+        let mut part = vec![0; PART_BYTES];
+        loop {
+            let deadline = total_deadline.min(Instant::now() + body_timeouts.idle);
+            let read = match timer::timeout_at(deadline, body.read(&mut part)).await {
+                Err(timer::Elapsed) => return Err(ClientError::timed_out(from)),
+                Ok(Err(error)) => return Err(ClientError::from_body(from, error)),
+                Ok(Ok(read)) => read,
+            };
+            if read == 0 {
+                return Ok(bytes);
+            }
+            bytes.extend_from_slice(&part[..read]);
+            if bytes.len() as u64 > limit {
+                return Err(ClientError::ResponseTooLarge {
+                    address: from,
+                    limit,
+                });
+            }
+        }
+    }
+
     async fn read_body(
         &self,
         from: SocketAddr,
         body: Body,
         deadline: Instant,
     ) -> Result<Vec<u8>, ClientError> {
-        let limits = TimeLimits {
-            idle: None,
-            deadline,
-        };
-        self.bodies.read(from, body, limits).await
+        let limit = self.check_announced(from, &body)?;
+        let mut bytes = Vec::new();
+        let mut bounded = body.take(limit + 1);
+        let read = bounded.read_to_end(&mut bytes);
+        match timer::timeout_at(deadline, read).await {
+            Err(timer::Elapsed) => Err(ClientError::timed_out(from)),
+            Ok(Err(error)) => Err(ClientError::from_body(from, error)),
+            Ok(Ok(_)) if bytes.len() as u64 > limit => Err(ClientError::ResponseTooLarge {
+                address: from,
+                limit,
+            }),
+            Ok(Ok(_)) => Ok(bytes),
+        }
+    }
+
+    /// Returns the limit of a body that is read whole, unless the head has
+    /// announced more.
+    fn check_announced(&self, from: SocketAddr, body: &Body) -> Result<u64, ClientError> {
+        let limit = self.max_body_bytes();
+        let announced = body.len().unwrap_or_default() as u64;
+        if announced > limit {
+            return Err(ClientError::ResponseTooLarge {
+                address: from,
+                limit,
+            });
+        }
+        Ok(limit)
+    }
+
+    fn max_body_bytes(&self) -> u64 {
+        self.pool.settings().max_body_bytes
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod stop;
 pub mod target;
 pub mod timer;
-mod whole_body;
 
 pub use body::{BodyFault, MIN_BODY_BYTES_PER_SECOND};
 pub use client::{BodyTimeouts, ClientError, HttpClient};
--- a/crates/net/src/pool/settings.rs
+++ b/crates/net/src/pool/settings.rs
@@ -19,10 +19,6 @@
     pub max_head_bytes: usize,
     /// Largest response body, in bytes, that is read whole.
     pub max_body_bytes: u64,
-    /// Bytes up to which bodies are read whole beside each other. More of a
-    /// body is read only while no other one of the same client is that large.
-    /// The wait for that counts as time of the body, but not as a pause.
-    pub large_body_bytes: u64,
     /// How to treat a response that does not announce where its body ends.
     pub unframed_bodies: UnframedBodies,
     /// How responses name the request that they answer. If they must, a request
@@ -60,7 +56,6 @@
             connect_timeout: Duration::from_secs(1),
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: 64 * 1024 * 1024,
-            large_body_bytes: u64::MAX,
             unframed_bodies: UnframedBodies::default(),
             response_ids: ResponseIds::default(),
             dead_peer_timeout: None,
