net: an answer without a length that a reset ends is never whole

What callers saw: a back end answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being sent. Callers received that part as a complete answer.

Cause: the kernel reports a reset once, to the next call on the socket that fails. While an upload waits for buffers, that call is a write: the exchange sends before it reads. The write's error was kept beside the connection, because a response may still be readable, and reads then returned what had arrived and 0, as after a graceful close. A body that ends with its connection took this 0 for its end.

Ruled out: that a read loses the error by itself (without an upload, or with one that fits into the buffers, no part was taken for whole); that length or chunks are affected (both know their end; a short one was cut before as well).

Change: the connection itself remembers that a write failed, and a read that returns 0 after that fails with the write's error. This holds for each reader of a pooled connection: heads, bodies and responses that are passed over. Nothing else takes an error off a socket in use: SO_ERROR is read only while connecting, and nothing is sent after the response head. A peer that ends its sending side and then resets the connection is treated as reset as well.

A body that ends with a graceful close stays whole, a framed one that is whole (an early 413) too.

--- a/crates/net/src/buffered_stream.rs
+++ b/crates/net/src/buffered_stream.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -42,6 +42,8 @@
     consumed: u64,
     /// Arrival times of bytes that were read ahead, in order.
     arrivals: VecDeque<Arrival>,
+    /// Error of the write that failed, if one did.
+    write_error: Option<io::ErrorKind>,
 }
 
 /// Arrival time of bytes that were read ahead.
@@ -63,6 +65,7 @@
             last_read_filled: false,
             consumed: 0,
             arrivals: VecDeque::new(),
+            write_error: None,
         }
     }
 
@@ -87,17 +90,32 @@
         }
     }
 
+    /// Records that a write failed. What arrived before can still be read.
+    pub(crate) fn record_write_error(&mut self, error: &io::Error) {
+        self.write_error.get_or_insert(error.kind());
+    }
+
+    /// Whether a write has failed.
+    pub(crate) fn has_write_error(&self) -> bool {
+        self.write_error.is_some()
+    }
+
     /// Reads more bytes; 0 means that the peer sends no more.
+    ///
+    /// Invariant: a reset is never taken for a graceful close. The kernel
+    /// reports a reset once. If a write got that error, reads return what had
+    /// arrived and then 0, so that the error is repeated here.
     pub(crate) fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.ensure_free_space();
         let room = &mut self.buffer[self.end..];
         let size = room.len();
-        let read = Pin::new(&mut self.stream).poll_read(context, room);
-        if let Poll::Ready(Ok(count)) = &read {
-            self.end += count;
-            self.last_read_filled = *count == size;
+        let count = ready!(Pin::new(&mut self.stream).poll_read(context, room))?;
+        if let (0, Some(error)) = (count, self.write_error) {
+            return Poll::Ready(Err(error.into()));
         }
-        read
+        self.end += count;
+        self.last_read_filled = count == size;
+        Poll::Ready(Ok(count))
     }
 
     /// Skips blank lines, which are allowed before a request.
--- a/crates/net/src/pool/exchange.rs
+++ b/crates/net/src/pool/exchange.rs
@@ -38,7 +38,6 @@
     method: Method,
     writer: MessageWriter<RequestEncoder>,
     whole_request_sent: bool,
-    send_fault: Option<SendFault>,
     buffered: BufferedStream,
     pairing: Pairing,
     /// Whether the response named no request although it had to.
@@ -61,7 +60,6 @@
             method: request.method(),
             writer: MessageWriter::new(RequestEncoder::new(request)),
             whole_request_sent: false,
-            send_fault: None,
             buffered,
             pairing,
             nameless: false,
@@ -191,7 +189,7 @@
         }
         match std::task::ready!(found) {
             Ok(length) => Poll::Ready(Ok(length)),
-            Err(error) => Poll::Ready(Err(self.fault_from_head_error(error))),
+            Err(error) => Poll::Ready(Err(fault_from_head_error(error))),
         }
     }
 
@@ -199,7 +197,7 @@
     /// exchange: if the connection fails after part of the request was sent, a
     /// response may still be readable.
     fn poll_send(&mut self, context: &mut Context<'_>) -> Poll<ExchangeFault> {
-        if self.whole_request_sent || self.send_fault.is_some() {
+        if self.whole_request_sent || self.buffered.has_write_error() {
             return Poll::Pending;
         }
         let sent = self.writer.poll_send(self.buffered.stream(), context);
@@ -214,26 +212,11 @@
             Err(SendFault::Stream(error)) if self.stage == Stage::NothingSent => {
                 return Poll::Ready(ExchangeFault::Io(error));
             }
-            Err(fault) => self.send_fault = Some(fault),
+            Err(SendFault::Stream(error)) => self.buffered.record_write_error(&error),
         }
         Poll::Pending
     }
 
-    /// Converts an error in reading the head. If sending failed before, a
-    /// closed connection is reported with the send error.
-    fn fault_from_head_error(&mut self, error: HeadError) -> ExchangeFault {
-        match error {
-            HeadError::TooLarge => {
-                ExchangeFault::Malformed("the head is larger than allowed".to_owned())
-            }
-            HeadError::Io(error) => ExchangeFault::Io(error),
-            HeadError::Closed | HeadError::Truncated => match self.send_fault.take() {
-                Some(SendFault::Stream(error)) => ExchangeFault::Io(error),
-                _ => ExchangeFault::Truncated,
-            },
-        }
-    }
-
     /// Attaches the body to the response. `on_release` gets the connection if
     /// it can be reused, and `None` otherwise.
     pub(super) fn into_response(
@@ -280,3 +263,13 @@
         response
     }
 }
+
+fn fault_from_head_error(error: HeadError) -> ExchangeFault {
+    match error {
+        HeadError::TooLarge => {
+            ExchangeFault::Malformed("the head is larger than allowed".to_owned())
+        }
+        HeadError::Io(error) => ExchangeFault::Io(error),
+        HeadError::Closed | HeadError::Truncated => ExchangeFault::Truncated,
+    }
+}
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -166,6 +166,15 @@
         Some(response)
     }
 
+    /// Reads and discards a request head and a body of `length` bytes.
+    pub async fn skip_request(&mut self, length: u64) {
+        assert!(read_request_head(self).await);
+        let early = std::mem::take(&mut self.unread).len() as u64;
+        let body = (&mut self.stream).take(length - early);
+        let copied = within(futures::io::copy(body, &mut futures::io::sink())).await;
+        assert_eq!(copied.unwrap(), length - early);
+    }
+
     /// Reads until the peer closes the connection.
     pub async fn rest(&mut self) -> Vec<u8> {
         while self.fill().await.is_some() {}
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod back_end_limits;
 mod back_end_updates;
 mod backoff;
+mod broken_answers;
 mod caller_disconnects;
 mod changes;
 mod cluster_state;
--- a/crates/router/tests/gateway/uploads.rs
+++ b/crates/router/tests/gateway/uploads.rs
@@ -137,7 +137,7 @@
     }
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+pub(super) fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut lines = Vec::new();
     loop {
         let mut line = String::new();
@@ -151,7 +151,7 @@
     }
 }
 
-fn value(lines: &[String], name: &str) -> Option<String> {
+pub(super) fn value(lines: &[String], name: &str) -> Option<String> {
     let value = lines.iter().find_map(|line| line.strip_prefix(name))?;
     Some(value.to_owned())
 }
