net: status codes that the parser does not name reach the caller

Cause: http-types has a fixed list of status codes, and async-h1 refuses a head with another one. The codes 102 and other interim ones were refused the same way, and the final answer after them with it.

Ruled out: a code outside 100 to 599; it stays malformed (odd_heads.rs).

Change: such a head is decoded with the first code of its class, as which the status is to be treated, and the response carries its own code beside it. The server writes that code, without the reason of the other one; logs, metrics, the HTTP client and the adapters read it through one function.

Evidence: nine codes, three reasons each, through a real gateway and through one that forwards for another (odd_answers.rs): 502 for the first one before, each code now. A success without a name and without a stamp is still no answer.

--- a/crates/net/src/client_error.rs
+++ b/crates/net/src/client_error.rs
@@ -7,6 +7,7 @@
 use crate::body::BodyFault;
 use crate::convert::ConvertError;
 use crate::pool::{ExchangeError, ExchangeFault, Stage};
+use crate::status;
 
 /// Error of a call.
 #[derive(Debug, thiserror::Error)]
@@ -154,7 +155,7 @@
     pub(crate) fn status(address: SocketAddr, response: &Response, body: Vec<u8>) -> Self {
         ClientError::Status {
             address,
-            code: u16::from(response.status()),
+            code: status::code(response),
             body,
         }
     }
--- a/crates/net/src/convert.rs
+++ b/crates/net/src/convert.rs
@@ -4,7 +4,7 @@
 
 use http_types::{Body, Method, Request, Url};
 
-use crate::target;
+use crate::{status, target};
 
 /// A message could not be converted between the two libraries.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
@@ -59,7 +59,7 @@
     response: &http_types::Response,
     body: Vec<u8>,
 ) -> Result<http::Response<Vec<u8>>, ConvertError> {
-    let status = u16::from(response.status());
+    let status = status::code(response);
     let mut converted = http::Response::new(body);
     *converted.status_mut() =
         http::StatusCode::from_u16(status).map_err(|_| ConvertError::Status(status))?;
--- a/crates/net/src/head.rs
+++ b/crates/net/src/head.rs
@@ -182,6 +182,11 @@
             position: 0,
         }
     }
+
+    /// All bytes, for changes before they are read.
+    pub(crate) fn bytes_mut(&mut self) -> &mut [u8] {
+        &mut self.bytes
+    }
 }
 
 impl AsyncRead for HeadBytes {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,6 +18,7 @@
 mod message_writer;
 pub mod pool;
 pub mod server;
+pub mod status;
 pub mod stop;
 pub mod target;
 pub mod timer;
--- a/crates/net/src/pool/response.rs
+++ b/crates/net/src/pool/response.rs
@@ -8,6 +8,7 @@
 use super::error::ExchangeFault;
 use crate::framing::BodyDecoder;
 use crate::head::{self, HeadBytes};
+use crate::status;
 
 /// Start of a status line; each zero stands for a digit.
 const STATUS_LINE_START: &[u8] = b"HTTP/0.0 000";
@@ -42,11 +43,7 @@
     if has_second_status_line(head) {
         return Err(malformed("another answer begins within the head"));
     }
-    // All bytes are available, so decoding never waits.
-    let mut response = async_h1::client::decode(HeadBytes::new(head))
-        .now_or_never()
-        .ok_or_else(|| malformed("the head is incomplete"))?
-        .map_err(|error| ExchangeFault::Malformed(error.to_string()))?;
+    let mut response = decode(head)?;
     remove_generated_date(&mut response);
     if !head::has_header(head, "content-type") {
         response.remove_header(CONTENT_TYPE);
@@ -77,6 +74,24 @@
     })
 }
 
+/// Decodes a head, also one with a status that http-types does not name.
+fn decode(head: &[u8]) -> Result<Response, ExchangeFault> {
+    let mut bytes = HeadBytes::new(head);
+    let unnamed = status::unnamed_in_head(head);
+    if unnamed.is_some() {
+        status::set_first_of_class(bytes.bytes_mut());
+    }
+    // All bytes are available, so decoding never waits.
+    let mut response = async_h1::client::decode(bytes)
+        .now_or_never()
+        .ok_or_else(|| malformed("the head is incomplete"))?
+        .map_err(|error| ExchangeFault::Malformed(error.to_string()))?;
+    if let Some(code) = unnamed {
+        status::set_unnamed(&mut response, code);
+    }
+    Ok(response)
+}
+
 /// Whether a second response begins within a head, because the peer cut the
 /// first one short. The status of one would be taken for that of the other.
 fn has_second_status_line(head: &[u8]) -> bool {
--- a/crates/net/src/server/response_encoder.rs
+++ b/crates/net/src/server/response_encoder.rs
@@ -9,6 +9,8 @@
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_types::{Method, Response, StatusCode};
 
+use crate::status;
+
 /// Yields the bytes of one response and fails if its body is shorter than the
 /// head announced, so that a truncated response never looks complete.
 #[derive(Debug)]
@@ -16,6 +18,8 @@
     encoder: Encoder,
     head_pending: bool,
     strips_framing: bool,
+    /// Status code to send in place of the one that http-types names.
+    unnamed_status: Option<u16>,
     body_remaining: Option<u64>,
 }
 
@@ -25,24 +29,30 @@
         // two readers could see two different responses.
         response.remove_header(CONTENT_LENGTH);
         response.remove_header(TRANSFER_ENCODING);
-        let status = response.status();
-        let bodiless = has_no_body(status) || method == Method::Head;
+        let named_status = response.status();
+        let bodiless = has_no_body(named_status) || method == Method::Head;
         let length = response.len().map(|length| length as u64);
         // async-h1 omits the body only in responses to HEAD; responses with
         // status 204 or 304 have none either.
         let method = if bodiless { Method::Head } else { method };
+        let unnamed_status = status::unnamed(&response);
         ResponseEncoder {
             encoder: Encoder::new(response, method),
             head_pending: true,
-            strips_framing: forbids_length(status),
+            strips_framing: forbids_length(named_status),
+            unnamed_status,
             body_remaining: if bodiless { None } else { length },
         }
     }
 
-    /// Records that the head was read, and removes its framing headers if the
-    /// status forbids them. Returns the length of the head.
+    /// Records that the head was read, writes a status code that http-types
+    /// does not name, and removes the framing headers if the status forbids
+    /// them. Returns the length of the head.
     fn finish_head(&mut self, head: &mut [u8]) -> usize {
         self.head_pending = false;
+        if let Some(code) = self.unnamed_status {
+            return status::replace_code(head, code);
+        }
         if self.strips_framing {
             return remove_framing(head);
         }
--- a/crates/object-api/src/transport.rs
+++ b/crates/object-api/src/transport.rs
@@ -12,7 +12,7 @@
 use http_types::headers::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use kube_core::response::Status;
 use threadledge_net::{
-    BodyFault, ExchangeError, ExchangeFault, Instant, Pool, PoolSettings, convert, timer,
+    BodyFault, ExchangeError, ExchangeFault, Instant, Pool, PoolSettings, convert, status, timer,
 };
 
 use crate::error::{PlatformError, PlatformErrorKind, WriteEffect};
@@ -190,7 +190,7 @@
         operation: &Operation,
         response: Response,
     ) -> PlatformError {
-        let code = u16::from(response.status());
+        let code = status::code(&response);
         let wait = retry_after(&response);
         let body = self
             .read_body(operation, response)
--- a/crates/router/src/gateway/attempt.rs
+++ b/crates/router/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http_types::{Body, Method, Response};
 use threadledge_dispatch::{Attempt, AttemptEnd, ExchangeId, Fault};
 use threadledge_net::message::Message;
+use threadledge_net::status;
 use threadledge_paths::Search;
 use threadledge_ports::HeaderCodec;
 use threadledge_types::deployment::TenantName;
@@ -134,7 +135,7 @@
         outbound: &OutboundRequest,
         mut response: Response,
     ) -> AttemptResult {
-        let status = u16::from(response.status());
+        let status = status::code(&response);
         let head = self
             .header_codec
             .read_response(status, response.as_ref(), &attempt.back_end);
@@ -182,7 +183,7 @@
         response: &Response,
         body: Body,
     ) -> std::io::Result<Body> {
-        let bodiless = method == Method::Head || matches!(u16::from(response.status()), 204 | 304);
+        let bodiless = method == Method::Head || matches!(status::code(response), 204 | 304);
         if bodiless {
             return Ok(body);
         }
--- a/crates/router/src/gateway/links/forwarding.rs
+++ b/crates/router/src/gateway/links/forwarding.rs
@@ -10,7 +10,7 @@
 
 use http_types::{Request, Response};
 use threadledge_dispatch::Fault;
-use threadledge_net::Instant;
+use threadledge_net::{Instant, status};
 use threadledge_paths::Witness;
 use threadledge_types::deployment::ServiceName;
 
@@ -119,7 +119,7 @@
         let result = headers::single(response.as_ref(), FORWARD_RESULT);
         let result = match result {
             Some(name) => ForwardResult::parse(name),
-            None if u16::from(response.status()) == UNKNOWN_PATH_STATUS => ForwardResult::NoPath,
+            None if status::code(&response) == UNKNOWN_PATH_STATUS => ForwardResult::NoPath,
             None => ForwardResult::Failed(Fault::Broken),
         };
         links.note_named_forwarders(&response);
--- a/crates/router/src/gateway/requests.rs
+++ b/crates/router/src/gateway/requests.rs
@@ -7,7 +7,7 @@
 use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
 use threadledge_dispatch::{ExchangeId, Outcome, Refusal, RequestInfo};
-use threadledge_net::{ConnectionInfo, target};
+use threadledge_net::{ConnectionInfo, status, target};
 use threadledge_ports::RequestMetadata;
 use threadledge_tenants::Admission;
 use threadledge_types::NotRunReason;
@@ -105,7 +105,7 @@
         if self.stopping.load(Ordering::Relaxed) {
             response.insert_header(CONNECTION, "close");
         }
-        line.status = u16::from(response.status());
+        line.status = status::code(&response);
         self.metrics.record_request(&line);
         self.logger.write(&line);
         tracker.track_response(&mut response, method);
--- a/crates/router/src/gateway/suspects/process_probe.rs
+++ b/crates/router/src/gateway/suspects/process_probe.rs
@@ -10,7 +10,7 @@
 use http_types::{Method, Request, Response, Url};
 use threadledge_dispatch::dispatcher::ProcessCheck;
 use threadledge_dispatch::outcome::{Fault, Rejection};
-use threadledge_net::{Instant, timer};
+use threadledge_net::{Instant, status, timer};
 use threadledge_paths::Search;
 use threadledge_ports::HeaderCodec;
 use threadledge_types::Timestamp;
@@ -157,7 +157,7 @@
             }
             Err(_) => return ProbeResult::NoWay,
         };
-        let status = u16::from(response.status());
+        let status = status::code(&response);
         let head = self
             .header_codec
             .read_response(status, response.as_ref(), &self.check.process);
--- a/crates/router/src/proxy/answer.rs
+++ b/crates/router/src/proxy/answer.rs
@@ -6,6 +6,7 @@
 use http_types::{Body, Method, Response, StatusCode};
 use threadledge_net::BodyFault;
 use threadledge_net::message::Message;
+use threadledge_net::status;
 use threadledge_routing::AttemptFailure;
 use threadledge_types::session::{REFUSAL_HEADER, REQUEST_ID_HEADER, Refusal};
 
@@ -94,7 +95,7 @@
 fn refusal_of(response: &Response) -> Option<Refusal> {
     let value = headers::single(response.as_ref(), REFUSAL_HEADER)?;
     let refusal = Refusal::parse(value)?;
-    let status = u16::from(response.status());
+    let status = status::code(response);
     matches!(status, 421 | 503).then_some(refusal)
 }
 
--- a/crates/router/src/proxy/exchange.rs
+++ b/crates/router/src/proxy/exchange.rs
@@ -10,7 +10,7 @@
 use http_types::{Body, Response};
 use threadledge_net::Instant;
 use threadledge_net::message::Message;
-use threadledge_net::{error_response, timer};
+use threadledge_net::{error_response, status, timer};
 use threadledge_routing::{
     Attempt, AttemptEvent, AttemptNumber, ExchangeId, Finish, MatchedRoute, Step,
 };
@@ -151,7 +151,7 @@
                 let event = match answer.body {
                     AnswerBody::Complete(_) => AttemptEvent::Completed,
                     AnswerBody::Streamed { .. } => AttemptEvent::ResponseHead {
-                        status: u16::from(answer.response.status()),
+                        status: status::code(&answer.response),
                     },
                 };
                 self.answers.push((number, answer));
--- a/crates/router/tests/gateway/odd_answers.rs
+++ b/crates/router/tests/gateway/odd_answers.rs
@@ -28,3 +28,32 @@
         assert_eq!(world.arrivals(&id), 1, "{start:?}");
     }
 }
+
+/// Callers received 502 in their place, although the back end had answered.
+#[test]
+fn statuses_without_a_name_reach_the_caller() {
+    for (name, world) in [
+        ("direct", World::start()),
+        ("forwarded", World::start_forwarding()),
+    ] {
+        for status in [218, 299, 306, 420, 430, 499, 509, 520, 599] {
+            for reason in [" Reason", " ", ""] {
+                let start = format!("HTTP/1.1 {status}{reason}\r\n{REST}");
+                world.set_answer(Answer::lasting(start));
+                let id = format!("{name}-{status}-{}", reason.len());
+                let received = post(world.gateways[0].callers, &id, 1);
+                assert_eq!(received, Received::Whole(status), "{id}");
+            }
+        }
+    }
+}
+
+#[test]
+fn successes_without_a_name_or_a_stamp_are_no_answers() {
+    let world = World::start();
+    world.set_answer(Answer::lasting(
+        "HTTP/1.1 299 OK\r\nx-request-id: ID\r\ncontent-length: 2\r\n\r\nok".to_owned(),
+    ));
+    let received = post(world.gateways[0].callers, "unstamped", 1);
+    assert_eq!(received, Received::Whole(502));
+}
