gateway: a planned stop cuts requests at the end of the grace period only

What callers saw: requests of 3 s that must not be repeated, taken late after the request to stop, were cut without an answer 5.4 s after it, with half a second of the grace period unused.

Cause: the process kept 0.6 s of the grace period for its own end, which takes a few milliseconds. A connection that is open is served until 2.85 s after the request to stop, so that a request of 3 s could not end in time.

Ruled out: work of the process after the last request. Leases are resigned within 1.5 s of the request to stop, and nothing else is waited for.

Weighed: connections refused earlier (other gateways learn of a stop within about two seconds, and callers that still come would be refused in calm); an answer 504 in place of the cut (says no more than the cut, and hides answers that are about to come).

Change: 0.1 s are kept. The computation moves to the settings, where a test holds it: a request that is taken last has 3 s (red before: 2.8 s).

--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -62,8 +62,6 @@
 const BACK_END_SUSPECT_AFTER: Duration = Duration::from_millis(400);
 /// Idle time after which a caller's connection is closed.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Part of the grace period that must remain when the last request has ended.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
 /// Longest wait on a planned stop for this gateway's leases to be resigned.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -394,13 +392,11 @@
     }
 
     fn server_limits(&self) -> ServerLimits {
-        let bounds = &self.settings.bounds;
-        let drain = seconds(bounds.grace_s) - seconds(bounds.leave_s);
         ServerLimits {
             max_connections: self.settings.limits.caller_connections,
             max_body_bytes: 64 * 1024 * 1024,
             idle_timeout: CALLER_IDLE_TIMEOUT,
-            drain_timeout: drain.saturating_sub(STOP_MARGIN),
+            drain_timeout: self.settings.drain_timeout(),
             ..ServerLimits::default()
         }
     }
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -154,8 +154,18 @@
         self.coordination().check()?;
         Ok(())
     }
+
+    /// Time from the moment at which no new connection arrives until requests
+    /// are cut.
+    pub fn drain_timeout(&self) -> Duration {
+        let drain = seconds(self.bounds.grace_s) - seconds(self.bounds.leave_s);
+        drain.saturating_sub(STOP_MARGIN)
+    }
 }
 
+/// Part of the grace period in which the process ends after its requests.
+const STOP_MARGIN: Duration = Duration::from_millis(100);
+
 /// Upper bound for settings that are durations, in seconds.
 const MAX_DURATION_S: f64 = 86_400.0;
 
--- a/crates/router/tests/gateway/settings.rs
+++ b/crates/router/tests/gateway/settings.rs
@@ -1,8 +1,10 @@
 //! Checks of a gateway's settings, and the remedies in their errors.
 
 use std::process::Command;
+use std::time::Duration;
 
 use threadledge::gateway::GatewaySettings;
+use threadledge_net::ServerLimits;
 use threadledge_types::ZoneName;
 
 use super::process::PROGRAM;
@@ -52,6 +54,18 @@
     assert!(problem_with("[ownership]\nfar-order-s = 0.4").contains("far-order"));
 }
 
+/// Requests that were taken last, on a connection that was open, were cut while
+/// the back end worked, although half a second of the grace period was left.
+#[test]
+fn request_taken_last_has_three_seconds_before_a_stop_cuts_it() {
+    let settings: GatewaySettings = toml::from_str(VALID).expect("valid");
+    let taken = ServerLimits::default().stop_idle_timeout;
+    let drain = settings.drain_timeout();
+    assert!(drain >= taken + Duration::from_secs(3), "{drain:?}");
+    let bounds = &settings.bounds;
+    assert!(drain.as_secs_f64() < bounds.grace_s - bounds.leave_s);
+}
+
 #[test]
 fn unknown_fields_and_bad_values_are_named() {
     assert!(problem_with("colour = 1").contains("colour"));
