gateway: a planned stop finishes what it forwards for other gateways

What callers saw: 502 for a request that must not be repeated, while its back end was at work. The gateway that had taken it has lost its own path to the back end, and the gateway that forwarded for it was stopped as planned.

A planned stop cuts off no request in flight.

Change: the process waits until that server has ended as well, at most until the end of the grace period. Event 111 tells when the time did not suffice. The start of the server becomes a function of its own.

--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -87,6 +87,9 @@
     SettingsChanged = 110, "settings-changed", Info,
         "The process was notified that its settings file has changed; settings that need a restart take effect at the next one.",
         "None.";
+    PeersNotDrained = 111, "peers-not-drained", Warn,
+        "The grace period ended before the connections of other gateways were closed; requests that are forwarded for them may have been cut off.",
+        "Raise bounds.grace-s above the longest timeout of any route.";
     PeerFound = 201, "peer-found", Info,
         "Another router answered for the first time.",
         "None.";
--- a/crates/router/src/gateway/run.rs
+++ b/crates/router/src/gateway/run.rs
@@ -8,15 +8,15 @@
 use std::time::Duration;
 
 use async_std::net::TcpListener;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use http_types::Request;
 use parking_lot::Mutex;
 use thiserror::Error;
 use threadledge_coordination::NodeIdentity;
 use threadledge_dispatch::Dispatcher;
 use threadledge_net::{
-    ConcurrentHandler, ConnectionInfo, Instant, Pool, PoolSettings, ResponseIds, ServerLimits,
-    StopSignal, UnframedBodies, serve, timer,
+    ConcurrentHandler, ConnectionInfo, Instant, Pool, PoolSettings, ResponseIds, ServeReport,
+    ServerLimits, StopSignal, UnframedBodies, serve, timer,
 };
 use threadledge_ports::{GrantTransport, Ports};
 use threadledge_types::deployment::ServiceName;
@@ -114,6 +114,17 @@
     Ok(())
 }
 
+/// Waits until the requests that are forwarded for other gateways are answered,
+/// at most until `cut_at`.
+///
+/// Invariant: *a planned stop cuts off no request in flight*, nor one that
+/// another gateway has taken.
+async fn finish_forwarded(peers_served: JoinHandle<ServeReport>, cut_at: Instant) {
+    if timer::timeout_at(cut_at, peers_served).await.is_err() {
+        emit!(EventId::PeersNotDrained);
+    }
+}
+
 /// Forwards to the coordination task the services with a back end that
 /// announced that it is leaving or requested backoff.
 async fn forward_unavailable_owners(
@@ -286,29 +297,10 @@
             self.dispatch.unavailable_services(),
             events.clone(),
         ));
-        if let Some(listener) = listeners.peers {
-            let forward = ForwardServer {
-                links: self.links.clone(),
-                header_codec: self.ports.header_codec.clone(),
-                incarnation: self.identity.incarnation,
-            };
-            let server = PeerServer {
-                publisher: publisher.clone(),
-                peers: self.peers.clone(),
-                events: events.clone(),
-                followers: self.followers.clone(),
-                usage: self.metrics.usage().clone(),
-                suspects: self.suspects.clone(),
-                limits: self.limits.clone(),
-                orders: OrderServer {
-                    forward: forward.clone(),
-                    grants: self.direct_orders.clone(),
-                },
-                forward,
-                messages: MessageReader::default(),
-            };
-            task::spawn(server.serve(listener, servers_stop.clone()));
-        }
+        let peers_served = listeners.peers.map(|listener| {
+            let server = self.peer_server(&publisher, &events);
+            task::spawn(server.serve(listener, servers_stop.clone()))
+        });
         let key_confirmation = KeyConfirmation {
             publisher: publisher.clone(),
             sources: self.sources.clone(),
@@ -372,12 +364,45 @@
         let served_report = served.await;
         let resigning = resigned.stopped();
         let _ = timer::timeout_at(stop_requested + RESIGN_TIMEOUT, resigning).await;
+        servers_stop.stop();
+        if let Some(peers_served) = peers_served {
+            let cut_at = stop_requested + self.settings.stop_timeout();
+            finish_forwarded(peers_served, cut_at).await;
+        }
         if served_report.aborted > 0 {
             emit!(EventId::StopCutShort, cut = served_report.aborted);
         } else {
             emit!(EventId::StopFinished, requests = served_report.requests);
         }
-        servers_stop.stop();
+    }
+
+    /// The server for messages of other gateways and requests that are forwarded
+    /// for them.
+    fn peer_server(
+        &self,
+        publisher: &StatePublisher,
+        events: &async_channel::Sender<Event>,
+    ) -> PeerServer {
+        let forward = ForwardServer {
+            links: self.links.clone(),
+            header_codec: self.ports.header_codec.clone(),
+            incarnation: self.identity.incarnation,
+        };
+        PeerServer {
+            publisher: publisher.clone(),
+            peers: self.peers.clone(),
+            events: events.clone(),
+            followers: self.followers.clone(),
+            usage: self.metrics.usage().clone(),
+            suspects: self.suspects.clone(),
+            limits: self.limits.clone(),
+            orders: OrderServer {
+                forward: forward.clone(),
+                grants: self.direct_orders.clone(),
+            },
+            forward,
+            messages: MessageReader::default(),
+        }
     }
 
     /// Tells the platform to send no new connections and resigns the
--- a/crates/router/src/gateway/settings.rs
+++ b/crates/router/src/gateway/settings.rs
@@ -155,11 +155,16 @@
         Ok(())
     }
 
+    /// Time from the request to stop until requests are cut.
+    pub fn stop_timeout(&self) -> Duration {
+        seconds(self.bounds.grace_s).saturating_sub(STOP_MARGIN)
+    }
+
     /// Time from the moment at which no new connection arrives until requests
     /// are cut.
     pub fn drain_timeout(&self) -> Duration {
-        let drain = seconds(self.bounds.grace_s) - seconds(self.bounds.leave_s);
-        drain.saturating_sub(STOP_MARGIN)
+        self.stop_timeout()
+            .saturating_sub(seconds(self.bounds.leave_s))
     }
 }
 
--- a/crates/router/tests/gateway/stop.rs
+++ b/crates/router/tests/gateway/stop.rs
@@ -1,10 +1,18 @@
 //! Readiness and the planned stop of the real program.
 
+use std::thread;
+use std::time::Duration;
+
 use async_std::task;
 use threadledge_platform_stand_in::Behaviour;
 
+use super::broken_back_end::{self, Answer, Received, post};
 use super::process::{TestRequest, World, configuration, eventually};
 
+/// Time for which a back end works on a request: longer than a stopping gateway
+/// takes connections, and shorter than its grace period.
+const LONG_WORK: Duration = Duration::from_millis(3_500);
+
 fn numbers(log: &[serde_json::Value]) -> Vec<u64> {
     log.iter()
         .filter_map(|line| line["event"].as_u64())
@@ -104,3 +112,21 @@
     let attempts = line["attempts"].as_str().expect("text");
     assert!(attempts.contains("not run (Busy)"), "{line}");
 }
+
+/// A gateway that stopped with no requests of its own cut those that it forwarded
+/// for another gateway while the back end worked.
+#[test]
+fn planned_stop_finishes_requests_that_are_forwarded_for_another_gateway() {
+    let world = broken_back_end::World::start_forwarding();
+    let start = format!("{}content-length: 2\r\n\r\nok", Answer::HEAD);
+    world.set_answer(Answer {
+        delay: LONG_WORK,
+        ..Answer::lasting(start)
+    });
+    let callers = world.gateways[0].callers;
+    let running = thread::spawn(move || post(callers, "forwarded", 1));
+    eventually(|| (world.arrivals("forwarded") == 1).then_some(()));
+    world.gateways[1].signal("-TERM");
+    assert_eq!(running.join().expect("an end"), Received::Whole(200));
+    assert_eq!(world.arrivals("forwarded"), 1);
+}
