--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -330,7 +330,7 @@
         bound: Bound,
         averages: &ServiceAverages,
     ) -> bool {
-        let capacity = f64::from(state.back_end.slots + self.settings.queue_per_back_end);
+        let capacity = f64::from(self.settings.requests_at(state.back_end.slots));
         if state.in_flight.len() >= self.connection_limit {
             return false;
         }
--- a/crates/dispatch/src/dispatcher/wait_queue.rs
+++ b/crates/dispatch/src/dispatcher/wait_queue.rs
@@ -59,7 +59,7 @@
                 .back_ends
                 .get(&back_end)
                 .map_or(1, |state| state.back_end.slots);
-            let capacity = slots + self.settings.queue_per_back_end;
+            let capacity = self.settings.requests_at(slots);
             let woken = woken_for.entry(back_end).or_default();
             if *woken < capacity {
                 *woken += 1;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -81,6 +81,12 @@
 }
 
 impl Settings {
+    /// Number of requests that a back end with this many slots may have, as
+    /// estimated by this router.
+    pub(crate) fn requests_at(&self, slots: u32) -> u32 {
+        slots.saturating_add(self.queue_per_back_end)
+    }
+
     /// For each service with a rate limit during cold starts, the rate, in
     /// requests per second, at which all routers together should send to one of
     /// its cold back ends.
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod lost_forwarder;
 mod lost_paths;
 mod odd_answers;
+mod odd_entries;
 mod outage;
 mod partial_lists;
 mod partly_lost_paths;
