--- a/crates/soak/tests/cut_answers.rs
+++ b/crates/soak/tests/cut_answers.rs
@@ -29,7 +29,7 @@
     Reset,
 }
 
-/// A gateway that reads the start of a request, sends these bytes and ends the
+/// A gateway that reads the head of a request, sends these bytes and ends the
 /// connection.
 async fn gateway(answer: String, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -42,7 +42,12 @@
 }
 
 async fn serve(stream: &mut TcpStream, answer: &str, end: End) -> std::io::Result<()> {
-    stream.read(&mut [0; 4_096]).await?;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).await?;
+        head.extend(byte);
+    }
     stream.write_all(answer.as_bytes()).await?;
     if matches!(end, End::Reset) {
         sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
