platform: records of any name are read and replaced

What callers saw: nothing of a keyed service was ever served if its name held a character that a URL does not carry, such as a blank, #, ? or ü.

A record was created, because a new one is named in the body, and then looked for under another name, or the call failed in the client.

A service named '.' or '..' remains: a path with such a segment means another one however it is written.

--- a/crates/router/tests/gateway/odd_names.rs
+++ b/crates/router/tests/gateway/odd_names.rs
@@ -105,3 +105,26 @@
 fn odd_names_together_hold_up_nothing() {
     check(&ODD_NAMES);
 }
+
+/// The coordinator's lease and the owners of keys are stored under the name of
+/// their service. They were looked for under another one, so that no back end
+/// ever got keys.
+#[test]
+fn keyed_service_of_any_name_is_served() {
+    for service in ["key ed", "k/e#y?a=%65", "schlüssel"] {
+        let store = block_on(StandInStore::start()).expect("a store");
+        let back_end = block_on(StandInBackEnd::start("k-1", true)).expect("one");
+        let registration = back_end.registration(service, "ready");
+        store.put("servers", &back_end.id, registration);
+        let mut wanted = configuration(1);
+        let settings = wanted["Services"]["keyed"].take();
+        wanted["Services"] = json!({service: settings});
+        let mut route = wanted["Routes"]["keyed"].take();
+        route["Service"] = json!(service);
+        wanted["Routes"] = json!({"keyed": route});
+        store.put("config", "main", wanted);
+        let mut gateway = Gateway::start(store.address());
+        gateway.await_ready();
+        eventually(|| is_served(&gateway, "keyed.example", "/k/x", Some(5)).then_some(()));
+    }
+}
