ports: a list that cannot be continued fails

What callers saw: nothing yet; found while all places that read pages were looked at. If no entry of a page had a name that can be decoded, although the store had more pages, the list ended there and counted as whole: the back ends of the later pages counted as gone, and their callers were refused.

Cause: a page without a name gave "no next page", as a last page does; nothing compared where a page starts with where earlier ones did.

By the watcher: nothing of such a list is used, what was known stays, the list is read again after the usual pauses, which grow to 3 s. An answer to another call, which ends a pause after an outage, would have had the whole list read again each time; it does not end this one (red without that line). The line in the log is 410 with the cause.

Why it works: a list is complete only after a last page, and a start that was used before ends it, so that it has at most as many pages as there are names. Starts are compared with each other and not by their order, since the protocol does not say in what order a store holds names outside ASCII.

Ruled out: using the pages before a stuck one at a start (keys would be given out by a part of the back ends); starting behind a name that is not known.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -22,7 +22,8 @@
 pub use grants::GrantTransport;
 pub use header_codec::{HeaderCodec, RequestMetadata, ResponseMetadata};
 pub use store::{
-    Change, Changes, Collection, Entry, Listing, Malformed, Page, RecordStore, StoreError,
+    Change, Changes, Collection, Entry, Listing, Malformed, Page, PartialListing, RecordStore,
+    StoreError,
 };
 
 /// Boxed future of a call to the platform.
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -1,5 +1,6 @@
 //! Collections of objects with revisions and watches.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use threadledge_coordination::action::{
@@ -24,6 +25,13 @@
     HistoryGone,
     /// The response cannot be parsed. A write took effect.
     Malformed(String),
+    /// A list goes on, but the page does not show after which name, or shows one
+    /// after which a page was read already. Remove the objects behind `after`
+    /// that have no readable name.
+    StuckList {
+        /// Name after which the store does not go on.
+        after: String,
+    },
 }
 
 impl StoreError {
@@ -69,14 +77,60 @@
     }
 }
 
-impl<T> Listing<T> {
-    /// Adds a page and returns the name after which the next page starts.
-    pub fn add(&mut self, page: Page<T>) -> Option<String> {
-        self.entries.extend(page.entries);
+/// A listing that is read page by page.
+#[derive(Debug)]
+pub struct PartialListing<T> {
+    listing: Listing<T>,
+    /// Name after which the next page starts; `None` after the last page.
+    next: Option<String>,
+    /// Names after which pages started so far.
+    starts: BTreeSet<String>,
+}
+
+impl<T> Default for PartialListing<T> {
+    fn default() -> Self {
+        PartialListing {
+            listing: Listing::default(),
+            next: Some(String::new()),
+            starts: BTreeSet::new(),
+        }
+    }
+}
+
+impl<T> PartialListing<T> {
+    /// Returns the name after which the next page starts, or `None` if the
+    /// listing is complete.
+    pub fn next_start(&self) -> Option<&str> {
+        self.next.as_deref()
+    }
+
+    /// Adds the next page.
+    ///
+    /// Invariant: a listing is complete only after the last page, because
+    /// objects that a complete listing lacks count as gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the page after this one was read already. Names are not
+    /// compared, because only the store knows their order.
+    pub fn add(&mut self, page: Page<T>) -> Result<(), StoreError> {
+        self.starts.extend(self.next.take());
+        self.next = match page.next {
+            Some(after) if self.starts.contains(&after) => {
+                return Err(StoreError::StuckList { after });
+            }
+            next => next,
+        };
+        self.listing.entries.extend(page.entries);
         // A watch from the older revision sees changes that were made between
         // two pages.
-        self.at = self.at.min(page.at);
-        page.next
+        self.listing.at = self.listing.at.min(page.at);
+        Ok(())
+    }
+
+    /// Returns what was read.
+    pub fn into_listing(self) -> Listing<T> {
+        self.listing
     }
 }
 
@@ -124,12 +178,12 @@
     /// what it missed.
     fn list(&self, freshness: Freshness) -> PortFuture<'_, Result<Listing<T>, StoreError>> {
         Box::pin(async move {
-            let mut listing = Listing::default();
-            let mut after = Some(String::new());
-            while let Some(name) = after {
-                after = listing.add(self.page(&name, freshness).await?);
+            let mut listing = PartialListing::default();
+            while let Some(after) = listing.next_start() {
+                let page = self.page(after, freshness).await?;
+                listing.add(page)?;
             }
-            Ok(listing)
+            Ok(listing.into_listing())
         })
     }
 
--- a/crates/router/src/events/catalogue.rs
+++ b/crates/router/src/events/catalogue.rs
@@ -251,7 +251,7 @@
         "Allow the routers' credentials to write the status of this kind of object.";
     StoreLost = 410, "store-lost", Warn,
         "A collection of the platform's store cannot be watched; its last known state stays in force.",
-        "Check the store and the network to it.";
+        "Check the store and the network to it. With the cause StuckList, remove the objects without a readable name.";
     StoreRegained = 411, "store-regained", Info,
         "A collection of the platform's store can be watched again.",
         "None.";
--- a/crates/router/src/gateway/usage.rs
+++ b/crates/router/src/gateway/usage.rs
@@ -251,6 +251,6 @@
         Err(StoreError::Refused { .. }) => "refused",
         Err(StoreError::NoAnswer) => "silent",
         Err(StoreError::HistoryGone) => "history-gone",
-        Err(StoreError::Malformed(_)) => "malformed",
+        Err(StoreError::Malformed(_) | StoreError::StuckList { .. }) => "malformed",
     }
 }
--- a/crates/router/src/gateway/watcher.rs
+++ b/crates/router/src/gateway/watcher.rs
@@ -11,7 +11,7 @@
 use threadledge_coordination::action::{Freshness, StoreRevision};
 use threadledge_net::Instant;
 use threadledge_net::timer;
-use threadledge_ports::{Changes, Collection, Listing, StoreError};
+use threadledge_ports::{Changes, Collection, Listing, PartialListing, StoreError};
 
 use super::backoff::Backoff;
 use super::sources::Sources;
@@ -186,18 +186,18 @@
         if let Some(relay) = &self.relay {
             relay.sources.until_list_turn(rand::random()).await;
         }
-        let mut listing = Listing::default();
-        let mut next = Some(String::new());
-        while let Some(after) = next {
-            next = listing.add(self.collection.page(&after, freshness).await?);
-            if next.is_some()
+        let mut listing = PartialListing::default();
+        while let Some(after) = listing.next_start() {
+            let page = self.collection.page(after, freshness).await?;
+            listing.add(page)?;
+            if listing.next_start().is_some()
                 && freshness == Freshness::Stale
                 && let Some(relay) = &self.relay
             {
                 relay.sources.until_store().await;
             }
         }
-        Ok(listing)
+        Ok(listing.into_listing())
     }
 
     /// Resolves when a relay has delivered the collection, with the revision up
@@ -302,13 +302,21 @@
 
     /// Records a failed call and waits before the next one.
     async fn on_failure(&mut self, error: &StoreError) {
-        self.health.record_failure();
+        let is_answered = matches!(error, StoreError::StuckList { .. });
+        if !is_answered {
+            self.health.record_failure();
+        }
         if !std::mem::replace(&mut self.lost, true) {
             self.health.collection_lost();
             emit!(EventId::StoreLost, collection = self.name, cause = ?error);
         }
         let pause = self.backoff.after_failure();
-        self.pause_after_failure(pause).await;
+        if is_answered {
+            // That the store answers other calls too says nothing new.
+            let _ = timer::timeout(pause, self.until_has_relay()).await;
+        } else {
+            self.pause_after_failure(pause).await;
+        }
     }
 
     /// Pauses until another call to the store is answered, a relay delivers
--- a/crates/router/tests/gateway/watcher.rs
+++ b/crates/router/tests/gateway/watcher.rs
@@ -237,6 +237,47 @@
     task::block_on(answering.cancel());
 }
 
+/// Of a list that cannot be read to its end nothing is used, and objects that it
+/// lacks do not count as gone.
+#[test]
+fn stuck_list_is_read_again_and_changes_nothing() {
+    let watcher = start_watcher([
+        Reply::List(3),
+        Reply::Fail(StoreError::HistoryGone),
+        Reply::Page(6, "b-1"),
+        Reply::Page(6, "b-1"),
+        Reply::Page(8, "b-1"),
+        Reply::List(9),
+    ]);
+    assert_eq!(watcher.next_call(), "list");
+    assert_eq!(watcher.next_call(), "long watch after 3");
+    for _ in 0..2 {
+        assert_eq!(watcher.next_call(), "list");
+        assert_eq!(watcher.next_call(), "list b-1");
+    }
+    assert_eq!(watcher.next_call(), "long watch after 8");
+    assert_eq!([(); 2].map(|()| watcher.next_revision()), [3, 8]);
+}
+
+/// Each answer to another call would cost the store the whole list once more.
+#[test]
+fn answered_call_does_not_end_the_backoff_after_a_stuck_list() {
+    let (first, hour) = (Duration::from_millis(1), Duration::from_secs(3_600));
+    let growth = 3_600_000;
+    let replies = [(); 6].map(|()| Reply::Page(6, "b-1"));
+    let watcher = start_watcher_with(replies, Backoff::new(first, hour, growth));
+    for _ in 0..2 {
+        assert_eq!(watcher.next_call(), "list");
+        assert_eq!(watcher.next_call(), "list b-1");
+    }
+    // The pause is an hour now.
+    for _ in 0..100 {
+        watcher.health.record_answer(Timestamp::from_millis(1));
+        task::block_on(task::sleep(first));
+    }
+    assert!(watcher.calls.is_empty());
+}
+
 /// After all gateways had restarted, those of one region listed the
 /// configuration at once over a saturated link and gave up together, for 17 s,
 /// while the relay that one of them followed could have delivered it.
