platform: a back end that no header can name is malformed

What callers saw: nothing in place of an answer, when their request was offered to a back end registered under a name outside ASCII; 502 under a name with NUL, DEL or a line break.

Cause: each request names the process that it is for in a header, and any name of an entry was taken for one. The header type takes ASCII only, and the task that sends the request ended there. A line break in a name wrote a header line of the other writer's own into our requests. A name with '/' was read as an id and the time of a start, so that a follower of a relay kept it under another id.

Evidence: twelve such names with working back ends, beside one under a plain name, through a real gateway, for a plain and a keyed service. Before, with all of them: a panic in the log and a connection that ended without an answer.

Why it works: such an entry names no back end that a request can be meant for, so it is treated as all malformed ones. This is checked where entries are decoded, before a name gets anywhere else: orders to owners, forwarded requests, relays.

Held already (test kept): back ends under names with &, +, #, %, a blank inside, a comma or quotes are used and get keys.

Ruled out: encoding the name in the header (the back end compares it with its own); leaving the header out (another process on the address would run the request).

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error_response;
 mod framing;
 mod head;
+mod header_value;
 pub mod instant;
 mod json_lines;
 pub mod message;
@@ -26,6 +27,7 @@
 pub use body::{BodyFault, MIN_BODY_BYTES_PER_SECOND};
 pub use client::{BodyTimeouts, ClientError, HttpClient};
 pub use head::MAX_HEAD_BYTES;
+pub use header_value::is_header_value;
 pub use instant::Instant;
 pub use json_lines::JsonLines;
 pub use pool::{
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 //! loopback.
 
 mod back_end_limits;
+mod back_end_names;
 mod back_end_updates;
 mod backoff;
 mod broken_answers;
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -19,13 +19,12 @@
 #[serde(from = "String", into = "String")]
 pub struct BackEndName(Arc<str>);
 
-/// Separates the id from the start time. Ids are path segments, so they cannot
-/// contain it.
+/// Separates the id from the start time.
 const START_TIME_SEPARATOR: char = '/';
 
 impl BackEndName {
-    /// Builds the name of the process of back end `id` that started at
-    /// `started`, in milliseconds by the back end's wall clock. Pass `None` if
+    /// Builds the name of the process of back end `id`, which must be an
+    /// [id](BackEndName::is_id), that started at `started`, in milliseconds by the back end's wall clock. Pass `None` if
     /// each process has its own id.
     pub fn new(id: &str, started: Option<u64>) -> Self {
         match started {
@@ -34,6 +33,11 @@
         }
     }
 
+    /// Returns whether `id` can be told from the start time that may follow it.
+    pub fn is_id(id: &str) -> bool {
+        !id.contains(START_TIME_SEPARATOR)
+    }
+
     /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         &self.0
