gateway: a tenant that no header can name is refused, others are served

What callers saw: nothing in place of an answer, for each request of a tenant whose name is not ASCII; a name with a line break wrote a header line into the request to the back end.

Cause: as for back ends: the header with the tenant's name was set whatever it holds, and the task of the request ended.

Evidence: three tenants (outside ASCII, with a line break, empty) beside another one, through a real gateway. Before: a panic in the log and a connection without an answer. Now 401 at once, 200 for the other tenant, and one line in the log for each (413).

Why it works: such a tenant's keys are not accepted when a configuration comes from the store, before it is passed to other gateways. The tenant itself stays, because a configuration without any tenant lets callers in without a key; the test holds that.

Ruled out: rejecting the whole configuration, as for keys that two tenants share. After a restart of all gateways nobody would be served because of one tenant.

--- a/crates/router/src/gateway/cluster_state.rs
+++ b/crates/router/src/gateway/cluster_state.rs
@@ -15,6 +15,7 @@
 
 use threadledge_coordination::OwnershipRecord;
 use threadledge_coordination::action::{StoreRevision, Versioned};
+use threadledge_net::is_header_value;
 use threadledge_ports::{Change, Entry, Listing, Malformed};
 use threadledge_tenants::find_shared_key;
 use threadledge_types::deployment::{BackEnd, Configuration, DrainedZone, ServiceName};
@@ -255,16 +256,30 @@
         self.configurations_revision = self.configurations_revision.max(at);
         let entries = put_entries(update).into_iter();
         entries
-            .filter_map(|entry| match entry.value {
-                Ok(configuration) => match check_tenant_keys(&configuration) {
-                    Ok(()) => self.apply_configuration(configuration),
-                    Err(malformed) => Some(StateChange::Malformed(malformed)),
-                },
-                Err(malformed) => Some(StateChange::Malformed(malformed)),
+            .flat_map(|entry| {
+                let checked = entry.value.and_then(|configuration| {
+                    check_tenant_keys(&configuration)?;
+                    Ok(configuration)
+                });
+                match checked {
+                    Ok(configuration) => self.apply_without_odd_tenants(configuration),
+                    Err(malformed) => vec![StateChange::Malformed(malformed)],
+                }
             })
             .collect()
     }
 
+    /// Applies a configuration without the keys of tenants that no request can
+    /// name: their callers are refused, and all others are served.
+    fn apply_without_odd_tenants(&mut self, mut configuration: Configuration) -> Vec<StateChange> {
+        let malformed = revoke_odd_tenants(&mut configuration);
+        let Some(applied) = self.apply_configuration(configuration) else {
+            return Vec::new();
+        };
+        let malformed = malformed.into_iter().map(StateChange::Malformed);
+        std::iter::once(applied).chain(malformed).collect()
+    }
+
     /// Applies a configuration if it is newer than the known one.
     fn apply_configuration(&mut self, configuration: Configuration) -> Option<StateChange> {
         let known = self.configuration.as_ref().map(|each| each.version);
@@ -348,6 +363,26 @@
     Err(Malformed { problem })
 }
 
+/// Takes the keys from the tenants whose name a header cannot carry unchanged.
+/// The tenants stay: without any, requests would need no key.
+fn revoke_odd_tenants(configuration: &mut Configuration) -> Vec<Malformed> {
+    let version = configuration.version;
+    let mut malformed = Vec::new();
+    for (name, tenant) in &mut configuration.tenants {
+        if is_header_value(name.as_str()) {
+            continue;
+        }
+        tenant.keys.clear();
+        let problem = format!(
+            "in version {version} of the configuration a header cannot carry the name of the \
+             tenant {:?}; rename it with visible ASCII characters",
+            name.as_str()
+        );
+        malformed.push(Malformed { problem });
+    }
+    malformed
+}
+
 /// The entries that an update adds or changes.
 fn put_entries<T>(update: Update<T>) -> Vec<Entry<T>> {
     match update {
--- a/crates/router/tests/gateway/tenants.rs
+++ b/crates/router/tests/gateway/tenants.rs
@@ -69,6 +69,50 @@
     }
 }
 
+/// A request of a tenant whose name is not ASCII ended without an answer.
+#[test]
+fn tenant_that_no_request_can_name_is_refused_and_others_are_served() {
+    let world = World::start();
+    let alpha = ("alpha", &[ALPHA][..], None);
+    let odd = [
+        ("\u{e9}", &["odd-key-one"][..], None),
+        ("alpha\r\nx-tenant: beta", &["odd-key-two"], None),
+        ("", &["odd-key-three"], None),
+    ];
+    // A configuration without any other tenant does not let callers in without a
+    // key.
+    put(&world, 2, &odd);
+    let without_key = TestRequest::default().send(&world.gateway);
+    assert_eq!(without_key.status(), 401);
+    put(&world, 3, &[alpha, odd[0], odd[1], odd[2]]);
+    for (name, keys, _) in odd {
+        let request = TestRequest {
+            api_key: Some(keys[0]),
+            ..TestRequest::default()
+        };
+        let answer = request.send(&world.gateway);
+        assert_eq!(answer.status(), 401, "{name:?}");
+        assert_eq!(text(&answer), "unknown-api-key\n", "{name:?}");
+    }
+    let request = TestRequest {
+        id: "a",
+        api_key: Some(ALPHA),
+        ..TestRequest::default()
+    };
+    assert_eq!(request.send(&world.gateway).status(), 200);
+    let seen = tenant_and_key_seen(&world, "a");
+    assert_eq!(seen, (Some("alpha".to_owned()), None));
+    world.gateway.signal("-TERM");
+    let (_, log) = world.gateway.wait_for_exit();
+    let malformed = log.iter().filter(|line| line["event"] == 413);
+    let lines = 2 * odd.len();
+    assert_eq!(
+        malformed.count(),
+        lines,
+        "one line for each and each version"
+    );
+}
+
 #[test]
 fn unknown_or_missing_key_gets_401_with_the_reason_and_runs_nowhere() {
     let world = start();
