--- a/crates/router/tests/gateway/odd_names.rs
+++ b/crates/router/tests/gateway/odd_names.rs
@@ -1,5 +1,5 @@
-//! Entries of another writer among the back ends, under names of any
-//! characters, in a list of several pages. Gateways that are started again while
+//! Entries of another writer, under names of any characters, in lists of several
+//! pages. Gateways that are started again while
 //! such an entry stands serve with the others.
 
 use async_std::task::block_on;
@@ -13,6 +13,18 @@
 /// Most times that a gateway may list the back ends until it serves.
 const MAX_LISTS: u64 = 4;
 
+/// The kinds of all entries that gateways read.
+const KINDS: [&str; 8] = [
+    "servers",
+    "config",
+    "evacuations",
+    "threadledge-leases",
+    "threadledge-ownership",
+    "threadledge-held-requests",
+    "threadledge-limit-holders",
+    "threadledge-relays",
+];
+
 /// Number of list calls for back ends that a gateway made.
 fn list_calls(gateway: &Gateway) -> u64 {
     let metrics = gateway.metrics();
@@ -35,9 +47,10 @@
     request.send(gateway).status() == 200
 }
 
-/// Kills all gateways, adds entries of these names and starts them again.
+/// Kills all gateways, adds entries of these kinds and names and starts them
+/// again.
 #[track_caller]
-fn check(names: &[&str]) {
+fn check(kinds: &[&str], names: &[&str]) {
     let store = block_on(StandInStore::start()).expect("a store");
     store.set_page_size(1);
     let start = |name: &str, keyed| block_on(StandInBackEnd::start(name, keyed)).expect("one");
@@ -52,8 +65,10 @@
         gateways
     };
     drop(start_all());
-    for name in names {
-        store.put("servers", name, json!({"note": "not ours"}));
+    for kind in kinds {
+        for name in names {
+            store.put(kind, name, json!({"note": "not ours"}));
+        }
     }
     for gateway in start_all() {
         for (host, target, key) in [
@@ -73,37 +88,42 @@
 
 #[test]
 fn name_with_an_ampersand_holds_up_nothing() {
-    check(&["i-m&a"]);
+    check(&["servers"], &["i-m&a"]);
 }
 
 #[test]
 fn name_with_a_plus_sign_holds_up_nothing() {
-    check(&["i-m+a"]);
+    check(&["servers"], &["i-m+a"]);
 }
 
 #[test]
 fn name_with_a_number_sign_holds_up_nothing() {
-    check(&["i-m#a"]);
+    check(&["servers"], &["i-m#a"]);
 }
 
 #[test]
 fn name_with_a_per_cent_sign_holds_up_nothing() {
-    check(&["i-m%41"]);
+    check(&["servers"], &["i-m%41"]);
 }
 
 #[test]
 fn name_with_a_blank_holds_up_nothing() {
-    check(&["i-m a"]);
+    check(&["servers"], &["i-m a"]);
 }
 
 #[test]
 fn name_with_a_line_break_holds_up_nothing() {
-    check(&["i-m\r\na"]);
+    check(&["servers"], &["i-m\r\na"]);
 }
 
 #[test]
 fn odd_names_together_hold_up_nothing() {
-    check(&ODD_NAMES);
+    check(&["servers"], &ODD_NAMES);
+}
+
+#[test]
+fn odd_names_of_every_kind_hold_up_nothing() {
+    check(&KINDS, &ODD_NAMES);
 }
 
 /// The coordinator's lease and the owners of keys are stored under the name of
