--- a/crates/router/tests/gateway/broken_back_end.rs
+++ b/crates/router/tests/gateway/broken_back_end.rs
@@ -65,6 +65,8 @@
 #[derive(Clone, Copy, Debug)]
 pub enum End {
     Reset,
+    /// Ends its sending side and reads on.
+    ShutDown,
     /// Closes it with unread bytes, for which its kernel resets it.
     CloseUnread,
     /// Leaves that to the gateway.
@@ -127,7 +129,11 @@
     match answer.end {
         End::Reset => sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("set"),
         End::CloseUnread => {}
-        End::KeepOpen => {
+        End::ShutDown | End::KeepOpen => {
+            if matches!(answer.end, End::ShutDown) {
+                // The gateway may have closed the connection.
+                let _ = stream.shutdown(Shutdown::Write);
+            }
             let _ = std::io::copy(&mut stream, &mut std::io::sink());
         }
     }
--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod changes;
 mod cluster_state;
 mod crashing;
+mod cut_heads;
 mod draining_back_ends;
 mod endless_peers;
 mod fleet;
