--- a/crates/router/tests/gateway/main.rs
+++ b/crates/router/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod odd_entries;
 mod odd_names;
 mod outage;
+mod own_records;
 mod partial_lists;
 mod partly_lost_paths;
 mod peers;
