--- a/crates/router/tests/gateway/odd_entries.rs
+++ b/crates/router/tests/gateway/odd_entries.rs
@@ -10,7 +10,7 @@
 use threadledge_soak::proxy::Proxy;
 use threadledge_soak::proxy::rewriter::Rewriter;
 
-use super::process::{Gateway, TestRequest, eventually};
+use super::process::{Gateway, eventually};
 
 /// Levels of the nested entries.
 const LISTS: usize = 20_000;
@@ -122,16 +122,6 @@
     }
 }
 
-fn serves(gateway: &Gateway, host: &str, target: &str, key: Option<u16>) -> Option<()> {
-    let request = TestRequest {
-        host,
-        target,
-        key,
-        ..TestRequest::default()
-    };
-    (request.send(gateway).status() == 200).then_some(())
-}
-
 /// Adds the odd entries of a service before or after gateways start, and checks
 /// that they serve and follow the list.
 #[track_caller]
@@ -172,10 +162,14 @@
     for gateway in &gateways {
         let before = later.runs().len();
         eventually(|| {
-            serves(gateway, "plain.example", "/safe/x", None)?;
-            (later.runs().len() > before).then_some(())
+            let is_served = gateway.serves("plain.example", "/safe/x", None);
+            (is_served && later.runs().len() > before).then_some(())
+        });
+        eventually(|| {
+            gateway
+                .serves("keyed.example", "/k/x", Some(5))
+                .then_some(())
         });
-        eventually(|| serves(gateway, "keyed.example", "/k/x", Some(5)));
         assert_eq!(gateway.readiness(), Some(200));
     }
 }
--- a/crates/router/tests/gateway/odd_names.rs
+++ b/crates/router/tests/gateway/odd_names.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use threadledge_platform_stand_in::{ODD_NAMES, StandInBackEnd, StandInStore, configuration};
 
-use super::process::{Gateway, TestRequest, eventually};
+use super::process::{Gateway, eventually};
 
 /// Requests of each kind to each gateway.
 const REQUESTS: usize = 20;
@@ -37,16 +37,6 @@
     counts.map(|count| count.expect("a count")).sum()
 }
 
-fn is_served(gateway: &Gateway, host: &str, target: &str, key: Option<u16>) -> bool {
-    let request = TestRequest {
-        host,
-        target,
-        key,
-        ..TestRequest::default()
-    };
-    request.send(gateway).status() == 200
-}
-
 /// Kills all gateways, adds entries of these kinds and names and starts them
 /// again.
 #[track_caller]
@@ -75,8 +65,8 @@
             ("plain.example", "/safe/x", None),
             ("keyed.example", "/k/x", Some(5)),
         ] {
-            eventually(|| is_served(&gateway, host, target, key).then_some(()));
-            let served = (0..REQUESTS).filter(|_| is_served(&gateway, host, target, key));
+            eventually(|| gateway.serves(host, target, key).then_some(()));
+            let served = (0..REQUESTS).filter(|_| gateway.serves(host, target, key));
             assert_eq!(served.count(), REQUESTS, "{host} with {names:?}");
         }
         let entries = u64::try_from(names.len()).expect("few") + 2;
@@ -145,6 +135,10 @@
         store.put("config", "main", wanted);
         let mut gateway = Gateway::start(store.address());
         gateway.await_ready();
-        eventually(|| is_served(&gateway, "keyed.example", "/k/x", Some(5)).then_some(()));
+        eventually(|| {
+            gateway
+                .serves("keyed.example", "/k/x", Some(5))
+                .then_some(())
+        });
     }
 }
--- a/crates/router/tests/gateway/own_records.rs
+++ b/crates/router/tests/gateway/own_records.rs
@@ -4,17 +4,7 @@
 use serde_json::json;
 use threadledge_platform_stand_in::{StandInBackEnd, StandInStore, configuration};
 
-use super::process::{Gateway, TestRequest, eventually};
-
-fn is_served(gateway: &Gateway, host: &str, target: &str, key: Option<u16>) -> bool {
-    let request = TestRequest {
-        host,
-        target,
-        key,
-        ..TestRequest::default()
-    };
-    request.send(gateway).status() == 200
-}
+use super::process::{Gateway, eventually};
 
 /// Starts gateways while a record of theirs holds something else. Both services
 /// are served.
@@ -31,8 +21,16 @@
         ["router-1", "router-2"].map(|name| Gateway::start_named(name, store.address()));
     for gateway in &mut gateways {
         gateway.await_ready();
-        eventually(|| is_served(gateway, "plain.example", "/safe/x", None).then_some(()));
-        eventually(|| is_served(gateway, "keyed.example", "/k/x", Some(5)).then_some(()));
+        eventually(|| {
+            gateway
+                .serves("plain.example", "/safe/x", None)
+                .then_some(())
+        });
+        eventually(|| {
+            gateway
+                .serves("keyed.example", "/k/x", Some(5))
+                .then_some(())
+        });
     }
 }
 
--- a/crates/router/tests/gateway/process.rs
+++ b/crates/router/tests/gateway/process.rs
@@ -235,6 +235,17 @@
         eventually(|| (self.readiness() == Some(200)).then_some(()));
     }
 
+    /// Whether a request that may be repeated is served.
+    pub fn serves(&self, host: &str, target: &str, key: Option<u16>) -> bool {
+        let request = TestRequest {
+            host,
+            target,
+            key,
+            ..TestRequest::default()
+        };
+        request.send(self).status() == 200
+    }
+
     pub fn metrics(&self) -> String {
         self.operator_get("/metrics")
     }
--- a/crates/types/src/deployment/back_end.rs
+++ b/crates/types/src/deployment/back_end.rs
@@ -23,9 +23,9 @@
 const START_TIME_SEPARATOR: char = '/';
 
 impl BackEndName {
-    /// Builds the name of the process of back end `id`, which must be an
-    /// [id](BackEndName::is_id), that started at `started`, in milliseconds by the back end's wall clock. Pass `None` if
-    /// each process has its own id.
+    /// Builds the name of the process of back end `id` that started at
+    /// `started`, in milliseconds by the back end's wall clock. Pass `None` if
+    /// each process has its own id. Requires [`BackEndName::is_id`].
     pub fn new(id: &str, started: Option<u64>) -> Self {
         match started {
             Some(started) => format!("{id}{START_TIME_SEPARATOR}{started}").into(),
