router, net tests: calls of both gateways are counted together

A gateway that follows another one may get the back ends from it without a list of its own, so that at least one call of each was too much to ask; together they list each page once at least, and the upper bound is the same. A check of a repeated call is written more plainly.

--- a/crates/net/tests/cut_heads.rs
+++ b/crates/net/tests/cut_heads.rs
@@ -137,11 +137,12 @@
             let first = within(client.send(address, called(), SAFETY)).await;
             assert_eq!(first.unwrap().body(), b"ok");
             let second = within(client.send(address, called(), SAFETY)).await;
-            // Without a byte of a response, the call may go on a new
-            // connection, which answers the first one.
-            let repeated = second.as_ref().is_ok_and(|whole| whole.body() == b"ok");
-            let accepted = second.is_ok() && !(cut.is_empty() && repeated);
-            assert!(!accepted, "{cut:?}, {end:?}: {second:?}");
+            if let Ok(repeated) = second {
+                // Without a byte of a response, the call may go on a new
+                // connection, which answers its first request.
+                assert!(cut.is_empty(), "{cut:?}, {end:?}: {repeated:?}");
+                assert_eq!(repeated.body(), b"ok");
+            }
             serving.cancel().await;
         }
     }
--- a/crates/router/tests/gateway/odd_names.rs
+++ b/crates/router/tests/gateway/odd_names.rs
@@ -1,6 +1,6 @@
 //! Entries of another writer, under names of any characters, in lists of several
-//! pages. Gateways that are started again while
-//! such an entry stands serve with the others.
+//! pages. Gateways that are started again while such an entry stands serve with
+//! the others.
 
 use async_std::task::block_on;
 use serde_json::json;
@@ -10,8 +10,9 @@
 
 /// Requests of each kind to each gateway.
 const REQUESTS: usize = 20;
-/// Most times that a gateway may list the back ends until it serves.
-const MAX_LISTS: u64 = 4;
+/// Most times that all gateways together may list the back ends until they
+/// serve.
+const MAX_LISTS: u64 = 8;
 
 /// The kinds of all entries that gateways read.
 const KINDS: [&str; 8] = [
@@ -60,7 +61,8 @@
             store.put(kind, name, json!({"note": "not ours"}));
         }
     }
-    for gateway in start_all() {
+    let gateways = start_all();
+    for gateway in &gateways {
         for (host, target, key) in [
             ("plain.example", "/safe/x", None),
             ("keyed.example", "/k/x", Some(5)),
@@ -69,11 +71,12 @@
             let served = (0..REQUESTS).filter(|_| gateway.serves(host, target, key));
             assert_eq!(served.count(), REQUESTS, "{host} with {names:?}");
         }
-        let entries = u64::try_from(names.len()).expect("few") + 2;
-        let calls = list_calls(&gateway);
-        let bound = 1..=MAX_LISTS * entries;
-        assert!(bound.contains(&calls), "{calls} with {names:?}");
     }
+    let pages = u64::try_from(names.len()).expect("few") + 2;
+    // A gateway may get the back ends from the other one.
+    let calls: u64 = gateways.iter().map(list_calls).sum();
+    let bound = pages..=MAX_LISTS * pages;
+    assert!(bound.contains(&calls), "{calls} with {names:?}");
 }
 
 #[test]
