--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::client::is_ready;
@@ -21,9 +22,21 @@
     pub store: SocketAddr,
 }
 
-/// A free port of 127.0.0.1.
+/// A free port of 127.0.0.1, outside the range that outgoing connections take
+/// theirs from by themselves.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    const FIRST: u32 = 12_000;
+    const PORTS: u32 = 20_000;
+    let start = std::process::id().wrapping_mul(97);
+    for _ in 0..PORTS {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 impl Settings {
